Workspace, core types and the contract between the parts

Cause: nothing stood yet. The packages follow the proposed design; the types that cross the parts (ids, time, outcome, request, shard, events and actions of an instance) come first, so that the parts can be built side by side. Ruled out: one package (decisions could not be tested without I/O).

--- /dev/null
+++ b/crates/citronway-core/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions of citronway.
+//!
+//! Everything here is pure: no I/O, no threads, no clock. Each machine takes
+//! typed events together with the present time and returns typed actions, so
+//! that the same events give the same decisions in a running process, in a
+//! test and in a replay.
+
+pub mod ids;
+pub mod node;
+pub mod outcome;
+pub mod peer;
+pub mod platform;
+pub mod request;
+pub mod shard;
+pub mod time;
--- /dev/null
+++ b/crates/citronway-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
