Configuration model, groups in the assignment

Cause: a key must have one owner although instances know different configurations for a moment, so the split of keys into groups is part of the assignment row. Ruled out: taking the split from each instance's configuration.

--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! that the same events give the same decisions in a running process, in a
 //! test and in a replay.
 
+pub mod config;
 pub mod ids;
 pub mod node;
 pub mod outcome;
--- a/crates/citronway-core/src/shard.rs
+++ b/crates/citronway-core/src/shard.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{EndpointName, Epoch, Key, ServiceName, Session, ShardId};
+use crate::ids::{EndpointName, Epoch, GroupName, Key, ServiceName, Session, ShardId};
 use crate::time::Wall;
 
 /// Place of a key in the hashed key space. The hash is stable across versions.
@@ -53,6 +53,8 @@
 pub struct Shard {
     /// Number within the service.
     pub id: ShardId,
+    /// Group whose endpoints divide it.
+    pub group: GroupName,
     /// Part of the key space. A hot key's own shard has a range of one hash and
     /// goes before the range around it.
     pub range: HashRange,
@@ -73,10 +75,36 @@
     pub planner_epoch: Epoch,
     /// Next shard number to give.
     pub next_shard: ShardId,
-    /// Shards by number. Ranges cover the key space without overlap.
+    /// Which group a key belongs to: the first part whose selector matches.
+    ///
+    /// Kept here and not taken from the configuration, because instances know
+    /// different configurations for a moment; a key whose group changes is then
+    /// released by its old owner before this list changes.
+    pub partition: Vec<Part>,
+    /// Shards by number. Ranges of a group cover the key space without overlap.
     pub shards: IndexMap<ShardId, Shard>,
     /// Shards of single hot keys, which go before the ranges.
-    pub hot: IndexMap<KeyHash, ShardId>,
+    pub hot: Vec<HotShard>,
+}
+
+/// Shard of a single hot key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HotShard {
+    /// Group of the key.
+    pub group: GroupName,
+    /// Hash of the key.
+    pub hash: KeyHash,
+    /// Its shard.
+    pub shard: ShardId,
+}
+
+/// Keys of one group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The group.
+    pub group: GroupName,
+    /// Selector over keys; absent means all.
+    pub keys: Option<String>,
 }
 
 /// Dispatch row of an endpoint: who may send it work and who may take over.
