Stand-ins for the platform and an endpoint

Tests and the tour need the platform and endpoints of the architecture page as processes that misbehave on demand. Both are HTTP/1.1 servers on hyper, each on a thread of its own, so that they also run inside a test.

A request is worked on in a task of its own: hyper drops the handler when the client hangs up, and an endpoint that had taken an order in would then not run it. Refusing all work of a closed connection was ruled out because that hides the late runs the fences are there to stop.

No tests yet; the binaries were tried by hand with curl (a transaction and its conflict, an order, half an answer).

--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -1,1 +1,7 @@
-//! placeholder
+//! Stand-ins for the platform and the endpoints, and what tests, the tour and
+//! the load tool share. Not shipped.
+
+pub mod endpoint;
+pub mod http;
+pub mod platform;
+pub mod process;
