Callers, endpoints and platform: first form

The entry instance needs three duties before a request can pass through it. Each is one thread with its own runtime, joined to the rest by bounded rings.

Waiting for a connection to an endpoint was ruled out for orders, since the dispatcher has the only queue.

--- /dev/null
+++ b/crates/citronway/src/callers/app.rs
@@ -0,0 +1,126 @@
+//! Routes of the callers' interface.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use citronway_core::ids::RequestId;
+use citronway_core::node::{CallerRequest, Event};
+use citronway_core::outcome::{MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome};
+use citronway_core::time::Wall;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use tokio::sync::mpsc::Sender;
+use tokio::time::timeout;
+use viz::{Body, Request, Response, Router};
+
+use super::config::CallersConfig;
+use super::finding::{Finding, Problem};
+use super::waiting::{Waiter, Waiting};
+use super::{head, reply};
+use crate::endpoints::clock::{time_until, wall_now};
+
+/// When a caller may come back after a limit of this instance was reached.
+const OVERLOAD_RETRY_MS: u64 = 1_000;
+/// When a caller may ask about a request whose outcome got lost here.
+const LOST_RETRY_MS: u64 = 1_000;
+
+/// What all requests share.
+#[derive(Debug)]
+pub(super) struct App {
+    pub(super) cfg: CallersConfig,
+    pub(super) waiting: Arc<Waiting>,
+    pub(super) events: Sender<Event>,
+    pub(super) ready: Arc<AtomicBool>,
+}
+
+/// Routes to the handlers of `app`.
+pub(super) fn router(app: &Arc<App>) -> Router {
+    let health = Arc::clone(app);
+    let work = Arc::clone(app);
+    Router::new()
+        .get("/healthz", move |_: Request| {
+            let ready = health.ready.load(Ordering::Relaxed);
+            async move { Ok(reply::health(ready)) }
+        })
+        .any("/*", move |req: Request| {
+            let app = Arc::clone(&work);
+            async move { Ok(app.handle(req).await) }
+        })
+}
+
+impl App {
+    async fn handle(&self, req: Request) -> Response {
+        let (parts, body) = req.into_parts();
+        let mut work = match head::read(&self.cfg, &parts, wall_now()) {
+            Ok(work) => work,
+            Err(findings) => return reply::malformed(&findings),
+        };
+        match self.read_body(body, work.deadline).await {
+            Ok(body) => work.body = body,
+            Err(problem) => return reply::malformed(&[Finding::body(problem)]),
+        }
+        let id = work.id;
+        let outcome = self.outcome(work).await;
+        reply::outcome(id, outcome)
+    }
+
+    // Failure guarded against: a caller sends its body slowly or without end
+    // and holds memory and places that others need. It shows as refusals on an
+    // idle instance. The guard holds because a body counts against no limit of
+    // requests before it is whole, and is bounded in size and time.
+    async fn read_body(&self, body: Body, deadline: Wall) -> Result<Bytes, Problem> {
+        let limit = self.cfg.max_body_bytes;
+        let wait = Duration::from_millis(self.cfg.body_timeout_ms).min(time_until(deadline));
+        let body = Limited::new(body, limit).collect();
+        let Ok(result) = timeout(wait, body).await else {
+            return Err(Problem::TooSlow);
+        };
+        match result {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(err) if err.is::<LengthLimitError>() => Err(Problem::TooLarge { limit }),
+            Err(_) => Err(Problem::Cut),
+        }
+    }
+
+    async fn outcome(&self, work: CallerRequest) -> Outcome {
+        let (id, deadline) = (work.id, work.deadline);
+        let Some(waiter) = self.waiting.admit() else {
+            return overloaded();
+        };
+        let event = Event::Caller {
+            ticket: waiter.ticket(),
+            request: work,
+        };
+        if self.events.try_send(event).is_err() {
+            waiter.withdraw();
+            return overloaded();
+        }
+        self.wait(waiter, id, deadline).await
+    }
+
+    // The grace only covers a decision that never comes; a request that is out
+    // of time is answered by the decision itself.
+    async fn wait(&self, mut waiter: Waiter, id: RequestId, deadline: Wall) -> Outcome {
+        let end = deadline.plus(self.cfg.reply_grace_ms);
+        match timeout(time_until(end), waiter.outcome()).await {
+            Ok(Some(outcome)) => outcome,
+            Ok(None) => lost(MayHaveRunReason::DispatcherLost),
+            Err(_) => {
+                log::error!(id:% = id; "no decision on a request in time");
+                lost(MayHaveRunReason::Timeout)
+            }
+        }
+    }
+}
+
+fn overloaded() -> Outcome {
+    Outcome::NotRun(NotRun::new(NotRunReason::Overloaded, OVERLOAD_RETRY_MS))
+}
+
+fn lost(reason: MayHaveRunReason) -> Outcome {
+    Outcome::MayHaveRun(MayHaveRun {
+        reason,
+        retry_after_ms: LOST_RETRY_MS,
+    })
+}
