--- /dev/null
+++ b/crates/citronway-core/src/dispatch/answers.rs
@@ -0,0 +1,76 @@
+//! Answers kept for duplicates, up to a number of bytes.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::ids::RequestId;
+use crate::outcome::Answer;
+
+/// Bytes counted for an answer besides its body.
+const OVERHEAD: usize = 128;
+
+/// Answers by id; the oldest go first when there is no room.
+#[derive(Debug)]
+pub struct Answers {
+    kept: IndexMap<RequestId, Answer>,
+    order: VecDeque<RequestId>,
+    bytes: usize,
+    most: usize,
+}
+
+impl Answers {
+    /// No answers; room for `most` bytes.
+    #[must_use]
+    pub fn new(most: usize) -> Self {
+        Self {
+            kept: IndexMap::new(),
+            order: VecDeque::new(),
+            bytes: 0,
+            most,
+        }
+    }
+
+    /// The kept answer.
+    #[must_use]
+    pub fn get(&self, id: RequestId) -> Option<&Answer> {
+        self.kept.get(&id)
+    }
+
+    /// Keeps an answer, unless it alone is too large.
+    pub fn keep(&mut self, id: RequestId, answer: Answer) {
+        let size = size(&answer);
+        if size > self.most {
+            return;
+        }
+        self.forget(id);
+        self.bytes += size;
+        self.kept.insert(id, answer);
+        self.order.push_back(id);
+        while self.bytes > self.most {
+            let Some(oldest) = self.order.pop_front() else {
+                break;
+            };
+            self.drop_answer(oldest);
+        }
+    }
+
+    /// Forgets an answer.
+    pub fn forget(&mut self, id: RequestId) {
+        if self.drop_answer(id) {
+            self.order.retain(|other| *other != id);
+        }
+    }
+
+    fn drop_answer(&mut self, id: RequestId) -> bool {
+        let Some(answer) = self.kept.swap_remove(&id) else {
+            return false;
+        };
+        self.bytes -= size(&answer);
+        true
+    }
+}
+
+const fn size(answer: &Answer) -> usize {
+    answer.body.len() + OVERHEAD
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/arriving.rs
@@ -0,0 +1,180 @@
+//! Requests that come in, and callers that go.
+
+use super::admission::{Arrival, admit, drain_ms};
+use super::duplicates::Verdict;
+use super::fingerprint::Fingerprint;
+use super::grants::Phase;
+use super::health::Reach;
+use super::machine::Dispatcher;
+use super::message::{DispatchAction, ShardRef, Turn};
+use super::queue::Waiting;
+use super::waiters::Waiter;
+use crate::ids::{RequestId, ShardId};
+use crate::node::events::Ticket;
+use crate::outcome::{MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome};
+use crate::request::{Repeat, Request};
+use crate::time::Wall;
+
+impl Dispatcher {
+    pub(super) fn on_submit(
+        &mut self,
+        origin: Ticket,
+        shard: ShardId,
+        request: Request,
+        turn: Turn,
+    ) {
+        let at = ShardRef {
+            service: request.service.clone(),
+            shard,
+        };
+        let fingerprint = Fingerprint::of(&request);
+        // Whether the id is known goes before every reason to refuse: a repeat
+        // of a request that is running would be told `not run` otherwise.
+        let not_before = match self.verdict(&request, fingerprint, &at, turn) {
+            Verdict::New { not_before } => not_before,
+            Verdict::Pending => return self.wait_for(origin, &request),
+            Verdict::Settled(outcome) => return self.reply(origin, outcome),
+            Verdict::Fault(fault) => {
+                return self.out.push(DispatchAction::Reject { origin, fault });
+            }
+            Verdict::NoRoom => {
+                let retry_ms = self.cfg.report_ms;
+                return self.refuse(origin, NotRunReason::Overloaded, retry_ms);
+            }
+        };
+        let waiting = Waiting {
+            origin,
+            request,
+            at,
+            not_before,
+        };
+        if let Err(not_run) = self.admit(&waiting, turn) {
+            return self.reply(origin, Outcome::NotRun(not_run));
+        }
+        self.enqueue(waiting, fingerprint);
+    }
+
+    /// The caller of a request has gone. Work that may be repeated is stopped;
+    /// other work runs on, so that its outcome is known when it is asked for.
+    pub(super) fn on_cancel(&mut self, origin: Ticket) {
+        if let Some(id) = self.queue.id_of(origin) {
+            if self.waiters.len_of(id) > 0 {
+                return;
+            }
+            if let Some(waiting) = self.queue.remove(origin) {
+                self.give_up(&waiting, NotRunReason::Cancelled);
+            }
+            return;
+        }
+        let Some(ticket) = self.slots.of_origin(origin) else {
+            return;
+        };
+        let order = self.slots.get_mut(ticket);
+        if order.is_some_and(|order| order.repeat == Repeat::Idempotent) {
+            self.ask_cancel(ticket);
+        }
+    }
+
+    /// What is told to those who are refused: when there will be room.
+    pub(super) fn retry_after_ms(&self) -> u64 {
+        drain_ms(self.slots.used(), self.queue.len(), &self.limit)
+    }
+
+    fn verdict(
+        &self,
+        request: &Request,
+        fingerprint: Fingerprint,
+        at: &ShardRef,
+        turn: Turn,
+    ) -> Verdict {
+        if request.repeat == Repeat::Idempotent {
+            return Verdict::New {
+                not_before: Wall(0),
+            };
+        }
+        let floor = self.grants.get(at).map_or(Wall(0), |held| held.owned.floor);
+        self.duplicates
+            .check(request.id, fingerprint, floor, turn.now.wall)
+    }
+
+    fn admit(&self, waiting: &Waiting, turn: Turn) -> Result<(), NotRun> {
+        if let Some(reason) = self.closed(&waiting.at, turn) {
+            return Err(NotRun::new(reason, self.retry_after_ms()));
+        }
+        let request = &waiting.request;
+        let arrival = Arrival {
+            deadline: request.deadline,
+            ahead: self.queue.ahead_of(&request.class, request.deadline),
+            running: self.slots.used(),
+            waiting: self.queue.len(),
+            waiting_of_key: self.queue.len_of(&waiting.key()),
+            queue_max: self.cfg.queue_max,
+            key_share: self.cfg.key_share,
+        };
+        admit(&arrival, &self.limit, turn.now.wall)
+    }
+
+    /// Why no new work is taken for a shard at all.
+    fn closed(&self, at: &ShardRef, turn: Turn) -> Option<NotRunReason> {
+        if self.retired.is_some() {
+            return self.retired;
+        }
+        if !turn.may_act {
+            return Some(NotRunReason::NoHold);
+        }
+        if self.health.stale() {
+            return Some(NotRunReason::NotDispatcher);
+        }
+        if self.is_draining() {
+            return Some(NotRunReason::Draining);
+        }
+        if self.health.reach() == Reach::Unreachable {
+            return Some(NotRunReason::EndpointUnreachable);
+        }
+        let Some(held) = self.grants.get(at) else {
+            return Some(NotRunReason::NoOwner);
+        };
+        match held.phase {
+            Phase::Serving => None,
+            Phase::Stopping | Phase::Revoking | Phase::Released => Some(NotRunReason::Moving),
+        }
+    }
+
+    fn enqueue(&mut self, waiting: Waiting, fingerprint: Fingerprint) {
+        if waiting.request.repeat == Repeat::NonIdempotent {
+            self.duplicates.take(waiting.request.id, fingerprint);
+        }
+        self.queue.push(waiting);
+    }
+
+    /// Lets a duplicate wait for the answer of the request it repeats.
+    fn wait_for(&mut self, origin: Ticket, request: &Request) {
+        let id = request.id;
+        if self.waiters.len_of(id) >= self.cfg.max_waiters {
+            return self.reply(origin, running_elsewhere());
+        }
+        let deadline = request.deadline;
+        self.waiters.add(id, Waiter { origin, deadline });
+    }
+
+    pub(super) fn ask_cancel(&mut self, ticket: Ticket) {
+        let Some(order) = self.slots.get_mut(ticket) else {
+            return;
+        };
+        if order.cancelling {
+            return;
+        }
+        order.cancelling = true;
+        let id: RequestId = order.id;
+        self.cancels.push(id);
+    }
+}
+
+/// Told to a duplicate that does not get to know the outcome: the request it
+/// repeats may run yet, so `not run` would be wrong.
+pub(super) const fn running_elsewhere() -> Outcome {
+    Outcome::MayHaveRun(MayHaveRun {
+        reason: MayHaveRunReason::Timeout,
+        retry_after_ms: 0,
+    })
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/grants.rs
@@ -0,0 +1,320 @@
+//! Which shards the endpoint holds, and until when at the latest.
+
+use indexmap::IndexMap;
+
+use super::message::{OwnedShard, ShardEpoch, ShardRef};
+use super::sent_grants::{SentGrants, SentKind, shard_epoch};
+use crate::node::events::{GrantedShard, Ticket};
+use crate::time::Wall;
+
+/// How far a shard has come on its way in and out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Granted and renewed.
+    Serving,
+    /// No new work; its orders are waited for.
+    Stopping,
+    /// No order is left; it is being revoked.
+    Revoking,
+    /// The endpoint holds nothing of it. Never granted again under its epoch:
+    /// the planner may have given it to another endpoint by now.
+    Released,
+}
+
+/// A shard at the endpoint.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// The shard as assigned.
+    pub owned: OwnedShard,
+    /// How far it has come.
+    pub phase: Phase,
+    /// Latest end that the endpoint has confirmed.
+    acked_end: Wall,
+    /// Latest end that was ever sent, confirmed or not.
+    latest_end: Wall,
+    /// A grant, or a revocation in that phase, has been sent.
+    asked: bool,
+}
+
+/// What is true of the endpoint beyond this dispatcher's own grants.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Whether it checks epochs and ends.
+    pub checks_orders: bool,
+    /// Nothing that an earlier dispatcher left there can act after this; the
+    /// skew bound is included.
+    pub inherited_until: Wall,
+    /// Bound on the difference of two wall clocks, in milliseconds.
+    pub skew_ms: u64,
+}
+
+/// Grants of one endpoint.
+#[derive(Debug, Default)]
+pub struct Grants {
+    shards: IndexMap<ShardRef, Held>,
+    sent: SentGrants,
+    /// Latest end that was ever sent for any shard.
+    latest_end: Wall,
+}
+
+impl Grants {
+    /// A shard at the endpoint.
+    #[must_use]
+    pub fn get(&self, at: &ShardRef) -> Option<&Held> {
+        self.shards.get(at)
+    }
+
+    /// Takes in the assigned shards, all of them. Returns those that get no
+    /// new work from now on.
+    pub fn set_shards(&mut self, shards: &[OwnedShard]) -> Vec<ShardRef> {
+        let mut stopped = Vec::new();
+        for owned in shards {
+            if self.set_shard(owned) {
+                stopped.push(owned.at.clone());
+            }
+        }
+        for held in self.shards.values_mut() {
+            if shards.iter().any(|owned| owned.at == held.owned.at) {
+                continue;
+            }
+            held.owned.moving = true;
+            if held.phase == Phase::Serving {
+                held.phase = Phase::Stopping;
+                stopped.push(held.owned.at.clone());
+            }
+        }
+        self.shards.retain(|at, held| {
+            held.phase != Phase::Released || shards.iter().any(|owned| owned.at == *at)
+        });
+        stopped
+    }
+
+    /// Whether an order of the shard may be sent now. The grant must have been
+    /// confirmed: an end that was merely sent may never have arrived.
+    #[must_use]
+    pub fn is_live(&self, at: &ShardRef, now: Wall) -> bool {
+        let Some(held) = self.shards.get(at) else {
+            return false;
+        };
+        held.phase == Phase::Serving && held.acked_end > now
+    }
+
+    /// Shards to grant or renew. One that is stopping is renewed as long as it
+    /// has orders: the endpoint would refuse to commit them otherwise.
+    #[must_use]
+    pub fn to_grant(&self) -> Vec<GrantedShard> {
+        self.in_phase(|phase| matches!(phase, Phase::Serving | Phase::Stopping))
+    }
+
+    /// Shards to revoke.
+    #[must_use]
+    pub fn to_revoke(&self) -> Vec<GrantedShard> {
+        self.in_phase(|phase| phase == Phase::Revoking)
+    }
+
+    /// Whether a shard waits for its first grant.
+    #[must_use]
+    pub fn has_ungranted(&self) -> bool {
+        let mut shards = self.shards.values();
+        shards.any(|held| held.phase == Phase::Serving && !held.asked)
+    }
+
+    /// Whether a shard waits for its first revocation.
+    #[must_use]
+    pub fn has_unrevoked(&self) -> bool {
+        let mut shards = self.shards.values();
+        shards.any(|held| held.phase == Phase::Revoking && !held.asked)
+    }
+
+    /// Notes a grant that is being sent.
+    ///
+    /// A grant whose answer is missing may wait in the socket buffer of a
+    /// frozen endpoint and be taken in later, so from now on the shards count
+    /// as granted until `end`, whatever becomes of the message.
+    pub fn granting(&mut self, ticket: Ticket, end: Wall, shards: &[GrantedShard]) {
+        for shard in shards {
+            let Some(held) = self.shards.get_mut(&shard_epoch(shard).at) else {
+                continue;
+            };
+            held.asked = true;
+            held.latest_end = held.latest_end.max(end);
+            self.latest_end = self.latest_end.max(end);
+        }
+        self.sent.add(ticket, SentKind::Grant { end }, shards);
+    }
+
+    /// Notes a revocation that is being sent.
+    pub fn revoking(&mut self, ticket: Ticket, shards: &[GrantedShard]) {
+        for shard in shards {
+            if let Some(held) = self.shards.get_mut(&shard_epoch(shard).at) {
+                held.asked = true;
+            }
+        }
+        self.sent.add(ticket, SentKind::Revoke, shards);
+    }
+
+    /// The endpoint has taken in a grant or revocation. Returns whether a
+    /// shard is released by that.
+    pub fn confirmed(&mut self, ticket: Ticket, bounds: Bounds, now: Wall) -> bool {
+        let Some(sent) = self.sent.take(ticket) else {
+            return false;
+        };
+        let mut released = false;
+        for ShardEpoch { at, epoch } in &sent.shards {
+            let Some(held) = self.shards.get_mut(at) else {
+                continue;
+            };
+            if held.owned.epoch != *epoch {
+                continue;
+            }
+            match sent.kind {
+                SentKind::Grant { end } => held.acked_end = held.acked_end.max(end),
+                SentKind::Revoke => {
+                    // A renewal that is still under way would arrive after the
+                    // revocation and give the shard back to the endpoint while
+                    // the next owner has it too. The revocation then proves
+                    // nothing, and the latest end has to be waited for.
+                    let renewed = self.sent.may_arrive(at, now, bounds.skew_ms);
+                    if held.phase == Phase::Revoking && bounds.checks_orders && !renewed {
+                        held.phase = Phase::Released;
+                        released = true;
+                    }
+                }
+            }
+        }
+        released
+    }
+
+    /// The endpoint refused a grant or revocation as coming from the past: it
+    /// was not taken in, and never will be.
+    pub fn refused(&mut self, ticket: Ticket) {
+        self.sent.take(ticket);
+    }
+
+    /// Lets time pass. `busy` tells whether an order of a shard may be running.
+    /// Returns whether a shard is released by that.
+    pub fn pass_time(
+        &mut self,
+        now: Wall,
+        bounds: Bounds,
+        busy: impl Fn(&ShardRef) -> bool,
+    ) -> bool {
+        let mut released = false;
+        self.sent.pass_time(now, bounds.skew_ms);
+        for (at, held) in &mut self.shards {
+            if held.phase == Phase::Stopping && !busy(at) {
+                held.phase = Phase::Revoking;
+                held.asked = false;
+            }
+            if held.phase == Phase::Revoking && held.quiet_at(bounds) <= now {
+                held.phase = Phase::Released;
+                released = true;
+            }
+        }
+        released
+    }
+
+    /// When nothing that was granted can act any more, whatever the endpoint
+    /// has received. Orders are counted apart.
+    #[must_use]
+    pub fn quiet_at(&self, bounds: Bounds) -> Wall {
+        if !bounds.checks_orders || self.latest_end == Wall(0) {
+            return bounds.inherited_until;
+        }
+        let own = self.latest_end.plus(bounds.skew_ms);
+        own.max(bounds.inherited_until)
+    }
+
+    /// Bars every shard under its present epoch.
+    pub fn release_all(&mut self) {
+        for held in self.shards.values_mut() {
+            held.phase = Phase::Released;
+        }
+    }
+
+    /// Released shards that the assignment still shows on their way out.
+    #[must_use]
+    pub fn released(&self) -> Vec<ShardEpoch> {
+        let mut shards = Vec::new();
+        for (at, held) in &self.shards {
+            if held.phase == Phase::Released && held.owned.moving {
+                shards.push(ShardEpoch {
+                    at: at.clone(),
+                    epoch: held.owned.epoch,
+                });
+            }
+        }
+        shards
+    }
+
+    /// Takes in one assigned shard. Returns whether it gets no new work from
+    /// now on.
+    fn set_shard(&mut self, owned: &OwnedShard) -> bool {
+        let Some(held) = self.shards.get_mut(&owned.at) else {
+            let held = Held::new(owned.clone(), Wall(0));
+            self.shards.insert(owned.at.clone(), held);
+            return false;
+        };
+        if owned.epoch < held.owned.epoch {
+            return false;
+        }
+        if owned.epoch > held.owned.epoch {
+            *held = Held::new(owned.clone(), held.latest_end);
+            return false;
+        }
+        held.owned = owned.clone();
+        match (held.phase, owned.moving) {
+            (Phase::Serving, true) => {
+                held.phase = Phase::Stopping;
+                return true;
+            }
+            (Phase::Stopping, false) => held.phase = Phase::Serving,
+            _ => {}
+        }
+        false
+    }
+
+    fn in_phase(&self, wanted: impl Fn(Phase) -> bool) -> Vec<GrantedShard> {
+        let mut shards = Vec::new();
+        for held in self.shards.values() {
+            if !wanted(held.phase) {
+                continue;
+            }
+            shards.push(GrantedShard {
+                service: held.owned.at.service.clone(),
+                shard: held.owned.at.shard,
+                epoch: held.owned.epoch,
+                range: held.owned.range,
+            });
+        }
+        shards
+    }
+}
+
+impl Held {
+    fn new(owned: OwnedShard, latest_end: Wall) -> Self {
+        let phase = if owned.moving {
+            Phase::Stopping
+        } else {
+            Phase::Serving
+        };
+        Self {
+            owned,
+            phase,
+            acked_end: Wall(0),
+            latest_end,
+            asked: false,
+        }
+    }
+
+    /// When the shard can be released without the endpoint's word. An endpoint
+    /// that does not check is protected only by silence: its own orders are
+    /// over by now, an earlier dispatcher's must be waited out.
+    fn quiet_at(&self, bounds: Bounds) -> Wall {
+        if !bounds.checks_orders {
+            return bounds.inherited_until;
+        }
+        let own = self.latest_end.plus(bounds.skew_ms);
+        own.max(bounds.inherited_until)
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/health.rs
@@ -0,0 +1,132 @@
+//! What the endpoint's answers to probes say about it.
+
+use super::settings::DispatchSettings;
+use crate::node::events::{ProbeReport, Ticket};
+use crate::time::Mono;
+
+/// Whether the endpoint can be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Its last probe was answered.
+    Healthy,
+    /// Probes have failed, not for long.
+    Suspect,
+    /// Probes have failed in a row for the configured time.
+    Unreachable,
+}
+
+/// Health of one endpoint.
+#[derive(Debug)]
+pub struct Health {
+    reach: Reach,
+    fails: u32,
+    answered: Mono,
+    newest: Ticket,
+    draining: bool,
+    stale: bool,
+    cold: bool,
+    reported_running: Option<u32>,
+}
+
+impl Health {
+    /// Nothing is known yet; the endpoint gets the benefit of the doubt.
+    #[must_use]
+    pub const fn new(now: Mono) -> Self {
+        Self {
+            reach: Reach::Healthy,
+            fails: 0,
+            answered: now,
+            newest: 0,
+            draining: false,
+            stale: false,
+            cold: false,
+            reported_running: None,
+        }
+    }
+
+    /// Whether it can be reached.
+    #[must_use]
+    pub const fn reach(&self) -> Reach {
+        self.reach
+    }
+
+    /// Whether it is leaving, by its own word.
+    #[must_use]
+    pub const fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Whether it knows a higher epoch than this dispatcher's.
+    #[must_use]
+    pub const fn stale(&self) -> bool {
+        self.stale
+    }
+
+    /// Whether it says that it has just started.
+    #[must_use]
+    pub const fn cold(&self) -> bool {
+        self.cold
+    }
+
+    /// Whether its last probes have failed more than once in a row.
+    #[must_use]
+    pub const fn is_silent(&self) -> bool {
+        self.fails > 1 || matches!(self.reach, Reach::Unreachable)
+    }
+
+    /// Orders that it says are running, `None` before the first report.
+    #[must_use]
+    pub const fn reported_running(&self) -> Option<u32> {
+        self.reported_running
+    }
+
+    /// An order was refused because the endpoint is leaving.
+    pub const fn refused_as_draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// Takes in the outcome of a probe.
+    pub const fn probed(
+        &mut self,
+        ticket: Ticket,
+        report: &ProbeReport,
+        cfg: &DispatchSettings,
+        now: Mono,
+    ) {
+        match *report {
+            ProbeReport::Failed => self.failed(cfg, now),
+            ProbeReport::Answered {
+                stale_epoch,
+                draining,
+                running,
+                cold,
+            } => {
+                self.fails = 0;
+                self.reach = Reach::Healthy;
+                self.answered = now;
+                // Reports that overtake each other: an older one, from before
+                // the endpoint began to drain, would send it new work again.
+                if ticket < self.newest {
+                    return;
+                }
+                self.newest = ticket;
+                self.draining = draining;
+                self.stale = stale_epoch;
+                self.cold = cold;
+                self.reported_running = Some(running);
+            }
+        }
+    }
+
+    const fn failed(&mut self, cfg: &DispatchSettings, now: Mono) {
+        self.fails = self.fails.saturating_add(1);
+        let long = now.since(self.answered) >= cfg.lost_after_ms;
+        if long && self.fails >= cfg.lost_after_fails {
+            self.reach = Reach::Unreachable;
+            return;
+        }
+        if matches!(self.reach, Reach::Healthy) {
+            self.reach = Reach::Suspect;
+        }
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/machine.rs
@@ -0,0 +1,281 @@
+//! The dispatcher: its state, and how an event goes through it.
+
+use indexmap::IndexMap;
+
+use super::duplicates::Duplicates;
+use super::grants::{Bounds, Grants};
+use super::health::Health;
+use super::limit::Limit;
+use super::message::{DispatchAction, DispatchEvent, KeyRef, OwnedShard, ShardRef, Turn};
+use super::queue::Queue;
+use super::settings::DispatchSettings;
+use super::slots::Slots;
+use super::waiters::Waiters;
+use crate::config::{Class, Endpoint};
+use crate::hotkeys::HotKeys;
+use crate::ids::{ClassName, EndpointName, Epoch, RequestId, Session};
+use crate::node::events::Ticket;
+use crate::outcome::{NotRun, NotRunReason, Outcome};
+use crate::peer::KnownRequest;
+use crate::time::{Mono, Now, Wall};
+
+/// Keys that are counted for reports.
+const HOT_KEYS: usize = 64;
+
+/// The dispatcher of one endpoint.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(super) name: EndpointName,
+    pub(super) endpoint: Endpoint,
+    pub(super) cfg: DispatchSettings,
+    pub(super) epoch: Epoch,
+    pub(super) session: Session,
+    pub(super) started: Now,
+    pub(super) queue: Queue,
+    pub(super) slots: Slots,
+    pub(super) limit: Limit,
+    pub(super) duplicates: Duplicates,
+    pub(super) waiters: Waiters,
+    pub(super) grants: Grants,
+    pub(super) health: Health,
+    pub(super) hot: HotKeys<KeyRef>,
+    pub(super) begun: IndexMap<ShardRef, u64>,
+    /// Orders of a predecessor that run at the endpoint, at most.
+    pub(super) foreign: u32,
+    pub(super) next_ticket: Ticket,
+    pub(super) next_renewal: Mono,
+    pub(super) next_report: Mono,
+    /// When the role was last held.
+    pub(super) held: Mono,
+    /// The role was given up, for this reason.
+    pub(super) retired: Option<NotRunReason>,
+    /// The endpoint is lost and nothing can act there any more.
+    pub(super) quiet: bool,
+    /// Orders that the endpoint has to be asked to cancel.
+    pub(super) cancels: Vec<RequestId>,
+    pub(super) out: Vec<DispatchAction>,
+}
+
+/// Builds a [`Dispatcher`].
+#[derive(Debug)]
+pub struct DispatcherBuilder {
+    name: EndpointName,
+    endpoint: Endpoint,
+    classes: IndexMap<ClassName, Class>,
+    cfg: DispatchSettings,
+    epoch: Epoch,
+    session: Session,
+    floor: Wall,
+    requests: Vec<KnownRequest>,
+    first_ticket: Ticket,
+}
+
+impl DispatcherBuilder {
+    /// Sets the classes of work.
+    #[must_use]
+    pub fn classes(mut self, classes: &IndexMap<ClassName, Class>) -> Self {
+        self.classes.clone_from(classes);
+        self
+    }
+
+    /// Sets limits and times.
+    #[must_use]
+    pub fn settings(mut self, cfg: DispatchSettings) -> Self {
+        self.cfg = cfg;
+        self
+    }
+
+    /// Sets the epoch of the dispatch row and the session it names.
+    #[must_use]
+    pub fn role(mut self, epoch: Epoch, session: &Session) -> Self {
+        self.epoch = epoch;
+        self.session = session.clone();
+        self
+    }
+
+    /// Sets the floor: a predecessor may have sent ids created before it. It
+    /// must lie after the predecessor's last order on any clock, so the skew
+    /// bound is to be included.
+    #[must_use]
+    pub const fn floor(mut self, floor: Wall) -> Self {
+        self.floor = floor;
+        self
+    }
+
+    /// Takes over what a predecessor knew of requests.
+    #[must_use]
+    pub fn known(mut self, requests: &[KnownRequest]) -> Self {
+        self.requests.extend_from_slice(requests);
+        self
+    }
+
+    /// Sets the first ticket that the dispatcher gives; the following ones are
+    /// counted up from it.
+    #[must_use]
+    pub const fn first_ticket(mut self, ticket: Ticket) -> Self {
+        self.first_ticket = ticket;
+        self
+    }
+
+    /// Starts the dispatcher.
+    #[must_use]
+    pub fn start(self, now: Now) -> Dispatcher {
+        let mut duplicates = Duplicates::new(&self.cfg, self.floor);
+        duplicates.import(&self.requests);
+        Dispatcher {
+            queue: Queue::new(&self.classes),
+            slots: Slots::default(),
+            limit: Limit::new(usable_slots(&self.endpoint), self.cfg.first_service_ms),
+            duplicates,
+            waiters: Waiters::default(),
+            grants: Grants::default(),
+            health: Health::new(now.mono),
+            hot: HotKeys::new(HOT_KEYS),
+            begun: IndexMap::new(),
+            foreign: u32::MAX,
+            next_ticket: self.first_ticket,
+            next_renewal: now.mono,
+            next_report: now.mono,
+            held: now.mono,
+            retired: None,
+            quiet: false,
+            cancels: Vec::new(),
+            out: Vec::new(),
+            name: self.name,
+            endpoint: self.endpoint,
+            cfg: self.cfg,
+            epoch: self.epoch,
+            session: self.session,
+            started: now,
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Begins to build the dispatcher of an endpoint.
+    #[must_use]
+    pub fn builder(name: &EndpointName, endpoint: &Endpoint) -> DispatcherBuilder {
+        DispatcherBuilder {
+            name: name.clone(),
+            endpoint: endpoint.clone(),
+            classes: IndexMap::new(),
+            cfg: DispatchSettings::default(),
+            epoch: Epoch::default(),
+            session: Session::new("", 0),
+            floor: Wall(0),
+            requests: Vec::new(),
+            first_ticket: 1,
+        }
+    }
+
+    /// Takes in what has happened and returns what has to be done.
+    ///
+    /// What has happened counts before the time it happened at: an answer that
+    /// comes in the moment of the deadline is an answer.
+    #[must_use]
+    pub fn apply(&mut self, event: DispatchEvent, turn: Turn) -> Vec<DispatchAction> {
+        match event {
+            DispatchEvent::Submit {
+                origin,
+                shard,
+                request,
+            } => self.on_submit(origin, shard, request, turn),
+            DispatchEvent::Cancel { origin } => self.on_cancel(origin),
+            DispatchEvent::OrderDone { ticket, reply } => self.on_order_done(ticket, reply, turn),
+            DispatchEvent::CancelDone { id, confirmed } => self.on_cancel_done(id, confirmed),
+            DispatchEvent::GrantDone { ticket, report } => {
+                self.on_grant_done(ticket, &report, turn);
+            }
+            DispatchEvent::SetShards { shards } => self.on_shards(&shards),
+            DispatchEvent::SetEndpoint { endpoint } => self.on_endpoint(*endpoint),
+            DispatchEvent::Retire { reason } => self.on_retire(reason),
+            DispatchEvent::Tick => {}
+        }
+        self.pass_time(turn);
+        if turn.may_act && self.retired.is_none() {
+            self.act(turn);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn on_shards(&mut self, shards: &[OwnedShard]) {
+        for at in self.grants.set_shards(shards) {
+            for waiting in self.queue.drain_shard(&at) {
+                self.give_up(&waiting, NotRunReason::Moving);
+            }
+        }
+    }
+
+    fn on_endpoint(&mut self, endpoint: Endpoint) {
+        self.limit.set_slots(usable_slots(&endpoint));
+        self.endpoint = endpoint;
+        if self.is_draining() {
+            self.give_up_all(NotRunReason::Draining);
+        }
+    }
+
+    fn on_retire(&mut self, reason: NotRunReason) {
+        self.retired = Some(reason);
+        self.give_up_all(reason);
+    }
+
+    /// Everything that happens by itself as time passes, held or not: a final
+    /// answer never waits for the hold.
+    fn pass_time(&mut self, turn: Turn) {
+        if turn.may_act {
+            self.held = self.held.max(turn.now.mono);
+        }
+        self.expire(turn);
+        self.duplicates.pass_time(turn.now.wall);
+        let lapsed = turn.now.mono.since(self.held) >= self.cfg.hold_grace_ms;
+        if !turn.may_act && lapsed {
+            self.give_up_all(NotRunReason::NoHold);
+        }
+    }
+
+    /// Everything that takes the role: messages to the endpoint, and reports
+    /// that others rely on.
+    fn act(&mut self, turn: Turn) {
+        self.release_shards(turn);
+        self.send_cancels();
+        self.send_control(turn);
+        self.send_orders(turn);
+        self.report(turn);
+    }
+
+    pub(super) fn is_draining(&self) -> bool {
+        self.endpoint.drain || self.health.draining()
+    }
+
+    pub(super) fn bounds(&self) -> Bounds {
+        let longest = if self.endpoint.checks_orders {
+            self.cfg.max_grant_ms
+        } else {
+            self.cfg.max_order_ms
+        };
+        Bounds {
+            checks_orders: self.endpoint.checks_orders,
+            inherited_until: self.started.wall.plus(longest + self.cfg.skew_ms),
+            skew_ms: self.cfg.skew_ms,
+        }
+    }
+
+    pub(super) const fn ticket(&mut self) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        ticket
+    }
+
+    pub(super) fn reply(&mut self, origin: Ticket, outcome: Outcome) {
+        self.out.push(DispatchAction::Reply { origin, outcome });
+    }
+
+    pub(super) fn refuse(&mut self, origin: Ticket, reason: NotRunReason, retry_after_ms: u64) {
+        self.reply(origin, Outcome::NotRun(NotRun::new(reason, retry_after_ms)));
+    }
+}
+
+/// An order takes a connection, so there are never more slots than those.
+fn usable_slots(endpoint: &Endpoint) -> u32 {
+    endpoint.slots.min(endpoint.connections)
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/queue.rs
@@ -0,0 +1,301 @@
+//! Requests that wait for a slot, by class and deadline.
+//!
+//! Classes are served by priority; within a class the earliest deadline goes
+//! first, which is also the order in which requests expire. A class with a kept
+//! share goes before better ones when it has had less than its share.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+
+use super::message::{KeyRef, ShardRef};
+use super::share::Share;
+use crate::config::Class;
+use crate::ids::{ClassName, RequestId};
+use crate::node::events::Ticket;
+use crate::request::Request;
+use crate::time::{Mono, Wall};
+
+/// A request that waits.
+#[derive(Debug, Clone)]
+pub struct Waiting {
+    /// Whom to reply to.
+    pub origin: Ticket,
+    /// The request.
+    pub request: Request,
+    /// Shard of its key.
+    pub at: ShardRef,
+    /// It must not be sent before this, see [`super::duplicates`].
+    pub not_before: Wall,
+}
+
+impl Waiting {
+    /// Its key.
+    #[must_use]
+    pub fn key(&self) -> KeyRef {
+        KeyRef {
+            service: self.request.service.clone(),
+            key: self.request.key.clone(),
+        }
+    }
+}
+
+/// Place in a class: by deadline, then by arrival. Unique.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    deadline: Wall,
+    arrival: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    lane: usize,
+    rank: Rank,
+}
+
+/// Requests of one class. Lookups go by rank, which an `IndexMap` does not keep.
+#[derive(Debug)]
+struct Lane {
+    class: ClassName,
+    priority: u8,
+    share: Share,
+    waiting: BTreeMap<Rank, Waiting>,
+}
+
+/// The bounded queue of one endpoint.
+#[derive(Debug)]
+pub struct Queue {
+    /// By priority, best first.
+    lanes: Vec<Lane>,
+    places: IndexMap<Ticket, Place>,
+    by_key: IndexMap<KeyRef, usize>,
+    arrivals: u64,
+}
+
+/// Work that goes before a request that is about to join.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ahead {
+    /// Requests of better classes, and earlier ones of its own.
+    pub total: u64,
+    /// Earlier requests of its own class.
+    pub own: u64,
+    /// Kept share of its class, in hundredths.
+    pub kept_share: u8,
+}
+
+impl Queue {
+    /// An empty queue.
+    #[must_use]
+    pub fn new(classes: &IndexMap<ClassName, Class>) -> Self {
+        let mut lanes: Vec<_> = classes
+            .iter()
+            .map(|(name, class)| Lane::new(name, class))
+            .collect();
+        lanes.sort_by(|a, b| (a.priority, &a.class).cmp(&(b.priority, &b.class)));
+        Self {
+            lanes,
+            places: IndexMap::new(),
+            by_key: IndexMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Requests of one key that wait.
+    #[must_use]
+    pub fn len_of(&self, key: &KeyRef) -> usize {
+        self.by_key.get(key).copied().unwrap_or(0)
+    }
+
+    /// What goes before a request of this class and deadline.
+    #[must_use]
+    pub fn ahead_of(&self, class: &ClassName, deadline: Wall) -> Ahead {
+        let index = self.lane_of(class);
+        let mut better = 0;
+        for lane in &self.lanes[..index.min(self.lanes.len())] {
+            better += lane.waiting.len();
+        }
+        let Some(lane) = self.lanes.get(index) else {
+            return Ahead {
+                total: better as u64,
+                own: 0,
+                kept_share: 0,
+            };
+        };
+        let rank = Rank {
+            deadline,
+            arrival: self.arrivals,
+        };
+        let own = lane.waiting.range(..rank).count();
+        Ahead {
+            total: (better + own) as u64,
+            own: own as u64,
+            kept_share: lane.share.hundredths(),
+        }
+    }
+
+    /// Adds a request. The bounds have been checked before.
+    pub fn push(&mut self, waiting: Waiting) {
+        let index = self.lane_of(&waiting.request.class);
+        if index == self.lanes.len() {
+            self.lanes
+                .push(Lane::unknown(waiting.request.class.clone()));
+        }
+        let rank = Rank {
+            deadline: waiting.request.deadline,
+            arrival: self.arrivals,
+        };
+        self.arrivals += 1;
+        *self.by_key.entry(waiting.key()).or_insert(0) += 1;
+        self.places
+            .insert(waiting.origin, Place { lane: index, rank });
+        self.lanes[index].waiting.insert(rank, waiting);
+    }
+
+    /// Id of the request of an origin.
+    #[must_use]
+    pub fn id_of(&self, origin: Ticket) -> Option<RequestId> {
+        let place = self.places.get(&origin)?;
+        let waiting = self.lanes[place.lane].waiting.get(&place.rank)?;
+        Some(waiting.request.id)
+    }
+
+    /// Takes out the request of an origin.
+    pub fn remove(&mut self, origin: Ticket) -> Option<Waiting> {
+        let place = self.places.get(&origin).copied()?;
+        self.take(place)
+    }
+
+    /// Takes out every request whose deadline has come.
+    pub fn expire(&mut self, now: Wall) -> Vec<Waiting> {
+        let mut expired = Vec::new();
+        for index in 0..self.lanes.len() {
+            while let Some((&rank, _)) = self.lanes[index].waiting.first_key_value() {
+                if rank.deadline > now {
+                    break;
+                }
+                expired.extend(self.take(Place { lane: index, rank }));
+            }
+        }
+        expired
+    }
+
+    /// Takes out everything.
+    pub fn drain(&mut self) -> Vec<Waiting> {
+        let mut all = Vec::with_capacity(self.places.len());
+        for lane in &mut self.lanes {
+            all.extend(std::mem::take(&mut lane.waiting).into_values());
+        }
+        self.places.clear();
+        self.by_key.clear();
+        all
+    }
+
+    /// Takes out the requests of one shard.
+    pub fn drain_shard(&mut self, at: &ShardRef) -> Vec<Waiting> {
+        let mut places = Vec::new();
+        for (index, lane) in self.lanes.iter().enumerate() {
+            for (&rank, waiting) in &lane.waiting {
+                if waiting.at == *at {
+                    places.push(Place { lane: index, rank });
+                }
+            }
+        }
+        places.into_iter().filter_map(|p| self.take(p)).collect()
+    }
+
+    /// Lets time pass for the kept shares. `running` tells the orders of a
+    /// class that hold a slot, `limit` the slots in use at most.
+    pub fn pass_time(&mut self, now: Mono, limit: u32, running: impl Fn(&ClassName) -> u32) {
+        for lane in &mut self.lanes {
+            let held = running(&lane.class);
+            lane.share
+                .pass_time(now, limit, held, !lane.waiting.is_empty());
+        }
+    }
+
+    /// Takes out the next request that is fit to be sent.
+    pub fn pick(&mut self, fit: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
+        let place = self.next_place(&fit)?;
+        self.take(place)
+    }
+
+    /// The neediest class below its share, else the best class.
+    fn next_place(&self, fit: &impl Fn(&Waiting) -> bool) -> Option<Place> {
+        let mut best: Option<Place> = None;
+        let mut neediest = 0;
+        for (index, lane) in self.lanes.iter().enumerate() {
+            let owed = lane.share.owed();
+            if best.is_some() && owed <= neediest {
+                continue;
+            }
+            let Some(rank) = lane.first_fit(fit) else {
+                continue;
+            };
+            best = Some(Place { lane: index, rank });
+            neediest = neediest.max(owed);
+        }
+        best
+    }
+
+    fn lane_of(&self, class: &ClassName) -> usize {
+        self.lanes
+            .iter()
+            .position(|lane| lane.class == *class)
+            .unwrap_or(self.lanes.len())
+    }
+
+    fn take(&mut self, place: Place) -> Option<Waiting> {
+        let waiting = self.lanes[place.lane].waiting.remove(&place.rank)?;
+        self.places.swap_remove(&waiting.origin);
+        let key = waiting.key();
+        if let Some(count) = self.by_key.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_key.swap_remove(&key);
+            }
+        }
+        Some(waiting)
+    }
+}
+
+impl Lane {
+    fn new(name: &ClassName, class: &Class) -> Self {
+        Self {
+            class: name.clone(),
+            priority: class.priority,
+            share: Share::new(class.kept_share),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// A class that this instance's configuration does not have yet goes last.
+    const fn unknown(class: ClassName) -> Self {
+        Self {
+            class,
+            priority: u8::MAX,
+            share: Share::new(0),
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    fn first_fit(&self, fit: &impl Fn(&Waiting) -> bool) -> Option<Rank> {
+        for (&rank, waiting) in &self.waiting {
+            if fit(waiting) {
+                return Some(rank);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -0,0 +1,137 @@
+//! Reports to the planner and to operators.
+
+use super::health::Reach;
+use super::machine::Dispatcher;
+use super::message::{DispatchAction, ShardEpoch, Turn};
+use crate::ids::EndpointName;
+use crate::peer::{EndpointLoad, HotKey, KnownRequest, ShardLoad};
+use crate::shard::KeyHash;
+use crate::time::Wall;
+
+/// Keys named in a load report.
+const HOT_KEYS_REPORTED: usize = 8;
+
+impl Dispatcher {
+    /// The endpoint.
+    #[must_use]
+    pub const fn name(&self) -> &EndpointName {
+        &self.name
+    }
+
+    /// Whether the endpoint can be reached.
+    #[must_use]
+    pub const fn reach(&self) -> Reach {
+        self.health.reach()
+    }
+
+    /// Whether it takes no new work because it is leaving.
+    #[must_use]
+    pub fn draining(&self) -> bool {
+        self.is_draining()
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Slots in use, those of unresolved orders included.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.slots.used()
+    }
+
+    /// Slots that may be used at present.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit.slots()
+    }
+
+    /// Ids created before this are not run unless they are known.
+    #[must_use]
+    pub const fn floor(&self) -> Wall {
+        self.duplicates.floor()
+    }
+
+    /// Whether every request has its outcome and no order can act any more.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.slots.used() == 0
+    }
+
+    /// What is known of non-idempotent requests, for a successor.
+    #[must_use]
+    pub fn export(&self) -> Vec<KnownRequest> {
+        self.duplicates.export()
+    }
+
+    /// Load since the last call, for the planner.
+    pub fn take_load(&mut self) -> EndpointLoad {
+        let begun = std::mem::take(&mut self.begun);
+        let mut requests = 0;
+        let mut shards = Vec::with_capacity(begun.len());
+        for (at, count) in begun {
+            requests += count;
+            shards.push(ShardLoad {
+                service: at.service,
+                shard: at.shard,
+                requests: count,
+            });
+        }
+        let mut hot = Vec::new();
+        for key in self.hot.top(HOT_KEYS_REPORTED) {
+            hot.push(HotKey {
+                service: key.key.service.clone(),
+                hash: KeyHash::of(&key.key.key),
+                requests: key.at_least,
+            });
+        }
+        self.hot.clear();
+        EndpointLoad {
+            endpoint: self.name.clone(),
+            requests,
+            service_ms: self.limit.service_ms(),
+            queued: self.queue.len() as u64,
+            hot,
+            shards,
+        }
+    }
+
+    /// Reports what the planner waits for, again and again, since a report may
+    /// be lost on its way.
+    pub(super) fn report(&mut self, turn: Turn) {
+        self.note_quiet(turn);
+        if turn.now.mono < self.next_report {
+            return;
+        }
+        self.next_report = turn.now.mono.plus(self.cfg.report_ms);
+        if self.health.reach() == Reach::Unreachable {
+            let quiet = self.quiet;
+            self.out.push(DispatchAction::EndpointLost { quiet });
+        }
+        for ShardEpoch { at, epoch } in self.grants.released() {
+            self.out.push(DispatchAction::ShardReleased { at, epoch });
+        }
+    }
+
+    /// Notes when nothing can act at a lost endpoint any more.
+    fn note_quiet(&mut self, turn: Turn) {
+        if self.quiet || self.health.reach() != Reach::Unreachable {
+            return;
+        }
+        let bounds = self.bounds();
+        let granted = self.grants.quiet_at(bounds) > turn.now.wall;
+        let ordered = !bounds.checks_orders && self.slots.used() > 0;
+        if granted || ordered {
+            return;
+        }
+        self.quiet = true;
+        self.next_report = turn.now.mono;
+        // From the moment this is reported the planner may give the shards to
+        // other endpoints. Were the endpoint to come back and be granted them
+        // again meanwhile, they would have two owners; so they stay barred
+        // until the assignment gives them a new epoch.
+        self.grants.release_all();
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/sending.rs
@@ -0,0 +1,114 @@
+//! Orders and cancellations on their way to the endpoint.
+
+use super::health::Reach;
+use super::machine::Dispatcher;
+use super::message::{DispatchAction, Turn};
+use super::queue::Waiting;
+use super::slots::{Order, OrderState};
+use crate::request::Fence;
+use crate::time::Wall;
+
+impl Dispatcher {
+    /// Sends as much as there are slots for. The role has been checked.
+    pub(super) fn send_orders(&mut self, turn: Turn) {
+        let slots = &self.slots;
+        let limit = self.limit.slots();
+        self.queue
+            .pass_time(turn.now.mono, limit, |class| slots.used_by(class));
+        if !self.may_send() {
+            return;
+        }
+        while self.slots.used() < self.usable(turn.now.wall) {
+            let Some(waiting) = self.pick(turn.now.wall) else {
+                break;
+            };
+            self.send(waiting, turn);
+        }
+    }
+
+    pub(super) fn send_cancels(&mut self) {
+        for id in std::mem::take(&mut self.cancels) {
+            self.out.push(DispatchAction::Cancel { id });
+        }
+    }
+
+    fn may_send(&self) -> bool {
+        let reachable = self.health.reach() != Reach::Unreachable;
+        reachable && !self.health.stale() && !self.is_draining()
+    }
+
+    /// Slots that orders of this dispatcher may use.
+    ///
+    /// After a takeover the predecessor's orders still run in slots that this
+    /// dispatcher believes free. Until they must be over, the endpoint's own
+    /// count is believed as far as it lowers the limit; one slot is used all
+    /// the same, or a wrong count would stop all work.
+    fn usable(&self, now: Wall) -> u32 {
+        let limit = self.limit.slots();
+        let until = self
+            .started
+            .wall
+            .plus(self.cfg.max_order_ms + self.cfg.skew_ms);
+        if now >= until {
+            return limit;
+        }
+        limit.saturating_sub(self.foreign).max(1)
+    }
+
+    /// The next request, one of a key within its share of the slots if any
+    /// waits. A hot key may fill the slots only as long as nobody else waits.
+    fn pick(&mut self, now: Wall) -> Option<Waiting> {
+        let most = self.limit.slots() * u32::from(self.cfg.key_share) / 100;
+        let grants = &self.grants;
+        let slots = &self.slots;
+        let ready = |waiting: &Waiting| {
+            let in_time = waiting.not_before <= now && waiting.request.deadline > now;
+            in_time && grants.is_live(&waiting.at, now)
+        };
+        let modest =
+            |waiting: &Waiting| ready(waiting) && slots.used_by_key(&waiting.key()) < most.max(1);
+        if let Some(waiting) = self.queue.pick(modest) {
+            return Some(waiting);
+        }
+        self.queue.pick(ready)
+    }
+
+    fn send(&mut self, waiting: Waiting, turn: Turn) {
+        let Some(held) = self.grants.get(&waiting.at) else {
+            return;
+        };
+        let fence = Fence {
+            shard: waiting.at.shard,
+            shard_epoch: held.owned.epoch,
+            dispatch_epoch: self.epoch,
+            dispatcher: self.session.clone(),
+        };
+        let key = waiting.key();
+        let mut request = waiting.request;
+        // A successor waits out the longest order; a longer one would outlive
+        // that wait and act beside the next owner.
+        let latest = turn.now.wall.plus(self.cfg.max_order_ms);
+        request.deadline = request.deadline.min(latest);
+        self.hot.add(&key);
+        *self.begun.entry(waiting.at.clone()).or_insert(0) += 1;
+        let order = Order {
+            origin: waiting.origin,
+            id: request.id,
+            key,
+            class: request.class.clone(),
+            at: waiting.at,
+            repeat: request.repeat,
+            deadline: request.deadline,
+            sent: turn.now.mono,
+            state: OrderState::Running,
+            cancelling: false,
+        };
+        let ticket = self.ticket();
+        self.slots.take(ticket, order);
+        self.out.push(DispatchAction::SendOrder {
+            ticket,
+            fence,
+            request,
+        });
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/sent_grants.rs
@@ -0,0 +1,105 @@
+//! Grants and revocations whose answers are missing.
+
+use indexmap::IndexMap;
+
+use super::message::{ShardEpoch, ShardRef};
+use crate::node::events::{GrantedShard, Ticket};
+use crate::time::Wall;
+
+/// Unanswered messages are forgotten beyond this number, revocations first.
+const MOST_REVOCATIONS: usize = 64;
+
+/// What was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SentKind {
+    /// A grant until `end`.
+    Grant {
+        /// Its end.
+        end: Wall,
+    },
+    /// A revocation.
+    Revoke,
+}
+
+/// A message without an answer.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// What it was.
+    pub kind: SentKind,
+    /// Its shards with their epochs.
+    pub shards: Vec<ShardEpoch>,
+}
+
+/// Messages without an answer. One that was reported as failed stays: it may
+/// have been written and may yet arrive.
+#[derive(Debug, Default)]
+pub struct SentGrants {
+    open: IndexMap<Ticket, Sent>,
+}
+
+impl SentGrants {
+    /// Notes a message.
+    pub fn add(&mut self, ticket: Ticket, kind: SentKind, shards: &[GrantedShard]) {
+        let shards = shards.iter().map(shard_epoch).collect();
+        self.open.insert(ticket, Sent { kind, shards });
+        self.drop_revocations();
+    }
+
+    /// Takes out a message whose answer has come.
+    pub fn take(&mut self, ticket: Ticket) -> Option<Sent> {
+        self.open.shift_remove(&ticket)
+    }
+
+    /// Whether an unanswered grant of the shard could still be taken in.
+    #[must_use]
+    pub fn may_arrive(&self, at: &ShardRef, now: Wall, skew_ms: u64) -> bool {
+        for sent in self.open.values() {
+            let SentKind::Grant { end } = sent.kind else {
+                continue;
+            };
+            let names = sent.shards.iter().any(|shard| shard.at == *at);
+            if names && end.plus(skew_ms) > now {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Forgets grants that have ended.
+    pub fn pass_time(&mut self, now: Wall, skew_ms: u64) {
+        self.open.retain(|_, sent| match sent.kind {
+            SentKind::Grant { end } => end.plus(skew_ms) > now,
+            SentKind::Revoke => true,
+        });
+    }
+
+    fn drop_revocations(&mut self) {
+        let revocations = self
+            .open
+            .values()
+            .filter(|sent| sent.kind == SentKind::Revoke)
+            .count();
+        if revocations <= MOST_REVOCATIONS {
+            return;
+        }
+        let oldest = self
+            .open
+            .iter()
+            .find(|(_, sent)| sent.kind == SentKind::Revoke);
+        if let Some((&ticket, _)) = oldest {
+            self.open.shift_remove(&ticket);
+        }
+    }
+}
+
+/// Names the shard of a grant, with its epoch.
+#[must_use]
+pub fn shard_epoch(shard: &GrantedShard) -> ShardEpoch {
+    ShardEpoch {
+        at: ShardRef {
+            service: shard.service.clone(),
+            shard: shard.shard,
+        },
+        epoch: shard.epoch,
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/settling.rs
@@ -0,0 +1,150 @@
+//! How requests come to their outcome.
+
+use super::arriving::running_elsewhere;
+use super::machine::Dispatcher;
+use super::message::Turn;
+use super::queue::Waiting;
+use super::slots::{Order, OrderState};
+use crate::ids::RequestId;
+use crate::node::events::{OrderReply, RefusedReason, Ticket};
+use crate::outcome::{MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome};
+use crate::request::Repeat;
+
+impl Dispatcher {
+    pub(super) fn on_order_done(&mut self, ticket: Ticket, reply: OrderReply, turn: Turn) {
+        let now = turn.now.mono;
+        match reply {
+            OrderReply::Answered { answer } => {
+                let Some(order) = self.slots.free(ticket) else {
+                    return;
+                };
+                self.limit.answered(now.since(order.sent), now);
+                self.settle(&order, Outcome::Answered(answer));
+            }
+            OrderReply::Refused { reason } => self.on_refused(ticket, reason, turn),
+            OrderReply::NotSent => {
+                self.settle_not_run(ticket, NotRunReason::EndpointUnreachable);
+            }
+            OrderReply::Lost => self.unresolved(ticket, MayHaveRunReason::ConnectionLost, turn),
+            OrderReply::Foreign => self.unresolved(ticket, MayHaveRunReason::BadAnswer, turn),
+            OrderReply::Timeout => self.unresolved(ticket, MayHaveRunReason::Timeout, turn),
+        }
+    }
+
+    /// The endpoint has answered a cancellation. A slot is freed only by its
+    /// word. What the caller was told stands: a non-idempotent request that
+    /// may have run is not run again, since it may have begun before.
+    pub(super) fn on_cancel_done(&mut self, id: RequestId, confirmed: bool) {
+        if !confirmed {
+            return;
+        }
+        while let Some(ticket) = self.slots.cancelling(id) {
+            self.settle_not_run(ticket, NotRunReason::Cancelled);
+        }
+    }
+
+    /// Answers everybody whose time is over.
+    pub(super) fn expire(&mut self, turn: Turn) {
+        let now = turn.now.wall;
+        for waiter in self.waiters.expire(now) {
+            self.reply(waiter.origin, running_elsewhere());
+        }
+        for waiting in self.queue.expire(now) {
+            self.give_up(&waiting, NotRunReason::Expired);
+        }
+        // An order whose transport never reports back must not leave its
+        // caller without an answer, so the deadline is watched here too.
+        for ticket in self.slots.overdue(now) {
+            self.unresolved(ticket, MayHaveRunReason::Timeout, turn);
+        }
+        for ticket in self.slots.over(now, self.cfg.skew_ms) {
+            self.slots.free(ticket);
+        }
+    }
+
+    /// Answers a request that leaves the queue without having been sent.
+    pub(super) fn give_up(&mut self, waiting: &Waiting, reason: NotRunReason) {
+        let outcome = Outcome::NotRun(NotRun::new(reason, self.retry_after_ms()));
+        let req = &waiting.request;
+        self.conclude(waiting.origin, req.id, req.repeat, outcome);
+    }
+
+    /// Answers all that wait in the queue.
+    pub(super) fn give_up_all(&mut self, reason: NotRunReason) {
+        for waiting in self.queue.drain() {
+            self.give_up(&waiting, reason);
+        }
+    }
+
+    fn on_refused(&mut self, ticket: Ticket, reason: RefusedReason, turn: Turn) {
+        let reason = match reason {
+            RefusedReason::StaleEpoch | RefusedReason::NoGrant => NotRunReason::EndpointRefused,
+            RefusedReason::Expired => NotRunReason::Expired,
+            RefusedReason::Draining => NotRunReason::Draining,
+            RefusedReason::Shed => NotRunReason::EndpointShed,
+        };
+        if reason == NotRunReason::EndpointShed {
+            self.limit.failed(turn.now.mono);
+        }
+        self.settle_not_run(ticket, reason);
+        if reason == NotRunReason::Draining {
+            self.health.refused_as_draining();
+            self.give_up_all(NotRunReason::Draining);
+        }
+    }
+
+    fn settle_not_run(&mut self, ticket: Ticket, reason: NotRunReason) {
+        let Some(order) = self.slots.free(ticket) else {
+            return;
+        };
+        let outcome = Outcome::NotRun(NotRun::new(reason, self.retry_after_ms()));
+        self.settle(&order, outcome);
+    }
+
+    /// The outcome of an order will not come. Its caller is answered at once;
+    /// its slot stays taken, see [`super::slots::Slots`].
+    fn unresolved(&mut self, ticket: Ticket, reason: MayHaveRunReason, turn: Turn) {
+        let Some(order) = self.slots.get_mut(ticket) else {
+            return;
+        };
+        if order.state == OrderState::Unresolved {
+            return;
+        }
+        order.state = OrderState::Unresolved;
+        let order = order.clone();
+        self.limit.failed(turn.now.mono);
+        self.ask_cancel(ticket);
+        let may = MayHaveRun {
+            reason,
+            retry_after_ms: order.deadline.since(turn.now.wall),
+        };
+        self.settle_running(&order, Outcome::MayHaveRun(may));
+    }
+
+    /// Settles an order that has left its slot. One that was unresolved has
+    /// had its reply; only an answer adds to what is known of it.
+    fn settle(&mut self, order: &Order, outcome: Outcome) {
+        if order.state == OrderState::Running {
+            return self.settle_running(order, outcome);
+        }
+        let answered = matches!(outcome, Outcome::Answered(_));
+        if answered && order.repeat == Repeat::NonIdempotent {
+            self.duplicates.settle(order.id, &outcome);
+        }
+    }
+
+    fn settle_running(&mut self, order: &Order, outcome: Outcome) {
+        self.conclude(order.origin, order.id, order.repeat, outcome);
+    }
+
+    /// Gives an outcome to its caller and to everybody who repeated it.
+    fn conclude(&mut self, origin: Ticket, id: RequestId, repeat: Repeat, outcome: Outcome) {
+        if repeat == Repeat::NonIdempotent {
+            self.duplicates.settle(id, &outcome);
+            for waiter in self.waiters.take(id) {
+                self.reply(waiter.origin, outcome.clone());
+            }
+        }
+        self.reply(origin, outcome);
+    }
+}
--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -6,11 +6,14 @@
 //! test and in a replay.
 
 pub mod config;
+pub mod dispatch;
+pub mod hotkeys;
 pub mod ids;
 pub mod node;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
 pub mod request;
+pub mod retry;
 pub mod shard;
 pub mod time;
