--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod outcome;
 pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod request;
 pub mod shard;
--- /dev/null
+++ b/crates/citronway-core/src/placement/replay.rs
@@ -0,0 +1,162 @@
+//! Recorded events of planners, and their replay.
+//!
+//! A trace is JSON lines. The first one names the service and its settings;
+//! each further one is an event of one session. The outcome holds the actions
+//! of each line and what each session knew at the end.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::planner::{Planner, PlannerAction, PlannerEvent, PlannerRow, PlannerSettings};
+use crate::ids::{ServiceName, Session};
+use crate::shard::Assignment;
+use crate::time::Now;
+
+/// First line of a trace.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Service that is planned for.
+    pub service: ServiceName,
+    /// Settings of all sessions.
+    pub settings: PlannerSettings,
+}
+
+/// A further line of a trace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Session that the event happened to.
+    pub at: Session,
+    /// Its clocks.
+    pub now: Now,
+    /// What happened.
+    pub event: PlannerEvent,
+}
+
+/// What a session did on one line; lines without action are left out.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Line of the trace, from 1.
+    pub line: usize,
+    /// Session.
+    pub at: Session,
+    /// What it did.
+    pub actions: Vec<PlannerAction>,
+}
+
+/// What a session knew at the end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// Session.
+    pub at: Session,
+    /// The planner row.
+    pub planner: Option<PlannerRow>,
+    /// The assignment.
+    pub assignment: Option<Assignment>,
+}
+
+/// Outcome of a trace.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Actions by line.
+    pub steps: Vec<Step>,
+    /// Sessions in the order in which they first appear.
+    pub ends: Vec<End>,
+}
+
+/// A line that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BadLine {
+    /// Line of the trace, from 1.
+    pub line: usize,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// All lines of a trace that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub struct BadTrace(pub Vec<BadLine>);
+
+impl fmt::Display for BadTrace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("trace cannot be read")?;
+        for bad in &self.0 {
+            write!(f, "; line {}: {}", bad.line, bad.reason)?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a trace again.
+///
+/// # Errors
+///
+/// All lines that cannot be read; nothing is run then.
+pub fn replay(trace: &str) -> Result<Outcome, BadTrace> {
+    let mut lines = trace.lines().enumerate();
+    let Some((_, first)) = lines.next() else {
+        return Err(BadTrace(vec![bad(0, &"it is empty")]));
+    };
+    let header: Header =
+        serde_json::from_str(first).map_err(|error| BadTrace(vec![bad(0, &error)]))?;
+    let mut records = Vec::new();
+    let mut findings = Vec::new();
+    for (index, line) in lines {
+        if line.trim().is_empty() {
+            continue;
+        }
+        match serde_json::from_str::<Record>(line) {
+            Ok(record) => records.push(Numbered {
+                line: index + 1,
+                record,
+            }),
+            Err(error) => findings.push(bad(index, &error)),
+        }
+    }
+    if !findings.is_empty() {
+        return Err(BadTrace(findings));
+    }
+    Ok(run(&header, records))
+}
+
+struct Numbered {
+    line: usize,
+    record: Record,
+}
+
+fn run(header: &Header, records: Vec<Numbered>) -> Outcome {
+    let mut planners: IndexMap<Session, Planner> = IndexMap::new();
+    let mut steps = Vec::new();
+    for Numbered { line, record } in records {
+        let planner = planners
+            .entry(record.at.clone())
+            .or_insert_with(|| Planner::new(&header.service, &record.at, header.settings));
+        let actions = planner.apply(record.event, record.now);
+        if actions.is_empty() {
+            continue;
+        }
+        steps.push(Step {
+            line,
+            at: record.at,
+            actions,
+        });
+    }
+    let mut ends = Vec::with_capacity(planners.len());
+    for (at, planner) in planners {
+        ends.push(End {
+            at,
+            planner: planner.planner_row().cloned(),
+            assignment: planner.assignment().cloned(),
+        });
+    }
+    Outcome { steps, ends }
+}
+
+fn bad(index: usize, reason: &dyn fmt::Display) -> BadLine {
+    BadLine {
+        line: index + 1,
+        reason: reason.to_string(),
+    }
+}
