--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod outcome;
 pub mod peer;
+pub mod placement;
 pub mod platform;
 pub mod request;
 pub mod retry;
