Peers duty over capnp-rpc: greeting, forwards, control messages

Cause: entries hand requests to dispatchers and instances exchange control messages; neither schema nor transport existed.

Control messages go one call at a time for each link, so that what comes up meanwhile shares the next.

Ruled out: sending the key itself; one connection for each pair (both sides would have to agree on which one to keep).

Tested so far: one forward and one heartbeat end to end.

--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! Entry instance of citronway.
+
+pub mod peers;
--- /dev/null
+++ b/crates/citronway/tests/peers/main.rs
@@ -0,0 +1,4 @@
+//! The peers duty: instances joined over loopback.
+
+mod common;
+mod normal;
