--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -3,6 +3,12 @@
 pub mod callers;
 pub mod cli;
 pub mod clock;
+mod decide;
 pub mod endpoints;
+pub mod peers;
 pub mod platform;
+mod rings;
+mod run;
 pub mod settings;
+
+pub use run::{Error, check, run};
