Thin whole path: caller, entry, dispatcher, endpoint as separate processes

Cause: the parts stood side by side without a process around them. The deciding thread feeds the machine and never waits for a ring; what a full ring does not take comes back as the event that says so. The monotonic clock counts suspended time, so that a resumed machine does not believe in lapsed promises. Ruled out: std Instant (stops while suspended). Run by hand: 3 entries, 4 endpoint stand-ins, 1 platform stand-in; idempotent requests through every entry are answered by endpoints that do not check orders; those that check refuse, because grants are not wired yet. Not run: failures of any kind.

--- a/crates/citronway/src/clock.rs
+++ b/crates/citronway/src/clock.rs
@@ -12,7 +12,10 @@
 /// promises which have long lapsed.
 #[must_use]
 pub fn now() -> Now {
-    Now { mono: mono(), wall: wall() }
+    Now {
+        mono: mono(),
+        wall: wall(),
+    }
 }
 
 fn mono() -> Mono {
@@ -23,6 +26,8 @@
 }
 
 fn wall() -> Wall {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     Wall(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
--- /dev/null
+++ b/crates/citronway/src/decide.rs
@@ -0,0 +1,76 @@
+//! The deciding thread: feeds events to the machine and hands out its actions.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use citronway_core::node::{Action, Event, Node};
+use tokio::sync::mpsc::Receiver;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::clock;
+use crate::peers::PeerCommand;
+use crate::rings::Rings;
+
+/// Time between two ticks of the machine.
+const TICK: Duration = Duration::from_millis(10);
+
+/// What the deciding thread works with.
+#[derive(Debug)]
+pub struct Decider {
+    /// The machine.
+    pub node: Node,
+    /// Where its actions go.
+    pub rings: Rings,
+    /// Whether callers may be sent here.
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Decider {
+    /// Runs until the machine wants to exit.
+    pub async fn run(mut self, mut events: Receiver<Event>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let event = tokio::select! {
+                event = events.recv() => event,
+                _ = ticks.tick() => Some(Event::Tick),
+            };
+            let Some(event) = event else {
+                return;
+            };
+            if !self.feed(event) {
+                return;
+            }
+        }
+    }
+
+    /// Feeds one event and what follows from it; returns false at the end.
+    fn feed(&mut self, event: Event) -> bool {
+        let mut queue = VecDeque::from([event]);
+        while let Some(event) = queue.pop_front() {
+            self.pass_instances_on(&event);
+            let now = clock::now();
+            for action in self.node.handle(event, now) {
+                if action == Action::Exit {
+                    return false;
+                }
+                queue.extend(self.rings.carry_out(action));
+            }
+            self.ready.store(self.node.ready(now), Ordering::Relaxed);
+        }
+        true
+    }
+
+    /// The peers duty connects to the listed instances.
+    fn pass_instances_on(&self, event: &Event) {
+        let Event::Instances { list } = event else {
+            return;
+        };
+        let command = PeerCommand::SetInstances(list.instances.clone());
+        if self.rings.peers.try_send(command).is_err() {
+            log::warn!("ring to peers is full, instance list was not passed on");
+        }
+    }
+}
--- a/crates/citronway/src/main.rs
+++ b/crates/citronway/src/main.rs
@@ -6,8 +6,11 @@
 
 fn main() -> ExitCode {
     let options = cli::options().run();
-    let result =
-        if options.check_config { citronway::check(&options.config) } else { citronway::run(&options.config) };
+    let result = if options.check_config {
+        citronway::check(&options.config)
+    } else {
+        citronway::run(&options.config)
+    };
     match result {
         Ok(code) => code,
         Err(e) => {
--- /dev/null
+++ b/crates/citronway/src/run.rs
@@ -0,0 +1,176 @@
+//! Starts the duties of an entry instance and waits for their end.
+
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use citronway_core::findings::Findings;
+use citronway_core::ids::{Session, SessionId};
+use citronway_core::node::{Event, Node, NodeSettings};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use crate::callers::{self, CallersConfig};
+use crate::decide::Decider;
+use crate::endpoints::{self, EndpointsConfig};
+use crate::peers::{self, PeersConfig};
+use crate::platform::{self, PlatformConfig};
+use crate::rings::{COMMANDS, EVENTS, Rings};
+use crate::settings::{self, Settings};
+
+/// Why an entry instance did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings are wrong.
+    #[error("{0}")]
+    Settings(#[from] Findings),
+    /// A duty could not be started.
+    #[error("the {duty} duty could not be started: {cause}")]
+    Start {
+        /// Which duty.
+        duty: &'static str,
+        /// Why.
+        cause: io::Error,
+    },
+}
+
+/// Checks a settings file.
+///
+/// # Errors
+///
+/// Everything that is wrong with it.
+pub fn check(path: &Path) -> Result<ExitCode, Error> {
+    settings::load(path)?;
+    println!("{}: ok", path.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Runs an entry instance until it is asked to stop.
+///
+/// # Errors
+///
+/// The settings are wrong or a duty could not be started.
+pub fn run(path: &Path) -> Result<ExitCode, Error> {
+    let cfg = settings::load(path)?;
+    let me = Session {
+        instance: cfg.instance.name.clone(),
+        id: draw_session(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|cause| Error::Start {
+            duty: "decide",
+            cause,
+        })?;
+    runtime.block_on(serve(&cfg, me))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn draw_session() -> SessionId {
+    let (high, low) = uuid::Uuid::new_v4().as_u64_pair();
+    SessionId(high ^ low)
+}
+
+async fn serve(cfg: &Settings, me: Session) -> Result<(), Error> {
+    let (events_tx, events) = mpsc::channel(EVENTS);
+    let ready = Arc::new(AtomicBool::new(false));
+    let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
+    let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
+    let (endpoints_tx, endpoints_rx) = mpsc::channel(COMMANDS);
+    let (callers_tx, callers_rx) = mpsc::channel(COMMANDS);
+
+    peers::start(peers_config(cfg, &me), peers_rx, events_tx.clone()).map_err(start("peers"))?;
+    platform::start(&platform_config(cfg), platform_rx, events_tx.clone())
+        .map_err(start("platform"))?;
+    endpoints::start(endpoints_config(cfg), endpoints_rx, events_tx.clone())
+        .map_err(start("endpoints"))?;
+    let callers = callers::start(
+        callers_config(cfg),
+        callers_rx,
+        events_tx.clone(),
+        Arc::clone(&ready),
+    )
+    .map_err(start("callers"))?;
+    stop_on_signal(events_tx).map_err(start("signals"))?;
+
+    let rings = Rings {
+        callers: callers_tx,
+        endpoints: endpoints_tx,
+        peers: peers_tx,
+        platform: platform_tx,
+    };
+    let node = Node::new(me, cfg.instance.zone.clone(), node_settings(cfg));
+    Decider { node, rings, ready }.run(events).await;
+    callers.stop();
+    callers.join();
+    Ok(())
+}
+
+fn start(duty: &'static str) -> impl FnOnce(io::Error) -> Error {
+    move |cause| Error::Start { duty, cause }
+}
+
+fn stop_on_signal(events: mpsc::Sender<Event>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        if events.send(Event::Stop).await.is_err() {
+            log::warn!("asked to stop after the end");
+        }
+    });
+    Ok(())
+}
+
+fn peers_config(cfg: &Settings, me: &Session) -> PeersConfig {
+    let key = citronway_wire::greeting::SharedKey::new(cfg.peers.shared_key.reveal().as_bytes());
+    PeersConfig::builder(
+        me.clone(),
+        cfg.instance.zone.clone(),
+        cfg.instance.peers_listen,
+        key,
+    )
+    .control_timeout(std::time::Duration::from_millis(cfg.peers.timeout_ms))
+    .build()
+}
+
+fn platform_config(cfg: &Settings) -> PlatformConfig {
+    PlatformConfig::builder(cfg.platform.address)
+        .timeout_ms(cfg.platform.timeout_ms)
+        .poll_ms(cfg.platform.poll_ms)
+        .build()
+}
+
+fn endpoints_config(cfg: &Settings) -> EndpointsConfig {
+    EndpointsConfig::builder()
+        .probe_timeout_ms(cfg.dispatch.probe_timeout_ms)
+        .build()
+}
+
+fn callers_config(cfg: &Settings) -> CallersConfig {
+    let limits = &cfg.callers;
+    CallersConfig::builder(cfg.instance.callers_listen)
+        .max_body_bytes(usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX))
+        .header_timeout_ms(limits.header_timeout_ms)
+        .body_timeout_ms(limits.body_timeout_ms)
+        .default_timeout_ms(limits.default_timeout_ms)
+        .max_timeout_ms(limits.max_timeout_ms)
+        .max_in_flight(usize::try_from(limits.max_in_flight).unwrap_or(usize::MAX))
+        .build()
+}
+
+fn node_settings(cfg: &Settings) -> NodeSettings {
+    NodeSettings {
+        poll_ms: cfg.platform.poll_ms,
+        heartbeat_ms: cfg.peers.heartbeat_ms,
+        skew_ms: cfg.clock.skew_ms,
+        max_order_ms: cfg.dispatch.max_order_ms,
+        ..NodeSettings::default()
+    }
+}
