--- a/crates/citronway-core/src/findings.rs
+++ b/crates/citronway-core/src/findings.rs
@@ -135,16 +135,8 @@
         /// Endpoint that has it too.
         other: String,
     },
-    /// An endpoint is in groups of two services.
-    #[error("endpoint `{endpoint}` is already in group `{other}` of another service")]
-    SharedEndpoint {
-        /// The endpoint.
-        endpoint: String,
-        /// Group that has it too.
-        other: String,
-    },
-    /// Something earlier matches everything.
-    #[error("never reached, because `{earlier}` matches everything")]
+    /// Something earlier matches everything that this matches.
+    #[error("never reached, because `{earlier}` matches all that it matches")]
     Unreachable {
         /// Path of what comes first.
         earlier: String,
