--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! test and in a replay.
 
 pub mod config;
+pub mod hold;
 pub mod ids;
 pub mod node;
 pub mod outcome;
