Stand-ins: faults, environment and caller, with tests

Tests of other packages need entries as real processes beside misbehaving stand-ins, and need to judge what the endpoints ran. env::Env starts and ends them, caller::Caller judges each answer against its call, env::Evidence weighs the runs of all endpoints together: one endpoint alone cannot see that two worked on one key.

Ruled out: ports from bind-to-0 for entries. The system hands the same range to outgoing connections, which can take the port before the entry listens; ports are drawn below that range. Ruled out: tests that hang up after a fixed time; counters of arrived requests let them wait for the state.

An error right after half a body made hyper drop the half it had not flushed (curl: empty reply); with 20 ms between them the half arrives (curl: 61 bytes missing).

--- /dev/null
+++ b/crates/citronway-standin/src/caller/mod.rs
@@ -0,0 +1,9 @@
+//! A caller of the entries: sends work and judges what comes back.
+
+pub mod call;
+pub mod client;
+pub mod verdict;
+
+pub use call::Call;
+pub use client::Caller;
+pub use verdict::{Unanswered, Verdict, WrongAnswer};
--- a/crates/citronway-standin/src/endpoint/journal.rs
+++ b/crates/citronway-standin/src/endpoint/journal.rs
@@ -99,8 +99,9 @@
     pub slots: u32,
     /// Most orders that ran at once.
     pub peak_running: u32,
-    /// Orders received.
-    pub received: u64,
+    /// Orders whose bytes have arrived, also those that a frozen endpoint has
+    /// not looked at.
+    pub arrived: u64,
     /// Orders without the headers of an order.
     pub malformed: u64,
     /// Refusals by reason, before the order began.
@@ -123,7 +124,7 @@
             endpoint,
             slots,
             peak_running: 0,
-            received: 0,
+            arrived: 0,
             malformed: 0,
             refused: Refusals::default(),
             not_committed: 0,
--- a/crates/citronway-standin/src/endpoint/server.rs
+++ b/crates/citronway-standin/src/endpoint/server.rs
@@ -129,6 +129,7 @@
     }
 
     async fn order(&self, req: &Request<Bytes>) -> Reply {
+        self.lock().arrived();
         self.thawed().await;
         let order = match Order::read(req) {
             Ok(order) => order,
--- a/crates/citronway-standin/src/endpoint/state.rs
+++ b/crates/citronway-standin/src/endpoint/state.rs
@@ -106,6 +106,11 @@
         self.faults = faults;
     }
 
+    /// Counts an order whose bytes have arrived.
+    pub const fn arrived(&mut self) {
+        self.journal.arrived += 1;
+    }
+
     /// Counts an order that lacks its headers.
     pub const fn malformed(&mut self) {
         self.journal.malformed += 1;
@@ -117,7 +122,6 @@
     ///
     /// If it refuses the order, which then does not run.
     pub fn begin(&mut self, order: Order, now: Wall) -> Result<WorkId, RefusedReason> {
-        self.journal.received += 1;
         if let Some(reason) = self.refusal_to_begin(&order, now) {
             self.journal.refused.add(reason);
             return Err(reason);
--- /dev/null
+++ b/crates/citronway-standin/src/env/settings.rs
@@ -0,0 +1,93 @@
+//! Settings file of an entry. The only place that knows its keys.
+
+use std::net::SocketAddr;
+
+use citronway_core::ids::{InstanceName, ZoneName};
+
+/// How entries send work to endpoints.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Policy {
+    /// Through the endpoint's only dispatcher.
+    #[default]
+    Dispatcher,
+    /// Directly, each entry with a limit of its own.
+    Uncoordinated,
+    /// Directly, each entry with a fixed share of the slots.
+    Static,
+}
+
+impl Policy {
+    /// Name in settings.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Dispatcher => "dispatcher",
+            Self::Uncoordinated => "uncoordinated",
+            Self::Static => "static",
+        }
+    }
+}
+
+/// What an entry has to be told; all else keeps its default.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Where other instances reach it.
+    pub peers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// Where the platform is.
+    pub platform: SocketAddr,
+    /// Key that instances share.
+    pub shared_key: String,
+    /// Token of operators.
+    pub token: String,
+    /// How it sends; `None` leaves the key out.
+    pub policy: Option<Policy>,
+    /// Further sections, as INI.
+    pub further: String,
+}
+
+impl EntrySettings {
+    /// The settings as INI.
+    #[must_use]
+    pub fn to_ini(&self) -> String {
+        let mut ini = format!(
+            "[instance]\n\
+             name = {}\n\
+             zone = {}\n\
+             callers_listen = {}\n\
+             peers_listen = {}\n\
+             operators_listen = {}\n\
+             \n\
+             [platform]\n\
+             address = {}\n\
+             \n\
+             [peers]\n\
+             shared_key = {}\n\
+             \n\
+             [operators]\n\
+             token = {}\n",
+            self.name,
+            self.zone,
+            self.callers,
+            self.peers,
+            self.operators,
+            self.platform,
+            self.shared_key,
+            self.token,
+        );
+        if let Some(policy) = self.policy {
+            ini.push_str("\n[dispatch]\npolicy = ");
+            ini.push_str(policy.name());
+            ini.push('\n');
+        }
+        ini.push_str(&self.further);
+        ini
+    }
+}
--- /dev/null
+++ b/crates/citronway-standin/src/env/temp.rs
@@ -0,0 +1,43 @@
+//! A directory that is removed when dropped.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// A directory that is removed when dropped.
+#[derive(Debug)]
+pub struct TempDir {
+    path: PathBuf,
+}
+
+impl TempDir {
+    /// Makes a fresh directory.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be made.
+    pub fn new() -> io::Result<Self> {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("citronway-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path)?;
+        Ok(Self { path })
+    }
+
+    /// Where it is.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for TempDir {
+    fn drop(&mut self) {
+        if let Err(error) = fs::remove_dir_all(&self.path) {
+            log::warn!("{} stays: {error}", self.path.display());
+        }
+    }
+}
--- a/crates/citronway-standin/src/platform/messages.rs
+++ b/crates/citronway-standin/src/platform/messages.rs
@@ -49,6 +49,8 @@
 /// Requests that the stand-in took in since it started, for `GET /stats`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stats {
+    /// Requests that arrived, also those that wait because the platform is slow.
+    pub arrived: u64,
     /// Reads of tables, rows and the instance list.
     pub reads: u64,
     /// Transactions.
--- a/crates/citronway-standin/src/platform/server.rs
+++ b/crates/citronway-standin/src/platform/server.rs
@@ -76,6 +76,7 @@
             }
             _ => {}
         }
+        self.lock().stats.arrived += 1;
         let faults = self.lock().faults.clone();
         if faults.down {
             return Reply::Dropped;
