--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -1,3 +1,14 @@
-//! Entry instance of citronway.
+//! One entry instance of citronway: a thread for each duty, joined by bounded rings.
 
+pub mod callers;
+pub mod cli;
+pub mod clock;
+mod decide;
+pub mod endpoints;
+pub mod peers;
+pub mod platform;
+mod rings;
+mod run;
 pub mod settings;
+
+pub use run::{Error, check, run};
