--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -18,6 +18,12 @@
         &self.name
     }
 
+    /// Where the endpoint takes orders, and how many connections it takes.
+    #[must_use]
+    pub const fn address(&self) -> (std::net::SocketAddr, u32) {
+        (self.endpoint.address, self.endpoint.connections)
+    }
+
     /// Whether the endpoint can be reached.
     #[must_use]
     pub const fn reach(&self) -> Reach {
--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -138,6 +138,12 @@
         Some((known.version, &known.row))
     }
 
+    /// Whether the known row names this session as dispatcher.
+    #[must_use]
+    pub const fn is_dispatcher(&self) -> bool {
+        self.tenure.is_some()
+    }
+
     /// Whether this session may act as dispatcher at `now`, and under which epoch.
     #[must_use]
     pub fn may_act(&self, now: Now) -> Option<Epoch> {
--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -2,51 +2,71 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::{EndpointName, Epoch, Session};
+use crate::dispatch::DispatchEvent;
+use crate::ids::{EndpointName, Epoch, Session, ShardId};
 use crate::outcome::{NotRun, NotRunReason, Outcome};
-use crate::request::{Repeat, Request};
+use crate::request::Request;
+use crate::retry::{RetryBudget, RetrySettings, backoff_ms, may_retry};
 use crate::time::{Mono, Now};
 
 use super::Node;
-use super::dispatching::Origin;
 use super::events::{Action, CallerRequest, Ticket};
+use super::settings::SendPolicy;
+use super::tickets::{Origin, Purpose};
 
-/// Pause between two tries of the same request, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 50;
-/// Time within which a request is tried again, in milliseconds.
-const RETRY_FOR_MS: u64 = 2_500;
+/// Pause before a request looks again for its dispatcher, in milliseconds.
+const REROUTE_MS: u64 = 20;
 /// When a caller may come back if nothing better is known, in milliseconds.
 const COME_BACK_MS: u64 = 1_000;
 
 /// Requests of callers that have no outcome yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Entry {
     pending: IndexMap<Ticket, Pending>,
-    forwards: IndexMap<Ticket, Ticket>,
+    budget: RetryBudget,
 }
 
 #[derive(Debug)]
 struct Pending {
     request: Request,
     begun: Mono,
-    retry_at: Option<Mono>,
+    retries: u32,
+    again_at: Option<Mono>,
+    /// Endpoint and origin ticket while a dispatcher of this instance has it.
+    here: Option<Here>,
+}
+
+#[derive(Debug, Clone)]
+struct Here {
+    endpoint: EndpointName,
+    origin: Ticket,
 }
 
 /// Where a request has to go.
+#[derive(Debug)]
 struct Target {
     endpoint: EndpointName,
+    shard: ShardId,
     dispatcher: Session,
     epoch: Epoch,
 }
 
 impl Entry {
-    pub(super) fn forget(&mut self, ticket: Ticket) {
-        self.pending.swap_remove(&ticket);
+    pub(super) fn new(retry: RetrySettings) -> Self {
+        Self {
+            pending: IndexMap::new(),
+            budget: RetryBudget::new(retry),
+        }
     }
 
     pub(super) fn is_idle(&self) -> bool {
         self.pending.is_empty()
     }
+
+    /// Requests that have no outcome yet.
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
 }
 
 impl Node {
@@ -62,8 +82,11 @@
                 let pending = Pending {
                     request,
                     begun: now.mono,
-                    retry_at: None,
+                    retries: 0,
+                    again_at: None,
+                    here: None,
                 };
+                self.entry.budget.first_try();
                 self.entry.pending.insert(ticket, pending);
                 self.send_on(ticket, now, out);
             }
@@ -75,24 +98,24 @@
     }
 
     fn admit(&self, req: CallerRequest, now: Now) -> Result<Request, NotRunReason> {
-        if self.stopping {
+        if self.is_leaving(now) {
             return Err(NotRunReason::ShuttingDown);
         }
-        if !self.ready(now) {
+        let config = self.view.config().ok_or(NotRunReason::StaleConfig)?;
+        if !self.view.fresh(now.mono, self.settings.stale_after_ms) {
             return Err(NotRunReason::StaleConfig);
         }
-        let config = self.view.config().ok_or(NotRunReason::StaleConfig)?;
-        let service = config
+        let class = config
             .value
-            .services
-            .get(&req.service)
-            .ok_or(NotRunReason::UnknownService)?;
+            .route(&req.service, &req.labels, &req.key)?
+            .class
+            .clone();
         Ok(Request {
             id: req.id,
             service: req.service,
             key: req.key,
             tenant: req.labels.get("tenant").cloned().unwrap_or_default(),
-            class: service.default_class.clone(),
+            class,
             repeat: req.repeat,
             deadline: req.deadline,
             method: req.method,
@@ -102,12 +125,30 @@
         })
     }
 
+    /// The caller has gone: what only waits here is not worth its slot any more.
+    pub(super) fn caller_gone(&mut self, ticket: Ticket, now: Now, out: &mut Vec<Action>) {
+        let Some(pending) = self.entry.pending.swap_remove(&ticket) else {
+            return;
+        };
+        if let Some(Here { endpoint, origin }) = pending.here {
+            self.tell_dispatcher(&endpoint, DispatchEvent::Cancel { origin }, now, out);
+        }
+    }
+
     fn target(&self, request: &Request) -> Result<Target, NotRunReason> {
         let shard = self
             .view
             .shard_of(&request.service, &request.key)
             .ok_or(NotRunReason::NoOwner)?;
         let endpoint = shard.owner().ok_or(NotRunReason::Moving)?;
+        if self.settings.policy != SendPolicy::Dispatcher {
+            return Ok(Target {
+                endpoint: endpoint.clone(),
+                shard: shard.id,
+                dispatcher: self.me.clone(),
+                epoch: Epoch(0),
+            });
+        }
         let row = self
             .view
             .dispatch()
@@ -115,6 +156,7 @@
             .ok_or(NotRunReason::NoOwner)?;
         Ok(Target {
             endpoint: endpoint.clone(),
+            shard: shard.id,
             dispatcher: row.value.dispatcher.clone(),
             epoch: row.value.epoch,
         })
@@ -124,7 +166,7 @@
         let Some(pending) = self.entry.pending.get_mut(&ticket) else {
             return;
         };
-        pending.retry_at = None;
+        pending.again_at = None;
         let request = pending.request.clone();
         let target = match self.target(&request) {
             Ok(target) => target,
@@ -135,14 +177,11 @@
             }
         };
         if target.dispatcher == self.me {
-            let origin = Origin::Caller(ticket);
-            self.dispatch(origin, &target.endpoint, target.epoch, request, now, out);
+            self.dispatch_here(Origin::Caller(ticket), target, request, now, out);
             return;
         }
-        let forward = self.tickets.draw();
-        self.entry.forwards.insert(forward, ticket);
         out.push(Action::Forward {
-            ticket: forward,
+            ticket: self.tickets.draw(Purpose::Forward { caller: ticket }),
             to: target.dispatcher,
             endpoint: target.endpoint,
             dispatch_epoch: target.epoch,
@@ -150,17 +189,75 @@
         });
     }
 
-    pub(super) fn entry_outcome(
+    /// Another entry forwarded a request to this instance.
+    pub(super) fn forwarded(
         &mut self,
-        forward: Ticket,
-        outcome: Outcome,
+        ticket: Ticket,
+        endpoint: &EndpointName,
+        epoch: Epoch,
+        request: Request,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        match self.accept(endpoint, epoch, &request) {
+            Ok(target) => self.dispatch_here(Origin::Peer(ticket), target, request, now, out),
+            Err(reason) => {
+                let outcome = Outcome::NotRun(NotRun::new(reason, COME_BACK_MS));
+                out.push(Action::Reply { ticket, outcome });
+            }
+        }
+    }
+
+    /// Failure guarded against: the entry went by old rows and sent the request
+    /// to where its key was before. What this instance knows decides; where the
+    /// two disagree, the request goes back as not run and the entry looks again.
+    fn accept(
+        &self,
+        endpoint: &EndpointName,
+        epoch: Epoch,
+        request: &Request,
+    ) -> Result<Target, NotRunReason> {
+        let target = self.target(request)?;
+        if target.endpoint != *endpoint {
+            return Err(NotRunReason::Moving);
+        }
+        if target.dispatcher != self.me || target.epoch != epoch {
+            return Err(NotRunReason::NotDispatcher);
+        }
+        Ok(target)
+    }
+
+    fn dispatch_here(
+        &mut self,
+        from: Origin,
+        target: Target,
+        request: Request,
         now: Now,
         out: &mut Vec<Action>,
     ) {
-        let Some(ticket) = self.entry.forwards.swap_remove(&forward) else {
+        let origin = self.tickets.draw(Purpose::Dispatched { origin: from });
+        let Target {
+            endpoint, shard, ..
+        } = target;
+        if !self.seats.has_dispatcher(&endpoint) {
+            let outcome = Outcome::NotRun(NotRun::new(NotRunReason::NotDispatcher, COME_BACK_MS));
+            self.dispatched(origin, outcome, now, out);
             return;
+        }
+        if let Origin::Caller(ticket) = from
+            && let Some(pending) = self.entry.pending.get_mut(&ticket)
+        {
+            pending.here = Some(Here {
+                endpoint: endpoint.clone(),
+                origin,
+            });
+        }
+        let event = DispatchEvent::Submit {
+            origin,
+            shard,
+            request,
         };
-        self.settle(ticket, outcome, now, out);
+        self.tell_dispatcher(&endpoint, event, now, out);
     }
 
     /// Answers the caller, or keeps the request for another try.
@@ -174,18 +271,29 @@
         let Some(pending) = self.entry.pending.get_mut(&ticket) else {
             return;
         };
-        if pending.may_retry(&outcome, now) {
-            pending.retry_at = Some(now.mono.plus(RETRY_PAUSE_MS));
-            return;
+        pending.here = None;
+        let pause = pending.pause(
+            &outcome,
+            ticket,
+            &self.settings.retry,
+            &mut self.entry.budget,
+        );
+        if let Some(pause_ms) = pause {
+            let in_time = now.mono.since(pending.begun) < self.settings.reroute_for_ms
+                && now.wall.plus(pause_ms) < pending.request.deadline;
+            if in_time {
+                pending.again_at = Some(now.mono.plus(pause_ms));
+                return;
+            }
         }
         self.entry.pending.swap_remove(&ticket);
         out.push(Action::Reply { ticket, outcome });
     }
 
-    pub(super) fn entry_tick(&mut self, now: Now, out: &mut Vec<Action>) {
+    pub(super) fn tick_entry(&mut self, now: Now, out: &mut Vec<Action>) {
         let mut due = Vec::new();
         for (ticket, pending) in &self.entry.pending {
-            if pending.retry_at.is_some_and(|at| at <= now.mono) {
+            if pending.again_at.is_some_and(|at| at <= now.mono) {
                 due.push(*ticket);
             }
         }
@@ -196,31 +304,41 @@
 }
 
 impl Pending {
-    /// Only work that may run again, or is known not to have run, is tried again.
-    fn may_retry(&self, outcome: &Outcome, now: Now) -> bool {
-        let in_time = now.mono.since(self.begun) < RETRY_FOR_MS
-            && now.wall.plus(RETRY_PAUSE_MS) < self.request.deadline;
-        if !in_time {
-            return false;
-        }
-        match outcome {
-            Outcome::Answered(_) => false,
-            Outcome::MayHaveRun(_) => self.request.repeat == Repeat::Idempotent,
-            Outcome::NotRun(not_run) => heals(not_run.reason),
+    /// Time until the next try in milliseconds, or `None` if the outcome is final.
+    ///
+    /// A request that reached no endpoint only waits until its key has an owner
+    /// and a dispatcher again; that costs nobody anything. What reached an
+    /// endpoint is tried again only under the budget.
+    fn pause(
+        &mut self,
+        outcome: &Outcome,
+        ticket: Ticket,
+        cfg: &RetrySettings,
+        budget: &mut RetryBudget,
+    ) -> Option<u64> {
+        if reached_nobody(outcome) {
+            return Some(REROUTE_MS);
+        }
+        if !may_retry(self.request.repeat, outcome) || !budget.take() {
+            return None;
         }
+        self.retries += 1;
+        Some(backoff_ms(cfg, self.retries - 1, ticket))
     }
 }
 
-/// Whether another try soon has a chance to succeed.
-const fn heals(reason: NotRunReason) -> bool {
+/// Whether the request was sent to no endpoint because its key has no owner or
+/// no dispatcher at the moment.
+const fn reached_nobody(outcome: &Outcome) -> bool {
+    let Outcome::NotRun(not_run) = outcome else {
+        return false;
+    };
     matches!(
-        reason,
+        not_run.reason,
         NotRunReason::NoOwner
             | NotRunReason::Moving
             | NotRunReason::NotDispatcher
             | NotRunReason::NoHold
             | NotRunReason::DispatcherUnreachable
-            | NotRunReason::EndpointUnreachable
-            | NotRunReason::Draining
     )
 }
--- a/crates/citronway-core/src/node/events.rs
+++ b/crates/citronway-core/src/node/events.rs
@@ -12,7 +12,7 @@
 use crate::platform::{ConditionalPut, InstanceList, Row, WriteOutcome};
 use crate::request::{Fence, Labels, Repeat, Request};
 use crate::shard::HashRange;
-use crate::time::Wall;
+use crate::time::{Now, Wall};
 
 /// Number that ties an answer to what asked for it, unique within a process.
 pub type Ticket = u64;
@@ -86,11 +86,14 @@
         /// The message.
         message: PeerMessage,
     },
-    /// A session of another instance was greeted; an earlier one of the same
-    /// instance is gone.
+    /// A session of another instance was greeted.
     PeerUp {
         /// The session.
         session: Session,
+        /// It answered at the listed address of its instance, so an earlier
+        /// session there is gone. A session that calls proves no such thing: it
+        /// may be the earlier one, back from a pause.
+        at_its_address: bool,
     },
     /// No connection to an instance at present.
     PeerDown {
@@ -127,6 +130,8 @@
     Instances {
         /// The list.
         list: InstanceList,
+        /// When its reading began.
+        asked: Now,
     },
     /// The process was asked to stop.
     Stop,
--- a/crates/citronway-core/src/node/members.rs
+++ b/crates/citronway-core/src/node/members.rs
@@ -2,18 +2,24 @@
 
 use indexmap::IndexMap;
 
+use crate::hold::Departures;
 use crate::ids::{InstanceName, Session, Version, ZoneName};
 use crate::peer::Heartbeat;
+use crate::placement::wanted::Candidate;
 use crate::platform::{InstanceList, ListedState};
-use crate::time::Mono;
+use crate::time::{Mono, Now};
 
 /// An instance as this one knows it.
-#[derive(Debug, Clone)]
-pub(super) struct Member {
-    pub(super) session: Session,
-    pub(super) heard: Mono,
-    pub(super) config: Version,
-    pub(super) leaving: bool,
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its present session.
+    pub session: Session,
+    /// When it last gave a sign of life.
+    pub heard: Mono,
+    /// Version of the configuration in force there.
+    pub config: Version,
+    /// It is shutting down.
+    pub leaving: bool,
 }
 
 /// All instances known.
@@ -23,6 +29,7 @@
     zone: ZoneName,
     list: InstanceList,
     by_instance: IndexMap<InstanceName, Member>,
+    departures: Departures,
 }
 
 impl Members {
@@ -32,21 +39,45 @@
             zone,
             list: InstanceList::default(),
             by_instance: IndexMap::new(),
+            departures: Departures::new(),
         }
     }
 
-    pub(super) fn listed(&mut self, list: InstanceList, _now: Mono) {
+    /// Takes the platform's list; returns the sessions that are gone by it.
+    pub(super) fn listed(&mut self, list: InstanceList, asked: Now) -> Vec<Session> {
+        let gone = self.departures.list(&list, asked);
         self.list = list;
+        self.drop_gone(&gone);
+        gone
     }
 
-    pub(super) fn up(&mut self, session: Session, now: Mono) {
-        let member = Member {
+    /// Takes a greeted session; returns earlier ones that it proves gone.
+    pub(super) fn up(
+        &mut self,
+        session: &Session,
+        at_its_address: bool,
+        now: Mono,
+    ) -> Vec<Session> {
+        if self.departures.is_gone(session) {
+            return Vec::new();
+        }
+        self.departures.watch(session);
+        if !at_its_address {
+            return Vec::new();
+        }
+        let gone = self.departures.greeted(session);
+        self.drop_gone(&gone);
+        let fresh = Member {
+            session: session.clone(),
             heard: now,
             config: Version(0),
             leaving: false,
-            session: session.clone(),
         };
-        self.by_instance.insert(session.instance, member);
+        match self.by_instance.get_mut(&session.instance) {
+            Some(known) if known.session == *session => known.heard = now,
+            _ => drop(self.by_instance.insert(session.instance.clone(), fresh)),
+        }
+        gone
     }
 
     pub(super) fn down(&mut self, instance: &InstanceName) {
@@ -54,6 +85,10 @@
     }
 
     pub(super) fn heartbeat(&mut self, from: &Session, beat: &Heartbeat, now: Mono) {
+        if self.departures.is_gone(from) {
+            return;
+        }
+        self.departures.watch(from);
         let member = Member {
             session: from.clone(),
             heard: now,
@@ -63,21 +98,67 @@
         self.by_instance.insert(from.instance.clone(), member);
     }
 
-    /// Sessions that take part at present with their zones, this one included, by name.
-    pub(super) fn live(&self) -> Vec<(Session, ZoneName)> {
-        let mut live = vec![(self.me.clone(), self.zone.clone())];
+    /// Watches a session that a stored row names.
+    pub(super) fn watch(&mut self, session: &Session) {
+        if *session != self.me {
+            self.departures.watch(session);
+        }
+    }
+
+    pub(super) fn gone(&self) -> Vec<Session> {
+        self.departures.gone().cloned().collect()
+    }
+
+    pub(super) const fn known(&self) -> &IndexMap<InstanceName, Member> {
+        &self.by_instance
+    }
+
+    /// Zone of an instance, as the platform lists it.
+    pub(super) fn zone_of(&self, instance: &InstanceName) -> Option<&ZoneName> {
+        if *instance == self.me.instance {
+            return Some(&self.zone);
+        }
+        let listed = self
+            .list
+            .instances
+            .iter()
+            .find(|listed| listed.instance == *instance)?;
+        Some(&listed.zone)
+    }
+
+    /// Sessions fit for a role at present, by name; this one unless it `leaves`.
+    pub(super) fn candidates(
+        &self,
+        leaves: bool,
+        silent_after_ms: u64,
+        now: Mono,
+    ) -> Vec<Candidate> {
+        let mut fit = Vec::with_capacity(self.by_instance.len() + 1);
+        if !leaves {
+            fit.push(Candidate {
+                session: self.me.clone(),
+                zone: self.zone.clone(),
+            });
+        }
         for listed in &self.list.instances {
-            if listed.state == ListedState::Leaving {
-                continue;
-            }
             let Some(member) = self.by_instance.get(&listed.instance) else {
                 continue;
             };
-            if !member.leaving {
-                live.push((member.session.clone(), listed.zone.clone()));
+            let silent = now.since(member.heard) > silent_after_ms;
+            if silent || member.leaving || listed.state == ListedState::Leaving {
+                continue;
             }
+            fit.push(Candidate {
+                session: member.session.clone(),
+                zone: listed.zone.clone(),
+            });
         }
-        live.sort();
-        live
+        fit.sort_by(|a, b| a.session.cmp(&b.session));
+        fit
+    }
+
+    fn drop_gone(&mut self, gone: &[Session]) {
+        self.by_instance
+            .retain(|_, member| !gone.contains(&member.session));
     }
 }
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -2,28 +2,46 @@
 //!
 //! The process feeds it [`Event`]s with the present time and carries out the
 //! [`Action`]s it returns. It owns the configuration in force, the assignment
-//! and dispatch rows, the holds, the dispatch queues and the planner.
+//! and dispatch rows, the holds, the dispatch queues and the planners.
+//!
+//! | module | job |
+//! |---|---|
+//! | `view` | stored rows as this instance knows them |
+//! | `members` | other instances |
+//! | `entry` | callers' requests |
+//! | `seats` | holds and dispatchers, one of each for an endpoint |
+//! | `shards` | which shards an endpoint has |
+//! | `planners` | the planner of each service |
+//! | `store` | reads and writes of the platform's tables |
+//! | `tickets` | which answer is for what |
 
-mod dispatching;
 mod entry;
 pub mod events;
 mod members;
-mod planning;
+mod planners;
+mod seats;
 mod settings;
+mod shards;
+mod store;
+mod tickets;
 mod view;
 
 pub use events::{Action, CallerRequest, Event, OrderReply, ProbeReport, Ticket};
-pub use settings::NodeSettings;
-pub use view::View;
+pub use members::Member;
+pub use settings::{NodeSettings, SendPolicy};
+pub use view::{CONFIG_KEY, CONFIG_TABLE, Versioned, View};
 
+use crate::hold::HoldEvent;
 use crate::ids::{Session, ZoneName};
 use crate::peer::{Heartbeat, PeerMessage};
+use crate::placement::PlannerEvent;
 use crate::time::{Mono, Now};
 
-use dispatching::Dispatching;
 use entry::Entry;
 use members::Members;
-use planning::Planning;
+use planners::Planners;
+use seats::Seats;
+use tickets::{Purpose, Tickets};
 
 /// Every decision of one entry instance.
 #[derive(Debug)]
@@ -33,25 +51,14 @@
     view: View,
     members: Members,
     entry: Entry,
-    dispatching: Dispatching,
-    planning: Planning,
+    seats: Seats,
+    planners: Planners,
     tickets: Tickets,
     polled: Option<Mono>,
     greeted: Option<Mono>,
-    stopping: bool,
-}
-
-/// Draws ticket numbers.
-#[derive(Debug, Default)]
-struct Tickets {
-    last: Ticket,
-}
-
-impl Tickets {
-    fn draw(&mut self) -> Ticket {
-        self.last += 1;
-        self.last
-    }
+    reported: Option<Mono>,
+    /// When the process was asked to stop.
+    stopped: Option<Mono>,
 }
 
 impl Node {
@@ -60,14 +67,15 @@
     pub fn new(me: Session, zone: ZoneName, settings: NodeSettings) -> Self {
         Self {
             members: Members::new(me.clone(), zone),
-            entry: Entry::default(),
-            dispatching: Dispatching::default(),
-            planning: Planning::default(),
+            entry: Entry::new(settings.retry),
+            seats: Seats::default(),
+            planners: Planners::default(),
             view: View::default(),
             tickets: Tickets::default(),
             polled: None,
             greeted: None,
-            stopping: false,
+            reported: None,
+            stopped: None,
             me,
             settings,
         }
@@ -79,10 +87,10 @@
         &self.view
     }
 
-    /// Whether callers may be sent here.
+    /// Whether the balancer may send callers here.
     #[must_use]
     pub fn ready(&self, now: Now) -> bool {
-        !self.stopping && self.view.fresh(now.mono, self.settings.stale_after_ms)
+        self.stopped.is_none() && self.view.fresh(now.mono, self.settings.stale_after_ms)
     }
 
     /// Takes one event and returns what is to be done, in order.
@@ -91,30 +99,43 @@
         match event {
             Event::Tick => self.tick(now, &mut out),
             Event::Caller { ticket, request } => self.caller(ticket, request, now, &mut out),
-            Event::CallerGone { ticket } => self.entry.forget(ticket),
+            Event::CallerGone { ticket } => self.caller_gone(ticket, now, &mut out),
             Event::Forwarded {
                 ticket,
                 endpoint,
                 dispatch_epoch,
                 request,
             } => {
-                let origin = dispatching::Origin::Peer(ticket);
-                self.dispatch(origin, &endpoint, dispatch_epoch, request, now, &mut out);
+                self.forwarded(ticket, &endpoint, dispatch_epoch, request, now, &mut out);
             }
             Event::ForwardDone { ticket, outcome } => {
-                self.entry_outcome(ticket, outcome, now, &mut out);
+                if let Some(Purpose::Forward { caller }) = self.tickets.take(ticket) {
+                    self.settle(caller, outcome, now, &mut out);
+                }
+            }
+            Event::OrderDone { .. } | Event::CancelDone { .. } | Event::GrantDone { .. } => {
+                self.endpoint_event(event, now, &mut out);
             }
-            Event::OrderDone { ticket, reply } => self.order_done(ticket, reply, now, &mut out),
-            Event::CancelDone { .. } | Event::GrantDone { .. } => {}
             Event::Peer { from, message } => self.peer(&from, message, now, &mut out),
-            Event::PeerUp { session } => self.members.up(session, now.mono),
+            Event::PeerUp {
+                session,
+                at_its_address,
+            } => {
+                let gone = self.members.up(&session, at_its_address, now.mono);
+                self.bury(&gone, now, &mut out);
+            }
             Event::PeerDown { instance } => self.members.down(&instance),
-            Event::RowsRead { table, rows } => self.view.table_read(&table, rows, now.mono),
-            Event::RowRead { row, .. } => self.view.row_read(row, now.mono),
-            Event::ReadFailed { .. } => {}
-            Event::WriteDone { outcome, .. } => self.planning.write_done(&outcome, &mut out),
-            Event::Instances { list } => self.members.listed(list, now.mono),
-            Event::Stop => self.stopping = true,
+            Event::RowsRead { table, rows } => self.table_read(&table, rows, now, &mut out),
+            Event::RowRead { ticket, row } => self.row_read(ticket, row, now, &mut out),
+            Event::ReadFailed { ticket } => self.read_failed(ticket, now, &mut out),
+            Event::WriteDone { ticket, outcome } => {
+                self.write_done(ticket, outcome, now, &mut out);
+            }
+            Event::Instances { list, asked } => {
+                let gone = self.members.listed(list, asked);
+                self.bury(&gone, now, &mut out);
+            }
+            Event::Stop => self.stopped = Some(now.mono),
         }
         out
     }
@@ -122,57 +143,113 @@
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
         self.poll_store(now, out);
         self.send_heartbeat(now, out);
-        self.entry_tick(now, out);
-        self.plan(now, out);
-        if self.stopping && self.entry.is_idle() && self.dispatching.is_idle() {
+        if self.is_leaving(now) && self.entry_is_done(now) {
+            self.leave_seats(now, out);
+        }
+        self.tick_seats(now, out);
+        self.tick_planners(now, out);
+        self.tick_entry(now, out);
+        self.send_loads(now, out);
+        if self.is_leaving(now) && self.entry_is_done(now) && self.seats_are_left(now) {
             out.push(Action::Exit);
         }
     }
 
-    fn poll_store(&mut self, now: Now, out: &mut Vec<Action>) {
-        let due = self
-            .polled
-            .is_none_or(|at| now.mono.since(at) >= self.settings.poll_ms);
-        if !due {
-            return;
-        }
-        self.polled = Some(now.mono);
-        for table in [
-            view::CONFIG_TABLE,
-            view::ASSIGNMENT_TABLE,
-            view::DISPATCH_TABLE,
-        ] {
-            out.push(Action::ReadTable {
-                table: table.to_owned(),
-            });
-        }
+    /// Whether the instance takes no new work any more.
+    fn is_leaving(&self, now: Now) -> bool {
+        self.stopped
+            .is_some_and(|at| now.mono.since(at) >= self.settings.lame_duck_ms)
+    }
+
+    fn entry_is_done(&self, now: Now) -> bool {
+        self.entry.is_idle() || self.grace_is_over(now)
+    }
+
+    fn seats_are_left(&self, now: Now) -> bool {
+        (self.seats.is_idle() && self.seats.roles_are_gone()) || self.grace_is_over(now)
+    }
+
+    fn grace_is_over(&self, now: Now) -> bool {
+        self.stopped
+            .is_some_and(|at| now.mono.since(at) >= self.settings.grace_ms)
     }
 
     fn send_heartbeat(&mut self, now: Now, out: &mut Vec<Action>) {
-        let due = self
-            .greeted
-            .is_none_or(|at| now.mono.since(at) >= self.settings.heartbeat_ms);
-        if !due {
+        if !is_due(&mut self.greeted, self.settings.heartbeat_ms, now.mono) {
             return;
         }
-        self.greeted = Some(now.mono);
         out.push(Action::Broadcast {
             message: PeerMessage::Heartbeat(Heartbeat {
                 config: self.view.config_version(),
                 store_age_ms: self.view.store_age_ms(now.mono),
-                leaving: self.stopping,
+                leaving: self.stopped.is_some(),
             }),
         });
     }
 
-    fn peer(&mut self, from: &Session, message: PeerMessage, now: Now, _out: &mut Vec<Action>) {
+    fn send_loads(&mut self, now: Now, out: &mut Vec<Action>) {
+        if is_due(&mut self.reported, self.settings.load_every_ms, now.mono) {
+            self.report_loads(now, out);
+        }
+    }
+
+    fn peer(&mut self, from: &Session, message: PeerMessage, now: Now, out: &mut Vec<Action>) {
         match message {
-            PeerMessage::Heartbeat(beat) => self.members.heartbeat(from, &beat, now.mono),
-            PeerMessage::Rows { rows } => self.view.rows_told(rows),
-            PeerMessage::Hold { .. }
-            | PeerMessage::EndpointLost(_)
-            | PeerMessage::ShardReleased(_)
-            | PeerMessage::Load(_) => {}
+            PeerMessage::Heartbeat(beat) => {
+                self.members.heartbeat(from, &beat, now.mono);
+                self.view.heard_peer(now.mono);
+                if beat.config > self.view.config_version() {
+                    // Fetched at once instead of with the next poll.
+                    out.push(Action::ReadTable {
+                        table: CONFIG_TABLE.to_owned(),
+                    });
+                }
+                if !beat.leaving {
+                    let heard = PlannerEvent::Heard {
+                        session: from.clone(),
+                    };
+                    self.tell_planners(&heard, now, out);
+                }
+            }
+            PeerMessage::Rows { rows } => {
+                for row in rows {
+                    self.learn(&row, now, out);
+                }
+            }
+            PeerMessage::Hold { endpoint, message } => {
+                self.hold_message(from, &endpoint, message, now, out);
+            }
+            PeerMessage::EndpointLost(_) | PeerMessage::ShardReleased(_) | PeerMessage::Load(_) => {
+                self.report(message, now, out)
+            }
+        }
+    }
+
+    /// Sessions that are gone for good cannot act or write any more.
+    fn bury(&mut self, gone: &[Session], now: Now, out: &mut Vec<Action>) {
+        for session in gone {
+            let event = HoldEvent::Gone {
+                session: session.clone(),
+            };
+            for endpoint in self.seats.endpoints() {
+                self.tell_hold(&endpoint, &event, now, out);
+            }
+            self.tell_planners(
+                &PlannerEvent::Gone {
+                    session: session.clone(),
+                },
+                now,
+                out,
+            );
         }
     }
 }
+
+/// Whether `every_ms` have passed since `last`, which is then set anew.
+fn is_due(last: &mut Option<Mono>, every_ms: u64, now: Mono) -> bool {
+    let due = last.is_none_or(|at| now.since(at) >= every_ms);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
--- /dev/null
+++ b/crates/citronway-core/src/node/planners.rs
@@ -0,0 +1,279 @@
+//! The planner role: one planner for each service, of which one in all is elected.
+
+use indexmap::IndexMap;
+
+use crate::config::CompiledConfig;
+use crate::ids::{ServiceName, Session};
+use crate::peer::PeerMessage;
+use crate::placement::{
+    Member, MemberState, Planner, PlannerAction, PlannerEvent, Wanted, WantedGroup,
+};
+use crate::time::{Mono, Now};
+
+use super::Node;
+use super::events::{Action, Ticket};
+use super::store::ReadResult;
+use super::tickets::Purpose;
+
+/// Time between two looks at what is wanted, in milliseconds.
+const WANTED_EVERY_MS: u64 = 100;
+
+/// Planners of this instance.
+#[derive(Debug, Default)]
+pub(super) struct Planners {
+    by_service: IndexMap<ServiceName, Seated>,
+    looked: Option<Mono>,
+}
+
+#[derive(Debug)]
+struct Seated {
+    planner: Planner,
+    wanted: Option<Wanted>,
+}
+
+impl Planners {
+    pub(super) fn services(&self) -> Vec<ServiceName> {
+        self.by_service.keys().cloned().collect()
+    }
+
+    /// The planner of a service.
+    pub(super) fn get(&self, service: &ServiceName) -> Option<&Planner> {
+        self.by_service.get(service).map(|seated| &seated.planner)
+    }
+}
+
+impl Node {
+    /// Lets time pass in every planner and tells them what is wanted.
+    pub(super) fn tick_planners(&mut self, now: Now, out: &mut Vec<Action>) {
+        let due = self
+            .planners
+            .looked
+            .is_none_or(|at| now.mono.since(at) >= WANTED_EVERY_MS);
+        if due && !self.is_leaving(now) {
+            self.planners.looked = Some(now.mono);
+            self.tell_wanted(now, out);
+        }
+        if !self.is_leaving(now) {
+            self.tell_planners(&PlannerEvent::Tick, now, out);
+        }
+    }
+
+    fn tell_wanted(&mut self, now: Now, out: &mut Vec<Action>) {
+        let Some(config) = self.view.config() else {
+            return;
+        };
+        let candidates = self
+            .members
+            .candidates(false, self.settings.silent_after_ms, now.mono);
+        let mut all = Vec::new();
+        for service in config.value.config().services.keys() {
+            all.push(Wanted {
+                service: service.clone(),
+                config: config.version,
+                groups: wanted_groups(&config.value, service),
+                weights: config.value.config().services[service].weights,
+                candidates: candidates.clone(),
+            });
+        }
+        for wanted in all {
+            self.want(wanted, now, out);
+        }
+    }
+
+    fn want(&mut self, wanted: Wanted, now: Now, out: &mut Vec<Action>) {
+        let service = wanted.service.clone();
+        let seated = self
+            .planners
+            .by_service
+            .entry(service.clone())
+            .or_insert_with(|| {
+                let planner = Planner::new(&service, &self.me, self.settings.planner);
+                Seated {
+                    planner,
+                    wanted: None,
+                }
+            });
+        if seated.wanted.as_ref() == Some(&wanted) {
+            return;
+        }
+        seated.wanted = Some(wanted.clone());
+        let event = PlannerEvent::Wanted {
+            wanted: Box::new(wanted),
+        };
+        self.tell_planner(&service, event, now, out);
+    }
+
+    pub(super) fn tell_planners(&mut self, event: &PlannerEvent, now: Now, out: &mut Vec<Action>) {
+        for service in self.planners.services() {
+            self.tell_planner(&service, event.clone(), now, out);
+        }
+    }
+
+    pub(super) fn tell_planner(
+        &mut self,
+        service: &ServiceName,
+        event: PlannerEvent,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(seated) = self.planners.by_service.get_mut(service) else {
+            return;
+        };
+        let mut published = Vec::new();
+        for action in seated.planner.apply(event, now) {
+            match action {
+                PlannerAction::Write { ticket, puts } => {
+                    let purpose = Purpose::Planner {
+                        service: service.clone(),
+                        ticket,
+                    };
+                    out.push(Action::Write {
+                        ticket: self.tickets.draw(purpose),
+                        puts,
+                    });
+                }
+                PlannerAction::ReadRow { ticket, at } => {
+                    let purpose = Purpose::Planner {
+                        service: service.clone(),
+                        ticket,
+                    };
+                    out.push(Action::ReadRow {
+                        ticket: self.tickets.draw(purpose),
+                        at,
+                    });
+                }
+                PlannerAction::Publish { row } => published.push(row),
+            }
+        }
+        for row in published {
+            self.publish(row, now, out);
+        }
+    }
+
+    pub(super) fn planner_read_done(
+        &mut self,
+        service: &ServiceName,
+        ticket: Ticket,
+        read: ReadResult,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        let event = match read {
+            ReadResult::Failed => PlannerEvent::ReadFailed { ticket },
+            ReadResult::Absent => PlannerEvent::RowRead { ticket, row: None },
+            ReadResult::Found(row) => PlannerEvent::RowRead {
+                ticket,
+                row: Some(row),
+            },
+        };
+        self.tell_planner(service, event, now, out);
+    }
+
+    /// Sends a report to the elected planner of a service.
+    pub(super) fn send_to_planner(
+        &mut self,
+        service: &ServiceName,
+        message: PeerMessage,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        match self.elected(service) {
+            Some(session) if session == self.me => self.report(message, now, out),
+            Some(to) => out.push(Action::Send { to, message }),
+            None => out.push(Action::Broadcast { message }),
+        }
+    }
+
+    /// Sends a report to the elected planners of all services, once to each session.
+    pub(super) fn send_to_planners(
+        &mut self,
+        message: &PeerMessage,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        let mut told = Vec::new();
+        for service in self.planners.services() {
+            let Some(session) = self.elected(&service) else {
+                continue;
+            };
+            if told.contains(&session) {
+                continue;
+            }
+            told.push(session.clone());
+            if session == self.me {
+                self.report(message.clone(), now, out);
+            } else {
+                out.push(Action::Send {
+                    to: session,
+                    message: message.clone(),
+                });
+            }
+        }
+    }
+
+    /// Takes a report for the planners of this instance.
+    pub(super) fn report(&mut self, message: PeerMessage, now: Now, out: &mut Vec<Action>) {
+        match message {
+            PeerMessage::ShardReleased(report) => {
+                let service = report.service.clone();
+                self.tell_planner(&service, PlannerEvent::Released { report }, now, out);
+            }
+            PeerMessage::EndpointLost(report) => {
+                self.tell_planners(&PlannerEvent::Lost { report }, now, out);
+            }
+            PeerMessage::Load(report) => {
+                self.tell_planners(&PlannerEvent::Load { report }, now, out);
+            }
+            PeerMessage::Heartbeat(_) | PeerMessage::Rows { .. } | PeerMessage::Hold { .. } => {}
+        }
+    }
+
+    /// Reports the load of every endpoint dispatched here.
+    pub(super) fn report_loads(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut loads = Vec::new();
+        for seat in self.seats.by_endpoint.values_mut() {
+            if let Some(active) = &mut seat.active {
+                loads.push(active.dispatcher.take_load());
+            }
+        }
+        for load in loads {
+            self.send_to_planners(&PeerMessage::Load(load), now, out);
+        }
+    }
+
+    fn elected(&self, service: &ServiceName) -> Option<Session> {
+        let row = self.planners.get(service)?.planner_row()?;
+        Some(row.session.clone())
+    }
+}
+
+fn wanted_groups(config: &CompiledConfig, service: &ServiceName) -> Vec<WantedGroup> {
+    let shards = config.config().services[service].shards;
+    let mut groups = Vec::new();
+    for (name, group) in &config.config().groups {
+        if group.service != *service {
+            continue;
+        }
+        let mut members = Vec::new();
+        for endpoint in config.members(name) {
+            let known = &config.config().endpoints[endpoint];
+            members.push(Member {
+                endpoint: endpoint.clone(),
+                zone: known.zone.clone(),
+                slots: known.slots,
+                state: if known.drain {
+                    MemberState::Draining
+                } else {
+                    MemberState::Live
+                },
+            });
+        }
+        groups.push(WantedGroup {
+            group: name.clone(),
+            keys: group.keys.clone(),
+            shards,
+            members,
+        });
+    }
+    groups
+}
--- /dev/null
+++ b/crates/citronway-core/src/node/store.rs
@@ -0,0 +1,147 @@
+//! Reads and writes of the platform's tables, and rows that peers tell.
+
+use crate::peer::PeerMessage;
+use crate::placement::PlannerEvent;
+use crate::platform::{Row, RowKey, WriteOutcome};
+use crate::time::Now;
+
+use super::Node;
+use super::events::{Action, Ticket};
+use super::is_due;
+use super::tickets::Purpose;
+use super::view::{ASSIGNMENT_TABLE, CONFIG_TABLE, DISPATCH_TABLE, Learnt, PLANNER_TABLE};
+
+/// Tables that every instance follows.
+const FOLLOWED: [&str; 4] = [
+    CONFIG_TABLE,
+    ASSIGNMENT_TABLE,
+    DISPATCH_TABLE,
+    PLANNER_TABLE,
+];
+
+/// Result of a read of one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum ReadResult {
+    /// No answer.
+    Failed,
+    /// There is no such row.
+    Absent,
+    /// The row.
+    Found(Row),
+}
+
+impl Node {
+    pub(super) fn poll_store(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !is_due(&mut self.polled, self.settings.poll_ms, now.mono) {
+            return;
+        }
+        for table in FOLLOWED {
+            out.push(Action::ReadTable {
+                table: table.to_owned(),
+            });
+        }
+    }
+
+    pub(super) fn table_read(
+        &mut self,
+        table: &str,
+        rows: Vec<Row>,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        self.view.heard_store(now.mono);
+        for row in &rows {
+            self.learn(row, now, out);
+        }
+        let event = PlannerEvent::Table {
+            table: table.to_owned(),
+            rows,
+        };
+        self.tell_planners(&event, now, out);
+    }
+
+    /// Takes over a row, whoever told it, and passes it on within the instance.
+    pub(super) fn learn(&mut self, row: &Row, now: Now, out: &mut Vec<Action>) {
+        match self.view.learn(row) {
+            Learnt::Nothing => return,
+            Learnt::Config => self.seat_all(now, out),
+            Learnt::Assignment(_) => self.give_all_shards(now, out),
+            Learnt::Dispatch(endpoint) => self.row_to_hold(&endpoint, now, out),
+        }
+        self.tell_planners(&PlannerEvent::Row { row: row.clone() }, now, out);
+    }
+
+    /// Takes over a row whose write is known to stand and tells all instances.
+    pub(super) fn publish(&mut self, row: Row, now: Now, out: &mut Vec<Action>) {
+        self.learn(&row, now, out);
+        out.push(Action::Broadcast {
+            message: PeerMessage::Rows { rows: vec![row] },
+        });
+    }
+
+    pub(super) fn row_read(
+        &mut self,
+        ticket: Ticket,
+        row: Option<Row>,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        self.view.heard_store(now.mono);
+        let Some(row) = row else {
+            self.read_ended(ticket, ReadResult::Absent, now, out);
+            return;
+        };
+        self.learn(&row, now, out);
+        self.read_ended(ticket, ReadResult::Found(row), now, out);
+    }
+
+    pub(super) fn read_failed(&mut self, ticket: Ticket, now: Now, out: &mut Vec<Action>) {
+        self.read_ended(ticket, ReadResult::Failed, now, out);
+    }
+
+    fn read_ended(&mut self, ticket: Ticket, read: ReadResult, now: Now, out: &mut Vec<Action>) {
+        match self.tickets.take(ticket) {
+            Some(Purpose::HoldRead {
+                endpoint,
+                read: number,
+            }) => {
+                self.hold_read_done(&endpoint, number, read, now, out);
+            }
+            Some(Purpose::Planner { service, ticket }) => {
+                self.planner_read_done(&service, ticket, read, now, out);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn write_done(
+        &mut self,
+        ticket: Ticket,
+        outcome: WriteOutcome,
+        now: Now,
+        out: &mut Vec<Action>,
+    ) {
+        match self.tickets.take(ticket) {
+            Some(Purpose::HoldWrite {
+                endpoint,
+                write,
+                value,
+            }) => {
+                self.hold_write_done(&endpoint, write, value, outcome, now, out);
+            }
+            Some(Purpose::Planner { service, ticket }) => {
+                let event = PlannerEvent::WriteDone { ticket, outcome };
+                self.tell_planner(&service, event, now, out);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Name of a row.
+pub(super) fn at(table: &str, key: &str) -> RowKey {
+    RowKey {
+        table: table.to_owned(),
+        key: key.to_owned(),
+    }
+}
--- a/crates/citronway-core/src/node/view.rs
+++ b/crates/citronway-core/src/node/view.rs
@@ -5,24 +5,24 @@
 //! reverted by an old answer that arrives late.
 
 use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
 
-use crate::config::Config;
+use crate::config::{CompiledConfig, CompiledPartition, Config};
 use crate::ids::{EndpointName, Key, ServiceName, Version};
+use crate::placement::lookup::Lookup;
 use crate::platform::Row;
 use crate::shard::{Assignment, DispatchRow, KeyHash, Ownership, Shard};
 use crate::time::Mono;
 
+pub use crate::placement::planner::{ASSIGNMENT_TABLE, DISPATCH_TABLE, PLANNER_TABLE};
+
 /// Table of the configuration, with one row.
 pub const CONFIG_TABLE: &str = "config";
 /// The one row of the configuration.
 pub const CONFIG_KEY: &str = "head";
-/// Table of assignments by service.
-pub const ASSIGNMENT_TABLE: &str = "assignment";
-/// Table of dispatch rows by endpoint.
-pub const DISPATCH_TABLE: &str = "dispatch";
 
 /// Content of a row with the row's version.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct Versioned<T> {
     /// Version of the row.
     pub version: Version,
@@ -30,21 +30,43 @@
     pub value: T,
 }
 
+/// An assignment that is ready to be asked for each request.
+#[derive(Debug, Clone)]
+pub struct Indexed {
+    /// The assignment as stored.
+    pub assignment: Assignment,
+    partition: CompiledPartition,
+    lookup: Lookup,
+}
+
+/// What a row changed in the view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Learnt {
+    /// Nothing: it was known, or is of no concern, or cannot be used.
+    Nothing,
+    /// The configuration.
+    Config,
+    /// The assignment of a service.
+    Assignment(ServiceName),
+    /// The dispatch row of an endpoint.
+    Dispatch(EndpointName),
+}
+
 /// Configuration, assignments and dispatch rows as this instance knows them.
 #[derive(Debug, Default)]
 pub struct View {
-    config: Option<Versioned<Config>>,
-    assignments: IndexMap<ServiceName, Versioned<Assignment>>,
+    config: Option<Versioned<CompiledConfig>>,
+    assignments: IndexMap<ServiceName, Versioned<Indexed>>,
     dispatch: IndexMap<EndpointName, Versioned<DispatchRow>>,
     heard_store: Option<Mono>,
     heard_any: Option<Mono>,
-    complete: bool,
+    unusable: u64,
 }
 
 impl View {
     /// Configuration in force at this instance.
     #[must_use]
-    pub const fn config(&self) -> Option<&Versioned<Config>> {
+    pub const fn config(&self) -> Option<&Versioned<CompiledConfig>> {
         self.config.as_ref()
     }
 
@@ -58,7 +80,7 @@
 
     /// Assignments by service.
     #[must_use]
-    pub const fn assignments(&self) -> &IndexMap<ServiceName, Versioned<Assignment>> {
+    pub const fn assignments(&self) -> &IndexMap<ServiceName, Versioned<Indexed>> {
         &self.assignments
     }
 
@@ -68,13 +90,17 @@
         &self.dispatch
     }
 
-    /// Whether the dispatch table has been read once, so that a missing row is known to be missing.
+    /// Rows that were newer but could not be used; the older ones stay in force.
     #[must_use]
-    pub const fn complete(&self) -> bool {
-        self.complete
+    pub const fn unusable(&self) -> u64 {
+        self.unusable
     }
 
-    /// Whether a configuration is known and has been confirmed recently enough.
+    /// Whether a configuration is known and somebody was heard of recently enough.
+    ///
+    /// Failure guarded against: an instance cut off from everybody goes by a
+    /// configuration that has long changed, and sends callers to where they must
+    /// not go any more. It cannot know, so it serves nobody until it hears again.
     #[must_use]
     pub fn fresh(&self, now: Mono, stale_after_ms: u64) -> bool {
         self.config.is_some()
@@ -89,56 +115,103 @@
         self.heard_store.map_or(u64::MAX, |at| now.since(at))
     }
 
-    /// Notes that a peer confirmed that the known configuration is the newest.
-    pub fn confirmed(&mut self, now: Mono) {
+    pub(super) fn heard_peer(&mut self, now: Mono) {
         self.heard_any = Some(now);
     }
 
-    /// Takes over a whole table from the store.
-    pub fn table_read(&mut self, table: &str, rows: Vec<Row>, now: Mono) {
+    pub(super) fn heard_store(&mut self, now: Mono) {
         self.heard_store = Some(now);
         self.heard_any = Some(now);
-        self.rows_told(rows);
-        if table == DISPATCH_TABLE {
-            self.complete = true;
-        }
     }
 
-    /// Takes over one row from the store.
-    pub fn row_read(&mut self, row: Option<Row>, now: Mono) {
-        self.heard_store = Some(now);
-        if let Some(row) = row {
-            self.take(&row);
+    /// Takes over a row that the store or a peer told.
+    pub(super) fn learn(&mut self, row: &Row) -> Learnt {
+        match row.at.table.as_str() {
+            CONFIG_TABLE => self.learn_config(row),
+            ASSIGNMENT_TABLE => self.learn_assignment(row),
+            DISPATCH_TABLE => self.learn_dispatch(row),
+            _ => Learnt::Nothing,
         }
     }
 
-    /// Takes over rows that somebody told.
-    pub fn rows_told(&mut self, rows: Vec<Row>) {
-        for row in rows {
-            self.take(&row);
+    fn learn_config(&mut self, row: &Row) -> Learnt {
+        if row.version <= self.config_version() {
+            return Learnt::Nothing;
         }
+        let compiled = parse::<Config>(row).and_then(|config| CompiledConfig::new(config).ok());
+        let Some(value) = compiled else {
+            self.unusable += 1;
+            return Learnt::Nothing;
+        };
+        self.config = Some(Versioned {
+            version: row.version,
+            value,
+        });
+        Learnt::Config
     }
 
-    fn take(&mut self, row: &Row) {
-        match row.at.table.as_str() {
-            CONFIG_TABLE => take_newer(&mut self.config, row),
-            ASSIGNMENT_TABLE => {
-                take_entry(&mut self.assignments, ServiceName::new(&row.at.key), row);
-            }
-            DISPATCH_TABLE => take_entry(&mut self.dispatch, EndpointName::new(&row.at.key), row),
-            _ => {}
+    fn learn_assignment(&mut self, row: &Row) -> Learnt {
+        let service = ServiceName::new(&row.at.key);
+        let known = self.assignments.get(&service);
+        if known.is_some_and(|known| row.version <= known.version) {
+            return Learnt::Nothing;
         }
+        let Some(value) = parse::<Assignment>(row).and_then(Indexed::new) else {
+            self.unusable += 1;
+            return Learnt::Nothing;
+        };
+        self.assignments.insert(
+            service.clone(),
+            Versioned {
+                version: row.version,
+                value,
+            },
+        );
+        Learnt::Assignment(service)
+    }
+
+    fn learn_dispatch(&mut self, row: &Row) -> Learnt {
+        let endpoint = EndpointName::new(&row.at.key);
+        let known = self.dispatch.get(&endpoint);
+        if known.is_some_and(|known| row.version <= known.version) {
+            return Learnt::Nothing;
+        }
+        let Some(value) = parse::<DispatchRow>(row) else {
+            self.unusable += 1;
+            return Learnt::Nothing;
+        };
+        self.dispatch.insert(
+            endpoint.clone(),
+            Versioned {
+                version: row.version,
+                value,
+            },
+        );
+        Learnt::Dispatch(endpoint)
     }
 
     /// The shard that a key of a service belongs to.
     #[must_use]
     pub fn shard_of(&self, service: &ServiceName, key: &Key) -> Option<&Shard> {
-        let assignment = &self.assignments.get(service)?.value;
-        let hash = KeyHash::of(key);
-        assignment
-            .shards
-            .values()
-            .find(|shard| shard.range.first <= hash && hash <= shard.range.last)
+        self.assignments.get(service)?.value.shard_of(key)
+    }
+}
+
+impl Indexed {
+    fn new(assignment: Assignment) -> Option<Self> {
+        let partition = CompiledPartition::new(&assignment.partition).ok()?;
+        let lookup = Lookup::new(&assignment).ok()?;
+        Some(Self {
+            assignment,
+            partition,
+            lookup,
+        })
+    }
+
+    fn shard_of(&self, key: &Key) -> Option<&Shard> {
+        let group = self.partition.part_of(key)?;
+        let id = self.lookup.shard(group, KeyHash::of(key))?;
+        self.assignment.shards.get(&id)
     }
 }
 
@@ -153,39 +226,6 @@
     }
 }
 
-fn take_newer<T: serde::de::DeserializeOwned>(slot: &mut Option<Versioned<T>>, row: &Row) {
-    if slot
-        .as_ref()
-        .is_some_and(|known| known.version >= row.version)
-    {
-        return;
-    }
-    let Ok(value) = serde_json::from_str(&row.value) else {
-        return;
-    };
-    *slot = Some(Versioned {
-        version: row.version,
-        value,
-    });
-}
-
-fn take_entry<K, T>(map: &mut IndexMap<K, Versioned<T>>, key: K, row: &Row)
-where
-    K: std::hash::Hash + Eq,
-    T: serde::de::DeserializeOwned,
-{
-    let mut slot = map.get_mut(&key).map(|known| known.version);
-    if slot.take().is_some_and(|version| version >= row.version) {
-        return;
-    }
-    let Ok(value) = serde_json::from_str(&row.value) else {
-        return;
-    };
-    map.insert(
-        key,
-        Versioned {
-            version: row.version,
-            value,
-        },
-    );
+fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    serde_json::from_str(&row.value).ok()
 }
--- a/crates/citronway/src/decide.rs
+++ b/crates/citronway/src/decide.rs
@@ -65,7 +65,7 @@
 
     /// The peers duty connects to the listed instances.
     fn pass_instances_on(&self, event: &Event) {
-        let Event::Instances { list } = event else {
+        let Event::Instances { list, .. } = event else {
             return;
         };
         let command = PeerCommand::SetInstances(list.instances.clone());
--- a/crates/citronway/src/peers/greeter.rs
+++ b/crates/citronway/src/peers/greeter.rs
@@ -50,6 +50,7 @@
         cx.greeted_by(session);
         cx.events.push(Event::PeerUp {
             session: session.clone(),
+            at_its_address: false,
         });
         let cfg = &cx.cfg;
         let welcome = Welcome::new(&cfg.me, &cfg.zone, &hello.nonce, challenge, &cfg.shared_key);
--- a/crates/citronway/src/peers/remote.rs
+++ b/crates/citronway/src/peers/remote.rs
@@ -94,7 +94,10 @@
                 told_down = false;
                 let session = connected.link.session.clone();
                 *remote.link.borrow_mut() = Some(Rc::clone(&connected.link));
-                cx.events.push(Event::PeerUp { session });
+                cx.events.push(Event::PeerUp {
+                    session,
+                    at_its_address: true,
+                });
                 connected.run(&cx).await;
                 *remote.link.borrow_mut() = None;
             }
--- a/crates/citronway/src/platform/duty.rs
+++ b/crates/citronway/src/platform/duty.rs
@@ -64,8 +64,9 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        let asked = crate::clock::now();
         match desk.platform.instances().await {
-            Ok(list) => desk.report(Event::Instances { list }).await,
+            Ok(list) => desk.report(Event::Instances { list, asked }).await,
             Err(err) => log::warn!(error:% = err; "instance list not read"),
         }
     }
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -6,9 +6,12 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use citronway_core::dispatch::DispatchSettings;
 use citronway_core::findings::Findings;
+use citronway_core::hold::HoldSettings;
 use citronway_core::ids::{Session, SessionId};
 use citronway_core::node::{Event, Node, NodeSettings};
+use citronway_core::placement::PlannerSettings;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 
@@ -20,6 +23,9 @@
 use crate::rings::{COMMANDS, EVENTS, Rings};
 use crate::settings::{self, Settings};
 
+/// A planner that was not heard of for this long is replaced, in milliseconds.
+const PLANNER_SILENCE_MS: u64 = 800;
+
 /// Why an entry instance did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -166,11 +172,29 @@
 }
 
 fn node_settings(cfg: &Settings) -> NodeSettings {
+    let skew_ms = cfg.clock.skew_ms;
     NodeSettings {
         poll_ms: cfg.platform.poll_ms,
         heartbeat_ms: cfg.peers.heartbeat_ms,
-        skew_ms: cfg.clock.skew_ms,
-        max_order_ms: cfg.dispatch.max_order_ms,
+        grace_ms: cfg.shutdown.grace_ms,
+        hold: HoldSettings::builder()
+            .promise_ms(cfg.hold.promise_ms)
+            .ask_interval_ms(cfg.hold.ask_ms)
+            .suspicion_ms(cfg.hold.suspicion_ms)
+            .skew_bound_ms(skew_ms)
+            .build(),
+        dispatch: DispatchSettings::builder()
+            .grant_ms(cfg.dispatch.grant_ms)
+            .max_grant_ms(cfg.dispatch.grant_ms)
+            .renew_ms(cfg.dispatch.renew_ms)
+            .max_order_ms(cfg.dispatch.max_order_ms)
+            .queue_max(usize::try_from(cfg.dispatch.queue_limit).unwrap_or(usize::MAX))
+            .id_window_ms(cfg.dispatch.duplicate_window_ms)
+            .skew_ms(skew_ms)
+            .build(),
+        planner: PlannerSettings::default()
+            .with_skew_ms(skew_ms)
+            .with_silence_ms(PLANNER_SILENCE_MS),
         ..NodeSettings::default()
     }
 }
--- a/crates/citronway/tests/peers/common/mod.rs
+++ b/crates/citronway/tests/peers/common/mod.rs
@@ -115,7 +115,7 @@
 
     pub async fn wait_up(&mut self) -> Session {
         self.wait(|event| match event {
-            Event::PeerUp { session } => Some(session),
+            Event::PeerUp { session, .. } => Some(session),
             _ => None,
         })
         .await
