Hold: a listed nominee is not listed again

Cause: the dispatcher kept its nominee after the write that listed it, and the next change of the list listed the same session once more. Ruled out: the store (the row was written so), the candidates (distinct). Before: the new test ends with [n2, n2]; after: [n2, n3]. Conclusion: each change of the list drops the nominee.

--- a/crates/citronway-core/src/hold/tenure.rs
+++ b/crates/citronway-core/src/hold/tenure.rs
@@ -91,6 +91,10 @@
     /// Notes that the set of lists that may be in force has changed.
     pub fn lists_changed(&mut self) {
         self.lists_round = self.round;
+        // Failure guarded against: a nominee that has been listed is kept and
+        // listed again, so that a row names one session twice and its loss is
+        // the loss of both successors. Each change of the list wants a new one.
+        self.nominee = None;
     }
 
     /// Whether the next round is due.
