--- a/crates/citronway/src/peers/link.rs
+++ b/crates/citronway/src/peers/link.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::twoparty::VatId;
 use citronway_core::ids::Session;
 use citronway_wire::peer_capnp::link;
+use futures::FutureExt;
 use tokio_util::sync::CancellationToken;
 
 use super::config::PeersConfig;
@@ -158,6 +159,7 @@
     /// timeout, or the link is given up and its forwards end as lost.
     pub(super) async fn run(self, cx: &Context) {
         let Self { link, mut rpc } = self;
+        let disconnector = rpc.get_disconnector();
         let session = &link.session;
         log::info!(session:%; "link up");
         tokio::select! {
@@ -166,5 +168,7 @@
             () = link.closed.cancelled() => log::info!(session:%; "link closed"),
         }
         link.close();
+        // Frees the codec's tables; what is still unwritten is not waited for.
+        let _ = disconnector.now_or_never();
     }
 }
--- a/crates/citronway/src/peers/listen.rs
+++ b/crates/citronway/src/peers/listen.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use citronway_wire::peer_capnp::peer;
+use futures::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
@@ -114,6 +115,8 @@
                     continue;
                 }
                 log::warn!("incoming connection silent, closed");
+                // Frees the codec's tables; what is still unwritten is not waited for.
+                let _ = disconnector.now_or_never();
                 return;
             }
             () = cx.stopping.cancelled() => break,
--- a/crates/citronway/src/peers/replies.rs
+++ b/crates/citronway/src/peers/replies.rs
@@ -86,6 +86,6 @@
             return;
         }
         self.replies.answering.set(self.replies.answering.get() - 1);
-        self.replies.settled.notify_one();
+        self.replies.settled.notify_waiters();
     }
 }
--- a/crates/citronway/tests/peers/common/mod.rs
+++ b/crates/citronway/tests/peers/common/mod.rs
@@ -1,7 +1,9 @@
 //! Instances with a peers duty only, joined over loopback.
 
+pub mod raw;
 pub mod relay;
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +33,8 @@
     pub handle: PeersHandle,
     commands: mpsc::Sender<PeerCommand>,
     events: mpsc::Receiver<Event>,
+    /// Events that came while another was waited for.
+    passed_over: VecDeque<Event>,
 }
 
 /// Settings of an instance on a free port of loopback.
@@ -57,6 +61,7 @@
             handle,
             commands,
             events,
+            passed_over: VecDeque::new(),
         }
     }
 
@@ -99,14 +104,21 @@
         self.command(PeerCommand::Send { to, message }).await;
     }
 
-    /// Skips events until one fits.
-    pub async fn wait<T>(&mut self, fits: impl Fn(Event) -> Option<T>) -> T {
+    /// Takes the first event that fits, in whatever order they come.
+    pub async fn wait<T>(&mut self, fits: impl Fn(&Event) -> Option<T>) -> T {
+        for (i, event) in self.passed_over.iter().enumerate() {
+            if let Some(found) = fits(event) {
+                self.passed_over.remove(i);
+                return found;
+            }
+        }
         let waiting = async {
             loop {
                 let event = self.events.recv().await.expect("the duty runs");
-                if let Some(found) = fits(event) {
+                if let Some(found) = fits(&event) {
                     return found;
                 }
+                self.passed_over.push_back(event);
             }
         };
         let found = tokio::time::timeout(HUNG, waiting).await;
@@ -115,14 +127,14 @@
 
     pub async fn wait_up(&mut self) -> Session {
         self.wait(|event| match event {
-            Event::PeerUp { session } => Some(session),
+            Event::PeerUp { session } => Some(session.clone()),
             _ => None,
         })
         .await
     }
 
     pub async fn wait_down(&mut self) {
-        let is_down = |event| matches!(event, Event::PeerDown { .. }).then_some(());
+        let is_down = |event: &Event| matches!(event, Event::PeerDown { .. }).then_some(());
         self.wait(is_down).await;
     }
 
@@ -130,7 +142,7 @@
         self.wait(|event| match event {
             Event::Forwarded {
                 ticket, request, ..
-            } => Some((ticket, request)),
+            } => Some((*ticket, request.clone())),
             _ => None,
         })
         .await
@@ -138,7 +150,7 @@
 
     pub async fn wait_done(&mut self) -> (Ticket, Outcome) {
         self.wait(|event| match event {
-            Event::ForwardDone { ticket, outcome } => Some((ticket, outcome)),
+            Event::ForwardDone { ticket, outcome } => Some((*ticket, outcome.clone())),
             _ => None,
         })
         .await
@@ -146,7 +158,7 @@
 
     pub async fn wait_message(&mut self) -> (Session, PeerMessage) {
         self.wait(|event| match event {
-            Event::Peer { from, message } => Some((from, message)),
+            Event::Peer { from, message } => Some((from.clone(), message.clone())),
             _ => None,
         })
         .await
