--- a/crates/citronway/src/peers/config.rs
+++ b/crates/citronway/src/peers/config.rs
@@ -75,6 +75,16 @@
     }
 }
 
+impl PeersConfig {
+    /// Most bytes of control messages in one call, and of one of them.
+    ///
+    /// Half a message: the receiver reads them twice, once for their size, and
+    /// the codec's limit counts each read.
+    pub(super) const fn max_control_bytes(&self) -> usize {
+        self.max_message_bytes / 2
+    }
+}
+
 /// Changes single settings; the rest keep their defaults.
 #[derive(Debug, Clone)]
 pub struct PeersConfigBuilder {
--- a/crates/citronway/src/peers/duty.rs
+++ b/crates/citronway/src/peers/duty.rs
@@ -157,7 +157,7 @@
 fn encode(cx: &Context, message: &PeerMessage) -> Option<Rc<Encoded>> {
     let encoded = EncodedMessage::new(message);
     let bytes = encoded.bytes();
-    if bytes > cx.cfg.max_message_bytes {
+    if bytes > cx.cfg.max_control_bytes() {
         cx.counters.control_oversize.add(1);
         log::error!(bytes; "control message too large, dropped");
         return None;
--- a/crates/citronway/src/peers/link.rs
+++ b/crates/citronway/src/peers/link.rs
@@ -82,8 +82,7 @@
     /// waits, such as a handover.
     async fn pump_control(&self, cx: &Context) -> LinkEnd {
         loop {
-            // Half a message, so that the envelope has room for sure.
-            let max_bytes = cx.cfg.max_message_bytes / 2;
+            let max_bytes = cx.cfg.max_control_bytes();
             let batch = tokio::select! {
                 biased;
                 batch = self.control.next_batch(max_bytes) => batch,
--- a/crates/citronway/tests/peers/main.rs
+++ b/crates/citronway/tests/peers/main.rs
@@ -1,6 +1,7 @@
 //! The peers duty: instances joined over loopback.
 
 mod common;
+mod cost;
 mod faults;
 mod greeting;
 mod normal;
--- a/crates/citronway/tests/peers/overload.rs
+++ b/crates/citronway/tests/peers/overload.rs
@@ -1,8 +1,10 @@
 //! Rings that are full, peers that are slow, messages that are too large.
 
 use citronway::peers::PeerCommand;
-use citronway_core::ids::Session;
+use citronway_core::ids::{Session, Version};
 use citronway_core::outcome::{MayHaveRunReason, NotRun, NotRunReason, Outcome};
+use citronway_core::peer::PeerMessage;
+use citronway_core::platform::{Row, RowKey};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,6 +20,19 @@
     matches!(outcome, Outcome::NotRun(NotRun { reason: r, .. }) if *r == reason)
 }
 
+/// A control message of somewhat more than `bytes`.
+fn rows(bytes: usize) -> PeerMessage {
+    let row = Row {
+        at: RowKey {
+            table: "config".to_owned(),
+            key: "head".to_owned(),
+        },
+        version: Version(3),
+        value: "x".repeat(bytes),
+    };
+    PeerMessage::Rows { rows: vec![row] }
+}
+
 /// Two instances with small messages, the first connected to the second.
 async fn small() -> (Instance, Instance) {
     let (me, other) = (Session::new("a", 1), Session::new("b", 2));
@@ -126,6 +141,14 @@
         matches!(&outcome, Outcome::MayHaveRun(m) if m.reason == MayHaveRunReason::AnswerGone);
     expect_that!(gone, eq(true));
 
+    a.send(&b.me, rows(TOO_LARGE)).await;
+    a.send(&b.me, rows(MAX_MESSAGE / 2 - 200)).await;
+    expect_that!(
+        b.wait_message().await.1 == rows(MAX_MESSAGE / 2 - 200),
+        eq(true)
+    );
+    expect_that!(a.handle.counters.control_oversize.get(), eq(1));
+
     b.reply(ticket, answer(b"booked")).await;
     expect_that!(a.wait_done().await, eq(&(3, answer(b"booked"))));
 }
