--- a/crates/citronway/src/peers/link.rs
+++ b/crates/citronway/src/peers/link.rs
@@ -7,6 +7,7 @@
 use capnp_rpc::twoparty::VatId;
 use citronway_core::ids::Session;
 use citronway_wire::peer_capnp::link;
+use futures::FutureExt;
 use tokio_util::sync::CancellationToken;
 
 use super::config::PeersConfig;
@@ -81,8 +82,7 @@
     /// waits, such as a handover.
     async fn pump_control(&self, cx: &Context) -> LinkEnd {
         loop {
-            // Half a message, so that the envelope has room for sure.
-            let max_bytes = cx.cfg.max_message_bytes / 2;
+            let max_bytes = cx.cfg.max_control_bytes();
             let batch = tokio::select! {
                 biased;
                 batch = self.control.next_batch(max_bytes) => batch,
@@ -158,6 +158,7 @@
     /// timeout, or the link is given up and its forwards end as lost.
     pub(super) async fn run(self, cx: &Context) {
         let Self { link, mut rpc } = self;
+        let disconnector = rpc.get_disconnector();
         let session = &link.session;
         log::info!(session:%; "link up");
         tokio::select! {
@@ -166,5 +167,7 @@
             () = link.closed.cancelled() => log::info!(session:%; "link closed"),
         }
         link.close();
+        // Frees the codec's tables; what is still unwritten is not waited for.
+        let _ = disconnector.now_or_never();
     }
 }
