--- a/crates/citronway/src/settings/raw.rs
+++ b/crates/citronway/src/settings/raw.rs
@@ -14,7 +14,7 @@
 pub(super) struct Raw {
     file: String,
     values: IndexMap<Key, String>,
-    lines: IndexMap<Key, usize>,
+    lines: IndexMap<String, Vec<usize>>,
     findings: Findings,
 }
 
@@ -58,11 +58,11 @@
 
     /// Place of a key, with its line if it is there.
     pub(super) fn place(&self, key: Key) -> Place {
+        let path = key.to_string();
+        let line = self.lines_of(&path).first().copied();
         Place {
-            file: Some(self.file.clone()),
-            path: key.to_string(),
-            line: self.lines.get(&key).copied(),
-            column: None,
+            line,
+            ..self.path(path)
         }
     }
 
@@ -71,7 +71,7 @@
         &self.findings
     }
 
-    /// Notes the line of each key, and lines that are none of an INI file.
+    /// Notes the lines of sections and keys, and lines that are none of an INI file.
     ///
     /// The library joins a line without `=` to the next one, so that the next
     /// key seems to be missing, and has no line numbers. Such a line may hold a
@@ -83,23 +83,28 @@
             if line.is_empty() || line.starts_with([';', '#']) {
                 continue;
             }
-            if line.starts_with('[') {
-                line.trim_matches(['[', ']'])
-                    .trim()
-                    .clone_into(&mut section);
+            if let Some(name) = section_name(line) {
+                name.clone_into(&mut section);
+                self.note_line(section.clone(), index + 1);
                 continue;
             }
-            let Some((name, _)) = line.split_once(['=', ':']) else {
+            let Some(name) = key_name(line) else {
                 let finding = self.malformed(index + 1);
                 self.findings.push(finding);
                 continue;
             };
-            if let Some(key) = find(&section, name.trim()) {
-                self.lines.entry(key).or_insert(index + 1);
-            }
+            self.note_line(format!("{section}.{name}"), index + 1);
         }
     }
 
+    fn note_line(&mut self, path: String, line: usize) {
+        self.lines.entry(path).or_default().push(line);
+    }
+
+    fn lines_of(&self, path: &str) -> &[usize] {
+        self.lines.get(path).map_or(&[], Vec::as_slice)
+    }
+
     fn take(&mut self, ini: &Ini) {
         let mut seen = Vec::new();
         for (section, properties) in ini {
@@ -134,23 +139,44 @@
 
     fn unknown_section(&mut self, section: &str) {
         let known = names(keys::all().map(|key| key.section));
-        let place = self.path(section.to_owned());
+        let place = Place {
+            line: self.lines_of(section).first().copied(),
+            ..self.path(section.to_owned())
+        };
         let expected = format!("one of {known}");
         self.findings
             .push(Finding::new(place, Problem::UnknownSection, expected));
     }
 
+    /// Reports a key that does not exist.
+    ///
+    /// A secret that was pasted on a line of its own and ends in `=` reads like
+    /// a key; what does not look like a key is therefore named by its line only.
     fn unknown_key(&mut self, section: &str, name: &str) {
         let of_section = keys::all().filter(|key| key.section == section);
         let known = names(of_section.map(|key| key.name));
-        let place = self.path(format!("{section}.{name}"));
+        let path = format!("{section}.{name}");
+        let line = self.lines_of(&path).first().copied();
+        let shown = if looks_like_key(name) {
+            path
+        } else {
+            section.to_owned()
+        };
+        let place = Place {
+            line,
+            ..self.path(shown)
+        };
         let expected = format!("one of {known}");
         self.findings
             .push(Finding::new(place, Problem::UnknownKey, expected));
     }
 
     fn repeated(&mut self, path: String, expected: &str) {
-        let place = self.path(path);
+        let line = self.lines_of(&path).last().copied();
+        let place = Place {
+            line,
+            ..self.path(path)
+        };
         self.findings
             .push(Finding::new(place, Problem::Repeated, expected));
     }
@@ -185,3 +211,24 @@
     }
     distinct.join(", ")
 }
+
+/// Name of the section that the line begins, if it begins one.
+fn section_name(line: &str) -> Option<&str> {
+    let inner = line.strip_prefix('[')?.strip_suffix(']')?;
+    Some(inner.trim())
+}
+
+/// Name of the key that the line states, if it states one.
+fn key_name(line: &str) -> Option<&str> {
+    if line.starts_with('[') {
+        return None;
+    }
+    let (name, _) = line.split_once(['=', ':'])?;
+    Some(name.trim())
+}
+
+/// Whether the text looks like a key and not like a secret.
+fn looks_like_key(name: &str) -> bool {
+    name.bytes()
+        .all(|byte| byte.is_ascii_lowercase() || byte == b'_')
+}
