--- a/crates/citronway-core/src/findings.rs
+++ b/crates/citronway-core/src/findings.rs
@@ -153,7 +153,8 @@
 }
 
 /// Kinds of things in the configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// A service.
     Service,
