--- a/crates/citronway-core/tests/config_version.rs
+++ b/crates/citronway-core/tests/config_version.rs
@@ -79,6 +79,22 @@
     expect_trace("config-silence");
 }
 
+#[gtest]
+fn a_peer_that_is_behind_is_no_news() {
+    // An instance is cut off together with a peer that was cut off earlier and
+    // is a version behind. They hear each other, and nobody else. Callers of
+    // this instance would be served by an old configuration without end.
+    expect_trace("config-lagging-peer");
+}
+
+#[gtest]
+fn an_instance_two_versions_behind_goes_on_to_the_last() {
+    // Two changes follow each other while an instance fetches the first. It
+    // must ask for the second at once, and goes on serving for five seconds
+    // from when the first came into force.
+    expect_trace("config-two-versions-behind");
+}
+
 #[gtest]
 fn rows_that_cannot_be_used_leave_the_old_version_in_force() {
     let mut machine = InForce::new();
