Tour and load tool, first form

Written against the interface before the entry process exists; not run yet. The balancer stands for the platform's: without it, calls to a killed entry would count as keys that nobody serves.

--- a/crates/citronway-standin/src/caller/call.rs
+++ b/crates/citronway-standin/src/caller/call.rs
@@ -9,6 +9,8 @@
 use http::{Method, Request};
 use uuid::Uuid;
 
+use crate::http::percent;
+
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One request of a caller; sending it again repeats its id.
@@ -89,7 +91,7 @@
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{entry}/v1/services/{service}{path}"))
-            .header("citronway-key", self.key.as_str())
+            .header("citronway-key", percent::encode(self.key.as_str()))
             .header("citronway-idempotent", idempotent)
             .header("idempotency-key", self.id.to_string())
             .header("citronway-timeout-ms", self.timeout_ms());
--- a/crates/citronway-standin/src/caller/client.rs
+++ b/crates/citronway-standin/src/caller/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::balancer::Balancer;
 use super::call::Call;
 use super::verdict::Verdict;
 use crate::http::{Client, ClientError};
@@ -36,4 +37,20 @@
             }
         }
     }
+
+    /// Sends a call through a balancer, which tries the next entry as long as
+    /// not a byte was sent.
+    ///
+    /// # Panics
+    ///
+    /// If the call holds text that cannot be put into headers.
+    pub async fn send_through(&self, balancer: &Balancer, call: &Call) -> Verdict {
+        for _ in 0..balancer.entries() {
+            let verdict = self.send(balancer.pick(), call).await;
+            if verdict != Verdict::NotSent {
+                return verdict;
+            }
+        }
+        Verdict::NotSent
+    }
 }
--- a/crates/citronway-standin/src/env/environment.rs
+++ b/crates/citronway-standin/src/env/environment.rs
@@ -1,6 +1,7 @@
 //! The environment itself.
 
-use std::fs;
+use std::fs::{self, File};
+use std::path::Path;
 
 use citronway_core::config::Config;
 use citronway_core::ids::{InstanceName, Version, ZoneName};
@@ -228,12 +229,25 @@
         Ok(Evidence::weigh(&runs))
     }
 
+    /// Keeps settings, logs and journals when it is dropped.
+    pub fn keep_files(&mut self) -> &Path {
+        self.dir.keep();
+        self.dir.path()
+    }
+
+    fn log_file(&self, name: &str) -> Result<File, EnvError> {
+        let path = self.dir.path().join(format!("{name}.log"));
+        let opened = File::options().create(true).append(true).open(&path);
+        opened.map_err(EnvError::io(format!("open {}", path.display())))
+    }
+
     async fn launch_entry(&mut self, settings: EntrySettings) -> Result<&Entry, EnvError> {
         let name = settings.name.to_string();
         let file = self.dir.path().join(format!("{name}.ini"));
         fs::write(&file, settings.to_ini()).map_err(EnvError::io("write settings"))?;
         self.platform.list(&settings, ListedState::Live).await?;
-        let child = Child::start(&name, &mut self.launcher.entry(&file))?;
+        let log = self.log_file(&name)?;
+        let child = Child::start(&name, self.launcher.entry(&file).stderr(log))?;
         let entry = Entry::new(settings, self.client.clone(), child);
         self.entries.insert(name.clone(), entry);
         self.entry(&name)
--- a/crates/citronway-standin/src/env/mod.rs
+++ b/crates/citronway-standin/src/env/mod.rs
@@ -11,6 +11,7 @@
 pub mod platform;
 pub mod ports;
 pub mod settings;
+pub mod stored;
 pub mod temp;
 pub mod wait;
 
--- a/crates/citronway-standin/src/env/settings.rs
+++ b/crates/citronway-standin/src/env/settings.rs
@@ -1,8 +1,10 @@
 //! Settings file of an entry. The only place that knows its keys.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use citronway_core::ids::{InstanceName, ZoneName};
+use thiserror::Error;
 
 /// How entries send work to endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -16,6 +18,24 @@
     Static,
 }
 
+/// The name of no policy.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("unknown policy {0}")]
+pub struct UnknownPolicy(pub String);
+
+impl FromStr for Policy {
+    type Err = UnknownPolicy;
+
+    fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
+        match name {
+            "dispatcher" => Ok(Self::Dispatcher),
+            "uncoordinated" => Ok(Self::Uncoordinated),
+            "static" => Ok(Self::Static),
+            _ => Err(UnknownPolicy(name.to_owned())),
+        }
+    }
+}
+
 impl Policy {
     /// Name in settings.
     #[must_use]
--- a/crates/citronway-standin/src/env/temp.rs
+++ b/crates/citronway-standin/src/env/temp.rs
@@ -11,6 +11,7 @@
 #[derive(Debug)]
 pub struct TempDir {
     path: PathBuf,
+    keep: bool,
 }
 
 impl TempDir {
@@ -24,7 +25,12 @@
         let name = format!("citronway-{}-{number}", std::process::id());
         let path = std::env::temp_dir().join(name);
         fs::create_dir_all(&path)?;
-        Ok(Self { path })
+        Ok(Self { path, keep: false })
+    }
+
+    /// Leaves it in place when dropped.
+    pub const fn keep(&mut self) {
+        self.keep = true;
     }
 
     /// Where it is.
@@ -36,6 +42,9 @@
 
 impl Drop for TempDir {
     fn drop(&mut self) {
+        if self.keep {
+            return;
+        }
         if let Err(error) = fs::remove_dir_all(&self.path) {
             log::warn!("{} stays: {error}", self.path.display());
         }
--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -4,6 +4,10 @@
 pub mod caller;
 pub mod endpoint;
 pub mod env;
+pub mod host;
 pub mod http;
+pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod process;
+pub mod tour;
