Scenarios of the dispatcher, and its replay

Each scenario is one failure as a caller or a planner meets it.

Found by a scenario: a silent endpoint was granted twice more before it was given up, which put off its recovery by a renewal (not quiet 1420 ms after the last answer; between 1380 and 1420 ms now). One failed probe ends renewals until an answer.

--- a/crates/citronway-core/src/dispatch/health.rs
+++ b/crates/citronway-core/src/dispatch/health.rs
@@ -68,10 +68,10 @@
         self.cold
     }
 
-    /// Whether its last probes have failed more than once in a row.
+    /// Whether its last probe failed.
     #[must_use]
     pub const fn is_silent(&self) -> bool {
-        self.fails > 1 || matches!(self.reach, Reach::Unreachable)
+        self.fails > 0
     }
 
     /// Orders that it says are running, `None` before the first report.
--- a/crates/citronway-core/src/dispatch/machine.rs
+++ b/crates/citronway-core/src/dispatch/machine.rs
@@ -10,14 +10,14 @@
 use super::queue::Queue;
 use super::settings::DispatchSettings;
 use super::slots::Slots;
+use super::spec::{DispatcherBuilder, DispatcherSpec};
 use super::waiters::Waiters;
-use crate::config::{Class, Endpoint};
+use crate::config::Endpoint;
 use crate::hotkeys::HotKeys;
-use crate::ids::{ClassName, EndpointName, Epoch, RequestId, Session};
+use crate::ids::{EndpointName, Epoch, RequestId, Session};
 use crate::node::events::Ticket;
 use crate::outcome::{NotRun, NotRunReason, Outcome};
-use crate::peer::KnownRequest;
-use crate::time::{Mono, Now, Wall};
+use crate::time::{Mono, Now};
 
 /// Keys that are counted for reports.
 const HOT_KEYS: usize = 64;
@@ -56,76 +56,23 @@
     pub(super) out: Vec<DispatchAction>,
 }
 
-/// Builds a [`Dispatcher`].
-#[derive(Debug)]
-pub struct DispatcherBuilder {
-    name: EndpointName,
-    endpoint: Endpoint,
-    classes: IndexMap<ClassName, Class>,
-    cfg: DispatchSettings,
-    epoch: Epoch,
-    session: Session,
-    floor: Wall,
-    requests: Vec<KnownRequest>,
-    first_ticket: Ticket,
-}
-
-impl DispatcherBuilder {
-    /// Sets the classes of work.
-    #[must_use]
-    pub fn classes(mut self, classes: &IndexMap<ClassName, Class>) -> Self {
-        self.classes.clone_from(classes);
-        self
-    }
-
-    /// Sets limits and times.
-    #[must_use]
-    pub fn settings(mut self, cfg: DispatchSettings) -> Self {
-        self.cfg = cfg;
-        self
-    }
-
-    /// Sets the epoch of the dispatch row and the session it names.
-    #[must_use]
-    pub fn role(mut self, epoch: Epoch, session: &Session) -> Self {
-        self.epoch = epoch;
-        self.session = session.clone();
-        self
-    }
-
-    /// Sets the floor: a predecessor may have sent ids created before it. It
-    /// must lie after the predecessor's last order on any clock, so the skew
-    /// bound is to be included.
-    #[must_use]
-    pub const fn floor(mut self, floor: Wall) -> Self {
-        self.floor = floor;
-        self
-    }
-
-    /// Takes over what a predecessor knew of requests.
-    #[must_use]
-    pub fn known(mut self, requests: &[KnownRequest]) -> Self {
-        self.requests.extend_from_slice(requests);
-        self
-    }
-
-    /// Sets the first ticket that the dispatcher gives; the following ones are
-    /// counted up from it.
+impl Dispatcher {
+    /// Begins to build the dispatcher of an endpoint.
     #[must_use]
-    pub const fn first_ticket(mut self, ticket: Ticket) -> Self {
-        self.first_ticket = ticket;
-        self
+    pub fn builder(name: &EndpointName, endpoint: &Endpoint) -> DispatcherBuilder {
+        DispatcherBuilder::new(name, endpoint)
     }
 
-    /// Starts the dispatcher.
+    /// Starts a dispatcher that knows nothing of the endpoint's past but what
+    /// `spec` says.
     #[must_use]
-    pub fn start(self, now: Now) -> Dispatcher {
-        let mut duplicates = Duplicates::new(&self.cfg, self.floor);
-        duplicates.import(&self.requests);
-        Dispatcher {
-            queue: Queue::new(&self.classes),
+    pub fn start(spec: DispatcherSpec, now: Now) -> Self {
+        let mut duplicates = Duplicates::new(&spec.settings, spec.floor);
+        duplicates.import(&spec.known);
+        Self {
+            queue: Queue::new(&spec.classes),
             slots: Slots::default(),
-            limit: Limit::new(usable_slots(&self.endpoint), self.cfg.first_service_ms),
+            limit: Limit::new(usable_slots(&spec.endpoint), spec.settings.first_service_ms),
             duplicates,
             waiters: Waiters::default(),
             grants: Grants::default(),
@@ -133,7 +80,7 @@
             hot: HotKeys::new(HOT_KEYS),
             begun: IndexMap::new(),
             foreign: u32::MAX,
-            next_ticket: self.first_ticket,
+            next_ticket: spec.first_ticket,
             next_renewal: now.mono,
             next_report: now.mono,
             held: now.mono,
@@ -141,32 +88,14 @@
             quiet: false,
             cancels: Vec::new(),
             out: Vec::new(),
-            name: self.name,
-            endpoint: self.endpoint,
-            cfg: self.cfg,
-            epoch: self.epoch,
-            session: self.session,
+            name: spec.name,
+            endpoint: spec.endpoint,
+            cfg: spec.settings,
+            epoch: spec.epoch,
+            session: spec.session,
             started: now,
         }
     }
-}
-
-impl Dispatcher {
-    /// Begins to build the dispatcher of an endpoint.
-    #[must_use]
-    pub fn builder(name: &EndpointName, endpoint: &Endpoint) -> DispatcherBuilder {
-        DispatcherBuilder {
-            name: name.clone(),
-            endpoint: endpoint.clone(),
-            classes: IndexMap::new(),
-            cfg: DispatchSettings::default(),
-            epoch: Epoch::default(),
-            session: Session::new("", 0),
-            floor: Wall(0),
-            requests: Vec::new(),
-            first_ticket: 1,
-        }
-    }
 
     /// Takes in what has happened and returns what has to be done.
     ///
--- a/crates/citronway-core/src/dispatch/mod.rs
+++ b/crates/citronway-core/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 pub mod machine;
 pub mod message;
 pub mod queue;
+pub mod replay;
 mod reporting;
 mod sending;
 pub mod sent_grants;
@@ -34,10 +35,13 @@
 mod settling;
 pub mod share;
 pub mod slots;
+pub mod spec;
 pub mod waiters;
 
-pub use machine::{Dispatcher, DispatcherBuilder};
+pub use machine::Dispatcher;
 pub use message::{
     DispatchAction, DispatchEvent, KeyRef, OwnedShard, RequestFault, ShardEpoch, ShardRef, Turn,
 };
+pub use replay::replay;
 pub use settings::DispatchSettings;
+pub use spec::{DispatcherBuilder, DispatcherSpec};
--- /dev/null
+++ b/crates/citronway-core/src/dispatch/spec.rs
@@ -0,0 +1,120 @@
+//! What a dispatcher starts from.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::machine::Dispatcher;
+use super::settings::DispatchSettings;
+use crate::config::{Class, Endpoint};
+use crate::ids::{ClassName, EndpointName, Epoch, Session};
+use crate::node::events::Ticket;
+use crate::peer::KnownRequest;
+use crate::time::{Now, Wall};
+
+/// Ticket that a dispatcher gives first unless told otherwise.
+const FIRST_TICKET: Ticket = 1;
+
+/// All that a dispatcher knows when it starts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DispatcherSpec {
+    /// Name of the endpoint.
+    pub name: EndpointName,
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Classes of work.
+    pub classes: IndexMap<ClassName, Class>,
+    /// Limits and times.
+    #[serde(default)]
+    pub settings: DispatchSettings,
+    /// Epoch of the dispatch row.
+    pub epoch: Epoch,
+    /// Dispatcher that the row names.
+    pub session: Session,
+    /// A predecessor may have sent ids created before this.
+    pub floor: Wall,
+    /// What a predecessor knew of requests.
+    #[serde(default)]
+    pub known: Vec<KnownRequest>,
+    /// First ticket that the dispatcher gives.
+    pub first_ticket: Ticket,
+}
+
+/// Builds a [`Dispatcher`] or its [`DispatcherSpec`].
+#[derive(Debug, Clone)]
+pub struct DispatcherBuilder(DispatcherSpec);
+
+impl DispatcherBuilder {
+    /// Begins with defaults and no classes.
+    #[must_use]
+    pub fn new(name: &EndpointName, endpoint: &Endpoint) -> Self {
+        Self(DispatcherSpec {
+            name: name.clone(),
+            endpoint: endpoint.clone(),
+            classes: IndexMap::new(),
+            settings: DispatchSettings::default(),
+            epoch: Epoch::default(),
+            session: Session::new("", 0),
+            floor: Wall(0),
+            known: Vec::new(),
+            first_ticket: FIRST_TICKET,
+        })
+    }
+
+    /// Sets the classes of work.
+    #[must_use]
+    pub fn classes(mut self, classes: &IndexMap<ClassName, Class>) -> Self {
+        self.0.classes.clone_from(classes);
+        self
+    }
+
+    /// Sets limits and times.
+    #[must_use]
+    pub fn settings(mut self, cfg: DispatchSettings) -> Self {
+        self.0.settings = cfg;
+        self
+    }
+
+    /// Sets the epoch of the dispatch row and the session it names.
+    #[must_use]
+    pub fn role(mut self, epoch: Epoch, session: &Session) -> Self {
+        self.0.epoch = epoch;
+        self.0.session = session.clone();
+        self
+    }
+
+    /// Sets the floor: a predecessor may have sent ids created before it. It
+    /// must lie after the predecessor's last order on any clock, so the skew
+    /// bound is to be included.
+    #[must_use]
+    pub const fn floor(mut self, floor: Wall) -> Self {
+        self.0.floor = floor;
+        self
+    }
+
+    /// Takes over what a predecessor knew of requests.
+    #[must_use]
+    pub fn known(mut self, requests: &[KnownRequest]) -> Self {
+        self.0.known.extend_from_slice(requests);
+        self
+    }
+
+    /// Sets the first ticket that the dispatcher gives; the following ones are
+    /// counted up from it.
+    #[must_use]
+    pub const fn first_ticket(mut self, ticket: Ticket) -> Self {
+        self.0.first_ticket = ticket;
+        self
+    }
+
+    /// The specification, for a trace.
+    #[must_use]
+    pub fn spec(self) -> DispatcherSpec {
+        self.0
+    }
+
+    /// Starts the dispatcher.
+    #[must_use]
+    pub fn start(self, now: Now) -> Dispatcher {
+        Dispatcher::start(self.0, now)
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/tests/dispatch_duplicates.rs
@@ -0,0 +1,250 @@
+//! No booking runs twice, and nobody gets another caller's answer.
+
+mod dispatch_support;
+
+use bytes::Bytes;
+use citronway_core::dispatch::{DispatchAction, DispatchEvent, DispatchSettings, RequestFault};
+use citronway_core::node::events::{OrderReply, RefusedReason};
+use citronway_core::outcome::NotRunReason;
+use dispatch_support::{Rig, answer, booking, builder, id, lookup, wall};
+use googletest::prelude::*;
+
+fn fault_of(rig: &Rig, origin: u64) -> Option<RequestFault> {
+    rig.seen.iter().find_map(|action| match action {
+        DispatchAction::Reject { origin: o, fault } if *o == origin => Some(*fault),
+        _ => None,
+    })
+}
+
+/// A utility's client times out early and books again under the same id while
+/// the first booking runs. Sent on, the bottle would be booked and billed
+/// twice. Both callers must get the one answer.
+#[gtest]
+fn duplicate_in_flight_waits_for_the_same_answer() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    rig.submit(2, booking(1, 0));
+    expect_that!(rig.orders(), len(eq(1)));
+    expect_that!(rig.told(2), eq("-"));
+    rig.answered(rig.last_order(), "booked");
+    expect_that!(rig.told(1), eq("booked"));
+    expect_that!(rig.told(2), eq("booked"));
+}
+
+#[gtest]
+fn duplicate_of_a_finished_one_gets_the_kept_answer() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    rig.answered(rig.last_order(), "booked");
+    rig.submit(2, booking(1, 0));
+    expect_that!(rig.told(2), eq("booked"));
+    expect_that!(rig.orders(), len(eq(1)));
+}
+
+#[gtest]
+fn duplicate_after_the_answer_was_dropped_may_have_run() {
+    let cfg = DispatchSettings::builder().answer_bytes(200).build();
+    let mut rig = Rig::with(2, cfg);
+    for n in 1..=2 {
+        rig.submit(u64::from(n), booking(n, 0));
+        rig.answered(rig.last_order(), "booked");
+    }
+    rig.submit(3, booking(1, 0));
+    expect_that!(rig.told(3), eq("may have run: AnswerGone"));
+    rig.submit(4, booking(2, 0));
+    expect_that!(rig.told(4), eq("booked"));
+    expect_that!(rig.orders(), len(eq(2)));
+}
+
+/// Two clients draw the same id by a fault of their random numbers. The second
+/// would be handed the certificate of the first one's bottle. It must be told
+/// that its id is taken, whether the first is running or done.
+#[gtest]
+fn same_id_for_other_work_is_rejected() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    let mut other = booking(1, 0);
+    other.body = Bytes::from_static(b"other bottle");
+    rig.submit(2, other.clone());
+    rig.answered(rig.last_order(), "certificate");
+    rig.submit(3, other);
+    expect_that!(fault_of(&rig, 2), some(eq(RequestFault::IdReused)));
+    expect_that!(fault_of(&rig, 3), some(eq(RequestFault::IdReused)));
+    expect_that!(rig.told(2), eq("-"));
+    expect_that!(rig.orders(), len(eq(1)));
+}
+
+#[gtest]
+fn refused_by_the_endpoint_may_be_tried_again() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    rig.refused(rig.last_order(), RefusedReason::Shed);
+    expect_that!(rig.told(1), eq("not run: EndpointShed"));
+    rig.submit(2, booking(1, 0));
+    expect_that!(rig.orders(), len(eq(2)));
+}
+
+/// The connection breaks while a rollback runs; the caller is told that it may
+/// have run and asks again. Run again, the schema would be damaged. The id must
+/// stay barred, even after the endpoint confirms the cancellation.
+#[gtest]
+fn may_have_run_is_never_sent_again() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    rig.done(rig.last_order(), OrderReply::Lost);
+    let confirmed = true;
+    let id = id(1, 0);
+    rig.apply(DispatchEvent::CancelDone { id, confirmed });
+    rig.submit(2, booking(1, 0));
+    expect_that!(rig.told(1), eq("may have run: ConnectionLost"));
+    expect_that!(rig.told(2), eq("may have run: ConnectionLost"));
+    expect_that!(rig.orders(), len(eq(1)));
+}
+
+#[gtest]
+fn answer_that_comes_after_the_deadline_is_kept_for_duplicates() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    rig.until(10_000);
+    expect_that!(rig.told(1), eq("may have run: Timeout"));
+    rig.answered(rig.last_order(), "booked");
+    let mut again = booking(1, 0);
+    again.deadline = wall(12_000);
+    rig.submit(2, again);
+    expect_that!(rig.told(2), eq("booked"));
+}
+
+/// The dispatcher's instance is lost after it sent a booking on. Its successor
+/// gets the caller's repeat and finds no such id. Sent on, it would run twice;
+/// ids from before the takeover must be answered `may have run`.
+#[gtest]
+fn id_from_before_the_takeover_is_not_run() {
+    let mut rig = Rig::new(builder(2, true).floor(wall(100)));
+    rig.submit(1, booking(1, 99));
+    rig.submit(2, booking(2, 100));
+    expect_that!(rig.told(1), eq("may have run: BeforeFloor"));
+    rig.until(100);
+    expect_that!(rig.orders().len(), eq(1));
+}
+
+#[gtest]
+fn id_from_before_the_move_is_not_run() {
+    let mut rig = Rig::ungranted(builder(2, true));
+    let mut moved = dispatch_support::shard(1, 2, false);
+    moved.floor = wall(50);
+    rig.set_shards(&[moved]);
+    rig.confirm_control(&dispatch_support::HEALTHY);
+    rig.submit(1, booking(1, 49));
+    expect_that!(rig.told(1), eq("may have run: BeforeFloor"));
+}
+
+#[gtest]
+fn handed_over_ids_are_known_to_the_successor() {
+    let mut first = Rig::checking(2);
+    first.submit(1, booking(1, 0));
+    first.submit(2, booking(2, 0));
+    first.answered(first.orders()[0].ticket, "booked");
+    let mut second = Rig::new(builder(2, true).known(&first.d.export()));
+    second.submit(1, booking(1, 0));
+    second.submit(2, booking(2, 0));
+    second.submit(3, booking(3, 0));
+    expect_that!(second.told(1), eq("may have run: AnswerGone"));
+    expect_that!(second.told(2), eq("may have run: AnswerGone"));
+    expect_that!(second.orders(), len(eq(1)));
+}
+
+/// The table is full of ids still within the window. Dropping one silently
+/// would run its late duplicate again. The floor must rise over what is
+/// dropped, and while all are young new work must be refused as not run.
+#[gtest]
+fn full_table_raises_the_floor_or_refuses_but_never_forgets() {
+    let cfg = DispatchSettings::builder()
+        .max_ids(2)
+        .id_window_min_ms(1_000)
+        .build();
+    let mut rig = Rig::with(2, cfg);
+    for n in 1..=2 {
+        rig.submit(u64::from(n), booking(n, u64::from(n)));
+        rig.until(u64::from(n) * 10);
+        rig.answered(rig.last_order(), "booked");
+    }
+    rig.submit(3, booking(3, 3));
+    expect_that!(rig.told(3), eq("not run: Overloaded"));
+    rig.until(1_500);
+    rig.submit(4, booking(4, 1_400));
+    expect_that!(rig.orders(), len(eq(3)));
+    rig.submit(5, booking(1, 1));
+    expect_that!(rig.told(5), eq("may have run: BeforeFloor"));
+}
+
+#[gtest]
+fn id_older_than_the_window_is_not_run() {
+    let cfg = DispatchSettings::builder().id_window_ms(1_000).build();
+    let mut rig = Rig::with(2, cfg);
+    rig.submit(1, booking(1, 0));
+    rig.answered(rig.last_order(), "booked");
+    rig.until(1_020);
+    rig.submit(2, booking(1, 0));
+    expect_that!(rig.told(2), eq("may have run: BeforeFloor"));
+    expect_that!(rig.orders(), len(eq(1)));
+}
+
+/// A caller's clock is 300 ms fast. Were its booking sent on at once and the
+/// dispatcher lost, the successor's floor would lie before the id and the
+/// booking would run twice. It waits until its time of creation has come.
+#[gtest]
+fn id_from_a_fast_clock_waits_for_its_time() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 300));
+    rig.until(280);
+    expect_that!(rig.orders(), is_empty());
+    rig.until(300);
+    expect_that!(rig.orders(), len(eq(1)));
+}
+
+#[gtest]
+fn id_from_far_ahead_is_rejected_with_the_time_to_come_back() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 1_250));
+    let ahead_ms = 250;
+    expect_that!(
+        fault_of(&rig, 1),
+        some(eq(RequestFault::IdAhead { ahead_ms }))
+    );
+    let mut without_time = booking(2, 0);
+    without_time.id.0 = uuid::Uuid::from_bytes([0x40; 16]);
+    rig.submit(2, without_time);
+    expect_that!(fault_of(&rig, 2), some(eq(RequestFault::IdWithoutTime)));
+}
+
+/// The second caller of one booking gives up early while the first still
+/// waits in the queue. `Not run` would be a lie as soon as a slot is free.
+#[gtest]
+fn duplicate_that_expires_first_is_not_told_not_run() {
+    let mut rig = Rig::checking(1);
+    rig.submit(1, lookup(9, "interactive", 9_000));
+    rig.submit(2, booking(1, 0));
+    let mut hasty = booking(1, 0);
+    hasty.deadline = wall(100);
+    rig.submit(3, hasty);
+    rig.until(120);
+    expect_that!(rig.told(3), eq("may have run: Timeout"));
+    rig.answered(rig.orders()[0].ticket, "found");
+    expect_that!(rig.orders(), len(eq(2)));
+}
+
+#[gtest]
+fn duplicate_is_answered_also_while_draining_or_not_held() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    rig.may_act = false;
+    let reason = NotRunReason::NotDispatcher;
+    rig.apply(DispatchEvent::Retire { reason });
+    rig.submit(2, booking(1, 0));
+    rig.submit(3, booking(2, 0));
+    expect_that!(rig.told(2), eq("-"));
+    expect_that!(rig.told(3), eq("not run: NotDispatcher"));
+    let answer = answer("booked");
+    rig.done(rig.last_order(), OrderReply::Answered { answer });
+    expect_that!(rig.told(2), eq("booked"));
+}
--- /dev/null
+++ b/crates/citronway-core/tests/dispatch_support/mod.rs
@@ -0,0 +1,331 @@
+//! A dispatcher with a clock and a record of what it did.
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
+use bytes::Bytes;
+use citronway_core::config::{Class, Endpoint};
+use citronway_core::dispatch::{
+    DispatchAction, DispatchEvent, DispatchSettings, Dispatcher, DispatcherBuilder, OwnedShard,
+    ShardRef, Turn,
+};
+use citronway_core::ids::{ClassName, EndpointName, Epoch, RequestId, Session, ShardId};
+use citronway_core::node::events::{OrderReply, ProbeReport, RefusedReason, Ticket};
+use citronway_core::outcome::{Answer, MayHaveRunReason, NotRunReason, Outcome};
+use citronway_core::request::{Repeat, Request};
+use citronway_core::shard::{HashRange, KeyHash};
+use citronway_core::time::{Mono, Now, Wall};
+use indexmap::IndexMap;
+use uuid::Builder;
+
+/// Wall time at which every scenario starts.
+pub const START: u64 = 1_700_000_000_000;
+
+/// A dispatcher under test. Times are milliseconds since [`START`].
+#[derive(Debug)]
+pub struct Rig {
+    pub d: Dispatcher,
+    pub ms: u64,
+    pub may_act: bool,
+    pub seen: Vec<DispatchAction>,
+}
+
+pub fn endpoint(slots: u32, checks_orders: bool) -> Endpoint {
+    Endpoint {
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "a".into(),
+        labels: IndexMap::new(),
+        slots,
+        connections: 130,
+        checks_orders,
+        drain: false,
+    }
+}
+
+pub fn builder(slots: u32, checks_orders: bool) -> DispatcherBuilder {
+    let mut classes = IndexMap::new();
+    let interactive = Class {
+        priority: 1,
+        kept_share: 0,
+    };
+    let batch = Class {
+        priority: 5,
+        kept_share: 25,
+    };
+    classes.insert(ClassName::new("batch"), batch);
+    classes.insert(ClassName::new("interactive"), interactive);
+    let name = EndpointName::new("e1");
+    Dispatcher::builder(&name, &endpoint(slots, checks_orders))
+        .classes(&classes)
+        .role(Epoch(3), &Session::new("i1", 7))
+}
+
+pub fn wall(ms: u64) -> Wall {
+    Wall(START + ms)
+}
+
+pub fn now(ms: u64) -> Now {
+    Now {
+        mono: Mono(5_000 + ms),
+        wall: wall(ms),
+    }
+}
+
+/// Id number `n`, created at `ms`.
+pub fn id(n: u8, ms: u64) -> RequestId {
+    RequestId(Builder::from_unix_timestamp_millis(START + ms, &[n; 10]).into_uuid())
+}
+
+/// A booking: must run at most once. Due at 10 s.
+pub fn booking(n: u8, created: u64) -> Request {
+    Request {
+        id: id(n, created),
+        service: "intake".into(),
+        key: format!("bottle-{n}").as_str().into(),
+        tenant: "mill".to_owned(),
+        class: "interactive".into(),
+        repeat: Repeat::NonIdempotent,
+        deadline: wall(10_000),
+        method: "POST".to_owned(),
+        path: "/bookings".to_owned(),
+        content_type: None,
+        body: Bytes::from(vec![n]),
+    }
+}
+
+/// A lookup of class `class`, due at `due`.
+pub fn lookup(n: u8, class: &str, due: u64) -> Request {
+    Request {
+        class: class.into(),
+        repeat: Repeat::Idempotent,
+        deadline: wall(due),
+        method: "GET".to_owned(),
+        ..booking(n, 0)
+    }
+}
+
+pub fn shard(number: u64, epoch: u64, moving: bool) -> OwnedShard {
+    let range = HashRange {
+        first: KeyHash(0),
+        last: KeyHash(u64::MAX),
+    };
+    OwnedShard {
+        at: shard_ref(number),
+        epoch: Epoch(epoch),
+        range,
+        floor: Wall(0),
+        moving,
+    }
+}
+
+pub fn shard_ref(number: u64) -> ShardRef {
+    ShardRef {
+        service: "intake".into(),
+        shard: ShardId(number),
+    }
+}
+
+pub fn answer(text: &str) -> Answer {
+    Answer {
+        status: 200,
+        content_type: None,
+        body: Bytes::copy_from_slice(text.as_bytes()),
+    }
+}
+
+pub const HEALTHY: ProbeReport = ProbeReport::Answered {
+    stale_epoch: false,
+    draining: false,
+    running: 0,
+    cold: false,
+};
+
+pub const DRAINING: ProbeReport = ProbeReport::Answered {
+    stale_epoch: false,
+    draining: true,
+    running: 0,
+    cold: false,
+};
+
+impl Rig {
+    /// Starts at 0 with shard 1 granted.
+    pub fn new(builder: DispatcherBuilder) -> Self {
+        let mut rig = Self::ungranted(builder);
+        rig.set_shards(&[shard(1, 1, false)]);
+        rig.confirm_control(&HEALTHY);
+        rig
+    }
+
+    pub fn ungranted(builder: DispatcherBuilder) -> Self {
+        Self {
+            d: builder.start(now(0)),
+            ms: 0,
+            may_act: true,
+            seen: Vec::new(),
+        }
+    }
+
+    /// Default settings, `slots` slots, an endpoint that checks.
+    pub fn checking(slots: u32) -> Self {
+        Self::new(builder(slots, true))
+    }
+
+    pub fn with(slots: u32, cfg: DispatchSettings) -> Self {
+        Self::new(builder(slots, true).settings(cfg))
+    }
+
+    pub fn apply(&mut self, event: DispatchEvent) -> Vec<DispatchAction> {
+        let turn = Turn {
+            now: now(self.ms),
+            may_act: self.may_act,
+        };
+        let actions = self.d.apply(event, turn);
+        self.seen.extend(actions.iter().cloned());
+        actions
+    }
+
+    /// Moves on to a time without any probe being answered.
+    pub fn silent_until(&mut self, ms: u64) {
+        while self.ms < ms {
+            self.ms = (self.ms + 20).min(ms);
+            self.apply(DispatchEvent::Tick);
+        }
+    }
+
+    /// Moves on to a time; each probe gets `report` at once.
+    pub fn until_with(&mut self, ms: u64, report: &ProbeReport) {
+        while self.ms < ms {
+            self.ms = (self.ms + 20).min(ms);
+            let actions = self.apply(DispatchEvent::Tick);
+            self.answer_control(&actions, report);
+        }
+    }
+
+    pub fn until(&mut self, ms: u64) {
+        self.until_with(ms, &HEALTHY);
+    }
+
+    pub fn set_shards(&mut self, shards: &[OwnedShard]) {
+        let shards = shards.to_vec();
+        self.apply(DispatchEvent::SetShards { shards });
+    }
+
+    /// Answers the last grant or revocation that was sent.
+    pub fn confirm_control(&mut self, report: &ProbeReport) {
+        let last = self.seen.iter().rev().find_map(control_ticket);
+        let ticket = last.expect("a grant or revocation was sent");
+        let report = report.clone();
+        self.apply(DispatchEvent::GrantDone { ticket, report });
+    }
+
+    fn answer_control(&mut self, actions: &[DispatchAction], report: &ProbeReport) {
+        for ticket in actions.iter().filter_map(control_ticket) {
+            let report = report.clone();
+            let more = self.apply(DispatchEvent::GrantDone { ticket, report });
+            self.answer_control(&more, &HEALTHY);
+        }
+    }
+
+    pub fn submit(&mut self, origin: Ticket, request: Request) {
+        let shard = ShardId(1);
+        self.apply(DispatchEvent::Submit {
+            origin,
+            shard,
+            request,
+        });
+    }
+
+    pub fn done(&mut self, ticket: Ticket, reply: OrderReply) {
+        self.apply(DispatchEvent::OrderDone { ticket, reply });
+    }
+
+    pub fn answered(&mut self, ticket: Ticket, text: &str) {
+        let answer = answer(text);
+        self.done(ticket, OrderReply::Answered { answer });
+    }
+
+    pub fn refused(&mut self, ticket: Ticket, reason: RefusedReason) {
+        self.done(ticket, OrderReply::Refused { reason });
+    }
+
+    /// Tickets of the orders sent so far, with the ids of their requests.
+    pub fn orders(&self) -> Vec<Sent> {
+        self.seen.iter().filter_map(sent).collect()
+    }
+
+    pub fn last_order(&self) -> Ticket {
+        self.orders().last().expect("an order was sent").ticket
+    }
+
+    /// The replies given to an origin.
+    pub fn replies(&self, origin: Ticket) -> Vec<Outcome> {
+        let of = |action: &DispatchAction| match action {
+            DispatchAction::Reply { origin: o, outcome } if *o == origin => Some(outcome.clone()),
+            _ => None,
+        };
+        self.seen.iter().filter_map(of).collect()
+    }
+
+    /// Short form of the one reply to an origin, `-` if there is none yet.
+    pub fn told(&self, origin: Ticket) -> String {
+        let replies = self.replies(origin);
+        assert!(replies.len() <= 1, "several replies: {replies:?}");
+        replies.first().map_or_else(|| "-".to_owned(), short)
+    }
+
+    /// Whether something of a kind was done, such as `ShardReleased`.
+    pub fn did(&self, wanted: impl Fn(&DispatchAction) -> bool) -> bool {
+        self.seen.iter().any(wanted)
+    }
+
+    pub fn released(&self) -> bool {
+        self.did(|action| matches!(action, DispatchAction::ShardReleased { .. }))
+    }
+
+    pub fn lost(&self, quiet: bool) -> bool {
+        self.did(|action| *action == DispatchAction::EndpointLost { quiet })
+    }
+}
+
+/// An order that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    pub ticket: Ticket,
+    pub id: RequestId,
+}
+
+fn sent(action: &DispatchAction) -> Option<Sent> {
+    match action {
+        DispatchAction::SendOrder {
+            ticket, request, ..
+        } => Some(Sent {
+            ticket: *ticket,
+            id: request.id,
+        }),
+        _ => None,
+    }
+}
+
+fn control_ticket(action: &DispatchAction) -> Option<Ticket> {
+    match action {
+        DispatchAction::Grant { ticket, .. } | DispatchAction::Revoke { ticket, .. } => {
+            Some(*ticket)
+        }
+        _ => None,
+    }
+}
+
+/// `text` of an answer, or the name of the reason.
+pub fn short(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered(answer) => String::from_utf8_lossy(&answer.body).into_owned(),
+        Outcome::NotRun(not_run) => not_run_text(not_run.reason),
+        Outcome::MayHaveRun(may) => may_text(may.reason),
+    }
+}
+
+pub fn not_run_text(reason: NotRunReason) -> String {
+    format!("not run: {reason:?}")
+}
+
+pub fn may_text(reason: MayHaveRunReason) -> String {
+    format!("may have run: {reason:?}")
+}
