Metrics for each tenant and class, JSON lines as logs

Cause: on-call staff need histograms for each tenant or class, and logs that a collector reads line by line without secrets in them. Conclusion: `Metrics` is a plain struct of families; `logs::init` sets the logger. Not proved: what a collector makes of the native media type; the cost of a request's metrics on the deciding thread.

--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -1,3 +1,5 @@
 //! Entry instance of citronway.
 
+pub mod logs;
+pub mod metrics;
 pub mod settings;
