--- a/crates/citronway-core/src/placement/measures.rs
+++ b/crates/citronway-core/src/placement/measures.rs
@@ -3,6 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::loads::Loads;
+use super::members::Standing;
 use super::plan::StandingGroup;
 use super::ranges::{range_shards, share};
 use crate::ids::{EndpointName, GroupName};
@@ -20,13 +21,14 @@
 
 /// Imbalance of a group; zero for a group without load or capacity.
 ///
-/// A moving shard counts for its next owner.
+/// A moving shard counts for its next owner. Endpoints that take no shards, such
+/// as lost ones, do not count.
 #[must_use]
 pub fn imbalance(assignment: &Assignment, group: &StandingGroup, loads: &Loads) -> Imbalance {
     let by_endpoint = load_by_endpoint(assignment, &group.group, loads);
     let mut load = 0.0;
     let mut capacity = 0.0;
-    for member in &group.members {
+    for member in taking(group) {
         load += of(&by_endpoint, &member.endpoint);
         capacity += member.capacity() as f64;
     }
@@ -38,7 +40,7 @@
         return imbalance;
     }
     let mean = load / capacity;
-    for member in &group.members {
+    for member in taking(group) {
         let share = member.capacity() as f64;
         if share == 0.0 {
             continue;
@@ -51,6 +53,13 @@
     imbalance
 }
 
+fn taking(group: &StandingGroup) -> impl Iterator<Item = &Standing> {
+    group
+        .members
+        .iter()
+        .filter(|member| member.state.takes_shards())
+}
+
 fn load_by_endpoint<'a>(
     assignment: &'a Assignment,
     group: &GroupName,
--- a/crates/citronway-core/src/placement/members.rs
+++ b/crates/citronway-core/src/placement/members.rs
@@ -4,7 +4,7 @@
 //! then gradually. Each loss within [`LOSS_WINDOW_MS`] doubles the dwell time,
 //! so that a flapping endpoint does not draw shards that it soon loses again.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::wanted::{Member, MemberState, WantedGroup};
 use crate::ids::{EndpointName, ZoneName};
@@ -114,6 +114,23 @@
         entry.since = Some(now);
     }
 
+    /// This planner takes over from another one, with these endpoints in use.
+    ///
+    /// Failure: the predecessor knew that an endpoint is lost and had moved its
+    /// keys away; the successor was never told, sees an idle endpoint and moves
+    /// keys to it, where nobody serves them. Guard: an endpoint that owns
+    /// nothing counts as just joined, and its dispatcher repeats that it is
+    /// lost within the dwell time. What this planner was told of losses before
+    /// may be just as old, so it is dropped.
+    pub fn take_over(&mut self, in_use: &IndexSet<EndpointName>, now: Mono) {
+        for (endpoint, entry) in &mut self.entries {
+            entry.reported_lost = false;
+            if !in_use.contains(endpoint) {
+                entry.since = Some(now);
+            }
+        }
+    }
+
     /// How far the endpoint may be loaded now.
     #[must_use]
     pub fn standing(&self, member: &Member, now: Mono) -> Standing {
--- a/crates/citronway-core/src/placement/planner/mod.rs
+++ b/crates/citronway-core/src/placement/planner/mod.rs
@@ -14,7 +14,7 @@
 mod settings;
 mod writes;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 pub use election::Role;
 pub use events::{
@@ -34,7 +34,7 @@
 use super::plan::StandingGroup;
 use super::propose::{ProposeError, ProposeInput, empty, propose};
 use super::wanted::Wanted;
-use crate::ids::{Epoch, ServiceName, Session, ShardId, Version};
+use crate::ids::{EndpointName, Epoch, ServiceName, Session, ShardId, Version};
 use crate::peer::{EndpointLost, ShardReleased};
 use crate::platform::{ConditionalPut, Row, RowKey, WriteOutcome};
 use crate::shard::{Assignment, Ownership};
@@ -57,6 +57,8 @@
     /// Something has happened since the last plan.
     dirty: bool,
     planned: Mono,
+    /// Election that the knowledge of members was last adjusted for.
+    took_over: Option<Epoch>,
     failure: Option<ProposeError>,
 }
 
@@ -78,6 +80,7 @@
             releases: IndexMap::new(),
             dirty: true,
             planned: Mono(0),
+            took_over: None,
             failure: None,
         }
     }
@@ -249,7 +252,7 @@
         self.dirty = true;
     }
 
-    fn doubt_dispatch(&mut self, endpoint: &crate::ids::EndpointName) {
+    fn doubt_dispatch(&mut self, endpoint: &EndpointName) {
         let at = at(DISPATCH_TABLE, endpoint.as_str());
         self.rows.stale.insert(at);
     }
@@ -281,8 +284,18 @@
         }
     }
 
+    fn take_over(&mut self, epoch: Epoch, now: Mono) {
+        if self.took_over.replace(epoch) == Some(epoch) {
+            return;
+        }
+        if let Some(assignment) = self.rows.assignment.value() {
+            self.book.take_over(&next_owners(assignment), now);
+        }
+    }
+
     /// What an elected planner writes next, if anything.
     fn work(&mut self, epoch: Epoch, now: Now) -> Option<Vec<ConditionalPut>> {
+        self.take_over(epoch, now.mono);
         if let Some(puts) = self.first_dispatch_rows(now) {
             return Some(puts);
         }
@@ -373,6 +386,23 @@
     }
 }
 
+/// Endpoints that own a shard, or will once it has moved.
+fn next_owners(assignment: &Assignment) -> IndexSet<EndpointName> {
+    let mut owners = IndexSet::new();
+    for shard in assignment.shards.values() {
+        match &shard.ownership {
+            Ownership::Unowned => {}
+            Ownership::Owned { owner } => {
+                owners.insert(owner.clone());
+            }
+            Ownership::Moving { to, .. } => {
+                owners.insert(to.clone());
+            }
+        }
+    }
+    owners
+}
+
 /// Whether the report is about the present move of its shard.
 fn fits(assignment: &Assignment, report: &ShardReleased) -> bool {
     let Some(shard) = assignment.shards.get(&report.shard) else {
--- /dev/null
+++ b/crates/citronway-core/tests/placement_return.rs
@@ -0,0 +1,198 @@
+//! Endpoints and zones that are lost and come back, through the planner.
+
+mod placement_support;
+
+use citronway_core::ids::EndpointName;
+use citronway_core::peer::EndpointLoad;
+use citronway_core::placement::measures::churn;
+use citronway_core::placement::{PlannerEvent, PlannerSettings, Wanted};
+use citronway_core::shard::{Assignment, Ownership};
+use googletest::prelude::*;
+use placement_support::*;
+
+fn thirty() -> Wanted {
+    wanted(1, vec![group(GROUP, None, 256, members(30))])
+}
+
+fn returned(planner: &mut Instance, endpoint: &str, ms: u64) {
+    let report = EndpointLoad {
+        endpoint: EndpointName::new(endpoint),
+        requests: 0,
+        service_ms: 5,
+        queued: 0,
+        hot: Vec::new(),
+        shards: Vec::new(),
+    };
+    planner.event(PlannerEvent::Load { report }, now(ms));
+}
+
+fn zone_a() -> Vec<String> {
+    (0..30)
+        .step_by(3)
+        .map(|index| format!("e{index:02}"))
+        .collect()
+}
+
+fn keys_of_zone(assignment: &Assignment) -> usize {
+    zone_a()
+        .iter()
+        .map(|name| owned_by(assignment, name).len())
+        .sum()
+}
+
+/// An endpoint is lost and its keys have new owners. It answers again and its
+/// dispatcher's report of the loss arrives a second time, after it has got keys
+/// back. If the report gave its keys away, they would have two owners.
+#[gtest]
+fn a_report_of_a_past_loss_takes_no_key_from_its_owner() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    let report = lost(&store, "e03");
+    planner.lost(&store, "e03", now(2_000));
+    pass(&mut planner, &mut store, 2_000, 500);
+    expect_that!(owned_by(&store.assignment().unwrap(), "e03"), is_empty());
+    returned(&mut planner, "e03", 3_000);
+    pass(&mut planner, &mut store, 3_000, 60_000);
+    let back = store.assignment().expect("assignment");
+    let its = owned_by(&back, "e03");
+    expect_that!(its, not(is_empty()));
+    planner.event(PlannerEvent::Lost { report }, now(64_000));
+    planner.run(&mut store, now(64_000));
+    let after = store.assignment().expect("assignment");
+    for shard in its {
+        expect_that!(after.shards[&shard].epoch, eq(back.shards[&shard].epoch));
+        expect_that!(owner(&after, shard), none());
+    }
+}
+
+/// A report of a loss under an earlier dispatcher arrives after a takeover.
+#[gtest]
+fn a_loss_under_an_earlier_dispatcher_is_ignored() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    let before = store.assignment();
+    let mut report = lost(&store, "e03");
+    report.dispatch_epoch.0 = 0;
+    planner.event(PlannerEvent::Lost { report }, now(2_000));
+    planner.run(&mut store, now(2_000));
+    expect_that!(store.assignment(), eq(&before));
+}
+
+/// An instance that dispatched before, and holds nothing, reports a release
+/// while the present dispatcher still serves the shard.
+#[gtest]
+fn a_release_by_a_former_dispatcher_is_not_believed() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    planner.lost(&store, "e03", now(2_000));
+    planner.run(&mut store, now(2_000));
+    let waiting = store.assignment().expect("assignment");
+    let from = EndpointName::new("e03");
+    let former = citronway_core::ids::Session::new("i9", 7);
+    for shard in moving(&waiting) {
+        let report = release_of(&waiting, shard, &from, &former);
+        planner.event(PlannerEvent::Released { report }, now(2_100));
+        planner.run(&mut store, now(2_100));
+    }
+    expect_that!(store.assignment(), some(eq(&waiting)));
+}
+
+/// A whole zone is lost and comes back at once. Giving it its third of the keys
+/// in one go would stop a third of all work a second time.
+#[gtest]
+fn a_zone_that_returns_gets_its_keys_back_gradually() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    for name in zone_a() {
+        planner.lost(&store, &name, now(2_000));
+    }
+    pass(&mut planner, &mut store, 2_000, 1_000);
+    expect_that!(keys_of_zone(&store.assignment().unwrap()), eq(0));
+    for name in zone_a() {
+        returned(&mut planner, &name, 10_000);
+    }
+    pass(&mut planner, &mut store, 10_000, 4_000);
+    expect_that!(keys_of_zone(&store.assignment().unwrap()), eq(0));
+    let mut before = store.assignment().expect("assignment");
+    let mut most = 0.0_f64;
+    for second in 14..60 {
+        pass(&mut planner, &mut store, second * 1_000, 1_000);
+        let after = store.assignment().expect("assignment");
+        most = most.max(churn(&before, &after).keys);
+        before = after;
+    }
+    expect_that!(most, lt(0.1));
+    expect_that!(keys_of_zone(&before), all![ge(60), le(90)]);
+}
+
+/// The planner that moved a lost endpoint's keys away is replaced. The new one
+/// was not told of the loss. If it took the idle endpoint for a good target,
+/// keys would be moved to where nobody answers.
+#[gtest]
+fn a_new_planner_gives_nothing_to_an_endpoint_lost_before_its_time() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    planner.lost(&store, "e03", now(2_000));
+    pass(&mut planner, &mut store, 2_000, 500);
+    let mut second = Instance::new("i0", 2, PlannerSettings::default());
+    second.want(&thirty(), now(3_000));
+    second.read_dispatch(&store, now(3_000));
+    pass(&mut second, &mut store, 3_000, 1_500);
+    expect_that!(second.planner.is_elected(), is_true());
+    second.lost(&store, "e03", now(4_500));
+    pass(&mut second, &mut store, 4_500, 30_000);
+    expect_that!(owned_by(&store.assignment().unwrap(), "e03"), is_empty());
+}
+
+/// The next owner of a moving shard is lost before the old one has released it.
+/// The shard must not be handed to an endpoint that does not answer.
+#[gtest]
+fn a_move_to_an_endpoint_lost_meanwhile_goes_elsewhere() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    planner.lost(&store, "e03", now(2_000));
+    planner.run(&mut store, now(2_000));
+    let waiting = store.assignment().expect("assignment");
+    let shard = moving(&waiting)[0];
+    let Ownership::Moving { to, .. } = &waiting.shards[&shard].ownership else {
+        panic!("it moves");
+    };
+    planner.lost(&store, to.as_str(), now(2_100));
+    planner.release_all(&store, now(2_100));
+    planner.run(&mut store, now(2_100));
+    let after = store.assignment().expect("assignment");
+    expect_that!(owner(&after, shard), not(eq(&Some(to.clone()))));
+    pass(&mut planner, &mut store, 2_200, 500);
+    let settled = store.assignment().expect("assignment");
+    expect_that!(
+        settled.shards[&shard].epoch,
+        eq(waiting.shards[&shard].epoch.next())
+    );
+}
+
+/// An endpoint is lost and returns every ten seconds. Each time it got keys, it
+/// would lose them again.
+#[gtest]
+fn a_flapping_endpoint_draws_no_keys() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    for round in 0..6 {
+        let start = 2_000 + round * 10_000;
+        planner.lost(&store, "e03", now(start));
+        pass(&mut planner, &mut store, start, 5_000);
+        returned(&mut planner, "e03", start + 5_000);
+        pass(&mut planner, &mut store, start + 5_000, 5_000);
+        let got = owned_by(&store.assignment().unwrap(), "e03").len();
+        expect_that!(got, le(1), "in round {round}");
+    }
+}
+
+/// An endpoint does not answer but its grants have not ended. Vatuwaqa would
+/// rather move its keys than wait; Migrakon would rather wait.
+#[gtest]
+fn weights_decide_whether_to_wait_for_an_endpoint_to_come_back() {
+    for weights in [MIGRAKON, VATUWAQA] {
+        let mut wanted = thirty();
+        wanted.weights = weights;
+        let (mut planner, mut store) = started(&wanted, PlannerSettings::default());
+        let mut report = lost(&store, "e03");
+        report.quiet = false;
+        planner.event(PlannerEvent::Lost { report }, now(2_000));
+        planner.run(&mut store, now(2_000));
+        let moved = !moving(&store.assignment().unwrap()).is_empty();
+        expect_that!(moved, eq(weights == VATUWAQA));
+    }
+}
--- a/crates/citronway-core/tests/placement_support/mod.rs
+++ b/crates/citronway-core/tests/placement_support/mod.rs
@@ -10,8 +10,9 @@
 use citronway_core::placement::plan::StandingGroup;
 use citronway_core::placement::planner::{ASSIGNMENT_TABLE, PLANNER_TABLE, PlannerRow, at};
 use citronway_core::placement::propose::empty;
+use citronway_core::placement::replay::Record;
 use citronway_core::placement::{
-    Candidate, Lookup, Member, MemberState, Move, Planner, PlannerAction, PlannerEvent,
+    Candidate, Cause, Lookup, Member, MemberState, Move, Planner, PlannerAction, PlannerEvent,
     PlannerSettings, Wanted, WantedGroup, moves, partition,
 };
 use citronway_core::platform::{ConditionalPut, Row, RowKey, WriteOutcome};
@@ -21,8 +22,15 @@
 
 pub const SERVICE: &str = "migration";
 pub const GROUP: &str = "all";
+/// Weighs all alike.
 pub const EVEN: Weights = weights(1.0, 1.0, 1.0);
 
+/// Weighs churn.
+pub const MIGRAKON: Weights = weights(1.0, 5.0, 1.0);
+
+/// Weighs unavailable time.
+pub const VATUWAQA: Weights = weights(1.0, 1.0, 5.0);
+
 pub const fn weights(imbalance: f64, churn: f64, unavailable: f64) -> Weights {
     Weights {
         imbalance,
@@ -119,6 +127,20 @@
     next
 }
 
+/// Moves that give all shards without owner to one endpoint.
+pub fn take_all(assignment: &Assignment, endpoint: &str) -> Vec<Move> {
+    let mut moves = Vec::new();
+    for shard in assignment.shards.keys() {
+        moves.push(Move {
+            shard: *shard,
+            from: None,
+            to: EndpointName::new(endpoint),
+            cause: Cause::Unowned,
+        });
+    }
+    moves
+}
+
 pub fn release_of(
     assignment: &Assignment,
     shard: ShardId,
@@ -219,6 +241,7 @@
     pub planner: Planner,
     pub asked: Vec<PlannerAction>,
     pub published: Vec<Row>,
+    pub trace: Vec<Record>,
 }
 
 impl Instance {
@@ -229,10 +252,16 @@
             session,
             asked: Vec::new(),
             published: Vec::new(),
+            trace: Vec::new(),
         }
     }
 
     pub fn event(&mut self, event: PlannerEvent, now: Now) {
+        self.trace.push(Record {
+            at: self.session.clone(),
+            now,
+            event: event.clone(),
+        });
         for action in self.planner.apply(event, now) {
             match action {
                 PlannerAction::Publish { row } => self.published.push(row),
@@ -339,6 +368,16 @@
         .map_or_else(|| Session::new("i0", 1), |row| row.dispatcher)
 }
 
+/// Runs a planner for `ms`, with dispatchers that release at once.
+pub fn pass(instance: &mut Instance, store: &mut Store, from: u64, ms: u64) {
+    for tick in 0..ms / 100 {
+        let now = now(from + tick * 100);
+        instance.run(store, now);
+        instance.release_all(store, now);
+        instance.run(store, now);
+    }
+}
+
 /// An instance that is elected and has placed everything.
 pub fn started(wanted: &Wanted, settings: PlannerSettings) -> (Instance, Store) {
     let mut store = Store::default();
