Administration API: queries, conditional commands, metrics and health

Cause: two operators may change the same labels at the same moment, and an answer of the store can be lost after the write took effect; operators must be told neither "refused" of what stands nor "accepted" of what does not. A change is checked whole, written once on condition of the version it is based on, and a lost answer is settled by reading the row until its version has moved past the base or the same text stands. Accepted and in force are told apart. Ruled out: writing again after a lost answer (would undo a later change); taking the old row for "not written" (the write may still land); holding a command back until it is in force everywhere (one paused instance would block it); the last configuration wins (the second operator undoes the first unseen); comparing configurations as maps (the order of groups and rules decides). After a lost answer and a later change by another the reply is a conflict that says "may have been accepted", for the row alone cannot tell. Not proved: behaviour under many connections; times of the waits; the wiring to the platform's thread.

--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod logs;
 pub mod metrics;
+pub mod operators;
 pub mod settings;
