Administration API, metrics and logs wired into the process

Cause: the machine's state could not be seen or changed by operators. Request times are taken from the events and actions that pass. Ruled out: times inside the machines (they count whole milliseconds). Run by hand: version, dispatchers and metrics answered by a running instance.

--- a/crates/citronctl/src/main.rs
+++ b/crates/citronctl/src/main.rs
@@ -1,1 +1,3 @@
+//! Operators' command line.
+
 fn main() {}
--- a/crates/citronway-core/src/node/members.rs
+++ b/crates/citronway-core/src/node/members.rs
@@ -6,7 +6,7 @@
 use crate::ids::{InstanceName, Session, Version, ZoneName};
 use crate::peer::Heartbeat;
 use crate::placement::wanted::Candidate;
-use crate::platform::{InstanceList, ListedState};
+use crate::platform::{InstanceList, ListedInstance, ListedState};
 use crate::time::{Mono, Now};
 
 /// An instance as this one knows it.
@@ -113,6 +113,14 @@
         &self.by_instance
     }
 
+    pub(super) fn all_listed(&self) -> &[ListedInstance] {
+        &self.list.instances
+    }
+
+    pub(super) const fn my_zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
     /// Zone of an instance, as the platform lists it.
     pub(super) fn zone_of(&self, instance: &InstanceName) -> Option<&ZoneName> {
         if *instance == self.me.instance {
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -12,6 +12,7 @@
 //! | `seats` | holds and dispatchers, one of each for an endpoint |
 //! | `shards` | which shards an endpoint has |
 //! | `planners` | the planner of each service |
+//! | `status` | what operators are shown |
 //! | `store` | reads and writes of the platform's tables |
 //! | `tickets` | which answer is for what |
 
@@ -22,6 +23,7 @@
 mod seats;
 mod settings;
 mod shards;
+mod status;
 mod store;
 mod tickets;
 mod view;
@@ -29,7 +31,8 @@
 pub use events::{Action, CallerRequest, Event, OrderReply, ProbeReport, Ticket};
 pub use members::Member;
 pub use settings::{NodeSettings, SendPolicy};
-pub use view::{CONFIG_KEY, CONFIG_TABLE, Versioned, View};
+pub use status::{DispatcherStatus, SeatRole, SeatStatus};
+pub use view::{CONFIG_KEY, CONFIG_TABLE, Indexed, Versioned, View};
 
 use crate::hold::HoldEvent;
 use crate::ids::{Session, ZoneName};
@@ -220,7 +223,7 @@
                 self.hold_message(from, &endpoint, message, now, out);
             }
             PeerMessage::EndpointLost(_) | PeerMessage::ShardReleased(_) | PeerMessage::Load(_) => {
-                self.report(message, now, out)
+                self.report(message, now, out);
             }
         }
     }
--- a/crates/citronway-core/src/node/view.rs
+++ b/crates/citronway-core/src/node/view.rs
@@ -4,6 +4,8 @@
 //! a version above the known one is taken, so nothing an instance knows is ever
 //! reverted by an old answer that arrives late.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 
@@ -34,7 +36,7 @@
 #[derive(Debug, Clone)]
 pub struct Indexed {
     /// The assignment as stored.
-    pub assignment: Assignment,
+    pub assignment: Arc<Assignment>,
     partition: CompiledPartition,
     lookup: Lookup,
 }
@@ -202,7 +204,7 @@
         let partition = CompiledPartition::new(&assignment.partition).ok()?;
         let lookup = Lookup::new(&assignment).ok()?;
         Some(Self {
-            assignment,
+            assignment: Arc::new(assignment),
             partition,
             lookup,
         })
--- a/crates/citronway/src/decide.rs
+++ b/crates/citronway/src/decide.rs
@@ -3,18 +3,24 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use citronway_core::node::{Action, Event, Node};
 use tokio::sync::mpsc::Receiver;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock;
+use crate::observe::Observer;
+use crate::operators::StoreCommand;
 use crate::peers::PeerCommand;
+use crate::publish::StatePublisher;
 use crate::rings::Rings;
+use crate::store_desk::StoreDesk;
 
 /// Time between two ticks of the machine.
 const TICK: Duration = Duration::from_millis(10);
+/// Time between two published states.
+const PUBLISH: Duration = Duration::from_millis(200);
 
 /// What the deciding thread works with.
 #[derive(Debug)]
@@ -25,17 +31,33 @@
     pub rings: Rings,
     /// Whether callers may be sent here.
     pub ready: Arc<AtomicBool>,
+    /// Times requests.
+    pub observer: Observer,
+    /// Shows the state to operators.
+    pub publisher: StatePublisher,
+    /// Reads and writes of the administration API.
+    pub desk: StoreDesk,
 }
 
 impl Decider {
     /// Runs until the machine wants to exit.
-    pub async fn run(mut self, mut events: Receiver<Event>) {
+    pub async fn run(mut self, mut events: Receiver<Event>, mut store: Receiver<StoreCommand>) {
         let mut ticks = interval(TICK);
+        let mut shows = interval(PUBLISH);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        shows.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let event = tokio::select! {
                 event = events.recv() => event,
                 _ = ticks.tick() => Some(Event::Tick),
+                Some(command) = store.recv() => {
+                    self.desk.take(command);
+                    continue;
+                }
+                _ = shows.tick() => {
+                    self.publisher.publish(&self.node, clock::now());
+                    continue;
+                }
             };
             let Some(event) = event else {
                 return;
@@ -50,12 +72,18 @@
     fn feed(&mut self, event: Event) -> bool {
         let mut queue = VecDeque::from([event]);
         while let Some(event) = queue.pop_front() {
+            let Some(event) = self.desk.intercept(event) else {
+                continue;
+            };
             self.pass_instances_on(&event);
+            let at = Instant::now();
+            self.observer.event(&event, self.node.view(), at);
             let now = clock::now();
             for action in self.node.handle(event, now) {
                 if action == Action::Exit {
                     return false;
                 }
+                self.observer.action(&action, at);
                 queue.extend(self.rings.carry_out(action));
             }
             self.ready.store(self.node.ready(now), Ordering::Relaxed);
--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -5,10 +5,16 @@
 pub mod clock;
 mod decide;
 pub mod endpoints;
+pub mod logs;
+pub mod metrics;
+mod observe;
+pub mod operators;
 pub mod peers;
 pub mod platform;
+mod publish;
 mod rings;
 mod run;
 pub mod settings;
+mod store_desk;
 
 pub use run::{Error, check, run};
--- a/crates/citronway/src/rings.rs
+++ b/crates/citronway/src/rings.rs
@@ -212,11 +212,9 @@
 }
 
 fn put<T>(ring: &Sender<T>, command: T, if_full: Option<Event>) -> Option<Event> {
-    match ring.try_send(command) {
-        Ok(()) => None,
-        Err(_) => {
-            log::warn!("a ring is full, an action was not carried out");
-            if_full
-        }
+    if ring.try_send(command).is_ok() {
+        return None;
     }
+    log::warn!("a ring is full, an action was not carried out");
+    if_full
 }
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -1,10 +1,12 @@
 //! Starts the duties of an entry instance and waits for their end.
 
 use std::io;
+use std::net::TcpListener;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::thread::JoinHandle;
 
 use citronway_core::dispatch::DispatchSettings;
 use citronway_core::findings::Findings;
@@ -14,14 +16,21 @@
 use citronway_core::placement::PlannerSettings;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
-use crate::callers::{self, CallersConfig};
+use crate::callers::{self, CallersConfig, CallersHandle};
 use crate::decide::Decider;
 use crate::endpoints::{self, EndpointsConfig};
+use crate::logs;
+use crate::metrics::Metrics;
+use crate::observe::Observer;
+use crate::operators::{self, Setup, Snapshot, Token, snapshot};
 use crate::peers::{self, PeersConfig};
 use crate::platform::{self, PlatformConfig};
+use crate::publish::StatePublisher;
 use crate::rings::{COMMANDS, EVENTS, Rings};
 use crate::settings::{self, Settings};
+use crate::store_desk::StoreDesk;
 
 /// A planner that was not heard of for this long is replaced, in milliseconds.
 const PLANNER_SILENCE_MS: u64 = 800;
@@ -60,6 +69,9 @@
 /// The settings are wrong or a duty could not be started.
 pub fn run(path: &Path) -> Result<ExitCode, Error> {
     let cfg = settings::load(path)?;
+    if logs::init(&cfg.instance.name, &cfg.instance.zone, cfg.log.level).is_err() {
+        eprintln!("a logger was set before; logs go there");
+    }
     let me = Session {
         instance: cfg.instance.name.clone(),
         id: draw_session(),
@@ -83,36 +95,74 @@
 async fn serve(cfg: &Settings, me: Session) -> Result<(), Error> {
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
+    let metrics = Arc::new(Metrics::new());
+    let (rings, callers) = start_duties(cfg, &me, &events_tx, &ready)?;
+    let (store_tx, store) = mpsc::channel(COMMANDS);
+    let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
+    let (publisher, published) = snapshot::channel(first);
+    let token = Token::new(cfg.operators.token.clone());
+    let setup = Setup::new(token, published, store_tx, Arc::clone(&metrics));
+    let stop = CancellationToken::new();
+    let operators = start_operators(cfg, setup, stop.clone()).map_err(start("operators"))?;
+    stop_on_signal(events_tx).map_err(start("signals"))?;
+
+    let desk = StoreDesk::new(rings.platform.clone());
+    let decider = Decider {
+        node: Node::new(me.clone(), cfg.instance.zone.clone(), node_settings(cfg)),
+        rings,
+        ready,
+        observer: Observer::new(Arc::clone(&metrics)),
+        publisher: StatePublisher::new(me, publisher, metrics),
+        desk,
+    };
+    decider.run(events, store).await;
+    callers.stop();
+    callers.join();
+    stop.cancel();
+    if operators.join().is_err() {
+        log::error!("thread of the administration API panicked");
+    }
+    Ok(())
+}
+
+fn start_duties(
+    cfg: &Settings,
+    me: &Session,
+    events: &mpsc::Sender<Event>,
+    ready: &Arc<AtomicBool>,
+) -> Result<(Rings, CallersHandle), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
     let (endpoints_tx, endpoints_rx) = mpsc::channel(COMMANDS);
     let (callers_tx, callers_rx) = mpsc::channel(COMMANDS);
-
-    peers::start(peers_config(cfg, &me), peers_rx, events_tx.clone()).map_err(start("peers"))?;
-    platform::start(&platform_config(cfg), platform_rx, events_tx.clone())
+    peers::start(peers_config(cfg, me), peers_rx, events.clone()).map_err(start("peers"))?;
+    platform::start(&platform_config(cfg), platform_rx, events.clone())
         .map_err(start("platform"))?;
-    endpoints::start(endpoints_config(cfg), endpoints_rx, events_tx.clone())
+    endpoints::start(endpoints_config(cfg), endpoints_rx, events.clone())
         .map_err(start("endpoints"))?;
     let callers = callers::start(
         callers_config(cfg),
         callers_rx,
-        events_tx.clone(),
-        Arc::clone(&ready),
+        events.clone(),
+        Arc::clone(ready),
     )
     .map_err(start("callers"))?;
-    stop_on_signal(events_tx).map_err(start("signals"))?;
-
     let rings = Rings {
         callers: callers_tx,
         endpoints: endpoints_tx,
         peers: peers_tx,
         platform: platform_tx,
     };
-    let node = Node::new(me, cfg.instance.zone.clone(), node_settings(cfg));
-    Decider { node, rings, ready }.run(events).await;
-    callers.stop();
-    callers.join();
-    Ok(())
+    Ok((rings, callers))
+}
+
+fn start_operators(
+    cfg: &Settings,
+    setup: Setup,
+    stop: CancellationToken,
+) -> io::Result<JoinHandle<io::Result<()>>> {
+    let listener = TcpListener::bind(cfg.instance.operators_listen)?;
+    operators::spawn(listener, setup, stop)
 }
 
 fn start(duty: &'static str) -> impl FnOnce(io::Error) -> Error {
