Peers duty: bounds in tests that hold on a busy machine, deadline of a forward

Cause: the test of the slow peer asked for one dropped control message too many; how many go into the first call depends on when it is made. Its flood is larger now, and its bound is the one that the queue's limit gives (at most the limit waits, at most the limit is under way).

New: a deadline ends a forward to a live peer; an outcome for a broken link harms nobody.

--- a/crates/citronway/tests/peers/common/mod.rs
+++ b/crates/citronway/tests/peers/common/mod.rs
@@ -37,11 +37,19 @@
     passed_over: VecDeque<Event>,
 }
 
-/// Settings of an instance on a free port of loopback.
+/// Waits for something that comes, unless the code under test has hung.
+pub async fn unless_hung<T>(waiting: impl Future<Output = T>) -> T {
+    let waited = tokio::time::timeout(HUNG, waiting).await;
+    waited.unwrap_or_else(|_| panic!("waited in vain"))
+}
+
+/// Settings of an instance on a free port of loopback. Peers have all the time to
+/// confirm, so that a busy machine breaks no link.
 pub fn config(me: &Session, key: &[u8]) -> PeersConfigBuilder {
     let listen = SocketAddr::from(([127, 0, 0, 1], 0));
     let zone = ZoneName::new("zone-a");
-    PeersConfig::builder(me.clone(), zone, listen, SharedKey::new(key))
+    let cfg = PeersConfig::builder(me.clone(), zone, listen, SharedKey::new(key));
+    cfg.connect_timeout(HUNG).control_timeout(HUNG)
 }
 
 impl Instance {
@@ -121,8 +129,7 @@
                 self.passed_over.push_back(event);
             }
         };
-        let found = tokio::time::timeout(HUNG, waiting).await;
-        found.unwrap_or_else(|_| panic!("{} waits in vain", self.me))
+        unless_hung(waiting).await
     }
 
     pub async fn wait_up(&mut self) -> Session {
@@ -168,8 +175,7 @@
     pub async fn stop(self) {
         self.command(PeerCommand::Stop).await;
         let joined = tokio::task::spawn_blocking(|| self.handle.thread.join());
-        let joined = tokio::time::timeout(HUNG, joined).await;
-        let joined = joined.expect("the duty stops").expect("joining works");
+        let joined = unless_hung(joined).await.expect("joining works");
         joined.expect("the duty does not panic");
     }
 }
--- a/crates/citronway/tests/peers/faults.rs
+++ b/crates/citronway/tests/peers/faults.rs
@@ -1,6 +1,6 @@
 //! Links that break, peers that freeze or start again.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use citronway_core::ids::Session;
 use citronway_core::outcome::{MayHaveRunReason, NotRunReason, Outcome};
@@ -46,7 +46,7 @@
     let relay = Relay::start(b.handle.local_addr).await;
     let mut a = connected("a", &b.me, relay.address).await;
     a.forward(3, &b.me, request(b"book it")).await;
-    b.wait_forwarded().await;
+    let (received, _) = b.wait_forwarded().await;
     relay.cut();
     let (_, outcome) = a.wait_done().await;
     let reason = may_have_run(&outcome);
@@ -56,6 +56,9 @@
     let (_, outcome) = a.wait_done().await;
     let reason = not_run(&outcome);
     expect_that!(reason, some(eq(NotRunReason::DispatcherUnreachable)));
+    // The outcome of a forward whose link is gone reaches nobody and harms nobody.
+    b.reply(received, answer(b"booked")).await;
+    b.stop().await;
 }
 
 // A dispatcher is paused while its connection stays open. Callers would wait for
@@ -65,7 +68,10 @@
 async fn a_frozen_peer_is_given_up() {
     let mut b = Instance::start("b", 2);
     let relay = Relay::start(b.handle.local_addr).await;
-    let mut a = connected("a", &b.me, relay.address).await;
+    let cfg = config(&Session::new("a", 1), KEY).control_timeout(Duration::from_millis(200));
+    let mut a = Instance::with(cfg.build());
+    a.list(&[(&b.me, relay.address)]).await;
+    a.wait_up().await;
     a.forward(3, &b.me, request(b"book it")).await;
     b.wait_forwarded().await;
     relay.freeze();
@@ -157,6 +163,25 @@
     expect_that!(outcome, eq(&answer(b"answer to later")));
 }
 
+// The dispatcher is alive and confirms control messages, but the endpoint never
+// answers. The caller must hear of it soon after the deadline and not wait for
+// the longest time that any call may take.
+#[gtest]
+#[tokio::test]
+async fn a_deadline_bounds_a_forward() {
+    let mut b = Instance::start("b", 2);
+    let mut a = connected("a", &b.me, b.handle.local_addr).await;
+    let mut soon = request(b"book it");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let now = u64::try_from(now.as_millis()).unwrap();
+    soon.deadline = Wall(now).plus(100);
+    a.forward(3, &b.me, soon).await;
+    b.wait_forwarded().await;
+    let (_, outcome) = a.wait_done().await;
+    let reason = may_have_run(&outcome);
+    expect_that!(reason, some(eq(MayHaveRunReason::DispatcherLost)));
+}
+
 // A request waited so long that its deadline is over. Handed on it would only
 // take room from others.
 #[gtest]
--- a/crates/citronway/tests/peers/greeting.rs
+++ b/crates/citronway/tests/peers/greeting.rs
@@ -1,5 +1,7 @@
 //! Who gets in.
 
+use std::time::Duration;
+
 use citronway_core::ids::Session;
 use citronway_wire::greeting::RefusalReason;
 use googletest::prelude::*;
@@ -7,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
-use crate::common::{Instance, KEY, config, raw};
+use crate::common::{Instance, KEY, config, raw, unless_hung};
 
 // An instance of the test deployment is listed in production by mistake. It has
 // another shared key; were it let in, it would hand production endpoints its work.
@@ -111,9 +113,10 @@
 #[gtest]
 #[tokio::test]
 async fn a_connection_without_a_greeting_is_closed() {
-    let b = Instance::start("b", 2);
+    let cfg = config(&Session::new("b", 2), KEY).connect_timeout(Duration::from_millis(50));
+    let b = Instance::with(cfg.build());
     let mut stream = TcpStream::connect(b.handle.local_addr).await.unwrap();
     let mut buf = Vec::new();
-    let read = stream.read_to_end(&mut buf).await;
+    let read = unless_hung(stream.read_to_end(&mut buf)).await;
     expect_that!(read.unwrap_or(0), eq(0));
 }
--- a/crates/citronway/tests/peers/overload.rs
+++ b/crates/citronway/tests/peers/overload.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 use crate::common::relay::Relay;
-use crate::common::{Instance, KEY, answer, config, connected, heartbeat, request};
+use crate::common::{Instance, KEY, answer, config, connected, heartbeat, request, unless_hung};
 
 const MAX_MESSAGE: usize = 64 * 1024;
 const TOO_LARGE: usize = 2 * MAX_MESSAGE;
@@ -49,6 +49,8 @@
 #[tokio::test]
 async fn a_slow_peer_delays_no_other() {
     const LIMIT: usize = 8;
+    /// Control messages, with the broadcast.
+    const TO_SLOW: u64 = 4 * LIMIT as u64 + 1;
     let slow = Instance::start("slow", 2);
     let mut b = Instance::start("b", 3);
     let relay = Relay::start(slow.handle.local_addr).await;
@@ -63,12 +65,11 @@
     a.wait_up().await;
 
     relay.freeze();
-    // Never confirmed, so that the link's one call stays under way.
-    a.send(&slow.me, heartbeat(0)).await;
     for ticket in 0..2 * LIMIT as u64 {
         a.forward(ticket, &slow.me, request(&vec![0; 100_000]))
             .await;
         a.send(&slow.me, heartbeat(ticket)).await;
+        a.send(&slow.me, heartbeat(ticket)).await;
     }
     a.forward(99, &b.me, request(b"book it")).await;
     a.command(PeerCommand::Broadcast {
@@ -89,7 +90,9 @@
         refused += 1;
     }
     expect_that!(refused, eq(LIMIT));
-    expect_that!(a.handle.counters.control_dropped.get(), ge(LIMIT as u64));
+    // At most `LIMIT` messages wait, and one call is under way with as many at most.
+    let at_least = TO_SLOW - 2 * LIMIT as u64;
+    expect_that!(a.handle.counters.control_dropped.get(), ge(at_least));
 }
 
 // The decisions of b stall. Its links must go on: forwards are refused at once
@@ -169,7 +172,7 @@
     hostile.write_all(&frame).await.unwrap();
     let mut buf = Vec::new();
     // Closed, perhaps with an abort message or a reset.
-    let _ = hostile.read_to_end(&mut buf).await;
+    let _ = unless_hung(hostile.read_to_end(&mut buf)).await;
 
     b.reply(ticket, answer(b"booked")).await;
     expect_that!(a.wait_done().await, eq(&(3, answer(b"booked"))));
