--- a/crates/citronway-standin/src/env/platform.rs
+++ b/crates/citronway-standin/src/env/platform.rs
@@ -10,7 +10,7 @@
 use super::launcher::{Launcher, PLATFORM};
 use super::settings::EntrySettings;
 use crate::http::{Client, ClientError, percent};
-use crate::platform::messages::{Registration, Rows, Stats};
+use crate::platform::messages::{Registration, Rows, Stats, Transaction};
 use crate::platform::{Platform, PlatformFaults};
 
 /// The platform stand-in of an environment.
@@ -119,6 +119,17 @@
         self.client.get(self.address, &path).await
     }
 
+    /// Carries out a transaction.
+    ///
+    /// # Errors
+    ///
+    /// If it does not stand, or the platform does not answer.
+    pub async fn write(&self, transaction: &Transaction) -> Result<(), EnvError> {
+        let to = self.address;
+        self.client.submit(Method::POST, to, "/transactions", transaction).await?;
+        Ok(())
+    }
+
     /// Requests that it took in.
     ///
     /// # Errors
--- a/crates/citronway-standin/src/env/stored.rs
+++ b/crates/citronway-standin/src/env/stored.rs
@@ -1,12 +1,18 @@
 //! What the entries have stored with the platform.
 
+use citronway_core::config::Config;
+use citronway_core::ids::Version;
+use citronway_core::platform::{ConditionalPut, RowKey};
 use citronway_core::shard::{Assignment, DispatchRow, Ownership};
 use serde::de::DeserializeOwned;
 
 use super::error::EnvError;
 use super::platform::PlatformHandle;
 use crate::http::ClientError;
+use crate::platform::messages::Transaction;
 
+const CONFIG: &str = "config";
+const HEAD: &str = "head";
 const ASSIGNMENT: &str = "assignment";
 const DISPATCH: &str = "dispatch";
 
@@ -29,6 +35,24 @@
         self.parsed(DISPATCH).await
     }
 
+    /// Writes the first configuration straight into its row, as if operators had
+    /// applied it before the entries started.
+    ///
+    /// # Errors
+    ///
+    /// If there is one already or the platform does not answer.
+    pub async fn store_config(&self, config: &Config) -> Result<(), EnvError> {
+        let put = ConditionalPut {
+            at: RowKey {
+                table: CONFIG.to_owned(),
+                key: HEAD.to_owned(),
+            },
+            expected: Version::default(),
+            value: serde_json::to_string(config).map_err(ClientError::from)?,
+        };
+        self.write(&Transaction { puts: vec![put] }).await
+    }
+
     /// Whether so many services have every shard owned, and none on the move.
     pub async fn all_owned(&self, services: usize) -> bool {
         let Ok(assignments) = self.assignments().await else {
