Command line for operators, with exit codes that scripts can trust

Cause: operators drive the system by labels, selectors and by starting and stopping endpoints; a script must tell "refused", "conflict", "accepted but not in force", "not known" and "cannot reach" apart. Ruled out: own copies of the API's shapes (they would drift; citronctl takes the types of the library); "cannot reach" for a connection that broke after sending; exit code 1 for all failures; a temporary file or editor session as state. States of endpoints are those of the instance asked; one instance does not know the queues of another's endpoints.

--- /dev/null
+++ b/crates/citronctl/src/replay.rs
@@ -0,0 +1,145 @@
+//! `replay`: runs recorded events again and compares with the stated outcomes.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use citronway_core::config::version;
+
+use crate::failure::Failure;
+use crate::words::Machine;
+
+/// Ending of a trace's file.
+const TRACE: &str = "jsonl";
+
+/// Ending of the file of its stated outcomes.
+const EXPECTED: &str = "expected.json";
+
+/// First line of a trace that names its machine.
+#[derive(Debug, Deserialize)]
+struct Header {
+    machine: String,
+}
+
+/// What to replay.
+#[derive(Debug, Clone, Copy)]
+pub struct Replay<'a> {
+    /// File of the trace, JSON lines.
+    pub trace: &'a Path,
+    /// File of the stated outcomes; default: beside the trace.
+    pub expected: Option<&'a Path>,
+    /// Machine, where the trace's first line does not name it.
+    pub machine: Option<Machine>,
+}
+
+/// Runs the trace; compares if outcomes are stated, shows them otherwise.
+///
+/// # Errors
+///
+/// When a file cannot be read, or the outcomes differ.
+pub fn run(replay: &Replay<'_>) -> Result<String, Failure> {
+    let text = read(replay.trace)?;
+    let decided = decide(replay, &text)?;
+    let Some(path) = expected_path(replay) else {
+        return pretty(&decided);
+    };
+    let stated: Value = match serde_json::from_str(&read(&path)?) {
+        Ok(stated) => stated,
+        Err(e) => return Err(content(&path, &e)),
+    };
+    if decided == stated {
+        return Ok(format!("same outcomes as {}\n", path.display()));
+    }
+    Err(Failure::Replay(difference(&stated, &decided)))
+}
+
+fn decide(replay: &Replay<'_>, text: &str) -> Result<Value, Failure> {
+    let first = text.lines().next().unwrap_or_default();
+    let header = serde_json::from_str::<Header>(first).ok();
+    let named = match &header {
+        Some(header) => match header.machine.parse::<Machine>() {
+            Ok(machine) => Some(machine),
+            Err(e) => return Err(content(replay.trace, &e)),
+        },
+        None => None,
+    };
+    let Some(machine) = named.or(replay.machine) else {
+        let message = "the first line does not name a machine; say --machine";
+        return Err(content(replay.trace, &message));
+    };
+    let events = match header {
+        Some(_) => text.split_once('\n').map_or("", |(_, rest)| rest),
+        None => text,
+    };
+    match machine {
+        Machine::Config => config(replay.trace, events),
+    }
+}
+
+fn config(path: &Path, text: &str) -> Result<Value, Failure> {
+    let mut events = Vec::new();
+    let mut bad = Vec::new();
+    for line in text.lines() {
+        if line.trim().is_empty() {
+            continue;
+        }
+        match serde_json::from_str::<version::RecordedEvent>(line) {
+            Ok(event) => events.push(event),
+            Err(e) => bad.push(format!("{e} in `{line}`")),
+        }
+    }
+    if !bad.is_empty() {
+        return Err(content(path, &bad.join("\n  ")));
+    }
+    let decisions = version::replay(&events);
+    serde_json::to_value(decisions).map_err(|e| content(path, &e))
+}
+
+fn expected_path(replay: &Replay<'_>) -> Option<PathBuf> {
+    if let Some(path) = replay.expected {
+        return Some(path.to_owned());
+    }
+    if replay.trace.extension()? != TRACE {
+        return None;
+    }
+    let beside = replay.trace.with_extension(EXPECTED);
+    beside.exists().then_some(beside)
+}
+
+/// The first outcome that differs, of a list; the whole otherwise.
+fn difference(stated: &Value, decided: &Value) -> String {
+    if let (Value::Array(stated), Value::Array(decided)) = (stated, decided) {
+        for (index, pair) in stated.iter().zip(decided).enumerate() {
+            if pair.0 != pair.1 {
+                let (stated, decided) = pair;
+                let number = index + 1;
+                return format!(
+                    "outcome {number} differs\n  stated  {stated}\n  decided {decided}"
+                );
+            }
+        }
+        let (stated, decided) = (stated.len(), decided.len());
+        return format!("{stated} outcomes are stated, {decided} were decided");
+    }
+    format!("outcomes differ\n  stated  {stated}\n  decided {decided}")
+}
+
+fn pretty(value: &Value) -> Result<String, Failure> {
+    crate::queries::json(value)
+}
+
+fn read(path: &Path) -> Result<String, Failure> {
+    fs::read_to_string(path).map_err(|source| Failure::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+fn content(path: &Path, reason: &impl std::fmt::Display) -> Failure {
+    Failure::Content {
+        path: path.to_owned(),
+        reason: reason.to_string(),
+    }
+}
