--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -2,8 +2,254 @@
 //!
 //! The process feeds it [`Event`]s with the present time and carries out the
 //! [`Action`]s it returns. It owns the configuration in force, the assignment
-//! and dispatch rows, the holds, the dispatch queues and the planner.
+//! and dispatch rows, the holds, the dispatch queues and the planners.
+//!
+//! | module | job |
+//! |---|---|
+//! | `view` | stored rows as this instance knows them |
+//! | `members` | other instances |
+//! | `entry` | callers' requests |
+//! | `seats` | holds and dispatchers, one of each for an endpoint |
+//! | `shards` | which shards an endpoint has |
+//! | `planners` | the planner of each service |
+//! | `store` | reads and writes of the platform's tables |
+//! | `tickets` | which answer is for what |
 
+mod entry;
 pub mod events;
+mod members;
+mod planners;
+mod seats;
+mod settings;
+mod shards;
+mod store;
+mod tickets;
+mod view;
+
+pub use events::{Action, CallerRequest, Event, OrderReply, ProbeReport, Ticket};
+pub use members::Member;
+pub use settings::{NodeSettings, SendPolicy};
+pub use view::{CONFIG_KEY, CONFIG_TABLE, Versioned, View};
+
+use crate::hold::HoldEvent;
+use crate::ids::{Session, ZoneName};
+use crate::peer::{Heartbeat, PeerMessage};
+use crate::placement::PlannerEvent;
+use crate::time::{Mono, Now};
+
+use entry::Entry;
+use members::Members;
+use planners::Planners;
+use seats::Seats;
+use tickets::{Purpose, Tickets};
+
+/// Every decision of one entry instance.
+#[derive(Debug)]
+pub struct Node {
+    me: Session,
+    settings: NodeSettings,
+    view: View,
+    members: Members,
+    entry: Entry,
+    seats: Seats,
+    planners: Planners,
+    tickets: Tickets,
+    polled: Option<Mono>,
+    greeted: Option<Mono>,
+    reported: Option<Mono>,
+    /// When the process was asked to stop.
+    stopped: Option<Mono>,
+}
+
+impl Node {
+    /// A fresh start of an instance that knows nothing yet.
+    #[must_use]
+    pub fn new(me: Session, zone: ZoneName, settings: NodeSettings) -> Self {
+        Self {
+            members: Members::new(me.clone(), zone),
+            entry: Entry::new(settings.retry),
+            seats: Seats::default(),
+            planners: Planners::default(),
+            view: View::default(),
+            tickets: Tickets::default(),
+            polled: None,
+            greeted: None,
+            reported: None,
+            stopped: None,
+            me,
+            settings,
+        }
+    }
+
+    /// What the instance knows of configuration, assignments and dispatchers.
+    #[must_use]
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Whether the balancer may send callers here.
+    #[must_use]
+    pub fn ready(&self, now: Now) -> bool {
+        self.stopped.is_none() && self.view.fresh(now.mono, self.settings.stale_after_ms)
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn handle(&mut self, event: Event, now: Now) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Caller { ticket, request } => self.caller(ticket, request, now, &mut out),
+            Event::CallerGone { ticket } => self.caller_gone(ticket, now, &mut out),
+            Event::Forwarded {
+                ticket,
+                endpoint,
+                dispatch_epoch,
+                request,
+            } => {
+                self.forwarded(ticket, &endpoint, dispatch_epoch, request, now, &mut out);
+            }
+            Event::ForwardDone { ticket, outcome } => {
+                if let Some(Purpose::Forward { caller }) = self.tickets.take(ticket) {
+                    self.settle(caller, outcome, now, &mut out);
+                }
+            }
+            Event::OrderDone { .. } | Event::CancelDone { .. } | Event::GrantDone { .. } => {
+                self.endpoint_event(event, now, &mut out);
+            }
+            Event::Peer { from, message } => self.peer(&from, message, now, &mut out),
+            Event::PeerUp {
+                session,
+                at_its_address,
+            } => {
+                let gone = self.members.up(&session, at_its_address, now.mono);
+                self.bury(&gone, now, &mut out);
+            }
+            Event::PeerDown { instance } => self.members.down(&instance),
+            Event::RowsRead { table, rows } => self.table_read(&table, rows, now, &mut out),
+            Event::RowRead { ticket, row } => self.row_read(ticket, row, now, &mut out),
+            Event::ReadFailed { ticket } => self.read_failed(ticket, now, &mut out),
+            Event::WriteDone { ticket, outcome } => {
+                self.write_done(ticket, outcome, now, &mut out);
+            }
+            Event::Instances { list, asked } => {
+                let gone = self.members.listed(list, asked);
+                self.bury(&gone, now, &mut out);
+            }
+            Event::Stop => self.stopped = Some(now.mono),
+        }
+        out
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.poll_store(now, out);
+        self.send_heartbeat(now, out);
+        if self.is_leaving(now) && self.entry_is_done(now) {
+            self.leave_seats(now, out);
+        }
+        self.tick_seats(now, out);
+        self.tick_planners(now, out);
+        self.tick_entry(now, out);
+        self.send_loads(now, out);
+        if self.is_leaving(now) && self.entry_is_done(now) && self.seats_are_left(now) {
+            out.push(Action::Exit);
+        }
+    }
+
+    /// Whether the instance takes no new work any more.
+    fn is_leaving(&self, now: Now) -> bool {
+        self.stopped
+            .is_some_and(|at| now.mono.since(at) >= self.settings.lame_duck_ms)
+    }
+
+    fn entry_is_done(&self, now: Now) -> bool {
+        self.entry.is_idle() || self.grace_is_over(now)
+    }
+
+    fn seats_are_left(&self, now: Now) -> bool {
+        (self.seats.is_idle() && self.seats.roles_are_gone()) || self.grace_is_over(now)
+    }
+
+    fn grace_is_over(&self, now: Now) -> bool {
+        self.stopped
+            .is_some_and(|at| now.mono.since(at) >= self.settings.grace_ms)
+    }
+
+    fn send_heartbeat(&mut self, now: Now, out: &mut Vec<Action>) {
+        if !is_due(&mut self.greeted, self.settings.heartbeat_ms, now.mono) {
+            return;
+        }
+        out.push(Action::Broadcast {
+            message: PeerMessage::Heartbeat(Heartbeat {
+                config: self.view.config_version(),
+                store_age_ms: self.view.store_age_ms(now.mono),
+                leaving: self.stopped.is_some(),
+            }),
+        });
+    }
+
+    fn send_loads(&mut self, now: Now, out: &mut Vec<Action>) {
+        if is_due(&mut self.reported, self.settings.load_every_ms, now.mono) {
+            self.report_loads(now, out);
+        }
+    }
+
+    fn peer(&mut self, from: &Session, message: PeerMessage, now: Now, out: &mut Vec<Action>) {
+        match message {
+            PeerMessage::Heartbeat(beat) => {
+                self.members.heartbeat(from, &beat, now.mono);
+                self.view.heard_peer(now.mono);
+                if beat.config > self.view.config_version() {
+                    // Fetched at once instead of with the next poll.
+                    out.push(Action::ReadTable {
+                        table: CONFIG_TABLE.to_owned(),
+                    });
+                }
+                if !beat.leaving {
+                    let heard = PlannerEvent::Heard {
+                        session: from.clone(),
+                    };
+                    self.tell_planners(&heard, now, out);
+                }
+            }
+            PeerMessage::Rows { rows } => {
+                for row in rows {
+                    self.learn(&row, now, out);
+                }
+            }
+            PeerMessage::Hold { endpoint, message } => {
+                self.hold_message(from, &endpoint, message, now, out);
+            }
+            PeerMessage::EndpointLost(_) | PeerMessage::ShardReleased(_) | PeerMessage::Load(_) => {
+                self.report(message, now, out)
+            }
+        }
+    }
+
+    /// Sessions that are gone for good cannot act or write any more.
+    fn bury(&mut self, gone: &[Session], now: Now, out: &mut Vec<Action>) {
+        for session in gone {
+            let event = HoldEvent::Gone {
+                session: session.clone(),
+            };
+            for endpoint in self.seats.endpoints() {
+                self.tell_hold(&endpoint, &event, now, out);
+            }
+            self.tell_planners(
+                &PlannerEvent::Gone {
+                    session: session.clone(),
+                },
+                now,
+                out,
+            );
+        }
+    }
+}
 
-pub use events::{Action, CallerRequest, Event, OrderReply, ProbeReport};
+/// Whether `every_ms` have passed since `last`, which is then set anew.
+fn is_due(last: &mut Option<Mono>, every_ms: u64, now: Mono) -> bool {
+    let due = last.is_none_or(|at| now.since(at) >= every_ms);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
--- /dev/null
+++ b/crates/citronway-core/src/node/view.rs
@@ -0,0 +1,231 @@
+//! What an instance knows of the stored rows.
+//!
+//! Rows reach an instance from the store and from its peers, in any order. Only
+//! a version above the known one is taken, so nothing an instance knows is ever
+//! reverted by an old answer that arrives late.
+
+use indexmap::IndexMap;
+use serde::de::DeserializeOwned;
+
+use crate::config::{CompiledConfig, CompiledPartition, Config};
+use crate::ids::{EndpointName, Key, ServiceName, Version};
+use crate::placement::lookup::Lookup;
+use crate::platform::Row;
+use crate::shard::{Assignment, DispatchRow, KeyHash, Ownership, Shard};
+use crate::time::Mono;
+
+pub use crate::placement::planner::{ASSIGNMENT_TABLE, DISPATCH_TABLE, PLANNER_TABLE};
+
+/// Table of the configuration, with one row.
+pub const CONFIG_TABLE: &str = "config";
+/// The one row of the configuration.
+pub const CONFIG_KEY: &str = "head";
+
+/// Content of a row with the row's version.
+#[derive(Debug, Clone)]
+pub struct Versioned<T> {
+    /// Version of the row.
+    pub version: Version,
+    /// Its content.
+    pub value: T,
+}
+
+/// An assignment that is ready to be asked for each request.
+#[derive(Debug, Clone)]
+pub struct Indexed {
+    /// The assignment as stored.
+    pub assignment: Assignment,
+    partition: CompiledPartition,
+    lookup: Lookup,
+}
+
+/// What a row changed in the view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Learnt {
+    /// Nothing: it was known, or is of no concern, or cannot be used.
+    Nothing,
+    /// The configuration.
+    Config,
+    /// The assignment of a service.
+    Assignment(ServiceName),
+    /// The dispatch row of an endpoint.
+    Dispatch(EndpointName),
+}
+
+/// Configuration, assignments and dispatch rows as this instance knows them.
+#[derive(Debug, Default)]
+pub struct View {
+    config: Option<Versioned<CompiledConfig>>,
+    assignments: IndexMap<ServiceName, Versioned<Indexed>>,
+    dispatch: IndexMap<EndpointName, Versioned<DispatchRow>>,
+    heard_store: Option<Mono>,
+    heard_any: Option<Mono>,
+    unusable: u64,
+}
+
+impl View {
+    /// Configuration in force at this instance.
+    #[must_use]
+    pub const fn config(&self) -> Option<&Versioned<CompiledConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Version of the configuration in force, 0 for none.
+    #[must_use]
+    pub fn config_version(&self) -> Version {
+        self.config
+            .as_ref()
+            .map_or(Version(0), |config| config.version)
+    }
+
+    /// Assignments by service.
+    #[must_use]
+    pub const fn assignments(&self) -> &IndexMap<ServiceName, Versioned<Indexed>> {
+        &self.assignments
+    }
+
+    /// Dispatch rows by endpoint.
+    #[must_use]
+    pub const fn dispatch(&self) -> &IndexMap<EndpointName, Versioned<DispatchRow>> {
+        &self.dispatch
+    }
+
+    /// Rows that were newer but could not be used; the older ones stay in force.
+    #[must_use]
+    pub const fn unusable(&self) -> u64 {
+        self.unusable
+    }
+
+    /// Whether a configuration is known and somebody was heard of recently enough.
+    ///
+    /// Failure guarded against: an instance cut off from everybody goes by a
+    /// configuration that has long changed, and sends callers to where they must
+    /// not go any more. It cannot know, so it serves nobody until it hears again.
+    #[must_use]
+    pub fn fresh(&self, now: Mono, stale_after_ms: u64) -> bool {
+        self.config.is_some()
+            && self
+                .heard_any
+                .is_some_and(|at| now.since(at) <= stale_after_ms)
+    }
+
+    /// Milliseconds since the store last answered, `u64::MAX` for never.
+    #[must_use]
+    pub fn store_age_ms(&self, now: Mono) -> u64 {
+        self.heard_store.map_or(u64::MAX, |at| now.since(at))
+    }
+
+    pub(super) fn heard_peer(&mut self, now: Mono) {
+        self.heard_any = Some(now);
+    }
+
+    pub(super) fn heard_store(&mut self, now: Mono) {
+        self.heard_store = Some(now);
+        self.heard_any = Some(now);
+    }
+
+    /// Takes over a row that the store or a peer told.
+    pub(super) fn learn(&mut self, row: &Row) -> Learnt {
+        match row.at.table.as_str() {
+            CONFIG_TABLE => self.learn_config(row),
+            ASSIGNMENT_TABLE => self.learn_assignment(row),
+            DISPATCH_TABLE => self.learn_dispatch(row),
+            _ => Learnt::Nothing,
+        }
+    }
+
+    fn learn_config(&mut self, row: &Row) -> Learnt {
+        if row.version <= self.config_version() {
+            return Learnt::Nothing;
+        }
+        let compiled = parse::<Config>(row).and_then(|config| CompiledConfig::new(config).ok());
+        let Some(value) = compiled else {
+            self.unusable += 1;
+            return Learnt::Nothing;
+        };
+        self.config = Some(Versioned {
+            version: row.version,
+            value,
+        });
+        Learnt::Config
+    }
+
+    fn learn_assignment(&mut self, row: &Row) -> Learnt {
+        let service = ServiceName::new(&row.at.key);
+        let known = self.assignments.get(&service);
+        if known.is_some_and(|known| row.version <= known.version) {
+            return Learnt::Nothing;
+        }
+        let Some(value) = parse::<Assignment>(row).and_then(Indexed::new) else {
+            self.unusable += 1;
+            return Learnt::Nothing;
+        };
+        self.assignments.insert(
+            service.clone(),
+            Versioned {
+                version: row.version,
+                value,
+            },
+        );
+        Learnt::Assignment(service)
+    }
+
+    fn learn_dispatch(&mut self, row: &Row) -> Learnt {
+        let endpoint = EndpointName::new(&row.at.key);
+        let known = self.dispatch.get(&endpoint);
+        if known.is_some_and(|known| row.version <= known.version) {
+            return Learnt::Nothing;
+        }
+        let Some(value) = parse::<DispatchRow>(row) else {
+            self.unusable += 1;
+            return Learnt::Nothing;
+        };
+        self.dispatch.insert(
+            endpoint.clone(),
+            Versioned {
+                version: row.version,
+                value,
+            },
+        );
+        Learnt::Dispatch(endpoint)
+    }
+
+    /// The shard that a key of a service belongs to.
+    #[must_use]
+    pub fn shard_of(&self, service: &ServiceName, key: &Key) -> Option<&Shard> {
+        self.assignments.get(service)?.value.shard_of(key)
+    }
+}
+
+impl Indexed {
+    fn new(assignment: Assignment) -> Option<Self> {
+        let partition = CompiledPartition::new(&assignment.partition).ok()?;
+        let lookup = Lookup::new(&assignment).ok()?;
+        Some(Self {
+            assignment,
+            partition,
+            lookup,
+        })
+    }
+
+    fn shard_of(&self, key: &Key) -> Option<&Shard> {
+        let group = self.partition.part_of(key)?;
+        let id = self.lookup.shard(group, KeyHash::of(key))?;
+        self.assignment.shards.get(&id)
+    }
+}
+
+impl Shard {
+    /// The endpoint that serves the shard at present.
+    #[must_use]
+    pub const fn owner(&self) -> Option<&EndpointName> {
+        match &self.ownership {
+            Ownership::Owned { owner } => Some(owner),
+            Ownership::Unowned | Ownership::Moving { .. } => None,
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    serde_json::from_str(&row.value).ok()
+}
