--- a/crates/citronctl/src/main.rs
+++ b/crates/citronctl/src/main.rs
@@ -1,3 +1,16 @@
-//! Operators' command line.
+//! Operators' command line for citronway.
 
-fn main() {}
+use std::process::ExitCode;
+
+use citronctl::{cli, failure, run};
+
+fn main() -> ExitCode {
+    let command = match cli::parse() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    match run(command) {
+        Ok(code) => code,
+        Err(failure) => failure::show(&failure),
+    }
+}
--- a/crates/citronway-standin/src/env/platform.rs
+++ b/crates/citronway-standin/src/env/platform.rs
@@ -126,7 +126,9 @@
     /// If it does not stand, or the platform does not answer.
     pub async fn write(&self, transaction: &Transaction) -> Result<(), EnvError> {
         let to = self.address;
-        self.client.submit(Method::POST, to, "/transactions", transaction).await?;
+        self.client
+            .submit(Method::POST, to, "/transactions", transaction)
+            .await?;
         Ok(())
     }
 
