--- a/crates/citronway/src/endpoints/duty.rs
+++ b/crates/citronway/src/endpoints/duty.rs
@@ -130,7 +130,13 @@
         }
     };
     match pool.data.send(cfg, order, req.deadline).await {
-        Ok(answer) => order::read_answer(req.id, answer),
+        Ok(done) => {
+            let reply = order::read_answer(req.id, done.answer);
+            if reply != OrderReply::Foreign {
+                pool.data.keep(done.link);
+            }
+            reply
+        }
         Err(err) => {
             log::warn!(endpoint = to.endpoint.as_str(), id:% = req.id, error:% = err; "no answer");
             order::read_error(&err)
@@ -147,8 +153,10 @@
 ) -> Result<ProbeReport, ControlError> {
     let req = control::grant_request(&to.address.to_string(), path, grant)?;
     let until = wall_now().plus(cfg.probe_timeout_ms);
-    let answer = pool.control.send_waiting(cfg, req, until).await?;
-    control::read_grant(&answer)
+    let done = pool.control.send_waiting(cfg, req, until).await?;
+    let report = control::read_grant(&done.answer)?;
+    pool.control.keep(done.link);
+    Ok(report)
 }
 
 async fn cancel(cfg: &EndpointsConfig, pool: &EndpointPool, to: Target, id: RequestId) -> Event {
@@ -171,6 +179,8 @@
 ) -> Result<bool, ControlError> {
     let req = control::cancel_request(&to.address.to_string(), id)?;
     let until = wall_now().plus(cfg.probe_timeout_ms);
-    let answer = pool.control.send_waiting(cfg, req, until).await?;
-    control::read_cancel(&answer)
+    let done = pool.control.send_waiting(cfg, req, until).await?;
+    let confirmed = control::read_cancel(&done.answer)?;
+    pool.control.keep(done.link);
+    Ok(confirmed)
 }
--- a/crates/citronway/src/endpoints/lane.rs
+++ b/crates/citronway/src/endpoints/lane.rs
@@ -6,13 +6,13 @@
 
 use bytes::Bytes;
 use citronway_core::time::Wall;
-use http::{Request, Response};
+use http::Request;
 use http_body_util::Full;
 use tokio::time::timeout;
 
 use super::clock::time_until;
 use super::config::EndpointsConfig;
-use super::link::{ExchangeError, Link};
+use super::link::{ExchangeError, Exchanged, Link};
 use super::slots::Slots;
 
 /// Connections of one kind to one endpoint.
@@ -51,11 +51,11 @@
         cfg: &EndpointsConfig,
         req: Request<Full<Bytes>>,
         until: Wall,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<Exchanged, ExchangeError> {
         let Some(link) = self.link(cfg, until).await? else {
             return Err(ExchangeError::NotSent("connections are used up".to_owned()));
         };
-        self.exchange(cfg, link, req, until).await
+        link.exchange(req, until, cfg.max_answer_bytes).await
     }
 
     /// Sends `req`, after waiting for a connection if all are in use.
@@ -68,10 +68,10 @@
         cfg: &EndpointsConfig,
         req: Request<Full<Bytes>>,
         until: Wall,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<Exchanged, ExchangeError> {
         loop {
             if let Some(link) = self.link(cfg, until).await? {
-                return self.exchange(cfg, link, req, until).await;
+                return link.exchange(req, until, cfg.max_answer_bytes).await;
             }
             timeout(time_until(until), self.slots.freed())
                 .await
@@ -79,6 +79,24 @@
         }
     }
 
+    /// Keeps a connection for the next request.
+    ///
+    /// Only for one whose answer has been accepted: a connection that gave an
+    /// answer to something else is closed by not being kept.
+    pub fn keep(&self, link: Option<Link>) {
+        let Some(link) = link else {
+            return;
+        };
+        if self.slots.is_over() {
+            return;
+        }
+        self.idle_links().push(IdleLink {
+            link,
+            since: Instant::now(),
+        });
+        self.slots.wake();
+    }
+
     /// Sets the most connections.
     pub fn set_limit(&self, connections: u32) {
         self.slots.set_limit(connections);
@@ -111,36 +129,11 @@
         Link::open(self.address, wait, slot).await.map(Some)
     }
 
-    async fn exchange(
-        &self,
-        cfg: &EndpointsConfig,
-        link: Link,
-        req: Request<Full<Bytes>>,
-        until: Wall,
-    ) -> Result<Response<Bytes>, ExchangeError> {
-        let done = link.exchange(req, until, cfg.max_answer_bytes).await?;
-        if let Some(link) = done.link {
-            self.keep(link);
-        }
-        Ok(done.answer)
-    }
-
     fn take_idle(&self, longest: Duration) -> Option<Link> {
         self.close_idle(longest);
         self.idle_links().pop().map(|idle| idle.link)
     }
 
-    fn keep(&self, link: Link) {
-        if self.slots.is_over() {
-            return;
-        }
-        self.idle_links().push(IdleLink {
-            link,
-            since: Instant::now(),
-        });
-        self.slots.wake();
-    }
-
     fn idle_links(&self) -> MutexGuard<'_, Vec<IdleLink>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/citronway/src/endpoints/link.rs
+++ b/crates/citronway/src/endpoints/link.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use citronway_core::time::Wall;
-use http::header::TRANSFER_ENCODING;
+use http::header::{HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -21,6 +21,7 @@
 
 /// How long a connection may take to become ready after a whole answer.
 const READY_WAIT: Duration = Duration::from_millis(50);
+const CHUNKED: &str = "chunked";
 
 /// Why an exchange brought no whole answer.
 #[derive(Debug, thiserror::Error)]
@@ -164,13 +165,21 @@
     // cut on the way looks whole. It shows as a short body under a good status.
     // The guard holds because an answer must state its length or be chunked,
     // and then hyper reports a missing rest as an error.
-    if body.size_hint().exact().is_none() && !parts.headers.contains_key(TRANSFER_ENCODING) {
+    if body.size_hint().exact().is_none() && !is_chunked(&parts.headers) {
         return Err(ExchangeError::NoLength);
     }
     let body = read_body(body, limit).await?;
     Ok(Response::from_parts(parts, body))
 }
 
+// Any other last coding means that the body ends with the connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = last.and_then(|codings| codings.to_str().ok());
+    let coding = codings.and_then(|codings| codings.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case(CHUNKED))
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ExchangeError> {
     let err = match Limited::new(body, limit).collect().await {
         Ok(body) => return Ok(body.to_bytes()),
--- a/crates/citronway/src/endpoints/mod.rs
+++ b/crates/citronway/src/endpoints/mod.rs
@@ -8,7 +8,7 @@
 mod config;
 mod control;
 mod duty;
-pub(crate) mod gate;
+pub mod gate;
 mod lane;
 pub(crate) mod link;
 mod order;
