--- a/crates/citronway/tests/common/mod.rs
+++ b/crates/citronway/tests/common/mod.rs
@@ -161,7 +161,7 @@
     }
 
     fn fill(&mut self) -> usize {
-        let mut buf = [0; 65536];
+        let mut buf = [0; 8192];
         match self.stream.read(&mut buf) {
             Ok(count) => {
                 self.buf.extend_from_slice(&buf[..count]);
