Peers: no link to an address that was replaced while being connected; fewer warnings

Cause: a review of the task that keeps an instance connected. An address replaced during the attempt would have got its link all the same, beside the right one.

--- a/crates/citronway/src/peers/remote.rs
+++ b/crates/citronway/src/peers/remote.rs
@@ -9,9 +9,9 @@
 use tokio::sync::Notify;
 
 use super::backoff::Backoff;
-use super::connect::connect;
+use super::connect::{ConnectError, connect};
 use super::context::{Context, random};
-use super::link::Link;
+use super::link::{Connected, Link};
 
 /// One other instance of the platform's list.
 #[derive(Debug)]
@@ -89,19 +89,14 @@
     let mut told_down = false;
     while remote.goes_on(&cx) {
         match connect(&cx, &remote).await {
+            // The address may have been replaced while it was being connected.
+            Ok(_) if remote.replaced.get() => break,
             Ok(connected) => {
                 backoff.reset();
                 told_down = false;
-                let session = connected.link.session.clone();
-                *remote.link.borrow_mut() = Some(Rc::clone(&connected.link));
-                cx.events.push(Event::PeerUp { session });
-                connected.run(&cx).await;
-                *remote.link.borrow_mut() = None;
-            }
-            Err(err) => {
-                let instance = remote.instance.as_str();
-                log::warn!(instance, address:% = remote.address, err:%; "cannot connect");
+                carry(&cx, &remote, connected).await;
             }
+            Err(err) => log_failure(&remote, &err, told_down),
         }
         if !told_down && !remote.replaced.get() {
             told_down = true;
@@ -117,6 +112,27 @@
     forget(&cx, &remote);
 }
 
+/// Carries a greeted link until it ends.
+async fn carry(cx: &Context, remote: &Remote, connected: Connected) {
+    let session = connected.link.session.clone();
+    *remote.link.borrow_mut() = Some(Rc::clone(&connected.link));
+    cx.events.push(Event::PeerUp { session });
+    connected.run(cx).await;
+    *remote.link.borrow_mut() = None;
+}
+
+/// Warns of the first failure in a row; an instance that is gone for long would
+/// otherwise fill the log.
+fn log_failure(remote: &Remote, err: &ConnectError, is_repeated: bool) {
+    let level = if is_repeated {
+        log::Level::Debug
+    } else {
+        log::Level::Warn
+    };
+    let instance = remote.instance.as_str();
+    log::log!(level, instance, address:% = remote.address, err:%; "cannot connect");
+}
+
 /// Takes the instance off the map, unless it was listed anew meanwhile.
 fn forget(cx: &Context, remote: &Rc<Remote>) {
     let mut remotes = cx.remotes.borrow_mut();
