--- a/crates/citronway/tests/peers/common/raw.rs
+++ b/crates/citronway/tests/peers/common/raw.rs
@@ -8,8 +8,11 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
 use citronway_core::ids::{Session, ZoneName};
+use citronway_core::outcome::Outcome;
+use citronway_core::request::Request;
 use citronway_wire::convert::{
-    read_challenge, read_greet_reply, read_hello, write_hello, write_welcome,
+    read_challenge, read_greet_reply, read_hello, read_outcome, write_hello, write_request,
+    write_welcome,
 };
 use citronway_wire::greeting::{Hello, Nonce, Refusal, SharedKey, Welcome};
 use citronway_wire::peer_capnp::{link, peer};
@@ -59,6 +62,20 @@
     Ok(link)
 }
 
+/// Sends a request at once; the future is its outcome.
+pub fn forward(link: &link::Client, request: &Request) -> impl Future<Output = Outcome> + use<> {
+    let mut req = link.forward_request();
+    let mut b = req.get();
+    b.set_endpoint("endpoint-1");
+    write_request(request, b.init_request());
+    let sent = req.send().promise;
+    async move {
+        let response = sent.await.expect("it answers");
+        let outcome = response.get().unwrap().get_outcome().unwrap();
+        read_outcome(outcome).expect("well-formed")
+    }
+}
+
 /// Listens and welcomes everybody as `me`, with the key it has.
 pub async fn listen(me: Session, key: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
--- a/crates/citronway/tests/peers/overload.rs
+++ b/crates/citronway/tests/peers/overload.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::common::raw;
 use crate::common::relay::Relay;
 use crate::common::{Instance, KEY, answer, config, connected, heartbeat, request, unless_hung};
 
@@ -213,8 +214,6 @@
 #[gtest]
 #[tokio::test]
 async fn a_malformed_message_is_refused() {
-    use crate::common::raw;
-
     let mut b = Instance::start("b", 2);
     let a = Session::new("a", 1);
     let local = tokio::task::LocalSet::new();
@@ -237,3 +236,47 @@
     expect_that!(b.handle.counters.malformed.get(), eq(1));
     expect_that!(b.wait_message().await.0, eq(&a));
 }
+
+// An entry with a bug hands on more than was agreed. The dispatcher's memory is
+// not at its mercy: what is too much is refused and has not run.
+#[gtest]
+#[tokio::test]
+async fn a_receiver_bounds_what_a_link_may_have_under_way() {
+    let me = Session::new("b", 2);
+    let mut b = Instance::with(config(&me, KEY).max_in_flight(1).build());
+    let local = tokio::task::LocalSet::new();
+    let outcomes = local.run_until(async {
+        let client = raw::connect(b.handle.local_addr).await;
+        let hello = raw::hello(&client, &Session::new("a", 1), KEY).await;
+        let link = raw::greet(&client, &hello).await.expect("it is let in");
+        let first = raw::forward(&link, &request(b"first"));
+        let second = raw::forward(&link, &request(b"second")).await;
+        let (ticket, received) = b.wait_forwarded().await;
+        assert_that!(received.body.as_ref(), eq(b"first"));
+        b.reply(ticket, answer(b"booked")).await;
+        (first.await, second)
+    });
+    let (first, second) = outcomes.await;
+    expect_that!(first, eq(&answer(b"booked")));
+    expect_that!(is_overloaded(&second), eq(true));
+}
+
+// Connections are opened and none is closed. Each takes a descriptor, and with
+// the last one the instance could not even reach its endpoints.
+#[gtest]
+#[tokio::test]
+async fn incoming_connections_are_bounded() {
+    let me = Session::new("b", 2);
+    let b = Instance::with(config(&me, KEY).max_connections(1).build());
+    let local = tokio::task::LocalSet::new();
+    let read = local.run_until(async {
+        let client = raw::connect(b.handle.local_addr).await;
+        raw::hello(&client, &Session::new("a", 1), KEY).await;
+        let mut second = TcpStream::connect(b.handle.local_addr).await.unwrap();
+        let read = unless_hung(second.read_to_end(&mut Vec::new())).await;
+        // The first one is still served.
+        raw::hello(&client, &Session::new("a", 1), KEY).await;
+        read.unwrap_or(0)
+    });
+    expect_that!(read.await, eq(0));
+}
