Replay of dispatchers' and planners' traces from the command line

Ruled out: guessing the machine from the events. Conclusion: `config`, `dispatcher` and `planner` are replayed.

--- a/crates/citronctl/src/cli.rs
+++ b/crates/citronctl/src/cli.rs
@@ -95,8 +95,13 @@
         /// File of stated outcomes; default: FILE with .expected.json for .jsonl
         #[bpaf(long, argument("FILE"), optional)]
         expected: Option<PathBuf>,
-        /// Machine, where the first line does not name it: config
-        #[bpaf(long, argument("MACHINE"), optional)]
+        /// Machine, where the first line does not name it: config, dispatcher or planner
+        #[bpaf(
+            long,
+            argument::<Machine>("MACHINE"),
+            complete(|_| words(Machine::WORDS)),
+            optional
+        )]
         machine: Option<Machine>,
         /// File of JSON lines
         #[bpaf(positional("FILE"))]
--- a/crates/citronctl/src/replay.rs
+++ b/crates/citronctl/src/replay.rs
@@ -1,12 +1,15 @@
 //! `replay`: runs recorded events again and compares with the stated outcomes.
 
+use std::convert::Infallible;
+use std::fmt::Display;
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use citronway_core::config::version;
+use citronway_core::{dispatch, placement};
 
 use crate::failure::Failure;
 use crate::words::Machine;
@@ -69,12 +72,25 @@
         let message = "the first line does not name a machine; say --machine";
         return Err(content(replay.trace, &message));
     };
-    let events = match header {
+    match machine {
+        Machine::Config => config(replay.trace, without_header(text, header.as_ref())),
+        Machine::Dispatcher => outcome(replay.trace, dispatch::replay::replay(text)),
+        Machine::Planner => outcome(replay.trace, placement::replay::replay(text)),
+    }
+}
+
+/// The lines after one that only names the machine.
+fn without_header<'a>(text: &'a str, header: Option<&Header>) -> &'a str {
+    match header {
         Some(_) => text.split_once('\n').map_or("", |(_, rest)| rest),
         None => text,
-    };
-    match machine {
-        Machine::Config => config(replay.trace, events),
+    }
+}
+
+fn outcome<T: Serialize, E: Display>(path: &Path, outcome: Result<T, E>) -> Result<Value, Failure> {
+    match outcome {
+        Ok(outcome) => serde_json::to_value(outcome).map_err(|e| content(path, &e)),
+        Err(e) => Err(content(path, &e)),
     }
 }
 
@@ -93,8 +109,7 @@
     if !bad.is_empty() {
         return Err(content(path, &bad.join("\n  ")));
     }
-    let decisions = version::replay(&events);
-    serde_json::to_value(decisions).map_err(|e| content(path, &e))
+    outcome(path, Ok::<_, Infallible>(version::replay(&events)))
 }
 
 fn expected_path(replay: &Replay<'_>) -> Option<PathBuf> {
@@ -137,7 +152,7 @@
     })
 }
 
-fn content(path: &Path, reason: &impl std::fmt::Display) -> Failure {
+fn content(path: &Path, reason: &impl Display) -> Failure {
     Failure::Content {
         path: path.to_owned(),
         reason: reason.to_string(),
--- a/crates/citronctl/src/words.rs
+++ b/crates/citronctl/src/words.rs
@@ -81,6 +81,10 @@
 pub enum Machine {
     /// Which configuration is in force.
     Config,
+    /// Dispatcher of an endpoint.
+    Dispatcher,
+    /// Planner of a service.
+    Planner,
 }
 
 /// Change of one label.
@@ -189,7 +193,11 @@
 words!(Output, "table, json", "table" => Table, "json" => Json);
 words!(Shell, "bash, zsh, fish", "bash" => Bash, "zsh" => Zsh, "fish" => Fish);
 
-words!(Machine, "config", "config" => Config);
+words!(Machine, "config, dispatcher, planner",
+    "config" => Config,
+    "dispatcher" => Dispatcher,
+    "planner" => Planner,
+);
 
 impl FromStr for LabelEdit {
     type Err = WordError;
--- a/crates/citronctl/tests/output.rs
+++ b/crates/citronctl/tests/output.rs
@@ -141,8 +141,12 @@
 }
 
 fn trace(name: &str) -> PathBuf {
+    let folder = match name.split_once('-') {
+        Some(("config", _)) => "../citronway-core/tests/traces",
+        _ => "../../tests/traces",
+    };
     Path::new(env!("CARGO_MANIFEST_DIR"))
-        .join("../citronway-core/tests/traces")
+        .join(folder)
         .join(name)
 }
 
@@ -178,6 +182,14 @@
     expect_that!(unnamed.err, contains_substring("say --machine"));
 }
 
+#[gtest]
+fn traces_of_planners_are_replayed() {
+    let events = trace("placement-two-planners.jsonl");
+    let same = replay(&[events.to_str().unwrap()]);
+    expect_that!(same.err, eq(""));
+    expect_that!(same.out, starts_with("same outcomes"));
+}
+
 #[gtest]
 fn a_trace_names_its_machine_in_the_first_line() {
     let text = std::fs::read_to_string(trace("config-two-operators.jsonl")).unwrap();
