An endpoint that owns keys is not removed in haste

Cause: an endpoint removed while it owns shards can no longer be reached by its dispatcher, so its keys wait for the end of its grants. Ruled out: a check in the API (it would refuse the only way to get rid of an endpoint that will never come back); draining on its own. Conclusion: `remove endpoint` asks first; `--force` goes on. Not proved: the check goes by what one instance knows and does not close a race.

--- a/crates/citronctl/src/cli.rs
+++ b/crates/citronctl/src/cli.rs
@@ -17,7 +17,7 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  citronctl get endpoints --server 10.0.0.5:7400
+  citronctl get endpoints --server 10.0.1.5:7002
   citronctl label endpoint lab-3 site=suva tier-
   citronctl select group console --endpoints 'app = console, zone != north'
   citronctl get config --output json > config.json
@@ -206,6 +206,9 @@
         /// With a service, remove its groups and rules too
         #[bpaf(long)]
         with_groups: bool,
+        /// Remove an endpoint although it still owns shards
+        #[bpaf(long)]
+        force: bool,
         #[bpaf(external)]
         /// How to make the change.
         condition: Condition,
--- a/crates/citronctl/src/commands.rs
+++ b/crates/citronctl/src/commands.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 
-use citronway::operators::answers::{Accepted, ConfigAnswer};
+use citronway::operators::answers::{Accepted, ConfigAnswer, EndpointsAnswer};
 use citronway_core::config::names::is_name;
 use citronway_core::config::{Change, Config};
 use citronway_core::ids::Version;
@@ -122,6 +122,29 @@
     client.send(command).await
 }
 
+/// Checks that an endpoint may be removed.
+///
+/// Failure: an endpoint is removed while it owns keys; its dispatcher can no
+/// longer reach it to take them back, and nobody serves them until its grants
+/// have ended. What the instance knows may be old, so this is a guard against
+/// haste and not against a race.
+///
+/// # Errors
+///
+/// When it owns shards, or the instance cannot be asked.
+pub async fn check_owns_nothing(client: &Client, endpoint: &str) -> Result<(), Failure> {
+    let answer: EndpointsAnswer = client.get("/admin/v1/endpoints").await?;
+    for view in &answer.endpoints {
+        if view.endpoint.as_str() == endpoint && view.shards > 0 {
+            return Err(Failure::OwnsShards {
+                endpoint: endpoint.to_owned(),
+                shards: view.shards,
+            });
+        }
+    }
+    Ok(())
+}
+
 /// Says what was accepted, and waits until it is in force if asked to.
 ///
 /// # Errors
--- a/crates/citronctl/src/failure.rs
+++ b/crates/citronctl/src/failure.rs
@@ -82,6 +82,17 @@
     /// The instance refused.
     #[error("{}", refusal_text(.0))]
     Refused(Refusal),
+    /// The endpoint to remove still owns shards.
+    #[error(
+        "endpoint {endpoint} still owns {shards} shards; nothing was changed. Drain it, wait until \
+         `citronctl get endpoints` shows none, or say --force if it will never come back"
+    )]
+    OwnsShards {
+        /// The endpoint.
+        endpoint: String,
+        /// Shards that it owns.
+        shards: usize,
+    },
     /// The instance answered something that is not understood.
     #[error("{server} gave an answer that is not understood: {reason}")]
     Answer {
@@ -119,6 +130,7 @@
             | Self::Io(_)
             | Self::Answer { .. }
             | Self::Replay(_) => codes::ERROR,
+            Self::OwnsShards { .. } => codes::REFUSED,
             Self::Unreachable { .. } => codes::UNREACHABLE,
             Self::Lost { .. } => codes::UNKNOWN,
             Self::NotInForce { .. } => codes::NOT_IN_FORCE,
--- a/crates/citronctl/src/run.rs
+++ b/crates/citronctl/src/run.rs
@@ -88,7 +88,14 @@
                 "--with-groups goes with `service` only".to_owned(),
             ));
         }
-        ChangeCommand::Remove { kind, name, .. } => vec![edits::remove(kind, &name)],
+        ChangeCommand::Remove {
+            force, kind, name, ..
+        } => {
+            if kind == Thing::Endpoint && !force {
+                commands::check_owns_nothing(client, &name).await?;
+            }
+            vec![edits::remove(kind, &name)]
+        }
         ChangeCommand::Label {
             kind, name, labels, ..
         } => edits::label(kind, &name, &labels),
--- a/crates/citronctl/tests/commands.rs
+++ b/crates/citronctl/tests/commands.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::thread;
 
 use citronctl::failure::codes;
@@ -17,7 +18,7 @@
 
 use ctl::{run, run_at};
 use support::store::Fault;
-use support::{Admin, TOKEN, sample};
+use support::{Admin, FIRST, TOKEN, sample};
 
 const LABEL: [&str; 4] = ["label", "endpoint", "console-1", "tier=gold"];
 
@@ -270,6 +271,27 @@
     expect_that!(admin.store.config(), eq(&sample()));
 }
 
+/// Keys of an endpoint are not served until its grants have ended, because it
+/// was removed while it owned them and nobody could take them back from it.
+#[gtest]
+fn an_endpoint_that_owns_keys_is_not_removed_in_haste() {
+    let admin = Admin::start(&sample());
+    let mut snapshot = support::snapshot(&sample(), FIRST);
+    snapshot.assignments.push(support::owned_by("console-1"));
+    admin.publisher.send_replace(Arc::new(snapshot));
+    let remove = ["remove", "endpoint", "console-1"];
+    let refused = run(&admin, &remove);
+    expect_that!(refused.code, eq(code(codes::REFUSED)));
+    expect_that!(refused.err, contains_substring("still owns 1 shards"));
+    expect_that!(admin.store.puts(), eq(0));
+    expect_that!(
+        run(&admin, &["remove", "endpoint", "console-2"]).code,
+        eq(0)
+    );
+    let forced = run(&admin, &[&remove[..], &["--force"]].concat());
+    expect_that!(forced.err, contains_substring("matches no endpoint"));
+}
+
 #[gtest]
 fn a_token_is_needed_and_must_be_right() {
     let admin = Admin::start(&sample());
--- a/crates/citronway/tests/support/mod.rs
+++ b/crates/citronway/tests/support/mod.rs
@@ -10,11 +10,15 @@
 use std::time::Duration;
 
 use citronway::metrics::Metrics;
-use citronway::operators::snapshot::{InstanceState, channel};
+use citronway::operators::snapshot::{InstanceState, Versioned, channel};
 use citronway::operators::{self, Patience, Publisher, Setup, Snapshot, Token};
 use citronway::settings::Secret;
 use citronway_core::config::Config;
-use citronway_core::ids::{Session, Version, ZoneName};
+use citronway_core::ids::{
+    EndpointName, Epoch, GroupName, ServiceName, Session, ShardId, Version, ZoneName,
+};
+use citronway_core::shard::{Assignment, HashRange, KeyHash, Ownership, Shard};
+use citronway_core::time::Wall;
 use tokio::sync::mpsc;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -84,6 +88,36 @@
     snapshot
 }
 
+/// An assignment of one shard.
+pub fn owned_by(owner: &str) -> Versioned<Arc<Assignment>> {
+    let group = GroupName::new("console");
+    let shard = Shard {
+        id: ShardId(1),
+        group,
+        range: HashRange {
+            first: KeyHash(0),
+            last: KeyHash(u64::MAX),
+        },
+        epoch: Epoch(1),
+        ownership: Ownership::Owned {
+            owner: EndpointName::new(owner),
+        },
+        floor: Wall(0),
+    };
+    let assignment = Assignment {
+        service: ServiceName::new("console"),
+        planner_epoch: Epoch(1),
+        next_shard: ShardId(2),
+        partition: Vec::new(),
+        shards: [(shard.id, shard)].into_iter().collect(),
+        hot: Vec::new(),
+    };
+    Versioned {
+        version: Version(4),
+        row: Arc::new(assignment),
+    }
+}
+
 /// Two services, three endpoints.
 pub fn sample() -> Config {
     serde_json::from_str(include_str!("sample.json")).unwrap()
