--- a/crates/citronway/tests/operators.rs
+++ b/crates/citronway/tests/operators.rs
@@ -158,6 +158,19 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn the_first_configuration_is_based_on_version_0() {
+    let admin = Admin::start_empty();
+    let stored = get(&admin, "/admin/v1/config/stored").send().await;
+    expect_that!(stored.read::<ConfigAnswer>().version, eq(Version(0)));
+    admin.store.fail_next(Fault::LandsAfterReads(1));
+    let first = put_config(&admin, Version(0), &sample()).await;
+    expect_that!(first.accepted().version, eq(Version(2)));
+    let second = put_config(&admin, Version(0), &labelled("gold")).await;
+    expect_that!(second.conflict().found, eq(Version(2)));
+}
+
 /// An operator is told "refused", sends another change, and later the first one
 /// lands. As long as the row has its old version, the write may still come.
 #[gtest]
--- a/crates/citronway/tests/support/mod.rs
+++ b/crates/citronway/tests/support/mod.rs
@@ -42,9 +42,18 @@
 impl Admin {
     /// Serves `config`, which stands in the store and is in force at [`FIRST`].
     pub fn start(config: &Config) -> Self {
-        let (publisher, published) = channel(snapshot(config, FIRST));
+        Self::start_at(config, FIRST)
+    }
+
+    /// Serves an instance of a platform that holds no configuration yet.
+    pub fn start_empty() -> Self {
+        Self::start_at(&Config::default(), Version(0))
+    }
+
+    fn start_at(config: &Config, version: Version) -> Self {
+        let (publisher, published) = channel(snapshot(config, version));
         let publisher = Arc::new(publisher);
-        let store = MemoryStore::new(config, FIRST, Arc::clone(&publisher));
+        let store = MemoryStore::new(config, version, Arc::clone(&publisher));
         let (tx, rx) = mpsc::channel(4);
         let serving = store.clone();
         thread::spawn(move || serving.run(rx));
--- a/crates/citronway/tests/support/store.rs
+++ b/crates/citronway/tests/support/store.rs
@@ -139,7 +139,7 @@
             Some((reads, put)) => self.late = Some((reads - 1, put)),
             None => {}
         }
-        Ok(Some(row))
+        Ok((row.version > Version(0)).then_some(row))
     }
 
     fn write_with(&mut self, put: &ConditionalPut, fault: Option<Fault>) -> WriteOutcome {
