--- a/crates/citronway-core/src/dispatch/arriving.rs
+++ b/crates/citronway-core/src/dispatch/arriving.rs
@@ -75,9 +75,18 @@
         }
     }
 
-    /// What is told to those who are refused: when there will be room.
-    pub(super) fn retry_after_ms(&self) -> u64 {
-        drain_ms(self.slots.used(), self.queue.len(), &self.limit)
+    /// When there will be room again, or when what keeps the work away may have
+    /// passed, in milliseconds.
+    pub(super) fn retry_after_ms(&self, reason: NotRunReason) -> u64 {
+        match reason {
+            NotRunReason::Draining
+            | NotRunReason::Moving
+            | NotRunReason::NoOwner
+            | NotRunReason::NotDispatcher => self.cfg.renew_ms,
+            NotRunReason::NoHold => self.cfg.hold_grace_ms,
+            NotRunReason::EndpointUnreachable => self.cfg.max_grant_ms + self.cfg.skew_ms,
+            _ => drain_ms(self.slots.used(), self.queue.len(), &self.limit),
+        }
     }
 
     fn verdict(
@@ -99,7 +108,7 @@
 
     fn admit(&self, waiting: &Waiting, turn: Turn) -> Result<(), NotRun> {
         if let Some(reason) = self.closed(&waiting.at, turn) {
-            return Err(NotRun::new(reason, self.retry_after_ms()));
+            return Err(NotRun::new(reason, self.retry_after_ms(reason)));
         }
         let request = &waiting.request;
         let arrival = Arrival {
--- a/crates/citronway-core/src/dispatch/replay.rs
+++ b/crates/citronway-core/src/dispatch/replay.rs
@@ -98,7 +98,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decided {
     /// When, on the wall clock.
-    pub at: Wall,
+    pub time: Wall,
     /// What.
     #[serde(flatten)]
     pub decision: Decision,
@@ -138,10 +138,10 @@
             continue;
         }
         let step: TraceStep = parse(number, line)?;
-        let at = step.turn.now.wall;
+        let time = step.turn.now.wall;
         for action in dispatcher.apply(step.event, step.turn) {
             let decision = Decision::from(action);
-            decided.push(Decided { at, decision });
+            decided.push(Decided { time, decision });
         }
     }
     Ok(decided)
--- a/crates/citronway-core/src/dispatch/settling.rs
+++ b/crates/citronway-core/src/dispatch/settling.rs
@@ -64,7 +64,7 @@
 
     /// Answers a request that leaves the queue without having been sent.
     pub(super) fn give_up(&mut self, waiting: &Waiting, reason: NotRunReason) {
-        let outcome = Outcome::NotRun(NotRun::new(reason, self.retry_after_ms()));
+        let outcome = Outcome::NotRun(NotRun::new(reason, self.retry_after_ms(reason)));
         let req = &waiting.request;
         self.conclude(waiting.origin, req.id, req.repeat, outcome);
     }
@@ -97,7 +97,7 @@
         let Some(order) = self.slots.free(ticket) else {
             return;
         };
-        let outcome = Outcome::NotRun(NotRun::new(reason, self.retry_after_ms()));
+        let outcome = Outcome::NotRun(NotRun::new(reason, self.retry_after_ms(reason)));
         self.settle(&order, outcome);
     }
 
