--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -216,9 +216,8 @@
             None => true,
             Some(known) => known.version < self.seen_version || known.row.epoch < self.seen_epoch,
         };
-        if behind {
-            self.read(now, out);
-        } else if self.may_be_outdated(now) && self.reads.due(now.mono, self.cfg.promise_ms) {
+        let due = || self.reads.due(now.mono, self.cfg.promise_ms);
+        if behind || (self.may_be_outdated(now) && due()) {
             self.read(now, out);
         }
     }
