--- a/crates/citronway-core/src/config/version/in_force.rs
+++ b/crates/citronway-core/src/config/version/in_force.rs
@@ -64,6 +64,12 @@
         self.current.as_ref().map(|current| current.value.as_str())
     }
 
+    /// The configuration in force, however old the last news of it is.
+    #[must_use]
+    pub fn current(&self) -> Option<&Arc<CompiledConfig>> {
+        self.current.as_ref().map(|current| &current.config)
+    }
+
     /// The configuration to serve by.
     ///
     /// # Errors
--- a/crates/citronway-core/src/dispatch/message.rs
+++ b/crates/citronway-core/src/dispatch/message.rs
@@ -211,6 +211,6 @@
             Self::IdReused | Self::IdWithoutTime => 0,
             Self::IdAhead { ahead_ms } => ahead_ms,
         };
-        Outcome::NotRun(NotRun::new(NotRunReason::Overloaded, retry_after_ms))
+        Outcome::NotRun(NotRun::new(NotRunReason::BadId, retry_after_ms))
     }
 }
--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -99,6 +99,7 @@
             requests,
             service_ms: self.limit.service_ms(),
             queued: self.queue.len() as u64,
+            draining: self.is_draining(),
             hot,
             shards,
         }
--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -101,12 +101,8 @@
         if self.is_leaving(now) {
             return Err(NotRunReason::ShuttingDown);
         }
-        let config = self.view.config().ok_or(NotRunReason::StaleConfig)?;
-        if !self.view.fresh(now.mono, self.settings.stale_after_ms) {
-            return Err(NotRunReason::StaleConfig);
-        }
+        let config = self.view.servable(now.mono)?;
         let class = config
-            .value
             .route(&req.service, &req.labels, &req.key)?
             .class
             .clone();
--- a/crates/citronway-core/src/node/events.rs
+++ b/crates/citronway-core/src/node/events.rs
@@ -106,6 +106,8 @@
         table: String,
         /// All its rows.
         rows: Vec<Row>,
+        /// When it was asked for.
+        asked: Now,
     },
     /// One row read from the store, or `None` if it does not exist.
     RowRead {
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -14,12 +14,14 @@
 //! | `planners` | the planner of each service |
 //! | `status` | what operators are shown |
 //! | `store` | reads and writes of the platform's tables |
+//! | `probes` | whether successors reach an endpoint |
 //! | `tickets` | which answer is for what |
 
 mod entry;
 pub mod events;
 mod members;
 mod planners;
+mod probes;
 mod seats;
 mod settings;
 mod shards;
@@ -32,8 +34,10 @@
 pub use members::Member;
 pub use settings::{NodeSettings, SendPolicy};
 pub use status::{DispatcherStatus, SeatRole, SeatStatus};
+pub use store::RefusedConfig;
 pub use view::{CONFIG_KEY, CONFIG_TABLE, Indexed, Versioned, View};
 
+use crate::config::version::ConfigEvent;
 use crate::hold::HoldEvent;
 use crate::ids::{Session, ZoneName};
 use crate::peer::{Heartbeat, PeerMessage};
@@ -60,6 +64,8 @@
     polled: Option<Mono>,
     greeted: Option<Mono>,
     reported: Option<Mono>,
+    /// A stored configuration that could not be used.
+    refused: Option<RefusedConfig>,
     /// When the process was asked to stop.
     stopped: Option<Mono>,
 }
@@ -78,6 +84,7 @@
             polled: None,
             greeted: None,
             reported: None,
+            refused: None,
             stopped: None,
             me,
             settings,
@@ -93,7 +100,7 @@
     /// Whether the balancer may send callers here.
     #[must_use]
     pub fn ready(&self, now: Now) -> bool {
-        self.stopped.is_none() && self.view.fresh(now.mono, self.settings.stale_after_ms)
+        self.stopped.is_none() && self.view.servable(now.mono).is_ok()
     }
 
     /// Takes one event and returns what is to be done, in order.
@@ -128,7 +135,9 @@
                 self.bury(&gone, now, &mut out);
             }
             Event::PeerDown { instance } => self.members.down(&instance),
-            Event::RowsRead { table, rows } => self.table_read(&table, rows, now, &mut out),
+            Event::RowsRead { table, rows, asked } => {
+                self.table_read(&table, rows, asked.mono, now, &mut out);
+            }
             Event::RowRead { ticket, row } => self.row_read(ticket, row, now, &mut out),
             Event::ReadFailed { ticket } => self.read_failed(ticket, now, &mut out),
             Event::WriteDone { ticket, outcome } => {
@@ -144,12 +153,14 @@
     }
 
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
+        self.config_event(&ConfigEvent::Tick, now, out);
         self.poll_store(now, out);
         self.send_heartbeat(now, out);
         if self.is_leaving(now) && self.entry_is_done(now) {
             self.leave_seats(now, out);
         }
         self.tick_seats(now, out);
+        self.ask_successors(now, out);
         self.tick_planners(now, out);
         self.tick_entry(now, out);
         self.send_loads(now, out);
@@ -200,13 +211,11 @@
         match message {
             PeerMessage::Heartbeat(beat) => {
                 self.members.heartbeat(from, &beat, now.mono);
-                self.view.heard_peer(now.mono);
-                if beat.config > self.view.config_version() {
-                    // Fetched at once instead of with the next poll.
-                    out.push(Action::ReadTable {
-                        table: CONFIG_TABLE.to_owned(),
-                    });
-                }
+                let event = ConfigEvent::Heartbeat {
+                    peer: from.instance.clone(),
+                    version: beat.config,
+                };
+                self.config_event(&event, now, out);
                 if !beat.leaving {
                     let heard = PlannerEvent::Heard {
                         session: from.clone(),
@@ -216,7 +225,7 @@
             }
             PeerMessage::Rows { rows } => {
                 for row in rows {
-                    self.learn(&row, now, out);
+                    self.peer_row(from, row, now, out);
                 }
             }
             PeerMessage::Hold { endpoint, message } => {
@@ -225,6 +234,10 @@
             PeerMessage::EndpointLost(_) | PeerMessage::ShardReleased(_) | PeerMessage::Load(_) => {
                 self.report(message, now, out);
             }
+            PeerMessage::Probe { endpoint } => self.asked_to_probe(from, &endpoint, out),
+            PeerMessage::Probed { endpoint, reached } => {
+                self.seats.probed(&endpoint, reached, now.mono);
+            }
         }
     }
 
--- a/crates/citronway-core/src/node/planners.rs
+++ b/crates/citronway-core/src/node/planners.rs
@@ -3,8 +3,8 @@
 use indexmap::IndexMap;
 
 use crate::config::CompiledConfig;
-use crate::ids::{ServiceName, Session};
-use crate::peer::PeerMessage;
+use crate::ids::{EndpointName, ServiceName, Session};
+use crate::peer::{EndpointLoad, PeerMessage};
 use crate::placement::{
     Member, MemberState, Planner, PlannerAction, PlannerEvent, Wanted, WantedGroup,
 };
@@ -18,10 +18,15 @@
 /// Time between two looks at what is wanted, in milliseconds.
 const WANTED_EVERY_MS: u64 = 100;
 
+/// How long a report that an endpoint is leaving is gone by, in milliseconds.
+const DRAINING_HOLDS_MS: u64 = 5_000;
+
 /// Planners of this instance.
 #[derive(Debug, Default)]
 pub(super) struct Planners {
     by_service: IndexMap<ServiceName, Seated>,
+    /// Endpoints whose dispatcher last reported that they are leaving.
+    draining: IndexMap<EndpointName, Mono>,
     looked: Option<Mono>,
 }
 
@@ -36,6 +41,20 @@
         self.by_service.keys().cloned().collect()
     }
 
+    /// An endpoint leaves by its own word, which only its dispatcher hears.
+    fn note_draining(&mut self, load: &EndpointLoad, now: Mono) {
+        if load.draining {
+            self.draining.insert(load.endpoint.clone(), now);
+        } else {
+            self.draining.shift_remove(&load.endpoint);
+        }
+    }
+
+    fn is_draining(&self, endpoint: &EndpointName, now: Mono) -> bool {
+        let reported = self.draining.get(endpoint);
+        reported.is_some_and(|at| now.since(*at) < DRAINING_HOLDS_MS)
+    }
+
     /// The planner of a service.
     pub(super) fn get(&self, service: &ServiceName) -> Option<&Planner> {
         self.by_service.get(service).map(|seated| &seated.planner)
@@ -66,12 +85,12 @@
             .members
             .candidates(false, self.settings.silent_after_ms, now.mono);
         let mut all = Vec::new();
-        for service in config.value.config().services.keys() {
+        for service in config.config().services.keys() {
             all.push(Wanted {
                 service: service.clone(),
-                config: config.version,
-                groups: wanted_groups(&config.value, service),
-                weights: config.value.config().services[service].weights,
+                config: self.view.config_version(),
+                groups: self.wanted_groups(config, service, now.mono),
+                weights: config.config().services[service].weights,
                 candidates: candidates.clone(),
             });
         }
@@ -222,9 +241,14 @@
                 self.tell_planners(&PlannerEvent::Lost { report }, now, out);
             }
             PeerMessage::Load(report) => {
+                self.planners.note_draining(&report, now.mono);
                 self.tell_planners(&PlannerEvent::Load { report }, now, out);
             }
-            PeerMessage::Heartbeat(_) | PeerMessage::Rows { .. } | PeerMessage::Hold { .. } => {}
+            PeerMessage::Heartbeat(_)
+            | PeerMessage::Rows { .. }
+            | PeerMessage::Hold { .. }
+            | PeerMessage::Probe { .. }
+            | PeerMessage::Probed { .. } => {}
         }
     }
 
@@ -247,33 +271,43 @@
     }
 }
 
-fn wanted_groups(config: &CompiledConfig, service: &ServiceName) -> Vec<WantedGroup> {
-    let shards = config.config().services[service].shards;
-    let mut groups = Vec::new();
-    for (name, group) in &config.config().groups {
-        if group.service != *service {
-            continue;
-        }
-        let mut members = Vec::new();
-        for endpoint in config.members(name) {
-            let known = &config.config().endpoints[endpoint];
-            members.push(Member {
-                endpoint: endpoint.clone(),
-                zone: known.zone.clone(),
-                slots: known.slots,
-                state: if known.drain {
-                    MemberState::Draining
-                } else {
-                    MemberState::Live
-                },
+impl Node {
+    fn wanted_groups(
+        &self,
+        config: &CompiledConfig,
+        service: &ServiceName,
+        now: Mono,
+    ) -> Vec<WantedGroup> {
+        let shards = config.config().services[service].shards;
+        let mut groups = Vec::new();
+        for (name, group) in &config.config().groups {
+            if group.service != *service {
+                continue;
+            }
+            let mut members = Vec::new();
+            for endpoint in config.members(name) {
+                let known = &config.config().endpoints[endpoint];
+                members.push(Member {
+                    endpoint: endpoint.clone(),
+                    zone: known.zone.clone(),
+                    slots: known.slots,
+                    state: self.member_state(endpoint, known.drain, now),
+                });
+            }
+            groups.push(WantedGroup {
+                group: name.clone(),
+                keys: group.keys.clone(),
+                shards,
+                members,
             });
         }
-        groups.push(WantedGroup {
-            group: name.clone(),
-            keys: group.keys.clone(),
-            shards,
-            members,
-        });
+        groups
+    }
+
+    fn member_state(&self, endpoint: &EndpointName, drain: bool, now: Mono) -> MemberState {
+        if drain || self.planners.is_draining(endpoint, now) {
+            return MemberState::Draining;
+        }
+        MemberState::Live
     }
-    groups
 }
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -11,10 +11,11 @@
 use crate::peer::{EndpointLost, HoldMessage, KnownRequest, PeerMessage, ShardReleased};
 use crate::platform::{ConditionalPut, Row, RowKey, WriteOutcome};
 use crate::shard::DispatchRow;
-use crate::time::{Now, Wall};
+use crate::time::{Mono, Now, Wall};
 
 use super::Node;
-use super::events::{Action, Event};
+use super::events::{Action, Event, ProbeReport, Ticket};
+use super::probes::Probes;
 use super::settings::SendPolicy;
 use super::store::{ReadResult, at};
 use super::tickets::{Origin, Purpose};
@@ -27,6 +28,7 @@
     pub(super) active: Option<Active>,
     /// Dispatchers that have given up the role and wait for what is in flight.
     pub(super) retired: Vec<Active>,
+    pub(super) probes: Probes,
     /// The role was handed over because this instance leaves.
     handed_over: bool,
 }
@@ -52,6 +54,7 @@
             hold,
             active: None,
             retired: Vec::new(),
+            probes: Probes::default(),
             handed_over: false,
         }
     }
@@ -69,9 +72,9 @@
         self.active.is_some() || !self.retired.is_empty()
     }
 
-    fn reach(&self) -> Reach {
+    fn reach(&self, now: Mono) -> Reach {
         let Some(active) = &self.active else {
-            return Reach::Unknown;
+            return self.probes.own_reach(now);
         };
         match active.dispatcher.reach() {
             crate::dispatch::health::Reach::Unreachable => Reach::Lost,
@@ -114,7 +117,7 @@
         let Some(config) = self.view.config() else {
             return;
         };
-        let configured = config.value.config().endpoints.clone();
+        let configured = config.config().endpoints.clone();
         for (name, endpoint) in configured {
             if !self.seats.by_endpoint.contains_key(&name) {
                 let hold = Hold::new(self.me.clone(), name.clone(), self.settings.hold.clone());
@@ -153,7 +156,7 @@
     pub(super) fn tick_seats(&mut self, now: Now, out: &mut Vec<Action>) {
         for name in self.seats.endpoints() {
             let candidates = self.ranked(&name, now);
-            let reach = self.seats.by_endpoint[&name].reach();
+            let reach = self.seats.by_endpoint[&name].reach(now.mono);
             self.tell_hold(&name, &HoldEvent::Tick { candidates, reach }, now, out);
             self.tell_dispatcher(&name, DispatchEvent::Tick, now, out);
             self.tick_retired(&name, now, out);
@@ -349,11 +352,11 @@
         let Some(config) = self.view.config() else {
             return;
         };
-        let Some(endpoint) = config.value.config().endpoints.get(name) else {
+        let Some(endpoint) = config.config().endpoints.get(name) else {
             return;
         };
         let dispatcher = Dispatcher::builder(name, endpoint)
-            .classes(&config.value.config().classes)
+            .classes(&config.config().classes)
             .settings(self.settings.dispatch.clone())
             .role(epoch, &self.me)
             .floor(floor)
@@ -391,7 +394,7 @@
             return;
         };
         let dispatcher = Dispatcher::builder(name, &endpoint)
-            .classes(&config.value.config().classes)
+            .classes(&config.config().classes)
             .settings(self.settings.dispatch.clone())
             .role(Epoch(0), &self.me)
             .start(now);
@@ -491,6 +494,9 @@
                 self.send_to_planner(&at.service, PeerMessage::ShardReleased(report), now, out);
             }
             DispatchAction::EndpointLost { quiet } => {
+                if self.offer_role(name, now, out) {
+                    return;
+                }
                 let report = EndpointLost {
                     endpoint: name.clone(),
                     dispatch_epoch: epoch,
@@ -627,15 +633,7 @@
                 }
             }
             Event::GrantDone { ticket, report, .. } => {
-                if let Some(Purpose::Endpoint {
-                    endpoint,
-                    epoch,
-                    ticket,
-                }) = self.tickets.take(ticket)
-                {
-                    let event = DispatchEvent::GrantDone { ticket, report };
-                    self.tell_epoch(&endpoint, epoch, event, now, out);
-                }
+                self.grant_done(ticket, report, now, out);
             }
             Event::CancelDone {
                 endpoint,
@@ -652,6 +650,23 @@
         }
     }
 
+    fn grant_done(&mut self, ticket: Ticket, report: ProbeReport, now: Now, out: &mut Vec<Action>) {
+        match self.tickets.take(ticket) {
+            Some(Purpose::Endpoint {
+                endpoint,
+                epoch,
+                ticket,
+            }) => {
+                let event = DispatchEvent::GrantDone { ticket, report };
+                self.tell_epoch(&endpoint, epoch, event, now, out);
+            }
+            Some(Purpose::Probe { endpoint, asked_by }) => {
+                self.probe_done(endpoint, asked_by, &report, now, out);
+            }
+            _ => {}
+        }
+    }
+
     fn epochs_of(&self, endpoint: &EndpointName) -> Vec<Epoch> {
         let Some(seat) = self.seats.by_endpoint.get(endpoint) else {
             return Vec::new();
@@ -665,7 +680,7 @@
 
     pub(super) fn dispatched(
         &mut self,
-        origin: super::events::Ticket,
+        origin: Ticket,
         outcome: crate::outcome::Outcome,
         now: Now,
         out: &mut Vec<Action>,
--- a/crates/citronway-core/src/node/settings.rs
+++ b/crates/citronway-core/src/node/settings.rs
@@ -30,8 +30,6 @@
     pub poll_ms: u64,
     /// Time between two heartbeats to the other instances.
     pub heartbeat_ms: u64,
-    /// Without word from the store or a peer for this long, nothing is served.
-    pub stale_after_ms: u64,
     /// An instance that was not heard of for this long gets no new role.
     pub silent_after_ms: u64,
     /// Time between two load reports to planners.
@@ -60,7 +58,6 @@
         Self {
             poll_ms: 500,
             heartbeat_ms: 250,
-            stale_after_ms: 5_000,
             silent_after_ms: 1_000,
             load_every_ms: 1_000,
             reroute_for_ms: 2_500,
--- a/crates/citronway-core/src/node/status.rs
+++ b/crates/citronway-core/src/node/status.rs
@@ -10,6 +10,7 @@
 
 use super::members::Member;
 use super::seats::Seat;
+use super::store::RefusedConfig;
 use super::{Node, View};
 
 /// Part of this session in the dispatch row of an endpoint.
@@ -90,6 +91,12 @@
         self.members.my_zone()
     }
 
+    /// The newest stored configuration that could not be put in force.
+    #[must_use]
+    pub const fn refused_config(&self) -> Option<&RefusedConfig> {
+        self.refused.as_ref()
+    }
+
     /// Callers' requests that have no outcome yet.
     #[must_use]
     pub fn pending(&self) -> usize {
@@ -114,7 +121,7 @@
     seat: &Seat,
 ) -> Option<DispatcherStatus> {
     let dispatcher = &seat.active.as_ref()?.dispatcher;
-    let known = view.config()?.value.config().endpoints.get(endpoint)?;
+    let known = view.config()?.config().endpoints.get(endpoint)?;
     Some(DispatcherStatus {
         reach: dispatcher.reach(),
         draining: dispatcher.draining(),
--- a/crates/citronway-core/src/node/store.rs
+++ b/crates/citronway-core/src/node/store.rs
@@ -1,15 +1,19 @@
 //! Reads and writes of the platform's tables, and rows that peers tell.
 
+use crate::config::version::{ConfigAction, ConfigEvent};
+use crate::ids::{InstanceName, Session, Version};
 use crate::peer::PeerMessage;
 use crate::placement::PlannerEvent;
 use crate::platform::{Row, RowKey, WriteOutcome};
-use crate::time::Now;
+use crate::time::{Mono, Now};
 
 use super::Node;
 use super::events::{Action, Ticket};
 use super::is_due;
 use super::tickets::Purpose;
-use super::view::{ASSIGNMENT_TABLE, CONFIG_TABLE, DISPATCH_TABLE, Learnt, PLANNER_TABLE};
+use super::view::{
+    ASSIGNMENT_TABLE, CONFIG_KEY, CONFIG_TABLE, DISPATCH_TABLE, Learnt, PLANNER_TABLE,
+};
 
 /// Tables that every instance follows.
 const FOLLOWED: [&str; 4] = [
@@ -46,10 +50,15 @@
         &mut self,
         table: &str,
         rows: Vec<Row>,
+        asked: Mono,
         now: Now,
         out: &mut Vec<Action>,
     ) {
         self.view.heard_store(now.mono);
+        if table == CONFIG_TABLE {
+            self.config_event(&stored_config(&rows, asked), now, out);
+            return;
+        }
         for row in &rows {
             self.learn(row, now, out);
         }
@@ -60,11 +69,55 @@
         self.tell_planners(&event, now, out);
     }
 
+    /// Takes over a row that a peer told.
+    pub(super) fn peer_row(&mut self, from: &Session, row: Row, now: Now, out: &mut Vec<Action>) {
+        if row.at.table != CONFIG_TABLE {
+            self.learn(&row, now, out);
+            return;
+        }
+        let event = ConfigEvent::PeerRow {
+            peer: from.instance.clone(),
+            version: row.version,
+            value: row.value,
+        };
+        self.config_event(&event, now, out);
+    }
+
+    /// Feeds the machine that keeps the configuration in force.
+    pub(super) fn config_event(&mut self, event: &ConfigEvent, now: Now, out: &mut Vec<Action>) {
+        for action in self.view.config_event(event, now.mono) {
+            match action {
+                ConfigAction::Fetch { .. } => {
+                    out.push(Action::ReadTable {
+                        table: CONFIG_TABLE.to_owned(),
+                    });
+                }
+                ConfigAction::Offer { peer } => self.offer_config(&peer, out),
+                ConfigAction::Applied { .. } => self.seat_all(now, out),
+                ConfigAction::Refused { version, findings } => {
+                    self.refused = Some(RefusedConfig { version, findings });
+                }
+            }
+        }
+    }
+
+    /// Sends the configuration to a peer that is behind.
+    fn offer_config(&self, peer: &InstanceName, out: &mut Vec<Action>) {
+        let member = self.members.known().get(peer);
+        let (Some(member), Some(row)) = (member, self.view.config_row()) else {
+            return;
+        };
+        let message = PeerMessage::Rows { rows: vec![row] };
+        out.push(Action::Send {
+            to: member.session.clone(),
+            message,
+        });
+    }
+
     /// Takes over a row, whoever told it, and passes it on within the instance.
     pub(super) fn learn(&mut self, row: &Row, now: Now, out: &mut Vec<Action>) {
         match self.view.learn(row) {
             Learnt::Nothing => return,
-            Learnt::Config => self.seat_all(now, out),
             Learnt::Assignment(_) => self.give_all_shards(now, out),
             Learnt::Dispatch(endpoint) => self.row_to_hold(&endpoint, now, out),
         }
@@ -138,6 +191,27 @@
     }
 }
 
+/// A stored configuration that cannot be put in force here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RefusedConfig {
+    /// Its version.
+    pub version: Version,
+    /// Everything that is wrong with it, one finding a line.
+    pub findings: String,
+}
+
+/// What a read of the configuration's table says.
+fn stored_config(rows: &[Row], asked: Mono) -> ConfigEvent {
+    match rows.iter().find(|row| row.at.key == CONFIG_KEY) {
+        None => ConfigEvent::StoreEmpty { asked },
+        Some(row) => ConfigEvent::StoreRead {
+            asked,
+            version: row.version,
+            value: row.value.clone(),
+        },
+    }
+}
+
 /// Name of a row.
 pub(super) fn at(table: &str, key: &str) -> RowKey {
     RowKey {
--- a/crates/citronway-core/src/node/tickets.rs
+++ b/crates/citronway-core/src/node/tickets.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use crate::ids::{EndpointName, Epoch, ServiceName};
+use crate::ids::{EndpointName, Epoch, ServiceName, Session};
 
 use super::events::Ticket;
 
@@ -28,6 +28,11 @@
         epoch: Epoch,
         ticket: Ticket,
     },
+    /// A probe that a dispatcher elsewhere asked for.
+    Probe {
+        endpoint: EndpointName,
+        asked_by: Session,
+    },
     /// A read of a hold.
     HoldRead { endpoint: EndpointName, read: u64 },
     /// A write of a hold.
--- a/crates/citronway-core/src/node/view.rs
+++ b/crates/citronway-core/src/node/view.rs
@@ -9,10 +9,12 @@
 use indexmap::IndexMap;
 use serde::de::DeserializeOwned;
 
-use crate::config::{CompiledConfig, CompiledPartition, Config};
+use crate::config::version::{ConfigAction, ConfigEvent, InForce};
+use crate::config::{CompiledConfig, CompiledPartition};
 use crate::ids::{EndpointName, Key, ServiceName, Version};
+use crate::outcome::NotRunReason;
 use crate::placement::lookup::Lookup;
-use crate::platform::Row;
+use crate::platform::{Row, RowKey};
 use crate::shard::{Assignment, DispatchRow, KeyHash, Ownership, Shard};
 use crate::time::Mono;
 
@@ -46,8 +48,6 @@
 pub enum Learnt {
     /// Nothing: it was known, or is of no concern, or cannot be used.
     Nothing,
-    /// The configuration.
-    Config,
     /// The assignment of a service.
     Assignment(ServiceName),
     /// The dispatch row of an endpoint.
@@ -57,27 +57,24 @@
 /// Configuration, assignments and dispatch rows as this instance knows them.
 #[derive(Debug, Default)]
 pub struct View {
-    config: Option<Versioned<CompiledConfig>>,
+    in_force: InForce,
     assignments: IndexMap<ServiceName, Versioned<Indexed>>,
     dispatch: IndexMap<EndpointName, Versioned<DispatchRow>>,
     heard_store: Option<Mono>,
-    heard_any: Option<Mono>,
     unusable: u64,
 }
 
 impl View {
     /// Configuration in force at this instance.
     #[must_use]
-    pub const fn config(&self) -> Option<&Versioned<CompiledConfig>> {
-        self.config.as_ref()
+    pub fn config(&self) -> Option<&Arc<CompiledConfig>> {
+        self.in_force.current()
     }
 
     /// Version of the configuration in force, 0 for none.
     #[must_use]
     pub fn config_version(&self) -> Version {
-        self.config
-            .as_ref()
-            .map_or(Version(0), |config| config.version)
+        self.in_force.version()
     }
 
     /// Assignments by service.
@@ -98,17 +95,28 @@
         self.unusable
     }
 
-    /// Whether a configuration is known and somebody was heard of recently enough.
+    /// The configuration to serve by, if it is known to be new enough.
     ///
-    /// Failure guarded against: an instance cut off from everybody goes by a
-    /// configuration that has long changed, and sends callers to where they must
-    /// not go any more. It cannot know, so it serves nobody until it hears again.
+    /// # Errors
+    ///
+    /// `StaleConfig`; see [`InForce::config`].
+    pub fn servable(&self, now: Mono) -> Result<&Arc<CompiledConfig>, NotRunReason> {
+        self.in_force.config(now)
+    }
+
+    /// Content of the configuration's row, to offer it to peers.
     #[must_use]
-    pub fn fresh(&self, now: Mono, stale_after_ms: u64) -> bool {
-        self.config.is_some()
-            && self
-                .heard_any
-                .is_some_and(|at| now.since(at) <= stale_after_ms)
+    pub fn config_row(&self) -> Option<Row> {
+        let at = RowKey {
+            table: CONFIG_TABLE.to_owned(),
+            key: CONFIG_KEY.to_owned(),
+        };
+        let value = self.in_force.value()?.to_owned();
+        Some(Row {
+            at,
+            version: self.in_force.version(),
+            value,
+        })
     }
 
     /// Milliseconds since the store last answered, `u64::MAX` for never.
@@ -117,41 +125,24 @@
         self.heard_store.map_or(u64::MAX, |at| now.since(at))
     }
 
-    pub(super) fn heard_peer(&mut self, now: Mono) {
-        self.heard_any = Some(now);
+    pub(super) const fn heard_store(&mut self, now: Mono) {
+        self.heard_store = Some(now);
     }
 
-    pub(super) fn heard_store(&mut self, now: Mono) {
-        self.heard_store = Some(now);
-        self.heard_any = Some(now);
+    /// Passes on what is learnt of the configuration.
+    pub(super) fn config_event(&mut self, event: &ConfigEvent, now: Mono) -> Vec<ConfigAction> {
+        self.in_force.apply(event, now)
     }
 
-    /// Takes over a row that the store or a peer told.
+    /// Takes over an assignment or dispatch row that the store or a peer told.
     pub(super) fn learn(&mut self, row: &Row) -> Learnt {
         match row.at.table.as_str() {
-            CONFIG_TABLE => self.learn_config(row),
             ASSIGNMENT_TABLE => self.learn_assignment(row),
             DISPATCH_TABLE => self.learn_dispatch(row),
             _ => Learnt::Nothing,
         }
     }
 
-    fn learn_config(&mut self, row: &Row) -> Learnt {
-        if row.version <= self.config_version() {
-            return Learnt::Nothing;
-        }
-        let compiled = parse::<Config>(row).and_then(|config| CompiledConfig::new(config).ok());
-        let Some(value) = compiled else {
-            self.unusable += 1;
-            return Learnt::Nothing;
-        };
-        self.config = Some(Versioned {
-            version: row.version,
-            value,
-        });
-        Learnt::Config
-    }
-
     fn learn_assignment(&mut self, row: &Row) -> Learnt {
         let service = ServiceName::new(&row.at.key);
         let known = self.assignments.get(&service);
--- a/crates/citronway-core/src/outcome.rs
+++ b/crates/citronway-core/src/outcome.rs
@@ -78,6 +78,9 @@
     Cancelled,
     /// A limit of this instance was reached.
     Overloaded,
+    /// Its id cannot be used: it was used for other work, or does not hold a
+    /// time of creation near the present.
+    BadId,
 }
 
 /// A request of which it is not known whether it ran.
--- a/crates/citronway-core/src/peer.rs
+++ b/crates/citronway-core/src/peer.rs
@@ -30,6 +30,18 @@
     ShardReleased(ShardReleased),
     /// Load of an endpoint, for the planner.
     Load(EndpointLoad),
+    /// An endpoint does not answer its dispatcher; the successor shall try it.
+    Probe {
+        /// The endpoint.
+        endpoint: EndpointName,
+    },
+    /// Whether a successor reaches the endpoint that it was asked to try.
+    Probed {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// It answered.
+        reached: bool,
+    },
 }
 
 /// Sign of life.
@@ -136,6 +148,8 @@
     pub service_ms: u64,
     /// Requests waiting.
     pub queued: u64,
+    /// It takes no new work, by its own word or the operator's.
+    pub draining: bool,
     /// Hottest keys by hash with requests since the last report.
     pub hot: Vec<HotKey>,
     /// Requests per shard since the last report.
--- a/crates/citronway-core/src/retry.rs
+++ b/crates/citronway-core/src/retry.rs
@@ -120,6 +120,7 @@
         | NotRunReason::EndpointShed
         | NotRunReason::HotKeyLimited
         | NotRunReason::Cancelled
+        | NotRunReason::BadId
         | NotRunReason::Overloaded => false,
     }
 }
--- a/crates/citronway-core/tests/placement_random.rs
+++ b/crates/citronway-core/tests/placement_random.rs
@@ -317,6 +317,7 @@
         queued: 0,
         hot: Vec::new(),
         shards: Vec::new(),
+        draining: false,
     }
 }
 
--- a/crates/citronway-core/tests/placement_return.rs
+++ b/crates/citronway-core/tests/placement_return.rs
@@ -22,6 +22,7 @@
         queued: 0,
         hot: Vec::new(),
         shards: Vec::new(),
+        draining: false,
     };
     planner.event(PlannerEvent::Load { report }, now(ms));
 }
--- a/crates/citronway-wire/schema/peer.capnp
+++ b/crates/citronway-wire/schema/peer.capnp
@@ -127,6 +127,7 @@
   shuttingDown @16;
   cancelled @17;
   overloaded @18;
+  badId @19;
 }
 
 struct MayHaveRun {
@@ -151,6 +152,8 @@
     endpointLost @3 :EndpointLost;
     shardReleased @4 :ShardReleased;
     load @5 :EndpointLoad;
+    probe @6 :EndpointProbe;
+    probed @7 :EndpointProbed;
   }
 }
 
@@ -218,6 +221,15 @@
   quiet @2 :Bool;
 }
 
+struct EndpointProbe {
+  endpoint @0 :Text;
+}
+
+struct EndpointProbed {
+  endpoint @0 :Text;
+  reached @1 :Bool;
+}
+
 struct ShardReleased {
   service @0 :Text;
   shard @1 :UInt64;
@@ -233,6 +245,7 @@
   queued @3 :UInt64;
   hot @4 :List(HotKey);
   shards @5 :List(ShardLoad);
+  draining @6 :Bool;
 }
 
 struct HotKey {
--- a/crates/citronway-wire/src/convert/load.rs
+++ b/crates/citronway-wire/src/convert/load.rs
@@ -27,6 +27,7 @@
         requests: r.get_requests(),
         service_ms: r.get_service_ms(),
         queued: r.get_queued(),
+        draining: r.get_draining(),
         hot: read_hot(r)?,
         shards: read_shards(r)?,
     })
@@ -38,6 +39,7 @@
     b.set_requests(load.requests);
     b.set_service_ms(load.service_ms);
     b.set_queued(load.queued);
+    b.set_draining(load.draining);
     let mut hot = b.reborrow().init_hot(list_len(&load.hot));
     for (i, key) in (0..).zip(&load.hot) {
         let mut b = hot.reborrow().get(i);
--- a/crates/citronway-wire/src/convert/message.rs
+++ b/crates/citronway-wire/src/convert/message.rs
@@ -21,6 +21,10 @@
 const LOST: Field = Field::new("message.endpointLost", 0);
 const RELEASED: Field = Field::new("message.shardReleased", 0);
 const LOAD: Field = Field::new("message.load", 0);
+const PROBE: Field = Field::new("message.probe", 0);
+const PROBE_ENDPOINT: Field = Field::new("probe.endpoint", MAX_NAME_BYTES);
+const PROBED: Field = Field::new("message.probed", 0);
+const PROBED_ENDPOINT: Field = Field::new("probed.endpoint", MAX_NAME_BYTES);
 const ROW_TABLE: Field = Field::new("row.table", MAX_NAME_BYTES);
 const ROW_KEY: Field = Field::new("row.key", MAX_KEY_BYTES);
 const ROW_VALUE: Field = Field::new("row.value", MAX_ROW_BYTES);
@@ -119,6 +123,22 @@
         peer_message::Which::Load(got) => {
             PeerMessage::Load(read_load(LOAD.pointer(r.has_load(), got)?)?)
         }
+        peer_message::Which::Probe(got) => {
+            let r = PROBE.pointer(r.has_probe(), got)?;
+            let endpoint = PROBE_ENDPOINT.text(r.has_endpoint(), r.get_endpoint())?;
+            PeerMessage::Probe {
+                endpoint: EndpointName::new(endpoint),
+            }
+        }
+        peer_message::Which::Probed(got) => {
+            let r = PROBED.pointer(r.has_probed(), got)?;
+            let endpoint = PROBED_ENDPOINT.text(r.has_endpoint(), r.get_endpoint())?;
+            let reached = r.get_reached();
+            PeerMessage::Probed {
+                endpoint: EndpointName::new(endpoint),
+                reached,
+            }
+        }
     };
     Ok(message)
 }
@@ -137,6 +157,14 @@
         PeerMessage::EndpointLost(lost) => write_lost(lost, b.init_endpoint_lost()),
         PeerMessage::ShardReleased(released) => write_released(released, b.init_shard_released()),
         PeerMessage::Load(load) => write_load(load, b.init_load()),
+        PeerMessage::Probe { endpoint } => {
+            b.init_probe().set_endpoint(endpoint.as_str());
+        }
+        PeerMessage::Probed { endpoint, reached } => {
+            let mut b = b.init_probed();
+            b.set_endpoint(endpoint.as_str());
+            b.set_reached(*reached);
+        }
     }
 }
 
--- a/crates/citronway-wire/src/convert/outcome.rs
+++ b/crates/citronway-wire/src/convert/outcome.rs
@@ -135,6 +135,7 @@
         ShuttingDown,
         Cancelled,
         Overloaded,
+        BadId,
     ]
 );
 
--- a/crates/citronway-wire/src/peer_capnp.rs
+++ b/crates/citronway-wire/src/peer_capnp.rs
@@ -4882,6 +4882,7 @@
     ShuttingDown = 16,
     Cancelled = 17,
     Overloaded = 18,
+    BadId = 19,
 }
 
 impl ::capnp::introspect::Introspect for NotRunReason {
@@ -4913,6 +4914,7 @@
             16 => ::core::result::Result::Ok(Self::ShuttingDown),
             17 => ::core::result::Result::Ok(Self::Cancelled),
             18 => ::core::result::Result::Ok(Self::Overloaded),
+            19 => ::core::result::Result::Ok(Self::BadId),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -4925,7 +4927,7 @@
     const TYPE_ID: u64 = 0x883d_4ef1_d6eb_a38bu64;
 }
 mod not_run_reason {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(139, 163, 235, 214, 241, 78, 61, 136),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -4935,70 +4937,73 @@
     ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 207, 1, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 231, 1, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 78, 111, 116, 82, 117),
     ::capnp::word(110, 82, 101, 97, 115, 111, 110, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(76, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(80, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(221, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(233, 0, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(217, 0, 0, 0, 122, 0, 0, 0),
+    ::capnp::word(229, 0, 0, 0, 122, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(205, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(189, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(201, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(177, 0, 0, 0, 178, 0, 0, 0),
+    ::capnp::word(189, 0, 0, 0, 178, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(177, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(173, 0, 0, 0, 138, 0, 0, 0),
+    ::capnp::word(185, 0, 0, 0, 138, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(161, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(173, 0, 0, 0, 162, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(161, 0, 0, 0, 130, 0, 0, 0),
+    ::capnp::word(173, 0, 0, 0, 130, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(157, 0, 0, 0, 106, 0, 0, 0),
+    ::capnp::word(169, 0, 0, 0, 106, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(153, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(149, 0, 0, 0, 106, 0, 0, 0),
+    ::capnp::word(161, 0, 0, 0, 106, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(153, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(19, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(115, 116, 97, 108, 101, 67, 111, 110),
     ::capnp::word(102, 105, 103, 0, 0, 0, 0, 0),
@@ -5036,6 +5041,7 @@
     ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(111, 118, 101, 114, 108, 111, 97, 100),
     ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(98, 97, 100, 73, 100, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -5362,7 +5368,7 @@
 }
 
 pub mod peer_message {
-    pub use self::Which::{Heartbeat,Rows,Hold,EndpointLost,ShardReleased,Load};
+    pub use self::Which::{Heartbeat,Rows,Hold,EndpointLost,ShardReleased,Load,Probe,Probed};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -5455,6 +5461,16 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_probe(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 6 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_probed(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 7 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -5487,6 +5503,16 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                6 => {
+                    ::core::result::Result::Ok(Probe(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                7 => {
+                    ::core::result::Result::Ok(Probed(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -5635,6 +5661,36 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_probe(&mut self, value: crate::peer_capnp::endpoint_probe::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 6);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_probe(self, ) -> crate::peer_capnp::endpoint_probe::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 6);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_probe(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 6 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_probed(&mut self, value: crate::peer_capnp::endpoint_probed::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_probed(self, ) -> crate::peer_capnp::endpoint_probed::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_probed(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 7 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -5667,6 +5723,16 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                6 => {
+                    ::core::result::Result::Ok(Probe(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                7 => {
+                    ::core::result::Result::Ok(Probed(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -5681,66 +5747,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(160, 50, 245, 225, 55, 218, 37, 224),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 101, 114, 77),
             ::capnp::word(101, 115, 115, 97, 103, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
             ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -5796,6 +5876,22 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 98, 101, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 207, 202, 218, 219, 199, 184, 226),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 111, 98, 101, 100, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(86, 252, 182, 78, 39, 44, 199, 195),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5805,6 +5901,8 @@
                 3 => <crate::peer_capnp::endpoint_lost::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::shard_released::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::peer_capnp::endpoint_load::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::peer_capnp::endpoint_probe::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::peer_capnp::endpoint_probed::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5819,20 +5917,22 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,5,1,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,5,6,7,1,4];
         pub(crate) const TYPE_ID: u64 = 0xe025_da37_e1f5_32a0;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
         Heartbeat(A0),
         Rows(A1),
         Hold(A2),
         EndpointLost(A3),
         ShardReleased(A4),
         Load(A5),
+        Probe(A6),
+        Probed(A7),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::row::Owned>>,::capnp::Result<crate::peer_capnp::hold::Reader<'a>>,::capnp::Result<crate::peer_capnp::endpoint_lost::Reader<'a>>,::capnp::Result<crate::peer_capnp::shard_released::Reader<'a>>,::capnp::Result<crate::peer_capnp::endpoint_load::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::row::Owned>>,::capnp::Result<crate::peer_capnp::hold::Builder<'a>>,::capnp::Result<crate::peer_capnp::endpoint_lost::Builder<'a>>,::capnp::Result<crate::peer_capnp::shard_released::Builder<'a>>,::capnp::Result<crate::peer_capnp::endpoint_load::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>>,::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::row::Owned>>,::capnp::Result<crate::peer_capnp::hold::Reader<'a>>,::capnp::Result<crate::peer_capnp::endpoint_lost::Reader<'a>>,::capnp::Result<crate::peer_capnp::shard_released::Reader<'a>>,::capnp::Result<crate::peer_capnp::endpoint_load::Reader<'a>>,::capnp::Result<crate::peer_capnp::endpoint_probe::Reader<'a>>,::capnp::Result<crate::peer_capnp::endpoint_probed::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>>,::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::row::Owned>>,::capnp::Result<crate::peer_capnp::hold::Builder<'a>>,::capnp::Result<crate::peer_capnp::endpoint_lost::Builder<'a>>,::capnp::Result<crate::peer_capnp::shard_released::Builder<'a>>,::capnp::Result<crate::peer_capnp::endpoint_load::Builder<'a>>,::capnp::Result<crate::peer_capnp::endpoint_probe::Builder<'a>>,::capnp::Result<crate::peer_capnp::endpoint_probed::Builder<'a>>>;
 }
 
 pub mod heartbeat {
@@ -8599,7 +8699,7 @@
     }
 }
 
-pub mod shard_released {
+pub mod endpoint_probe {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8661,42 +8761,18 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_service(&self) -> bool {
+        pub fn has_endpoint(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
-        #[inline]
-        pub fn get_shard(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_epoch(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_from(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_from(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_dispatcher(self) -> ::capnp::Result<crate::peer_capnp::session::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_dispatcher(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8747,69 +8823,21 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_service(&self) -> bool {
+        pub fn has_endpoint(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
-        #[inline]
-        pub fn get_shard(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_shard(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_epoch(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_epoch(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_from(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_from(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_from(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
-        }
-        #[inline]
-        pub fn has_from(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_dispatcher(self) -> ::capnp::Result<crate::peer_capnp::session::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_dispatcher(&mut self, value: crate::peer_capnp::session::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_dispatcher(self, ) -> crate::peer_capnp::session::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
-        }
-        #[inline]
-        pub fn has_dispatcher(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8819,90 +8847,36 @@
         }
     }
     impl Pipeline  {
-        pub fn get_dispatcher(&self) -> crate::peer_capnp::session::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(199, 36, 235, 48, 215, 86, 225, 235),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(109, 207, 202, 218, 219, 199, 184, 226),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 104, 97, 114, 100),
-            ::capnp::word(82, 101, 108, 101, 97, 115, 101, 100),
+            ::capnp::word(110, 112, 58, 69, 110, 100, 112, 111),
+            ::capnp::word(105, 110, 116, 80, 114, 111, 98, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8910,23 +8884,10 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
-            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 81, 233, 244, 27, 31, 235, 163),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::peer_capnp::session::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8940,14 +8901,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,3,0,1];
-        pub(crate) const TYPE_ID: u64 = 0xebe1_56d7_30eb_24c7;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0xe2b8_c7db_daca_cf6d;
     }
 }
 
-pub mod endpoint_load {
+pub mod endpoint_probed {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9017,20 +8978,605 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_requests(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_service_ms(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_queued(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn get_hot(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::hot_key::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        pub fn get_reached(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_reached(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_reached(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(86, 252, 182, 78, 39, 44, 199, 195),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 100, 112, 111),
+            ::capnp::word(105, 110, 116, 80, 114, 111, 98, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xc3c7_2c27_4eb6_fc56;
+    }
+}
+
+pub mod shard_released {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_shard(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_epoch(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_dispatcher(self) -> ::capnp::Result<crate::peer_capnp::session::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_dispatcher(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_shard(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_shard(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_epoch(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_epoch(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_from(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_from(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_dispatcher(self) -> ::capnp::Result<crate::peer_capnp::session::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_dispatcher(&mut self, value: crate::peer_capnp::session::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_dispatcher(self, ) -> crate::peer_capnp::session::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_dispatcher(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_dispatcher(&self) -> crate::peer_capnp::session::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(199, 36, 235, 48, 215, 86, 225, 235),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 104, 97, 114, 100),
+            ::capnp::word(82, 101, 108, 101, 97, 115, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 115, 112, 97, 116, 99, 104),
+            ::capnp::word(101, 114, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 81, 233, 244, 27, 31, 235, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::peer_capnp::session::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,3,0,1];
+        pub(crate) const TYPE_ID: u64 = 0xebe1_56d7_30eb_24c7;
+    }
+}
+
+pub mod endpoint_load {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_requests(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_service_ms(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_queued(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_hot(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::hot_key::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_hot(&self) -> bool {
@@ -9044,11 +9590,15 @@
         pub fn has_shards(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_draining(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9170,6 +9720,14 @@
         pub fn has_shards(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_draining(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_draining(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9181,66 +9739,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 118] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(237, 245, 53, 128, 61, 81, 111, 173),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 100, 112, 111),
             ::capnp::word(105, 110, 116, 76, 111, 97, 100, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -9300,6 +9865,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 114, 97, 105, 110, 105, 110, 103),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9309,6 +9883,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::hot_key::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::shard_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9322,9 +9897,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,1,2,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,0,4,3,1,2,5];
         pub(crate) const TYPE_ID: u64 = 0xad6f_513d_8035_f5ed;
     }
 }
--- a/crates/citronway-wire/tests/round_trip.rs
+++ b/crates/citronway-wire/tests/round_trip.rs
@@ -87,6 +87,7 @@
         NotRunReason::ShuttingDown,
         NotRunReason::Cancelled,
         NotRunReason::Overloaded,
+        NotRunReason::BadId,
     ])
 }
 
@@ -186,12 +187,14 @@
             requests,
         });
     let numbers = (any::<u64>(), any::<u64>(), any::<u64>());
-    (text(), numbers, vec(hot, 0..4), vec(shard, 0..4)).prop_map(|(name, n, hot, shards)| {
+    let lists = (vec(hot, 0..4), vec(shard, 0..4));
+    (text(), numbers, any::<bool>(), lists).prop_map(|(name, n, draining, (hot, shards))| {
         EndpointLoad {
             endpoint: EndpointName::new(&name),
             requests: n.0,
             service_ms: n.1,
             queued: n.2,
+            draining,
             hot,
             shards,
         }
--- a/crates/citronway/src/observe.rs
+++ b/crates/citronway/src/observe.rs
@@ -55,11 +55,9 @@
         match event {
             Event::Caller { ticket, request } => {
                 self.arrived.insert(request.id, at);
-                let route = view.config().map(|known| {
-                    known
-                        .value
-                        .route(&request.service, &request.labels, &request.key)
-                });
+                let route = view
+                    .config()
+                    .map(|known| known.route(&request.service, &request.labels, &request.key));
                 let class = match route {
                     Some(Ok(route)) => route.class.clone(),
                     _ => ClassName::new(NO_CLASS),
--- a/crates/citronway/src/platform/duty.rs
+++ b/crates/citronway/src/platform/duty.rs
@@ -118,10 +118,11 @@
     }
 
     async fn read_table(&self, table: String) -> Event {
+        let asked = crate::clock::now();
         let known = self.versions().of_table(&table);
         let read = self.platform.read_table(&table).await;
         match read.and_then(|rows| self.accept(&known, rows)) {
-            Ok(rows) => Event::RowsRead { table, rows },
+            Ok(rows) => Event::RowsRead { table, rows, asked },
             Err(err) => {
                 log::warn!(table = table.as_str(), error:% = err; "table not read");
                 Event::ReadFailed {
--- a/crates/citronway/src/publish.rs
+++ b/crates/citronway/src/publish.rs
@@ -70,11 +70,11 @@
     /// Copies the rows that are newer than the copies.
     fn refresh(&mut self, node: &Node) {
         if let Some(known) = node.view().config()
-            && known.version > self.config.version
+            && node.view().config_version() > self.config.version
         {
-            let row = Arc::new(known.value.config().clone());
+            let row = Arc::new(known.config().clone());
             self.config = Versioned {
-                version: known.version,
+                version: node.view().config_version(),
                 row,
             };
         }
--- a/crates/citronway/tests/platform.rs
+++ b/crates/citronway/tests/platform.rs
@@ -149,7 +149,13 @@
             state: ListedState::Leaving,
         }],
     };
-    expect_that!(next(&mut bench.events), matches_pattern!(Event::Instances { list: eq(&list), .. }));
+    expect_that!(
+        next(&mut bench.events),
+        matches_pattern!(Event::Instances {
+            list: eq(&list),
+            ..
+        })
+    );
 
     let table = "config".to_owned();
     bench.command(PlatformCommand::ReadTable {
@@ -160,7 +166,11 @@
     let rows = vec![row(4)];
     expect_that!(
         next(&mut bench.events),
-        eq(&Event::RowsRead { table, rows })
+        matches_pattern!(Event::RowsRead {
+            table: eq(&table),
+            rows: eq(&rows),
+            ..
+        })
     );
 
     let done = bench.write(|mut peer| peer.answer(200, "", r#"{"versions":[5]}"#));
@@ -277,7 +287,13 @@
         lag_ms: 500,
         instances: vec![],
     };
-    expect_that!(next(&mut bench.events), matches_pattern!(Event::Instances { list: eq(&list), .. }));
+    expect_that!(
+        next(&mut bench.events),
+        matches_pattern!(Event::Instances {
+            list: eq(&list),
+            ..
+        })
+    );
 }
 
 /// The store answers from an old copy after a newer version was read or
