A command sent again after it was replaced is not called "not written"

Ruled out: keeping a list of commands (instances keep nothing). Conclusion: the reply says "it was accepted, but a later change has taken its place" where this instance has seen it stand; else "nothing was written by this command", which is all that it knows. Not proved: an instance that has not seen the version cannot tell.

--- a/crates/citronctl/src/cli.rs
+++ b/crates/citronctl/src/cli.rs
@@ -55,8 +55,8 @@
     /// Wait at most this long until the change is in force everywhere
     #[bpaf(long, argument("SECONDS"), optional)]
     pub wait: Option<u64>,
-    #[bpaf(external)]
     /// Where to ask and how to show.
+    #[bpaf(external)]
     pub target: Target,
 }
 
@@ -70,8 +70,8 @@
         /// Show the configuration as stored, which may not be in force yet
         #[bpaf(long)]
         stored: bool,
-        #[bpaf(external)]
         /// Where to ask.
+        #[bpaf(external)]
         target: Target,
         /// config, assignment, dispatchers, endpoints, instances or version
         #[bpaf(
@@ -83,8 +83,8 @@
     /// Show on one page whether all is well
     #[bpaf(command)]
     Status {
-        #[bpaf(external)]
         /// Where to ask.
+        #[bpaf(external)]
         target: Target,
     },
     /// Change the configuration.
@@ -131,15 +131,15 @@
         /// JSON file
         #[bpaf(short('f'), long, argument("FILE"))]
         file: PathBuf,
-        #[bpaf(external)]
         /// How to make the change.
+        #[bpaf(external)]
         condition: Condition,
     },
     /// Set and remove labels: NAME=VALUE sets, NAME- removes
     #[bpaf(command)]
     Label {
-        #[bpaf(external)]
         /// How to make the change.
+        #[bpaf(external)]
         condition: Condition,
         /// service, group or endpoint
         #[bpaf(
@@ -157,11 +157,11 @@
     /// Set selectors of a group or a rule
     #[bpaf(command)]
     Select {
-        #[bpaf(external)]
         /// The selectors.
-        selectors: Selectors,
         #[bpaf(external)]
+        selectors: Selectors,
         /// How to make the change.
+        #[bpaf(external)]
         condition: Condition,
         /// group or rule
         #[bpaf(
@@ -176,8 +176,8 @@
     /// Let an endpoint finish its work and give it no new work
     #[bpaf(command)]
     Drain {
-        #[bpaf(external)]
         /// How to make the change.
+        #[bpaf(external)]
         condition: Condition,
         /// Name of the endpoint
         #[bpaf(positional("ENDPOINT"))]
@@ -186,8 +186,8 @@
     /// Give an endpoint work again
     #[bpaf(command)]
     Undrain {
-        #[bpaf(external)]
         /// How to make the change.
+        #[bpaf(external)]
         condition: Condition,
         /// Name of the endpoint
         #[bpaf(positional("ENDPOINT"))]
@@ -196,8 +196,8 @@
     /// Add a service, group, endpoint, class or rule
     #[bpaf(command)]
     Create {
-        #[bpaf(external(create))]
         /// What to add.
+        #[bpaf(external(create))]
         what: Create,
     },
     /// Remove a service, group, endpoint, class or rule
@@ -209,8 +209,8 @@
         /// Remove an endpoint although it still owns shards
         #[bpaf(long)]
         force: bool,
-        #[bpaf(external)]
         /// How to make the change.
+        #[bpaf(external)]
         condition: Condition,
         /// service, group, endpoint, class or rule
         #[bpaf(
--- a/crates/citronctl/src/create.rs
+++ b/crates/citronctl/src/create.rs
@@ -52,8 +52,8 @@
     /// NAME=VALUE; may be stated more than once
     #[bpaf(long("label"), argument("LABEL"), many)]
     pub labels: Vec<Label>,
-    #[bpaf(external)]
     /// How to make the change.
+    #[bpaf(external)]
     pub condition: Condition,
     /// Name of the service
     #[bpaf(positional("NAME"))]
@@ -81,8 +81,8 @@
     /// Group that it goes before; default: at the end
     #[bpaf(long, argument("NAME"), optional)]
     pub before: Option<String>,
-    #[bpaf(external)]
     /// How to make the change.
+    #[bpaf(external)]
     pub condition: Condition,
     /// Name of the group
     #[bpaf(positional("NAME"))]
@@ -110,8 +110,8 @@
     /// NAME=VALUE; may be stated more than once
     #[bpaf(long("label"), argument("LABEL"), many)]
     pub labels: Vec<Label>,
-    #[bpaf(external)]
     /// How to make the change.
+    #[bpaf(external)]
     pub condition: Condition,
     /// Name of the endpoint
     #[bpaf(positional("NAME"))]
@@ -127,8 +127,8 @@
     /// Share of an endpoint's slots that it gets at least, in hundredths
     #[bpaf(long, argument("PERCENT"), fallback(0))]
     pub kept_share: u8,
-    #[bpaf(external)]
     /// How to make the change.
+    #[bpaf(external)]
     pub condition: Condition,
     /// Name of the class
     #[bpaf(positional("NAME"))]
@@ -153,8 +153,8 @@
     /// Rule that it goes before; default: at the end
     #[bpaf(long, argument("NAME"), optional)]
     pub before: Option<String>,
-    #[bpaf(external)]
     /// How to make the change.
+    #[bpaf(external)]
     pub condition: Condition,
     /// Name of the rule
     #[bpaf(positional("NAME"))]
--- a/crates/citronway/src/operators/commands.rs
+++ b/crates/citronway/src/operators/commands.rs
@@ -117,7 +117,8 @@
 ///
 /// Failure: an operator's connection breaks after the change was accepted; the
 /// same command is sent again and is refused as a conflict with itself. The row
-/// holds the very text that is asked for, so the answer is its version.
+/// holds the very text that is asked for, so the answer is its version. If a later
+/// change has taken its place, the history tells that it stood.
 async fn stands_already(
     cx: &Cx,
     proposal: &Proposal,
@@ -130,7 +131,11 @@
     {
         return Ok(accepted(cx, row.version, &proposal.config));
     }
-    Err(conflict(cx, proposal, found, row, Fate::NotWritten))
+    let fate = match cx.stood_after(proposal.expected, text) {
+        Some(_) => Fate::Stood,
+        None => Fate::NotWritten,
+    };
+    Err(conflict(cx, proposal, found, row, fate))
 }
 
 /// The answer to the write was lost: asks the row, and never writes again.
--- a/crates/citronway/src/operators/refusal.rs
+++ b/crates/citronway/src/operators/refusal.rs
@@ -86,7 +86,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fate {
-    /// Nothing of it was written, and nothing will be.
+    /// Nothing was written by this command, and nothing will be.
     NotWritten,
     /// The store's answer was lost: it may have stood before the later change.
     MayHaveStood,
@@ -97,7 +97,7 @@
 impl fmt::Display for Fate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::NotWritten => "nothing was written",
+            Self::NotWritten => "nothing was written by this command",
             Self::MayHaveStood => {
                 "it may have been accepted, but a later change has taken its place"
             }
--- a/crates/citronway/tests/operators.rs
+++ b/crates/citronway/tests/operators.rs
@@ -222,7 +222,8 @@
 }
 
 /// The connection breaks after the change was accepted; the operator sends the
-/// same command again and is told that it conflicts, with itself.
+/// same command again and is told that it conflicts, with itself. If it has been
+/// replaced meanwhile, "nothing was written" would be wrong as well.
 #[gtest]
 #[tokio::test]
 async fn the_same_command_sent_again_gives_the_version_it_stands_at() {
@@ -235,6 +236,13 @@
         .accepted();
     expect_that!(again.version, eq(first.version));
     expect_that!(admin.store.version(), eq(first.version));
+
+    admin.store.accept(&labelled("silver"));
+    let replaced = put_config(&admin, FIRST, &labelled("gold"))
+        .await
+        .conflict();
+    expect_that!(replaced.fate, eq(Fate::Stood));
+    expect_that!(admin.store.config(), eq(&labelled("silver")));
 }
 
 #[gtest]
