Replay: a line that only names the machine is not passed on

Cause: traces of some machines have a first line of their own without a `machine` field, or refuse unknown fields in it; one rule has to do for all. Ruled out: a rule for each machine. Conclusion: the machine comes from the first line or from `--machine`; a line with nothing else is left out, any other is part of the trace.

--- a/crates/citronctl/src/replay.rs
+++ b/crates/citronctl/src/replay.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -20,12 +21,20 @@
 /// Ending of the file of its stated outcomes.
 const EXPECTED: &str = "expected.json";
 
-/// First line of a trace that names its machine.
+/// First line of a trace that names its machine, among other things.
 #[derive(Debug, Deserialize)]
 struct Header {
     machine: String,
 }
 
+/// First line of a trace that does nothing but name its machine.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MachineLine {
+    #[serde(rename = "machine")]
+    _machine: IgnoredAny,
+}
+
 /// What to replay.
 #[derive(Debug, Clone, Copy)]
 pub struct Replay<'a> {
@@ -59,31 +68,37 @@
 }
 
 fn decide(replay: &Replay<'_>, text: &str) -> Result<Value, Failure> {
-    let first = text.lines().next().unwrap_or_default();
-    let header = serde_json::from_str::<Header>(first).ok();
-    let named = match &header {
-        Some(header) => match header.machine.parse::<Machine>() {
-            Ok(machine) => Some(machine),
-            Err(e) => return Err(content(replay.trace, &e)),
-        },
-        None => None,
-    };
-    let Some(machine) = named.or(replay.machine) else {
+    let path = replay.trace;
+    let Some(machine) = named(path, text)?.or(replay.machine) else {
         let message = "the first line does not name a machine; say --machine";
-        return Err(content(replay.trace, &message));
+        return Err(content(path, &message));
     };
+    let text = without_machine_line(text);
     match machine {
-        Machine::Config => config(replay.trace, without_header(text, header.as_ref())),
-        Machine::Dispatcher => outcome(replay.trace, dispatch::replay::replay(text)),
-        Machine::Planner => outcome(replay.trace, placement::replay::replay(text)),
+        Machine::Config => config(path, text),
+        Machine::Dispatcher => outcome(path, dispatch::replay::replay(text)),
+        Machine::Planner => outcome(path, placement::replay::replay(text)),
+    }
+}
+
+/// The machine that the first line names.
+fn named(path: &Path, text: &str) -> Result<Option<Machine>, Failure> {
+    let first = text.lines().next().unwrap_or_default();
+    let Ok(header) = serde_json::from_str::<Header>(first) else {
+        return Ok(None);
+    };
+    match header.machine.parse() {
+        Ok(machine) => Ok(Some(machine)),
+        Err(e) => Err(content(path, &e)),
     }
 }
 
-/// The lines after one that only names the machine.
-fn without_header<'a>(text: &'a str, header: Option<&Header>) -> &'a str {
-    match header {
-        Some(_) => text.split_once('\n').map_or("", |(_, rest)| rest),
-        None => text,
+/// The lines that the machine itself understands.
+fn without_machine_line(text: &str) -> &str {
+    let (first, rest) = text.split_once('\n').unwrap_or((text, ""));
+    match serde_json::from_str::<MachineLine>(first) {
+        Ok(_) => rest,
+        Err(_) => text,
     }
 }
 
