Replay of each machine's traces tested through the binary

Ruled out: nothing to weigh. Conclusion: `config`, `dispatcher` and `planner` are replayed as stated.

--- a/crates/citronctl/tests/output.rs
+++ b/crates/citronctl/tests/output.rs
@@ -142,8 +142,8 @@
 
 fn trace(name: &str) -> PathBuf {
     let folder = match name.split_once('-') {
-        Some(("config", _)) => "../citronway-core/tests/traces",
-        _ => "../../tests/traces",
+        Some(("placement", _)) => "../../tests/traces",
+        _ => "../citronway-core/tests/traces",
     };
     Path::new(env!("CARGO_MANIFEST_DIR"))
         .join(folder)
@@ -183,11 +183,16 @@
 }
 
 #[gtest]
-fn traces_of_planners_are_replayed() {
-    let events = trace("placement-two-planners.jsonl");
-    let same = replay(&[events.to_str().unwrap()]);
-    expect_that!(same.err, eq(""));
-    expect_that!(same.out, starts_with("same outcomes"));
+fn traces_of_each_machine_are_replayed() {
+    for (name, machine) in [
+        ("config-lost-answer.jsonl", "config"),
+        ("dispatch-takeover-floor.jsonl", "dispatcher"),
+        ("placement-two-planners.jsonl", "planner"),
+    ] {
+        let same = replay(&[trace(name).to_str().unwrap(), "--machine", machine]);
+        expect_that!(same.err, eq(""));
+        expect_that!(same.out, starts_with("same outcomes"), "{name}");
+    }
 }
 
 #[gtest]
