Replay of the hold's traces from the command line

Cause: the hold's replay has come in; its header refuses unknown fields, so a line that only names the machine goes before it, or `--machine hold`. Ruled out: a `machine` field in that header (another part's form). Conclusion: all four machines that exist are replayed. Not proved: a stated outcome of a hold through the binary, for no trace file of one stands in the repository yet.

--- a/crates/citronctl/src/replay.rs
+++ b/crates/citronctl/src/replay.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 
 use citronway_core::config::version;
-use citronway_core::{dispatch, placement};
+use citronway_core::{dispatch, hold, placement};
 
 use crate::failure::Failure;
 use crate::words::Machine;
@@ -77,6 +77,7 @@
     match machine {
         Machine::Config => config(path, text),
         Machine::Dispatcher => outcome(path, dispatch::replay::replay(text)),
+        Machine::Hold => outcome(path, hold::world::replay(text)),
         Machine::Planner => outcome(path, placement::replay::replay(text)),
     }
 }
--- a/crates/citronctl/src/words.rs
+++ b/crates/citronctl/src/words.rs
@@ -83,6 +83,8 @@
     Config,
     /// Dispatcher of an endpoint.
     Dispatcher,
+    /// Hold of an endpoint, with a model of the store and of faults.
+    Hold,
     /// Planner of a service.
     Planner,
 }
@@ -193,9 +195,10 @@
 words!(Output, "table, json", "table" => Table, "json" => Json);
 words!(Shell, "bash, zsh, fish", "bash" => Bash, "zsh" => Zsh, "fish" => Fish);
 
-words!(Machine, "config, dispatcher, planner",
+words!(Machine, "config, dispatcher, hold, planner",
     "config" => Config,
     "dispatcher" => Dispatcher,
+    "hold" => Hold,
     "planner" => Planner,
 );
 
--- a/crates/citronctl/tests/output.rs
+++ b/crates/citronctl/tests/output.rs
@@ -195,6 +195,19 @@
     }
 }
 
+#[gtest]
+fn traces_of_holds_are_replayed() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("hold.jsonl");
+    std::fs::write(
+        &path,
+        "{\"machine\":\"hold\"}\n{\"seed\":3,\"end_ms\":2000}\n",
+    )
+    .unwrap();
+    let shown = replay(&[path.to_str().unwrap()]);
+    expect_that!(shown.err, eq(""));
+    expect_that!(shown.out, contains_substring("\"instance\""));
+}
+
 #[gtest]
 fn a_trace_names_its_machine_in_the_first_line() {
     let text = std::fs::read_to_string(trace("config-two-operators.jsonl")).unwrap();
