Tests of the command line take a line as it is typed

Cause: lists of words, one a line, hid what is run. Ruled out: nothing to weigh; no check was taken away. Conclusion: `run_line` runs a line.

--- a/crates/citronctl/tests/commands.rs
+++ b/crates/citronctl/tests/commands.rs
@@ -16,7 +16,7 @@
 use googletest::prelude::*;
 use tokio::net::TcpSocket;
 
-use ctl::{run, run_at};
+use ctl::{run, run_at, run_line};
 use support::store::Fault;
 use support::{Admin, FIRST, TOKEN, sample};
 
@@ -40,33 +40,16 @@
 #[gtest]
 fn labels_are_changed_and_the_version_is_told() {
     let admin = Admin::start(&sample());
-    let done = run(
+    let done = run_line(
         &admin,
-        &[
-            "label",
-            "endpoint",
-            "console-1",
-            "tier=gold",
-            "app-",
-            "app=console",
-        ],
+        "label endpoint console-1 tier=gold app- app=console",
     );
     expect_that!(done.err, eq(""));
     expect_that!(done.out, eq("accepted at version 9\n"));
     let labels = endpoint(&admin.store.config(), "console-1").labels;
     expect_that!(labels["tier"], eq("gold"));
 
-    let done = run(
-        &admin,
-        &[
-            "label",
-            "endpoint",
-            "console-1",
-            "tier-",
-            "--output",
-            "json",
-        ],
-    );
+    let done = run_line(&admin, "label endpoint console-1 tier- --output json");
     expect_that!(done.out, contains_substring("\"version\": 11"));
     expect_that!(admin.store.config(), eq(&sample()));
 }
@@ -77,9 +60,8 @@
 fn the_second_of_two_operators_sees_both_changes() {
     let admin = Admin::start(&sample());
     expect_that!(run(&admin, &LABEL).code, eq(0));
-    let mut late = vec!["--version-expected", "7"];
-    late.splice(0..0, ["label", "endpoint", "console-1", "tier=silver"]);
-    let refused = run(&admin, &late);
+    let late = "label endpoint console-1 tier=silver --version-expected 7";
+    let refused = run_line(&admin, late);
     expect_that!(refused.code, eq(code(codes::CONFLICT)));
     expect_that!(refused.out, eq(""));
     for text in [
@@ -96,15 +78,13 @@
 #[gtest]
 fn a_file_written_by_get_is_applied_to_its_own_version_only() {
     let admin = Admin::start(&sample());
-    let read = run(&admin, &["get", "config", "--output", "json"]);
+    let read = run_line(&admin, "get config --output json");
     let path = file("edited.json", &read.out);
     let apply = ["apply", "-f", path.to_str().unwrap()];
     expect_that!(run(&admin, &LABEL).code, eq(0));
     expect_that!(run(&admin, &apply).code, eq(code(codes::CONFLICT)));
-    expect_that!(
-        endpoint(&admin.store.config(), "console-1").labels["tier"],
-        eq("gold")
-    );
+    let now = endpoint(&admin.store.config(), "console-1");
+    expect_that!(now.labels["tier"], eq("gold"));
 
     let bare = file("bare.json", &serde_json::to_string(&sample()).unwrap());
     let done = run(&admin, &["apply", "-f", bare.to_str().unwrap()]);
@@ -115,7 +95,7 @@
 #[gtest]
 fn a_wrong_change_is_refused_with_all_findings() {
     let admin = Admin::start(&sample());
-    let unknown = run(&admin, &["label", "endpoint", "nobody", "a=b", "c=d"]);
+    let unknown = run_line(&admin, "label endpoint nobody a=b c=d");
     expect_that!(unknown.code, eq(code(codes::REFUSED)));
     expect_that!(unknown.err, contains_substring("wrong in 2 place(s)"));
     expect_that!(
@@ -146,7 +126,7 @@
     );
 
     admin.store.fail_next(Fault::WriteLost);
-    let unknown = run(&admin, &["label", "endpoint", "console-1", "tier=silver"]);
+    let unknown = run_line(&admin, "label endpoint console-1 tier=silver");
     expect_that!(unknown.code, eq(code(codes::UNKNOWN)));
     expect_that!(
         unknown.err,
@@ -194,80 +174,40 @@
 #[gtest]
 fn waiting_tells_accepted_from_in_force() {
     let admin = Admin::start(&sample());
-    let done = run(&admin, &["drain", "console-1", "--wait", "60"]);
+    let done = run_line(&admin, "drain console-1 --wait 60");
     expect_that!(done.out, eq("accepted at version 9, in force everywhere\n"));
 
     admin.store.hold_back();
-    let behind = run(&admin, &["undrain", "console-1", "--wait", "0"]);
+    let behind = run_line(&admin, "undrain console-1 --wait 0");
     expect_that!(behind.code, eq(code(codes::NOT_IN_FORCE)));
     expect_that!(behind.err, contains_substring("accepted at version 11"));
     expect_that!(behind.err, contains_substring("entry-1 (version 9)"));
-    expect_that!(
-        endpoint(&admin.store.config(), "console-1").drain,
-        eq(false)
-    );
+    let now = endpoint(&admin.store.config(), "console-1");
+    expect_that!(now.drain, eq(false));
 }
 
 #[gtest]
 fn services_come_and_go_whole() {
     let admin = Admin::start(&sample());
-    let endpoint = [
-        "create",
-        "endpoint",
-        "history-1",
-        "--address",
-        "127.0.0.1:4009",
-        "--zone",
-        "north",
-        "--slots",
-        "2",
-        "--label",
-        "app=history",
-    ];
-    expect_that!(run(&admin, &endpoint).err, eq(""));
-    let create = [
-        "create",
-        "service",
-        "history",
-        "--default-class",
-        "batch",
-        "--weights",
-        "1,4,2",
-        "--endpoints",
-        "app = history",
-        "--label",
-        "team=lab",
-    ];
-    let created = run(&admin, &create);
+    let endpoint = "create endpoint history-1 --address 127.0.0.1:4009 --zone north \
+                --slots 2 --label app=history";
+    expect_that!(run_line(&admin, endpoint).err, eq(""));
+    let create = "create service history --default-class batch --weights 1,4,2 \
+                --endpoints app=history --label team=lab";
+    let created = run_line(&admin, create);
     expect_that!(created.err, eq(""));
     let config = admin.store.config();
-    expect_that!(
-        config.services[&ServiceName::new("history")].weights.churn,
-        eq(4.0)
-    );
-    expect_that!(
-        config.groups[&GroupName::new("history")].endpoints,
-        eq("app = history")
-    );
+    let (service, group) = (ServiceName::new("history"), GroupName::new("history"));
+    expect_that!(config.services[&service].weights.churn, eq(4.0));
+    expect_that!(config.groups[&group].endpoints, eq("app=history"));
 
-    let rule = [
-        "create",
-        "rule",
-        "urgent",
-        "--service",
-        "history",
-        "--class",
-        "interactive",
-    ];
-    expect_that!(run(&admin, &rule).code, eq(0));
-    let alone = run(&admin, &["remove", "service", "history"]);
+    let rule = "create rule urgent --service history --class interactive";
+    expect_that!(run_line(&admin, rule).code, eq(0));
+    let alone = run_line(&admin, "remove service history");
     expect_that!(alone.code, eq(code(codes::REFUSED)));
-    let whole = run(&admin, &["remove", "service", "history", "--with-groups"]);
+    let whole = run_line(&admin, "remove service history --with-groups");
     expect_that!(whole.err, eq(""));
-    expect_that!(
-        run(&admin, &["remove", "endpoint", "history-1"]).err,
-        eq("")
-    );
+    expect_that!(run_line(&admin, "remove endpoint history-1").err, eq(""));
     expect_that!(admin.store.config(), eq(&sample()));
 }
 
@@ -284,10 +224,7 @@
     expect_that!(refused.code, eq(code(codes::REFUSED)));
     expect_that!(refused.err, contains_substring("still owns 1 shards"));
     expect_that!(admin.store.puts(), eq(0));
-    expect_that!(
-        run(&admin, &["remove", "endpoint", "console-2"]).code,
-        eq(0)
-    );
+    expect_that!(run_line(&admin, "remove endpoint console-2").code, eq(0));
     let forced = run(&admin, &[&remove[..], &["--force"]].concat());
     expect_that!(forced.err, contains_substring("matches no endpoint"));
 }
--- a/crates/citronctl/tests/ctl/mod.rs
+++ b/crates/citronctl/tests/ctl/mod.rs
@@ -19,6 +19,11 @@
     run_at(admin.address, Some(TOKEN), args)
 }
 
+/// Runs `citronctl` with the words of a line.
+pub fn run_line(admin: &Admin, line: &str) -> Run {
+    run(admin, &line.split_whitespace().collect::<Vec<_>>())
+}
+
 /// Runs `citronctl` against an address.
 pub fn run_at(server: SocketAddr, token: Option<&str>, args: &[&str]) -> Run {
     let mut command = Command::new(env!("CARGO_BIN_EXE_citronctl"));
--- a/crates/citronctl/tests/output.rs
+++ b/crates/citronctl/tests/output.rs
@@ -15,7 +15,7 @@
 use googletest::prelude::*;
 use serde_json::Value;
 
-use ctl::{Run, run, run_at};
+use ctl::{Run, run, run_at, run_line};
 use support::{Admin, FIRST, sample, snapshot};
 
 /// An instance that dispatches `console-1`, which does not answer.
@@ -70,24 +70,24 @@
 #[gtest]
 fn tables_are_for_people() {
     let admin = admin();
-    let endpoints = run(&admin, &["get", "endpoints"]);
+    let endpoints = run_line(&admin, "get endpoints");
     expect_that!(
         line(&endpoints, "console-1").join(" "),
         eq("console-1 north lost no 6 3 2 11 0 entry-1 app=console")
     );
     expect_that!(line(&endpoints, "console-2")[2], eq("-"));
-    let dispatchers = run(&admin, &["get", "dispatchers"]);
+    let dispatchers = run_line(&admin, "get dispatchers");
     expect_that!(
         line(&dispatchers, "console-1").join(" "),
         eq("console-1 entry-1#1 4 entry-2,entry-3 yes")
     );
-    let config = run(&admin, &["get", "config"]);
+    let config = run_line(&admin, "get config");
     expect_that!(config.out, starts_with("configuration version 7\n"));
     expect_that!(
         line(&config, "migrations").join(" "),
         starts_with("migrations 256 batch 1,1,1")
     );
-    let version = run(&admin, &["get", "version"]);
+    let version = run_line(&admin, "get version");
     expect_that!(
         line(&version, "entry-1").join(" "),
         eq("entry-1 north 7 yes")
@@ -113,7 +113,7 @@
             "{what}"
         );
     }
-    let status = run(&admin, &["status", "--output", "json"]);
+    let status = run_line(&admin, "status --output json");
     let status: Value = serde_json::from_str(&status.out).unwrap();
     expect_that!(status["unwell"][0], eq(&Value::from("console-1 (lost)")));
 }
@@ -121,9 +121,9 @@
 #[gtest]
 fn status_says_what_needs_a_look() {
     let admin = Admin::start(&sample());
-    expect_that!(run(&admin, &["status"]).out, ends_with("all is well\n"));
+    expect_that!(run_line(&admin, "status").out, ends_with("all is well\n"));
     admin.publisher.send_replace(Arc::new(published()));
-    let status = run(&admin, &["status"]);
+    let status = run_line(&admin, "status");
     expect_that!(
         status.out,
         contains_substring("needs a look:\n  endpoint console-1 (lost)")
