--- a/crates/citronway/src/callers/app.rs
+++ b/crates/citronway/src/callers/app.rs
@@ -4,18 +4,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use citronway_core::ids::RequestId;
 use citronway_core::node::{CallerRequest, Event};
 use citronway_core::outcome::{MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome};
 use citronway_core::time::Wall;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::sync::mpsc::Sender;
 use tokio::time::timeout;
 use viz::{Body, Request, Response, Router};
 
+use super::body::{BodyError, Held, Memory};
 use super::config::CallersConfig;
-use super::finding::{Finding, Problem};
+use super::finding::Finding;
 use super::waiting::{Waiter, Waiting};
 use super::{head, reply};
 use crate::endpoints::clock::{time_until, wall_now};
@@ -29,6 +28,7 @@
 #[derive(Debug)]
 pub(super) struct App {
     pub(super) cfg: CallersConfig,
+    pub(super) memory: Memory,
     pub(super) waiting: Arc<Waiting>,
     pub(super) events: Sender<Event>,
     pub(super) ready: Arc<AtomicBool>,
@@ -56,31 +56,25 @@
             Ok(work) => work,
             Err(findings) => return reply::malformed(&findings),
         };
-        match self.read_body(body, work.deadline).await {
-            Ok(body) => work.body = body,
-            Err(problem) => return reply::malformed(&[Finding::body(problem)]),
-        }
         let id = work.id;
+        let held = match self.read_body(body, work.deadline).await {
+            Ok(held) => held,
+            Err(BodyError::Bad(problem)) => return reply::malformed(&[Finding::body(problem)]),
+            Err(BodyError::NoMemory) => return reply::outcome(id, overloaded()),
+        };
+        work.body = held.body.clone();
         let outcome = self.outcome(work).await;
+        drop(held);
         reply::outcome(id, outcome)
     }
 
-    // Failure guarded against: a caller sends its body slowly or without end
-    // and holds memory and places that others need. It shows as refusals on an
-    // idle instance. The guard holds because a body counts against no limit of
-    // requests before it is whole, and is bounded in size and time.
-    async fn read_body(&self, body: Body, deadline: Wall) -> Result<Bytes, Problem> {
-        let limit = self.cfg.max_body_bytes;
+    // Failure guarded against: a caller sends its body slowly and holds a place
+    // that others need. It shows as refusals on an idle instance. The guard
+    // holds because a body takes no place among the waiting requests before it
+    // is whole, and has to be whole in time.
+    async fn read_body(&self, body: Body, deadline: Wall) -> Result<Held, BodyError> {
         let wait = Duration::from_millis(self.cfg.body_timeout_ms).min(time_until(deadline));
-        let body = Limited::new(body, limit).collect();
-        let Ok(result) = timeout(wait, body).await else {
-            return Err(Problem::TooSlow);
-        };
-        match result {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(err) if err.is::<LengthLimitError>() => Err(Problem::TooLarge { limit }),
-            Err(_) => Err(Problem::Cut),
-        }
+        self.memory.read(body, self.cfg.max_body_bytes, wait).await
     }
 
     async fn outcome(&self, work: CallerRequest) -> Outcome {
--- /dev/null
+++ b/crates/citronway/src/callers/body.rs
@@ -0,0 +1,104 @@
+//! Bodies of requests, read whole within bounds of size, time and memory.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+use viz::Body;
+
+use super::finding::Problem;
+
+/// Memory for the bodies of all requests of an instance.
+///
+/// Failure guarded against: many callers send large bodies slowly, and the
+/// instance runs out of memory. It shows as a killed process and lost answers.
+/// The guard holds because each byte is counted as it comes and until its
+/// request is answered; what is announced but not sent takes nothing from others.
+#[derive(Debug, Clone)]
+pub(super) struct Memory {
+    left: Arc<Semaphore>,
+}
+
+/// A whole body, counted until it is dropped.
+#[derive(Debug)]
+pub(super) struct Held {
+    /// The body.
+    pub body: Bytes,
+    _memory: Option<OwnedSemaphorePermit>,
+}
+
+/// Why there is no whole body.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum BodyError {
+    /// The caller's fault.
+    #[error("body: {0}")]
+    Bad(Problem),
+    /// The memory for bodies is used up.
+    #[error("no memory is left for bodies")]
+    NoMemory,
+}
+
+impl Memory {
+    /// Allows `bytes` in all.
+    pub(super) fn new(bytes: usize) -> Self {
+        Self {
+            left: Arc::new(Semaphore::new(bytes.min(Semaphore::MAX_PERMITS))),
+        }
+    }
+
+    /// Reads a body of at most `limit` bytes within `wait`.
+    pub(super) async fn read(
+        &self,
+        body: Body,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<Held, BodyError> {
+        match timeout(wait, self.collect(body, limit)).await {
+            Ok(result) => result,
+            Err(_) => Err(BodyError::Bad(Problem::TooSlow)),
+        }
+    }
+
+    async fn collect(&self, body: Body, limit: usize) -> Result<Held, BodyError> {
+        let mut body = Limited::new(body, limit);
+        let mut buf = BytesMut::new();
+        let mut memory = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| bad(&*err, limit))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            self.count(&mut memory, data.len())?;
+            buf.extend_from_slice(&data);
+        }
+        Ok(Held {
+            body: buf.freeze(),
+            _memory: memory,
+        })
+    }
+
+    fn count(
+        &self,
+        memory: &mut Option<OwnedSemaphorePermit>,
+        bytes: usize,
+    ) -> Result<(), BodyError> {
+        let bytes = u32::try_from(bytes).ok().ok_or(BodyError::NoMemory)?;
+        let more = Arc::clone(&self.left).try_acquire_many_owned(bytes);
+        let more = more.ok().ok_or(BodyError::NoMemory)?;
+        match memory {
+            Some(held) => held.merge(more),
+            None => *memory = Some(more),
+        }
+        Ok(())
+    }
+}
+
+fn bad(err: &(dyn std::error::Error + Send + Sync + 'static), limit: usize) -> BodyError {
+    if err.is::<LengthLimitError>() {
+        return BodyError::Bad(Problem::TooLarge { limit });
+    }
+    BodyError::Bad(Problem::Cut)
+}
--- a/crates/citronway/src/callers/config.rs
+++ b/crates/citronway/src/callers/config.rs
@@ -10,6 +10,8 @@
     pub listen: SocketAddr,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Most bytes of bodies of all requests that are not answered yet.
+    pub max_held_bytes: usize,
     /// Milliseconds for the head of a request, idle time before it included.
     pub header_timeout_ms: u64,
     /// Milliseconds for the body of a request.
@@ -38,6 +40,7 @@
             cfg: Self {
                 listen,
                 max_body_bytes: 1024 * 1024,
+                max_held_bytes: 128 * 1024 * 1024,
                 header_timeout_ms: 30_000,
                 body_timeout_ms: 10_000,
                 write_timeout_ms: 10_000,
@@ -74,6 +77,13 @@
         self
     }
 
+    /// Sets the most bytes of bodies of all requests that are not answered yet.
+    #[must_use]
+    pub const fn max_held_bytes(mut self, bytes: usize) -> Self {
+        self.cfg.max_held_bytes = bytes;
+        self
+    }
+
     /// Sets the time for the head of a request, in milliseconds.
     #[must_use]
     pub const fn header_timeout_ms(mut self, ms: u64) -> Self {
--- a/crates/citronway/src/callers/mod.rs
+++ b/crates/citronway/src/callers/mod.rs
@@ -5,6 +5,7 @@
 //! full is refused, with certainty that it did not run.
 
 mod app;
+mod body;
 mod config;
 mod finding;
 mod head;
@@ -30,6 +31,7 @@
 pub use config::{CallersConfig, CallersConfigBuilder};
 
 use app::App;
+use body::Memory;
 use waiting::Waiting;
 
 /// The outcome of a caller's request.
@@ -84,6 +86,7 @@
         .build()?;
     let app = App {
         waiting: Arc::new(Waiting::new(cfg.max_in_flight, events.clone())),
+        memory: Memory::new(cfg.max_held_bytes),
         cfg,
         events,
         ready,
--- a/crates/citronway/tests/callers.rs
+++ b/crates/citronway/tests/callers.rs
@@ -348,6 +348,23 @@
     }
 }
 
+/// Many callers send large bodies at once. The process would be killed for want
+/// of memory and take everybody's answers with it.
+#[gtest]
+fn bodies_above_the_memory_of_all_are_refused() {
+    let mut bench = Bench::with(|cfg| cfg.max_held_bytes(MAX_BODY));
+    let mut caller = bench.caller();
+    caller.write(&booking(&"x".repeat(MAX_BODY)));
+    let (ticket, _) = bench.request();
+    let refused = bench.ask(&booking("y"));
+    expect_that!(refused.status(), eq(503));
+    expect_that!(refused.json()["reason"], eq("overloaded"));
+    bench.reply(ticket, answered("done"));
+    expect_that!(caller.read().status(), eq(207));
+    caller.write(&booking("z"));
+    expect_that!(*bench.request().1.body, eq(*b"z"));
+}
+
 #[gtest]
 fn outcomes_have_their_statuses() {
     use MayHaveRunReason as May;
