A lost order is counted once, kept shares from the first count on

A lost order held its slot and had halved the limit as well. With two slots one broken connection then stopped the endpoint until that order's deadline (scenario with the old rule: one order sent, two are due). Orders whose outcome is missing now count against the slots, running ones against the limit.

The first count of a kept share took all time since the clock's origin as waited; its test failed with that (owed more than nothing on the first count).

--- a/crates/citronway-core/src/dispatch/limit.rs
+++ b/crates/citronway-core/src/dispatch/limit.rs
@@ -70,6 +70,12 @@
         u32::try_from(self.current / SLOT).unwrap_or(u32::MAX)
     }
 
+    /// All slots of the endpoint, at least one.
+    #[must_use]
+    pub const fn most(&self) -> u32 {
+        self.slots
+    }
+
     /// Mean time of the latest orders, in milliseconds, at least 1.
     #[must_use]
     pub const fn service_ms(&self) -> u64 {
--- a/crates/citronway-core/src/dispatch/sending.rs
+++ b/crates/citronway-core/src/dispatch/sending.rs
@@ -18,7 +18,7 @@
         if !self.may_send() {
             return;
         }
-        while self.slots.used() < self.usable(turn.now.wall) {
+        while self.has_slot(turn.now.wall) {
             let Some(waiting) = self.pick(turn.now.wall) else {
                 break;
             };
@@ -37,22 +37,27 @@
         reachable && !self.health.stale() && !self.is_draining()
     }
 
-    /// Slots that orders of this dispatcher may use.
+    /// Whether one more order may be sent.
     ///
-    /// After a takeover the predecessor's orders still run in slots that this
-    /// dispatcher believes free. Until they must be over, the endpoint's own
-    /// count is believed as far as it lowers the limit; one slot is used all
-    /// the same, or a wrong count would stop all work.
-    fn usable(&self, now: Wall) -> u32 {
-        let limit = self.limit.slots();
-        let until = self
-            .started
-            .wall
-            .plus(self.cfg.max_order_ms + self.cfg.skew_ms);
-        if now >= until {
-            return limit;
+    /// An order whose outcome is missing keeps its slot but is not counted
+    /// against the limit, which it has lowered already: counted twice, one lost
+    /// order would stop an endpoint of two slots until its deadline.
+    fn has_slot(&self, now: Wall) -> bool {
+        let all = self.limit.most();
+        let taken = self.slots.used().saturating_add(self.foreign_orders(now));
+        taken < all && self.slots.running() < self.limit.slots()
+    }
+
+    /// Orders of a predecessor that run in slots which look free from here.
+    ///
+    /// Until they must be over, the endpoint's own count of them is believed.
+    /// One slot is used all the same, or a wrong count would stop all work.
+    fn foreign_orders(&self, now: Wall) -> u32 {
+        let longest_ms = self.cfg.max_order_ms + self.cfg.skew_ms;
+        if now >= self.started.wall.plus(longest_ms) {
+            return 0;
         }
-        limit.saturating_sub(self.foreign).max(1)
+        self.foreign.min(self.limit.most() - 1)
     }
 
     /// The next request, one of a key within its share of the slots if any
--- a/crates/citronway-core/src/dispatch/share.rs
+++ b/crates/citronway-core/src/dispatch/share.rs
@@ -21,7 +21,8 @@
     hundredths: u8,
     /// In hundredths of a slot, times milliseconds.
     balance: i64,
-    counted_until: Mono,
+    /// `None` before the first count.
+    counted_until: Option<Mono>,
 }
 
 impl Share {
@@ -31,7 +32,7 @@
         Self {
             hundredths: if hundredths > 100 { 100 } else { hundredths },
             balance: 0,
-            counted_until: Mono(0),
+            counted_until: None,
         }
     }
 
@@ -50,8 +51,9 @@
     /// Counts the time since the last call. `held` slots are used by the class
     /// out of `limit`. Nothing is owed to a class that has no work `waiting`.
     pub fn pass_time(&mut self, now: Mono, limit: u32, held: u32, waiting: bool) {
-        let passed = i64::try_from(now.since(self.counted_until)).unwrap_or(i64::MAX);
-        self.counted_until = self.counted_until.max(now);
+        let since = self.counted_until.unwrap_or(now);
+        let passed = i64::try_from(now.since(since)).unwrap_or(i64::MAX);
+        self.counted_until = Some(since.max(now));
         if self.hundredths == 0 {
             return;
         }
--- a/crates/citronway-core/src/dispatch/slots.rs
+++ b/crates/citronway-core/src/dispatch/slots.rs
@@ -61,6 +61,12 @@
         u32::try_from(self.orders.len()).unwrap_or(u32::MAX)
     }
 
+    /// Slots of orders whose outcome is awaited.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.count(|order| order.state == OrderState::Running)
+    }
+
     /// Slots that orders of one class use.
     #[must_use]
     pub fn used_by(&self, class: &ClassName) -> u32 {
--- a/crates/citronway-core/tests/dispatch_load.rs
+++ b/crates/citronway-core/tests/dispatch_load.rs
@@ -2,9 +2,11 @@
 
 mod dispatch_support;
 
+use citronway_core::dispatch::share::Share;
 use citronway_core::dispatch::{DispatchEvent, DispatchSettings};
 use citronway_core::node::events::{OrderReply, ProbeReport, RefusedReason};
 use citronway_core::outcome::Outcome;
+use citronway_core::time::Mono;
 use dispatch_support::{HEALTHY, Rig, booking, builder, id, lookup, shard, wall};
 use googletest::prelude::*;
 
@@ -60,6 +62,15 @@
     expect_that!(batch, all!(ge(5), le(6)));
 }
 
+#[gtest]
+fn nothing_is_owed_for_the_time_before_the_first_count() {
+    let mut share = Share::new(25);
+    share.pass_time(Mono(9_000), 2, 0, true);
+    expect_that!(share.owed(), eq(0));
+    share.pass_time(Mono(9_010), 2, 0, true);
+    expect_that!(share.owed(), eq(500));
+}
+
 #[gtest]
 fn expired_while_waiting_is_told_at_once() {
     let mut rig = Rig::checking(1);
@@ -154,6 +165,20 @@
     expect_that!(rig.orders(), len(eq(3)));
 }
 
+/// One connection of an endpoint of two slots breaks. Its order keeps one slot
+/// and halves the limit to one; counted against the limit too, nothing would be
+/// sent until its deadline, though the other slot is free.
+#[gtest]
+fn one_lost_order_does_not_stop_a_small_endpoint() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, lookup(1, "interactive", 9_000));
+    rig.done(rig.last_order(), OrderReply::Lost);
+    for n in 2..=3 {
+        rig.submit(u64::from(n), lookup(n, "interactive", 9_000));
+    }
+    expect_that!(sent_order(&rig), eq(&vec![1, 2]));
+}
+
 #[gtest]
 fn cancelled_while_waiting_did_not_run() {
     let mut rig = Rig::checking(1);
