Tour runs; a configuration that is refused says why

The first start waited in vain for healthy entries: a rule name with a blank is no valid name, and a row written past the administration API is dropped by the entries without a word.

--- a/crates/citronway-standin/src/env/environment.rs
+++ b/crates/citronway-standin/src/env/environment.rs
@@ -208,12 +208,10 @@
                     false
                 }
             }
-        })
-        .await;
-        if accepted.is_err() {
-            log::error!("last refusal of the configuration: {refusal}");
-        }
+        });
         accepted
+            .await
+            .map_err(|_waited| EnvError::NotAccepted { refusal })
     }
 
     /// What the runs of all endpoints, killed ones too, say about the promises.
--- a/crates/citronway-standin/src/env/error.rs
+++ b/crates/citronway-standin/src/env/error.rs
@@ -35,6 +35,12 @@
         /// Time waited.
         patience: Duration,
     },
+    /// A configuration was not accepted.
+    #[error("the configuration is not accepted: {refusal}")]
+    NotAccepted {
+        /// The last refusal.
+        refusal: String,
+    },
     /// Nothing of this name is in the environment.
     #[error("nothing is called {name}")]
     Unknown {
--- a/crates/citronway-standin/src/load/bench.rs
+++ b/crates/citronway-standin/src/load/bench.rs
@@ -42,11 +42,7 @@
 /// If the deployment cannot be started or driven, or the file not be written.
 pub async fn run(options: LoadOptions) -> Result<ExitCode, EnvError> {
     let mut env = start(&options).await?;
-    let tried = try_out(&mut env, &options).await;
-    if options.keep_files {
-        println!("files are in {}", env.keep_files().display());
-    }
-    let report = tried?;
+    let report = try_out(&mut env, &options).await?;
     println!("{report}");
     if let Some(file) = &options.json {
         let text = serde_json::to_string_pretty(&report).map_err(ClientError::from)?;
@@ -59,6 +55,9 @@
     let deployment = options.deployment;
     let launcher = Launcher::this_program().map_err(EnvError::io("find this program"))?;
     let mut env = Env::start(launcher, LIST_LAG_MS)?;
+    if options.keep_files {
+        println!("files are kept in {}", env.keep_files().display());
+    }
     if let Some(policy) = options.policy {
         env.set_policy(policy);
     }
--- a/crates/citronway-standin/src/load/options.rs
+++ b/crates/citronway-standin/src/load/options.rs
@@ -30,6 +30,6 @@
     /// Writes the report as JSON to this file
     #[bpaf(argument("FILE"))]
     pub json: Option<PathBuf>,
-    /// Keeps settings, logs and journals and says where they are
+    /// Keeps settings, logs and journals, and says where
     pub keep_files: bool,
 }
--- a/crates/citronway-standin/src/tour/deployment.rs
+++ b/crates/citronway-standin/src/tour/deployment.rs
@@ -4,8 +4,9 @@
 use citronway_core::ids::{ClassName, EndpointName, GroupName, ServiceName, ZoneName};
 use citronway_core::request::Labels;
 
+use super::options::TourOptions;
 use crate::endpoint::EndpointOptions;
-use crate::env::{Env, EnvError, Launcher};
+use crate::env::{Env, EnvError, Launcher, wait};
 
 /// The service of the tour.
 pub const SERVICE: &str = "migrations";
@@ -34,9 +35,12 @@
 /// # Errors
 ///
 /// If something does not start or the configuration is not accepted.
-pub async fn start() -> Result<Env, EnvError> {
+pub async fn start(options: TourOptions) -> Result<Env, EnvError> {
     let launcher = Launcher::this_program().map_err(EnvError::io("find this program"))?;
     let mut env = Env::start(launcher, LIST_LAG_MS)?;
+    if options.keep_files {
+        println!("files are kept in {}", env.keep_files().display());
+    }
     for number in 1..=ENDPOINTS {
         let options = EndpointOptions::new(&format!("endpoint-{number}"))
             .slots(SLOTS)
@@ -50,6 +54,8 @@
     let config = config(&env);
     env.apply(&entry_of(ZONES[0]), &config).await?;
     env.all_healthy().await?;
+    let owned = async || env.platform().all_owned(config.services.len()).await;
+    wait("every shard is owned", owned).await?;
     Ok(env)
 }
 
@@ -106,7 +112,7 @@
         config.classes.insert(ClassName::new(name), class);
     }
     config.rules.push(Rule {
-        name: "console first".to_owned(),
+        name: "console-first".to_owned(),
         service: ServiceName::new(SERVICE),
         callers: Some("from=console".to_owned()),
         keys: None,
--- a/crates/citronway-standin/src/tour/options.rs
+++ b/crates/citronway-standin/src/tour/options.rs
@@ -6,6 +6,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Bpaf)]
 #[bpaf(generate(tour_options))]
 pub struct TourOptions {
-    /// Keeps settings, logs and journals and says where they are
+    /// Keeps settings, logs and journals, and says where
     pub keep_files: bool,
 }
--- a/crates/citronway-standin/src/tour/trip.rs
+++ b/crates/citronway-standin/src/tour/trip.rs
@@ -9,7 +9,7 @@
 use super::report::{Part, Report};
 use super::traffic::Traffic;
 use crate::caller::Balancer;
-use crate::env::{Entry, Env, EnvError};
+use crate::env::{Entry, EnvError};
 use crate::measure::Promises;
 
 /// Runs the tour and prints its report.
@@ -18,16 +18,8 @@
 ///
 /// If the deployment cannot be started or driven.
 pub async fn run(options: TourOptions) -> Result<ExitCode, EnvError> {
-    let mut env = deployment::start().await?;
+    let mut env = deployment::start(options).await?;
     println!("deployment started");
-    let toured = tour(&mut env).await;
-    if options.keep_files {
-        println!("files are in {}", env.keep_files().display());
-    }
-    toured
-}
-
-async fn tour(env: &mut Env) -> Result<ExitCode, EnvError> {
     let entries = env.entries().map(Entry::callers).collect::<Vec<_>>();
     let balancer = Arc::new(Balancer::start(&entries));
     let traffic = Traffic::start(balancer);
@@ -35,7 +27,7 @@
     for stage in Stage::ALL {
         println!("{}", stage.title());
         let from = traffic.elapsed();
-        stage.play(env).await?;
+        stage.play(&mut env).await?;
         let until = traffic.elapsed();
         parts.push(Part { stage, from, until });
     }
