--- a/crates/citronctl/src/cli.rs
+++ b/crates/citronctl/src/cli.rs
@@ -17,7 +17,7 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  citronctl get endpoints --server 10.0.0.5:7400
+  citronctl get endpoints --server 10.0.1.5:7002
   citronctl label endpoint lab-3 site=suva tier-
   citronctl select group console --endpoints 'app = console, zone != north'
   citronctl get config --output json > config.json
@@ -95,8 +95,13 @@
         /// File of stated outcomes; default: FILE with .expected.json for .jsonl
         #[bpaf(long, argument("FILE"), optional)]
         expected: Option<PathBuf>,
-        /// Machine, where the first line does not name it: config
-        #[bpaf(long, argument("MACHINE"), optional)]
+        /// Machine, where the first line does not name it: config, dispatcher or planner
+        #[bpaf(
+            long,
+            argument::<Machine>("MACHINE"),
+            complete(|_| words(Machine::WORDS)),
+            optional
+        )]
         machine: Option<Machine>,
         /// File of JSON lines
         #[bpaf(positional("FILE"))]
@@ -201,6 +206,9 @@
         /// With a service, remove its groups and rules too
         #[bpaf(long)]
         with_groups: bool,
+        /// Remove an endpoint although it still owns shards
+        #[bpaf(long)]
+        force: bool,
         #[bpaf(external)]
         /// How to make the change.
         condition: Condition,
