Leaving ends in time, roles wait for their endpoint, peers tell rows

Cause: three faults of the composition. An instance that leaves together with all others waited for its whole grace, since nobody takes its roles; a role taken over while its endpoint is not configured never got a dispatcher; an instance that starts while the store is down had no rows. On the way out a retired dispatcher could be dropped before its requests were handed over.

--- a/crates/citronway-core/src/dispatch/machine.rs
+++ b/crates/citronway-core/src/dispatch/machine.rs
@@ -115,7 +115,11 @@
             DispatchEvent::GrantDone { ticket, report } => {
                 self.on_grant_done(ticket, &report, turn);
             }
-            DispatchEvent::SetShards { shards } => self.on_shards(&shards),
+            DispatchEvent::SetShards { shards } => {
+                // What the planner now waits for is reported at once.
+                self.next_report = turn.now.mono;
+                self.on_shards(&shards);
+            }
             DispatchEvent::SetEndpoint { endpoint } => self.on_endpoint(*endpoint),
             DispatchEvent::Retire { reason } => self.on_retire(reason),
             DispatchEvent::Tick => {}
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -50,6 +50,9 @@
 use seats::Seats;
 use tickets::{Purpose, Tickets};
 
+/// How long a leaving instance waits for its roles to be taken, in milliseconds.
+const HANDOVER_MS: u64 = 1_500;
+
 /// Every decision of one entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -66,6 +69,8 @@
     reported: Option<Mono>,
     /// A stored configuration that could not be used.
     refused: Option<RefusedConfig>,
+    /// When the last role was handed over.
+    handed_over: Option<Mono>,
     /// When the process was asked to stop.
     stopped: Option<Mono>,
 }
@@ -85,6 +90,7 @@
             greeted: None,
             reported: None,
             refused: None,
+            handed_over: None,
             stopped: None,
             me,
             settings,
@@ -131,6 +137,9 @@
                 session,
                 at_its_address,
             } => {
+                if at_its_address {
+                    self.tell_rows(&session, &mut out);
+                }
                 let gone = self.members.up(&session, at_its_address, now.mono);
                 self.bury(&gone, now, &mut out);
             }
@@ -179,8 +188,20 @@
         self.entry.is_idle() || self.grace_is_over(now)
     }
 
-    fn seats_are_left(&self, now: Now) -> bool {
-        (self.seats.is_idle() && self.seats.roles_are_gone()) || self.grace_is_over(now)
+    /// Whether nothing keeps this process any more.
+    ///
+    /// An offered role is waited for only so long: when the store does not
+    /// answer, or all others leave as well, nobody takes it, and a successor that
+    /// has the offer can take it without us.
+    fn seats_are_left(&mut self, now: Now) -> bool {
+        if self.grace_is_over(now) {
+            return true;
+        }
+        if !self.seats.is_idle() || !self.seats.all_handed_over() {
+            return false;
+        }
+        let since = *self.handed_over.get_or_insert(now.mono);
+        self.seats.roles_are_gone() || now.mono.since(since) >= HANDOVER_MS
     }
 
     fn grace_is_over(&self, now: Now) -> bool {
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -29,10 +29,20 @@
     /// Dispatchers that have given up the role and wait for what is in flight.
     pub(super) retired: Vec<Active>,
     pub(super) probes: Probes,
+    /// A role whose dispatcher could not be started: the endpoint is not configured.
+    waiting_role: Option<Role>,
     /// The role was handed over because this instance leaves.
     handed_over: bool,
 }
 
+/// What a dispatcher starts from when its session has taken the role over.
+#[derive(Debug, Clone)]
+struct Role {
+    epoch: Epoch,
+    floor: Wall,
+    requests: Vec<KnownRequest>,
+}
+
 /// A dispatcher with the epoch it acts under.
 #[derive(Debug)]
 pub(super) struct Active {
@@ -55,6 +65,7 @@
             active: None,
             retired: Vec::new(),
             probes: Probes::default(),
+            waiting_role: None,
             handed_over: false,
         }
     }
@@ -90,6 +101,11 @@
         self.by_endpoint.values().all(|seat| !seat.is_busy())
     }
 
+    /// Whether every role was handed over.
+    pub(super) fn all_handed_over(&self) -> bool {
+        self.by_endpoint.values().all(|seat| seat.handed_over)
+    }
+
     /// Whether no row names this session as dispatcher any more.
     pub(super) fn roles_are_gone(&self) -> bool {
         self.by_endpoint
@@ -125,6 +141,7 @@
                 self.tell_hold_the_known(&name, now, out);
                 self.start_free(&name, &endpoint, now);
             }
+            self.start_waiting(&name, now, out);
             let endpoint = Box::new(endpoint);
             self.tell_dispatcher(&name, DispatchEvent::SetEndpoint { endpoint }, now, out);
         }
@@ -259,10 +276,20 @@
                 floor,
                 requests,
             } => {
-                self.start_dispatcher(name, epoch, floor, &requests, now);
+                let role = Role {
+                    epoch,
+                    floor,
+                    requests,
+                };
+                self.start_dispatcher(name, role, now);
                 self.give_shards(name, now, out);
             }
-            HoldAction::Lost { .. } => self.retire(name, NotRunReason::NotDispatcher, now, out),
+            HoldAction::Lost { .. } => {
+                if let Some(seat) = self.seats.by_endpoint.get_mut(name) {
+                    seat.waiting_role = None;
+                }
+                self.retire(name, NotRunReason::NotDispatcher, now, out);
+            }
             HoldAction::OfferDeclined { .. } => {}
         }
     }
@@ -341,34 +368,41 @@
         }
     }
 
-    fn start_dispatcher(
-        &mut self,
-        name: &EndpointName,
-        epoch: Epoch,
-        floor: Wall,
-        requests: &[KnownRequest],
-        now: Now,
-    ) {
-        let Some(config) = self.view.config() else {
+    /// Failure guarded against: the role is taken over while the endpoint is not
+    /// configured; when it is put back, its hold stands but nobody dispatches.
+    fn start_dispatcher(&mut self, name: &EndpointName, role: Role, now: Now) {
+        let config = self.view.config().map(|config| config.config());
+        let known = config.and_then(|config| Some((config, config.endpoints.get(name)?)));
+        let Some(seat) = self.seats.by_endpoint.get_mut(name) else {
             return;
         };
-        let Some(endpoint) = config.config().endpoints.get(name) else {
+        let Some((config, endpoint)) = known else {
+            seat.waiting_role = Some(role);
             return;
         };
+        seat.waiting_role = None;
         let dispatcher = Dispatcher::builder(name, endpoint)
-            .classes(&config.config().classes)
+            .classes(&config.classes)
             .settings(self.settings.dispatch.clone())
-            .role(epoch, &self.me)
-            .floor(floor)
-            .known(requests)
+            .role(role.epoch, &self.me)
+            .floor(role.floor)
+            .known(&role.requests)
             .start(now);
-        if let Some(seat) = self.seats.by_endpoint.get_mut(name) {
-            seat.active = Some(Active {
-                epoch,
-                dispatcher,
-                free: false,
-            });
-        }
+        seat.active = Some(Active {
+            epoch: role.epoch,
+            dispatcher,
+            free: false,
+        });
+    }
+
+    /// Starts the dispatcher of an endpoint that is configured again.
+    fn start_waiting(&mut self, name: &EndpointName, now: Now, out: &mut Vec<Action>) {
+        let seat = self.seats.by_endpoint.get_mut(name);
+        let Some(role) = seat.and_then(|seat| seat.waiting_role.take()) else {
+            return;
+        };
+        self.start_dispatcher(name, role, now);
+        self.give_shards(name, now, out);
     }
 
     fn free_slots(&self, slots: u32, now: Now) -> Option<u32> {
@@ -463,7 +497,14 @@
         for epoch in epochs {
             self.tell_epoch(name, epoch, DispatchEvent::Tick, now, out);
         }
-        if let Some(seat) = self.seats.by_endpoint.get_mut(name) {
+        let leaves = self.is_leaving(now);
+        let Some(seat) = self.seats.by_endpoint.get_mut(name) else {
+            return;
+        };
+        // Failure guarded against: on the way out an order that never was
+        // answered frees its slot at its deadline, the dispatcher is dropped as
+        // idle before its requests went to the successor, and an id runs again.
+        if !leaves || seat.handed_over {
             seat.retired.retain(|retired| !retired.dispatcher.is_idle());
         }
     }
--- a/crates/citronway-core/src/node/store.rs
+++ b/crates/citronway-core/src/node/store.rs
@@ -15,6 +15,9 @@
     ASSIGNMENT_TABLE, CONFIG_KEY, CONFIG_TABLE, DISPATCH_TABLE, Learnt, PLANNER_TABLE,
 };
 
+/// Rows in one message to a peer.
+const ROWS_AT_ONCE: usize = 16;
+
 /// Tables that every instance follows.
 const FOLLOWED: [&str; 4] = [
     CONFIG_TABLE,
@@ -83,6 +86,23 @@
         self.config_event(&event, now, out);
     }
 
+    /// Tells a session that was just connected all rows known here.
+    ///
+    /// Failure guarded against: an instance starts, or missed the last change,
+    /// while the store is down. Without the rows of its peers it would serve
+    /// nothing until the store is back.
+    pub(super) fn tell_rows(&self, to: &Session, out: &mut Vec<Action>) {
+        for rows in self.view.rows().chunks(ROWS_AT_ONCE) {
+            let message = PeerMessage::Rows {
+                rows: rows.to_vec(),
+            };
+            out.push(Action::Send {
+                to: to.clone(),
+                message,
+            });
+        }
+    }
+
     /// Feeds the machine that keeps the configuration in force.
     pub(super) fn config_event(&mut self, event: &ConfigEvent, now: Now, out: &mut Vec<Action>) {
         for action in self.view.config_event(event, now.mono) {
--- a/crates/citronway-core/src/node/view.rs
+++ b/crates/citronway-core/src/node/view.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::config::version::{ConfigAction, ConfigEvent, InForce};
@@ -125,6 +126,30 @@
         self.heard_store.map_or(u64::MAX, |at| now.since(at))
     }
 
+    /// Every row known here, as stored.
+    #[must_use]
+    pub fn rows(&self) -> Vec<Row> {
+        let mut rows: Vec<Row> = self.config_row().into_iter().collect();
+        for (service, known) in &self.assignments {
+            let value = known.value.assignment.as_ref();
+            rows.extend(row(
+                ASSIGNMENT_TABLE,
+                service.as_str(),
+                known.version,
+                value,
+            ));
+        }
+        for (endpoint, known) in &self.dispatch {
+            rows.extend(row(
+                DISPATCH_TABLE,
+                endpoint.as_str(),
+                known.version,
+                &known.value,
+            ));
+        }
+        rows
+    }
+
     pub(super) const fn heard_store(&mut self, now: Mono) {
         self.heard_store = Some(now);
     }
@@ -222,3 +247,12 @@
 fn parse<T: DeserializeOwned>(row: &Row) -> Option<T> {
     serde_json::from_str(&row.value).ok()
 }
+
+fn row<T: Serialize>(table: &str, key: &str, version: Version, value: &T) -> Option<Row> {
+    let at = RowKey {
+        table: table.to_owned(),
+        key: key.to_owned(),
+    };
+    let value = serde_json::to_string(value).ok()?;
+    Some(Row { at, version, value })
+}
