--- a/crates/citronway-standin/src/env/environment.rs
+++ b/crates/citronway-standin/src/env/environment.rs
@@ -33,6 +33,7 @@
     launcher: Launcher,
     client: Client,
     policy: Option<Policy>,
+    max_order_ms: Option<u64>,
     further: String,
     entries: IndexMap<String, Entry>,
     endpoints: IndexMap<String, EndpointHandle>,
@@ -54,6 +55,7 @@
             launcher,
             client,
             policy: None,
+            max_order_ms: None,
             further: String::new(),
             entries: IndexMap::new(),
             endpoints: IndexMap::new(),
@@ -67,6 +69,12 @@
         self.policy = Some(policy);
     }
 
+    /// Callers of entries started from now on wait, and orders run, at most so
+    /// many milliseconds.
+    pub const fn set_max_order(&mut self, ms: u64) {
+        self.max_order_ms = Some(ms);
+    }
+
     /// Entries started from now on get these further sections, as INI.
     pub fn set_further(&mut self, ini: &str) {
         ini.clone_into(&mut self.further);
@@ -112,6 +120,7 @@
             shared_key: SHARED_KEY.to_owned(),
             token: TOKEN.to_owned(),
             policy: self.policy,
+            max_order_ms: self.max_order_ms,
             further: self.further.clone(),
         };
         self.launch_entry(settings).await
--- a/crates/citronway-standin/src/env/settings.rs
+++ b/crates/citronway-standin/src/env/settings.rs
@@ -69,6 +69,9 @@
     pub token: String,
     /// How it sends; `None` leaves the key out.
     pub policy: Option<Policy>,
+    /// Longest time that callers wait and orders run, in milliseconds; `None`
+    /// keeps the defaults.
+    pub max_order_ms: Option<u64>,
     /// Further sections, as INI.
     pub further: String,
 }
@@ -102,12 +105,30 @@
             self.shared_key,
             self.token,
         );
-        if let Some(policy) = self.policy {
-            ini.push_str("\n[dispatch]\npolicy = ");
-            ini.push_str(policy.name());
-            ini.push('\n');
-        }
+        self.add_limits(&mut ini);
         ini.push_str(&self.further);
         ini
     }
+
+    fn add_limits(&self, ini: &mut String) {
+        let mut dispatch = String::new();
+        if let Some(policy) = self.policy {
+            dispatch.push_str(&format_line("policy", policy.name()));
+        }
+        if let Some(ms) = self.max_order_ms {
+            let ms = ms.to_string();
+            ini.push_str("\n[callers]\n");
+            ini.push_str(&format_line("default_timeout_ms", &ms));
+            ini.push_str(&format_line("max_timeout_ms", &ms));
+            dispatch.push_str(&format_line("max_order_ms", &ms));
+        }
+        if !dispatch.is_empty() {
+            ini.push_str("\n[dispatch]\n");
+            ini.push_str(&dispatch);
+        }
+    }
+}
+
+fn format_line(key: &str, value: &str) -> String {
+    format!("{key} = {value}\n")
 }
--- a/crates/citronway-standin/src/load/deployment.rs
+++ b/crates/citronway-standin/src/load/deployment.rs
@@ -187,6 +187,14 @@
         }
     }
 
+    /// Longest order: the longest deadline of its kinds of work, in milliseconds.
+    #[must_use]
+    pub fn max_order_ms(self) -> u64 {
+        let deadlines = self.work().iter().map(|work| work.deadline);
+        let longest = deadlines.max().unwrap_or_default();
+        u64::try_from(longest.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Zone of the instance or endpoint of this number.
     #[must_use]
     pub const fn zone(self, number: usize) -> &'static str {
--- a/crates/citronway-standin/src/load/mod.rs
+++ b/crates/citronway-standin/src/load/mod.rs
@@ -3,6 +3,7 @@
 
 mod bench;
 mod churn;
+mod control;
 mod cpu;
 mod deployment;
 mod options;
@@ -12,9 +13,14 @@
 mod sender;
 mod table;
 
+use std::time::Duration;
+
 pub use bench::run;
 pub use deployment::Deployment;
 pub use options::{LoadOptions, load_options};
 pub use plan::{Arrival, Plan};
 pub use report::Report;
 pub use scenario::Scenario;
+
+/// Longest wait for the metrics of an entry.
+const METRICS_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/citronway-standin/src/load/report.rs
+++ b/crates/citronway-standin/src/load/report.rs
@@ -81,6 +81,9 @@
     pub store_reads: f64,
     /// Writes to the platform.
     pub store_writes: u64,
+    /// Bytes of control messages that an entry sends and receives a second, mean;
+    /// `None` if the entries do not tell.
+    pub control_bytes: Option<f64>,
     /// CPU time of each entry as a part of one core, mean.
     pub cpu_mean: f64,
     /// The same, of the busiest entry.
@@ -147,7 +150,9 @@
         let latency = sample.record.latency();
         in_time += u32::from(latency <= sample.deadline);
         let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        histogram.saturating_record(micros);
+        histogram
+            .record(micros)
+            .expect("the histogram grows with what is recorded");
     }
     let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
     ClassFigures {
--- a/crates/citronway-standin/src/load/table.rs
+++ b/crates/citronway-standin/src/load/table.rs
@@ -49,6 +49,10 @@
             ("store, bytes", whole.store_bytes as f64),
             ("store, reads/s", whole.store_reads),
             ("store, writes", whole.store_writes as f64),
+            (
+                "control bytes/s of an entry",
+                whole.control_bytes.unwrap_or(f64::NAN),
+            ),
             ("CPU of an entry, mean cores", whole.cpu_mean),
             ("CPU of an entry, max cores", whole.cpu_max),
         ];
--- a/crates/citronway-standin/src/measure/promises.rs
+++ b/crates/citronway-standin/src/measure/promises.rs
@@ -8,6 +8,9 @@
 use crate::env::Evidence;
 use crate::env::evidence::Overlap;
 
+/// Most overlaps that are described.
+const SHOWN: usize = 5;
+
 /// Promises that were broken.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Promises {
@@ -58,6 +61,25 @@
             && self.answered_but_not_ran.is_empty()
     }
 
+    /// The first keys with two owners at once, for people.
+    #[must_use]
+    pub fn describe_overlaps(&self) -> String {
+        let mut text = String::new();
+        for overlap in self.overlaps.iter().take(SHOWN) {
+            let line = format!(
+                "two owners of {}/{}: {} (shard {}), then {} (shard {})\n",
+                overlap.service,
+                overlap.key,
+                overlap.first,
+                overlap.first_shard,
+                overlap.second,
+                overlap.second_shard,
+            );
+            text.push_str(&line);
+        }
+        text
+    }
+
     fn check_record(&mut self, record: &Record, evidence: &Evidence) {
         match record.verdict {
             Verdict::Wrong(_) => self.wrong_answers.push(record.id),
--- a/crates/citronway-standin/src/tour/deployment.rs
+++ b/crates/citronway-standin/src/tour/deployment.rs
@@ -26,6 +26,11 @@
 const ENDPOINTS: u32 = 6;
 const SLOTS: u32 = 6;
 const SERVICE_MS: u64 = 5;
+/// Longest order, in milliseconds. A dispatcher of an endpoint that does not
+/// check waits so long before it gives a shard up, because an order of an
+/// earlier dispatcher may still run; the default of a minute is longer than the
+/// whole tour.
+const MAX_ORDER_MS: u64 = 2000;
 const SHARDS: u32 = 32;
 const INTERACTIVE: &str = "interactive";
 const BATCH: &str = "batch";
@@ -41,6 +46,7 @@
     if options.keep_files {
         println!("files are kept in {}", env.keep_files().display());
     }
+    env.set_max_order(MAX_ORDER_MS);
     for number in 1..=ENDPOINTS {
         let options = EndpointOptions::new(&format!("endpoint-{number}"))
             .slots(SLOTS)
--- a/crates/citronway-standin/src/tour/report.rs
+++ b/crates/citronway-standin/src/tour/report.rs
@@ -87,7 +87,7 @@
         for (what, count) in lines {
             writeln!(f, "{what:<30} {count:>5}")?;
         }
-        Ok(())
+        f.write_str(&promises.describe_overlaps())
     }
 }
 
--- a/crates/citronway-standin/tests/evidence.rs
+++ b/crates/citronway-standin/tests/evidence.rs
@@ -53,6 +53,18 @@
     expect_that!(Evidence::weigh(&runs).overlaps, len(eq(1)));
 }
 
+#[gtest]
+fn a_hot_key_that_moves_to_a_shard_of_its_own_is_fine() {
+    let own = Run {
+        shard: ShardId(2),
+        ..run("two", 1, 10, 20)
+    };
+    expect_that!(
+        Evidence::weigh(&[run("one", 5, 0, 10), own]).overlaps,
+        is_empty()
+    );
+}
+
 #[gtest]
 fn a_request_that_ran_at_two_endpoints_ran_twice() {
     let first = run("one", 1, 0, 10);
