--- a/crates/citronway/tests/callers.rs
+++ b/crates/citronway/tests/callers.rs
@@ -274,6 +274,9 @@
         expect_that!(answer.status(), eq(413));
         expect_that!(findings(&answer), elements_are![eq("body too_large")]);
     }
+    let asked = booking(&body).replace("content-", "expect: 100-continue\r\ncontent-");
+    let answer = bench.ask(asked.trim_end_matches(&body));
+    expect_that!(answer.status(), eq(413));
 }
 
 /// A caller sends a body far above the limit and reads only then. It would see
@@ -311,6 +314,27 @@
     }
 }
 
+/// More callers connect than the instance has room for. It would take them all
+/// and run out of file handles for its endpoints.
+#[gtest]
+fn connections_above_the_limit_wait() {
+    let mut bench = Bench::with(|cfg| cfg.max_connections(1));
+    let mut first = bench.caller();
+    first.write(GET);
+    let (ticket, _) = bench.request();
+    let mut second = bench.caller();
+    second.write(&GET.replace("key: k", "key: second"));
+    bench.reply(ticket, answered("done"));
+    first.read();
+    first.write(&GET.replace("key: k", "key: again"));
+    let (ticket, again) = bench.request();
+    expect_that!(again.key, eq(&Key::new("again")));
+    bench.reply(ticket, answered("done"));
+    first.read();
+    drop(first);
+    expect_that!(bench.request().1.key, eq(&Key::new("second")));
+}
+
 /// Callers connect and never finish their headers. Nobody else would get in,
 /// because they hold the connections that the instance takes.
 #[gtest]
