Dispatcher: barred shards are reported until they move, no wait where nothing is inherited

Cause: with load on it, keys stayed in 'moving' for half a minute. A dispatcher took every start for a takeover, so that an endpoint that does not check could not release a shard before the longest order; the shard was stopped all that time. Found by the random interleavings on the way: shards assigned after a quiet report were not barred by the repeated report and could be granted again; and a lost report of a quiet endpoint that came back left its shards barred for good. A load report of an unreachable endpoint counted as its sign of life. The random test's check 'released under running work' was wrong for a shard of an endpoint already reported quiet: it is replaced there by the check that nothing is held at that moment, as strict as that of the quiet report itself.

--- a/crates/citronway-core/src/dispatch/granting.rs
+++ b/crates/citronway-core/src/dispatch/granting.rs
@@ -33,6 +33,11 @@
     /// Moves shards on their way out, as far as silence allows.
     pub(super) fn release_shards(&mut self, turn: Turn) {
         let bounds = self.bounds();
+        for at in self.grants.stop_moving(turn.now.wall, bounds) {
+            for waiting in self.queue.drain_shard(&at) {
+                self.give_up(&waiting, NotRunReason::Moving);
+            }
+        }
         let slots = &self.slots;
         let released = self
             .grants
--- a/crates/citronway-core/src/dispatch/grants.rs
+++ b/crates/citronway-core/src/dispatch/grants.rs
@@ -69,9 +69,7 @@
     pub fn set_shards(&mut self, shards: &[OwnedShard]) -> Vec<ShardRef> {
         let mut stopped = Vec::new();
         for owned in shards {
-            if self.set_shard(owned) {
-                stopped.push(owned.at.clone());
-            }
+            self.set_shard(owned);
         }
         for held in self.shards.values_mut() {
             if shards.iter().any(|owned| owned.at == held.owned.at) {
@@ -89,6 +87,26 @@
         stopped
     }
 
+    /// Stops shards that are on their way out and could be released soon.
+    /// Returns them.
+    ///
+    /// Failure guarded against: after a takeover an endpoint that does not check
+    /// may run orders of the predecessor for long. Were its moving shards stopped
+    /// at once, nobody would serve their keys all that time.
+    pub fn stop_moving(&mut self, now: Wall, bounds: Bounds) -> Vec<ShardRef> {
+        let mut stopped = Vec::new();
+        if !bounds.checks_orders && now < bounds.inherited_until {
+            return stopped;
+        }
+        for (at, held) in &mut self.shards {
+            if held.phase == Phase::Serving && held.owned.moving {
+                held.phase = Phase::Stopping;
+                stopped.push(at.clone());
+            }
+        }
+        stopped
+    }
+
     /// Whether an order of the shard may be sent now. The grant must have been
     /// confirmed: an end that was merely sent may never have arrived.
     #[must_use]
@@ -232,6 +250,13 @@
         }
     }
 
+    /// Whether a shard is barred although the assignment leaves it here.
+    #[must_use]
+    pub fn has_barred(&self) -> bool {
+        let mut shards = self.shards.values();
+        shards.any(|held| held.phase == Phase::Released && !held.owned.moving)
+    }
+
     /// Released shards that the assignment still shows on their way out.
     #[must_use]
     pub fn released(&self) -> Vec<ShardEpoch> {
@@ -247,31 +272,23 @@
         shards
     }
 
-    /// Takes in one assigned shard. Returns whether it gets no new work from
-    /// now on.
-    fn set_shard(&mut self, owned: &OwnedShard) -> bool {
+    fn set_shard(&mut self, owned: &OwnedShard) {
         let Some(held) = self.shards.get_mut(&owned.at) else {
             let held = Held::new(owned.clone(), Wall(0));
             self.shards.insert(owned.at.clone(), held);
-            return false;
+            return;
         };
         if owned.epoch < held.owned.epoch {
-            return false;
+            return;
         }
         if owned.epoch > held.owned.epoch {
             *held = Held::new(owned.clone(), held.latest_end);
-            return false;
+            return;
         }
         held.owned = owned.clone();
-        match (held.phase, owned.moving) {
-            (Phase::Serving, true) => {
-                held.phase = Phase::Stopping;
-                return true;
-            }
-            (Phase::Stopping, false) => held.phase = Phase::Serving,
-            _ => {}
+        if held.phase == Phase::Stopping && !owned.moving {
+            held.phase = Phase::Serving;
         }
-        false
     }
 
     fn in_phase(&self, wanted: impl Fn(Phase) -> bool) -> Vec<GrantedShard> {
@@ -293,14 +310,9 @@
 
 impl Held {
     fn new(owned: OwnedShard, latest_end: Wall) -> Self {
-        let phase = if owned.moving {
-            Phase::Stopping
-        } else {
-            Phase::Serving
-        };
         Self {
             owned,
-            phase,
+            phase: Phase::Serving,
             acked_end: Wall(0),
             latest_end,
             asked: false,
--- a/crates/citronway-core/src/dispatch/machine.rs
+++ b/crates/citronway-core/src/dispatch/machine.rs
@@ -18,7 +18,7 @@
 use crate::ids::{EndpointName, Epoch, RequestId, Session};
 use crate::node::events::Ticket;
 use crate::outcome::{NotRun, NotRunReason, Outcome};
-use crate::time::{Mono, Now};
+use crate::time::{Mono, Now, Wall};
 
 /// Keys that are counted for reports.
 const HOT_KEYS: usize = 64;
@@ -32,6 +32,8 @@
     pub(super) epoch: Epoch,
     pub(super) session: Session,
     pub(super) started: Now,
+    /// A predecessor may have left orders or grants at the endpoint.
+    pub(super) inherited: bool,
     pub(super) queue: Queue,
     pub(super) slots: Slots,
     pub(super) limit: Limit,
@@ -82,7 +84,7 @@
             health: Health::new(now.mono),
             hot: HotKeys::new(HOT_KEYS),
             begun: IndexMap::new(),
-            foreign: u32::MAX,
+            foreign: if spec.inherited { u32::MAX } else { 0 },
             next_ticket: spec.first_ticket,
             next_renewal: now.mono,
             next_report: now.mono,
@@ -97,6 +99,7 @@
             epoch: spec.epoch,
             session: spec.session,
             started: now,
+            inherited: spec.inherited,
         }
     }
 
@@ -191,7 +194,11 @@
         };
         Bounds {
             checks_orders: self.endpoint.checks_orders,
-            inherited_until: self.started.wall.plus(longest + self.cfg.skew_ms),
+            inherited_until: if self.inherited {
+                self.started.wall.plus(longest + self.cfg.skew_ms)
+            } else {
+                Wall(0)
+            },
             skew_ms: self.cfg.skew_ms,
         }
     }
--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -113,9 +113,20 @@
             return;
         }
         self.next_report = turn.now.mono.plus(self.cfg.report_ms);
-        if self.health.reach() == Reach::Unreachable {
-            let quiet = self.quiet;
-            self.out.push(DispatchAction::EndpointLost { quiet });
+        let unreachable = self.health.reach() == Reach::Unreachable;
+        if unreachable && self.quiet {
+            // Shards that were assigned since the endpoint fell silent are told
+            // free by this report as well, so they must be barred as well.
+            self.grants.release_all();
+        }
+        // Failure guarded against: the report is lost and the endpoint comes
+        // back. Its barred shards would wait for a new epoch that nobody gives,
+        // so they are reported for as long as there are any.
+        let quiet = self.grants.has_barred();
+        if unreachable || quiet {
+            self.out.push(DispatchAction::EndpointLost {
+                quiet: quiet || self.quiet,
+            });
         }
         for ShardEpoch { at, epoch } in self.grants.released() {
             self.out.push(DispatchAction::ShardReleased { at, epoch });
--- a/crates/citronway-core/src/dispatch/spec.rs
+++ b/crates/citronway-core/src/dispatch/spec.rs
@@ -14,6 +14,11 @@
 /// Ticket that a dispatcher gives first unless told otherwise.
 const FIRST_TICKET: Ticket = 1;
 
+/// Unless it is known otherwise, a predecessor has left something behind.
+const fn assumed() -> bool {
+    true
+}
+
 /// All that a dispatcher knows when it starts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DispatcherSpec {
@@ -35,6 +40,9 @@
     /// What a predecessor knew of requests.
     #[serde(default)]
     pub known: Vec<KnownRequest>,
+    /// A predecessor may have left orders or grants at the endpoint.
+    #[serde(default = "assumed")]
+    pub inherited: bool,
     /// First ticket that the dispatcher gives.
     pub first_ticket: Ticket,
 }
@@ -56,6 +64,7 @@
             session: Session::new("", 0),
             floor: Wall(0),
             known: Vec::new(),
+            inherited: assumed(),
             first_ticket: FIRST_TICKET,
         })
     }
@@ -91,6 +100,14 @@
         self
     }
 
+    /// States that no predecessor has left anything at the endpoint: there was
+    /// none, or it waited for all its work before it gave the role away.
+    #[must_use]
+    pub const fn nothing_inherited(mut self) -> Self {
+        self.0.inherited = false;
+        self
+    }
+
     /// Takes over what a predecessor knew of requests.
     #[must_use]
     pub fn known(mut self, requests: &[KnownRequest]) -> Self {
--- a/crates/citronway-core/src/hold/events.rs
+++ b/crates/citronway-core/src/hold/events.rs
@@ -134,7 +134,9 @@
         epoch: Epoch,
         /// Ids created before this may have been sent by an earlier dispatcher.
         floor: Wall,
-        /// What the earlier dispatcher handed over.
+        /// The earlier dispatcher handed the role over.
+        handed_over: bool,
+        /// What it handed over.
         requests: Vec<KnownRequest>,
     },
     /// This session is no dispatcher any more.
--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -287,6 +287,7 @@
         out.push(HoldAction::TookOver {
             epoch: row.epoch,
             floor: row.floor,
+            handed_over: handed.is_some(),
             requests: handed.map(|it| it.requests).unwrap_or_default(),
         });
     }
--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -136,7 +136,7 @@
             .view
             .shard_of(&request.service, &request.key)
             .ok_or(NotRunReason::NoOwner)?;
-        let endpoint = shard.owner().ok_or(NotRunReason::Moving)?;
+        let endpoint = shard.server().ok_or(NotRunReason::NoOwner)?;
         if self.settings.policy != SendPolicy::Dispatcher {
             return Ok(Target {
                 endpoint: endpoint.clone(),
--- a/crates/citronway-core/src/node/planners.rs
+++ b/crates/citronway-core/src/node/planners.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::config::CompiledConfig;
+use crate::dispatch::health::Reach;
 use crate::ids::{EndpointName, ServiceName, Session};
 use crate::peer::{EndpointLoad, PeerMessage};
 use crate::placement::{
@@ -256,7 +257,11 @@
     pub(super) fn report_loads(&mut self, now: Now, out: &mut Vec<Action>) {
         let mut loads = Vec::new();
         for seat in self.seats.by_endpoint.values_mut() {
-            if let Some(active) = &mut seat.active {
+            let Some(active) = &mut seat.active else {
+                continue;
+            };
+            // A report is a sign of life of the endpoint.
+            if active.dispatcher.reach() == Reach::Healthy {
                 loads.push(active.dispatcher.take_load());
             }
         }
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -35,11 +35,16 @@
     handed_over: bool,
 }
 
+/// Epoch of a new row: there was no dispatcher before, as rows are never removed.
+const FIRST_EPOCH: Epoch = Epoch(1);
+
 /// What a dispatcher starts from when its session has taken the role over.
 #[derive(Debug, Clone)]
 struct Role {
     epoch: Epoch,
     floor: Wall,
+    /// An earlier dispatcher may have left orders or grants at the endpoint.
+    inherited: bool,
     requests: Vec<KnownRequest>,
 }
 
@@ -274,11 +279,14 @@
             HoldAction::TookOver {
                 epoch,
                 floor,
+                handed_over,
                 requests,
             } => {
+                let inherited = !handed_over && epoch > FIRST_EPOCH;
                 let role = Role {
                     epoch,
                     floor,
+                    inherited,
                     requests,
                 };
                 self.start_dispatcher(name, role, now);
@@ -381,13 +389,16 @@
             return;
         };
         seat.waiting_role = None;
-        let dispatcher = Dispatcher::builder(name, endpoint)
+        let mut builder = Dispatcher::builder(name, endpoint)
             .classes(&config.classes)
             .settings(self.settings.dispatch.clone())
             .role(role.epoch, &self.me)
             .floor(role.floor)
-            .known(&role.requests)
-            .start(now);
+            .known(&role.requests);
+        if !role.inherited {
+            builder = builder.nothing_inherited();
+        }
+        let dispatcher = builder.start(now);
         seat.active = Some(Active {
             epoch: role.epoch,
             dispatcher,
--- a/crates/citronway-core/src/node/view.rs
+++ b/crates/citronway-core/src/node/view.rs
@@ -234,12 +234,15 @@
 }
 
 impl Shard {
-    /// The endpoint that serves the shard at present.
+    /// The endpoint that serves the shard at present. One that has to release
+    /// it does so until its dispatcher stops it.
     #[must_use]
-    pub const fn owner(&self) -> Option<&EndpointName> {
+    pub const fn server(&self) -> Option<&EndpointName> {
         match &self.ownership {
-            Ownership::Owned { owner } => Some(owner),
-            Ownership::Unowned | Ownership::Moving { .. } => None,
+            Ownership::Owned { owner: server } | Ownership::Moving { from: server, .. } => {
+                Some(server)
+            }
+            Ownership::Unowned => None,
         }
     }
 }
--- a/crates/citronway-core/tests/dispatch_random.rs
+++ b/crates/citronway-core/tests/dispatch_random.rs
@@ -339,6 +339,11 @@
 
     fn check_released(&mut self, at: &ShardRef, epoch: u64) {
         assert_eq!(*at, shard_ref(1));
+        // Once all of the endpoint was reported quiet, the shard is free whatever
+        // the endpoint still runs: none of it can be committed any more.
+        if self.ledger.released.contains(&epoch) {
+            return self.check_quiet();
+        }
         assert!(
             self.ledger.running.is_empty(),
             "released under running work"
