Requests wait out a lost endpoint; load reports without 'draining' can be read

Cause: while a lost endpoint's keys wait for their new owner, callers were told 'not run' at once although the key is served again within two seconds. Not a byte reached an endpoint then, so waiting in the entry is safe; it ends with the deadline or after 2.5 s. A recorded load report without the new field failed the trace 'placement-lost-then-returns'; the field now has a default.

--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -14,8 +14,8 @@
 use super::settings::SendPolicy;
 use super::tickets::{Origin, Purpose};
 
-/// Pause before a request looks again for its dispatcher, in milliseconds.
-const REROUTE_MS: u64 = 20;
+/// Pause before a request looks again for its dispatcher or endpoint, in milliseconds.
+const REROUTE_MS: u64 = 25;
 /// When a caller may come back if nothing better is known, in milliseconds.
 const COME_BACK_MS: u64 = 1_000;
 
@@ -336,5 +336,6 @@
             | NotRunReason::NotDispatcher
             | NotRunReason::NoHold
             | NotRunReason::DispatcherUnreachable
+            | NotRunReason::EndpointUnreachable
     )
 }
--- a/crates/citronway-core/src/peer.rs
+++ b/crates/citronway-core/src/peer.rs
@@ -149,6 +149,7 @@
     /// Requests waiting.
     pub queued: u64,
     /// It takes no new work, by its own word or the operator's.
+    #[serde(default)]
     pub draining: bool,
     /// Hottest keys by hash with requests since the last report.
     pub hot: Vec<HotKey>,
