--- a/crates/citronway-core/tests/placement_lookup.rs
+++ b/crates/citronway-core/tests/placement_lookup.rs
@@ -8,7 +8,6 @@
 use googletest::prelude::*;
 use placement_support::*;
 use proptest::prelude::{any, prop_assert_eq};
-use proptest::test_runner::{Config, RngSeed, TestRunner};
 
 #[gtest]
 fn each_end_of_a_range_belongs_to_it() {
@@ -97,14 +96,8 @@
 
 #[test]
 fn lookup_agrees_with_a_search_through_all_shards() {
-    let mut runner = TestRunner::new(Config {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(3),
-        failure_persistence: None,
-        ..Config::default()
-    });
     let input = (1..600_u32, any::<u64>());
-    let result = runner.run(&input, |(shards, hash)| {
+    let result = runner(300, 3).run(&input, |(shards, hash)| {
         let assignment = unowned(&[group(GROUP, None, shards, members(1))]);
         let lookup = Lookup::new(&assignment).expect("covered");
         let holds = |range: &HashRange| range.first.0 <= hash && hash <= range.last.0;
--- a/crates/citronway-core/tests/placement_partition.rs
+++ b/crates/citronway-core/tests/placement_partition.rs
@@ -4,7 +4,7 @@
 
 use citronway_core::ids::GroupName;
 use citronway_core::placement::partition::affected;
-use citronway_core::placement::{PlannerSettings, Wanted, check};
+use citronway_core::placement::{PlannerEvent, PlannerSettings, Wanted, check};
 use googletest::prelude::*;
 use placement_support::*;
 
@@ -47,7 +47,9 @@
     expect_that!(changing.partition.len(), eq(1));
     expect_that!(moving(&changing).len(), eq(8));
     for shard in moving(&changing).into_iter().skip(1) {
-        release_one(&mut planner, &store, shard);
+        let from = moving_from(&changing, shard).expect("it moves");
+        let report = release_of(&changing, shard, &from, &dispatcher(&store, &from));
+        planner.event(PlannerEvent::Released { report }, now(2_100));
     }
     planner.run(&mut store, now(2_500));
     let waiting = store.assignment().expect("assignment");
@@ -145,21 +147,3 @@
     expect_that!(after.shards.len(), eq(32));
     expect_that!(after.shards.keys().filter(|id| id.0 <= 8).count(), eq(0));
 }
-
-fn release_one(planner: &mut Instance, store: &Store, shard: citronway_core::ids::ShardId) {
-    let assignment = store.assignment().expect("assignment");
-    let from = moving_to(&assignment, shard).expect("it moves");
-    let report = release_of(&assignment, shard, &from, &dispatcher(store, &from));
-    let event = citronway_core::placement::PlannerEvent::Released { report };
-    planner.event(event, now(2_100));
-}
-
-fn moving_to(
-    assignment: &citronway_core::shard::Assignment,
-    shard: citronway_core::ids::ShardId,
-) -> Option<citronway_core::ids::EndpointName> {
-    match &assignment.shards[&shard].ownership {
-        citronway_core::shard::Ownership::Moving { to, .. } => Some(to.clone()),
-        _ => None,
-    }
-}
--- a/crates/citronway-core/tests/placement_plan.rs
+++ b/crates/citronway-core/tests/placement_plan.rs
@@ -17,7 +17,6 @@
 use indexmap::IndexSet;
 use placement_support::*;
 use proptest::prelude::{Strategy, prop_assert, prop_assert_eq};
-use proptest::test_runner::{Config, RngSeed, TestRunner};
 
 const QUICK_MS: u64 = 100;
 const SLOW_MS: u64 = 60_000;
@@ -271,12 +270,6 @@
 
 #[test]
 fn any_plan_is_bounded_and_the_same_in_any_order_of_members() {
-    let mut runner = TestRunner::new(Config {
-        cases: 200,
-        rng_seed: RngSeed::Fixed(5),
-        failure_persistence: None,
-        ..Config::default()
-    });
     let states = proptest::collection::vec(0..4_usize, 2..24);
     let loads = proptest::collection::vec(0..3_000_u64, 64);
     let turn = 0..24_usize;
@@ -285,7 +278,7 @@
         loads,
         turn,
     });
-    let result = runner.run(&input, |random| {
+    let result = runner(200, 5).run(&input, |random| {
         let mut scene = Scene::placed(random.states.len(), 64);
         for (index, load) in random.loads.iter().enumerate() {
             scene.loads.set(ShardId(index as u64 + 1), *load);
--- a/crates/citronway-core/tests/placement_random.rs
+++ b/crates/citronway-core/tests/placement_random.rs
@@ -4,7 +4,7 @@
 mod placement_support;
 
 use citronway_core::ids::EndpointName;
-use citronway_core::peer::{EndpointLoad, ShardReleased};
+use citronway_core::peer::ShardReleased;
 use citronway_core::placement::{
     MemberState, PlannerAction, PlannerEvent, PlannerSettings, Wanted, WantedGroup, check,
 };
@@ -15,7 +15,6 @@
 use placement_support::*;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
 
 const PLANNERS: usize = 3;
 const ENDPOINTS: usize = 5;
@@ -184,7 +183,7 @@
                 self.planners[planner].event(PlannerEvent::Lost { report }, now);
             }
             Op::Return { endpoint, planner } => {
-                let report = returned(endpoint);
+                let report = idle(&format!("e{endpoint:02}"));
                 self.planners[planner].event(PlannerEvent::Load { report }, now);
             }
             Op::Change { shape } => {
@@ -309,27 +308,6 @@
     EndpointName::new(&format!("e{index:02}"))
 }
 
-fn returned(index: usize) -> EndpointLoad {
-    EndpointLoad {
-        endpoint: endpoint(index),
-        requests: 0,
-        service_ms: 5,
-        queued: 0,
-        hot: Vec::new(),
-        shards: Vec::new(),
-    }
-}
-
-fn runner(cases: u32, seed: u64) -> TestRunner {
-    TestRunner::new(Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 2_000,
-        ..Config::default()
-    })
-}
-
 /// A caller's apply runs on two servers. It takes two dispatchers that both
 /// hold a shard of the key at one moment: by a late write, a lost answer, an
 /// old report, a partition change under way, or a planner that was replaced.
--- a/crates/citronway-core/tests/placement_return.rs
+++ b/crates/citronway-core/tests/placement_return.rs
@@ -3,10 +3,9 @@
 mod placement_support;
 
 use citronway_core::ids::EndpointName;
-use citronway_core::peer::EndpointLoad;
 use citronway_core::placement::measures::churn;
 use citronway_core::placement::{PlannerEvent, PlannerSettings, Wanted};
-use citronway_core::shard::{Assignment, Ownership};
+use citronway_core::shard::Assignment;
 use googletest::prelude::*;
 use placement_support::*;
 
@@ -15,14 +14,7 @@
 }
 
 fn returned(planner: &mut Instance, endpoint: &str, ms: u64) {
-    let report = EndpointLoad {
-        endpoint: EndpointName::new(endpoint),
-        requests: 0,
-        service_ms: 5,
-        queued: 0,
-        hot: Vec::new(),
-        shards: Vec::new(),
-    };
+    let report = idle(endpoint);
     planner.event(PlannerEvent::Load { report }, now(ms));
 }
 
@@ -149,16 +141,14 @@
     planner.run(&mut store, now(2_000));
     let waiting = store.assignment().expect("assignment");
     let shard = moving(&waiting)[0];
-    let Ownership::Moving { to, .. } = &waiting.shards[&shard].ownership else {
-        panic!("it moves");
-    };
+    let to = moving_to(&waiting, shard).expect("it moves");
     // Both reports come while another write is under way.
     planner.lost(&store, "e20", now(2_100));
     planner.lost(&store, to.as_str(), now(2_100));
     planner.release_all(&store, now(2_100));
     planner.run(&mut store, now(2_100));
     let after = store.assignment().expect("assignment");
-    expect_that!(owner(&after, shard), not(eq(&Some(to.clone()))));
+    expect_that!(owner(&after, shard), not(eq(&Some(to))));
     pass(&mut planner, &mut store, 2_200, 500);
     let settled = store.assignment().expect("assignment");
     expect_that!(
--- a/crates/citronway-core/tests/placement_support/mod.rs
+++ b/crates/citronway-core/tests/placement_support/mod.rs
@@ -5,7 +5,7 @@
 
 use citronway_core::config::Weights;
 use citronway_core::ids::*;
-use citronway_core::peer::{EndpointLost, ShardReleased};
+use citronway_core::peer::{EndpointLoad, EndpointLost, ShardReleased};
 use citronway_core::placement::members::Standing;
 use citronway_core::placement::plan::StandingGroup;
 use citronway_core::placement::planner::{ASSIGNMENT_TABLE, PLANNER_TABLE, PlannerRow, at};
@@ -19,6 +19,7 @@
 use citronway_core::shard::{Assignment, KeyHash, Ownership};
 use citronway_core::time::{Mono, Now, Wall};
 use indexmap::{IndexMap, IndexSet};
+use proptest::test_runner::{Config, RngSeed, TestRunner};
 
 pub const SERVICE: &str = "migration";
 pub const GROUP: &str = "all";
@@ -39,6 +40,17 @@
     }
 }
 
+/// Runs `cases` cases, the same ones each time.
+pub fn runner(cases: u32, seed: u64) -> TestRunner {
+    TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    })
+}
+
 /// Both clocks at `ms`.
 pub const fn now(ms: u64) -> Now {
     Now {
@@ -117,11 +129,10 @@
     let mut next = assignment.clone();
     for step in moves {
         next = moves::begin(&next, step, Wall(0)).expect("the move fits");
-        let shard = &next.shards[&step.shard];
-        let Ownership::Moving { from, .. } = &shard.ownership else {
+        let Some(from) = moving_from(&next, step.shard) else {
             continue;
         };
-        let report = release_of(&next, step.shard, from, &Session::new("i0", 1));
+        let report = release_of(&next, step.shard, &from, &Session::new("i0", 1));
         next = moves::released(&next, &report, Wall(0)).expect("the release fits");
     }
     next
@@ -184,6 +195,34 @@
     moving
 }
 
+/// Where a shard moves from.
+pub fn moving_from(assignment: &Assignment, shard: ShardId) -> Option<EndpointName> {
+    match &assignment.shards[&shard].ownership {
+        Ownership::Moving { from, .. } => Some(from.clone()),
+        Ownership::Unowned | Ownership::Owned { .. } => None,
+    }
+}
+
+/// Where a shard moves to.
+pub fn moving_to(assignment: &Assignment, shard: ShardId) -> Option<EndpointName> {
+    match &assignment.shards[&shard].ownership {
+        Ownership::Moving { to, .. } => Some(to.clone()),
+        Ownership::Unowned | Ownership::Owned { .. } => None,
+    }
+}
+
+/// A dispatcher's sign that an idle endpoint answers.
+pub fn idle(endpoint: &str) -> EndpointLoad {
+    EndpointLoad {
+        endpoint: EndpointName::new(endpoint),
+        requests: 0,
+        service_ms: 5,
+        queued: 0,
+        hot: Vec::new(),
+        shards: Vec::new(),
+    }
+}
+
 /// The platform's table service.
 #[derive(Debug, Default)]
 pub struct Store {
@@ -330,10 +369,8 @@
             return;
         };
         for shard in moving(&assignment) {
-            let Ownership::Moving { from, .. } = &assignment.shards[&shard].ownership else {
-                continue;
-            };
-            let report = release_of(&assignment, shard, from, &dispatcher(store, from));
+            let from = moving_from(&assignment, shard).expect("it moves");
+            let report = release_of(&assignment, shard, &from, &dispatcher(store, &from));
             self.event(PlannerEvent::Released { report }, now);
         }
     }
@@ -422,7 +459,7 @@
             return reports;
         };
         for shard in assignment.shards.values() {
-            if matches!(&shard.ownership, Ownership::Moving { from, .. } if from == endpoint) {
+            if moving_from(assignment, shard.id).as_ref() == Some(endpoint) {
                 reports.push(release_of(assignment, shard.id, endpoint, dispatcher));
             }
         }
