--- /dev/null
+++ b/crates/citronway-core/src/dispatch/sending.rs
@@ -0,0 +1,132 @@
+//! Orders and cancellations on their way to the endpoint.
+
+use super::health::Reach;
+use super::machine::Dispatcher;
+use super::message::{DispatchAction, Turn};
+use super::queue::Waiting;
+use super::slots::{Order, OrderState};
+use crate::request::Fence;
+use crate::time::{Now, Wall};
+
+impl Dispatcher {
+    /// Sends as much as there are slots for. The role has been checked.
+    pub(super) fn send_orders(&mut self, turn: Turn) {
+        let slots = &self.slots;
+        let limit = self.limit.slots();
+        self.queue
+            .pass_time(turn.now.mono, limit, |class| slots.used_by(class));
+        if !self.may_send() {
+            return;
+        }
+        while self.has_slot(turn.now.wall) {
+            let Some(waiting) = self.pick(turn.now) else {
+                break;
+            };
+            self.send(waiting, turn);
+        }
+    }
+
+    pub(super) fn send_cancels(&mut self) {
+        for id in std::mem::take(&mut self.cancels) {
+            self.out.push(DispatchAction::Cancel { id });
+        }
+    }
+
+    fn may_send(&self) -> bool {
+        let reachable = self.health.reach() != Reach::Unreachable;
+        reachable && !self.health.stale() && !self.is_draining()
+    }
+
+    /// Whether one more order may be sent.
+    ///
+    /// An order whose outcome is missing keeps its slot but is not counted
+    /// against the limit, which it has lowered already: counted twice, one lost
+    /// order would stop an endpoint of two slots until its deadline.
+    fn has_slot(&self, now: Wall) -> bool {
+        let all = self.limit.most();
+        let taken = self.slots.used().saturating_add(self.foreign_orders(now));
+        taken < all && self.slots.running() < self.limit.slots()
+    }
+
+    /// Orders of a predecessor that run in slots which look free from here.
+    ///
+    /// Until they must be over, the endpoint's own count of them is believed.
+    /// One slot is used all the same, or a wrong count would stop all work.
+    fn foreign_orders(&self, now: Wall) -> u32 {
+        let longest_ms = self.cfg.max_order_ms + self.cfg.skew_ms;
+        if now >= self.started.wall.plus(longest_ms) {
+            return 0;
+        }
+        self.foreign.min(self.limit.most() - 1)
+    }
+
+    /// The next request, with two kinds passed over as long as another waits:
+    ///
+    /// - one of a key that has its share of the slots, or a hot key would fill
+    ///   them all;
+    /// - one that will most likely miss its deadline. The earliest deadline
+    ///   goes first, so under overload every request would be begun just too
+    ///   late, time out in its slot, and make the next one too late.
+    fn pick(&mut self, now: Now) -> Option<Waiting> {
+        let most = self.limit.slots() * u32::from(self.cfg.key_share) / 100;
+        let grants = &self.grants;
+        let slots = &self.slots;
+        let times = &self.times;
+        let ready = |waiting: &Waiting| {
+            let in_time = waiting.not_before <= now.wall && waiting.request.deadline > now.wall;
+            in_time && grants.is_live(&waiting.at, now.wall)
+        };
+        let hopeful = |waiting: &Waiting| {
+            let done = now.wall.plus(times.ms(&waiting.request.class));
+            ready(waiting) && done <= waiting.request.deadline
+        };
+        let modest =
+            |waiting: &Waiting| hopeful(waiting) && slots.used_by_key(&waiting.key()) < most.max(1);
+        if let Some(waiting) = self.queue.pick(now.mono, modest) {
+            return Some(waiting);
+        }
+        if let Some(waiting) = self.queue.pick(now.mono, hopeful) {
+            return Some(waiting);
+        }
+        self.queue.pick(now.mono, ready)
+    }
+
+    fn send(&mut self, waiting: Waiting, turn: Turn) {
+        let Some(held) = self.grants.get(&waiting.at) else {
+            return;
+        };
+        let fence = Fence {
+            shard: waiting.at.shard,
+            shard_epoch: held.owned.epoch,
+            dispatch_epoch: self.epoch,
+            dispatcher: self.session.clone(),
+        };
+        let key = waiting.key();
+        let mut request = waiting.request;
+        // A successor waits out the longest order; a longer one would outlive
+        // that wait and act beside the next owner.
+        let latest = turn.now.wall.plus(self.cfg.max_order_ms);
+        request.deadline = request.deadline.min(latest);
+        self.hot.add(&key);
+        *self.begun.entry(waiting.at.clone()).or_insert(0) += 1;
+        let order = Order {
+            origin: waiting.origin,
+            id: request.id,
+            key,
+            class: request.class.clone(),
+            at: waiting.at,
+            repeat: request.repeat,
+            deadline: request.deadline,
+            sent: turn.now.mono,
+            state: OrderState::Running,
+            cancelling: false,
+        };
+        let ticket = self.ticket();
+        self.slots.take(ticket, order);
+        self.out.push(DispatchAction::SendOrder {
+            ticket,
+            fence,
+            request,
+        });
+    }
+}
--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -6,6 +6,10 @@
 //! test and in a replay.
 
 pub mod config;
+pub mod dispatch;
+pub mod findings;
+pub mod hold;
+pub mod hotkeys;
 pub mod ids;
 pub mod node;
 pub mod outcome;
@@ -13,5 +17,6 @@
 pub mod placement;
 pub mod platform;
 pub mod request;
+pub mod retry;
 pub mod shard;
 pub mod time;
--- a/crates/citronway-core/tests/placement_support/mod.rs
+++ b/crates/citronway-core/tests/placement_support/mod.rs
@@ -218,6 +218,7 @@
         requests: 0,
         service_ms: 5,
         queued: 0,
+        draining: false,
         hot: Vec::new(),
         shards: Vec::new(),
     }
--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -1,1 +1,20 @@
-//! placeholder
+//! One entry instance of citronway: a thread for each duty, joined by bounded rings.
+
+pub mod callers;
+pub mod cli;
+pub mod clock;
+mod decide;
+pub mod endpoints;
+pub mod logs;
+pub mod metrics;
+mod observe;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+mod publish;
+mod rings;
+mod run;
+pub mod settings;
+mod store_desk;
+
+pub use run::{Error, check, run};
