--- a/crates/citronway-core/src/placement/members.rs
+++ b/crates/citronway-core/src/placement/members.rs
@@ -19,6 +19,10 @@
 /// Losses older than this are forgotten, in milliseconds.
 pub const LOSS_WINDOW_MS: u64 = 600_000;
 
+/// A loss that was not reported again for this long may be over, in
+/// milliseconds; dispatchers repeat it each second.
+pub const LOST_KEPT_MS: u64 = 3_000;
+
 /// Most times that the dwell time is doubled.
 const MOST_DOUBLINGS: u32 = 6;
 
@@ -73,7 +77,8 @@
     /// When it began to take shards; `None` if it was there from the start.
     since: Option<Mono>,
     losses: Vec<Mono>,
-    reported_lost: bool,
+    /// Last report of a loss that is not over.
+    reported_lost: Option<Mono>,
 }
 
 impl MemberBook {
@@ -95,22 +100,28 @@
         let Some(entry) = self.entries.get_mut(endpoint) else {
             return;
         };
-        if entry.reported_lost {
-            return;
+        if entry.reported_lost.replace(now).is_none() {
+            entry.note_loss(now);
         }
-        entry.reported_lost = true;
-        entry.note_loss(now);
     }
 
-    /// A dispatcher reports load of the endpoint, so it answers again.
+    /// A dispatcher reports load of the endpoint, and no loss any more, so it
+    /// answers again.
+    ///
+    /// Failure: the dispatcher of a lost endpoint reports its load as well; the
+    /// endpoint would count as lost anew each second, and be kept from keys long
+    /// after its return. Guard: the loss must not have been reported lately.
     pub fn seen(&mut self, endpoint: &EndpointName, now: Mono) {
         let Some(entry) = self.entries.get_mut(endpoint) else {
             return;
         };
-        if !entry.reported_lost {
+        let over = entry
+            .reported_lost
+            .is_some_and(|at| now.since(at) >= LOST_KEPT_MS);
+        if !over {
             return;
         }
-        entry.reported_lost = false;
+        entry.reported_lost = None;
         entry.since = Some(now);
     }
 
@@ -124,7 +135,7 @@
     /// may be just as old, so it is dropped.
     pub fn take_over(&mut self, in_use: &IndexSet<EndpointName>, now: Mono) {
         for (endpoint, entry) in &mut self.entries {
-            entry.reported_lost = false;
+            entry.reported_lost = None;
             if !in_use.contains(endpoint) {
                 entry.since = Some(now);
             }
@@ -135,7 +146,7 @@
     #[must_use]
     pub fn standing(&self, member: &Member, now: Mono) -> Standing {
         let entry = self.entries.get(&member.endpoint);
-        let reported_lost = entry.is_some_and(|entry| entry.reported_lost);
+        let reported_lost = entry.is_some_and(|entry| entry.reported_lost.is_some());
         let state = if reported_lost {
             MemberState::Lost
         } else {
@@ -160,18 +171,18 @@
                 state: member.state,
                 since: begun.then_some(now),
                 losses: Vec::new(),
-                reported_lost: false,
+                reported_lost: None,
             });
         if entry.state == member.state {
             return;
         }
         let was_taking = entry.state.takes_shards();
         entry.state = member.state;
-        if member.state == MemberState::Lost && !entry.reported_lost {
+        if member.state == MemberState::Lost && entry.reported_lost.is_none() {
             entry.note_loss(now);
         }
         if !was_taking && member.state.takes_shards() {
-            entry.reported_lost = false;
+            entry.reported_lost = None;
             entry.since = Some(now);
         }
     }
