Load report tells refusals for load from keys nobody serves

At one and a half times capacity 1424 keys had a "gap" of up to 11.7 s, though most of their calls were refused because of too much work; such calls no longer open or end a gap. Figures that are not known say so: entries that restart have no CPU figure over the trial (shown as 0 before), and the entries do not yet tell their control bytes. An entry that ends at its start, as one with unknown settings does, fails the environment at once and not after 30 s in vain.

--- a/crates/citronway-standin/src/env/child.rs
+++ b/crates/citronway-standin/src/env/child.rs
@@ -62,6 +62,18 @@
         self.process.try_wait().ok().flatten()
     }
 
+    /// Whether it has ended, without taking its exit status.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()));
+        let Ok(stat) = stat else {
+            return true;
+        };
+        // The state follows the name, which is in brackets and may hold blanks.
+        let state = stat.rsplit_once(')').map(|(_name, rest)| rest.trim_start());
+        state.is_none_or(|state| state.starts_with('Z'))
+    }
+
     /// Whether a signal ended it, and which.
     pub fn ended_by_signal(&mut self) -> Option<i32> {
         self.exited()?.signal()
--- a/crates/citronway-standin/src/env/environment.rs
+++ b/crates/citronway-standin/src/env/environment.rs
@@ -195,7 +195,9 @@
     pub async fn all_healthy(&self) -> Result<(), EnvError> {
         for entry in self.entries() {
             let what = format!("{} is healthy", entry.settings().name);
-            wait(&what, async || entry.is_healthy().await).await?;
+            let settled = async || entry.child.has_ended() || entry.is_healthy().await;
+            wait(&what, settled).await?;
+            still_runs(entry)?;
         }
         Ok(())
     }
@@ -207,14 +209,15 @@
     ///
     /// If it is not accepted.
     pub async fn apply(&self, entry: &str, config: &Config) -> Result<(), EnvError> {
-        let admin = self.entry(entry)?.admin();
+        let entry = self.entry(entry)?;
+        let admin = entry.admin();
         let mut refusal = String::from("not tried");
         let accepted = wait("the configuration is accepted", async || {
             match admin.put_config(config, Version::default()).await {
                 Ok(()) => true,
                 Err(error) => {
                     refusal = error.to_string();
-                    false
+                    entry.child.has_ended()
                 }
             }
         });
@@ -266,3 +269,12 @@
         name: name.to_owned(),
     }
 }
+
+fn still_runs(entry: &Entry) -> Result<(), EnvError> {
+    if !entry.child.has_ended() {
+        return Ok(());
+    }
+    Err(EnvError::EndedEarly {
+        name: entry.settings().name.to_string(),
+    })
+}
--- a/crates/citronway-standin/src/load/bench.rs
+++ b/crates/citronway-standin/src/load/bench.rs
@@ -144,8 +144,8 @@
         store_reads: reads as f64 / length.as_secs_f64(),
         store_writes: after.stats.writes - before.stats.writes,
         control_bytes: mean(&rates),
-        cpu_mean: mean(&cores).unwrap_or_default(),
-        cpu_max: cores.iter().copied().fold(0.0, f64::max),
+        cpu_mean: mean(&cores),
+        cpu_max: cores.iter().copied().reduce(f64::max),
         ..WholeFigures::default()
     };
     whole.add_gaps(records, length);
--- a/crates/citronway-standin/src/load/report.rs
+++ b/crates/citronway-standin/src/load/report.rs
@@ -84,10 +84,11 @@
     /// Bytes of control messages that an entry sends and receives a second, mean;
     /// `None` if the entries do not tell.
     pub control_bytes: Option<f64>,
-    /// CPU time of each entry as a part of one core, mean.
-    pub cpu_mean: f64,
+    /// CPU time of an entry as a part of one core, mean of those that ran
+    /// throughout; `None` if none did.
+    pub cpu_mean: Option<f64>,
     /// The same, of the busiest entry.
-    pub cpu_max: f64,
+    pub cpu_max: Option<f64>,
 }
 
 /// Promises broken, by count.
--- a/crates/citronway-standin/src/load/table.rs
+++ b/crates/citronway-standin/src/load/table.rs
@@ -49,21 +49,31 @@
             ("store, bytes", whole.store_bytes as f64),
             ("store, reads/s", whole.store_reads),
             ("store, writes", whole.store_writes as f64),
-            (
-                "control bytes/s of an entry",
-                whole.control_bytes.unwrap_or(f64::NAN),
-            ),
-            ("CPU of an entry, mean cores", whole.cpu_mean),
-            ("CPU of an entry, max cores", whole.cpu_max),
         ];
         for (what, figure) in lines {
             writeln!(f, "{what:<30} {figure:>12.3}")?;
         }
+        self.write_entries(f)?;
         for (name, class) in &self.classes {
             writeln!(f, "reasons, {name}: {:?}", class.tally.reasons)?;
         }
         Ok(())
     }
+
+    fn write_entries(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines = [
+            ("control bytes/s of an entry", self.whole.control_bytes),
+            ("CPU of an entry, mean cores", self.whole.cpu_mean),
+            ("CPU of an entry, max cores", self.whole.cpu_max),
+        ];
+        for (what, figure) in lines {
+            match figure {
+                Some(figure) => writeln!(f, "{what:<30} {figure:>12.3}")?,
+                None => writeln!(f, "{what:<30} {:>12}", "not known")?,
+            }
+        }
+        Ok(())
+    }
 }
 
 fn write_class(f: &mut fmt::Formatter<'_>, name: &str, class: &ClassFigures) -> fmt::Result {
--- a/crates/citronway-standin/src/measure/unserved.rs
+++ b/crates/citronway-standin/src/measure/unserved.rs
@@ -6,8 +6,20 @@
 use indexmap::IndexMap;
 
 use super::record::Record;
+use crate::caller::Verdict;
 
-/// A time in which no call of a key was answered.
+/// Reasons that speak of too much work, not of a key that nobody serves.
+const LOAD_REASONS: [&str; 6] = [
+    "queue_full",
+    "deadline_too_close",
+    "expired",
+    "hot_key_limited",
+    "endpoint_shed",
+    "overloaded",
+];
+
+/// A time in which no call of a key was answered. Calls refused because of too
+/// much work say nothing on whether the key is served, and are left out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Gap {
     /// Service.
@@ -43,6 +55,9 @@
         for ((service, key), records) in by_key(records) {
             let mut from = None;
             for record in records {
+                if is_refused_for_load(record) {
+                    continue;
+                }
                 if !record.is_answered() {
                     from.get_or_insert(record.intended);
                     continue;
@@ -109,6 +124,13 @@
     }
 }
 
+fn is_refused_for_load(record: &Record) -> bool {
+    match &record.verdict {
+        Verdict::NotRun(unanswered) => LOAD_REASONS.contains(&unanswered.reason.as_str()),
+        _ => false,
+    }
+}
+
 fn by_key(records: &[Record]) -> IndexMap<(&ServiceName, &Key), Vec<&Record>> {
     let mut keys: IndexMap<_, Vec<_>> = IndexMap::new();
     for record in records {
--- a/crates/citronway-standin/tests/measure.rs
+++ b/crates/citronway-standin/tests/measure.rs
@@ -15,9 +15,13 @@
 }
 
 fn not_run() -> Verdict {
+    refused("no_owner")
+}
+
+fn refused(reason: &str) -> Verdict {
     Verdict::NotRun(Unanswered {
         status: StatusCode::SERVICE_UNAVAILABLE,
-        reason: "no_owner".to_owned(),
+        reason: reason.to_owned(),
         retry_after: None,
     })
 }
@@ -49,6 +53,25 @@
     expect_that!(gaps.keys(), eq(1));
 }
 
+#[gtest]
+fn a_call_refused_for_load_opens_and_ends_no_gap() {
+    let verdicts = [
+        refused("queue_full"),
+        not_run(),
+        refused("expired"),
+        answered(),
+    ];
+    let records = (0..)
+        .zip(verdicts)
+        .map(|(second, verdict)| record(second, verdict));
+    let gaps = Gaps::of(&records.collect::<Vec<_>>());
+    let lengths = gaps
+        .gaps
+        .iter()
+        .map(|gap| gap.length(Duration::ZERO).as_secs());
+    expect_that!(lengths.collect::<Vec<_>>(), elements_are![eq(&2)]);
+}
+
 #[gtest]
 fn reasons_are_counted() {
     let tally = Tally::of(&[
