--- a/crates/citronway-core/src/dispatch/queue.rs
+++ b/crates/citronway-core/src/dispatch/queue.rs
@@ -130,7 +130,7 @@
     #[must_use]
     pub fn ahead_of(&self, class: &ClassName, deadline: Wall, times: &ServiceTimes) -> Ahead {
         let mut ahead = Ahead::default();
-        for lane in &self.lanes {
+        for (index, lane) in self.lanes.iter().enumerate() {
             if lane.class == *class {
                 let rank = Rank {
                     deadline,
@@ -138,7 +138,10 @@
                 };
                 let own = lane.waiting.range(..rank).count() as u64;
                 ahead.own_ms = own * times.ms(class);
-                ahead.pace_ms = lane.pace.wait_ms(own + 1);
+                // Nothing overtakes the best class; its pace only adds noise.
+                if index > 0 {
+                    ahead.pace_ms = lane.pace.wait_ms(own + 1);
+                }
                 ahead.kept_share = lane.share.hundredths();
                 ahead.requests += own;
                 ahead.total_ms += ahead.own_ms;
