--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -12,14 +12,14 @@
 //!   is read or heard of ([`Hold::row`]); lower versions are ignored.
 //! - Call [`Hold::tick`] at least every 20 ms with the live sessions fit for a
 //!   role, best first, this one included, in the same order everywhere.
-//! - Pass on [`HoldMessage`](crate::peer::HoldMessage)s of the endpoint with [`Hold::message`], and report
-//!   sessions that [`Departures`] calls gone with [`Hold::gone`]; a hold also
-//!   wants to hear of those that were gone before it was made.
-//! - Carry out the [`HoldAction`]s in order. Report each read and write once, a
-//!   timeout as [`ReadOutcome::Failed`] or [`WriteOutcome::Unknown`](crate::platform::WriteOutcome::Unknown), and say
-//!   [`WriteOutcome::Refused`](crate::platform::WriteOutcome::Refused) only if nothing was sent. Submit a write once:
-//!   the hold itself decides on another try. Reads of many holds may be served
-//!   by one read of the table that begins after the last of them.
+//! - Pass on the endpoint's messages with [`Hold::message`], and report sessions
+//!   that [`Departures`] calls gone with [`Hold::gone`]; a hold also wants to hear
+//!   of those that were gone before it was made.
+//! - Carry out the [`HoldAction`]s in order. Report each read and write once: a
+//!   timeout as [`ReadOutcome::Failed`] or `WriteOutcome::Unknown`, and
+//!   `WriteOutcome::Refused` only if nothing was sent. Submit a write once: the
+//!   hold itself decides on another try. Reads of many holds may be served by
+//!   one read of the table that begins after the last of them.
 //! - Ask [`Hold::may_act`] with a fresh time as the last step before each order
 //!   or grant. [`HoldAction::TookOver`] alone gives no right to act.
 //! - [`Hold::hand_over`] stops the dispatcher; collect what it knew of requests
@@ -210,9 +210,8 @@
             None => true,
             Some(known) => known.version < self.seen_version || known.row.epoch < self.seen_epoch,
         };
-        if behind {
-            self.read(now, out);
-        } else if self.may_be_outdated(now) && self.reads.due(now.mono, self.cfg.promise_ms) {
+        let outdated = self.may_be_outdated(now) && self.reads.due(now.mono, self.cfg.promise_ms);
+        if behind || outdated {
             self.read(now, out);
         }
     }
--- a/crates/citronway-core/src/hold/store.rs
+++ b/crates/citronway-core/src/hold/store.rs
@@ -72,15 +72,24 @@
         let Some(pending) = &self.pending else {
             return;
         };
-        if pending.waiting || !pending.doubtful {
+        let submitted = pending.submitted;
+        let waited_ms = now.mono.since(submitted);
+        // The write may have taken effect although its answer is lost; the row
+        // tells before the call times out.
+        if pending.waiting {
+            if waited_ms >= self.cfg.ask_interval_ms / 2 {
+                self.read(now, out);
+            }
+            return;
+        }
+        if !pending.doubtful {
             return;
         }
-        let submitted = pending.submitted;
         if !self.reads.answered_since(submitted.plus(1)) {
             self.read(now, out);
             return;
         }
-        if !self.left && now.mono.since(submitted) >= self.cfg.ask_interval_ms {
+        if !self.left && waited_ms >= self.cfg.ask_interval_ms {
             self.submit(now, out);
         }
     }
--- a/crates/citronway-core/src/hold/successor.rs
+++ b/crates/citronway-core/src/hold/successor.rs
@@ -48,6 +48,9 @@
         if handed.epoch != known.row.epoch || !listed || self.pending.is_some() {
             return;
         }
+        if !self.free_of_promise(now) {
+            return;
+        }
         let floor = known.row.floor;
         let row = taken_over(known, &self.me, floor);
         self.write(row, now, out);
--- /dev/null
+++ b/crates/citronway-core/tests/hold_machine.rs
@@ -0,0 +1,151 @@
+//! Single decisions of a hold that a replay of whole worlds does not single out.
+
+use citronway_core::hold::{Hold, HoldAction, HoldEvent, HoldSettings, Reach, ReadOutcome};
+use citronway_core::ids::{EndpointName, Epoch, Session, Version};
+use citronway_core::peer::HoldMessage;
+use citronway_core::shard::DispatchRow;
+use citronway_core::time::{Mono, Now, Wall};
+use googletest::prelude::*;
+
+const ENDPOINT: &str = "endpoint";
+
+fn at(ms: u64) -> Now {
+    Now {
+        mono: Mono(ms),
+        wall: Wall(ms),
+    }
+}
+
+fn session(index: u64) -> Session {
+    Session::new(&format!("n{index}"), 1)
+}
+
+fn row() -> DispatchRow {
+    DispatchRow {
+        endpoint: EndpointName::new(ENDPOINT),
+        dispatcher: session(0),
+        epoch: Epoch(1),
+        successors: vec![session(1), session(2)],
+        former: Vec::new(),
+        floor: Wall(0),
+    }
+}
+
+/// The hold of `session` once it knows the row, at 1,000 ms.
+fn hold(index: u64) -> Hold {
+    let endpoint = EndpointName::new(ENDPOINT);
+    let mut hold = Hold::new(session(index), endpoint, HoldSettings::default());
+    let _ = hold.row(&row(), Version(1), at(1_000));
+    hold
+}
+
+fn tick(hold: &mut Hold, ms: u64) -> Vec<HoldAction> {
+    hold.tick(
+        &[session(0), session(1), session(2)],
+        Reach::Unknown,
+        at(ms),
+    )
+}
+
+fn handover() -> HoldMessage {
+    HoldMessage::Handover {
+        epoch: Epoch(1),
+        row_version: Version(1),
+        requests: Vec::new(),
+    }
+}
+
+fn writes(actions: &[HoldAction]) -> usize {
+    let writes = actions
+        .iter()
+        .filter(|it| matches!(it, HoldAction::Write { .. }));
+    writes.count()
+}
+
+// A successor is paused for two seconds and runs on. The store answers before it
+// gets to the questions in its socket. Taking over at once would move the role
+// away from a dispatcher that was there all the time.
+#[gtest]
+fn a_successor_listens_after_a_pause() {
+    let mut hold = hold(1);
+    let _ = tick(&mut hold, 1_020);
+    let _ = tick(&mut hold, 3_000);
+    let found = ReadOutcome::Found {
+        version: Version(1),
+        row: row(),
+    };
+    let _ = hold.read_done(1, &found, at(3_010));
+    expect_that!(writes(&tick(&mut hold, 3_020)), eq(0));
+}
+
+// The dispatcher's offer comes twice. The successor declined the first one, the
+// dispatcher went on; taking the second one would put a second one beside it.
+#[gtest]
+fn a_declined_offer_stays_declined() {
+    let mut hold = hold(1);
+    let _ = hold.tick(&[], Reach::Lost, at(1_020));
+    let first = hold.message(&session(0), &handover(), at(1_030));
+    let declined = pat!(HoldAction::Send {
+        message: pat!(HoldMessage::Refuse { round: eq(&0), .. }),
+        ..
+    });
+    expect_that!(first, elements_are![declined]);
+    let _ = hold.tick(&[], Reach::Reached, at(1_040));
+    let again = hold.message(&session(0), &handover(), at(1_050));
+    expect_that!(writes(&again), eq(0));
+}
+
+// The dispatcher hands over and stops; its successor must write at once, and the
+// promise it gave must not hold it up.
+#[gtest]
+fn an_offer_ends_the_promise() {
+    let mut hold = hold(1);
+    let ask = HoldMessage::Ask {
+        epoch: Epoch(1),
+        row_version: Version(1),
+        round: 1,
+        duration_ms: 800,
+    };
+    let _ = hold.message(&session(0), &ask, at(1_010));
+    let taken = hold.message(&session(0), &handover(), at(1_020));
+    expect_that!(writes(&taken), eq(1));
+}
+
+// A trace recorded by one process must give the same decisions when replayed
+// elsewhere, so events survive being written as JSON.
+#[gtest]
+fn events_and_actions_survive_json() {
+    let event = HoldEvent::Message {
+        from: session(0),
+        message: handover(),
+    };
+    let text = serde_json::to_string(&event).expect("event is plain data");
+    let read: HoldEvent = serde_json::from_str(&text).expect("event reads back");
+    let mut first = hold(1);
+    let mut second = hold(1);
+    expect_that!(
+        first.apply(&event, at(1_020)),
+        eq(&second.apply(&read, at(1_020)))
+    );
+}
+
+fn promise(round: u64) -> HoldMessage {
+    HoldMessage::Promise {
+        epoch: Epoch(1),
+        round,
+    }
+}
+
+// Promises are half a second under way. Their givers count from when they answered,
+// which the dispatcher cannot know; had it counted from receipt, a successor could
+// take over while it still acts.
+#[gtest]
+fn a_promise_counts_from_before_its_question() {
+    let mut hold = hold(0);
+    let _ = tick(&mut hold, 1_020);
+    for successor in [1, 2] {
+        let _ = hold.message(&session(successor), &promise(1), at(1_520));
+    }
+    expect_that!(hold.may_act(at(1_819)), some(eq(Epoch(1))));
+    expect_that!(hold.may_act(at(1_820)), none());
+}
