--- a/crates/citronway-core/tests/hold_machine.rs
+++ b/crates/citronway-core/tests/hold_machine.rs
@@ -149,3 +149,24 @@
     expect_that!(hold.may_act(at(1_819)), some(eq(Epoch(1))));
     expect_that!(hold.may_act(at(1_820)), none());
 }
+
+// An endpoint is new and has no row. Until somebody creates it nobody serves its
+// keys; the store's word that there is none has to come first, for an outage
+// looks the same from here.
+#[gtest]
+fn the_first_candidate_creates_a_missing_row() {
+    let endpoint = EndpointName::new(ENDPOINT);
+    let mut hold = Hold::new(session(0), endpoint, HoldSettings::default());
+    let first = tick(&mut hold, 1_000);
+    expect_that!(first, elements_are![eq(&HoldAction::ReadRow { read: 1 })]);
+    let _ = hold.read_done(1, &ReadOutcome::Failed, at(1_010));
+    expect_that!(writes(&tick(&mut hold, 1_020)), eq(0));
+    let _ = tick(&mut hold, 1_220);
+    let _ = hold.read_done(2, &ReadOutcome::Absent, at(1_230));
+    let created = tick(&mut hold, 1_240);
+    let write = pat!(HoldAction::Write {
+        expected: eq(&Version(0)),
+        ..
+    });
+    expect_that!(created, contains(write));
+}
