Sessions show themselves again and again; an accepted configuration is known at once

Cause: three findings of the node's scenarios. One greeting only buried the sessions known before it, so a row read later kept a dead session alive; when all instances start anew together, nobody calls one's own address; and an accepted configuration was known to no instance if the store went down before the next read. Rows are told to a newly connected session only, not at every sign of life. Ruled out: proof by incoming greetings (may be an earlier session back from a pause).

--- a/crates/citronway-core/src/node/members.rs
+++ b/crates/citronway-core/src/node/members.rs
@@ -1,6 +1,6 @@
 //! Other instances: what the platform lists and what they say themselves.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::hold::Departures;
 use crate::ids::{InstanceName, Session, Version, ZoneName};
@@ -30,6 +30,7 @@
     list: InstanceList,
     by_instance: IndexMap<InstanceName, Member>,
     departures: Departures,
+    connected: IndexSet<Session>,
 }
 
 impl Members {
@@ -40,6 +41,7 @@
             list: InstanceList::default(),
             by_instance: IndexMap::new(),
             departures: Departures::new(),
+            connected: IndexSet::new(),
         }
     }
 
@@ -61,10 +63,14 @@
         if self.departures.is_gone(session) {
             return Vec::new();
         }
+        if *session == self.me {
+            return self.departures.greeted(session);
+        }
         self.departures.watch(session);
         if !at_its_address {
             return Vec::new();
         }
+        self.connected.insert(session.clone());
         let gone = self.departures.greeted(session);
         self.drop_gone(&gone);
         let fresh = Member {
@@ -80,8 +86,15 @@
         gone
     }
 
+    /// Whether the session was greeted at its address and not lost since.
+    pub(super) fn is_connected(&self, session: &Session) -> bool {
+        self.connected.contains(session)
+    }
+
     pub(super) fn down(&mut self, instance: &InstanceName) {
         self.by_instance.shift_remove(instance);
+        self.connected
+            .retain(|session| session.instance != *instance);
     }
 
     pub(super) fn heartbeat(&mut self, from: &Session, beat: &Heartbeat, now: Mono) {
@@ -168,5 +181,6 @@
     fn drop_gone(&mut self, gone: &[Session]) {
         self.by_instance
             .retain(|_, member| !gone.contains(&member.session));
+        self.connected.retain(|session| !gone.contains(session));
     }
 }
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -137,7 +137,7 @@
                 session,
                 at_its_address,
             } => {
-                if at_its_address {
+                if at_its_address && !self.members.is_connected(&session) {
                     self.tell_rows(&session, &mut out);
                 }
                 let gone = self.members.up(&session, at_its_address, now.mono);
--- a/crates/citronway/src/decide.rs
+++ b/crates/citronway/src/decide.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use citronway_core::ids::Session;
 use citronway_core::node::{Action, Event, Node};
 use tokio::sync::mpsc::Receiver;
 use tokio::time::{MissedTickBehavior, interval};
@@ -37,6 +38,10 @@
     pub publisher: StatePublisher,
     /// Reads and writes of the administration API.
     pub desk: StoreDesk,
+    /// This session.
+    pub me: Session,
+    /// Address under which other instances find this one.
+    pub address: String,
 }
 
 impl Decider {
@@ -76,6 +81,7 @@
                 continue;
             };
             self.pass_instances_on(&event);
+            queue.extend(self.proof_of_self(&event));
             let at = Instant::now();
             self.observer.event(&event, self.node.view(), at);
             let now = clock::now();
@@ -91,6 +97,21 @@
         true
     }
 
+    /// This session holds the address that the list has for its instance, so
+    /// earlier sessions of the instance are gone; nobody else may be left to say so.
+    fn proof_of_self(&self, event: &Event) -> Option<Event> {
+        let Event::Instances { list, .. } = event else {
+            return None;
+        };
+        let mut listed = list.instances.iter();
+        let ours =
+            listed.any(|it| it.instance == self.me.instance && it.peer_address == self.address);
+        ours.then(|| Event::PeerUp {
+            session: self.me.clone(),
+            at_its_address: true,
+        })
+    }
+
     /// The peers duty connects to the listed instances.
     fn pass_instances_on(&self, event: &Event) {
         let Event::Instances { list, .. } = event else {
--- a/crates/citronway/src/peers/link.rs
+++ b/crates/citronway/src/peers/link.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use capnp_rpc::RpcSystem;
 use capnp_rpc::twoparty::VatId;
 use citronway_core::ids::Session;
+use citronway_core::node::Event;
 use citronway_wire::peer_capnp::link;
 use futures::FutureExt;
 use tokio_util::sync::CancellationToken;
@@ -14,6 +16,9 @@
 use super::context::Context;
 use super::control_queue::{ControlQueue, Encoded};
 
+/// Time between two notices that a session still answers.
+const SHOW_EVERY: Duration = Duration::from_secs(1);
+
 /// A greeted session that this instance is connected to.
 pub(super) struct Link {
     /// The session at the other end.
@@ -24,6 +29,8 @@
     pub(super) control: ControlQueue,
     /// Cancelled when the link has ended.
     pub(super) closed: CancellationToken,
+    /// When the session last showed that it still answers at its address.
+    shown: Cell<Option<Instant>>,
     forwards: Cell<usize>,
     forward_bytes: Cell<usize>,
     max_forwards: usize,
@@ -50,6 +57,7 @@
             client,
             control: ControlQueue::new(cfg.max_queued_control),
             closed: CancellationToken::new(),
+            shown: Cell::new(None),
             forwards: Cell::new(0),
             forward_bytes: Cell::new(0),
             max_forwards: cfg.max_in_flight,
@@ -89,7 +97,7 @@
                 () = cx.stopping.cancelled() => return LinkEnd::Stopped,
             };
             match self.send_control(cx, &batch).await {
-                Ok(()) => {}
+                Ok(()) => self.show(cx),
                 Err(LinkEnd::Refused(err)) => {
                     log::error!(session:% = self.session, err:%; "control messages refused");
                 }
@@ -98,6 +106,24 @@
         }
     }
 
+    /// Says again that the session answers at its address.
+    ///
+    /// Failure guarded against: a stored row that is read only after the greeting
+    /// names an earlier session of this instance. One greeting alone would leave
+    /// that session alive in the eyes of its successors for good.
+    fn show(&self, cx: &Context) {
+        let now = Instant::now();
+        let shown = self.shown.get();
+        if shown.is_some_and(|at| now.duration_since(at) < SHOW_EVERY) {
+            return;
+        }
+        self.shown.set(Some(now));
+        cx.events.push(Event::PeerUp {
+            session: self.session.clone(),
+            at_its_address: true,
+        });
+    }
+
     async fn send_control(&self, cx: &Context, batch: &[Rc<Encoded>]) -> Result<(), LinkEnd> {
         let mut req = self.client.control_request();
         let len = u32::try_from(batch.len()).expect("a batch has at most MAX_BATCH messages");
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -112,8 +112,10 @@
         rings,
         ready,
         observer: Observer::new(Arc::clone(&metrics)),
-        publisher: StatePublisher::new(me, publisher, metrics),
+        publisher: StatePublisher::new(me.clone(), publisher, metrics),
         desk,
+        me,
+        address: cfg.instance.peer_address().to_string(),
     };
     decider.run(events, store).await;
     callers.stop();
--- a/crates/citronway/src/store_desk.rs
+++ b/crates/citronway/src/store_desk.rs
@@ -1,13 +1,15 @@
 //! Passes reads and writes of the administration API on to the platform's duty.
 
+use citronway_core::ids::Version;
 use citronway_core::node::Event;
 use citronway_core::node::events::Ticket;
-use citronway_core::platform::{Row, WriteOutcome};
+use citronway_core::platform::{ConditionalPut, Row, WriteOutcome};
+use citronway_core::time::Now;
 use indexmap::IndexMap;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::oneshot;
 
-use crate::operators::store::CONFIG_TABLE;
+use crate::clock;
 use crate::operators::{ReadFailed, StoreCommand};
 use crate::platform::PlatformCommand;
 
@@ -21,10 +23,18 @@
 pub struct StoreDesk {
     platform: Sender<PlatformCommand>,
     next: Ticket,
-    writes: IndexMap<Ticket, oneshot::Sender<WriteOutcome>>,
+    writes: IndexMap<Ticket, Written>,
     reads: IndexMap<Ticket, ReadAnswer>,
 }
 
+/// A write of the API on its way.
+#[derive(Debug)]
+struct Written {
+    puts: Vec<ConditionalPut>,
+    asked: Now,
+    answer: oneshot::Sender<WriteOutcome>,
+}
+
 impl StoreDesk {
     /// Sends to the platform's duty.
     pub fn new(platform: Sender<PlatformCommand>) -> Self {
@@ -43,15 +53,23 @@
         self.next += 1;
         match command {
             StoreCommand::Write { puts, answer } => {
-                if self
-                    .platform
-                    .try_send(PlatformCommand::Write { ticket, puts })
-                    .is_err()
-                {
+                let command = PlatformCommand::Write {
+                    ticket,
+                    puts: puts.clone(),
+                };
+                if self.platform.try_send(command).is_err() {
                     let _ = answer.send(WriteOutcome::Refused);
                     return;
                 }
-                self.writes.insert(ticket, answer);
+                let asked = clock::now();
+                self.writes.insert(
+                    ticket,
+                    Written {
+                        puts,
+                        asked,
+                        answer,
+                    },
+                );
             }
             StoreCommand::ReadRow { at, answer } => {
                 if self
@@ -67,12 +85,12 @@
         }
     }
 
-    /// Takes an event out of the stream if it answers a command of the API.
+    /// Takes an event out of the stream if it answers a command of the API;
+    /// returns what the machine shall take instead, if anything.
     pub fn intercept(&mut self, event: Event) -> Option<Event> {
         match event {
             Event::WriteDone { ticket, outcome } if ticket >= FIRST_TICKET => {
-                self.written(ticket, outcome);
-                None
+                self.written(ticket, outcome)
             }
             Event::RowRead { ticket, row } if ticket >= FIRST_TICKET => {
                 self.read(ticket, Ok(row));
@@ -86,16 +104,17 @@
         }
     }
 
-    fn written(&mut self, ticket: Ticket, outcome: WriteOutcome) {
-        if matches!(outcome, WriteOutcome::Done { .. }) {
-            // Read at once what now stands, so that it is in force here soon and
-            // heartbeats tell the others; the next poll would find it as well.
-            let table = CONFIG_TABLE.to_owned();
-            let _ = self.platform.try_send(PlatformCommand::ReadTable { table });
-        }
-        if let Some(answer) = self.writes.swap_remove(&ticket) {
-            let _ = answer.send(outcome);
-        }
+    /// Failure guarded against: the store goes down right after it has accepted
+    /// a configuration, and nobody knows the new one until it is back. So the
+    /// machine gets the row itself, from where it spreads to the peers.
+    fn written(&mut self, ticket: Ticket, outcome: WriteOutcome) -> Option<Event> {
+        let written = self.writes.swap_remove(&ticket)?;
+        let accepted = match &outcome {
+            WriteOutcome::Done { versions } => written.rows(versions),
+            _ => None,
+        };
+        let _ = written.answer.send(outcome);
+        accepted
     }
 
     fn read(&mut self, ticket: Ticket, result: Result<Option<Row>, ReadFailed>) {
@@ -104,3 +123,20 @@
         }
     }
 }
+
+impl Written {
+    /// The row that now stands, as a read would show it.
+    fn rows(&self, versions: &[Version]) -> Option<Event> {
+        let (put, version) = (self.puts.first()?, versions.first()?);
+        let row = Row {
+            at: put.at.clone(),
+            version: *version,
+            value: put.value.clone(),
+        };
+        Some(Event::RowsRead {
+            table: put.at.table.clone(),
+            rows: vec![row],
+            asked: self.asked,
+        })
+    }
+}
