Settings: times that heal within two seconds, sending policy, lame duck

Cause: the defaults (grant 2 s, promise 1 s, suspicion 600 ms) summed up to more than the two seconds within which a key has to be served again. The baselines of sending could not be chosen, and the time between the call to stop and the refusal of work was fixed.

--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -229,6 +229,8 @@
         poll_ms: cfg.platform.poll_ms,
         heartbeat_ms: cfg.peers.heartbeat_ms,
         grace_ms: cfg.shutdown.grace_ms,
+        lame_duck_ms: cfg.shutdown.lame_duck_ms,
+        policy: cfg.dispatch.policy,
         hold: HoldSettings::builder()
             .promise_ms(cfg.hold.promise_ms)
             .ask_interval_ms(cfg.hold.ask_ms)
--- a/crates/citronway/src/settings/keys.rs
+++ b/crates/citronway/src/settings/keys.rs
@@ -99,10 +99,11 @@
 pub(super) const TOKEN: Key = key("operators", "token");
 pub(super) const TOKEN_FILE: Key = key("operators", "token_file");
 pub(super) const LEVEL: Key = key("log", "level");
+pub(super) const POLICY: Key = key("dispatch", "policy");
 pub(super) const RECORD: Key = key("trace", "record");
 
 pub(super) const PLATFORM_TIMEOUT: NumberKey = ms("platform", "timeout_ms", 1_000, 10, MINUTE);
-pub(super) const POLL: NumberKey = ms("platform", "poll_ms", 1_000, 50, MINUTE);
+pub(super) const POLL: NumberKey = ms("platform", "poll_ms", 500, 50, MINUTE);
 pub(super) const HEARTBEAT: NumberKey = ms("peers", "heartbeat_ms", 200, 10, 5_000);
 pub(super) const PEERS_TIMEOUT: NumberKey = ms("peers", "timeout_ms", 500, 10, MINUTE);
 pub(super) const MAX_BODY: NumberKey =
@@ -117,13 +118,13 @@
     2_000,
     1_000_000,
 );
-pub(super) const PROMISE: NumberKey = ms("hold", "promise_ms", 1_000, 50, MINUTE);
+pub(super) const PROMISE: NumberKey = ms("hold", "promise_ms", 800, 50, MINUTE);
 pub(super) const ASK: NumberKey = ms("hold", "ask_ms", 200, 10, 30_000);
-pub(super) const SUSPICION: NumberKey = ms("hold", "suspicion_ms", 600, 20, MINUTE);
+pub(super) const SUSPICION: NumberKey = ms("hold", "suspicion_ms", 450, 20, MINUTE);
 pub(super) const SKEW: NumberKey = ms("clock", "skew_ms", 100, 0, 10_000);
-pub(super) const GRANT: NumberKey = ms("dispatch", "grant_ms", 2_000, 50, MINUTE);
-pub(super) const RENEW: NumberKey = ms("dispatch", "renew_ms", 500, 10, 30_000);
-pub(super) const MAX_ORDER: NumberKey = ms("dispatch", "max_order_ms", MINUTE, 10, HOUR);
+pub(super) const GRANT: NumberKey = ms("dispatch", "grant_ms", 1_000, 50, MINUTE);
+pub(super) const RENEW: NumberKey = ms("dispatch", "renew_ms", 250, 10, 30_000);
+pub(super) const MAX_ORDER: NumberKey = ms("dispatch", "max_order_ms", 30_000, 10, HOUR);
 pub(super) const QUEUE_LIMIT: NumberKey =
     count(key("dispatch", "queue_limit"), Unit::Requests, 200, 100_000);
 pub(super) const DUPLICATE_WINDOW: NumberKey = ms(
@@ -133,7 +134,8 @@
     100,
     24 * HOUR,
 );
-pub(super) const PROBE_TIMEOUT: NumberKey = ms("dispatch", "probe_timeout_ms", 500, 10, MINUTE);
+pub(super) const PROBE_TIMEOUT: NumberKey = ms("dispatch", "probe_timeout_ms", 300, 10, MINUTE);
+pub(super) const LAME_DUCK: NumberKey = ms("shutdown", "lame_duck_ms", 500, 0, MINUTE);
 pub(super) const GRACE: NumberKey = ms("shutdown", "grace_ms", 30_000, 0, HOUR);
 
 /// Keys whose values are numbers.
@@ -158,6 +160,7 @@
     QUEUE_LIMIT,
     DUPLICATE_WINDOW,
     PROBE_TIMEOUT,
+    LAME_DUCK,
     GRACE,
 ];
 
@@ -175,6 +178,7 @@
     TOKEN,
     TOKEN_FILE,
     LEVEL,
+    POLICY,
     RECORD,
 ];
 
--- a/crates/citronway/src/settings/model.rs
+++ b/crates/citronway/src/settings/model.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use citronway_core::ids::{InstanceName, ZoneName};
+use citronway_core::node::SendPolicy;
 use log::LevelFilter;
 
 use super::secret::Secret;
@@ -139,6 +140,8 @@
     pub duplicate_window_ms: u64,
     /// Longest wait for the answer to a probe of an endpoint.
     pub probe_timeout_ms: u64,
+    /// How orders reach the endpoints.
+    pub policy: SendPolicy,
 }
 
 /// Logs.
@@ -151,6 +154,9 @@
 /// Graceful shutdown.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Shutdown {
+    /// How long work is still taken after the call to stop, until the balancer
+    /// has noticed.
+    pub lame_duck_ms: u64,
     /// Longest wait for requests in flight.
     pub grace_ms: u64,
 }
--- a/crates/citronway/src/settings/reader.rs
+++ b/crates/citronway/src/settings/reader.rs
@@ -5,6 +5,7 @@
 
 use citronway_core::config::names::{NAME_FORM, is_name};
 use citronway_core::findings::{Finding, Findings, Problem};
+use citronway_core::node::SendPolicy;
 use log::LevelFilter;
 
 use super::keys::{Key, NumberKey};
@@ -18,6 +19,7 @@
 const ADDRESS_FORM: &str = "an IP number and a port above 0, such as 10.0.1.5:7000";
 
 /// Words for log levels, as findings state them.
+const POLICIES: &str = "`dispatcher`, `uncoordinated` or `static`";
 const LEVELS: &str = "one of off, error, warn, info, debug, trace";
 
 /// Stands in for an address that could not be read; the settings are then refused.
@@ -100,6 +102,20 @@
         LevelFilter::Info
     }
 
+    /// How orders are sent, through the dispatcher if absent.
+    pub(super) fn policy(&mut self, key: Key) -> SendPolicy {
+        match self.optional(key, POLICIES) {
+            None | Some("dispatcher") => SendPolicy::Dispatcher,
+            Some("uncoordinated") => SendPolicy::Uncoordinated,
+            Some("static") => SendPolicy::StaticSplit,
+            Some(text) => {
+                let problem = Problem::UnknownWord(text.to_owned());
+                self.push(key, problem, POLICIES);
+                SendPolicy::Dispatcher
+            }
+        }
+    }
+
     /// A path that may be absent.
     pub(super) fn optional_path(&mut self, key: Key) -> Option<PathBuf> {
         self.optional(key, "a path").map(PathBuf::from)
--- a/crates/citronway/src/settings/sections.rs
+++ b/crates/citronway/src/settings/sections.rs
@@ -28,6 +28,7 @@
             level: rd.level(keys::LEVEL),
         },
         shutdown: Shutdown {
+            lame_duck_ms: rd.number(&keys::LAME_DUCK),
             grace_ms: rd.number(&keys::GRACE),
         },
         trace: Trace {
@@ -90,5 +91,6 @@
         queue_limit: rd.number(&keys::QUEUE_LIMIT),
         duplicate_window_ms: rd.number(&keys::DUPLICATE_WINDOW),
         probe_timeout_ms: rd.number(&keys::PROBE_TIMEOUT),
+        policy: rd.policy(keys::POLICY),
     }
 }
