Placement: shards that a dispatcher gave up get new epochs

Cause: a dispatcher that reports its endpoint quiet bars the shards under their epochs. If no planner heard of it, or the endpoint is the only one of its group, the row says owned for ever and nobody serves.

The release of a shard that is not moving begins a move and does not end it. Ruled out: taking it for the end at once, since a new dispatcher may know nothing of it and serve. A release without next owner gives the shard back to the old owner where that takes shards, which also spares churn when a change of the partition is taken back.

--- a/crates/citronway-core/src/placement/planner/mod.rs
+++ b/crates/citronway-core/src/placement/planner/mod.rs
@@ -27,7 +27,7 @@
 
 use self::election::Election;
 use self::pace::Pace;
-use self::reports::fits;
+use self::reports::{fits, is_given_up};
 use self::rows::{Learnt, Rows};
 use self::writes::{Traffic, Written};
 use super::loads::Loads;
@@ -56,6 +56,7 @@
     loads: Loads,
     pace: Pace,
     releases: IndexMap<ShardId, ShardReleased>,
+    given_up: IndexMap<ShardId, ShardReleased>,
     /// Something has happened since the last plan.
     dirty: bool,
     planned: Mono,
@@ -80,6 +81,7 @@
             loads: Loads::default(),
             pace: Pace::default(),
             releases: IndexMap::new(),
+            given_up: IndexMap::new(),
             dirty: true,
             planned: Mono(0),
             took_over: None,
@@ -205,6 +207,8 @@
         };
         self.pace.learn(assignment, now);
         self.releases.retain(|_, report| fits(assignment, report));
+        self.given_up
+            .retain(|_, report| is_given_up(assignment, report));
     }
 
     fn step(&mut self, now: Now, actions: &mut Vec<PlannerAction>) {
@@ -272,6 +276,7 @@
                 standing: &standing,
                 loads: &self.loads,
                 releases: &self.releases,
+                given_up: &self.given_up,
                 resting: &self.pace.resting(self.settings.rest_ms, now.mono),
                 limits: self.settings.limits,
                 move_ms: self.pace.move_ms(),
--- a/crates/citronway-core/src/placement/planner/reports.rs
+++ b/crates/citronway-core/src/placement/planner/reports.rs
@@ -22,13 +22,16 @@
             self.doubt_dispatch(&report.from);
             return;
         }
-        let fits = self
-            .assignment()
-            .is_some_and(|assignment| fits(assignment, &report));
-        if !fits {
+        let Some(assignment) = self.assignment() else {
+            return;
+        };
+        if fits(assignment, &report) {
+            self.releases.insert(report.shard, report);
+        } else if is_given_up(assignment, &report) {
+            self.given_up.insert(report.shard, report);
+        } else {
             return;
         }
-        self.releases.insert(report.shard, report);
         self.dirty = true;
     }
 
@@ -89,6 +92,15 @@
     owners
 }
 
+/// Whether the report is about a shard that its owner has not been asked for.
+pub(super) fn is_given_up(assignment: &Assignment, report: &ShardReleased) -> bool {
+    let Some(shard) = assignment.shards.get(&report.shard) else {
+        return false;
+    };
+    let owned = matches!(&shard.ownership, Ownership::Owned { owner } if *owner == report.from);
+    owned && shard.epoch == report.epoch
+}
+
 /// Whether the report is about the present move of its shard.
 pub(super) fn fits(assignment: &Assignment, report: &ShardReleased) -> bool {
     let Some(shard) = assignment.shards.get(&report.shard) else {
--- a/crates/citronway-core/src/placement/propose.rs
+++ b/crates/citronway-core/src/placement/propose.rs
@@ -7,7 +7,7 @@
 use super::loads::Loads;
 use super::moves::{MoveError, apply, released_all};
 use super::partition::{Releases, affected, release, swap};
-use super::plan::{Limits, PlanInput, StandingGroup, plan};
+use super::plan::{Cause, Limits, Move, Plan, PlanInput, StandingGroup, plan};
 use super::wanted::Wanted;
 use crate::ids::{EndpointName, Epoch, GroupName, ServiceName, ShardId};
 use crate::peer::ShardReleased;
@@ -36,6 +36,9 @@
     pub loads: &'a Loads,
     /// Releases reported by dispatchers.
     pub releases: &'a IndexMap<ShardId, ShardReleased>,
+    /// Releases of shards that were not asked back: their dispatchers never
+    /// grant them again under the present epochs.
+    pub given_up: &'a IndexMap<ShardId, ShardReleased>,
     /// Shards that are not to be moved for balance.
     pub resting: &'a IndexSet<ShardId>,
     /// Bounds.
@@ -70,6 +73,7 @@
 pub fn propose(present: &Assignment, input: &ProposeInput<'_>) -> Result<Assignment, ProposeError> {
     let changing = affected(present, &input.wanted.groups);
     let mut next = end_moves(present, input, &changing)?;
+    next = ask_back(&next, input.given_up);
     let mut frozen = changing;
     if !frozen.is_empty() {
         next = release(&next, &frozen);
@@ -117,26 +121,80 @@
             continue;
         }
         // The next owner was lost or left in the meantime: the plan redirects
-        // the move first.
-        if !takes_shards(input.standing, &shard.group, to) {
+        // the move first. Where nobody else could take the shard, the old owner
+        // gets it back under a new epoch, for when it returns.
+        let group = group(input.standing, &shard.group);
+        let redirected = group.is_some_and(takes_any) && !group.is_some_and(|it| takes(it, to));
+        if redirected {
             continue;
         }
         ended.push(report);
     }
-    released_all(present, ended, input.floor)
+    let freed = released_all(present, ended.iter().copied(), input.floor)?;
+    give_back(&freed, &ended, input.floor)
 }
 
-fn takes_shards(groups: &[StandingGroup], group: &GroupName, endpoint: &EndpointName) -> bool {
-    for standing in groups {
-        if standing.group != *group {
+/// Gives shards that were released without a next owner to their old one.
+fn give_back(
+    freed: &Assignment,
+    ended: &[&ShardReleased],
+    floor: Wall,
+) -> Result<Assignment, MoveError> {
+    let mut plan = Plan::default();
+    for report in ended {
+        if freed.shards[&report.shard].ownership != Ownership::Unowned {
             continue;
         }
-        return standing
-            .members
-            .iter()
-            .any(|member| member.endpoint == *endpoint && member.state.takes_shards());
+        plan.moves.push(Move {
+            shard: report.shard,
+            from: None,
+            to: report.from.clone(),
+            cause: Cause::Unowned,
+        });
     }
-    false
+    apply(freed, &plan, floor)
+}
+
+/// Failure: an endpoint is lost and its dispatcher gives its shards up, but no
+/// planner hears of the loss before the endpoint is back; the dispatcher never
+/// grants them again under their epochs, so their keys stay without service.
+/// Guard: the release of a shard that does not move begins a move. It does not
+/// end it: the dispatcher may have been replaced by one that knows nothing of
+/// the release, and has to see the move first.
+fn ask_back(present: &Assignment, given_up: &IndexMap<ShardId, ShardReleased>) -> Assignment {
+    let mut next = present.clone();
+    for report in given_up.values() {
+        let Some(shard) = next.shards.get_mut(&report.shard) else {
+            continue;
+        };
+        let owned = matches!(&shard.ownership, Ownership::Owned { owner } if *owner == report.from);
+        if !owned || shard.epoch != report.epoch {
+            continue;
+        }
+        shard.ownership = Ownership::Moving {
+            from: report.from.clone(),
+            to: report.from.clone(),
+        };
+    }
+    next
+}
+
+fn group<'a>(groups: &'a [StandingGroup], name: &GroupName) -> Option<&'a StandingGroup> {
+    groups.iter().find(|group| group.group == *name)
+}
+
+fn takes(group: &StandingGroup, endpoint: &EndpointName) -> bool {
+    group
+        .members
+        .iter()
+        .any(|member| member.endpoint == *endpoint && member.state.takes_shards())
+}
+
+fn takes_any(group: &StandingGroup) -> bool {
+    group
+        .members
+        .iter()
+        .any(|member| member.state.takes_shards())
 }
 
 fn epochs(releases: &IndexMap<ShardId, ShardReleased>) -> Releases {
--- a/crates/citronway-core/tests/placement_return.rs
+++ b/crates/citronway-core/tests/placement_return.rs
@@ -136,6 +136,54 @@
     );
 }
 
+/// An endpoint is lost and its dispatcher gives its shards up, but no planner
+/// hears of the loss before the endpoint is back. The dispatcher never grants
+/// again under the old epochs, so without new ones nobody would serve the keys.
+#[gtest]
+fn shards_given_up_get_new_epochs() {
+    let (mut planner, mut store) = started(&thirty(), PlannerSettings::default());
+    let before = store.assignment().expect("assignment");
+    let from = EndpointName::new("e03");
+    let its = owned_by(&before, "e03");
+    for shard in &its {
+        let report = release_of(&before, *shard, &from, &dispatcher(&store, &from));
+        planner.event(PlannerEvent::Released { report }, now(2_000));
+    }
+    planner.run(&mut store, now(2_000));
+    let given_up = store.assignment().expect("assignment");
+    expect_that!(moving(&given_up), eq(&its));
+    planner.run(&mut store, now(3_000));
+    expect_that!(moving(&store.assignment().unwrap()), eq(&its));
+    planner.release_all(&store, now(3_000));
+    planner.run(&mut store, now(3_000));
+    let after = store.assignment().expect("assignment");
+    expect_that!(owned_by(&after, "e03"), eq(&its));
+    for shard in its {
+        expect_that!(after.shards[&shard].epoch, gt(before.shards[&shard].epoch));
+    }
+}
+
+/// The same with a single endpoint, which is still reported lost: there is
+/// nobody else, so it must be able to go on as soon as it is back.
+#[gtest]
+fn the_only_endpoint_gets_its_shards_back_under_new_epochs() {
+    let only = wanted(1, vec![group(GROUP, None, 4, members(1))]);
+    let (mut planner, mut store) = started(&only, PlannerSettings::default());
+    let before = store.assignment().expect("assignment");
+    let from = EndpointName::new("e00");
+    planner.lost(&store, "e00", now(2_000));
+    for shard in before.shards.keys() {
+        let report = release_of(&before, *shard, &from, &dispatcher(&store, &from));
+        planner.event(PlannerEvent::Released { report }, now(2_000));
+    }
+    pass(&mut planner, &mut store, 2_000, 300);
+    let after = store.assignment().expect("assignment");
+    for shard in before.shards.keys() {
+        expect_that!(owner(&after, *shard), some(eq(&from)));
+        expect_that!(after.shards[shard].epoch, gt(before.shards[shard].epoch));
+    }
+}
+
 /// The planner that moved a lost endpoint's keys away is replaced. The new one
 /// was not told of the loss. If it took the idle endpoint for a good target,
 /// keys would be moved to where nobody answers.
