--- a/crates/citronway-core/tests/placement_random.rs
+++ b/crates/citronway-core/tests/placement_random.rs
@@ -37,6 +37,10 @@
     Follow { endpoint: usize },
     /// A dispatcher reports what it has released, to all planners.
     Release { endpoint: usize },
+    /// A dispatcher gives all shards of its endpoint up.
+    GiveUp { endpoint: usize },
+    /// An endpoint gets a new dispatcher, which knows nothing of the old one's.
+    TakeOver { endpoint: usize },
     /// An earlier report of a release comes once more.
     ReleaseAgain { ago: usize, planner: usize },
     /// A dispatcher reports its endpoint lost.
@@ -64,6 +68,8 @@
         1 => (0..8_usize).prop_map(|write| Op::Land { write }),
         15 => endpoint.clone().prop_map(|endpoint| Op::Follow { endpoint }),
         15 => endpoint.clone().prop_map(|endpoint| Op::Release { endpoint }),
+        1 => endpoint.clone().prop_map(|endpoint| Op::GiveUp { endpoint }),
+        1 => endpoint.clone().prop_map(|endpoint| Op::TakeOver { endpoint }),
         3 => (0..32_usize, planner.clone())
             .prop_map(|(ago, planner)| Op::ReleaseAgain { ago, planner }),
         1 => (endpoint.clone(), planner.clone())
@@ -118,6 +124,7 @@
         for index in 0..ENDPOINTS {
             let view = View {
                 assignment: store.assignment(),
+                ..View::default()
             };
             views.insert(endpoint(index), view);
         }
@@ -173,6 +180,12 @@
                 self.followed = true;
             }
             Op::Release { endpoint } => self.release(endpoint),
+            Op::GiveUp { endpoint } => self.views[endpoint].give_up(&self::endpoint(endpoint)),
+            Op::TakeOver { endpoint } => {
+                self.views[endpoint].given_up.clear();
+                self.views[endpoint].assignment = self.store.assignment();
+                self.followed = true;
+            }
             Op::ReleaseAgain { ago, planner } => {
                 if let Some(report) = self.reports.iter().nth_back(ago).cloned() {
                     self.planners[planner].event(PlannerEvent::Released { report }, now);
--- a/crates/citronway-core/tests/placement_support/mod.rs
+++ b/crates/citronway-core/tests/placement_support/mod.rs
@@ -432,6 +432,8 @@
 #[derive(Debug, Default)]
 pub struct View {
     pub assignment: Option<Assignment>,
+    /// Shards that it will not serve again under these epochs.
+    pub given_up: IndexMap<ShardId, Epoch>,
 }
 
 impl View {
@@ -450,17 +452,32 @@
         let Some(shard) = lookup.shard(&group, hash) else {
             return false;
         };
-        owner(assignment, shard).as_ref() == Some(endpoint)
+        let barred = self.given_up.get(&shard) == Some(&assignment.shards[&shard].epoch);
+        !barred && owner(assignment, shard).as_ref() == Some(endpoint)
     }
 
-    /// Reports of all shards that move away from the endpoint.
+    /// Gives up all shards of the endpoint, as when it is lost and quiet.
+    pub fn give_up(&mut self, endpoint: &EndpointName) {
+        let Some(assignment) = &self.assignment else {
+            return;
+        };
+        for shard in assignment.shards.values() {
+            if owner(assignment, shard.id).as_ref() == Some(endpoint) {
+                self.given_up.insert(shard.id, shard.epoch);
+            }
+        }
+    }
+
+    /// Reports of all shards that move away from the endpoint or were given up.
     pub fn releases(&self, endpoint: &EndpointName, dispatcher: &Session) -> Vec<ShardReleased> {
         let mut reports = Vec::new();
         let Some(assignment) = &self.assignment else {
             return reports;
         };
         for shard in assignment.shards.values() {
-            if moving_from(assignment, shard.id).as_ref() == Some(endpoint) {
+            let owns = owner(assignment, shard.id).as_ref() == Some(endpoint);
+            let barred = owns && self.given_up.get(&shard.id) == Some(&shard.epoch);
+            if barred || moving_from(assignment, shard.id).as_ref() == Some(endpoint) {
                 reports.push(release_of(assignment, shard.id, endpoint, dispatcher));
             }
         }
