Handover tells floor and fingerprints; a hot key's work keeps its shard from moving

Cause, first part: a graceful handover told ids without what they asked for and without the predecessor's floor. A kept answer could not be given, and an id dropped for want of room could run again at the successor. The handover now carries both, bounded to one message with the floor above what is left out. Requests that only wait are not told: they were not sent. Work queued or in flight under the shard of the range was not counted as work of the key's new shard, which looked idle and moved. Ruled out: old views of entries alone (the dispatcher looks the shard up itself). Work is now told by the place of its key. Both new tests were seen failing with the place of the key ignored for single hashes: 'released' while the booking runs, and '-' for the waiting one.

--- a/crates/citronway-core/src/dispatch/duplicates.rs
+++ b/crates/citronway-core/src/dispatch/duplicates.rs
@@ -17,7 +17,7 @@
 use super::settings::DispatchSettings;
 use crate::ids::RequestId;
 use crate::outcome::{MayHaveRun, MayHaveRunReason, Outcome};
-use crate::peer::KnownRequest;
+use crate::peer::{KnownRequest, KnownRequests};
 use crate::time::Wall;
 
 /// What the table says about a request.
@@ -53,6 +53,11 @@
     state: State,
 }
 
+/// Most ids in a handover, so that it fits into one message.
+const EXPORTED_IDS: usize = 16_384;
+/// Most bytes of kept answers in a handover.
+const EXPORTED_ANSWER_BYTES: usize = 1 << 20;
+
 /// The table of one dispatcher.
 #[derive(Debug)]
 pub struct Duplicates {
@@ -175,31 +180,54 @@
         }
     }
 
-    /// What the table knows, for a successor.
+    /// What the table knows, for a successor; the newest ids if there are more
+    /// than a message holds, with the floor above the others.
     #[must_use]
-    pub fn export(&self) -> Vec<KnownRequest> {
-        let mut requests = Vec::with_capacity(self.known.len());
-        for (&id, known) in &self.known {
+    pub fn export(&self) -> KnownRequests {
+        let mut requests = Vec::new();
+        let mut floor = self.floor;
+        let mut room = EXPORTED_ANSWER_BYTES;
+        for (&id, known) in self.known.iter().rev() {
+            if requests.len() == EXPORTED_IDS {
+                floor = floor.max(id.created().unwrap_or_default().plus(1));
+                break;
+            }
             let outcome = match known.state {
                 State::MayHaveRun(may) => Some(Outcome::MayHaveRun(may)),
-                State::Answered => self.answers.get(id).cloned().map(Outcome::Answered),
+                State::Answered => self.exported_answer(id, &mut room),
                 State::Pending => None,
             };
-            requests.push(KnownRequest { id, outcome });
+            let fingerprint = known.fingerprint;
+            requests.push(KnownRequest {
+                id,
+                fingerprint,
+                outcome,
+            });
         }
-        requests
+        KnownRequests { floor, requests }
     }
 
-    /// Takes over what a predecessor knew. Answers are not kept: without the
-    /// fingerprint of the request it is not sure whose answers they are.
-    pub fn import(&mut self, requests: &[KnownRequest]) {
-        for req in requests {
+    /// A kept answer as long as there is room for it in the message.
+    fn exported_answer(&self, id: RequestId, room: &mut usize) -> Option<Outcome> {
+        let answer = self.answers.get(id)?;
+        *room = room.checked_sub(answer.body.len())?;
+        Some(Outcome::Answered(answer.clone()))
+    }
+
+    /// Takes over what a predecessor knew. An answer without the fingerprint of
+    /// its request is not kept: it is not sure whose answer it is.
+    pub fn import(&mut self, known: &KnownRequests) {
+        self.raise(known.floor);
+        for req in &known.requests {
             let state = match &req.outcome {
                 Some(Outcome::NotRun(_)) => continue,
                 Some(Outcome::MayHaveRun(may)) => State::MayHaveRun(*may),
                 Some(Outcome::Answered(_)) | None => State::Answered,
             };
-            let fingerprint = None;
+            if let (Some(Outcome::Answered(answer)), Some(_)) = (&req.outcome, req.fingerprint) {
+                self.answers.keep(req.id, answer.clone());
+            }
+            let fingerprint = req.fingerprint;
             self.known
                 .entry(req.id)
                 .or_insert(Known { fingerprint, state });
--- a/crates/citronway-core/src/dispatch/fingerprint.rs
+++ b/crates/citronway-core/src/dispatch/fingerprint.rs
@@ -12,6 +12,18 @@
 pub struct Fingerprint(u128);
 
 impl Fingerprint {
+    /// As bytes, most significant first.
+    #[must_use]
+    pub const fn to_bytes(self) -> [u8; 16] {
+        self.0.to_be_bytes()
+    }
+
+    /// From the bytes of [`Self::to_bytes`].
+    #[must_use]
+    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self(u128::from_be_bytes(bytes))
+    }
+
     /// Hashes service, key, method, path, media type and body.
     #[must_use]
     pub fn of(req: &Request) -> Self {
--- a/crates/citronway-core/src/dispatch/granting.rs
+++ b/crates/citronway-core/src/dispatch/granting.rs
@@ -33,15 +33,13 @@
     /// Moves shards on their way out, as far as silence allows.
     pub(super) fn release_shards(&mut self, turn: Turn) {
         let bounds = self.bounds();
-        for at in self.grants.stop_moving(turn.now.wall, bounds) {
-            for waiting in self.queue.drain_shard(&at) {
-                self.give_up(&waiting, NotRunReason::Moving);
-            }
+        for part in self.grants.stop_moving(turn.now.wall, bounds) {
+            self.give_part_up(&part);
         }
         let slots = &self.slots;
         let released = self
             .grants
-            .pass_time(turn.now.wall, bounds, |at| slots.any_of_shard(at));
+            .pass_time(turn.now.wall, bounds, |part| slots.any_in(part));
         if released {
             self.next_report = turn.now.mono;
         }
--- a/crates/citronway-core/src/dispatch/grants.rs
+++ b/crates/citronway-core/src/dispatch/grants.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::message::{OwnedShard, ShardEpoch, ShardRef};
+use super::message::{KeyPart, OwnedShard, ShardEpoch, ShardRef};
 use super::sent_grants::{SentGrants, SentKind, shard_epoch};
 use crate::node::events::{GrantedShard, Ticket};
 use crate::time::Wall;
@@ -66,7 +66,7 @@
 
     /// Takes in the assigned shards, all of them. Returns those that get no
     /// new work from now on.
-    pub fn set_shards(&mut self, shards: &[OwnedShard]) -> Vec<ShardRef> {
+    pub fn set_shards(&mut self, shards: &[OwnedShard]) -> Vec<KeyPart> {
         let mut stopped = Vec::new();
         for owned in shards {
             self.set_shard(owned);
@@ -78,7 +78,7 @@
             held.owned.moving = true;
             if held.phase == Phase::Serving {
                 held.phase = Phase::Stopping;
-                stopped.push(held.owned.at.clone());
+                stopped.push(held.owned.part());
             }
         }
         self.shards.retain(|at, held| {
@@ -93,15 +93,15 @@
     /// Failure guarded against: after a takeover an endpoint that does not check
     /// may run orders of the predecessor for long. Were its moving shards stopped
     /// at once, nobody would serve their keys all that time.
-    pub fn stop_moving(&mut self, now: Wall, bounds: Bounds) -> Vec<ShardRef> {
+    pub fn stop_moving(&mut self, now: Wall, bounds: Bounds) -> Vec<KeyPart> {
         let mut stopped = Vec::new();
         if !bounds.checks_orders && now < bounds.inherited_until {
             return stopped;
         }
-        for (at, held) in &mut self.shards {
+        for held in self.shards.values_mut() {
             if held.phase == Phase::Serving && held.owned.moving {
                 held.phase = Phase::Stopping;
-                stopped.push(at.clone());
+                stopped.push(held.owned.part());
             }
         }
         stopped
@@ -209,18 +209,18 @@
         self.sent.take(ticket);
     }
 
-    /// Lets time pass. `busy` tells whether an order of a shard may be running.
+    /// Lets time pass. `busy` tells whether an order for some keys may be running.
     /// Returns whether a shard is released by that.
     pub fn pass_time(
         &mut self,
         now: Wall,
         bounds: Bounds,
-        busy: impl Fn(&ShardRef) -> bool,
+        busy: impl Fn(&KeyPart) -> bool,
     ) -> bool {
         let mut released = false;
         self.sent.pass_time(now, bounds.skew_ms);
-        for (at, held) in &mut self.shards {
-            if held.phase == Phase::Stopping && !busy(at) {
+        for held in self.shards.values_mut() {
+            if held.phase == Phase::Stopping && !busy(&held.owned.part()) {
                 held.phase = Phase::Revoking;
                 held.asked = false;
             }
--- a/crates/citronway-core/src/dispatch/machine.rs
+++ b/crates/citronway-core/src/dispatch/machine.rs
@@ -6,7 +6,7 @@
 use super::grants::{Bounds, Grants};
 use super::health::Health;
 use super::limit::Limit;
-use super::message::{DispatchAction, DispatchEvent, KeyRef, OwnedShard, ShardRef, Turn};
+use super::message::{DispatchAction, DispatchEvent, KeyPart, KeyRef, OwnedShard, ShardRef, Turn};
 use super::queue::Queue;
 use super::service::ServiceTimes;
 use super::settings::DispatchSettings;
@@ -138,13 +138,32 @@
     }
 
     fn on_shards(&mut self, shards: &[OwnedShard]) {
-        for at in self.grants.set_shards(shards) {
-            for waiting in self.queue.drain_shard(&at) {
-                self.give_up(&waiting, NotRunReason::Moving);
+        for part in self.grants.set_shards(shards) {
+            self.give_part_up(&part);
+        }
+        for owned in shards {
+            if owned.is_hot() {
+                self.give_old_shard_up(owned);
             }
         }
     }
 
+    /// Sends the waiting requests for these keys back: their entries look again
+    /// where the keys are now.
+    pub(super) fn give_part_up(&mut self, part: &KeyPart) {
+        for waiting in self.queue.drain_part(part) {
+            self.give_up(&waiting, NotRunReason::Moving);
+        }
+    }
+
+    /// Requests for a hot key that came before it had its own shard would be
+    /// sent under the shard around it, whatever becomes of its own.
+    fn give_old_shard_up(&mut self, hot: &OwnedShard) {
+        if self.queue.any_outside(&hot.part(), &hot.at) {
+            self.give_part_up(&hot.part());
+        }
+    }
+
     fn on_endpoint(&mut self, endpoint: Endpoint) {
         self.limit.set_slots(usable_slots(&endpoint));
         self.endpoint = endpoint;
--- a/crates/citronway-core/src/dispatch/message.rs
+++ b/crates/citronway-core/src/dispatch/message.rs
@@ -8,7 +8,7 @@
 use crate::node::events::{Grant, OrderReply, ProbeReport, Ticket};
 use crate::outcome::{NotRun, NotRunReason, Outcome};
 use crate::request::{Fence, Request};
-use crate::shard::HashRange;
+use crate::shard::{HashRange, KeyHash};
 use crate::time::{Now, Wall};
 
 /// The moment of a decision.
@@ -47,6 +47,46 @@
     pub key: Key,
 }
 
+/// Keys of a service that hash into a range.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyPart {
+    /// The service.
+    pub service: ServiceName,
+    /// The range.
+    pub range: HashRange,
+}
+
+impl KeyPart {
+    /// Whether the key is one of them.
+    #[must_use]
+    pub fn has(&self, key: &KeyRef) -> bool {
+        let hash = KeyHash::of(&key.key);
+        key.service == self.service && self.range.first <= hash && hash <= self.range.last
+    }
+}
+
+impl OwnedShard {
+    /// Keys that may belong to the shard.
+    ///
+    /// Failure guarded against: a hot key gets a shard of its own while its work
+    /// is queued or in flight under the shard of the range around it. Told by
+    /// shard numbers, the hot shard would look idle, move, and the key would be
+    /// worked on by two endpoints. So work is told by the place of its key.
+    #[must_use]
+    pub fn part(&self) -> KeyPart {
+        KeyPart {
+            service: self.at.service.clone(),
+            range: self.range,
+        }
+    }
+
+    /// Whether it is the shard of a single hot key.
+    #[must_use]
+    pub fn is_hot(&self) -> bool {
+        self.range.first == self.range.last
+    }
+}
+
 /// A shard that the assignment gives to the endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnedShard {
--- a/crates/citronway-core/src/dispatch/mod.rs
+++ b/crates/citronway-core/src/dispatch/mod.rs
@@ -42,7 +42,8 @@
 
 pub use machine::Dispatcher;
 pub use message::{
-    DispatchAction, DispatchEvent, KeyRef, OwnedShard, RequestFault, ShardEpoch, ShardRef, Turn,
+    DispatchAction, DispatchEvent, KeyPart, KeyRef, OwnedShard, RequestFault, ShardEpoch, ShardRef,
+    Turn,
 };
 pub use replay::replay;
 pub use settings::DispatchSettings;
--- a/crates/citronway-core/src/dispatch/queue.rs
+++ b/crates/citronway-core/src/dispatch/queue.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use super::message::{KeyRef, ShardRef};
+use super::message::{KeyPart, KeyRef, ShardRef};
 use super::pace::Pace;
 use super::service::ServiceTimes;
 use super::share::Share;
@@ -190,6 +190,17 @@
         Some(waiting.request.id)
     }
 
+    /// Whether a request waits under this id.
+    #[must_use]
+    pub fn contains(&self, id: RequestId) -> bool {
+        let mut lanes = self.lanes.iter();
+        lanes.any(|lane| {
+            lane.waiting
+                .values()
+                .any(|waiting| waiting.request.id == id)
+        })
+    }
+
     /// Takes out the request of an origin.
     pub fn remove(&mut self, origin: Ticket) -> Option<Waiting> {
         let place = self.places.get(&origin).copied()?;
@@ -222,11 +233,11 @@
     }
 
     /// Takes out the requests of one shard.
-    pub fn drain_shard(&mut self, at: &ShardRef) -> Vec<Waiting> {
+    pub fn drain_part(&mut self, part: &KeyPart) -> Vec<Waiting> {
         let mut places = Vec::new();
         for (index, lane) in self.lanes.iter().enumerate() {
             for (&rank, waiting) in &lane.waiting {
-                if waiting.at == *at {
+                if part.has(&waiting.key()) {
                     places.push(Place { lane: index, rank });
                 }
             }
@@ -234,6 +245,16 @@
         places.into_iter().filter_map(|p| self.take(p)).collect()
     }
 
+    /// Whether a request for one of the keys waits under another shard.
+    #[must_use]
+    pub fn any_outside(&self, part: &KeyPart, at: &ShardRef) -> bool {
+        let mut lanes = self.lanes.iter();
+        lanes.any(|lane| {
+            let mut waiting = lane.waiting.values();
+            waiting.any(|waiting| waiting.at != *at && part.has(&waiting.key()))
+        })
+    }
+
     /// Lets time pass for the kept shares. `running` tells the orders of a
     /// class that hold a slot, `limit` the slots in use at most.
     pub fn pass_time(&mut self, now: Mono, limit: u32, running: impl Fn(&ClassName) -> u32) {
--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -4,7 +4,7 @@
 use super::machine::Dispatcher;
 use super::message::{DispatchAction, ShardEpoch, Turn};
 use crate::ids::EndpointName;
-use crate::peer::{EndpointLoad, HotKey, KnownRequest, ShardLoad};
+use crate::peer::{EndpointLoad, HotKey, KnownRequests, ShardLoad};
 use crate::shard::KeyHash;
 use crate::time::Wall;
 
@@ -66,10 +66,13 @@
         self.queue.is_empty() && self.slots.used() == 0
     }
 
-    /// What is known of non-idempotent requests, for a successor.
+    /// What is known of non-idempotent requests, for a successor. Requests that
+    /// still wait were not sent, so nothing is known of them.
     #[must_use]
-    pub fn export(&self) -> Vec<KnownRequest> {
-        self.duplicates.export()
+    pub fn export(&self) -> KnownRequests {
+        let mut known = self.duplicates.export();
+        known.requests.retain(|req| !self.queue.contains(req.id));
+        known
     }
 
     /// Load since the last call, for the planner.
--- a/crates/citronway-core/src/dispatch/slots.rs
+++ b/crates/citronway-core/src/dispatch/slots.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::message::{KeyRef, ShardRef};
+use super::message::{KeyPart, KeyRef, ShardRef};
 use crate::ids::{ClassName, RequestId};
 use crate::node::events::Ticket;
 use crate::request::Repeat;
@@ -81,8 +81,8 @@
 
     /// Whether an order of the shard may be running.
     #[must_use]
-    pub fn any_of_shard(&self, at: &ShardRef) -> bool {
-        self.orders.values().any(|order| order.at == *at)
+    pub fn any_in(&self, part: &KeyPart) -> bool {
+        self.orders.values().any(|order| part.has(&order.key))
     }
 
     /// Classes of the orders that hold a slot, one for each.
--- a/crates/citronway-core/src/dispatch/spec.rs
+++ b/crates/citronway-core/src/dispatch/spec.rs
@@ -8,7 +8,7 @@
 use crate::config::{Class, Endpoint};
 use crate::ids::{ClassName, EndpointName, Epoch, Session};
 use crate::node::events::Ticket;
-use crate::peer::KnownRequest;
+use crate::peer::KnownRequests;
 use crate::time::{Now, Wall};
 
 /// Ticket that a dispatcher gives first unless told otherwise.
@@ -39,7 +39,7 @@
     pub floor: Wall,
     /// What a predecessor knew of requests.
     #[serde(default)]
-    pub known: Vec<KnownRequest>,
+    pub known: KnownRequests,
     /// A predecessor may have left orders or grants at the endpoint.
     #[serde(default = "assumed")]
     pub inherited: bool,
@@ -63,7 +63,7 @@
             epoch: Epoch::default(),
             session: Session::new("", 0),
             floor: Wall(0),
-            known: Vec::new(),
+            known: KnownRequests::default(),
             inherited: assumed(),
             first_ticket: FIRST_TICKET,
         })
@@ -110,8 +110,8 @@
 
     /// Takes over what a predecessor knew of requests.
     #[must_use]
-    pub fn known(mut self, requests: &[KnownRequest]) -> Self {
-        self.0.known.extend_from_slice(requests);
+    pub fn known(mut self, known: &KnownRequests) -> Self {
+        self.0.known.clone_from(known);
         self
     }
 
--- a/crates/citronway-core/src/hold/dispatcher.rs
+++ b/crates/citronway-core/src/hold/dispatcher.rs
@@ -7,7 +7,7 @@
 use super::tenure::{Nominee, Offer};
 use super::{Hold, HoldAction};
 use crate::ids::{Epoch, Session};
-use crate::peer::{HoldMessage, KnownRequest};
+use crate::peer::{HoldMessage, KnownRequests};
 use crate::shard::DispatchRow;
 use crate::time::Now;
 
@@ -234,7 +234,7 @@
     pub(super) fn start_offer(
         &mut self,
         reason: HandOverReason,
-        requests: &[KnownRequest],
+        known: &KnownRequests,
         now: Now,
         out: &mut Vec<HoldAction>,
     ) {
@@ -247,7 +247,7 @@
         }
         tenure.offer = Some(Offer {
             reason,
-            requests: requests.to_vec(),
+            known: known.clone(),
             offered: IndexMap::new(),
             since: now.mono,
         });
@@ -277,7 +277,7 @@
         let handover = HoldMessage::Handover {
             epoch,
             row_version,
-            requests: offer.requests.clone(),
+            known: offer.known.clone(),
         };
         tenure.release(next);
         out.push(send(next, handover));
--- a/crates/citronway-core/src/hold/events.rs
+++ b/crates/citronway-core/src/hold/events.rs
@@ -4,7 +4,7 @@
 
 use super::Hold;
 use crate::ids::{Epoch, Session, Version};
-use crate::peer::{HoldMessage, KnownRequest};
+use crate::peer::{HoldMessage, KnownRequests};
 use crate::platform::WriteOutcome;
 use crate::shard::DispatchRow;
 use crate::time::{Now, Wall};
@@ -91,7 +91,7 @@
         /// Why.
         reason: HandOverReason,
         /// Requests the dispatcher knows.
-        requests: Vec<KnownRequest>,
+        known: KnownRequests,
     },
     /// See [`Hold::tick`].
     Tick {
@@ -137,7 +137,7 @@
         /// The earlier dispatcher handed the role over.
         handed_over: bool,
         /// What it handed over.
-        requests: Vec<KnownRequest>,
+        known: KnownRequests,
     },
     /// This session is no dispatcher any more.
     Lost {
@@ -162,7 +162,7 @@
             HoldEvent::WriteDone { write, outcome } => self.write_done(*write, outcome, now),
             HoldEvent::Message { from, message } => self.message(from, message, now),
             HoldEvent::Gone { session } => self.gone(session, now),
-            HoldEvent::HandOver { reason, requests } => self.hand_over(*reason, requests, now),
+            HoldEvent::HandOver { reason, known } => self.hand_over(*reason, known, now),
             HoldEvent::Tick { candidates, reach } => self.tick(candidates, *reach, now),
         }
     }
--- a/crates/citronway-core/src/hold/message.rs
+++ b/crates/citronway-core/src/hold/message.rs
@@ -3,7 +3,7 @@
 use super::events::HandOverReason;
 use super::{Handed, Hold, HoldAction, Promised, Reach};
 use crate::ids::{Epoch, Session, Version};
-use crate::peer::{HoldMessage, KnownRequest};
+use crate::peer::{HoldMessage, KnownRequests};
 use crate::time::Now;
 
 /// Round in a refusal that answers no question: a declined handover, or a former
@@ -58,10 +58,10 @@
             HoldMessage::Handover {
                 epoch,
                 row_version,
-                requests,
+                known,
             } => {
                 self.seen_version = self.seen_version.max(*row_version);
-                self.on_handover(from, *epoch, requests, now, &mut out);
+                self.on_handover(from, *epoch, known, now, &mut out);
             }
         }
         out
@@ -148,7 +148,7 @@
         &mut self,
         from: &Session,
         epoch: Epoch,
-        requests: &[KnownRequest],
+        known: &KnownRequests,
         now: Now,
         out: &mut Vec<HoldAction>,
     ) {
@@ -164,7 +164,7 @@
         }
         self.handed = Some(Handed {
             epoch,
-            requests: requests.to_vec(),
+            known: known.clone(),
         });
         self.promised.retain(|_, it| it.epoch > epoch);
         self.take_handover(now, out);
@@ -172,18 +172,18 @@
 
     /// Gives the role away, or leaves for good.
     ///
-    /// A dispatcher stops acting at once. `requests` is what it knows, the end
+    /// A dispatcher stops acting at once. `known` is what it knows, the end
     /// of all work that still runs included; the successor needs no floor then.
     #[must_use]
     pub fn hand_over(
         &mut self,
         reason: HandOverReason,
-        requests: &[KnownRequest],
+        known: &KnownRequests,
         now: Now,
     ) -> Vec<HoldAction> {
         let mut out = Vec::new();
         if self.tenure.is_some() {
-            self.start_offer(reason, requests, now, &mut out);
+            self.start_offer(reason, known, now, &mut out);
         } else if reason == HandOverReason::Leaving {
             self.leave(&mut out);
         }
--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -46,7 +46,7 @@
 use tenure::Tenure;
 
 use crate::ids::{EndpointName, Epoch, Session, Version};
-use crate::peer::KnownRequest;
+use crate::peer::KnownRequests;
 use crate::shard::DispatchRow;
 use crate::time::{Mono, Now};
 
@@ -68,7 +68,7 @@
 #[derive(Debug, Clone)]
 struct Handed {
     epoch: Epoch,
-    requests: Vec<KnownRequest>,
+    known: KnownRequests,
 }
 
 /// The hold of one endpoint as one session sees it.
@@ -288,7 +288,7 @@
             epoch: row.epoch,
             floor: row.floor,
             handed_over: handed.is_some(),
-            requests: handed.map(|it| it.requests).unwrap_or_default(),
+            known: handed.map(|it| it.known).unwrap_or_default(),
         });
     }
 
--- a/crates/citronway-core/src/hold/tenure.rs
+++ b/crates/citronway-core/src/hold/tenure.rs
@@ -4,7 +4,7 @@
 
 use super::events::HandOverReason;
 use crate::ids::{Epoch, Session};
-use crate::peer::KnownRequest;
+use crate::peer::KnownRequests;
 use crate::time::Mono;
 
 /// A session that will not promise again: it is gone or has renounced.
@@ -44,7 +44,7 @@
     /// Why.
     pub reason: HandOverReason,
     /// What goes with the role.
-    pub requests: Vec<KnownRequest>,
+    pub known: KnownRequests,
     /// Sessions that were offered the role, and whether they declined.
     pub offered: IndexMap<Session, bool>,
     /// Latest offer.
--- a/crates/citronway-core/src/hold/world/faults.rs
+++ b/crates/citronway-core/src/hold/world/faults.rs
@@ -6,6 +6,7 @@
 use super::script::Fault;
 use crate::hold::{HandOverReason, HoldEvent, Reach};
 use crate::ids::{InstanceName, Session};
+use crate::peer::KnownRequests;
 
 /// A leaving process exits after this, in milliseconds.
 const EXIT_MS: u64 = 1_000;
@@ -115,8 +116,8 @@
         {
             self.watch.handed_over.push(row.epoch);
         }
-        let requests = Vec::new();
-        self.give(node, HoldEvent::HandOver { reason, requests });
+        let known = KnownRequests::default();
+        self.give(node, HoldEvent::HandOver { reason, known });
         if reason == HandOverReason::Leaving {
             let session = self.nodes[node].session.clone();
             self.queue_in(EXIT_MS, Step::Exit { session });
--- a/crates/citronway-core/src/node/probes.rs
+++ b/crates/citronway-core/src/node/probes.rs
@@ -170,14 +170,9 @@
         if !seat.probes.successor_reaches(now.mono) {
             return false;
         }
-        let requests = active.dispatcher.export();
+        let known = active.dispatcher.export();
         let reason = HandOverReason::EndpointLost;
-        self.tell_hold(
-            endpoint,
-            &HoldEvent::HandOver { reason, requests },
-            now,
-            out,
-        );
+        self.tell_hold(endpoint, &HoldEvent::HandOver { reason, known }, now, out);
         true
     }
 }
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -8,7 +8,7 @@
 use crate::hold::{HandOverReason, Hold, HoldAction, HoldEvent, Reach, ReadOutcome};
 use crate::ids::{EndpointName, Epoch, Session};
 use crate::outcome::NotRunReason;
-use crate::peer::{EndpointLost, HoldMessage, KnownRequest, PeerMessage, ShardReleased};
+use crate::peer::{EndpointLost, HoldMessage, KnownRequests, PeerMessage, ShardReleased};
 use crate::platform::{ConditionalPut, Row, RowKey, WriteOutcome};
 use crate::shard::DispatchRow;
 use crate::time::{Mono, Now, Wall};
@@ -45,7 +45,7 @@
     floor: Wall,
     /// An earlier dispatcher may have left orders or grants at the endpoint.
     inherited: bool,
-    requests: Vec<KnownRequest>,
+    known: KnownRequests,
 }
 
 /// A dispatcher with the epoch it acts under.
@@ -280,14 +280,14 @@
                 epoch,
                 floor,
                 handed_over,
-                requests,
+                known,
             } => {
                 let inherited = !handed_over && epoch > FIRST_EPOCH;
                 let role = Role {
                     epoch,
                     floor,
                     inherited,
-                    requests,
+                    known,
                 };
                 self.start_dispatcher(name, role, now);
                 self.give_shards(name, now, out);
@@ -394,7 +394,7 @@
             .settings(self.settings.dispatch.clone())
             .role(role.epoch, &self.me)
             .floor(role.floor)
-            .known(&role.requests);
+            .known(&role.known);
         if !role.inherited {
             builder = builder.nothing_inherited();
         }
@@ -661,12 +661,14 @@
                 continue;
             }
             seat.handed_over = true;
-            let mut requests = Vec::new();
+            let mut known = KnownRequests::default();
             for retired in &seat.retired {
-                requests.extend(retired.dispatcher.export());
+                let more = retired.dispatcher.export();
+                known.floor = known.floor.max(more.floor);
+                known.requests.extend(more.requests);
             }
             let reason = HandOverReason::Leaving;
-            self.tell_hold(&name, &HoldEvent::HandOver { reason, requests }, now, out);
+            self.tell_hold(&name, &HoldEvent::HandOver { reason, known }, now, out);
         }
     }
 
--- a/crates/citronway-core/src/peer.rs
+++ b/crates/citronway-core/src/peer.rs
@@ -2,9 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::dispatch::fingerprint::Fingerprint;
 use crate::ids::{EndpointName, Epoch, RequestId, Session, Version};
 use crate::outcome::Outcome;
 use crate::platform::Row;
+use crate::time::Wall;
 
 /// A control message from one instance to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,16 +99,28 @@
         epoch: Epoch,
         /// Version of the dispatch row.
         row_version: Version,
-        /// What it knew of requests, so that no floor is needed.
-        requests: Vec<KnownRequest>,
+        /// What it knew of requests, so that no new floor is needed.
+        known: KnownRequests,
     },
 }
 
+/// What a dispatcher knows of non-idempotent requests, for its successor.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct KnownRequests {
+    /// Every id created at or after this is among the requests, if it was sent.
+    pub floor: Wall,
+    /// The requests.
+    pub requests: Vec<KnownRequest>,
+}
+
 /// What a dispatcher knows of a non-idempotent request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownRequest {
     /// Identity.
     pub id: RequestId,
+    /// What it asked for, or `None` if an earlier dispatcher did not tell.
+    #[serde(default)]
+    pub fingerprint: Option<Fingerprint>,
     /// Its outcome, or `None` if it has none yet or it is no longer kept.
     pub outcome: Option<Outcome>,
 }
--- /dev/null
+++ b/crates/citronway-core/tests/dispatch_hot_shard.rs
@@ -0,0 +1,52 @@
+//! A hot key that gets a shard of its own while it has work.
+
+mod dispatch_support;
+
+use citronway_core::dispatch::OwnedShard;
+use citronway_core::request::Request;
+use citronway_core::shard::{HashRange, KeyHash};
+use dispatch_support::{HEALTHY, Rig, booking, shard};
+use googletest::prelude::*;
+
+fn hot_shard(req: &Request, moving: bool) -> OwnedShard {
+    let hash = KeyHash::of(&req.key);
+    let range = HashRange {
+        first: hash,
+        last: hash,
+    };
+    OwnedShard {
+        range,
+        ..shard(2, 1, moving)
+    }
+}
+
+/// A bottle's key turns hot. It gets its own shard, which moves to another
+/// endpoint at once, while a booking for it is still running under the shard of
+/// the range. Told by shard numbers the hot shard had no work: it was released,
+/// and two endpoints worked on the key.
+#[gtest]
+fn hot_shard_waits_for_work_of_its_key_under_the_old_shard() {
+    let mut rig = Rig::checking(2);
+    rig.submit(1, booking(1, 0));
+    let order = rig.last_order();
+    rig.set_shards(&[shard(1, 1, false), hot_shard(&booking(1, 0), true)]);
+    rig.confirm_control(&HEALTHY);
+    rig.until(600);
+    expect_that!(rig.released(), eq(false));
+    rig.answered(order, "booked");
+    rig.until(1_200);
+    expect_that!(rig.released(), eq(true));
+}
+
+/// The same key, with a second booking waiting in the queue. It was sent under
+/// the old shard after the hot one had gone to another endpoint. It goes back to
+/// its entry, which looks up where the key is now.
+#[gtest]
+fn waiting_work_of_a_hot_key_goes_back_to_its_entry() {
+    let mut rig = Rig::checking(1);
+    rig.submit(1, booking(2, 0));
+    rig.submit(2, booking(1, 0));
+    rig.set_shards(&[shard(1, 1, false), hot_shard(&booking(1, 0), false)]);
+    expect_that!(rig.told(2), eq("not run: Moving"));
+    expect_that!(rig.told(1), eq("-"));
+}
--- a/crates/citronway-wire/schema/peer.capnp
+++ b/crates/citronway-wire/schema/peer.capnp
@@ -207,12 +207,15 @@
   epoch @0 :UInt64;
   rowVersion @1 :UInt64;
   requests @2 :List(KnownRequest);
+  floor @3 :UInt64;
 }
 
 struct KnownRequest {
   id @0 :Data;
   outcome @1 :Outcome;
   # Null if there is none.
+  fingerprint @2 :Data;
+  # 16 bytes; null if it is not known.
 }
 
 struct EndpointLost {
--- a/crates/citronway-wire/src/convert/hold.rs
+++ b/crates/citronway-wire/src/convert/hold.rs
@@ -1,13 +1,18 @@
 //! Messages about the hold of an endpoint.
 
+use citronway_core::dispatch::fingerprint::Fingerprint;
 use citronway_core::ids::{EndpointName, Epoch, Version};
-use citronway_core::peer::{HoldMessage, KnownRequest};
+use citronway_core::peer::{HoldMessage, KnownRequest, KnownRequests};
+use citronway_core::time::Wall;
 
 use super::{Field, read_outcome, write_outcome};
 use crate::WireError;
 use crate::limits::{MAX_KNOWN_REQUESTS, MAX_NAME_BYTES};
 use crate::peer_capnp::{hold, hold_handover, known_request};
 
+/// Length of a fingerprint.
+const FINGERPRINT_BYTES: usize = 16;
+
 const CASE: Field = Field::new("hold", 0);
 const ENDPOINT: Field = Field::new("hold.endpoint", MAX_NAME_BYTES);
 const ASK: Field = Field::new("hold.ask", 0);
@@ -17,6 +22,7 @@
 const HANDOVER: Field = Field::new("hold.handover", 0);
 const REQUESTS: Field = Field::new("handover.requests", MAX_KNOWN_REQUESTS);
 const ID: Field = Field::new("knownRequest.id", usize::MAX);
+const FINGERPRINT: Field = Field::new("knownRequest.fingerprint", FINGERPRINT_BYTES);
 const OUTCOME: Field = Field::new("knownRequest.outcome", 0);
 
 /// Reads the endpoint and the message about its hold.
@@ -102,12 +108,13 @@
         HoldMessage::Handover {
             epoch,
             row_version,
-            requests,
+            known,
         } => {
             let mut b = b.init_handover();
             b.set_epoch(epoch.0);
             b.set_row_version(row_version.0);
-            write_known_requests(requests, b);
+            b.set_floor(known.floor.0);
+            write_known_requests(&known.requests, b);
         }
     }
 }
@@ -121,27 +128,57 @@
     Ok(HoldMessage::Handover {
         epoch: Epoch(r.get_epoch()),
         row_version: Version(r.get_row_version()),
-        requests,
+        known: KnownRequests {
+            floor: Wall(r.get_floor()),
+            requests,
+        },
     })
 }
 
 fn read_known_request(r: known_request::Reader<'_>) -> Result<KnownRequest, WireError> {
     let id = ID.request_id(r.has_id(), r.get_id())?;
+    let fingerprint = read_fingerprint(r)?;
     if !r.has_outcome() {
-        return Ok(KnownRequest { id, outcome: None });
+        return Ok(KnownRequest {
+            id,
+            fingerprint,
+            outcome: None,
+        });
     }
     let outcome = OUTCOME.pointer(true, r.get_outcome())?;
+    let outcome = Some(read_outcome(outcome)?);
     Ok(KnownRequest {
         id,
-        outcome: Some(read_outcome(outcome)?),
+        fingerprint,
+        outcome,
     })
 }
 
+fn read_fingerprint(r: known_request::Reader<'_>) -> Result<Option<Fingerprint>, WireError> {
+    if !r.has_fingerprint() {
+        return Ok(None);
+    }
+    let bytes = FINGERPRINT.bytes(true, r.get_fingerprint())?;
+    let Ok(bytes) = bytes.try_into() else {
+        let found = bytes.len();
+        let expected = FINGERPRINT_BYTES;
+        return Err(WireError::BadLength {
+            place: "knownRequest.fingerprint",
+            found,
+            expected,
+        });
+    };
+    Ok(Some(Fingerprint::from_bytes(bytes)))
+}
+
 fn write_known_requests(requests: &[KnownRequest], b: hold_handover::Builder<'_>) {
     let mut list = b.init_requests(super::message::list_len(requests));
     for (i, known) in (0..).zip(requests) {
         let mut b = list.reborrow().get(i);
         b.set_id(known.id.0.as_bytes());
+        if let Some(fingerprint) = known.fingerprint {
+            b.set_fingerprint(&fingerprint.to_bytes());
+        }
         let Some(outcome) = &known.outcome else {
             continue;
         };
--- a/crates/citronway-wire/src/peer_capnp.rs
+++ b/crates/citronway-wire/src/peer_capnp.rs
@@ -7992,11 +7992,15 @@
         pub fn has_requests(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
+        #[inline]
+        pub fn get_floor(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8078,6 +8082,14 @@
         pub fn has_requests(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
+        #[inline]
+        pub fn get_floor(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_floor(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8089,45 +8101,52 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 68] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(198, 222, 40, 133, 240, 195, 21, 147),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 111, 108, 100, 72),
             ::capnp::word(97, 110, 100, 111, 118, 101, 114, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8158,12 +8177,21 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 111, 111, 114, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::known_request::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8177,9 +8205,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1];
         pub(crate) const TYPE_ID: u64 = 0x9315_c3f0_8528_dec6;
     }
 }
@@ -8261,11 +8289,19 @@
         pub fn has_outcome(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_fingerprint(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8347,6 +8383,22 @@
         pub fn has_outcome(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_fingerprint(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_fingerprint(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8361,38 +8413,45 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(20, 19, 176, 79, 5, 217, 85, 190),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 75, 110, 111, 119, 110),
             ::capnp::word(82, 101, 113, 117, 101, 115, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8409,11 +8468,21 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::peer_capnp::outcome::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8427,9 +8496,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
         pub(crate) const TYPE_ID: u64 = 0xbe55_d905_4fb0_1314;
     }
 }
