--- a/crates/citronway-standin/src/load/bench.rs
+++ b/crates/citronway-standin/src/load/bench.rs
@@ -37,7 +37,8 @@
     control_bytes: Vec<(u32, f64)>,
 }
 
-/// Runs a trial, prints its report and writes it as JSON.
+/// Runs a trial, prints its report and writes it as JSON. The exit code tells
+/// whether all promises were kept.
 ///
 /// # Errors
 ///
@@ -50,6 +51,9 @@
         let text = serde_json::to_string_pretty(&report).map_err(ClientError::from)?;
         std::fs::write(file, text).map_err(EnvError::io("write the report"))?;
     }
+    if report.broken.any() {
+        return Ok(ExitCode::FAILURE);
+    }
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/citronway-standin/src/load/report.rs
+++ b/crates/citronway-standin/src/load/report.rs
@@ -106,6 +106,19 @@
     pub answered_but_not_ran: usize,
 }
 
+impl Broken {
+    /// Whether any promise was broken.
+    #[must_use]
+    pub const fn any(&self) -> bool {
+        self.ran_twice
+            + self.overlaps
+            + self.not_run_but_ran
+            + self.wrong_answers
+            + self.answered_but_not_ran
+            > 0
+    }
+}
+
 impl From<&Promises> for Broken {
     fn from(promises: &Promises) -> Self {
         Self {
