--- a/crates/citronway-standin/src/env/environment.rs
+++ b/crates/citronway-standin/src/env/environment.rs
@@ -109,12 +109,23 @@
     ///
     /// If it cannot be started.
     pub async fn start_entry(&mut self, name: &str, zone: &str) -> Result<&Entry, EnvError> {
+        let settings = self.entry_settings(name, zone)?;
+        self.launch_entry(settings).await
+    }
+
+    /// Settings of a new entry on fresh addresses.
+    ///
+    /// # Errors
+    ///
+    /// If there are no free ports.
+    pub fn entry_settings(&self, name: &str, zone: &str) -> Result<EntrySettings, EnvError> {
         let address = || free_address().map_err(EnvError::io("find a free port"));
-        let settings = EntrySettings {
+        Ok(EntrySettings {
             name: InstanceName::new(name),
             zone: ZoneName::new(zone),
             callers: address()?,
             peers: address()?,
+            peers_advertise: None,
             operators: address()?,
             platform: self.platform.address(),
             shared_key: SHARED_KEY.to_owned(),
@@ -122,8 +133,7 @@
             policy: self.policy,
             max_order_ms: self.max_order_ms,
             further: self.further.clone(),
-        };
-        self.launch_entry(settings).await
+        })
     }
 
     /// Starts an entry again on its old addresses; kills it first if it runs.
@@ -141,6 +151,20 @@
         self.launch_entry(settings).await
     }
 
+    /// Starts an endpoint again on its old address, without anything it held;
+    /// ends it first if it runs.
+    ///
+    /// # Errors
+    ///
+    /// If it is unknown or cannot be started.
+    pub fn restart_endpoint(&mut self, name: &str) -> Result<&EndpointHandle, EnvError> {
+        let endpoint = self.endpoint_mut(name)?;
+        endpoint.kill();
+        let mut options = endpoint.options().clone();
+        options.listen = endpoint.address();
+        self.start_endpoint(options)
+    }
+
     /// An entry by name, also one that was killed.
     ///
     /// # Errors
@@ -251,7 +275,12 @@
         opened.map_err(EnvError::io(format!("open {}", path.display())))
     }
 
-    async fn launch_entry(&mut self, settings: EntrySettings) -> Result<&Entry, EnvError> {
+    /// Starts an entry with these settings and puts it on the instance list.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub async fn launch_entry(&mut self, settings: EntrySettings) -> Result<&Entry, EnvError> {
         let name = settings.name.to_string();
         let file = self.dir.path().join(format!("{name}.ini"));
         fs::write(&file, settings.to_ini()).map_err(EnvError::io("write settings"))?;
--- a/crates/citronway-standin/src/env/platform.rs
+++ b/crates/citronway-standin/src/env/platform.rs
@@ -86,7 +86,7 @@
     pub async fn list(&self, entry: &EntrySettings, state: ListedState) -> Result<(), EnvError> {
         let registration = Registration {
             zone: entry.zone.clone(),
-            peer_address: entry.peers.to_string(),
+            peer_address: entry.advertised().to_string(),
             state,
         };
         let path = instance_path(entry);
--- a/crates/citronway-standin/src/env/settings.rs
+++ b/crates/citronway-standin/src/env/settings.rs
@@ -57,8 +57,10 @@
     pub zone: ZoneName,
     /// Where it takes callers' requests.
     pub callers: SocketAddr,
-    /// Where other instances reach it.
+    /// Where it listens for other instances.
     pub peers: SocketAddr,
+    /// Where other instances reach it, if that differs.
+    pub peers_advertise: Option<SocketAddr>,
     /// Where operators reach it.
     pub operators: SocketAddr,
     /// Where the platform is.
@@ -77,6 +79,12 @@
 }
 
 impl EntrySettings {
+    /// Where other instances reach it.
+    #[must_use]
+    pub fn advertised(&self) -> SocketAddr {
+        self.peers_advertise.unwrap_or(self.peers)
+    }
+
     /// The settings as INI.
     #[must_use]
     pub fn to_ini(&self) -> String {
@@ -86,6 +94,7 @@
              zone = {}\n\
              callers_listen = {}\n\
              peers_listen = {}\n\
+             peers_advertise = {}\n\
              operators_listen = {}\n\
              \n\
              [platform]\n\
@@ -100,6 +109,7 @@
             self.zone,
             self.callers,
             self.peers,
+            self.advertised(),
             self.operators,
             self.platform,
             self.shared_key,
--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod platform;
 pub mod process;
 pub mod tour;
+pub mod trial;
