--- a/crates/citronway/tests/process_loss.rs
+++ b/crates/citronway/tests/process_loss.rs
@@ -26,6 +26,8 @@
         expect_that!(row.dispatcher.instance.as_str(), not(eq(&name)));
     }
     bench.traffic.all_served().await.unwrap();
+    for a in bench.env.platform().assignments().await.unwrap() { for s in a.shards.values() { println!("DBG {:?} {:?} {:?} {:?}", s.id, s.epoch, s.floor, s.ownership); } }
+    for r in bench.env.platform().dispatch_rows().await.unwrap() { println!("DBG {r:?}"); }
     let records = bench.finish().await;
     expect_that!(cut_off(&records), is_empty());
 }
--- a/crates/citronway/tests/process_support/mod.rs
+++ b/crates/citronway/tests/process_support/mod.rs
@@ -26,7 +26,7 @@
 
 impl Bench {
     pub async fn start(deployment: Deployment) -> Self {
-        let env = deployment.start(launcher()).await.unwrap();
+        let mut env = deployment.start(launcher()).await.unwrap(); println!("{}", env.keep_files().display());
         Self::with(deployment, env).await
     }
 
