--- a/crates/citronway-standin/src/trial/deployment.rs
+++ b/crates/citronway-standin/src/trial/deployment.rs
@@ -38,6 +38,7 @@
     entries: usize,
     endpoints: Vec<EndpointOptions>,
     max_order_ms: u64,
+    weights: Weights,
 }
 
 impl Deployment {
@@ -51,6 +52,7 @@
                 .map(|number| EndpointOptions::new(&endpoint_name(number)))
                 .collect(),
             max_order_ms: MAX_ORDER_MS,
+            weights: Weights::default(),
         }
     }
 
@@ -80,6 +82,13 @@
         self
     }
 
+    /// No shard moves for balance alone, so that a test sees its own failure only.
+    #[must_use]
+    pub const fn without_balancing(mut self) -> Self {
+        self.weights.imbalance = 0.0;
+        self
+    }
+
     /// Starts all, applies the configuration and waits until every shard is owned
     /// and every endpoint has a dispatcher with its successors.
     ///
@@ -103,12 +112,12 @@
 
     /// The configuration for what runs.
     #[must_use]
-    pub fn config(env: &Env) -> Config {
+    pub fn config(&self, env: &Env) -> Config {
         let mut config = Config::default();
         let service = Service {
             labels: Labels::new(),
             shards: SHARDS,
-            weights: Weights::default(),
+            weights: self.weights,
             default_class: ClassName::new(CLASS),
         };
         config.services.insert(ServiceName::new(SERVICE), service);
@@ -188,7 +197,7 @@
             }
             env.launch_entry(settings).await?;
         }
-        let config = Self::config(&env);
+        let config = self.config(&env);
         env.apply(&entry_name(0), &config).await?;
         self.settled(&env).await?;
         Ok(env)
