Replay of an entry instance; one reader for recorded traces

Reading of traces stood twice, in the dispatcher's and the planners' replay, and reported bad lines in two ways. It is now core::trace, which reports all of them; the dispatcher's test of an unreadable line now expects every bad line.

--- a/crates/citronway-core/src/dispatch/replay.rs
+++ b/crates/citronway-core/src/dispatch/replay.rs
@@ -3,7 +3,6 @@
 //! A trace is JSON lines: a [`TraceHead`], then a [`TraceStep`] for each event.
 
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use super::machine::Dispatcher;
 use super::message::{DispatchAction, DispatchEvent, RequestFault, ShardEpoch, Turn};
@@ -13,6 +12,7 @@
 use crate::node::events::{GrantedShard, Ticket};
 use crate::outcome::Outcome;
 use crate::time::{Now, Wall};
+use crate::trace::{BadTrace, Numbered, Trace, read};
 
 /// First line of a trace.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -104,42 +104,18 @@
     pub decision: Decision,
 }
 
-/// A trace that cannot be read.
-#[derive(Debug, Error)]
-pub enum TraceError {
-    /// There is no first line.
-    #[error("the trace is empty")]
-    Empty,
-    /// A line is not what it should be.
-    #[error("line {line}: {source}")]
-    Line {
-        /// Its number, from 1.
-        line: usize,
-        /// What is wrong with it.
-        source: serde_json::Error,
-    },
-}
-
 /// Runs a recorded trace again.
 ///
 /// # Errors
 ///
-/// Returns the first line that cannot be read.
-pub fn replay(text: &str) -> Result<Vec<Decided>, TraceError> {
-    let mut lines = text.lines().enumerate();
-    let Some((number, first)) = lines.next() else {
-        return Err(TraceError::Empty);
-    };
-    let head: TraceHead = parse(number, first)?;
-    let mut dispatcher = Dispatcher::start(head.start, head.now);
+/// All lines that cannot be read.
+pub fn replay(text: &str) -> Result<Vec<Decided>, BadTrace> {
+    let Trace { header, records } = read::<TraceHead, TraceStep>(text)?;
+    let mut dispatcher = Dispatcher::start(header.start, header.now);
     let mut decided = Vec::new();
-    for (number, line) in lines {
-        if line.trim().is_empty() {
-            continue;
-        }
-        let step: TraceStep = parse(number, line)?;
-        let time = step.turn.now.wall;
-        for action in dispatcher.apply(step.event, step.turn) {
+    for Numbered { record, .. } in records {
+        let time = record.turn.now.wall;
+        for action in dispatcher.apply(record.event, record.turn) {
             let decision = Decision::from(action);
             decided.push(Decided { time, decision });
         }
@@ -147,14 +123,6 @@
     Ok(decided)
 }
 
-fn parse<'a, T: Deserialize<'a>>(number: usize, line: &'a str) -> Result<T, TraceError> {
-    let line_number = number + 1;
-    serde_json::from_str(line).map_err(|source| TraceError::Line {
-        line: line_number,
-        source,
-    })
-}
-
 impl From<DispatchAction> for Decision {
     fn from(action: DispatchAction) -> Self {
         match action {
--- a/crates/citronway-core/src/lib.rs
+++ b/crates/citronway-core/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod retry;
 pub mod shard;
 pub mod time;
+pub mod trace;
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -16,12 +16,14 @@
 //! | `store` | reads and writes of the platform's tables |
 //! | `probes` | whether successors reach an endpoint |
 //! | `tickets` | which answer is for what |
+//! | `replay` | recorded events against their outcomes |
 
 mod entry;
 pub mod events;
 mod members;
 mod planners;
 mod probes;
+pub mod replay;
 mod seats;
 mod settings;
 mod shards;
--- a/crates/citronway-core/src/placement/replay.rs
+++ b/crates/citronway-core/src/placement/replay.rs
@@ -5,17 +5,15 @@
 //! be stated by hand: what each line led to, and what each session knew at the
 //! end.
 
-use std::fmt;
-
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
 
 use super::planner::{Planner, PlannerAction, PlannerEvent, PlannerRow, PlannerSettings};
 use crate::ids::{Epoch, GroupName, ServiceName, Session, ShardId, Version};
 use crate::platform::RowKey;
 use crate::shard::{Assignment, Ownership};
 use crate::time::{Now, Wall};
+use crate::trace::{BadTrace, Numbered, Trace, read};
 
 /// First line of a trace.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -117,67 +115,17 @@
     pub ends: Vec<End>,
 }
 
-/// A line that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct BadLine {
-    /// Line of the trace, from 1.
-    pub line: usize,
-    /// What is wrong with it.
-    pub reason: String,
-}
-
-/// All lines of a trace that cannot be read.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub struct BadTrace(pub Vec<BadLine>);
-
-impl fmt::Display for BadTrace {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("trace cannot be read")?;
-        for bad in &self.0 {
-            write!(f, "; line {}: {}", bad.line, bad.reason)?;
-        }
-        Ok(())
-    }
-}
-
 /// Runs a trace again.
 ///
 /// # Errors
 ///
 /// All lines that cannot be read; nothing is run then.
 pub fn replay(trace: &str) -> Result<Outcome, BadTrace> {
-    let mut lines = trace.lines().enumerate();
-    let Some((_, first)) = lines.next() else {
-        return Err(BadTrace(vec![bad(0, &"it is empty")]));
-    };
-    let header: Header =
-        serde_json::from_str(first).map_err(|error| BadTrace(vec![bad(0, &error)]))?;
-    let mut records = Vec::new();
-    let mut findings = Vec::new();
-    for (index, line) in lines {
-        if line.trim().is_empty() {
-            continue;
-        }
-        match serde_json::from_str::<Record>(line) {
-            Ok(record) => records.push(Numbered {
-                line: index + 1,
-                record,
-            }),
-            Err(error) => findings.push(bad(index, &error)),
-        }
-    }
-    if !findings.is_empty() {
-        return Err(BadTrace(findings));
-    }
+    let Trace { header, records } = read(trace)?;
     Ok(run(&header, records))
 }
 
-struct Numbered {
-    line: usize,
-    record: Record,
-}
-
-fn run(header: &Header, records: Vec<Numbered>) -> Outcome {
+fn run(header: &Header, records: Vec<Numbered<Record>>) -> Outcome {
     let Header::Planner { service, settings } = header;
     let mut planners: IndexMap<Session, Planner> = IndexMap::new();
     let mut steps = Vec::new();
@@ -249,10 +197,3 @@
     shards.sort_by_key(|shard| shard.shard);
     shards
 }
-
-fn bad(index: usize, reason: &dyn fmt::Display) -> BadLine {
-    BadLine {
-        line: index + 1,
-        reason: reason.to_string(),
-    }
-}
--- a/crates/citronway-core/tests/dispatch_traces.rs
+++ b/crates/citronway-core/tests/dispatch_traces.rs
@@ -4,7 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use citronway_core::dispatch::replay;
-use citronway_core::dispatch::replay::{Decided, TraceError};
+use citronway_core::dispatch::replay::Decided;
+use citronway_core::trace::BadLine;
 use googletest::prelude::*;
 
 fn file(name: &str, ending: &str) -> PathBuf {
@@ -67,10 +68,9 @@
 fn unreadable_line_is_named() {
     let head = fs::read_to_string(file("draining", "jsonl")).expect("the trace is there");
     let head = head.lines().next().expect("it has a head");
-    let failed = replay(&format!("{head}\n{{}}\n"));
-    expect_that!(
-        failed,
-        err(matches_pattern!(TraceError::Line { line: eq(&2), .. }))
-    );
-    expect_that!(replay(""), err(matches_pattern!(TraceError::Empty)));
+    let failed = replay(&format!("{head}\n{{}}\n\nno\n")).expect_err("two bad lines");
+    let lines: Vec<usize> = failed.0.iter().map(|bad| bad.line).collect();
+    expect_that!(lines, elements_are![eq(&2), eq(&4)]);
+    let empty = replay("").expect_err("nothing to read");
+    expect_that!(empty.0, elements_are![field!(&BadLine.line, eq(1))]);
 }
