--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -4,7 +4,7 @@
 
 use crate::dispatch::DispatchEvent;
 use crate::ids::{EndpointName, Epoch, Session, ShardId};
-use crate::outcome::{NotRun, NotRunReason, Outcome};
+use crate::outcome::{MayHaveRun, NotRun, NotRunReason, Outcome};
 use crate::request::Request;
 use crate::retry::{RetryBudget, RetrySettings, backoff_ms, may_retry};
 use crate::time::{Mono, Now};
@@ -32,6 +32,8 @@
     begun: Mono,
     retries: u32,
     again_at: Option<Mono>,
+    /// What an earlier try came to, if it may have run.
+    doubt: Option<MayHaveRun>,
     /// Endpoint and origin ticket while a dispatcher of this instance has it.
     here: Option<Here>,
 }
@@ -84,6 +86,7 @@
                     begun: now.mono,
                     retries: 0,
                     again_at: None,
+                    doubt: None,
                     here: None,
                 };
                 self.entry.budget.first_try();
@@ -268,6 +271,9 @@
             return;
         };
         pending.here = None;
+        if let Outcome::MayHaveRun(may) = &outcome {
+            pending.doubt = Some(*may);
+        }
         let pause = pending.pause(
             &outcome,
             ticket,
@@ -282,6 +288,7 @@
                 return;
             }
         }
+        let outcome = pending.in_all(outcome);
         self.entry.pending.swap_remove(&ticket);
         out.push(Action::Reply { ticket, outcome });
     }
@@ -300,6 +307,19 @@
 }
 
 impl Pending {
+    /// The outcome of all tries together.
+    ///
+    /// Failure guarded against: the first try of an idempotent request runs and
+    /// its answer is lost; the second is refused, say because its deadline is
+    /// too close, and the caller is told that the request did not run. Only an
+    /// answer settles what an earlier try left open.
+    fn in_all(&self, last: Outcome) -> Outcome {
+        match (&last, self.doubt) {
+            (Outcome::NotRun(_), Some(doubt)) => Outcome::MayHaveRun(doubt),
+            _ => last,
+        }
+    }
+
     /// Time until the next try in milliseconds, or `None` if the outcome is final.
     ///
     /// A request that reached no endpoint only waits until its key has an owner
