--- a/crates/citronway/tests/process_loss.rs
+++ b/crates/citronway/tests/process_loss.rs
@@ -21,7 +21,10 @@
     let name = bench.dispatcher(ENDPOINT).await;
     let entry = bench.env.entry_mut(&name).unwrap();
     entry.shut_down().await.unwrap();
-    expect_that!(entry.child.exited().and_then(|status| status.code()), some(eq(0)));
+    expect_that!(
+        entry.child.exited().and_then(|status| status.code()),
+        some(eq(0))
+    );
     for row in bench.env.platform().dispatch_rows().await.unwrap() {
         expect_that!(row.dispatcher.instance.as_str(), not(eq(&name)));
     }
@@ -63,7 +66,13 @@
         bench.env.entry_mut(&name).unwrap().child.resume().unwrap();
         bench.env.all_healthy().await.unwrap();
         bench.traffic.all_served().await.unwrap();
-        let journal = bench.env.endpoint(ENDPOINT).unwrap().journal().await.unwrap();
+        let journal = bench
+            .env
+            .endpoint(ENDPOINT)
+            .unwrap()
+            .journal()
+            .await
+            .unwrap();
         expect_that!(journal.refused.stale_epoch, eq(0));
         bench.finish().await;
     }
@@ -111,7 +120,10 @@
     wait("its keys have gone to others", moved).await.unwrap();
     bench.traffic.all_served().await.unwrap();
     let before = endpoint.journal().await.unwrap();
-    endpoint.set_faults(&EndpointFaults::default()).await.unwrap();
+    endpoint
+        .set_faults(&EndpointFaults::default())
+        .await
+        .unwrap();
     let refused = async || {
         let journal = endpoint.journal().await.unwrap();
         journal.refused.total() + journal.not_committed
@@ -130,11 +142,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_restart_cuts_no_request() {
     let mut bench = Bench::start(Deployment::new(3).service_ms(20).without_balancing()).await;
-    let names = bench.env.entries().map(|entry| entry.settings().name.to_string());
+    let names = bench
+        .env
+        .entries()
+        .map(|entry| entry.settings().name.to_string());
     for name in names.collect::<Vec<_>>() {
         let entry = bench.env.entry_mut(&name).unwrap();
         entry.shut_down().await.unwrap();
-        expect_that!(entry.child.exited().and_then(|status| status.code()), some(eq(0)));
+        expect_that!(
+            entry.child.exited().and_then(|status| status.code()),
+            some(eq(0))
+        );
         bench.env.restart_entry(&name).await.unwrap();
         bench.deployment.settled(&bench.env).await.unwrap();
         bench.traffic.all_served().await.unwrap();
