--- a/crates/citronway/src/cli.rs
+++ b/crates/citronway/src/cli.rs
@@ -4,7 +4,6 @@
 
 use bpaf::Bpaf;
 
-/// What the operator asked for.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 /// Runs one entry instance of citronway.
