Record what the machine of an instance is fed

[trace] record was accepted and did nothing, so a wrong decision in a process could not be run again. The deciding thread now hands each event with its clocks to a thread that writes them, by a bounded ring that drops when full. Contents are replaced before they leave the deciding thread: a request's body and query by a keyed hash, an answer's body by zeros. Ruled out: contents as they are with a warning on the page, and a plain hash, which finds short bodies by trial. citronctl replay knows the machine 'node'.

--- a/crates/citronctl/src/cli.rs
+++ b/crates/citronctl/src/cli.rs
@@ -95,7 +95,7 @@
         /// File of stated outcomes; default: FILE with .expected.json for .jsonl
         #[bpaf(long, argument("FILE"), optional)]
         expected: Option<PathBuf>,
-        /// Machine, where the first line does not name it: config, dispatcher, hold or planner
+        /// Machine, where the first line does not name it: config, dispatcher, hold, node or planner
         #[bpaf(
             long,
             argument::<Machine>("MACHINE"),
--- a/crates/citronctl/src/replay.rs
+++ b/crates/citronctl/src/replay.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 
 use citronway_core::config::version;
-use citronway_core::{dispatch, hold, placement};
+use citronway_core::{dispatch, hold, node, placement};
 
 use crate::failure::Failure;
 use crate::words::Machine;
@@ -78,6 +78,7 @@
         Machine::Config => config(path, text),
         Machine::Dispatcher => outcome(path, dispatch::replay::replay(text)),
         Machine::Hold => outcome(path, hold::world::replay(text)),
+        Machine::Node => outcome(path, node::replay::replay(text)),
         Machine::Planner => outcome(path, placement::replay::replay(text)),
     }
 }
--- a/crates/citronctl/src/words.rs
+++ b/crates/citronctl/src/words.rs
@@ -85,6 +85,8 @@
     Dispatcher,
     /// Hold of an endpoint, with a model of the store and of faults.
     Hold,
+    /// A whole entry instance, as it records itself.
+    Node,
     /// Planner of a service.
     Planner,
 }
@@ -195,10 +197,11 @@
 words!(Output, "table, json", "table" => Table, "json" => Json);
 words!(Shell, "bash, zsh, fish", "bash" => Bash, "zsh" => Zsh, "fish" => Fish);
 
-words!(Machine, "config, dispatcher, hold, planner",
+words!(Machine, "config, dispatcher, hold, node, planner",
     "config" => Config,
     "dispatcher" => Dispatcher,
     "hold" => Hold,
+    "node" => Node,
     "planner" => Planner,
 );
 
--- a/crates/citronctl/tests/output.rs
+++ b/crates/citronctl/tests/output.rs
@@ -9,9 +9,11 @@
 
 use citronway::operators::Snapshot;
 use citronway::operators::snapshot::{EndpointState, Health, HoldRole, HoldState, Versioned};
-use citronway_core::ids::{EndpointName, Epoch, Session, Version};
+use citronway_core::ids::{EndpointName, Epoch, Session, Version, ZoneName};
+use citronway_core::node::replay::{event_line, header_line};
+use citronway_core::node::{Event, NodeSettings};
 use citronway_core::shard::DispatchRow;
-use citronway_core::time::Wall;
+use citronway_core::time::{Mono, Now, Wall};
 use googletest::prelude::*;
 use serde_json::Value;
 
@@ -208,6 +210,24 @@
     expect_that!(shown.out, contains_substring("\"instance\""));
 }
 
+/// An operator has the record of an instance and no tool that reads it.
+#[gtest]
+fn traces_of_whole_instances_are_replayed() {
+    let session = Session::new("entry-1", 7);
+    let settings = NodeSettings::default();
+    let header = header_line(&session, &ZoneName::new("north"), &settings).unwrap();
+    let now = Now {
+        mono: Mono(5),
+        wall: Wall(5),
+    };
+    let tick = event_line(&Event::Tick, now).unwrap();
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("node.jsonl");
+    std::fs::write(&path, format!("{header}\n{tick}\n")).unwrap();
+    let shown = replay(&[path.to_str().unwrap()]);
+    expect_that!(shown.err, eq(""));
+    expect_that!(shown.out, contains_substring("\"broadcast\": 1"));
+}
+
 #[gtest]
 fn a_trace_names_its_machine_in_the_first_line() {
     let text = std::fs::read_to_string(trace("config-two-operators.jsonl")).unwrap();
--- a/crates/citronway/src/decide.rs
+++ b/crates/citronway/src/decide/mod.rs
@@ -1,5 +1,8 @@
 //! The deciding thread: feeds events to the machine and hands out its actions.
 
+pub mod record;
+mod redact;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +20,7 @@
 use crate::publish::StatePublisher;
 use crate::rings::Rings;
 use crate::store_desk::StoreDesk;
+use record::Recorder;
 
 /// Time between two ticks of the machine.
 const TICK: Duration = Duration::from_millis(10);
@@ -38,6 +42,8 @@
     pub publisher: StatePublisher,
     /// Reads and writes of the administration API.
     pub desk: StoreDesk,
+    /// Records what the machine is fed, if that is wanted.
+    pub recorder: Option<Recorder>,
     /// This session.
     pub me: Session,
     /// Address under which other instances find this one.
@@ -85,6 +91,9 @@
             let at = Instant::now();
             self.observer.event(&event, self.node.view(), at);
             let now = clock::now();
+            if let Some(recorder) = &mut self.recorder {
+                recorder.record(&event, now);
+            }
             for action in self.node.handle(event, now) {
                 if action == Action::Exit {
                     return false;
--- a/crates/citronway/src/peers/greeter.rs
+++ b/crates/citronway/src/peers/greeter.rs
@@ -45,7 +45,7 @@
     fn accept(&self, hello: &Hello, challenge: &Nonce, b: greet_reply::Builder<'_>) {
         let cx = &self.cx;
         let session = &hello.session;
-        log::info!(session:%, zone:% = hello.zone; "greeted by");
+        log::info!(session:%, peer_zone:% = hello.zone; "greeted by");
         self.activity.greeted();
         cx.greeted_by(session);
         cx.events.push(Event::PeerUp {
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -20,6 +20,7 @@
 
 use crate::callers::{self, CallersConfig, CallersHandle};
 use crate::decide::Decider;
+use crate::decide::record::Recorder;
 use crate::endpoints::{self, EndpointsConfig};
 use crate::logs;
 use crate::metrics::Metrics;
@@ -106,14 +107,17 @@
     let operators = start_operators(cfg, setup, stop.clone()).map_err(start("operators"))?;
     stop_on_signal(events_tx).map_err(start("signals"))?;
 
+    let settings = node_settings(cfg);
+    let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
     let desk = StoreDesk::new(rings.platform.clone());
     let decider = Decider {
-        node: Node::new(me.clone(), cfg.instance.zone.clone(), node_settings(cfg)),
+        node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
         rings,
         ready,
         observer: Observer::new(Arc::clone(&metrics)),
         publisher: StatePublisher::new(me.clone(), publisher, metrics),
         desk,
+        recorder,
         me,
         address: cfg.instance.peer_address().to_string(),
     };
@@ -167,6 +171,18 @@
     operators::spawn(listener, setup, stop)
 }
 
+fn start_recorder(
+    cfg: &Settings,
+    me: &Session,
+    settings: &NodeSettings,
+) -> io::Result<Option<Recorder>> {
+    let Some(path) = &cfg.trace.record else {
+        return Ok(None);
+    };
+    let recorder = Recorder::start(path, me, &cfg.instance.zone, settings)?;
+    Ok(Some(recorder))
+}
+
 fn start(duty: &'static str) -> impl FnOnce(io::Error) -> Error {
     move |cause| Error::Start { duty, cause }
 }
