Log what changes at an instance, one line each

The logs named connections only: not which role an instance took or lost, not an endpoint lost, a version in force or a request that may have run. Successive readings of the machine are now compared five times a second, and once more at the end; lines for what may have run come from the outcomes that pass. Core has two more read-only accessors (shutdown_step, elected_planners) and logs nothing. Ruled out: lines from within the machine, which would be repeated by each replay. A change that is undone between two readings, 200 ms apart, leaves no line.

Dropped items are counted by ring and logged at most once a second for each; before, each dropped action was a line.

--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -35,7 +35,7 @@
 pub use events::{Action, CallerRequest, Event, OrderReply, ProbeReport, Ticket};
 pub use members::Member;
 pub use settings::{NodeSettings, SendPolicy};
-pub use status::{DispatcherStatus, SeatRole, SeatStatus};
+pub use status::{DispatcherStatus, SeatRole, SeatStatus, ShutdownStep};
 pub use store::RefusedConfig;
 pub use view::{CONFIG_KEY, CONFIG_TABLE, Indexed, Versioned, View};
 
--- a/crates/citronway-core/src/node/planners.rs
+++ b/crates/citronway-core/src/node/planners.rs
@@ -56,6 +56,13 @@
         reported.is_some_and(|at| now.since(*at) < DRAINING_HOLDS_MS)
     }
 
+    /// Every planner with its service.
+    pub(super) fn all(&self) -> impl Iterator<Item = (&ServiceName, &Planner)> {
+        self.by_service
+            .iter()
+            .map(|(service, seated)| (service, &seated.planner))
+    }
+
     /// The planner of a service.
     pub(super) fn get(&self, service: &ServiceName) -> Option<&Planner> {
         self.by_service.get(service).map(|seated| &seated.planner)
--- a/crates/citronway-core/src/node/status.rs
+++ b/crates/citronway-core/src/node/status.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::dispatch::health::Reach;
-use crate::ids::{EndpointName, InstanceName, ZoneName};
+use crate::ids::{EndpointName, Epoch, InstanceName, ServiceName, Session, ZoneName};
 use crate::platform::ListedInstance;
 use crate::shard::DispatchRow;
 use crate::time::Now;
@@ -54,7 +54,53 @@
     pub queued: u32,
 }
 
+/// How far a shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShutdownStep {
+    /// Asked to stop; work is still taken until the balancer has noticed.
+    LameDuck,
+    /// Requests taken before are finished.
+    Finishing,
+    /// Roles are handed over.
+    HandingOver,
+    /// Nothing but requests on their way here keeps the process.
+    Lingering,
+    /// Time is up, whatever is unfinished.
+    GraceOver,
+}
+
 impl Node {
+    /// How far the shutdown has come, if the process was asked to stop.
+    #[must_use]
+    pub fn shutdown_step(&self, now: Now) -> Option<ShutdownStep> {
+        self.stopped?;
+        if self.grace_is_over(now) {
+            return Some(ShutdownStep::GraceOver);
+        }
+        if !self.is_leaving(now) {
+            return Some(ShutdownStep::LameDuck);
+        }
+        if self.left.is_some() {
+            return Some(ShutdownStep::Lingering);
+        }
+        if self.entry_is_done(now) {
+            return Some(ShutdownStep::HandingOver);
+        }
+        Some(ShutdownStep::Finishing)
+    }
+
+    /// The planner of each service with its epoch, as far as is known here.
+    #[must_use]
+    pub fn elected_planners(&self) -> Vec<(&ServiceName, &Session, Epoch)> {
+        let mut all = Vec::new();
+        for (service, planner) in self.planners.all() {
+            if let Some(row) = planner.planner_row() {
+                all.push((service, &row.session, row.epoch));
+            }
+        }
+        all
+    }
+
     /// Every endpoint whose row names this session.
     #[must_use]
     pub fn seats(&self, now: Now) -> Vec<SeatStatus> {
--- a/crates/citronway/src/decide/mod.rs
+++ b/crates/citronway/src/decide/mod.rs
@@ -66,7 +66,7 @@
                     continue;
                 }
                 _ = shows.tick() => {
-                    self.publisher.publish(&self.node, clock::now());
+                    self.show();
                     continue;
                 }
             };
@@ -74,11 +74,19 @@
                 return;
             };
             if !self.feed(event) {
+                self.show();
                 return;
             }
         }
     }
 
+    /// Shows operators how things stand.
+    fn show(&mut self) {
+        let now = clock::now();
+        self.publisher.publish(&self.node, now);
+        self.rings.drops.log(now.mono);
+    }
+
     /// Feeds one event and what follows from it; returns false at the end.
     fn feed(&mut self, event: Event) -> bool {
         let mut queue = VecDeque::from([event]);
@@ -122,13 +130,13 @@
     }
 
     /// The peers duty connects to the listed instances.
-    fn pass_instances_on(&self, event: &Event) {
+    fn pass_instances_on(&mut self, event: &Event) {
         let Event::Instances { list, .. } = event else {
             return;
         };
         let command = PeerCommand::SetInstances(list.instances.clone());
         if self.rings.peers.try_send(command).is_err() {
-            log::warn!("ring to peers is full, instance list was not passed on");
+            self.rings.drops.count("peers");
         }
     }
 }
--- a/crates/citronway/src/metrics/mod.rs
+++ b/crates/citronway/src/metrics/mod.rs
@@ -19,7 +19,7 @@
 pub use labels::{
     Direction, EndpointLabels, OutcomeLabels, RingLabels, ServiceLabels, TrafficLabels, WorkLabels,
 };
-pub use requests::{Finished, RequestMetrics};
+pub use requests::{Finished, RequestMetrics, reason};
 pub use tenants::{MAX_TENANT_LENGTH, MAX_TENANTS, NO_TENANT, OTHER_TENANTS, TenantNames};
 
 /// Media type of the text that [`Metrics::text`] gives.
--- a/crates/citronway/src/metrics/requests.rs
+++ b/crates/citronway/src/metrics/requests.rs
@@ -131,7 +131,9 @@
     ms as f64 / MS_PER_SECOND
 }
 
-fn reason(outcome: &Outcome) -> String {
+/// Why there is no answer, as metrics and logs name it; empty if there is one.
+#[must_use]
+pub fn reason(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Answered(_) => String::new(),
         Outcome::NotRun(not_run) => word(&not_run.reason),
--- a/crates/citronway/src/observe.rs
+++ b/crates/citronway/src/observe.rs
@@ -7,10 +7,10 @@
 use citronway_core::node::events::Ticket;
 use citronway_core::node::{Action, Event, View};
 use citronway_core::outcome::Outcome;
-use citronway_core::request::Request;
+use citronway_core::request::{Repeat, Request};
 use indexmap::IndexMap;
 
-use crate::metrics::{Finished, Metrics, WorkLabels};
+use crate::metrics::{Finished, Metrics, WorkLabels, reason};
 
 /// Class shown for work that no selector put into one.
 const NO_CLASS: &str = "none";
@@ -31,6 +31,7 @@
     service: ServiceName,
     tenant: String,
     class: ClassName,
+    repeat: Repeat,
 }
 
 #[derive(Debug)]
@@ -70,6 +71,7 @@
                     service,
                     tenant,
                     class,
+                    repeat: request.repeat,
                 };
                 self.callers.insert(*ticket, asked);
             }
@@ -132,6 +134,7 @@
             service_ms: None,
             total_ms,
         });
+        asked.warn(outcome);
         log::debug!(
             request_id:% = asked.id, service:% = asked.service, class:% = asked.class,
             outcome = outcome.name(), total_ms;
@@ -139,3 +142,18 @@
         );
     }
 }
+
+impl Asked {
+    /// Somebody has to look at the state of the key, and needs to know of it.
+    fn warn(&self, outcome: &Outcome) {
+        let unclear = matches!(outcome, Outcome::MayHaveRun(_));
+        if !unclear || self.repeat == Repeat::Idempotent {
+            return;
+        }
+        log::warn!(
+            request_id:% = self.id, service:% = self.service, class:% = self.class,
+            reason = reason(outcome);
+            "may have run"
+        );
+    }
+}
--- a/crates/citronway/src/publish.rs
+++ b/crates/citronway/src/publish/mod.rs
@@ -1,5 +1,7 @@
 //! Publishes the state of the instance to the administration API and metrics.
 
+mod changes;
+
 use std::sync::Arc;
 
 use citronway_core::config::Config;
@@ -17,6 +19,8 @@
 };
 use crate::operators::{Publisher, Snapshot};
 
+use changes::Changes;
+
 /// Makes snapshots; keeps what has not changed since the last one.
 #[derive(Debug)]
 pub struct StatePublisher {
@@ -27,6 +31,7 @@
     dispatch: IndexMap<EndpointName, Versioned<Arc<DispatchRow>>>,
     held: IndexMap<EndpointName, Mono>,
     dispatched: IndexSet<EndpointName>,
+    changes: Changes,
 }
 
 impl StatePublisher {
@@ -43,6 +48,7 @@
             dispatch: IndexMap::new(),
             held: IndexMap::new(),
             dispatched: IndexSet::new(),
+            changes: Changes::default(),
         }
     }
 
@@ -50,6 +56,8 @@
     pub fn publish(&mut self, node: &Node, now: Now) {
         self.refresh(node);
         let seats = node.seats(now);
+        let lapsed = self.changes.look(node, &seats, now);
+        self.metrics.control.holds_lapsed.inc_by(lapsed);
         let snapshot = Snapshot {
             session: self.me.clone(),
             zone: node.zone().clone(),
--- a/crates/citronway/src/rings.rs
+++ b/crates/citronway/src/rings/mod.rs
@@ -4,6 +4,8 @@
 //! comes back as the event that says it was not done, so that no machine waits
 //! for an answer that cannot come.
 
+mod drops;
+
 use citronway_core::node::Action;
 use citronway_core::node::events::{Event, OrderReply, ProbeReport};
 use citronway_core::outcome::{NotRun, NotRunReason, Outcome};
@@ -15,6 +17,8 @@
 use crate::peers::{PEER_TICKET_BASE, PeerCommand};
 use crate::platform::PlatformCommand;
 
+pub use drops::Drops;
+
 /// Places in the ring of events.
 pub const EVENTS: usize = 8_192;
 /// Places in each ring of commands.
@@ -23,6 +27,9 @@
 /// When to come back after a full ring, in milliseconds.
 const FULL_RETRY_MS: u64 = 1_000;
 
+/// A ring with its name.
+type Ring<'a, T> = (&'static str, &'a Sender<T>);
+
 /// Sending ends of the rings of commands.
 #[derive(Debug)]
 pub struct Rings {
@@ -34,18 +41,24 @@
     pub peers: Sender<PeerCommand>,
     /// To the platform.
     pub platform: Sender<PlatformCommand>,
+    /// What they did not take.
+    pub drops: Drops,
 }
 
 impl Rings {
     /// Hands an action to its duty; returns the event to feed back if its ring is full.
-    pub fn carry_out(&self, action: Action) -> Option<Event> {
+    pub fn carry_out(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::Reply { ticket, outcome } if ticket >= PEER_TICKET_BASE => {
-                put(&self.peers, PeerCommand::Reply { ticket, outcome }, None)
-            }
-            Action::Reply { ticket, outcome } => {
-                put(&self.callers, CallerReply { ticket, outcome }, None)
-            }
+            Action::Reply { ticket, outcome } if ticket >= PEER_TICKET_BASE => self.drops.put(
+                &("peers", &self.peers),
+                PeerCommand::Reply { ticket, outcome },
+                None,
+            ),
+            Action::Reply { ticket, outcome } => self.drops.put(
+                &("callers", &self.callers),
+                CallerReply { ticket, outcome },
+                None,
+            ),
             Action::Forward {
                 ticket,
                 to,
@@ -62,43 +75,47 @@
                 };
                 let not_run = NotRun::new(NotRunReason::Overloaded, FULL_RETRY_MS);
                 let outcome = Outcome::NotRun(not_run);
-                put(
-                    &self.peers,
+                self.drops.put(
+                    &("peers", &self.peers),
                     command,
                     Some(Event::ForwardDone { ticket, outcome }),
                 )
             }
-            Action::Send { to, message } => {
-                put(&self.peers, PeerCommand::Send { to, message }, None)
-            }
-            Action::Broadcast { message } => {
-                put(&self.peers, PeerCommand::Broadcast { message }, None)
-            }
+            Action::Send { to, message } => self.drops.put(
+                &("peers", &self.peers),
+                PeerCommand::Send { to, message },
+                None,
+            ),
+            Action::Broadcast { message } => self.drops.put(
+                &("peers", &self.peers),
+                PeerCommand::Broadcast { message },
+                None,
+            ),
             Action::ReadTable { .. } | Action::ReadRow { .. } | Action::Write { .. } => {
-                self.to_platform(action)
+                self.put_platform(action)
             }
             Action::SendOrder { .. }
             | Action::Cancel { .. }
             | Action::Grant { .. }
-            | Action::Revoke { .. } => self.to_endpoint(action),
+            | Action::Revoke { .. } => self.put_endpoint(action),
             Action::Exit => None,
         }
     }
 
-    fn to_platform(&self, action: Action) -> Option<Event> {
+    fn put_platform(&mut self, action: Action) -> Option<Event> {
         match action {
             Action::ReadTable { table } => {
                 let failed = Event::ReadFailed { ticket: 0 };
-                put(
-                    &self.platform,
+                self.drops.put(
+                    &("platform", &self.platform),
                     PlatformCommand::ReadTable { table },
                     Some(failed),
                 )
             }
             Action::ReadRow { ticket, at } => {
                 let failed = Event::ReadFailed { ticket };
-                put(
-                    &self.platform,
+                self.drops.put(
+                    &("platform", &self.platform),
                     PlatformCommand::ReadRow { ticket, at },
                     Some(failed),
                 )
@@ -108,8 +125,8 @@
                     ticket,
                     outcome: WriteOutcome::Refused,
                 };
-                put(
-                    &self.platform,
+                self.drops.put(
+                    &("platform", &self.platform),
                     PlatformCommand::Write { ticket, puts },
                     Some(refused),
                 )
@@ -118,7 +135,7 @@
         }
     }
 
-    fn to_endpoint(&self, action: Action) -> Option<Event> {
+    fn put_endpoint(&mut self, action: Action) -> Option<Event> {
         match action {
             Action::SendOrder {
                 ticket,
@@ -140,7 +157,8 @@
                     ticket,
                     reply: OrderReply::NotSent,
                 };
-                put(&self.endpoints, command, Some(not_sent))
+                self.drops
+                    .put(&("endpoints", &self.endpoints), command, Some(not_sent))
             }
             Action::Cancel {
                 endpoint,
@@ -156,8 +174,8 @@
                     id,
                     confirmed: false,
                 };
-                put(
-                    &self.endpoints,
+                self.drops.put(
+                    &("endpoints", &self.endpoints),
                     EndpointCommand::Cancel { to, id },
                     Some(failed),
                 )
@@ -178,8 +196,8 @@
                     ticket,
                     report,
                 };
-                put(
-                    &self.endpoints,
+                self.drops.put(
+                    &("endpoints", &self.endpoints),
                     EndpointCommand::Grant { ticket, to, grant },
                     Some(failed),
                 )
@@ -200,8 +218,8 @@
                     ticket,
                     report,
                 };
-                put(
-                    &self.endpoints,
+                self.drops.put(
+                    &("endpoints", &self.endpoints),
                     EndpointCommand::Revoke { ticket, to, grant },
                     Some(failed),
                 )
@@ -211,10 +229,13 @@
     }
 }
 
-fn put<T>(ring: &Sender<T>, command: T, if_full: Option<Event>) -> Option<Event> {
-    if ring.try_send(command).is_ok() {
-        return None;
+impl Drops {
+    /// Puts a command into a ring; if it is full, returns what says so.
+    fn put<T>(&mut self, ring: &Ring<'_, T>, command: T, if_full: Option<Event>) -> Option<Event> {
+        if ring.1.try_send(command).is_ok() {
+            return None;
+        }
+        self.count(ring.0);
+        if_full
     }
-    log::warn!("a ring is full, an action was not carried out");
-    if_full
 }
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -29,7 +29,7 @@
 use crate::peers::{self, PeersConfig};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
-use crate::rings::{COMMANDS, EVENTS, Rings};
+use crate::rings::{COMMANDS, Drops, EVENTS, Rings};
 use crate::settings::{self, Settings};
 use crate::store_desk::StoreDesk;
 
@@ -97,7 +97,7 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
-    let (rings, callers) = start_duties(cfg, &me, &events_tx, &ready)?;
+    let (rings, callers) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
     let (store_tx, store) = mpsc::channel(COMMANDS);
     let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
     let (publisher, published) = snapshot::channel(first);
@@ -136,6 +136,7 @@
     me: &Session,
     events: &mpsc::Sender<Event>,
     ready: &Arc<AtomicBool>,
+    metrics: &Arc<Metrics>,
 ) -> Result<(Rings, CallersHandle), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
@@ -158,6 +159,7 @@
         endpoints: endpoints_tx,
         peers: peers_tx,
         platform: platform_tx,
+        drops: Drops::new(Arc::clone(metrics)),
     };
     Ok((rings, callers))
 }
