bad_id is a conflict without Retry-After; malformed requests are counted

A reused id got 503 with Retry-After, so a client library repeats it for ever. It is 409 now, without the header. The header was at least 1 already for a zero retry_after_ms; a test now holds it there.

--- a/crates/citronway/src/callers/app.rs
+++ b/crates/citronway/src/callers/app.rs
@@ -1,7 +1,7 @@
 //! Routes of the callers' interface.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use citronway_core::ids::RequestId;
@@ -33,6 +33,8 @@
     pub(super) waiting: Arc<Waiting>,
     pub(super) events: Sender<Event>,
     pub(super) ready: Arc<AtomicBool>,
+    /// Malformed requests so far.
+    pub(super) malformed: Arc<AtomicU64>,
 }
 
 /// Routes to the handlers of `app`.
@@ -60,7 +62,7 @@
                 if !parts.headers.contains_key(EXPECT) {
                     body::discard(&mut body).await;
                 }
-                return reply::malformed(&findings);
+                return self.malformed(&findings);
             }
         };
         let id = work.id;
@@ -70,7 +72,7 @@
                 if !err.is_over() {
                     body::discard(&mut body).await;
                 }
-                return refusal(id, err);
+                return self.refusal(id, err);
             }
         };
         work.body = held.body.clone();
@@ -92,6 +94,18 @@
         Duration::from_millis(self.cfg.body_timeout_ms)
     }
 
+    fn refusal(&self, id: RequestId, err: BodyError) -> Response {
+        match err {
+            BodyError::Bad(problem) => self.malformed(&[Finding::body(problem)]),
+            BodyError::NoMemory => reply::outcome(id, overloaded()),
+        }
+    }
+
+    fn malformed(&self, findings: &[Finding]) -> Response {
+        self.malformed.fetch_add(1, Ordering::Relaxed);
+        reply::malformed(findings)
+    }
+
     async fn outcome(&self, work: CallerRequest) -> Outcome {
         let (id, deadline) = (work.id, work.deadline);
         let Some(waiter) = self.waiting.admit() else {
@@ -123,13 +137,6 @@
     }
 }
 
-fn refusal(id: RequestId, err: BodyError) -> Response {
-    match err {
-        BodyError::Bad(problem) => reply::malformed(&[Finding::body(problem)]),
-        BodyError::NoMemory => reply::outcome(id, overloaded()),
-    }
-}
-
 fn overloaded() -> Outcome {
     Outcome::NotRun(NotRun::new(NotRunReason::Overloaded, OVERLOAD_RETRY_MS))
 }
--- a/crates/citronway/src/callers/mod.rs
+++ b/crates/citronway/src/callers/mod.rs
@@ -19,7 +19,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::thread::{Builder, JoinHandle};
 
 use citronway_core::node::Event;
@@ -48,6 +48,8 @@
 pub struct CallersHandle {
     /// Address that callers reach.
     pub local_addr: SocketAddr,
+    /// Malformed requests so far.
+    pub malformed: Arc<AtomicU64>,
     stop: watch::Sender<bool>,
     thread: JoinHandle<()>,
 }
@@ -90,13 +92,16 @@
         cfg,
         events,
         ready,
+        malformed: Arc::default(),
     };
+    let malformed = Arc::clone(&app.malformed);
     let (stop, stopped) = watch::channel(false);
     let thread = Builder::new()
         .name("callers".to_owned())
         .spawn(move || runtime.block_on(run(app, listener, replies, stopped)))?;
     Ok(CallersHandle {
         local_addr,
+        malformed,
         stop,
         thread,
     })
--- a/crates/citronway/src/callers/reply.rs
+++ b/crates/citronway/src/callers/reply.rs
@@ -125,7 +125,10 @@
         request_id,
     });
     let mut res = json(not_run_status(not_run.reason), NOT_RUN, &body);
-    set_retry_after(&mut res, not_run.retry_after_ms);
+    // Repeating such a request as it is never helps.
+    if not_run.reason != NotRunReason::BadId {
+        set_retry_after(&mut res, not_run.retry_after_ms);
+    }
     res
 }
 
@@ -144,6 +147,7 @@
 const fn not_run_status(reason: NotRunReason) -> StatusCode {
     match reason {
         NotRunReason::HotKeyLimited | NotRunReason::EndpointShed => StatusCode::TOO_MANY_REQUESTS,
+        NotRunReason::BadId => StatusCode::CONFLICT,
         NotRunReason::Expired => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
--- a/crates/citronway/tests/callers.rs
+++ b/crates/citronway/tests/callers.rs
@@ -416,6 +416,28 @@
     expect_that!(*bench.request().1.body, eq(*b"z"));
 }
 
+/// A client library repeats what has a `Retry-After`, for ever: an id that was used
+/// for other work is refused each time. One of zero makes it do so without a pause.
+#[gtest]
+fn only_what_may_be_repeated_has_a_time_to_come_back() {
+    let mut bench = Bench::new();
+    for (reason, status, seconds) in [
+        (NotRunReason::BadId, 409, None),
+        (NotRunReason::QueueFull, 503, Some("1")),
+    ] {
+        let mut caller = bench.caller();
+        caller.write(GET);
+        let (ticket, _) = bench.request();
+        bench.reply(ticket, Outcome::NotRun(NotRun::new(reason, 0)));
+        let answer = caller.read();
+        expect_that!(answer.status(), eq(status));
+        expect_that!(answer.header("retry-after"), eq(seconds));
+    }
+    let malformed = bench.ask("GET /v1/services/lookups/oil HTTP/1.1\r\n\r\n");
+    expect_that!(malformed.status(), eq(400));
+    expect_that!(bench.handle.malformed.load(Ordering::Relaxed), eq(1));
+}
+
 #[gtest]
 fn outcomes_have_their_statuses() {
     use MayHaveRunReason as May;
