Set the metrics that were registered and never set

The imbalance is that of the least even group; members that own nothing and shards on the move count. Ruled out: kinds of control messages as labels, since the peers duty counts none. A moving shard counts for its old owner, who serves it.

With two entries, two endpoints and one endpoint lost, the metrics move and the imbalance becomes 2.

--- a/crates/citronway/src/decide/mod.rs
+++ b/crates/citronway/src/decide/mod.rs
@@ -99,8 +99,10 @@
             let at = Instant::now();
             self.observer.event(&event, self.node.view(), at);
             let now = clock::now();
-            if let Some(recorder) = &mut self.recorder {
-                recorder.record(&event, now);
+            if let Some(recorder) = &mut self.recorder
+                && !recorder.record(&event, now)
+            {
+                self.rings.drops.count("trace");
             }
             for action in self.node.handle(event, now) {
                 if action == Action::Exit {
--- a/crates/citronway/src/decide/record.rs
+++ b/crates/citronway/src/decide/record.rs
@@ -64,15 +64,16 @@
         })
     }
 
-    /// Hands on an event that the machine is about to take.
-    pub fn record(&mut self, event: &Event, now: Now) {
+    /// Hands on an event that the machine is about to take; returns whether it
+    /// will be written.
+    pub fn record(&mut self, event: &Event, now: Now) -> bool {
         let event = self.redactor.redact(event);
         let Some(ring) = &self.ring else {
-            return;
+            return false;
         };
-        if ring.try_send((event, now)).is_err() {
-            self.dropped += 1;
-        }
+        let taken = ring.try_send((event, now)).is_ok();
+        self.dropped += u64::from(!taken);
+        taken
     }
 }
 
--- a/crates/citronway/src/metrics/control.rs
+++ b/crates/citronway/src/metrics/control.rs
@@ -19,7 +19,7 @@
     pub config_version: Gauge<u64, AtomicU64>,
     /// Highest version of the configuration that this instance has heard of.
     pub config_known: Gauge<u64, AtomicU64>,
-    /// Time since the instance last heard from the store, itself or through a peer.
+    /// Time since the instance last heard from the store, or since its start.
     pub store_age: Gauge<f64, AtomicU64>,
     /// Other instances that it hears.
     pub peers: Gauge,
@@ -49,7 +49,11 @@
                 "config_known_version",
                 "Highest version of the configuration heard of",
             ),
-            store_age: add_seconds(registry, "store_age", "Time since the store was last heard"),
+            store_age: add_seconds(
+                registry,
+                "store_age",
+                "Time since the store was last heard, or since the start",
+            ),
             peers: add(registry, "peers", "Other instances heard"),
             holds_lapsed: add(registry, "holds_lapsed", "Dispatch holds that lapsed"),
             writes_unknown: add(
--- a/crates/citronway/src/metrics/endpoints.rs
+++ b/crates/citronway/src/metrics/endpoints.rs
@@ -41,7 +41,7 @@
     pub unowned: u32,
     /// Shards on their way to another owner.
     pub moving: u32,
-    /// Load of the busiest endpoint over the mean; 1 is even.
+    /// Most shards of an endpoint over the mean of its group; 1 is even.
     pub imbalance: f64,
 }
 
@@ -66,7 +66,7 @@
     pub unowned: ServiceGauge,
     /// Shards on their way to another owner.
     pub moving: ServiceGauge,
-    /// Load of the busiest endpoint over the mean.
+    /// Most shards of an endpoint over the mean of its group.
     pub imbalance: Ratio,
     /// Changes of owner.
     pub moves: Family<ServiceLabels, Counter>,
@@ -103,9 +103,13 @@
             imbalance: add(
                 registry,
                 "imbalance_ratio",
-                "Load of the busiest endpoint over the mean",
+                "Most shards of an endpoint over the mean of its group's members, of the least even group",
+            ),
+            moves: add(
+                registry,
+                "shard_moves",
+                "Changes of owner, as seen by this instance",
             ),
-            moves: add(registry, "shard_moves", "Changes of owner"),
         }
     }
 
@@ -155,6 +159,13 @@
             .set(reading.moving.into());
         self.imbalance.get_or_create(&labels).set(reading.imbalance);
     }
+
+    /// Counts shards of a service that have changed their owner.
+    pub fn moved(&self, service: &ServiceName, shards: u64) {
+        let service = service.to_string();
+        let labels = ServiceLabels { service };
+        self.moves.get_or_create(&labels).inc_by(shards);
+    }
 }
 
 fn labels(endpoint: &EndpointName) -> EndpointLabels {
--- a/crates/citronway/src/metrics/requests.rs
+++ b/crates/citronway/src/metrics/requests.rs
@@ -17,6 +17,11 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0,
 ];
 
+/// Labels of requests that were malformed.
+const UNREAD: &str = "none";
+const NOT_RUN: &str = "not_run";
+const BAD_REQUEST: &str = "bad_request";
+
 const MS_PER_SECOND: f64 = 1000.0;
 
 type Histograms = Family<WorkLabels, Histogram>;
@@ -112,6 +117,20 @@
         self.outcomes.get_or_create(&outcome).inc();
     }
 
+    /// Shows how many requests were malformed. What they are for may not be
+    /// readable, and is not taken as a label from whoever sent them.
+    pub fn show_malformed(&self, malformed: u64) {
+        let labels = OutcomeLabels {
+            service: UNREAD.to_owned(),
+            tenant: UNREAD.to_owned(),
+            class: UNREAD.to_owned(),
+            outcome: NOT_RUN,
+            reason: BAD_REQUEST.to_owned(),
+        };
+        let shown = self.outcomes.get_or_create(&labels);
+        shown.inc_by(malformed.saturating_sub(shown.get()));
+    }
+
     /// Labels of work, with the tenant bounded.
     #[must_use]
     pub fn work(&self, service: &ServiceName, tenant: &str, class: &ClassName) -> WorkLabels {
--- a/crates/citronway/src/operators/snapshot.rs
+++ b/crates/citronway/src/operators/snapshot.rs
@@ -31,7 +31,7 @@
     pub zone: ZoneName,
     /// Whether the instance takes work.
     pub serving: bool,
-    /// Milliseconds since the store was last heard, itself or through a peer.
+    /// Milliseconds since the store was last heard, or since the start if never.
     pub store_age_ms: u64,
     /// Version of the configuration in force here; 0 if there is none.
     pub config_version: Version,
--- a/crates/citronway/src/publish/changes.rs
+++ b/crates/citronway/src/publish/changes.rs
@@ -95,7 +95,8 @@
                 may_act: seat.may_act,
             };
             let was = self.roles.get(&seat.endpoint).copied();
-            lapsed += u64::from(log_role(&seat.endpoint, role, was));
+            let ended = log_role(&seat.endpoint, role, was);
+            lapsed += u64::from(ended && self.shutdown.is_none());
             roles.insert(seat.endpoint.clone(), role);
         }
         for (endpoint, was) in &self.roles {
--- a/crates/citronway/src/publish/mod.rs
+++ b/crates/citronway/src/publish/mod.rs
@@ -1,25 +1,32 @@
 //! Publishes the state of the instance to the administration API and metrics.
 
 mod changes;
+mod owners;
+mod traffic;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use citronway_core::config::Config;
 use citronway_core::dispatch::health::Reach;
 use citronway_core::ids::{EndpointName, Session, SessionId, Version};
 use citronway_core::node::{DispatcherStatus, Node, SeatRole, SeatStatus};
 use citronway_core::platform::{ListedInstance, ListedState};
-use citronway_core::shard::{Assignment, DispatchRow, Ownership};
+use citronway_core::shard::{Assignment, DispatchRow};
 use citronway_core::time::{Mono, Now};
 use indexmap::{IndexMap, IndexSet};
 
-use crate::metrics::{EndpointReading, Metrics, ServiceReading};
+use crate::clock;
+use crate::metrics::{EndpointReading, Metrics};
 use crate::operators::snapshot::{
     EndpointState, Health, HoldRole, HoldState, InstanceState, Versioned,
 };
 use crate::operators::{Publisher, Snapshot};
+use crate::peers::PeerCounters;
 
 use changes::Changes;
+use owners::Owners;
+use traffic::Traffic;
 
 /// Makes snapshots; keeps what has not changed since the last one.
 #[derive(Debug)]
@@ -32,10 +39,15 @@
     held: IndexMap<EndpointName, Mono>,
     dispatched: IndexSet<EndpointName>,
     changes: Changes,
+    owners: Owners,
+    traffic: Option<Traffic>,
+    malformed: Arc<AtomicU64>,
+    /// When the process began.
+    begun: Mono,
 }
 
 impl StatePublisher {
-    /// Publishes for the session `me`.
+    /// Publishes for the session `me`, whose process began just now.
     pub fn new(me: Session, publisher: Publisher, metrics: Arc<Metrics>) -> Self {
         Self {
             me,
@@ -49,9 +61,27 @@
             held: IndexMap::new(),
             dispatched: IndexSet::new(),
             changes: Changes::default(),
+            owners: Owners::default(),
+            traffic: None,
+            malformed: Arc::default(),
+            begun: clock::now().mono,
         }
     }
 
+    /// Shows the counters of the peers duty as well.
+    #[must_use]
+    pub fn with_peers(mut self, counters: Arc<PeerCounters>) -> Self {
+        self.traffic = Some(Traffic::new(counters));
+        self
+    }
+
+    /// Shows how many requests were malformed as well.
+    #[must_use]
+    pub fn with_malformed(mut self, malformed: Arc<AtomicU64>) -> Self {
+        self.malformed = malformed;
+        self
+    }
+
     /// Publishes the present state.
     pub fn publish(&mut self, node: &Node, now: Now) {
         self.refresh(node);
@@ -62,7 +92,7 @@
             session: self.me.clone(),
             zone: node.zone().clone(),
             serving: node.ready(now),
-            store_age_ms: node.view().store_age_ms(now.mono),
+            store_age_ms: self.store_age_ms(node, now.mono),
             config_version: self.config.version,
             config: Arc::clone(&self.config.row),
             assignments: assignments(node),
@@ -75,6 +105,12 @@
         self.publisher.send_replace(Arc::new(snapshot));
     }
 
+    /// Time since the store was last heard, or since the start if it never was.
+    fn store_age_ms(&self, node: &Node, now: Mono) -> u64 {
+        let age = node.view().store_age_ms(now);
+        age.min(now.since(self.begun))
+    }
+
     /// Copies the rows that are newer than the copies.
     fn refresh(&mut self, node: &Node) {
         if let Some(known) = node.view().config()
@@ -171,11 +207,18 @@
             .peers
             .set(i64::try_from(node.members().len()).unwrap_or(i64::MAX));
         self.show_endpoints(snapshot);
+        let malformed = self.malformed.load(Ordering::Relaxed);
+        self.metrics.requests.show_malformed(malformed);
+        if let Some(traffic) = &self.traffic {
+            traffic.show(&self.metrics);
+        }
+        let config = node.view().config().map(Arc::as_ref);
         for known in &snapshot.assignments {
-            let reading = service_reading(&known.row);
-            self.metrics
-                .endpoints
-                .show_service(&known.row.service, &reading);
+            let service = &known.row.service;
+            let reading = owners::service_reading(&known.row, config);
+            let moved = self.owners.moved(known.version, &known.row);
+            self.metrics.endpoints.show_service(service, &reading);
+            self.metrics.endpoints.moved(service, moved);
         }
     }
 
@@ -247,24 +290,6 @@
     found.map(|it| it.state)
 }
 
-fn service_reading(assignment: &Assignment) -> ServiceReading {
-    let mut reading = ServiceReading::default();
-    let mut owned: IndexMap<&EndpointName, u32> = IndexMap::new();
-    for shard in assignment.shards.values() {
-        match &shard.ownership {
-            Ownership::Unowned => reading.unowned += 1,
-            Ownership::Moving { .. } => reading.moving += 1,
-            Ownership::Owned { owner } => *owned.entry(owner).or_default() += 1,
-        }
-    }
-    let busiest = owned.values().copied().max().unwrap_or_default();
-    let all: u32 = owned.values().sum();
-    if all > 0 {
-        reading.imbalance = f64::from(busiest) * owned.len() as f64 / f64::from(all);
-    }
-    reading
-}
-
 fn seconds(ms: u64) -> f64 {
     ms as f64 / 1000.0
 }
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -26,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::operators::{self, Setup, Snapshot, Token, snapshot};
-use crate::peers::{self, PeersConfig};
+use crate::peers::{self, PeerCounters, PeersConfig};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
 use crate::rings::{COMMANDS, Drops, EVENTS, Rings};
@@ -97,7 +97,7 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
-    let (rings, callers) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
+    let (rings, callers, peers) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
     let (store_tx, store) = mpsc::channel(COMMANDS);
     let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
     let (publisher, published) = snapshot::channel(first);
@@ -109,13 +109,16 @@
 
     let settings = node_settings(cfg);
     let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
+    let publisher = StatePublisher::new(me.clone(), publisher, Arc::clone(&metrics))
+        .with_peers(peers)
+        .with_malformed(Arc::clone(&callers.malformed));
     let desk = StoreDesk::new(rings.platform.clone());
     let decider = Decider {
         node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
         rings,
         ready,
-        observer: Observer::new(Arc::clone(&metrics)),
-        publisher: StatePublisher::new(me.clone(), publisher, metrics),
+        observer: Observer::new(metrics),
+        publisher,
         desk,
         recorder,
         me,
@@ -137,12 +140,13 @@
     events: &mpsc::Sender<Event>,
     ready: &Arc<AtomicBool>,
     metrics: &Arc<Metrics>,
-) -> Result<(Rings, CallersHandle), Error> {
+) -> Result<(Rings, CallersHandle, Arc<PeerCounters>), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
     let (endpoints_tx, endpoints_rx) = mpsc::channel(COMMANDS);
     let (callers_tx, callers_rx) = mpsc::channel(COMMANDS);
-    peers::start(peers_config(cfg, me), peers_rx, events.clone()).map_err(start("peers"))?;
+    let peers = peers::start(peers_config(cfg, me), peers_rx, events.clone());
+    let peers = peers.map_err(start("peers"))?;
     platform::start(&platform_config(cfg), platform_rx, events.clone())
         .map_err(start("platform"))?;
     endpoints::start(endpoints_config(cfg), endpoints_rx, events.clone())
@@ -161,7 +165,7 @@
         platform: platform_tx,
         drops: Drops::new(Arc::clone(metrics)),
     };
-    Ok((rings, callers))
+    Ok((rings, callers, peers.counters))
 }
 
 fn start_operators(
--- a/crates/citronway/tests/process_logs.rs
+++ b/crates/citronway/tests/process_logs.rs
@@ -1,6 +1,8 @@
 //! What a real entry process logs of its roles, endpoints and shutdown.
 
 use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 
 use citronway_core::ids::RequestId;
@@ -82,3 +84,54 @@
         ..Call::new(SERVICE, "bottle-1").non_idempotent()
     }
 }
+
+/// Alarms stand on metrics that are registered and never set: they read 0 whatever
+/// happens.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_move_with_the_instance() {
+    let launcher = Launcher::binary(env!("CARGO_BIN_EXE_citronway"));
+    let deployment = Deployment::new(2).entries(2);
+    let mut env = deployment.start(launcher).await.unwrap();
+    let entry = env.entry(&entry_name(0)).unwrap();
+    let operators = entry.settings().operators;
+    let callers = entry.callers();
+    expect_that!(ask(callers, "/v1/services/x"), starts_with("HTTP/1.1 400"));
+    env.endpoint_mut(ENDPOINT).unwrap().kill();
+    for name in [
+        "requests_total{service=\"none\",tenant=\"none\",class=\"none\",outcome=\"not_run\",reason=\"bad_request\"}",
+        "control_messages_total{direction=\"sent\",kind=\"control\"}",
+        "control_messages_total{direction=\"received\",kind=\"control\"}",
+        "control_bytes_total{direction=\"sent\",kind=\"control\"}",
+        "shard_moves_total{service=\"bookings\"}",
+    ] {
+        wait(name, async || {
+            value(&ask(operators, "/metrics"), name) > 0.0
+        })
+        .await
+        .unwrap();
+    }
+    // The endpoint that is left has all shards, the mean of the two is half of them.
+    let ratio = "imbalance_ratio{service=\"bookings\"}";
+    wait(ratio, async || {
+        (value(&ask(operators, "/metrics"), ratio) - 2.0).abs() < 0.01
+    })
+    .await
+    .unwrap();
+}
+
+fn ask(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let request = format!("GET {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// Value of a metric, 0 if it is not shown.
+fn value(text: &str, name: &str) -> f64 {
+    let mut lines = text.lines();
+    let found = lines.find_map(|line| line.strip_prefix("citronway_")?.strip_prefix(name));
+    found.map_or(0.0, |value| value.trim().parse().unwrap())
+}
