--- a/crates/citronway-core/tests/node_world/mod.rs
+++ b/crates/citronway-core/tests/node_world/mod.rs
@@ -114,6 +114,22 @@
 impl World {
     /// A running world with everything served.
     pub fn new(seed: u64) -> Self {
+        let mut world = Self::begin(seed);
+        world.run_for(4_000);
+        world
+    }
+
+    /// The same, with every process recorded from its start.
+    pub fn recorded(seed: u64) -> Self {
+        let mut world = Self::begin(seed);
+        for index in 0..INSTANCES {
+            world.processes[index].record(index);
+        }
+        world.run_for(2_500);
+        world
+    }
+
+    fn begin(seed: u64) -> Self {
         let mut world = Self {
             now: 0,
             rng: Rng(seed),
@@ -140,7 +156,6 @@
         for due in [Due::Link, Due::List, Due::Call] {
             world.after(1, due);
         }
-        world.run_for(4_000);
         world
     }
 
--- a/crates/citronway-core/tests/node_world/process.rs
+++ b/crates/citronway-core/tests/node_world/process.rs
@@ -1,7 +1,8 @@
 //! Processes: a node each, with clocks of its own, that can be paused and killed.
 
 use citronway_core::dispatch::DispatchSettings;
-use citronway_core::ids::{EndpointName, Epoch, ServiceName, Session, Version};
+use citronway_core::ids::{EndpointName, Epoch, ServiceName, Session, Version, ZoneName};
+use citronway_core::node::replay::{event_line, header_line};
 use citronway_core::node::{Action, Event, Node, NodeSettings};
 use citronway_core::peer::PeerMessage;
 use citronway_core::time::{Mono, Now, Wall};
@@ -27,6 +28,10 @@
     /// Asked to stop gracefully.
     pub stopping: bool,
     pub paused_until: u64,
+    /// Lines of its trace, if it is recorded.
+    pub trace: Option<String>,
+    /// Orders it has sent.
+    pub orders: u64,
     offset: u64,
     rate_ppm: u64,
     skew: u64,
@@ -34,6 +39,10 @@
     seen_assignment: IndexMap<ServiceName, Version>,
 }
 
+pub fn zone(index: usize) -> ZoneName {
+    ZoneName::new(&format!("z{}", index % 3))
+}
+
 pub fn settings() -> NodeSettings {
     NodeSettings {
         dispatch: DispatchSettings::builder()
@@ -51,13 +60,14 @@
 impl Process {
     pub fn new(index: usize, start: u64, at: u64, rng: &mut Rng) -> Self {
         let session = Session::new(&format!("i{index}"), start);
-        let zone = format!("z{}", index % 3);
         Self {
-            node: Node::new(session.clone(), zone.as_str().into(), settings()),
+            node: Node::new(session.clone(), zone(index), settings()),
             session,
             alive: true,
             stopping: false,
             paused_until: at,
+            trace: None,
+            orders: 0,
             offset: 1_000 + rng.below(1_000_000),
             rate_ppm: 1_000_000 - RATE_PPM + rng.below(2 * RATE_PPM),
             skew: rng.below(2 * SKEW_MS),
@@ -73,6 +83,20 @@
         }
     }
 
+    /// Records the process from here, which has to be its start.
+    pub fn record(&mut self, index: usize) {
+        let header = header_line(&self.session, &zone(index), &settings());
+        self.trace = Some(header.expect("a writable header") + "\n");
+    }
+
+    fn note(&mut self, event: &Event, now: Now) {
+        let Some(trace) = &mut self.trace else {
+            return;
+        };
+        trace.push_str(&event_line(event, now).expect("a writable event"));
+        trace.push('\n');
+    }
+
     pub const fn is_paused(&self, now: u64) -> bool {
         self.paused_until > now
     }
@@ -127,6 +151,7 @@
         }
         let is_tick = event == Event::Tick;
         let now = self.processes[index].clocks(self.now);
+        self.processes[index].note(&event, now);
         let actions = self.processes[index].node.handle(event, now);
         for action in actions {
             self.look_at(index, &action);
@@ -191,6 +216,7 @@
             Action::SendOrder {
                 endpoint, fence, ..
             } => {
+                self.processes[index].orders += 1;
                 let from = self.processes[index].session.clone();
                 self.look_at_order(&from, endpoint, fence.dispatch_epoch);
             }
