A moved shard's floor is its last order; a lost endpoint keeps only busy shards

Cause, first part: requests that only waited for a move were told 'may have run' because the floor was the time of the ownership write. No id is sent before its own creation, so all that ran at the old owner lies at or below its last order; the release now carries that time. Ruled out: handing all ids of a shard over (more state on each move for the few requests created in the instant before the last order). Cause, second part: an endpoint that does not check was only called quiet when none of its orders could act any more, so one order in flight kept all of its keys unserved up to the order's deadline. Each shard is now released by itself.

--- a/crates/citronway-core/src/dispatch/grants.rs
+++ b/crates/citronway-core/src/dispatch/grants.rs
@@ -4,6 +4,7 @@
 
 use super::message::{KeyPart, OwnedShard, ShardEpoch, ShardRef};
 use super::sent_grants::{SentGrants, SentKind, shard_epoch};
+use crate::ids::Epoch;
 use crate::node::events::{GrantedShard, Ticket};
 use crate::time::Wall;
 
@@ -34,6 +35,8 @@
     latest_end: Wall,
     /// A grant, or a revocation in that phase, has been sent.
     asked: bool,
+    /// When the last order for one of its keys was sent.
+    last_sent: Wall,
 }
 
 /// What is true of the endpoint beyond this dispatcher's own grants.
@@ -48,6 +51,17 @@
     pub skew_ms: u64,
 }
 
+/// A shard that its next owner may have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReleasedShard {
+    /// The shard.
+    pub at: ShardRef,
+    /// Epoch under which it was held.
+    pub epoch: Epoch,
+    /// Ids created before this may have run here.
+    pub floor: Wall,
+}
+
 /// Grants of one endpoint.
 #[derive(Debug, Default)]
 pub struct Grants {
@@ -107,6 +121,35 @@
         stopped
     }
 
+    /// Notes that an order is being sent under a shard.
+    ///
+    /// One for a hot key counts for the shard around it as well, which gets the
+    /// key back when it has cooled.
+    pub fn note_sent(&mut self, at: &ShardRef, now: Wall) {
+        let Some(held) = self.shards.get_mut(at) else {
+            return;
+        };
+        held.last_sent = held.last_sent.max(now);
+        if !held.owned.is_hot() {
+            return;
+        }
+        let hot = held.owned.clone();
+        for held in self.shards.values_mut() {
+            if held.owned.overlaps(&hot) {
+                held.last_sent = held.last_sent.max(now);
+            }
+        }
+    }
+
+    /// Latest order under any shard that has keys in common with this one.
+    fn last_sent_near(&self, owned: &OwnedShard) -> Wall {
+        let near = self
+            .shards
+            .values()
+            .filter(|held| held.owned.overlaps(owned));
+        near.map(|held| held.last_sent).max().unwrap_or_default()
+    }
+
     /// Whether an order of the shard may be sent now. The grant must have been
     /// confirmed: an end that was merely sent may never have arrived.
     #[must_use]
@@ -243,10 +286,14 @@
         own.max(bounds.inherited_until)
     }
 
-    /// Bars every shard under its present epoch.
-    pub fn release_all(&mut self) {
+    /// Bars every shard under its present epoch. One with orders that may still
+    /// act is only stopped; it is released when they are over.
+    pub fn release_idle(&mut self, busy: impl Fn(&KeyPart) -> bool) {
         for held in self.shards.values_mut() {
-            held.phase = Phase::Released;
+            held.phase = match held.phase {
+                Phase::Serving | Phase::Stopping if busy(&held.owned.part()) => Phase::Stopping,
+                _ => Phase::Released,
+            };
         }
     }
 
@@ -258,13 +305,14 @@
     /// else takes shards or the report was lost. They stay barred and nobody serves them. So they are
     /// reported as well, and the planner gives them a new epoch.
     #[must_use]
-    pub fn released(&self, back: bool) -> Vec<ShardEpoch> {
+    pub fn released(&self, back: bool, floor: Wall) -> Vec<ReleasedShard> {
         let mut shards = Vec::new();
         for (at, held) in &self.shards {
             if held.phase == Phase::Released && (held.owned.moving || back) {
-                shards.push(ShardEpoch {
+                shards.push(ReleasedShard {
                     at: at.clone(),
                     epoch: held.owned.epoch,
+                    floor: held.floor_for_next(floor),
                 });
             }
         }
@@ -273,7 +321,8 @@
 
     fn set_shard(&mut self, owned: &OwnedShard) {
         let Some(held) = self.shards.get_mut(&owned.at) else {
-            let held = Held::new(owned.clone(), Wall(0));
+            let mut held = Held::new(owned.clone(), Wall(0));
+            held.last_sent = self.last_sent_near(owned);
             self.shards.insert(owned.at.clone(), held);
             return;
         };
@@ -281,7 +330,9 @@
             return;
         }
         if owned.epoch > held.owned.epoch {
+            let last_sent = held.last_sent;
             *held = Held::new(owned.clone(), held.latest_end);
+            held.last_sent = last_sent;
             return;
         }
         held.owned = owned.clone();
@@ -308,6 +359,19 @@
 }
 
 impl Held {
+    /// Ids created before this may have run here; `floor` is the dispatcher's own.
+    ///
+    /// No id is sent before its own time of creation, so all that was sent lies
+    /// at or below the time of the last order. A later floor would answer `may
+    /// have run` to requests that only waited for the move.
+    fn floor_for_next(&self, floor: Wall) -> Wall {
+        let sent = match self.last_sent {
+            Wall(0) => Wall(0),
+            last => last.plus(1),
+        };
+        floor.max(self.owned.floor).max(sent)
+    }
+
     /// A shard that is first learnt of on its way out is not served.
     ///
     /// Failure guarded against: an earlier dispatcher has reported it released
@@ -325,6 +389,7 @@
             acked_end: Wall(0),
             latest_end,
             asked: false,
+            last_sent: Wall(0),
         }
     }
 
--- a/crates/citronway-core/src/dispatch/message.rs
+++ b/crates/citronway-core/src/dispatch/message.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Whether the two may have keys in common.
+    #[must_use]
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self.at.service == other.at.service
+            && self.range.first <= other.range.last
+            && other.range.first <= self.range.last
+    }
+
     /// Whether it is the shard of a single hot key.
     #[must_use]
     pub fn is_hot(&self) -> bool {
@@ -213,10 +221,13 @@
         at: ShardRef,
         /// Epoch under which it was held.
         epoch: Epoch,
+        /// Ids created before this may have run here.
+        floor: Wall,
     },
     /// The endpoint does not answer; repeated while that lasts.
     EndpointLost {
-        /// Nothing that was sent to it can act any more.
+        /// No grant of it is live any more; its shards are released one by one,
+        /// as soon as no order for their keys can act.
         quiet: bool,
     },
     /// The endpoint answers again.
--- a/crates/citronway-core/src/dispatch/replay.rs
+++ b/crates/citronway-core/src/dispatch/replay.rs
@@ -145,7 +145,9 @@
                 ticket,
                 shards: names(&grant.shards),
             },
-            DispatchAction::ShardReleased { at, epoch } => Self::Released(ShardEpoch { at, epoch }),
+            DispatchAction::ShardReleased { at, epoch, .. } => {
+                Self::Released(ShardEpoch { at, epoch })
+            }
             DispatchAction::EndpointLost { quiet } => Self::Lost { quiet },
             DispatchAction::EndpointBack => Self::Back,
             DispatchAction::Superseded => Self::Superseded,
--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -1,8 +1,9 @@
 //! Reports to the planner and to operators.
 
+use super::grants::ReleasedShard;
 use super::health::Reach;
 use super::machine::Dispatcher;
-use super::message::{DispatchAction, ShardEpoch, Turn};
+use super::message::{DispatchAction, Turn};
 use crate::ids::EndpointName;
 use crate::peer::{EndpointLoad, HotKey, KnownRequests, ShardLoad};
 use crate::shard::KeyHash;
@@ -120,14 +121,16 @@
         if unreachable && self.quiet {
             // Shards that were assigned since the endpoint fell silent are told
             // free by this report as well, so they must be barred as well.
-            self.grants.release_all();
+            self.bar_shards();
         }
         if unreachable {
             let quiet = self.quiet;
             self.out.push(DispatchAction::EndpointLost { quiet });
         }
-        for ShardEpoch { at, epoch } in self.grants.released(!unreachable) {
-            self.out.push(DispatchAction::ShardReleased { at, epoch });
+        let floor = self.duplicates.floor();
+        for ReleasedShard { at, epoch, floor } in self.grants.released(!unreachable, floor) {
+            self.out
+                .push(DispatchAction::ShardReleased { at, epoch, floor });
         }
     }
 
@@ -136,10 +139,7 @@
         if self.quiet || self.health.reach() != Reach::Unreachable {
             return;
         }
-        let bounds = self.bounds();
-        let granted = self.grants.quiet_at(bounds) > turn.now.wall;
-        let ordered = !bounds.checks_orders && self.slots.used() > 0;
-        if granted || ordered {
+        if self.grants.quiet_at(self.bounds()) > turn.now.wall {
             return;
         }
         self.quiet = true;
@@ -148,6 +148,15 @@
         // other endpoints. Were the endpoint to come back and be granted them
         // again meanwhile, they would have two owners; so they stay barred
         // until the assignment gives them a new epoch.
-        self.grants.release_all();
+        self.bar_shards();
+    }
+
+    /// An endpoint that checks cannot commit what it still runs. One that does
+    /// not check may: shards with such orders are waited for, one by one.
+    fn bar_shards(&mut self) {
+        let checks = self.endpoint.checks_orders;
+        let slots = &self.slots;
+        self.grants
+            .release_idle(|part| !checks && slots.any_in(part));
     }
 }
--- a/crates/citronway-core/src/dispatch/sending.rs
+++ b/crates/citronway-core/src/dispatch/sending.rs
@@ -121,6 +121,7 @@
             state: OrderState::Running,
             cancelling: false,
         };
+        self.grants.note_sent(&order.at, turn.now.wall);
         let ticket = self.ticket();
         self.slots.take(ticket, order);
         self.out.push(DispatchAction::SendOrder {
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -535,13 +535,14 @@
             DispatchAction::Reject { origin, fault } => {
                 self.dispatched(origin, fault.outcome(), now, out);
             }
-            DispatchAction::ShardReleased { at, epoch } => {
+            DispatchAction::ShardReleased { at, epoch, floor } => {
                 let report = ShardReleased {
                     service: at.service.clone(),
                     shard: at.shard,
                     epoch,
                     from: name.clone(),
                     dispatcher: self.me.clone(),
+                    floor,
                 };
                 self.send_to_planner(&at.service, PeerMessage::ShardReleased(report), now, out);
             }
--- a/crates/citronway-core/src/peer.rs
+++ b/crates/citronway-core/src/peer.rs
@@ -132,7 +132,7 @@
     pub endpoint: EndpointName,
     /// Epoch of the reporting dispatcher, which has stopped sending.
     pub dispatch_epoch: Epoch,
-    /// Whether all grants and orders that could still act have ended.
+    /// Whether no grant of it is live any more; its shards follow one by one.
     pub quiet: bool,
 }
 
@@ -149,6 +149,9 @@
     pub from: EndpointName,
     /// Dispatcher that released it.
     pub dispatcher: Session,
+    /// Ids created before this may have run there; 0 if it was not told.
+    #[serde(default)]
+    pub floor: Wall,
 }
 
 /// Load of an endpoint as its dispatcher sees it.
--- a/crates/citronway-core/src/placement/moves.rs
+++ b/crates/citronway-core/src/placement/moves.rs
@@ -94,9 +94,9 @@
 /// # Errors
 ///
 /// The shard does not exist or is in another state than the move assumes.
-pub fn begin(assignment: &Assignment, step: &Move, floor: Wall) -> Result<Assignment, MoveError> {
+pub fn begin(assignment: &Assignment, step: &Move) -> Result<Assignment, MoveError> {
     let mut next = assignment.clone();
-    begin_in(&mut next, step, floor)?;
+    begin_in(&mut next, step)?;
     Ok(next)
 }
 
@@ -165,6 +165,12 @@
             });
         }
     };
+    // The old owner's dispatcher knows what it sent; without its word all that
+    // was created until now may have run there.
+    let floor = match report.floor {
+        Wall(0) => floor,
+        told => told,
+    };
     change_owner(shard, ownership, floor);
     Ok(())
 }
@@ -174,7 +180,7 @@
 /// # Errors
 ///
 /// The first step that does not fit; nothing of the plan is applied then.
-pub fn apply(assignment: &Assignment, plan: &Plan, floor: Wall) -> Result<Assignment, MoveError> {
+pub fn apply(assignment: &Assignment, plan: &Plan) -> Result<Assignment, MoveError> {
     let mut next = assignment.clone();
     for shard in &plan.folds {
         next = hot::fold(&next, *shard)?;
@@ -183,12 +189,12 @@
         next = hot::split(&next, &split.group, split.hash)?;
     }
     for step in &plan.moves {
-        begin_in(&mut next, step, floor)?;
+        begin_in(&mut next, step)?;
     }
     Ok(next)
 }
 
-fn begin_in(assignment: &mut Assignment, step: &Move, floor: Wall) -> Result<(), MoveError> {
+fn begin_in(assignment: &mut Assignment, step: &Move) -> Result<(), MoveError> {
     let shard = shard_mut(assignment, step.shard)?;
     let to = step.to.clone();
     let expected = match &step.from {
@@ -196,7 +202,11 @@
         Some(from) => Expected::OwnedBy(from.clone()),
     };
     match (&shard.ownership, &step.from) {
-        (Ownership::Unowned, None) => change_owner(shard, Ownership::Owned { owner: to }, floor),
+        // Nobody has served it since it was released or made; its floor stands.
+        (Ownership::Unowned, None) => {
+            let floor = shard.floor;
+            change_owner(shard, Ownership::Owned { owner: to }, floor);
+        }
         (Ownership::Owned { owner }, Some(from)) if owner == from => {
             let from = from.clone();
             shard.ownership = Ownership::Moving { from, to };
--- a/crates/citronway-core/src/placement/propose.rs
+++ b/crates/citronway-core/src/placement/propose.rs
@@ -93,7 +93,7 @@
         move_ms: input.move_ms,
         resting: input.resting,
     });
-    next = apply(&next, &plan, input.floor)?;
+    next = apply(&next, &plan)?;
     if next == *present {
         return Ok(next);
     }
@@ -131,15 +131,11 @@
         ended.push(report);
     }
     let freed = released_all(present, ended.iter().copied(), input.floor)?;
-    give_back(&freed, &ended, input.floor)
+    give_back(&freed, &ended)
 }
 
 /// Gives shards that were released without a next owner to their old one.
-fn give_back(
-    freed: &Assignment,
-    ended: &[&ShardReleased],
-    floor: Wall,
-) -> Result<Assignment, MoveError> {
+fn give_back(freed: &Assignment, ended: &[&ShardReleased]) -> Result<Assignment, MoveError> {
     let mut plan = Plan::default();
     for report in ended {
         if freed.shards[&report.shard].ownership != Ownership::Unowned {
@@ -152,7 +148,7 @@
             cause: Cause::Unowned,
         });
     }
-    apply(freed, &plan, floor)
+    apply(freed, &plan)
 }
 
 /// Failure: an endpoint is lost and its dispatcher gives its shards up, but no
--- a/crates/citronway-wire/schema/peer.capnp
+++ b/crates/citronway-wire/schema/peer.capnp
@@ -239,6 +239,7 @@
   epoch @2 :UInt64;
   from @3 :Text;
   dispatcher @4 :Session;
+  floor @5 :UInt64;
 }
 
 struct EndpointLoad {
--- a/crates/citronway-wire/src/convert/message.rs
+++ b/crates/citronway-wire/src/convert/message.rs
@@ -4,6 +4,7 @@
 use citronway_core::ids::{EndpointName, Epoch, ServiceName, ShardId, Version};
 use citronway_core::peer::{EndpointLost, Heartbeat, PeerMessage, ShardReleased};
 use citronway_core::platform::{Row, RowKey};
+use citronway_core::time::Wall;
 
 use super::{Field, read_hold, read_load, read_session, write_hold, write_load, write_session};
 use crate::WireError;
@@ -222,6 +223,7 @@
         epoch: Epoch(r.get_epoch()),
         from: EndpointName::new(RELEASED_FROM.text(r.has_from(), r.get_from())?),
         dispatcher: read_session(dispatcher)?,
+        floor: Wall(r.get_floor()),
     })
 }
 
@@ -230,5 +232,6 @@
     b.set_shard(released.shard.0);
     b.set_epoch(released.epoch.0);
     b.set_from(released.from.as_str());
+    b.set_floor(released.floor.0);
     write_session(&released.dispatcher, b.init_dispatcher());
 }
--- a/crates/citronway-wire/src/peer_capnp.rs
+++ b/crates/citronway-wire/src/peer_capnp.rs
@@ -9307,11 +9307,15 @@
         pub fn has_dispatcher(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_floor(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9425,6 +9429,14 @@
         pub fn has_dispatcher(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_floor(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_floor(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9439,17 +9451,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(199, 36, 235, 48, 215, 86, 225, 235),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -9457,42 +9469,49 @@
             ::capnp::word(82, 101, 108, 101, 97, 115, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9534,6 +9553,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 108, 111, 111, 114, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9542,6 +9569,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peer_capnp::session::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9555,9 +9583,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,3,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,5,3,0,1];
         pub(crate) const TYPE_ID: u64 = 0xebe1_56d7_30eb_24c7;
     }
 }
