--- a/crates/citronway-standin/src/env/stored.rs
+++ b/crates/citronway-standin/src/env/stored.rs
@@ -1,7 +1,7 @@
 //! What the entries have stored with the platform.
 
 use citronway_core::config::Config;
-use citronway_core::ids::Version;
+use citronway_core::ids::{EndpointName, Version};
 use citronway_core::platform::{ConditionalPut, RowKey};
 use citronway_core::shard::{Assignment, DispatchRow, Ownership};
 use serde::de::DeserializeOwned;
@@ -61,6 +61,15 @@
         assignments.len() >= services && assignments.iter().all(is_owned)
     }
 
+    /// Whether no shard belongs to the endpoint, or is on its way to or from it.
+    pub async fn owns_nothing(&self, endpoint: &EndpointName) -> bool {
+        let Ok(assignments) = self.assignments().await else {
+            return false;
+        };
+        let mut shards = assignments.iter().flat_map(|it| it.shards.values());
+        !shards.any(|shard| names(&shard.ownership, endpoint))
+    }
+
     async fn parsed<T: DeserializeOwned>(&self, table: &str) -> Result<Vec<T>, EnvError> {
         let mut values = Vec::new();
         for row in self.table(table).await?.rows {
@@ -71,6 +80,14 @@
     }
 }
 
+fn names(ownership: &Ownership, endpoint: &EndpointName) -> bool {
+    match ownership {
+        Ownership::Unowned => false,
+        Ownership::Owned { owner } => owner == endpoint,
+        Ownership::Moving { from, to } => from == endpoint || to == endpoint,
+    }
+}
+
 fn is_owned(assignment: &Assignment) -> bool {
     let mut shards = assignment.shards.values();
     shards.all(|shard| matches!(shard.ownership, Ownership::Owned { .. }))
--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod host;
 pub mod http;
 pub mod load;
+pub mod losses;
 pub mod measure;
 pub mod platform;
 pub mod process;
--- a/crates/citronway-standin/src/trial/links.rs
+++ b/crates/citronway-standin/src/trial/links.rs
@@ -107,7 +107,9 @@
     async fn start(&self, relay: Relay) -> Result<std::net::SocketAddr, EnvError> {
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await;
         let listener = listener.map_err(EnvError::io("start a relay"))?;
-        let address = listener.local_addr().map_err(EnvError::io("start a relay"))?;
+        let address = listener
+            .local_addr()
+            .map_err(EnvError::io("start a relay"))?;
         tokio::spawn(relay.serve(listener, self.state.subscribe()));
         Ok(address)
     }
--- a/crates/citronway-standin/src/trial/relay.rs
+++ b/crates/citronway-standin/src/trial/relay.rs
@@ -140,7 +140,9 @@
         let direction = self.ends.direction(self.way);
         let generation = self.generation;
         let open = |state: &State| {
-            let held = direction.as_ref().is_some_and(|way| state.held.contains(way));
+            let held = direction
+                .as_ref()
+                .is_some_and(|way| state.held.contains(way));
             !held || state.generation > generation
         };
         drop(self.state.wait_for(open).await);
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::operators::{self, Setup, Snapshot, Token, snapshot};
-use crate::peers::{self, PeersConfig};
+use crate::peers::{self, PeersConfig, PeersHandle};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
 use crate::rings::{COMMANDS, EVENTS, Rings};
@@ -96,7 +96,7 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
-    let (rings, callers) = start_duties(cfg, &me, &events_tx, &ready)?;
+    let (rings, running) = start_duties(cfg, &me, &events_tx, &ready)?;
     let (store_tx, store) = mpsc::channel(COMMANDS);
     let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
     let (publisher, published) = snapshot::channel(first);
@@ -118,8 +118,7 @@
         address: cfg.instance.peer_address().to_string(),
     };
     decider.run(events, store).await;
-    callers.stop();
-    callers.join();
+    running.end();
     stop.cancel();
     if operators.join().is_err() {
         log::error!("thread of the administration API panicked");
@@ -132,12 +131,13 @@
     me: &Session,
     events: &mpsc::Sender<Event>,
     ready: &Arc<AtomicBool>,
-) -> Result<(Rings, CallersHandle), Error> {
+) -> Result<(Rings, Running), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
     let (endpoints_tx, endpoints_rx) = mpsc::channel(COMMANDS);
     let (callers_tx, callers_rx) = mpsc::channel(COMMANDS);
-    peers::start(peers_config(cfg, me), peers_rx, events.clone()).map_err(start("peers"))?;
+    let peers = peers::start(peers_config(cfg, me), peers_rx, events.clone());
+    let peers = peers.map_err(start("peers"))?;
     platform::start(&platform_config(cfg), platform_rx, events.clone())
         .map_err(start("platform"))?;
     endpoints::start(endpoints_config(cfg), endpoints_rx, events.clone())
@@ -155,7 +155,31 @@
         peers: peers_tx,
         platform: platform_tx,
     };
-    Ok((rings, callers))
+    Ok((rings, Running { callers, peers }))
+}
+
+/// Duties that have words to say when the deciding thread has ended.
+#[derive(Debug)]
+struct Running {
+    callers: CallersHandle,
+    peers: PeersHandle,
+}
+
+impl Running {
+    /// Waits until both have given what they were told.
+    ///
+    /// Failure guarded against: an outcome of a forwarded request is still in the
+    /// ring to the peers, or in a socket's buffer, when the process exits. The
+    /// entry that waits for it sees the connection close, and its caller is told
+    /// that the request may have run. The ring's sender is gone by now, so the
+    /// peers' thread gives what it has and ends, within its own time limit.
+    fn end(self) {
+        self.callers.stop();
+        self.callers.join();
+        if self.peers.thread.join().is_err() {
+            log::error!("thread of the peers' duty panicked");
+        }
+    }
 }
 
 fn start_operators(
