--- a/crates/citronway-core/src/dispatch/grants.rs
+++ b/crates/citronway-core/src/dispatch/grants.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::message::{OwnedShard, ShardEpoch, ShardRef};
+use super::message::{KeyPart, OwnedShard, ShardEpoch, ShardRef};
 use super::sent_grants::{SentGrants, SentKind, shard_epoch};
 use crate::node::events::{GrantedShard, Ticket};
 use crate::time::Wall;
@@ -66,7 +66,7 @@
 
     /// Takes in the assigned shards, all of them. Returns those that get no
     /// new work from now on.
-    pub fn set_shards(&mut self, shards: &[OwnedShard]) -> Vec<ShardRef> {
+    pub fn set_shards(&mut self, shards: &[OwnedShard]) -> Vec<KeyPart> {
         let mut stopped = Vec::new();
         for owned in shards {
             self.set_shard(owned);
@@ -78,7 +78,7 @@
             held.owned.moving = true;
             if held.phase == Phase::Serving {
                 held.phase = Phase::Stopping;
-                stopped.push(held.owned.at.clone());
+                stopped.push(held.owned.part());
             }
         }
         self.shards.retain(|at, held| {
@@ -93,15 +93,15 @@
     /// Failure guarded against: after a takeover an endpoint that does not check
     /// may run orders of the predecessor for long. Were its moving shards stopped
     /// at once, nobody would serve their keys all that time.
-    pub fn stop_moving(&mut self, now: Wall, bounds: Bounds) -> Vec<ShardRef> {
+    pub fn stop_moving(&mut self, now: Wall, bounds: Bounds) -> Vec<KeyPart> {
         let mut stopped = Vec::new();
         if !bounds.checks_orders && now < bounds.inherited_until {
             return stopped;
         }
-        for (at, held) in &mut self.shards {
+        for held in self.shards.values_mut() {
             if held.phase == Phase::Serving && held.owned.moving {
                 held.phase = Phase::Stopping;
-                stopped.push(at.clone());
+                stopped.push(held.owned.part());
             }
         }
         stopped
@@ -209,18 +209,18 @@
         self.sent.take(ticket);
     }
 
-    /// Lets time pass. `busy` tells whether an order of a shard may be running.
+    /// Lets time pass. `busy` tells whether an order for some keys may be running.
     /// Returns whether a shard is released by that.
     pub fn pass_time(
         &mut self,
         now: Wall,
         bounds: Bounds,
-        busy: impl Fn(&ShardRef) -> bool,
+        busy: impl Fn(&KeyPart) -> bool,
     ) -> bool {
         let mut released = false;
         self.sent.pass_time(now, bounds.skew_ms);
-        for (at, held) in &mut self.shards {
-            if held.phase == Phase::Stopping && !busy(at) {
+        for held in self.shards.values_mut() {
+            if held.phase == Phase::Stopping && !busy(&held.owned.part()) {
                 held.phase = Phase::Revoking;
                 held.asked = false;
             }
@@ -250,19 +250,18 @@
         }
     }
 
-    /// Whether a shard is barred although the assignment leaves it here.
-    #[must_use]
-    pub fn has_barred(&self) -> bool {
-        let mut shards = self.shards.values();
-        shards.any(|held| held.phase == Phase::Released && !held.owned.moving)
-    }
-
-    /// Released shards that the assignment still shows on their way out.
+    /// Released shards that the assignment still shows on their way out, and
+    /// those that it leaves here once the endpoint is `back`.
+    ///
+    /// Failure guarded against: the endpoint is lost for so long that its shards
+    /// are released, and is back before the planner has moved them, since nobody
+    /// else takes shards or the report was lost. They stay barred and nobody serves them. So they are
+    /// reported as well, and the planner gives them a new epoch.
     #[must_use]
-    pub fn released(&self) -> Vec<ShardEpoch> {
+    pub fn released(&self, back: bool) -> Vec<ShardEpoch> {
         let mut shards = Vec::new();
         for (at, held) in &self.shards {
-            if held.phase == Phase::Released && held.owned.moving {
+            if held.phase == Phase::Released && (held.owned.moving || back) {
                 shards.push(ShardEpoch {
                     at: at.clone(),
                     epoch: held.owned.epoch,
@@ -309,10 +308,20 @@
 }
 
 impl Held {
+    /// A shard that is first learnt of on its way out is not served.
+    ///
+    /// Failure guarded against: an earlier dispatcher has reported it released
+    /// and was lost. The report is on its way to the planner, which gives the
+    /// shard to its next owner; served here as well, its keys have two.
     fn new(owned: OwnedShard, latest_end: Wall) -> Self {
+        let phase = if owned.moving {
+            Phase::Stopping
+        } else {
+            Phase::Serving
+        };
         Self {
             owned,
-            phase: Phase::Serving,
+            phase,
             acked_end: Wall(0),
             latest_end,
             asked: false,
--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -4,7 +4,7 @@
 use super::machine::Dispatcher;
 use super::message::{DispatchAction, ShardEpoch, Turn};
 use crate::ids::EndpointName;
-use crate::peer::{EndpointLoad, HotKey, KnownRequest, ShardLoad};
+use crate::peer::{EndpointLoad, HotKey, KnownRequests, ShardLoad};
 use crate::shard::KeyHash;
 use crate::time::Wall;
 
@@ -66,10 +66,13 @@
         self.queue.is_empty() && self.slots.used() == 0
     }
 
-    /// What is known of non-idempotent requests, for a successor.
+    /// What is known of non-idempotent requests, for a successor. Requests that
+    /// still wait were not sent, so nothing is known of them.
     #[must_use]
-    pub fn export(&self) -> Vec<KnownRequest> {
-        self.duplicates.export()
+    pub fn export(&self) -> KnownRequests {
+        let mut known = self.duplicates.export();
+        known.requests.retain(|req| !self.queue.contains(req.id));
+        known
     }
 
     /// Load since the last call, for the planner.
@@ -119,16 +122,11 @@
             // free by this report as well, so they must be barred as well.
             self.grants.release_all();
         }
-        // Failure guarded against: the report is lost and the endpoint comes
-        // back. Its barred shards would wait for a new epoch that nobody gives,
-        // so they are reported for as long as there are any.
-        let quiet = self.grants.has_barred();
-        if unreachable || quiet {
-            self.out.push(DispatchAction::EndpointLost {
-                quiet: quiet || self.quiet,
-            });
+        if unreachable {
+            let quiet = self.quiet;
+            self.out.push(DispatchAction::EndpointLost { quiet });
         }
-        for ShardEpoch { at, epoch } in self.grants.released() {
+        for ShardEpoch { at, epoch } in self.grants.released(!unreachable) {
             self.out.push(DispatchAction::ShardReleased { at, epoch });
         }
     }
--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod losses;
 pub mod measure;
+pub mod outage;
 pub mod platform;
 pub mod process;
 pub mod tour;
--- a/crates/citronway-standin/src/trial/deployment.rs
+++ b/crates/citronway-standin/src/trial/deployment.rs
@@ -69,6 +69,15 @@
         self.each(|endpoint| endpoint.checks(checks))
     }
 
+    /// Endpoints from this number on do not check orders.
+    #[must_use]
+    pub fn unchecked_from(mut self, number: usize) -> Self {
+        for endpoint in self.endpoints.iter_mut().skip(number) {
+            endpoint.checks = false;
+        }
+        self
+    }
+
     /// Mean time of an order, in milliseconds.
     #[must_use]
     pub fn service_ms(self, ms: u64) -> Self {
