--- a/crates/citronway/tests/process_support/mod.rs
+++ b/crates/citronway/tests/process_support/mod.rs
@@ -26,7 +26,8 @@
 
 impl Bench {
     pub async fn start(deployment: Deployment) -> Self {
-        let mut env = deployment.start(launcher()).await.unwrap(); println!("{}", env.keep_files().display());
+        let mut env = deployment.start(launcher()).await.unwrap();
+        println!("{}", env.keep_files().display());
         Self::with(deployment, env).await
     }
 
@@ -120,7 +121,8 @@
 
 /// Calls that neither were answered nor told that they did not run.
 pub fn cut_off(records: &[Record]) -> Vec<&Record> {
-    let is_cut = |record: &&Record| matches!(record.verdict, Verdict::Lost | Verdict::MayHaveRun(_));
+    let is_cut =
+        |record: &&Record| matches!(record.verdict, Verdict::Lost | Verdict::MayHaveRun(_));
     records.iter().filter(is_cut).collect()
 }
 
