--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -20,6 +20,7 @@
 
 use crate::callers::{self, CallersConfig, CallersHandle};
 use crate::decide::Decider;
+use crate::decide::record::Recorder;
 use crate::endpoints::{self, EndpointsConfig};
 use crate::logs;
 use crate::metrics::Metrics;
@@ -28,7 +29,7 @@
 use crate::peers::{self, PeersConfig, PeersHandle};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
-use crate::rings::{COMMANDS, EVENTS, Rings};
+use crate::rings::{COMMANDS, Drops, EVENTS, Rings};
 use crate::settings::{self, Settings};
 use crate::store_desk::StoreDesk;
 
@@ -96,7 +97,7 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
-    let (rings, running) = start_duties(cfg, &me, &events_tx, &ready)?;
+    let (rings, running) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
     let (store_tx, store) = mpsc::channel(COMMANDS);
     let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
     let (publisher, published) = snapshot::channel(first);
@@ -106,14 +107,17 @@
     let operators = start_operators(cfg, setup, stop.clone()).map_err(start("operators"))?;
     stop_on_signal(events_tx).map_err(start("signals"))?;
 
+    let settings = node_settings(cfg);
+    let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
     let desk = StoreDesk::new(rings.platform.clone());
     let decider = Decider {
-        node: Node::new(me.clone(), cfg.instance.zone.clone(), node_settings(cfg)),
+        node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
         rings,
         ready,
         observer: Observer::new(Arc::clone(&metrics)),
         publisher: StatePublisher::new(me.clone(), publisher, metrics),
         desk,
+        recorder,
         me,
         address: cfg.instance.peer_address().to_string(),
     };
@@ -131,6 +135,7 @@
     me: &Session,
     events: &mpsc::Sender<Event>,
     ready: &Arc<AtomicBool>,
+    metrics: &Arc<Metrics>,
 ) -> Result<(Rings, Running), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
@@ -154,6 +159,7 @@
         endpoints: endpoints_tx,
         peers: peers_tx,
         platform: platform_tx,
+        drops: Drops::new(Arc::clone(metrics)),
     };
     Ok((rings, Running { callers, peers }))
 }
@@ -191,6 +197,18 @@
     operators::spawn(listener, setup, stop)
 }
 
+fn start_recorder(
+    cfg: &Settings,
+    me: &Session,
+    settings: &NodeSettings,
+) -> io::Result<Option<Recorder>> {
+    let Some(path) = &cfg.trace.record else {
+        return Ok(None);
+    };
+    let recorder = Recorder::start(path, me, &cfg.instance.zone, settings)?;
+    Ok(Some(recorder))
+}
+
 fn start(duty: &'static str) -> impl FnOnce(io::Error) -> Error {
     move |cause| Error::Start { duty, cause }
 }
