--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -535,13 +535,14 @@
             DispatchAction::Reject { origin, fault } => {
                 self.dispatched(origin, fault.outcome(), now, out);
             }
-            DispatchAction::ShardReleased { at, epoch } => {
+            DispatchAction::ShardReleased { at, epoch, floor } => {
                 let report = ShardReleased {
                     service: at.service.clone(),
                     shard: at.shard,
                     epoch,
                     from: name.clone(),
                     dispatcher: self.me.clone(),
+                    floor,
                 };
                 self.send_to_planner(&at.service, PeerMessage::ShardReleased(report), now, out);
             }
@@ -661,8 +662,8 @@
                 continue;
             }
             seat.handed_over = true;
-            let unstarted = seat.waiting_role.take();
-            let mut known = unstarted.map(|role| role.known).unwrap_or_default();
+            let waiting = seat.waiting_role.take();
+            let mut known = waiting.map(|role| role.known).unwrap_or_default();
             for retired in &seat.retired {
                 let more = retired.dispatcher.export();
                 known.floor = known.floor.max(more.floor);
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -26,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::operators::{self, Setup, Snapshot, Token, snapshot};
-use crate::peers::{self, PeerCounters, PeersConfig};
+use crate::peers::{self, PeersConfig, PeersHandle};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
 use crate::rings::{COMMANDS, Drops, EVENTS, Rings};
@@ -97,7 +97,7 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
-    let (rings, callers, peers) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
+    let (rings, running) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
     let (store_tx, store) = mpsc::channel(COMMANDS);
     let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
     let (publisher, published) = snapshot::channel(first);
@@ -110,8 +110,8 @@
     let settings = node_settings(cfg);
     let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
     let publisher = StatePublisher::new(me.clone(), publisher, Arc::clone(&metrics))
-        .with_peers(peers)
-        .with_malformed(Arc::clone(&callers.malformed));
+        .with_peers(Arc::clone(&running.peers.counters))
+        .with_malformed(Arc::clone(&running.callers.malformed));
     let desk = StoreDesk::new(rings.platform.clone());
     let decider = Decider {
         node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
@@ -125,8 +125,7 @@
         address: cfg.instance.peer_address().to_string(),
     };
     decider.run(events, store).await;
-    callers.stop();
-    callers.join();
+    running.end();
     stop.cancel();
     if operators.join().is_err() {
         log::error!("thread of the administration API panicked");
@@ -140,7 +139,7 @@
     events: &mpsc::Sender<Event>,
     ready: &Arc<AtomicBool>,
     metrics: &Arc<Metrics>,
-) -> Result<(Rings, CallersHandle, Arc<PeerCounters>), Error> {
+) -> Result<(Rings, Running), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
     let (endpoints_tx, endpoints_rx) = mpsc::channel(COMMANDS);
@@ -165,7 +164,31 @@
         platform: platform_tx,
         drops: Drops::new(Arc::clone(metrics)),
     };
-    Ok((rings, callers, peers.counters))
+    Ok((rings, Running { callers, peers }))
+}
+
+/// Duties that have words to say when the deciding thread has ended.
+#[derive(Debug)]
+struct Running {
+    callers: CallersHandle,
+    peers: PeersHandle,
+}
+
+impl Running {
+    /// Waits until both have given what they were told.
+    ///
+    /// Failure guarded against: an outcome of a forwarded request is still in the
+    /// ring to the peers, or in a socket's buffer, when the process exits. The
+    /// entry that waits for it sees the connection close, and its caller is told
+    /// that the request may have run. The ring's sender is gone by now, so the
+    /// peers' thread gives what it has and ends, within its own time limit.
+    fn end(self) {
+        self.callers.stop();
+        self.callers.join();
+        if self.peers.thread.join().is_err() {
+            log::error!("thread of the peers' duty panicked");
+        }
+    }
 }
 
 fn start_operators(
