No order leaves after the end of the hold it was decided under

Fault: a dispatcher that does not hold any more sent an order, and an endpoint that does not check ran it after orders of the successor. Cause: the right to act was looked at when the order was decided. Between that and the write lie a ring and another thread; the process was stopped in between for longer than its successors' promises. The gate before the write knew only the deadline of the request, which was seconds away. Ruled out: the successor (it had waited out its promise and its write stood), the hold (it did not act after the pause), a late packet (the run began in the moment the process went on, 723 ms after the request was made). Conclusion: an order carries the end of the hold on the monotonic clock, and the gate compares it as the last step before the write. A pause within the system call remains, for endpoints that do not check.

--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -159,6 +159,14 @@
         held.then_some(tenure.epoch)
     }
 
+    /// When the right to act that is held now ends; it may be renewed before.
+    #[must_use]
+    pub fn held_until(&self) -> Option<Mono> {
+        let tenure = self.tenure.as_ref()?;
+        let lists = self.lists();
+        lists.iter().map(|list| tenure.held_until(list)).min()
+    }
+
     /// Takes a row read from the store or heard from a peer.
     #[must_use]
     pub fn row(&mut self, row: &DispatchRow, version: Version, now: Now) -> Vec<HoldAction> {
--- a/crates/citronway-core/src/hold/tenure.rs
+++ b/crates/citronway-core/src/hold/tenure.rs
@@ -194,6 +194,19 @@
         true
     }
 
+    /// When the first promise among `list` ends that is needed; never if none is.
+    pub fn held_until(&self, list: &[Session]) -> Mono {
+        let mut first = Mono(u64::MAX);
+        for session in list {
+            if self.absent.get(session).is_some_and(|it| it.sealed) {
+                continue;
+            }
+            let until = self.members.get(session).map(|member| member.until);
+            first = first.min(until.unwrap_or_default());
+        }
+        first
+    }
+
     /// Notes that `session` is gone. `read` and `write` are the latest numbers.
     ///
     /// Failure guarded against: a successor takes over after its promise has
--- a/crates/citronway-core/src/node/events.rs
+++ b/crates/citronway-core/src/node/events.rs
@@ -12,7 +12,7 @@
 use crate::platform::{ConditionalPut, InstanceList, Row, WriteOutcome};
 use crate::request::{Fence, Labels, Repeat, Request};
 use crate::shard::HashRange;
-use crate::time::{Now, Wall};
+use crate::time::{Mono, Now, Wall};
 
 /// Number that ties an answer to what asked for it, unique within a process.
 pub type Ticket = u64;
@@ -261,6 +261,8 @@
         connections: u32,
         /// What fences the order.
         fence: Fence,
+        /// End of the right to send it: not a byte of it may leave from then on.
+        held_until: Mono,
         /// The request.
         request: Request,
     },
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -35,6 +35,8 @@
     handed_over: bool,
 }
 
+/// End of a right that needs no hold.
+const NEVER: Mono = Mono(u64::MAX);
 /// Epoch of a new row: there was no dispatcher before, as rows are never removed.
 const FIRST_EPOCH: Epoch = Epoch(1);
 
@@ -579,9 +581,11 @@
         let Some(seat) = self.seats.by_endpoint.get_mut(name) else {
             return;
         };
+        let held_until = seat.hold.held_until().unwrap_or_default();
         let Some(active) = seat.of_epoch(epoch) else {
             return;
         };
+        let held_until = if active.free { NEVER } else { held_until };
         let (address, connections) = active.dispatcher.address();
         let endpoint = name.clone();
         let mut draw = |ticket| {
@@ -604,6 +608,7 @@
                     address,
                     connections,
                     fence,
+                    held_until,
                     request,
                 }
             }
--- a/crates/citronway/src/endpoints/command.rs
+++ b/crates/citronway/src/endpoints/command.rs
@@ -5,6 +5,7 @@
 use citronway_core::ids::{EndpointName, RequestId};
 use citronway_core::node::events::{Grant, Ticket};
 use citronway_core::request::{Fence, Request};
+use citronway_core::time::Mono;
 
 /// A command to the endpoints' duty.
 #[derive(Debug)]
@@ -19,8 +20,10 @@
         connections: u32,
         /// What fences the order.
         fence: Fence,
+        /// End of the right to send it: not a byte of it may leave from then on.
+        held_until: Mono,
         /// The request.
-        request: Request,
+        request: Box<Request>,
     },
     /// Ask an endpoint not to run an order; answered by `Event::CancelDone`.
     Cancel {
--- a/crates/citronway/src/endpoints/duty.rs
+++ b/crates/citronway/src/endpoints/duty.rs
@@ -15,6 +15,7 @@
 use super::command::{EndpointCommand, Target};
 use super::config::EndpointsConfig;
 use super::control::{self, ControlError};
+use super::gate::Until;
 use super::order;
 use super::pools::{EndpointPool, Pools};
 
@@ -63,12 +64,14 @@
                 to,
                 connections,
                 fence,
+                held_until,
                 request,
             } => {
+                let until = Until::held(request.deadline, held_until);
                 let pool = self.pools.with_limit(&self.cfg, &to, connections);
                 let cfg = Arc::clone(&self.cfg);
                 self.report(async move {
-                    let reply = send_order(&cfg, &pool, &to, &fence, &request).await;
+                    let reply = send_order(&cfg, &pool, &to, (&fence, until), &request).await;
                     Event::OrderDone { ticket, reply }
                 });
             }
@@ -119,7 +122,7 @@
     cfg: &EndpointsConfig,
     pool: &EndpointPool,
     to: &Target,
-    fence: &Fence,
+    (fence, until): (&Fence, Until),
     req: &Request,
 ) -> OrderReply {
     let order = match order::http_request(&to.address.to_string(), fence, req) {
@@ -129,7 +132,7 @@
             return OrderReply::NotSent;
         }
     };
-    match pool.data.send(cfg, order, req.deadline).await {
+    match pool.data.send(cfg, order, until).await {
         Ok(done) => {
             let reply = order::read_answer(req.id, done.answer);
             if reply != OrderReply::Foreign {
--- a/crates/citronway/src/endpoints/gate.rs
+++ b/crates/citronway/src/endpoints/gate.rs
@@ -6,11 +6,35 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 
-use citronway_core::time::Wall;
+use citronway_core::time::{Mono, Wall};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::clock::wall_now;
+use crate::clock;
+
+/// Until when a request may leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Until {
+    /// Deadline of the request.
+    pub deadline: Wall,
+    /// End of the sender's right to send it.
+    pub held: Mono,
+}
+
+impl Until {
+    /// Until the deadline, as long as the right to send is held.
+    #[must_use]
+    pub const fn held(deadline: Wall, held: Mono) -> Self {
+        Self { deadline, held }
+    }
+}
+
+impl From<Wall> for Until {
+    /// What needs no right is only bound by its deadline.
+    fn from(deadline: Wall) -> Self {
+        Self::held(deadline, Mono(u64::MAX))
+    }
+}
 
 /// State of the gate of one connection.
 ///
@@ -20,7 +44,8 @@
 /// first one, and because nothing passes any more once the note has been read.
 #[derive(Debug)]
 pub struct Gate {
-    until: AtomicU64,
+    deadline: AtomicU64,
+    held: AtomicU64,
     written: AtomicBool,
     shut: AtomicBool,
 }
@@ -30,15 +55,17 @@
     #[must_use]
     pub const fn new() -> Self {
         Self {
-            until: AtomicU64::new(0),
+            deadline: AtomicU64::new(0),
+            held: AtomicU64::new(0),
             written: AtomicBool::new(false),
             shut: AtomicBool::new(false),
         }
     }
 
     /// Lets one request pass, if its first byte is written before `until`.
-    pub fn arm(&self, until: Wall) {
-        self.until.store(until.0, Ordering::SeqCst);
+    pub fn arm(&self, until: Until) {
+        self.deadline.store(until.deadline.0, Ordering::SeqCst);
+        self.held.store(until.held.0, Ordering::SeqCst);
         self.written.store(false, Ordering::SeqCst);
     }
 
@@ -56,11 +83,14 @@
             return Ok(());
         }
         // Failure guarded against: the process is paused between its decision
-        // and the write, and an order leaves after its deadline. It shows as
-        // work that runs after its caller was told otherwise. This is the last
-        // step before the system call; a pause within the call is left to
-        // endpoints that check the deadline themselves.
-        if wall_now().0 >= self.until.load(Ordering::SeqCst) {
+        // and the write, and an order leaves after its deadline, or after a
+        // successor has taken the endpoint over. It shows as work that runs
+        // after its caller was told otherwise, or for two dispatchers. This is
+        // the last step before the system call; a pause within the call is left
+        // to endpoints that check deadlines and epochs themselves.
+        let now = clock::now();
+        let late = now.wall.0 >= self.deadline.load(Ordering::SeqCst);
+        if late || now.mono.0 >= self.held.load(Ordering::SeqCst) {
             return Err(io::ErrorKind::TimedOut.into());
         }
         Ok(())
--- a/crates/citronway/src/endpoints/lane.rs
+++ b/crates/citronway/src/endpoints/lane.rs
@@ -12,6 +12,7 @@
 
 use super::clock::time_until;
 use super::config::EndpointsConfig;
+use super::gate::Until;
 use super::link::{ExchangeError, Exchanged, Link};
 use super::slots::Slots;
 
@@ -50,9 +51,9 @@
         &self,
         cfg: &EndpointsConfig,
         req: Request<Full<Bytes>>,
-        until: Wall,
+        until: Until,
     ) -> Result<Exchanged, ExchangeError> {
-        let Some(link) = self.link(cfg, until).await? else {
+        let Some(link) = self.link(cfg, until.deadline).await? else {
             return Err(ExchangeError::NotSent("connections are used up".to_owned()));
         };
         link.exchange(req, until, cfg.max_answer_bytes).await
@@ -71,7 +72,7 @@
     ) -> Result<Exchanged, ExchangeError> {
         loop {
             if let Some(link) = self.link(cfg, until).await? {
-                return link.exchange(req, until, cfg.max_answer_bytes).await;
+                return link.exchange(req, until.into(), cfg.max_answer_bytes).await;
             }
             timeout(time_until(until), self.slots.freed())
                 .await
--- a/crates/citronway/src/endpoints/link.rs
+++ b/crates/citronway/src/endpoints/link.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use citronway_core::time::Wall;
 use http::header::{HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -17,7 +16,7 @@
 use tokio::time::timeout;
 
 use super::clock::time_until;
-use super::gate::{Gate, GatedStream};
+use super::gate::{Gate, GatedStream, Until};
 
 /// How long a connection may take to become ready after a whole answer.
 const READY_WAIT: Duration = Duration::from_millis(50);
@@ -125,11 +124,15 @@
     pub async fn exchange(
         mut self,
         req: Request<Full<Bytes>>,
-        until: Wall,
+        until: Until,
         limit: usize,
     ) -> Result<Exchanged, ExchangeError> {
         self.gate.arm(until);
-        let result = timeout(time_until(until), whole(&mut self.sender, req, limit)).await;
+        let result = timeout(
+            time_until(until.deadline),
+            whole(&mut self.sender, req, limit),
+        )
+        .await;
         match result {
             Ok(Ok(answer)) => Ok(Exchanged {
                 answer,
--- a/crates/citronway/src/platform/http.rs
+++ b/crates/citronway/src/platform/http.rs
@@ -85,7 +85,9 @@
         let until = wall_now().plus(self.timeout_ms);
         let wait = Duration::from_millis(self.timeout_ms);
         let link = Link::open(self.address, wait, ()).await?;
-        let done = link.exchange(req, until, self.max_answer_bytes).await?;
+        let done = link
+            .exchange(req, until.into(), self.max_answer_bytes)
+            .await?;
         Ok(done.answer)
     }
 
--- a/crates/citronway/src/rings.rs
+++ b/crates/citronway/src/rings.rs
@@ -126,6 +126,7 @@
                 address,
                 connections,
                 fence,
+                held_until,
                 request,
             } => {
                 let to = Target { endpoint, address };
@@ -134,7 +135,8 @@
                     to,
                     connections,
                     fence,
-                    request,
+                    held_until,
+                    request: Box::new(request),
                 };
                 let not_sent = Event::OrderDone {
                     ticket,
--- a/crates/citronway/tests/endpoints.rs
+++ b/crates/citronway/tests/endpoints.rs
@@ -13,7 +13,7 @@
 use citronway_core::node::{Event, events::Ticket};
 use citronway_core::outcome::Answer;
 use citronway_core::request::{Fence, Repeat, Request};
-use citronway_core::time::Wall;
+use citronway_core::time::{Mono, Wall};
 use common::{Peer, dead_address, listener, next};
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
@@ -79,7 +79,8 @@
             to: self.target(),
             connections,
             fence: fence(),
-            request: request(id, wall_now().plus(ms)),
+            held_until: Mono(u64::MAX),
+            request: Box::new(request(id, wall_now().plus(ms))),
         });
         id
     }
@@ -318,13 +319,13 @@
     let stream = tokio::net::TcpStream::connect(address).await.unwrap();
     let mut peer = Peer::accept(&listener);
     let mut stream = GatedStream::new(stream, Arc::clone(&gate));
-    gate.arm(wall_now());
+    gate.arm(wall_now().into());
     let late = stream.write_all(b"late").await;
     expect_that!(
         late.map_err(|err| err.kind()),
         err(eq(std::io::ErrorKind::TimedOut))
     );
-    gate.arm(wall_now().plus(FAR_MS));
+    gate.arm(wall_now().plus(FAR_MS).into());
     expect_that!(stream.write_all(b"timely").await, ok(anything()));
     expect_that!(gate.shut(), is_true());
     expect_that!(stream.write_all(b"after").await, err(anything()));
@@ -332,6 +333,27 @@
     expect_that!(peer.until_closed(), eq("timely".len()));
 }
 
+/// A dispatcher is paused between its decision to send and the write, for longer
+/// than its successors' promises. One of them takes over; then the old one goes on
+/// and the order leaves in time for its deadline. An endpoint that does not check
+/// works for two dispatchers.
+#[gtest]
+fn no_order_leaves_after_the_end_of_the_hold() {
+    let mut bench = Bench::new();
+    let mut peer = bench.idle();
+    let id = RequestId(Uuid::now_v7());
+    bench.command(EndpointCommand::SendOrder {
+        ticket: 2,
+        to: bench.target(),
+        connections: CONNECTIONS,
+        fence: fence(),
+        held_until: Mono(1),
+        request: Box::new(request(id, wall_now().plus(FAR_MS))),
+    });
+    expect_that!(bench.reply(), eq(&OrderReply::NotSent));
+    expect_that!(peer.until_closed(), eq(0));
+}
+
 /// Stuck orders hold all connections that an endpoint takes, and its grants
 /// lapse. Its keys would move away from a healthy endpoint, because grants and
 /// cancellations had to wait for the same connections.
