--- a/crates/citronway/src/decide.rs
+++ b/crates/citronway/src/decide/mod.rs
@@ -1,5 +1,8 @@
 //! The deciding thread: feeds events to the machine and hands out its actions.
 
+pub mod record;
+mod redact;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +20,7 @@
 use crate::publish::StatePublisher;
 use crate::rings::Rings;
 use crate::store_desk::StoreDesk;
+use record::Recorder;
 
 /// Time between two ticks of the machine.
 const TICK: Duration = Duration::from_millis(10);
@@ -38,6 +42,8 @@
     pub publisher: StatePublisher,
     /// Reads and writes of the administration API.
     pub desk: StoreDesk,
+    /// Records what the machine is fed, if that is wanted.
+    pub recorder: Option<Recorder>,
     /// This session.
     pub me: Session,
     /// Address under which other instances find this one.
@@ -60,7 +66,7 @@
                     continue;
                 }
                 _ = shows.tick() => {
-                    self.publisher.publish(&self.node, clock::now());
+                    self.show();
                     continue;
                 }
             };
@@ -68,11 +74,19 @@
                 return;
             };
             if !self.feed(event) {
+                self.show();
                 return;
             }
         }
     }
 
+    /// Shows operators how things stand.
+    fn show(&mut self) {
+        let now = clock::now();
+        self.publisher.publish(&self.node, now);
+        self.rings.drops.log(now.mono);
+    }
+
     /// Feeds one event and what follows from it; returns false at the end.
     fn feed(&mut self, event: Event) -> bool {
         let mut queue = VecDeque::from([event]);
@@ -85,6 +99,9 @@
             let at = Instant::now();
             self.observer.event(&event, self.node.view(), at);
             let now = clock::now();
+            if let Some(recorder) = &mut self.recorder {
+                recorder.record(&event, now);
+            }
             for action in self.node.handle(event, now) {
                 if action == Action::Exit {
                     return false;
@@ -113,13 +130,13 @@
     }
 
     /// The peers duty connects to the listed instances.
-    fn pass_instances_on(&self, event: &Event) {
+    fn pass_instances_on(&mut self, event: &Event) {
         let Event::Instances { list, .. } = event else {
             return;
         };
         let command = PeerCommand::SetInstances(list.instances.clone());
         if self.rings.peers.try_send(command).is_err() {
-            log::warn!("ring to peers is full, instance list was not passed on");
+            self.rings.drops.count("peers");
         }
     }
 }
