Placement: chance differences of load move no shards

Cause: reports of a second were smoothed over about 4 s, so counts of a few requests differed by chance, and imbalance was relative to the mean load, so that at a few percent utilisation the same chance counted as much as at full load. Shards went back and forth. A shard or key without requests was also not named in a report and kept its last load for ever.

Now: the estimate is a mean over up to 30 s that counts absent as zero and knows its variance; a difference of utilisation counts only beyond four standard deviations; keys count for a tenth of the capacity beside the load; nothing moves for balance in the first 10 s after an election; the load of a hot key goes with it when it is split off or folded; a key is hot only if it surely is; a cooled key at home is folded although it rests, as that moves nothing.

--- a/crates/citronway-core/src/placement/balance.rs
+++ b/crates/citronway-core/src/placement/balance.rs
@@ -1,5 +1,6 @@
 //! Moves for balance: each has to gain more than it costs.
 
+use super::burden::{Burden, Burdens};
 use super::gain::{MoveCost, Whole, cost, gain};
 use super::plan::{Budget, Cause, Move, Plan, PlanInput};
 use super::ranges::share;
@@ -14,6 +15,8 @@
     pub(super) input: &'a PlanInput<'a>,
     /// Shards of the group.
     pub(super) shards: &'a [&'a Shard],
+    /// What the shards count for.
+    pub(super) burdens: Burdens<'a>,
 }
 
 /// A move with what it is worth.
@@ -22,7 +25,7 @@
     shard: ShardId,
     from: Seat,
     to: Seat,
-    load: u64,
+    burden: Burden,
     net: f64,
 }
 
@@ -47,8 +50,8 @@
             cause: Cause::Balance,
         });
         tally.drop_movable(offer.from, offer.shard);
-        tally.take(offer.from, offer.load);
-        tally.add(offer.to, offer.load);
+        tally.take(offer.from, offer.burden);
+        tally.add(offer.to, offer.burden);
     }
 }
 
@@ -86,10 +89,11 @@
         return None;
     }
     let input = group.input;
-    let load = input.loads.of(shard);
+    let own = input.assignment.shards.get(&shard)?;
+    let burden = group.burdens.of(own);
     let gain = gain(
         input.weights,
-        load,
+        burden.load,
         tally.giving(from),
         tally.taking(to),
         whole,
@@ -101,7 +105,7 @@
     let cost = cost(
         input.weights,
         MoveCost {
-            keys: keys(group, shard, load, whole.load),
+            keys: keys(group, own, burden.load, whole.load),
             move_ms: input.move_ms,
             losses: f64::from(tally.at(to).standing.losses),
             loss_ms: input.limits.loss_ms,
@@ -112,16 +116,13 @@
         shard,
         from,
         to,
-        load,
+        burden,
         net,
     })
 }
 
 /// Share of the group's keys in a shard, by width; a hot key counts by its load.
-fn keys(group: &Balance<'_>, shard: ShardId, load: u64, whole: u64) -> f64 {
-    let Some(shard) = group.input.assignment.shards.get(&shard) else {
-        return 1.0;
-    };
+fn keys(group: &Balance<'_>, shard: &Shard, load: u64, whole: u64) -> f64 {
     if shard.range.first == shard.range.last && group.shards.len() > 1 {
         return load as f64 / whole as f64;
     }
--- a/crates/citronway-core/src/placement/gain.rs
+++ b/crates/citronway-core/src/placement/gain.rs
@@ -11,11 +11,20 @@
 /// Time that imbalance and unavailable time are counted in, in milliseconds.
 pub const UNIT_MS: f64 = 60_000.0;
 
+/// Standard deviations that a difference of utilisation has to go beyond.
+///
+/// The most and the least utilised of many endpoints are compared several times
+/// a second, so that four deviations come up each hour by chance.
+const DEVIATIONS: f64 = 4.0;
+
 /// An endpoint that gives or takes load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Side {
     /// Its load, in thousandths of a slot.
     pub load: u64,
+    /// Variance of the load by the chance of arrivals, in square thousandths of
+    /// a slot.
+    pub variance: u64,
     /// Its capacity, in thousandths of a slot.
     pub capacity: u64,
 }
@@ -62,10 +71,27 @@
     let relief = load * (2.0 * from.load as f64 - load) / from.capacity as f64;
     let burden = load * (2.0 * to.load as f64 + load) / to.capacity as f64;
     let total = whole.load as f64;
-    let less = (relief - burden) * whole.capacity as f64 / (total * total);
+    let doubt = 2.0 * load * noise(from, to);
+    let less = (relief - burden - doubt) * whole.capacity as f64 / (total * total);
     weights.imbalance * less * horizon_ms as f64 / UNIT_MS
 }
 
+/// Difference of utilisation that chance alone may make.
+///
+/// Failure: two endpoints with the same load are measured a little apart, each
+/// time another way round; shards go back and forth between them for ever, and
+/// each time their keys are not served for a moment. Guard: only what goes
+/// beyond chance counts.
+fn noise(from: Side, to: Side) -> f64 {
+    let squares = relative_variance(from) + relative_variance(to);
+    DEVIATIONS * squares.sqrt()
+}
+
+fn relative_variance(side: Side) -> f64 {
+    let capacity = side.capacity as f64;
+    side.variance as f64 / (capacity * capacity)
+}
+
 /// Cost of a move, in weighted cost.
 ///
 /// Each expected loss of the new owner forces the keys to move once more and
--- a/crates/citronway-core/src/placement/keys.rs
+++ b/crates/citronway-core/src/placement/keys.rs
@@ -2,6 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::burden::Burden;
 use super::plan::{Budget, Cause, Move, Plan, PlanInput, Split};
 use super::ranges::range_around;
 use super::tally::Tally;
@@ -66,7 +67,7 @@
 ) {
     let input = keys.input;
     let load = input.loads.of(hot.shard);
-    if load.max(input.loads.of_key(hot.hash)) >= cooled || input.resting.contains(&hot.shard) {
+    if load.max(input.loads.of_key(hot.hash)) >= cooled {
         return;
     }
     let range = range_around(input.assignment, &hot.group, hot.hash);
@@ -91,9 +92,12 @@
         tally.drop_movable(seat, range.id);
         return;
     }
-    if !budget.take() {
+    // The range waits for its key, or the key would go after it for ever.
+    tally.drop_movable(to_seat, range.id);
+    if input.resting.contains(&hot.shard) || !budget.take() {
         return;
     }
+    let burden = Burden::measured(input.loads, hot.shard);
     plan.moves.push(Move {
         shard: hot.shard,
         from: Some(from.clone()),
@@ -101,10 +105,8 @@
         cause: Cause::Cooled,
     });
     tally.drop_movable(seat, hot.shard);
-    tally.take(seat, load);
-    tally.add(to_seat, load);
-    // The range waits for its key.
-    tally.drop_movable(to_seat, range.id);
+    tally.take(seat, burden);
+    tally.add(to_seat, burden);
 }
 
 fn split(
@@ -121,6 +123,9 @@
         if free == 0 || hot.load < threshold {
             return;
         }
+        if hot.sure_load() < threshold {
+            continue;
+        }
         if is_split(&input.assignment.hot, group, hot.hash) {
             continue;
         }
--- a/crates/citronway-core/src/placement/mod.rs
+++ b/crates/citronway-core/src/placement/mod.rs
@@ -5,8 +5,11 @@
 //! giving a key two owners, and [`planner`] gets the result written.
 
 mod balance;
+pub mod burden;
 pub mod check;
+mod counts;
 pub mod dispatchers;
+pub mod estimate;
 pub mod gain;
 pub mod hot;
 mod keys;
--- a/crates/citronway-core/src/placement/plan.rs
+++ b/crates/citronway-core/src/placement/plan.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::balance::{Balance, balance};
+use super::burden::Burdens;
 use super::keys::{Keys, fold_or_split};
 use super::loads::Loads;
 use super::members::Standing;
@@ -145,7 +146,17 @@
     for group in input.groups {
         let mut tally = Tally::new(&group.members);
         let shards = by_group.get(&group.group).map_or(&[][..], Vec::as_slice);
-        place(input, shards, &mut tally, &mut budget, &mut plan);
+        let burdens = Burdens::new(input.loads, &group.members);
+        place(
+            &Balance {
+                input,
+                shards,
+                burdens,
+            },
+            &mut tally,
+            &mut budget,
+            &mut plan,
+        );
         tallies.push(tally);
     }
     fold_or_split(
@@ -159,7 +170,17 @@
     );
     for (group, tally) in input.groups.iter().zip(&mut tallies) {
         let shards = by_group.get(&group.group).map_or(&[][..], Vec::as_slice);
-        balance(&Balance { input, shards }, tally, &mut budget, &mut plan);
+        let burdens = Burdens::new(input.loads, &group.members);
+        balance(
+            &Balance {
+                input,
+                shards,
+                burdens,
+            },
+            tally,
+            &mut budget,
+            &mut plan,
+        );
     }
     plan
 }
@@ -222,16 +243,11 @@
 }
 
 /// Counts the shards that stay, then places those that cannot stay.
-fn place(
-    input: &PlanInput<'_>,
-    shards: &[&Shard],
-    tally: &mut Tally<'_>,
-    budget: &mut Budget,
-    plan: &mut Plan,
-) {
+fn place(group: &Balance<'_>, tally: &mut Tally<'_>, budget: &mut Budget, plan: &mut Plan) {
+    let input = group.input;
     let mut homeless = Vec::new();
-    for shard in shards {
-        let load = input.loads.of(shard.id);
+    for shard in group.shards {
+        let burden = group.burdens.of(shard);
         let holder = match &shard.ownership {
             Ownership::Unowned => None,
             Ownership::Owned { owner } => tally.seat(owner),
@@ -242,22 +258,22 @@
             homeless.push(*shard);
             continue;
         };
-        tally.add(seat, load);
+        tally.add(seat, burden);
         let owned = matches!(shard.ownership, Ownership::Owned { .. });
         if owned && !input.resting.contains(&shard.id) {
             tally.note_movable(seat, shard.id);
         }
     }
     for shard in homeless {
-        let load = input.loads.of(shard.id);
-        let Some(seat) = tally.best(load) else {
+        let burden = group.burdens.of(shard);
+        let Some(seat) = tally.best(burden.load) else {
             continue;
         };
         let to = tally.at(seat).standing.endpoint.clone();
         let Some(step) = forced(shard, to, tally, budget) else {
             continue;
         };
-        tally.add(seat, load);
+        tally.add(seat, burden);
         plan.moves.push(step);
     }
 }
--- a/crates/citronway-core/src/placement/planner/mod.rs
+++ b/crates/citronway-core/src/placement/planner/mod.rs
@@ -15,7 +15,7 @@
 mod settings;
 mod writes;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 pub use election::Role;
 pub use events::{
@@ -62,6 +62,8 @@
     planned: Mono,
     /// Election that the knowledge of members was last adjusted for.
     took_over: Option<Epoch>,
+    /// Until then loads are not known well enough to move shards for balance.
+    learning_until: Mono,
     failure: Option<ProposeError>,
 }
 
@@ -85,6 +87,7 @@
             dirty: true,
             planned: Mono(0),
             took_over: None,
+            learning_until: Mono(0),
             failure: None,
         }
     }
@@ -206,6 +209,7 @@
             return;
         };
         self.pace.learn(assignment, now);
+        self.loads.learn(assignment);
         self.releases.retain(|_, report| fits(assignment, report));
         self.given_up
             .retain(|_, report| is_given_up(assignment, report));
@@ -277,7 +281,7 @@
                 loads: &self.loads,
                 releases: &self.releases,
                 given_up: &self.given_up,
-                resting: &self.pace.resting(self.settings.rest_ms, now.mono),
+                resting: &self.resting(&present, now.mono),
                 limits: self.settings.limits,
                 move_ms: self.pace.move_ms(),
                 planner_epoch: epoch,
@@ -296,6 +300,18 @@
         }
     }
 
+    /// Shards that are not to be moved for balance now.
+    ///
+    /// Failure: a planner that was just elected knows no loads, takes endpoints
+    /// with few but busy shards for idle, and moves shards to them. Guard: all
+    /// shards rest until loads have been reported for a while.
+    fn resting(&self, present: &Assignment, now: Mono) -> IndexSet<ShardId> {
+        if now < self.learning_until {
+            return present.shards.keys().copied().collect();
+        }
+        self.pace.resting(self.settings.rest_ms, now)
+    }
+
     fn standing(&self, wanted: &Wanted, now: Mono) -> Vec<StandingGroup> {
         let mut groups = Vec::with_capacity(wanted.groups.len());
         for group in &wanted.groups {
--- a/crates/citronway-core/src/placement/planner/reports.rs
+++ b/crates/citronway-core/src/placement/planner/reports.rs
@@ -9,6 +9,13 @@
 use crate::shard::{Assignment, Ownership};
 use crate::time::Mono;
 
+/// Time after an election in which loads are learnt and nothing moves for
+/// balance, in milliseconds.
+///
+/// Endpoints that return go on to be trusted with more in the meantime, so a
+/// longer time would end in a storm of moves.
+const LEARNING_MS: u64 = 10_000;
+
 impl Planner {
     pub(super) fn released(&mut self, report: ShardReleased) {
         if report.service != self.service {
@@ -69,6 +76,7 @@
         if self.took_over.replace(epoch) == Some(epoch) {
             return;
         }
+        self.learning_until = now.plus(LEARNING_MS);
         if let Some(assignment) = self.rows.assignment.value() {
             self.book.take_over(&next_owners(assignment), now);
         }
--- a/crates/citronway-core/src/placement/tally.rs
+++ b/crates/citronway-core/src/placement/tally.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use super::burden::Burden;
 use super::gain::{Side, Whole};
 use super::members::Standing;
 use crate::ids::{EndpointName, ShardId};
@@ -18,6 +19,8 @@
     pub standing: &'a Standing,
     /// Load it has or is about to have, in thousandths of a slot.
     pub load: u64,
+    /// Variance of that load, in square thousandths of a slot.
+    pub variance: u64,
     /// Shards it owns that may be moved.
     pub movable: Vec<ShardId>,
     /// Capacity it may be given load for, in thousandths of a slot.
@@ -72,6 +75,7 @@
             tally.members.push(Tallied {
                 standing,
                 load: 0,
+                variance: 0,
                 movable: Vec::new(),
                 open,
             });
@@ -93,16 +97,18 @@
     }
 
     /// Counts a shard that stays where it is, or comes.
-    pub fn add(&mut self, seat: Seat, load: u64) {
+    pub fn add(&mut self, seat: Seat, burden: Burden) {
         self.unrank(seat);
-        self.members[seat].load += load;
+        self.members[seat].load += burden.load;
+        self.members[seat].variance += burden.variance;
         self.rank(seat);
     }
 
     /// Counts a shard off that goes.
-    pub fn take(&mut self, seat: Seat, load: u64) {
+    pub fn take(&mut self, seat: Seat, burden: Burden) {
         self.unrank(seat);
-        self.members[seat].load -= load;
+        self.members[seat].load -= burden.load;
+        self.members[seat].variance -= burden.variance;
         self.rank(seat);
     }
 
@@ -190,6 +196,7 @@
         let member = &self.members[seat];
         Side {
             load: member.load,
+            variance: member.variance,
             capacity: member.standing.capacity(),
         }
     }
@@ -200,6 +207,7 @@
         let member = &self.members[seat];
         Side {
             load: member.load,
+            variance: member.variance,
             capacity: member.open,
         }
     }
--- a/crates/citronway-core/tests/placement_support/mod.rs
+++ b/crates/citronway-core/tests/placement_support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod traffic;
+
 use citronway_core::config::Weights;
 use citronway_core::ids::*;
 use citronway_core::peer::{EndpointLoad, EndpointLost, ShardReleased};
