--- a/crates/citronway-core/src/dispatch/reporting.rs
+++ b/crates/citronway-core/src/dispatch/reporting.rs
@@ -1,10 +1,11 @@
 //! Reports to the planner and to operators.
 
+use super::grants::ReleasedShard;
 use super::health::Reach;
 use super::machine::Dispatcher;
-use super::message::{DispatchAction, ShardEpoch, Turn};
+use super::message::{DispatchAction, Turn};
 use crate::ids::EndpointName;
-use crate::peer::{EndpointLoad, HotKey, KnownRequest, ShardLoad};
+use crate::peer::{EndpointLoad, HotKey, KnownRequests, ShardLoad};
 use crate::shard::KeyHash;
 use crate::time::Wall;
 
@@ -66,10 +67,13 @@
         self.queue.is_empty() && self.slots.used() == 0
     }
 
-    /// What is known of non-idempotent requests, for a successor.
+    /// What is known of non-idempotent requests, for a successor. Requests that
+    /// still wait were not sent, so nothing is known of them.
     #[must_use]
-    pub fn export(&self) -> Vec<KnownRequest> {
-        self.duplicates.export()
+    pub fn export(&self) -> KnownRequests {
+        let mut known = self.duplicates.export();
+        known.requests.retain(|req| !self.queue.contains(req.id));
+        known
     }
 
     /// Load since the last call, for the planner.
@@ -117,19 +121,16 @@
         if unreachable && self.quiet {
             // Shards that were assigned since the endpoint fell silent are told
             // free by this report as well, so they must be barred as well.
-            self.grants.release_all();
+            self.bar_shards();
         }
-        // Failure guarded against: the report is lost and the endpoint comes
-        // back. Its barred shards would wait for a new epoch that nobody gives,
-        // so they are reported for as long as there are any.
-        let quiet = self.grants.has_barred();
-        if unreachable || quiet {
-            self.out.push(DispatchAction::EndpointLost {
-                quiet: quiet || self.quiet,
-            });
+        if unreachable {
+            let quiet = self.quiet;
+            self.out.push(DispatchAction::EndpointLost { quiet });
         }
-        for ShardEpoch { at, epoch } in self.grants.released() {
-            self.out.push(DispatchAction::ShardReleased { at, epoch });
+        let floor = self.duplicates.floor();
+        for ReleasedShard { at, epoch, floor } in self.grants.released(!unreachable, floor) {
+            self.out
+                .push(DispatchAction::ShardReleased { at, epoch, floor });
         }
     }
 
@@ -138,10 +139,7 @@
         if self.quiet || self.health.reach() != Reach::Unreachable {
             return;
         }
-        let bounds = self.bounds();
-        let granted = self.grants.quiet_at(bounds) > turn.now.wall;
-        let ordered = !bounds.checks_orders && self.slots.used() > 0;
-        if granted || ordered {
+        if self.grants.quiet_at(self.bounds()) > turn.now.wall {
             return;
         }
         self.quiet = true;
@@ -150,6 +148,15 @@
         // other endpoints. Were the endpoint to come back and be granted them
         // again meanwhile, they would have two owners; so they stay barred
         // until the assignment gives them a new epoch.
-        self.grants.release_all();
+        self.bar_shards();
+    }
+
+    /// An endpoint that checks cannot commit what it still runs. One that does
+    /// not check may: shards with such orders are waited for, one by one.
+    fn bar_shards(&mut self) {
+        let checks = self.endpoint.checks_orders;
+        let slots = &self.slots;
+        self.grants
+            .release_idle(|part| !checks && slots.any_in(part));
     }
 }
