An instance without the platform's list takes no work

Cause: an instance that starts while the platform is down gets all rows from its peers but has no list of instances, so it finds no dispatcher and most of what it takes ends as 'dispatcher unreachable' (seen by hand). Ruled out: addresses of peers along with the rows (a change of the greeting). Run: tests of the core pass.

--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -104,7 +104,7 @@
         if self.is_leaving(now) {
             return Err(NotRunReason::ShuttingDown);
         }
-        let config = self.view.servable(now.mono)?;
+        let config = self.servable(now)?;
         let class = config
             .route(&req.service, &req.labels, &req.key)?
             .class
--- a/crates/citronway-core/src/node/members.rs
+++ b/crates/citronway-core/src/node/members.rs
@@ -31,6 +31,8 @@
     by_instance: IndexMap<InstanceName, Member>,
     departures: Departures,
     connected: IndexSet<Session>,
+    /// The platform's list was read once.
+    is_listed: bool,
 }
 
 impl Members {
@@ -42,6 +44,7 @@
             by_instance: IndexMap::new(),
             departures: Departures::new(),
             connected: IndexSet::new(),
+            is_listed: false,
         }
     }
 
@@ -49,6 +52,7 @@
     pub(super) fn listed(&mut self, list: InstanceList, asked: Now) -> Vec<Session> {
         let gone = self.departures.list(&list, asked);
         self.list = list;
+        self.is_listed = true;
         self.drop_gone(&gone);
         gone
     }
@@ -129,6 +133,11 @@
         &self.by_instance
     }
 
+    /// Whether other instances can be found.
+    pub(super) const fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     pub(super) fn all_listed(&self) -> &[ListedInstance] {
         &self.list.instances
     }
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -39,9 +39,13 @@
 pub use store::RefusedConfig;
 pub use view::{CONFIG_KEY, CONFIG_TABLE, Indexed, Versioned, View};
 
+use std::sync::Arc;
+
+use crate::config::CompiledConfig;
 use crate::config::version::ConfigEvent;
 use crate::hold::HoldEvent;
 use crate::ids::{Session, ZoneName};
+use crate::outcome::NotRunReason;
 use crate::peer::{Heartbeat, PeerMessage};
 use crate::placement::PlannerEvent;
 use crate::time::{Mono, Now};
@@ -114,7 +118,19 @@
     /// Whether the balancer may send callers here.
     #[must_use]
     pub fn ready(&self, now: Now) -> bool {
-        self.stopped.is_none() && self.view.servable(now.mono).is_ok()
+        self.stopped.is_none() && self.servable(now).is_ok()
+    }
+
+    /// The configuration to serve by.
+    ///
+    /// Failure guarded against: an instance that starts while the platform is down
+    /// gets all rows from its peers, but no list of instances and so no links of
+    /// its own; most of what it takes would end as `dispatcher unreachable`.
+    fn servable(&self, now: Now) -> Result<&Arc<CompiledConfig>, NotRunReason> {
+        if !self.members.is_listed() {
+            return Err(NotRunReason::StaleConfig);
+        }
+        self.view.servable(now.mono)
     }
 
     /// Takes one event and returns what is to be done, in order.
