--- /dev/null
+++ b/crates/citronway-core/tests/dispatch_hot_keys.rs
@@ -0,0 +1,63 @@
+//! A key too hot for its endpoint is limited, and nobody else suffers for it.
+
+mod dispatch_support;
+
+use citronway_core::dispatch::DispatchSettings;
+use citronway_core::request::Request;
+use dispatch_support::*;
+use googletest::prelude::*;
+
+const SLOTS: u32 = 2;
+const QUEUE_MAX: usize = 8;
+
+/// Time of an order, in milliseconds.
+const ORDER_MS: u64 = 10;
+
+fn of_key(n: u8, key: &str) -> Request {
+    let mut req = lookup(n, "interactive", 9_000);
+    req.key = key.into();
+    req
+}
+
+fn rig() -> Rig {
+    let cfg = DispatchSettings::builder().queue_max(QUEUE_MAX).build();
+    Rig::with(SLOTS, cfg)
+}
+
+/// Answers all orders that were sent; returns how many more there are since.
+fn answer_all(rig: &mut Rig, answered: &mut usize) {
+    rig.until(rig.ms + ORDER_MS);
+    for order in rig.orders().split_off(*answered) {
+        rig.answered(order.ticket, "done");
+        *answered += 1;
+    }
+}
+
+/// A batch job asks for one certificate five times as often as the endpoint can
+/// answer, while a field sampler asks for others now and then. The job's
+/// requests must be refused, told so and when to come back; none of the
+/// sampler's may be, nor wait for more than the orders under way.
+#[gtest]
+fn a_key_too_hot_is_refused_and_others_are_served() {
+    let mut rig = rig();
+    let mut answered = 0;
+    let mut limited = 0;
+    for round in 0..20_u8 {
+        rig.submit(cool(round), of_key(200 + round, &format!("cool-{round}")));
+        for extra in 0..9 {
+            let n = round * 9 + extra;
+            rig.submit(u64::from(n), of_key(n, "hot"));
+            limited += usize::from(rig.told(u64::from(n)) == "not run: HotKeyLimited");
+        }
+        answer_all(&mut rig, &mut answered);
+        if round > 0 {
+            expect_that!(rig.told(cool(round - 1)), eq("done"), "in round {round}");
+        }
+    }
+    expect_that!(limited, gt(100));
+}
+
+/// Origin of the sampler's request of a round.
+fn cool(round: u8) -> u64 {
+    1_000 + u64::from(round)
+}
--- a/crates/citronway-core/tests/placement_noise.rs
+++ b/crates/citronway-core/tests/placement_noise.rs
@@ -86,6 +86,27 @@
     expect_that!(migrakon, lt(moved(VATUWAQA)));
 }
 
+/// The elected planner is replaced while load is even and the numbers of shards
+/// are not. The new one has heard of no load yet; going by the numbers it would
+/// move shards to the endpoints that have few but busy ones, and back later.
+#[gtest]
+fn a_new_planner_learns_loads_before_it_moves_anything() {
+    let size = Size {
+        endpoints: 6,
+        shards: 48,
+        keys: 400,
+        ..LARGE
+    };
+    let mut traffic = Traffic::new(size, LARGE_SEED);
+    double(&mut traffic, "e00");
+    traffic.pass(300);
+    let its = owned_by(&traffic.assignment(), "e00").len();
+    expect_that!(its, le(6));
+    traffic.replace_planner();
+    expect_that!(traffic.pass(60).moves, eq(0));
+    expect_that!(traffic.planner.planner.is_elected(), is_true());
+}
+
 /// Doubles the rates of all keys that the endpoint owns now.
 fn double(traffic: &mut Traffic, endpoint: &str) {
     let assignment = traffic.assignment();
--- a/crates/citronway-core/tests/placement_support/traffic.rs
+++ b/crates/citronway-core/tests/placement_support/traffic.rs
@@ -92,6 +92,16 @@
         self.store.assignment().expect("assignment")
     }
 
+    /// Puts a planner without any knowledge in place of the present one.
+    pub fn replace_planner(&mut self) {
+        let id = self.second;
+        self.planner = Instance::new("i0", id, PlannerSettings::default());
+        let now = now(self.second * 1_000);
+        self.planner.want(&self.wanted, now);
+        self.planner.read_dispatch(&self.store, now);
+        self.planner.run(&mut self.store, now);
+    }
+
     /// Lets seconds pass.
     pub fn pass(&mut self, seconds: u64) -> Span {
         let mut span = Span::default();
