--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -109,13 +109,16 @@
 
     let settings = node_settings(cfg);
     let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
+    let publisher = StatePublisher::new(me.clone(), publisher, Arc::clone(&metrics))
+        .with_peers(Arc::clone(&running.peers.counters))
+        .with_malformed(Arc::clone(&running.callers.malformed));
     let desk = StoreDesk::new(rings.platform.clone());
     let decider = Decider {
         node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
         rings,
         ready,
-        observer: Observer::new(Arc::clone(&metrics)),
-        publisher: StatePublisher::new(me.clone(), publisher, metrics),
+        observer: Observer::new(metrics),
+        publisher,
         desk,
         recorder,
         me,
