Node: a tick costs no longer endpoints times instances

Cause: each tick (every 10 ms) looked up and sorted the live instances once for each endpoint, although a hold looks at them only while its list of successors is short or its row names nobody alive. Every new assignment went through all shards once for each endpoint, dispatched here or not. The elected planner counted the roles of all dispatch rows at each event.

Ruled out: the dispatchers' own ticks; 0 to 300 dispatched endpoints of 3,000 made no difference. Shards made none either.

The change of assignments was not measured before, only reasoned.

--- a/crates/citronway-core/src/hold/dispatcher.rs
+++ b/crates/citronway-core/src/hold/dispatcher.rs
@@ -116,6 +116,11 @@
         self.change_list(&need, Some(nominee), now, out);
     }
 
+    /// Whether the row lists as many successors as it should, all of them heard.
+    pub(super) fn list_is_complete(&self, now: Now) -> bool {
+        self.list_need(now) == ListNeed::Complete
+    }
+
     fn list_need(&self, now: Now) -> ListNeed {
         let (Some(known), Some(tenure)) = (&self.known, &self.tenure) else {
             return ListNeed::Complete;
--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -159,6 +159,20 @@
         held.then_some(tenure.epoch)
     }
 
+    /// Whether the next [`Hold::tick`] may look at the candidates for a role.
+    ///
+    /// They need not be ranked for a hold that does not; in steady state that is
+    /// every hold.
+    #[must_use]
+    pub fn wants_candidates(&self, now: Now) -> bool {
+        if self.tenure.is_some() {
+            return !self.list_is_complete(now);
+        }
+        self.known
+            .as_ref()
+            .is_none_or(|known| self.gone.contains(&known.row.dispatcher))
+    }
+
     /// Takes a row read from the store or heard from a peer.
     #[must_use]
     pub fn row(&mut self, row: &DispatchRow, version: Version, now: Now) -> Vec<HoldAction> {
@@ -183,7 +197,8 @@
 
     /// Lets time pass.
     ///
-    /// `candidates` are live sessions fit for a role, best first.
+    /// `candidates` are live sessions fit for a role, best first. They may be
+    /// left out when [`Hold::wants_candidates`] says so for the same time.
     #[must_use]
     pub fn tick(&mut self, candidates: &[Session], reach: Reach, now: Now) -> Vec<HoldAction> {
         let mut out = Vec::new();
--- a/crates/citronway-core/src/hold/successor.rs
+++ b/crates/citronway-core/src/hold/successor.rs
@@ -22,6 +22,9 @@
         if self.pending.is_some() {
             return;
         }
+        if self.is_bystander() {
+            return;
+        }
         let Some(known) = self.known.clone() else {
             self.create_row(candidates, now, out);
             return;
@@ -39,6 +42,14 @@
         }
     }
 
+    /// Whether the row neither lists this session nor names a dispatcher that is
+    /// gone. Most holds of an instance are such, so their tick copies nothing.
+    fn is_bystander(&self) -> bool {
+        self.known.as_ref().is_some_and(|known| {
+            !known.row.successors.contains(&self.me) && !self.gone.contains(&known.row.dispatcher)
+        })
+    }
+
     /// Takes over without delay when the dispatcher handed its role to us.
     pub(super) fn take_handover(&mut self, now: Now, out: &mut Vec<HoldAction>) {
         let (Some(handed), Some(known)) = (&self.handed, &self.known) else {
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -9,6 +9,7 @@
 use crate::ids::{EndpointName, Epoch, Session};
 use crate::outcome::NotRunReason;
 use crate::peer::{EndpointLost, HoldMessage, KnownRequest, PeerMessage, ShardReleased};
+use crate::placement::wanted::Candidate;
 use crate::platform::{ConditionalPut, Row, RowKey, WriteOutcome};
 use crate::shard::DispatchRow;
 use crate::time::{Mono, Now, Wall};
@@ -127,6 +128,17 @@
     pub(super) fn endpoints(&self) -> Vec<EndpointName> {
         self.by_endpoint.keys().cloned().collect()
     }
+
+    /// Endpoints with a dispatcher here.
+    pub(super) fn dispatched(&self) -> Vec<EndpointName> {
+        let mut names = Vec::new();
+        for (name, seat) in &self.by_endpoint {
+            if seat.active.is_some() {
+                names.push(name.clone());
+            }
+        }
+        names
+    }
 }
 
 impl Node {
@@ -175,26 +187,41 @@
     }
 
     /// Lets time pass in every hold and dispatcher.
+    ///
+    /// Candidates are looked up at most once and ranked only for the holds that
+    /// want them: otherwise each tick would cost endpoints times instances.
     pub(super) fn tick_seats(&mut self, now: Now, out: &mut Vec<Action>) {
+        let mut fit = None;
         for name in self.seats.endpoints() {
-            let candidates = self.ranked(&name, now);
+            let mut candidates = Vec::new();
+            if self.seats.by_endpoint[&name].hold.wants_candidates(now) {
+                let fit = fit.get_or_insert_with(|| self.fit(now));
+                candidates = self.ranked(&name, fit);
+            }
             let reach = self.seats.by_endpoint[&name].reach(now.mono);
             self.tell_hold(&name, &HoldEvent::Tick { candidates, reach }, now, out);
+            if !self.seats.by_endpoint[&name].is_busy() {
+                continue;
+            }
             self.tell_dispatcher(&name, DispatchEvent::Tick, now, out);
             self.tick_retired(&name, now, out);
         }
     }
 
-    /// Sessions fit for a role at the endpoint, best first, alike on every instance.
-    ///
-    /// Zones that the row does not use yet go first, then a hash spreads the
-    /// roles over the instances.
-    fn ranked(&self, endpoint: &EndpointName, now: Now) -> Vec<Session> {
-        let fit = self.members.candidates(
+    /// Sessions fit for a role at present.
+    fn fit(&self, now: Now) -> Vec<Candidate> {
+        self.members.candidates(
             self.is_leaving(now),
             self.settings.silent_after_ms,
             now.mono,
-        );
+        )
+    }
+
+    /// The same with those best for the endpoint first, alike on every instance.
+    ///
+    /// Zones that the row does not use yet go first, then a hash spreads the
+    /// roles over the instances.
+    fn ranked(&self, endpoint: &EndpointName, fit: &[Candidate]) -> Vec<Session> {
         let mut used = Vec::new();
         if let Some(known) = self.view.dispatch().get(endpoint) {
             for session in members_of(&known.value) {
@@ -202,15 +229,18 @@
             }
         }
         let mut ranked: Vec<_> = fit
-            .into_iter()
+            .iter()
             .map(|it| {
                 let seed = format!("{endpoint}/{}", it.session.instance);
                 let spread = xxhash_rust::xxh3::xxh3_64(seed.as_bytes());
-                (used.contains(&it.zone), spread, it.session)
+                (used.contains(&it.zone), spread, &it.session)
             })
             .collect();
         ranked.sort();
-        ranked.into_iter().map(|(_, _, session)| session).collect()
+        ranked
+            .into_iter()
+            .map(|(_, _, session)| session.clone())
+            .collect()
     }
 
     pub(super) fn tell_hold(
--- a/crates/citronway-core/src/node/shards.rs
+++ b/crates/citronway-core/src/node/shards.rs
@@ -1,8 +1,10 @@
 //! Which shards an endpoint has, from all assignments.
 
+use indexmap::IndexMap;
+
 use crate::dispatch::{DispatchEvent, OwnedShard, ShardRef};
-use crate::ids::EndpointName;
-use crate::shard::Ownership;
+use crate::ids::{EndpointName, ServiceName};
+use crate::shard::{Ownership, Shard};
 use crate::time::Now;
 
 use super::Node;
@@ -14,27 +16,51 @@
     #[must_use]
     pub fn shards_of(&self, endpoint: &EndpointName) -> Vec<OwnedShard> {
         let mut owned = Vec::new();
-        for (service, known) in self.assignments() {
-            for shard in known.value.assignment.shards.values() {
-                let moving = match &shard.ownership {
-                    Ownership::Owned { owner } if owner == endpoint => false,
-                    Ownership::Moving { from, .. } if from == endpoint => true,
-                    _ => continue,
-                };
-                owned.push(OwnedShard {
-                    at: ShardRef {
-                        service: service.clone(),
-                        shard: shard.id,
-                    },
-                    epoch: shard.epoch,
-                    range: shard.range,
-                    floor: shard.floor,
-                    moving,
-                });
+        for (service, shard) in self.shards() {
+            if shard.server() == Some(endpoint) {
+                owned.push(owned_shard(service, shard));
             }
         }
         owned
     }
+
+    /// The same for several endpoints, in one pass over the assignments.
+    fn shards_of_each(
+        &self,
+        endpoints: &[EndpointName],
+    ) -> IndexMap<EndpointName, Vec<OwnedShard>> {
+        let mut owned: IndexMap<_, _> = endpoints
+            .iter()
+            .map(|endpoint| (endpoint.clone(), Vec::new()))
+            .collect();
+        for (service, shard) in self.shards() {
+            let Some(shards) = shard.server().and_then(|server| owned.get_mut(server)) else {
+                continue;
+            };
+            shards.push(owned_shard(service, shard));
+        }
+        owned
+    }
+
+    fn shards(&self) -> impl Iterator<Item = (&ServiceName, &Shard)> {
+        self.assignments().iter().flat_map(|(service, known)| {
+            let shards = known.value.assignment.shards.values();
+            shards.map(move |shard| (service, shard))
+        })
+    }
+}
+
+fn owned_shard(service: &ServiceName, shard: &Shard) -> OwnedShard {
+    OwnedShard {
+        at: ShardRef {
+            service: service.clone(),
+            shard: shard.id,
+        },
+        epoch: shard.epoch,
+        range: shard.range,
+        floor: shard.floor,
+        moving: matches!(shard.ownership, Ownership::Moving { .. }),
+    }
 }
 
 impl Node {
@@ -44,10 +70,13 @@
         self.tell_dispatcher(endpoint, DispatchEvent::SetShards { shards }, now, out);
     }
 
-    /// The same for every endpoint.
+    /// The same for every endpoint that is dispatched here.
+    ///
+    /// The assignments are gone through once, however many endpoints there are.
     pub(super) fn give_all_shards(&mut self, now: Now, out: &mut Vec<Action>) {
-        for endpoint in self.seats.endpoints() {
-            self.give_shards(&endpoint, now, out);
+        let dispatched = self.seats.dispatched();
+        for (endpoint, shards) in self.view.shards_of_each(&dispatched) {
+            self.tell_dispatcher(&endpoint, DispatchEvent::SetShards { shards }, now, out);
         }
     }
 }
--- a/crates/citronway-core/src/placement/planner/first_rows.rs
+++ b/crates/citronway-core/src/placement/planner/first_rows.rs
@@ -21,6 +21,11 @@
     /// fails and it reads the row.
     pub(super) fn first_dispatch_rows(&self, now: Now) -> Option<Vec<ConditionalPut>> {
         let wanted = self.wanted.as_ref()?;
+        let mut members = wanted.groups.iter().flat_map(|group| &group.members);
+        // Counting the roles of all rows is only worth it if one is missing.
+        if !members.any(|member| self.rows.lacks_dispatch(&member.endpoint)) {
+            return None;
+        }
         let rows = self.rows.dispatch.values();
         let mut counts = RoleCounts::of(rows.filter_map(super::Known::value));
         let mut puts = Vec::new();
