--- a/crates/citronway-core/benches/node.rs
+++ b/crates/citronway-core/benches/node.rs
@@ -139,10 +139,11 @@
             }
             let mut scene = Scene::new(shape);
             let keys = scene.keys(mine, KEYS);
+            time_requests(&mut scene, &keys, mine, 1);
+            assert_eq!(scene.answered(), 1, "the request reached no endpoint");
             group.bench_function(BenchmarkId::from_parameter(name), |b| {
                 b.iter_custom(|count| time_requests(&mut scene, &keys, mine, count));
             });
-            assert!(scene.answered() > 0, "no request reached an endpoint");
         }
         group.finish();
     }
--- a/crates/citronway-core/src/hold/mod.rs
+++ b/crates/citronway-core/src/hold/mod.rs
@@ -46,7 +46,7 @@
 use tenure::Tenure;
 
 use crate::ids::{EndpointName, Epoch, Session, Version};
-use crate::peer::KnownRequest;
+use crate::peer::KnownRequests;
 use crate::shard::DispatchRow;
 use crate::time::{Mono, Now};
 
@@ -68,7 +68,7 @@
 #[derive(Debug, Clone)]
 struct Handed {
     epoch: Epoch,
-    requests: Vec<KnownRequest>,
+    known: KnownRequests,
 }
 
 /// The hold of one endpoint as one session sees it.
@@ -173,6 +173,14 @@
             .is_none_or(|known| self.gone.contains(&known.row.dispatcher))
     }
 
+    /// When the right to act that is held now ends; it may be renewed before.
+    #[must_use]
+    pub fn held_until(&self) -> Option<Mono> {
+        let tenure = self.tenure.as_ref()?;
+        let lists = self.lists();
+        lists.iter().map(|list| tenure.held_until(list)).min()
+    }
+
     /// Takes a row read from the store or heard from a peer.
     #[must_use]
     pub fn row(&mut self, row: &DispatchRow, version: Version, now: Now) -> Vec<HoldAction> {
@@ -303,7 +311,7 @@
             epoch: row.epoch,
             floor: row.floor,
             handed_over: handed.is_some(),
-            requests: handed.map(|it| it.requests).unwrap_or_default(),
+            known: handed.map(|it| it.known).unwrap_or_default(),
         });
     }
 
--- a/crates/citronway-core/src/hold/tenure.rs
+++ b/crates/citronway-core/src/hold/tenure.rs
@@ -4,7 +4,7 @@
 
 use super::events::HandOverReason;
 use crate::ids::{Epoch, Session};
-use crate::peer::KnownRequest;
+use crate::peer::KnownRequests;
 use crate::time::Mono;
 
 /// A session that will not promise again: it is gone or has renounced.
@@ -44,7 +44,7 @@
     /// Why.
     pub reason: HandOverReason,
     /// What goes with the role.
-    pub requests: Vec<KnownRequest>,
+    pub known: KnownRequests,
     /// Sessions that were offered the role, and whether they declined.
     pub offered: IndexMap<Session, bool>,
     /// Latest offer.
@@ -194,6 +194,19 @@
         true
     }
 
+    /// When the first promise among `list` ends that is needed; never if none is.
+    pub fn held_until(&self, list: &[Session]) -> Mono {
+        let mut first = Mono(u64::MAX);
+        for session in list {
+            if self.absent.get(session).is_some_and(|it| it.sealed) {
+                continue;
+            }
+            let until = self.members.get(session).map(|member| member.until);
+            first = first.min(until.unwrap_or_default());
+        }
+        first
+    }
+
     /// Notes that `session` is gone. `read` and `write` are the latest numbers.
     ///
     /// Failure guarded against: a successor takes over after its promise has
--- a/crates/citronway-core/src/node/events.rs
+++ b/crates/citronway-core/src/node/events.rs
@@ -12,7 +12,7 @@
 use crate::platform::{ConditionalPut, InstanceList, Row, WriteOutcome};
 use crate::request::{Fence, Labels, Repeat, Request};
 use crate::shard::HashRange;
-use crate::time::{Now, Wall};
+use crate::time::{Mono, Now, Wall};
 
 /// Number that ties an answer to what asked for it, unique within a process.
 pub type Ticket = u64;
@@ -86,7 +86,9 @@
         /// The message.
         message: PeerMessage,
     },
-    /// A session of another instance was greeted.
+    /// A session was greeted, of another instance or this one at its own listed
+    /// address; repeated while it answers, since rows that are learnt later may
+    /// name earlier sessions.
     PeerUp {
         /// The session.
         session: Session,
@@ -259,6 +261,8 @@
         connections: u32,
         /// What fences the order.
         fence: Fence,
+        /// End of the right to send it: not a byte of it may leave from then on.
+        held_until: Mono,
         /// The request.
         request: Request,
     },
--- a/crates/citronway-wire/examples/message_sizes.rs
+++ b/crates/citronway-wire/examples/message_sizes.rs
@@ -9,8 +9,8 @@
 use citronway_core::time::Wall;
 use citronway_wire::convert::EncodedMessage;
 
-/// Hot keys in a load report, as many as a dispatcher counts.
-const HOT_KEYS: u64 = 64;
+/// Hot keys in a load report, as many as a dispatcher reports.
+const HOT_KEYS: u64 = 8;
 /// Shards of an endpoint.
 const SHARDS: u64 = 8;
 
@@ -22,7 +22,7 @@
         ("promise, question", hold(ask())),
         ("promise, answer", hold(promise())),
         ("load report, 8 shards, no hot key", bare),
-        ("load report, 8 shards, 64 hot keys", full),
+        ("load report, 8 shards, 8 hot keys", full),
         ("dispatch row", PeerMessage::Rows { rows: vec![row()?] }),
     ];
     for (name, message) in messages {
--- a/crates/citronway/src/metrics/requests.rs
+++ b/crates/citronway/src/metrics/requests.rs
@@ -17,6 +17,11 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0,
 ];
 
+/// Labels of requests that were malformed.
+const UNREAD: &str = "none";
+const NOT_RUN: &str = "not_run";
+const BAD_REQUEST: &str = "bad_request";
+
 const MS_PER_SECOND: f64 = 1000.0;
 
 type Histograms = Family<WorkLabels, Histogram>;
@@ -112,6 +117,20 @@
         self.outcomes.get_or_create(&outcome).inc();
     }
 
+    /// Shows how many requests were malformed. What they are for may not be
+    /// readable, and is not taken as a label from whoever sent them.
+    pub fn show_malformed(&self, malformed: u64) {
+        let labels = OutcomeLabels {
+            service: UNREAD.to_owned(),
+            tenant: UNREAD.to_owned(),
+            class: UNREAD.to_owned(),
+            outcome: NOT_RUN,
+            reason: BAD_REQUEST.to_owned(),
+        };
+        let shown = self.outcomes.get_or_create(&labels);
+        shown.inc_by(malformed.saturating_sub(shown.get()));
+    }
+
     /// Labels of work, with the tenant bounded.
     #[must_use]
     pub fn work(&self, service: &ServiceName, tenant: &str, class: &ClassName) -> WorkLabels {
@@ -131,7 +150,9 @@
     ms as f64 / MS_PER_SECOND
 }
 
-fn reason(outcome: &Outcome) -> String {
+/// Why there is no answer, as metrics and logs name it; empty if there is one.
+#[must_use]
+pub fn reason(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Answered(_) => String::new(),
         Outcome::NotRun(not_run) => word(&not_run.reason),
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -20,15 +20,16 @@
 
 use crate::callers::{self, CallersConfig, CallersHandle};
 use crate::decide::Decider;
+use crate::decide::record::Recorder;
 use crate::endpoints::{self, EndpointsConfig};
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
 use crate::operators::{self, Setup, Snapshot, Token, snapshot};
-use crate::peers::{self, PeersConfig};
+use crate::peers::{self, PeersConfig, PeersHandle};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
-use crate::rings::{COMMANDS, EVENTS, Rings};
+use crate::rings::{COMMANDS, Drops, EVENTS, Rings};
 use crate::settings::{self, Settings};
 use crate::store_desk::StoreDesk;
 
@@ -96,7 +97,7 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
-    let (rings, callers) = start_duties(cfg, &me, &events_tx, &ready)?;
+    let (rings, running) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
     let (store_tx, store) = mpsc::channel(COMMANDS);
     let first = Snapshot::starting(me.clone(), cfg.instance.zone.clone());
     let (publisher, published) = snapshot::channel(first);
@@ -106,20 +107,25 @@
     let operators = start_operators(cfg, setup, stop.clone()).map_err(start("operators"))?;
     stop_on_signal(events_tx).map_err(start("signals"))?;
 
+    let settings = node_settings(cfg);
+    let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
+    let publisher = StatePublisher::new(me.clone(), publisher, Arc::clone(&metrics))
+        .with_peers(Arc::clone(&running.peers.counters))
+        .with_malformed(Arc::clone(&running.callers.malformed));
     let desk = StoreDesk::new(rings.platform.clone());
     let decider = Decider {
-        node: Node::new(me.clone(), cfg.instance.zone.clone(), node_settings(cfg)),
+        node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
         rings,
         ready,
-        observer: Observer::new(Arc::clone(&metrics)),
-        publisher: StatePublisher::new(me.clone(), publisher, metrics),
+        observer: Observer::new(metrics),
+        publisher,
         desk,
+        recorder,
         me,
         address: cfg.instance.peer_address().to_string(),
     };
     decider.run(events, store).await;
-    callers.stop();
-    callers.join();
+    running.end();
     stop.cancel();
     if operators.join().is_err() {
         log::error!("thread of the administration API panicked");
@@ -132,12 +138,14 @@
     me: &Session,
     events: &mpsc::Sender<Event>,
     ready: &Arc<AtomicBool>,
-) -> Result<(Rings, CallersHandle), Error> {
+    metrics: &Arc<Metrics>,
+) -> Result<(Rings, Running), Error> {
     let (peers_tx, peers_rx) = mpsc::channel(COMMANDS);
     let (platform_tx, platform_rx) = mpsc::channel(COMMANDS);
     let (endpoints_tx, endpoints_rx) = mpsc::channel(COMMANDS);
     let (callers_tx, callers_rx) = mpsc::channel(COMMANDS);
-    peers::start(peers_config(cfg, me), peers_rx, events.clone()).map_err(start("peers"))?;
+    let peers = peers::start(peers_config(cfg, me), peers_rx, events.clone());
+    let peers = peers.map_err(start("peers"))?;
     platform::start(&platform_config(cfg), platform_rx, events.clone())
         .map_err(start("platform"))?;
     endpoints::start(endpoints_config(cfg), endpoints_rx, events.clone())
@@ -154,8 +162,33 @@
         endpoints: endpoints_tx,
         peers: peers_tx,
         platform: platform_tx,
+        drops: Drops::new(Arc::clone(metrics)),
     };
-    Ok((rings, callers))
+    Ok((rings, Running { callers, peers }))
+}
+
+/// Duties that have words to say when the deciding thread has ended.
+#[derive(Debug)]
+struct Running {
+    callers: CallersHandle,
+    peers: PeersHandle,
+}
+
+impl Running {
+    /// Waits until both have given what they were told.
+    ///
+    /// Failure guarded against: an outcome of a forwarded request is still in the
+    /// ring to the peers, or in a socket's buffer, when the process exits. The
+    /// entry that waits for it sees the connection close, and its caller is told
+    /// that the request may have run. The ring's sender is gone by now, so the
+    /// peers' thread gives what it has and ends, within its own time limit.
+    fn end(self) {
+        self.callers.stop();
+        self.callers.join();
+        if self.peers.thread.join().is_err() {
+            log::error!("thread of the peers' duty panicked");
+        }
+    }
 }
 
 fn start_operators(
@@ -167,6 +200,18 @@
     operators::spawn(listener, setup, stop)
 }
 
+fn start_recorder(
+    cfg: &Settings,
+    me: &Session,
+    settings: &NodeSettings,
+) -> io::Result<Option<Recorder>> {
+    let Some(path) = &cfg.trace.record else {
+        return Ok(None);
+    };
+    let recorder = Recorder::start(path, me, &cfg.instance.zone, settings)?;
+    Ok(Some(recorder))
+}
+
 fn start(duty: &'static str) -> impl FnOnce(io::Error) -> Error {
     move |cause| Error::Start { duty, cause }
 }
