--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -667,8 +667,8 @@
                 continue;
             }
             seat.handed_over = true;
-            let waiting = seat.waiting_role.take();
-            let mut known = waiting.map(|role| role.known).unwrap_or_default();
+            let unstarted = seat.waiting_role.take();
+            let mut known = unstarted.map(|role| role.known).unwrap_or_default();
             for retired in &seat.retired {
                 let more = retired.dispatcher.export();
                 known.floor = known.floor.max(more.floor);
--- a/crates/citronway-standin/src/env/temp.rs
+++ b/crates/citronway-standin/src/env/temp.rs
@@ -3,9 +3,8 @@
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
 
-static NEXT: AtomicU32 = AtomicU32::new(0);
+use uuid::Uuid;
 
 /// A directory that is removed when dropped.
 #[derive(Debug)]
@@ -21,10 +20,11 @@
     ///
     /// If it cannot be made.
     pub fn new() -> io::Result<Self> {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let name = format!("citronway-{}-{number}", std::process::id());
+        // Numbers of processes come back; a directory left by an earlier one would
+        // mix its logs and journals into this run.
+        let name = format!("citronway-{}", Uuid::new_v4().simple());
         let path = std::env::temp_dir().join(name);
-        fs::create_dir_all(&path)?;
+        fs::create_dir(&path)?;
         Ok(Self { path, keep: false })
     }
 
