A killed dispatcher's bookings are repeated: the floor of ids was not proved before

It now repeats what had run before the kill; without the floor these run twice, with endpoints that check and with those that do not.

--- a/crates/citronway/tests/process_loss.rs
+++ b/crates/citronway/tests/process_loss.rs
@@ -34,18 +34,20 @@
 }
 
 /// The entry that dispatches an endpoint is lost with orders under way. Keys of the
-/// endpoint stay unserved until a successor has waited out its promise; a successor
-/// that knows nothing of the orders sent must not run their ids again.
+/// endpoint stay unserved until a successor has waited out its promise. Then callers
+/// repeat bookings that had run, and the successor knows nothing of them.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_dispatcher_is_replaced() {
     for checks in [true, false] {
         let mut bench = Bench::start(Deployment::new(3).checks(checks)).await;
         let old = bench.row(ENDPOINT).await.dispatcher;
+        let ran_before = bench.traffic.records();
         let entry = bench.env.entry_mut(old.instance.as_str()).unwrap();
         entry.child.kill().unwrap();
         bench.successor_at_work(ENDPOINT, &old).await;
         bench.traffic.all_served().await.unwrap();
+        bench.repeat(&ran_before).await;
         bench.finish().await;
     }
 }
--- a/crates/citronway/tests/process_support/mod.rs
+++ b/crates/citronway/tests/process_support/mod.rs
@@ -6,11 +6,14 @@
 
 use citronway::operators::answers::{ConfigAnswer, VersionAnswer};
 use citronway_core::ids::{EndpointName, Session};
+use citronway_core::request::Repeat;
 use citronway_core::shard::DispatchRow;
-use citronway_standin::caller::{Balancer, Verdict};
+use citronway_standin::caller::{Balancer, Call, Caller, Verdict};
 use citronway_standin::env::{Entry, Env, Launcher, wait};
 use citronway_standin::measure::{Promises, Record};
-use citronway_standin::trial::{Deployment, Links, Traffic, TrafficPlan, begun_out_of_turn};
+use citronway_standin::trial::{
+    Deployment, Links, SERVICE, Traffic, TrafficPlan, begun_out_of_turn,
+};
 use googletest::prelude::*;
 
 /// A deployment with callers at work.
@@ -93,6 +96,25 @@
         }
     }
 
+    /// Sends non-idempotent calls again under their ids, through a living entry.
+    pub async fn repeat(&self, records: &[Record]) {
+        let mut entry = None;
+        for candidate in self.env.entries() {
+            if candidate.is_healthy().await {
+                entry = Some(candidate.callers());
+            }
+        }
+        let caller = Caller::default();
+        for record in records {
+            if record.repeat == Repeat::Idempotent {
+                continue;
+            }
+            let mut call = Call::new(SERVICE, record.key.as_str()).non_idempotent();
+            call.id = record.id;
+            caller.send(entry.unwrap(), &call).await;
+        }
+    }
+
     /// Ends the traffic and checks what must hold whatever failed: at most one run,
     /// one owner, one dispatcher at a time, and true outcomes.
     pub async fn finish(self) -> Vec<Record> {
