--- a/crates/citronway-standin/src/env/wait.rs
+++ b/crates/citronway-standin/src/env/wait.rs
@@ -10,7 +10,7 @@
 ///
 /// Only ends a wait in vain. Far above the slowest state that is waited for: an
 /// endpoint that came back takes its share again over half a minute.
-pub const PATIENCE: Duration = Duration::from_secs(120);
+pub const PATIENCE: Duration = Duration::from_mins(2);
 
 const POLL: Duration = Duration::from_millis(20);
 
