--- a/crates/citronway-core/tests/placement_support/mod.rs
+++ b/crates/citronway-core/tests/placement_support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod traffic;
+
 use citronway_core::config::Weights;
 use citronway_core::ids::*;
 use citronway_core::peer::{EndpointLoad, EndpointLost, ShardReleased};
@@ -128,7 +130,7 @@
 pub fn carry_out(assignment: &Assignment, moves: &[Move]) -> Assignment {
     let mut next = assignment.clone();
     for step in moves {
-        next = moves::begin(&next, step, Wall(0)).expect("the move fits");
+        next = moves::begin(&next, step).expect("the move fits");
         let Some(from) = moving_from(&next, step.shard) else {
             continue;
         };
@@ -164,6 +166,7 @@
         epoch: assignment.shards[&shard].epoch,
         from: from.clone(),
         dispatcher: dispatcher.clone(),
+        floor: Wall(0),
     }
 }
 
