--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -9,7 +9,8 @@
 //! | `view` | stored rows as this instance knows them |
 //! | `members` | other instances |
 //! | `entry` | callers' requests |
-//! | `seats` | holds and dispatchers, one of each for an endpoint |
+//! | `seats` | what this instance has to do with each endpoint |
+//! | `holds`, `dispatchers`, `leaving` | its holds, its dispatchers, and how it gives them up |
 //! | `shards` | which shards an endpoint has |
 //! | `planners` | the planner of each service |
 //! | `status` | what operators are shown |
@@ -18,8 +19,11 @@
 //! | `tickets` | which answer is for what |
 //! | `replay` | recorded events against their outcomes |
 
+mod dispatchers;
 mod entry;
 pub mod events;
+mod holds;
+mod leaving;
 mod members;
 mod planners;
 mod probes;
