--- a/crates/citronway-standin/src/load/bench.rs
+++ b/crates/citronway-standin/src/load/bench.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use citronway_core::ids::EndpointName;
 use citronway_core::shard::Assignment;
 
 use super::churn;
@@ -16,7 +17,7 @@
 use super::sender::{Sample, send_all};
 use crate::caller::Balancer;
 use crate::endpoint::EndpointOptions;
-use crate::env::{Entry, Env, EnvError, Launcher, wait};
+use crate::env::{Entry, Env, EnvError, Launcher, Policy, wait};
 use crate::http::{Client, ClientError};
 use crate::measure::{Promises, Record};
 use crate::platform::messages::Stats;
@@ -71,14 +72,17 @@
     let mut config = deployment.config();
     for size in deployment.sizes() {
         for number in 0..size.endpoints {
+            let checks = Deployment::checks(number) && is_fenced(options.policy);
             let endpoint = EndpointOptions::new(&endpoint_name(size, number))
                 .slots(size.slots)
                 .service_ms(size.service_ms)
                 .cold_ms(COLD_MS)
                 .shed_above(SHED_FACTOR * size.slots)
-                .checks(Deployment::checks(number));
+                .checks(checks);
             let address = env.start_endpoint(endpoint)?.address();
             deployment.add_endpoint(&mut config, size, number, address);
+            let name = EndpointName::new(&endpoint_name(size, number));
+            config.endpoints[&name].checks_orders = checks;
         }
     }
     for number in 0..INSTANCES {
@@ -93,6 +97,12 @@
     Ok(env)
 }
 
+/// Whether an endpoint's orders come from one dispatcher. The baselines send from
+/// every entry, which an endpoint that checks refuses.
+fn is_fenced(policy: Option<Policy>) -> bool {
+    matches!(policy, None | Some(Policy::Dispatcher))
+}
+
 async fn try_out(env: &mut Env, options: &LoadOptions) -> Result<Report, EnvError> {
     let (deployment, scenario) = (options.deployment, options.scenario);
     let length = Duration::from_secs(options.seconds.into());
