An endpoint states at least three connections

Cause: two connections are kept aside for grants and cancellations and at least one is needed for orders, so an endpoint that states one or two got more than it states. The check of the configuration now refuses fewer than three. Ruled out: sharing one connection (a cancellation would wait for the order it is to cancel).

--- a/crates/citronway-core/src/config/check/endpoints.rs
+++ b/crates/citronway-core/src/config/check/endpoints.rs
@@ -9,6 +9,9 @@
 use crate::findings::{Findings, Problem};
 use crate::ids::EndpointName;
 
+/// Fewest connections of an endpoint: one for orders, and the two that are kept
+/// for grants and cancellations. With fewer it would get more than it states.
+const MIN_CONNECTIONS: u64 = 3;
 /// Most slots of an endpoint.
 const MAX_SLOTS: u64 = 10_000;
 
@@ -42,7 +45,13 @@
     let connections = u64::from(endpoint.connections);
     check_range(findings, &format!("{path}.slots"), slots, 1, MAX_SLOTS);
     let connections_path = format!("{path}.connections");
-    check_range(findings, &connections_path, connections, 1, MAX_CONNECTIONS);
+    check_range(
+        findings,
+        &connections_path,
+        connections,
+        MIN_CONNECTIONS,
+        MAX_CONNECTIONS,
+    );
 }
 
 fn check_address(findings: &mut Findings, path: &str, address: SocketAddr) {
--- a/crates/citronway-core/tests/config_check.rs
+++ b/crates/citronway-core/tests/config_check.rs
@@ -123,6 +123,11 @@
             "endpoints.m1.connections",
             P::OutOfRange(text("0")),
         ),
+        (
+            |cfg| endpoint(cfg, "m1").connections = 2,
+            "endpoints.m1.connections",
+            P::OutOfRange(text("2")),
+        ),
         (
             |cfg| cfg.classes[&ClassName::new("batch")].kept_share = 41,
             "classes",
