Host programs share one main

Cause: tour, load, losses and outage held the same 27 lines, found by the last look for repeated code. They now pass their options and their task to the host. Ruled out: a macro (a function with the entry as an argument does it).

--- a/crates/citronway-standin/examples/losses.rs
+++ b/crates/citronway-standin/examples/losses.rs
@@ -4,36 +4,8 @@
 
 use std::process::ExitCode;
 
-use citronway_standin::host::{self, EntryOptions, Task};
-use citronway_standin::losses::{self, LossesOptions, losses_options};
+use citronway_standin::{host, losses};
 
 fn main() -> ExitCode {
-    match host::options(losses_options()).run() {
-        Task::Platform(options) => host::exit_code(&options.run()),
-        Task::Endpoint(options) => host::exit_code(&options.run()),
-        Task::Entry(options) => entry(&options),
-        Task::Own(options) => own(options),
-    }
-}
-
-fn entry(options: &EntryOptions) -> ExitCode {
-    host::end_with_parent();
-    match citronway::run(&options.config) {
-        Ok(code) => code,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-#[tokio::main]
-async fn own(options: LossesOptions) -> ExitCode {
-    match losses::run(options).await {
-        Ok(code) => code,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
-    }
+    host::main(losses::losses_options(), citronway::run, losses::run)
 }
--- a/crates/citronway-standin/src/host/mod.rs
+++ b/crates/citronway-standin/src/host/mod.rs
@@ -3,8 +3,9 @@
 //! The tour and the load tool start their own executable again with a
 //! subcommand, so that no other binary has to be built first.
 
+use std::fmt::Display;
 use std::io::{self, Read};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::{Bpaf, OptionParser, Parser, construct};
@@ -77,3 +78,41 @@
         }
     }
 }
+
+/// Runs a host program: the process that its command line names, or its own task.
+///
+/// `entry` runs an entry with a settings file until it ends.
+pub fn main<T, E, R, F>(
+    own: impl Parser<T> + 'static,
+    entry: impl FnOnce(&Path) -> Result<ExitCode, E>,
+    run: impl FnOnce(T) -> F,
+) -> ExitCode
+where
+    T: 'static,
+    E: Display,
+    R: Display,
+    F: Future<Output = Result<ExitCode, R>>,
+{
+    match options(own).run() {
+        Task::Platform(options) => exit_code(&options.run()),
+        Task::Endpoint(options) => exit_code(&options.run()),
+        Task::Entry(options) => {
+            end_with_parent();
+            ended(entry(&options.config))
+        }
+        Task::Own(options) => match tokio::runtime::Runtime::new() {
+            Ok(runtime) => ended(runtime.block_on(run(options))),
+            Err(error) => ended(Err(error)),
+        },
+    }
+}
+
+fn ended(result: Result<ExitCode, impl Display>) -> ExitCode {
+    match result {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
