--- a/crates/citronway-core/src/dispatch/admission.rs
+++ b/crates/citronway-core/src/dispatch/admission.rs
@@ -67,12 +67,12 @@
     Ok(())
 }
 
-/// A key may fill its share of the queue while other keys wait; the rest stays
-/// free for them, or one hot key would have every other key refused.
+/// A key may fill its share of the queue; the rest stays free for others, or one
+/// hot key would have every other key refused. That holds while no other waits as
+/// well: the first of them would find the queue full.
 fn is_key_over_share(arrival: &Arrival) -> bool {
-    let others = arrival.waiting > arrival.waiting_of_key;
     let most = arrival.queue_max * usize::from(arrival.key_share) / 100;
-    others && arrival.waiting_of_key >= most.max(1)
+    arrival.waiting_of_key >= most.max(1)
 }
 
 /// Time until a slot is free for the request, in milliseconds.
--- a/crates/citronway-core/tests/dispatch_hot_keys.rs
+++ b/crates/citronway-core/tests/dispatch_hot_keys.rs
@@ -57,6 +57,21 @@
     expect_that!(limited, gt(100));
 }
 
+/// The batch job comes first and nobody else is there, so all of the queue is
+/// its own. The first sampler must find room nevertheless.
+#[gtest]
+fn a_hot_key_alone_leaves_room_for_the_first_other() {
+    let mut rig = rig();
+    let mut answered = 0;
+    for n in 0..30 {
+        rig.submit(u64::from(n), of_key(n, "hot"));
+    }
+    rig.submit(cool(0), of_key(200, "cool"));
+    answer_all(&mut rig, &mut answered);
+    answer_all(&mut rig, &mut answered);
+    expect_that!(rig.told(cool(0)), eq("done"));
+}
+
 /// Origin of the sampler's request of a round.
 fn cool(round: u8) -> u64 {
     1_000 + u64::from(round)
--- a/crates/citronway-standin/src/caller/call.rs
+++ b/crates/citronway-standin/src/caller/call.rs
@@ -79,7 +79,7 @@
     /// another one shows.
     #[must_use]
     pub fn path(&self) -> String {
-        format!("/work/{}", self.id)
+        format!("/jobs/{}", self.id)
     }
 
     pub(super) fn to_request(&self, entry: SocketAddr) -> Result<Request<Bytes>, http::Error> {
