--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -25,9 +25,13 @@
 const MIN_RETRY_MS: u64 = 60;
 
 /// Time for which a range is left alone after its holder said that it does not hold
-/// it, in milliseconds: a move and its write take about 20 ms.
+/// it, in milliseconds: a grant that is under way takes a few milliseconds.
 const DISOWNED_MS: u64 = 60;
 
+/// The same for a range on its way to another owner, in milliseconds: its holder does
+/// not take it back, and the next owner has another fence.
+const RELEASED_MS: u64 = 1_500;
+
 /// First and longest time for which an endpoint is avoided that failed to take a
 /// connection, in milliseconds.
 const AVOID_MS: (u64, u64) = (250, 4_000);
@@ -164,7 +168,11 @@
         let Some(range) = choose::range_of(view, job) else {
             return;
         };
-        let until = now.plus(DISOWNED_MS);
+        let until = now.plus(if range.is_moving() {
+            RELEASED_MS
+        } else {
+            DISOWNED_MS
+        });
         self.disowned.insert((fence, range.first), until);
     }
 
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -17,5 +17,6 @@
 pub mod registry;
 pub mod report;
 pub mod routes;
+pub mod rows;
 pub mod settings;
 pub mod share;
--- /dev/null
+++ b/crates/citronway-core/src/gateway/rows.rs
@@ -0,0 +1,56 @@
+//! Tables of the store that an instance follows, and their rows.
+
+use crate::ids::Version;
+
+/// A table that an instance follows; it writes only [`Table::Own`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Table {
+    /// The operator's configuration.
+    Config,
+    /// Listed endpoints.
+    Endpoints,
+    /// The product's own rows.
+    Own,
+}
+
+impl Table {
+    /// All tables.
+    pub const ALL: [Self; 3] = [Self::Config, Self::Endpoints, Self::Own];
+
+    /// Word for logs.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Endpoints => "endpoints",
+            Self::Own => "own",
+        }
+    }
+}
+
+/// A row of a table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Its key.
+    pub key: String,
+    /// Its value; none if it was removed.
+    pub value: Option<Vec<u8>>,
+    /// Version at which it last changed.
+    pub version: Version,
+}
+
+/// Rows that the keeper has just seen, passed on to the other instances.
+///
+/// One instance waits at the store for changes; the others get them from it. What
+/// is lost on the way shows by the positions, and is then asked of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Relay {
+    /// Which table.
+    pub table: Table,
+    /// Position in the table's history up to which the receiver must have come.
+    pub after: Version,
+    /// Position to which these rows bring it.
+    pub position: Version,
+    /// Rows that changed in between.
+    pub rows: Vec<Row>,
+}
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -2,6 +2,30 @@
 # What instances that send straight to the endpoints tell each other, one message a
 # datagram. The committed Rust code is made from this file, see README.md.
 
+struct Datagram {
+  union {
+    report @0 :Report;
+    relay @1 :Relay;
+  }
+}
+
+struct Relay {
+  # Rows of a table that the keeper has just seen.
+  table @0 :UInt8;
+  after @1 :UInt64;
+  position @2 :UInt64;
+  rows @3 :List(Row);
+}
+
+struct Row {
+  key @0 :Text;
+  version @1 :UInt64;
+  union {
+    value @2 :Data;
+    removed @3 :Void;
+  }
+}
+
 struct Report {
   instance @0 :Text;
   session @1 :UInt64;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -1,23 +1,62 @@
-//! Reports between instances as datagrams.
+//! Reports and relayed rows between instances as datagrams.
 
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::{EndpointUse, KeySamples, Report, Versions};
-use citronway_core::ids::{InstanceName, ServiceName, SessionId};
+use citronway_core::gateway::rows::{Relay, Row, Table};
+use citronway_core::ids::{InstanceName, ServiceName, SessionId, Version};
 
-use crate::report_capnp::{endpoint_use, report};
+use crate::report_capnp::{datagram, endpoint_use, relay, report, row};
 
-/// Largest datagram that is sent or read, in bytes.
+/// Largest datagram that is sent or read, in bytes; UDP takes 65,507.
 ///
-/// A report of 60 endpoints and 300 keys has about 2,200.
-pub const MAX_DATAGRAM: usize = 16 * 1024;
+/// A report of 60 endpoints and 300 keys has about 2,200. Rows that do not fit are
+/// left to be asked of the store.
+pub const MAX_DATAGRAM: usize = 48 * 1024;
 
-/// Writes a report.
+/// What one instance sends to another.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Datagram {
+    /// What it has in flight.
+    Report(Report),
+    /// Rows that it has seen.
+    Relay(Relay),
+}
+
+/// Writes a datagram.
 #[must_use]
-pub fn encode(from: &Report) -> Vec<u8> {
+pub fn encode(datagram: &Datagram) -> Vec<u8> {
     let mut message = Builder::new_default();
-    let mut to = message.init_root::<report::Builder<'_>>();
+    let root = message.init_root::<datagram::Builder<'_>>();
+    match datagram {
+        Datagram::Report(report) => write_report(report, root.init_report()),
+        Datagram::Relay(relay) => write_relay(relay, root.init_relay()),
+    }
+    serialize::write_message_to_words(&message)
+}
+
+fn write_relay(from: &Relay, mut to: relay::Builder<'_>) {
+    to.set_table(match from.table {
+        Table::Config => 0,
+        Table::Endpoints => 1,
+        Table::Own => 2,
+    });
+    to.set_after(from.after.0);
+    to.set_position(from.position.0);
+    let mut rows = to.init_rows(length(from.rows.len()));
+    for (i, row) in from.rows.iter().enumerate() {
+        let mut item = rows.reborrow().get(length(i));
+        item.set_key(row.key.as_str());
+        item.set_version(row.version.0);
+        match &row.value {
+            Some(value) => item.set_value(value),
+            None => item.set_removed(()),
+        }
+    }
+}
+
+fn write_report(from: &Report, mut to: report::Builder<'_>) {
     to.set_instance(from.instance.as_str());
     to.set_session(from.session.0);
     to.set_number(from.number);
@@ -40,7 +79,6 @@
             keys.set(length(k), *key);
         }
     }
-    serialize::write_message_to_words(&message)
 }
 
 fn length(count: usize) -> u32 {
@@ -61,14 +99,48 @@
     to.set_failed(narrow(from.answers.failed));
 }
 
-/// Reads a report.
+/// Reads a datagram.
 ///
 /// # Errors
 ///
-/// When the datagram is no report.
-pub fn decode(mut datagram: &[u8]) -> Result<Report, ReportError> {
-    let message = serialize::read_message(&mut datagram, ReaderOptions::new())?;
-    let from = message.get_root::<report::Reader<'_>>()?;
+/// When it is none.
+pub fn decode(mut bytes: &[u8]) -> Result<Datagram, ReportError> {
+    let message = serialize::read_message(&mut bytes, ReaderOptions::new())?;
+    let root = message.get_root::<datagram::Reader<'_>>()?;
+    Ok(match root.which()? {
+        datagram::Which::Report(report) => Datagram::Report(read_report(report?)?),
+        datagram::Which::Relay(relay) => Datagram::Relay(read_relay(relay?)?),
+    })
+}
+
+fn read_relay(from: relay::Reader<'_>) -> Result<Relay, ReportError> {
+    let table = match from.get_table() {
+        0 => Table::Config,
+        1 => Table::Endpoints,
+        2 => Table::Own,
+        other => return Err(ReportError::UnknownTable(other)),
+    };
+    let mut rows = Vec::new();
+    for item in from.get_rows()? {
+        let value = match item.which()? {
+            row::Which::Value(value) => Some(value?.to_vec()),
+            row::Which::Removed(()) => None,
+        };
+        rows.push(Row {
+            key: item.get_key()?.to_string()?,
+            value,
+            version: Version(item.get_version()),
+        });
+    }
+    Ok(Relay {
+        table,
+        after: Version(from.get_after()),
+        position: Version(from.get_position()),
+        rows,
+    })
+}
+
+fn read_report(from: report::Reader<'_>) -> Result<Report, ReportError> {
     let mut endpoints = Vec::with_capacity(from.get_endpoints()?.len() as usize);
     for used in from.get_endpoints()? {
         endpoints.push(read_use(used));
@@ -110,12 +182,18 @@
     }
 }
 
-/// A datagram that is no report.
+/// A datagram that cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum ReportError {
     /// Not of the schema's form.
-    #[error("malformed report: {0}")]
+    #[error("malformed datagram: {0}")]
     Malformed(#[from] capnp::Error),
+    /// A kind that this version does not know.
+    #[error("unknown kind of datagram: {0}")]
+    UnknownKind(#[from] capnp::NotInSchema),
+    /// A table that this version does not know.
+    #[error("unknown table {0}")]
+    UnknownTable(u8),
     /// A name is not UTF-8.
     #[error("a name in a report is not UTF-8: {0}")]
     Name(#[from] std::str::Utf8Error),
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -9,10 +9,11 @@
 use citronway_core::gateway::registry::Registry;
 use citronway_core::gateway::report::{Report, Versions};
 use citronway_core::gateway::routes::RouteTable;
+use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{EndpointName, InstanceName, ServiceName, Session, Version, ZoneName};
 use citronway_core::time::Mono;
-use citronway_platform::store::{CONFIG_KEY, Row, Table};
+use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -67,9 +68,11 @@
     pub keeper: Option<KeeperRow>,
     pub peers: Peers,
     pub paces: Paces,
-    operator: Sight,
+    config: Sight,
     endpoints: Sight,
     own: Sight,
+    /// Newest version of each endpoint's entry, of removed ones too.
+    entries: IndexMap<String, Version>,
     heard_at: Mono,
     changed: bool,
 }
@@ -85,9 +88,10 @@
             keeper: None,
             peers: Peers::default(),
             paces: Paces::default(),
-            operator: Sight::default(),
+            config: Sight::default(),
             endpoints: Sight::default(),
             own: Sight::default(),
+            entries: IndexMap::new(),
             heard_at: Mono::default(),
             changed: false,
         }
@@ -95,7 +99,7 @@
 
     fn sight(&mut self, table: Table) -> &mut Sight {
         match table {
-            Table::Operator => &mut self.operator,
+            Table::Config => &mut self.config,
             Table::Endpoints => &mut self.endpoints,
             Table::Own => &mut self.own,
         }
@@ -105,7 +109,7 @@
     pub(super) fn news(&mut self, now: Mono, table: Table, news: News) {
         let (rows, whole) = match news {
             News::Loaded(rows) => (rows, true),
-            News::Changed(rows) => (rows, false),
+            News::Changed(relay) => (relay.rows, false),
             News::Lost(cause) => {
                 self.lost(table, &cause);
                 return;
@@ -113,6 +117,17 @@
         };
         self.heard_at = now;
         self.regained(now, table);
+        self.take_rows(now, table, &rows, whole);
+    }
+
+    /// Takes rows that the keeper passed on.
+    pub(super) fn relayed(&mut self, now: Mono, relay: Relay) {
+        self.heard_at = now;
+        self.regained(now, relay.table);
+        self.take_rows(now, relay.table, &relay.rows, false);
+    }
+
+    fn take_rows(&mut self, now: Mono, table: Table, rows: &[Row], whole: bool) {
         if rows.is_empty() && !whole {
             return;
         }
@@ -126,9 +141,9 @@
         sight.behind_since = None;
         sight.loaded = true;
         match table {
-            Table::Operator => self.config_rows(&rows),
-            Table::Endpoints => self.endpoint_rows(now, &rows, whole),
-            Table::Own => self.own_rows(&rows),
+            Table::Config => self.config_rows(rows),
+            Table::Endpoints => self.endpoint_rows(now, rows, whole),
+            Table::Own => self.own_rows(rows),
         }
         self.changed = true;
     }
@@ -139,7 +154,7 @@
             return;
         }
         sight.lost = true;
-        log::warn!(table = format!("{table:?}"), cause; "store lost");
+        log::warn!(table = table.word(), cause; "store lost");
         if table == Table::Endpoints {
             Arc::make_mut(&mut self.registry).store_lost();
         }
@@ -151,7 +166,7 @@
             return;
         }
         sight.lost = false;
-        log::info!(table = format!("{table:?}"); "store regained");
+        log::info!(table = table.word(); "store regained");
         if table == Table::Endpoints {
             Arc::make_mut(&mut self.registry).store_back(now);
         }
@@ -182,6 +197,13 @@
         let registry = Arc::make_mut(&mut self.registry);
         let mut listings = Vec::new();
         for row in rows {
+            // Failure: relayed rows overtake each other, and an endpoint that leaves
+            // seems ready again. Versions of a row only grow.
+            let newest = self.entries.entry(row.key.clone()).or_default();
+            if *newest > row.version {
+                continue;
+            }
+            *newest = row.version;
             let id = EndpointName::new(&row.key);
             let Some(value) = &row.value else {
                 log::info!(endpoint = id.as_str(); "endpoint no longer listed");
@@ -316,7 +338,7 @@
 
     /// Whether callers are served better here than nowhere.
     pub(super) fn is_ready(&self, now: Mono) -> bool {
-        let store_lost = self.operator.lost && self.endpoints.lost && self.own.lost;
+        let store_lost = self.config.lost && self.endpoints.lost && self.own.lost;
         let cut_off = store_lost && self.peers.heard(now) == 0;
         let known = self
             .sharded()
@@ -330,6 +352,13 @@
         self.own.lost
     }
 
+    /// Whether a fit keeper is heard, which passes rows on.
+    pub(super) fn is_told(&self, now: Mono) -> bool {
+        self.keeper
+            .as_ref()
+            .is_some_and(|row| self.peers.passes_rows(now, row))
+    }
+
     /// Whether own rows were read at least once.
     pub(super) const fn own_loaded(&self) -> bool {
         self.own.loaded
@@ -337,7 +366,7 @@
 
     pub(super) const fn seen(&self) -> Versions {
         Versions {
-            config: self.operator.newest,
+            config: self.config.newest,
             endpoints: self.endpoints.newest,
             own: self.own.newest,
         }
@@ -347,14 +376,14 @@
     pub(super) fn stale_tables(&mut self, now: Mono) -> Vec<Table> {
         let newest = self.peers.newest(now);
         let tables = [
-            (Table::Operator, newest.config),
+            (Table::Config, newest.config),
             (Table::Endpoints, newest.endpoints),
             (Table::Own, newest.own),
         ];
         let mut stale = Vec::new();
         for (table, others) in tables {
             let sight = self.sight(table);
-            if others <= sight.newest || sight.lost {
+            if others <= sight.newest {
                 sight.behind_since = None;
                 continue;
             }
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -114,8 +114,19 @@
         beliefs.store_lost() || unconfirmed || cut_off
     }
 
-    /// Takes the rows as believed after an answer to a call sent at `asked`.
-    pub(super) fn rows_seen(&mut self, now: Mono, asked: Mono, beliefs: &Beliefs) {
+    /// Whether this instance is the keeper as far as it knows.
+    pub(super) const fn in_office(&self) -> bool {
+        self.office.is_some()
+    }
+
+    /// Takes rows that another instance passed on; they confirm nothing.
+    pub(super) fn rows_relayed(&mut self, beliefs: &Beliefs) {
+        self.take_assignments(beliefs);
+        let Some(row) = &beliefs.keeper else { return };
+        self.term_heard(row.term);
+    }
+
+    fn take_assignments(&mut self, beliefs: &Beliefs) {
         for (service, owners) in &beliefs.owners {
             let keeper = self
                 .keepers
@@ -125,6 +136,11 @@
                 keeper.row_seen(owners.assignment.as_ref().clone(), owners.version);
             }
         }
+    }
+
+    /// Takes the rows as believed after an answer to a call sent at `asked`.
+    pub(super) fn rows_seen(&mut self, now: Mono, asked: Mono, beliefs: &Beliefs) {
+        self.take_assignments(beliefs);
         let Some(row) = &beliefs.keeper else { return };
         self.term = self.term.max(row.term);
         if row.instance != self.me.instance || row.session != self.me.id {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -9,27 +9,28 @@
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use citronway_core::gateway::desk::View;
 use citronway_core::gateway::keeper::{Order, OrderResult, WriteResult};
 use citronway_core::gateway::report::{MAX_KEYS, Report};
+use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{ServiceName, Session};
 use citronway_core::time::Mono;
-use citronway_platform::store::{Change, Refused, Table};
-use citronway_wire::report as datagram;
+use citronway_platform::store::{Change, Refused};
+use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use beliefs::Beliefs;
 use duty::Duty;
 use orders::OrderDesk;
 use peers::InstanceRow;
-use store::{Follower, IDLE_WAIT_MS, News, Store, StoreError};
+use store::{Follow, Follower, News, Store, StoreError};
 
 use crate::clock;
 use crate::gateway::ready::{self, Ready};
@@ -78,8 +79,7 @@
     duty: Duty,
     orders: OrderDesk,
     reports: u64,
-    wait_ms: Arc<AtomicU64>,
-    refresh: [(Table, Arc<Notify>); 3],
+    follows: [(Table, Arc<Follow>); 3],
     started: Mono,
     stopping: bool,
 }
@@ -95,7 +95,6 @@
         stop: watch::Sender<bool>,
     ) -> Self {
         let started = clock::mono();
-        let tables = [Table::Operator, Table::Endpoints, Table::Own];
         Self {
             beliefs: Beliefs::new(&cfg),
             duty: Duty::new(me.clone(), started),
@@ -108,8 +107,7 @@
             stop,
             orders: OrderDesk::default(),
             reports: 0,
-            wait_ms: Arc::new(AtomicU64::new(IDLE_WAIT_MS)),
-            refresh: tables.map(|table| (table, Arc::new(Notify::new()))),
+            follows: Table::ALL.map(|table| (table, Follow::new())),
             started,
             stopping: false,
         }
@@ -143,8 +141,8 @@
                     Some(seen) => self.account(&socket, seen),
                     None => return Ok(()),
                 },
-                Some(event) = events.recv() => self.take(event),
-                Ok(len) = socket.recv(&mut buf) => self.report_came(&buf[..len]),
+                Some(event) = events.recv() => self.take(&socket, event),
+                Ok(len) = socket.recv(&mut buf) => self.datagram_came(&buf[..len]),
                 _ = term.recv() => self.stop(),
                 _ = hup.recv() => self.reload(),
                 _ = ticks.tick() => {}
@@ -154,26 +152,32 @@
     }
 
     fn follow_tables(&self, events: &mpsc::Sender<Event>) {
-        for (table, refresh) in &self.refresh {
-            let wait_ms = match table {
-                Table::Own => Arc::clone(&self.wait_ms),
-                Table::Operator | Table::Endpoints => Arc::new(AtomicU64::new(IDLE_WAIT_MS)),
-            };
+        for (table, follow) in &self.follows {
             let follower = Follower {
                 table: *table,
                 address: self.cfg.store,
                 events: events.clone(),
-                wait_ms,
-                refresh: Arc::clone(refresh),
+                follow: Arc::clone(follow),
             };
             tokio::spawn(follower.run());
         }
     }
 
-    fn take(&mut self, event: Event) {
+    fn follow(&self, table: Table) -> &Follow {
+        match table {
+            Table::Config => &self.follows[0].1,
+            Table::Endpoints => &self.follows[1].1,
+            Table::Own => &self.follows[2].1,
+        }
+    }
+
+    fn take(&mut self, socket: &UdpSocket, event: Event) {
         let now = clock::mono();
         match event {
             Event::Store { table, news, asked } => {
+                if let News::Changed(relay) = &news {
+                    self.pass_on(socket, relay);
+                }
                 self.beliefs.news(now, table, news);
                 if table == Table::Own {
                     self.duty.rows_seen(now, asked, &self.beliefs);
@@ -191,8 +195,9 @@
         let now = clock::mono();
         self.beliefs.expire(now);
         let due = self.duty.step(now, &mut self.beliefs, self.stopping);
-        self.wait_ms
-            .store(due.wait_ms, std::sync::atomic::Ordering::Relaxed);
+        let own = self.follow(Table::Own);
+        own.wait_ms.store(due.wait_ms, Ordering::Relaxed);
+        self.rest_or_poll(now);
         for order in due.orders {
             self.orders.start(order, events.clone());
         }
@@ -235,12 +240,8 @@
     /// Has tables read anew of which others have seen newer versions for a while.
     fn refresh_stale(&mut self, now: Mono) {
         for table in self.beliefs.stale_tables(now) {
-            for (of, refresh) in &self.refresh {
-                if *of == table {
-                    log::info!(table = format!("{table:?}"); "others see newer rows, asking anew");
-                    refresh.notify_one();
-                }
-            }
+            log::info!(table = table.word(); "others see newer rows, asking anew");
+            self.follow(table).refresh.notify_one();
         }
     }
 
@@ -263,29 +264,80 @@
             endpoints: seen.endpoints,
             keys: seen.keys,
         };
-        let bytes = datagram::encode(&report);
+        self.beliefs.traffic_seen(now, &report);
+        self.duty.traffic_seen(now, &report);
+        self.send_all(socket, &Datagram::Report(report));
+        self.publish(now);
+    }
+
+    fn send_all(&self, socket: &UdpSocket, content: &Datagram) {
+        let bytes = datagram::encode(content);
+        if bytes.len() > datagram::MAX_DATAGRAM {
+            return;
+        }
         for address in self.beliefs.peers.addresses() {
             if address == self.cfg.reports {
                 continue;
             }
-            // Reports are sent again with newer content in 100 ms.
+            // What is lost shows by newer numbers and positions in later reports.
             if let Err(e) = socket.try_send_to(&bytes, address) {
-                log::debug!(cause = e.to_string(), to = address.to_string(); "report not sent");
+                log::debug!(cause = e.to_string(), to = address.to_string(); "datagram not sent");
             }
         }
-        self.beliefs.traffic_seen(now, &report);
-        self.duty.traffic_seen(now, &report);
-        self.publish(now);
     }
 
-    fn report_came(&mut self, bytes: &[u8]) {
-        let report = match datagram::decode(bytes) {
-            Ok(report) => report,
-            Err(e) => {
-                log::warn!(cause = e.to_string(); "a datagram was dropped");
-                return;
+    /// Passes rows on to those that rest.
+    fn pass_on(&self, socket: &UdpSocket, relay: &Relay) {
+        if self.duty.in_office() {
+            self.send_all(socket, &Datagram::Relay(relay.clone()));
+        }
+    }
+
+    /// Rests while a fit keeper passes rows on, and asks the store otherwise.
+    fn rest_or_poll(&self, now: Mono) {
+        let rests = !self.duty.in_office() && self.beliefs.is_told(now);
+        for (_, follow) in &self.follows {
+            let before = follow.resting.swap(rests, Ordering::Relaxed);
+            if before && !rests {
+                follow.refresh.notify_one();
             }
-        };
+        }
+    }
+
+    fn relay_came(&mut self, relay: Relay) {
+        let follow = self.follow(relay.table);
+        let at = follow.position.load(Ordering::Relaxed);
+        if at == 0 {
+            return;
+        }
+        if relay.after.0 > at {
+            // Something in between was lost.
+            follow.refresh.notify_one();
+            return;
+        }
+        follow
+            .position
+            .fetch_max(relay.position.0, Ordering::Relaxed);
+        if relay.rows.is_empty() {
+            return;
+        }
+        let now = clock::mono();
+        let table = relay.table;
+        self.beliefs.relayed(now, relay);
+        if table == Table::Own {
+            self.duty.rows_relayed(&self.beliefs);
+        }
+    }
+
+    fn datagram_came(&mut self, bytes: &[u8]) {
+        match datagram::decode(bytes) {
+            Ok(Datagram::Report(report)) => self.report_came(report),
+            Ok(Datagram::Relay(relay)) => self.relay_came(relay),
+            Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
+        }
+    }
+
+    fn report_came(&mut self, report: Report) {
         let now = clock::mono();
         if report.instance == self.me.instance || !self.beliefs.peers.report(now, &report) {
             return;
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use citronway_core::gateway::desk::Standing;
-use citronway_core::gateway::election::PeerSight;
+use citronway_core::gateway::election::{KeeperRow, PeerSight};
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::report::{EndpointUse, Report, Versions};
 use citronway_core::gateway::share::Demand;
@@ -14,6 +14,10 @@
 /// Silence after which a report no longer counts, in milliseconds.
 const STALE_MS: u64 = 1_000;
 
+/// Silence of the keeper after which its rows are no longer waited for, in
+/// milliseconds: six reports.
+const QUIET_MS: u64 = 600;
+
 /// An instance of which a row or a report was seen.
 #[derive(Debug)]
 struct Peer {
@@ -99,6 +103,21 @@
         newest
     }
 
+    /// Whether the keeper that the row names is heard and reaches the store.
+    pub(super) fn passes_rows(&self, now: Mono, keeper: &KeeperRow) -> bool {
+        let sight = self
+            .all
+            .get(&keeper.instance)
+            .and_then(|peer| peer.sight.as_ref());
+        sight.is_some_and(|sight| {
+            sight.session == keeper.session
+                && now.since(sight.heard) < QUIET_MS
+                && !sight.unfit
+                && !sight.stopping
+                && sight.term <= keeper.term
+        })
+    }
+
     /// Load of each endpoint by what is in flight elsewhere.
     pub(super) fn standings(&self, now: Mono, paces: &Paces) -> IndexMap<EndpointTag, Standing> {
         let mut all = IndexMap::<EndpointTag, Standing>::new();
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::ids::Version;
-use citronway_platform::store::{self, Change, Refused, Row, Table};
+use citronway_platform::store::{self, Change, Refused};
 use http::Request;
 use tokio::sync::{Notify, mpsc};
 
@@ -21,7 +22,10 @@
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Long polls of an instance that keeps nothing, in milliseconds.
-pub(super) const IDLE_WAIT_MS: u64 = 10_000;
+///
+/// An outage may leave a poll hanging; this and the limit of a call bound how long
+/// the instance then goes without news after the store is back.
+pub(super) const IDLE_WAIT_MS: u64 = 5_000;
 
 /// Long polls of the keeper, in milliseconds: each answer confirms it.
 pub(super) const KEEPER_WAIT_MS: u64 = 2_500;
@@ -110,67 +114,78 @@
 pub(super) enum News {
     /// All rows.
     Loaded(Vec<Row>),
-    /// Rows that changed; none if the poll ended without a change.
-    Changed(Vec<Row>),
+    /// Rows that changed, and the positions between which they did.
+    Changed(Relay),
     /// The store does not answer, or refuses this instance.
     Lost(String),
 }
 
+/// What a follower and its owner share.
+#[derive(Debug)]
+pub(super) struct Follow {
+    /// Position in the table's history; relayed rows move it too.
+    pub position: AtomicU64,
+    /// Another instance passes the rows on; this one asks only when told to.
+    pub resting: AtomicBool,
+    /// How long to wait at the store, in milliseconds.
+    pub wait_ms: AtomicU64,
+    /// Has the store asked now, on a new connection.
+    pub refresh: Notify,
+}
+
+impl Follow {
+    pub(super) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            position: AtomicU64::new(0),
+            resting: AtomicBool::new(false),
+            wait_ms: AtomicU64::new(IDLE_WAIT_MS),
+            refresh: Notify::new(),
+        })
+    }
+}
+
 /// Follows one table for as long as the process runs.
 #[derive(Debug)]
 pub(super) struct Follower {
     pub table: Table,
     pub address: SocketAddr,
     pub events: mpsc::Sender<Event>,
-    pub wait_ms: Arc<AtomicU64>,
-    /// Has the poll under way dropped and asked anew.
-    pub refresh: Arc<Notify>,
+    pub follow: Arc<Follow>,
 }
 
 impl Follower {
     pub(super) async fn run(self) {
         let mut store = Store::new(self.address);
         let mut pause = PAUSE_MS.0;
-        let mut at = None;
+        let mut loaded = false;
+        let mut hurry = false;
         loop {
+            if loaded && !hurry && self.follow.resting.load(Ordering::Relaxed) {
+                self.follow.refresh.notified().await;
+                hurry = true;
+            }
             let asked = clock::mono();
-            let news = match at {
-                None => store.load(self.table).await.map(|(rows, version)| {
-                    at = Some(version);
-                    News::Loaded(rows)
-                }),
-                Some(version) => {
-                    let wait_ms = self.wait_ms.load(Ordering::Relaxed);
-                    let feed = store.feed(self.table, version, wait_ms);
-                    let fed = tokio::select! {
-                        fed = feed => fed,
-                        // Failure: an open connection falls silent for good and the
-                        // table seems not to change. Others that see newer versions
-                        // show it; a new connection works.
-                        () = self.refresh.notified() => {
-                            store.link = None;
-                            continue;
-                        }
-                    };
-                    fed.map(|rows| {
-                        at = Some(rows.version);
-                        News::Changed(rows.rows)
-                    })
-                }
-            };
-            let news = match news {
-                Ok(news) => {
-                    pause = PAUSE_MS.0;
-                    news
+            let news = if loaded {
+                match self.poll(&mut store, hurry).await {
+                    Polled::News(news) => news,
+                    Polled::Again => {
+                        hurry = true;
+                        continue;
+                    }
+                    Polled::HistoryGone => {
+                        loaded = false;
+                        continue;
+                    }
                 }
-                Err(StoreError::Refused(Refused::HistoryGone)) => {
-                    log::info!(table = format!("{:?}", self.table); "history gone, table read anew");
-                    at = None;
-                    continue;
-                }
-                Err(e) => News::Lost(e.to_string()),
+            } else {
+                self.load(&mut store).await
             };
             let lost = matches!(news, News::Lost(_));
+            loaded |= !lost;
+            // Failure: a poll sent while the store is silent hangs beyond its return,
+            // and an old configuration stays in force meanwhile. Until the store has
+            // answered again, calls do not wait.
+            hurry = lost;
             let event = Event::Store {
                 table: self.table,
                 news,
@@ -182,7 +197,65 @@
             if lost {
                 tokio::time::sleep(Duration::from_millis(pause)).await;
                 pause = (pause * 2).min(PAUSE_MS.1);
+            } else {
+                pause = PAUSE_MS.0;
+            }
+        }
+    }
+
+    async fn load(&self, store: &mut Store) -> News {
+        match store.load(self.table).await {
+            Ok((rows, version)) => {
+                self.follow.position.store(version.0, Ordering::Relaxed);
+                News::Loaded(rows)
             }
+            Err(e) => News::Lost(e.to_string()),
         }
     }
+
+    async fn poll(&self, store: &mut Store, hurry: bool) -> Polled {
+        let after = Version(self.follow.position.load(Ordering::Relaxed));
+        let wait_ms = if hurry {
+            0
+        } else {
+            self.follow.wait_ms.load(Ordering::Relaxed)
+        };
+        let polled = tokio::select! {
+            polled = store.feed(self.table, after, wait_ms) => polled,
+            // Failure: an open connection falls silent for good and the table seems
+            // not to change. Others that see newer versions show it; a new connection
+            // works.
+            () = self.follow.refresh.notified() => {
+                store.link = None;
+                return Polled::Again;
+            }
+        };
+        match polled {
+            Ok(rows) => {
+                self.follow
+                    .position
+                    .fetch_max(rows.version.0, Ordering::Relaxed);
+                Polled::News(News::Changed(Relay {
+                    table: self.table,
+                    after,
+                    position: rows.version,
+                    rows: rows.rows,
+                }))
+            }
+            Err(StoreError::Refused(Refused::HistoryGone)) => {
+                log::info!(table = self.table.word(); "history gone, table read anew");
+                Polled::HistoryGone
+            }
+            Err(e) => Polled::News(News::Lost(e.to_string())),
+        }
+    }
+}
+
+/// Result of one poll.
+#[derive(Debug)]
+enum Polled {
+    News(News),
+    /// Told to ask now.
+    Again,
+    HistoryGone,
 }
