A stale plan never goes on top of a late write; moves of an earlier keeper get new fences

A random world of keepers, store and endpoints (new test) found two faults. A successor sealed with the same fences as its predecessor, whose late seal then held.

--- a/crates/citronway-core/src/gateway/keeper/mod.rs
+++ b/crates/citronway-core/src/gateway/keeper/mod.rs
@@ -99,6 +99,8 @@
     writing: bool,
     /// No write before; set after one whose outcome is unknown.
     write_after: Mono,
+    /// What is left of taking over the moves of an earlier keeper.
+    takeover: Takeover,
     /// Set while a new assignment waits to be written.
     wanted: Option<Assignment>,
     holds: Holds,
@@ -108,6 +110,17 @@
     handovers: IndexMap<u64, String>,
 }
 
+/// How far the moves of an earlier keeper have got new fences.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Takeover {
+    /// In office since a moment ago.
+    Begins,
+    /// Moves with a fence below this one are an earlier keeper's.
+    Above(u64),
+    /// None is left.
+    Done,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Tenure {
     /// Start of the newest call that confirmed it.
@@ -128,6 +141,7 @@
             tenure: None,
             writing: false,
             write_after: Mono(0),
+            takeover: Takeover::Done,
             wanted: None,
             holds: Holds::default(),
             moves: IndexMap::new(),
@@ -146,6 +160,7 @@
             rival_until,
         });
         self.writing = false;
+        self.takeover = Takeover::Begins;
         self.wanted = None;
         self.moves.clear();
         self.holds = Holds::default();
@@ -184,6 +199,12 @@
         if version < self.version {
             return;
         }
+        // Failure: a write whose answer was lost lands after new moves were drawn up
+        // from the row before it; written on top, they give a range back to an owner
+        // that has let go of it, and both hold it.
+        if version > self.version {
+            self.wanted = None;
+        }
         self.row = row;
         self.version = version;
         let fences: Vec<_> = self
@@ -288,6 +309,12 @@
         // this limit before it gives the keys of a silent endpoint to another.
         if now.since(tenure.contact) < self.cfg.contact_limit_ms {
             self.renew(now, registry, &mut actions);
+        }
+        if self.takeover != Takeover::Done {
+            self.take_over(now, &mut actions);
+            return actions;
+        }
+        if now.since(tenure.contact) < self.cfg.contact_limit_ms {
             self.advance_moves(now, tenure.rival_until, registry, &mut actions);
         }
         self.write(now, &mut actions);
@@ -310,18 +337,43 @@
         }
     }
 
-    fn write(&mut self, now: Mono, actions: &mut Vec<Action>) {
+    /// Gives the moves of an earlier keeper new fences.
+    ///
+    /// Failure: the earlier keeper is slow or cut off and still seals a holder, after
+    /// this one has released it and the next owner holds the keys. Its seals are below
+    /// the new fences and the holder refuses them.
+    fn take_over(&mut self, now: Mono, actions: &mut Vec<Action>) {
+        let floor = match self.takeover {
+            Takeover::Done => return,
+            Takeover::Begins => self.row.next_fence,
+            Takeover::Above(floor) => floor,
+        };
+        self.takeover = Takeover::Above(floor);
         if self.writing || now < self.write_after {
             return;
         }
-        let mut row = self.wanted.take().unwrap_or_else(|| self.row.clone());
-        for range in &mut row.ranges {
-            self.settle(range);
+        let mut row = self.row.clone();
+        for i in 0..row.ranges.len() {
+            let old = row.ranges[i]
+                .next
+                .as_ref()
+                .is_some_and(|next| next.fence < floor);
+            if !old {
+                continue;
+            }
+            let fence = row.draw_fences(FENCES_A_MOVE);
+            if let Some(next) = &mut row.ranges[i].next {
+                next.fence = fence;
+            }
         }
-        row.merge();
         if row == self.row {
+            self.takeover = Takeover::Done;
             return;
         }
+        self.push_write(row, actions);
+    }
+
+    fn push_write(&mut self, row: Assignment, actions: &mut Vec<Action>) {
         self.writing = true;
         actions.push(Action::Write {
             service: self.service.clone(),
@@ -330,6 +382,21 @@
         });
     }
 
+    fn write(&mut self, now: Mono, actions: &mut Vec<Action>) {
+        if self.writing || now < self.write_after {
+            return;
+        }
+        let mut row = self.wanted.take().unwrap_or_else(|| self.row.clone());
+        for range in &mut row.ranges {
+            self.settle(range);
+        }
+        row.merge();
+        if row == self.row {
+            return;
+        }
+        self.push_write(row, actions);
+    }
+
     /// Gives a range to its next owner once its holder is known to have let go.
     fn settle(&mut self, range: &mut Range) {
         let Some(next) = &range.next else { return };
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -50,9 +50,10 @@
 
 /// How long keys of a draining endpoint are still sent there, in milliseconds.
 ///
-/// Its keys are moved meanwhile. Half of the shortest time that it has to be left
-/// alone after; the other half is for what is on its way.
-const DRAINING_USE_MS: u64 = 1_000;
+/// Its keys are moved meanwhile, which takes about 200 ms. It has to be left alone two
+/// seconds after it has said so, of which news may take 1.6 s when the keeper has
+/// just lost the store.
+const DRAINING_USE_MS: u64 = 300;
 
 impl Known {
     /// Whether new work may be sent to it that another endpoint could do as well.
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_keeper_random.rs
@@ -0,0 +1,129 @@
+//! Ownership of keys under drawn faults: no key ever has two holders.
+
+mod keeper_world;
+
+use keeper_world::{Faults, World};
+
+const NO_FAULTS: Faults = Faults {
+    lost_orders: 0,
+    store_cuts: 0,
+    pauses: 0,
+    endpoint_cuts: 0,
+    crashes: 0,
+    lost_writes: 0,
+};
+
+/// Simulated steps of 25 ms: one minute and a half.
+const STEPS: usize = 3_600;
+
+fn run(seeds: std::ops::Range<u64>, faults: Faults) {
+    for seed in seeds {
+        let mut world = World::new(seed, faults);
+        for _ in 0..STEPS {
+            if let Some(broken) = world.step() {
+                panic!("seed {seed}: {broken}");
+            }
+        }
+        assert!(world.moves > 10, "seed {seed}: only {} moves", world.moves);
+    }
+}
+
+/// Nothing fails; keys move all the time. Each is served but for the moment of its
+/// move.
+#[test]
+fn without_faults_keys_are_served() {
+    let mut world = World::new(1, NO_FAULTS);
+    for _ in 0..STEPS {
+        assert_eq!(world.step(), None);
+    }
+    let looks = STEPS as u64 * 66;
+    assert!(
+        world.unserved * 50 < looks,
+        "{} of {looks} unserved",
+        world.unserved
+    );
+}
+
+/// A keeper loses the store in the middle of a move. Its successor finishes the move,
+/// and a seal of the first keeper arrives after the release: both endpoints run
+/// requests for the same key. Seals of the successor need fences above all of the
+/// first keeper's.
+#[test]
+fn keepers_that_lose_the_store() {
+    run(
+        0..60,
+        Faults {
+            store_cuts: 60,
+            ..NO_FAULTS
+        },
+    );
+}
+
+/// A keeper stands still for seconds and goes on as if nothing had happened, while
+/// its successor has given the keys to others.
+#[test]
+fn keepers_that_stand_still() {
+    run(
+        100..160,
+        Faults {
+            pauses: 40,
+            store_cuts: 10,
+            ..NO_FAULTS
+        },
+    );
+}
+
+/// Answers to orders are lost and grants are carried out up to 12 s late, after newer
+/// ones and after releases.
+#[test]
+fn orders_lost_and_late() {
+    run(
+        200..260,
+        Faults {
+            lost_orders: 2_500,
+            ..NO_FAULTS
+        },
+    );
+}
+
+/// An endpoint cannot be reached by its keeper but by others, and holds on to its
+/// keys; another process starts at the address of one that ended.
+#[test]
+fn endpoints_cut_off_and_reborn() {
+    run(
+        300..360,
+        Faults {
+            endpoint_cuts: 80,
+            crashes: 20,
+            ..NO_FAULTS
+        },
+    );
+}
+
+/// Answers to writes are lost, and writes land up to 6 s later if their condition
+/// still holds.
+#[test]
+fn writes_lost_and_late() {
+    run(
+        400..460,
+        Faults {
+            lost_writes: 4_000,
+            store_cuts: 20,
+            ..NO_FAULTS
+        },
+    );
+}
+
+/// All of it at once.
+#[test]
+fn everything_at_once() {
+    let faults = Faults {
+        lost_orders: 1_000,
+        store_cuts: 30,
+        pauses: 20,
+        endpoint_cuts: 40,
+        crashes: 10,
+        lost_writes: 1_000,
+    };
+    run(500..620, faults);
+}
--- /dev/null
+++ b/crates/citronway-core/tests/keeper_world/endpoint.rs
@@ -0,0 +1,97 @@
+//! An endpoint that checks fences and measures holds on a clock that runs 2% slow.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use citronway_core::gateway::keeper::{Order, OrderKind, OrderResult};
+use citronway_core::gateway::registry::Listing;
+use citronway_core::ids::{EndpointName, ServiceName};
+use citronway_core::time::Mono;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct KeyState {
+    seen: u64,
+    fence: u64,
+    until: Mono,
+}
+
+#[derive(Debug)]
+pub struct Endpoint {
+    place: usize,
+    start: u64,
+    pub address: SocketAddr,
+    keys: BTreeMap<u16, KeyState>,
+}
+
+impl Endpoint {
+    pub fn new(place: usize) -> Self {
+        Self {
+            place,
+            start: 0,
+            address: SocketAddr::from(([10, 0, 0, 1 + place as u8], 80)),
+            keys: BTreeMap::new(),
+        }
+    }
+
+    pub fn id(&self) -> EndpointName {
+        super::name(self.place, self.start)
+    }
+
+    pub fn listing(&self) -> Listing {
+        Listing {
+            id: self.id(),
+            service: ServiceName::new("batch"),
+            address: self.address,
+            zone: super::zone(),
+            slots: 6,
+            draining: false,
+            cold_ms: 0,
+        }
+    }
+
+    /// Another process starts at the same address; it holds nothing.
+    pub fn restart(&mut self) {
+        self.start += 1;
+        self.keys.clear();
+    }
+
+    pub fn holds(&self, now: Mono, key: u16) -> bool {
+        self.keys.get(&key).is_some_and(|state| state.until > now)
+    }
+
+    pub fn take(&mut self, now: Mono, arrived: Mono, order: &Order) -> OrderResult {
+        if order.endpoint != self.id() {
+            return OrderResult::NotThere;
+        }
+        let keys = (0..=u16::MAX).step_by(997);
+        let span: Vec<_> = keys
+            .filter(|key| (order.span.first..=order.span.last).contains(key))
+            .collect();
+        match &order.kind {
+            OrderKind::Grant { hold_ms, .. } | OrderKind::Seal { hold_ms } => {
+                let seen = |key| self.keys.get(key).map_or(0, |state| state.seen);
+                if span.iter().any(|key| seen(key) > order.fence) {
+                    return OrderResult::Stale;
+                }
+                let until = arrived.plus(hold_ms + hold_ms / 50);
+                for key in span {
+                    let state = self.keys.entry(key).or_default();
+                    state.seen = order.fence;
+                    state.fence = order.fence;
+                    state.until = until;
+                }
+            }
+            OrderKind::Release => {
+                for key in span {
+                    let state = self.keys.entry(key).or_default();
+                    if state.fence <= order.fence {
+                        state.until = now;
+                    }
+                }
+            }
+        }
+        OrderResult::Done {
+            handover: Some(order.fence.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/tests/keeper_world/mod.rs
@@ -0,0 +1,347 @@
+//! Keepers, a store and endpoints in one process, with faults drawn from a seed.
+//!
+//! Time goes in steps. Calls arrive at once or never; a grant whose answer is lost
+//! may be carried out up to 12 s later, its time counting from its arrival. A keeper
+//! may lose the store, some endpoints, or its own time; whoever claims follows.
+
+mod endpoint;
+mod random;
+
+use citronway_core::gateway::assignment::Assignment;
+use citronway_core::gateway::keeper::{
+    Action, Keeper, KeeperSettings, Move, Order, OrderKind, OrderResult, Span, WriteResult,
+};
+use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::ids::{EndpointName, ServiceName, Version, ZoneName};
+use citronway_core::time::Mono;
+
+pub use endpoint::Endpoint;
+pub use random::Random;
+
+/// Length of a step, in milliseconds.
+pub const STEP_MS: u64 = 25;
+
+/// Silence of a keeper after which another claims, in milliseconds.
+const CLAIM_AFTER_MS: u64 = 1_000;
+
+/// How likely each fault is, in one step, out of ten thousand.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    /// An order's answer is lost; of these, half are carried out late.
+    pub lost_orders: u64,
+    /// A keeper loses the store for up to 6 s.
+    pub store_cuts: u64,
+    /// A keeper stands still for up to 20 s.
+    pub pauses: u64,
+    /// An endpoint is not reached by one keeper for up to 6 s.
+    pub endpoint_cuts: u64,
+    /// An endpoint's process ends; another starts at its address.
+    pub crashes: u64,
+    /// The answer to a write is lost; of these, half are done late.
+    pub lost_writes: u64,
+}
+
+/// One instance that may keep.
+#[derive(Debug)]
+struct Instance {
+    keeper: Keeper,
+    term: u64,
+    contact: Mono,
+    cut_until: Mono,
+    paused_until: Mono,
+    unreached: Vec<(usize, Mono)>,
+}
+
+#[derive(Debug)]
+struct LateOrder {
+    at: Mono,
+    arrived: Mono,
+    endpoint: usize,
+    order: Order,
+}
+
+#[derive(Debug)]
+struct LateWrite {
+    at: Mono,
+    term: u64,
+    row: Assignment,
+    expected: Version,
+}
+
+/// The whole world.
+#[derive(Debug)]
+pub struct World {
+    pub now: Mono,
+    pub random: Random,
+    faults: Faults,
+    instances: Vec<Instance>,
+    pub endpoints: Vec<Endpoint>,
+    row: Assignment,
+    version: Version,
+    term: u64,
+    keeper: usize,
+    keeper_acted: Mono,
+    late_orders: Vec<LateOrder>,
+    late_writes: Vec<LateWrite>,
+    /// Steps in which a key had no holder, over all keys that are looked at.
+    pub unserved: u64,
+    pub moves: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let cfg = KeeperSettings::default();
+        let service = ServiceName::new("batch");
+        let start = Mono(100_000);
+        let instances = (0..3).map(|_| Instance {
+            keeper: Keeper::new(cfg, service.clone()),
+            term: 0,
+            contact: start,
+            cut_until: Mono(0),
+            paused_until: Mono(0),
+            unreached: Vec::new(),
+        });
+        let mut world = Self {
+            now: start,
+            random: Random::new(seed),
+            faults,
+            instances: instances.collect(),
+            endpoints: (0..4).map(Endpoint::new).collect(),
+            row: Assignment::default(),
+            version: Version(0),
+            term: 1,
+            keeper: 0,
+            keeper_acted: start,
+            late_orders: Vec::new(),
+            late_writes: Vec::new(),
+            unserved: 0,
+            moves: 0,
+        };
+        world.instances[0].term = 1;
+        world.instances[0].keeper.begin(start, Mono(0));
+        world
+    }
+
+    /// Registry as the platform would show it: the living starts.
+    fn registry(&self) -> Registry {
+        let mut registry = Registry::default();
+        for endpoint in &self.endpoints {
+            registry.put(self.now, endpoint.listing());
+        }
+        registry
+    }
+
+    /// Runs one step; says which key two endpoints hold, if one does.
+    pub fn step(&mut self) -> Option<String> {
+        self.now = self.now.plus(STEP_MS);
+        self.draw_faults();
+        self.carry_out_late();
+        self.claim();
+        for i in 0..self.instances.len() {
+            self.run_keeper(i);
+        }
+        self.check()
+    }
+
+    fn draw_faults(&mut self) {
+        let faults = self.faults;
+        let count = self.instances.len() as u64;
+        if self.random.chance(faults.store_cuts) {
+            let i = self.random.below(count) as usize;
+            self.instances[i].cut_until = self.now.plus(self.random.below(6_000));
+        }
+        if self.random.chance(faults.pauses) {
+            let i = self.random.below(count) as usize;
+            self.instances[i].paused_until = self.now.plus(self.random.below(20_000));
+        }
+        if self.random.chance(faults.endpoint_cuts) {
+            let i = self.random.below(count) as usize;
+            let endpoint = self.random.below(self.endpoints.len() as u64) as usize;
+            let until = self.now.plus(self.random.below(6_000));
+            self.instances[i].unreached.push((endpoint, until));
+        }
+        if self.random.chance(faults.crashes) {
+            let i = self.random.below(self.endpoints.len() as u64) as usize;
+            self.endpoints[i].restart();
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = self.late_orders.drain(..).partition(|o| o.at <= now);
+        self.late_orders = later;
+        for late in due {
+            self.endpoints[late.endpoint].take(now, late.arrived, &late.order);
+        }
+        let (due, later): (Vec<_>, Vec<_>) = self.late_writes.drain(..).partition(|w| w.at <= now);
+        self.late_writes = later;
+        for late in due {
+            self.apply_write(late.term, &late.row, late.expected);
+        }
+    }
+
+    fn apply_write(&mut self, term: u64, row: &Assignment, expected: Version) -> bool {
+        if term != self.term || expected != self.version {
+            return false;
+        }
+        self.row = row.clone();
+        self.version = self.version.next();
+        true
+    }
+
+    /// Another instance claims when the keeper has not acted for a while.
+    fn claim(&mut self) {
+        if self.now.since(self.keeper_acted) < CLAIM_AFTER_MS {
+            return;
+        }
+        let now = self.now;
+        let next = (0..self.instances.len()).find(|i| {
+            let other = &self.instances[*i];
+            *i != self.keeper && other.cut_until <= now && other.paused_until <= now
+        });
+        let Some(next) = next else { return };
+        self.term += 1;
+        self.keeper = next;
+        self.keeper_acted = now;
+        let instance = &mut self.instances[next];
+        instance.term = self.term;
+        instance.contact = now;
+        instance.keeper.row_seen(self.row.clone(), self.version);
+        let rival_until = KeeperSettings::default().rival_until(now);
+        instance.keeper.begin(now, rival_until);
+    }
+
+    fn run_keeper(&mut self, i: usize) {
+        let now = self.now;
+        let registry = self.registry();
+        if self.instances[i].paused_until > now {
+            return;
+        }
+        let connected = self.instances[i].cut_until <= now;
+        if connected {
+            let instance = &mut self.instances[i];
+            instance.keeper.row_seen(self.row.clone(), self.version);
+            if instance.term == self.term && i == self.keeper {
+                instance.keeper.confirm(now);
+                self.keeper_acted = now;
+            } else {
+                instance.keeper.end();
+            }
+        }
+        if !self.instances[i].keeper.in_office() {
+            return;
+        }
+        self.propose(i, &registry);
+        let actions = self.instances[i].keeper.step(now, &registry);
+        for action in actions {
+            match action {
+                Action::Order(order) => self.order(i, order),
+                Action::Write { row, expected, .. } => self.write(i, row, expected),
+            }
+        }
+    }
+
+    fn propose(&mut self, i: usize, registry: &Registry) {
+        let listings: Vec<_> = self.endpoints.iter().map(Endpoint::listing).collect();
+        let listings: Vec<&Listing> = listings.iter().collect();
+        self.instances[i].keeper.found(&listings);
+        if !self.random.chance(400) {
+            return;
+        }
+        let first = self.random.below(60_000) as u16;
+        let to = self.random.below(self.endpoints.len() as u64) as usize;
+        let keeper = &mut self.instances[i].keeper;
+        let Some(range) = keeper.row().at(first) else {
+            return;
+        };
+        let last = range.last.min(first.saturating_add(5_000));
+        let wish = Move {
+            span: Span { first, last },
+            to: self.endpoints[to].id(),
+        };
+        self.moves += 1;
+        keeper.start(&[wish], registry);
+    }
+
+    fn write(&mut self, i: usize, row: Assignment, expected: Version) {
+        let now = self.now;
+        let term = self.instances[i].term;
+        let result = if self.instances[i].cut_until > now {
+            WriteResult::Unknown
+        } else if self.random.chance(self.faults.lost_writes) {
+            if self.random.chance(5_000) {
+                self.late_writes.push(LateWrite {
+                    at: now.plus(self.random.below(6_000)),
+                    term,
+                    row,
+                    expected,
+                });
+            } else {
+                self.apply_write(term, &row, expected);
+            }
+            WriteResult::Unknown
+        } else if self.apply_write(term, &row, expected) {
+            WriteResult::Done(row, self.version)
+        } else {
+            WriteResult::Conflict
+        };
+        self.instances[i].keeper.wrote(now, result);
+    }
+
+    fn order(&mut self, i: usize, order: Order) {
+        let now = self.now;
+        let at = self
+            .endpoints
+            .iter()
+            .position(|e| e.address == order.address);
+        let Some(at) = at else { return };
+        let unreached = self.instances[i]
+            .unreached
+            .iter()
+            .any(|(e, end)| *e == at && *end > now);
+        let result = if unreached {
+            OrderResult::Lost
+        } else if self.random.chance(self.faults.lost_orders) {
+            if self.random.chance(5_000) && order.kind != OrderKind::Release {
+                self.late_orders.push(LateOrder {
+                    at: now.plus(2_000 + self.random.below(10_000)),
+                    arrived: now,
+                    endpoint: at,
+                    order: order.clone(),
+                });
+            }
+            OrderResult::Lost
+        } else {
+            self.endpoints[at].take(now, now, &order)
+        };
+        self.instances[i].keeper.answered(now, &order, &result);
+    }
+
+    fn check(&mut self) -> Option<String> {
+        let now = self.now;
+        for key in (0..=u16::MAX).step_by(997) {
+            let holders: Vec<_> = self
+                .endpoints
+                .iter()
+                .filter(|e| e.holds(now, key))
+                .collect();
+            if holders.is_empty() {
+                self.unserved += 1;
+            }
+            if holders.len() > 1 {
+                let names: Vec<_> = holders.iter().map(|e| e.id()).collect();
+                return Some(format!("at {now}: key {key} is held by {names:?}"));
+            }
+        }
+        None
+    }
+}
+
+/// Name of the `start`th process at an address.
+fn name(place: usize, start: u64) -> EndpointName {
+    EndpointName::new(&format!("e{place}-{start}"))
+}
+
+fn zone() -> ZoneName {
+    ZoneName::new("a")
+}
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -28,8 +28,8 @@
 const CLAIM_PAUSE_MS: u64 = 500;
 
 /// Age of the last confirmation at which a keeper gives the duty up, in
-/// milliseconds: twice the longest poll, well before its grants have to end.
-const UNCONFIRMED_MS: u64 = 5_000;
+/// milliseconds: longer than a poll with its limit, well before its grants have to end.
+const UNCONFIRMED_MS: u64 = 2_000;
 
 /// Time of work that is assumed until answers show it, in milliseconds.
 const FIRST_WORK_MS: f64 = 200.0;
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -195,8 +195,9 @@
         let now = clock::mono();
         self.beliefs.expire(now);
         let due = self.duty.step(now, &mut self.beliefs, self.stopping);
-        let own = self.follow(Table::Own);
-        own.wait_ms.store(due.wait_ms, Ordering::Relaxed);
+        for (_, follow) in &self.follows {
+            follow.wait_ms.store(due.wait_ms, Ordering::Relaxed);
+        }
         self.rest_or_poll(now);
         for order in due.orders {
             self.orders.start(order, events.clone());
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -19,7 +19,7 @@
 /// How long a call waits beyond what it asked the store to wait.
 ///
 /// The store answers within 5 ms; slowed sixtyfold it still answers in time.
-const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+const CALL_LIMIT: Duration = Duration::from_millis(500);
 
 /// Long polls of an instance that keeps nothing, in milliseconds.
 ///
@@ -27,8 +27,12 @@
 /// the instance then goes without news after the store is back.
 pub(super) const IDLE_WAIT_MS: u64 = 5_000;
 
-/// Long polls of the keeper, in milliseconds: each answer confirms it.
-pub(super) const KEEPER_WAIT_MS: u64 = 2_500;
+/// Long polls of the keeper, in milliseconds.
+///
+/// Each answer confirms it. The others learn of changes from the keeper and have two
+/// seconds for it; when the store falls silent for the keeper alone, this and
+/// [`CALL_LIMIT`] pass before they ask for themselves.
+pub(super) const KEEPER_WAIT_MS: u64 = 1_000;
 
 /// First and longest pause after a call that failed, in milliseconds.
 const PAUSE_MS: (u64, u64) = (100, 1_000);
