--- a/crates/citronway-core/src/gateway/desk/job.rs
+++ b/crates/citronway-core/src/gateway/desk/job.rs
@@ -75,17 +75,20 @@
     Unreachable,
     /// The endpoint refused it, and no second send is left.
     EndpointRefused,
+    /// The instance stops; another one serves.
+    Stopping,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documents and tests.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::NoConfiguration,
         Self::NoEndpoint,
         Self::KeyUnowned,
         Self::Overloaded,
         Self::Unreachable,
         Self::EndpointRefused,
+        Self::Stopping,
     ];
 
     /// Word for logs, metrics and answers.
@@ -98,6 +101,7 @@
             Self::Overloaded => "overloaded",
             Self::Unreachable => "unreachable",
             Self::EndpointRefused => "endpoint_refused",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -28,7 +28,7 @@
 
 /// Time after the signal to stop in which callers still arrive: the balancer asks
 /// once a second and takes an instance out after two misses.
-const STILL_ARRIVING: Duration = Duration::from_millis(2_600);
+const STILL_ARRIVING: Duration = Duration::from_millis(2_800);
 
 /// Part of the grace that is used, in hundredths; the rest is for ending in order.
 const GRACE_USED: u64 = 92;
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -40,19 +40,29 @@
     seen: mpsc::Sender<Seen>,
     stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
-    let listener = TcpListener::bind(cfg.callers).await?;
+    let mut listener = Some(TcpListener::bind(cfg.callers).await?);
     let state = Rc::new(State::new(cfg, view, stop.clone()));
     tokio::task::spawn_local(follow_view(Rc::clone(&state)));
     tokio::task::spawn_local(pump(Rc::clone(&state)));
     tokio::task::spawn_local(account(Rc::clone(&state), seen));
-    tokio::select! {
-        () = accept(&listener, &state) => {}
-        () = connection::drained(&state, stop, cfg.grace_ms) => {}
+    let drained = connection::drained(&state, stop, cfg.grace_ms);
+    tokio::pin!(drained);
+    loop {
+        tokio::select! {
+            () = accept(listener.as_ref(), &state) => {}
+            // Failure: callers go on connecting when few instances of a zone are left,
+            // and the last of them are cut off when the process ends. A closed port
+            // sends them elsewhere before a request is read.
+            () = state.closing(), if listener.is_some() => listener = None,
+            () = &mut drained => return Ok(()),
+        }
     }
-    Ok(())
 }
 
-async fn accept(listener: &TcpListener, state: &Rc<State>) {
+async fn accept(listener: Option<&TcpListener>, state: &Rc<State>) {
+    let Some(listener) = listener else {
+        return std::future::pending().await;
+    };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -27,6 +27,9 @@
 /// Time to come back where nothing better is known, in milliseconds.
 const DEFAULT_RETRY_MS: u64 = 200;
 
+/// Time to come back to another instance, in milliseconds.
+const STOPPING_RETRY_MS: u64 = 20;
+
 /// Time under which a request is not sent any more, in milliseconds: it would reach
 /// the endpoint with no time to work.
 const MIN_LEFT_MS: u64 = 20;
@@ -77,6 +80,9 @@
     words: &CallerWords,
     body: Incoming,
 ) -> Outcome {
+    if state.is_closing() {
+        return not_run(RefusalReason::Stopping, STOPPING_RETRY_MS);
+    }
     let routes = state.view.borrow().routes.clone();
     let Some(routes) = routes else {
         return not_run(RefusalReason::NoConfiguration, DEFAULT_RETRY_MS);
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -293,6 +293,11 @@
         self.close_idle.send_replace(true);
     }
 
+    /// Whether no more requests are taken because the instance stops.
+    pub(super) fn is_closing(&self) -> bool {
+        *self.close_idle.borrow()
+    }
+
     /// Resolves once idle connections are to be closed.
     pub(super) async fn closing(&self) {
         let mut closing = self.close_idle.subscribe();
