Endpoints that are gone or silent are left alone sooner

Addresses of dark endpoints had gone to another service, and each request tried the old entry again (421); ranges whose holder did not hold them were tried by all that waited at once, up to 18 times a request. Now a new entry at an address ends the old one, a 421 ends an endpoint for requests without a key, and one request at a time tries a holder.

--- a/crates/citronway-core/src/gateway/desk/choose.rs
+++ b/crates/citronway-core/src/gateway/desk/choose.rs
@@ -20,6 +20,14 @@
 /// Bytes between zones are paid for; half of the slots still leaves room for a burst.
 const OTHER_ZONE_LOAD: f64 = 0.35;
 
+/// Silence of an endpoint with requests in flight that makes it suspect: this many
+/// times the usual work, and at least this many milliseconds.
+const SILENT_WORKS: u64 = 4;
+const SILENT_MS: u64 = 500;
+
+/// Load that is added for a suspect endpoint: it is chosen only if all others are full.
+const SILENT_LOAD: f64 = 100.0;
+
 /// Result of looking for an endpoint.
 #[derive(Debug)]
 pub(super) enum Finding {
@@ -48,7 +56,7 @@
         Some(EndpointTag::of(&range.holder.endpoint))
     }
 
-    fn find_owner(&self, now: Mono, view: &View, job: &Job) -> Finding {
+    fn find_owner(&mut self, now: Mono, view: &View, job: &Job) -> Finding {
         let Some(range) = range_of(view, job) else {
             return Finding::Wait(RefusalReason::KeyUnowned);
         };
@@ -57,10 +65,11 @@
             .fences
             .get(&holder.fence)
             .is_none_or(|at| now.since(*at) < FRESH_OWNER_MS);
+        let at = (holder.fence, range.first);
         let disowned = self
             .disowned
-            .get(&(holder.fence, range.first))
-            .is_some_and(|until| now < *until);
+            .get(&at)
+            .is_some_and(|avoided| now < avoided.until);
         if disowned || (fresh && !range.is_moving()) {
             return Finding::Wait(RefusalReason::KeyUnowned);
         }
@@ -78,6 +87,10 @@
         if !self.has_room(view, known, tag, waiting) {
             return Finding::Wait(RefusalReason::Overloaded);
         }
+        // One request at a time tries a holder that did not hold the keys.
+        if let Some(avoided) = self.disowned.get_mut(&at) {
+            avoided.until = now.plus(avoided.for_ms);
+        }
         Finding::Send(Choice {
             endpoint: holder.endpoint.clone(),
             address: holder.address,
@@ -112,7 +125,8 @@
                 cause = RefusalReason::Overloaded;
                 continue;
             }
-            let load = self.load(now, view, known, tag);
+            let silent = self.is_silent(now, job, tag);
+            let load = self.load(now, view, known, tag) + if silent { SILENT_LOAD } else { 0.0 };
             let turn = (self.turn + i as u64) % endpoints.len() as u64;
             if best
                 .as_ref()
@@ -131,6 +145,17 @@
         })
     }
 
+    /// Whether the endpoint has answered nothing for longer than work takes.
+    ///
+    /// Failure: a machine goes dark with its connections open, and requests that may
+    /// not be repeated are sent there until its entry lapses.
+    fn is_silent(&self, now: Mono, job: &Job, tag: EndpointTag) -> bool {
+        let limit = (job.work_ms * SILENT_WORKS).max(SILENT_MS);
+        self.unanswered
+            .get(&tag)
+            .is_some_and(|since| now.since(*since) > limit)
+    }
+
     fn is_avoided(&self, now: Mono, tag: EndpointTag) -> bool {
         self.avoided
             .get(&tag)
--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -24,9 +24,12 @@
 /// Shortest time to come back that a refused caller is told, in milliseconds.
 const MIN_RETRY_MS: u64 = 60;
 
-/// Time for which a range is left alone after its holder said that it does not hold
-/// it, in milliseconds: a grant that is under way takes a few milliseconds.
-const DISOWNED_MS: u64 = 60;
+/// First and longest time for which a range is left alone after its holder said that
+/// it does not hold it, in milliseconds: a grant that is under way takes a few.
+///
+/// After each time one request tries, not all that wait: those that are refused count
+/// as second sends.
+const DISOWNED_MS: (u64, u64) = (50, 800);
 
 /// The same for a range on its way to another owner, in milliseconds: its holder does
 /// not take it back, and the next owner has another fence.
@@ -36,6 +39,10 @@
 /// connection, in milliseconds.
 const AVOID_MS: (u64, u64) = (250, 4_000);
 
+/// How long an endpoint is avoided whose address another process has, in
+/// milliseconds: until its entry has lapsed.
+const GONE_MS: u64 = 6_000;
+
 /// The desk of one instance.
 #[derive(Debug, Default)]
 pub struct Desk {
@@ -45,7 +52,9 @@
     wanted: IndexMap<EndpointTag, u32>,
     avoided: IndexMap<EndpointTag, Avoided>,
     /// Holders that said they do not hold the keys, by fence and first key.
-    disowned: IndexMap<(u64, u16), Mono>,
+    disowned: IndexMap<(u64, u16), Avoided>,
+    /// Endpoints with requests in flight: since when none was answered.
+    unanswered: IndexMap<EndpointTag, Mono>,
     /// When each fence was first seen as an owner's.
     fences: IndexMap<u64, Mono>,
     /// Number for choices between equals.
@@ -72,7 +81,7 @@
         };
         let cause = match found {
             Finding::Send(choice) => {
-                self.sent(&choice.endpoint);
+                self.sent(now, &choice.endpoint);
                 return Some(Verdict::Send(choice));
             }
             Finding::Wait(cause) => cause,
@@ -110,7 +119,7 @@
             };
             let verdict = match found {
                 Finding::Send(choice) => {
-                    self.sent(&choice.endpoint);
+                    self.sent(now, &choice.endpoint);
                     Some(Verdict::Send(choice))
                 }
                 Finding::Wait(cause) => {
@@ -139,8 +148,14 @@
 
     /// Notes that a request is no longer in flight at the endpoint.
     pub fn finished(&mut self, endpoint: &EndpointName) {
-        if let Some(count) = self.in_flight.get_mut(&EndpointTag::of(endpoint)) {
-            *count = count.saturating_sub(1);
+        let tag = EndpointTag::of(endpoint);
+        let Some(count) = self.in_flight.get_mut(&tag) else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.in_flight.swap_remove(&tag);
+            self.unanswered.swap_remove(&tag);
         }
     }
 
@@ -156,24 +171,42 @@
         self.avoided.insert(tag, Avoided { until, for_ms });
     }
 
-    /// Notes that the endpoint answered.
-    pub fn answered(&mut self, endpoint: &EndpointName) {
-        if !self.avoided.is_empty() {
-            self.avoided.swap_remove(&EndpointTag::of(endpoint));
+    /// Notes that the endpoint answered a request that it ran.
+    pub fn answered(&mut self, now: Mono, choice: &Choice, key: Option<u16>) {
+        let tag = EndpointTag::of(&choice.endpoint);
+        self.avoided.swap_remove(&tag);
+        if let Some(since) = self.unanswered.get_mut(&tag) {
+            *since = now;
+        }
+        if let (Some(fence), Some(_)) = (choice.fence, key) {
+            self.disowned.retain(|(of, _), _| *of != fence);
         }
     }
 
+    /// Notes that another process has the endpoint's address: it has ended.
+    pub fn gone(&mut self, now: Mono, endpoint: &EndpointName) {
+        let for_ms = GONE_MS;
+        let until = now.plus(for_ms);
+        self.avoided
+            .insert(EndpointTag::of(endpoint), Avoided { until, for_ms });
+    }
+
     /// Notes that the endpoint does not hold the keys that were granted by `fence`.
     pub fn disowned(&mut self, now: Mono, view: &View, job: &Job, fence: u64) {
         let Some(range) = choose::range_of(view, job) else {
             return;
         };
-        let until = now.plus(if range.is_moving() {
+        let at = (fence, range.first);
+        let before = self.disowned.get(&at);
+        let for_ms = if range.is_moving() {
             RELEASED_MS
         } else {
-            DISOWNED_MS
-        });
-        self.disowned.insert((fence, range.first), until);
+            before.map_or(DISOWNED_MS.0, |avoided| {
+                (avoided.for_ms * 2).min(DISOWNED_MS.1)
+            })
+        };
+        let until = now.plus(for_ms);
+        self.disowned.insert(at, Avoided { until, for_ms });
     }
 
     /// Takes a new view: notes which owners are new.
@@ -187,7 +220,8 @@
             }
         }
         self.fences = seen;
-        self.disowned.retain(|_, until| now < *until);
+        self.disowned
+            .retain(|(fence, _), _| self.fences.contains_key(fence));
     }
 
     /// Requests in flight and waiting for each endpoint, for the next report.
@@ -210,8 +244,10 @@
         self.waiting.len()
     }
 
-    fn sent(&mut self, endpoint: &EndpointName) {
-        *self.in_flight.entry(EndpointTag::of(endpoint)).or_default() += 1;
+    fn sent(&mut self, now: Mono, endpoint: &EndpointName) {
+        let tag = EndpointTag::of(endpoint);
+        *self.in_flight.entry(tag).or_default() += 1;
+        self.unanswered.entry(tag).or_insert(now);
     }
 
     fn wanted(&self, spot: EndpointTag) -> u32 {
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -99,6 +99,10 @@
                 known.missing_until = None;
             }
             None => {
+                // Two processes cannot listen on one address: the earlier one has
+                // ended, also where its entry has not lapsed yet.
+                self.known
+                    .retain(|_, known| known.listing.address != listing.address);
                 self.known.insert(
                     listing.id.clone(),
                     Known {
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -34,6 +34,10 @@
 /// the endpoint with no time to work.
 const MIN_LEFT_MS: u64 = 20;
 
+/// Times the usual work that an endpoint is waited for where another could run the
+/// request: one in a hundred takes longer when all are well.
+const PATIENCE_WORKS: u64 = 5;
+
 /// Shortest time after a refusal before the same request is sent again.
 const AFTER_REFUSAL: Duration = Duration::from_millis(10);
 
@@ -262,6 +266,7 @@
     fn refused_by(&self, choice: &Choice, meaning: Meaning) {
         match (meaning, choice.fence) {
             (Meaning::Misdirected, Some(fence)) => self.state.disowned(&self.job, fence),
+            (Meaning::Misdirected, None) => self.state.gone(&choice.endpoint),
             _ => self.state.refused(&choice.endpoint),
         }
     }
@@ -301,10 +306,12 @@
         if left_ms < MIN_LEFT_MS {
             return Sent::NotSent;
         }
-        let limit = Duration::from_millis(left_ms);
+        let patience_ms = self.patience_ms(choice, left_ms);
+        let limit = Duration::from_millis(patience_ms);
         match tokio::time::timeout(limit, self.exchange(choice)).await {
             Ok(Ok(Exchanged { meaning, answer })) => match meaning {
                 Meaning::Ran => {
+                    self.state.answered(choice, self.job.key);
                     if !answer.status.is_server_error() {
                         let took = clock::mono().since(started);
                         self.state.served(&self.route.name, &choice.endpoint, took);
@@ -315,16 +322,36 @@
                 Meaning::Foreign => Sent::Unknown("the answer belongs to another request"),
             },
             Ok(Err(e)) if e.nothing_sent() => Sent::NotSent,
+            Ok(Err(CallError::Timeout)) | Err(_) if patience_ms < left_ms => {
+                Sent::Unknown("the endpoint was silent")
+            }
             Ok(Err(CallError::Timeout)) | Err(_) => Sent::TimedOut,
             Ok(Err(CallError::Cut(_))) => Sent::Unknown("the answer is not whole"),
             Ok(Err(_)) => Sent::Unknown("the connection to the endpoint broke"),
         }
     }
 
+    /// How long to wait for one endpoint, in milliseconds.
+    ///
+    /// All the time that is left, unless another endpoint could run the request too:
+    /// then the first is given several times the usual work.
+    fn patience_ms(&self, choice: &Choice, left_ms: u64) -> u64 {
+        let attempts = self.route.attempts as usize;
+        let other = choice.fence.is_none()
+            && self.job.repeat == Repeat::Idempotent
+            && self.run_by.len() + 1 < attempts;
+        if !other {
+            return left_ms;
+        }
+        let patience = self.job.work_ms * PATIENCE_WORKS;
+        patience.max(self.route.objective_ms / 2).min(left_ms)
+    }
+
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
         let mut link = self.link(choice).await?;
         let left_ms = self.job.last_at.since(clock::mono());
         let req = self.message.for_endpoint(&choice.endpoint, left_ms);
+        self.sends += 1;
         let sent = link.send(req).await;
         let head = match sent {
             // A kept connection that the endpoint has closed: a new one is as good as
@@ -332,13 +359,9 @@
             Err(CallError::NotSent) => {
                 link = self.open(choice).await?;
                 let req = self.message.for_endpoint(&choice.endpoint, left_ms);
-                self.sends += 1;
                 link.send(req).await?
             }
-            sent => {
-                self.sends += 1;
-                sent?
-            }
+            sent => sent?,
         };
         let meaning = exchange::meaning(self.words.id.as_ref(), head.status(), head.headers());
         let answer = http_link::read(head).await?;
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -172,7 +172,6 @@
 
     /// Notes a whole answer and the time it took.
     pub(super) fn served(&self, route: &str, endpoint: &EndpointName, took_ms: u64) {
-        self.desk.borrow_mut().answered(endpoint);
         let took = took_ms as f64;
         let mut work = self.work.borrow_mut();
         let Some(work) = work.get_mut(route) else {
@@ -186,6 +185,16 @@
         sum.relative += relative;
     }
 
+    /// Notes that the endpoint ran a request and answered.
+    pub(super) fn answered(&self, choice: &Choice, key: Option<u16>) {
+        self.desk.borrow_mut().answered(clock::mono(), choice, key);
+    }
+
+    /// Notes that another process has the endpoint's address.
+    pub(super) fn gone(&self, endpoint: &EndpointName) {
+        self.desk.borrow_mut().gone(clock::mono(), endpoint);
+    }
+
     /// Notes that the endpoint failed or refused a request.
     pub(super) fn refused(&self, endpoint: &EndpointName) {
         let mut answers = self.answers.borrow_mut();
