--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -91,30 +91,25 @@
     pub fn put(&mut self, now: Mono, listing: Listing) {
         let warm_at = now.plus(listing.cold_ms);
         let draining_since = listing.draining.then_some(now);
-        match self.known.get_mut(&listing.id) {
-            Some(known) => {
-                known.listing = listing;
-                known.warm_at = warm_at;
-                known.draining_since = known.draining_since.or(draining_since);
-                known.missing_until = None;
-            }
-            None => {
-                // Two processes cannot listen on one address: the earlier one has
-                // ended, also where its entry has not lapsed yet.
-                self.known
-                    .retain(|_, known| known.listing.address != listing.address);
-                self.known.insert(
-                    listing.id.clone(),
-                    Known {
-                        listing,
-                        first_seen: now,
-                        warm_at,
-                        draining_since,
-                        missing_until: None,
-                    },
-                );
-            }
+        if let Some(known) = self.known.get_mut(&listing.id) {
+            known.listing = listing;
+            known.warm_at = warm_at;
+            known.draining_since = known.draining_since.or(draining_since);
+            known.missing_until = None;
+            return;
         }
+        // Two processes cannot listen on one address: the earlier one has ended, also
+        // where its entry has not lapsed yet.
+        self.known
+            .retain(|_, known| known.listing.address != listing.address);
+        let known = Known {
+            listing,
+            first_seen: now,
+            warm_at,
+            draining_since,
+            missing_until: None,
+        };
+        self.known.insert(known.listing.id.clone(), known);
     }
 
     /// Takes the removal of an entry.
--- a/crates/citronway-core/tests/keeper_world/endpoint.rs
+++ b/crates/citronway-core/tests/keeper_world/endpoint.rs
@@ -28,7 +28,7 @@
         Self {
             place,
             start: 0,
-            address: SocketAddr::from(([10, 0, 0, 1 + place as u8], 80)),
+            address: SocketAddr::from(([10, 0, 0, 1], 8_000 + u16::try_from(place).unwrap_or(0))),
             keys: BTreeMap::new(),
         }
     }
--- a/crates/citronway-core/tests/keeper_world/mod.rs
+++ b/crates/citronway-core/tests/keeper_world/mod.rs
@@ -145,23 +145,23 @@
 
     fn draw_faults(&mut self) {
         let faults = self.faults;
-        let count = self.instances.len() as u64;
+        let count = self.instances.len();
         if self.random.chance(faults.store_cuts) {
-            let i = self.random.below(count) as usize;
+            let i = self.random.index(count);
             self.instances[i].cut_until = self.now.plus(self.random.below(6_000));
         }
         if self.random.chance(faults.pauses) {
-            let i = self.random.below(count) as usize;
+            let i = self.random.index(count);
             self.instances[i].paused_until = self.now.plus(self.random.below(20_000));
         }
         if self.random.chance(faults.endpoint_cuts) {
-            let i = self.random.below(count) as usize;
-            let endpoint = self.random.below(self.endpoints.len() as u64) as usize;
+            let i = self.random.index(count);
+            let endpoint = self.random.index(self.endpoints.len());
             let until = self.now.plus(self.random.below(6_000));
             self.instances[i].unreached.push((endpoint, until));
         }
         if self.random.chance(faults.crashes) {
-            let i = self.random.below(self.endpoints.len() as u64) as usize;
+            let i = self.random.index(self.endpoints.len());
             self.endpoints[i].restart();
         }
     }
@@ -235,7 +235,7 @@
         let actions = self.instances[i].keeper.step(now, &registry);
         for action in actions {
             match action {
-                Action::Order(order) => self.order(i, order),
+                Action::Order(order) => self.order(i, &order),
                 Action::Write { row, expected, .. } => self.write(i, row, expected),
             }
         }
@@ -248,8 +248,8 @@
         if !self.random.chance(400) {
             return;
         }
-        let first = self.random.below(60_000) as u16;
-        let to = self.random.below(self.endpoints.len() as u64) as usize;
+        let first = self.random.key();
+        let to = self.random.index(self.endpoints.len());
         let keeper = &mut self.instances[i].keeper;
         let Some(range) = keeper.row().at(first) else {
             return;
@@ -288,7 +288,7 @@
         self.instances[i].keeper.wrote(now, result);
     }
 
-    fn order(&mut self, i: usize, order: Order) {
+    fn order(&mut self, i: usize, order: &Order) {
         let now = self.now;
         let at = self
             .endpoints
@@ -312,9 +312,9 @@
             }
             OrderResult::Lost
         } else {
-            self.endpoints[at].take(now, now, &order)
+            self.endpoints[at].take(now, now, order)
         };
-        self.instances[i].keeper.answered(now, &order, &result);
+        self.instances[i].keeper.answered(now, order, &result);
     }
 
     fn check(&mut self) -> Option<String> {
--- a/crates/citronway-core/tests/keeper_world/random.rs
+++ b/crates/citronway-core/tests/keeper_world/random.rs
@@ -20,6 +20,14 @@
         self.next() % limit
     }
 
+    pub fn index(&mut self, count: usize) -> usize {
+        usize::try_from(self.below(count as u64)).unwrap_or_default()
+    }
+
+    pub fn key(&mut self) -> u16 {
+        u16::try_from(self.below(60_000)).unwrap_or_default()
+    }
+
     /// True in `of_10_000` cases out of ten thousand.
     pub fn chance(&mut self, of_10_000: u64) -> bool {
         self.below(10_000) < of_10_000
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -121,7 +121,7 @@
     }
 
     /// Takes rows that the keeper passed on.
-    pub(super) fn relayed(&mut self, now: Mono, relay: Relay) {
+    pub(super) fn relayed(&mut self, now: Mono, relay: &Relay) {
         self.heard_at = now;
         self.regained(now, relay.table);
         self.take_rows(now, relay.table, &relay.rows, false);
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -305,7 +305,7 @@
         }
     }
 
-    fn relay_came(&mut self, relay: Relay) {
+    fn relay_came(&mut self, relay: &Relay) {
         let follow = self.follow(relay.table);
         let at = follow.position.load(Ordering::Relaxed);
         if at == 0 {
@@ -332,19 +332,19 @@
 
     fn datagram_came(&mut self, bytes: &[u8]) {
         match datagram::decode(bytes) {
-            Ok(Datagram::Report(report)) => self.report_came(report),
-            Ok(Datagram::Relay(relay)) => self.relay_came(relay),
+            Ok(Datagram::Report(report)) => self.report_came(&report),
+            Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
         }
     }
 
-    fn report_came(&mut self, report: Report) {
+    fn report_came(&mut self, report: &Report) {
         let now = clock::mono();
-        if report.instance == self.me.instance || !self.beliefs.peers.report(now, &report) {
+        if report.instance == self.me.instance || !self.beliefs.peers.report(now, report) {
             return;
         }
-        self.beliefs.traffic_seen(now, &report);
-        self.duty.traffic_seen(now, &report);
+        self.beliefs.traffic_seen(now, report);
+        self.duty.traffic_seen(now, report);
         self.duty.term_heard(report.term);
     }
 
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -18,7 +18,7 @@
 
 /// Longest time for a release: it is answered when the work on its keys has ended,
 /// and the longest work takes about three seconds at a slow endpoint.
-const RELEASE_LIMIT: Duration = Duration::from_millis(4_000);
+const RELEASE_LIMIT: Duration = Duration::from_secs(4);
 
 /// Idle connections for orders, by address.
 #[derive(Debug, Clone, Default)]
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -12,4 +12,4 @@
 mod run;
 mod traffic;
 
-pub use run::{Error, check, run};
+pub use run::{Error, check, run, settings_path};
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -1,7 +1,7 @@
 //! Starts the threads of an instance on the platform and waits for their end.
 
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::thread;
 
@@ -23,6 +23,9 @@
 /// Why an instance did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
+    /// No platform has started this process.
+    #[error("the platform names no settings file")]
+    NoPlatform,
     /// The settings file cannot be read.
     #[error("settings file {path}: {cause}")]
     Unreadable {
@@ -49,6 +52,15 @@
     },
 }
 
+/// Path of the settings file that the platform names.
+///
+/// # Errors
+///
+/// When it names none.
+pub fn settings_path() -> Result<PathBuf, Error> {
+    citronway_platform::settings::path().ok_or(Error::NoPlatform)
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -191,7 +191,7 @@
     /// It has not run there.
     Refused(Meaning),
     /// Nothing reached the endpoint.
-    NotSent,
+    Nowhere,
     /// It may have run there.
     Unknown(&'static str),
     /// The time ended.
@@ -220,7 +220,7 @@
                         return outcome;
                     }
                 }
-                Sent::NotSent => {
+                Sent::Nowhere => {
                     self.state.unreachable(&choice.endpoint);
                     if !self.has_time(now) {
                         return self.spent(RefusalReason::Unreachable);
@@ -304,7 +304,7 @@
         let started = clock::mono();
         let left_ms = self.job.last_at.since(started);
         if left_ms < MIN_LEFT_MS {
-            return Sent::NotSent;
+            return Sent::Nowhere;
         }
         let patience_ms = self.patience_ms(choice, left_ms);
         let limit = Duration::from_millis(patience_ms);
@@ -321,7 +321,7 @@
                 Meaning::Full | Meaning::Misdirected | Meaning::NotRun => Sent::Refused(meaning),
                 Meaning::Foreign => Sent::Unknown("the answer belongs to another request"),
             },
-            Ok(Err(e)) if e.nothing_sent() => Sent::NotSent,
+            Ok(Err(e)) if e.nothing_sent() => Sent::Nowhere,
             Ok(Err(CallError::Timeout)) | Err(_) if patience_ms < left_ms => {
                 Sent::Unknown("the endpoint was silent")
             }
@@ -495,7 +495,7 @@
             let refusal = format!("{meaning:?}");
             log::info!(request, endpoint, fence, sends, refusal; "endpoint did not run it");
         }
-        Sent::NotSent => log::info!(request, endpoint, fence, sends; "not sent"),
+        Sent::Nowhere => log::info!(request, endpoint, fence, sends; "not sent"),
         Sent::Unknown(cause) => {
             log::info!(request, endpoint, fence, sends, cause; "endpoint may have run it");
         }
--- a/crates/citronway/src/logs/ring.rs
+++ b/crates/citronway/src/logs/ring.rs
@@ -32,16 +32,16 @@
 pub(super) struct RingWriter;
 
 impl Write for RingWriter {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         let Some(ring) = RING.get() else {
-            return Ok(line.len());
+            return Ok(buf.len());
         };
-        if ring.try_send(line.to_vec()).is_ok() {
+        if ring.try_send(buf.to_vec()).is_ok() {
             TAKEN.fetch_add(1, Ordering::Relaxed);
         } else {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/citronway/src/main.rs
+++ b/crates/citronway/src/main.rs
@@ -1,6 +1,5 @@
 //! Entry instance of citronway.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use citronway::cli::{self, Source};
@@ -11,21 +10,16 @@
     match &options.source {
         Source::Own { config } if options.check_config => report(citronway::check(config)),
         Source::Own { config } => report(citronway::run(config)),
-        Source::OnPlatform { .. } => match citronway_platform::settings::path() {
-            Some(path) => report(on_platform(&path, options.check_config)),
-            None => {
-                eprintln!("the platform names no settings file");
-                ExitCode::FAILURE
-            }
-        },
+        Source::OnPlatform { .. } => report(on_platform(options.check_config)),
     }
 }
 
-fn on_platform(path: &Path, check: bool) -> Result<ExitCode, gateway::Error> {
+fn on_platform(check: bool) -> Result<ExitCode, gateway::Error> {
+    let path = gateway::settings_path()?;
     if check {
-        return gateway::check(path);
+        return gateway::check(&path);
     }
-    gateway::run(path)
+    gateway::run(&path)
 }
 
 fn report<E: std::fmt::Display>(result: Result<ExitCode, E>) -> ExitCode {
