Tests of routes, registry, shares, election, assignment; claims counted from a stable moment

Cause: the new election test showed that all but the first in rank wait forever for a keeper that is heard as unfit: the moment counted from moved with each report. It now counts from when the keeper was first heard so.

--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -46,6 +46,8 @@
     pub session: SessionId,
     /// When it was last heard.
     pub heard: Mono,
+    /// Since when it is heard as it is now: this start, stopping or not, fit or not.
+    pub since: Mono,
     /// Highest term of a keeper that it knows.
     pub term: u64,
     /// It is about to stop.
@@ -98,7 +100,7 @@
         return Some(at.started.plus(SETTLE_MS)).filter(|end| *end <= now);
     };
     if peer.session != row.session || peer.stopping || peer.unfit {
-        return Some(peer.heard);
+        return Some(peer.since);
     }
     let silent_at = peer.heard.plus(SILENCE_MS).max(at.started.plus(SETTLE_MS));
     (silent_at <= now).then_some(silent_at)
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_assignment.rs
@@ -0,0 +1,104 @@
+//! The stored form of an assignment.
+
+use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
+use citronway_core::ids::EndpointName;
+use googletest::prelude::*;
+
+fn holder(id: &str, fence: u64) -> Holder {
+    Holder {
+        endpoint: EndpointName::new(id),
+        address: ([10, 0, 0, 1], 80).into(),
+        fence,
+    }
+}
+
+fn some() -> Assignment {
+    Assignment {
+        next_fence: 30,
+        ranges: vec![
+            Range {
+                first: 0,
+                last: 99,
+                holder: holder("a", 8),
+                next: None,
+            },
+            Range {
+                first: 100,
+                last: u16::MAX,
+                holder: holder("a", 9),
+                next: Some(holder("b", 20)),
+            },
+        ],
+    }
+}
+
+#[gtest]
+fn what_is_written_is_read_again() -> Result<()> {
+    let bytes = some().to_bytes().or_fail()?;
+    expect_that!(Assignment::from_bytes(&bytes).or_fail()?, eq(&some()));
+    Ok(())
+}
+
+#[gtest]
+fn each_key_has_its_range() {
+    let assignment = some();
+    for (key, first) in [(0, 0), (99, 0), (100, 100), (u16::MAX, 100)] {
+        expect_that!(assignment.at(key).map(|range| range.first), some_eq(first));
+    }
+    expect_that!(Assignment::default().at(5), none());
+}
+
+fn some_eq(first: u16) -> impl Matcher<Option<u16>> {
+    googletest::prelude::some(eq(first))
+}
+
+#[gtest]
+fn rows_that_are_cut_short_or_contradict_are_refused() {
+    let cases = [
+        ("", "malformed"),
+        (r#"{"next_fence":3,"endpoints":[],"ran"#, "malformed"),
+        (
+            r#"{"next_fence":3,"endpoints":[],"ranges":[[0,65535,0,1,null]]}"#,
+            "does not list",
+        ),
+        (
+            r#"{"next_fence":3,"endpoints":[["a","10.0.0.1:80"]],"ranges":[[0,9,0,1,null],[11,65535,0,1,null]]}"#,
+            "does not begin",
+        ),
+        (
+            r#"{"next_fence":3,"endpoints":[["a","10.0.0.1:80"]],"ranges":[[0,9,0,1,null]]}"#,
+            "does not begin",
+        ),
+    ];
+    for (text, problem) in cases {
+        let error = Assignment::from_bytes(text.as_bytes()).err();
+        let shown = error.map(|e| e.to_string()).unwrap_or_default();
+        expect_that!(shown, contains_substring(problem));
+    }
+}
+
+#[gtest]
+fn the_fullest_row_fits_into_a_row_of_the_store() -> Result<()> {
+    let mut full = Assignment {
+        next_fence: 9_000_000,
+        ranges: Vec::new(),
+    };
+    for i in 0..MAX_RANGES {
+        let first = u16::try_from(i * 93)?;
+        let last = if i + 1 == MAX_RANGES {
+            u16::MAX
+        } else {
+            first + 92
+        };
+        let fence = full.draw_fences(FENCES_A_MOVE);
+        full.ranges.push(Range {
+            first,
+            last,
+            holder: holder(&format!("i-{:010x}", i % 400), fence),
+            next: Some(holder(&format!("i-{:010x}", (i + 1) % 400), fence + 7)),
+        });
+    }
+    // Base64 adds a third; a row holds 65,536 bytes.
+    expect_that!(full.to_bytes().or_fail()?.len() * 4 / 3, lt(65_536));
+    Ok(())
+}
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -0,0 +1,137 @@
+//! Who becomes the keeper, and whose holds it has to wait for.
+
+use citronway_core::gateway::election::{
+    CLAIM_STEP_MS, KeeperRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation, former_after,
+    has_stopped, should_claim,
+};
+use citronway_core::ids::{InstanceName, Session, SessionId, Version};
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+
+const START: Mono = Mono(10_000);
+
+fn sight(name: &str, heard: Mono) -> PeerSight {
+    PeerSight {
+        instance: InstanceName::new(name),
+        session: SessionId(1),
+        heard,
+        since: heard,
+        term: 3,
+        stopping: false,
+        unfit: false,
+    }
+}
+
+fn row(name: &str) -> KeeperRow {
+    KeeperRow {
+        instance: InstanceName::new(name),
+        session: SessionId(1),
+        term: 3,
+        former: Vec::new(),
+        version: Version(9),
+    }
+}
+
+fn claims(now: Mono, me: &str, row: Option<&KeeperRow>, peers: &[PeerSight]) -> bool {
+    let situation = Situation {
+        me: &InstanceName::new(me),
+        session: SessionId(1),
+        started: START,
+        unfit: false,
+        row,
+        peers,
+    };
+    should_claim(now, &situation)
+}
+
+#[gtest]
+fn a_keeper_that_is_heard_is_left_alone() {
+    let now = START.plus(60_000);
+    let peers = [sight("a", now.minus(SILENCE_MS - 1))];
+    expect_that!(claims(now, "b", Some(&row("a")), &peers), eq(false));
+}
+
+#[gtest]
+fn a_silent_keeper_is_replaced_by_one_after_the_other() {
+    let heard = START.plus(60_000);
+    let silent = heard.plus(SILENCE_MS);
+    let peers = [sight("a", heard), sight("b", silent)];
+    let row = row("a");
+    expect_that!(claims(silent, "b", Some(&row), &peers[..1]), eq(true));
+    expect_that!(claims(silent, "c", Some(&row), &peers), eq(false));
+    expect_that!(
+        claims(silent.plus(CLAIM_STEP_MS), "c", Some(&row), &peers),
+        eq(true)
+    );
+}
+
+/// All instances start anew and hear nobody yet. Each would claim at once and the
+/// keeper would change with each of them.
+#[gtest]
+fn who_has_just_started_listens_first() {
+    let row = row("a");
+    expect_that!(claims(START, "b", Some(&row), &[]), eq(false));
+    expect_that!(
+        claims(START.plus(SETTLE_MS), "b", Some(&row), &[]),
+        eq(true)
+    );
+    expect_that!(claims(START, "b", None, &[]), eq(true));
+}
+
+#[gtest]
+fn a_keeper_that_stops_or_cannot_work_is_replaced_at_once() {
+    let now = START.plus(60_000);
+    let mut stopping = sight("a", now);
+    stopping.stopping = true;
+    let mut unfit = sight("a", now);
+    unfit.unfit = true;
+    let mut reborn = sight("a", now);
+    reborn.session = SessionId(2);
+    for sight in [stopping, unfit] {
+        expect_that!(claims(now, "b", Some(&row("a")), &[sight]), eq(true));
+    }
+    // A new start of the same instance may claim before this one.
+    let later = now.plus(CLAIM_STEP_MS);
+    reborn.heard = later;
+    expect_that!(
+        claims(now, "b", Some(&row("a")), &[reborn.clone()]),
+        eq(false)
+    );
+    expect_that!(claims(later, "b", Some(&row("a")), &[reborn]), eq(true));
+}
+
+#[gtest]
+fn an_instance_that_is_unfit_does_not_claim() {
+    let situation = Situation {
+        me: &InstanceName::new("b"),
+        session: SessionId(1),
+        started: START,
+        unfit: true,
+        row: None,
+        peers: &[],
+    };
+    expect_that!(should_claim(START.plus(60_000), &situation), eq(false));
+}
+
+/// Two keepers follow each other within seconds, cut off from the store one after the
+/// other. The third must wait for both, not only for the last.
+#[gtest]
+fn earlier_keepers_are_remembered_until_they_are_known_to_have_stopped() {
+    let mut second = row("b");
+    second.former = vec![Session::new("a", 1)];
+    let now = START.plus(60_000);
+    let former = former_after(Some(&second), &[sight("a", now), sight("b", now)]);
+    expect_that!(
+        former,
+        elements_are![eq(&Session::new("a", 1)), eq(&Session::new("b", 1))]
+    );
+
+    let mut reborn = sight("a", now);
+    reborn.session = SessionId(2);
+    let former = former_after(Some(&second), &[reborn]);
+    expect_that!(former, elements_are![eq(&Session::new("b", 1))]);
+
+    let old = Session::new("a", 1);
+    expect_that!(has_stopped(&old, 4, &[sight("a", now)]), eq(false));
+    expect_that!(has_stopped(&old, 3, &[sight("a", now)]), eq(true));
+}
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_registry.rs
@@ -0,0 +1,91 @@
+//! Listed endpoints: leaving, lapsing in an outage, addresses that are used again.
+
+use citronway_core::gateway::registry::{LAPSE_GRACE_MS, Listing, Registry};
+use citronway_core::ids::{EndpointName, ServiceName, ZoneName};
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+
+fn listing(id: &str, port: u16) -> Listing {
+    Listing {
+        id: EndpointName::new(id),
+        service: ServiceName::new("batch"),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: ZoneName::new("a"),
+        slots: 6,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+fn two() -> Registry {
+    let mut registry = Registry::default();
+    registry.put(Mono(0), listing("one", 1));
+    registry.put(Mono(0), listing("two", 2));
+    registry
+}
+
+fn names(registry: &Registry) -> Vec<String> {
+    registry
+        .iter()
+        .map(|known| known.listing.id.to_string())
+        .collect()
+}
+
+#[gtest]
+fn a_removed_endpoint_is_gone_at_once() {
+    let mut registry = two();
+    registry.remove(Mono(10), &EndpointName::new("one"));
+    expect_that!(names(&registry), elements_are![eq("two")]);
+}
+
+/// The store is away for some seconds and comes back without most entries, which had
+/// lapsed meanwhile. Their endpoints list themselves again within two seconds. Whoever
+/// drops them at once refuses all callers until then.
+#[gtest]
+fn entries_that_lapsed_in_an_outage_are_believed_for_two_seconds() {
+    let mut registry = two();
+    registry.store_lost();
+    registry.store_back(Mono(9_000));
+    registry.replace(Mono(9_010), vec![]);
+    expect_that!(names(&registry).len(), eq(2));
+    registry.put(Mono(10_000), listing("one", 1));
+    expect_that!(registry.expire(Mono(9_000 + LAPSE_GRACE_MS - 1)), eq(false));
+    expect_that!(registry.expire(Mono(9_000 + LAPSE_GRACE_MS)), eq(true));
+    expect_that!(names(&registry), elements_are![eq("one")]);
+}
+
+#[gtest]
+fn the_grace_does_not_outlast_its_time() {
+    let mut registry = two();
+    registry.store_lost();
+    registry.store_back(Mono(1_000));
+    registry.remove(Mono(1_000 + LAPSE_GRACE_MS), &EndpointName::new("one"));
+    expect_that!(names(&registry), elements_are![eq("two")]);
+}
+
+/// An endpoint crashes and its address goes to one of another service within seconds,
+/// while its own entry has not lapsed. Requests for the first would reach the second.
+#[gtest]
+fn a_new_start_at_an_address_ends_the_old_one() {
+    let mut registry = two();
+    let old = EndpointName::new("one");
+    let address = listing("one", 1).address;
+    expect_that!(registry.replaced_at(&old, address), eq(false));
+    registry.put(Mono(5), listing("three", 1));
+    expect_that!(names(&registry), elements_are![eq("two"), eq("three")]);
+    expect_that!(registry.replaced_at(&old, address), eq(true));
+}
+
+#[gtest]
+fn a_draining_endpoint_keeps_its_keys_for_a_moment_only() -> Result<()> {
+    let mut registry = two();
+    let mut leaving = listing("one", 1);
+    leaving.draining = true;
+    registry.put(Mono(1_000), leaving.clone());
+    registry.put(Mono(1_200), leaving);
+    let known = registry.get(&EndpointName::new("one")).or_fail()?;
+    expect_that!(known.takes_work(), eq(false));
+    expect_that!(known.takes_owned_work(Mono(1_299)), eq(true));
+    expect_that!(known.takes_owned_work(Mono(1_300)), eq(false));
+    Ok(())
+}
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_shares.rs
@@ -0,0 +1,97 @@
+//! Places at endpoints and second sends, divided among instances without asking.
+
+use citronway_core::gateway::budget::{SecondSends, SharedLimit};
+use citronway_core::gateway::share::{Demand, allowed, places};
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, prop_assert, prop_assert_eq, proptest};
+
+fn demands(wanted: &[u32]) -> Vec<Demand> {
+    let one = |(rank, wanted): (usize, &u32)| Demand {
+        rank: rank as u64,
+        wanted: *wanted,
+    };
+    wanted.iter().enumerate().map(one).collect()
+}
+
+fn shares(places: u32, wanted: &[u32]) -> Vec<u32> {
+    let all = demands(wanted);
+    let share = |i: usize| {
+        let others: Vec<_> = all.iter().filter(|d| d.rank != i as u64).copied().collect();
+        allowed(places, all[i], &others)
+    };
+    (0..all.len()).map(share).collect()
+}
+
+#[gtest]
+fn while_there_is_room_nobody_is_held_back() {
+    expect_that!(shares(9, &[3, 2, 0]), elements_are![eq(&7), eq(&6), eq(&4)]);
+}
+
+#[gtest]
+fn a_few_requests_wait_at_the_endpoint() {
+    expect_that!(places(6), eq(9));
+    expect_that!(places(2), eq(3));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
+
+    /// More instances want places than there are. All that see the same demands fill
+    /// the places exactly: an endpoint that resets what it cannot queue loses requests
+    /// that may not be repeated.
+    #[test]
+    fn shares_of_a_full_endpoint_add_up(
+        wanted in proptest::collection::vec(0_u32..40, 2..14),
+        places in 1_u32..12,
+    ) {
+        let total: u32 = wanted.iter().sum();
+        let shares = shares(places, &wanted);
+        if total > places {
+            prop_assert_eq!(shares.iter().sum::<u32>(), places);
+        }
+        for (share, wanted) in shares.iter().zip(&wanted) {
+            prop_assert!(total <= places || share <= wanted);
+        }
+    }
+}
+
+const LIMIT: SharedLimit = SharedLimit {
+    ratio: 0.2,
+    slack: 60.0,
+    window_ms: 10_000,
+};
+
+/// Endpoints fail most requests at once, and each of ten instances sends as much again
+/// as it may. Together they stay within what the users allow in any ten seconds.
+#[gtest]
+fn second_sends_of_all_instances_stay_within_the_shared_limit() {
+    let mut all: Vec<_> = (0..10).map(|_| SecondSends::new(LIMIT)).collect();
+    let mut sent = Vec::new();
+    let mut asked = Vec::new();
+    for ms in (0..40_000).step_by(50) {
+        let now = Mono(ms);
+        for budget in &mut all {
+            budget.request(now);
+            asked.push(ms);
+            while budget.take(now, 10) {
+                sent.push(ms);
+            }
+        }
+    }
+    for start in (0..30_000).step_by(250) {
+        let within = |at: &&u64| (start..start + 10_000).contains(*at);
+        let sent = sent.iter().filter(within).count() as f64;
+        let asked = asked.iter().filter(within).count() as f64;
+        expect_that!(sent, le(LIMIT.ratio.mul_add(asked, LIMIT.slack)));
+    }
+    expect_that!(sent.len(), gt(1_000));
+}
+
+#[gtest]
+fn a_budget_fills_up_again() {
+    let mut budget = SecondSends::new(LIMIT);
+    while budget.take(Mono(0), 10) {}
+    expect_that!(budget.take(Mono(9_000), 10), eq(false));
+    expect_that!(budget.take(Mono(20_500), 10), eq(true));
+}
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -50,6 +50,16 @@
         if same && report.number <= peer.number {
             return false;
         }
+        let unchanged = |sight: &&PeerSight| {
+            sight.session == report.session
+                && sight.stopping == report.stopping
+                && sight.unfit == report.unfit
+        };
+        let since = peer
+            .sight
+            .as_ref()
+            .filter(unchanged)
+            .map_or(now, |s| s.since);
         peer.number = report.number;
         peer.seen = report.seen;
         peer.endpoints.clone_from(&report.endpoints);
@@ -57,6 +67,7 @@
             instance: report.instance.clone(),
             session: report.session,
             heard: now,
+            since,
             term: report.term,
             stopping: report.stopping,
             unfit: report.unfit,
