Placement cuts a hot range into several moves at once; tests of desk and placement

Cause: the new test of a hot range showed that one piece a look was moved and the next came from cold keys. Pieces of one plan can now be cut again.

--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 
-use crate::gateway::assignment::{Assignment, Range};
+use crate::gateway::assignment::Assignment;
 use crate::gateway::keeper::{Move, Span};
 use crate::gateway::keyload::KeyLoad;
 use crate::ids::EndpointName;
@@ -20,13 +20,18 @@
 const WORTH_MOVING: f64 = 1.15;
 
 /// Moves of one service that are under way at the same time.
+///
+/// Each takes 50 to 300 ms, most of it for work that has to end.
 const MAX_IN_MOTION: usize = 12;
 
-/// Moves begun for evening out in one step.
-const MAX_BEGUN: usize = 4;
+/// Parts that the load of a leaving endpoint's range is cut into at most.
+const MAX_PIECES: f64 = 3.0;
 
-/// Pieces that a range of a leaving endpoint is cut into at most.
-const MAX_PIECES: usize = 3;
+/// Part of an endpoint's free capacity that one piece of a leaving one may fill.
+const FILL_AT_ONCE: f64 = 0.5;
+
+/// Ranges of fewer keys are not cut when an endpoint leaves.
+const MIN_CUT: u16 = 64;
 
 /// An endpoint that can hold keys.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,33 +66,77 @@
     plan.empty_leaving();
     plan.use_idle();
     plan.relieve();
-    plan.moves
+    plan.into_moves()
 }
 
 struct Plan<'a> {
     scene: &'a Scene<'a>,
     /// Load of each endpoint once all moves have ended.
     load: IndexMap<&'a EndpointName, f64>,
-    moves: Vec<Move>,
+    pieces: Vec<Piece<'a>>,
     in_motion: usize,
 }
 
+/// Keys that stay together.
+#[derive(Debug, Clone, Copy)]
+struct Piece<'a> {
+    span: Span,
+    /// Who has them, or gets them by a move that is under way.
+    owner: &'a EndpointName,
+    /// A move under way may only be turned aside as a whole.
+    moving: bool,
+    /// Who is to get them by this plan.
+    to: Option<&'a EndpointName>,
+    /// In requests a second.
+    load: f64,
+}
+
+impl<'a> Piece<'a> {
+    fn owner_to_be(&self) -> &'a EndpointName {
+        self.to.unwrap_or(self.owner)
+    }
+}
+
 impl<'a> Plan<'a> {
     fn new(scene: &'a Scene<'a>) -> Self {
         let mut load: IndexMap<_, _> = scene.places.iter().map(|p| (&p.endpoint, 0.0)).collect();
+        let mut pieces = Vec::with_capacity(scene.row.ranges.len());
         for range in &scene.row.ranges {
-            let owner = owner_to_be(range);
-            *load.entry(owner).or_default() += scene.load.of(range.span()) * scene.per_s;
+            let owner = &range.next.as_ref().unwrap_or(&range.holder).endpoint;
+            let span = range.span();
+            let here = scene.load.of(span) * scene.per_s;
+            *load.entry(owner).or_default() += here;
+            pieces.push(Piece {
+                span,
+                owner,
+                moving: range.is_moving(),
+                to: None,
+                load: here,
+            });
         }
-        let in_motion = scene.row.ranges.iter().filter(|r| r.is_moving()).count();
+        let in_motion = pieces.iter().filter(|piece| piece.moving).count();
         Self {
             scene,
             load,
-            moves: Vec::new(),
+            pieces,
             in_motion,
         }
     }
 
+    fn into_moves(self) -> Vec<Move> {
+        let mut moves = Vec::new();
+        for piece in &self.pieces {
+            let Some(to) = piece.to.filter(|to| *to != piece.owner) else {
+                continue;
+            };
+            moves.push(Move {
+                span: piece.span,
+                to: to.clone(),
+            });
+        }
+        moves
+    }
+
     fn place(&self, endpoint: &EndpointName) -> Option<&'a Place> {
         self.scene.places.iter().find(|p| p.endpoint == *endpoint)
     }
@@ -107,136 +156,146 @@
         usable.min_by(|a, b| self.usage(a, more).total_cmp(&self.usage(b, more)))
     }
 
-    fn shift(&mut self, span: Span, from: &'a EndpointName, to: &'a Place) {
-        let load = self.scene.load.of(span) * self.scene.per_s;
-        *self.load.entry(from).or_default() -= load;
-        *self.load.entry(&to.endpoint).or_default() += load;
-        self.moves.push(Move {
-            span,
-            to: to.endpoint.clone(),
-        });
+    fn assign(&mut self, i: usize, to: &'a Place) {
+        let piece = self.pieces[i];
+        *self.load.entry(piece.owner_to_be()).or_default() -= piece.load;
+        *self.load.entry(&to.endpoint).or_default() += piece.load;
+        self.pieces[i].to = Some(&to.endpoint);
+    }
+
+    /// Cuts a piece behind `last`; the first part keeps its place in the list.
+    fn cut(&mut self, i: usize, last: u16) {
+        let piece = self.pieces[i];
+        if piece.moving || last >= piece.span.last {
+            return;
+        }
+        let before = Span { last, ..piece.span };
+        let after = Span {
+            first: last + 1,
+            ..piece.span
+        };
+        let load = self.scene.load.of(before) * self.scene.per_s;
+        self.pieces[i].span = before;
+        self.pieces[i].load = load;
+        let rest = Piece {
+            span: after,
+            load: piece.load - load,
+            ..piece
+        };
+        self.pieces.insert(i + 1, rest);
     }
 
     /// Moves the ranges of endpoints that leave, are lost or are not listed.
     fn empty_leaving(&mut self) {
-        for range in &self.scene.row.ranges {
-            let owner = owner_to_be(range);
-            if self.place(owner).is_some_and(|place| !place.must_leave) {
-                continue;
-            }
-            for span in self.pieces(range) {
-                let load = self.scene.load.of(span) * self.scene.per_s;
+        let mut i = 0;
+        while i < self.pieces.len() {
+            let piece = self.pieces[i];
+            let stays = self
+                .place(piece.owner)
+                .is_some_and(|place| !place.must_leave);
+            if !stays {
+                self.cut_to_fit(i);
+                let load = self.pieces[i].load;
                 if let Some(to) = self.emptiest(load) {
-                    self.shift(span, owner, to);
+                    self.assign(i, to);
                 }
             }
+            i += 1;
         }
     }
 
-    /// Cuts a range so that no single endpoint gets too much at once.
-    fn pieces(&self, range: &Range) -> Vec<Span> {
-        let span = range.span();
-        let wide = range.width() >= 64 && !range.is_moving();
-        let load = self.scene.load.of(span) * self.scene.per_s;
+    /// Cuts a piece so that no single endpoint gets too much at once.
+    fn cut_to_fit(&mut self, i: usize) {
+        let piece = self.pieces[i];
         let room = self
             .emptiest(0.0)
             .map_or(0.0, |p| (1.0 - self.usage(p, 0.0)) * p.capacity);
-        if !wide || load <= room * 0.5 {
-            return vec![span];
+        let most = (room * FILL_AT_ONCE).max(piece.load / MAX_PIECES);
+        if piece.span.last - piece.span.first < MIN_CUT || piece.load <= most {
+            return;
         }
-        let part = self.scene.load.of(span) / MAX_PIECES as f64;
-        let mut pieces = Vec::new();
-        let mut rest = span;
-        while pieces.len() + 1 < MAX_PIECES {
-            let (last, _) = self.scene.load.prefix(rest, part);
-            if last >= rest.last {
-                break;
-            }
-            pieces.push(Span { last, ..rest });
-            rest.first = last + 1;
-        }
-        pieces.push(rest);
-        pieces
+        let (last, _) = self.scene.load.prefix(piece.span, most / self.scene.per_s);
+        self.cut(i, last);
     }
 
     /// Gives work to endpoints that hold no keys.
     fn use_idle(&mut self) {
         for place in self.scene.places {
-            if !place.takes || place.must_leave || self.holds_keys(&place.endpoint) {
+            let idle = !self
+                .pieces
+                .iter()
+                .any(|p| *p.owner_to_be() == place.endpoint);
+            if !place.takes || place.must_leave || !idle {
                 continue;
             }
-            if let Some((span, from)) = self.piece_of_fullest(place) {
-                self.shift(span, from, place);
+            if let Some(i) = self.piece_of_fullest(place) {
+                self.assign(i, place);
             }
         }
     }
 
-    fn holds_keys(&self, endpoint: &EndpointName) -> bool {
-        let rows = &self.scene.row.ranges;
-        rows.iter().any(|range| owner_to_be(range) == endpoint)
-            || self.moves.iter().any(|wish| wish.to == *endpoint)
-    }
-
     /// Evens out while an endpoint has more than it can do.
     fn relieve(&mut self) {
-        for _ in 0..MAX_BEGUN {
-            if self.in_motion + self.moves.len() >= MAX_IN_MOTION {
-                return;
-            }
+        let mut begun = self.in_motion;
+        while begun < MAX_IN_MOTION {
+            begun += 1;
             let Some(to) = self.emptiest(0.0) else { return };
-            let Some((span, from)) = self.piece_of_fullest(to) else {
+            let Some(giver) = self.fullest(to) else {
                 return;
             };
-            let Some(giver) = self.place(from) else {
+            if self.usage(giver, 0.0) < RELIEVE_ABOVE {
+                return;
+            }
+            let Some(i) = self.piece_of_fullest(to) else {
                 return;
             };
-            let load = self.scene.load.of(span) * self.scene.per_s;
-            let worth = self.usage(giver, 0.0) > RELIEVE_ABOVE
-                && self.usage(giver, 0.0) > self.usage(to, load) * WORTH_MOVING;
+            let load = self.pieces[i].load;
+            let worth = self.usage(giver, 0.0) > self.usage(to, load) * WORTH_MOVING;
             if !worth || load <= 0.0 {
                 return;
             }
-            self.shift(span, from, to);
+            self.assign(i, to);
         }
     }
 
-    /// A piece of the hottest range of the fullest endpoint that evens it with `to`.
-    fn piece_of_fullest(&self, to: &Place) -> Option<(Span, &'a EndpointName)> {
-        let fullest = self
+    fn fullest(&self, but: &Place) -> Option<&'a Place> {
+        let others = self
             .scene
             .places
             .iter()
-            .filter(|place| place.endpoint != to.endpoint)
-            .max_by(|a, b| self.usage(a, 0.0).total_cmp(&self.usage(b, 0.0)))?;
-        let taken = |range: &Range| self.moves.iter().any(|m| m.span.overlaps(range.span()));
-        let range = self
-            .scene
-            .row
-            .ranges
+            .filter(|p| p.endpoint != but.endpoint);
+        others.max_by(|a, b| self.usage(a, 0.0).total_cmp(&self.usage(b, 0.0)))
+    }
+
+    /// Cuts the hottest piece of the fullest endpoint so that its first part evens it
+    /// with `to`; returns that part.
+    fn piece_of_fullest(&mut self, to: &Place) -> Option<usize> {
+        let fullest = self.fullest(to)?;
+        let (i, piece) = self
+            .pieces
             .iter()
-            .filter(|r| !r.is_moving() && r.holder.endpoint == fullest.endpoint && !taken(r))
-            .max_by(|a, b| {
-                self.scene
-                    .load
-                    .of(a.span())
-                    .total_cmp(&self.scene.load.of(b.span()))
-            })?;
-        let span = range.span();
+            .enumerate()
+            .filter(|(_, p)| !p.moving && *p.owner_to_be() == fullest.endpoint)
+            .max_by(|(_, a), (_, b)| a.load.total_cmp(&b.load))?;
         // What to move so that both are used to the same part.
         let given = self.usage(fullest, 0.0) - self.usage(to, 0.0);
         let wanted = given / (1.0 / fullest.capacity + 1.0 / to.capacity.max(f64::MIN_POSITIVE));
-        let (last, _) = self.scene.load.prefix(span, wanted / self.scene.per_s);
-        if last >= span.last && span.first == span.last {
+        let (last, _) = self
+            .scene
+            .load
+            .prefix(piece.span, wanted / self.scene.per_s);
+        let whole = last >= piece.span.last;
+        let only = self
+            .pieces
+            .iter()
+            .filter(|p| *p.owner_to_be() == fullest.endpoint)
+            .count()
+            == 1;
+        if whole && only {
+            // All that the endpoint has: the load would only change places.
             return None;
         }
-        if last >= span.last {
-            // The whole range is less than is wanted.
-            return Some((span, &range.holder.endpoint));
-        }
-        Some((Span { last, ..span }, &range.holder.endpoint))
+        self.cut(i, last);
+        Some(i)
     }
 }
-
-fn owner_to_be(range: &Range) -> &EndpointName {
-    &range.next.as_ref().unwrap_or(&range.holder).endpoint
-}
--- /dev/null
+++ b/crates/citronway-core/tests/desk_support/mod.rs
@@ -0,0 +1,127 @@
+//! A small deployment as one instance sees it: `a` and `b` divide the keys of `batch`,
+//! `near`, `far1` and `far2` serve `console`; six slots each.
+
+use std::sync::Arc;
+
+use citronway_core::gateway::assignment::{Assignment, Holder, LAST_KEY, Range};
+use citronway_core::gateway::desk::{Desk, Job, Owners, Standing, View};
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::gateway::routes::Repeat;
+use citronway_core::ids::{EndpointName, ServiceName, Version, ZoneName};
+use citronway_core::time::Mono;
+use indexmap::IndexMap;
+
+pub struct Scene {
+    registry: Registry,
+    pub owners: IndexMap<ServiceName, Owners>,
+    pub standings: IndexMap<EndpointTag, Standing>,
+}
+
+fn listing(id: &str, service: &str, zone: &str, port: u16) -> Listing {
+    Listing {
+        id: EndpointName::new(id),
+        service: ServiceName::new(service),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: ZoneName::new(zone),
+        slots: 6,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+const LISTINGS: [(&str, &str, &str, u16); 5] = [
+    ("a", "batch", "here", 1),
+    ("b", "batch", "there", 2),
+    ("near", "console", "here", 3),
+    ("far1", "console", "there", 4),
+    ("far2", "console", "there", 5),
+];
+
+fn range(first: u16, last: u16, id: &str, port: u16, fence: u64) -> Range {
+    Range {
+        first,
+        last,
+        holder: Holder {
+            endpoint: EndpointName::new(id),
+            address: ([10, 0, 0, 1], port).into(),
+            fence,
+        },
+        next: None,
+    }
+}
+
+impl Scene {
+    pub fn new() -> Self {
+        let mut registry = Registry::default();
+        for (id, service, zone, port) in LISTINGS {
+            registry.put(Mono(0), listing(id, service, zone, port));
+        }
+        let assignment = Assignment {
+            next_fence: 20,
+            ranges: vec![
+                range(0, 32_767, "a", 1, 8),
+                range(32_768, LAST_KEY, "b", 2, 16),
+            ],
+        };
+        let owners = Owners {
+            assignment: Arc::new(assignment),
+            version: Version(1),
+        };
+        Self {
+            registry,
+            owners: [(ServiceName::new("batch"), owners)].into_iter().collect(),
+            standings: IndexMap::new(),
+        }
+    }
+
+    pub fn drain(&mut self, id: &str) {
+        for (name, service, zone, port) in LISTINGS {
+            if name == id {
+                let mut listing = listing(name, service, zone, port);
+                listing.draining = true;
+                self.registry.put(Mono(0), listing);
+            }
+        }
+    }
+
+    pub fn view(&self) -> View {
+        let mut view = View::nothing(ZoneName::new("here"), 1);
+        view.registry = Arc::new(self.registry.clone());
+        view.owners = self.owners.clone();
+        view.standings = self.standings.clone();
+        view
+    }
+
+    /// A desk that has known the owners for a while.
+    pub fn desk(&self, now: Mono) -> Desk {
+        let mut desk = Desk::default();
+        desk.view_changed(now.minus(1_000), &self.view());
+        desk
+    }
+}
+
+/// A request without a key that takes 200 ms and waits for 2 s.
+pub fn job(ticket: u64, now: Mono) -> Job {
+    Job {
+        ticket,
+        service: ServiceName::new("console"),
+        key: None,
+        priority: 1,
+        repeat: Repeat::AtMostOnce,
+        arrived: now,
+        objective_at: now.plus(600),
+        last_at: now.plus(2_000),
+        work_ms: 200,
+        tried: Vec::new(),
+    }
+}
+
+/// The same with a key.
+pub fn keyed(ticket: u64, key: u16, now: Mono) -> Job {
+    Job {
+        service: ServiceName::new("batch"),
+        key: Some(key),
+        ..job(ticket, now)
+    }
+}
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_desk.rs
@@ -0,0 +1,214 @@
+//! Who is sent, who waits and who is refused at one instance.
+
+mod desk_support;
+
+use citronway_core::gateway::desk::{Desk, RefusalReason, Standing, Verdict};
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::share::{Demand, places};
+use citronway_core::ids::EndpointName;
+use citronway_core::time::Mono;
+use desk_support::{Scene, job, keyed};
+use googletest::prelude::*;
+
+const NOW: Mono = Mono(50_000);
+
+fn endpoint(verdict: Option<&Verdict>) -> String {
+    match verdict {
+        Some(Verdict::Send(choice)) => choice.endpoint.to_string(),
+        Some(Verdict::Refuse(refusal)) => refusal.reason.word().to_owned(),
+        None => "waits".to_owned(),
+    }
+}
+
+#[gtest]
+fn a_key_goes_to_its_owner_and_nowhere_else() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    for (ticket, key, owner) in [(1, 0, "a"), (2, 30_000, "a"), (3, 40_000, "b")] {
+        let verdict = desk.arrive(NOW, &scene.view(), keyed(ticket, key, NOW));
+        expect_that!(endpoint(verdict.as_ref()), eq(owner));
+    }
+}
+
+#[gtest]
+fn without_an_owner_a_request_waits_and_is_refused_in_time() {
+    let mut scene = Scene::new();
+    scene.owners.clear();
+    let mut desk = scene.desk(NOW);
+    let verdict = desk.arrive(NOW, &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+    let late = NOW.plus(1_950);
+    let decided = desk.pump(late, &scene.view());
+    expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("key_unowned"));
+}
+
+/// A range has a new owner, but the grant has not reached it yet. A request that is
+/// faster is refused there and counts as a second send.
+#[gtest]
+fn a_new_owner_is_given_time_for_its_grant() {
+    let scene = Scene::new();
+    let mut desk = Desk::default();
+    desk.view_changed(NOW, &scene.view());
+    let verdict = desk.arrive(NOW.plus(2), &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+    let decided = desk.pump(NOW.plus(30), &scene.view());
+    expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
+}
+
+/// A holder has let its range go. All requests that wait for the range used to try it
+/// again at once, up to 18 times each, and used up the budget of second sends.
+#[gtest]
+fn one_request_at_a_time_tries_a_holder_that_does_not_hold() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    let first = keyed(1, 0, NOW);
+    let sent = desk.arrive(NOW, &scene.view(), first.clone());
+    expect_that!(endpoint(sent.as_ref()), eq("a"));
+    desk.disowned(NOW, &scene.view(), &first, 8);
+    desk.finished(&EndpointName::new("a"));
+    for ticket in 2..6 {
+        let verdict = desk.arrive(NOW, &scene.view(), keyed(ticket, 1, NOW));
+        expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+    }
+    let decided = desk.pump(NOW.plus(60), &scene.view());
+    expect_that!(decided.len(), eq(1));
+}
+
+#[gtest]
+fn an_endpoint_gets_no_more_than_its_places() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    let verdicts: Vec<_> = (0..30)
+        .map(|ticket| desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW)))
+        .collect();
+    let sent = verdicts.iter().flatten().count();
+    expect_that!(sent, eq(places(6) as usize));
+}
+
+/// Another instance has as much to send to the endpoint as this one. Each takes half,
+/// so that the endpoint does not have to turn anybody away.
+#[gtest]
+fn a_full_endpoint_is_shared_with_other_instances() {
+    let mut scene = Scene::new();
+    let other = Demand {
+        rank: 99,
+        wanted: 30,
+    };
+    let standing = Standing {
+        others: vec![other],
+        in_flight: 4,
+        waiting: 26,
+        ..Standing::unknown()
+    };
+    scene
+        .standings
+        .insert(EndpointTag::of(&EndpointName::new("a")), standing);
+    let mut desk = scene.desk(NOW);
+    for ticket in 0..30 {
+        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+    }
+    let _ = desk.pump(NOW, &scene.view());
+    let sent: u32 = desk.uses().map(|(_, in_flight, _)| in_flight).sum();
+    expect_that!(sent, all!(ge(4), le(5)));
+}
+
+/// A batch of patient requests waits in front of a full endpoint when an interactive
+/// one comes. It goes first as soon as a place is free.
+#[gtest]
+fn the_more_urgent_goes_first() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    for ticket in 0..20 {
+        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+    }
+    let mut urgent = keyed(100, 0, NOW);
+    urgent.priority = 0;
+    expect_that!(desk.arrive(NOW, &scene.view(), urgent), none());
+    desk.finished(&EndpointName::new("a"));
+    let decided = desk.pump(NOW.plus(10), &scene.view());
+    expect_that!(decided.first().map(|(ticket, _)| *ticket), some(eq(100)));
+}
+
+/// Three times as much comes as an endpoint can do. Whoever would wait beyond his time
+/// is told at once, with a time to come back, and not at his deadline.
+#[gtest]
+fn who_cannot_be_served_in_time_is_refused_at_once() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    let mut refused = Vec::new();
+    for ticket in 0..200 {
+        match desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW)) {
+            Some(Verdict::Refuse(refusal)) => refused.push(refusal),
+            Some(Verdict::Send(_)) | None => {}
+        }
+    }
+    // 2 s at six slots of 200 ms: about 60 requests.
+    expect_that!(refused.len(), all!(ge(120), le(150)));
+    for refusal in refused {
+        expect_that!(refusal.reason, eq(RefusalReason::Overloaded));
+        expect_that!(refusal.retry_after_ms, all!(ge(60), le(2_000 / 3)));
+    }
+}
+
+#[gtest]
+fn work_without_a_key_goes_to_the_least_loaded_in_the_own_zone() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    let mut sent = std::collections::BTreeMap::new();
+    for ticket in 0..10 {
+        let verdict = desk.arrive(NOW, &scene.view(), job(ticket, NOW));
+        *sent.entry(endpoint(verdict.as_ref())).or_insert(0) += 1;
+    }
+    // `near` is in this zone, `far1` and `far2` are not; each has six slots.
+    expect_that!(sent.get("near").copied().unwrap_or(0), ge(4));
+    expect_that!(sent.len(), eq(3));
+}
+
+#[gtest]
+fn a_draining_endpoint_gets_no_new_work() {
+    let mut scene = Scene::new();
+    scene.drain("near");
+    let mut desk = scene.desk(NOW);
+    for ticket in 0..10 {
+        let verdict = desk.arrive(NOW, &scene.view(), job(ticket, NOW));
+        expect_that!(endpoint(verdict.as_ref()), not(eq("near")));
+    }
+}
+
+/// A machine goes dark; connections to it hang. Requests that may not be repeated are
+/// not sent to it any more, long before its entry lapses.
+#[gtest]
+fn a_silent_endpoint_is_left_alone() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    let first = desk.arrive(NOW, &scene.view(), job(1, NOW));
+    expect_that!(endpoint(first.as_ref()), eq("near"));
+    let later = NOW.plus(1_000);
+    for ticket in 2..8 {
+        let verdict = desk.arrive(later, &scene.view(), job(ticket, later));
+        expect_that!(endpoint(verdict.as_ref()), not(eq("near")));
+    }
+}
+
+#[gtest]
+fn an_endpoint_that_takes_no_connection_is_tried_again_later() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    desk.failed(NOW, &EndpointName::new("a"));
+    let verdict = desk.arrive(NOW, &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+    let decided = desk.pump(NOW.plus(260), &scene.view());
+    expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
+}
+
+#[gtest]
+fn a_caller_that_leaves_frees_its_place_in_the_queue() {
+    let scene = Scene::new();
+    let mut desk = scene.desk(NOW);
+    for ticket in 0..12 {
+        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+    }
+    expect_that!(desk.waiting(), eq(3));
+    desk.forget(10);
+    expect_that!(desk.waiting(), eq(2));
+}
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_placement.rs
@@ -0,0 +1,200 @@
+//! Which keys go where: leaving endpoints, idle ones, hot ranges.
+
+use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, LAST_KEY, Range};
+use citronway_core::gateway::keeper::Span;
+use citronway_core::gateway::keyload::KeyLoad;
+use citronway_core::gateway::placement::{Place, Scene, propose};
+use citronway_core::ids::EndpointName;
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+
+/// Requests a second of an endpoint with six slots and work of 200 ms.
+const CAPACITY: f64 = 30.0;
+
+fn place(id: &str) -> Place {
+    Place {
+        endpoint: EndpointName::new(id),
+        capacity: CAPACITY,
+        takes: true,
+        must_leave: false,
+    }
+}
+
+fn even(ids: &[&str]) -> Assignment {
+    let mut row = Assignment {
+        next_fence: 1,
+        ranges: Vec::new(),
+    };
+    let width = 65_536 / ids.len();
+    for (i, id) in ids.iter().enumerate() {
+        let first = i * width;
+        let last = if i + 1 == ids.len() {
+            65_535
+        } else {
+            first + width - 1
+        };
+        let fence = row.draw_fences(FENCES_A_MOVE);
+        row.ranges.push(Range {
+            first: u16::try_from(first).unwrap_or(0),
+            last: u16::try_from(last).unwrap_or(LAST_KEY),
+            holder: Holder {
+                endpoint: EndpointName::new(id),
+                address: ([10, 0, 0, 1], 80).into(),
+                fence,
+            },
+            next: None,
+        });
+    }
+    row
+}
+
+/// Load of `per_s` requests a second, spread over a span.
+fn add(load: &mut KeyLoad, span: Span, per_s: f64) {
+    let width = f64::from(span.last - span.first) + 1.0;
+    let count = per_s / KeyLoad::PER_SECOND;
+    let mut sent = 0.0;
+    while sent < count {
+        let offset = (sent / count * width).floor();
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "below 65,536"
+        )]
+        load.add(span.first + offset as u16);
+        sent += 1.0;
+    }
+}
+
+fn moves(
+    row: &Assignment,
+    load: &KeyLoad,
+    places: &[Place],
+) -> Vec<citronway_core::gateway::keeper::Move> {
+    propose(&Scene {
+        row,
+        load,
+        per_s: KeyLoad::PER_SECOND,
+        places,
+    })
+}
+
+#[gtest]
+fn an_even_load_moves_nothing() {
+    let row = even(&["a", "b", "c"]);
+    let mut load = KeyLoad::new(Mono(0));
+    add(
+        &mut load,
+        Span {
+            first: 0,
+            last: LAST_KEY,
+        },
+        60.0,
+    );
+    expect_that!(moves(&row, &load, &["a", "b", "c"].map(place)), is_empty());
+}
+
+/// Forty in a hundred requests are suddenly for 200 keys next to each other, all at
+/// one endpoint. Its range is cut so that the hot keys spread over the others.
+#[gtest]
+fn a_hot_range_is_cut_and_spread() {
+    let row = even(&["a", "b", "c", "d"]);
+    let mut load = KeyLoad::new(Mono(0));
+    add(
+        &mut load,
+        Span {
+            first: 0,
+            last: LAST_KEY,
+        },
+        30.0,
+    );
+    add(
+        &mut load,
+        Span {
+            first: 500,
+            last: 699,
+        },
+        60.0,
+    );
+    let begun = moves(&row, &load, &["a", "b", "c", "d"].map(place));
+    expect_that!(begun.len(), ge(1));
+    for wish in &begun {
+        expect_that!(wish.to.as_str(), not(eq("a")));
+        let hot = Span {
+            first: 500,
+            last: 699,
+        };
+        expect_that!(wish.span.overlaps(hot), eq(true));
+        expect_that!(load.of(wish.span) * KeyLoad::PER_SECOND, le(45.0));
+    }
+}
+
+#[gtest]
+fn a_lone_hot_key_is_not_moved_back_and_forth() {
+    let row = even(&["a", "b"]);
+    let mut load = KeyLoad::new(Mono(0));
+    add(
+        &mut load,
+        Span {
+            first: 500,
+            last: 500,
+        },
+        60.0,
+    );
+    for wish in moves(&row, &load, &["a", "b"].map(place)) {
+        // Moving the key itself would only carry the load over.
+        expect_that!(load.of(wish.span), lt(1.0));
+    }
+}
+
+#[gtest]
+fn a_leaving_endpoint_is_emptied() {
+    let row = even(&["a", "b", "c"]);
+    let mut load = KeyLoad::new(Mono(0));
+    add(
+        &mut load,
+        Span {
+            first: 0,
+            last: LAST_KEY,
+        },
+        75.0,
+    );
+    let mut places = ["a", "b", "c"].map(place);
+    places[1].must_leave = true;
+    places[1].takes = false;
+    let begun = moves(&row, &load, &places);
+    let keys: u32 = begun
+        .iter()
+        .map(|m| u32::from(m.span.last - m.span.first) + 1)
+        .sum();
+    expect_that!(keys, eq(row.ranges[1].width()));
+    for wish in begun {
+        expect_that!(wish.to.as_str(), not(eq("b")));
+    }
+}
+
+#[gtest]
+fn an_endpoint_that_joined_gets_work() {
+    let row = even(&["a", "b"]);
+    let mut load = KeyLoad::new(Mono(0));
+    add(
+        &mut load,
+        Span {
+            first: 0,
+            last: LAST_KEY,
+        },
+        20.0,
+    );
+    let begun = moves(&row, &load, &["a", "b", "new"].map(place));
+    let to_new: Vec<_> = begun.iter().filter(|m| m.to.as_str() == "new").collect();
+    expect_that!(to_new.len(), eq(1));
+}
+
+#[gtest]
+fn with_nowhere_to_go_nothing_moves() {
+    let row = even(&["a"]);
+    let load = KeyLoad::new(Mono(0));
+    let mut only = place("a");
+    only.must_leave = true;
+    only.takes = false;
+    expect_that!(moves(&row, &load, &[only]), is_empty());
+}
