Trial: refuse what cannot meet its objective; fewer small moves

Refused requests come back as new ones, are late by then and take places from those that could be in time.

--- a/crates/citronway-core/src/gateway/desk/choose.rs
+++ b/crates/citronway-core/src/gateway/desk/choose.rs
@@ -50,10 +50,12 @@
         }
     }
 
-    /// The endpoint that a request waits for, where there is only one.
-    pub(super) fn spot(view: &View, job: &Job) -> Option<EndpointTag> {
-        let range = range_of(view, job)?;
-        Some(EndpointTag::of(&range.holder.endpoint))
+    /// Where a request waits: at the endpoint that holds its key, or at the service.
+    pub(super) fn spot(view: &View, job: &Job) -> EndpointTag {
+        range_of(view, job).map_or_else(
+            || EndpointTag::of_text(job.service.as_str()),
+            |range| EndpointTag::of(&range.holder.endpoint),
+        )
     }
 
     fn find_owner(&mut self, now: Mono, view: &View, job: &Job) -> Finding {
@@ -196,25 +198,27 @@
 
 /// Time until a request with `ahead` before it would get its turn, in milliseconds.
 pub(super) fn expected_wait_ms(view: &View, job: &Job, ahead: u32) -> u64 {
-    let Some(range) = range_of(view, job) else {
-        return 0;
-    };
-    let endpoint = &range.holder.endpoint;
+    let tag = Desk::spot(view, job);
     let unknown = Standing::unknown();
-    let standing = view
-        .standings
-        .get(&EndpointTag::of(endpoint))
-        .unwrap_or(&unknown);
-    let slots = view
-        .registry
-        .get(endpoint)
-        .map_or(1, |known| known.listing.slots.max(1));
+    let standing = view.standings.get(&tag).unwrap_or(&unknown);
+    let slots = match range_of(view, job) {
+        Some(range) => view
+            .registry
+            .get(&range.holder.endpoint)
+            .map_or(1, |known| known.listing.slots),
+        None => view
+            .registry
+            .of(&job.service)
+            .map(|known| known.listing.slots)
+            .sum(),
+    };
     // The others' queues are taken to be like this one's: as many of theirs as of
     // its own are ahead of the request.
     let own = f64::from(ahead);
     let others = f64::from(view.instances.max(1) - 1);
     let theirs = f64::from(standing.waiting).min(own * others);
-    let wait = (own + theirs) * job.work_ms as f64 * standing.slowness / f64::from(slots);
+    let work = job.work_ms as f64 * standing.slowness;
+    let wait = (own + theirs) * work / f64::from(slots.max(1));
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -35,6 +35,13 @@
 /// not take it back, and the next owner has another fence.
 const RELEASED_MS: u64 = 1_500;
 
+/// Ranks of priority that are counted apart; the rest count with the last.
+const RANKS: usize = 4;
+
+/// Time between the usual end of work and the objective below which the objective is
+/// left out of account, in milliseconds.
+const MIN_SLACK_MS: u64 = 50;
+
 /// First and longest time for which an endpoint is avoided that failed to take a
 /// connection, in milliseconds.
 const AVOID_MS: (u64, u64) = (250, 4_000);
@@ -48,8 +55,8 @@
 pub struct Desk {
     waiting: Vec<Job>,
     in_flight: IndexMap<EndpointTag, u32>,
-    /// Requests that wait for one particular endpoint, as of the last look.
-    wanted: IndexMap<EndpointTag, u32>,
+    /// Requests that wait, by where they do and by rank, as of the last look.
+    wanted: IndexMap<EndpointTag, [u32; RANKS]>,
     avoided: IndexMap<EndpointTag, Avoided>,
     /// Holders that said they do not hold the keys, by fence and first key.
     disowned: IndexMap<(u64, u16), Avoided>,
@@ -73,7 +80,7 @@
     /// `None` while it waits; [`Desk::pump`] decides about it later.
     pub fn arrive(&mut self, now: Mono, view: &View, job: Job) -> Option<Verdict> {
         let spot = Self::spot(view, &job);
-        let ahead = spot.map_or(0, |spot| self.wanted(spot));
+        let ahead = self.ahead(spot, job.priority);
         let found = if ahead > 0 {
             Finding::Wait(RefusalReason::Overloaded)
         } else {
@@ -89,9 +96,7 @@
         if let Some(refusal) = hopeless(now, view, &job, ahead, cause) {
             return Some(Verdict::Refuse(refusal));
         }
-        if let Some(spot) = spot {
-            *self.wanted.entry(spot).or_default() += 1;
-        }
+        self.wanted.entry(spot).or_default()[rank(job.priority)] += 1;
         self.waiting.push(job);
         None
     }
@@ -102,16 +107,15 @@
         let mut jobs = std::mem::take(&mut self.waiting);
         jobs.sort_by_key(|job| urgency(now, job));
         self.wanted.clear();
-        for spot in jobs.iter().filter_map(|job| Self::spot(view, job)) {
-            *self.wanted.entry(spot).or_default() += 1;
+        for job in &jobs {
+            let spot = Self::spot(view, job);
+            self.wanted.entry(spot).or_default()[rank(job.priority)] += 1;
         }
         // Those that found no room before this one, by where they wait.
         let mut ahead = IndexMap::<EndpointTag, u32>::new();
         for job in jobs {
             let spot = Self::spot(view, &job);
-            let before = spot
-                .and_then(|spot| ahead.get(&spot).copied())
-                .unwrap_or_default();
+            let before = ahead.get(&spot).copied().unwrap_or_default();
             let found = if before > 0 {
                 Finding::Wait(RefusalReason::Overloaded)
             } else {
@@ -127,14 +131,13 @@
                 }
             };
             let Some(verdict) = verdict else {
-                if let Some(spot) = spot {
-                    *ahead.entry(spot).or_default() += 1;
-                }
+                *ahead.entry(spot).or_default() += 1;
                 self.waiting.push(job);
                 continue;
             };
-            if let Some(wanted) = spot.and_then(|spot| self.wanted.get_mut(&spot)) {
-                *wanted = wanted.saturating_sub(1);
+            if let Some(wanted) = self.wanted.get_mut(&spot) {
+                let count = &mut wanted[rank(job.priority)];
+                *count = count.saturating_sub(1);
             }
             decided.push((job.ticket, verdict));
         }
@@ -226,15 +229,15 @@
 
     /// Requests in flight and waiting for each endpoint, for the next report.
     pub fn uses(&self) -> impl Iterator<Item = (EndpointTag, u32, u32)> {
-        let in_flight = self.in_flight.iter().map(|(tag, count)| {
-            let waiting = self.wanted.get(tag).copied().unwrap_or_default();
-            (*tag, *count, waiting)
-        });
+        let in_flight = self
+            .in_flight
+            .iter()
+            .map(|(tag, count)| (*tag, *count, self.wanted(*tag)));
         let only_waiting = self
             .wanted
             .iter()
             .filter(|(tag, _)| !self.in_flight.contains_key(*tag))
-            .map(|(tag, waiting)| (*tag, 0, *waiting));
+            .map(|(tag, ranks)| (*tag, 0, ranks.iter().sum()));
         in_flight.chain(only_waiting)
     }
 
@@ -251,11 +254,22 @@
     }
 
     fn wanted(&self, spot: EndpointTag) -> u32 {
-        self.wanted.get(&spot).copied().unwrap_or_default()
+        self.wanted.get(&spot).map_or(0, |ranks| ranks.iter().sum())
+    }
+
+    /// Requests that wait at the spot and go before one of this priority.
+    fn ahead(&self, spot: EndpointTag, priority: u8) -> u32 {
+        let ranks = self.wanted.get(&spot);
+        ranks.map_or(0, |ranks| ranks[..=rank(priority)].iter().sum())
     }
 }
 
 /// Refuses a request that will not get its turn in time; `ahead` go before it.
+///
+/// Load: one key, or all of them, is asked for more than can be done, for seconds. If
+/// all wait their turn, all that are served are late. Whoever cannot meet the
+/// objective any more is told so while there is still time to come back, and those
+/// that are served are served in time.
 fn hopeless(
     now: Mono,
     view: &View,
@@ -265,9 +279,14 @@
 ) -> Option<Refusal> {
     let wait_ms = choose::expected_wait_ms(view, job, ahead);
     let due = now.plus(wait_ms + job.work_ms);
-    // Work that misses its objective is still worth something; whoever cannot
-    // meet even the end of his time only keeps others waiting.
-    if due < job.last_at {
+    // Where work alone takes as long as the objective, only the end of the time counts.
+    let reachable = job.arrived.plus(job.work_ms + MIN_SLACK_MS) < job.objective_at;
+    let limit = if reachable {
+        job.objective_at
+    } else {
+        job.last_at
+    };
+    if due < limit.min(job.last_at) {
         return None;
     }
     let left = job.last_at.since(now);
@@ -284,3 +303,8 @@
     let late = now.plus(job.work_ms) > job.objective_at;
     (job.priority, late, job.last_at)
 }
+
+/// Place of a priority among the ranks that are counted apart.
+fn rank(priority: u8) -> usize {
+    usize::from(priority).min(RANKS - 1)
+}
--- a/crates/citronway-core/src/gateway/keyload.rs
+++ b/crates/citronway-core/src/gateway/keyload.rs
@@ -6,57 +6,46 @@
 /// Keys of a service.
 const KEYS: usize = 1 << 16;
 
-/// Time in which old samples lose half of their weight, in milliseconds.
-///
-/// A hot range lasts a few seconds; half a second more or less of seeing it decides
-/// how long its callers queue.
-const HALF_LIFE_MS: f64 = 1_500.0;
-
-/// Fading load of all keys; the unit is requests in about two seconds.
+/// Fading load of all keys; the unit is requests in about a half-life and a half.
 #[derive(Debug)]
 pub struct KeyLoad {
     weight: Vec<f32>,
     faded_at: Mono,
-    total: f64,
+    half_life_ms: f64,
 }
 
 impl KeyLoad {
-    /// Factor from the load's unit to requests a second: the weight of a steady
-    /// stream is its rate times the half-life over ln 2.
-    pub const PER_SECOND: f64 = std::f64::consts::LN_2 / (HALF_LIFE_MS / 1_000.0);
-
-    /// No load.
+    /// No load; old samples lose half of their weight in `half_life_ms`.
     #[must_use]
-    pub fn new(now: Mono) -> Self {
+    pub fn new(now: Mono, half_life_ms: f64) -> Self {
         Self {
             weight: vec![0.0; KEYS],
             faded_at: now,
-            total: 0.0,
+            half_life_ms,
         }
     }
 
+    /// Factor from the load's unit to requests a second: the weight of a steady
+    /// stream is its rate times the half-life over ln 2.
+    #[must_use]
+    pub fn per_second(&self) -> f64 {
+        std::f64::consts::LN_2 / (self.half_life_ms / 1_000.0)
+    }
+
     /// Takes a request for a key.
     pub fn add(&mut self, key: u16) {
         self.weight[usize::from(key)] += 1.0;
-        self.total += 1.0;
     }
 
     /// Lets old samples fade.
     pub fn fade(&mut self, now: Mono) {
-        let by = (-(now.since(self.faded_at) as f64) / HALF_LIFE_MS).exp2();
+        let by = (-(now.since(self.faded_at) as f64) / self.half_life_ms).exp2();
         self.faded_at = now;
         #[expect(clippy::cast_possible_truncation, reason = "a factor between 0 and 1")]
         let by_key = by as f32;
         for weight in &mut self.weight {
             *weight *= by_key;
         }
-        self.total *= by;
-    }
-
-    /// Load of all keys.
-    #[must_use]
-    pub const fn total(&self) -> f64 {
-        self.total
     }
 
     /// Load of a span.
--- a/crates/citronway-core/src/gateway/pace.rs
+++ b/crates/citronway-core/src/gateway/pace.rs
@@ -23,7 +23,13 @@
     /// Tag of a name.
     #[must_use]
     pub fn of(name: &crate::ids::EndpointName) -> Self {
-        let hash = xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes());
+        Self::of_text(name.as_str())
+    }
+
+    /// Tag of any name.
+    #[must_use]
+    pub fn of_text(name: &str) -> Self {
+        let hash = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
         Self(u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default())
     }
 }
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -3,7 +3,7 @@
 //! Endpoints that leave or are lost are emptied first, idle ones are given work,
 //! and what is left over goes to evening out: the most loaded endpoint gives a
 //! piece of its hottest range to the least loaded. Moves cost, so each has to
-//! bring the two clearly closer.
+//! bring the two clearly closer. While some endpoints have queues, only these give.
 
 use indexmap::IndexMap;
 
@@ -19,6 +19,10 @@
 /// How much fuller the giver must be than the taker after the move, as a factor.
 const WORTH_MOVING: f64 = 1.15;
 
+/// Least part of the giver's capacity that a move for evening out must free; each costs
+/// two writes and a moment in which its keys wait.
+const MIN_GAIN: f64 = 0.08;
+
 /// Moves of one service that are under way at the same time.
 ///
 /// Each takes 50 to 300 ms, most of it for work that has to end.
@@ -44,6 +48,8 @@
     pub takes: bool,
     /// Its keys must go elsewhere.
     pub must_leave: bool,
+    /// More requests wait for it than it has slots.
+    pub queue: bool,
 }
 
 /// What the decision rests on.
@@ -228,74 +234,77 @@
             if !place.takes || place.must_leave || !idle {
                 continue;
             }
-            if let Some(i) = self.piece_of_fullest(place) {
-                self.assign(i, place);
+            for giver in self.fullest_first() {
+                if self.give(giver, place, 0.0) {
+                    break;
+                }
             }
         }
     }
 
     /// Evens out while an endpoint has more than it can do.
     fn relieve(&mut self) {
-        let mut begun = self.in_motion;
-        while begun < MAX_IN_MOTION {
-            begun += 1;
+        for _ in self.in_motion..MAX_IN_MOTION {
             let Some(to) = self.emptiest(0.0) else { return };
-            let Some(giver) = self.fullest(to) else {
-                return;
-            };
-            if self.usage(giver, 0.0) < RELIEVE_ABOVE {
-                return;
-            }
-            let Some(i) = self.piece_of_fullest(to) else {
-                return;
-            };
-            let load = self.pieces[i].load;
-            let worth = self.usage(giver, 0.0) > self.usage(to, load) * WORTH_MOVING;
-            if !worth || load <= 0.0 {
+            let givers = self.fullest_first();
+            let queues = givers.iter().any(|giver| giver.queue);
+            let full = givers
+                .iter()
+                .filter(|giver| self.usage(giver, 0.0) > RELIEVE_ABOVE && (giver.queue || !queues));
+            let full: Vec<_> = full.copied().collect();
+            if !full.iter().any(|giver| self.give(giver, to, WORTH_MOVING)) {
                 return;
             }
-            self.assign(i, to);
         }
     }
 
-    fn fullest(&self, but: &Place) -> Option<&'a Place> {
-        let others = self
-            .scene
-            .places
-            .iter()
-            .filter(|p| p.endpoint != but.endpoint);
-        others.max_by(|a, b| self.usage(a, 0.0).total_cmp(&self.usage(b, 0.0)))
+    fn fullest_first(&self) -> Vec<&'a Place> {
+        let mut places: Vec<_> = self.scene.places.iter().collect();
+        places.sort_by(|a, b| self.usage(b, 0.0).total_cmp(&self.usage(a, 0.0)));
+        places
     }
 
-    /// Cuts the hottest piece of the fullest endpoint so that its first part evens it
-    /// with `to`; returns that part.
-    fn piece_of_fullest(&mut self, to: &Place) -> Option<usize> {
-        let fullest = self.fullest(to)?;
-        let (i, piece) = self
-            .pieces
-            .iter()
-            .enumerate()
-            .filter(|(_, p)| !p.moving && *p.owner_to_be() == fullest.endpoint)
-            .max_by(|(_, a), (_, b)| a.load.total_cmp(&b.load))?;
+    /// Gives a part of what `from` has to `to`, the hottest that makes a difference;
+    /// false if nothing does. `worth` is how much fuller `from` must be afterwards
+    /// than `to` was made by it.
+    fn give(&mut self, from: &'a Place, to: &'a Place, worth: f64) -> bool {
+        if from.endpoint == to.endpoint {
+            return false;
+        }
+        let mut mine: Vec<_> = (0..self.pieces.len())
+            .filter(|i| !self.pieces[*i].moving)
+            .filter(|i| *self.pieces[*i].owner_to_be() == from.endpoint)
+            .collect();
+        mine.sort_by(|a, b| self.pieces[*b].load.total_cmp(&self.pieces[*a].load));
         // What to move so that both are used to the same part.
-        let given = self.usage(fullest, 0.0) - self.usage(to, 0.0);
-        let wanted = given / (1.0 / fullest.capacity + 1.0 / to.capacity.max(f64::MIN_POSITIVE));
-        let (last, _) = self
-            .scene
-            .load
-            .prefix(piece.span, wanted / self.scene.per_s);
-        let whole = last >= piece.span.last;
-        let only = self
-            .pieces
-            .iter()
-            .filter(|p| *p.owner_to_be() == fullest.endpoint)
-            .count()
-            == 1;
-        if whole && only {
-            // All that the endpoint has: the load would only change places.
-            return None;
+        let given = self.usage(from, 0.0) - self.usage(to, 0.0);
+        let wanted = given / (1.0 / from.capacity + 1.0 / to.capacity.max(f64::MIN_POSITIVE));
+        let only = mine.len() == 1;
+        for i in mine {
+            let piece = self.pieces[i];
+            let (last, load) = self
+                .scene
+                .load
+                .prefix(piece.span, wanted / self.scene.per_s);
+            let whole = last >= piece.span.last;
+            if whole && only {
+                // All that the endpoint has: the load would only change places.
+                continue;
+            }
+            // Failure: one key is more than any endpoint can do, and is carried from
+            // one to the next. It stays; what else its endpoint has makes room for it.
+            let moved = load * self.scene.per_s;
+            let after = self.usage(to, moved);
+            let small = moved < from.capacity * MIN_GAIN;
+            if worth > 0.0 && (small || self.usage(from, 0.0) <= after * worth) {
+                continue;
+            }
+            // Without load the keys themselves are divided.
+            let half = piece.span.first + (piece.span.last - piece.span.first) / 2;
+            self.cut(i, if load > 0.0 { last } else { half });
+            self.assign(i, to);
+            return true;
         }
-        self.cut(i, last);
-        Some(i)
+        false
     }
 }
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -5,7 +5,7 @@
 use citronway_core::gateway::assignment::Assignment;
 use citronway_core::gateway::desk::{Owners, View};
 use citronway_core::gateway::election::KeeperRow;
-use citronway_core::gateway::pace::{Paces, rank_of};
+use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
 use citronway_core::gateway::report::{Report, Versions};
 use citronway_core::gateway::routes::RouteTable;
@@ -71,6 +71,8 @@
     config: Sight,
     endpoints: Sight,
     own: Sight,
+    /// Requests of this instance that wait for each endpoint.
+    own_waiting: IndexMap<EndpointTag, u32>,
     /// Newest version of each endpoint's entry, of removed ones too.
     entries: IndexMap<String, Version>,
     heard_at: Mono,
@@ -91,6 +93,7 @@
             config: Sight::default(),
             endpoints: Sight::default(),
             own: Sight::default(),
+            own_waiting: IndexMap::new(),
             entries: IndexMap::new(),
             heard_at: Mono::default(),
             changed: false,
@@ -313,6 +316,12 @@
         }
     }
 
+    /// Takes what this instance itself has waiting.
+    pub(super) fn own_traffic(&mut self, report: &Report) {
+        let waiting = report.endpoints.iter().map(|used| (used.tag, used.waiting));
+        self.own_waiting = waiting.filter(|(_, count)| *count > 0).collect();
+    }
+
     /// Drops entries of endpoints that stayed missing after an outage.
     pub(super) fn expire(&mut self, now: Mono) {
         if Arc::make_mut(&mut self.registry).expire(now) {
@@ -352,6 +361,12 @@
         self.own.lost
     }
 
+    /// Requests of all instances that wait for the endpoint.
+    pub(super) fn waiting(&self, now: Mono, tag: EndpointTag) -> u32 {
+        let own = self.own_waiting.get(&tag).copied().unwrap_or_default();
+        own + self.peers.waiting(now, tag)
+    }
+
     /// Whether a fit keeper is heard, which passes rows on.
     pub(super) fn is_told(&self, now: Mono) -> bool {
         self.keeper
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -17,8 +17,19 @@
 use super::beliefs::{self, Beliefs};
 use super::store::{IDLE_WAIT_MS, KEEPER_WAIT_MS};
 
-/// Time between two looks at the placement, in milliseconds.
-const PLACE_MS: u64 = 250;
+/// Time between two looks at the placement, in milliseconds: as often as reports come.
+const PLACE_MS: u64 = 100;
+
+/// The same after moves have begun: these show in the queues first.
+const AFTER_MOVES_MS: u64 = 300;
+
+/// Time in which samples of keys lose half of their weight, in milliseconds, while no
+/// endpoint has a queue: long enough that chance does not move keys.
+const CALM_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// The same while one has: a hot range lasts a few seconds, and its callers queue
+/// until it is seen.
+const BUSY_HALF_LIFE_MS: f64 = 400.0;
 
 /// How long the first endpoint of a service is listed before its keys are divided,
 /// in milliseconds: others that start with it list themselves meanwhile.
@@ -52,13 +63,29 @@
     pub wait_ms: u64,
 }
 
+/// Load of a service's keys, seen over a longer and a shorter time.
+#[derive(Debug)]
+struct Loads {
+    calm: KeyLoad,
+    busy: KeyLoad,
+}
+
+impl Loads {
+    fn new(now: Mono) -> Self {
+        Self {
+            calm: KeyLoad::new(now, CALM_HALF_LIFE_MS),
+            busy: KeyLoad::new(now, BUSY_HALF_LIFE_MS),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Duty {
     me: Session,
     started: Mono,
     cfg: KeeperSettings,
     keepers: IndexMap<ServiceName, Keeper>,
-    loads: IndexMap<ServiceName, KeyLoad>,
+    loads: IndexMap<ServiceName, Loads>,
     work_ms: IndexMap<ServiceName, f64>,
     /// Row by which this instance is in office.
     office: Option<KeeperRow>,
@@ -232,12 +259,13 @@
             return;
         }
         for samples in &report.keys {
-            let load = self
+            let loads = self
                 .loads
                 .entry(samples.service.clone())
-                .or_insert_with(|| KeyLoad::new(now));
+                .or_insert_with(|| Loads::new(now));
             for key in &samples.keys {
-                load.add(*key);
+                loads.calm.add(*key);
+                loads.busy.add(*key);
             }
         }
     }
@@ -360,8 +388,11 @@
             }
             let work_ms = self.work_ms.get(service).copied().unwrap_or(FIRST_WORK_MS);
             let mut places = Vec::new();
+            let mut queues = false;
             for known in listed {
                 let tag = EndpointTag::of(&known.listing.id);
+                let queue = beliefs.waiting(now, tag) > known.listing.slots;
+                queues |= queue;
                 let slowness = beliefs.paces.slowness(now, tag);
                 let healthy = 1.0 - beliefs.paces.failing(now, tag).min(0.9);
                 let lost = keeper.is_lost(now, &known.listing.id);
@@ -371,21 +402,25 @@
                         / (work_ms * slowness),
                     takes: known.takes_work() && !lost && known.warm_at <= now,
                     must_leave: lost || !known.takes_work(),
+                    queue,
                 });
             }
-            let load = self
+            let loads = self
                 .loads
                 .entry(service.clone())
-                .or_insert_with(|| KeyLoad::new(now));
-            load.fade(now);
+                .or_insert_with(|| Loads::new(now));
+            loads.calm.fade(now);
+            loads.busy.fade(now);
+            let load = if queues { &loads.busy } else { &loads.calm };
             let scene = Scene {
                 row: keeper.row(),
                 load,
-                per_s: KeyLoad::PER_SECOND,
+                per_s: load.per_second(),
                 places: &places,
             };
             let moves = placement::propose(&scene);
             if !moves.is_empty() {
+                self.place_after = now.plus(AFTER_MOVES_MS);
                 log::info!(service = service.as_str(), moves = moves.len(); "moves begin");
                 keeper.start(&moves, &beliefs.registry);
             }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -265,6 +265,7 @@
             endpoints: seen.endpoints,
             keys: seen.keys,
         };
+        self.beliefs.own_traffic(&report);
         self.beliefs.traffic_seen(now, &report);
         self.duty.traffic_seen(now, &report);
         self.send_all(socket, &Datagram::Report(report));
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -71,7 +71,10 @@
     fn take(&self, address: SocketAddr) -> Option<Link> {
         let mut links = self.links.borrow_mut();
         let kept = links.get_mut(&address)?;
-        while let Some(link) = kept.pop() {
+        // The one that was idle longest: a new connection to a full endpoint waits for a
+        // slot, so those that there are must not lapse for want of use.
+        while !kept.is_empty() {
+            let link = kept.remove(0);
             if link.is_usable() {
                 return Some(link);
             }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -129,6 +129,14 @@
         })
     }
 
+    /// Requests of others that wait for the endpoint.
+    pub(super) fn waiting(&self, now: Mono, tag: EndpointTag) -> u32 {
+        let uses = self.fresh(now).flat_map(|(_, peer)| &peer.endpoints);
+        uses.filter(|used| used.tag == tag)
+            .map(|used| used.waiting)
+            .sum()
+    }
+
     /// Load of each endpoint by what is in flight elsewhere.
     pub(super) fn standings(&self, now: Mono, paces: &Paces) -> IndexMap<EndpointTag, Standing> {
         let mut all = IndexMap::<EndpointTag, Standing>::new();
