Requests that would be late go behind those in time

Cause: with one key asked for twice as often as its endpoint can answer, waiting in order of deadlines made all that were served late. Now those that can still meet the objective (by 1.6 times the mean work) go first, and a caller that tries again is known by the time it states. Ruled out: refusing what cannot meet the objective (before this).

--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -38,9 +38,9 @@
 /// Ranks of priority that are counted apart; the rest count with the last.
 const RANKS: usize = 4;
 
-/// Time between the usual end of work and the objective below which the objective is
-/// left out of account, in milliseconds.
-const MIN_SLACK_MS: u64 = 50;
+/// Times the mean work within which five in six requests are done, as a fraction: work
+/// is spread by half of its mean.
+const SURE_WORKS: (u64, u64) = (8, 5);
 
 /// First and longest time for which an endpoint is avoided that failed to take a
 /// connection, in milliseconds.
@@ -265,11 +265,6 @@
 }
 
 /// Refuses a request that will not get its turn in time; `ahead` go before it.
-///
-/// Load: one key, or all of them, is asked for more than can be done, for seconds. If
-/// all wait their turn, all that are served are late. Whoever cannot meet the
-/// objective any more is told so while there is still time to come back, and those
-/// that are served are served in time.
 fn hopeless(
     now: Mono,
     view: &View,
@@ -279,14 +274,9 @@
 ) -> Option<Refusal> {
     let wait_ms = choose::expected_wait_ms(view, job, ahead);
     let due = now.plus(wait_ms + job.work_ms);
-    // Where work alone takes as long as the objective, only the end of the time counts.
-    let reachable = job.arrived.plus(job.work_ms + MIN_SLACK_MS) < job.objective_at;
-    let limit = if reachable {
-        job.objective_at
-    } else {
-        job.last_at
-    };
-    if due < limit.min(job.last_at) {
+    // Work that misses its objective is still worth something; whoever cannot
+    // meet even the end of his time only keeps others waiting.
+    if due < job.last_at {
         return None;
     }
     let left = job.last_at.since(now);
@@ -299,9 +289,13 @@
 }
 
 /// Order among those that wait; the smallest goes first.
+///
+/// Load: one key is asked for twice as often as its endpoint can answer, for seconds.
+/// In order of deadlines alone, all that are served are late. Those that would be late
+/// go behind those that can still be in time, and take what is left.
 fn urgency(now: Mono, job: &Job) -> (u8, bool, Mono) {
-    let late = now.plus(job.work_ms) > job.objective_at;
-    (job.priority, late, job.last_at)
+    let usual = now.plus(job.work_ms * SURE_WORKS.0 / SURE_WORKS.1);
+    (job.priority, usual > job.objective_at, job.last_at)
 }
 
 /// Place of a priority among the ranks that are counted apart.
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -113,10 +113,11 @@
         (false, _) => None,
     };
     state.count_request(arrived, service);
-    let wait_ms = words
-        .wait_ms
-        .unwrap_or(DEFAULT_WAIT_MS)
-        .min(route.timeout_ms);
+    let stated_ms = words.wait_ms.unwrap_or(DEFAULT_WAIT_MS);
+    let wait_ms = stated_ms.min(route.timeout_ms);
+    // A caller that tries again states what is left of its time. What it has spent
+    // before counts towards the objective too.
+    let spent_ms = state.usual_wait_ms(&route.name, stated_ms) - stated_ms;
     let job = Job {
         ticket: state.ticket(),
         service: service.clone(),
@@ -124,7 +125,7 @@
         priority: route.priority,
         repeat: route.repeat,
         arrived,
-        objective_at: arrived.plus(route.objective_ms),
+        objective_at: arrived.plus(route.objective_ms).minus(spent_ms),
         last_at: arrived.plus(wait_ms),
         work_ms,
         tried: Vec::new(),
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -53,6 +53,8 @@
 struct Work {
     service: ServiceName,
     mean_ms: f64,
+    /// Longest time that a caller stated to wait, in milliseconds.
+    longest_wait_ms: u64,
     /// Requests of the route so far; places them among its targets.
     taken: u64,
 }
@@ -106,6 +108,7 @@
             service: route.targets[0].service.clone(),
             // A first guess; the mean follows the answers.
             mean_ms: route.objective_ms as f64 * 0.3,
+            longest_wait_ms: 0,
             taken: self.view.borrow().rank % 1_000,
         };
         let entry = work.entry(route.name.clone()).or_insert_with(first);
@@ -119,6 +122,16 @@
         (entry.taken, work_ms)
     }
 
+    /// The longest time that callers of the route were seen to wait, this one included.
+    pub(super) fn usual_wait_ms(&self, route: &str, stated_ms: u64) -> u64 {
+        let mut work = self.work.borrow_mut();
+        let Some(work) = work.get_mut(route) else {
+            return stated_ms;
+        };
+        work.longest_wait_ms = work.longest_wait_ms.max(stated_ms);
+        work.longest_wait_ms
+    }
+
     pub(super) fn count_key(&self, service: &ServiceName, key: u16) {
         let mut keys = self.keys.borrow_mut();
         let list = keys.entry(service.clone()).or_default();
