--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod outage;
 pub mod platform;
 pub mod process;
+pub mod shared;
 pub mod tour;
 pub mod trial;
--- /dev/null
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -0,0 +1,254 @@
+//! An endpoint that runs a request only while it holds the request's key.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::Full;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::serve::{Answer, Background};
+
+/// A request that an endpoint ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ran {
+    /// Its id.
+    pub id: String,
+    /// Method and path.
+    pub what: String,
+    /// Its body.
+    pub body: Bytes,
+    /// Time that it was given, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// An endpoint on loopback.
+#[derive(Debug)]
+pub struct FencedEndpoint {
+    name: String,
+    service: String,
+    shared: Arc<Shared>,
+    server: Background,
+}
+
+#[derive(Debug)]
+struct Shared {
+    name: String,
+    sharded: bool,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    keys: Vec<KeyState>,
+    ran: Vec<Ran>,
+    work: Duration,
+    drop_answers: bool,
+    full: bool,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct KeyState {
+    seen: u64,
+    until: Option<Instant>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Keys {
+    from: u16,
+    target: u16,
+    fence: u64,
+    hold_s: Option<f64>,
+}
+
+impl FencedEndpoint {
+    /// An endpoint of a service; `sharded` if its keys are granted.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be had.
+    pub fn start(name: &str, service: &str, sharded: bool) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            name: name.to_owned(),
+            sharded,
+            state: Mutex::new(State {
+                keys: vec![KeyState::default(); 1 << 16],
+                ran: Vec::new(),
+                work: Duration::from_millis(1),
+                drop_answers: false,
+                full: false,
+            }),
+        });
+        let served = Arc::clone(&shared);
+        let server = Background::start(move |req| handle(Arc::clone(&served), req))?;
+        Ok(Self {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            shared,
+            server,
+        })
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// The entry by which it lists itself.
+    #[must_use]
+    pub fn entry(&self, state: &str) -> serde_json::Value {
+        json!({
+            "service": self.service, "addr": self.address(), "zone": "a", "version": "v1",
+            "capacity": 6, "state": state, "warmupLeftS": 0, "seq": 1,
+        })
+    }
+
+    /// What it ran so far.
+    #[must_use]
+    pub fn ran(&self) -> Vec<Ran> {
+        self.shared.lock().ran.clone()
+    }
+
+    /// Whether it holds a key now.
+    #[must_use]
+    pub fn holds(&self, key: u16) -> bool {
+        self.shared.lock().holds(key)
+    }
+
+    /// Time that each request takes from now on.
+    pub fn work(&self, work: Duration) {
+        self.shared.lock().work = work;
+    }
+
+    /// Runs requests and closes the connection without an answer.
+    pub fn drop_answers(&self, drops: bool) {
+        self.shared.lock().drop_answers = drops;
+    }
+
+    /// Refuses all requests for want of room.
+    pub fn full(&self, full: bool) {
+        self.shared.lock().full = full;
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn holds(&self, key: u16) -> bool {
+        let until = self.keys[usize::from(key)].until;
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn grant(&mut self, keys: &Keys) -> StatusCode {
+        let span = usize::from(keys.from)..=usize::from(keys.target);
+        let span = &mut self.keys[span];
+        if span.iter().any(|key| key.seen > keys.fence) {
+            return StatusCode::CONFLICT;
+        }
+        let hold = Duration::from_secs_f64(keys.hold_s.unwrap_or_default());
+        for key in span {
+            key.seen = keys.fence;
+            key.until = Some(Instant::now() + hold);
+        }
+        StatusCode::OK
+    }
+
+    fn release(&mut self, keys: &Keys) {
+        for key in &mut self.keys[usize::from(keys.from)..=usize::from(keys.target)] {
+            if key.seen <= keys.fence {
+                key.until = None;
+            }
+        }
+    }
+}
+
+async fn handle(shared: Arc<Shared>, req: Request<Bytes>) -> Answer {
+    let path = req.uri().path().to_owned();
+    if path != "/api/grant" && path != "/api/release" {
+        return run(&shared, &req).await;
+    }
+    let Ok(keys) = serde_json::from_slice::<Keys>(req.body()) else {
+        return Some(plain(StatusCode::BAD_REQUEST));
+    };
+    if path == "/api/grant" {
+        return Some(plain(shared.lock().grant(&keys)));
+    }
+    shared.lock().release(&keys);
+    let mut answer = plain(StatusCode::OK);
+    if let Ok(token) = format!("{:x}", keys.fence).parse() {
+        answer.headers_mut().insert("x-handover", token);
+    }
+    Some(answer)
+}
+
+async fn run(shared: &Shared, req: &Request<Bytes>) -> Answer {
+    let text = |name: &str| header(req.headers(), name);
+    let meant = text("x-target-instance");
+    let key = text("x-shard-key").and_then(|key| key.parse().ok());
+    let (work, drops) = {
+        let mut state = shared.lock();
+        let held = !shared.sharded || key.is_some_and(|key| state.holds(key));
+        if meant.is_some_and(|meant| meant != shared.name) || !held {
+            return Some(refusal(StatusCode::MISDIRECTED_REQUEST));
+        }
+        if state.full {
+            return Some(refusal(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        state.ran.push(Ran {
+            id: text("x-request-id").unwrap_or_default(),
+            what: format!("{} {}", req.method(), req.uri()),
+            body: req.body().clone(),
+            left_ms: text("x-deadline-ms")
+                .and_then(|ms| ms.parse().ok())
+                .unwrap_or(0),
+        });
+        (state.work, state.drop_answers)
+    };
+    tokio::time::sleep(work).await;
+    if drops {
+        return None;
+    }
+    let mut answer = Response::new(Full::new(Bytes::from(format!("answer of {}", shared.name))));
+    for (name, value) in [
+        ("x-request-id", text("x-request-id").unwrap_or_default()),
+        ("x-response-signature", format!("signed.{}", shared.name)),
+    ] {
+        if let Ok(value) = value.parse() {
+            answer.headers_mut().insert(name, value);
+        }
+    }
+    Some(answer)
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+fn refusal(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = plain(status);
+    let said = http::HeaderValue::from_static("1");
+    answer.headers_mut().insert("x-not-executed", said);
+    answer
+}
--- /dev/null
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -0,0 +1,11 @@
+//! Stand-ins of the users' platform: a store of rows with versions, preconditions and
+//! a feed, and endpoints that hold keys by fenced grants. Each serves on loopback
+//! from a thread of its own until it is dropped.
+
+mod endpoint;
+mod serve;
+mod store;
+
+pub use endpoint::{FencedEndpoint, Ran};
+pub use serve::Background;
+pub use store::{SharedStore, StoreFault};
--- /dev/null
+++ b/crates/citronway/tests/gateway_path.rs
@@ -0,0 +1,297 @@
+//! The whole path as processes: callers, instances, endpoints, a store.
+
+mod gateway_support;
+
+use std::time::Duration;
+
+use citronway_standin::shared::{FencedEndpoint, StoreFault};
+use gateway_support::{Deployment, route, until};
+use googletest::prelude::*;
+use serde_json::json;
+
+/// Keys at both ends of the key space: the first is of one endpoint, the last of the
+/// other.
+const KEYS: [u16; 2] = [3, 65_000];
+
+fn runs(endpoints: &[&FencedEndpoint], id: &str) -> usize {
+    endpoints
+        .iter()
+        .flat_map(|e| e.ran())
+        .filter(|ran| ran.id == id)
+        .count()
+}
+
+#[gtest]
+fn a_request_reaches_the_owner_of_its_key_unchanged() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    for (i, key) in KEYS.into_iter().enumerate() {
+        let id = format!("r{i}");
+        let reply = instance.call("POST /apply/x?y=1", &id, key, "a body");
+        expect_that!(reply.status, eq(200));
+        expect_that!(reply.header("x-request-id"), some(eq(id.as_str())));
+        let owner = [&deployment.a, &deployment.b]
+            .into_iter()
+            .find(|e| e.holds(key));
+        let name = owner.map_or("nobody", |owner| owner.name());
+        expect_that!(reply.body, eq(&format!("answer of {name}")));
+        expect_that!(reply.header("x-response-signature"), some(ends_with(name)));
+        let ran = owner.map(|owner| owner.ran()).unwrap_or_default();
+        let ran = ran.iter().find(|ran| ran.id == id);
+        expect_that!(
+            ran.map(|ran| ran.what.as_str()),
+            some(eq("POST /apply/x?y=1"))
+        );
+        expect_that!(ran.map(|ran| ran.body.as_ref()), some(eq(b"a body")));
+        expect_that!(ran.map(|ran| ran.left_ms), some(all!(gt(2_000), le(3_000))));
+    }
+}
+
+#[gtest]
+fn without_a_configuration_a_request_is_not_run_and_not_unknown() {
+    let deployment = Deployment::bare();
+    let instance = deployment.instance("one");
+    until("the instance listens", || {
+        instance
+            .try_call("GET /status/1", "X-Request-Id: a\r\n", "")
+            .is_some()
+    });
+    let reply = instance.call_with("GET /status/1", "X-Request-Id: b\r\n", "");
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.header("retry-after"), some(anything()));
+    expect_that!(instance.is_ready(), eq(false));
+}
+
+#[gtest]
+fn a_new_configuration_comes_into_force() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    let call = || {
+        instance
+            .call_with("GET /new/1", "X-Request-Id: n\r\n", "")
+            .status
+    };
+    expect_that!(call(), eq(404));
+    deployment.configure(5, &json!([route("new", "/new/", "idempotent", "console")]));
+    until("the new route serves", || call() == 200);
+}
+
+/// An operator's tool writes a configuration that is cut short, one that contradicts
+/// itself, and an old one. The one in force stays, and its routes go on serving.
+#[gtest]
+fn a_bad_configuration_changes_nothing() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    deployment
+        .store
+        .put("op", "config", &json!({"version": 7, "routes": []}));
+    let dangling = json!([route("x", "/x/", "idempotent", "nowhere")]);
+    deployment.configure(8, &dangling);
+    deployment.configure(1, &json!([route("old", "/old/", "idempotent", "console")]));
+    deployment
+        .store
+        .put("servers", "i-bad", &json!({"service": "console"}));
+    deployment
+        .store
+        .put("citronway", "keys/console", &json!({"ranges": 3}));
+    // What comes after all of these is taken again.
+    deployment.configure(9, &json!([route("new", "/new/", "idempotent", "console")]));
+    until("the next good one is in force", || {
+        instance
+            .call_with("GET /new/1", "X-Request-Id: n\r\n", "")
+            .status
+            == 200
+    });
+    for path in ["GET /x/1", "GET /old/1"] {
+        let reply = instance.call_with(path, "X-Request-Id: n\r\n", "");
+        expect_that!(reply.status, eq(404));
+    }
+    expect_that!(
+        instance.call("GET /look/1", "k", KEYS[0], "").status,
+        eq(200)
+    );
+}
+
+#[gtest]
+fn bad_requests_get_a_clear_error_and_reach_nobody() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    let large = "x".repeat(200_000);
+    let cases = [
+        ("GET /nowhere/1", "X-Request-Id: b\r\n", "", 404),
+        ("GET /look/1", "X-Request-Id: b\r\n", "", 400),
+        (
+            "GET /look/1",
+            "X-Request-Id: b\r\nX-Shard-Key: 70000\r\n",
+            "",
+            400,
+        ),
+        (
+            "GET /look/1",
+            "X-Request-Id: b\r\nX-Shard-Key: one\r\n",
+            "",
+            400,
+        ),
+        ("POST /order/1", "X-Request-Id: b\r\n", large.as_str(), 413),
+    ];
+    for (start, headers, body, status) in cases {
+        let reply = instance.try_call(start, headers, body);
+        // An answer may be lost with the reset that follows an unread body.
+        let seen = reply.map_or(status, |reply| reply.status);
+        expect_that!(seen, eq(status));
+    }
+    let all = [&deployment.a, &deployment.b, &deployment.c];
+    expect_that!(runs(&all, "b"), eq(0));
+}
+
+/// An endpoint runs a migration and its answer is lost. The migration must not be run
+/// again, and its caller must not be told that it has not run.
+#[gtest]
+fn work_that_may_not_be_repeated_runs_once_when_its_answer_is_lost() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    for endpoint in [&deployment.a, &deployment.b, &deployment.c] {
+        endpoint.drop_answers(true);
+    }
+    let reply = instance.call("POST /apply/1", "once", KEYS[0], "x");
+    expect_that!(reply.status, eq(502));
+    expect_that!(reply.header("retry-after"), none());
+    expect_that!(runs(&[&deployment.a, &deployment.b], "once"), eq(1));
+    let reply = instance.call_with("POST /order/1", "X-Request-Id: o\r\n", "x");
+    expect_that!(reply.status, eq(502));
+    expect_that!(runs(&[&deployment.c], "o"), eq(1));
+}
+
+#[gtest]
+fn work_that_may_be_repeated_runs_at_most_as_often_as_its_route_allows() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    deployment.c.drop_answers(true);
+    let reply = instance.call_with("GET /status/1", "X-Request-Id: twice\r\n", "");
+    expect_that!(reply.status, eq(502));
+    expect_that!(runs(&[&deployment.c], "twice"), eq(2));
+}
+
+#[gtest]
+fn what_an_endpoint_has_no_room_for_is_not_run() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    deployment.c.full(true);
+    let reply = instance.call_with("POST /order/1", "X-Request-Id: f\r\n", "x");
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.header("retry-after"), some(anything()));
+    expect_that!(runs(&[&deployment.c], "f"), eq(0));
+}
+
+#[gtest]
+fn keys_of_a_draining_endpoint_go_to_another() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    until("both hold keys", || {
+        KEYS.iter()
+            .all(|k| deployment.a.holds(*k) || deployment.b.holds(*k))
+    });
+    deployment.list(&deployment.a, "draining");
+    until("the other holds all", || {
+        KEYS.iter().all(|key| deployment.b.holds(*key))
+    });
+    for key in KEYS {
+        expect_that!(deployment.a.holds(key), eq(false));
+        let reply = instance.call("POST /apply/1", "moved", key, "x");
+        expect_that!(reply.body, eq("answer of i-b"));
+    }
+}
+
+/// The store falls silent, then refuses, for longer than a grant holds. Owners keep
+/// their keys, since renewals go straight to them, and callers are served.
+#[gtest]
+fn an_outage_of_the_store_is_ridden_out() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    for fault in [StoreFault::Silent, StoreFault::Busy] {
+        deployment.store.fail(fault);
+        // Longer than a hold of 3.5 s; the renewals are what is waited for.
+        for _ in 0..20 {
+            std::thread::sleep(Duration::from_millis(200));
+            let reply = instance.call("GET /look/1", "k", KEYS[1], "");
+            expect_that!(reply.status, eq(200));
+        }
+        deployment.store.fail(StoreFault::None);
+    }
+    deployment.store.forget();
+    deployment.configure(5, &json!([route("new", "/new/", "idempotent", "console")]));
+    until("news is taken again", || {
+        instance
+            .call_with("GET /new/1", "X-Request-Id: n\r\n", "")
+            .status
+            == 200
+    });
+}
+
+/// The keeper is killed. Another instance takes the duty over and renews the same
+/// grants before they end; a key changes its owner for no reason.
+#[gtest]
+fn a_killed_keeper_is_replaced_and_keys_stay() {
+    let deployment = Deployment::new();
+    let mut instances = vec![
+        deployment.ready_instance("one"),
+        deployment.ready_instance("two"),
+    ];
+    until("a keeper is known", || deployment.keeper().is_some());
+    let keeper = deployment.keeper().unwrap_or_default();
+    let owner_before = deployment.a.holds(KEYS[0]);
+    let place = usize::from(keeper == "two");
+    let mut killed = instances.remove(place);
+    killed.kill();
+    until("another keeps", || {
+        deployment.keeper().is_some_and(|now| now != keeper)
+    });
+    until("the key is served", || {
+        instances[0].call("GET /look/1", "k", KEYS[0], "").status == 200
+    });
+    expect_that!(deployment.a.holds(KEYS[0]), eq(owner_before));
+}
+
+/// All instances are killed and start again with the store lost to answers: the rows
+/// say who owns what, and the owners stay.
+#[gtest]
+fn a_full_restart_keeps_owners() {
+    let deployment = Deployment::new();
+    let mut instance = deployment.ready_instance("one");
+    until("a key is held", || {
+        deployment.a.holds(KEYS[0]) || deployment.b.holds(KEYS[0])
+    });
+    let owner_before = deployment.a.holds(KEYS[0]);
+    instance.kill();
+    deployment.store.fail(StoreFault::AnswersLost);
+    let again = deployment.instance("one");
+    until("the instance listens", || {
+        again
+            .try_call("GET /look/1", "X-Request-Id: l\r\nX-Shard-Key: 3\r\n", "")
+            .is_some()
+    });
+    deployment.store.fail(StoreFault::None);
+    until("the key is served", || {
+        again.call("GET /look/1", "k", KEYS[0], "").status == 200
+    });
+    expect_that!(deployment.a.holds(KEYS[0]), eq(owner_before));
+}
+
+#[gtest]
+fn a_stopping_instance_finishes_what_it_has_taken() {
+    let deployment = Deployment::new();
+    let mut instance = deployment.ready_instance("one");
+    deployment.c.work(Duration::from_millis(1_000));
+    let reply = std::thread::scope(|scope| {
+        let call = scope.spawn(|| instance.call_with("POST /order/1", "X-Request-Id: s\r\n", "x"));
+        until("the request has reached the endpoint", || {
+            runs(&[&deployment.c], "s") == 1
+        });
+        instance.terminate();
+        call.join().expect("the caller has its answer")
+    });
+    expect_that!(reply.status, eq(200));
+    expect_that!(reply.header("connection"), some(eq("close")));
+    until("the balancer is told", || !instance.is_ready());
+    until("the process ends", || instance.ended() == Some(0));
+}
--- /dev/null
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -0,0 +1,269 @@
+//! A small deployment on loopback: a store, endpoints, and instances as processes.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use citronway_standin::shared::{FencedEndpoint, SharedStore};
+use serde_json::{Value, json};
+
+/// Bound of every wait, far above what a passing test needs.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Name of the variable that holds the path of the settings file.
+const SETTINGS: &str = "CITRONWAY_BOOT";
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A port that was free a moment ago.
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback can be bound");
+    listener.local_addr().expect("a listener has an address")
+}
+
+/// Two consecutive ports that were free a moment ago.
+fn free_pair() -> (u16, u16) {
+    loop {
+        let first = free().port();
+        let Some(second) = first.checked_add(1) else {
+            continue;
+        };
+        if TcpListener::bind(("127.0.0.1", second)).is_ok() {
+            return (first, second);
+        }
+    }
+}
+
+/// Store and endpoints: `a` and `b` divide the keys of `batch`, `c` serves `console`.
+pub struct Deployment {
+    pub store: SharedStore,
+    pub a: FencedEndpoint,
+    pub b: FencedEndpoint,
+    pub c: FencedEndpoint,
+    folder: PathBuf,
+}
+
+impl Deployment {
+    /// Starts store and endpoints, which list themselves; no configuration yet.
+    pub fn bare() -> Self {
+        let folder = std::env::temp_dir().join(format!("citronway-{}", uuid::Uuid::new_v4()));
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        let deployment = Self {
+            store: SharedStore::start().expect("a store"),
+            a: FencedEndpoint::start("i-a", "batch", true).expect("an endpoint"),
+            b: FencedEndpoint::start("i-b", "batch", true).expect("an endpoint"),
+            c: FencedEndpoint::start("i-c", "console", false).expect("an endpoint"),
+            folder,
+        };
+        for endpoint in [&deployment.a, &deployment.b, &deployment.c] {
+            deployment.list(endpoint, "ready");
+        }
+        deployment
+    }
+
+    /// The same with the first configuration.
+    pub fn new() -> Self {
+        let deployment = Self::bare();
+        deployment.configure(2, &json!([]));
+        deployment
+    }
+
+    pub fn list(&self, endpoint: &FencedEndpoint, state: &str) {
+        self.store
+            .put("servers", endpoint.name(), &endpoint.entry(state));
+    }
+
+    /// Writes a configuration: routes to both services, and those given.
+    pub fn configure(&self, version: u64, more: &Value) {
+        let mut routes = vec![
+            route("look", "/look/", "idempotent", "batch"),
+            route("apply", "/apply/", "non_idempotent", "batch"),
+            route("status", "/status/", "idempotent", "console"),
+            route("order", "/order/", "non_idempotent", "console"),
+        ];
+        routes.extend(more.as_array().cloned().unwrap_or_default());
+        self.store
+            .put("op", "config", &config(version, &json!(routes)));
+    }
+
+    /// Starts an instance and waits until it is ready.
+    pub fn ready_instance(&self, name: &str) -> Instance {
+        let instance = self.instance(name);
+        until("the instance is ready", || instance.is_ready());
+        instance
+    }
+
+    /// Starts an instance.
+    pub fn instance(&self, name: &str) -> Instance {
+        let (callers, ready, inner) = (free(), free(), free_pair());
+        let settings = json!({
+            "self": {"nodeName": name, "role": "entry", "zone": "a", "region": "r",
+                "ip": "127.0.0.1", "limits": {"memoryMb": 260}},
+            "network": {"listen": {"front": callers, "ready": ready},
+                "portRange": [inner.0, inner.1], "seeds": [], "zones": {"a": "r"}},
+            "provider": {"heartbeatS": 1.0, "provider": {"addr": self.store.address()}},
+            "terms": {"bounds": {"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64,
+                "graceS": 6, "holdMaxS": 10}},
+        });
+        let path = self.folder.join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("settings can be written");
+        let process = Command::new(env!("CARGO_BIN_EXE_citronway"))
+            .arg("--on-platform")
+            .env(SETTINGS, path)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the instance starts");
+        Instance {
+            callers,
+            ready,
+            process,
+        }
+    }
+
+    /// Name of the instance that keeps, as the store has it.
+    pub fn keeper(&self) -> Option<String> {
+        let row = self.store.own("keeper")?;
+        Some(row["session"]["instance"].as_str()?.to_owned())
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if let Err(e) = std::fs::remove_dir_all(&self.folder) {
+            eprintln!("a folder of a test stays: {e}");
+        }
+    }
+}
+
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    json!({"name": name, "host": "h.example", "pathPrefix": prefix, "kind": kind,
+        "timeoutS": 3.0, "sloS": 1.0, "priority": 1, "service": service, "attempts": 2})
+}
+
+fn config(version: u64, routes: &Value) -> Value {
+    json!({"version": version, "routes": routes,
+        "services": [
+            {"name": "batch", "healthPath": "/healthz", "maxConns": 130, "sharded": true,
+                "warmS": 1.0},
+            {"name": "console", "healthPath": "/healthz", "maxConns": 130}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeoutS": 3,
+            "idleTimeoutS": 15}})
+}
+
+/// A running instance; killed when dropped.
+pub struct Instance {
+    pub callers: SocketAddr,
+    ready: SocketAddr,
+    process: Child,
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+impl Reply {
+    /// Value of a header, if it is there.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        lines
+            .into_iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v)
+    }
+}
+
+impl Instance {
+    pub fn is_ready(&self) -> bool {
+        exchange(
+            self.ready,
+            "GET /api/ready HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n",
+            "",
+        )
+        .is_some_and(|reply| reply.status == 200)
+    }
+
+    /// Sends a request with a key and reads the answer to its end.
+    pub fn call(&self, start: &str, id: &str, key: u16, body: &str) -> Reply {
+        self.call_with(
+            start,
+            &format!("X-Request-Id: {id}\r\nX-Shard-Key: {key}\r\n"),
+            body,
+        )
+    }
+
+    /// The same with any headers.
+    pub fn call_with(&self, start: &str, headers: &str, body: &str) -> Reply {
+        self.try_call(start, headers, body).expect("an answer")
+    }
+
+    /// The same; none if the connection ends without an answer.
+    pub fn try_call(&self, start: &str, headers: &str, body: &str) -> Option<Reply> {
+        let length = body.len();
+        let head = format!(
+            "{start} HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 5000\r\n{headers}\
+             Content-Length: {length}\r\nConnection: close\r\n\r\n"
+        );
+        exchange(self.callers, &head, body)
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.process.kill().expect("the process can be killed");
+        self.process.wait().expect("the process has ended");
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        let id = i32::try_from(self.process.id()).expect("a process id");
+        // SAFETY: a signal to a child that has not been waited for.
+        let sent = unsafe { libc::kill(id, libc::SIGTERM) };
+        assert_eq!(sent, 0);
+    }
+
+    /// Exit code, once it has ended.
+    pub fn ended(&mut self) -> Option<i32> {
+        let status = self.process.try_wait().expect("the process can be asked");
+        status.map(|status| status.code().unwrap_or(-1))
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        if self.process.try_wait().ok().flatten().is_none() {
+            self.kill();
+        }
+    }
+}
+
+fn exchange(address: SocketAddr, head: &str, body: &str) -> Option<Reply> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body.as_bytes()).ok()?;
+    let mut text = Vec::new();
+    // A reset after the answer is the end of it too.
+    let _ = stream.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Reply {
+        status,
+        head: head.to_owned(),
+        body: body.to_owned(),
+    })
+}
