--- a/crates/citronway-core/tests/desk_support/mod.rs
+++ b/crates/citronway-core/tests/desk_support/mod.rs
@@ -88,8 +88,8 @@
     pub fn view(&self) -> View {
         let mut view = View::nothing(ZoneName::new("here"), 1);
         view.registry = Arc::new(self.registry.clone());
-        view.owners = self.owners.clone();
-        view.standings = self.standings.clone();
+        view.owners.clone_from(&self.owners);
+        view.standings.clone_from(&self.standings);
         view
     }
 
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -33,6 +33,7 @@
 use store::{Follow, Follower, News, Store, StoreError};
 
 use crate::clock;
+use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::{self, Ready};
 use crate::gateway::run;
 use crate::gateway::traffic::Seen;
@@ -65,6 +66,17 @@
     Registered,
 }
 
+/// Ends of the rings to the traffic.
+#[derive(Debug)]
+pub(super) struct Ends {
+    /// What the traffic decides by.
+    pub view: watch::Sender<View>,
+    /// What it saw.
+    pub seen: mpsc::Receiver<Seen>,
+    /// Tells it to stop.
+    pub stop: watch::Sender<bool>,
+}
+
 /// The control duty of one instance.
 #[derive(Debug)]
 pub(super) struct Control {
@@ -72,6 +84,7 @@
     me: Session,
     settings: PathBuf,
     ready: Ready,
+    metrics: Metrics,
     view: watch::Sender<View>,
     seen: mpsc::Receiver<Seen>,
     stop: watch::Sender<bool>,
@@ -90,9 +103,8 @@
         me: Session,
         settings: PathBuf,
         ready: Ready,
-        view: watch::Sender<View>,
-        seen: mpsc::Receiver<Seen>,
-        stop: watch::Sender<bool>,
+        metrics: Metrics,
+        ends: Ends,
     ) -> Self {
         let started = clock::mono();
         Self {
@@ -102,9 +114,10 @@
             me,
             settings,
             ready,
-            view,
-            seen,
-            stop,
+            metrics,
+            view: ends.view,
+            seen: ends.seen,
+            stop: ends.stop,
             orders: OrderDesk::default(),
             reports: 0,
             follows: Table::ALL.map(|table| (table, Follow::new())),
@@ -122,6 +135,13 @@
     async fn run_local(mut self) -> io::Result<()> {
         let listener = ready::bind(self.cfg.ready).await?;
         tokio::spawn(ready::serve(listener, self.ready.clone()));
+        match ready::bind(self.cfg.metrics).await {
+            Ok(listener) => {
+                tokio::spawn(ready::serve_metrics(listener, self.metrics.clone()));
+            }
+            // Callers are served without anyone looking on.
+            Err(e) => log::error!(cause = e.to_string(); "metrics are not served"),
+        }
         let socket = UdpSocket::bind(self.cfg.reports).await?;
         let (events_tx, mut events) = mpsc::channel(EVENTS);
         self.follow_tables(&events_tx);
@@ -175,6 +195,7 @@
         let now = clock::mono();
         match event {
             Event::Store { table, news, asked } => {
+                self.metrics.polled(table, matches!(news, News::Lost(_)));
                 if let News::Changed(relay) = &news {
                     self.pass_on(socket, relay);
                 }
@@ -183,7 +204,10 @@
                     self.duty.rows_seen(now, asked, &self.beliefs);
                 }
             }
-            Event::Ordered { order, result } => self.duty.ordered(now, &order, &result),
+            Event::Ordered { order, result } => {
+                self.metrics.ordered(&order.kind, &result);
+                self.duty.ordered(now, &order, &result);
+            }
             Event::Wrote { service, result } => self.duty.wrote(now, &service, result),
             Event::Claimed => self.duty.claim_ended(),
             Event::Registered => log::info!("instance is listed in the store"),
@@ -202,6 +226,7 @@
         for order in due.orders {
             self.orders.start(order, events.clone());
         }
+        self.metrics.wrote(due.writes.len());
         for write in due.writes {
             let address = self.cfg.store;
             let events = events.clone();
--- /dev/null
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -0,0 +1,166 @@
+//! Metrics of an instance on the platform, as `OpenMetrics` text.
+//!
+//! About 90 series an instance, whatever the number of endpoints and routes.
+
+use std::fmt;
+use std::sync::Arc;
+
+use citronway_core::gateway::desk::RefusalReason;
+use citronway_core::gateway::keeper::{OrderKind, OrderResult};
+use citronway_core::gateway::rows::Table;
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::logs;
+
+/// Bounds of the histogram of answers, in seconds; objectives are 0.2 to 1.5 s.
+const BOUNDS: [f64; 9] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0];
+
+/// How a request ended, as a label.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// By the endpoint's answer.
+    Answered,
+    /// Refused without having run.
+    NotRun(RefusalReason),
+    /// Its endpoint broke off.
+    MayHaveRun,
+    /// Its time ended.
+    TimedOut,
+    /// It could not be accepted.
+    Rejected,
+}
+
+impl Ended {
+    const fn labels(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Answered => ("answered", ""),
+            Self::NotRun(reason) => ("not_run", reason.word()),
+            Self::MayHaveRun => ("may_have_run", "broken"),
+            Self::TimedOut => ("may_have_run", "timeout"),
+            Self::Rejected => ("rejected", ""),
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    order: &'static str,
+    result: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PollLabels {
+    table: &'static str,
+    result: &'static str,
+}
+
+/// All metrics; clones count together.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    requests: Family<OutcomeLabels, Counter>,
+    latency: Family<OutcomeLabels, Histogram>,
+    orders: Family<OrderLabels, Counter>,
+    polls: Family<PollLabels, Counter>,
+    writes: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("citronway");
+        let requests = Family::default();
+        registry.register("requests", "Requests by outcome", requests.clone());
+        let histogram: fn() -> Histogram = || Histogram::new(BOUNDS);
+        let latency = Family::new_with_constructor(histogram);
+        registry.register("latency_seconds", "Time to the answer", latency.clone());
+        let orders = Family::default();
+        registry.register("orders", "Grants and releases by result", orders.clone());
+        let polls = Family::default();
+        registry.register("polls", "Polls of the store by result", polls.clone());
+        let writes = Counter::default();
+        registry.register("writes", "Assignments written", writes.clone());
+        Self {
+            registry: Arc::new(registry),
+            requests,
+            latency,
+            orders,
+            polls,
+            writes,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that took `ms`.
+    pub(super) fn ended(&self, ended: Ended, ms: u64) {
+        let (outcome, reason) = ended.labels();
+        let labels = OutcomeLabels { outcome, reason };
+        self.requests.get_or_create(&labels).inc();
+        self.latency
+            .get_or_create(&labels)
+            .observe(ms as f64 / 1_000.0);
+    }
+
+    /// Counts an order.
+    pub(super) fn ordered(&self, kind: &OrderKind, result: &OrderResult) {
+        let order = match kind {
+            OrderKind::Grant { .. } => "grant",
+            OrderKind::Seal { .. } => "seal",
+            OrderKind::Release => "release",
+        };
+        let result = match result {
+            OrderResult::Done { .. } => "done",
+            OrderResult::Stale => "stale",
+            OrderResult::NotThere => "not_there",
+            OrderResult::NotSent => "not_sent",
+            OrderResult::Lost => "lost",
+        };
+        self.orders
+            .get_or_create(&OrderLabels { order, result })
+            .inc();
+    }
+
+    /// Counts a poll of the store.
+    pub(super) fn polled(&self, table: Table, lost: bool) {
+        let labels = PollLabels {
+            table: table.word(),
+            result: if lost { "lost" } else { "done" },
+        };
+        self.polls.get_or_create(&labels).inc();
+    }
+
+    /// Counts writes of assignments.
+    pub(super) fn wrote(&self, count: usize) {
+        self.writes.inc_by(count as u64);
+    }
+
+    /// Renders all metrics, and how many log lines were dropped.
+    ///
+    /// # Errors
+    ///
+    /// When a label cannot be written.
+    pub(super) fn text(&self) -> Result<String, fmt::Error> {
+        let mut buf = String::new();
+        text::encode_registry(&mut buf, &self.registry)?;
+        let dropped = logs::dropped();
+        fmt::Write::write_fmt(
+            &mut buf,
+            format_args!(
+                "# TYPE citronway_log_lines_dropped counter\n\
+                 citronway_log_lines_dropped_total {dropped}\n"
+            ),
+        )?;
+        text::encode_eof(&mut buf)?;
+        Ok(buf)
+    }
+}
--- a/crates/citronway/src/gateway/ready.rs
+++ b/crates/citronway/src/gateway/ready.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,6 +15,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use super::metrics::Metrics;
+use crate::metrics::MEDIA_TYPE;
+
 /// Whether the balancer may send callers here.
 #[derive(Debug, Clone, Default)]
 pub struct Ready(Arc<AtomicBool>);
@@ -32,26 +36,55 @@
     }
 }
 
-/// Answers on `listener` until the task is dropped.
+/// Answers the balancer on `listener` until the task is dropped.
 pub async fn serve(listener: TcpListener, ready: Ready) {
+    serve_with(listener, move |req| answer(req, &ready)).await;
+}
+
+/// Serves metrics on `listener` until the task is dropped.
+pub async fn serve_metrics(listener: TcpListener, metrics: Metrics) {
+    serve_with(listener, move |_req| rendered(&metrics)).await;
+}
+
+fn rendered(metrics: &Metrics) -> Response<Full<Bytes>> {
+    match metrics.text() {
+        Ok(text) => {
+            let mut answer = Response::new(Full::new(Bytes::from(text)));
+            let kind = HeaderValue::from_static(MEDIA_TYPE);
+            answer.headers_mut().insert(CONTENT_TYPE, kind);
+            answer
+        }
+        Err(e) => {
+            log::error!(cause = e.to_string(); "metrics cannot be rendered");
+            let mut answer = Response::new(Full::default());
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            answer
+        }
+    }
+}
+
+async fn serve_with<H>(listener: TcpListener, handler: H)
+where
+    H: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Clone + Send + 'static,
+{
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                log::warn!(cause = e.to_string(); "the ready address took no connection");
+                log::warn!(cause = e.to_string(); "an inner address took no connection");
                 tokio::time::sleep(super::traffic::ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        let ready = ready.clone();
+        let handler = handler.clone();
         tokio::spawn(async move {
             let service = service_fn(move |req| {
-                let answer = answer(&req, &ready);
+                let answer = handler(&req);
                 async { Ok::<_, Infallible>(answer) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(e) = connection.await {
-                log::debug!(cause = e.to_string(); "a connection of the balancer ended");
+                log::debug!(cause = e.to_string(); "an inner connection ended");
             }
         });
     }
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, watch};
 
+use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::Ready;
 use crate::gateway::{control, traffic};
 use crate::logs;
@@ -111,13 +112,20 @@
     let (seen_tx, seen_rx) = mpsc::channel(SEEN_RING);
     let (stop_tx, stop_rx) = watch::channel(false);
 
+    let ends = control::Ends {
+        view: view_tx,
+        seen: seen_rx,
+        stop: stop_tx,
+    };
     let runtime = runtime("control")?;
     let traffic_cfg = cfg.clone();
+    let metrics = Metrics::default();
+    let counted = metrics.clone();
     let handle = thread::Builder::new()
         .name("traffic".to_owned())
-        .spawn(move || traffic_thread(&traffic_cfg, view_rx, seen_tx, stop_rx))
+        .spawn(move || traffic_thread(&traffic_cfg, view_rx, seen_tx, stop_rx, counted))
         .map_err(start("traffic"))?;
-    let control = control::Control::new(cfg, me, path.to_owned(), ready, view_tx, seen_rx, stop_tx);
+    let control = control::Control::new(cfg, me, path.to_owned(), ready, metrics, ends);
     let ended = runtime.block_on(control.run());
     log::info!("instance stops");
     let joined = handle.join();
@@ -135,9 +143,13 @@
     view: watch::Receiver<View>,
     seen: mpsc::Sender<traffic::Seen>,
     stop: watch::Receiver<bool>,
+    metrics: Metrics,
 ) -> Result<(), Error> {
     let local = tokio::task::LocalSet::new();
-    let served = local.block_on(&runtime("traffic")?, traffic::serve(cfg, view, seen, stop));
+    let served = local.block_on(
+        &runtime("traffic")?,
+        traffic::serve(cfg, view, seen, stop, metrics),
+    );
     served.map_err(start("traffic"))
 }
 
--- /dev/null
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -0,0 +1,301 @@
+//! A request on its way to endpoints, with what came of its sends so far.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use citronway_core::gateway::desk::{Choice, Job, Refusal, RefusalReason, Verdict};
+use citronway_core::gateway::routes::{Repeat, Route};
+use citronway_core::ids::EndpointName;
+use citronway_core::time::Mono;
+use citronway_platform::exchange::{self, CallerWords, Meaning};
+use http::{Method, Request, Uri};
+
+use super::outcome::{DEFAULT_RETRY_MS, Outcome, not_run, shown_id};
+use super::pool;
+use super::state::State;
+use crate::clock;
+use crate::gateway::http_link::{self, Answer, CallError, Link};
+
+/// Time under which a request is not sent any more, in milliseconds: it would reach
+/// the endpoint with no time to work.
+const MIN_LEFT_MS: u64 = 20;
+
+/// Times the usual work that an endpoint is waited for where another could run the
+/// request: one in a hundred takes longer when all are well.
+const PATIENCE_WORKS: u64 = 5;
+
+/// Shortest time after a refusal before the same request is sent again.
+const AFTER_REFUSAL: Duration = Duration::from_millis(10);
+
+/// What goes to an endpoint.
+#[derive(Debug)]
+pub(super) struct Message {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: http::HeaderMap,
+    pub body: Bytes,
+}
+
+impl Message {
+    fn for_endpoint(&self, endpoint: &EndpointName, left_ms: u64) -> Request<Bytes> {
+        let mut req = Request::new(self.body.clone());
+        *req.method_mut() = self.method.clone();
+        // The path as it came: an absolute form is for proxies only.
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        if let Ok(uri) = path.parse() {
+            *req.uri_mut() = uri;
+        }
+        let mut headers = self.headers.clone();
+        exchange::address(&mut headers, endpoint, left_ms);
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+/// A request on its way.
+pub(super) struct Journey<'a> {
+    pub state: &'a Rc<State>,
+    pub route: &'a Route,
+    pub words: &'a CallerWords,
+    pub message: Message,
+    pub job: Job,
+    /// Endpoints that may have run it.
+    pub run_by: Vec<EndpointName>,
+    /// Sends that an endpoint saw.
+    pub sends: u32,
+}
+
+/// What came of one send.
+enum Sent {
+    /// The endpoint's answer.
+    Answer(Answer),
+    /// It has not run there.
+    Refused(Meaning),
+    /// Nothing reached the endpoint.
+    Nowhere,
+    /// It may have run there.
+    Unknown(&'static str),
+    /// The time ended.
+    TimedOut,
+}
+
+impl Journey<'_> {
+    /// Sends it until it is answered or nothing is left to try.
+    pub(super) async fn travel(mut self) -> Outcome {
+        loop {
+            let choice = match self.state.place(self.job.clone()).await {
+                Some(Verdict::Send(choice)) => choice,
+                Some(Verdict::Refuse(refusal)) => return self.refused(refusal),
+                None => return not_run(RefusalReason::Overloaded, DEFAULT_RETRY_MS),
+            };
+            let in_flight = self.state.in_flight(&choice);
+            let sent = self.send(&choice).await;
+            drop(in_flight);
+            let now = clock::mono();
+            log_send(self.words, &choice, &sent, self.sends);
+            if !self.job.tried.contains(&choice.endpoint) {
+                self.job.tried.push(choice.endpoint.clone());
+            }
+            match sent {
+                Sent::Answer(answer) => {
+                    if let Some(outcome) = self.answered(now, &choice, answer) {
+                        return outcome;
+                    }
+                }
+                Sent::Nowhere => {
+                    self.state.unreachable(&choice.endpoint);
+                    if !self.has_time(now) {
+                        return self.spent(RefusalReason::Unreachable);
+                    }
+                }
+                Sent::Refused(meaning) => {
+                    self.refused_by(&choice, meaning);
+                    if !self.may_send_again(now) {
+                        return self.spent(RefusalReason::EndpointRefused);
+                    }
+                    tokio::time::sleep(AFTER_REFUSAL).await;
+                }
+                Sent::Unknown(cause) => {
+                    self.state.refused(&choice.endpoint);
+                    self.run_by.push(choice.endpoint);
+                    if !self.may_run_again() || !self.may_send_again(now) {
+                        return Outcome::Unknown(cause);
+                    }
+                }
+                Sent::TimedOut => {
+                    self.state.refused(&choice.endpoint);
+                    return Outcome::TimedOut;
+                }
+            }
+        }
+    }
+
+    /// Takes an endpoint's answer; `None` if another endpoint is to be asked.
+    fn answered(&mut self, now: Mono, choice: &Choice, answer: Answer) -> Option<Outcome> {
+        if answer.status.is_server_error() {
+            // The endpoint's own failure: it ran. Another endpoint may do better; the
+            // owner of a key has no other.
+            self.state.refused(&choice.endpoint);
+            self.run_by.push(choice.endpoint.clone());
+            let other = choice.fence.is_none() && self.may_run_again();
+            if other && now < self.job.objective_at && self.may_send_again(now) {
+                return None;
+            }
+        }
+        Some(Outcome::Answered(answer))
+    }
+
+    fn refused_by(&self, choice: &Choice, meaning: Meaning) {
+        match (meaning, choice.fence) {
+            (Meaning::Misdirected, Some(fence)) => self.state.disowned(&self.job, fence),
+            (Meaning::Misdirected, None) => self.state.gone(&choice.endpoint),
+            _ => self.state.refused(&choice.endpoint),
+        }
+    }
+
+    fn has_time(&self, now: Mono) -> bool {
+        now.plus(MIN_LEFT_MS) < self.job.last_at
+    }
+
+    fn may_run_again(&self) -> bool {
+        let attempts = self.route.attempts.max(1) as usize;
+        self.job.repeat == Repeat::Idempotent && self.run_by.len() < attempts
+    }
+
+    fn may_send_again(&self, now: Mono) -> bool {
+        self.has_time(now) && self.state.take_second_send(now, &self.job.service)
+    }
+
+    /// Ends a request that was refused at the desk.
+    fn refused(&self, refusal: Refusal) -> Outcome {
+        if self.run_by.is_empty() {
+            return Outcome::NotRun(refusal);
+        }
+        Outcome::Unknown("no other endpoint has room")
+    }
+
+    /// Ends a request whose last send was refused.
+    fn spent(&self, reason: RefusalReason) -> Outcome {
+        self.refused(Refusal {
+            reason,
+            retry_after_ms: DEFAULT_RETRY_MS,
+        })
+    }
+
+    async fn send(&mut self, choice: &Choice) -> Sent {
+        let started = clock::mono();
+        let left_ms = self.job.last_at.since(started);
+        if left_ms < MIN_LEFT_MS {
+            return Sent::Nowhere;
+        }
+        let patience_ms = self.patience_ms(choice, left_ms);
+        let limit = Duration::from_millis(patience_ms);
+        match tokio::time::timeout(limit, self.exchange(choice)).await {
+            Ok(Ok(Exchanged { meaning, answer })) => match meaning {
+                Meaning::Ran => {
+                    self.state.answered(choice, self.job.key);
+                    if !answer.status.is_server_error() {
+                        let took = clock::mono().since(started);
+                        self.state.served(&self.route.name, &choice.endpoint, took);
+                    }
+                    Sent::Answer(answer)
+                }
+                Meaning::Full | Meaning::Misdirected | Meaning::NotRun => Sent::Refused(meaning),
+                Meaning::Foreign => Sent::Unknown("the answer belongs to another request"),
+            },
+            Ok(Err(e)) if e.nothing_sent() => Sent::Nowhere,
+            Ok(Err(CallError::Timeout)) | Err(_) if patience_ms < left_ms => {
+                Sent::Unknown("the endpoint was silent")
+            }
+            Ok(Err(CallError::Timeout)) | Err(_) => Sent::TimedOut,
+            Ok(Err(CallError::Cut(_))) => Sent::Unknown("the answer is not whole"),
+            Ok(Err(_)) => Sent::Unknown("the connection to the endpoint broke"),
+        }
+    }
+
+    /// How long to wait for one endpoint, in milliseconds.
+    ///
+    /// All the time that is left, unless another endpoint could run the request too:
+    /// then the first is given several times the usual work.
+    fn patience_ms(&self, choice: &Choice, left_ms: u64) -> u64 {
+        let attempts = self.route.attempts as usize;
+        let other = choice.fence.is_none()
+            && self.job.repeat == Repeat::Idempotent
+            && self.run_by.len() + 1 < attempts;
+        if !other {
+            return left_ms;
+        }
+        let patience = self.job.work_ms * PATIENCE_WORKS;
+        patience.max(self.route.objective_ms / 2).min(left_ms)
+    }
+
+    async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
+        let mut link = self.link(choice).await?;
+        let left_ms = self.job.last_at.since(clock::mono());
+        let req = self.message.for_endpoint(&choice.endpoint, left_ms);
+        self.sends += 1;
+        let sent = link.send(req).await;
+        let head = match sent {
+            // A kept connection that the endpoint has closed: a new one is as good as
+            // the first.
+            Err(CallError::NotSent) => {
+                link = self.open(choice).await?;
+                let req = self.message.for_endpoint(&choice.endpoint, left_ms);
+                link.send(req).await?
+            }
+            sent => sent?,
+        };
+        let meaning = exchange::meaning(self.words.id.as_ref(), head.status(), head.headers());
+        let answer = http_link::read(head).await?;
+        if meaning != Meaning::Foreign {
+            let mut pool = self.state.pool.borrow_mut();
+            pool.put(clock::mono(), choice.address, link, &answer.headers);
+        }
+        Ok(Exchanged { meaning, answer })
+    }
+
+    async fn link(&self, choice: &Choice) -> Result<Link, CallError> {
+        let kept = self
+            .state
+            .pool
+            .borrow_mut()
+            .take(clock::mono(), choice.address);
+        match kept {
+            Some(link) => Ok(link),
+            None => self.open(choice).await,
+        }
+    }
+
+    async fn open(&self, choice: &Choice) -> Result<Link, CallError> {
+        self.state.pool.borrow_mut().count_opened();
+        pool::open(choice.address).await
+    }
+}
+
+/// An answer and what it means for the request.
+struct Exchanged {
+    meaning: Meaning,
+    answer: Answer,
+}
+
+fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32) {
+    let request = shown_id(words);
+    let endpoint = choice.endpoint.as_str();
+    let fence = choice.fence.unwrap_or_default();
+    match sent {
+        Sent::Answer(answer) => {
+            let status = answer.status.as_u16();
+            log::debug!(request, endpoint, fence, sends, status; "endpoint answered");
+        }
+        Sent::Refused(meaning) => {
+            let refusal = format!("{meaning:?}");
+            log::info!(request, endpoint, fence, sends, refusal; "endpoint did not run it");
+        }
+        Sent::Nowhere => log::info!(request, endpoint, fence, sends; "not sent"),
+        Sent::Unknown(cause) => {
+            log::info!(request, endpoint, fence, sends, cause; "endpoint may have run it");
+        }
+        Sent::TimedOut => log::info!(request, endpoint, fence, sends; "endpoint was silent"),
+    }
+}
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -1,6 +1,8 @@
 //! Takes callers' requests and sends them to endpoints, on a thread of its own.
 
 mod connection;
+mod journey;
+mod outcome;
 mod pool;
 mod request;
 mod seen;
@@ -16,6 +18,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::gateway::metrics::Metrics;
 use state::State;
 
 pub use seen::Seen;
@@ -39,9 +42,10 @@
     view: watch::Receiver<View>,
     seen: mpsc::Sender<Seen>,
     stop: watch::Receiver<bool>,
+    metrics: Metrics,
 ) -> io::Result<()> {
     let mut listener = Some(TcpListener::bind(cfg.callers).await?);
-    let state = Rc::new(State::new(cfg, view, stop.clone()));
+    let state = Rc::new(State::new(cfg, view, stop.clone(), metrics));
     tokio::task::spawn_local(follow_view(Rc::clone(&state)));
     tokio::task::spawn_local(pump(Rc::clone(&state)));
     tokio::task::spawn_local(account(Rc::clone(&state), seen));
--- /dev/null
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -0,0 +1,137 @@
+//! How a request ended, and the answer that its caller gets.
+
+use bytes::Bytes;
+use citronway_core::gateway::desk::{Refusal, RefusalReason};
+use citronway_core::time::Mono;
+use citronway_platform::exchange::{self, CallerWords};
+use http::header::CONNECTION;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+
+use super::connection::{Answering, Done};
+use super::state::State;
+use crate::clock;
+use crate::gateway::http_link::Answer;
+use crate::gateway::metrics::Ended;
+
+/// Time to come back where nothing better is known, in milliseconds.
+pub(super) const DEFAULT_RETRY_MS: u64 = 200;
+
+/// How a request ended, for the caller and for the logs.
+#[derive(Debug)]
+pub(super) enum Outcome {
+    /// The endpoint's own answer.
+    Answered(Answer),
+    /// It has not run and will not.
+    NotRun(Refusal),
+    /// It may have run; its endpoint broke off.
+    Unknown(&'static str),
+    /// Its time ended; it may have run.
+    TimedOut,
+    /// It cannot be accepted as it is.
+    Rejected(StatusCode, &'static str),
+}
+
+impl Outcome {
+    /// Label for metrics.
+    const fn ended(&self) -> Ended {
+        match self {
+            Self::Answered(_) => Ended::Answered,
+            Self::NotRun(refusal) => Ended::NotRun(refusal.reason),
+            Self::Unknown(_) => Ended::MayHaveRun,
+            Self::TimedOut => Ended::TimedOut,
+            Self::Rejected(..) => Ended::Rejected,
+        }
+    }
+}
+
+/// A refusal.
+pub(super) const fn not_run(reason: RefusalReason, retry_after_ms: u64) -> Outcome {
+    Outcome::NotRun(Refusal {
+        reason,
+        retry_after_ms,
+    })
+}
+
+/// The answer to an outcome.
+pub(super) fn respond(
+    state: &State,
+    id: Option<&HeaderValue>,
+    outcome: Outcome,
+    done: Done,
+) -> Response<Answering> {
+    let (status, headers, body) = match outcome {
+        Outcome::Answered(answer) => (
+            answer.status,
+            exchange::returned(&answer.headers),
+            answer.body,
+        ),
+        Outcome::NotRun(refusal) => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            own_answer(
+                id,
+                status,
+                Some(refusal.retry_after_ms),
+                refusal.reason.word(),
+            )
+        }
+        Outcome::Unknown(cause) => own_answer(id, StatusCode::BAD_GATEWAY, None, cause),
+        Outcome::TimedOut => own_answer(id, StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
+        Outcome::Rejected(status, cause) => own_answer(id, status, None, cause),
+    };
+    let mut response = Response::new(Answering {
+        body: Full::new(body),
+        _done: done,
+    });
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    if state.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+fn own_answer(
+    id: Option<&HeaderValue>,
+    status: StatusCode,
+    retry_after_ms: Option<u64>,
+    cause: &'static str,
+) -> (StatusCode, http::HeaderMap, Bytes) {
+    let mut headers = http::HeaderMap::new();
+    exchange::own_answer(&mut headers, id, retry_after_ms);
+    (status, headers, Bytes::from_static(cause.as_bytes()))
+}
+
+/// Id of a request as logs show it.
+pub(super) fn shown_id(words: &CallerWords) -> &str {
+    words
+        .id
+        .as_ref()
+        .and_then(|id| id.to_str().ok())
+        .unwrap_or("-")
+}
+
+/// Logs and counts an outcome.
+pub(super) fn note(state: &State, arrived: Mono, words: &CallerWords, outcome: &Outcome) {
+    let request = shown_id(words);
+    let ms = clock::mono().since(arrived);
+    state.metrics.ended(outcome.ended(), ms);
+    match outcome {
+        Outcome::Answered(answer) => {
+            let status = answer.status.as_u16();
+            log::debug!(request, status, ms; "answered");
+        }
+        Outcome::NotRun(refusal) => {
+            let reason = refusal.reason.word();
+            let retry_after_ms = refusal.retry_after_ms;
+            log::info!(request, reason, retry_after_ms, ms; "refused, not run");
+        }
+        Outcome::Unknown(cause) => log::info!(request, cause, ms; "may have run"),
+        Outcome::TimedOut => log::info!(request, ms; "timed out, may have run"),
+        Outcome::Rejected(status, cause) => {
+            let status = status.as_u16();
+            log::info!(request, status, cause, ms; "rejected");
+        }
+    }
+}
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -17,6 +17,7 @@
 use super::pool::Pool;
 use super::seen::Seen;
 use crate::clock;
+use crate::gateway::metrics::Metrics;
 
 /// Limits until a configuration is known.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -35,6 +36,7 @@
     pub view: watch::Receiver<View>,
     pub stop: watch::Receiver<bool>,
     pub pool: RefCell<Pool>,
+    pub metrics: Metrics,
     desk: RefCell<Desk>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Verdict>>>,
     any_waits: Notify,
@@ -64,11 +66,13 @@
         cfg: &InstanceSettings,
         view: watch::Receiver<View>,
         stop: watch::Receiver<bool>,
+        metrics: Metrics,
     ) -> Self {
         Self {
             view,
             stop,
             pool: RefCell::default(),
+            metrics,
             desk: RefCell::default(),
             waiting: RefCell::default(),
             any_waits: Notify::new(),
--- a/crates/citronway/tests/gateway_path.rs
+++ b/crates/citronway/tests/gateway_path.rs
@@ -36,7 +36,7 @@
         let name = owner.map_or("nobody", |owner| owner.name());
         expect_that!(reply.body, eq(&format!("answer of {name}")));
         expect_that!(reply.header("x-response-signature"), some(ends_with(name)));
-        let ran = owner.map(|owner| owner.ran()).unwrap_or_default();
+        let ran = owner.map(FencedEndpoint::ran).unwrap_or_default();
         let ran = ran.iter().find(|ran| ran.id == id);
         expect_that!(
             ran.map(|ran| ran.what.as_str()),
@@ -281,7 +281,7 @@
 fn a_stopping_instance_finishes_what_it_has_taken() {
     let deployment = Deployment::new();
     let mut instance = deployment.ready_instance("one");
-    deployment.c.work(Duration::from_millis(1_000));
+    deployment.c.work(Duration::from_secs(1));
     let reply = std::thread::scope(|scope| {
         let call = scope.spawn(|| instance.call_with("POST /order/1", "X-Request-Id: s\r\n", "x"));
         until("the request has reached the endpoint", || {
