A keeper is not given up for want of a poll that began before it; earlier keepers are forgotten

Logs led there: keys of dead endpoints stayed unowned for 17 s after each change of the keeper, since the row named four earlier keepers that nobody heard of any more; and the keeper changed every few seconds, found 'not confirmed' because its poll had begun with the long wait of an idle instance. Now whoever knows of the present keeper is no longer waited for, the row forgets earlier keepers once their time is over, and a new keeper asks anew at once. Ruled out: the store (answered all the while after 26.3 s), the endpoints.

--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -128,8 +128,15 @@
         instance: row.instance.clone(),
         id: row.session,
     };
-    let mut former: Vec<_> = row.former.iter().cloned().chain([last]).collect();
-    former.retain(|session| !has_ended(session, peers));
+    // Whoever knows of the present keeper has stopped; the keeper itself may go on.
+    let earlier = row.former.iter();
+    let mut former: Vec<_> = earlier
+        .filter(|session| !has_stopped(session, row.term, peers))
+        .cloned()
+        .collect();
+    if !has_ended(&last, peers) {
+        former.push(last);
+    }
     former.truncate(MAX_FORMER);
     former
 }
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -120,7 +120,10 @@
     let mut second = row("b");
     second.former = vec![Session::new("a", 1)];
     let now = START.plus(60_000);
-    let former = former_after(Some(&second), &[sight("a", now), sight("b", now)]);
+    // `a` does not know of `b` yet.
+    let mut behind = sight("a", now);
+    behind.term = 2;
+    let former = former_after(Some(&second), &[behind, sight("b", now)]);
     expect_that!(
         former,
         elements_are![eq(&Session::new("a", 1)), eq(&Session::new("b", 1))]
@@ -131,6 +134,10 @@
     let former = former_after(Some(&second), &[reborn]);
     expect_that!(former, elements_are![eq(&Session::new("b", 1))]);
 
+    // Now it does; only `b` may go on.
+    let former = former_after(Some(&second), &[sight("a", now), sight("b", now)]);
+    expect_that!(former, elements_are![eq(&Session::new("b", 1))]);
+
     let old = Session::new("a", 1);
     expect_that!(has_stopped(&old, 4, &[sight("a", now)]), eq(false));
     expect_that!(has_stopped(&old, 3, &[sight("a", now)]), eq(true));
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -40,7 +40,7 @@
 
 /// Age of the last confirmation at which a keeper gives the duty up, in
 /// milliseconds: longer than a poll with its limit, well before its grants have to end.
-const UNCONFIRMED_MS: u64 = 2_000;
+const UNCONFIRMED_MS: u64 = 2_500;
 
 /// Time of work that is assumed until answers show it, in milliseconds.
 const FIRST_WORK_MS: f64 = 200.0;
@@ -96,6 +96,10 @@
     claim_after: Mono,
     place_after: Mono,
     cleared: bool,
+    /// Until then earlier keepers may have given holds.
+    rival_until: Mono,
+    /// Why this instance is not fit to keep, as it was last logged.
+    unfit_for: Option<&'static str>,
 }
 
 impl Duty {
@@ -114,6 +118,8 @@
             claim_after: Mono::default(),
             place_after: Mono::default(),
             cleared: false,
+            rival_until: Mono::default(),
+            unfit_for: None,
         }
     }
 
@@ -136,9 +142,31 @@
 
     /// Whether this instance should not keep.
     pub(super) fn is_unfit(&self, now: Mono, beliefs: &Beliefs) -> bool {
-        let unconfirmed = self.office.is_some() && now.since(self.contact) > UNCONFIRMED_MS;
+        self.unfitness(now, beliefs).is_some()
+    }
+
+    /// Why this instance should not keep, if there is a reason.
+    fn unfitness(&self, now: Mono, beliefs: &Beliefs) -> Option<&'static str> {
+        if beliefs.store_lost() {
+            return Some("the store does not answer");
+        }
+        if self.office.is_some() && now.since(self.contact) > UNCONFIRMED_MS {
+            return Some("the store has not confirmed the keeper");
+        }
         let cut_off = self.keepers.values().any(|keeper| keeper.is_cut_off(now));
-        beliefs.store_lost() || unconfirmed || cut_off
+        cut_off.then_some("most endpoints do not answer")
+    }
+
+    fn note_fitness(&mut self, now: Mono, beliefs: &Beliefs) {
+        let cause = self.unfitness(now, beliefs);
+        if cause == self.unfit_for {
+            return;
+        }
+        self.unfit_for = cause;
+        match cause {
+            Some(cause) => log::info!(cause; "this instance is not fit to keep"),
+            None => log::info!("this instance is fit to keep"),
+        }
     }
 
     /// Whether this instance is the keeper as far as it knows.
@@ -184,6 +212,7 @@
             .as_ref()
             .is_some_and(|office| office.term == row.term)
         {
+            self.office = Some(row.clone());
             self.contact = self.contact.max(asked);
             for keeper in self.keepers.values_mut() {
                 keeper.confirm(asked);
@@ -206,6 +235,7 @@
                 .or_insert_with(|| Keeper::new(self.cfg, service));
         }
         let rival_until = self.rival_until(now);
+        self.rival_until = rival_until;
         for keeper in self.keepers.values_mut() {
             keeper.begin(asked, rival_until);
         }
@@ -272,10 +302,12 @@
 
     /// What is due now.
     pub(super) fn step(&mut self, now: Mono, beliefs: &mut Beliefs, stopping: bool) -> Due {
+        self.note_fitness(now, beliefs);
+        let claim = self.claim(now, beliefs, stopping);
         let mut due = Due {
             orders: Vec::new(),
             writes: Vec::new(),
-            claim: self.claim(now, beliefs, stopping),
+            claim: claim.or_else(|| self.forget_former(now)),
             wait_ms: IDLE_WAIT_MS,
         };
         let Some(office) = self.office.clone() else {
@@ -334,6 +366,32 @@
         }
     }
 
+    /// Takes earlier keepers out of the row once they cannot have given holds.
+    ///
+    /// Failure: an instance that kept is gone for good and never says that it has
+    /// stopped. Left in the row, each later keeper would wait for it anew before it
+    /// gives the keys of a dead endpoint to another.
+    fn forget_former(&mut self, now: Mono) -> Option<Change> {
+        let office = self
+            .office
+            .as_ref()
+            .filter(|office| !office.former.is_empty())?;
+        let free = self.cleared || now > self.rival_until;
+        if !free || self.claiming || now < self.claim_after {
+            return None;
+        }
+        let value = beliefs::keeper_value(&self.me, office.term, Vec::new());
+        let value = value
+            .inspect_err(|e| log::error!(cause = e.to_string(); "keeper row not written"))
+            .ok()?;
+        self.claiming = true;
+        self.claim_after = now.plus(CLAIM_PAUSE_MS);
+        Some(Change {
+            unless_changed: vec![(beliefs::KEEPER_KEY.to_owned(), office.version)],
+            put: vec![(beliefs::KEEPER_KEY.to_owned(), value)],
+        })
+    }
+
     fn claim(&mut self, now: Mono, beliefs: &Beliefs, stopping: bool) -> Option<Change> {
         if self.claiming || now < self.claim_after || self.office.is_some() {
             return None;
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -95,6 +95,8 @@
     follows: [(Table, Arc<Follow>); 3],
     started: Mono,
     stopping: bool,
+    /// It was the keeper at the last look.
+    kept: bool,
 }
 
 impl Control {
@@ -123,6 +125,7 @@
             follows: Table::ALL.map(|table| (table, Follow::new())),
             started,
             stopping: false,
+            kept: false,
         }
     }
 
@@ -242,8 +245,8 @@
             let events = events.clone();
             tokio::spawn(async move {
                 match Store::new(address).change(&claim).await {
-                    Ok(version) => log::info!(version = version.0; "keeper claimed"),
-                    Err(e) => log::info!(cause = e.to_string(); "claim of the keeper failed"),
+                    Ok(version) => log::info!(version = version.0; "keeper row written"),
+                    Err(e) => log::info!(cause = e.to_string(); "keeper row not written"),
                 }
                 let _ = events.send(Event::Claimed).await;
             });
@@ -321,11 +324,16 @@
     }
 
     /// Rests while a fit keeper passes rows on, and asks the store otherwise.
-    fn rest_or_poll(&self, now: Mono) {
-        let rests = !self.duty.in_office() && self.beliefs.is_told(now);
+    fn rest_or_poll(&mut self, now: Mono) {
+        let keeps = self.duty.in_office();
+        let rests = !keeps && self.beliefs.is_told(now);
+        // A poll that began before this instance kept waits for longer than a keeper
+        // may go without being confirmed.
+        let begins = keeps && !self.kept;
+        self.kept = keeps;
         for (_, follow) in &self.follows {
             let before = follow.resting.swap(rests, Ordering::Relaxed);
-            if before && !rests {
+            if begins || (before && !rests) {
                 follow.refresh.notify_one();
             }
         }
