--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -17,6 +17,12 @@
 /// A claim takes two calls of about 5 ms at the store.
 pub const CLAIM_STEP_MS: u64 = 120;
 
+/// Time that a new keeper is given to say that it is fit, in milliseconds.
+///
+/// Failure: the store comes back, one instance claims, and the others still have its
+/// report of a moment ago, by which it could not reach the store; each claims in turn.
+pub const TAKE_UP_MS: u64 = 300;
+
 /// Time after the start before a silent keeper is replaced, in milliseconds.
 ///
 /// A process that has just started has not yet had the time to hear anyone.
@@ -69,6 +75,8 @@
     pub unfit: bool,
     /// The row, if there is one.
     pub row: Option<&'a KeeperRow>,
+    /// When the present keeper was first seen in the row.
+    pub row_seen: Mono,
     /// Other instances.
     pub peers: &'a [PeerSight],
 }
@@ -81,12 +89,15 @@
     }
     let vacant_since = match at.row {
         None => Some(at.started),
-        Some(row) => vacant_since(now, at, row),
+        Some(row) => {
+            let since = vacant_since(now, at, row);
+            since.map(|since| since.max(at.row_seen.plus(TAKE_UP_MS)))
+        }
     };
     let Some(since) = vacant_since else {
         return false;
     };
-    now.since(since) >= rank(now, at) * CLAIM_STEP_MS
+    now >= since.plus(rank(now, at) * CLAIM_STEP_MS)
 }
 
 /// Since when the keeper does not do its work, if it does not.
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -1,8 +1,8 @@
 //! Who becomes the keeper, and whose holds it has to wait for.
 
 use citronway_core::gateway::election::{
-    CLAIM_STEP_MS, KeeperRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation, former_after,
-    has_stopped, should_claim,
+    CLAIM_STEP_MS, KeeperRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation, TAKE_UP_MS,
+    former_after, has_stopped, should_claim,
 };
 use citronway_core::ids::{InstanceName, Session, SessionId, Version};
 use citronway_core::time::Mono;
@@ -39,6 +39,7 @@
         started: START,
         unfit: false,
         row,
+        row_seen: Mono(0),
         peers,
     };
     should_claim(now, &situation)
@@ -100,6 +101,32 @@
     expect_that!(claims(later, "b", Some(&row("a")), &[reborn]), eq(true));
 }
 
+/// The store comes back after an outage and `a` claims. `b` still has a report by which
+/// `a` could not reach the store, and would claim over it; then `c` over `b`.
+#[gtest]
+fn a_new_keeper_is_given_a_moment_to_say_that_it_is_fit() {
+    let now = START.plus(60_000);
+    let mut before = sight("a", now.minus(20));
+    before.unfit = true;
+    let peers = [before];
+    let seen = |row_seen| {
+        let row = row("a");
+        let me = InstanceName::new("b");
+        let situation = Situation {
+            me: &me,
+            session: SessionId(1),
+            started: START,
+            unfit: false,
+            row: Some(&row),
+            row_seen,
+            peers: &peers,
+        };
+        should_claim(now, &situation)
+    };
+    expect_that!(seen(now.minus(10)), eq(false));
+    expect_that!(seen(now.minus(TAKE_UP_MS)), eq(true));
+}
+
 #[gtest]
 fn an_instance_that_is_unfit_does_not_claim() {
     let situation = Situation {
@@ -108,6 +135,7 @@
         started: START,
         unfit: true,
         row: None,
+        row_seen: Mono(0),
         peers: &[],
     };
     expect_that!(should_claim(START.plus(60_000), &situation), eq(false));
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -66,6 +66,8 @@
     pub registry: Arc<Registry>,
     pub owners: IndexMap<ServiceName, Owners>,
     pub keeper: Option<KeeperRow>,
+    /// When the present keeper was first seen.
+    pub keeper_seen: Mono,
     pub peers: Peers,
     pub paces: Paces,
     config: Sight,
@@ -88,6 +90,7 @@
             registry: Arc::default(),
             owners: IndexMap::new(),
             keeper: None,
+            keeper_seen: Mono::default(),
             peers: Peers::default(),
             paces: Paces::default(),
             config: Sight::default(),
@@ -146,7 +149,7 @@
         match table {
             Table::Config => self.config_rows(rows),
             Table::Endpoints => self.endpoint_rows(now, rows, whole),
-            Table::Own => self.own_rows(rows),
+            Table::Own => self.own_rows(now, rows),
         }
         self.changed = true;
     }
@@ -236,11 +239,11 @@
         }
     }
 
-    fn own_rows(&mut self, rows: &[Row]) {
+    fn own_rows(&mut self, now: Mono, rows: &[Row]) {
         for row in rows {
             let Some(value) = &row.value else { continue };
             if row.key == KEEPER_KEY {
-                self.keeper_row(row.version, value);
+                self.keeper_row(now, row.version, value);
             } else if let Some(service) = row.key.strip_prefix(KEYS_PREFIX) {
                 self.assignment_row(&ServiceName::new(service), row.version, value);
             } else if let Some(name) = row.key.strip_prefix(INSTANCE_PREFIX) {
@@ -252,7 +255,7 @@
         }
     }
 
-    fn keeper_row(&mut self, version: Version, value: &[u8]) {
+    fn keeper_row(&mut self, now: Mono, version: Version, value: &[u8]) {
         let stored = match serde_json::from_slice::<StoredKeeper>(value) {
             Ok(stored) => stored,
             Err(e) => {
@@ -267,8 +270,15 @@
         {
             return;
         }
-        let instance = stored.session.instance.as_str();
-        log::info!(instance, term = stored.term; "keeper");
+        if self
+            .keeper
+            .as_ref()
+            .is_none_or(|row| row.term < stored.term)
+        {
+            let instance = stored.session.instance.as_str();
+            log::info!(instance, term = stored.term; "keeper");
+            self.keeper_seen = now;
+        }
         self.keeper = Some(KeeperRow {
             instance: stored.session.instance,
             session: stored.session.id,
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -403,6 +403,7 @@
             started: self.started,
             unfit: stopping || self.is_unfit(now, beliefs) || !beliefs.own_loaded(),
             row: beliefs.keeper.as_ref(),
+            row_seen: beliefs.keeper_seen,
             peers: &peers,
         };
         if !election::should_claim(now, &situation) {
