Earlier keepers are waited for once, by the store's clock

The keeper's row now says until when each may have given holds, on the clock that the store states in its answers.

--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -3,6 +3,8 @@
 //! A row in the store names it. It is replaced by a conditional write when the
 //! keeper is silent or gives the duty up; the store decides between claimants.
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{InstanceName, Session, SessionId, Version};
 use crate::time::Mono;
 
@@ -38,11 +40,21 @@
     /// Grows with each change of the keeper.
     pub term: u64,
     /// Earlier keepers that may still be at work without knowing of this one.
-    pub former: Vec<Session>,
+    pub former: Vec<Former>,
     /// Version of the row.
     pub version: Version,
 }
 
+/// An earlier keeper that may still be at work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Former {
+    /// Which process.
+    pub session: Session,
+    /// When the last hold that it can have given has ended, in milliseconds of the
+    /// store's clock. That clock is the only one that outlives all processes.
+    pub free_at_ms: u64,
+}
+
 /// What an instance knows of another when it thinks of claiming.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerSight {
@@ -126,29 +138,33 @@
     before.count() as u64
 }
 
-/// Most earlier keepers that a row names; with more, their time is waited for.
-pub const MAX_FORMER: usize = 16;
-
-/// Earlier keepers that may still be at work when `me` follows `row`.
+/// Earlier keepers that may still be at work after the keeper in `row` is replaced at
+/// `store_ms` of the store's clock; each is to be waited for `wait_ms` at most.
 #[must_use]
-pub fn former_after(row: Option<&KeeperRow>, peers: &[PeerSight]) -> Vec<Session> {
+pub fn former_after(
+    row: Option<&KeeperRow>,
+    peers: &[PeerSight],
+    store_ms: u64,
+    wait_ms: u64,
+) -> Vec<Former> {
     let Some(row) = row else {
         return Vec::new();
     };
+    // Whoever knows of the present keeper has stopped; the keeper itself may go on.
+    let earlier = row.former.iter().filter(|former| {
+        former.free_at_ms > store_ms && !has_stopped(&former.session, row.term, peers)
+    });
+    let mut former: Vec<_> = earlier.cloned().collect();
     let last = Session {
         instance: row.instance.clone(),
         id: row.session,
     };
-    // Whoever knows of the present keeper has stopped; the keeper itself may go on.
-    let earlier = row.former.iter();
-    let mut former: Vec<_> = earlier
-        .filter(|session| !has_stopped(session, row.term, peers))
-        .cloned()
-        .collect();
     if !has_ended(&last, peers) {
-        former.push(last);
+        former.push(Former {
+            session: last,
+            free_at_ms: store_ms + wait_ms,
+        });
     }
-    former.truncate(MAX_FORMER);
     former
 }
 
--- a/crates/citronway-core/src/gateway/keeper/mod.rs
+++ b/crates/citronway-core/src/gateway/keeper/mod.rs
@@ -73,7 +73,15 @@
     /// Until when an earlier keeper, replaced at `replaced`, may have given holds.
     #[must_use]
     pub const fn rival_until(&self, replaced: Mono) -> Mono {
-        self.end_of_hold(replaced.plus(self.contact_limit_ms + self.order_timeout_ms))
+        replaced.plus(self.rival_wait_ms())
+    }
+
+    /// How long after it was replaced an earlier keeper's last hold can end, in
+    /// milliseconds.
+    #[must_use]
+    pub const fn rival_wait_ms(&self) -> u64 {
+        self.end_of_hold(Mono(self.contact_limit_ms + self.order_timeout_ms))
+            .0
     }
 }
 
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -4,7 +4,7 @@
 
 use citronway_core::gateway::assignment::Assignment;
 use citronway_core::gateway::desk::{Owners, View};
-use citronway_core::gateway::election::KeeperRow;
+use citronway_core::gateway::election::{Former, KeeperRow};
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
 use citronway_core::gateway::report::{Report, Versions};
@@ -42,7 +42,7 @@
 struct StoredKeeper {
     session: Session,
     term: u64,
-    former: Vec<Session>,
+    former: Vec<Former>,
 }
 
 /// A table as far as it is followed.
@@ -73,6 +73,8 @@
     config: Sight,
     endpoints: Sight,
     own: Sight,
+    /// Last reading of the store's clock, and when it came.
+    store_clock: Option<(u64, Mono)>,
     /// Requests of this instance that wait for each endpoint.
     own_waiting: IndexMap<EndpointTag, u32>,
     /// Newest version of each endpoint's entry, of removed ones too.
@@ -96,6 +98,7 @@
             config: Sight::default(),
             endpoints: Sight::default(),
             own: Sight::default(),
+            store_clock: None,
             own_waiting: IndexMap::new(),
             entries: IndexMap::new(),
             heard_at: Mono::default(),
@@ -114,8 +117,14 @@
     /// Takes news of a table.
     pub(super) fn news(&mut self, now: Mono, table: Table, news: News) {
         let (rows, whole) = match news {
-            News::Loaded(rows) => (rows, true),
-            News::Changed(relay) => (relay.rows, false),
+            News::Loaded { rows, now_ms } => {
+                self.store_clock = Some((now_ms, now));
+                (rows, true)
+            }
+            News::Changed { relay, now_ms } => {
+                self.store_clock = Some((now_ms, now));
+                (relay.rows, false)
+            }
             News::Lost(cause) => {
                 self.lost(table, &cause);
                 return;
@@ -384,6 +393,11 @@
             .is_some_and(|row| self.peers.passes_rows(now, row))
     }
 
+    /// The store's clock now, in milliseconds; a little behind, never ahead.
+    pub(super) fn store_ms(&self, now: Mono) -> Option<u64> {
+        self.store_clock.map(|(ms, at)| ms + now.since(at))
+    }
+
     /// Whether own rows were read at least once.
     pub(super) const fn own_loaded(&self) -> bool {
         self.own.loaded
@@ -448,7 +462,7 @@
 pub(super) fn keeper_value(
     me: &Session,
     term: u64,
-    former: Vec<Session>,
+    former: Vec<Former>,
 ) -> Result<Vec<u8>, serde_json::Error> {
     serde_json::to_vec(&StoredKeeper {
         session: me.clone(),
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -1,7 +1,7 @@
 //! The keeper's duty on this instance: claiming it, and keeping while it has it.
 
 use citronway_core::gateway::assignment::Assignment;
-use citronway_core::gateway::election::{self, KeeperRow, Situation};
+use citronway_core::gateway::election::{self, Former, KeeperRow, Situation};
 use citronway_core::gateway::keeper::{
     Action, Keeper, KeeperSettings, Order, OrderResult, WriteResult,
 };
@@ -38,6 +38,10 @@
 /// Time between two claims that failed, in milliseconds.
 const CLAIM_PAUSE_MS: u64 = 500;
 
+/// How far the store's clock may be ahead of what is reckoned of it, in milliseconds:
+/// the time that an answer takes when the store is slowed sixtyfold, twice over.
+const CLOCK_MARGIN_MS: u64 = 500;
+
 /// Age of the last confirmation at which a keeper gives the duty up, in
 /// milliseconds: longer than a poll with its limit, well before its grants have to end.
 const UNCONFIRMED_MS: u64 = 2_500;
@@ -234,7 +238,7 @@
                 .entry(service.clone())
                 .or_insert_with(|| Keeper::new(self.cfg, service));
         }
-        let rival_until = self.rival_until(now);
+        let rival_until = self.rival_until(now, beliefs);
         self.rival_until = rival_until;
         for keeper in self.keepers.values_mut() {
             keeper.begin(asked, rival_until);
@@ -243,13 +247,17 @@
 
     /// Until when earlier keepers may have given holds, if none is known to have
     /// stopped.
-    fn rival_until(&self, now: Mono) -> Mono {
-        let former = self.office.as_ref().map_or(0, |row| row.former.len());
-        if former == 0 {
+    fn rival_until(&self, now: Mono, beliefs: &Beliefs) -> Mono {
+        let former = self.office.iter().flat_map(|row| &row.former);
+        let Some(free_at) = former.map(|former| former.free_at_ms).max() else {
             // All have ended; the last hold was given before.
             return self.cfg.end_of_hold(now);
+        };
+        let longest = self.cfg.rival_until(now);
+        match beliefs.store_ms(now) {
+            Some(store_ms) => now.plus(free_at.saturating_sub(store_ms)).min(longest),
+            None => longest,
         }
-        self.cfg.rival_until(now)
     }
 
     fn leave_office(&mut self, cause: &'static str) {
@@ -353,9 +361,9 @@
             return;
         }
         let sights = beliefs.peers.sights();
-        let stopped = |former: &Session| {
-            former.instance == self.me.instance
-                || election::has_stopped(former, office.term, &sights)
+        let stopped = |former: &Former| {
+            former.session.instance == self.me.instance
+                || election::has_stopped(&former.session, office.term, &sights)
         };
         if office.former.iter().all(stopped) {
             self.cleared = true;
@@ -411,7 +419,9 @@
         }
         let row = beliefs.keeper.as_ref();
         let term = row.map_or(0, |row| row.term).max(self.term) + 1;
-        let former = election::former_after(row, &peers);
+        let store_ms = beliefs.store_ms(now)?;
+        let wait_ms = self.cfg.rival_wait_ms() + CLOCK_MARGIN_MS;
+        let former = election::former_after(row, &peers, store_ms, wait_ms);
         let expected = row.map_or(Version(0), |row| row.version);
         let value = match beliefs::keeper_value(&self.me, term, former) {
             Ok(value) => value,
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -199,7 +199,7 @@
         match event {
             Event::Store { table, news, asked } => {
                 self.metrics.polled(table, matches!(news, News::Lost(_)));
-                if let News::Changed(relay) = &news {
+                if let News::Changed { relay, .. } = &news {
                     self.pass_on(socket, relay);
                 }
                 self.beliefs.news(now, table, news);
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -78,9 +78,9 @@
     }
 
     /// All rows of a table, and the version to follow it from.
-    async fn load(&mut self, table: Table) -> Result<(Vec<Row>, Version), StoreError> {
+    async fn load(&mut self, table: Table) -> Result<Loaded, StoreError> {
         let mut page = self.page(table, None).await?;
-        let version = page.version;
+        let (version, now_ms) = (page.version, page.now_ms);
         let mut rows = page.rows;
         while page.more {
             let Some(last) = rows.last().map(|row| row.key.clone()) else {
@@ -89,7 +89,11 @@
             page = self.page(table, Some(&last)).await?;
             rows.append(&mut page.rows);
         }
-        Ok((rows, version))
+        Ok(Loaded {
+            rows,
+            version,
+            now_ms,
+        })
     }
 
     async fn feed(
@@ -113,13 +117,21 @@
     }
 }
 
+/// All rows of a table as they stood when the first of them was read.
+#[derive(Debug)]
+struct Loaded {
+    rows: Vec<Row>,
+    version: Version,
+    now_ms: u64,
+}
+
 /// News of a table.
 #[derive(Debug)]
 pub(super) enum News {
     /// All rows.
-    Loaded(Vec<Row>),
+    Loaded { rows: Vec<Row>, now_ms: u64 },
     /// Rows that changed, and the positions between which they did.
-    Changed(Relay),
+    Changed { relay: Relay, now_ms: u64 },
     /// The store does not answer, or refuses this instance.
     Lost(String),
 }
@@ -209,9 +221,14 @@
 
     async fn load(&self, store: &mut Store) -> News {
         match store.load(self.table).await {
-            Ok((rows, version)) => {
-                self.follow.position.store(version.0, Ordering::Relaxed);
-                News::Loaded(rows)
+            Ok(loaded) => {
+                self.follow
+                    .position
+                    .store(loaded.version.0, Ordering::Relaxed);
+                News::Loaded {
+                    rows: loaded.rows,
+                    now_ms: loaded.now_ms,
+                }
             }
             Err(e) => News::Lost(e.to_string()),
         }
@@ -239,12 +256,14 @@
                 self.follow
                     .position
                     .fetch_max(rows.version.0, Ordering::Relaxed);
-                Polled::News(News::Changed(Relay {
+                let relay = Relay {
                     table: self.table,
                     after,
                     position: rows.version,
                     rows: rows.rows,
-                }))
+                };
+                let now_ms = rows.now_ms;
+                Polled::News(News::Changed { relay, now_ms })
             }
             Err(StoreError::Refused(Refused::HistoryGone)) => {
                 log::info!(table = self.table.word(); "history gone, table read anew");
