--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -3,6 +3,22 @@
 use crate::gateway::pace::{Answers, EndpointTag};
 use crate::ids::{InstanceName, ServiceName, SessionId};
 
+/// Time between two looks at what there is to report, in milliseconds.
+pub const REPORT_MS: u64 = 100;
+
+/// Instances up to which each look is reported; with more, reports are rarer, so that
+/// what one instance receives stays the same.
+const OFTEN_UP_TO: usize = 12;
+
+/// Fewest reports: one in so many looks.
+const RAREST: u64 = 6;
+
+/// Of how many looks one is reported, among so many instances.
+#[must_use]
+pub fn looks_a_report(instances: usize) -> u64 {
+    (instances.div_ceil(OFTEN_UP_TO) as u64).clamp(1, RAREST)
+}
+
 /// Most keys that one report carries for a service; more are left out evenly.
 pub const MAX_KEYS: usize = 300;
 
@@ -53,6 +69,41 @@
     pub answers: Answers,
 }
 
+/// What was seen in several looks, to be reported at once.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Seen {
+    /// Use of each endpoint: the last look's, and all its answers.
+    pub endpoints: Vec<EndpointUse>,
+    /// Keys that were asked for.
+    pub keys: Vec<KeySamples>,
+}
+
+impl Seen {
+    /// Adds a later look.
+    pub fn add(&mut self, later: Self) {
+        let mut before = std::mem::take(&mut self.endpoints);
+        self.endpoints = later.endpoints;
+        for used in &mut self.endpoints {
+            if let Some(i) = before.iter().position(|b| b.tag == used.tag) {
+                used.answers.add(&before.swap_remove(i).answers);
+            }
+        }
+        let rest = before.into_iter().map(|used| EndpointUse {
+            in_flight: 0,
+            waiting: 0,
+            ..used
+        });
+        self.endpoints
+            .extend(rest.filter(|used| used.answers != Answers::default()));
+        for samples in later.keys {
+            match self.keys.iter_mut().find(|k| k.service == samples.service) {
+                Some(known) => known.keys.extend(samples.keys),
+                None => self.keys.push(samples),
+            }
+        }
+    }
+}
+
 /// Keys asked for at one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeySamples {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -14,7 +14,7 @@
 
 use citronway_core::gateway::desk::View;
 use citronway_core::gateway::keeper::{Order, OrderResult, WriteResult};
-use citronway_core::gateway::report::{MAX_KEYS, Report};
+use citronway_core::gateway::report::{self, MAX_KEYS, Report, looks_a_report};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{ServiceName, Session};
@@ -92,6 +92,8 @@
     duty: Duty,
     orders: OrderDesk,
     reports: u64,
+    /// What was seen since the last report.
+    unreported: report::Seen,
     follows: [(Table, Arc<Follow>); 3],
     started: Mono,
     stopping: bool,
@@ -122,6 +124,7 @@
             stop: ends.stop,
             orders: OrderDesk::default(),
             reports: 0,
+            unreported: report::Seen::default(),
             follows: Table::ALL.map(|table| (table, Follow::new())),
             started,
             stopping: false,
@@ -275,13 +278,25 @@
     }
 
     /// Takes an account of the traffic and reports it to the others.
-    fn account(&mut self, socket: &UdpSocket, mut seen: Seen) {
+    fn account(&mut self, socket: &UdpSocket, seen: Seen) {
         let now = clock::mono();
         self.reports += 1;
+        self.duty.work_seen(&seen.work_ms);
+        self.unreported.add(seen.looked);
+        // The keeper is heard often enough that its silence is soon noticed.
+        let looks = looks_a_report(self.beliefs.peers.heard(now) + 1);
+        let looks = if self.duty.in_office() {
+            looks.min(2)
+        } else {
+            looks
+        };
+        if !self.reports.is_multiple_of(looks) {
+            return;
+        }
+        let mut seen = std::mem::take(&mut self.unreported);
         for samples in &mut seen.keys {
             samples.keys.truncate(MAX_KEYS);
         }
-        self.duty.work_seen(&seen.work_ms);
         let report = Report {
             instance: self.me.instance.clone(),
             session: self.me.id,
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -5,14 +5,16 @@
 use citronway_core::gateway::desk::Standing;
 use citronway_core::gateway::election::{KeeperRow, PeerSight};
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
-use citronway_core::gateway::report::{EndpointUse, Report, Versions};
+use citronway_core::gateway::report::{EndpointUse, REPORT_MS, Report, Versions, looks_a_report};
 use citronway_core::gateway::share::Demand;
 use citronway_core::ids::{InstanceName, Session};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 
-/// Silence after which a report no longer counts, in milliseconds.
+/// Silence after which a report no longer counts, in milliseconds: ten reports where
+/// all are sent, and three where they are rare.
 const STALE_MS: u64 = 1_000;
+const STALE_REPORTS: u64 = 3;
 
 /// Silence of the keeper after which its rows are no longer waited for, in
 /// milliseconds: six reports.
@@ -161,10 +163,12 @@
     }
 
     fn fresh(&self, now: Mono) -> impl Iterator<Item = (&InstanceName, &Peer)> {
+        let rarest = looks_a_report(self.all.len()) * REPORT_MS * STALE_REPORTS;
+        let stale_ms = rarest.max(STALE_MS);
         self.all.iter().filter(move |(_, peer)| {
             peer.sight
                 .as_ref()
-                .is_some_and(|sight| now.since(sight.heard) < STALE_MS)
+                .is_some_and(|sight| now.since(sight.heard) < stale_ms)
         })
     }
 }
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -6,7 +6,7 @@
 use citronway_core::gateway::budget::{SecondSends, SharedLimit};
 use citronway_core::gateway::desk::{Choice, Desk, Job, Verdict, View};
 use citronway_core::gateway::pace::{Answers, EndpointTag};
-use citronway_core::gateway::report::{EndpointUse, KeySamples, MAX_KEYS};
+use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{EndpointName, ServiceName};
@@ -299,8 +299,10 @@
             .into_iter()
             .map(|(service, (sum, count))| (service, sum / count));
         Seen {
-            endpoints,
-            keys: samples.collect(),
+            looked: report::Seen {
+                endpoints,
+                keys: samples.collect(),
+            },
             work_ms: work_ms.collect(),
         }
     }
