--- a/crates/citronway-core/src/gateway/desk/job.rs
+++ b/crates/citronway-core/src/gateway/desk/job.rs
@@ -25,6 +25,8 @@
     pub objective_at: Mono,
     /// Then its caller or its route no longer waits.
     pub last_at: Mono,
+    /// Until then its caller could come back.
+    pub caller_until: Mono,
     /// Usual time of work of its route, in milliseconds.
     pub work_ms: u64,
     /// Endpoints that it was sent to.
--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -35,6 +35,9 @@
 /// not take it back, and the next owner has another fence.
 const RELEASED_MS: u64 = 1_500;
 
+/// The same where nobody serves the request at the moment: a move takes up to this long.
+const MOVE_RETRY_MS: u64 = 400;
+
 /// Ranks of priority that are counted apart; the rest count with the last.
 const RANKS: usize = 4;
 
@@ -279,9 +282,15 @@
     if due < job.last_at {
         return None;
     }
-    let left = job.last_at.since(now);
+    let left = job.caller_until.since(now);
+    let least = match cause {
+        RefusalReason::KeyUnowned | RefusalReason::Unreachable | RefusalReason::NoEndpoint => {
+            MOVE_RETRY_MS
+        }
+        _ => MIN_RETRY_MS,
+    };
     // Spread by a fifth to either side, so that callers do not return together.
-    let wish = wait_ms.max(MIN_RETRY_MS) * (80 + job.ticket % 41) / 100;
+    let wish = wait_ms.max(least) * (80 + job.ticket % 41) / 100;
     Some(Refusal {
         reason: cause,
         retry_after_ms: wish.min(left / 3).max(MIN_RETRY_MS),
--- a/crates/citronway-core/tests/desk_support/mod.rs
+++ b/crates/citronway-core/tests/desk_support/mod.rs
@@ -112,6 +112,7 @@
         arrived: now,
         objective_at: now.plus(600),
         last_at: now.plus(2_000),
+        caller_until: now.plus(4_000),
         work_ms: 200,
         tried: Vec::new(),
     }
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use citronway_core::gateway::assignment::Range;
 use citronway_core::gateway::desk::{Choice, Job, Refusal, RefusalReason, Verdict};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointName;
@@ -86,7 +87,10 @@
         loop {
             let choice = match self.state.place(self.job.clone()).await {
                 Some(Verdict::Send(choice)) => choice,
-                Some(Verdict::Refuse(refusal)) => return self.refused(refusal),
+                Some(Verdict::Refuse(refusal)) => {
+                    self.log_beliefs(refusal.reason);
+                    return self.refused(refusal);
+                }
                 None => return not_run(RefusalReason::Overloaded, DEFAULT_RETRY_MS),
             };
             let in_flight = self.state.in_flight(&choice);
@@ -131,6 +135,31 @@
         }
     }
 
+    /// Logs what a refusal was decided by, with versions.
+    fn log_beliefs(&self, reason: RefusalReason) {
+        let request = shown_id(self.words);
+        let service = self.job.service.as_str();
+        let key = self.job.key;
+        let waiting = self.state.waiting();
+        let view = self.state.view.borrow();
+        let routes = view.routes.as_ref().map_or(0, |routes| routes.version.0);
+        let owners = view.owners.get(&self.job.service);
+        let range = owners
+            .zip(key)
+            .and_then(|(owners, key)| owners.assignment.at(key));
+        let owner = range.map_or("-", |range| range.holder.endpoint.as_str());
+        let fence = range.map_or(0, |range| range.holder.fence);
+        let moving = range.is_some_and(Range::is_moving);
+        let row = owners.map_or(0, |owners| owners.version.0);
+        let instances = view.instances;
+        let key = key.map_or(-1, i32::from);
+        log::info!(
+            request, service, key, owner, fence, moving, row, routes, waiting, instances,
+            reason = reason.word();
+            "no place found"
+        );
+    }
+
     /// Takes an endpoint's answer; `None` if another endpoint is to be asked.
     fn answered(&mut self, now: Mono, choice: &Choice, answer: Answer) -> Option<Outcome> {
         if answer.status.is_server_error() {
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -93,6 +93,7 @@
         arrived,
         objective_at: arrived.plus(route.objective_ms).minus(spent_ms),
         last_at: arrived.plus(wait_ms),
+        caller_until: arrived.plus(stated_ms),
         work_ms,
         tried: Vec::new(),
     };
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -238,6 +238,11 @@
         self.pump();
     }
 
+    /// Requests that wait at this instance.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
     /// Resolves once a request waits.
     pub(super) async fn anyone_waits(&self) {
         while self.waiting.borrow().is_empty() {
