--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -5,9 +5,6 @@
 use citronway_core::gateway::keeper::{
     Action, Keeper, KeeperSettings, Order, OrderResult, WriteResult,
 };
-use citronway_core::gateway::keyload::KeyLoad;
-use citronway_core::gateway::pace::EndpointTag;
-use citronway_core::gateway::placement::{self, Place, Scene};
 use citronway_core::gateway::report::Report;
 use citronway_core::ids::{ServiceName, Session, Version};
 use citronway_core::time::Mono;
@@ -15,26 +12,9 @@
 use indexmap::IndexMap;
 
 use super::beliefs::{self, Beliefs};
+use super::placing::Placing;
 use super::store::{IDLE_WAIT_MS, KEEPER_WAIT_MS};
 
-/// Time between two looks at the placement, in milliseconds: as often as reports come.
-const PLACE_MS: u64 = 100;
-
-/// The same after moves have begun: these show in the queues first.
-const AFTER_MOVES_MS: u64 = 300;
-
-/// Time in which samples of keys lose half of their weight, in milliseconds, while no
-/// endpoint has a queue: long enough that chance does not move keys.
-const CALM_HALF_LIFE_MS: f64 = 1_500.0;
-
-/// The same while one has: a hot range lasts a few seconds, and its callers queue
-/// until it is seen.
-const BUSY_HALF_LIFE_MS: f64 = 400.0;
-
-/// How long the first endpoint of a service is listed before its keys are divided,
-/// in milliseconds: others that start with it list themselves meanwhile.
-const FOUND_AFTER_MS: u64 = 1_200;
-
 /// Time between two claims that failed, in milliseconds.
 const CLAIM_PAUSE_MS: u64 = 500;
 
@@ -46,9 +26,6 @@
 /// milliseconds: longer than a poll with its limit, well before its grants have to end.
 const UNCONFIRMED_MS: u64 = 2_500;
 
-/// Time of work that is assumed until answers show it, in milliseconds.
-const FIRST_WORK_MS: f64 = 200.0;
-
 /// A row to be written.
 #[derive(Debug)]
 pub(super) struct RowWrite {
@@ -67,30 +44,13 @@
     pub wait_ms: u64,
 }
 
-/// Load of a service's keys, seen over a longer and a shorter time.
-#[derive(Debug)]
-struct Loads {
-    calm: KeyLoad,
-    busy: KeyLoad,
-}
-
-impl Loads {
-    fn new(now: Mono) -> Self {
-        Self {
-            calm: KeyLoad::new(now, CALM_HALF_LIFE_MS),
-            busy: KeyLoad::new(now, BUSY_HALF_LIFE_MS),
-        }
-    }
-}
-
 #[derive(Debug)]
 pub(super) struct Duty {
     me: Session,
     started: Mono,
     cfg: KeeperSettings,
     keepers: IndexMap<ServiceName, Keeper>,
-    loads: IndexMap<ServiceName, Loads>,
-    work_ms: IndexMap<ServiceName, f64>,
+    placing: Placing,
     /// Row by which this instance is in office.
     office: Option<KeeperRow>,
     /// Highest term that was heard of.
@@ -98,7 +58,6 @@
     contact: Mono,
     claiming: bool,
     claim_after: Mono,
-    place_after: Mono,
     cleared: bool,
     /// Until then earlier keepers may have given holds.
     rival_until: Mono,
@@ -113,14 +72,12 @@
             started,
             cfg: KeeperSettings::default(),
             keepers: IndexMap::new(),
-            loads: IndexMap::new(),
-            work_ms: IndexMap::new(),
+            placing: Placing::default(),
             office: None,
             term: 0,
             contact: Mono::default(),
             claiming: false,
             claim_after: Mono::default(),
-            place_after: Mono::default(),
             cleared: false,
             rival_until: Mono::default(),
             unfit_for: None,
@@ -232,7 +189,7 @@
         self.office = Some(row.clone());
         self.contact = asked;
         self.cleared = false;
-        self.loads.clear();
+        self.placing.begin();
         for service in beliefs.sharded() {
             self.keepers
                 .entry(service.clone())
@@ -286,25 +243,13 @@
 
     /// Takes the usual time of work at each service.
     pub(super) fn work_seen(&mut self, work_ms: &[(ServiceName, f64)]) {
-        for (service, ms) in work_ms {
-            self.work_ms.insert(service.clone(), *ms);
-        }
+        self.placing.work_seen(work_ms);
     }
 
     /// Takes the keys that an instance, this one too, was asked for.
     pub(super) fn traffic_seen(&mut self, now: Mono, report: &Report) {
-        if self.office.is_none() {
-            return;
-        }
-        for samples in &report.keys {
-            let loads = self
-                .loads
-                .entry(samples.service.clone())
-                .or_insert_with(|| Loads::new(now));
-            for key in &samples.keys {
-                loads.calm.add(*key);
-                loads.busy.add(*key);
-            }
+        if self.office.is_some() {
+            self.placing.traffic_seen(now, report);
         }
     }
 
@@ -330,10 +275,7 @@
                 keeper
             });
         }
-        if now >= self.place_after {
-            self.place_after = now.plus(PLACE_MS);
-            self.place(now, beliefs);
-        }
+        self.placing.place(now, beliefs, &mut self.keepers);
         for keeper in self.keepers.values_mut() {
             for action in keeper.step(now, &beliefs.registry) {
                 match action {
@@ -438,63 +380,6 @@
             put: vec![(beliefs::KEEPER_KEY.to_owned(), value)],
         })
     }
-
-    fn place(&mut self, now: Mono, beliefs: &Beliefs) {
-        for (service, keeper) in &mut self.keepers {
-            keeper.forget_absent(&beliefs.registry);
-            let listed: Vec<_> = beliefs.registry.of(service).collect();
-            if keeper.row().ranges.is_empty() {
-                let first = listed.iter().map(|known| known.first_seen).min();
-                if first.is_some_and(|at| now.since(at) >= FOUND_AFTER_MS) {
-                    let usable = listed.iter().filter(|known| known.takes_work());
-                    let usable: Vec<_> = usable.map(|known| &known.listing).collect();
-                    keeper.found(&usable);
-                }
-                continue;
-            }
-            if keeper.is_cut_off(now) {
-                continue;
-            }
-            let work_ms = self.work_ms.get(service).copied().unwrap_or(FIRST_WORK_MS);
-            let mut places = Vec::new();
-            let mut queues = false;
-            for known in listed {
-                let tag = EndpointTag::of(&known.listing.id);
-                let queue = beliefs.waiting(now, tag) > known.listing.slots;
-                queues |= queue;
-                let slowness = beliefs.paces.slowness(now, tag);
-                let healthy = 1.0 - beliefs.paces.failing(now, tag).min(0.9);
-                let lost = keeper.is_lost(now, &known.listing.id);
-                places.push(Place {
-                    endpoint: known.listing.id.clone(),
-                    capacity: f64::from(known.listing.slots) * 1_000.0 * healthy
-                        / (work_ms * slowness),
-                    takes: known.takes_work() && !lost && known.warm_at <= now,
-                    must_leave: lost || !known.takes_work(),
-                    queue,
-                });
-            }
-            let loads = self
-                .loads
-                .entry(service.clone())
-                .or_insert_with(|| Loads::new(now));
-            loads.calm.fade(now);
-            loads.busy.fade(now);
-            let load = if queues { &loads.busy } else { &loads.calm };
-            let scene = Scene {
-                row: keeper.row(),
-                load,
-                per_s: load.per_second(),
-                places: &places,
-            };
-            let moves = placement::propose(&scene);
-            if !moves.is_empty() {
-                self.place_after = now.plus(AFTER_MOVES_MS);
-                log::info!(service = service.as_str(), moves = moves.len(); "moves begin");
-                keeper.start(&moves, &beliefs.registry);
-            }
-        }
-    }
 }
 
 fn row_write(
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -4,6 +4,7 @@
 mod duty;
 mod orders;
 mod peers;
+mod placing;
 mod store;
 
 use std::io;
--- /dev/null
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -0,0 +1,174 @@
+//! Looks at the load of keys and endpoints and has the keepers begin moves.
+
+use citronway_core::gateway::keeper::Keeper;
+use citronway_core::gateway::keyload::KeyLoad;
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::placement::{self, Place, Scene};
+use citronway_core::gateway::registry::Known;
+use citronway_core::gateway::report::Report;
+use citronway_core::ids::ServiceName;
+use citronway_core::time::Mono;
+use indexmap::IndexMap;
+
+use super::beliefs::Beliefs;
+
+/// Time between two looks at the placement, in milliseconds: as often as reports come.
+const PLACE_MS: u64 = 100;
+
+/// The same after moves have begun: these show in the queues first.
+const AFTER_MOVES_MS: u64 = 300;
+
+/// Time in which samples of keys lose half of their weight, in milliseconds, while no
+/// endpoint has a queue: long enough that chance does not move keys.
+const CALM_HALF_LIFE_MS: f64 = 1_500.0;
+
+/// The same while one has: a hot range lasts a few seconds, and its callers queue
+/// until it is seen.
+const BUSY_HALF_LIFE_MS: f64 = 400.0;
+
+/// How long the first endpoint of a service is listed before its keys are divided,
+/// in milliseconds: others that start with it list themselves meanwhile.
+const FOUND_AFTER_MS: u64 = 1_200;
+
+/// Time of work that is assumed until answers show it, in milliseconds.
+const FIRST_WORK_MS: f64 = 200.0;
+
+/// Largest share of failures that an endpoint's capacity is reduced by; some of its
+/// requests still have to show whether it is well again.
+const MOST_FAILING: f64 = 0.9;
+
+/// Load of a service's keys, seen over a longer and a shorter time.
+#[derive(Debug)]
+struct Loads {
+    calm: KeyLoad,
+    busy: KeyLoad,
+}
+
+impl Loads {
+    fn new(now: Mono) -> Self {
+        Self {
+            calm: KeyLoad::new(now, CALM_HALF_LIFE_MS),
+            busy: KeyLoad::new(now, BUSY_HALF_LIFE_MS),
+        }
+    }
+}
+
+/// What the placement of all services rests on.
+#[derive(Debug, Default)]
+pub(super) struct Placing {
+    loads: IndexMap<ServiceName, Loads>,
+    work_ms: IndexMap<ServiceName, f64>,
+    after: Mono,
+}
+
+impl Placing {
+    /// Begins without knowledge of loads, as a new keeper does.
+    pub(super) fn begin(&mut self) {
+        self.loads.clear();
+    }
+
+    /// Takes the usual time of work at each service, in milliseconds.
+    pub(super) fn work_seen(&mut self, work_ms: &[(ServiceName, f64)]) {
+        for (service, ms) in work_ms {
+            self.work_ms.insert(service.clone(), *ms);
+        }
+    }
+
+    /// Takes the keys that an instance was asked for.
+    pub(super) fn traffic_seen(&mut self, now: Mono, report: &Report) {
+        for samples in &report.keys {
+            let loads = self
+                .loads
+                .entry(samples.service.clone())
+                .or_insert_with(|| Loads::new(now));
+            for key in &samples.keys {
+                loads.calm.add(*key);
+                loads.busy.add(*key);
+            }
+        }
+    }
+
+    /// Looks at all services, if it is time.
+    pub(super) fn place(
+        &mut self,
+        now: Mono,
+        beliefs: &Beliefs,
+        keepers: &mut IndexMap<ServiceName, Keeper>,
+    ) {
+        if now < self.after {
+            return;
+        }
+        self.after = now.plus(PLACE_MS);
+        for (service, keeper) in keepers {
+            keeper.forget_absent(&beliefs.registry);
+            if keeper.row().ranges.is_empty() {
+                found(now, beliefs, service, keeper);
+            } else if !keeper.is_cut_off(now) {
+                self.move_keys(now, beliefs, service, keeper);
+            }
+        }
+    }
+
+    fn move_keys(
+        &mut self,
+        now: Mono,
+        beliefs: &Beliefs,
+        service: &ServiceName,
+        keeper: &mut Keeper,
+    ) {
+        let work_ms = self.work_ms.get(service).copied().unwrap_or(FIRST_WORK_MS);
+        let listed = beliefs.registry.of(service);
+        let places: Vec<_> = listed
+            .map(|known| place_of(now, beliefs, keeper, known, work_ms))
+            .collect();
+        let loads = self
+            .loads
+            .entry(service.clone())
+            .or_insert_with(|| Loads::new(now));
+        loads.calm.fade(now);
+        loads.busy.fade(now);
+        let queues = places.iter().any(|place| place.queue);
+        let load = if queues { &loads.busy } else { &loads.calm };
+        let scene = Scene {
+            row: keeper.row(),
+            load,
+            per_s: load.per_second(),
+            places: &places,
+        };
+        let moves = placement::propose(&scene);
+        if moves.is_empty() {
+            return;
+        }
+        self.after = now.plus(AFTER_MOVES_MS);
+        log::info!(service = service.as_str(), moves = moves.len(); "moves begin");
+        keeper.start(&moves, &beliefs.registry);
+    }
+}
+
+/// Divides the keys of a service for the first time.
+fn found(now: Mono, beliefs: &Beliefs, service: &ServiceName, keeper: &mut Keeper) {
+    let listed: Vec<_> = beliefs.registry.of(service).collect();
+    let first = listed.iter().map(|known| known.first_seen).min();
+    if first.is_none_or(|at| now.since(at) < FOUND_AFTER_MS) {
+        return;
+    }
+    let usable = listed.iter().filter(|known| known.takes_work());
+    let usable: Vec<_> = usable.map(|known| &known.listing).collect();
+    keeper.found(&usable);
+}
+
+/// An endpoint as the placement sees it.
+fn place_of(now: Mono, beliefs: &Beliefs, keeper: &Keeper, known: &Known, work_ms: f64) -> Place {
+    let listing = &known.listing;
+    let tag = EndpointTag::of(&listing.id);
+    let healthy = 1.0 - beliefs.paces.failing(now, tag).min(MOST_FAILING);
+    let lost = keeper.is_lost(now, &listing.id);
+    let taken_ms = work_ms * beliefs.paces.slowness(now, tag);
+    Place {
+        endpoint: listing.id.clone(),
+        capacity: f64::from(listing.slots) * 1_000.0 * healthy / taken_ms,
+        takes: known.takes_work() && !lost && known.warm_at <= now,
+        must_leave: lost || !known.takes_work(),
+        queue: beliefs.waiting(now, tag) > listing.slots,
+    }
+}
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -285,11 +285,11 @@
     }
 
     async fn link(&self, choice: &Choice) -> Result<Link, CallError> {
-        let kept = self
-            .state
-            .pool
-            .borrow_mut()
-            .take(clock::mono(), choice.address);
+        let kept =
+            self.state
+                .pool
+                .borrow_mut()
+                .take(clock::mono(), choice.address, self.job.repeat);
         match kept {
             Some(link) => Ok(link),
             None => self.open(choice).await,
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use citronway_core::gateway::routes::Repeat;
 use citronway_core::time::Mono;
 use http::HeaderMap;
 use indexmap::IndexMap;
@@ -15,6 +16,10 @@
 /// endpoint states none.
 const IDLE_MS: u64 = 4_000;
 
+/// Idle time of a connection up to which work that may not be repeated is sent on it, in
+/// milliseconds; endpoints state ten seconds and at times keep to a third of it.
+const SURE_IDLE_MS: u64 = 2_000;
+
 /// How long before the stated end an idle connection is left alone, in milliseconds:
 /// a request that crosses the endpoint's close may or may not have run.
 const IDLE_MARGIN_MS: u64 = 1_000;
@@ -29,15 +34,23 @@
 #[derive(Debug)]
 struct Idle {
     link: Link,
+    since: Mono,
     usable_until: Mono,
 }
 
 impl Pool {
     /// Takes a connection that is fit for another request, the one used last.
-    pub fn take(&mut self, now: Mono, address: SocketAddr) -> Option<Link> {
+    pub fn take(&mut self, now: Mono, address: SocketAddr, repeat: Repeat) -> Option<Link> {
         let idle = self.idle.get_mut(&address)?;
         while let Some(kept) = idle.pop() {
-            if now < kept.usable_until && kept.link.is_usable() {
+            // Failure: an endpoint forgets an idle connection without a word, and what
+            // is sent on it next is reset; work that may not be repeated is then lost.
+            // One that was used a moment ago is not forgotten yet.
+            let fresh = match repeat {
+                Repeat::Idempotent => true,
+                Repeat::AtMostOnce => now.since(kept.since) < SURE_IDLE_MS,
+            };
+            if fresh && now < kept.usable_until && kept.link.is_usable() {
                 return Some(kept.link);
             }
         }
@@ -55,6 +68,7 @@
         }
         idle.push(Idle {
             link,
+            since: now,
             usable_until: now.plus(idle_ms),
         });
     }
