A late entry of an ended start ends nobody

Starts are now ordered by when each was first seen; entries read at once prove nothing. Tests failing first: a_late_entry_of_an_ended_start_changes_nothing, two_entries_read_at_once_prove_nothing.

--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -7,6 +7,11 @@
 use crate::ids::{EndpointName, ServiceName, ZoneName};
 use crate::time::Mono;
 
+/// Starts that are remembered beyond those listed before old ones are forgotten, and how
+/// long each is at least, in milliseconds: late entries come within seconds.
+const REMEMBERED_STARTS: usize = 1_000;
+const REMEMBERED_MS: u64 = 600_000;
+
 /// How long an entry that is missing after an outage of the store is still
 /// believed, in milliseconds.
 ///
@@ -74,6 +79,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     known: IndexMap<EndpointName, Known>,
+    /// When each start was seen for the first time, also of those no longer listed.
+    first_seen: IndexMap<EndpointName, Mono>,
     /// Set while the store does not answer; then when it came back.
     store: StoreSight,
 }
@@ -98,13 +105,23 @@
             known.missing_until = None;
             return;
         }
-        // Two processes cannot listen on one address: the earlier one has ended, also
-        // where its entry has not lapsed yet.
+        // Failure: an entry that an ended start had written arrives late, after its
+        // successor at the address has listed itself. Taken for the newer one, it would
+        // end the living start, whose keys would go elsewhere while it holds them. Two
+        // processes cannot listen on one address one after the other and back again:
+        // the start that was first seen later is the living one.
+        let first = *self.first_seen.entry(listing.id.clone()).or_insert(now);
+        if self.starts_at(listing.address).any(|(_, at)| at > first) {
+            return;
+        }
+        let address = listing.address;
+        let seen = &self.first_seen;
+        let earlier = |id: &EndpointName| seen.get(id).is_some_and(|at| *at < first);
         self.known
-            .retain(|_, known| known.listing.address != listing.address);
+            .retain(|id, known| known.listing.address != address || !earlier(id));
         let known = Known {
             listing,
-            first_seen: now,
+            first_seen: first,
             warm_at,
             draining_since,
             missing_until: None,
@@ -156,8 +173,20 @@
         }
     }
 
+    /// Whether entries have stayed missing for too long.
+    #[must_use]
+    pub fn has_expired(&self, now: Mono) -> bool {
+        let mut missing = self.known.values().filter_map(|known| known.missing_until);
+        missing.any(|end| end <= now)
+    }
+
     /// Drops entries that stayed missing; returns whether any were.
     pub fn expire(&mut self, now: Mono) -> bool {
+        if self.first_seen.len() > self.known.len() + REMEMBERED_STARTS {
+            let known = &self.known;
+            self.first_seen
+                .retain(|id, at| known.contains_key(id) || now.since(*at) < REMEMBERED_MS);
+        }
         let before = self.known.len();
         self.known
             .retain(|_, known| known.missing_until.is_none_or(|end| now < end));
@@ -185,13 +214,23 @@
     ///
     /// Two processes cannot listen on one address, so the earlier one has ended
     /// and holds nothing, whatever was granted to it.
+    ///
+    /// Only a start that was first seen after `id` proves it.
     #[must_use]
     pub fn replaced_at(&self, id: &EndpointName, address: SocketAddr) -> bool {
-        let first = self.known.get(id).map(|known| known.first_seen);
-        self.iter().any(|other| {
-            other.listing.address == address
-                && other.listing.id != *id
-                && first.is_none_or(|first| other.first_seen > first)
-        })
+        let Some(first) = self.first_seen.get(id) else {
+            return false;
+        };
+        self.starts_at(address)
+            .any(|(other, at)| other != id && at > *first)
+    }
+
+    /// Listed starts at an address, and when each was first seen.
+    fn starts_at(&self, address: SocketAddr) -> impl Iterator<Item = (&EndpointName, Mono)> {
+        let at = self
+            .known
+            .iter()
+            .filter(move |(_, k)| k.listing.address == address);
+        at.filter_map(|(id, _)| self.first_seen.get(id).map(|first| (id, *first)))
     }
 }
--- a/crates/citronway-core/tests/gateway_registry.rs
+++ b/crates/citronway-core/tests/gateway_registry.rs
@@ -76,6 +76,50 @@
     expect_that!(registry.replaced_at(&old, address), eq(true));
 }
 
+/// An endpoint crashes behind a cut and starts again under another name. Seconds later
+/// an entry that the first start had written arrives at last. Whoever takes that for
+/// the newer start drops the living one, and gives its keys to another endpoint while
+/// it still works on them.
+#[gtest]
+fn a_late_entry_of_an_ended_start_changes_nothing() {
+    let mut registry = two();
+    let address = listing("one", 1).address;
+    registry.put(Mono(5), listing("three", 1));
+    registry.put(Mono(9), listing("one", 1));
+    expect_that!(names(&registry), elements_are![eq("two"), eq("three")]);
+    expect_that!(
+        registry.replaced_at(&EndpointName::new("three"), address),
+        eq(false)
+    );
+    expect_that!(
+        registry.replaced_at(&EndpointName::new("one"), address),
+        eq(true)
+    );
+}
+
+/// A process starts and reads two entries with one address. Nothing tells which start
+/// is the later one, so neither is taken for ended.
+#[gtest]
+fn two_entries_read_at_once_prove_nothing() {
+    let mut registry = Registry::default();
+    let address = listing("one", 1).address;
+    registry.replace(Mono(5), vec![listing("one", 1), listing("three", 1)]);
+    for id in ["one", "three", "never-seen"] {
+        expect_that!(
+            registry.replaced_at(&EndpointName::new(id), address),
+            eq(false)
+        );
+    }
+}
+
+#[gtest]
+fn a_start_that_was_cut_off_is_listed_again() {
+    let mut registry = two();
+    registry.remove(Mono(5), &EndpointName::new("one"));
+    registry.put(Mono(9), listing("one", 1));
+    expect_that!(names(&registry).len(), eq(2));
+}
+
 #[gtest]
 fn a_draining_endpoint_keeps_its_keys_for_a_moment_only() -> Result<()> {
     let mut registry = two();
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -343,8 +343,8 @@
 
     /// Drops entries of endpoints that stayed missing after an outage.
     pub(super) fn expire(&mut self, now: Mono) {
-        if Arc::make_mut(&mut self.registry).expire(now) {
-            self.changed = true;
+        if self.registry.has_expired(now) {
+            self.changed |= Arc::make_mut(&mut self.registry).expire(now);
         }
     }
 
