A request that had no time left blames no endpoint; a failed endpoint's answer is kept

A request whose time ended before it was sent had its endpoint avoided for 250 ms and more; one whose second endpoint could not be asked lost the first one's answer; a time that ended while connecting was told as perhaps run though nothing was sent.

--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -12,7 +12,7 @@
 use citronway_platform::exchange::{self, CallerWords, Meaning};
 use http::{Method, Request, Uri};
 
-use super::outcome::{DEFAULT_RETRY_MS, Outcome, not_run, shown_id};
+use super::outcome::{DEFAULT_RETRY_MS, Outcome, shown_id};
 use super::pool;
 use super::state::State;
 use crate::clock;
@@ -65,6 +65,8 @@
     pub run_by: Vec<EndpointName>,
     /// Sends that an endpoint saw.
     pub sends: u32,
+    /// Answer of an endpoint that failed, while another is asked.
+    pub failed: Option<Answer>,
 }
 
 /// What came of one send.
@@ -75,6 +77,8 @@
     Refused(Meaning),
     /// Nothing reached the endpoint.
     Nowhere,
+    /// Nothing was tried: no time was left to work.
+    TooLate,
     /// It may have run there.
     Unknown(&'static str),
     /// The time ended.
@@ -84,6 +88,15 @@
 impl Journey<'_> {
     /// Sends it until it is answered or nothing is left to try.
     pub(super) async fn travel(mut self) -> Outcome {
+        let outcome = self.try_all().await;
+        match (outcome, self.failed) {
+            (answered @ Outcome::Answered(_), _) | (answered, None) => answered,
+            // What an endpoint said is worth more than that another could not be asked.
+            (_, Some(answer)) => Outcome::Answered(answer),
+        }
+    }
+
+    async fn try_all(&mut self) -> Outcome {
         loop {
             let choice = match self.state.place(self.job.clone()).await {
                 Some(Verdict::Send(choice)) => choice,
@@ -91,7 +104,7 @@
                     self.log_beliefs(refusal.reason);
                     return self.refused(refusal);
                 }
-                None => return not_run(RefusalReason::Overloaded, DEFAULT_RETRY_MS),
+                None => return self.spent(RefusalReason::Overloaded),
             };
             let in_flight = self.state.in_flight(&choice);
             let sent = self.send(&choice).await;
@@ -107,6 +120,7 @@
                         return outcome;
                     }
                 }
+                Sent::TooLate => return self.spent(RefusalReason::Overloaded),
                 Sent::Nowhere => {
                     self.state.unreachable(&choice.endpoint);
                     if !self.has_time(now) {
@@ -169,6 +183,7 @@
             self.run_by.push(choice.endpoint.clone());
             let other = choice.fence.is_none() && self.may_run_again();
             if other && now < self.job.objective_at && self.may_send_again(now) {
+                self.failed = Some(answer);
                 return None;
             }
         }
@@ -216,8 +231,9 @@
         let started = clock::mono();
         let left_ms = self.job.last_at.since(started);
         if left_ms < MIN_LEFT_MS {
-            return Sent::Nowhere;
+            return Sent::TooLate;
         }
+        let sends = self.sends;
         let patience_ms = self.patience_ms(choice, left_ms);
         let limit = Duration::from_millis(patience_ms);
         match tokio::time::timeout(limit, self.exchange(choice)).await {
@@ -237,6 +253,8 @@
             Ok(Err(CallError::Timeout)) | Err(_) if patience_ms < left_ms => {
                 Sent::Unknown("the endpoint was silent")
             }
+            // The time ended while the connection was being made.
+            Ok(Err(CallError::Timeout)) | Err(_) if self.sends == sends => Sent::Nowhere,
             Ok(Err(CallError::Timeout)) | Err(_) => Sent::TimedOut,
             Ok(Err(CallError::Cut(_))) => Sent::Unknown("the answer is not whole"),
             Ok(Err(_)) => Sent::Unknown("the connection to the endpoint broke"),
@@ -321,6 +339,7 @@
             let refusal = format!("{meaning:?}");
             log::info!(request, endpoint, fence, sends, refusal; "endpoint did not run it");
         }
+        Sent::TooLate => log::info!(request, endpoint, fence, sends; "no time left to send"),
         Sent::Nowhere => log::info!(request, endpoint, fence, sends; "not sent"),
         Sent::Unknown(cause) => {
             log::info!(request, endpoint, fence, sends, cause; "endpoint may have run it");
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -110,6 +110,7 @@
         job,
         run_by: Vec::new(),
         sends: 0,
+        failed: None,
     };
     journey.travel().await
 }
