--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -110,7 +110,13 @@
             let sent = self.send(&choice).await;
             drop(in_flight);
             let now = clock::mono();
-            log_send(self.words, &choice, &sent, self.sends);
+            log_send(
+                self.words,
+                &choice,
+                &sent,
+                self.sends,
+                now.since(self.job.arrived),
+            );
             if !self.job.tried.contains(&choice.endpoint) {
                 self.job.tried.push(choice.endpoint.clone());
             }
@@ -326,14 +332,15 @@
     answer: Answer,
 }
 
-fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32) {
+/// Logs a send, `ms` after the request's arrival.
+fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32, ms: u64) {
     let request = shown_id(words);
     let endpoint = choice.endpoint.as_str();
     let fence = choice.fence.unwrap_or_default();
     match sent {
         Sent::Answer(answer) => {
             let status = answer.status.as_u16();
-            log::debug!(request, endpoint, fence, sends, status; "endpoint answered");
+            log::info!(request, endpoint, fence, sends, status, ms; "endpoint answered");
         }
         Sent::Refused(meaning) => {
             let refusal = format!("{meaning:?}");
--- a/crates/citronway/tests/gateway_path.rs
+++ b/crates/citronway/tests/gateway_path.rs
@@ -295,3 +295,16 @@
     until("the balancer is told", || !instance.is_ready());
     until("the process ends", || instance.ended() == Some(0));
 }
+
+/// Whoever collects the logs has stopped reading. The pipe fills up after some hundred
+/// lines; requests are answered all the same.
+#[gtest]
+fn logs_that_nobody_reads_stop_no_request() {
+    let deployment = Deployment::new();
+    let instance = deployment.unread_instance("one");
+    until("the instance is ready", || instance.is_ready());
+    for n in 0..1_000 {
+        let reply = instance.call("GET /look/1", &format!("n{n}"), KEYS[0], "");
+        assert_eq!(reply.status, 200);
+    }
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -104,8 +104,17 @@
         instance
     }
 
+    /// Starts an instance whose logs nobody reads.
+    pub fn unread_instance(&self, name: &str) -> Instance {
+        self.start(name, Stdio::piped())
+    }
+
     /// Starts an instance.
     pub fn instance(&self, name: &str) -> Instance {
+        self.start(name, Stdio::null())
+    }
+
+    fn start(&self, name: &str, logs: Stdio) -> Instance {
         let (callers, ready, inner) = (free(), free(), free_pair());
         let settings = json!({
             "self": {"nodeName": name, "role": "entry", "zone": "a", "region": "r",
@@ -121,7 +130,7 @@
         let process = Command::new(env!("CARGO_BIN_EXE_citronway"))
             .arg("--on-platform")
             .env(SETTINGS, path)
-            .stdout(Stdio::null())
+            .stdout(logs)
             .spawn()
             .expect("the instance starts");
         Instance {
