Tests of the path take addresses of their own

Cause: one of 14 tests of the path failed once (an instance never ready). Played six at a time, 3 of 18 plays failed, with 'Address already in use' from the instance: ports that were free a moment ago had gone to other tests' connections. Ruled out: load (9.6 s a play also six at a time).

--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -3,9 +3,10 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use citronway_standin::shared::{FencedEndpoint, SharedStore};
@@ -26,23 +27,20 @@
     }
 }
 
-/// A port that was free a moment ago.
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback can be bound");
-    listener.local_addr().expect("a listener has an address")
-}
-
-/// Two consecutive ports that were free a moment ago.
-fn free_pair() -> (u16, u16) {
-    loop {
-        let first = free().port();
-        let Some(second) = first.checked_add(1) else {
-            continue;
-        };
-        if TcpListener::bind(("127.0.0.1", second)).is_ok() {
-            return (first, second);
-        }
-    }
+/// Ports of an instance, below those that the system gives out by itself.
+const CALLERS_PORT: u16 = 8_001;
+const READY_PORT: u16 = 8_002;
+const REPORTS_PORT: u16 = 8_003;
+
+/// A loopback address of its own for each instance of each test process.
+///
+/// Ports that were free a moment ago are taken by other tests' connections, and an
+/// instance that starts does not get them.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id().to_be_bytes();
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 1 + process[2] % 250, process[3], n)
 }
 
 /// Store and endpoints: `a` and `b` divide the keys of `batch`, `c` serves `console`.
@@ -115,12 +113,14 @@
     }
 
     fn start(&self, name: &str, logs: Stdio) -> Instance {
-        let (callers, ready, inner) = (free(), free(), free_pair());
+        let ip = own_address();
+        let callers = SocketAddr::from((ip, CALLERS_PORT));
+        let ready = SocketAddr::from((ip, READY_PORT));
         let settings = json!({
             "self": {"nodeName": name, "role": "entry", "zone": "a", "region": "r",
-                "ip": "127.0.0.1", "limits": {"memoryMb": 260}},
+                "ip": ip, "limits": {"memoryMb": 260}},
             "network": {"listen": {"front": callers, "ready": ready},
-                "portRange": [inner.0, inner.1], "seeds": [], "zones": {"a": "r"}},
+                "portRange": [REPORTS_PORT, REPORTS_PORT], "seeds": [], "zones": {"a": "r"}},
             "provider": {"heartbeatS": 1.0, "provider": {"addr": self.store.address()}},
             "terms": {"bounds": {"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64,
                 "graceS": 6, "holdMaxS": 10}},
