Fault soak with real processes; rows stay short and full rows still move keys

Change: whole ranges need no room; neighbours of one holder are joined under a new fence once both are granted; above two pieces an endpoint small ones go to the owner of the piece before them; 1,100 ranges fit.

The soak: three instances as processes behind stand-ins of store and endpoints, a proxy on each link, faults from a seed (kills, pauses, stops, cuts, silence, resets, delays, lost answers, reborn endpoints), promises checked by what callers were told and endpoints ran.

--- a/crates/citronway-core/src/gateway/assignment.rs
+++ b/crates/citronway-core/src/gateway/assignment.rs
@@ -15,9 +15,9 @@
 
 /// Most ranges of one assignment.
 ///
-/// At about 40 bytes a range in its stored form the row stays below half of the
-/// 65,536 bytes that the store allows a row.
-pub const MAX_RANGES: usize = 700;
+/// A range takes 30 to 40 bytes in its stored form and an endpoint about 40. With 500
+/// endpoints the row stays below the 65,536 bytes that the store allows a row.
+pub const MAX_RANGES: usize = 1_100;
 
 /// Fences set aside for one move: seals below, the new owner's on top.
 ///
--- a/crates/citronway-core/src/gateway/keeper/mod.rs
+++ b/crates/citronway-core/src/gateway/keeper/mod.rs
@@ -405,6 +405,7 @@
             self.settle(range);
         }
         row.merge();
+        self.join(&mut row);
         if row == self.row {
             return;
         }
--- a/crates/citronway-core/src/gateway/keeper/moves.rs
+++ b/crates/citronway-core/src/gateway/keeper/moves.rs
@@ -62,7 +62,12 @@
             .endpoint
             .clone()
     };
-    if target(&row.ranges[i]) == to.id || row.ranges.len() + 2 > MAX_RANGES {
+    // Failure: a row that is full of small ranges took no move at all, and keys of
+    // endpoints that had ended were served by nobody. Whole ranges need no room.
+    let cuts =
+        usize::from(row.ranges[i].first < span.first) + usize::from(span.last < row.ranges[i].last);
+    let has_room = cuts == 0 || row.ranges.len() + cuts <= MAX_RANGES;
+    if target(&row.ranges[i]) == to.id || !has_room {
         return false;
     }
     let next = Holder {
@@ -111,6 +116,41 @@
 }
 
 impl Keeper {
+    /// Joins neighbours of one holder under a new fence, which needs no release: the
+    /// holder has all of their keys, and nobody else gets any.
+    ///
+    /// Load: each hot range leaves dozens of cuts behind, and after some minutes the row
+    /// is as long as the store takes.
+    pub(super) fn join(&self, row: &mut Assignment) {
+        let mut i = 1;
+        while i < row.ranges.len() {
+            let (left, right) = (&row.ranges[i - 1], &row.ranges[i]);
+            if !self.can_join(left, right) {
+                i += 1;
+                continue;
+            }
+            let (last, fence) = (right.last, row.draw_fences(FENCES_A_MOVE));
+            row.ranges.remove(i);
+            row.ranges[i - 1].last = last;
+            row.ranges[i - 1].holder.fence = fence;
+            // The joined range has not been granted yet.
+            i += 1;
+        }
+    }
+
+    fn can_join(&self, left: &Range, right: &Range) -> bool {
+        let same = left.holder.endpoint == right.holder.endpoint
+            && left.holder.address == right.holder.address;
+        // The proof of a move goes with the first grant of its fence.
+        let granted = |range: &Range| {
+            let holder = &range.holder;
+            let given = self.holds.get(&holder.endpoint, range.span(), holder.fence);
+            given.is_some_and(|given| given.answered && !given.pending)
+                && !self.handovers.contains_key(&holder.fence)
+        };
+        same && !left.is_moving() && !right.is_moving() && granted(left) && granted(right)
+    }
+
     /// Renews what the row gives and grants what is new.
     pub(super) fn renew(&mut self, now: Mono, registry: &Registry, actions: &mut Vec<Action>) {
         for range in &self.row.ranges {
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -70,6 +70,14 @@
     pub queue: bool,
 }
 
+/// Pieces for each endpoint, and in all, above which small ones go to the owner of the
+/// piece before them: at two for each endpoint a row of 500 is half full.
+const PIECES_AN_ENDPOINT: usize = 2;
+const MIN_PIECES: usize = 200;
+
+/// Pieces that are joined in one plan; each is a move like any other.
+const JOINED_AT_ONCE: usize = 12;
+
 /// What the decision rests on.
 #[derive(Debug, Clone, Copy)]
 pub struct Scene<'a> {
@@ -90,6 +98,7 @@
     plan.empty_leaving();
     plan.use_idle();
     plan.relieve();
+    plan.consolidate();
     plan.into_moves()
 }
 
@@ -294,6 +303,30 @@
         }
     }
 
+    /// Gives small pieces to their neighbours' owners while there are too many.
+    fn consolidate(&mut self) {
+        let most = (self.scene.places.len() * PIECES_AN_ENDPOINT).max(MIN_PIECES);
+        if self.pieces.len() <= most {
+            return;
+        }
+        let mut free: Vec<_> = (1..self.pieces.len())
+            .filter(|i| !self.pieces[*i].moving && self.pieces[*i].to.is_none())
+            .collect();
+        free.sort_by(|a, b| self.pieces[*a].load.total_cmp(&self.pieces[*b].load));
+        let excess = self.pieces.len() - most;
+        for i in free.into_iter().take(excess.min(JOINED_AT_ONCE)) {
+            let load = self.pieces[i].load;
+            let neighbour = self.pieces[i - 1];
+            let Some(to) = self.place(neighbour.owner_to_be()) else {
+                continue;
+            };
+            let fits = self.usage(to, load) < RELIEVE_ABOVE;
+            if to.takes && !to.must_leave && fits && to.endpoint != *self.pieces[i].owner {
+                self.assign(i, to);
+            }
+        }
+    }
+
     fn fullest_first(&self) -> Vec<&'a Place> {
         let places = self.scene.places.iter();
         let mut used: Vec<_> = places.map(|p| (self.usage(p, 0.0), p)).collect();
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_keeper_rows.rs
@@ -0,0 +1,126 @@
+//! Rows that grow long: ranges of one holder are joined, full rows still move keys.
+
+use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
+use citronway_core::gateway::keeper::{
+    Action, Keeper, KeeperSettings, Move, OrderResult, Span, WriteResult,
+};
+use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::ids::{EndpointName, ServiceName, Version, ZoneName};
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+
+const NOW: Mono = Mono(100_000);
+
+fn listing(id: &str, port: u16) -> Listing {
+    Listing {
+        id: EndpointName::new(id),
+        service: ServiceName::new("batch"),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: ZoneName::new("a"),
+        slots: 6,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+/// A row of `count` ranges; the holders take turns.
+fn row(count: usize, holders: &[Listing]) -> Assignment {
+    let mut row = Assignment {
+        next_fence: 1,
+        ranges: Vec::new(),
+    };
+    let width = 65_536 / count;
+    for i in 0..count {
+        let listing = &holders[i % holders.len()];
+        let last = if i + 1 == count {
+            65_535
+        } else {
+            (i + 1) * width - 1
+        };
+        let fence = row.draw_fences(FENCES_A_MOVE);
+        row.ranges.push(Range {
+            first: u16::try_from(i * width).unwrap_or(0),
+            last: u16::try_from(last).unwrap_or(u16::MAX),
+            holder: Holder {
+                endpoint: listing.id.clone(),
+                address: listing.address,
+                fence,
+            },
+            next: None,
+        });
+    }
+    row
+}
+
+fn keeper(row: &Assignment) -> Keeper {
+    let mut keeper = Keeper::new(KeeperSettings::default(), ServiceName::new("batch"));
+    keeper.row_seen(row.clone(), Version(5));
+    keeper.begin(NOW, NOW);
+    keeper
+}
+
+fn written(actions: &[Action]) -> Option<&Assignment> {
+    actions.iter().find_map(|action| match action {
+        Action::Write { row, .. } => Some(row),
+        Action::Order(_) => None,
+    })
+}
+
+/// A range was cut and both parts came to one endpoint. They get one fence above both
+/// of theirs, once both are granted: before, the proof of a move would be lost.
+#[gtest]
+fn neighbours_of_one_holder_are_joined_once_granted() {
+    let mut registry = Registry::default();
+    registry.put(NOW, listing("a", 1));
+    let row = row(2, &[listing("a", 1)]);
+    let mut keeper = keeper(&row);
+    let actions = keeper.step(NOW, &registry);
+    expect_that!(written(&actions), none());
+    for action in actions {
+        if let Action::Order(order) = action {
+            keeper.answered(NOW, &order, &OrderResult::Done { handover: None });
+        }
+    }
+    let actions = keeper.step(NOW.plus(25), &registry);
+    let joined = written(&actions).cloned().unwrap_or_default();
+    expect_that!(joined.ranges.len(), eq(1));
+    let highest = row.ranges.iter().map(|r| r.holder.fence).max().unwrap_or(0);
+    expect_that!(joined.ranges[0].holder.fence, gt(highest));
+    // Nothing is granted by the new fence before the row stands.
+    let fences = |actions: &[Action]| {
+        let orders = actions.iter().filter_map(|action| match action {
+            Action::Order(order) => Some(order.fence),
+            Action::Write { .. } => None,
+        });
+        orders.max().unwrap_or(0)
+    };
+    expect_that!(fences(&actions), le(highest));
+    let fence = joined.ranges[0].holder.fence;
+    keeper.wrote(NOW.plus(30), WriteResult::Done(joined, Version(6)));
+    let actions = keeper.step(NOW.plus(50), &registry);
+    expect_that!(fences(&actions), eq(fence));
+}
+
+/// Hot ranges had cut a row up until it was full. Then an endpoint ended, and since no
+/// row took another range, its keys were served by nobody for the rest of the day.
+#[gtest]
+fn a_full_row_still_gives_whole_ranges_to_others() {
+    let holders = [listing("a", 1), listing("b", 2)];
+    let mut registry = Registry::default();
+    for holder in &holders {
+        registry.put(NOW, holder.clone());
+    }
+    let row = row(MAX_RANGES, &holders);
+    let mut keeper = keeper(&row);
+    keeper.step(NOW, &registry);
+    let Range { first, last, .. } = row.ranges[10];
+    let to = EndpointName::new("b");
+    let whole = Move {
+        span: Span { first, last },
+        to,
+    };
+    keeper.start(std::slice::from_ref(&whole), &registry);
+    let actions = keeper.step(NOW.plus(25), &registry);
+    let moving = written(&actions).is_some_and(|row| row.ranges[10].is_moving());
+    expect_that!(moving, eq(true));
+}
--- a/crates/citronway-core/tests/gateway_placement.rs
+++ b/crates/citronway-core/tests/gateway_placement.rs
@@ -259,3 +259,37 @@
     let begun = moves(&row, &load, &places);
     expect_that!(begun.len(), ge(30));
 }
+
+/// Each hot range leaves dozens of cuts behind. After half a minute the row was as long
+/// as the store takes, nothing could be cut any more, and hot ranges stayed whole.
+#[gtest]
+fn small_pieces_go_to_their_neighbours_owners_when_there_are_too_many() {
+    let ids = ["a", "b", "c"];
+    let mut row = even(&ids);
+    let template = row.ranges[0].clone();
+    row.ranges.clear();
+    for n in 0..256_u16 {
+        let mut piece = template.clone();
+        piece.first = n * 256;
+        piece.last = n * 256 + 255;
+        piece.holder.endpoint = EndpointName::new(ids[usize::from(n) % 3]);
+        piece.holder.fence = row.draw_fences(FENCES_A_MOVE);
+        row.ranges.push(piece);
+    }
+    let load = KeyLoad::new(Mono(0), 1_500.0);
+    let begun = moves(&row, &load, &ids.map(place));
+    let mut after = row.clone();
+    for wish in &begun {
+        let moved = after.ranges.iter_mut().find(|r| r.first == wish.span.first);
+        if let Some(range) = moved {
+            range.holder.endpoint = wish.to.clone();
+        }
+    }
+    let joints = |row: &Assignment| {
+        let pairs = row.ranges.windows(2);
+        pairs
+            .filter(|p| p[0].holder.endpoint != p[1].holder.endpoint)
+            .count()
+    };
+    expect_that!(joints(&after) + 8, le(joints(&row)));
+}
--- a/crates/citronway-standin/src/lib.rs
+++ b/crates/citronway-standin/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod platform;
 pub mod process;
 pub mod shared;
+pub mod soak;
 pub mod tour;
 pub mod trial;
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use serde::Deserialize;
 use serde_json::json;
+use tokio::sync::Notify;
 
 use super::serve::{Answer, Background};
 
@@ -40,6 +41,8 @@
     name: String,
     sharded: bool,
     state: Mutex<State>,
+    /// A run has ended.
+    ended: Notify,
 }
 
 #[derive(Debug)]
@@ -49,6 +52,10 @@
     work: Duration,
     drop_answers: bool,
     full: bool,
+    /// Answers name the request.
+    echo: bool,
+    /// Keys of requests that are being run.
+    running: Vec<u16>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -82,7 +89,10 @@
                 work: Duration::from_millis(1),
                 drop_answers: false,
                 full: false,
+                echo: false,
+                running: Vec::new(),
             }),
+            ended: Notify::new(),
         });
         let served = Arc::clone(&shared);
         let server = Background::start(move |req| handle(Arc::clone(&served), req))?;
@@ -132,6 +142,11 @@
         self.shared.lock().work = work;
     }
 
+    /// Names the request in each answer from now on.
+    pub fn echo(&self) {
+        self.shared.lock().echo = true;
+    }
+
     /// Runs requests and closes the connection without an answer.
     pub fn drop_answers(&self, drops: bool) {
         self.shared.lock().drop_answers = drops;
@@ -149,7 +164,43 @@
     }
 }
 
+impl Shared {
+    /// Resolves once no request on these keys is being run.
+    async fn until_idle(&self, keys: &Keys) {
+        loop {
+            let ended = self.ended.notified();
+            if !self.lock().is_running(keys) {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
+
+/// A request on a key that is being run; it ends with this.
+struct Running<'a> {
+    shared: &'a Shared,
+    key: Option<u16>,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.lock();
+        let place = state.running.iter().position(|key| Some(*key) == self.key);
+        if let Some(place) = place {
+            state.running.swap_remove(place);
+        }
+        drop(state);
+        self.shared.ended.notify_waiters();
+    }
+}
+
 impl State {
+    fn is_running(&self, keys: &Keys) -> bool {
+        let span = keys.from..=keys.target;
+        self.running.iter().any(|key| span.contains(key))
+    }
+
     fn holds(&self, key: u16) -> bool {
         let until = self.keys[usize::from(key)].until;
         until.is_some_and(|until| Instant::now() < until)
@@ -190,6 +241,7 @@
         return Some(plain(shared.lock().grant(&keys)));
     }
     shared.lock().release(&keys);
+    shared.until_idle(&keys).await;
     let mut answer = plain(StatusCode::OK);
     if let Ok(token) = format!("{:x}", keys.fence).parse() {
         answer.headers_mut().insert("x-handover", token);
@@ -218,13 +270,22 @@
                 .and_then(|ms| ms.parse().ok())
                 .unwrap_or(0),
         });
+        state.running.extend(key);
         (state.work, state.drop_answers)
     };
+    let running = Running { shared, key };
     tokio::time::sleep(work).await;
+    drop(running);
     if drops {
         return None;
     }
-    let mut answer = Response::new(Full::new(Bytes::from(format!("answer of {}", shared.name))));
+    let id = text("x-request-id").unwrap_or_default();
+    let mut body = format!("answer of {}", shared.name);
+    if shared.lock().echo {
+        body.push_str(" to ");
+        body.push_str(&id);
+    }
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
     for (name, value) in [
         ("x-request-id", text("x-request-id").unwrap_or_default()),
         ("x-response-signature", format!("signed.{}", shared.name)),
--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -2,10 +2,12 @@
 //! a feed, and endpoints that hold keys by fenced grants. Each serves on loopback
 //! from a thread of its own until it is dropped.
 
+mod documents;
 mod endpoint;
 mod serve;
 mod store;
 
+pub use documents::{Addresses, SETTINGS_VARIABLE, configuration, own_address, route};
 pub use endpoint::{FencedEndpoint, Ran};
 pub use serve::Background;
 pub use store::{SharedStore, StoreFault};
--- /dev/null
+++ b/crates/citronway-standin/src/soak/mod.rs
@@ -0,0 +1,17 @@
+//! Real instances under overlapping faults, with promises checked from outside.
+//!
+//! Instances run as processes in front of stand-ins of store and endpoints; each link
+//! goes through a proxy of its own. Faults are drawn from a seed. What is checked is
+//! what callers were told and what endpoints ran: nothing depends on how fast the
+//! machine is.
+
+mod callers;
+mod fleet;
+mod plan;
+mod proxy;
+mod run;
+mod verdict;
+
+pub use proxy::{Mode, Proxy};
+pub use run::{Soaked, run};
+pub use verdict::Violation;
--- /dev/null
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -0,0 +1,207 @@
+//! A TCP proxy on loopback that misbehaves on demand.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What the proxy does with what passes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes it on.
+    Pass,
+    /// Passes it on later.
+    Delay(Duration),
+    /// Resets all connections, new ones too.
+    Reset,
+    /// Holds back what goes to the target.
+    CutThere,
+    /// Holds back what comes from the target.
+    CutBack,
+    /// Holds back both.
+    Silent,
+}
+
+/// Which way bytes go.
+#[derive(Debug, Clone, Copy)]
+enum Way {
+    There,
+    Back,
+}
+
+/// A proxy in front of one address; ends when it is dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    target: Arc<Mutex<SocketAddr>>,
+    mode: watch::Sender<Mode>,
+    /// Grows when all connections are reset.
+    breaks: watch::Sender<u64>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Proxy {
+    /// Listens on a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// When the port or the thread cannot be had.
+    pub fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let target = Arc::new(Mutex::new(target));
+        let (mode, seen) = watch::channel(Mode::Pass);
+        let (breaks, broken) = watch::channel(0);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let to = Arc::clone(&target);
+        let thread = std::thread::Builder::new()
+            .spawn(move || runtime.block_on(accept(listener, to, seen, broken)))?;
+        Ok(Self {
+            address,
+            target,
+            mode,
+            breaks,
+            thread: Some(thread),
+        })
+    }
+
+    /// Misbehaves so from now on.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+        if mode == Mode::Reset {
+            self.break_all();
+        }
+    }
+
+    /// Resets all connections and sends new ones to another address.
+    pub fn retarget(&self, target: SocketAddr) {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
+        self.break_all();
+    }
+
+    fn break_all(&self) {
+        self.breaks.send_modify(|count| *count += 1);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        // The accepting task ends when nobody can change its mode any more.
+        let (closed, _) = watch::channel(Mode::Reset);
+        self.mode = closed;
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            eprintln!("the thread of a proxy panicked");
+        }
+    }
+}
+
+async fn accept(
+    listener: std::net::TcpListener,
+    target: Arc<Mutex<SocketAddr>>,
+    mode: watch::Receiver<Mode>,
+    breaks: watch::Receiver<u64>,
+) {
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    let mut closed = mode.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = ended(&mut closed) => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let to = *target.lock().unwrap_or_else(PoisonError::into_inner);
+        tokio::spawn(relay(stream, to, mode.clone(), breaks.clone()));
+    }
+}
+
+/// Resolves when the proxy is dropped.
+async fn ended(mode: &mut watch::Receiver<Mode>) {
+    while mode.changed().await.is_ok() {}
+}
+
+async fn relay(
+    near: TcpStream,
+    target: SocketAddr,
+    mode: watch::Receiver<Mode>,
+    mut breaks: watch::Receiver<u64>,
+) {
+    breaks.mark_unchanged();
+    let refused = *mode.borrow() == Mode::Reset;
+    let far = TcpStream::connect(target).await;
+    let (Ok(far), false) = (far, refused) else {
+        reset(&near);
+        return;
+    };
+    // Small messages; without this a request waits for the answer to the one before.
+    if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
+        return;
+    }
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let there = copy(near_read, far_write, Way::There, mode.clone());
+    let back = copy(far_read, near_write, Way::Back, mode);
+    tokio::select! {
+        // Dropped with unread or unsent bytes, both sides see a reset or an end.
+        _ = breaks.changed() => {}
+        ((), ()) = futures::future::join(there, back) => {}
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // Without it the connection only ends; that is a fault too.
+    let _ = stream.set_zero_linger();
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    way: Way,
+    mut mode: watch::Receiver<Mode>,
+) {
+    let mut buf = vec![0; 16 * 1024];
+    loop {
+        let len = match from.read(&mut buf).await {
+            Ok(0) | Err(_) => break,
+            Ok(len) => len,
+        };
+        let delay = match *mode.borrow() {
+            Mode::Delay(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        tokio::time::sleep(delay).await;
+        let held = is_held(*mode.borrow(), way);
+        if held && mode.wait_for(|mode| !is_held(*mode, way)).await.is_err() {
+            return;
+        }
+        // Bytes that were held back are lost if their sender has closed meanwhile.
+        if held && matches!(from.try_read(&mut [0]), Ok(0)) {
+            return;
+        }
+        if to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
+    // The other side is told; if it has gone, there is nobody to tell.
+    let _ = to.shutdown().await;
+}
+
+const fn is_held(mode: Mode, way: Way) -> bool {
+    match (mode, way) {
+        (Mode::Silent, _) | (Mode::CutThere, Way::There) | (Mode::CutBack, Way::Back) => true,
+        (Mode::Pass | Mode::Delay(_) | Mode::Reset | Mode::CutThere | Mode::CutBack, _) => false,
+    }
+}
--- /dev/null
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -0,0 +1,104 @@
+//! What callers were told, held against what endpoints ran.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+
+use super::callers::{Told, Was};
+use crate::shared::Ran;
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    /// Work that may not be repeated ran more than once.
+    Twice {
+        /// Id of the request.
+        id: String,
+        /// How often.
+        times: usize,
+    },
+    /// A caller was told that its request had not run, and it had.
+    Denied {
+        /// Id of the request.
+        id: String,
+        /// What it was told.
+        status: u16,
+    },
+    /// A caller got an answer that is not that of its own request.
+    Mixed {
+        /// Id of the request.
+        id: String,
+        /// What came.
+        body: String,
+    },
+    /// A caller got a success of a request that nobody ran.
+    Invented {
+        /// Id of the request.
+        id: String,
+    },
+    /// Two living endpoints held a key at the same time.
+    TwoOwners {
+        /// The key.
+        key: u16,
+        /// Who held it.
+        owners: Vec<String>,
+    },
+    /// A key or a service was not served after all faults had ended.
+    Unserved {
+        /// What was asked for.
+        what: String,
+    },
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Twice { id, times } => write!(f, "{id} ran {times} times"),
+            Self::Denied { id, status } => write!(f, "{id} was told {status} and ran"),
+            Self::Mixed { id, body } => write!(f, "{id} was answered {body:?}"),
+            Self::Invented { id } => write!(f, "{id} succeeded and ran nowhere"),
+            Self::TwoOwners { key, owners } => write!(f, "key {key} was held by {owners:?}"),
+            Self::Unserved { what } => write!(f, "{what} is not served"),
+        }
+    }
+}
+
+/// Broken promises, by all that callers were told and endpoints ran.
+#[must_use]
+pub fn check(told: &[Told], ran: &[Ran]) -> Vec<Violation> {
+    let mut times = IndexMap::<&str, usize>::new();
+    for run in ran {
+        *times.entry(run.id.as_str()).or_default() += 1;
+    }
+    let mut found = Vec::new();
+    for told in told {
+        let times = times.get(told.id.as_str()).copied().unwrap_or_default();
+        found.extend(broken(told, times));
+    }
+    found
+}
+
+fn broken(told: &Told, times: usize) -> Option<Violation> {
+    let id = told.id.clone();
+    if !told.kind.may_repeat() && times > 1 {
+        return Some(Violation::Twice { id, times });
+    }
+    match &told.was {
+        Was::Answered { status, .. } if (408..=429).contains(status) && times > 0 => {
+            Some(Violation::Denied {
+                id,
+                status: *status,
+            })
+        }
+        // Work that may be repeated may have run before another try was refused.
+        Was::Answered { status: 503, .. } if times > 0 && !told.kind.may_repeat() => {
+            Some(Violation::Denied { id, status: 503 })
+        }
+        Was::Answered { status: 200, body } if !body.ends_with(&told.id) => {
+            let body = body.clone();
+            Some(Violation::Mixed { id, body })
+        }
+        Was::Answered { status: 200, .. } if times == 0 => Some(Violation::Invented { id }),
+        Was::Answered { .. } | Was::Lost => None,
+    }
+}
--- /dev/null
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -0,0 +1,83 @@
+//! Real instances under faults drawn from a seed; see `citronway_standin::soak`.
+//!
+//! Three parts: seeds that once failed, a few seeds that nobody has seen, and, by hand,
+//! those named in `CITRONWAY_SOAK` as `FIRST..LAST`.
+
+use std::path::Path;
+
+use citronway_standin::soak::{Soaked, run};
+use googletest::prelude::*;
+
+/// Seeds that failed once, each with its cause in a line.
+const REGRESSIONS: [u64; 0] = [];
+
+/// Seeds that are always played.
+const FIXED: [u64; 2] = [1, 2];
+
+/// Seeds that nobody has seen, in each run.
+const FRESH: u64 = 3;
+
+fn soak(seed: u64) -> Soaked {
+    let soaked = run(seed, Path::new(env!("CARGO_BIN_EXE_citronway"))).expect("a soak can be run");
+    println!(
+        "seed {seed}: {} of {} served, {} faults, healed in {:?}, {} promises broken",
+        soaked.served,
+        soaked.requests,
+        soaked.plan.len(),
+        soaked.healed,
+        soaked.violations.len()
+    );
+    soaked
+}
+
+fn expect_kept(soaked: &Soaked) {
+    let broken: Vec<_> = soaked
+        .violations
+        .iter()
+        .take(8)
+        .map(ToString::to_string)
+        .collect();
+    expect_that!(
+        broken,
+        is_empty(),
+        "seed {}, logs {:?}, {:#?}",
+        soaked.seed,
+        soaked.logs,
+        soaked.plan
+    );
+}
+
+#[gtest]
+fn seeds_that_failed_once_keep_all_promises() {
+    for seed in REGRESSIONS {
+        expect_kept(&soak(seed));
+    }
+}
+
+#[gtest]
+fn known_seeds_keep_all_promises() {
+    for seed in FIXED {
+        expect_kept(&soak(seed));
+    }
+}
+
+#[gtest]
+fn fresh_seeds_keep_all_promises() {
+    let base = uuid::Uuid::new_v4().as_u64_pair().0;
+    for n in 0..FRESH {
+        expect_kept(&soak(base.wrapping_add(n)));
+    }
+}
+
+#[gtest]
+fn seeds_asked_for_keep_all_promises() {
+    let Ok(range) = std::env::var("CITRONWAY_SOAK") else {
+        return;
+    };
+    let (first, last) = range.split_once("..").expect("FIRST..LAST");
+    let first: u64 = first.parse().expect("a number");
+    let last: u64 = last.parse().expect("a number");
+    for seed in first..=last {
+        expect_kept(&soak(seed));
+    }
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -3,21 +3,21 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use citronway_standin::shared::{FencedEndpoint, SharedStore};
+use citronway_standin::shared::{
+    Addresses, FencedEndpoint, SETTINGS_VARIABLE, SharedStore, configuration, own_address,
+};
 use serde_json::{Value, json};
 
+pub use citronway_standin::shared::route;
+
 /// Bound of every wait, far above what a passing test needs.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// Name of the variable that holds the path of the settings file.
-const SETTINGS: &str = "CITRONWAY_BOOT";
-
 /// Waits until something holds.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
@@ -27,22 +27,6 @@
     }
 }
 
-/// Ports of an instance, below those that the system gives out by itself.
-const CALLERS_PORT: u16 = 8_001;
-const READY_PORT: u16 = 8_002;
-const REPORTS_PORT: u16 = 8_003;
-
-/// A loopback address of its own for each instance of each test process.
-///
-/// Ports that were free a moment ago are taken by other tests' connections, and an
-/// instance that starts does not get them.
-fn own_address() -> Ipv4Addr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let process = std::process::id().to_be_bytes();
-    let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    Ipv4Addr::new(127, 1 + process[2] % 250, process[3], n)
-}
-
 /// Store and endpoints: `a` and `b` divide the keys of `batch`, `c` serves `console`.
 pub struct Deployment {
     pub store: SharedStore,
@@ -84,15 +68,8 @@
 
     /// Writes a configuration: routes to both services, and those given.
     pub fn configure(&self, version: u64, more: &Value) {
-        let mut routes = vec![
-            route("look", "/look/", "idempotent", "batch"),
-            route("apply", "/apply/", "non_idempotent", "batch"),
-            route("status", "/status/", "idempotent", "console"),
-            route("order", "/order/", "non_idempotent", "console"),
-        ];
-        routes.extend(more.as_array().cloned().unwrap_or_default());
-        self.store
-            .put("op", "config", &config(version, &json!(routes)));
+        let written = configuration(version, more);
+        self.store.put("op", "config", &written);
     }
 
     /// Starts an instance and waits until it is ready.
@@ -113,29 +90,19 @@
     }
 
     fn start(&self, name: &str, logs: Stdio) -> Instance {
-        let ip = own_address();
-        let callers = SocketAddr::from((ip, CALLERS_PORT));
-        let ready = SocketAddr::from((ip, READY_PORT));
-        let settings = json!({
-            "self": {"nodeName": name, "role": "entry", "zone": "a", "region": "r",
-                "ip": ip, "limits": {"memoryMb": 260}},
-            "network": {"listen": {"front": callers, "ready": ready},
-                "portRange": [REPORTS_PORT, REPORTS_PORT], "seeds": [], "zones": {"a": "r"}},
-            "provider": {"heartbeatS": 1.0, "provider": {"addr": self.store.address()}},
-            "terms": {"bounds": {"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64,
-                "graceS": 6, "holdMaxS": 10}},
-        });
+        let addresses = Addresses::at(own_address());
+        let settings = addresses.settings(name, self.store.address());
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings can be written");
         let process = Command::new(env!("CARGO_BIN_EXE_citronway"))
             .arg("--on-platform")
-            .env(SETTINGS, path)
+            .env(SETTINGS_VARIABLE, path)
             .stdout(logs)
             .spawn()
             .expect("the instance starts");
         Instance {
-            callers,
-            ready,
+            callers: addresses.callers,
+            ready: addresses.ready,
             process,
         }
     }
@@ -155,21 +122,6 @@
     }
 }
 
-pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
-    json!({"name": name, "host": "h.example", "pathPrefix": prefix, "kind": kind,
-        "timeoutS": 3.0, "sloS": 1.0, "priority": 1, "service": service, "attempts": 2})
-}
-
-fn config(version: u64, routes: &Value) -> Value {
-    json!({"version": version, "routes": routes,
-        "services": [
-            {"name": "batch", "healthPath": "/healthz", "maxConns": 130, "sharded": true,
-                "warmS": 1.0},
-            {"name": "console", "healthPath": "/healthz", "maxConns": 130}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeoutS": 3,
-            "idleTimeoutS": 15}})
-}
-
 /// A running instance; killed when dropped.
 pub struct Instance {
     pub callers: SocketAddr,
