citronctl explain tells the story of a request from the logs of several instances

Cause: from a request's id to its cause took a search for the instance's last lines on owner, configuration and store by hand. The command prints the request's lines in order of time with what its instance believed, how old that was, and what changed meanwhile.

--- a/crates/citronctl/src/cli.rs
+++ b/crates/citronctl/src/cli.rs
@@ -107,6 +107,16 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Tell the story of one request from the logs of instances on the platform
+    #[bpaf(command)]
+    Explain {
+        /// Id of the request, as its caller sent it
+        #[bpaf(positional("ID"))]
+        request: String,
+        /// Files of JSON lines, of any number of instances; default: standard input
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// Write a completion script for a shell to standard output
     #[bpaf(command)]
     Completion {
--- /dev/null
+++ b/crates/citronctl/src/explain.rs
@@ -0,0 +1,213 @@
+//! `explain`: the story of one request, from the logs of several instances.
+//!
+//! An instance on the platform writes one line for each decision that touches a request
+//! and one for each change of what it believes. The story is the request's lines in
+//! order of time, with what their instance believed when the first was written and how
+//! old that was, and what changed of it meanwhile.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io::{self, Read as _};
+use std::path::{Path, PathBuf};
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+use crate::failure::Failure;
+
+/// Milliseconds of a day; logs state times of day, and a story may pass midnight.
+const DAY_MS: i64 = 24 * 60 * 60 * 1_000;
+
+/// Fields that each line has; the rest is told.
+const COMMON: [&str; 4] = ["level", "zone", "target", "request"];
+
+/// A line of a log.
+#[derive(Debug, Clone, Deserialize)]
+struct Line {
+    time: String,
+    instance: String,
+    message: String,
+    #[serde(flatten)]
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    fn is_of(&self, request: &str) -> bool {
+        self.text("request") == Some(request)
+    }
+
+    fn text(&self, field: &str) -> Option<&str> {
+        self.fields.get(field)?.as_str()
+    }
+
+    /// What it says that its instance believes, if it says so.
+    fn belief(&self) -> Option<String> {
+        let what = match self.message.as_str() {
+            "configuration in force" => "configuration".to_owned(),
+            "assignment" => format!("owners of {}", self.text("service")?),
+            "keeper" => "keeper".to_owned(),
+            "endpoint listed" | "endpoint no longer listed" => self.text("endpoint")?.to_owned(),
+            "store lost" | "store regained" => format!("table {}", self.text("table")?),
+            "readiness changed" => "readiness".to_owned(),
+            "this instance keeps" | "this instance no longer keeps" => "own duty".to_owned(),
+            "instance starts" | "asked to stop" => "own life".to_owned(),
+            _ => return None,
+        };
+        Some(what)
+    }
+
+    fn told(&self) -> String {
+        let mut text = self.message.clone();
+        for (name, value) in &self.fields {
+            if COMMON.contains(&name.as_str()) {
+                continue;
+            }
+            let shown = value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned);
+            // Writing to a string does not fail.
+            let _ = write!(text, " {name}={shown}");
+        }
+        text
+    }
+}
+
+/// Tells the story of `request` from log files, or from standard input if there are none.
+///
+/// # Errors
+///
+/// When a file cannot be read, or no line names the request.
+pub fn run(request: &str, files: &[PathBuf]) -> Result<String, Failure> {
+    let mut lines = Vec::new();
+    let mut others = 0;
+    if files.is_empty() {
+        let mut text = String::new();
+        io::stdin().read_to_string(&mut text)?;
+        others += read(&text, &mut lines);
+    }
+    for path in files {
+        others += read(&text_of(path)?, &mut lines);
+    }
+    lines.sort_by(|a, b| a.time.cmp(&b.time));
+    tell(request, &lines, others)
+}
+
+fn text_of(path: &Path) -> Result<String, Failure> {
+    fs::read_to_string(path).map_err(|source| Failure::File {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Takes the lines of a log; returns how many are none.
+///
+/// What comes before the object is left out: collectors put a time or a name there.
+fn read(text: &str, lines: &mut Vec<Line>) -> usize {
+    let mut others = 0;
+    for line in text.lines() {
+        let object = line.find('{').map_or("", |at| &line[at..]);
+        match serde_json::from_str(object) {
+            Ok(line) => lines.push(line),
+            Err(_not_a_log_line) => others += 1,
+        }
+    }
+    others
+}
+
+fn tell(request: &str, lines: &[Line], others: usize) -> Result<String, Failure> {
+    let own = |line: &Line| line.is_of(request);
+    let (Some(first), Some(last)) = (lines.iter().position(own), lines.iter().rposition(own))
+    else {
+        return Err(Failure::UnknownRequest {
+            request: request.to_owned(),
+            lines: lines.len(),
+            others,
+        });
+    };
+    let mut story = format!("request {request}\n");
+    let mut seen = Vec::<&str>::new();
+    let mut named = Vec::<String>::new();
+    for line in &lines[first..=last] {
+        if own(line) {
+            named.extend(
+                ["endpoint", "owner"]
+                    .iter()
+                    .filter_map(|f| line.text(f))
+                    .map(str::to_owned),
+            );
+            named.extend(
+                line.text("service")
+                    .map(|service| format!("owners of {service}")),
+            );
+        }
+    }
+    for (place, line) in lines.iter().enumerate().take(last + 1).skip(first) {
+        let instance = line.instance.as_str();
+        if own(line) && !seen.contains(&instance) {
+            seen.push(instance);
+            story.push_str(&believed(&lines[..place], line, &named));
+        }
+        let news = line
+            .belief()
+            .is_some_and(|what| seen.contains(&instance) && is_told(&what, &named));
+        if own(line) || news {
+            let mark = if own(line) { ' ' } else { '*' };
+            let _ = writeln!(story, "{} {mark} {instance}: {}", line.time, line.told());
+        }
+    }
+    if others > 0 {
+        let _ = writeln!(
+            story,
+            "({others} lines are none of a log and were left out)"
+        );
+    }
+    Ok(story)
+}
+
+/// Whether a belief bears on the request: endpoints and owners only if it names them.
+fn is_told(what: &str, named: &[String]) -> bool {
+    let general = [
+        "configuration",
+        "keeper",
+        "readiness",
+        "own duty",
+        "own life",
+    ];
+    general.contains(&what) || what.starts_with("table ") || named.iter().any(|n| n == what)
+}
+
+/// What the instance of `line` believed when it wrote it, by the lines before.
+fn believed(before: &[Line], line: &Line, named: &[String]) -> String {
+    let mut beliefs = IndexMap::<String, &Line>::new();
+    for earlier in before.iter().filter(|l| l.instance == line.instance) {
+        if let Some(what) = earlier.belief().filter(|what| is_told(what, named)) {
+            beliefs.insert(what, earlier);
+        }
+    }
+    let mut text = format!("{} believed at {}:\n", line.instance, line.time);
+    for (what, earlier) in &beliefs {
+        let age = age_ms(&earlier.time, &line.time)
+            .map_or_else(|| "age unknown".to_owned(), |ms| format!("{ms} ms old"));
+        let _ = writeln!(text, "    {what}: {} ({age})", earlier.told());
+    }
+    if beliefs.is_empty() {
+        text.push_str("    nothing that its log shows\n");
+    }
+    text
+}
+
+/// Time from one line to a later one, in milliseconds.
+fn age_ms(earlier: &str, later: &str) -> Option<i64> {
+    let age = day_ms(later)? - day_ms(earlier)?;
+    Some(age.rem_euclid(DAY_MS))
+}
+
+/// Time of day of `2026-12-02T21:37:20.683Z`, in milliseconds.
+fn day_ms(time: &str) -> Option<i64> {
+    let (_, clock) = time.trim_end_matches('Z').split_once('T')?;
+    let mut parts = clock.split([':', '.']);
+    let mut next = || parts.next()?.parse::<i64>().ok();
+    let (hours, minutes, seconds, millis) = (next()?, next()?, next()?, next()?);
+    Some(((hours * 60 + minutes) * 60 + seconds) * 1_000 + millis)
+}
--- a/crates/citronctl/src/failure.rs
+++ b/crates/citronctl/src/failure.rs
@@ -114,6 +114,19 @@
         /// Instances that are behind.
         behind: String,
     },
+    /// No log names the request.
+    #[error(
+        "none of {lines} lines names request {request}{}",
+        others_text(*.others)
+    )]
+    UnknownRequest {
+        /// Its id.
+        request: String,
+        /// Lines that were read.
+        lines: usize,
+        /// Lines that are none of a log.
+        others: usize,
+    },
     /// A replay differs from the recorded outcomes.
     #[error("{0}")]
     Replay(String),
@@ -129,6 +142,7 @@
             | Self::Content { .. }
             | Self::Io(_)
             | Self::Answer { .. }
+            | Self::UnknownRequest { .. }
             | Self::Replay(_) => codes::ERROR,
             Self::OwnsShards { .. } => codes::REFUSED,
             Self::Unreachable { .. } => codes::UNREACHABLE,
@@ -225,3 +239,10 @@
         let _ = write!(text, "\n  {difference}");
     }
 }
+
+fn others_text(others: usize) -> String {
+    if others == 0 {
+        return String::new();
+    }
+    format!("; {others} more are none of a log")
+}
--- a/crates/citronctl/src/lib.rs
+++ b/crates/citronctl/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod commands;
 pub mod create;
 pub mod edits;
+pub mod explain;
 pub mod failure;
 pub mod queries;
 pub mod replay;
--- a/crates/citronctl/src/run.rs
+++ b/crates/citronctl/src/run.rs
@@ -14,7 +14,7 @@
 use crate::failure::Failure;
 use crate::replay::Replay;
 use crate::words::Thing;
-use crate::{commands, edits, queries, replay};
+use crate::{commands, edits, explain, queries, replay};
 
 /// Environment variable that holds the token itself.
 const TOKEN: &str = "CITRONWAY_TOKEN";
@@ -50,6 +50,7 @@
             expected: expected.as_deref(),
             machine,
         }),
+        Command::Explain { request, files } => explain::run(&request, &files),
         Command::Completion { shell } => Ok(completion(shell)),
         Command::Change(change) => {
             let condition = change.condition().clone();
