Metrics by class: waiting, service, outcomes, gauges of what waits and is in flight

Cause: one histogram over all kinds of requests hid which class waits. Outcomes and latency now have repeat and rank; time until a place is found and time at the endpoint have histograms of their own. Counted by a test: fewer than 150 series with two classes.

--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -1,16 +1,19 @@
 //! Metrics of an instance on the platform, as `OpenMetrics` text.
 //!
-//! About 90 series an instance, whatever the number of endpoints and routes.
+//! Their number does not grow with endpoints, routes or instances: requests are told
+//! apart by what may be repeated and by rank, of which there are four, and by outcome.
 
 use std::fmt;
 use std::sync::Arc;
 
 use citronway_core::gateway::desk::RefusalReason;
 use citronway_core::gateway::keeper::{OrderKind, OrderResult};
+use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -46,8 +49,40 @@
     }
 }
 
+/// Class of a request, as labels.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Class {
+    repeat: &'static str,
+    rank: u8,
+}
+
+impl Class {
+    /// Lowest rank that is told apart; the rest count with it.
+    const LAST_RANK: u8 = 3;
+
+    /// Of a request that was ended before its route was known.
+    pub const UNKNOWN: Self = Self {
+        repeat: "unknown",
+        rank: Self::LAST_RANK,
+    };
+
+    /// Of requests on a route.
+    #[must_use]
+    pub fn of(route: &Route) -> Self {
+        Self {
+            repeat: match route.repeat {
+                Repeat::Idempotent => "idempotent",
+                Repeat::AtMostOnce => "at_most_once",
+            },
+            rank: route.priority.min(Self::LAST_RANK),
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
+    repeat: &'static str,
+    rank: u8,
     outcome: &'static str,
     reason: &'static str,
 }
@@ -70,6 +105,10 @@
     registry: Arc<Registry>,
     requests: Family<OutcomeLabels, Counter>,
     latency: Family<OutcomeLabels, Histogram>,
+    wait: Family<Class, Histogram>,
+    service: Family<Class, Histogram>,
+    waiting: Gauge,
+    in_flight: Gauge,
     orders: Family<OrderLabels, Counter>,
     polls: Family<PollLabels, Counter>,
     writes: Counter,
@@ -83,6 +122,14 @@
         let histogram: fn() -> Histogram = || Histogram::new(BOUNDS);
         let latency = Family::new_with_constructor(histogram);
         registry.register("latency_seconds", "Time to the answer", latency.clone());
+        let wait = Family::new_with_constructor(histogram);
+        registry.register("wait_seconds", "Time until a place was found", wait.clone());
+        let service = Family::new_with_constructor(histogram);
+        registry.register("service_seconds", "Time at the endpoint", service.clone());
+        let waiting = Gauge::default();
+        registry.register("waiting", "Requests that wait for a place", waiting.clone());
+        let in_flight = Gauge::default();
+        registry.register("in_flight", "Requests at endpoints", in_flight.clone());
         let orders = Family::default();
         registry.register("orders", "Grants and releases by result", orders.clone());
         let polls = Family::default();
@@ -93,6 +140,10 @@
             registry: Arc::new(registry),
             requests,
             latency,
+            wait,
+            service,
+            waiting,
+            in_flight,
             orders,
             polls,
             writes,
@@ -102,15 +153,38 @@
 
 impl Metrics {
     /// Counts a request that took `ms`.
-    pub(super) fn ended(&self, ended: Ended, ms: u64) {
+    pub(super) fn ended(&self, class: Class, ended: Ended, ms: u64) {
         let (outcome, reason) = ended.labels();
-        let labels = OutcomeLabels { outcome, reason };
+        let labels = OutcomeLabels {
+            repeat: class.repeat,
+            rank: class.rank,
+            outcome,
+            reason,
+        };
         self.requests.get_or_create(&labels).inc();
         self.latency
             .get_or_create(&labels)
             .observe(ms as f64 / 1_000.0);
     }
 
+    /// Counts a request that found a place after `ms`.
+    pub(super) fn placed(&self, class: Class, ms: u64) {
+        let wait = self.wait.get_or_create(&class);
+        wait.observe(ms as f64 / 1_000.0);
+    }
+
+    /// Counts a request that was `ms` at its endpoint.
+    pub(super) fn served(&self, class: Class, ms: u64) {
+        let service = self.service.get_or_create(&class);
+        service.observe(ms as f64 / 1_000.0);
+    }
+
+    /// Notes how many requests wait and how many are at endpoints.
+    pub(super) fn load(&self, waiting: usize, in_flight: u32) {
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        self.in_flight.set(i64::from(in_flight));
+    }
+
     /// Counts an order.
     pub(super) fn ordered(&self, kind: &OrderKind, result: &OrderResult) {
         let order = match kind {
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -16,6 +16,7 @@
 use super::state::State;
 use crate::clock;
 use crate::gateway::http_link::{self, Answer, CallError, Link, Settled};
+use crate::gateway::metrics::Class;
 
 /// Time under which a request is not sent any more, in milliseconds: it would reach
 /// the endpoint with no time to work.
@@ -116,6 +117,11 @@
                 }
                 None => return self.spent(RefusalReason::Overloaded),
             };
+            let class = Class::of(self.route);
+            let waited_ms = clock::mono().since(self.job.arrived);
+            if self.sends == 0 {
+                self.state.metrics.placed(class, waited_ms);
+            }
             let in_flight = self.state.in_flight(&choice);
             let sent = self.send(&choice).await;
             drop(in_flight);
@@ -265,6 +271,7 @@
                     self.state.answered(choice, self.job.key);
                     if !answer.status.is_server_error() {
                         let took = clock::mono().since(started);
+                        self.state.metrics.served(Class::of(self.route), took);
                         self.state.served(&self.route.name, &choice.endpoint, took);
                     }
                     Sent::Answer(answer)
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -12,7 +12,7 @@
 use super::state::State;
 use crate::clock;
 use crate::gateway::http_link::Answer;
-use crate::gateway::metrics::Ended;
+use crate::gateway::metrics::{Class, Ended};
 
 /// Time to come back where nothing better is known, in milliseconds.
 pub(super) const DEFAULT_RETRY_MS: u64 = 200;
@@ -113,10 +113,16 @@
 }
 
 /// Logs and counts an outcome.
-pub(super) fn note(state: &State, arrived: Mono, words: &CallerWords, outcome: &Outcome) {
+pub(super) fn note(
+    state: &State,
+    arrived: Mono,
+    words: &CallerWords,
+    class: Class,
+    outcome: &Outcome,
+) {
     let request = shown_id(words);
     let ms = clock::mono().since(arrived);
-    state.metrics.ended(outcome.ended(), ms);
+    state.metrics.ended(class, outcome.ended(), ms);
     match outcome {
         Outcome::Answered(answer) => {
             let status = answer.status.as_u16();
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -15,6 +15,7 @@
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
 use super::state::State;
 use crate::clock;
+use crate::gateway::metrics::Class;
 
 /// How long a caller is waited for that states no time, in milliseconds.
 const DEFAULT_WAIT_MS: u64 = 30_000;
@@ -38,8 +39,9 @@
             return outcome::respond(&state, None, outcome, done);
         }
     };
-    let outcome = serve(&state, arrived, &head, &words, body).await;
-    outcome::note(&state, arrived, &words, &outcome);
+    let mut class = Class::UNKNOWN;
+    let outcome = serve(&state, arrived, &head, &words, body, &mut class).await;
+    outcome::note(&state, arrived, &words, class, &outcome);
     outcome::respond(&state, words.id.as_ref(), outcome, done)
 }
 
@@ -49,6 +51,7 @@
     head: &Parts,
     words: &CallerWords,
     body: Incoming,
+    class: &mut Class,
 ) -> Outcome {
     if state.is_closing() {
         return not_run(RefusalReason::Stopping, STOPPING_RETRY_MS);
@@ -60,6 +63,7 @@
     let Some((_, route)) = routes.find(&words.host, head.uri.path()) else {
         return Outcome::Rejected(StatusCode::NOT_FOUND, "no route");
     };
+    *class = Class::of(route);
     let body = match Limited::new(body, routes.limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<LengthLimitError>() => {
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -284,6 +284,8 @@
     /// Account of what was seen since the last one.
     pub(super) fn account(&self) -> Seen {
         self.pool.borrow_mut().prune(clock::mono());
+        let in_flight = self.desk.borrow().uses().map(|(_, count, _)| count).sum();
+        self.metrics.load(self.waiting(), in_flight);
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
         let mut endpoints: Vec<_> = self
             .desk
--- a/crates/citronway/tests/gateway_path.rs
+++ b/crates/citronway/tests/gateway_path.rs
@@ -308,3 +308,30 @@
         assert_eq!(reply.status, 200);
     }
 }
+
+/// An engineer on call wants to know which class waits and which is slow at its endpoint.
+#[gtest]
+fn metrics_tell_classes_and_outcomes_apart() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    expect_that!(
+        instance.call("GET /look/1", "m1", KEYS[0], "").status,
+        eq(200)
+    );
+    let order = instance.call_with("POST /order/1", "X-Request-Id: m2\r\n", "x");
+    expect_that!(order.status, eq(200));
+    expect_that!(instance.call("GET /nowhere/1", "m3", 1, "").status, eq(404));
+    let text = instance.metrics();
+    for line in [
+        r#"citronway_requests_total{repeat="idempotent",rank="1",outcome="answered",reason=""} 1"#,
+        r#"citronway_requests_total{repeat="at_most_once",rank="1",outcome="answered",reason=""} 1"#,
+        r#"citronway_requests_total{repeat="unknown",rank="3",outcome="rejected",reason=""} 1"#,
+        r#"citronway_wait_seconds_count{repeat="at_most_once",rank="1"} 1"#,
+        r#"citronway_service_seconds_count{repeat="idempotent",rank="1"} 1"#,
+        "citronway_in_flight 0",
+    ] {
+        expect_that!(text, contains_substring(line));
+    }
+    let series = text.lines().filter(|line| !line.starts_with('#')).count();
+    expect_that!(series, lt(150));
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -18,6 +18,9 @@
 /// Bound of every wait, far above what a passing test needs.
 const PATIENCE: Duration = Duration::from_secs(40);
 
+/// Port of the metrics, as the deploy file states it.
+const METRICS_PORT: u16 = 9_464;
+
 /// Waits until something holds.
 pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
@@ -158,6 +161,13 @@
         .is_some_and(|reply| reply.status == 200)
     }
 
+    /// Its metrics, as text.
+    pub fn metrics(&self) -> String {
+        let address = SocketAddr::new(self.callers.ip(), METRICS_PORT);
+        let head = "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+        exchange(address, head, "").map_or_else(String::new, |reply| reply.body)
+    }
+
     /// Sends a request with a key and reads the answer to its end.
     pub fn call(&self, start: &str, id: &str, key: u16, body: &str) -> Reply {
         self.call_with(
