--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -261,16 +261,14 @@
 
     /// Cuts a piece so that no single endpoint gets too much at once.
     fn cut_to_fit(&mut self, i: usize) {
+        if self.pieces.len() > self.many_pieces() {
+            return;
+        }
         let piece = self.pieces[i];
         let room = self
             .emptiest(0.0)
             .map_or(0.0, |p| (1.0 - self.usage(p, 0.0)) * p.capacity);
-        let most = if self.pieces.len() > self.many_pieces() {
-            // The row is long; only what no endpoint could do is cut.
-            room
-        } else {
-            (room * FILL_AT_ONCE).max(piece.load / MAX_PIECES)
-        };
+        let most = (room * FILL_AT_ONCE).max(piece.load / MAX_PIECES);
         if piece.span.last - piece.span.first < MIN_CUT || piece.load <= most {
             return;
         }
--- a/crates/citronway-core/tests/gateway_placement.rs
+++ b/crates/citronway-core/tests/gateway_placement.rs
@@ -293,3 +293,26 @@
     };
     expect_that!(joints(&after) + 8, le(joints(&row)));
 }
+
+/// A hundred endpoints of a service that is full already are lost at once. Their ranges
+/// are given away in a few parts each, not key by key: a plan of 6,000 moves kept the
+/// keeper busy until others took its duty.
+#[gtest]
+fn many_lost_endpoints_of_a_full_service_leave_few_parts() {
+    let names: Vec<_> = (0..300).map(|n| format!("e{n:03}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let row = even(&names);
+    let mut load = KeyLoad::new(Mono(0), 400.0);
+    let all = Span {
+        first: 0,
+        last: LAST_KEY,
+    };
+    add(&mut load, all, 300.0 * CAPACITY);
+    let mut places: Vec<_> = names.iter().map(|name| place(name)).collect();
+    for place in places.iter_mut().step_by(3) {
+        place.must_leave = true;
+        place.takes = false;
+    }
+    let begun = moves(&row, &load, &places);
+    expect_that!(begun.len(), all!(ge(100), lt(600)));
+}
