An endpoint that stays after all serves again; a cut told from an outage by what others see

Change: a ready entry ends the leaving; `core/gateway/outage` decides by newer rows at others, later than 2 s after the loss, when rows of the last moment have been told. Own rows and reports have files of their own; causes of doubt are an enum.

Seen failing first: `an_endpoint_that_stays_after_all_keeps_its_keys`.

--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod election;
 pub mod keeper;
 pub mod keyload;
+pub mod outage;
 pub mod pace;
 pub mod placement;
 pub mod registry;
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -101,7 +101,8 @@
         if let Some(known) = self.known.get_mut(&listing.id) {
             known.listing = listing;
             known.warm_at = warm_at;
-            known.draining_since = known.draining_since.or(draining_since);
+            // One that stays after all no longer leaves.
+            known.draining_since = draining_since.map(|at| known.draining_since.unwrap_or(at));
             known.missing_until = None;
             return;
         }
--- a/crates/citronway-core/tests/gateway_registry.rs
+++ b/crates/citronway-core/tests/gateway_registry.rs
@@ -145,3 +145,22 @@
     registry.remove(Mono(9_010), &EndpointName::new("one"));
     expect_that!(names(&registry), elements_are![eq("two")]);
 }
+
+/// An endpoint says that it leaves and stays after all. Instances that had seen both
+/// refused its keys for good, while those that started later served them.
+#[gtest]
+fn an_endpoint_that_stays_after_all_keeps_its_keys() {
+    let mut registry = two();
+    let mut leaving = listing("one", 1);
+    leaving.draining = true;
+    registry.put(Mono(1_000), leaving.clone());
+    registry.put(Mono(2_000), listing("one", 1));
+    let takes = |registry: &Registry, now| {
+        let known = registry.get(&EndpointName::new("one"));
+        known.is_some_and(|known| known.takes_owned_work(now))
+    };
+    expect_that!(takes(&registry, Mono(60_000)), eq(true));
+    registry.put(Mono(70_000), leaving);
+    expect_that!(takes(&registry, Mono(70_100)), eq(true));
+    expect_that!(takes(&registry, Mono(72_000)), eq(false));
+}
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -3,33 +3,23 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use citronway_core::gateway::assignment::Assignment;
 use citronway_core::gateway::desk::{Owners, View};
-use citronway_core::gateway::election::{Former, KeeperRow};
+use citronway_core::gateway::election::KeeperRow;
+use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
 use citronway_core::gateway::report::{Report, Versions};
 use citronway_core::gateway::routes::RouteTable;
-use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
+use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
-use citronway_core::ids::{EndpointName, InstanceName, ServiceName, Session, Version, ZoneName};
+use citronway_core::ids::{EndpointName, ServiceName, Version, ZoneName};
 use citronway_core::time::Mono;
 use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
-use super::peers::{InstanceRow, Peers};
+use super::peers::Peers;
 use super::store::News;
 
-/// Key of the row that names the keeper.
-pub(super) const KEEPER_KEY: &str = "keeper";
-
-/// Keys of assignments begin so; the service follows.
-const KEYS_PREFIX: &str = "keys/";
-
-/// Keys of the instances' rows begin so; the name follows.
-const INSTANCE_PREFIX: &str = "instance/";
-
 /// For how long others may have newer rows before a poll is taken for dead, in
 /// milliseconds. Polls are answered within a few milliseconds of a change.
 const BEHIND_MS: u64 = 400;
@@ -38,14 +28,6 @@
 /// cut off, in milliseconds.
 const CUT_OFF_MS: u64 = 4_000;
 
-/// Stored form of the keeper's row.
-#[derive(Debug, Serialize, Deserialize)]
-struct StoredKeeper {
-    session: Session,
-    term: u64,
-    former: Vec<Former>,
-}
-
 /// What an answer, or none, says of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StoreSight {
@@ -59,7 +41,7 @@
 
 /// A table as far as it is followed.
 #[derive(Debug, Default)]
-struct Sight {
+pub(super) struct Sight {
     /// Newest version of a row that was seen.
     newest: u64,
     /// The last call failed.
@@ -84,7 +66,8 @@
     pub paces: Paces,
     config: Sight,
     endpoints: Sight,
-    own: Sight,
+    outage: Outage,
+    pub(super) own: Sight,
     /// Last reading of the store's clock, and when it came.
     store_clock: Option<(u64, Mono)>,
     /// Requests of this instance that wait for each endpoint.
@@ -92,7 +75,15 @@
     /// Newest version of each endpoint's entry, of removed ones too.
     entries: IndexMap<String, Version>,
     heard_at: Mono,
-    changed: bool,
+    pub(super) changed: bool,
+}
+
+impl Sight {
+    /// Notes a row of this version.
+    pub(super) fn has_seen(&mut self, version: u64) {
+        self.newest = self.newest.max(version);
+        self.behind_since = None;
+    }
 }
 
 impl Beliefs {
@@ -109,6 +100,7 @@
             paces: Paces::default(),
             config: Sight::default(),
             endpoints: Sight::default(),
+            outage: Outage::default(),
             own: Sight::default(),
             store_clock: None,
             own_waiting: IndexMap::new(),
@@ -167,73 +159,6 @@
         }
     }
 
-    /// A relay in which changes stand for large rows of which most stays as it was.
-    pub(super) fn with_patches(&self, relay: &Relay) -> Relay {
-        let mut slim = Relay {
-            rows: Vec::new(),
-            ..relay.clone()
-        };
-        for row in &relay.rows {
-            match self.patch(row) {
-                Some(patch) => slim.patches.push(patch),
-                None => slim.rows.push(row.clone()),
-            }
-        }
-        slim
-    }
-
-    fn patch(&self, row: &Row) -> Option<Patch> {
-        let service = ServiceName::new(row.key.strip_prefix(KEYS_PREFIX)?);
-        let value = row.value.as_deref()?;
-        let known = self.owners.get(&service)?;
-        if known.version >= row.version {
-            return None;
-        }
-        // A row that cannot be read is passed on as it is, and each receiver says so.
-        let newer = Assignment::from_bytes(value).ok()?;
-        let change = newer.changes_since(&known.assignment).ok()?;
-        Some(Patch {
-            key: row.key.clone(),
-            before: known.version,
-            version: row.version,
-            change,
-        })
-    }
-
-    /// Whether the rows that a relay changes are known as they were before.
-    pub(super) fn can_patch(&self, relay: &Relay) -> bool {
-        relay.patches.iter().all(|patch| {
-            let known = self.patched_row(patch).map(|known| known.version);
-            known.is_some_and(|known| known == patch.before || known >= patch.version)
-        })
-    }
-
-    fn patched_row(&self, patch: &Patch) -> Option<&Owners> {
-        let service = patch.key.strip_prefix(KEYS_PREFIX)?;
-        self.owners.get(&ServiceName::new(service))
-    }
-
-    fn patched(&mut self, patch: &Patch) {
-        let Some(known) = self.patched_row(patch) else {
-            return;
-        };
-        if known.version != patch.before {
-            return;
-        }
-        match known.assignment.with_changes(&patch.change) {
-            Ok(assignment) => {
-                let service = ServiceName::new(patch.key.trim_start_matches(KEYS_PREFIX));
-                self.owners_known(&service, patch.version, assignment);
-                self.own.newest = self.own.newest.max(patch.version.0);
-                self.own.behind_since = None;
-                self.changed = true;
-            }
-            Err(e) => {
-                log::error!(row = patch.key.as_str(), cause = e.to_string(); "change not taken");
-            }
-        }
-    }
-
     /// Where the keeper takes reports.
     pub(super) fn keeper_address(&self) -> Option<SocketAddr> {
         let keeper = self.keeper.as_ref()?;
@@ -250,8 +175,7 @@
             .max()
             .unwrap_or_default();
         let sight = self.sight(table);
-        sight.newest = sight.newest.max(newest);
-        sight.behind_since = None;
+        sight.has_seen(newest);
         sight.loaded = true;
         match table {
             Table::Config => self.config_rows(rows),
@@ -282,9 +206,7 @@
         // Failure: this instance alone was cut off, and takes the entry of an endpoint
         // that has left meanwhile for one that lapsed with the store. Others that saw
         // newer rows show that the store went on.
-        let store_went_on = sight
-            .behind_since
-            .is_some_and(|since| now.since(since) >= BEHIND_MS);
+        let store_went_on = self.outage.is_own();
         log::info!(table = table.word(), store_went_on; "store regained");
         if table == Table::Endpoints {
             let registry = Arc::make_mut(&mut self.registry);
@@ -358,89 +280,6 @@
         }
     }
 
-    fn own_rows(&mut self, now: Mono, rows: &[Row]) {
-        for row in rows {
-            let Some(value) = &row.value else { continue };
-            if row.key == KEEPER_KEY {
-                self.keeper_row(now, row.version, value);
-            } else if let Some(service) = row.key.strip_prefix(KEYS_PREFIX) {
-                self.assignment_row(&ServiceName::new(service), row.version, value);
-            } else if let Some(name) = row.key.strip_prefix(INSTANCE_PREFIX) {
-                match serde_json::from_slice::<InstanceRow>(value) {
-                    Ok(row) => self.peers.row_seen(&InstanceName::new(name), row),
-                    Err(e) => log::error!(name, cause = e.to_string(); "instance row not taken"),
-                }
-            }
-        }
-    }
-
-    fn keeper_row(&mut self, now: Mono, version: Version, value: &[u8]) {
-        let stored = match serde_json::from_slice::<StoredKeeper>(value) {
-            Ok(stored) => stored,
-            Err(e) => {
-                log::error!(cause = e.to_string(); "keeper row not taken");
-                return;
-            }
-        };
-        if self
-            .keeper
-            .as_ref()
-            .is_some_and(|row| row.version >= version)
-        {
-            return;
-        }
-        if self
-            .keeper
-            .as_ref()
-            .is_none_or(|row| row.term < stored.term)
-        {
-            let instance = stored.session.instance.as_str();
-            log::info!(instance, term = stored.term; "keeper");
-            self.keeper_seen = now;
-        }
-        self.keeper = Some(KeeperRow {
-            instance: stored.session.instance,
-            session: stored.session.id,
-            term: stored.term,
-            former: stored.former,
-            version,
-        });
-    }
-
-    fn assignment_row(&mut self, service: &ServiceName, version: Version, value: &[u8]) {
-        let assignment = match Assignment::from_bytes(value) {
-            Ok(assignment) => assignment,
-            Err(e) => {
-                let service = service.as_str();
-                log::error!(service, cause = e.to_string(); "assignment not taken");
-                return;
-            }
-        };
-        if self
-            .owners
-            .get(service)
-            .is_some_and(|known| known.version >= version)
-        {
-            return;
-        }
-        self.owners_known(service, version, assignment);
-    }
-
-    fn owners_known(&mut self, service: &ServiceName, version: Version, assignment: Assignment) {
-        let moving = assignment
-            .ranges
-            .iter()
-            .filter(|range| range.is_moving())
-            .count();
-        let ranges = assignment.ranges.len();
-        log::info!(service = service.as_str(), version = version.0, ranges, moving; "assignment");
-        let owners = Owners {
-            assignment: Arc::new(assignment),
-            version,
-        };
-        self.owners.insert(service.clone(), owners);
-    }
-
     /// Takes what an instance, this one too, reports of endpoints' answers.
     pub(super) fn traffic_seen(&mut self, now: Mono, report: &Report) {
         self.heard_at = now;
@@ -531,6 +370,7 @@
     /// Tables of which others have had newer rows for longer than a poll takes.
     pub(super) fn stale_tables(&mut self, now: Mono) -> Vec<Table> {
         let newest = self.peers.newest(now);
+        self.outage.heard(now, self.endpoints.lost, newest);
         let tables = [
             (Table::Config, newest.config),
             (Table::Endpoints, newest.endpoints),
@@ -564,26 +404,3 @@
         }
     }
 }
-
-/// Key of an instance's row.
-pub(super) fn instance_key(instance: &InstanceName) -> String {
-    format!("{INSTANCE_PREFIX}{instance}")
-}
-
-/// Key of a service's assignment.
-pub(super) fn assignment_key(service: &ServiceName) -> String {
-    format!("{KEYS_PREFIX}{service}")
-}
-
-/// Stored form of a keeper's row.
-pub(super) fn keeper_value(
-    me: &Session,
-    term: u64,
-    former: Vec<Former>,
-) -> Result<Vec<u8>, serde_json::Error> {
-    serde_json::to_vec(&StoredKeeper {
-        session: me.clone(),
-        term,
-        former,
-    })
-}
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -11,7 +11,8 @@
 use citronway_platform::store::Change;
 use indexmap::IndexMap;
 
-use super::beliefs::{self, Beliefs};
+use super::beliefs::Beliefs;
+use super::own_rows;
 use super::placing::Placing;
 use super::store::{IDLE_WAIT_MS, KEEPER_WAIT_MS};
 
@@ -332,15 +333,15 @@
         if !free || self.claiming || now < self.claim_after {
             return None;
         }
-        let value = beliefs::keeper_value(&self.me, office.term, Vec::new());
+        let value = own_rows::keeper_value(&self.me, office.term, Vec::new());
         let value = value
             .inspect_err(|e| log::error!(cause = e.to_string(); "keeper row not written"))
             .ok()?;
         self.claiming = true;
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
         Some(Change {
-            unless_changed: vec![(beliefs::KEEPER_KEY.to_owned(), office.version)],
-            put: vec![(beliefs::KEEPER_KEY.to_owned(), value)],
+            unless_changed: vec![(own_rows::KEEPER_KEY.to_owned(), office.version)],
+            put: vec![(own_rows::KEEPER_KEY.to_owned(), value)],
         })
     }
 
@@ -368,7 +369,7 @@
         let wait_ms = self.cfg.rival_wait_ms() + CLOCK_MARGIN_MS;
         let former = election::former_after(row, &peers, store_ms, wait_ms);
         let expected = row.map_or(Version(0), |row| row.version);
-        let value = match beliefs::keeper_value(&self.me, term, former) {
+        let value = match own_rows::keeper_value(&self.me, term, former) {
             Ok(value) => value,
             Err(e) => {
                 log::error!(cause = e.to_string(); "keeper row not written");
@@ -379,8 +380,8 @@
         self.claiming = true;
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
         Some(Change {
-            unless_changed: vec![(beliefs::KEEPER_KEY.to_owned(), expected)],
-            put: vec![(beliefs::KEEPER_KEY.to_owned(), value)],
+            unless_changed: vec![(own_rows::KEEPER_KEY.to_owned(), expected)],
+            put: vec![(own_rows::KEEPER_KEY.to_owned(), value)],
         })
     }
 }
@@ -391,14 +392,14 @@
     row: Assignment,
     expected: Version,
 ) -> Result<RowWrite, serde_json::Error> {
-    let key = beliefs::assignment_key(&service);
+    let key = own_rows::assignment_key(&service);
     let value = row.to_bytes()?;
     Ok(RowWrite {
         service,
         row,
         change: Change {
             unless_changed: vec![
-                (beliefs::KEEPER_KEY.to_owned(), office.version),
+                (own_rows::KEEPER_KEY.to_owned(), office.version),
                 (key.clone(), expected),
             ],
             put: vec![(key, value)],
--- /dev/null
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -0,0 +1,204 @@
+//! Rows of the product's own table: their keys, stored forms, and what they change.
+
+use citronway_core::gateway::assignment::Assignment;
+use citronway_core::gateway::desk::Owners;
+use citronway_core::gateway::election::{Former, KeeperRow};
+use citronway_core::gateway::rows::{Patch, Relay, Row};
+use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
+use citronway_core::time::Mono;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+use super::beliefs::Beliefs;
+use super::peers::InstanceRow;
+
+/// Key of the row that names the keeper.
+pub(super) const KEEPER_KEY: &str = "keeper";
+
+/// Keys of assignments begin so; the service follows.
+const KEYS_PREFIX: &str = "keys/";
+
+/// Keys of the instances' rows begin so; the name follows.
+const INSTANCE_PREFIX: &str = "instance/";
+
+/// Stored form of the keeper's row.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredKeeper {
+    session: Session,
+    term: u64,
+    former: Vec<Former>,
+}
+
+impl Beliefs {
+    pub(super) fn own_rows(&mut self, now: Mono, rows: &[Row]) {
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            if row.key == KEEPER_KEY {
+                self.keeper_row(now, row.version, value);
+            } else if let Some(service) = row.key.strip_prefix(KEYS_PREFIX) {
+                self.assignment_row(&ServiceName::new(service), row.version, value);
+            } else if let Some(name) = row.key.strip_prefix(INSTANCE_PREFIX) {
+                match serde_json::from_slice::<InstanceRow>(value) {
+                    Ok(row) => self.peers.row_seen(&InstanceName::new(name), row),
+                    Err(e) => log::error!(name, cause = e.to_string(); "instance row not taken"),
+                }
+            }
+        }
+    }
+
+    fn keeper_row(&mut self, now: Mono, version: Version, value: &[u8]) {
+        let stored = match serde_json::from_slice::<StoredKeeper>(value) {
+            Ok(stored) => stored,
+            Err(e) => {
+                log::error!(cause = e.to_string(); "keeper row not taken");
+                return;
+            }
+        };
+        if self
+            .keeper
+            .as_ref()
+            .is_some_and(|row| row.version >= version)
+        {
+            return;
+        }
+        if self
+            .keeper
+            .as_ref()
+            .is_none_or(|row| row.term < stored.term)
+        {
+            let instance = stored.session.instance.as_str();
+            log::info!(instance, term = stored.term; "keeper");
+            self.keeper_seen = now;
+        }
+        self.keeper = Some(KeeperRow {
+            instance: stored.session.instance,
+            session: stored.session.id,
+            term: stored.term,
+            former: stored.former,
+            version,
+        });
+    }
+
+    fn assignment_row(&mut self, service: &ServiceName, version: Version, value: &[u8]) {
+        let assignment = match Assignment::from_bytes(value) {
+            Ok(assignment) => assignment,
+            Err(e) => {
+                let service = service.as_str();
+                log::error!(service, cause = e.to_string(); "assignment not taken");
+                return;
+            }
+        };
+        if self
+            .owners
+            .get(service)
+            .is_some_and(|known| known.version >= version)
+        {
+            return;
+        }
+        self.owners_known(service, version, assignment);
+    }
+
+    fn owners_known(&mut self, service: &ServiceName, version: Version, assignment: Assignment) {
+        let moving = assignment
+            .ranges
+            .iter()
+            .filter(|range| range.is_moving())
+            .count();
+        let ranges = assignment.ranges.len();
+        log::info!(service = service.as_str(), version = version.0, ranges, moving; "assignment");
+        let owners = Owners {
+            assignment: Arc::new(assignment),
+            version,
+        };
+        self.owners.insert(service.clone(), owners);
+    }
+
+    /// A relay in which changes stand for large rows of which most stays as it was.
+    pub(super) fn with_patches(&self, relay: &Relay) -> Relay {
+        let mut slim = Relay {
+            rows: Vec::new(),
+            ..relay.clone()
+        };
+        for row in &relay.rows {
+            match self.patch(row) {
+                Some(patch) => slim.patches.push(patch),
+                None => slim.rows.push(row.clone()),
+            }
+        }
+        slim
+    }
+
+    fn patch(&self, row: &Row) -> Option<Patch> {
+        let service = ServiceName::new(row.key.strip_prefix(KEYS_PREFIX)?);
+        let value = row.value.as_deref()?;
+        let known = self.owners.get(&service)?;
+        if known.version >= row.version {
+            return None;
+        }
+        // A row that cannot be read is passed on as it is, and each receiver says so.
+        let newer = Assignment::from_bytes(value).ok()?;
+        let change = newer.changes_since(&known.assignment).ok()?;
+        Some(Patch {
+            key: row.key.clone(),
+            before: known.version,
+            version: row.version,
+            change,
+        })
+    }
+
+    /// Whether the rows that a relay changes are known as they were before.
+    pub(super) fn can_patch(&self, relay: &Relay) -> bool {
+        relay.patches.iter().all(|patch| {
+            let known = self.patched_row(patch).map(|known| known.version);
+            known.is_some_and(|known| known == patch.before || known >= patch.version)
+        })
+    }
+
+    fn patched_row(&self, patch: &Patch) -> Option<&Owners> {
+        let service = patch.key.strip_prefix(KEYS_PREFIX)?;
+        self.owners.get(&ServiceName::new(service))
+    }
+
+    pub(super) fn patched(&mut self, patch: &Patch) {
+        let Some(known) = self.patched_row(patch) else {
+            return;
+        };
+        if known.version != patch.before {
+            return;
+        }
+        match known.assignment.with_changes(&patch.change) {
+            Ok(assignment) => {
+                let service = ServiceName::new(patch.key.trim_start_matches(KEYS_PREFIX));
+                self.owners_known(&service, patch.version, assignment);
+                self.own.has_seen(patch.version.0);
+                self.changed = true;
+            }
+            Err(e) => {
+                log::error!(row = patch.key.as_str(), cause = e.to_string(); "change not taken");
+            }
+        }
+    }
+}
+
+/// Key of an instance's row.
+pub(super) fn instance_key(instance: &InstanceName) -> String {
+    format!("{INSTANCE_PREFIX}{instance}")
+}
+
+/// Key of a service's assignment.
+pub(super) fn assignment_key(service: &ServiceName) -> String {
+    format!("{KEYS_PREFIX}{service}")
+}
+
+/// Stored form of a keeper's row.
+pub(super) fn keeper_value(
+    me: &Session,
+    term: u64,
+    former: Vec<Former>,
+) -> Result<Vec<u8>, serde_json::Error> {
+    serde_json::to_vec(&StoredKeeper {
+        session: me.clone(),
+        term,
+        former,
+    })
+}
--- /dev/null
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -0,0 +1,137 @@
+//! What this instance tells the others: its reports, and rows as their keeper.
+
+use std::net::SocketAddr;
+
+use citronway_core::gateway::report::{self, MAX_KEYS, Report, looks_a_report};
+use citronway_core::gateway::rows::Relay;
+use citronway_core::time::Mono;
+use citronway_wire::report::{self as datagram, Datagram};
+use tokio::net::UdpSocket;
+
+use super::Control;
+use crate::clock;
+use crate::gateway::traffic::Seen;
+
+/// Of how many looks at the traffic one is reported to the keeper at least: hot ranges
+/// are cut up by what it hears, and their callers queue meanwhile.
+const KEEPER_LOOKS: u64 = 2;
+
+/// Who gets a datagram.
+#[derive(Debug, Clone, Copy)]
+enum Audience {
+    All,
+    /// The keeper has reports of its own.
+    AllButKeeper,
+    /// The same, in this instance's availability zone.
+    OwnZone,
+    /// The same, in all others.
+    OtherZones,
+}
+
+impl Control {
+    /// Takes an account of the traffic and reports it to the others.
+    pub(super) fn account(&mut self, socket: &UdpSocket, seen: &Seen) {
+        let now = clock::mono();
+        self.reports += 1;
+        self.duty.work_seen(&seen.work_ms);
+        let instances = self.beliefs.peers.heard(now) + 1;
+        // The keeper is heard often enough that its silence is soon noticed.
+        let keeps = self.duty.in_office();
+        let looks = looks_a_report(instances);
+        let [keeper_looks, other_looks] = [KEEPER_LOOKS.min(looks), looks].map(|looks| {
+            if keeps {
+                KEEPER_LOOKS.min(looks)
+            } else {
+                looks
+            }
+        });
+        for unreported in &mut self.unreported {
+            unreported.add(seen.looked.clone());
+        }
+        if self.reports.is_multiple_of(keeper_looks) {
+            let seen = std::mem::take(&mut self.unreported[0]);
+            let report = self.report(now, seen);
+            self.duty.traffic_seen(now, &report);
+            self.send_to_keeper(socket, report);
+        }
+        if !self.reports.is_multiple_of(other_looks) {
+            return;
+        }
+        let mut seen = std::mem::take(&mut self.unreported[1]);
+        // Only the keeper places keys.
+        seen.keys.clear();
+        let report = self.report(now, seen);
+        self.beliefs.own_traffic(&report);
+        self.beliefs.traffic_seen(now, &report);
+        if looks == 1 {
+            self.send_all(socket, &Datagram::Report(report), Audience::AllButKeeper);
+        } else {
+            let brief = Datagram::Report(report.brief());
+            self.send_all(socket, &Datagram::Report(report), Audience::OwnZone);
+            self.send_all(socket, &brief, Audience::OtherZones);
+        }
+        self.publish(now);
+    }
+
+    fn report(&self, now: Mono, mut seen: report::Seen) -> Report {
+        for samples in &mut seen.keys {
+            samples.keys.truncate(MAX_KEYS);
+        }
+        Report {
+            instance: self.me.instance.clone(),
+            session: self.me.id,
+            number: self.reports,
+            stopping: self.stopping,
+            unfit: self.duty.is_unfit(now, &self.beliefs),
+            strength: self.cfg.strength,
+            term: self.duty.term(),
+            seen: self.beliefs.seen(),
+            endpoints: seen.endpoints,
+            keys: seen.keys,
+        }
+    }
+
+    fn send_to_keeper(&self, socket: &UdpSocket, report: Report) {
+        let Some(address) = self.beliefs.keeper_address() else {
+            return;
+        };
+        let bytes = datagram::encode(&Datagram::Report(report));
+        self.send(socket, &bytes, address);
+    }
+
+    fn send_all(&self, socket: &UdpSocket, content: &Datagram, audience: Audience) {
+        let bytes = datagram::encode(content);
+        let keeper = self.beliefs.keeper_address();
+        for (address, zone) in self.beliefs.peers.addresses() {
+            let near = zone == Some(&self.cfg.zone);
+            let is_meant = match audience {
+                Audience::All => true,
+                Audience::AllButKeeper => Some(address) != keeper,
+                Audience::OwnZone => near && Some(address) != keeper,
+                Audience::OtherZones => !near && Some(address) != keeper,
+            };
+            if is_meant {
+                self.send(socket, &bytes, address);
+            }
+        }
+    }
+
+    fn send(&self, socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+        if to == self.cfg.reports || bytes.len() > datagram::MAX_DATAGRAM {
+            return;
+        }
+        // What is lost shows by newer numbers and positions in later reports.
+        if let Err(e) = socket.try_send_to(bytes, to) {
+            log::debug!(cause = e.to_string(), to = to.to_string(); "datagram not sent");
+        }
+    }
+
+    /// Passes rows on to those that rest.
+    pub(super) fn pass_on(&self, socket: &UdpSocket, relay: &Relay) {
+        if !self.duty.in_office() {
+            return;
+        }
+        let relay = self.beliefs.with_patches(relay);
+        self.send_all(socket, &Datagram::Relay(relay), Audience::All);
+    }
+}
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -69,8 +69,30 @@
     pub failed: Option<Answer>,
 }
 
-/// Cause of an outcome that is not known: the endpoint or the network broke off.
-const BROKE: &str = "the connection to the endpoint broke";
+/// Why it is not known whether a request ran.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    /// The answer belongs to another request.
+    Foreign,
+    /// The endpoint was silent for longer than another should be kept waiting.
+    Silent,
+    /// The answer broke off.
+    Cut,
+    /// The connection broke.
+    Broken,
+}
+
+impl Doubt {
+    /// Words for logs and callers.
+    const fn cause(self) -> &'static str {
+        match self {
+            Self::Foreign => "the answer belongs to another request",
+            Self::Silent => "the endpoint was silent",
+            Self::Cut => "the answer is not whole",
+            Self::Broken => "the connection to the endpoint broke",
+        }
+    }
+}
 
 /// Why nothing reached an endpoint.
 enum Unsent {
@@ -91,7 +113,7 @@
     /// Nothing was tried: no time was left to work.
     TooLate,
     /// It may have run there.
-    Unknown(&'static str),
+    Unknown(Doubt),
     /// The time ended.
     TimedOut,
 }
@@ -159,15 +181,16 @@
                     }
                     tokio::time::sleep(AFTER_REFUSAL).await;
                 }
-                Sent::Unknown(cause) => {
-                    if cause == BROKE {
-                        self.state.reset(&choice.endpoint);
-                    } else {
-                        self.state.refused(&choice.endpoint);
+                Sent::Unknown(doubt) => {
+                    match doubt {
+                        Doubt::Broken => self.state.reset(&choice.endpoint),
+                        Doubt::Foreign | Doubt::Silent | Doubt::Cut => {
+                            self.state.refused(&choice.endpoint);
+                        }
                     }
                     self.run_by.push(choice.endpoint);
                     if !self.may_run_again() || !self.may_send_again(now) {
-                        return Outcome::Unknown(cause);
+                        return Outcome::Unknown(doubt.cause());
                     }
                 }
                 Sent::TimedOut => {
@@ -277,20 +300,20 @@
                     Sent::Answer(answer)
                 }
                 Meaning::Full | Meaning::Misdirected | Meaning::NotRun => Sent::Refused(meaning),
-                Meaning::Foreign => Sent::Unknown("the answer belongs to another request"),
+                Meaning::Foreign => Sent::Unknown(Doubt::Foreign),
             },
             Ok(Err(CallError::Reset)) => Sent::Nowhere(Unsent::Reset),
             Ok(Err(e)) if e.nothing_sent() => Sent::Nowhere(Unsent::NoConnection),
             Ok(Err(CallError::Timeout)) | Err(_) if patience_ms < left_ms => {
-                Sent::Unknown("the endpoint was silent")
+                Sent::Unknown(Doubt::Silent)
             }
             // The time ended while the connection was being made.
             Ok(Err(CallError::Timeout)) | Err(_) if self.sends == sends => {
                 Sent::Nowhere(Unsent::NoConnection)
             }
             Ok(Err(CallError::Timeout)) | Err(_) => Sent::TimedOut,
-            Ok(Err(CallError::Cut(_))) => Sent::Unknown("the answer is not whole"),
-            Ok(Err(_)) => Sent::Unknown(BROKE),
+            Ok(Err(CallError::Cut(_))) => Sent::Unknown(Doubt::Cut),
+            Ok(Err(_)) => Sent::Unknown(Doubt::Broken),
         }
     }
 
@@ -385,7 +408,8 @@
             };
             log::info!(request, endpoint, fence, sends, cause; "not sent");
         }
-        Sent::Unknown(cause) => {
+        Sent::Unknown(doubt) => {
+            let cause = doubt.cause();
             log::info!(request, endpoint, fence, sends, cause; "endpoint may have run it");
         }
         Sent::TimedOut => log::info!(request, endpoint, fence, sends; "endpoint was silent"),
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -9,7 +9,10 @@
 use googletest::prelude::*;
 
 /// Seeds that failed once, each with its cause in a line.
-const REGRESSIONS: [u64; 0] = [];
+const REGRESSIONS: [u64; 1] = [
+    // An endpoint that said it leaves and stayed was refused its own keys for good.
+    1_010,
+];
 
 /// Seeds that are always played.
 const FIXED: [u64; 2] = [1, 2];
