A grant that was not sent leaves the one before it its late arrival

Found by reading: after a grant that was not sent, the hold of the one before was counted from then, without the 0.25 s in which that one may still arrive.

--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -38,8 +38,8 @@
 
 /// Part of a keeper's work that a machine could do, in thousandths.
 ///
-/// Failure: machines are unequal, and the first to claim has a fifth of a core's
-/// fifth and a link that a few changes a second fill; its rows reach nobody in time.
+/// Failure: machines are unequal, and the first to claim has a tenth of a core and a link
+/// of 10 Mbit/s, which a few changes a second fill; its rows reach nobody in time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Strength(pub u16);
 
--- a/crates/citronway-core/src/gateway/keeper/moves.rs
+++ b/crates/citronway-core/src/gateway/keeper/moves.rs
@@ -287,7 +287,8 @@
     fn grant_answered(&mut self, now: Mono, order: &Order, result: &OrderResult) {
         let ok = matches!(result, OrderResult::Done { .. });
         if matches!(result, OrderResult::NotSent | OrderResult::TooLate) {
-            let end = self.cfg.end_of_hold(now);
+            // The order before it was given up by now and may still arrive.
+            let end = self.cfg.end_of_hold(now.plus(self.cfg.late_ms));
             self.holds
                 .not_sent(&order.endpoint, order.span, order.fence, end);
         } else {
