--- a/crates/citronway-core/src/gateway/assignment.rs
+++ b/crates/citronway-core/src/gateway/assignment.rs
@@ -163,11 +163,11 @@
     }
 }
 
-/// Why a stored assignment was not taken.
+/// Why a row of the own table was not taken.
 #[derive(Debug, thiserror::Error)]
 pub enum RowError {
     /// Not of the stored form.
-    #[error("malformed assignment: {0}")]
+    #[error("malformed: {0}")]
     Malformed(#[from] serde_json::Error),
     /// A range names an endpoint that the row does not list.
     #[error("range {range} names endpoint number {endpoint}, which the row does not list")]
--- a/crates/citronway-core/src/gateway/desk/job.rs
+++ b/crates/citronway-core/src/gateway/desk/job.rs
@@ -67,6 +67,8 @@
 pub enum RefusalReason {
     /// No configuration is known yet.
     NoConfiguration,
+    /// The configuration says of its route nothing that can be used.
+    UnusableRoute,
     /// The service has no endpoint that takes work.
     NoEndpoint,
     /// Nobody holds the key at the moment.
@@ -83,8 +85,9 @@
 
 impl RefusalReason {
     /// All reasons, for tables in documents and tests.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::NoConfiguration,
+        Self::UnusableRoute,
         Self::NoEndpoint,
         Self::KeyUnowned,
         Self::Overloaded,
@@ -98,6 +101,7 @@
     pub const fn word(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::UnusableRoute => "unusable_route",
             Self::NoEndpoint => "no_endpoint",
             Self::KeyUnowned => "key_unowned",
             Self::Overloaded => "overloaded",
--- a/crates/citronway-core/src/gateway/routes.rs
+++ b/crates/citronway-core/src/gateway/routes.rs
@@ -16,10 +16,34 @@
     pub services: IndexMap<ServiceName, Service>,
     /// Bounds on what a caller may send.
     pub limits: CallerLimits,
+    /// A route was left out because nobody can tell which requests are its own.
+    incomplete: bool,
     /// Routes of a host, longest prefix first, as places in `routes`.
     by_host: IndexMap<String, Vec<usize>>,
 }
 
+/// Routes as they were read, before they are checked.
+#[derive(Debug, Default)]
+pub struct Draft {
+    /// Routes in the operator's order.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: IndexMap<ServiceName, Service>,
+    /// A route could not be read so far that its requests are known.
+    pub incomplete: bool,
+    /// What was found wrong while it was read.
+    pub findings: Findings,
+}
+
+/// A configuration that can be put in force, and what of it cannot be used.
+#[derive(Debug)]
+pub struct Checked {
+    /// Everything that is known to be meant.
+    pub routes: RouteTable,
+    /// What was left out or is answered with a refusal, with the place.
+    pub findings: Findings,
+}
+
 /// One route: requests whose host and path match it go to its targets.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
@@ -29,7 +53,8 @@
     pub host: String,
     /// Start of the path; begins and ends with a slash.
     pub prefix: String,
-    /// Services that share the requests by weight; one for a plain route.
+    /// Services that share the requests by weight; one for a plain route, none for a
+    /// route that cannot be used: its requests are refused.
     pub targets: Vec<Target>,
     /// Whether a request may run more than once.
     pub repeat: Repeat,
@@ -96,40 +121,76 @@
     pub idle_ms: u64,
 }
 
+/// Bounds where the operator states none.
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024,
+            header_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
 impl RouteTable {
-    /// Checks a configuration as a whole and prepares it for look-ups.
-    ///
-    /// # Errors
+    /// Checks a configuration and prepares it for look-ups.
     ///
-    /// Everything that is wrong with it, with the place.
-    pub fn new(
-        version: Version,
-        routes: Vec<Route>,
-        services: IndexMap<ServiceName, Service>,
-        limits: CallerLimits,
-    ) -> Result<Self, Findings> {
-        let mut findings = Findings::new();
-        for (i, route) in routes.iter().enumerate() {
-            check_route(&mut findings, i, route, &services);
-        }
-        findings.or_ok(())?;
+    /// Failure guarded against: one route that this version cannot use keeps the whole
+    /// configuration out, and nobody is served on any route. A route in doubt refuses
+    /// its own requests, which tells callers that they have not run; all others hold.
+    #[must_use]
+    pub fn check(version: Version, limits: CallerLimits, draft: Draft) -> Checked {
+        let Draft {
+            mut routes,
+            services,
+            mut incomplete,
+            mut findings,
+        } = draft;
         let mut by_host = IndexMap::<String, Vec<usize>>::new();
-        for (i, route) in routes.iter().enumerate() {
-            by_host
-                .entry(route.host.to_ascii_lowercase())
-                .or_default()
-                .push(i);
+        for (i, route) in routes.iter_mut().enumerate() {
+            if !has_slashes(&route.prefix) {
+                findings.push(Finding::new(
+                    place(i, "prefix"),
+                    Problem::Malformed,
+                    "a path that begins and ends with a slash",
+                ));
+                incomplete = true;
+                continue;
+            }
+            check_route(&mut findings, i, route, &services);
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(i);
         }
         for places in by_host.values_mut() {
             places.sort_by_key(|i| std::cmp::Reverse(routes[*i].prefix.len()));
         }
-        Ok(Self {
+        let routes = Self {
             version,
             routes,
             services,
             limits,
+            incomplete,
             by_host,
-        })
+        };
+        Checked { routes, findings }
+    }
+
+    /// Whether a request that matches no route may belong to one that was left out.
+    #[must_use]
+    pub const fn is_incomplete(&self) -> bool {
+        self.incomplete
+    }
+
+    /// The service that takes the `n`th request of a route; none if it is not known.
+    #[must_use]
+    pub fn service<'a>(
+        &'a self,
+        route: &'a Route,
+        n: u64,
+    ) -> Option<(&'a ServiceName, &'a Service)> {
+        let name = &route.target(n)?.service;
+        Some((name, self.services.get(name)?))
     }
 
     /// The route with the longest prefix of `path` among those of `host`.
@@ -158,14 +219,14 @@
     /// Consecutive numbers are spread evenly: of any `total weight` numbers in a
     /// row each target gets its weight, not in one block.
     #[must_use]
-    pub fn target(&self, n: u64) -> &Target {
+    pub fn target(&self, n: u64) -> Option<&Target> {
         let total = self
             .targets
             .iter()
             .map(|t| u64::from(t.weight))
             .sum::<u64>();
         let Some(last) = self.targets.last().filter(|_| total > 0) else {
-            return &self.targets[0];
+            return self.targets.first();
         };
         // A step of about 0.618 of the circle, made prime to the total, visits
         // all places in an order that alternates between the targets.
@@ -173,11 +234,11 @@
         for target in &self.targets {
             let weight = u64::from(target.weight);
             if place < weight {
-                return target;
+                return Some(target);
             }
             place -= weight;
         }
-        last
+        Some(last)
     }
 }
 
@@ -196,24 +257,28 @@
     a
 }
 
+fn place(i: usize, field: &str) -> Place {
+    Place::new(format!("routes[{i}].{field}"))
+}
+
+fn has_slashes(prefix: &str) -> bool {
+    prefix.starts_with('/') && prefix.ends_with('/')
+}
+
+/// Takes the targets from a route that cannot be used.
 fn check_route(
     findings: &mut Findings,
     i: usize,
-    route: &Route,
+    route: &mut Route,
     services: &IndexMap<ServiceName, Service>,
 ) {
-    let place = |field: &str| Place::new(format!("routes[{i}].{field}"));
-    let slashes = route.prefix.starts_with('/') && route.prefix.ends_with('/');
-    if !slashes {
+    if route.targets.is_empty() {
         findings.push(Finding::new(
-            place("prefix"),
-            Problem::Malformed,
-            "a path that begins and ends with a slash",
+            place(i, "targets"),
+            Problem::Empty,
+            "a service",
         ));
     }
-    if route.targets.is_empty() {
-        findings.push(Finding::new(place("targets"), Problem::Empty, "a service"));
-    }
     for target in &route.targets {
         if services.contains_key(&target.service) {
             continue;
@@ -222,10 +287,19 @@
             kind: Kind::Service,
             name: target.service.to_string(),
         };
-        findings.push(Finding::new(place("service"), problem, "a listed service"));
+        findings.push(Finding::new(
+            place(i, "service"),
+            problem,
+            "a listed service",
+        ));
     }
     if route.timeout_ms == 0 {
         let problem = Problem::OutOfRange(route.timeout_ms.to_string());
-        findings.push(Finding::new(place("timeout"), problem, "a time above zero"));
+        findings.push(Finding::new(
+            place(i, "timeout"),
+            problem,
+            "a time above zero",
+        ));
+        route.targets.clear();
     }
 }
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -9,7 +9,7 @@
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
 use citronway_core::gateway::report::{Report, Versions};
-use citronway_core::gateway::routes::RouteTable;
+use citronway_core::gateway::routes::{Checked, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{EndpointName, ServiceName, Version, ZoneName};
@@ -19,6 +19,7 @@
 
 use super::peers::Peers;
 use super::store::News;
+use super::unusable::{Source, Unusable};
 
 /// For how long others may have newer rows before a poll is taken for dead, in
 /// milliseconds. Polls are answered within a few milliseconds of a change.
@@ -75,6 +76,7 @@
     /// Newest version of each endpoint's entry, of removed ones too.
     entries: IndexMap<String, Version>,
     heard_at: Mono,
+    pub(super) unusable: Unusable,
     pub(super) changed: bool,
 }
 
@@ -106,6 +108,7 @@
             own_waiting: IndexMap::new(),
             entries: IndexMap::new(),
             heard_at: Mono::default(),
+            unusable: Unusable::default(),
             changed: false,
         }
     }
@@ -224,10 +227,11 @@
             let Some(value) = row.value.as_deref().filter(|_| row.key == CONFIG_KEY) else {
                 continue;
             };
-            let routes = match citronway_platform::config::decode(value) {
-                Ok(routes) => routes,
+            let Checked { routes, findings } = match citronway_platform::config::decode(value) {
+                Ok(checked) => checked,
                 Err(e) => {
                     log::error!(cause = e.to_string(); "configuration not taken");
+                    self.unusable.count(Source::Configuration, 1);
                     continue;
                 }
             };
@@ -236,6 +240,7 @@
                 continue;
             }
             log::info!(version = routes.version.0, row = row.version.0; "configuration in force");
+            self.unusable.found_in_configuration(&findings);
             self.routes = Some(Arc::new(routes));
         }
     }
@@ -254,13 +259,18 @@
             let id = EndpointName::new(&row.key);
             let Some(value) = &row.value else {
                 log::info!(endpoint = id.as_str(); "endpoint no longer listed");
+                self.unusable.settled(Source::Entry, &row.key);
                 registry.remove(now, &id);
                 continue;
             };
             match citronway_platform::endpoints::decode(&row.key, value) {
-                Ok(listing) => listings.push(listing),
+                Ok(listing) => {
+                    self.unusable.settled(Source::Entry, &row.key);
+                    listings.push(listing);
+                }
                 Err(e) => {
-                    log::error!(endpoint = id.as_str(), cause = e.to_string(); "entry not taken");
+                    self.unusable
+                        .refused(Source::Entry, &row.key, e.to_string());
                 }
             }
         }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -8,6 +8,7 @@
 mod placing;
 mod reporting;
 mod store;
+mod unusable;
 
 use std::io;
 use std::path::PathBuf;
@@ -35,6 +36,8 @@
 use peers::InstanceRow;
 use store::{Follow, Follower, News, Store, StoreError};
 
+pub(super) use unusable::Source;
+
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::{self, Ready};
@@ -277,6 +280,9 @@
                 let _ = events.send(Event::Claimed).await;
             });
         }
+        for (source, count) in self.beliefs.unusable.take_counts() {
+            self.metrics.unusable(source, count);
+        }
         if self.beliefs.take_changed() {
             self.publish(now);
         }
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -1,6 +1,6 @@
 //! Rows of the product's own table: their keys, stored forms, and what they change.
 
-use citronway_core::gateway::assignment::Assignment;
+use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::desk::Owners;
 use citronway_core::gateway::election::{Former, KeeperRow};
 use citronway_core::gateway::rows::{Patch, Relay, Row};
@@ -11,6 +11,7 @@
 
 use super::beliefs::Beliefs;
 use super::peers::InstanceRow;
+use super::unusable::Source;
 
 /// Key of the row that names the keeper.
 pub(super) const KEEPER_KEY: &str = "keeper";
@@ -33,33 +34,37 @@
     pub(super) fn own_rows(&mut self, now: Mono, rows: &[Row]) {
         for row in rows {
             let Some(value) = &row.value else { continue };
-            if row.key == KEEPER_KEY {
-                self.keeper_row(now, row.version, value);
-            } else if let Some(service) = row.key.strip_prefix(KEYS_PREFIX) {
-                self.assignment_row(&ServiceName::new(service), row.version, value);
-            } else if let Some(name) = row.key.strip_prefix(INSTANCE_PREFIX) {
-                match serde_json::from_slice::<InstanceRow>(value) {
-                    Ok(row) => self.peers.row_seen(&InstanceName::new(name), row),
-                    Err(e) => log::error!(name, cause = e.to_string(); "instance row not taken"),
-                }
+            let key = row.key.as_str();
+            let taken = if key == KEEPER_KEY {
+                self.keeper_row(now, row.version, value)
+            } else if let Some(service) = key.strip_prefix(KEYS_PREFIX) {
+                self.assignment_row(&ServiceName::new(service), row.version, value)
+            } else if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
+                self.instance_row(&InstanceName::new(name), value)
+            } else {
+                Ok(())
+            };
+            match taken {
+                Ok(()) => self.unusable.settled(Source::OwnRow, key),
+                Err(e) => self.unusable.refused(Source::OwnRow, key, e.to_string()),
             }
         }
     }
 
-    fn keeper_row(&mut self, now: Mono, version: Version, value: &[u8]) {
-        let stored = match serde_json::from_slice::<StoredKeeper>(value) {
-            Ok(stored) => stored,
-            Err(e) => {
-                log::error!(cause = e.to_string(); "keeper row not taken");
-                return;
-            }
-        };
+    fn instance_row(&mut self, name: &InstanceName, value: &[u8]) -> Result<(), RowError> {
+        let row = serde_json::from_slice::<InstanceRow>(value)?;
+        self.peers.row_seen(name, row);
+        Ok(())
+    }
+
+    fn keeper_row(&mut self, now: Mono, version: Version, value: &[u8]) -> Result<(), RowError> {
+        let stored = serde_json::from_slice::<StoredKeeper>(value)?;
         if self
             .keeper
             .as_ref()
             .is_some_and(|row| row.version >= version)
         {
-            return;
+            return Ok(());
         }
         if self
             .keeper
@@ -77,25 +82,21 @@
             former: stored.former,
             version,
         });
+        Ok(())
     }
 
-    fn assignment_row(&mut self, service: &ServiceName, version: Version, value: &[u8]) {
-        let assignment = match Assignment::from_bytes(value) {
-            Ok(assignment) => assignment,
-            Err(e) => {
-                let service = service.as_str();
-                log::error!(service, cause = e.to_string(); "assignment not taken");
-                return;
-            }
-        };
-        if self
-            .owners
-            .get(service)
-            .is_some_and(|known| known.version >= version)
-        {
-            return;
+    fn assignment_row(
+        &mut self,
+        service: &ServiceName,
+        version: Version,
+        value: &[u8],
+    ) -> Result<(), RowError> {
+        let assignment = Assignment::from_bytes(value)?;
+        let known = self.owners.get(service);
+        if known.is_none_or(|known| known.version < version) {
+            self.owners_known(service, version, assignment);
         }
-        self.owners_known(service, version, assignment);
+        Ok(())
     }
 
     fn owners_known(&mut self, service: &ServiceName, version: Version, assignment: Assignment) {
@@ -173,9 +174,9 @@
                 self.own.has_seen(patch.version.0);
                 self.changed = true;
             }
-            Err(e) => {
-                log::error!(row = patch.key.as_str(), cause = e.to_string(); "change not taken");
-            }
+            Err(e) => self
+                .unusable
+                .refused(Source::OwnRow, &patch.key, e.to_string()),
         }
     }
 }
--- /dev/null
+++ b/crates/citronway/src/gateway/control/unusable.rs
@@ -0,0 +1,80 @@
+//! What others wrote into the store and this instance cannot use.
+
+use citronway_core::findings::Findings;
+use indexmap::IndexMap;
+
+/// Findings of one configuration that are logged; the rest is counted.
+const MOST_LOGGED: usize = 20;
+
+/// Where it stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Source {
+    /// The operator's configuration, or a part of it.
+    Configuration,
+    /// An endpoint's entry.
+    Entry,
+    /// A row of the product's own table.
+    OwnRow,
+}
+
+impl Source {
+    /// Label for metrics.
+    pub(crate) const fn word(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Entry => "entry",
+            Self::OwnRow => "own_row",
+        }
+    }
+}
+
+/// What could not be used, so that each is logged once and counted.
+#[derive(Debug, Default)]
+pub(super) struct Unusable {
+    /// Why each row was last refused, by its table and key.
+    causes: IndexMap<(Source, String), String>,
+    counts: IndexMap<Source, u64>,
+}
+
+impl Unusable {
+    pub(super) fn count(&mut self, source: Source, more: u64) {
+        *self.counts.entry(source).or_default() += more;
+    }
+
+    /// Takes what was found in a configuration that is in force for all the rest.
+    pub(super) fn found_in_configuration(&mut self, findings: &Findings) {
+        for finding in findings.iter().take(MOST_LOGGED) {
+            log::error!(cause = finding.to_string(); "part of the configuration cannot be used");
+        }
+        let rest = findings.len().saturating_sub(MOST_LOGGED);
+        if rest > 0 {
+            log::error!(rest; "more of the configuration cannot be used");
+        }
+        self.count(Source::Configuration, findings.len() as u64);
+    }
+
+    /// Takes a row that cannot be used.
+    ///
+    /// Load: an endpoint's entry is written each second. One line for each change of
+    /// what is wrong is enough.
+    pub(super) fn refused(&mut self, source: Source, key: &str, cause: String) {
+        let at = (source, key.to_owned());
+        if self.causes.get(&at) == Some(&cause) {
+            return;
+        }
+        let table = source.word();
+        log::error!(table, key, cause = cause.as_str(); "row cannot be used");
+        self.causes.insert(at, cause);
+        self.count(source, 1);
+    }
+
+    /// Takes a row that is usable or gone.
+    pub(super) fn settled(&mut self, source: Source, key: &str) {
+        self.causes.swap_remove(&(source, key.to_owned()));
+    }
+
+    /// Counts since the last call.
+    pub(super) fn take_counts(&mut self) -> IndexMap<Source, u64> {
+        std::mem::take(&mut self.counts)
+    }
+}
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::control::Source;
 use crate::logs;
 
 /// Bounds of the histogram of answers, in seconds; objectives are 0.2 to 1.5 s.
@@ -99,6 +100,11 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct UnusableLabels {
+    source: &'static str,
+}
+
 /// All metrics; clones count together.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -112,6 +118,7 @@
     orders: Family<OrderLabels, Counter>,
     polls: Family<PollLabels, Counter>,
     writes: Counter,
+    unusable: Family<UnusableLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -136,6 +143,9 @@
         registry.register("polls", "Polls of the store by result", polls.clone());
         let writes = Counter::default();
         registry.register("writes", "Assignments written", writes.clone());
+        let unusable = Family::default();
+        let help = "Parts of the configuration and rows that could not be used";
+        registry.register("unusable", help, unusable.clone());
         Self {
             registry: Arc::new(registry),
             requests,
@@ -147,6 +157,7 @@
             orders,
             polls,
             writes,
+            unusable,
         }
     }
 }
@@ -219,6 +230,13 @@
         self.writes.inc_by(count as u64);
     }
 
+    /// Counts what could not be used of what others wrote into the store.
+    pub(super) fn unusable(&self, source: Source, count: u64) {
+        let source = source.word();
+        let labels = UnusableLabels { source };
+        self.unusable.get_or_create(&labels).inc_by(count);
+    }
+
     /// Renders all metrics, and how many log lines were dropped.
     ///
     /// # Errors
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -23,6 +23,10 @@
 /// Time to come back to another instance, in milliseconds.
 const STOPPING_RETRY_MS: u64 = 20;
 
+/// Time to come back where the configuration has to be mended first, in milliseconds: an
+/// operator who sees it needs seconds at least.
+const UNUSABLE_RETRY_MS: u64 = 2_000;
+
 /// Answers a request of a caller.
 pub(super) async fn answer(
     state: Rc<State>,
@@ -61,6 +65,9 @@
         return not_run(RefusalReason::NoConfiguration, DEFAULT_RETRY_MS);
     };
     let Some((_, route)) = routes.find(&words.host, head.uri.path()) else {
+        if routes.is_incomplete() {
+            return not_run(RefusalReason::UnusableRoute, UNUSABLE_RETRY_MS);
+        }
         return Outcome::Rejected(StatusCode::NOT_FOUND, "no route");
     };
     *class = Class::of(route);
@@ -72,9 +79,10 @@
         Err(_broken) => return Outcome::Rejected(StatusCode::BAD_REQUEST, "body not whole"),
     };
     let (number, work_ms) = state.count(route);
-    let service = &route.target(number).service;
-    let sharded = routes.services.get(service).is_some_and(|s| s.sharded);
-    let key = match (sharded, words.key) {
+    let Some((service, known)) = routes.service(route, number) else {
+        return not_run(RefusalReason::UnusableRoute, UNUSABLE_RETRY_MS);
+    };
+    let key = match (known.sharded, words.key) {
         (true, None) => return Outcome::Rejected(StatusCode::BAD_REQUEST, "no key"),
         (true, Some(key)) => {
             state.count_key(service, key);
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -19,14 +19,6 @@
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 
-/// Limits until a configuration is known.
-const FIRST_LIMITS: CallerLimits = CallerLimits {
-    header_bytes: 16 * 1024,
-    body_bytes: 1024 * 1024,
-    header_ms: 3_000,
-    idle_ms: 15_000,
-};
-
 /// Weight of the newest answer in the mean time of work of a route.
 const WORK_WEIGHT: f64 = 0.02;
 
@@ -53,7 +45,8 @@
 
 #[derive(Debug)]
 struct Work {
-    service: ServiceName,
+    /// First service of the route.
+    service: Option<ServiceName>,
     mean_ms: f64,
     /// Longest time that a caller stated to wait, in milliseconds.
     longest_wait_ms: u64,
@@ -89,9 +82,8 @@
 
     pub(super) fn limits(&self) -> CallerLimits {
         let view = self.view.borrow();
-        view.routes
-            .as_ref()
-            .map_or(FIRST_LIMITS, |routes| routes.limits)
+        let routes = view.routes.as_ref();
+        routes.map(|routes| routes.limits).unwrap_or_default()
     }
 
     pub(super) fn is_stopping(&self) -> bool {
@@ -109,7 +101,7 @@
         // Instances begin at different places, so that few requests of each still
         // divide well over all.
         let first = || Work {
-            service: route.targets[0].service.clone(),
+            service: route.targets.first().map(|target| target.service.clone()),
             // A first guess; the mean follows the answers.
             mean_ms: route.objective_ms as f64 * 0.3,
             longest_wait_ms: 0,
@@ -310,7 +302,10 @@
             .map(|(service, keys)| KeySamples { service, keys });
         let mut work = IndexMap::<ServiceName, (f64, f64)>::new();
         for route in self.work.borrow().values() {
-            let sum = work.entry(route.service.clone()).or_default();
+            let Some(service) = &route.service else {
+                continue;
+            };
+            let sum = work.entry(service.clone()).or_default();
             sum.0 += route.mean_ms * route.taken as f64;
             sum.1 += route.taken as f64;
         }
