--- a/crates/citronway-core/src/gateway/assignment.rs
+++ b/crates/citronway-core/src/gateway/assignment.rs
@@ -8,16 +8,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::EndpointName;
+use crate::ids::{EndpointName, EndpointStart};
 
 /// Last key of the key space; the first is zero.
 pub const LAST_KEY: u16 = u16::MAX;
 
 /// Most ranges of one assignment.
 ///
-/// A range takes 30 to 40 bytes in its stored form and an endpoint about 40. With 400
-/// endpoints and all ranges moving, the row in base64 stays below the 65,536 bytes that
-/// the store allows a row.
+/// A range takes 30 to 40 bytes in its stored form and an endpoint about 55. With 400
+/// endpoints and all ranges moving, the row has 51,000 of the 65,536 bytes that the store
+/// allows a row.
 pub const MAX_RANGES: usize = 850;
 
 /// Fences set aside for one move: seals below, the new owner's on top.
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Holder {
     /// Start of the endpoint.
-    pub endpoint: EndpointName,
+    pub endpoint: EndpointStart,
     /// Where it listens.
     pub address: SocketAddr,
     /// Fence of the grant.
@@ -185,11 +185,20 @@
     },
 }
 
-/// Stored form: each endpoint once, ranges as numbers.
+/// Stored form: each start of an endpoint once, ranges as numbers.
+///
+/// When the starts began stands in a list of its own: an instance of the version before,
+/// which runs beside this one while all are restarted in turn, reads the row without it.
+/// A row that such an instance wrote lacks the list, and its holders are starts of which
+/// nobody knows when they began. They are taken for ended and their keys are moved, with
+/// seal and release like those of any holder.
 #[derive(Debug, Serialize, Deserialize)]
 struct Stored {
     next_fence: u64,
     endpoints: Vec<(EndpointName, SocketAddr)>,
+    /// In the order of `endpoints`; shorter where the last ones do not say.
+    #[serde(default)]
+    born: Vec<Option<u64>>,
     ranges: Vec<StoredRange>,
 }
 
@@ -199,24 +208,29 @@
 
 impl Stored {
     fn place(&mut self, holder: &Holder) -> usize {
-        let same = |(id, _): &(EndpointName, SocketAddr)| *id == holder.endpoint;
-        if let Some(place) = self.endpoints.iter().position(same) {
+        let (name, born_ms) = (holder.endpoint.name(), holder.endpoint.born_ms());
+        let listed = self.endpoints.iter().zip(&self.born);
+        let same = |((n, address), born): (&(EndpointName, SocketAddr), &Option<u64>)| {
+            n == name && *born == born_ms && *address == holder.address
+        };
+        if let Some(place) = listed.into_iter().position(same) {
             return place;
         }
-        self.endpoints
-            .push((holder.endpoint.clone(), holder.address));
+        self.endpoints.push((name.clone(), holder.address));
+        self.born.push(born_ms);
         self.endpoints.len() - 1
     }
 
     fn holder(&self, range: usize, place: usize, fence: u64) -> Result<Holder, RowError> {
-        let Some((endpoint, address)) = self.endpoints.get(place) else {
+        let Some((name, address)) = self.endpoints.get(place) else {
             return Err(RowError::UnknownEndpoint {
                 range,
                 endpoint: place,
             });
         };
+        let born_ms = self.born.get(place).copied().flatten();
         Ok(Holder {
-            endpoint: endpoint.clone(),
+            endpoint: EndpointStart::new(name.as_str(), born_ms),
             address: *address,
             fence,
         })
@@ -248,6 +262,7 @@
         let mut stored = Self {
             next_fence: assignment.next_fence,
             endpoints: Vec::new(),
+            born: Vec::new(),
             ranges: Vec::with_capacity(assignment.ranges.len()),
         };
         for range in &assignment.ranges {
--- a/crates/citronway-core/src/gateway/desk/choose.rs
+++ b/crates/citronway-core/src/gateway/desk/choose.rs
@@ -129,14 +129,14 @@
         }
         let untried = endpoints
             .iter()
-            .any(|known| !job.tried.contains(&known.listing.id));
+            .any(|known| !job.tried.contains(&known.listing.start));
         let mut best = None;
         let mut cause = RefusalReason::Unreachable;
         for (i, known) in endpoints.iter().enumerate() {
-            if untried && job.tried.contains(&known.listing.id) {
+            if untried && job.tried.contains(&known.listing.start) {
                 continue;
             }
-            let tag = EndpointTag::of(&known.listing.id);
+            let tag = EndpointTag::of(&known.listing.start);
             if self.is_avoided(now, tag) {
                 continue;
             }
@@ -158,7 +158,7 @@
             return Finding::Wait(cause);
         };
         Finding::Send(Choice {
-            endpoint: known.listing.id.clone(),
+            endpoint: known.listing.start.clone(),
             address: known.listing.address,
             fence: None,
         })
--- a/crates/citronway-core/src/gateway/desk/job.rs
+++ b/crates/citronway-core/src/gateway/desk/job.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::routes::Repeat;
-use crate::ids::{EndpointName, ServiceName};
+use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
 /// A request that is to be sent to an endpoint.
@@ -30,14 +30,14 @@
     /// Usual time of work of its route, in milliseconds.
     pub work_ms: u64,
     /// Endpoints that it was sent to.
-    pub tried: Vec<EndpointName>,
+    pub tried: Vec<EndpointStart>,
 }
 
 /// Where to send a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
     /// Start of the endpoint.
-    pub endpoint: EndpointName,
+    pub endpoint: EndpointStart,
     /// Where it listens.
     pub address: SocketAddr,
     /// Fence of its grant, for a sharded service.
--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -13,7 +13,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::pace::EndpointTag;
-use crate::ids::EndpointName;
+use crate::ids::EndpointStart;
 use crate::time::Mono;
 
 use choose::Finding;
@@ -175,7 +175,7 @@
     }
 
     /// Notes that a request is no longer in flight at the endpoint.
-    pub fn finished(&mut self, endpoint: &EndpointName) {
+    pub fn finished(&mut self, endpoint: &EndpointStart) {
         let tag = EndpointTag::of(endpoint);
         let Some(count) = self.in_flight.get_mut(&tag) else {
             return;
@@ -188,7 +188,7 @@
     }
 
     /// Notes that the endpoint took no connection or fell silent.
-    pub fn failed(&mut self, now: Mono, endpoint: &EndpointName) {
+    pub fn failed(&mut self, now: Mono, endpoint: &EndpointStart) {
         self.avoid(now, endpoint, AVOID_MS);
     }
 
@@ -197,11 +197,11 @@
     /// Failure: keys in demand come to a new owner, and all instances send there before
     /// they know of each other. It resets what is beyond its limit, work that may not be
     /// repeated is then lost, and the rest is sent again at once.
-    pub fn reset(&mut self, now: Mono, endpoint: &EndpointName) {
+    pub fn reset(&mut self, now: Mono, endpoint: &EndpointStart) {
         self.avoid(now, endpoint, RESET_MS);
     }
 
-    fn avoid(&mut self, now: Mono, endpoint: &EndpointName, bounds_ms: (u64, u64)) {
+    fn avoid(&mut self, now: Mono, endpoint: &EndpointStart, bounds_ms: (u64, u64)) {
         let tag = EndpointTag::of(endpoint);
         let before = self.avoided.get(&tag).copied();
         if before.is_some_and(|avoided| now < avoided.until) {
@@ -226,7 +226,7 @@
     }
 
     /// Notes that another process has the endpoint's address: it has ended.
-    pub fn gone(&mut self, now: Mono, endpoint: &EndpointName) {
+    pub fn gone(&mut self, now: Mono, endpoint: &EndpointStart) {
         let for_ms = GONE_MS;
         let until = now.plus(for_ms);
         self.avoided
@@ -292,7 +292,7 @@
         self.waiting.len()
     }
 
-    fn sent(&mut self, now: Mono, endpoint: &EndpointName) {
+    fn sent(&mut self, now: Mono, endpoint: &EndpointStart) {
         let tag = EndpointTag::of(endpoint);
         *self.in_flight.entry(tag).or_default() += 1;
         self.unanswered.entry(tag).or_insert(now);
--- a/crates/citronway-core/src/gateway/keeper/holds.rs
+++ b/crates/citronway-core/src/gateway/keeper/holds.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::keeper::orders::Span;
-use crate::ids::EndpointName;
+use crate::ids::EndpointStart;
 use crate::time::Mono;
 
 /// Every grant that was sent and may still hold.
@@ -14,15 +14,28 @@
 
 #[derive(Debug)]
 struct Sent {
-    endpoint: EndpointName,
+    endpoint: EndpointStart,
     /// Latest end, counted from the latest arrival.
     end: Mono,
     /// When the last grant was sent.
     at: Mono,
+    /// Latest arrival of that call.
+    arrival: Mono,
     /// A call is under way.
     pending: bool,
     /// The last call was answered with success.
     answered: bool,
+    /// Until then a call may arrive that was not answered.
+    may_arrive_until: Mono,
+}
+
+/// When a call can have an effect at the latest.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CallTimes {
+    /// Latest arrival.
+    pub arrival: Mono,
+    /// Latest end of the hold that it gives.
+    pub end: Mono,
 }
 
 /// What is known of one grant.
@@ -44,15 +57,17 @@
     pub(super) fn sent(
         &mut self,
         now: Mono,
-        endpoint: &EndpointName,
+        endpoint: &EndpointStart,
         span: Span,
         fence: u64,
-        end: Mono,
+        times: CallTimes,
     ) {
+        let CallTimes { arrival, end } = times;
         if let Some(sent) = self.find(endpoint, span, fence) {
             sent.end = sent.end.max(end);
             sent.at = now;
             sent.pending = true;
+            sent.arrival = arrival;
             return;
         }
         self.sent.entry((fence, span)).or_default().push(Sent {
@@ -61,18 +76,29 @@
             at: now,
             pending: true,
             answered: false,
+            arrival,
+            may_arrive_until: Mono::default(),
         });
     }
 
-    pub(super) fn answered(&mut self, endpoint: &EndpointName, span: Span, fence: u64, ok: bool) {
+    pub(super) fn answered(&mut self, endpoint: &EndpointStart, span: Span, fence: u64, ok: bool) {
         if let Some(sent) = self.find(endpoint, span, fence) {
             sent.pending = false;
             sent.answered = ok;
         }
     }
 
+    /// A call that was given up may still arrive.
+    pub(super) fn lost(&mut self, endpoint: &EndpointStart, span: Span, fence: u64) {
+        if let Some(sent) = self.find(endpoint, span, fence) {
+            sent.pending = false;
+            sent.answered = false;
+            sent.may_arrive_until = sent.may_arrive_until.max(sent.arrival);
+        }
+    }
+
     /// A grant whose call never left holds nothing that it did not hold before.
-    pub(super) fn not_sent(&mut self, endpoint: &EndpointName, span: Span, fence: u64, end: Mono) {
+    pub(super) fn not_sent(&mut self, endpoint: &EndpointStart, span: Span, fence: u64, end: Mono) {
         if let Some(sent) = self.find(endpoint, span, fence) {
             sent.pending = false;
             sent.answered = false;
@@ -80,7 +106,7 @@
         }
     }
 
-    pub(super) fn get(&self, endpoint: &EndpointName, span: Span, fence: u64) -> Option<Given> {
+    pub(super) fn get(&self, endpoint: &EndpointStart, span: Span, fence: u64) -> Option<Given> {
         let all = self.sent.get(&(fence, span))?;
         let sent = all.iter().find(|sent| sent.endpoint == *endpoint)?;
         Some(Given {
@@ -91,7 +117,7 @@
     }
 
     /// Latest end of any grant at the endpoint that touches the span.
-    pub(super) fn latest_end(&self, endpoint: &EndpointName, span: Span) -> Mono {
+    pub(super) fn latest_end(&self, endpoint: &EndpointStart, span: Span) -> Mono {
         let touching = self.sent.iter().filter(|((_, at), _)| at.overlaps(span));
         touching
             .flat_map(|(_, all)| all)
@@ -101,7 +127,16 @@
             .unwrap_or_default()
     }
 
-    fn find(&mut self, endpoint: &EndpointName, span: Span, fence: u64) -> Option<&mut Sent> {
+    /// Whether a grant at the endpoint that touches the span may still arrive.
+    pub(super) fn may_arrive(&self, now: Mono, endpoint: &EndpointStart, span: Span) -> bool {
+        let touching = self.sent.iter().filter(|((_, at), _)| at.overlaps(span));
+        touching
+            .flat_map(|(_, all)| all)
+            .filter(|sent| sent.endpoint == *endpoint)
+            .any(|sent| sent.pending || now < sent.may_arrive_until)
+    }
+
+    fn find(&mut self, endpoint: &EndpointStart, span: Span, fence: u64) -> Option<&mut Sent> {
         let all = self.sent.get_mut(&(fence, span))?;
         all.iter_mut().find(|sent| sent.endpoint == *endpoint)
     }
--- a/crates/citronway-core/src/gateway/keeper/mod.rs
+++ b/crates/citronway-core/src/gateway/keeper/mod.rs
@@ -17,10 +17,10 @@
 
 use crate::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, LAST_KEY, Range};
 use crate::gateway::registry::Registry;
-use crate::ids::{EndpointName, ServiceName, Version};
+use crate::ids::{EndpointStart, ServiceName, Version};
 use crate::time::Mono;
 
-use holds::Holds;
+use holds::{CallTimes, Holds};
 use moves::{Freed, MoveState};
 use reach::Reach;
 
@@ -95,6 +95,13 @@
         self.end_of_hold(decided.plus(self.order_timeout_ms + self.late_ms))
     }
 
+    const fn call_times(&self, decided: Mono) -> CallTimes {
+        CallTimes {
+            arrival: decided.plus(self.order_timeout_ms + self.late_ms),
+            end: self.end_of_order(decided),
+        }
+    }
+
     /// Until when an earlier keeper, replaced at `replaced`, may have given holds.
     #[must_use]
     pub const fn rival_until(&self, replaced: Mono) -> Mono {
@@ -115,7 +122,7 @@
     /// Keys; they lie in one range of the assignment.
     pub span: Span,
     /// Endpoint that gets them.
-    pub to: EndpointName,
+    pub to: EndpointStart,
 }
 
 /// Keeper of one service.
@@ -263,7 +270,7 @@
 
     /// Whether the endpoint answered no order for as long as counts as lost.
     #[must_use]
-    pub fn is_lost(&self, now: Mono, endpoint: &EndpointName) -> bool {
+    pub fn is_lost(&self, now: Mono, endpoint: &EndpointStart) -> bool {
         self.reach.is_lost(&self.cfg, now, endpoint)
     }
 
@@ -319,7 +326,7 @@
                 first,
                 last,
                 holder: Holder {
-                    endpoint: listing.id.clone(),
+                    endpoint: listing.start.clone(),
                     address: listing.address,
                     fence,
                 },
--- a/crates/citronway-core/src/gateway/keeper/moves.rs
+++ b/crates/citronway-core/src/gateway/keeper/moves.rs
@@ -73,11 +73,11 @@
     let cuts =
         usize::from(row.ranges[i].first < span.first) + usize::from(span.last < row.ranges[i].last);
     let has_room = cuts == 0 || row.ranges.len() + cuts <= MAX_RANGES;
-    if target(&row.ranges[i]) == to.id || !has_room {
+    if target(&row.ranges[i]) == to.start || !has_room {
         return false;
     }
     let next = Holder {
-        endpoint: to.id.clone(),
+        endpoint: to.start.clone(),
         address: to.address,
         fence: row.draw_fences(FENCES_A_MOVE),
     };
@@ -173,17 +173,17 @@
             if self.reach.backs_off(&self.cfg, now, &range.holder.endpoint) {
                 continue;
             }
-            if registry.replaced_at(&range.holder.endpoint, range.holder.address) {
+            if registry.is_replaced(&range.holder.endpoint, range.holder.address) {
                 continue;
             }
             let kind = OrderKind::Grant {
                 hold_ms: self.cfg.hold_ms,
                 handover: self.handovers.get(&range.holder.fence).cloned(),
             };
-            let end = self.cfg.end_of_order(now);
+            let times = self.cfg.call_times(now);
             let holder = &range.holder;
             self.holds
-                .sent(now, &holder.endpoint, span, holder.fence, end);
+                .sent(now, &holder.endpoint, span, holder.fence, times);
             actions.push(Action::Order(order(
                 self,
                 now,
@@ -245,6 +245,14 @@
             let kind = if state.sealed {
                 OrderKind::Release
             } else if state.seals < MAX_SEALS && !lost {
+                // Failure: the holder confirms the seal, starts again under its name and
+                // forgets it; a renewal of before that was not answered arrives, and it
+                // holds keys that the next owner has by then. So a seal counts only if
+                // all that was sent before it has arrived: what a start has received
+                // ends with it.
+                if self.holds.may_arrive(now, &holder.endpoint, span) {
+                    continue;
+                }
                 state.seals += 1;
                 OrderKind::Seal {
                     hold_ms: self.cfg.hold_ms,
@@ -255,8 +263,8 @@
             state.pending = true;
             let fence = state.seal_fence(next);
             if matches!(kind, OrderKind::Seal { .. }) {
-                let end = self.cfg.end_of_order(now);
-                self.holds.sent(now, &holder.endpoint, span, fence, end);
+                let times = self.cfg.call_times(now);
+                self.holds.sent(now, &holder.endpoint, span, fence, times);
             }
             actions.push(Action::Order(order(self, now, span, holder, fence, kind)));
         }
@@ -292,20 +300,30 @@
             self.holds
                 .not_sent(&order.endpoint, order.span, order.fence, end);
         } else {
-            self.holds
-                .answered(&order.endpoint, order.span, order.fence, ok);
+            self.hold_answered(order, result);
         }
         if ok {
             self.handovers.swap_remove(&order.fence);
         }
     }
 
+    /// Takes what came of a call that gives a hold.
+    fn hold_answered(&mut self, order: &Order, result: &OrderResult) {
+        let (endpoint, span, fence) = (&order.endpoint, order.span, order.fence);
+        match result {
+            OrderResult::Lost => self.holds.lost(endpoint, span, fence),
+            OrderResult::Done { .. } => self.holds.answered(endpoint, span, fence, true),
+            OrderResult::Stale
+            | OrderResult::NotThere
+            | OrderResult::NotSent
+            | OrderResult::TooLate => self.holds.answered(endpoint, span, fence, false),
+        }
+    }
+
     fn move_answered(&mut self, now: Mono, order: &Order, result: &OrderResult) {
         let sealing = matches!(order.kind, OrderKind::Seal { .. });
         if sealing {
-            let ok = matches!(result, OrderResult::Done { .. });
-            self.holds
-                .answered(&order.endpoint, order.span, order.fence, ok);
+            self.hold_answered(order, result);
         }
         let next = self
             .row
--- a/crates/citronway-core/src/gateway/keeper/orders.rs
+++ b/crates/citronway-core/src/gateway/keeper/orders.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::assignment::Assignment;
-use crate::ids::{EndpointName, ServiceName, Version};
+use crate::ids::{EndpointStart, ServiceName, Version};
 use crate::time::Mono;
 
 /// Keys from first to last, both included.
@@ -45,7 +45,7 @@
     /// Service of the keys.
     pub service: ServiceName,
     /// Start of the endpoint that is meant.
-    pub endpoint: EndpointName,
+    pub endpoint: EndpointStart,
     /// Where it listens.
     pub address: SocketAddr,
     /// Keys.
--- a/crates/citronway-core/src/gateway/keeper/reach.rs
+++ b/crates/citronway-core/src/gateway/keeper/reach.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::keeper::KeeperSettings;
-use crate::ids::EndpointName;
+use crate::ids::EndpointStart;
 use crate::time::Mono;
 
 /// Failures in a row without which an endpoint is not lost.
@@ -20,7 +20,7 @@
 
 #[derive(Debug, Default)]
 pub(super) struct Reach {
-    endpoints: IndexMap<EndpointName, Link>,
+    endpoints: IndexMap<EndpointStart, Link>,
 }
 
 #[derive(Debug, Default)]
@@ -31,7 +31,7 @@
 }
 
 impl Reach {
-    pub(super) fn answered(&mut self, endpoint: &EndpointName) {
+    pub(super) fn answered(&mut self, endpoint: &EndpointStart) {
         if let Some(link) = self.endpoints.get_mut(endpoint) {
             link.failing_since = None;
             link.failures = 0;
@@ -40,7 +40,7 @@
         self.endpoints.insert(endpoint.clone(), Link::default());
     }
 
-    pub(super) fn failed(&mut self, now: Mono, endpoint: &EndpointName) {
+    pub(super) fn failed(&mut self, now: Mono, endpoint: &EndpointStart) {
         let link = self.endpoints.entry(endpoint.clone()).or_default();
         link.failing_since.get_or_insert(now);
         link.failures += 1;
@@ -48,13 +48,13 @@
     }
 
     /// Whether the endpoint failed so lately that the next try has to wait.
-    pub(super) fn backs_off(&self, cfg: &KeeperSettings, now: Mono, e: &EndpointName) -> bool {
+    pub(super) fn backs_off(&self, cfg: &KeeperSettings, now: Mono, e: &EndpointStart) -> bool {
         self.endpoints
             .get(e)
             .is_some_and(|link| link.failures > 0 && now.since(link.last_try) < cfg.retry_ms)
     }
 
-    pub(super) fn is_lost(&self, cfg: &KeeperSettings, now: Mono, e: &EndpointName) -> bool {
+    pub(super) fn is_lost(&self, cfg: &KeeperSettings, now: Mono, e: &EndpointStart) -> bool {
         self.endpoints
             .get(e)
             .is_some_and(|link| link.is_lost(cfg, now))
@@ -69,7 +69,7 @@
         lost >= 2 && lost * CUT_OFF_SHARE.1 >= self.endpoints.len() * CUT_OFF_SHARE.0
     }
 
-    pub(super) fn forget_absent(&mut self, listed: impl Fn(&EndpointName) -> bool) {
+    pub(super) fn forget_absent(&mut self, listed: impl Fn(&EndpointStart) -> bool) {
         self.endpoints.retain(|id, _| listed(id));
     }
 }
--- a/crates/citronway-core/src/gateway/pace.rs
+++ b/crates/citronway-core/src/gateway/pace.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::ids::EndpointStart;
 use crate::time::Mono;
 
 /// Time in which old answers lose half of their weight, in milliseconds.
@@ -15,21 +16,25 @@
 /// Bounds of the estimate; one lucky or stuck answer decides nothing.
 const BOUNDS: (f64, f64) = (0.3, 20.0);
 
-/// Number that stands for an endpoint in reports: a hash of its name.
+/// Number that stands for a start of an endpoint in reports: a hash of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct EndpointTag(pub u32);
 
 impl EndpointTag {
-    /// Tag of a name.
+    /// Tag of one start of an endpoint: what was learnt of an earlier one is not its own.
     #[must_use]
-    pub fn of(name: &crate::ids::EndpointName) -> Self {
-        Self::of_text(name.as_str())
+    pub fn of(start: &EndpointStart) -> Self {
+        Self::of_parts(start.name().as_str(), start.born_ms().unwrap_or_default())
     }
 
     /// Tag of any name.
     #[must_use]
     pub fn of_text(name: &str) -> Self {
-        let hash = xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        Self::of_parts(name, 0)
+    }
+
+    fn of_parts(name: &str, born_ms: u64) -> Self {
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), born_ms);
         Self(u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default())
     }
 }
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -10,7 +10,7 @@
 use crate::gateway::assignment::Assignment;
 use crate::gateway::keeper::{Move, Span};
 use crate::gateway::keyload::KeyLoad;
-use crate::ids::EndpointName;
+use crate::ids::EndpointStart;
 
 /// Load above its slots at which an endpoint is relieved: work in progress, as a
 /// share of its slots at its own speed. Below it no request waits for long.
@@ -62,7 +62,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Place {
     /// Which endpoint.
-    pub endpoint: EndpointName,
+    pub endpoint: EndpointStart,
     /// Requests a second it can do: slots over the time of work at its speed.
     pub capacity: f64,
     /// Keys may be given to it.
@@ -109,11 +109,11 @@
 
 struct Plan<'a> {
     scene: &'a Scene<'a>,
-    places: IndexMap<&'a EndpointName, &'a Place>,
+    places: IndexMap<&'a EndpointStart, &'a Place>,
     /// Load of each endpoint once all moves have ended.
-    load: IndexMap<&'a EndpointName, f64>,
+    load: IndexMap<&'a EndpointStart, f64>,
     /// Pieces of each endpoint once all moves have ended.
-    held: IndexMap<&'a EndpointName, usize>,
+    held: IndexMap<&'a EndpointStart, usize>,
     pieces: Vec<Piece<'a>>,
     in_motion: usize,
 }
@@ -123,17 +123,17 @@
 struct Piece<'a> {
     span: Span,
     /// Who has them, or gets them by a move that is under way.
-    owner: &'a EndpointName,
+    owner: &'a EndpointStart,
     /// A move under way may only be turned aside as a whole.
     moving: bool,
     /// Who is to get them by this plan.
-    to: Option<&'a EndpointName>,
+    to: Option<&'a EndpointStart>,
     /// In requests a second.
     load: f64,
 }
 
 impl<'a> Piece<'a> {
-    fn owner_to_be(&self) -> &'a EndpointName {
+    fn owner_to_be(&self) -> &'a EndpointStart {
         self.to.unwrap_or(self.owner)
     }
 }
@@ -182,7 +182,7 @@
         moves
     }
 
-    fn place(&self, endpoint: &EndpointName) -> Option<&'a Place> {
+    fn place(&self, endpoint: &EndpointStart) -> Option<&'a Place> {
         self.places.get(endpoint).copied()
     }
 
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -2,16 +2,11 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::ids::{EndpointName, ServiceName, ZoneName};
+use crate::ids::{EndpointName, EndpointStart, ServiceName, ZoneName};
 use crate::time::Mono;
 
-/// Starts that are remembered beyond those listed before old ones are forgotten, and how
-/// long each is at least, in milliseconds: late entries come within seconds.
-const REMEMBERED_STARTS: usize = 1_000;
-const REMEMBERED_MS: u64 = 600_000;
-
 /// How long an entry that is missing after an outage of the store is still
 /// believed, in milliseconds.
 ///
@@ -19,11 +14,20 @@
 /// of its return; whoever dropped them at once would stop serving all keys.
 pub const LAPSE_GRACE_MS: u64 = 2_000;
 
+/// Starts that are remembered beyond those listed before old ones are forgotten, and how
+/// long each is at least, in milliseconds: late entries come within seconds.
+const REMEMBERED_STARTS: usize = 1_000;
+const REMEMBERED_MS: u64 = 600_000;
+
+/// How long the entry of a start that began before the listed one is put off, in
+/// milliseconds: nearly two heartbeats, in which a living start would have written again.
+const BORN_EARLIER_MS: u64 = 1_500;
+
 /// One start of an endpoint, as it lists itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
-    /// Name of this start; a later start at the same address has another.
-    pub id: EndpointName,
+    /// Which start; a later one may have the same name, address or both.
+    pub start: EndpointStart,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -51,6 +55,10 @@
     pub draining_since: Option<Mono>,
     /// Set for an entry that is missing since an outage: believed until then.
     missing_until: Option<Mono>,
+    /// Entry of a start that began earlier, taken if it still stands then.
+    earlier: Option<(Listing, Mono)>,
+    /// A later start listens at its address.
+    shadowed: bool,
 }
 
 /// How long keys of a draining endpoint are still sent there, in milliseconds.
@@ -61,6 +69,46 @@
 const DRAINING_USE_MS: u64 = 300;
 
 impl Known {
+    fn new(now: Mono, first_seen: Mono, listing: Listing) -> Self {
+        Self {
+            first_seen,
+            warm_at: now.plus(listing.cold_ms),
+            draining_since: listing.draining.then_some(now),
+            missing_until: None,
+            earlier: None,
+            shadowed: false,
+            listing,
+        }
+    }
+
+    /// Order of the starts at one address; the last one is the living one.
+    ///
+    /// Failure: an entry that an ended start had written arrives late, after its successor
+    /// at the address has listed itself. Taken for the newer one, it would end the living
+    /// start, whose keys would go elsewhere while it holds them. Two processes cannot
+    /// listen on one address one after the other and back again: the one that was born
+    /// later is the living one, and where none says so, the one first seen later.
+    const fn age(&self) -> (Option<u64>, Mono) {
+        (self.listing.start.born_ms(), self.first_seen)
+    }
+
+    /// Takes a later entry of the same start.
+    fn renewed(&mut self, now: Mono, listing: Listing) {
+        self.warm_at = now.plus(listing.cold_ms);
+        let draining_since = listing.draining.then_some(now);
+        // One that stays after all no longer leaves.
+        self.draining_since = draining_since.map(|at| self.draining_since.unwrap_or(at));
+        self.missing_until = None;
+        self.earlier = None;
+        self.listing = listing;
+    }
+
+    /// When something about it changes without a further entry.
+    fn next_end(&self) -> Option<Mono> {
+        let earlier = self.earlier.as_ref().map(|(_, at)| *at);
+        self.missing_until.into_iter().chain(earlier).min()
+    }
+
     /// Whether new work may be sent to it that another endpoint could do as well.
     #[must_use]
     pub const fn takes_work(&self) -> bool {
@@ -75,12 +123,17 @@
     }
 }
 
-/// All endpoints that are listed.
+/// All endpoints that are listed, by their names.
+///
+/// Entries come in the order of their versions: whoever takes them from the store drops
+/// those that were overtaken.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     known: IndexMap<EndpointName, Known>,
     /// When each start was seen for the first time, also of those no longer listed.
-    first_seen: IndexMap<EndpointName, Mono>,
+    first_seen: IndexMap<EndpointStart, Mono>,
+    /// Services that the configuration names; none while no configuration is known.
+    services: Option<IndexSet<ServiceName>>,
     /// Set while the store does not answer; then when it came back.
     store: StoreSight,
 }
@@ -96,72 +149,63 @@
 impl Registry {
     /// Takes a new or changed entry.
     pub fn put(&mut self, now: Mono, listing: Listing) {
-        let warm_at = now.plus(listing.cold_ms);
-        let draining_since = listing.draining.then_some(now);
-        if let Some(known) = self.known.get_mut(&listing.id) {
-            known.listing = listing;
-            known.warm_at = warm_at;
-            // One that stays after all no longer leaves.
-            known.draining_since = draining_since.map(|at| known.draining_since.unwrap_or(at));
-            known.missing_until = None;
+        let first = *self.first_seen.entry(listing.start.clone()).or_insert(now);
+        let Some(known) = self.known.get_mut(listing.start.name()) else {
+            let name = listing.start.name().clone();
+            self.known.insert(name, Known::new(now, first, listing));
+            self.shadow();
+            return;
+        };
+        if known.listing.start == listing.start {
+            let same = known.listing.address == listing.address
+                && known.listing.service == listing.service;
+            known.renewed(now, listing);
+            if !same {
+                self.shadow();
+            }
             return;
         }
-        // Failure: an entry that an ended start had written arrives late, after its
-        // successor at the address has listed itself. Taken for the newer one, it would
-        // end the living start, whose keys would go elsewhere while it holds them. Two
-        // processes cannot listen on one address one after the other and back again:
-        // the start that was first seen later is the living one.
-        let first = *self.first_seen.entry(listing.id.clone()).or_insert(now);
-        if self.starts_at(listing.address).any(|(_, at)| at > first) {
+        // Failure: the last entry that an ended start had written lands after the first of
+        // its successor. Taken for the newer one, it would end the living start. But a
+        // clock may also have been set back between the two starts; then the entry stays.
+        if listing.start.born_ms() < known.listing.start.born_ms() {
+            known
+                .earlier
+                .get_or_insert((listing, now.plus(BORN_EARLIER_MS)));
             return;
         }
-        let address = listing.address;
-        let seen = &self.first_seen;
-        let earlier = |id: &EndpointName| seen.get(id).is_some_and(|at| *at < first);
-        self.known
-            .retain(|id, known| known.listing.address != address || !earlier(id));
-        let known = Known {
-            listing,
-            first_seen: first,
-            warm_at,
-            draining_since,
-            missing_until: None,
-        };
-        self.known.insert(known.listing.id.clone(), known);
+        *known = Known::new(now, first, listing);
+        self.shadow();
+    }
+
+    /// Takes the names of the services that the configuration in force has.
+    pub fn configured(&mut self, services: IndexSet<ServiceName>) {
+        self.services = Some(services);
+        self.shadow();
+    }
+
+    /// Drops an entry that names no endpoint to use.
+    pub fn withdraw(&mut self, name: &EndpointName) {
+        self.known.shift_remove(name);
+        self.shadow();
     }
 
     /// Takes the removal of an entry.
-    pub fn remove(&mut self, now: Mono, id: &EndpointName) {
+    pub fn remove(&mut self, now: Mono, name: &EndpointName) {
         let grace_end = match self.store {
             StoreSight::Steady => None,
             StoreSight::Lost => Some(now.plus(LAPSE_GRACE_MS)),
             StoreSight::Back(at) => Some(at.plus(LAPSE_GRACE_MS)).filter(|end| *end > now),
         };
         let Some(end) = grace_end else {
-            self.known.shift_remove(id);
+            self.withdraw(name);
             return;
         };
-        if let Some(known) = self.known.get_mut(id) {
+        if let Some(known) = self.known.get_mut(name) {
             known.missing_until.get_or_insert(end);
         }
     }
 
-    /// Takes the whole list as it stands in the store.
-    pub fn replace(&mut self, now: Mono, listings: Vec<Listing>) {
-        let missing: Vec<_> = self
-            .known
-            .keys()
-            .filter(|id| !listings.iter().any(|l| l.id == **id))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.remove(now, &id);
-        }
-        for listing in listings {
-            self.put(now, listing);
-        }
-    }
-
     /// Notes that the store does not answer.
     pub fn store_lost(&mut self) {
         self.store = StoreSight::Lost;
@@ -180,35 +224,52 @@
         self.store = StoreSight::Steady;
     }
 
-    /// Whether entries have stayed missing for too long.
+    /// Whether entries have stayed missing, or put off, for long enough.
     #[must_use]
     pub fn has_expired(&self, now: Mono) -> bool {
-        let mut missing = self.known.values().filter_map(|known| known.missing_until);
-        missing.any(|end| end <= now)
+        let mut ends = self.known.values().filter_map(Known::next_end);
+        ends.any(|end| end <= now)
     }
 
-    /// Drops entries that stayed missing; returns whether any were.
+    /// Drops entries that stayed missing and takes those that were put off; returns
+    /// whether any were.
     pub fn expire(&mut self, now: Mono) -> bool {
         if self.first_seen.len() > self.known.len() + REMEMBERED_STARTS {
             let known = &self.known;
+            let listed = |start: &EndpointStart| known.contains_key(start.name());
             self.first_seen
-                .retain(|id, at| known.contains_key(id) || now.since(*at) < REMEMBERED_MS);
+                .retain(|start, at| listed(start) || now.since(*at) < REMEMBERED_MS);
         }
-        let before = self.known.len();
+        let expired = self.has_expired(now);
         self.known
             .retain(|_, known| known.missing_until.is_none_or(|end| now < end));
-        self.known.len() != before
+        for known in self.known.values_mut() {
+            if let Some((listing, _)) = known.earlier.take_if(|(_, at)| *at <= now) {
+                *known = Known::new(now, now, listing);
+            }
+        }
+        if expired {
+            self.shadow();
+        }
+        expired
+    }
+
+    /// The start, if it is listed and no other one has its address.
+    #[must_use]
+    pub fn get(&self, start: &EndpointStart) -> Option<&Known> {
+        let known = self.known.get(start.name())?;
+        (known.listing.start == *start && !known.shadowed).then_some(known)
     }
 
-    /// The endpoint of this name.
+    /// Names of all entries, of those at whose address another start listens too.
     #[must_use]
-    pub fn get(&self, id: &EndpointName) -> Option<&Known> {
-        self.known.get(id)
+    pub fn names(&self) -> Vec<EndpointName> {
+        self.known.keys().cloned().collect()
     }
 
-    /// All listed endpoints.
+    /// All listed endpoints whose address is their own.
     pub fn iter(&self) -> impl Iterator<Item = &Known> {
-        self.known.values()
+        self.known.values().filter(|known| !known.shadowed)
     }
 
     /// Listed endpoints of a service.
@@ -217,27 +278,57 @@
             .filter(move |known| known.listing.service == *service)
     }
 
-    /// Whether another start has taken the address of `id` over.
+    /// Whether another start has taken the place of `start`: its name or its address.
     ///
     /// Two processes cannot listen on one address, so the earlier one has ended
     /// and holds nothing, whatever was granted to it.
-    ///
-    /// Only a start that was first seen after `id` proves it.
     #[must_use]
-    pub fn replaced_at(&self, id: &EndpointName, address: SocketAddr) -> bool {
-        let Some(first) = self.first_seen.get(id) else {
-            return false;
-        };
-        self.starts_at(address)
-            .any(|(other, at)| other != id && at > *first)
+    pub fn is_replaced(&self, start: &EndpointStart, address: SocketAddr) -> bool {
+        match self.known.get(start.name()) {
+            Some(known) if known.listing.start == *start => known.shadowed,
+            Some(_) => true,
+            None => self.at(address).any(|other| self.is_later(other, start)),
+        }
     }
 
-    /// Listed starts at an address, and when each was first seen.
-    fn starts_at(&self, address: SocketAddr) -> impl Iterator<Item = (&EndpointName, Mono)> {
-        let at = self
+    /// Whether a listed start is known to have begun after one that is not listed.
+    fn is_later(&self, other: &Known, start: &EndpointStart) -> bool {
+        match self.first_seen.get(start) {
+            Some(first) => other.age() > (start.born_ms(), *first),
+            None => start.born_ms().is_some() && other.listing.start.born_ms() > start.born_ms(),
+        }
+    }
+
+    /// Finds the starts at whose address a later one listens.
+    ///
+    /// Failure: an entry of a service that nobody knows, or of another writer, names the
+    /// address of a living endpoint. It takes nothing away from it: only one of a
+    /// configured service counts, the one that began last.
+    fn shadow(&mut self) {
+        let mut latest = IndexMap::<SocketAddr, (Option<u64>, Mono)>::new();
+        for known in self
             .known
-            .iter()
-            .filter(move |(_, k)| k.listing.address == address);
-        at.filter_map(|(id, _)| self.first_seen.get(id).map(|first| (id, *first)))
+            .values()
+            .filter(|known| self.is_configured(known))
+        {
+            let age = latest.entry(known.listing.address).or_insert(known.age());
+            *age = known.age().max(*age);
+        }
+        for known in self.known.values_mut() {
+            let latest = latest.get(&known.listing.address);
+            known.shadowed = latest.is_some_and(|latest| *latest > known.age());
+        }
+    }
+
+    /// Listed starts of configured services at an address.
+    fn at(&self, address: SocketAddr) -> impl Iterator<Item = &Known> {
+        self.known
+            .values()
+            .filter(move |known| known.listing.address == address && self.is_configured(known))
+    }
+
+    fn is_configured(&self, known: &Known) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(&known.listing.service))
     }
 }
--- a/crates/citronway-core/src/ids.rs
+++ b/crates/citronway-core/src/ids.rs
@@ -113,6 +113,47 @@
     SessionId
 }
 
+/// One start of an endpoint.
+///
+/// An endpoint may start again under the name that it had. The new start holds and
+/// remembers nothing: whatever was granted to an earlier one, or learnt of it, is void.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointStart {
+    name: EndpointName,
+    born_ms: Option<u64>,
+}
+
+impl EndpointStart {
+    /// The start of `name` at `born_ms` of its clock, as a Unix time in milliseconds; none
+    /// where it does not say.
+    #[must_use]
+    pub fn new(name: &str, born_ms: Option<u64>) -> Self {
+        let name = EndpointName::new(name);
+        Self { name, born_ms }
+    }
+
+    /// The name, which other starts may share.
+    #[must_use]
+    pub const fn name(&self) -> &EndpointName {
+        &self.name
+    }
+
+    /// When it started by its own clock, in Unix milliseconds, if it says so.
+    #[must_use]
+    pub const fn born_ms(&self) -> Option<u64> {
+        self.born_ms
+    }
+}
+
+impl fmt::Display for EndpointStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.born_ms {
+            Some(born_ms) => write!(f, "{}@{born_ms}", self.name),
+            None => self.name.fmt(f),
+        }
+    }
+}
+
 /// One start of a process on an instance.
 ///
 /// A process that starts again under the same name is another session and
--- a/crates/citronway-core/tests/gateway_keeper_random.rs
+++ b/crates/citronway-core/tests/gateway_keeper_random.rs
@@ -12,6 +12,8 @@
     endpoint_cuts: 0,
     crashes: 0,
     lost_writes: 0,
+    rebirths: 0,
+    lapses: 0,
 };
 
 /// Simulated steps of 25 ms: one minute and a half.
@@ -161,6 +163,36 @@
         endpoint_cuts: 40,
         crashes: 10,
         lost_writes: 1_000,
+        ..NO_FAULTS
     };
     run(500..620, faults);
 }
+
+/// An endpoint crashes and starts again under its name, at any moment of a move: between
+/// seal and release, between release and grant, twice in a row. It remembers no fence, and
+/// a renewal for the start before it that was lost on its way arrives. It then holds keys
+/// that another endpoint has been given.
+#[test]
+fn endpoints_reborn_under_their_names() {
+    let faults = Faults {
+        rebirths: 200,
+        lost_orders: 1_000,
+        ..NO_FAULTS
+    };
+    run(900..1_000, faults);
+}
+
+/// The same while the entry lapses, with and without the store, and while some keepers do
+/// not reach the endpoint.
+#[test]
+fn endpoints_reborn_while_their_entries_lapse() {
+    let faults = Faults {
+        rebirths: 120,
+        lapses: 200,
+        lost_orders: 500,
+        endpoint_cuts: 40,
+        lost_writes: 500,
+        ..NO_FAULTS
+    };
+    run(1_000..1_100, faults);
+}
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -12,7 +12,7 @@
 use citronway_core::gateway::routes::{Checked, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
-use citronway_core::ids::{EndpointName, ServiceName, Version, ZoneName};
+use citronway_core::ids::{ServiceName, Version, ZoneName};
 use citronway_core::time::Mono;
 use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
@@ -74,7 +74,9 @@
     /// Requests of this instance that wait for each endpoint.
     own_waiting: IndexMap<EndpointTag, u32>,
     /// Newest version of each endpoint's entry, of removed ones too.
-    entries: IndexMap<String, Version>,
+    pub(super) entries: IndexMap<String, Version>,
+    /// Where this instance and the store listen.
+    pub(super) own_addresses: [SocketAddr; 5],
     heard_at: Mono,
     pub(super) unusable: Unusable,
     pub(super) changed: bool,
@@ -107,6 +109,7 @@
             store_clock: None,
             own_waiting: IndexMap::new(),
             entries: IndexMap::new(),
+            own_addresses: [cfg.callers, cfg.ready, cfg.reports, cfg.metrics, cfg.store],
             heard_at: Mono::default(),
             unusable: Unusable::default(),
             changed: false,
@@ -124,13 +127,17 @@
     /// Takes news of a table; tells what they say of the store.
     pub(super) fn news(&mut self, now: Mono, table: Table, news: News) -> StoreSight {
         let (rows, whole) = match news {
-            News::Loaded { rows, now_ms } => {
+            News::Loaded {
+                rows,
+                version,
+                now_ms,
+            } => {
                 self.store_clock = Some((now_ms, now));
-                (rows, true)
+                (rows, Some(version))
             }
             News::Changed { relay, now_ms } => {
                 self.store_clock = Some((now_ms, now));
-                (relay.rows, false)
+                (relay.rows, None)
             }
             News::Lost(cause) => {
                 self.lost(table, &cause);
@@ -156,7 +163,7 @@
     pub(super) fn relayed(&mut self, now: Mono, relay: &Relay) {
         self.heard_at = now;
         self.regained(now, relay.table);
-        self.take_rows(now, relay.table, &relay.rows, false);
+        self.take_rows(now, relay.table, &relay.rows, None);
         for patch in &relay.patches {
             self.patched(patch);
         }
@@ -168,8 +175,9 @@
         self.peers.address(&keeper.instance)
     }
 
-    fn take_rows(&mut self, now: Mono, table: Table, rows: &[Row], whole: bool) {
-        if rows.is_empty() && !whole {
+    /// Takes rows of a table; `whole` is the version of the store if these are all.
+    fn take_rows(&mut self, now: Mono, table: Table, rows: &[Row], whole: Option<Version>) {
+        if rows.is_empty() && whole.is_none() {
             return;
         }
         let newest = rows
@@ -241,55 +249,12 @@
             }
             log::info!(version = routes.version.0, row = row.version.0; "configuration in force");
             self.unusable.found_in_configuration(&findings);
+            let services = routes.services.keys().cloned().collect();
+            Arc::make_mut(&mut self.registry).configured(services);
             self.routes = Some(Arc::new(routes));
         }
     }
 
-    fn endpoint_rows(&mut self, now: Mono, rows: &[Row], whole: bool) {
-        let registry = Arc::make_mut(&mut self.registry);
-        let mut listings = Vec::new();
-        for row in rows {
-            // Failure: relayed rows overtake each other, and an endpoint that leaves
-            // seems ready again. Versions of a row only grow.
-            let newest = self.entries.entry(row.key.clone()).or_default();
-            if *newest > row.version {
-                continue;
-            }
-            *newest = row.version;
-            let id = EndpointName::new(&row.key);
-            let Some(value) = &row.value else {
-                log::info!(endpoint = id.as_str(); "endpoint no longer listed");
-                self.unusable.settled(Source::Entry, &row.key);
-                registry.remove(now, &id);
-                continue;
-            };
-            match citronway_platform::endpoints::decode(&row.key, value) {
-                Ok(listing) => {
-                    self.unusable.settled(Source::Entry, &row.key);
-                    listings.push(listing);
-                }
-                Err(e) => {
-                    self.unusable
-                        .refused(Source::Entry, &row.key, e.to_string());
-                }
-            }
-        }
-        if whole {
-            registry.replace(now, listings);
-            return;
-        }
-        for listing in listings {
-            let known = registry.get(&listing.id);
-            let news = known.is_none_or(|k| k.listing.draining != listing.draining);
-            if news {
-                let endpoint = listing.id.as_str();
-                let draining = listing.draining;
-                log::info!(endpoint, draining; "endpoint listed");
-            }
-            registry.put(now, listing);
-        }
-    }
-
     /// Takes what an instance, this one too, reports of endpoints' answers.
     pub(super) fn traffic_seen(&mut self, now: Mono, report: &Report) {
         self.heard_at = now;
--- /dev/null
+++ b/crates/citronway/src/gateway/control/entries.rs
@@ -0,0 +1,102 @@
+//! Endpoints' entries, as they come from the store.
+//!
+//! One rule for all of them: an entry that cannot be used names no endpoint, also under
+//! the name of one that is known, and all others hold.
+
+use std::sync::Arc;
+
+use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::gateway::rows::Row;
+use citronway_core::ids::{EndpointName, Version};
+use citronway_core::time::Mono;
+
+use super::beliefs::Beliefs;
+use super::unusable::Source;
+
+/// What an entry says.
+enum Said {
+    Listed(Listing),
+    Gone,
+    /// It cannot be used, and why.
+    Unusable(String),
+}
+
+impl Beliefs {
+    /// Takes entries; `whole` is the version of the store if these are all there are.
+    pub(super) fn endpoint_rows(&mut self, now: Mono, rows: &[Row], whole: Option<Version>) {
+        if let Some(version) = whole {
+            self.drop_missing(now, rows, version);
+        }
+        for row in rows {
+            // Failure: relayed rows overtake each other, and an endpoint that leaves
+            // seems ready again. Versions of a row only grow.
+            let newest = self.entries.entry(row.key.clone()).or_default();
+            if *newest > row.version {
+                continue;
+            }
+            *newest = row.version;
+            let said = self.read_entry(row);
+            self.entry(now, &row.key, said);
+        }
+    }
+
+    /// Drops endpoints whose entries are not among all that there were at `version`.
+    fn drop_missing(&mut self, now: Mono, rows: &[Row], version: Version) {
+        let registry = Arc::make_mut(&mut self.registry);
+        for name in registry.names() {
+            // One that was relayed since the rows were read is not among them.
+            let later = self.entries.get(name.as_str());
+            let is_later = later.is_some_and(|entry| *entry > version);
+            if !is_later && !rows.iter().any(|row| row.key == name.as_str()) {
+                log::info!(endpoint = name.as_str(); "endpoint no longer listed");
+                registry.remove(now, &name);
+            }
+        }
+    }
+
+    fn read_entry(&self, row: &Row) -> Said {
+        let Some(value) = &row.value else {
+            return Said::Gone;
+        };
+        match citronway_platform::endpoints::decode(&row.key, value) {
+            // Failure: an entry names this instance, which would send requests to itself.
+            Ok(listing) if self.own_addresses.contains(&listing.address) => Said::Unusable(
+                format!("{} is an address of this instance", listing.address),
+            ),
+            Ok(listing) => Said::Listed(listing),
+            Err(e) => Said::Unusable(e.to_string()),
+        }
+    }
+
+    fn entry(&mut self, now: Mono, key: &str, said: Said) {
+        let registry = Arc::make_mut(&mut self.registry);
+        let name = EndpointName::new(key);
+        match said {
+            Said::Listed(listing) => {
+                log_news(registry, &listing);
+                registry.put(now, listing);
+                self.unusable.settled(Source::Entry, key);
+            }
+            Said::Gone => {
+                log::info!(endpoint = key; "endpoint no longer listed");
+                registry.remove(now, &name);
+                self.unusable.settled(Source::Entry, key);
+            }
+            Said::Unusable(cause) => {
+                registry.withdraw(&name);
+                self.unusable.refused(Source::Entry, key, cause);
+            }
+        }
+    }
+}
+
+fn log_news(registry: &Registry, listing: &Listing) {
+    let known = registry.get(&listing.start);
+    if known.is_some_and(|known| known.listing.draining == listing.draining) {
+        return;
+    }
+    let endpoint = &listing.start;
+    let address = listing.address;
+    let draining = listing.draining;
+    log::info!(endpoint:%, address:%, draining; "endpoint listed");
+}
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod duty;
+mod entries;
 mod orders;
 mod own_rows;
 mod peers;
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -81,7 +81,7 @@
 }
 
 fn log_result(order: &Order, result: &OrderResult) {
-    let endpoint = order.endpoint.as_str();
+    let endpoint = &order.endpoint;
     let (first, last) = (order.span.first, order.span.last);
     let fence = order.fence;
     let what = match order.kind {
@@ -96,5 +96,5 @@
         log::Level::Info
     };
     let result = format!("{result:?}");
-    log::log!(level, endpoint, first, last, fence, what, result; "order answered");
+    log::log!(level, endpoint:%, first, last, fence, what, result; "order answered");
 }
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -122,7 +122,7 @@
         let queues = |tag, slots| waiting.get(&tag).is_some_and(|count| *count > slots);
         let places: Vec<_> = listed
             .map(|known| {
-                let queue = queues(EndpointTag::of(&known.listing.id), known.listing.slots);
+                let queue = queues(EndpointTag::of(&known.listing.start), known.listing.slots);
                 place_of(now, beliefs, keeper, known, work_ms, queue)
             })
             .collect();
@@ -172,12 +172,12 @@
     queue: bool,
 ) -> Place {
     let listing = &known.listing;
-    let tag = EndpointTag::of(&listing.id);
+    let tag = EndpointTag::of(&listing.start);
     let healthy = 1.0 - beliefs.paces.failing(now, tag).min(MOST_FAILING);
-    let lost = keeper.is_lost(now, &listing.id);
+    let lost = keeper.is_lost(now, &listing.start);
     let taken_ms = work_ms * beliefs.paces.slowness(now, tag);
     Place {
-        endpoint: listing.id.clone(),
+        endpoint: listing.start.clone(),
         capacity: f64::from(listing.slots) * 1_000.0 * healthy / taken_ms,
         takes: known.takes_work() && !lost && known.warm_at <= now,
         must_leave: lost || !known.takes_work(),
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -130,7 +130,12 @@
 #[derive(Debug)]
 pub(super) enum News {
     /// All rows.
-    Loaded { rows: Vec<Row>, now_ms: u64 },
+    Loaded {
+        rows: Vec<Row>,
+        /// Version of the store when they were read.
+        version: Version,
+        now_ms: u64,
+    },
     /// Rows that changed, and the positions between which they did.
     Changed { relay: Relay, now_ms: u64 },
     /// The store does not answer, or refuses this instance.
@@ -241,6 +246,7 @@
                     .store(loaded.version.0, Ordering::Relaxed);
                 News::Loaded {
                     rows: loaded.rows,
+                    version: loaded.version,
                     now_ms: loaded.now_ms,
                 }
             }
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -7,7 +7,7 @@
 use citronway_core::gateway::assignment::Range;
 use citronway_core::gateway::desk::{Choice, Job, Refusal, RefusalReason, Verdict};
 use citronway_core::gateway::routes::{Repeat, Route};
-use citronway_core::ids::EndpointName;
+use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, CallerWords, Meaning};
 use http::{Method, Request, Uri};
@@ -39,7 +39,7 @@
 }
 
 impl Message {
-    fn for_endpoint(&self, endpoint: &EndpointName, left_ms: u64) -> Request<Bytes> {
+    fn for_endpoint(&self, endpoint: &EndpointStart, left_ms: u64) -> Request<Bytes> {
         let mut req = Request::new(self.body.clone());
         *req.method_mut() = self.method.clone();
         // The path as it came: an absolute form is for proxies only.
@@ -62,7 +62,7 @@
     pub message: Message,
     pub job: Job,
     /// Endpoints that may have run it.
-    pub run_by: Vec<EndpointName>,
+    pub run_by: Vec<EndpointStart>,
     /// Sends that an endpoint saw.
     pub sends: u32,
     /// Answer of an endpoint that failed, while another is asked.
@@ -213,14 +213,14 @@
         let range = owners
             .zip(key)
             .and_then(|(owners, key)| owners.assignment.at(key));
-        let owner = range.map_or("-", |range| range.holder.endpoint.as_str());
+        let owner = range.map_or_else(|| "-".to_owned(), |r| r.holder.endpoint.to_string());
         let fence = range.map_or(0, |range| range.holder.fence);
         let moving = range.is_some_and(Range::is_moving);
         let row = owners.map_or(0, |owners| owners.version.0);
         let instances = view.instances;
         let key = key.map_or(-1, i32::from);
         log::info!(
-            request, service, key, owner, fence, moving, row, routes, waiting, instances,
+            request, service, key, owner = owner.as_str(), fence, moving, row, routes, waiting, instances,
             reason = reason.word();
             "no place found"
         );
@@ -353,17 +353,17 @@
         let answer = http_link::read(head).await?;
         if meaning != Meaning::Foreign {
             let mut pool = self.state.pool.borrow_mut();
-            pool.put(clock::mono(), choice.address, link, &answer.headers);
+            pool.put(clock::mono(), choice, link, &answer.headers);
         }
         Ok(Exchanged { meaning, answer })
     }
 
     async fn link(&self, choice: &Choice) -> Result<Link, CallError> {
-        let kept =
-            self.state
-                .pool
-                .borrow_mut()
-                .take(clock::mono(), choice.address, self.job.repeat);
+        let now = clock::mono();
+        let kept = {
+            let mut pool = self.state.pool.borrow_mut();
+            pool.take(now, choice, self.job.repeat)
+        };
         match kept {
             Some(link) => Ok(link),
             None => self.open(choice).await,
@@ -389,29 +389,29 @@
 /// Logs a send, `ms` after the request's arrival.
 fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32, ms: u64) {
     let request = shown_id(words);
-    let endpoint = choice.endpoint.as_str();
+    let endpoint = &choice.endpoint;
     let fence = choice.fence.unwrap_or_default();
     match sent {
         Sent::Answer(answer) => {
             let status = answer.status.as_u16();
-            log::info!(request, endpoint, fence, sends, status, ms; "endpoint answered");
+            log::info!(request, endpoint:%, fence, sends, status, ms; "endpoint answered");
         }
         Sent::Refused(meaning) => {
             let refusal = format!("{meaning:?}");
-            log::info!(request, endpoint, fence, sends, refusal; "endpoint did not run it");
+            log::info!(request, endpoint:%, fence, sends, refusal; "endpoint did not run it");
         }
-        Sent::TooLate => log::info!(request, endpoint, fence, sends; "no time left to send"),
+        Sent::TooLate => log::info!(request, endpoint:%, fence, sends; "no time left to send"),
         Sent::Nowhere(cause) => {
             let cause = match cause {
                 Unsent::NoConnection => "no connection",
                 Unsent::Reset => "reset before anything was sent",
             };
-            log::info!(request, endpoint, fence, sends, cause; "not sent");
+            log::info!(request, endpoint:%, fence, sends, cause; "not sent");
         }
         Sent::Unknown(doubt) => {
             let cause = doubt.cause();
-            log::info!(request, endpoint, fence, sends, cause; "endpoint may have run it");
+            log::info!(request, endpoint:%, fence, sends, cause; "endpoint may have run it");
         }
-        Sent::TimedOut => log::info!(request, endpoint, fence, sends; "endpoint was silent"),
+        Sent::TimedOut => log::info!(request, endpoint:%, fence, sends; "endpoint was silent"),
     }
 }
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
+use citronway_core::gateway::desk::Choice;
 use citronway_core::gateway::routes::Repeat;
+use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use http::HeaderMap;
 use indexmap::IndexMap;
@@ -33,6 +35,8 @@
 
 #[derive(Debug)]
 struct Idle {
+    /// Whose it is: another start may listen at the address since.
+    start: EndpointStart,
     link: Link,
     since: Mono,
     usable_until: Mono,
@@ -40,9 +44,15 @@
 
 impl Pool {
     /// Takes a connection that is fit for another request, the one used last.
-    pub fn take(&mut self, now: Mono, address: SocketAddr, repeat: Repeat) -> Option<Link> {
-        let idle = self.idle.get_mut(&address)?;
+    pub fn take(&mut self, now: Mono, choice: &Choice, repeat: Repeat) -> Option<Link> {
+        let idle = self.idle.get_mut(&choice.address)?;
         while let Some(kept) = idle.pop() {
+            // Failure: an endpoint starts again under its name and address. What is sent on
+            // a connection of the earlier start is reset, and work that may not be
+            // repeated is lost.
+            if kept.start != choice.endpoint {
+                continue;
+            }
             // Failure: an endpoint forgets an idle connection without a word, and what
             // is sent on it next is reset; work that may not be repeated is then lost.
             // One that was used a moment ago is not forgotten yet.
@@ -58,15 +68,16 @@
     }
 
     /// Keeps a connection after a whole answer with these headers.
-    pub fn put(&mut self, now: Mono, address: SocketAddr, link: Link, headers: &HeaderMap) {
+    pub fn put(&mut self, now: Mono, choice: &Choice, link: Link, headers: &HeaderMap) {
         let Some(idle_ms) = reusable_ms(headers) else {
             return;
         };
-        let idle = self.idle.entry(address).or_default();
+        let idle = self.idle.entry(choice.address).or_default();
         if idle.len() >= MAX_IDLE {
             idle.remove(0);
         }
         idle.push(Idle {
+            start: choice.endpoint.clone(),
             link,
             since: now,
             usable_until: now.plus(idle_ms),
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -9,7 +9,7 @@
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
-use citronway_core::ids::{EndpointName, ServiceName};
+use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -180,7 +180,7 @@
     }
 
     /// Notes a whole answer and the time it took.
-    pub(super) fn served(&self, route: &str, endpoint: &EndpointName, took_ms: u64) {
+    pub(super) fn served(&self, route: &str, endpoint: &EndpointStart, took_ms: u64) {
         let took = took_ms as f64;
         let mut work = self.work.borrow_mut();
         let Some(work) = work.get_mut(route) else {
@@ -200,24 +200,24 @@
     }
 
     /// Notes that another process has the endpoint's address.
-    pub(super) fn gone(&self, endpoint: &EndpointName) {
+    pub(super) fn gone(&self, endpoint: &EndpointStart) {
         self.desk.borrow_mut().gone(clock::mono(), endpoint);
     }
 
     /// Notes that the endpoint failed or refused a request.
-    pub(super) fn refused(&self, endpoint: &EndpointName) {
+    pub(super) fn refused(&self, endpoint: &EndpointStart) {
         let mut answers = self.answers.borrow_mut();
         answers.entry(EndpointTag::of(endpoint)).or_default().failed += 1.0;
     }
 
     /// Notes that the endpoint took no connection or fell silent.
-    pub(super) fn unreachable(&self, endpoint: &EndpointName) {
+    pub(super) fn unreachable(&self, endpoint: &EndpointStart) {
         self.refused(endpoint);
         self.desk.borrow_mut().failed(clock::mono(), endpoint);
     }
 
     /// Notes that the endpoint reset a connection.
-    pub(super) fn reset(&self, endpoint: &EndpointName) {
+    pub(super) fn reset(&self, endpoint: &EndpointStart) {
         self.refused(endpoint);
         self.desk.borrow_mut().reset(clock::mono(), endpoint);
     }
@@ -383,7 +383,7 @@
 #[derive(Debug)]
 pub(super) struct InFlight {
     state: Rc<State>,
-    endpoint: EndpointName,
+    endpoint: EndpointStart,
 }
 
 impl Drop for InFlight {
