--- a/crates/citronway-core/src/gateway/desk/choose.rs
+++ b/crates/citronway-core/src/gateway/desk/choose.rs
@@ -23,10 +23,19 @@
 /// How much slower a cold endpoint is taken for.
 const COLD_SLOWNESS: f64 = 2.0;
 
-/// Share of an endpoint's slots that must be taken before another zone is as good.
+/// Share of an endpoint's slots that must be taken before another zone is as good, for an
+/// answer of no size, and how much more for each kilobyte.
 ///
-/// Bytes between zones are paid for; half of the slots still leaves room for a burst.
+/// Bytes between zones are paid for. A short answer crosses for a third of the slots,
+/// which leaves room for a burst; one of 90 kilobytes only when nothing nearer has room.
 const OTHER_ZONE_LOAD: f64 = 0.35;
+const OTHER_ZONE_LOAD_PER_KB: f64 = 0.05;
+
+/// Share of an endpoint's slots that a kept connection to it is worth.
+///
+/// Load: 89 instances that spread over all of 112 endpoints opened a connection for nearly
+/// every request, each of which takes an endpoint 1 ms and a round trip more.
+const KEPT_LOAD: f64 = 0.3;
 
 /// Silence of an endpoint with requests in flight that makes it suspect: this many
 /// times the usual work, and at least this many milliseconds.
@@ -145,8 +154,15 @@
                 continue;
             }
             let silent = self.is_silent(now, job, tag);
-            let load = self.load(now, view, known, tag) + if silent { SILENT_LOAD } else { 0.0 };
-            let turn = (self.turn + i as u64) % endpoints.len() as u64;
+            let mut load = self.load(now, view, known, tag) + far(view, known, job);
+            if silent {
+                load += SILENT_LOAD;
+            }
+            if self.kept.has(now, tag, job.repeat) {
+                load -= KEPT_LOAD;
+            }
+            // Instances begin at different places.
+            let turn = (view.rank.wrapping_add(self.turn + i as u64)) % endpoints.len() as u64;
             if best
                 .as_ref()
                 .is_none_or(|(least, first, _)| (load, turn) < (*least, *first))
@@ -203,14 +219,18 @@
             1.0
         };
         let failing = 1.0 / (1.0 - standing.failing.min(0.9));
-        let far = if known.listing.zone == view.zone {
-            0.0
-        } else {
-            OTHER_ZONE_LOAD
-        };
         // Below its slots an endpoint's queue is empty and only its speed counts.
-        (1.0 + used + far) * standing.slowness * cold * failing
+        (1.0 + used) * standing.slowness * cold * failing
+    }
+}
+
+/// Load that is added for an endpoint of another availability zone.
+fn far(view: &View, known: &Known, job: &Job) -> f64 {
+    if known.listing.zone == view.zone {
+        return 0.0;
     }
+    let kilobytes = job.answer_bytes as f64 / 1_024.0;
+    kilobytes.mul_add(OTHER_ZONE_LOAD_PER_KB, OTHER_ZONE_LOAD)
 }
 
 /// Time until a request with `ahead` before it would get its turn, in milliseconds.
--- a/crates/citronway-core/src/gateway/desk/job.rs
+++ b/crates/citronway-core/src/gateway/desk/job.rs
@@ -29,6 +29,8 @@
     pub caller_until: Mono,
     /// Usual time of work of its route, in milliseconds.
     pub work_ms: u64,
+    /// Usual size of an answer of its route, in bytes.
+    pub answer_bytes: u64,
     /// Endpoints that it was sent to.
     pub tried: Vec<EndpointStart>,
 }
--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/desk/mod.rs
@@ -8,6 +8,7 @@
 
 mod choose;
 mod job;
+mod kept;
 mod view;
 
 use indexmap::IndexMap;
@@ -17,8 +18,10 @@
 use crate::time::Mono;
 
 use choose::Finding;
+use kept::Kept;
 
 pub use job::{Choice, Job, Refusal, RefusalReason, Verdict};
+pub use kept::SURE_IDLE_MS;
 pub use view::{Owners, Standing, View};
 
 /// Shortest time to come back that a refused caller is told, in milliseconds.
@@ -73,6 +76,8 @@
     fences: IndexMap<u64, Mono>,
     /// When each move was first seen, by the fence of the next owner.
     moving: IndexMap<u64, Mono>,
+    /// Endpoints to which a connection is open.
+    kept: Kept,
     /// Number for choices between equals.
     turn: u64,
     /// The process ends then.
@@ -203,6 +208,7 @@
 
     fn avoid(&mut self, now: Mono, endpoint: &EndpointStart, bounds_ms: (u64, u64)) {
         let tag = EndpointTag::of(endpoint);
+        self.kept.lost(tag);
         let before = self.avoided.get(&tag).copied();
         if before.is_some_and(|avoided| now < avoided.until) {
             return;
@@ -217,6 +223,7 @@
     pub fn answered(&mut self, now: Mono, choice: &Choice, key: Option<u16>) {
         let tag = EndpointTag::of(&choice.endpoint);
         self.avoided.swap_remove(&tag);
+        self.kept.idle(now, tag);
         if let Some(since) = self.unanswered.get_mut(&tag) {
             *since = now;
         }
@@ -295,6 +302,7 @@
     fn sent(&mut self, now: Mono, endpoint: &EndpointStart) {
         let tag = EndpointTag::of(endpoint);
         *self.in_flight.entry(tag).or_default() += 1;
+        self.kept.used(tag);
         self.unanswered.entry(tag).or_insert(now);
     }
 
--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -175,6 +175,18 @@
     (silent_at <= now).then_some(silent_at)
 }
 
+/// Instances that watch the store while nobody passes its rows on; the others rest.
+///
+/// One in three may be refused by the store at the same time. Whoever is says that it is
+/// not fit, and the next one watches.
+const WATCHERS: u64 = 3;
+
+/// Whether this instance is to be among the first to claim if the keeper does not return.
+#[must_use]
+pub fn watches(now: Mono, at: &Situation<'_>) -> bool {
+    rank(now, at) < WATCHERS
+}
+
 /// How many fit instances are to claim before this one.
 fn rank(now: Mono, at: &Situation<'_>) -> u64 {
     let before = at.peers.iter().filter(|peer| {
--- a/crates/citronway-core/tests/desk_support/mod.rs
+++ b/crates/citronway-core/tests/desk_support/mod.rs
@@ -129,6 +129,7 @@
         last_at: now.plus(2_000),
         caller_until: now.plus(4_000),
         work_ms: 200,
+        answer_bytes: 0,
         tried: Vec::new(),
     }
 }
--- a/crates/citronway-core/tests/gateway_desk.rs
+++ b/crates/citronway-core/tests/gateway_desk.rs
@@ -2,10 +2,10 @@
 
 mod desk_support;
 
-use citronway_core::gateway::desk::{Desk, RefusalReason, Standing, Verdict};
+use citronway_core::gateway::desk::{Desk, Job, RefusalReason, Standing, Verdict};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::share::{Demand, places};
-use citronway_core::ids::EndpointStart;
+use citronway_core::ids::{EndpointStart, ZoneName};
 use citronway_core::time::Mono;
 use desk_support::{Scene, job, keyed};
 use googletest::prelude::*;
@@ -288,3 +288,48 @@
     let decided = desk.pump(NOW.plus(1_000), &scene.view());
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
 }
+
+/// Answers of 90 kilobytes went to another zone as soon as the near endpoint had a few
+/// requests, and paid more for their way than they were worth.
+#[gtest]
+fn a_large_answer_stays_near_where_a_short_one_crosses() {
+    let scene = Scene::new();
+    for (answer_bytes, crossing) in [(500, true), (90_000, false)] {
+        let mut desk = scene.desk(NOW);
+        let mut found = Vec::new();
+        for ticket in 0..6 {
+            let job = Job {
+                answer_bytes,
+                ..job(ticket, NOW)
+            };
+            let verdict = desk.arrive(NOW, &scene.view(), job);
+            found.push(endpoint(verdict.as_ref()));
+        }
+        expect_that!(found.iter().any(|name| name != "near"), eq(crossing));
+    }
+}
+
+/// Each instance spread its requests over all endpoints and opened a connection for nearly
+/// every one. An endpoint that is as good and has an open one goes first; work that may
+/// not be repeated trusts it for two seconds only.
+#[gtest]
+fn an_open_connection_is_used_again() {
+    let scene = Scene::new();
+    let mut view = scene.view();
+    view.zone = ZoneName::new("elsewhere");
+    for (idle_ms, again) in [(1_500, true), (2_500, false)] {
+        let mut desk = scene.desk(NOW);
+        let mut names = Vec::new();
+        for ticket in 0..12 {
+            let now = NOW.plus(ticket * idle_ms);
+            let verdict = desk.arrive(now, &view, job(ticket, now));
+            names.push(endpoint(verdict.as_ref()));
+            if let Some(Verdict::Send(choice)) = verdict {
+                desk.answered(now, &choice, None);
+                desk.finished(&choice.endpoint);
+            }
+        }
+        names.dedup();
+        expect_that!(names.len() == 1, eq(again));
+    }
+}
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -1,7 +1,7 @@
 //! The keeper's duty on this instance: claiming it, and keeping while it has it.
 
 use citronway_core::gateway::assignment::Assignment;
-use citronway_core::gateway::election::{self, Former, KeeperRow, Situation, Strength};
+use citronway_core::gateway::election::{self, Former, KeeperRow, PeerSight, Situation, Strength};
 use citronway_core::gateway::keeper::{
     Action, Keeper, KeeperSettings, Order, OrderResult, WriteResult,
 };
@@ -345,22 +345,38 @@
         })
     }
 
-    fn claim(&mut self, now: Mono, beliefs: &Beliefs, stopping: bool) -> Option<Change> {
-        if self.claiming || now < self.claim_after || self.office.is_some() {
-            return None;
-        }
-        let peers = beliefs.peers.sights();
-        let situation = Situation {
+    fn situation<'a>(
+        &'a self,
+        unfit: bool,
+        beliefs: &'a Beliefs,
+        peers: &'a [PeerSight],
+    ) -> Situation<'a> {
+        Situation {
             me: &self.me.instance,
             session: self.me.id,
             started: self.started,
-            unfit: stopping || self.is_unfit(now, beliefs) || !beliefs.own_loaded(),
+            unfit,
             strength: self.strength,
             row: beliefs.keeper.as_ref(),
             row_seen: beliefs.keeper_seen,
-            peers: &peers,
-        };
-        if !election::should_claim(now, &situation) {
+            peers,
+        }
+    }
+
+    /// Whether this instance is among those that follow the store while nobody tells the
+    /// others of it.
+    pub(super) fn watches(&self, now: Mono, beliefs: &Beliefs) -> bool {
+        let peers = beliefs.peers.sights();
+        election::watches(now, &self.situation(false, beliefs, &peers))
+    }
+
+    fn claim(&mut self, now: Mono, beliefs: &Beliefs, stopping: bool) -> Option<Change> {
+        if self.claiming || now < self.claim_after || self.office.is_some() {
+            return None;
+        }
+        let peers = beliefs.peers.sights();
+        let unfit = stopping || self.is_unfit(now, beliefs) || !beliefs.own_loaded();
+        if !election::should_claim(now, &self.situation(unfit, beliefs, &peers)) {
             return None;
         }
         let row = beliefs.keeper.as_ref();
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -53,6 +53,18 @@
 /// be in force within 2 s.
 const FIRST_REST_MS: u64 = 1_200;
 
+/// How long this instance rests on after the keeper has stopped to pass rows on, in
+/// milliseconds.
+///
+/// Load: a keeper that is lost had each of 89 instances ask for three tables at once, 640
+/// calls. A successor is there 0.4 s after the silence is noticed; changes have to be in
+/// force within 2 s.
+const UNTOLD_REST_MS: u64 = 700;
+
+/// Instances up to which all of them ask a silent store at the usual pace; with more, those
+/// that do not watch it ask so much less often.
+const ASK_OFTEN_UP_TO: u64 = 12;
+
 /// Places in the ring of events of this thread's own tasks.
 const EVENTS: usize = 1_024;
 
@@ -111,6 +123,8 @@
     stopping: bool,
     /// It was the keeper at the last look.
     kept: bool,
+    /// When a keeper last passed rows on.
+    told_at: Mono,
 }
 
 impl Control {
@@ -141,6 +155,7 @@
             started,
             stopping: false,
             kept: false,
+            told_at: Mono::default(),
         }
     }
 
@@ -313,7 +328,8 @@
         // A keeper that is there is heard within a moment; polls of all instances that
         // start together would be answered anew with each one that lists itself.
         let begins_to_hear = now.since(self.started) < FIRST_REST_MS;
-        let rests = !keeps && (begins_to_hear || self.beliefs.is_told(now));
+        let is_told = self.is_told(now);
+        let rests = !keeps && (begins_to_hear || is_told);
         // A poll that began before this instance kept waits for longer than a keeper
         // may go without being confirmed.
         let begins = keeps && !self.kept;
@@ -326,6 +342,25 @@
         }
     }
 
+    /// Whether a keeper passes rows on, or the next one can be waited for.
+    fn is_told(&mut self, now: Mono) -> bool {
+        if self.beliefs.is_told(now) {
+            self.told_at = now;
+            return true;
+        }
+        let watches = self.duty.in_office() || self.duty.watches(now, &self.beliefs);
+        let patience = if watches {
+            1
+        } else {
+            let instances = self.beliefs.peers.heard(now) as u64;
+            instances.div_ceil(ASK_OFTEN_UP_TO).max(1)
+        };
+        for (_, follow) in &self.follows {
+            follow.patience.store(patience, Ordering::Relaxed);
+        }
+        !watches && now.since(self.told_at) < UNTOLD_REST_MS
+    }
+
     fn relay_came(&mut self, relay: &Relay) {
         let follow = self.follow(relay.table);
         let at = follow.position.load(Ordering::Relaxed);
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -38,6 +38,10 @@
 /// First and longest pause after a call that failed, in milliseconds.
 const PAUSE_MS: (u64, u64) = (100, 1_000);
 
+/// Time between two polls of the endpoints' entries. Endpoints that leave are left alone
+/// in time if it is known within 1.5 s.
+const ENTRIES_GAP: Duration = Duration::from_millis(150);
+
 /// Why a call of the store brought nothing.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum StoreError {
@@ -151,6 +155,8 @@
     pub resting: AtomicBool,
     /// How long to wait at the store, in milliseconds.
     pub wait_ms: AtomicU64,
+    /// Times the usual pause between calls while the store does not answer.
+    pub patience: AtomicU64,
     /// Has the store asked now, on a new connection.
     pub refresh: Notify,
 }
@@ -161,6 +167,7 @@
             position: AtomicU64::new(0),
             resting: AtomicBool::new(false),
             wait_ms: AtomicU64::new(IDLE_WAIT_MS),
+            patience: AtomicU64::new(1),
             refresh: Notify::new(),
         })
     }
@@ -231,9 +238,11 @@
                     () = pause_over => {}
                     () = self.follow.refresh.notified() => {}
                 }
-                pause = (pause * 2).min(self.longest_pause_ms());
+                let patience = self.follow.patience.load(Ordering::Relaxed);
+                pause = (pause * 2).min(self.longest_pause_ms() * patience);
             } else {
                 pause = PAUSE_MS.0;
+                self.let_changes_gather().await;
             }
         }
     }
@@ -254,6 +263,16 @@
         }
     }
 
+    /// Waits until several entries have changed that change at about the same time.
+    ///
+    /// Load: 395 endpoints list themselves or leave within a few seconds, and each change
+    /// was answered by itself: 250 calls before the first request.
+    async fn let_changes_gather(&self) {
+        if self.table == Table::Endpoints {
+            tokio::time::sleep(ENTRIES_GAP).await;
+        }
+    }
+
     /// One table is asked for often while the store is lost, the others when it is back.
     const fn longest_pause_ms(&self) -> u64 {
         match self.table {
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/journey.rs
@@ -295,7 +295,9 @@
                     if !answer.status.is_server_error() {
                         let took = clock::mono().since(started);
                         self.state.metrics.served(Class::of(self.route), took);
-                        self.state.served(&self.route.name, &choice.endpoint, took);
+                        let bytes = answer.body.len();
+                        let route = &self.route.name;
+                        self.state.served(route, &choice.endpoint, took, bytes);
                     }
                     Sent::Answer(answer)
                 }
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronway_core::gateway::desk::Choice;
+use citronway_core::gateway::desk::{Choice, SURE_IDLE_MS};
 use citronway_core::gateway::routes::Repeat;
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
@@ -18,10 +18,6 @@
 /// endpoint states none.
 const IDLE_MS: u64 = 4_000;
 
-/// Idle time of a connection up to which work that may not be repeated is sent on it, in
-/// milliseconds; endpoints state ten seconds and at times keep to a third of it.
-const SURE_IDLE_MS: u64 = 2_000;
-
 /// How long before the stated end an idle connection is left alone, in milliseconds:
 /// a request that crosses the endpoint's close may or may not have run.
 const IDLE_MARGIN_MS: u64 = 1_000;
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -78,7 +78,8 @@
         }
         Err(_broken) => return Outcome::Rejected(StatusCode::BAD_REQUEST, "body not whole"),
     };
-    let (number, work_ms) = state.count(route);
+    let usual = state.count(route);
+    let number = usual.number;
     let Some((service, known)) = routes.service(route, number) else {
         return not_run(RefusalReason::UnusableRoute, UNUSABLE_RETRY_MS);
     };
@@ -106,7 +107,8 @@
         objective_at: arrived.plus(route.objective_ms).minus(spent_ms),
         last_at: arrived.plus(wait_ms),
         caller_until: arrived.plus(stated_ms),
-        work_ms,
+        work_ms: usual.work_ms,
+        answer_bytes: usual.answer_bytes,
         tried: Vec::new(),
     };
     let journey = Journey {
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 
-/// Weight of the newest answer in the mean time of work of a route.
+/// Weight of the newest answer in the mean time of work, and size, of a route.
 const WORK_WEIGHT: f64 = 0.02;
 
 /// State of the traffic thread.
@@ -48,12 +48,25 @@
     /// First service of the route.
     service: Option<ServiceName>,
     mean_ms: f64,
+    /// Mean size of an answer, in bytes; none before the first.
+    mean_bytes: Option<f64>,
     /// Longest time that a caller stated to wait, in milliseconds.
     longest_wait_ms: u64,
     /// Requests of the route so far; places them among its targets.
     taken: u64,
 }
 
+/// What is usual on a route.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Usual {
+    /// Number of the request among those of its route.
+    pub number: u64,
+    /// Mean time of work, in milliseconds.
+    pub work_ms: u64,
+    /// Mean size of an answer, in bytes.
+    pub answer_bytes: u64,
+}
+
 impl State {
     pub(super) fn new(
         cfg: &InstanceSettings,
@@ -95,8 +108,8 @@
         self.tickets.get()
     }
 
-    /// Counts a request of a route; returns its number and the usual work in ms.
-    pub(super) fn count(&self, route: &Route) -> (u64, u64) {
+    /// Counts a request of a route and tells what is usual there.
+    pub(super) fn count(&self, route: &Route) -> Usual {
         let mut work = self.work.borrow_mut();
         // Instances begin at different places, so that few requests of each still
         // divide well over all.
@@ -104,6 +117,7 @@
             service: route.targets.first().map(|target| target.service.clone()),
             // A first guess; the mean follows the answers.
             mean_ms: route.objective_ms as f64 * 0.3,
+            mean_bytes: None,
             longest_wait_ms: 0,
             taken: self.view.borrow().rank % 1_000,
         };
@@ -112,10 +126,14 @@
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "a time is positive and far below the range"
+            reason = "times and sizes are positive and far below the range"
         )]
-        let work_ms = entry.mean_ms as u64;
-        (entry.taken, work_ms)
+        let whole = |mean: f64| mean as u64;
+        Usual {
+            number: entry.taken,
+            work_ms: whole(entry.mean_ms),
+            answer_bytes: whole(entry.mean_bytes.unwrap_or_default()),
+        }
     }
 
     /// The longest time that callers of the route were seen to wait, this one included.
@@ -179,8 +197,8 @@
         }
     }
 
-    /// Notes a whole answer and the time it took.
-    pub(super) fn served(&self, route: &str, endpoint: &EndpointStart, took_ms: u64) {
+    /// Notes a whole answer, its size and the time it took.
+    pub(super) fn served(&self, route: &str, endpoint: &EndpointStart, took_ms: u64, bytes: usize) {
         let took = took_ms as f64;
         let mut work = self.work.borrow_mut();
         let Some(work) = work.get_mut(route) else {
@@ -188,6 +206,8 @@
         };
         let relative = took / work.mean_ms.max(1.0);
         work.mean_ms += (took - work.mean_ms) * WORK_WEIGHT;
+        let mean = work.mean_bytes.unwrap_or(bytes as f64);
+        work.mean_bytes = Some(mean + (bytes as f64 - mean) * WORK_WEIGHT);
         let mut answers = self.answers.borrow_mut();
         let sum = answers.entry(EndpointTag::of(endpoint)).or_default();
         sum.served += 1.0;
