--- a/crates/citronway-core/src/gateway/assignment.rs
+++ b/crates/citronway-core/src/gateway/assignment.rs
@@ -143,6 +143,9 @@
                 return Err(RowError::Gap { range: i });
             }
             due = range.last.checked_add(1);
+            if !self.has_sound_fences(range) {
+                return Err(RowError::Fence { range: i });
+            }
         }
         if due.is_some() && !self.ranges.is_empty() {
             let range = self.ranges.len();
@@ -151,6 +154,14 @@
         Ok(self)
     }
 
+    /// Whether the fences of a range were drawn from this row, the next owner's last.
+    fn has_sound_fences(&self, range: &Range) -> bool {
+        let held = range.holder.fence;
+        let next = range.next.as_ref().map(|next| next.fence);
+        let follows = |next: u64| next > held && next >= FENCES_A_MOVE && next < self.next_fence;
+        held < self.next_fence && next.is_none_or(follows)
+    }
+
     /// Reads the stored form.
     ///
     /// # Errors
@@ -177,6 +188,12 @@
         /// Number of the endpoint.
         endpoint: usize,
     },
+    /// A fence that was never drawn, or a next owner's that is not above its holder's.
+    #[error("range {range} has a fence that this row cannot have given")]
+    Fence {
+        /// Place of the range.
+        range: usize,
+    },
     /// A key belongs to no range or to two.
     #[error("range {range} does not begin where the one before it ends")]
     Gap {
--- a/crates/citronway-core/src/gateway/desk/choose.rs
+++ b/crates/citronway-core/src/gateway/desk/choose.rs
@@ -37,6 +37,10 @@
 /// every request, each of which takes an endpoint 1 ms and a round trip more.
 const KEPT_LOAD: f64 = 0.3;
 
+/// How long an instance keeps the chance that it drew for a fraction of a place, in
+/// milliseconds: until the next sums come.
+const CHANCE_MS: u64 = 200;
+
 /// Silence of an endpoint with requests in flight that makes it suspect: this many
 /// times the usual work, and at least this many milliseconds.
 const SILENT_WORKS: u64 = 4;
@@ -103,7 +107,7 @@
             return Finding::Wait(RefusalReason::Unreachable);
         }
         let waiting = self.wanted(tag).max(1);
-        if !self.has_room(view, known, tag, waiting) {
+        if !self.has_room(now, view, known, tag, waiting) {
             return Finding::Wait(RefusalReason::Overloaded);
         }
         // One request at a time tries a holder that did not hold the keys.
@@ -149,7 +153,7 @@
             if self.is_avoided(now, tag) {
                 continue;
             }
-            if !self.has_room(view, known, tag, 1) {
+            if !self.has_room(now, view, known, tag, 1) {
                 cause = RefusalReason::Overloaded;
                 continue;
             }
@@ -197,14 +201,29 @@
             .is_some_and(|avoided| now < avoided.until)
     }
 
-    fn has_room(&self, view: &View, known: &Known, tag: EndpointTag, waiting: u32) -> bool {
+    fn has_room(
+        &self,
+        now: Mono,
+        view: &View,
+        known: &Known,
+        tag: EndpointTag,
+        waiting: u32,
+    ) -> bool {
         let in_flight = self.in_flight.get(&tag).copied().unwrap_or_default();
         let me = Demand {
             rank: view.rank,
             wanted: in_flight + waiting,
         };
-        let others = view.standings.get(&tag).map_or(&[][..], |s| &s.others);
-        in_flight < share::allowed(share::places(known.listing.slots), me, others)
+        let places = share::places(known.listing.slots);
+        let standing = view.standings.get(&tag);
+        let allowed = match standing.and_then(|standing| standing.others_sum) {
+            Some(others) => {
+                let chance = chance(now, view.rank, tag);
+                share::allowed_of_total(places, me.wanted, others, chance)
+            }
+            None => share::allowed(places, me, standing.map_or(&[][..], |s| &s.others)),
+        };
+        in_flight < allowed
     }
 
     /// Time until a request would be done there, in units of an average request.
@@ -233,6 +252,15 @@
     kilobytes.mul_add(OTHER_ZONE_LOAD_PER_KB, OTHER_ZONE_LOAD)
 }
 
+/// The chance that an instance draws for an endpoint, the same for a while: a number from 0
+/// to 1.
+fn chance(now: Mono, rank: u64, tag: EndpointTag) -> f64 {
+    let turn = now.0 / CHANCE_MS;
+    let seed = rank ^ turn.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&tag.0.to_le_bytes(), seed);
+    hash as f64 / u64::MAX as f64
+}
+
 /// Time until a request with `ahead` before it would get its turn, in milliseconds.
 pub(super) fn expected_wait_ms(view: &View, job: &Job, ahead: u32) -> u64 {
     let tag = Desk::spot(view, job);
--- a/crates/citronway-core/src/gateway/keeper/mod.rs
+++ b/crates/citronway-core/src/gateway/keeper/mod.rs
@@ -26,6 +26,10 @@
 
 pub use orders::{Action, Order, OrderKind, OrderResult, Span, WriteResult};
 
+/// Ranges of a row that make the time between two writes of it a millisecond longer: 70 ms
+/// at 500 ranges.
+const RANGES_A_MS: u64 = 8;
+
 /// Times of a keeper, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct KeeperSettings {
@@ -365,7 +369,10 @@
         self.writing = false;
         match result {
             WriteResult::Done(row, version) => {
-                self.write_after = now.plus(self.cfg.write_gap_ms);
+                // Load: long rows are those of large services, in which moves end all the
+                // time; each write is a call and an answered poll, and is told to all.
+                let gap_ms = self.cfg.write_gap_ms + row.ranges.len() as u64 / RANGES_A_MS;
+                self.write_after = now.plus(gap_ms);
                 self.row_seen(row, version);
             }
             // The row that stands arrives by the feed or with the conflict.
--- a/crates/citronway-core/src/gateway/keyload.rs
+++ b/crates/citronway-core/src/gateway/keyload.rs
@@ -10,26 +10,38 @@
 #[derive(Debug)]
 pub struct KeyLoad {
     weight: Vec<f32>,
+    began: Mono,
     faded_at: Mono,
     half_life_ms: f64,
 }
 
+/// Shortest time of samples from which a rate is reckoned, in milliseconds: two reports.
+const SHORTEST_MS: f64 = 200.0;
+
 impl KeyLoad {
     /// No load; old samples lose half of their weight in `half_life_ms`.
     #[must_use]
     pub fn new(now: Mono, half_life_ms: f64) -> Self {
         Self {
             weight: vec![0.0; KEYS],
+            began: now,
             faded_at: now,
             half_life_ms,
         }
     }
 
     /// Factor from the load's unit to requests a second: the weight of a steady
-    /// stream is its rate times the half-life over ln 2.
+    /// stream is its rate times the half-life over ln 2, once it has lasted for long.
     #[must_use]
     pub fn per_second(&self) -> f64 {
-        std::f64::consts::LN_2 / (self.half_life_ms / 1_000.0)
+        let steady = std::f64::consts::LN_2 / (self.half_life_ms / 1_000.0);
+        let age_ms = self.faded_at.since(self.began) as f64;
+        if age_ms == 0.0 {
+            return steady;
+        }
+        // Part of its final weight that a stream has reached by now.
+        let reached = 1.0 - (-age_ms.max(SHORTEST_MS) / self.half_life_ms).exp2();
+        steady / reached
     }
 
     /// Takes a request for a key.
@@ -83,3 +95,94 @@
         (span.last, sum)
     }
 }
+
+/// Standard errors, and requests beyond these, by which the recent load of keys must differ
+/// from the steady one to be believed.
+///
+/// Load: 229 endpoints do seven requests a second each, of which a short look has four.
+/// By the short look alone keys of whichever had eight by chance were moved all day. With
+/// these, one in a million looks at an unchanged range takes it for changed, and a range
+/// that gets a hundred more a second is seen in a quarter of a second.
+const CHANGED_ERRORS: f64 = 4.0;
+const CHANGED_REQUESTS: f64 = 4.0;
+
+/// Load of all keys over a longer and a shorter time.
+///
+/// The longer one tells endpoints apart; the shorter one sees hot keys come and go.
+#[derive(Debug)]
+pub struct KeyLoads {
+    steady: KeyLoad,
+    recent: KeyLoad,
+}
+
+impl KeyLoads {
+    /// No load; the half-lives are in milliseconds.
+    #[must_use]
+    pub fn new(now: Mono, steady_ms: f64, recent_ms: f64) -> Self {
+        Self {
+            steady: KeyLoad::new(now, steady_ms),
+            recent: KeyLoad::new(now, recent_ms),
+        }
+    }
+
+    /// Takes a request for a key.
+    pub fn add(&mut self, key: u16) {
+        self.steady.add(key);
+        self.recent.add(key);
+    }
+
+    /// Lets old samples fade.
+    pub fn fade(&mut self, now: Mono) {
+        self.steady.fade(now);
+        self.recent.fade(now);
+    }
+
+    /// Load of a span, in requests a second.
+    #[must_use]
+    pub fn of(&self, span: Span) -> f64 {
+        let load = self.fitting(span);
+        load.of(span) * load.per_second()
+    }
+
+    /// Requests a second that a new request adds to the steady load of its key.
+    #[must_use]
+    pub fn per_request(&self) -> f64 {
+        self.steady.per_second()
+    }
+
+    /// Requests that the load of a span was reckoned from.
+    #[must_use]
+    pub fn samples(&self, span: Span) -> f64 {
+        self.fitting(span).of(span)
+    }
+
+    /// The key of a span that is asked for most, and its requests a second.
+    #[must_use]
+    pub fn heaviest(&self, span: Span) -> (u16, f64) {
+        let load = self.fitting(span);
+        let (key, weight) = load.heaviest(span);
+        (key, weight * load.per_second())
+    }
+
+    /// The shortest start of `span` with at least `wanted` requests a second.
+    ///
+    /// Returns its last key and its load; the whole span if it has less.
+    #[must_use]
+    pub fn prefix(&self, span: Span, wanted: f64) -> (u16, f64) {
+        let load = self.fitting(span);
+        let (last, weight) = load.prefix(span, wanted / load.per_second());
+        (last, weight * load.per_second())
+    }
+
+    /// The steady load of a span, unless it has clearly changed.
+    fn fitting(&self, span: Span) -> &KeyLoad {
+        let steady = self.steady.of(span) * self.steady.per_second();
+        let expected = steady / self.recent.per_second();
+        let off = (self.recent.of(span) - expected).abs();
+        if off > CHANGED_ERRORS.mul_add(expected.sqrt(), CHANGED_REQUESTS) {
+            &self.recent
+        } else {
+            &self.steady
+        }
+    }
+}
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::assignment::Assignment;
 use crate::gateway::keeper::{Move, Span};
-use crate::gateway::keyload::KeyLoad;
+use crate::gateway::keyload::KeyLoads;
 use crate::ids::EndpointStart;
 
 /// Load above its slots at which an endpoint is relieved: work in progress, as a
@@ -97,9 +97,7 @@
     /// The row as it stands.
     pub row: &'a Assignment,
     /// Load by key.
-    pub load: &'a KeyLoad,
-    /// Factor from the load's unit to requests a second.
-    pub per_s: f64,
+    pub load: &'a KeyLoads,
     /// All endpoints of the service.
     pub places: &'a [Place],
 }
@@ -121,6 +119,8 @@
     places: IndexMap<&'a EndpointStart, &'a Place>,
     /// Load of each endpoint once all moves have ended.
     load: IndexMap<&'a EndpointStart, f64>,
+    /// Requests that these loads were reckoned from.
+    samples: IndexMap<&'a EndpointStart, f64>,
     /// Pieces of each endpoint once all moves have ended.
     held: IndexMap<&'a EndpointStart, usize>,
     pieces: Vec<Piece<'a>>,
@@ -139,6 +139,8 @@
     to: Option<&'a EndpointStart>,
     /// In requests a second.
     load: f64,
+    /// Requests that it was reckoned from.
+    samples: f64,
 }
 
 impl<'a> Piece<'a> {
@@ -150,13 +152,16 @@
 impl<'a> Plan<'a> {
     fn new(scene: &'a Scene<'a>) -> Self {
         let mut load: IndexMap<_, _> = scene.places.iter().map(|p| (&p.endpoint, 0.0)).collect();
+        let mut samples = IndexMap::<_, f64>::new();
         let mut held = IndexMap::<_, usize>::new();
         let mut pieces = Vec::with_capacity(scene.row.ranges.len());
         for range in &scene.row.ranges {
             let owner = &range.next.as_ref().unwrap_or(&range.holder).endpoint;
             let span = range.span();
-            let here = scene.load.of(span) * scene.per_s;
+            let here = scene.load.of(span);
+            let seen = scene.load.samples(span);
             *load.entry(owner).or_default() += here;
+            *samples.entry(owner).or_default() += seen;
             *held.entry(owner).or_default() += 1;
             pieces.push(Piece {
                 span,
@@ -164,6 +169,7 @@
                 moving: range.is_moving(),
                 to: None,
                 load: here,
+                samples: seen,
             });
         }
         let in_motion = pieces.iter().filter(|piece| piece.moving).count();
@@ -171,6 +177,7 @@
             scene,
             places: scene.places.iter().map(|p| (&p.endpoint, p)).collect(),
             load,
+            samples,
             held,
             pieces,
             in_motion,
@@ -215,8 +222,8 @@
 
     /// Share of an endpoint's capacity that is used at least, by what was sampled.
     fn surely_used(&self, place: &Place) -> f64 {
-        let load = self.load.get(&place.endpoint).copied().unwrap_or_default();
-        let samples = load / self.scene.per_s;
+        let samples = self.samples.get(&place.endpoint).copied();
+        let samples = samples.unwrap_or_default();
         self.usage(place, 0.0) * (1.0 - DOUBT / samples.max(1.0).sqrt())
     }
 
@@ -233,6 +240,8 @@
         let piece = self.pieces[i];
         *self.load.entry(piece.owner_to_be()).or_default() -= piece.load;
         *self.load.entry(&to.endpoint).or_default() += piece.load;
+        *self.samples.entry(piece.owner_to_be()).or_default() -= piece.samples;
+        *self.samples.entry(&to.endpoint).or_default() += piece.samples;
         if let Some(held) = self.held.get_mut(piece.owner_to_be()) {
             *held = held.saturating_sub(1);
         }
@@ -251,12 +260,15 @@
             first: last + 1,
             ..piece.span
         };
-        let load = self.scene.load.of(before) * self.scene.per_s;
+        let load = self.scene.load.of(before).min(piece.load);
+        let samples = self.scene.load.samples(before).min(piece.samples);
         self.pieces[i].span = before;
         self.pieces[i].load = load;
+        self.pieces[i].samples = samples;
         let rest = Piece {
             span: after,
             load: piece.load - load,
+            samples: piece.samples - samples,
             ..piece
         };
         self.pieces.insert(i + 1, rest);
@@ -295,7 +307,7 @@
         if piece.span.last - piece.span.first < MIN_CUT || piece.load <= most {
             return;
         }
-        let (last, _) = self.scene.load.prefix(piece.span, most / self.scene.per_s);
+        let (last, _) = self.scene.load.prefix(piece.span, most);
         self.cut(i, last);
     }
 
@@ -413,7 +425,7 @@
         while let Some(i) = mine.pop() {
             let span = self.pieces[i].span;
             let (key, load) = self.scene.load.heaviest(span);
-            if span.first == span.last || load * self.scene.per_s <= most {
+            if span.first == span.last || load <= most {
                 continue;
             }
             self.cut(i, key);
@@ -448,10 +460,7 @@
         let only = mine.len() == 1;
         for i in mine {
             let piece = self.pieces[i];
-            let (last, load) = self
-                .scene
-                .load
-                .prefix(piece.span, wanted / self.scene.per_s);
+            let (last, moved) = self.scene.load.prefix(piece.span, wanted);
             let whole = last >= piece.span.last;
             if whole && only {
                 // All that the endpoint has: the load would only change places.
@@ -461,7 +470,6 @@
             if one_key && piece.load > to.capacity * ONE_KEY {
                 continue;
             }
-            let moved = load * self.scene.per_s;
             let after = self.usage(to, moved);
             let small = moved < from.capacity * MIN_GAIN;
             if worth > 0.0 && (small || self.usage(from, 0.0) <= after * worth) {
@@ -469,7 +477,7 @@
             }
             // Without load the keys themselves are divided.
             let half = piece.span.first + (piece.span.last - piece.span.first) / 2;
-            self.cut(i, if load > 0.0 { last } else { half });
+            self.cut(i, if moved > 0.0 { last } else { half });
             self.assign(i, to);
             return true;
         }
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -52,12 +52,14 @@
     /// The report for instances of other availability zones, where there are many.
     ///
     /// Load: 87 instances told each other of each request in flight, 700 bytes each
-    /// 0.6 s, which was more than half of all bytes between zones. What decides about
-    /// an endpoint's places is where requests wait or several are in flight; speeds and
-    /// failures show in the answers that the zone's own instances get.
+    /// 0.6 s, which was more than half of all bytes between zones. Sums come from the
+    /// keeper (`has_totals`); without them, what decides about an endpoint's places is
+    /// where requests wait or several are in flight. Speeds and failures show in the
+    /// answers that the zone's own instances get.
     #[must_use]
-    pub fn brief(&self) -> Self {
-        let contended = |used: &&EndpointUse| used.waiting > 0 || used.in_flight > 1;
+    pub fn brief(&self, has_totals: bool) -> Self {
+        let contended =
+            |used: &&EndpointUse| !has_totals && (used.waiting > 0 || used.in_flight > 1);
         let endpoints = self
             .endpoints
             .iter()
@@ -98,6 +100,33 @@
     pub answers: Answers,
 }
 
+/// Requests of all instances at contended endpoints, as the keeper knows them.
+///
+/// Load: 89 instances have one request each at an endpoint with six slots. Reports of all
+/// of them to all others are too many, and with reports from the own zone alone nobody saw
+/// that it was full: one request in ten waited two seconds at the endpoint, and one in
+/// four was refused there. The keeper hears of all, and tells the sums.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Totals {
+    /// Term of the keeper that tells.
+    pub term: u64,
+    /// Grows with each that it tells.
+    pub number: u64,
+    /// Endpoints that have, or are about to have, more requests than slots.
+    pub endpoints: Vec<EndpointTotal>,
+}
+
+/// Requests of all instances at one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EndpointTotal {
+    /// Which endpoint.
+    pub tag: EndpointTag,
+    /// Requests in flight there.
+    pub in_flight: u32,
+    /// Requests that wait to be sent there.
+    pub waiting: u32,
+}
+
 /// What was seen in several looks, to be reported at once.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Seen {
--- a/crates/citronway-core/src/gateway/share.rs
+++ b/crates/citronway-core/src/gateway/share.rs
@@ -31,6 +31,29 @@
     pub wanted: u32,
 }
 
+/// Places that an instance may use out of `places`, where only the sum of what the others
+/// want is known.
+///
+/// Its share in proportion; the fraction of a place is given by `chance`, a number from 0
+/// to 1 that each instance draws for itself and now and then anew. On average all shares
+/// together are `places`, and everybody gets a turn.
+#[must_use]
+pub fn allowed_of_total(places: u32, wanted: u32, others: u32, chance: f64) -> u32 {
+    let total = u64::from(wanted) + u64::from(others);
+    if total <= u64::from(places) {
+        return places - others;
+    }
+    let exact = f64::from(wanted) * f64::from(places) / total as f64;
+    let extra = u32::from(chance < exact.fract());
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "at most `places`"
+    )]
+    let whole = exact as u32;
+    whole + extra
+}
+
 /// Places that the instance of rank `me` may use, out of `places`.
 ///
 /// The largest-remainder method: whole shares first, then one more for the largest
--- a/crates/citronway-core/tests/gateway_assignment.rs
+++ b/crates/citronway-core/tests/gateway_assignment.rs
@@ -3,6 +3,7 @@
 use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
 use citronway_core::ids::EndpointStart;
 use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, prop_assert, prop_assert_eq, proptest};
 
 fn holder(id: &str, fence: u64) -> Holder {
     Holder {
@@ -179,3 +180,32 @@
     );
     Ok(())
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, ..ProptestConfig::default() })]
+
+    /// Other writers reach the table, and bytes get damaged. A row that is read gives each
+    /// key to one range, so that nobody is asked for keys of two.
+    #[test]
+    fn a_damaged_row_is_refused_or_covers_all_keys(
+        flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 1..4),
+        cut in proptest::option::of(any::<usize>()),
+    ) {
+        let mut bytes = some().to_bytes().unwrap_or_default();
+        for (at, bits) in flips {
+            let at = at % bytes.len();
+            bytes[at] ^= bits;
+        }
+        bytes.truncate(cut.map_or(bytes.len(), |cut| cut % bytes.len()));
+        let changed = some().with_changes(&bytes);
+        let read = Assignment::from_bytes(&bytes);
+        for row in [read, changed].into_iter().flatten() {
+            let mut due = 0_u32;
+            for range in &row.ranges {
+                prop_assert_eq!(u32::from(range.first), due);
+                due += range.width();
+            }
+            prop_assert!(row.ranges.is_empty() || due == 65_536);
+        }
+    }
+}
--- a/crates/citronway-core/tests/gateway_desk.rs
+++ b/crates/citronway-core/tests/gateway_desk.rs
@@ -333,3 +333,36 @@
         expect_that!(names.len() == 1, eq(again));
     }
 }
+
+/// Ninety instances have a request each for one endpoint, in four zones. Each knew only
+/// its own zone's, sent its own, and the endpoint refused most or kept them for seconds.
+/// With the sum of all, about as many go as there are places, and each gets its turn.
+#[gtest]
+fn a_sum_of_all_keeps_an_endpoint_from_being_overrun() {
+    let mut scene = Scene::new();
+    let tag = EndpointTag::of(&EndpointStart::new("a", None));
+    scene.standings.insert(
+        tag,
+        Standing {
+            others_sum: Some(89),
+            ..Standing::unknown()
+        },
+    );
+    let mut view = scene.view();
+    let turns = 50;
+    let mut sent = 0;
+    let mut served = [0; 90];
+    for turn in 0..turns {
+        let now = NOW.plus(turn * 200);
+        for (rank, served) in served.iter_mut().enumerate() {
+            view.rank = rank as u64;
+            let mut desk = scene.desk(now);
+            let verdict = desk.arrive(now, &view, keyed(1, 0, now));
+            let went = matches!(verdict, Some(Verdict::Send(_)));
+            sent += u64::from(went);
+            *served += u64::from(went);
+        }
+    }
+    expect_that!(sent / turns, all!(ge(7), le(11)));
+    expect_that!(served.iter().filter(|count| **count == 0).count(), le(3));
+}
--- a/crates/citronway-core/tests/gateway_placement.rs
+++ b/crates/citronway-core/tests/gateway_placement.rs
@@ -1,12 +1,17 @@
 //! Which keys go where: leaving endpoints, idle ones, hot ranges.
 
+#[path = "keeper_world/random.rs"]
+#[expect(dead_code, reason = "shared with the tests of the keeper")]
+mod random;
+
 use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, LAST_KEY, Range};
 use citronway_core::gateway::keeper::Span;
-use citronway_core::gateway::keyload::KeyLoad;
+use citronway_core::gateway::keyload::KeyLoads;
 use citronway_core::gateway::placement::{Place, Scene, propose};
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use googletest::prelude::*;
+use random::Random;
 
 /// Requests a second of an endpoint with six slots and work of 200 ms.
 const CAPACITY: f64 = 30.0;
@@ -50,9 +55,9 @@
 }
 
 /// Load of `per_s` requests a second, spread over a span.
-fn add(load: &mut KeyLoad, span: Span, per_s: f64) {
+fn add(load: &mut KeyLoads, span: Span, per_s: f64) {
     let width = f64::from(span.last - span.first) + 1.0;
-    let count = per_s / load.per_second();
+    let count = per_s / load.per_request();
     let mut sent = 0.0;
     while sent < count {
         let offset = (sent / count * width).floor();
@@ -68,21 +73,16 @@
 
 fn moves(
     row: &Assignment,
-    load: &KeyLoad,
+    load: &KeyLoads,
     places: &[Place],
 ) -> Vec<citronway_core::gateway::keeper::Move> {
-    propose(&Scene {
-        row,
-        load,
-        per_s: load.per_second(),
-        places,
-    })
+    propose(&Scene { row, load, places })
 }
 
 #[gtest]
 fn an_even_load_moves_nothing() {
     let row = even(&["a", "b", "c"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     add(
         &mut load,
         Span {
@@ -99,7 +99,7 @@
 #[gtest]
 fn a_hot_range_is_cut_and_spread() {
     let row = even(&["a", "b", "c", "d"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     add(
         &mut load,
         Span {
@@ -125,14 +125,14 @@
             last: 699,
         };
         expect_that!(wish.span.overlaps(hot), eq(true));
-        expect_that!(load.of(wish.span) * load.per_second(), le(45.0));
+        expect_that!(load.of(wish.span), le(45.0));
     }
 }
 
 #[gtest]
 fn a_lone_hot_key_is_not_moved_back_and_forth() {
     let row = even(&["a", "b"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     add(
         &mut load,
         Span {
@@ -143,14 +143,14 @@
     );
     for wish in moves(&row, &load, &["a", "b"].map(place)) {
         // Moving the key itself would only carry the load over.
-        expect_that!(load.of(wish.span), lt(1.0));
+        expect_that!(load.of(wish.span), lt(load.per_request()));
     }
 }
 
 #[gtest]
 fn a_leaving_endpoint_is_emptied() {
     let row = even(&["a", "b", "c"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     add(
         &mut load,
         Span {
@@ -176,7 +176,7 @@
 #[gtest]
 fn an_endpoint_that_joined_gets_work() {
     let row = even(&["a", "b"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     add(
         &mut load,
         Span {
@@ -196,7 +196,7 @@
 #[gtest]
 fn with_nowhere_to_go_nothing_moves() {
     let row = even(&["a"]);
-    let load = KeyLoad::new(Mono(0), 1_500.0);
+    let load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     let mut only = place("a");
     only.must_leave = true;
     only.takes = false;
@@ -209,7 +209,7 @@
 #[gtest]
 fn a_key_that_is_too_hot_for_any_endpoint_stays_and_its_neighbours_go() {
     let row = even(&["a", "b", "c", "d"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     let hot = |key| Span {
         first: key,
         last: key,
@@ -232,7 +232,7 @@
 #[gtest]
 fn chance_moves_nothing() {
     let row = even(&["a", "b"]);
-    let mut load = KeyLoad::new(Mono(0), 400.0);
+    let mut load = KeyLoads::new(Mono(0), 400.0, 400.0);
     for key in [100, 200, 300, 400, 500] {
         load.add(key);
     }
@@ -252,7 +252,7 @@
     let names: Vec<_> = (0..480).map(|n| format!("e{n:03}")).collect();
     let names: Vec<_> = names.iter().map(String::as_str).collect();
     let row = even(&names);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     let hot = Span {
         first: 100,
         last: 299,
@@ -279,7 +279,7 @@
         piece.holder.fence = row.draw_fences(FENCES_A_MOVE);
         row.ranges.push(piece);
     }
-    let load = KeyLoad::new(Mono(0), 1_500.0);
+    let load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     let begun = moves(&row, &load, &ids.map(place));
     let mut after = row.clone();
     for wish in &begun {
@@ -305,7 +305,7 @@
     let names: Vec<_> = (0..300).map(|n| format!("e{n:03}")).collect();
     let names: Vec<_> = names.iter().map(String::as_str).collect();
     let row = even(&names);
-    let mut load = KeyLoad::new(Mono(0), 400.0);
+    let mut load = KeyLoads::new(Mono(0), 400.0, 400.0);
     let all = Span {
         first: 0,
         last: LAST_KEY,
@@ -327,7 +327,7 @@
     let names: Vec<_> = (0..40).map(|n| format!("e{n:02}")).collect();
     let names: Vec<_> = names.iter().map(String::as_str).collect();
     let row = even(&names);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     let hot = Span {
         first: 100,
         last: 299,
@@ -337,7 +337,7 @@
     let begun = moves(&row, &load, &places);
     expect_that!(begun.len(), ge(8));
     for wish in begun {
-        let given = load.of(wish.span) * load.per_second();
+        let given = load.of(wish.span);
         expect_that!(given, le(CAPACITY * 1.1));
     }
 }
@@ -347,7 +347,7 @@
 #[gtest]
 fn a_key_that_is_too_hot_goes_to_the_fastest_endpoint() {
     let row = even(&["a", "b", "c"]);
-    let mut load = KeyLoad::new(Mono(0), 1_500.0);
+    let mut load = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     let hot = Span {
         first: 500,
         last: 500,
@@ -365,7 +365,7 @@
     places[2].capacity = CAPACITY * 1.33;
     expect_that!(to_fastest(&places), none());
     // The fastest has such a key of its own already.
-    let mut two = KeyLoad::new(Mono(0), 1_500.0);
+    let mut two = KeyLoads::new(Mono(0), 1_500.0, 1_500.0);
     add(&mut two, hot, 100.0);
     let at_c = Span {
         first: 60_000,
@@ -376,3 +376,62 @@
     let begun = moves(&row, &two, &places);
     expect_that!(begun.iter().any(|wish| wish.span.overlaps(hot)), eq(false));
 }
+
+/// Requests of a service with many endpoints as chance brings them: each key of a range is
+/// as likely as another, at seven a second for each endpoint.
+fn by_chance(endpoints: usize, ms: u64, random: &mut Random) -> KeyLoads {
+    let mut load = KeyLoads::new(Mono(0), 6_000.0, 400.0);
+    let per_ms = endpoints as u64 * 7;
+    for at in (0..ms).step_by(100) {
+        load.fade(Mono(at));
+        for _ in 0..per_ms / 10 {
+            let key = random.below(u64::from(LAST_KEY) + 1);
+            load.add(u16::try_from(key).unwrap_or(LAST_KEY));
+        }
+    }
+    load.fade(Mono(ms));
+    load
+}
+
+/// A large service at two thirds of what it can do. By what the last half second brought,
+/// dozens of endpoints seemed to have too much, and two keys in three changed hands within
+/// a minute, while callers of the ranges on their way waited.
+#[gtest]
+fn chance_moves_nothing_in_a_large_service() {
+    let ids: Vec<_> = (0..200).map(|i| format!("e{i}")).collect();
+    let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+    let row = even(&ids);
+    let mut places: Vec<_> = ids.iter().map(|id| place(id)).collect();
+    for place in &mut places {
+        place.capacity = 10.5;
+        // Work takes unequally long: now one has a queue, now another.
+        place.queue = true;
+    }
+    let mut random = Random::new(5);
+    let load = by_chance(200, 8_000, &mut random);
+    let count = moves(&row, &load, &places).len();
+    eprintln!("COUNT {count}");
+    expect_that!(count, le(6));
+}
+
+/// One range gets a hundred requests a second more, a quarter of a second ago.
+#[gtest]
+fn a_hot_range_is_seen_within_a_quarter_of_a_second() {
+    let ids: Vec<_> = (0..20).map(|i| format!("e{i}")).collect();
+    let ids: Vec<_> = ids.iter().map(String::as_str).collect();
+    let row = even(&ids);
+    let places: Vec<_> = ids.iter().map(|id| place(id)).collect();
+    let mut load = by_chance(20, 8_000, &mut Random::new(6));
+    let hot = Span {
+        first: 500,
+        last: 549,
+    };
+    for i in 0..25 {
+        load.add(hot.first + 2 * i);
+    }
+    let begun = moves(&row, &load, &places);
+    expect_that!(begun.iter().any(|wish| wish.span.overlaps(hot)), eq(true));
+    // And is over half a second after it has ended.
+    load.fade(Mono(9_500));
+    expect_that!(load.of(hot), lt(30.0));
+}
--- a/crates/citronway-core/tests/gateway_report.rs
+++ b/crates/citronway-core/tests/gateway_report.rs
@@ -42,7 +42,7 @@
             keys: vec![1, 2, 3],
         }],
     };
-    let brief = full.brief();
+    let brief = full.brief(false);
     let tags: Vec<_> = brief.endpoints.iter().map(|used| used.tag.0).collect();
     expect_that!(tags, elements_are![eq(&2), eq(&3)]);
     expect_that!(brief.endpoints[0].waiting, eq(4));
@@ -54,4 +54,6 @@
         ..brief
     };
     expect_that!(same, eq(&full));
+    // The keeper tells the sums of all.
+    expect_that!(full.brief(true).endpoints, is_empty());
 }
--- a/crates/citronway-core/tests/gateway_shares.rs
+++ b/crates/citronway-core/tests/gateway_shares.rs
@@ -1,7 +1,7 @@
 //! Places at endpoints and second sends, divided among instances without asking.
 
 use citronway_core::gateway::budget::{SecondSends, SharedLimit};
-use citronway_core::gateway::share::{Demand, allowed, places};
+use citronway_core::gateway::share::{Demand, allowed, allowed_of_total, places};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, prop_assert, prop_assert_eq, proptest};
@@ -34,6 +34,22 @@
     expect_that!(places(2), eq(3));
 }
 
+/// Ninety instances have one request each for an endpoint with nine places and know the
+/// sum alone. Counting whole shares, none of them would send; each gets its turn.
+#[gtest]
+fn fractions_of_a_place_go_round() {
+    let draws = 1_000;
+    let mut given = 0;
+    for draw in 0..draws {
+        let chance = f64::from(draw) / f64::from(draws);
+        given += 90 * allowed_of_total(9, 1, 89, chance);
+    }
+    expect_that!(f64::from(given) / f64::from(draws), near(9.0, 0.2));
+    expect_that!(allowed_of_total(9, 3, 2, 0.99), eq(7));
+    expect_that!(allowed_of_total(9, 30, 0, 0.99), eq(9));
+    expect_that!(allowed_of_total(9, 0, 30, 0.0), eq(0));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, ..ProptestConfig::default() })]
 
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -6,9 +6,24 @@
   union {
     report @0 :Report;
     relay @1 :Relay;
+    totals @2 :Totals;
   }
 }
 
+struct Totals {
+  # Requests of all instances, as the keeper knows them from their reports.
+  term @0 :UInt64;
+  number @1 :UInt64;
+  # Grows with each that a keeper sends.
+  endpoints @2 :List(EndpointTotal);
+}
+
+struct EndpointTotal {
+  tag @0 :UInt32;
+  inFlight @1 :UInt16;
+  waiting @2 :UInt16;
+}
+
 struct Relay {
   # Rows of a table that the keeper has just seen.
   table @0 :UInt8;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -4,11 +4,13 @@
 use capnp::serialize;
 use citronway_core::gateway::election::Strength;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
-use citronway_core::gateway::report::{EndpointUse, KeySamples, Report, Versions};
+use citronway_core::gateway::report::{
+    EndpointTotal, EndpointUse, KeySamples, Report, Totals, Versions,
+};
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::ids::{InstanceName, ServiceName, SessionId, Version};
 
-use crate::report_capnp::{datagram, endpoint_use, relay, report, row};
+use crate::report_capnp::{datagram, endpoint_use, relay, report, row, totals};
 
 /// Largest datagram that is sent or read, in bytes; UDP takes 65,507.
 ///
@@ -23,6 +25,8 @@
     Report(Report),
     /// Rows that it has seen.
     Relay(Relay),
+    /// What all instances have in flight.
+    Totals(Totals),
 }
 
 /// Writes a datagram.
@@ -33,10 +37,23 @@
     match datagram {
         Datagram::Report(report) => write_report(report, root.init_report()),
         Datagram::Relay(relay) => write_relay(relay, root.init_relay()),
+        Datagram::Totals(totals) => write_totals(totals, root.init_totals()),
     }
     serialize::write_message_to_words(&message)
 }
 
+fn write_totals(from: &Totals, mut to: totals::Builder<'_>) {
+    to.set_term(from.term);
+    to.set_number(from.number);
+    let mut list = to.init_endpoints(length(from.endpoints.len()));
+    for (i, total) in from.endpoints.iter().enumerate() {
+        let mut item = list.reborrow().get(length(i));
+        item.set_tag(total.tag.0);
+        item.set_in_flight(u16::try_from(total.in_flight).unwrap_or(u16::MAX));
+        item.set_waiting(u16::try_from(total.waiting).unwrap_or(u16::MAX));
+    }
+}
+
 fn write_relay(from: &Relay, mut to: relay::Builder<'_>) {
     to.set_table(match from.table {
         Table::Config => 0,
@@ -120,6 +137,20 @@
     Ok(match root.which()? {
         datagram::Which::Report(report) => Datagram::Report(read_report(report?)?),
         datagram::Which::Relay(relay) => Datagram::Relay(read_relay(relay?)?),
+        datagram::Which::Totals(totals) => Datagram::Totals(read_totals(totals?)?),
+    })
+}
+
+fn read_totals(from: totals::Reader<'_>) -> Result<Totals, ReportError> {
+    let endpoints = from.get_endpoints()?.iter().map(|total| EndpointTotal {
+        tag: EndpointTag(total.get_tag()),
+        in_flight: u32::from(total.get_in_flight()),
+        waiting: u32::from(total.get_waiting()),
+    });
+    Ok(Totals {
+        term: from.get_term(),
+        number: from.get_number(),
+        endpoints: endpoints.collect(),
     })
 }
 
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -6,7 +6,7 @@
 
 
 pub mod datagram {
-    pub use self::Which::{Report,Relay};
+    pub use self::Which::{Report,Relay,Totals};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -79,6 +79,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_totals(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -91,6 +96,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                2 => {
+                    ::core::result::Result::Ok(Totals(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -179,6 +189,21 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_totals(&mut self, value: crate::report_capnp::totals::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_totals(self, ) -> crate::report_capnp::totals::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 2);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_totals(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -191,6 +216,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                2 => {
+                    ::core::result::Result::Ok(Totals(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -205,38 +235,45 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(193, 18, 142, 171, 49, 91, 114, 237),
             ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
             ::capnp::word(97, 103, 114, 97, 109, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
@@ -253,11 +290,20 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 116, 97, 108, 115, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::report_capnp::report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::report_capnp::relay::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::report_capnp::totals::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -272,16 +318,538 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xed72_5b31_ab8e_12c1;
     }
-    pub enum Which<A0,A1> {
+    pub enum Which<A0,A1,A2> {
         Report(A0),
         Relay(A1),
+        Totals(A2),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>>;
+}
+
+pub mod totals {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::report_capnp::endpoint_total::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_term(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::report_capnp::endpoint_total::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoints(&mut self, value: ::capnp::struct_list::Reader<'_,crate::report_capnp::endpoint_total::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_endpoints(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::report_capnp::endpoint_total::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_endpoints(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 67] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 84, 111, 116),
+            ::capnp::word(97, 108, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 34, 90, 8, 177, 114, 97, 164),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::report_capnp::endpoint_total::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xa198_0bf8_97e5_f513;
+    }
+}
+
+pub mod endpoint_total {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_tag(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_in_flight(self) -> u16 {
+            self.reader.get_data_field::<u16>(2)
+        }
+        #[inline]
+        pub fn get_waiting(self) -> u16 {
+            self.reader.get_data_field::<u16>(3)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_tag(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_tag(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_in_flight(self) -> u16 {
+            self.builder.get_data_field::<u16>(2)
+        }
+        #[inline]
+        pub fn set_in_flight(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(2, value);
+        }
+        #[inline]
+        pub fn get_waiting(self) -> u16 {
+            self.builder.get_data_field::<u16>(3)
+        }
+        #[inline]
+        pub fn set_waiting(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(196, 34, 90, 8, 177, 114, 97, 164),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 69, 110, 100),
+            ::capnp::word(112, 111, 105, 110, 116, 84, 111, 116),
+            ::capnp::word(97, 108, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 97, 103, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 70, 108, 105, 103, 104, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xa461_72b1_085a_22c4;
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>>;
 }
 
 pub mod relay {
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -1,11 +1,13 @@
 //! Reports and relayed rows as datagrams.
 
 use citronway_core::gateway::election::Strength;
-use citronway_core::gateway::report::{Report, Versions};
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::report::{EndpointTotal, KeySamples, Report, Totals, Versions};
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
-use citronway_core::ids::{InstanceName, SessionId, Version};
+use citronway_core::ids::{InstanceName, ServiceName, SessionId, Version};
 use citronway_wire::report::{Datagram, decode, encode};
 use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 
 #[gtest]
 fn a_relay_is_read_as_it_was_written() -> Result<()> {
@@ -54,6 +56,21 @@
     Ok(())
 }
 
+#[gtest]
+fn totals_are_read_as_they_were_written() -> Result<()> {
+    let totals = Datagram::Totals(Totals {
+        term: 3,
+        number: 8,
+        endpoints: vec![EndpointTotal {
+            tag: EndpointTag(77),
+            in_flight: 9,
+            waiting: 40_000,
+        }],
+    });
+    expect_that!(decode(&encode(&totals)).or_fail()?, eq(&totals));
+    Ok(())
+}
+
 #[gtest]
 fn a_datagram_that_is_cut_short_is_refused() {
     let report = encode(&Datagram::Relay(Relay {
@@ -65,3 +82,66 @@
     }));
     expect_that!(decode(&report[..report.len() / 2]).is_err(), eq(true));
 }
+
+fn samples() -> Vec<Vec<u8>> {
+    let report = Report {
+        instance: InstanceName::new("one"),
+        session: SessionId(7),
+        number: 8,
+        stopping: false,
+        unfit: false,
+        strength: Strength(250),
+        term: 3,
+        seen: Versions::default(),
+        endpoints: Vec::new(),
+        keys: vec![KeySamples {
+            service: ServiceName::new("batch"),
+            keys: vec![1, 2, 3],
+        }],
+    };
+    let relay = Relay {
+        table: Table::Own,
+        after: Version(3),
+        position: Version(9),
+        rows: vec![Row {
+            key: "keeper".to_owned(),
+            value: Some(vec![1, 2]),
+            version: Version(5),
+        }],
+        patches: Vec::new(),
+    };
+    let totals = Totals {
+        term: 3,
+        number: 8,
+        endpoints: vec![EndpointTotal::default(); 3],
+    };
+    let all = [
+        Datagram::Report(report),
+        Datagram::Relay(relay),
+        Datagram::Totals(totals),
+    ];
+    all.iter().map(encode).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3_000, ..ProptestConfig::default() })]
+
+    /// Anybody can send a datagram to the port. It is read or refused.
+    #[test]
+    fn a_damaged_datagram_is_read_or_refused(
+        kind in 0_usize..3,
+        flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 1..6),
+        cut in proptest::option::of(any::<usize>()),
+    ) {
+        let mut bytes = samples().swap_remove(kind);
+        for (at, bits) in flips {
+            let at = at % bytes.len();
+            bytes[at] ^= bits;
+        }
+        bytes.truncate(cut.map_or(bytes.len(), |cut| cut % bytes.len()));
+        if let Ok(datagram) = decode(&bytes) {
+            // Whatever was read can be passed on.
+            prop_assert!(!encode(&datagram).is_empty());
+        }
+    }
+}
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/beliefs.rs
@@ -8,7 +8,7 @@
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
-use citronway_core::gateway::report::{Report, Versions};
+use citronway_core::gateway::report::{EndpointTotal, EndpointUse, Report, Versions};
 use citronway_core::gateway::routes::{Checked, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
@@ -71,8 +71,8 @@
     pub(super) own: Sight,
     /// Last reading of the store's clock, and when it came.
     store_clock: Option<(u64, Mono)>,
-    /// Requests of this instance that wait for each endpoint.
-    own_waiting: IndexMap<EndpointTag, u32>,
+    /// What this instance itself has at each endpoint or wants to send there.
+    own_use: IndexMap<EndpointTag, EndpointUse>,
     /// Newest version of each endpoint's entry, of removed ones too.
     pub(super) entries: IndexMap<String, Version>,
     /// Where this instance and the store listen.
@@ -107,7 +107,7 @@
             outage: Outage::default(),
             own: Sight::default(),
             store_clock: None,
-            own_waiting: IndexMap::new(),
+            own_use: IndexMap::new(),
             entries: IndexMap::new(),
             own_addresses: [cfg.callers, cfg.ready, cfg.reports, cfg.metrics, cfg.store],
             heard_at: Mono::default(),
@@ -263,10 +263,32 @@
         }
     }
 
-    /// Takes what this instance itself has waiting.
+    /// Takes what this instance itself has in flight and waiting.
     pub(super) fn own_traffic(&mut self, report: &Report) {
-        let waiting = report.endpoints.iter().map(|used| (used.tag, used.waiting));
-        self.own_waiting = waiting.filter(|(_, count)| *count > 0).collect();
+        let used = report.endpoints.iter().map(|used| (used.tag, *used));
+        self.own_use = used.collect();
+    }
+
+    /// Requests of all instances at endpoints that have nearly as many as slots.
+    pub(super) fn contended(&self, now: Mono) -> Vec<EndpointTotal> {
+        let mut sums = self.peers.sums(now);
+        for used in self.own_use.values() {
+            let sum = sums.entry(used.tag).or_default();
+            sum.tag = used.tag;
+            sum.in_flight += used.in_flight;
+            sum.waiting += used.waiting;
+        }
+        let listed = self.registry.iter();
+        let slots: IndexMap<_, _> = listed
+            .map(|known| (EndpointTag::of(&known.listing.start), known.listing.slots))
+            .collect();
+        let is_contended = |sum: &EndpointTotal| {
+            let wanted = sum.in_flight + sum.waiting;
+            // Requests that wait for no endpoint in particular are told too.
+            let slots = slots.get(&sum.tag).copied().unwrap_or_default();
+            wanted > 0 && wanted * 2 > slots
+        };
+        sums.into_values().filter(is_contended).collect()
     }
 
     /// Drops entries of endpoints that stayed missing after an outage.
@@ -311,8 +333,8 @@
     /// Requests of all instances that wait for each endpoint.
     pub(super) fn waiting(&self, now: Mono) -> IndexMap<EndpointTag, u32> {
         let mut waiting = self.peers.waiting(now);
-        for (tag, own) in &self.own_waiting {
-            *waiting.entry(*tag).or_default() += own;
+        for (tag, own) in &self.own_use {
+            *waiting.entry(*tag).or_default() += own.waiting;
         }
         waiting
     }
@@ -372,7 +394,7 @@
             routes: self.routes.clone(),
             registry: Arc::clone(&self.registry),
             owners: self.owners.clone(),
-            standings: self.peers.standings(now, &self.paces),
+            standings: self.peers.standings(now, &self.paces, &self.own_use),
             zone: self.zone.clone(),
             rank: self.rank,
             instances: u32::try_from(self.peers.heard(now) + 1).unwrap_or(u32::MAX),
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -390,6 +390,7 @@
         match datagram::decode(bytes) {
             Ok(Datagram::Report(report)) => self.report_came(&report),
             Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
+            Ok(Datagram::Totals(totals)) => self.beliefs.peers.totals(clock::mono(), totals),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
         }
     }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -5,7 +5,9 @@
 use citronway_core::gateway::desk::Standing;
 use citronway_core::gateway::election::{KeeperRow, PeerSight};
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
-use citronway_core::gateway::report::{EndpointUse, REPORT_MS, Report, Versions, looks_a_report};
+use citronway_core::gateway::report::{
+    EndpointTotal, EndpointUse, REPORT_MS, Report, Totals, Versions, looks_a_report,
+};
 use citronway_core::gateway::share::Demand;
 use citronway_core::ids::{InstanceName, Session, ZoneName};
 use citronway_core::time::Mono;
@@ -35,6 +37,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     all: IndexMap<InstanceName, Peer>,
+    /// Sums that the keeper told last, and when.
+    totals: Option<(Totals, Mono)>,
 }
 
 impl Peers {
@@ -92,6 +96,32 @@
         })
     }
 
+    /// Takes the sums of a keeper; older ones are ignored.
+    pub(super) fn totals(&mut self, now: Mono, totals: Totals) {
+        let newest = self.totals.as_ref().map(|(t, _)| (t.term, t.number));
+        if newest.is_none_or(|newest| newest < (totals.term, totals.number)) {
+            self.totals = Some((totals, now));
+        }
+    }
+
+    /// The sums that a keeper told a moment ago.
+    pub(super) fn fresh_totals(&self, now: Mono) -> Option<&Totals> {
+        let (totals, at) = self.totals.as_ref()?;
+        (now.since(*at) < STALE_MS).then_some(totals)
+    }
+
+    /// Requests in flight and waiting of all other instances, by endpoint.
+    pub(super) fn sums(&self, now: Mono) -> IndexMap<EndpointTag, EndpointTotal> {
+        let mut sums = IndexMap::<_, EndpointTotal>::new();
+        for used in self.fresh(now).flat_map(|(_, peer)| &peer.endpoints) {
+            let sum = sums.entry(used.tag).or_default();
+            sum.tag = used.tag;
+            sum.in_flight += used.in_flight;
+            sum.waiting += used.waiting;
+        }
+        sums
+    }
+
     /// Where to send reports, and in which zone that is.
     pub(super) fn addresses(&self) -> impl Iterator<Item = (SocketAddr, Option<&ZoneName>)> {
         let all = self.all.values();
@@ -151,8 +181,14 @@
         waiting
     }
 
-    /// Load of each endpoint by what is in flight elsewhere.
-    pub(super) fn standings(&self, now: Mono, paces: &Paces) -> IndexMap<EndpointTag, Standing> {
+    /// Load of each endpoint by what is in flight elsewhere; `own` is what this instance
+    /// itself reported.
+    pub(super) fn standings(
+        &self,
+        now: Mono,
+        paces: &Paces,
+        own: &IndexMap<EndpointTag, EndpointUse>,
+    ) -> IndexMap<EndpointTag, Standing> {
         let mut all = IndexMap::<EndpointTag, Standing>::new();
         for (instance, peer) in self.fresh(now) {
             let rank = rank_of(instance);
@@ -167,6 +203,16 @@
                 standing.others.push(Demand { rank, wanted });
             }
         }
+        for total in self.fresh_totals(now).iter().flat_map(|t| &t.endpoints) {
+            let own = own.get(&total.tag).copied().unwrap_or_default();
+            let standing = all.entry(total.tag).or_default();
+            // The nearer reports are newer.
+            let in_flight = total.in_flight.saturating_sub(own.in_flight);
+            let waiting = total.waiting.saturating_sub(own.waiting);
+            standing.in_flight = standing.in_flight.max(in_flight);
+            standing.waiting = standing.waiting.max(waiting);
+            standing.others_sum = Some(standing.in_flight + standing.waiting);
+        }
         for (tag, standing) in &mut all {
             standing.slowness = paces.slowness(now, *tag);
             standing.failing = paces.failing(now, *tag);
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -1,7 +1,7 @@
 //! Looks at the load of keys and endpoints and has the keepers begin moves.
 
 use citronway_core::gateway::keeper::Keeper;
-use citronway_core::gateway::keyload::KeyLoad;
+use citronway_core::gateway::keyload::KeyLoads;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::placement::{self, Place, Scene};
 use citronway_core::gateway::registry::Known;
@@ -18,13 +18,13 @@
 /// The same after moves have begun: these show in the queues first.
 const AFTER_MOVES_MS: u64 = 300;
 
-/// Time in which samples of keys lose half of their weight, in milliseconds, while no
-/// endpoint has a queue: long enough that chance does not move keys.
-const CALM_HALF_LIFE_MS: f64 = 1_500.0;
+/// Time in which samples of keys lose half of their weight, in milliseconds, where their
+/// load does not change: an endpoint that does seven requests a second has 60 in it.
+const STEADY_HALF_LIFE_MS: f64 = 6_000.0;
 
-/// The same while one has: a hot range lasts a few seconds, and its callers queue
-/// until it is seen.
-const BUSY_HALF_LIFE_MS: f64 = 400.0;
+/// The same where it does: a hot range lasts a few seconds, and its callers queue until it
+/// is seen.
+const RECENT_HALF_LIFE_MS: f64 = 400.0;
 
 /// How long the first endpoint of a service is listed before its keys are divided,
 /// in milliseconds: others that start with it list themselves meanwhile.
@@ -37,26 +37,10 @@
 /// requests still have to show whether it is well again.
 const MOST_FAILING: f64 = 0.9;
 
-/// Load of a service's keys, seen over a longer and a shorter time.
-#[derive(Debug)]
-struct Loads {
-    calm: KeyLoad,
-    busy: KeyLoad,
-}
-
-impl Loads {
-    fn new(now: Mono) -> Self {
-        Self {
-            calm: KeyLoad::new(now, CALM_HALF_LIFE_MS),
-            busy: KeyLoad::new(now, BUSY_HALF_LIFE_MS),
-        }
-    }
-}
-
 /// What the placement of all services rests on.
 #[derive(Debug, Default)]
 pub(super) struct Placing {
-    loads: IndexMap<ServiceName, Loads>,
+    loads: IndexMap<ServiceName, KeyLoads>,
     work_ms: IndexMap<ServiceName, f64>,
     after: Mono,
 }
@@ -80,10 +64,9 @@
             let loads = self
                 .loads
                 .entry(samples.service.clone())
-                .or_insert_with(|| Loads::new(now));
+                .or_insert_with(|| new_loads(now));
             for key in &samples.keys {
-                loads.calm.add(*key);
-                loads.busy.add(*key);
+                loads.add(*key);
             }
         }
     }
@@ -129,15 +112,11 @@
         let loads = self
             .loads
             .entry(service.clone())
-            .or_insert_with(|| Loads::new(now));
-        loads.calm.fade(now);
-        loads.busy.fade(now);
-        let queues = places.iter().any(|place| place.queue);
-        let load = if queues { &loads.busy } else { &loads.calm };
+            .or_insert_with(|| new_loads(now));
+        loads.fade(now);
         let scene = Scene {
             row: keeper.row(),
-            load,
-            per_s: load.per_second(),
+            load: loads,
             places: &places,
         };
         let moves = placement::propose(&scene);
@@ -150,6 +129,10 @@
     }
 }
 
+fn new_loads(now: Mono) -> KeyLoads {
+    KeyLoads::new(now, STEADY_HALF_LIFE_MS, RECENT_HALF_LIFE_MS)
+}
+
 /// Divides the keys of a service for the first time.
 fn found(now: Mono, beliefs: &Beliefs, service: &ServiceName, keeper: &mut Keeper) {
     let listed: Vec<_> = beliefs.registry.of(service).collect();
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronway_core::gateway::report::{self, MAX_KEYS, Report, looks_a_report};
+use citronway_core::gateway::report::{self, MAX_KEYS, Report, Totals, looks_a_report};
 use citronway_core::gateway::rows::Relay;
 use citronway_core::time::Mono;
 use citronway_wire::report::{self as datagram, Datagram};
@@ -52,7 +52,11 @@
             let seen = std::mem::take(&mut self.unreported[0]);
             let report = self.report(now, seen);
             self.duty.traffic_seen(now, &report);
+            self.beliefs.own_traffic(&report);
             self.send_to_keeper(socket, report);
+            if keeps && looks > 1 {
+                self.tell_totals(now, socket);
+            }
         }
         if !self.reports.is_multiple_of(other_looks) {
             return;
@@ -61,18 +65,28 @@
         // Only the keeper places keys.
         seen.keys.clear();
         let report = self.report(now, seen);
-        self.beliefs.own_traffic(&report);
         self.beliefs.traffic_seen(now, &report);
         if looks == 1 {
             self.send_all(socket, &Datagram::Report(report), Audience::AllButKeeper);
         } else {
-            let brief = Datagram::Report(report.brief());
+            let has_totals = self.beliefs.peers.fresh_totals(now).is_some();
+            let brief = Datagram::Report(report.brief(keeps || has_totals));
             self.send_all(socket, &Datagram::Report(report), Audience::OwnZone);
             self.send_all(socket, &brief, Audience::OtherZones);
         }
         self.publish(now);
     }
 
+    /// Tells all instances what they have at contended endpoints together.
+    fn tell_totals(&self, now: Mono, socket: &UdpSocket) {
+        let totals = Totals {
+            term: self.duty.term(),
+            number: self.reports,
+            endpoints: self.beliefs.contended(now),
+        };
+        self.send_all(socket, &Datagram::Totals(totals), Audience::All);
+    }
+
     fn report(&self, now: Mono, mut seen: report::Seen) -> Report {
         for samples in &mut seen.keys {
             samples.keys.truncate(MAX_KEYS);
