--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -472,7 +472,9 @@
             }
             let after = self.usage(to, moved);
             let small = moved < from.capacity * MIN_GAIN;
-            if worth > 0.0 && (small || self.usage(from, 0.0) <= after * worth) {
+            // Load: where all are full, each look found endpoints that chance had made
+            // fuller than others, and keys changed hands all the time.
+            if worth > 0.0 && (small || self.surely_used(from) <= after * worth) {
                 continue;
             }
             // Without load the keys themselves are divided.
