--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -46,11 +46,11 @@
         let what = match self.message.as_str() {
             "configuration in force" => "configuration".to_owned(),
             "assignment" => format!("owners of {}", self.text("service")?),
-            "keeper" => "keeper".to_owned(),
+            "leader" => "leader".to_owned(),
             "endpoint listed" | "endpoint no longer listed" => self.text("endpoint")?.to_owned(),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
-            "this instance keeps" | "this instance no longer keeps" => "own duty".to_owned(),
+            "this instance leads" | "this instance no longer leads" => "own duty".to_owned(),
             "instance starts" | "asked to stop" => "own life".to_owned(),
             _ => return None,
         };
@@ -169,7 +169,7 @@
 fn is_told(what: &str, named: &[String]) -> bool {
     let general = [
         "configuration",
-        "keeper",
+        "leader",
         "readiness",
         "own duty",
         "own life",
@@ -179,19 +179,19 @@
 
 /// What the instance of `line` believed when it wrote it, by the lines before.
 fn believed(before: &[Line], line: &Line, named: &[String]) -> String {
-    let mut beliefs = IndexMap::<String, &Line>::new();
+    let mut cluster = IndexMap::<String, &Line>::new();
     for earlier in before.iter().filter(|l| l.instance == line.instance) {
         if let Some(what) = earlier.belief().filter(|what| is_told(what, named)) {
-            beliefs.insert(what, earlier);
+            cluster.insert(what, earlier);
         }
     }
     let mut text = format!("{} believed at {}:\n", line.instance, line.time);
-    for (what, earlier) in &beliefs {
+    for (what, earlier) in &cluster {
         let age = age_ms(&earlier.time, &line.time)
             .map_or_else(|| "age unknown".to_owned(), |ms| format!("{ms} ms old"));
         let _ = writeln!(text, "    {what}: {} ({age})", earlier.told());
     }
-    if beliefs.is_empty() {
+    if cluster.is_empty() {
         text.push_str("    nothing that its log shows\n");
     }
     text
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -12,7 +12,7 @@
 }
 
 /// A caller of a request that may be repeated gets a 502 after 3.6 s. Its instance was
-/// cut off from store and keeper; the endpoint broke a first try off and had given the
+/// cut off from store and leader; the endpoint broke a first try off and had given the
 /// key away by the second. The story has to show that the instance's row was old.
 #[gtest]
 fn a_request_at_an_instance_that_was_cut_off_is_explained() {
--- a/crates/citronway-core/src/gateway/desk/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -1,7 +1,7 @@
 //! The endpoint for a request, if one has room.
 
+use crate::gateway::admission::{Admission, Choice, Job, RefusalReason, Standing, View};
 use crate::gateway::assignment::Range;
-use crate::gateway::desk::{Choice, Desk, Job, RefusalReason, Standing, View};
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::registry::Known;
 use crate::gateway::share::{self, Demand};
@@ -17,7 +17,7 @@
 /// Load: the holder is told to let go within a few milliseconds of the row. With 87
 /// instances and a hundred moves under way each instance met the refusal of each holder,
 /// 40,000 in a day, and used up its second sends. A move that takes longer waits for a
-/// holder that does not answer the keeper; it may answer others.
+/// holder that does not answer the leader; it may answer others.
 const LEAVES_WITHIN_MS: u64 = 1_000;
 
 /// How much slower a cold endpoint is taken for.
@@ -63,7 +63,7 @@
     owners.assignment.at(job.key?)
 }
 
-impl Desk {
+impl Admission {
     pub(super) fn find(&mut self, now: Mono, view: &View, job: &Job) -> Finding {
         match job.key {
             Some(_) => self.find_owner(now, view, job),
@@ -72,7 +72,7 @@
     }
 
     /// Where a request waits: at the endpoint that holds its key, or at the service.
-    pub(super) fn spot(view: &View, job: &Job) -> EndpointTag {
+    pub(super) fn queue_key(view: &View, job: &Job) -> EndpointTag {
         range_of(view, job).map_or_else(
             || EndpointTag::of_text(job.service.as_str()),
             |range| EndpointTag::of(&range.holder.endpoint),
@@ -89,11 +89,11 @@
             .get(&holder.fence)
             .is_none_or(|at| now.since(*at) < FRESH_OWNER_MS);
         let at = (holder.fence, range.first);
-        let disowned = self
-            .disowned
+        let not_held = self
+            .not_held
             .get(&at)
             .is_some_and(|avoided| now < avoided.until);
-        if disowned || (fresh && !range.is_moving()) || self.leaves_now(now, range) {
+        if not_held || (fresh && !range.is_moving()) || self.leaves_now(now, range) {
             return Finding::Wait(RefusalReason::KeyUnowned);
         }
         let Some(known) = view.registry.get(&holder.endpoint) else {
@@ -111,7 +111,7 @@
             return Finding::Wait(RefusalReason::Overloaded);
         }
         // One request at a time tries a holder that did not hold the keys.
-        if let Some(avoided) = self.disowned.get_mut(&at) {
+        if let Some(avoided) = self.not_held.get_mut(&at) {
             avoided.until = now.plus(avoided.for_ms);
         }
         Finding::Send(Choice {
@@ -263,7 +263,7 @@
 
 /// Time until a request with `ahead` before it would get its turn, in milliseconds.
 pub(super) fn expected_wait_ms(view: &View, job: &Job, ahead: u32) -> u64 {
-    let tag = Desk::spot(view, job);
+    let tag = Admission::queue_key(view, job);
     let unknown = Standing::unknown();
     let standing = view.standings.get(&tag).unwrap_or(&unknown);
     let slots = match range_of(view, job) {
--- a/crates/citronway-core/src/gateway/desk/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -1,4 +1,4 @@
-//! A request at the desk and what is decided about it.
+//! A request at admission and what is decided about it.
 
 use std::net::SocketAddr;
 
@@ -48,7 +48,7 @@
 
 /// What is decided about a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Decision {
     /// Send it.
     Send(Choice),
     /// It has not run; the caller may come back.
--- a/crates/citronway-core/src/gateway/desk/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -20,7 +20,7 @@
 use choose::Finding;
 use kept::Kept;
 
-pub use job::{Choice, Job, Refusal, RefusalReason, Verdict};
+pub use job::{Choice, Decision, Job, Refusal, RefusalReason};
 pub use kept::SURE_IDLE_MS;
 pub use view::{Owners, Standing, View};
 
@@ -32,7 +32,7 @@
 ///
 /// After each time one request tries, not all that wait: those that are refused count
 /// as second sends.
-const DISOWNED_MS: (u64, u64) = (50, 800);
+const NOT_HELD_MS: (u64, u64) = (50, 800);
 
 /// The same for a range on its way to another owner, in milliseconds: its holder does
 /// not take it back, and the next owner has another fence.
@@ -60,16 +60,16 @@
 /// milliseconds: until its entry has lapsed.
 const GONE_MS: u64 = 6_000;
 
-/// The desk of one instance.
+/// admission of one instance.
 #[derive(Debug, Default)]
-pub struct Desk {
+pub struct Admission {
     waiting: Vec<Job>,
     in_flight: IndexMap<EndpointTag, u32>,
     /// Requests that wait, by where they do and by rank, as of the last look.
     wanted: IndexMap<EndpointTag, [u32; RANKS]>,
     avoided: IndexMap<EndpointTag, Avoided>,
     /// Holders that said they do not hold the keys, by fence and first key.
-    disowned: IndexMap<(u64, u16), Avoided>,
+    not_held: IndexMap<(u64, u16), Avoided>,
     /// Endpoints with requests in flight: since when none was answered.
     unanswered: IndexMap<EndpointTag, Mono>,
     /// When each fence was first seen as an owner's.
@@ -90,14 +90,14 @@
     for_ms: u64,
 }
 
-impl Desk {
+impl Admission {
     /// Decides about a request that has just come or comes back after a failed send.
     ///
-    /// `None` while it waits; [`Desk::pump`] decides about it later.
-    pub fn arrive(&mut self, now: Mono, view: &View, mut job: Job) -> Option<Verdict> {
+    /// `None` while it waits; [`Admission::pump`] decides about it later.
+    pub fn arrive(&mut self, now: Mono, view: &View, mut job: Job) -> Option<Decision> {
         job.last_at = self.ends_at.map_or(job.last_at, |end| job.last_at.min(end));
-        let spot = Self::spot(view, &job);
-        let ahead = self.ahead(spot, job.priority);
+        let queue_key = Self::queue_key(view, &job);
+        let ahead = self.ahead(queue_key, job.priority);
         let found = if ahead > 0 {
             Finding::Wait(RefusalReason::Overloaded)
         } else {
@@ -106,57 +106,57 @@
         let cause = match found {
             Finding::Send(choice) => {
                 self.sent(now, &choice.endpoint);
-                return Some(Verdict::Send(choice));
+                return Some(Decision::Send(choice));
             }
             Finding::Wait(cause) => cause,
         };
         if let Some(refusal) = hopeless(now, view, &job, ahead, cause) {
-            return Some(Verdict::Refuse(refusal));
+            return Some(Decision::Refuse(refusal));
         }
-        self.wanted.entry(spot).or_default()[rank(job.priority)] += 1;
+        self.wanted.entry(queue_key).or_default()[rank(job.priority)] += 1;
         self.waiting.push(job);
         None
     }
 
     /// Looks through those that wait; returns all that are decided.
-    pub fn pump(&mut self, now: Mono, view: &View) -> Vec<(u64, Verdict)> {
+    pub fn pump(&mut self, now: Mono, view: &View) -> Vec<(u64, Decision)> {
         let mut decided = Vec::new();
         let mut jobs = std::mem::take(&mut self.waiting);
         jobs.sort_by_key(|job| urgency(now, job));
         self.wanted.clear();
         for job in &jobs {
-            let spot = Self::spot(view, job);
-            self.wanted.entry(spot).or_default()[rank(job.priority)] += 1;
+            let queue_key = Self::queue_key(view, job);
+            self.wanted.entry(queue_key).or_default()[rank(job.priority)] += 1;
         }
         // Those that found no room before this one, by where they wait.
         let mut ahead = IndexMap::<EndpointTag, u32>::new();
         for job in jobs {
-            let spot = Self::spot(view, &job);
-            let before = ahead.get(&spot).copied().unwrap_or_default();
+            let queue_key = Self::queue_key(view, &job);
+            let before = ahead.get(&queue_key).copied().unwrap_or_default();
             let found = if before > 0 {
                 Finding::Wait(RefusalReason::Overloaded)
             } else {
                 self.find(now, view, &job)
             };
-            let verdict = match found {
+            let decision = match found {
                 Finding::Send(choice) => {
                     self.sent(now, &choice.endpoint);
-                    Some(Verdict::Send(choice))
+                    Some(Decision::Send(choice))
                 }
                 Finding::Wait(cause) => {
-                    hopeless(now, view, &job, before, cause).map(Verdict::Refuse)
+                    hopeless(now, view, &job, before, cause).map(Decision::Refuse)
                 }
             };
-            let Some(verdict) = verdict else {
-                *ahead.entry(spot).or_default() += 1;
+            let Some(decision) = decision else {
+                *ahead.entry(queue_key).or_default() += 1;
                 self.waiting.push(job);
                 continue;
             };
-            if let Some(wanted) = self.wanted.get_mut(&spot) {
+            if let Some(wanted) = self.wanted.get_mut(&queue_key) {
                 let count = &mut wanted[rank(job.priority)];
                 *count = count.saturating_sub(1);
             }
-            decided.push((job.ticket, verdict));
+            decided.push((job.ticket, decision));
         }
         decided
     }
@@ -228,7 +228,7 @@
             *since = now;
         }
         if let (Some(fence), Some(_)) = (choice.fence, key) {
-            self.disowned.retain(|(of, _), _| *of != fence);
+            self.not_held.retain(|(of, _), _| *of != fence);
         }
     }
 
@@ -241,21 +241,21 @@
     }
 
     /// Notes that the endpoint does not hold the keys that were granted by `fence`.
-    pub fn disowned(&mut self, now: Mono, view: &View, job: &Job, fence: u64) {
+    pub fn not_held(&mut self, now: Mono, view: &View, job: &Job, fence: u64) {
         let Some(range) = choose::range_of(view, job) else {
             return;
         };
         let at = (fence, range.first);
-        let before = self.disowned.get(&at);
+        let before = self.not_held.get(&at);
         let for_ms = if range.is_moving() {
             RELEASED_MS
         } else {
-            before.map_or(DISOWNED_MS.0, |avoided| {
-                (avoided.for_ms * 2).min(DISOWNED_MS.1)
+            before.map_or(NOT_HELD_MS.0, |avoided| {
+                (avoided.for_ms * 2).min(NOT_HELD_MS.1)
             })
         };
         let until = now.plus(for_ms);
-        self.disowned.insert(at, Avoided { until, for_ms });
+        self.not_held.insert(at, Avoided { until, for_ms });
     }
 
     /// Takes a new view: notes which owners are new.
@@ -275,7 +275,7 @@
         }
         self.fences = seen;
         self.moving = moving;
-        self.disowned
+        self.not_held
             .retain(|(fence, _), _| self.fences.contains_key(fence));
     }
 
@@ -306,13 +306,15 @@
         self.unanswered.entry(tag).or_insert(now);
     }
 
-    fn wanted(&self, spot: EndpointTag) -> u32 {
-        self.wanted.get(&spot).map_or(0, |ranks| ranks.iter().sum())
+    fn wanted(&self, queue_key: EndpointTag) -> u32 {
+        self.wanted
+            .get(&queue_key)
+            .map_or(0, |ranks| ranks.iter().sum())
     }
 
-    /// Requests that wait at the spot and go before one of this priority.
-    fn ahead(&self, spot: EndpointTag, priority: u8) -> u32 {
-        let ranks = self.wanted.get(&spot);
+    /// Requests that wait at the queue_key and go before one of this priority.
+    fn ahead(&self, queue_key: EndpointTag, priority: u8) -> u32 {
+        let ranks = self.wanted.get(&queue_key);
         ranks.map_or(0, |ranks| ranks[..=rank(priority)].iter().sum())
     }
 }
--- a/crates/citronway-core/src/gateway/assignment.rs
+++ b/crates/citronway-core/src/gateway/assignment.rs
@@ -1,7 +1,7 @@
 //! Who owns which keys of a service, as it stands in the store.
 //!
 //! One row holds the whole assignment of a service. It is changed only by the
-//! keeper, under the condition that neither the row nor the keeper has changed.
+//! leader, under the condition that neither the row nor the leader has changed.
 //! Whoever may hold keys stands in the row before anything is granted to it.
 
 use std::net::SocketAddr;
--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -1,7 +1,7 @@
-//! Which instance is the keeper.
+//! Which instance is the leader.
 //!
 //! A row in the store names it. It is replaced by a conditional write when the
-//! keeper is silent or gives the duty up; the store decides between claimants.
+//! leader is silent or gives the duty up; the store decides between claimants.
 
 use std::cmp::Ordering;
 
@@ -10,7 +10,7 @@
 use crate::ids::{InstanceName, Session, SessionId, Version};
 use crate::time::Mono;
 
-/// Silence after which the keeper is replaced, in milliseconds.
+/// Silence after which the leader is replaced, in milliseconds.
 ///
 /// Ten reports of 100 ms: loss of a few datagrams replaces nobody, and the first
 /// renewal of the successor still comes well within a hold of 3.5 s.
@@ -21,13 +21,13 @@
 /// A claim takes two calls of about 5 ms at the store.
 pub const CLAIM_STEP_MS: u64 = 120;
 
-/// Time that a new keeper is given to say that it is fit, in milliseconds.
+/// Time that a new leader is given to say that it is fit, in milliseconds.
 ///
 /// Failure: the store comes back, one instance claims, and the others still have its
 /// report of a moment ago, by which it could not reach the store; each claims in turn.
 pub const TAKE_UP_MS: u64 = 300;
 
-/// Time after the start before a silent keeper is replaced, in milliseconds.
+/// Time after the start before a silent leader is replaced, in milliseconds.
 ///
 /// A process that has just started has not yet had the time to hear anyone.
 pub const SETTLE_MS: u64 = 700;
@@ -36,7 +36,7 @@
 /// strongest, in milliseconds: machines start within 300 ms of each other.
 const WEAKNESS_MS: u64 = 600;
 
-/// Part of a keeper's work that a machine could do, in thousandths.
+/// Part of a leader's work that a machine could do, in thousandths.
 ///
 /// Failure: machines are unequal, and the first to claim has a tenth of a core and a link
 /// of 10 Mbit/s, which a few changes a second fill; its rows reach nobody in time.
@@ -44,10 +44,10 @@
 pub struct Strength(pub u16);
 
 impl Strength {
-    /// All that a keeper needs.
+    /// All that a leader needs.
     pub const FULL: Self = Self(1_000);
 
-    /// Processor that a keeper of 400 endpoints and 90 instances takes, in cores.
+    /// Processor that a leader of 400 endpoints and 90 instances takes, in cores.
     const CORES: f64 = 0.2;
 
     /// Link that it takes while a hot range is cut up, in Mbit/s.
@@ -74,20 +74,20 @@
 
 /// The stored row.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KeeperRow {
+pub struct LeaderRow {
     /// Instance that keeps.
     pub instance: InstanceName,
     /// Start of its process.
     pub session: SessionId,
-    /// Grows with each change of the keeper.
+    /// Grows with each change of the leader.
     pub term: u64,
-    /// Earlier keepers that may still be at work without knowing of this one.
+    /// Earlier leaders that may still be at work without knowing of this one.
     pub former: Vec<Former>,
     /// Version of the row.
     pub version: Version,
 }
 
-/// An earlier keeper that may still be at work.
+/// An earlier leader that may still be at work.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Former {
     /// Which process.
@@ -108,13 +108,13 @@
     pub heard: Mono,
     /// Since when it is heard as it is now: this start, stopping or not, fit or not.
     pub since: Mono,
-    /// Highest term of a keeper that it knows.
+    /// Highest term of a leader that it knows.
     pub term: u64,
     /// It is about to stop.
     pub stopping: bool,
-    /// It cannot do a keeper's work: no store, or no endpoint answers.
+    /// It cannot do a leader's work: no store, or no endpoint answers.
     pub unfit: bool,
-    /// How much of a keeper's work its machine could do.
+    /// How much of a leader's work its machine could do.
     pub strength: Strength,
 }
 
@@ -129,11 +129,11 @@
     pub started: Mono,
     /// This instance is stopping or could not do the work.
     pub unfit: bool,
-    /// How much of a keeper's work this machine could do.
+    /// How much of a leader's work this machine could do.
     pub strength: Strength,
     /// The row, if there is one.
-    pub row: Option<&'a KeeperRow>,
-    /// When the present keeper was first seen in the row.
+    pub row: Option<&'a LeaderRow>,
+    /// When the present leader was first seen in the row.
     pub row_seen: Mono,
     /// Other instances.
     pub peers: &'a [PeerSight],
@@ -158,8 +158,8 @@
     now >= since.plus(rank(now, at) * CLAIM_STEP_MS)
 }
 
-/// Since when the keeper does not do its work, if it does not.
-fn vacant_since(now: Mono, at: &Situation<'_>, row: &KeeperRow) -> Option<Mono> {
+/// Since when the leader does not do its work, if it does not.
+fn vacant_since(now: Mono, at: &Situation<'_>, row: &LeaderRow) -> Option<Mono> {
     if row.instance == *at.me {
         // An earlier start of this process; it holds this instance's address, so
         // that one has ended.
@@ -181,7 +181,7 @@
 /// not fit, and the next one watches.
 const WATCHERS: u64 = 3;
 
-/// Whether this instance is to be among the first to claim if the keeper does not return.
+/// Whether this instance is to be among the first to claim if the leader does not return.
 #[must_use]
 pub fn watches(now: Mono, at: &Situation<'_>) -> bool {
     rank(now, at) < WATCHERS
@@ -201,11 +201,11 @@
     before.count() as u64
 }
 
-/// Earlier keepers that may still be at work after the keeper in `row` is replaced at
+/// Earlier leaders that may still be at work after the leader in `row` is replaced at
 /// `store_ms` of the store's clock; each is to be waited for `wait_ms` at most.
 #[must_use]
 pub fn former_after(
-    row: Option<&KeeperRow>,
+    row: Option<&LeaderRow>,
     peers: &[PeerSight],
     store_ms: u64,
     wait_ms: u64,
@@ -213,7 +213,7 @@
     let Some(row) = row else {
         return Vec::new();
     };
-    // Whoever knows of the present keeper has stopped; the keeper itself may go on.
+    // Whoever knows of the present leader has stopped; the leader itself may go on.
     let earlier = row.former.iter().filter(|former| {
         former.free_at_ms > store_ms && !has_stopped(&former.session, row.term, peers)
     });
@@ -239,7 +239,7 @@
         .any(|peer| peer.instance == session.instance && peer.session != session.id)
 }
 
-/// Whether an earlier keeper has ended or knows of `term` and so gives no holds.
+/// Whether an earlier leader has ended or knows of `term` and so gives no holds.
 #[must_use]
 pub fn has_stopped(session: &Session, term: u64, peers: &[PeerSight]) -> bool {
     has_ended(session, peers)
--- a/crates/citronway-core/src/gateway/keyload.rs
+++ b/crates/citronway-core/src/gateway/keyload.rs
@@ -1,6 +1,6 @@
 //! Load of each key of a service, from samples of all instances.
 
-use crate::gateway::keeper::Span;
+use crate::gateway::leader::Span;
 use crate::time::Mono;
 
 /// Keys of a service.
--- a/crates/citronway-core/src/gateway/keeper/holds.rs
+++ b/crates/citronway-core/src/gateway/leader/holds.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use crate::gateway::keeper::orders::Span;
+use crate::gateway::leader::orders::Span;
 use crate::ids::EndpointStart;
 use crate::time::Mono;
 
--- a/crates/citronway-core/src/gateway/keeper/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -1,12 +1,12 @@
-//! The keeper of a service: grants, renews and moves the ranges of its keys.
+//! The leader of a service: grants, renews and moves the ranges of its keys.
 //!
 //! Safety rests on four rules. Nothing is granted that the stored row does not say.
-//! The row is changed only while the keeper's own row stands unchanged, so that two
-//! keepers never both change it. A range leaves its holder only after the holder has
+//! The row is changed only while the leader's own row stands unchanged, so that two
+//! leaders never both change it. A range leaves its holder only after the holder has
 //! confirmed a higher fence and a release, or after the end of every hold that any
-//! keeper may have given it. A keeper that has not heard the store confirm it for
-//! [`KeeperSettings::contact_limit_ms`] sends no more grants, which bounds what an
-//! earlier keeper may still have given.
+//! leader may have given it. A leader that has not heard the store confirm it for
+//! [`LeaderSettings::contact_limit_ms`] sends no more grants, which bounds what an
+//! earlier leader may still have given.
 
 mod holds;
 mod moves;
@@ -30,12 +30,12 @@
 /// at 500 ranges.
 const RANGES_A_MS: u64 = 8;
 
-/// Times of a keeper, in milliseconds.
+/// Times of a leader, in milliseconds.
 #[derive(Debug, Clone, Copy)]
-pub struct KeeperSettings {
+pub struct LeaderSettings {
     /// How long a grant holds from its arrival.
     ///
-    /// Must outlast one renewal period and a change of the keeper; a key whose
+    /// Must outlast one renewal period and a change of the leader; a key whose
     /// holder fell silent waits for its end.
     pub hold_ms: u64,
     /// Time between two renewals of a grant.
@@ -60,7 +60,7 @@
     /// Moves that end at about the same time share a write; each one is passed on to all
     /// instances.
     pub write_gap_ms: u64,
-    /// How long grants go on without word from the store that this is the keeper.
+    /// How long grants go on without word from the store that this is the leader.
     ///
     /// Longer than the outages of the store that are to be ridden out.
     pub contact_limit_ms: u64,
@@ -68,7 +68,7 @@
     pub lost_after_ms: u64,
 }
 
-impl Default for KeeperSettings {
+impl Default for LeaderSettings {
     fn default() -> Self {
         Self {
             hold_ms: 3_500,
@@ -84,7 +84,7 @@
     }
 }
 
-impl KeeperSettings {
+impl LeaderSettings {
     /// Latest end of a hold whose grant arrived at `arrival` or before.
     ///
     /// The endpoint's clock may run 2% slow; 50 ms cover its timers.
@@ -106,13 +106,13 @@
         }
     }
 
-    /// Until when an earlier keeper, replaced at `replaced`, may have given holds.
+    /// Until when an earlier leader, replaced at `replaced`, may have given holds.
     #[must_use]
     pub const fn rival_until(&self, replaced: Mono) -> Mono {
         replaced.plus(self.rival_wait_ms())
     }
 
-    /// How long after it was replaced an earlier keeper's last hold can end, in
+    /// How long after it was replaced an earlier leader's last hold can end, in
     /// milliseconds.
     #[must_use]
     pub const fn rival_wait_ms(&self) -> u64 {
@@ -129,20 +129,20 @@
     pub to: EndpointStart,
 }
 
-/// Keeper of one service.
+/// Leader of one service.
 #[derive(Debug)]
-pub struct Keeper {
-    cfg: KeeperSettings,
+pub struct Leader {
+    cfg: LeaderSettings,
     service: ServiceName,
     row: Assignment,
     version: Version,
-    /// While this instance is the keeper.
+    /// While this instance is the leader.
     tenure: Option<Tenure>,
     /// A write is under way.
     writing: bool,
     /// No write before; set after one whose outcome is unknown.
     write_after: Mono,
-    /// What is left of taking over the moves of an earlier keeper.
+    /// What is left of taking over the moves of an earlier leader.
     takeover: Takeover,
     /// Set while a new assignment waits to be written.
     wanted: Option<Assignment>,
@@ -153,12 +153,12 @@
     handovers: IndexMap<u64, String>,
 }
 
-/// How far the moves of an earlier keeper have got new fences.
+/// How far the moves of an earlier leader have got new fences.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Takeover {
     /// In office since a moment ago.
     Begins,
-    /// Moves with a fence below this one are an earlier keeper's.
+    /// Moves with a fence below this one are an earlier leader's.
     Above(u64),
     /// None is left.
     Done,
@@ -168,14 +168,14 @@
 struct Tenure {
     /// Start of the newest call that confirmed it.
     contact: Mono,
-    /// Until then an earlier keeper may have given holds.
+    /// Until then an earlier leader may have given holds.
     rival_until: Mono,
 }
 
-impl Keeper {
-    /// A keeper that is not in office and knows no row.
+impl Leader {
+    /// A leader that is not in office and knows no row.
     #[must_use]
-    pub fn new(cfg: KeeperSettings, service: ServiceName) -> Self {
+    pub fn new(cfg: LeaderSettings, service: ServiceName) -> Self {
         Self {
             cfg,
             service,
@@ -196,7 +196,7 @@
     /// Takes office after the row has been read again.
     ///
     /// `contact` is when the confirming call was sent, `rival_until` when the last
-    /// hold of an earlier keeper has ended.
+    /// hold of an earlier leader has ended.
     pub fn begin(&mut self, contact: Mono, rival_until: Mono) {
         self.tenure = Some(Tenure {
             contact,
@@ -216,20 +216,20 @@
         self.tenure = None;
     }
 
-    /// Whether this instance keeps the service.
+    /// Whether this instance leads the service.
     #[must_use]
     pub const fn in_office(&self) -> bool {
         self.tenure.is_some()
     }
 
-    /// Notes that the store confirmed the keeper by a call sent at `at`.
+    /// Notes that the store confirmed the leader by a call sent at `at`.
     pub fn confirm(&mut self, at: Mono) {
         if let Some(tenure) = &mut self.tenure {
             tenure.contact = tenure.contact.max(at);
         }
     }
 
-    /// Learns that the earlier keeper stopped at `at`.
+    /// Learns that the earlier leader stopped at `at`.
     pub fn rival_stopped(&mut self, at: Mono) {
         let end = self.cfg.end_of_order(at);
         if let Some(tenure) = &mut self.tenure {
@@ -347,7 +347,7 @@
         };
         self.holds.prune(now);
         let mut actions = Vec::new();
-        // Failure: a keeper that was replaced while it could not reach the store goes
+        // Failure: a leader that was replaced while it could not reach the store goes
         // on renewing, and two endpoints hold the same keys. Its successor counts on
         // this limit before it gives the keys of a silent endpoint to another.
         if now.since(tenure.contact) < self.cfg.contact_limit_ms {
@@ -383,9 +383,9 @@
         }
     }
 
-    /// Gives the moves of an earlier keeper new fences.
+    /// Gives the moves of an earlier leader new fences.
     ///
-    /// Failure: the earlier keeper is slow or cut off and still seals a holder, after
+    /// Failure: the earlier leader is slow or cut off and still seals a holder, after
     /// this one has released it and the next owner holds the keys. Its seals are below
     /// the new fences and the holder refuses them.
     fn take_over(&mut self, now: Mono, actions: &mut Vec<Action>) {
--- a/crates/citronway-core/src/gateway/keeper/moves.rs
+++ b/crates/citronway-core/src/gateway/leader/moves.rs
@@ -1,9 +1,9 @@
 //! A range on its way from its holder to the next owner.
 
 use crate::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
-use crate::gateway::keeper::holds::Given;
-use crate::gateway::keeper::orders::{Action, Order, OrderKind, OrderResult, Span};
-use crate::gateway::keeper::{Keeper, KeeperSettings};
+use crate::gateway::leader::holds::Given;
+use crate::gateway::leader::orders::{Action, Order, OrderKind, OrderResult, Span};
+use crate::gateway::leader::{Leader, LeaderSettings};
 use crate::gateway::registry::{Listing, Registry};
 use crate::time::Mono;
 
@@ -121,7 +121,7 @@
     }
 }
 
-impl Keeper {
+impl Leader {
     /// Joins neighbours of one holder under a new fence, which needs no release: the
     /// holder has all of their keys, and nobody else gets any.
     ///
@@ -216,7 +216,7 @@
                 continue;
             }
             // Load: with hundreds of moves under way a look at each of them in each step
-            // took more time than the keeper has.
+            // took more time than the leader has.
             state.look_after = now.plus(LOOK_MS);
             let span = range.span();
             let holder = &range.holder;
@@ -276,7 +276,7 @@
             OrderResult::Done { .. } | OrderResult::Stale | OrderResult::NotThere => {
                 self.reach.answered(&order.endpoint);
             }
-            // Failure: a keeper with too much to do begins its orders too late, takes the
+            // Failure: a leader with too much to do begins its orders too late, takes the
             // endpoints for lost, and has even more to do by moving their keys.
             OrderResult::TooLate => {}
             OrderResult::NotSent | OrderResult::Lost => {
@@ -363,7 +363,7 @@
     }
 }
 
-fn is_due(cfg: &KeeperSettings, now: Mono, given: Option<Given>) -> bool {
+fn is_due(cfg: &LeaderSettings, now: Mono, given: Option<Given>) -> bool {
     let Some(given) = given else { return true };
     if given.pending {
         return false;
@@ -377,7 +377,7 @@
 }
 
 fn order(
-    keeper: &Keeper,
+    leader: &Leader,
     now: Mono,
     span: Span,
     holder: &Holder,
@@ -385,12 +385,12 @@
     kind: OrderKind,
 ) -> Order {
     let limit_ms = match kind {
-        OrderKind::Grant { .. } | OrderKind::Seal { .. } => keeper.cfg.order_timeout_ms,
-        OrderKind::Release => keeper.cfg.release_timeout_ms,
+        OrderKind::Grant { .. } | OrderKind::Seal { .. } => leader.cfg.order_timeout_ms,
+        OrderKind::Release => leader.cfg.release_timeout_ms,
     };
     Order {
         until: now.plus(limit_ms),
-        service: keeper.service.clone(),
+        service: leader.service.clone(),
         endpoint: holder.endpoint.clone(),
         address: holder.address,
         span,
--- a/crates/citronway-core/src/gateway/keeper/orders.rs
+++ b/crates/citronway-core/src/gateway/leader/orders.rs
@@ -1,4 +1,4 @@
-//! What a keeper asks for and what comes back.
+//! What a leader asks for and what comes back.
 
 use std::net::SocketAddr;
 
@@ -23,12 +23,12 @@
     }
 }
 
-/// Something that a keeper wants done.
+/// Something that a leader wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Tell an endpoint.
     Order(Order),
-    /// Replace the stored row, if neither it nor the keeper has changed.
+    /// Replace the stored row, if neither it nor the leader has changed.
     Write {
         /// Service whose row it is.
         service: ServiceName,
@@ -102,7 +102,7 @@
 pub enum WriteResult {
     /// The row stands at this version.
     Done(Assignment, Version),
-    /// The row or the keeper has changed.
+    /// The row or the leader has changed.
     Conflict,
     /// The store did nothing.
     NotDone,
--- a/crates/citronway-core/src/gateway/keeper/reach.rs
+++ b/crates/citronway-core/src/gateway/leader/reach.rs
@@ -1,8 +1,8 @@
-//! Which endpoints answer the keeper's orders.
+//! Which endpoints answer the leader's orders.
 
 use indexmap::IndexMap;
 
-use crate::gateway::keeper::KeeperSettings;
+use crate::gateway::leader::LeaderSettings;
 use crate::ids::EndpointStart;
 use crate::time::Mono;
 
@@ -15,7 +15,7 @@
 /// the hold that has to end before its keys can go elsewhere.
 const FORGIVEN_AFTER_MS: u64 = 5_000;
 
-/// Share of silent endpoints at which the keeper itself is taken for cut off.
+/// Share of silent endpoints at which the leader itself is taken for cut off.
 const CUT_OFF_SHARE: (usize, usize) = (3, 5);
 
 #[derive(Debug, Default)]
@@ -48,19 +48,19 @@
     }
 
     /// Whether the endpoint failed so lately that the next try has to wait.
-    pub(super) fn backs_off(&self, cfg: &KeeperSettings, now: Mono, e: &EndpointStart) -> bool {
+    pub(super) fn backs_off(&self, cfg: &LeaderSettings, now: Mono, e: &EndpointStart) -> bool {
         self.endpoints
             .get(e)
             .is_some_and(|link| link.failures > 0 && now.since(link.last_try) < cfg.retry_ms)
     }
 
-    pub(super) fn is_lost(&self, cfg: &KeeperSettings, now: Mono, e: &EndpointStart) -> bool {
+    pub(super) fn is_lost(&self, cfg: &LeaderSettings, now: Mono, e: &EndpointStart) -> bool {
         self.endpoints
             .get(e)
             .is_some_and(|link| link.is_lost(cfg, now))
     }
 
-    pub(super) fn is_cut_off(&self, cfg: &KeeperSettings, now: Mono) -> bool {
+    pub(super) fn is_cut_off(&self, cfg: &LeaderSettings, now: Mono) -> bool {
         let lost = self
             .endpoints
             .values()
@@ -75,7 +75,7 @@
 }
 
 impl Link {
-    fn is_lost(&self, cfg: &KeeperSettings, now: Mono) -> bool {
+    fn is_lost(&self, cfg: &LeaderSettings, now: Mono) -> bool {
         self.failures >= MIN_FAILURES
             && now.since(self.last_try) < FORGIVEN_AFTER_MS
             && self
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -8,8 +8,8 @@
 use indexmap::IndexMap;
 
 use crate::gateway::assignment::Assignment;
-use crate::gateway::keeper::{Move, Span};
 use crate::gateway::keyload::KeyLoads;
+use crate::gateway::leader::{Move, Span};
 use crate::ids::EndpointStart;
 
 /// Load above its slots at which an endpoint is relieved: work in progress, as a
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -64,7 +64,7 @@
 /// How long keys of a draining endpoint are still sent there, in milliseconds.
 ///
 /// Its keys are moved meanwhile, which takes about 200 ms. It has to be left alone two
-/// seconds after it has said so, of which news may take 1.6 s when the keeper has
+/// seconds after it has said so, of which news may take 1.6 s when the leader has
 /// just lost the store.
 const DRAINING_USE_MS: u64 = 300;
 
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -34,11 +34,11 @@
     pub number: u64,
     /// It is about to stop.
     pub stopping: bool,
-    /// It cannot do a keeper's work.
+    /// It cannot do a leader's work.
     pub unfit: bool,
-    /// How much of a keeper's work its machine could do.
+    /// How much of a leader's work its machine could do.
     pub strength: Strength,
-    /// Highest term of a keeper that it knows.
+    /// Highest term of a leader that it knows.
     pub term: u64,
     /// Newest version of the stored tables that it has seen.
     pub seen: Versions,
@@ -53,7 +53,7 @@
     ///
     /// Load: 87 instances told each other of each request in flight, 700 bytes each
     /// 0.6 s, which was more than half of all bytes between zones. Sums come from the
-    /// keeper (`has_totals`); without them, what decides about an endpoint's places is
+    /// leader (`has_totals`); without them, what decides about an endpoint's places is
     /// where requests wait or several are in flight. Speeds and failures show in the
     /// answers that the zone's own instances get.
     #[must_use]
@@ -83,7 +83,7 @@
     pub config: u64,
     /// Listed endpoints.
     pub endpoints: u64,
-    /// Keeper and assignments.
+    /// Leader and assignments.
     pub own: u64,
 }
 
@@ -100,15 +100,15 @@
     pub answers: Answers,
 }
 
-/// Requests of all instances at contended endpoints, as the keeper knows them.
+/// Requests of all instances at contended endpoints, as the leader knows them.
 ///
 /// Load: 89 instances have one request each at an endpoint with six slots. Reports of all
 /// of them to all others are too many, and with reports from the own zone alone nobody saw
 /// that it was full: one request in ten waited two seconds at the endpoint, and one in
-/// four was refused there. The keeper hears of all, and tells the sums.
+/// four was refused there. The leader hears of all, and tells the sums.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Totals {
-    /// Term of the keeper that tells.
+    /// Term of the leader that tells.
     pub term: u64,
     /// Grows with each that it tells.
     pub number: u64,
--- a/crates/citronway-core/src/gateway/rows.rs
+++ b/crates/citronway-core/src/gateway/rows.rs
@@ -39,7 +39,7 @@
     pub version: Version,
 }
 
-/// Rows that the keeper has just seen, passed on to the other instances.
+/// Rows that the leader has just seen, passed on to the other instances.
 ///
 /// One instance waits at the store for changes; the others get them from it. What
 /// is lost on the way shows by the positions, and is then asked of the store.
@@ -60,7 +60,7 @@
 /// What changed of an assignment's row.
 ///
 /// Load: while hot ranges are cut up, the row changes ten times a second. Passed on
-/// whole it takes 20 KB at 400 ranges, and 86 instances get it: more than the keeper's
+/// whole it takes 20 KB at 400 ranges, and 86 instances get it: more than the leader's
 /// link carries, so most copies were lost and asked of the store. What changed is below
 /// 1 KB.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -31,6 +31,6 @@
     pub hold_max_ms: u64,
     /// Memory of the instance, in megabytes.
     pub memory_mb: u64,
-    /// How much of a keeper's work the machine could do.
+    /// How much of a leader's work the machine could do.
     pub strength: Strength,
 }
--- a/crates/citronway-core/tests/desk_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -3,8 +3,8 @@
 
 use std::sync::Arc;
 
+use citronway_core::gateway::admission::{Admission, Job, Owners, Standing, View};
 use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, LAST_KEY, Range};
-use citronway_core::gateway::desk::{Desk, Job, Owners, Standing, View};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::gateway::routes::Repeat;
@@ -108,11 +108,11 @@
         view
     }
 
-    /// A desk that has known the owners for a while.
-    pub fn desk(&self, now: Mono) -> Desk {
-        let mut desk = Desk::default();
-        desk.view_changed(now.minus(1_000), &self.view());
-        desk
+    /// An admission that has known the owners for a while.
+    pub fn admission(&self, now: Mono) -> Admission {
+        let mut admission = Admission::default();
+        admission.view_changed(now.minus(1_000), &self.view());
+        admission
     }
 }
 
--- a/crates/citronway-core/tests/gateway_desk.rs
+++ b/crates/citronway-core/tests/gateway_admission.rs
@@ -1,21 +1,21 @@
 //! Who is sent, who waits and who is refused at one instance.
 
-mod desk_support;
+mod admission_support;
 
-use citronway_core::gateway::desk::{Desk, Job, RefusalReason, Standing, Verdict};
+use admission_support::{Scene, job, keyed};
+use citronway_core::gateway::admission::{Admission, Decision, Job, RefusalReason, Standing};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::share::{Demand, places};
 use citronway_core::ids::{EndpointStart, ZoneName};
 use citronway_core::time::Mono;
-use desk_support::{Scene, job, keyed};
 use googletest::prelude::*;
 
 const NOW: Mono = Mono(50_000);
 
-fn endpoint(verdict: Option<&Verdict>) -> String {
-    match verdict {
-        Some(Verdict::Send(choice)) => choice.endpoint.to_string(),
-        Some(Verdict::Refuse(refusal)) => refusal.reason.word().to_owned(),
+fn endpoint(decision: Option<&Decision>) -> String {
+    match decision {
+        Some(Decision::Send(choice)) => choice.endpoint.to_string(),
+        Some(Decision::Refuse(refusal)) => refusal.reason.word().to_owned(),
         None => "waits".to_owned(),
     }
 }
@@ -23,10 +23,10 @@
 #[gtest]
 fn a_key_goes_to_its_owner_and_nowhere_else() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for (ticket, key, owner) in [(1, 0, "a"), (2, 30_000, "a"), (3, 40_000, "b")] {
-        let verdict = desk.arrive(NOW, &scene.view(), keyed(ticket, key, NOW));
-        expect_that!(endpoint(verdict.as_ref()), eq(owner));
+        let decision = admission.arrive(NOW, &scene.view(), keyed(ticket, key, NOW));
+        expect_that!(endpoint(decision.as_ref()), eq(owner));
     }
 }
 
@@ -34,11 +34,11 @@
 fn without_an_owner_a_request_waits_and_is_refused_in_time() {
     let mut scene = Scene::new();
     scene.owners.clear();
-    let mut desk = scene.desk(NOW);
-    let verdict = desk.arrive(NOW, &scene.view(), keyed(1, 0, NOW));
-    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+    let mut admission = scene.admission(NOW);
+    let decision = admission.arrive(NOW, &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(decision.as_ref()), eq("waits"));
     let late = NOW.plus(1_950);
-    let decided = desk.pump(late, &scene.view());
+    let decided = admission.pump(late, &scene.view());
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("key_unowned"));
 }
 
@@ -47,11 +47,11 @@
 #[gtest]
 fn a_new_owner_is_given_time_for_its_grant() {
     let scene = Scene::new();
-    let mut desk = Desk::default();
-    desk.view_changed(NOW, &scene.view());
-    let verdict = desk.arrive(NOW.plus(2), &scene.view(), keyed(1, 0, NOW));
-    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
-    let decided = desk.pump(NOW.plus(30), &scene.view());
+    let mut admission = Admission::default();
+    admission.view_changed(NOW, &scene.view());
+    let decision = admission.arrive(NOW.plus(2), &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(decision.as_ref()), eq("waits"));
+    let decided = admission.pump(NOW.plus(30), &scene.view());
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
 }
 
@@ -60,30 +60,30 @@
 #[gtest]
 fn one_request_at_a_time_tries_a_holder_that_does_not_hold() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     let first = keyed(1, 0, NOW);
-    let sent = desk.arrive(NOW, &scene.view(), first.clone());
+    let sent = admission.arrive(NOW, &scene.view(), first.clone());
     expect_that!(endpoint(sent.as_ref()), eq("a"));
-    desk.disowned(NOW, &scene.view(), &first, 8);
-    desk.finished(&EndpointStart::new("a", None));
+    admission.not_held(NOW, &scene.view(), &first, 8);
+    admission.finished(&EndpointStart::new("a", None));
     for ticket in 2..6 {
-        let verdict = desk.arrive(NOW, &scene.view(), keyed(ticket, 1, NOW));
-        expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+        let decision = admission.arrive(NOW, &scene.view(), keyed(ticket, 1, NOW));
+        expect_that!(endpoint(decision.as_ref()), eq("waits"));
     }
-    let decided = desk.pump(NOW.plus(60), &scene.view());
+    let decided = admission.pump(NOW.plus(60), &scene.view());
     expect_that!(decided.len(), eq(1));
 }
 
 #[gtest]
 fn an_endpoint_gets_no_more_than_its_places() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     let verdicts: Vec<_> = (0..30)
-        .map(|ticket| desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW)))
+        .map(|ticket| admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW)))
         .collect();
     let sends = verdicts
         .iter()
-        .filter(|v| matches!(v, Some(Verdict::Send(_))));
+        .filter(|v| matches!(v, Some(Decision::Send(_))));
     let sent = sends.count();
     expect_that!(sent, eq(places(6) as usize));
 }
@@ -106,12 +106,12 @@
     scene
         .standings
         .insert(EndpointTag::of(&EndpointStart::new("a", None)), standing);
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for ticket in 0..30 {
-        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+        let _ = admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
     }
-    let _ = desk.pump(NOW, &scene.view());
-    let sent: u32 = desk.uses().map(|(_, in_flight, _)| in_flight).sum();
+    let _ = admission.pump(NOW, &scene.view());
+    let sent: u32 = admission.uses().map(|(_, in_flight, _)| in_flight).sum();
     expect_that!(sent, all!(ge(3), le(5)));
 }
 
@@ -120,15 +120,15 @@
 #[gtest]
 fn the_more_urgent_goes_first() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for ticket in 0..20 {
-        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+        let _ = admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
     }
     let mut urgent = keyed(100, 0, NOW);
     urgent.priority = 0;
-    expect_that!(desk.arrive(NOW, &scene.view(), urgent), none());
-    desk.finished(&EndpointStart::new("a", None));
-    let decided = desk.pump(NOW.plus(10), &scene.view());
+    expect_that!(admission.arrive(NOW, &scene.view(), urgent), none());
+    admission.finished(&EndpointStart::new("a", None));
+    let decided = admission.pump(NOW.plus(10), &scene.view());
     expect_that!(decided.first().map(|(ticket, _)| *ticket), some(eq(100)));
 }
 
@@ -137,12 +137,12 @@
 #[gtest]
 fn who_cannot_be_served_in_time_is_refused_at_once() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     let mut refused = Vec::new();
     for ticket in 0..200 {
-        match desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW)) {
-            Some(Verdict::Refuse(refusal)) => refused.push(refusal),
-            Some(Verdict::Send(_)) | None => {}
+        match admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW)) {
+            Some(Decision::Refuse(refusal)) => refused.push(refusal),
+            Some(Decision::Send(_)) | None => {}
         }
     }
     // 2 s at six slots of 200 ms: about 60 requests, and the endpoint's queue.
@@ -158,28 +158,28 @@
 #[gtest]
 fn who_can_still_be_in_time_goes_before_who_cannot() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for ticket in 0..12 {
-        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+        let _ = admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
     }
     let later = NOW.plus(500);
     expect_that!(
-        desk.arrive(later, &scene.view(), keyed(50, 0, later)),
+        admission.arrive(later, &scene.view(), keyed(50, 0, later)),
         none()
     );
-    desk.finished(&EndpointStart::new("a", None));
-    let decided = desk.pump(later, &scene.view());
+    admission.finished(&EndpointStart::new("a", None));
+    let decided = admission.pump(later, &scene.view());
     expect_that!(decided.first().map(|(ticket, _)| *ticket), some(eq(50)));
 }
 
 #[gtest]
 fn work_without_a_key_goes_to_the_least_loaded_in_the_own_zone() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     let mut sent = std::collections::BTreeMap::new();
     for ticket in 0..10 {
-        let verdict = desk.arrive(NOW, &scene.view(), job(ticket, NOW));
-        *sent.entry(endpoint(verdict.as_ref())).or_insert(0) += 1;
+        let decision = admission.arrive(NOW, &scene.view(), job(ticket, NOW));
+        *sent.entry(endpoint(decision.as_ref())).or_insert(0) += 1;
     }
     // `near` is in this zone, `far1` and `far2` are not; each has six slots.
     expect_that!(sent.get("near").copied().unwrap_or(0), ge(4));
@@ -190,10 +190,10 @@
 fn a_draining_endpoint_gets_no_new_work() {
     let mut scene = Scene::new();
     scene.drain("near");
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for ticket in 0..10 {
-        let verdict = desk.arrive(NOW, &scene.view(), job(ticket, NOW));
-        expect_that!(endpoint(verdict.as_ref()), not(eq("near")));
+        let decision = admission.arrive(NOW, &scene.view(), job(ticket, NOW));
+        expect_that!(endpoint(decision.as_ref()), not(eq("near")));
     }
 }
 
@@ -202,37 +202,37 @@
 #[gtest]
 fn a_silent_endpoint_is_left_alone() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
-    let first = desk.arrive(NOW, &scene.view(), job(1, NOW));
+    let mut admission = scene.admission(NOW);
+    let first = admission.arrive(NOW, &scene.view(), job(1, NOW));
     expect_that!(endpoint(first.as_ref()), eq("near"));
     let later = NOW.plus(1_000);
     for ticket in 2..8 {
-        let verdict = desk.arrive(later, &scene.view(), job(ticket, later));
-        expect_that!(endpoint(verdict.as_ref()), not(eq("near")));
+        let decision = admission.arrive(later, &scene.view(), job(ticket, later));
+        expect_that!(endpoint(decision.as_ref()), not(eq("near")));
     }
 }
 
 #[gtest]
 fn an_endpoint_that_takes_no_connection_is_tried_again_later() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
-    desk.failed(NOW, &EndpointStart::new("a", None));
-    let verdict = desk.arrive(NOW, &scene.view(), keyed(1, 0, NOW));
-    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
-    let decided = desk.pump(NOW.plus(260), &scene.view());
+    let mut admission = scene.admission(NOW);
+    admission.failed(NOW, &EndpointStart::new("a", None));
+    let decision = admission.arrive(NOW, &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(decision.as_ref()), eq("waits"));
+    let decided = admission.pump(NOW.plus(260), &scene.view());
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
 }
 
 #[gtest]
 fn a_caller_that_leaves_frees_its_place_in_the_queue() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for ticket in 0..12 {
-        let _ = desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+        let _ = admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
     }
-    expect_that!(desk.waiting(), eq(3));
-    desk.forget(10);
-    expect_that!(desk.waiting(), eq(2));
+    expect_that!(admission.waiting(), eq(3));
+    admission.forget(10);
+    expect_that!(admission.waiting(), eq(2));
 }
 
 /// An instance stops while a request waits for an owner that has no room. Its
@@ -240,19 +240,19 @@
 #[gtest]
 fn a_request_that_waits_is_refused_before_its_instance_ends() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     for ticket in 0..u64::from(places(6)) {
-        desk.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
+        admission.arrive(NOW, &scene.view(), keyed(ticket, 0, NOW));
     }
-    let waits = desk.arrive(NOW, &scene.view(), keyed(90, 0, NOW));
+    let waits = admission.arrive(NOW, &scene.view(), keyed(90, 0, NOW));
     expect_that!(endpoint(waits.as_ref()), eq("waits"));
     let end = NOW.plus(1_000);
-    desk.end_by(end);
-    expect_that!(desk.pump(NOW.plus(700), &scene.view()), is_empty());
-    let decided = desk.pump(end.minus(200), &scene.view());
+    admission.end_by(end);
+    expect_that!(admission.pump(NOW.plus(700), &scene.view()), is_empty());
+    let decided = admission.pump(end.minus(200), &scene.view());
     expect_that!(decided.len(), eq(1));
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("overloaded"));
-    let late = desk.arrive(end.minus(100), &scene.view(), keyed(91, 0, NOW));
+    let late = admission.arrive(end.minus(100), &scene.view(), keyed(91, 0, NOW));
     expect_that!(endpoint(late.as_ref()), eq("overloaded"));
 }
 
@@ -261,17 +261,17 @@
 #[gtest]
 fn an_endpoint_that_resets_connections_is_left_alone_for_a_moment() {
     let scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     let a = EndpointStart::new("a", None);
-    desk.reset(NOW, &a);
-    let waits = desk.arrive(NOW.plus(10), &scene.view(), keyed(1, 0, NOW));
+    admission.reset(NOW, &a);
+    let waits = admission.arrive(NOW.plus(10), &scene.view(), keyed(1, 0, NOW));
     expect_that!(endpoint(waits.as_ref()), eq("waits"));
-    let decided = desk.pump(NOW.plus(60), &scene.view());
+    let decided = admission.pump(NOW.plus(60), &scene.view());
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
     // The second time it is left alone for longer.
-    desk.reset(NOW.plus(61), &a);
-    desk.arrive(NOW.plus(62), &scene.view(), keyed(2, 0, NOW));
-    expect_that!(desk.pump(NOW.plus(130), &scene.view()), is_empty());
+    admission.reset(NOW.plus(61), &a);
+    admission.arrive(NOW.plus(62), &scene.view(), keyed(2, 0, NOW));
+    expect_that!(admission.pump(NOW.plus(130), &scene.view()), is_empty());
 }
 
 /// A range is on its way to another endpoint. Its holder lets go within milliseconds, and
@@ -279,13 +279,13 @@
 #[gtest]
 fn a_range_on_its_way_is_waited_for() {
     let mut scene = Scene::new();
-    let mut desk = scene.desk(NOW);
+    let mut admission = scene.admission(NOW);
     scene.move_first_to("b");
-    desk.view_changed(NOW, &scene.view());
-    let verdict = desk.arrive(NOW.plus(5), &scene.view(), keyed(1, 0, NOW));
-    expect_that!(endpoint(verdict.as_ref()), eq("waits"));
-    // The keeper cannot reach the holder; others may.
-    let decided = desk.pump(NOW.plus(1_000), &scene.view());
+    admission.view_changed(NOW, &scene.view());
+    let decision = admission.arrive(NOW.plus(5), &scene.view(), keyed(1, 0, NOW));
+    expect_that!(endpoint(decision.as_ref()), eq("waits"));
+    // The leader cannot reach the holder; others may.
+    let decided = admission.pump(NOW.plus(1_000), &scene.view());
     expect_that!(endpoint(decided.first().map(|(_, v)| v)), eq("a"));
 }
 
@@ -295,15 +295,15 @@
 fn a_large_answer_stays_near_where_a_short_one_crosses() {
     let scene = Scene::new();
     for (answer_bytes, crossing) in [(500, true), (90_000, false)] {
-        let mut desk = scene.desk(NOW);
+        let mut admission = scene.admission(NOW);
         let mut found = Vec::new();
         for ticket in 0..6 {
             let job = Job {
                 answer_bytes,
                 ..job(ticket, NOW)
             };
-            let verdict = desk.arrive(NOW, &scene.view(), job);
-            found.push(endpoint(verdict.as_ref()));
+            let decision = admission.arrive(NOW, &scene.view(), job);
+            found.push(endpoint(decision.as_ref()));
         }
         expect_that!(found.iter().any(|name| name != "near"), eq(crossing));
     }
@@ -318,15 +318,15 @@
     let mut view = scene.view();
     view.zone = ZoneName::new("elsewhere");
     for (idle_ms, again) in [(1_500, true), (2_500, false)] {
-        let mut desk = scene.desk(NOW);
+        let mut admission = scene.admission(NOW);
         let mut names = Vec::new();
         for ticket in 0..12 {
             let now = NOW.plus(ticket * idle_ms);
-            let verdict = desk.arrive(now, &view, job(ticket, now));
-            names.push(endpoint(verdict.as_ref()));
-            if let Some(Verdict::Send(choice)) = verdict {
-                desk.answered(now, &choice, None);
-                desk.finished(&choice.endpoint);
+            let decision = admission.arrive(now, &view, job(ticket, now));
+            names.push(endpoint(decision.as_ref()));
+            if let Some(Decision::Send(choice)) = decision {
+                admission.answered(now, &choice, None);
+                admission.finished(&choice.endpoint);
             }
         }
         names.dedup();
@@ -356,9 +356,9 @@
         let now = NOW.plus(turn * 200);
         for (rank, served) in served.iter_mut().enumerate() {
             view.rank = rank as u64;
-            let mut desk = scene.desk(now);
-            let verdict = desk.arrive(now, &view, keyed(1, 0, now));
-            let went = matches!(verdict, Some(Verdict::Send(_)));
+            let mut admission = scene.admission(now);
+            let decision = admission.arrive(now, &view, keyed(1, 0, now));
+            let went = matches!(decision, Some(Decision::Send(_)));
             sent += u64::from(went);
             *served += u64::from(went);
         }
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -1,7 +1,7 @@
-//! Who becomes the keeper, and whose holds it has to wait for.
+//! Who becomes the leader, and whose holds it has to wait for.
 
 use citronway_core::gateway::election::{
-    CLAIM_STEP_MS, Former, KeeperRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation, Strength,
+    CLAIM_STEP_MS, Former, LeaderRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation, Strength,
     TAKE_UP_MS, former_after, has_stopped, should_claim,
 };
 use citronway_core::ids::{InstanceName, Session, SessionId, Version};
@@ -23,8 +23,8 @@
     }
 }
 
-fn row(name: &str) -> KeeperRow {
-    KeeperRow {
+fn row(name: &str) -> LeaderRow {
+    LeaderRow {
         instance: InstanceName::new(name),
         session: SessionId(1),
         term: 3,
@@ -33,7 +33,7 @@
     }
 }
 
-fn claims(now: Mono, me: &str, row: Option<&KeeperRow>, peers: &[PeerSight]) -> bool {
+fn claims(now: Mono, me: &str, row: Option<&LeaderRow>, peers: &[PeerSight]) -> bool {
     let situation = Situation {
         me: &InstanceName::new(me),
         session: SessionId(1),
@@ -48,14 +48,14 @@
 }
 
 #[gtest]
-fn a_keeper_that_is_heard_is_left_alone() {
+fn a_leader_that_is_heard_is_left_alone() {
     let now = START.plus(60_000);
     let peers = [sight("a", now.minus(SILENCE_MS - 1))];
     expect_that!(claims(now, "b", Some(&row("a")), &peers), eq(false));
 }
 
 #[gtest]
-fn a_silent_keeper_is_replaced_by_one_after_the_other() {
+fn a_silent_leader_is_replaced_by_one_after_the_other() {
     let heard = START.plus(60_000);
     let silent = heard.plus(SILENCE_MS);
     let peers = [sight("a", heard), sight("b", silent)];
@@ -69,7 +69,7 @@
 }
 
 /// All instances start anew and hear nobody yet. Each would claim at once and the
-/// keeper would change with each of them.
+/// leader would change with each of them.
 #[gtest]
 fn who_has_just_started_listens_first() {
     let row = row("a");
@@ -82,7 +82,7 @@
 }
 
 #[gtest]
-fn a_keeper_that_stops_or_cannot_work_is_replaced_at_once() {
+fn a_leader_that_stops_or_cannot_work_is_replaced_at_once() {
     let now = START.plus(60_000);
     let mut stopping = sight("a", now);
     stopping.stopping = true;
@@ -106,7 +106,7 @@
 /// The store comes back after an outage and `a` claims. `b` still has a report by which
 /// `a` could not reach the store, and would claim over it; then `c` over `b`.
 #[gtest]
-fn a_new_keeper_is_given_a_moment_to_say_that_it_is_fit() {
+fn a_new_leader_is_given_a_moment_to_say_that_it_is_fit() {
     let now = START.plus(60_000);
     let mut before = sight("a", now.minus(20));
     before.unfit = true;
@@ -152,10 +152,10 @@
     }
 }
 
-/// Two keepers follow each other within seconds, cut off from the store one after the
+/// Two leaders follow each other within seconds, cut off from the store one after the
 /// other. The third must wait for both, not only for the last.
 #[gtest]
-fn earlier_keepers_are_remembered_until_they_are_known_to_have_stopped() {
+fn earlier_leaders_are_remembered_until_they_are_known_to_have_stopped() {
     let mut second = row("b");
     second.former = vec![former("a", 17_000)];
     let now = START.plus(60_000);
@@ -176,10 +176,10 @@
     expect_that!(has_stopped(&old, 3, &[sight("a", now)]), eq(true));
 }
 
-/// A keeper's machine is gone for good. Each later keeper used to wait for it anew, and
-/// keys of dead endpoints stayed unserved for 17 s after every change of the keeper.
+/// A leader's machine is gone for good. Each later leader used to wait for it anew, and
+/// keys of dead endpoints stayed unserved for 17 s after every change of the leader.
 #[gtest]
-fn an_earlier_keeper_that_is_never_heard_again_is_waited_for_once() {
+fn an_earlier_leader_that_is_never_heard_again_is_waited_for_once() {
     let mut second = row("b");
     second.former = vec![former("a", 17_000)];
     let after = |store_ms| former_after(Some(&second), &[], store_ms, 17_000);
--- a/crates/citronway-core/tests/gateway_keeper_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -1,8 +1,8 @@
 //! Ownership of keys under drawn faults: no key ever has two holders.
 
-mod keeper_world;
+mod leader_world;
 
-use keeper_world::{Faults, World};
+use leader_world::{Faults, World};
 
 const NO_FAULTS: Faults = Faults {
     lost_orders: 0,
@@ -36,7 +36,7 @@
 
 /// An endpoint ends and another process starts at its address. A renewal that was meant
 /// for the first reaches the second, which does not look whom it names and holds the keys,
-/// while the keeper has learnt of the end and gives them to another at once.
+/// while the leader has learnt of the end and gives them to another at once.
 #[test]
 fn a_start_that_takes_orders_for_an_earlier_one() {
     let faults = Faults {
@@ -68,12 +68,12 @@
     );
 }
 
-/// A keeper loses the store in the middle of a move. Its successor finishes the move,
-/// and a seal of the first keeper arrives after the release: both endpoints run
+/// A leader loses the store in the middle of a move. Its successor finishes the move,
+/// and a seal of the first leader arrives after the release: both endpoints run
 /// requests for the same key. Seals of the successor need fences above all of the
-/// first keeper's.
+/// first leader's.
 #[test]
-fn keepers_that_lose_the_store() {
+fn leaders_that_lose_the_store() {
     run(
         0..60,
         Faults {
@@ -83,10 +83,10 @@
     );
 }
 
-/// A keeper stands still for seconds and goes on as if nothing had happened, while
+/// A leader stands still for seconds and goes on as if nothing had happened, while
 /// its successor has given the keys to others.
 #[test]
-fn keepers_that_stand_still() {
+fn leaders_that_stand_still() {
     run(
         100..160,
         Faults {
@@ -110,7 +110,7 @@
     );
 }
 
-/// An endpoint cannot be reached by its keeper but by others, and holds on to its
+/// An endpoint cannot be reached by its leader but by others, and holds on to its
 /// keys; another process starts at the address of one that ended.
 #[test]
 fn endpoints_cut_off_and_reborn() {
@@ -138,11 +138,11 @@
     );
 }
 
-/// A keeper is cut off from the store for half a minute and goes on renewing what its
+/// A leader is cut off from the store for half a minute and goes on renewing what its
 /// row says. Its successor cannot reach an endpoint and gives its keys to another, while
-/// the first keeper still reaches it.
+/// the first leader still reaches it.
 #[test]
-fn keepers_that_lose_the_store_for_long() {
+fn leaders_that_lose_the_store_for_long() {
     let faults = Faults {
         store_cuts: 60,
         longest_cut_ms: 40_000,
@@ -182,7 +182,7 @@
     run(900..1_000, faults);
 }
 
-/// The same while the entry lapses, with and without the store, and while some keepers do
+/// The same while the entry lapses, with and without the store, and while some leaders do
 /// not reach the endpoint.
 #[test]
 fn endpoints_reborn_while_their_entries_lapse() {
--- a/crates/citronway-core/tests/gateway_keeper_rows.rs
+++ b/crates/citronway-core/tests/gateway_leader_rows.rs
@@ -1,8 +1,8 @@
 //! Rows that grow long: ranges of one holder are joined, full rows still move keys.
 
 use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
-use citronway_core::gateway::keeper::{
-    Action, Keeper, KeeperSettings, Move, OrderKind, OrderResult, Span, WriteResult,
+use citronway_core::gateway::leader::{
+    Action, Leader, LeaderSettings, Move, OrderKind, OrderResult, Span, WriteResult,
 };
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
@@ -52,11 +52,11 @@
     row
 }
 
-fn keeper(row: &Assignment) -> Keeper {
-    let mut keeper = Keeper::new(KeeperSettings::default(), ServiceName::new("batch"));
-    keeper.row_seen(row.clone(), Version(5));
-    keeper.begin(NOW, NOW);
-    keeper
+fn leader(row: &Assignment) -> Leader {
+    let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
+    leader.row_seen(row.clone(), Version(5));
+    leader.begin(NOW, NOW);
+    leader
 }
 
 fn written(actions: &[Action]) -> Option<&Assignment> {
@@ -73,15 +73,15 @@
     let mut registry = Registry::default();
     registry.put(NOW, listing("a", 1));
     let row = row(2, &[listing("a", 1)]);
-    let mut keeper = keeper(&row);
-    let actions = keeper.step(NOW, &registry);
+    let mut leader = leader(&row);
+    let actions = leader.step(NOW, &registry);
     expect_that!(written(&actions), none());
     for action in actions {
         if let Action::Order(order) = action {
-            keeper.answered(NOW, &order, &OrderResult::Done { handover: None });
+            leader.answered(NOW, &order, &OrderResult::Done { handover: None });
         }
     }
-    let actions = keeper.step(NOW.plus(25), &registry);
+    let actions = leader.step(NOW.plus(25), &registry);
     let joined = written(&actions).cloned().unwrap_or_default();
     expect_that!(joined.ranges.len(), eq(1));
     let highest = row.ranges.iter().map(|r| r.holder.fence).max().unwrap_or(0);
@@ -96,8 +96,8 @@
     };
     expect_that!(fences(&actions), le(highest));
     let fence = joined.ranges[0].holder.fence;
-    keeper.wrote(NOW.plus(30), WriteResult::Done(joined, Version(6)));
-    let actions = keeper.step(NOW.plus(50), &registry);
+    leader.wrote(NOW.plus(30), WriteResult::Done(joined, Version(6)));
+    let actions = leader.step(NOW.plus(50), &registry);
     expect_that!(fences(&actions), eq(fence));
 }
 
@@ -111,40 +111,40 @@
         registry.put(NOW, holder.clone());
     }
     let row = row(MAX_RANGES, &holders);
-    let mut keeper = keeper(&row);
-    keeper.step(NOW, &registry);
+    let mut leader = leader(&row);
+    leader.step(NOW, &registry);
     let Range { first, last, .. } = row.ranges[10];
     let to = EndpointStart::new("b", None);
     let whole = Move {
         span: Span { first, last },
         to,
     };
-    keeper.start(std::slice::from_ref(&whole), &registry);
-    let actions = keeper.step(NOW.plus(25), &registry);
+    leader.start(std::slice::from_ref(&whole), &registry);
+    let actions = leader.step(NOW.plus(25), &registry);
     let moving = written(&actions).is_some_and(|row| row.ranges[10].is_moving());
     expect_that!(moving, eq(true));
 }
 
-/// A keeper with much to do begins its orders too late. It used to take the endpoints for
+/// A leader with much to do begins its orders too late. It used to take the endpoints for
 /// lost, moved their keys, and had even more to do.
 #[gtest]
 fn orders_that_were_begun_too_late_tell_nothing_of_the_endpoint() {
     let mut registry = Registry::default();
     registry.put(NOW, listing("a", 1));
     let row = row(1, &[listing("a", 1)]);
-    let mut keeper = keeper(&row);
+    let mut leader = leader(&row);
     let a = EndpointStart::new("a", None);
     let mut now = NOW;
     for (result, lost) in [(OrderResult::TooLate, false), (OrderResult::NotSent, true)] {
         for _ in 0..200 {
             now = now.plus(25);
-            for action in keeper.step(now, &registry) {
+            for action in leader.step(now, &registry) {
                 if let Action::Order(order) = action {
-                    keeper.answered(now, &order, &result);
+                    leader.answered(now, &order, &result);
                 }
             }
         }
-        expect_that!(keeper.is_lost(now, &a), eq(lost), "{result:?}");
+        expect_that!(leader.is_lost(now, &a), eq(lost), "{result:?}");
     }
 }
 
@@ -158,34 +158,34 @@
     });
     let row = row(1, &starts[..1]);
     let first_fence = row.ranges[0].holder.fence;
-    let mut keeper = keeper(&row);
+    let mut leader = leader(&row);
     let mut registry = Registry::default();
     registry.put(NOW, starts[1].clone());
-    expect_that!(keeper.step(NOW, &registry).len(), eq(0));
+    expect_that!(leader.step(NOW, &registry).len(), eq(0));
 
     let whole = Span {
         first: 0,
         last: u16::MAX,
     };
     let to = starts[1].start.clone();
-    keeper.start(&[Move { span: whole, to }], &registry);
+    leader.start(&[Move { span: whole, to }], &registry);
     let mut now = NOW;
     let mut version = Version(5);
     let mut granted = None;
     for _ in 0..200 {
         now = now.plus(25);
-        for action in keeper.step(now, &registry) {
+        for action in leader.step(now, &registry) {
             match action {
                 Action::Write { row, .. } => {
                     version = version.next();
-                    keeper.wrote(now, WriteResult::Done(row, version));
+                    leader.wrote(now, WriteResult::Done(row, version));
                 }
                 Action::Order(order) => {
                     if matches!(order.kind, OrderKind::Grant { .. }) {
                         granted = Some(order.clone());
                     }
                     let done = OrderResult::Done { handover: None };
-                    keeper.answered(now, &order, &done);
+                    leader.answered(now, &order, &done);
                 }
             }
         }
--- a/crates/citronway-core/tests/gateway_placement.rs
+++ b/crates/citronway-core/tests/gateway_placement.rs
@@ -1,12 +1,12 @@
 //! Which keys go where: leaving endpoints, idle ones, hot ranges.
 
-#[path = "keeper_world/random.rs"]
-#[expect(dead_code, reason = "shared with the tests of the keeper")]
+#[path = "leader_world/random.rs"]
+#[expect(dead_code, reason = "shared with the tests of the leader")]
 mod random;
 
 use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, LAST_KEY, Range};
-use citronway_core::gateway::keeper::Span;
 use citronway_core::gateway::keyload::KeyLoads;
+use citronway_core::gateway::leader::Span;
 use citronway_core::gateway::placement::{Place, Scene, propose};
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
@@ -75,7 +75,7 @@
     row: &Assignment,
     load: &KeyLoads,
     places: &[Place],
-) -> Vec<citronway_core::gateway::keeper::Move> {
+) -> Vec<citronway_core::gateway::leader::Move> {
     propose(&Scene { row, load, places })
 }
 
@@ -299,7 +299,7 @@
 
 /// A hundred endpoints of a service that is full already are lost at once. Their ranges
 /// are given away in a few parts each, not key by key: a plan of 6,000 moves kept the
-/// keeper busy until others took its duty.
+/// leader busy until others took its duty.
 #[gtest]
 fn many_lost_endpoints_of_a_full_service_leave_few_parts() {
     let names: Vec<_> = (0..300).map(|n| format!("e{n:03}")).collect();
--- a/crates/citronway-core/tests/gateway_report.rs
+++ b/crates/citronway-core/tests/gateway_report.rs
@@ -54,6 +54,6 @@
         ..brief
     };
     expect_that!(same, eq(&full));
-    // The keeper tells the sums of all.
+    // The leader tells the sums of all.
     expect_that!(full.brief(true).endpoints, is_empty());
 }
--- a/crates/citronway-core/tests/keeper_world/endpoint.rs
+++ b/crates/citronway-core/tests/leader_world/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use citronway_core::gateway::keeper::{Order, OrderKind, OrderResult};
+use citronway_core::gateway::leader::{Order, OrderKind, OrderResult};
 use citronway_core::gateway::registry::Listing;
 use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
--- a/crates/citronway-core/tests/keeper_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -1,15 +1,15 @@
-//! Keepers, a store and endpoints in one process, with faults drawn from a seed.
+//! Leaders, a store and endpoints in one process, with faults drawn from a seed.
 //!
 //! Time goes in steps. Calls arrive at once or never; a grant whose answer is lost
-//! may be carried out up to 12 s later, its time counting from its arrival. A keeper
+//! may be carried out up to 12 s later, its time counting from its arrival. A leader
 //! may lose the store, some endpoints, or its own time; whoever claims follows.
 
 mod endpoint;
 mod random;
 
 use citronway_core::gateway::assignment::Assignment;
-use citronway_core::gateway::keeper::{
-    Action, Keeper, KeeperSettings, Move, Order, OrderKind, OrderResult, Span, WriteResult,
+use citronway_core::gateway::leader::{
+    Action, Leader, LeaderSettings, Move, Order, OrderKind, OrderResult, Span, WriteResult,
 };
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
@@ -24,7 +24,7 @@
 /// How long after it was decided a lost order may arrive: its time and some more.
 const LATEST_ARRIVAL_MS: u64 = 650;
 
-/// Silence of a keeper after which another claims, in milliseconds.
+/// Silence of a leader after which another claims, in milliseconds.
 const CLAIM_AFTER_MS: u64 = 1_000;
 
 /// How likely each fault is, in one step, out of ten thousand.
@@ -32,13 +32,13 @@
 pub struct Faults {
     /// An order's answer is lost; of these, half are carried out late.
     pub lost_orders: u64,
-    /// A keeper loses the store.
+    /// A leader loses the store.
     pub store_cuts: u64,
     /// For how long at most, in milliseconds.
     pub longest_cut_ms: u64,
-    /// A keeper stands still for up to 20 s.
+    /// A leader stands still for up to 20 s.
     pub pauses: u64,
-    /// An endpoint is not reached by one keeper for up to 6 s.
+    /// An endpoint is not reached by one leader for up to 6 s.
     pub endpoint_cuts: u64,
     /// An endpoint's process ends; another starts at its address.
     pub crashes: u64,
@@ -54,7 +54,7 @@
 /// One instance that may keep.
 #[derive(Debug)]
 struct Instance {
-    keeper: Keeper,
+    leader: Leader,
     term: u64,
     contact: Mono,
     cut_until: Mono,
@@ -89,8 +89,8 @@
     row: Assignment,
     version: Version,
     term: u64,
-    keeper: usize,
-    keeper_acted: Mono,
+    leader: usize,
+    leader_acted: Mono,
     late_orders: Vec<LateOrder>,
     late_writes: Vec<LateWrite>,
     /// Second starts that follow soon after a first, and at which endpoint.
@@ -104,11 +104,11 @@
 
 impl World {
     pub fn new(seed: u64, faults: Faults) -> Self {
-        let cfg = KeeperSettings::default();
+        let cfg = LeaderSettings::default();
         let service = ServiceName::new("batch");
         let start = Mono(100_000);
         let instances = (0..3).map(|_| Instance {
-            keeper: Keeper::new(cfg, service.clone()),
+            leader: Leader::new(cfg, service.clone()),
             term: 0,
             contact: start,
             cut_until: Mono(0),
@@ -124,8 +124,8 @@
             row: Assignment::default(),
             version: Version(0),
             term: 1,
-            keeper: 0,
-            keeper_acted: start,
+            leader: 0,
+            leader_acted: start,
             late_orders: Vec::new(),
             late_writes: Vec::new(),
             rebirths: Vec::new(),
@@ -135,7 +135,7 @@
             moves: 0,
         };
         world.instances[0].term = 1;
-        world.instances[0].keeper.begin(start, Mono(0));
+        world.instances[0].leader.begin(start, Mono(0));
         world
     }
 
@@ -158,7 +158,7 @@
         self.carry_out_late();
         self.claim();
         for i in 0..self.instances.len() {
-            self.run_keeper(i);
+            self.run_leader(i);
         }
         self.check()
     }
@@ -256,29 +256,29 @@
         true
     }
 
-    /// Another instance claims when the keeper has not acted for a while.
+    /// Another instance claims when the leader has not acted for a while.
     fn claim(&mut self) {
-        if self.now.since(self.keeper_acted) < CLAIM_AFTER_MS {
+        if self.now.since(self.leader_acted) < CLAIM_AFTER_MS {
             return;
         }
         let now = self.now;
         let next = (0..self.instances.len()).find(|i| {
             let other = &self.instances[*i];
-            *i != self.keeper && other.cut_until <= now && other.paused_until <= now
+            *i != self.leader && other.cut_until <= now && other.paused_until <= now
         });
         let Some(next) = next else { return };
         self.term += 1;
-        self.keeper = next;
-        self.keeper_acted = now;
+        self.leader = next;
+        self.leader_acted = now;
         let instance = &mut self.instances[next];
         instance.term = self.term;
         instance.contact = now;
-        instance.keeper.row_seen(self.row.clone(), self.version);
-        let rival_until = KeeperSettings::default().rival_until(now);
-        instance.keeper.begin(now, rival_until);
+        instance.leader.row_seen(self.row.clone(), self.version);
+        let rival_until = LeaderSettings::default().rival_until(now);
+        instance.leader.begin(now, rival_until);
     }
 
-    fn run_keeper(&mut self, i: usize) {
+    fn run_leader(&mut self, i: usize) {
         let now = self.now;
         if self.instances[i].paused_until > now {
             return;
@@ -287,19 +287,19 @@
         let connected = self.instances[i].cut_until <= now;
         if connected {
             let instance = &mut self.instances[i];
-            instance.keeper.row_seen(self.row.clone(), self.version);
-            if instance.term == self.term && i == self.keeper {
-                instance.keeper.confirm(now);
-                self.keeper_acted = now;
+            instance.leader.row_seen(self.row.clone(), self.version);
+            if instance.term == self.term && i == self.leader {
+                instance.leader.confirm(now);
+                self.leader_acted = now;
             } else {
-                instance.keeper.end();
+                instance.leader.end();
             }
         }
-        if !self.instances[i].keeper.in_office() {
+        if !self.instances[i].leader.in_office() {
             return;
         }
         self.propose(i, &registry);
-        let actions = self.instances[i].keeper.step(now, &registry);
+        let actions = self.instances[i].leader.step(now, &registry);
         for action in actions {
             match action {
                 Action::Order(order) => self.order(i, &order),
@@ -311,14 +311,14 @@
     fn propose(&mut self, i: usize, registry: &Registry) {
         let listings: Vec<_> = self.endpoints.iter().map(Endpoint::listing).collect();
         let listings: Vec<&Listing> = listings.iter().collect();
-        self.instances[i].keeper.found(&listings);
+        self.instances[i].leader.found(&listings);
         if !self.random.chance(400) {
             return;
         }
         let first = self.random.key();
         let to = self.random.index(self.endpoints.len());
-        let keeper = &mut self.instances[i].keeper;
-        let Some(range) = keeper.row().at(first) else {
+        let leader = &mut self.instances[i].leader;
+        let Some(range) = leader.row().at(first) else {
             return;
         };
         let last = range.last.min(first.saturating_add(5_000));
@@ -327,7 +327,7 @@
             to: self.endpoints[to].id(),
         };
         self.moves += 1;
-        keeper.start(&[wish], registry);
+        leader.start(&[wish], registry);
     }
 
     fn write(&mut self, i: usize, row: Assignment, expected: Version) {
@@ -352,7 +352,7 @@
         } else {
             WriteResult::Conflict
         };
-        self.instances[i].keeper.wrote(now, result);
+        self.instances[i].leader.wrote(now, result);
     }
 
     fn order(&mut self, i: usize, order: &Order) {
@@ -375,7 +375,7 @@
         } else {
             self.endpoints[place].take(now, now, order)
         };
-        self.instances[i].keeper.answered(now, order, &result);
+        self.instances[i].leader.answered(now, order, &result);
     }
 
     /// An order arrives within its time or a little after, and is carried out then or
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -19,7 +19,7 @@
 const LOOK: Duration = Duration::from_millis(2);
 
 /// Bound of the wait for service before and after the faults, far above what it takes:
-/// 20 s where a keeper and an endpoint are lost together.
+/// 20 s where a leader and an endpoint are lost together.
 const PATIENCE: Duration = Duration::from_secs(90);
 
 /// What came of a soak.
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -11,10 +11,10 @@
 }
 
 struct Totals {
-  # Requests of all instances, as the keeper knows them from their reports.
+  # Requests of all instances, as the leader knows them from their reports.
   term @0 :UInt64;
   number @1 :UInt64;
-  # Grows with each that a keeper sends.
+  # Grows with each that a leader sends.
   endpoints @2 :List(EndpointTotal);
 }
 
@@ -25,7 +25,7 @@
 }
 
 struct Relay {
-  # Rows of a table that the keeper has just seen.
+  # Rows of a table that the leader has just seen.
   table @0 :UInt8;
   after @1 :UInt64;
   position @2 :UInt64;
@@ -58,9 +58,9 @@
   # Grows with each report of this start.
   stopping @3 :Bool;
   unfit @4 :Bool;
-  # It cannot do a keeper's work.
+  # It cannot do a leader's work.
   term @5 :UInt64;
-  # Highest term of a keeper that it knows.
+  # Highest term of a leader that it knows.
   seenConfig @6 :UInt64;
   seenEndpoints @7 :UInt64;
   seenOwn @8 :UInt64;
@@ -68,7 +68,7 @@
   endpoints @9 :List(EndpointUse);
   keys @10 :List(KeySamples);
   strength @11 :UInt16;
-  # Part of a keeper's work that its machine could do, in thousandths.
+  # Part of a leader's work that its machine could do, in thousandths.
 }
 
 struct EndpointUse {
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -17,7 +17,7 @@
         position: Version(9),
         rows: vec![
             Row {
-                key: "keeper".to_owned(),
+                key: "leader".to_owned(),
                 value: Some(vec![1, 2]),
                 version: Version(5),
             },
@@ -104,7 +104,7 @@
         after: Version(3),
         position: Version(9),
         rows: vec![Row {
-            key: "keeper".to_owned(),
+            key: "leader".to_owned(),
             value: Some(vec![1, 2]),
             version: Version(5),
         }],
--- a/crates/citronway/src/gateway/control/beliefs.rs
+++ b/crates/citronway/src/gateway/control/cluster.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use citronway_core::gateway::desk::{Owners, View};
-use citronway_core::gateway::election::KeeperRow;
+use citronway_core::gateway::admission::{Owners, View};
+use citronway_core::gateway::election::LeaderRow;
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
@@ -54,15 +54,15 @@
 }
 
 #[derive(Debug)]
-pub(super) struct Beliefs {
+pub(super) struct Cluster {
     zone: ZoneName,
     rank: u64,
     routes: Option<Arc<RouteTable>>,
     pub registry: Arc<Registry>,
     pub owners: IndexMap<ServiceName, Owners>,
-    pub keeper: Option<KeeperRow>,
-    /// When the present keeper was first seen.
-    pub keeper_seen: Mono,
+    pub leader: Option<LeaderRow>,
+    /// When the present leader was first seen.
+    pub leader_seen: Mono,
     pub peers: Peers,
     pub paces: Paces,
     config: Sight,
@@ -90,7 +90,7 @@
     }
 }
 
-impl Beliefs {
+impl Cluster {
     pub(super) fn new(cfg: &InstanceSettings) -> Self {
         Self {
             zone: cfg.zone.clone(),
@@ -98,8 +98,8 @@
             routes: None,
             registry: Arc::default(),
             owners: IndexMap::new(),
-            keeper: None,
-            keeper_seen: Mono::default(),
+            leader: None,
+            leader_seen: Mono::default(),
             peers: Peers::default(),
             paces: Paces::default(),
             config: Sight::default(),
@@ -159,7 +159,7 @@
         }
     }
 
-    /// Takes rows that the keeper passed on.
+    /// Takes rows that the leader passed on.
     pub(super) fn relayed(&mut self, now: Mono, relay: &Relay) {
         self.heard_at = now;
         self.regained(now, relay.table);
@@ -169,10 +169,10 @@
         }
     }
 
-    /// Where the keeper takes reports.
-    pub(super) fn keeper_address(&self) -> Option<SocketAddr> {
-        let keeper = self.keeper.as_ref()?;
-        self.peers.address(&keeper.instance)
+    /// Where the leader takes reports.
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.leader.as_ref()?;
+        self.peers.address(&leader.instance)
     }
 
     /// Takes rows of a table; `whole` is the version of the store if these are all.
@@ -339,9 +339,9 @@
         waiting
     }
 
-    /// Whether a fit keeper is heard, which passes rows on.
+    /// Whether a fit leader is heard, which passes rows on.
     pub(super) fn is_told(&self, now: Mono) -> bool {
-        self.keeper
+        self.leader
             .as_ref()
             .is_some_and(|row| self.peers.passes_rows(now, row))
     }
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -1,9 +1,9 @@
-//! The keeper's duty on this instance: claiming it, and keeping while it has it.
+//! The leader's duty on this instance: claiming it, and keeping while it has it.
 
 use citronway_core::gateway::assignment::Assignment;
-use citronway_core::gateway::election::{self, Former, KeeperRow, PeerSight, Situation, Strength};
-use citronway_core::gateway::keeper::{
-    Action, Keeper, KeeperSettings, Order, OrderResult, WriteResult,
+use citronway_core::gateway::election::{self, Former, LeaderRow, PeerSight, Situation, Strength};
+use citronway_core::gateway::leader::{
+    Action, Leader, LeaderSettings, Order, OrderResult, WriteResult,
 };
 use citronway_core::gateway::report::Report;
 use citronway_core::ids::{ServiceName, Session, Version};
@@ -11,10 +11,10 @@
 use citronway_platform::store::Change;
 use indexmap::IndexMap;
 
-use super::beliefs::Beliefs;
+use super::cluster::Cluster;
 use super::own_rows;
 use super::placing::Placing;
-use super::store::{IDLE_WAIT_MS, KEEPER_WAIT_MS};
+use super::store::{IDLE_WAIT_MS, LEADER_WAIT_MS};
 
 /// Time between two claims that failed, in milliseconds.
 const CLAIM_PAUSE_MS: u64 = 500;
@@ -23,7 +23,7 @@
 /// the time that an answer takes when the store is slowed sixtyfold, twice over.
 const CLOCK_MARGIN_MS: u64 = 500;
 
-/// Age of the last confirmation at which a keeper gives the duty up, in
+/// Age of the last confirmation at which a leader gives the duty up, in
 /// milliseconds: longer than a poll with its limit, well before its grants have to end.
 const UNCONFIRMED_MS: u64 = 2_500;
 
@@ -50,20 +50,20 @@
     me: Session,
     strength: Strength,
     started: Mono,
-    cfg: KeeperSettings,
-    keepers: IndexMap<ServiceName, Keeper>,
+    cfg: LeaderSettings,
+    leaders: IndexMap<ServiceName, Leader>,
     placing: Placing,
     /// Row by which this instance is in office.
-    office: Option<KeeperRow>,
+    office: Option<LeaderRow>,
     /// Highest term that was heard of.
     term: u64,
     contact: Mono,
     claiming: bool,
     claim_after: Mono,
     cleared: bool,
-    /// Until then earlier keepers may have given holds.
+    /// Until then earlier leaders may have given holds.
     rival_until: Mono,
-    /// Why this instance is not fit to keep, as it was last logged.
+    /// Why this instance is not fit to lead, as it was last logged.
     unfit_for: Option<&'static str>,
 }
 
@@ -73,8 +73,8 @@
             me,
             strength,
             started,
-            cfg: KeeperSettings::default(),
-            keepers: IndexMap::new(),
+            cfg: LeaderSettings::default(),
+            leaders: IndexMap::new(),
             placing: Placing::default(),
             office: None,
             term: 0,
@@ -96,79 +96,79 @@
             return;
         }
         self.term = term;
-        // Failure: a keeper that cannot reach the store does not see that it was
+        // Failure: a leader that cannot reach the store does not see that it was
         // replaced, and grants beside its successor. Any instance that knows of the
         // successor stops it.
         if self.office.as_ref().is_some_and(|row| row.term < term) {
-            self.leave_office("a later keeper is heard of");
+            self.leave_office("a later leader is heard of");
         }
     }
 
     /// Whether this instance should not keep.
-    pub(super) fn is_unfit(&self, now: Mono, beliefs: &Beliefs) -> bool {
-        self.unfitness(now, beliefs).is_some()
+    pub(super) fn is_unfit(&self, now: Mono, cluster: &Cluster) -> bool {
+        self.unfitness(now, cluster).is_some()
     }
 
     /// Why this instance should not keep, if there is a reason.
-    fn unfitness(&self, now: Mono, beliefs: &Beliefs) -> Option<&'static str> {
-        if beliefs.store_lost() {
+    fn unfitness(&self, now: Mono, cluster: &Cluster) -> Option<&'static str> {
+        if cluster.store_lost() {
             return Some("the store does not answer");
         }
         if self.office.is_some() && now.since(self.contact) > UNCONFIRMED_MS {
-            return Some("the store has not confirmed the keeper");
+            return Some("the store has not confirmed the leader");
         }
-        let cut_off = self.keepers.values().any(|keeper| keeper.is_cut_off(now));
+        let cut_off = self.leaders.values().any(|leader| leader.is_cut_off(now));
         cut_off.then_some("most endpoints do not answer")
     }
 
-    fn note_fitness(&mut self, now: Mono, beliefs: &Beliefs) {
-        let cause = self.unfitness(now, beliefs);
+    fn note_fitness(&mut self, now: Mono, cluster: &Cluster) {
+        let cause = self.unfitness(now, cluster);
         if cause == self.unfit_for {
             return;
         }
         self.unfit_for = cause;
         match cause {
-            Some(cause) => log::info!(cause; "this instance is not fit to keep"),
-            None => log::info!("this instance is fit to keep"),
+            Some(cause) => log::info!(cause; "this instance is not fit to lead"),
+            None => log::info!("this instance is fit to lead"),
         }
     }
 
-    /// Whether this instance is the keeper as far as it knows.
+    /// Whether this instance is the leader as far as it knows.
     pub(super) const fn in_office(&self) -> bool {
         self.office.is_some()
     }
 
     /// Takes rows that another instance passed on; they confirm nothing.
-    pub(super) fn rows_relayed(&mut self, beliefs: &Beliefs) {
-        self.take_assignments(beliefs);
-        let Some(row) = &beliefs.keeper else { return };
+    pub(super) fn rows_relayed(&mut self, cluster: &Cluster) {
+        self.take_assignments(cluster);
+        let Some(row) = &cluster.leader else { return };
         self.term_heard(row.term);
     }
 
-    fn take_assignments(&mut self, beliefs: &Beliefs) {
-        for (service, owners) in &beliefs.owners {
-            let keeper = self
-                .keepers
+    fn take_assignments(&mut self, cluster: &Cluster) {
+        for (service, owners) in &cluster.owners {
+            let leader = self
+                .leaders
                 .entry(service.clone())
-                .or_insert_with(|| Keeper::new(self.cfg, service.clone()));
-            if owners.version > keeper.version() {
-                keeper.row_seen(owners.assignment.as_ref().clone(), owners.version);
+                .or_insert_with(|| Leader::new(self.cfg, service.clone()));
+            if owners.version > leader.version() {
+                leader.row_seen(owners.assignment.as_ref().clone(), owners.version);
             }
         }
     }
 
     /// Takes the rows as believed after an answer to a call sent at `asked`.
-    pub(super) fn rows_seen(&mut self, now: Mono, asked: Mono, beliefs: &Beliefs) {
-        self.take_assignments(beliefs);
-        let Some(row) = &beliefs.keeper else { return };
+    pub(super) fn rows_seen(&mut self, now: Mono, asked: Mono, cluster: &Cluster) {
+        self.take_assignments(cluster);
+        let Some(row) = &cluster.leader else { return };
         self.term = self.term.max(row.term);
         if row.instance != self.me.instance || row.session != self.me.id {
             if self.office.is_some() {
-                self.leave_office("the row names another keeper");
+                self.leave_office("the row names another leader");
             }
             return;
         }
-        if beliefs.store_lost() {
+        if cluster.store_lost() {
             return;
         }
         if self
@@ -178,65 +178,65 @@
         {
             self.office = Some(row.clone());
             self.contact = self.contact.max(asked);
-            for keeper in self.keepers.values_mut() {
-                keeper.confirm(asked);
+            for leader in self.leaders.values_mut() {
+                leader.confirm(asked);
             }
         } else if row.term == self.term {
-            self.take_office(now, asked, row, beliefs);
+            self.take_office(now, asked, row, cluster);
         }
     }
 
-    fn take_office(&mut self, now: Mono, asked: Mono, row: &KeeperRow, beliefs: &Beliefs) {
+    fn take_office(&mut self, now: Mono, asked: Mono, row: &LeaderRow, cluster: &Cluster) {
         let former = row.former.len();
-        log::info!(term = row.term, former; "this instance keeps");
+        log::info!(term = row.term, former; "this instance leads");
         self.office = Some(row.clone());
         self.contact = asked;
         self.cleared = false;
         self.placing.begin();
-        for service in beliefs.sharded() {
-            self.keepers
+        for service in cluster.sharded() {
+            self.leaders
                 .entry(service.clone())
-                .or_insert_with(|| Keeper::new(self.cfg, service));
+                .or_insert_with(|| Leader::new(self.cfg, service));
         }
-        let rival_until = self.rival_until(now, beliefs);
+        let rival_until = self.rival_until(now, cluster);
         self.rival_until = rival_until;
-        for keeper in self.keepers.values_mut() {
-            keeper.begin(asked, rival_until);
+        for leader in self.leaders.values_mut() {
+            leader.begin(asked, rival_until);
         }
     }
 
-    /// Until when earlier keepers may have given holds, if none is known to have
+    /// Until when earlier leaders may have given holds, if none is known to have
     /// stopped.
-    fn rival_until(&self, now: Mono, beliefs: &Beliefs) -> Mono {
+    fn rival_until(&self, now: Mono, cluster: &Cluster) -> Mono {
         let former = self.office.iter().flat_map(|row| &row.former);
         let Some(free_at) = former.map(|former| former.free_at_ms).max() else {
             // All have ended; the last hold was given before.
             return self.cfg.end_of_hold(now);
         };
         let longest = self.cfg.rival_until(now);
-        match beliefs.store_ms(now) {
+        match cluster.store_ms(now) {
             Some(store_ms) => now.plus(free_at.saturating_sub(store_ms)).min(longest),
             None => longest,
         }
     }
 
     fn leave_office(&mut self, cause: &'static str) {
-        log::info!(cause; "this instance no longer keeps");
+        log::info!(cause; "this instance no longer leads");
         self.office = None;
-        for keeper in self.keepers.values_mut() {
-            keeper.end();
+        for leader in self.leaders.values_mut() {
+            leader.end();
         }
     }
 
     pub(super) fn ordered(&mut self, now: Mono, order: &Order, result: &OrderResult) {
-        if let Some(keeper) = self.keepers.get_mut(&order.service) {
-            keeper.answered(now, order, result);
+        if let Some(leader) = self.leaders.get_mut(&order.service) {
+            leader.answered(now, order, result);
         }
     }
 
     pub(super) fn wrote(&mut self, now: Mono, service: &ServiceName, result: WriteResult) {
-        if let Some(keeper) = self.keepers.get_mut(service) {
-            keeper.wrote(now, result);
+        if let Some(leader) = self.leaders.get_mut(service) {
+            leader.wrote(now, result);
         }
     }
 
@@ -257,9 +257,9 @@
     }
 
     /// What is due now.
-    pub(super) fn step(&mut self, now: Mono, beliefs: &mut Beliefs, stopping: bool) -> Due {
-        self.note_fitness(now, beliefs);
-        let claim = self.claim(now, beliefs, stopping);
+    pub(super) fn step(&mut self, now: Mono, cluster: &mut Cluster, stopping: bool) -> Due {
+        self.note_fitness(now, cluster);
+        let claim = self.claim(now, cluster, stopping);
         let mut due = Due {
             orders: Vec::new(),
             writes: Vec::new(),
@@ -269,18 +269,18 @@
         let Some(office) = self.office.clone() else {
             return due;
         };
-        due.wait_ms = KEEPER_WAIT_MS;
-        self.clear_rivals(now, &office, beliefs);
-        for service in beliefs.sharded() {
-            self.keepers.entry(service.clone()).or_insert_with(|| {
-                let mut keeper = Keeper::new(self.cfg, service);
-                keeper.begin(self.contact, Mono::default());
-                keeper
+        due.wait_ms = LEADER_WAIT_MS;
+        self.clear_rivals(now, &office, cluster);
+        for service in cluster.sharded() {
+            self.leaders.entry(service.clone()).or_insert_with(|| {
+                let mut leader = Leader::new(self.cfg, service);
+                leader.begin(self.contact, Mono::default());
+                leader
             });
         }
-        self.placing.place(now, beliefs, &mut self.keepers);
-        for keeper in self.keepers.values_mut() {
-            for action in keeper.step(now, &beliefs.registry) {
+        self.placing.place(now, cluster, &mut self.leaders);
+        for leader in self.leaders.values_mut() {
+            for action in leader.step(now, &cluster.registry) {
                 match action {
                     Action::Order(order) => due.orders.push(order),
                     Action::Write {
@@ -300,29 +300,29 @@
         due
     }
 
-    /// Lifts the wait for earlier keepers once all are known to have stopped.
-    fn clear_rivals(&mut self, now: Mono, office: &KeeperRow, beliefs: &Beliefs) {
+    /// Lifts the wait for earlier leaders once all are known to have stopped.
+    fn clear_rivals(&mut self, now: Mono, office: &LeaderRow, cluster: &Cluster) {
         if self.cleared || office.former.is_empty() {
             return;
         }
-        let sights = beliefs.peers.sights();
+        let sights = cluster.peers.sights();
         let stopped = |former: &Former| {
             former.session.instance == self.me.instance
                 || election::has_stopped(&former.session, office.term, &sights)
         };
         if office.former.iter().all(stopped) {
             self.cleared = true;
-            log::info!(term = office.term; "earlier keepers have stopped");
-            for keeper in self.keepers.values_mut() {
-                keeper.rival_stopped(now);
+            log::info!(term = office.term; "earlier leaders have stopped");
+            for leader in self.leaders.values_mut() {
+                leader.rival_stopped(now);
             }
         }
     }
 
-    /// Takes earlier keepers out of the row once they cannot have given holds.
+    /// Takes earlier leaders out of the row once they cannot have given holds.
     ///
     /// Failure: an instance that kept is gone for good and never says that it has
-    /// stopped. Left in the row, each later keeper would wait for it anew before it
+    /// stopped. Left in the row, each later leader would wait for it anew before it
     /// gives the keys of a dead endpoint to another.
     fn forget_former(&mut self, now: Mono) -> Option<Change> {
         let office = self
@@ -333,22 +333,22 @@
         if !free || self.claiming || now < self.claim_after {
             return None;
         }
-        let value = own_rows::keeper_value(&self.me, office.term, Vec::new());
+        let value = own_rows::leader_value(&self.me, office.term, Vec::new());
         let value = value
-            .inspect_err(|e| log::error!(cause = e.to_string(); "keeper row not written"))
+            .inspect_err(|e| log::error!(cause = e.to_string(); "leader row not written"))
             .ok()?;
         self.claiming = true;
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
         Some(Change {
-            unless_changed: vec![(own_rows::KEEPER_KEY.to_owned(), office.version)],
-            put: vec![(own_rows::KEEPER_KEY.to_owned(), value)],
+            unless_changed: vec![(own_rows::LEADER_KEY.to_owned(), office.version)],
+            put: vec![(own_rows::LEADER_KEY.to_owned(), value)],
         })
     }
 
     fn situation<'a>(
         &'a self,
         unfit: bool,
-        beliefs: &'a Beliefs,
+        cluster: &'a Cluster,
         peers: &'a [PeerSight],
     ) -> Situation<'a> {
         Situation {
@@ -357,53 +357,53 @@
             started: self.started,
             unfit,
             strength: self.strength,
-            row: beliefs.keeper.as_ref(),
-            row_seen: beliefs.keeper_seen,
+            row: cluster.leader.as_ref(),
+            row_seen: cluster.leader_seen,
             peers,
         }
     }
 
     /// Whether this instance is among those that follow the store while nobody tells the
     /// others of it.
-    pub(super) fn watches(&self, now: Mono, beliefs: &Beliefs) -> bool {
-        let peers = beliefs.peers.sights();
-        election::watches(now, &self.situation(false, beliefs, &peers))
+    pub(super) fn watches(&self, now: Mono, cluster: &Cluster) -> bool {
+        let peers = cluster.peers.sights();
+        election::watches(now, &self.situation(false, cluster, &peers))
     }
 
-    fn claim(&mut self, now: Mono, beliefs: &Beliefs, stopping: bool) -> Option<Change> {
+    fn claim(&mut self, now: Mono, cluster: &Cluster, stopping: bool) -> Option<Change> {
         if self.claiming || now < self.claim_after || self.office.is_some() {
             return None;
         }
-        let peers = beliefs.peers.sights();
-        let unfit = stopping || self.is_unfit(now, beliefs) || !beliefs.own_loaded();
-        if !election::should_claim(now, &self.situation(unfit, beliefs, &peers)) {
+        let peers = cluster.peers.sights();
+        let unfit = stopping || self.is_unfit(now, cluster) || !cluster.own_loaded();
+        if !election::should_claim(now, &self.situation(unfit, cluster, &peers)) {
             return None;
         }
-        let row = beliefs.keeper.as_ref();
+        let row = cluster.leader.as_ref();
         let term = row.map_or(0, |row| row.term).max(self.term) + 1;
-        let store_ms = beliefs.store_ms(now)?;
+        let store_ms = cluster.store_ms(now)?;
         let wait_ms = self.cfg.rival_wait_ms() + CLOCK_MARGIN_MS;
         let former = election::former_after(row, &peers, store_ms, wait_ms);
         let expected = row.map_or(Version(0), |row| row.version);
-        let value = match own_rows::keeper_value(&self.me, term, former) {
+        let value = match own_rows::leader_value(&self.me, term, former) {
             Ok(value) => value,
             Err(e) => {
-                log::error!(cause = e.to_string(); "keeper row not written");
+                log::error!(cause = e.to_string(); "leader row not written");
                 return None;
             }
         };
-        log::info!(term; "claiming the keeper's duty");
+        log::info!(term; "claiming the leader's duty");
         self.claiming = true;
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
         Some(Change {
-            unless_changed: vec![(own_rows::KEEPER_KEY.to_owned(), expected)],
-            put: vec![(own_rows::KEEPER_KEY.to_owned(), value)],
+            unless_changed: vec![(own_rows::LEADER_KEY.to_owned(), expected)],
+            put: vec![(own_rows::LEADER_KEY.to_owned(), value)],
         })
     }
 }
 
 fn row_write(
-    office: &KeeperRow,
+    office: &LeaderRow,
     service: ServiceName,
     row: Assignment,
     expected: Version,
@@ -415,7 +415,7 @@
         row,
         change: Change {
             unless_changed: vec![
-                (own_rows::KEEPER_KEY.to_owned(), office.version),
+                (own_rows::LEADER_KEY.to_owned(), office.version),
                 (key.clone(), expected),
             ],
             put: vec![(key, value)],
--- a/crates/citronway/src/gateway/control/entries.rs
+++ b/crates/citronway/src/gateway/control/entries.rs
@@ -10,7 +10,7 @@
 use citronway_core::ids::{EndpointName, Version};
 use citronway_core::time::Mono;
 
-use super::beliefs::Beliefs;
+use super::cluster::Cluster;
 use super::unusable::Source;
 
 /// What an entry says.
@@ -21,7 +21,7 @@
     Unusable(String),
 }
 
-impl Beliefs {
+impl Cluster {
     /// Takes entries; `whole` is the version of the store if these are all there are.
     pub(super) fn endpoint_rows(&mut self, now: Mono, rows: &[Row], whole: Option<Version>) {
         if let Some(version) = whole {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -1,6 +1,6 @@
 //! Follows the store, tells the other instances what is in flight and keeps keys.
 
-mod beliefs;
+mod cluster;
 mod duty;
 mod entries;
 mod orders;
@@ -17,8 +17,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use citronway_core::gateway::desk::View;
-use citronway_core::gateway::keeper::{Order, OrderResult, WriteResult};
+use citronway_core::gateway::admission::View;
+use citronway_core::gateway::leader::{Order, OrderResult, WriteResult};
 use citronway_core::gateway::report::{self, Report};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
@@ -31,9 +31,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
-use beliefs::{Beliefs, StoreSight};
+use cluster::{Cluster, StoreSight};
 use duty::Duty;
-use orders::OrderDesk;
+use orders::OrderClient;
 use peers::InstanceRow;
 use store::{Follow, Follower, News, Store, StoreError};
 
@@ -48,15 +48,15 @@
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(25);
 
-/// Time after the start in which the keeper's relays are waited for, in milliseconds:
+/// Time after the start in which the leader's relays are waited for, in milliseconds:
 /// its election takes up to 1 s where all instances start together, and changes have to
 /// be in force within 2 s.
 const FIRST_REST_MS: u64 = 1_200;
 
-/// How long this instance rests on after the keeper has stopped to pass rows on, in
+/// How long this instance rests on after the leader has stopped to pass rows on, in
 /// milliseconds.
 ///
-/// Load: a keeper that is lost had each of 89 instances ask for three tables at once, 640
+/// Load: a leader that is lost had each of 89 instances ask for three tables at once, 640
 /// calls. A successor is there 0.4 s after the silence is noticed; changes have to be in
 /// force within 2 s.
 const UNTOLD_REST_MS: u64 = 700;
@@ -112,18 +112,18 @@
     view: watch::Sender<View>,
     seen: mpsc::Receiver<Seen>,
     stop: watch::Sender<bool>,
-    beliefs: Beliefs,
+    cluster: Cluster,
     duty: Duty,
-    orders: OrderDesk,
+    orders: OrderClient,
     reports: u64,
-    /// What was seen since the last report to the keeper, and since that to the others.
+    /// What was seen since the last report to the leader, and since that to the others.
     unreported: [report::Seen; 2],
     follows: [(Table, Arc<Follow>); 3],
     started: Mono,
     stopping: bool,
-    /// It was the keeper at the last look.
+    /// It was the leader at the last look.
     kept: bool,
-    /// When a keeper last passed rows on.
+    /// When a leader last passed rows on.
     told_at: Mono,
 }
 
@@ -138,7 +138,7 @@
     ) -> Self {
         let started = clock::mono();
         Self {
-            beliefs: Beliefs::new(&cfg),
+            cluster: Cluster::new(&cfg),
             duty: Duty::new(me.clone(), cfg.strength, started),
             cfg,
             me,
@@ -148,7 +148,7 @@
             view: ends.view,
             seen: ends.seen,
             stop: ends.stop,
-            orders: OrderDesk::default(),
+            orders: OrderClient::default(),
             reports: 0,
             unreported: Default::default(),
             follows: Table::ALL.map(|table| (table, Follow::new())),
@@ -232,11 +232,11 @@
                 if let News::Changed { relay, .. } = &news {
                     self.pass_on(socket, relay);
                 }
-                if self.beliefs.news(now, table, news) == StoreSight::Regained {
+                if self.cluster.news(now, table, news) == StoreSight::Regained {
                     self.ask_all();
                 }
                 if table == Table::Own {
-                    self.duty.rows_seen(now, asked, &self.beliefs);
+                    self.duty.rows_seen(now, asked, &self.cluster);
                 }
             }
             Event::Ordered { order, result } => {
@@ -256,7 +256,7 @@
     /// Has tables that were not answered asked for now.
     fn ask_all(&self) {
         for (table, follow) in &self.follows {
-            if self.beliefs.is_lost(*table) {
+            if self.cluster.is_lost(*table) {
                 follow.refresh.notify_one();
             }
         }
@@ -265,8 +265,8 @@
     /// Does what is due.
     fn work(&mut self, events: &mpsc::Sender<Event>) {
         let now = clock::mono();
-        self.beliefs.expire(now);
-        let due = self.duty.step(now, &mut self.beliefs, self.stopping);
+        self.cluster.expire(now);
+        let due = self.duty.step(now, &mut self.cluster, self.stopping);
         for (_, follow) in &self.follows {
             follow.wait_ms.store(due.wait_ms, Ordering::Relaxed);
         }
@@ -290,47 +290,47 @@
             let events = events.clone();
             tokio::spawn(async move {
                 match Store::new(address).change(&claim).await {
-                    Ok(version) => log::info!(version = version.0; "keeper row written"),
-                    Err(e) => log::info!(cause = e.to_string(); "keeper row not written"),
+                    Ok(version) => log::info!(version = version.0; "leader row written"),
+                    Err(e) => log::info!(cause = e.to_string(); "leader row not written"),
                 }
                 let _ = events.send(Event::Claimed).await;
             });
         }
-        for (source, count) in self.beliefs.unusable.take_counts() {
+        for (source, count) in self.cluster.unusable.take_counts() {
             self.metrics.unusable(source, count);
         }
-        if self.beliefs.take_changed() {
+        if self.cluster.take_changed() {
             self.publish(now);
         }
         self.refresh_stale(now);
-        let ready = !self.stopping && self.beliefs.is_ready(now);
+        let ready = !self.stopping && self.cluster.is_ready(now);
         if self.ready.set(ready) {
             log::info!(ready; "readiness changed");
         }
     }
 
     fn publish(&mut self, now: Mono) {
-        let view = self.beliefs.view(now);
+        let view = self.cluster.view(now);
         self.view.send_replace(view);
     }
 
     /// Has tables read anew of which others have seen newer versions for a while.
     fn refresh_stale(&mut self, now: Mono) {
-        for table in self.beliefs.stale_tables(now) {
+        for table in self.cluster.stale_tables(now) {
             log::info!(table = table.word(); "others see newer rows, asking anew");
             self.follow(table).refresh.notify_one();
         }
     }
 
-    /// Rests while a fit keeper passes rows on, and asks the store otherwise.
+    /// Rests while a fit leader passes rows on, and asks the store otherwise.
     fn rest_or_poll(&mut self, now: Mono) {
         let keeps = self.duty.in_office();
-        // A keeper that is there is heard within a moment; polls of all instances that
+        // A leader that is there is heard within a moment; polls of all instances that
         // start together would be answered anew with each one that lists itself.
         let begins_to_hear = now.since(self.started) < FIRST_REST_MS;
         let is_told = self.is_told(now);
         let rests = !keeps && (begins_to_hear || is_told);
-        // A poll that began before this instance kept waits for longer than a keeper
+        // A poll that began before this instance kept waits for longer than a leader
         // may go without being confirmed.
         let begins = keeps && !self.kept;
         self.kept = keeps;
@@ -342,17 +342,17 @@
         }
     }
 
-    /// Whether a keeper passes rows on, or the next one can be waited for.
+    /// Whether a leader passes rows on, or the next one can be waited for.
     fn is_told(&mut self, now: Mono) -> bool {
-        if self.beliefs.is_told(now) {
+        if self.cluster.is_told(now) {
             self.told_at = now;
             return true;
         }
-        let watches = self.duty.in_office() || self.duty.watches(now, &self.beliefs);
+        let watches = self.duty.in_office() || self.duty.watches(now, &self.cluster);
         let patience = if watches {
             1
         } else {
-            let instances = self.beliefs.peers.heard(now) as u64;
+            let instances = self.cluster.peers.heard(now) as u64;
             instances.div_ceil(ASK_OFTEN_UP_TO).max(1)
         };
         for (_, follow) in &self.follows {
@@ -367,7 +367,7 @@
         if at == 0 {
             return;
         }
-        if relay.after.0 > at || !self.beliefs.can_patch(relay) {
+        if relay.after.0 > at || !self.cluster.can_patch(relay) {
             // Something in between was lost.
             follow.refresh.notify_one();
             return;
@@ -380,9 +380,9 @@
         }
         let now = clock::mono();
         let table = relay.table;
-        self.beliefs.relayed(now, relay);
+        self.cluster.relayed(now, relay);
         if table == Table::Own {
-            self.duty.rows_relayed(&self.beliefs);
+            self.duty.rows_relayed(&self.cluster);
         }
     }
 
@@ -390,17 +390,17 @@
         match datagram::decode(bytes) {
             Ok(Datagram::Report(report)) => self.report_came(&report),
             Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
-            Ok(Datagram::Totals(totals)) => self.beliefs.peers.totals(clock::mono(), totals),
+            Ok(Datagram::Totals(totals)) => self.cluster.peers.totals(clock::mono(), totals),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
         }
     }
 
     fn report_came(&mut self, report: &Report) {
         let now = clock::mono();
-        if report.instance == self.me.instance || !self.beliefs.peers.report(now, report) {
+        if report.instance == self.me.instance || !self.cluster.peers.report(now, report) {
             return;
         }
-        self.beliefs.traffic_seen(now, report);
+        self.cluster.traffic_seen(now, report);
         self.duty.traffic_seen(now, report);
         self.duty.term_heard(report.term);
     }
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -1,11 +1,11 @@
-//! Carries the keeper's orders out.
+//! Carries the leader's orders out.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use citronway_core::gateway::keeper::{Order, OrderKind, OrderResult};
+use citronway_core::gateway::leader::{Order, OrderKind, OrderResult};
 use citronway_platform::orders;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
@@ -16,16 +16,16 @@
 
 /// Idle connections for orders, by address.
 #[derive(Debug, Clone, Default)]
-pub(super) struct OrderDesk {
+pub(super) struct OrderClient {
     links: Rc<RefCell<IndexMap<SocketAddr, Vec<Link>>>>,
 }
 
-impl OrderDesk {
+impl OrderClient {
     /// Starts an order; its result comes as an event.
     pub(super) fn start(&self, order: Order, events: mpsc::Sender<Event>) {
-        let desk = self.clone();
+        let admission = self.clone();
         tokio::task::spawn_local(async move {
-            let result = desk.carry_out(&order).await;
+            let result = admission.carry_out(&order).await;
             log_result(&order, &result);
             // Nobody is left to be told when the process ends.
             let _ = events.send(Event::Ordered { order, result }).await;
@@ -34,7 +34,7 @@
 
     async fn carry_out(&self, order: &Order) -> OrderResult {
         // Failure: this thread is busy and starts the call long after it was decided. Its
-        // keeper counts from the decision, and gives the keys on before the hold ends.
+        // leader counts from the decision, and gives the keys on before the hold ends.
         let left_ms = order.until.since(clock::mono());
         if left_ms == 0 {
             return OrderResult::TooLate;
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -1,20 +1,23 @@
 //! Rows of the product's own table: their keys, stored forms, and what they change.
 
+use citronway_core::gateway::admission::Owners;
 use citronway_core::gateway::assignment::{Assignment, RowError};
-use citronway_core::gateway::desk::Owners;
-use citronway_core::gateway::election::{Former, KeeperRow};
+use citronway_core::gateway::election::{Former, LeaderRow};
 use citronway_core::gateway::rows::{Patch, Relay, Row};
 use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
 use citronway_core::time::Mono;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
-use super::beliefs::Beliefs;
+use super::cluster::Cluster;
 use super::peers::InstanceRow;
 use super::unusable::Source;
 
-/// Key of the row that names the keeper.
-pub(super) const KEEPER_KEY: &str = "keeper";
+/// Key of the row that names the leader.
+///
+/// It is as in the version before: while all instances are restarted in turn, both versions
+/// have to see one leader.
+pub(super) const LEADER_KEY: &str = "keeper";
 
 /// Keys of assignments begin so; the service follows.
 const KEYS_PREFIX: &str = "keys/";
@@ -22,21 +25,21 @@
 /// Keys of the instances' rows begin so; the name follows.
 const INSTANCE_PREFIX: &str = "instance/";
 
-/// Stored form of the keeper's row.
+/// Stored form of the leader's row.
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredKeeper {
+struct StoredLeader {
     session: Session,
     term: u64,
     former: Vec<Former>,
 }
 
-impl Beliefs {
+impl Cluster {
     pub(super) fn own_rows(&mut self, now: Mono, rows: &[Row]) {
         for row in rows {
             let Some(value) = &row.value else { continue };
             let key = row.key.as_str();
-            let taken = if key == KEEPER_KEY {
-                self.keeper_row(now, row.version, value)
+            let taken = if key == LEADER_KEY {
+                self.leader_row(now, row.version, value)
             } else if let Some(service) = key.strip_prefix(KEYS_PREFIX) {
                 self.assignment_row(&ServiceName::new(service), row.version, value)
             } else if let Some(name) = key.strip_prefix(INSTANCE_PREFIX) {
@@ -57,25 +60,25 @@
         Ok(())
     }
 
-    fn keeper_row(&mut self, now: Mono, version: Version, value: &[u8]) -> Result<(), RowError> {
-        let stored = serde_json::from_slice::<StoredKeeper>(value)?;
+    fn leader_row(&mut self, now: Mono, version: Version, value: &[u8]) -> Result<(), RowError> {
+        let stored = serde_json::from_slice::<StoredLeader>(value)?;
         if self
-            .keeper
+            .leader
             .as_ref()
             .is_some_and(|row| row.version >= version)
         {
             return Ok(());
         }
         if self
-            .keeper
+            .leader
             .as_ref()
             .is_none_or(|row| row.term < stored.term)
         {
             let instance = stored.session.instance.as_str();
-            log::info!(instance, term = stored.term; "keeper");
-            self.keeper_seen = now;
+            log::info!(instance, term = stored.term; "leader");
+            self.leader_seen = now;
         }
-        self.keeper = Some(KeeperRow {
+        self.leader = Some(LeaderRow {
             instance: stored.session.instance,
             session: stored.session.id,
             term: stored.term,
@@ -191,13 +194,13 @@
     format!("{KEYS_PREFIX}{service}")
 }
 
-/// Stored form of a keeper's row.
-pub(super) fn keeper_value(
+/// Stored form of a leader's row.
+pub(super) fn leader_value(
     me: &Session,
     term: u64,
     former: Vec<Former>,
 ) -> Result<Vec<u8>, serde_json::Error> {
-    serde_json::to_vec(&StoredKeeper {
+    serde_json::to_vec(&StoredLeader {
         session: me.clone(),
         term,
         former,
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use citronway_core::gateway::desk::Standing;
-use citronway_core::gateway::election::{KeeperRow, PeerSight};
+use citronway_core::gateway::admission::Standing;
+use citronway_core::gateway::election::{LeaderRow, PeerSight};
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::report::{
     EndpointTotal, EndpointUse, REPORT_MS, Report, Totals, Versions, looks_a_report,
@@ -18,7 +18,7 @@
 const STALE_MS: u64 = 1_000;
 const STALE_REPORTS: u64 = 3;
 
-/// Silence of the keeper after which its rows are no longer waited for, in
+/// Silence of the leader after which its rows are no longer waited for, in
 /// milliseconds: six reports.
 const QUIET_MS: u64 = 600;
 
@@ -37,7 +37,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Peers {
     all: IndexMap<InstanceName, Peer>,
-    /// Sums that the keeper told last, and when.
+    /// Sums that the leader told last, and when.
     totals: Option<(Totals, Mono)>,
 }
 
@@ -96,7 +96,7 @@
         })
     }
 
-    /// Takes the sums of a keeper; older ones are ignored.
+    /// Takes the sums of a leader; older ones are ignored.
     pub(super) fn totals(&mut self, now: Mono, totals: Totals) {
         let newest = self.totals.as_ref().map(|(t, _)| (t.term, t.number));
         if newest.is_none_or(|newest| newest < (totals.term, totals.number)) {
@@ -104,7 +104,7 @@
         }
     }
 
-    /// The sums that a keeper told a moment ago.
+    /// The sums that a leader told a moment ago.
     pub(super) fn fresh_totals(&self, now: Mono) -> Option<&Totals> {
         let (totals, at) = self.totals.as_ref()?;
         (now.since(*at) < STALE_MS).then_some(totals)
@@ -157,18 +157,18 @@
         newest
     }
 
-    /// Whether the keeper that the row names is heard and reaches the store.
-    pub(super) fn passes_rows(&self, now: Mono, keeper: &KeeperRow) -> bool {
+    /// Whether the leader that the row names is heard and reaches the store.
+    pub(super) fn passes_rows(&self, now: Mono, leader: &LeaderRow) -> bool {
         let sight = self
             .all
-            .get(&keeper.instance)
+            .get(&leader.instance)
             .and_then(|peer| peer.sight.as_ref());
         sight.is_some_and(|sight| {
-            sight.session == keeper.session
+            sight.session == leader.session
                 && now.since(sight.heard) < QUIET_MS
                 && !sight.unfit
                 && !sight.stopping
-                && sight.term <= keeper.term
+                && sight.term <= leader.term
         })
     }
 
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -1,7 +1,7 @@
-//! Looks at the load of keys and endpoints and has the keepers begin moves.
+//! Looks at the load of keys and endpoints and has the leaders begin moves.
 
-use citronway_core::gateway::keeper::Keeper;
 use citronway_core::gateway::keyload::KeyLoads;
+use citronway_core::gateway::leader::Leader;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::placement::{self, Place, Scene};
 use citronway_core::gateway::registry::Known;
@@ -10,7 +10,7 @@
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 
-use super::beliefs::Beliefs;
+use super::cluster::Cluster;
 
 /// Time between two looks at the placement, in milliseconds: as often as reports come.
 const PLACE_MS: u64 = 100;
@@ -46,7 +46,7 @@
 }
 
 impl Placing {
-    /// Begins without knowledge of loads, as a new keeper does.
+    /// Begins without knowledge of loads, as a new leader does.
     pub(super) fn begin(&mut self) {
         self.loads.clear();
     }
@@ -75,19 +75,19 @@
     pub(super) fn place(
         &mut self,
         now: Mono,
-        beliefs: &Beliefs,
-        keepers: &mut IndexMap<ServiceName, Keeper>,
+        cluster: &Cluster,
+        leaders: &mut IndexMap<ServiceName, Leader>,
     ) {
         if now < self.after {
             return;
         }
         self.after = now.plus(PLACE_MS);
-        for (service, keeper) in keepers {
-            keeper.forget_absent(&beliefs.registry);
-            if keeper.row().ranges.is_empty() {
-                found(now, beliefs, service, keeper);
-            } else if !keeper.is_cut_off(now) {
-                self.move_keys(now, beliefs, service, keeper);
+        for (service, leader) in leaders {
+            leader.forget_absent(&cluster.registry);
+            if leader.row().ranges.is_empty() {
+                found(now, cluster, service, leader);
+            } else if !leader.is_cut_off(now) {
+                self.move_keys(now, cluster, service, leader);
             }
         }
     }
@@ -95,18 +95,18 @@
     fn move_keys(
         &mut self,
         now: Mono,
-        beliefs: &Beliefs,
+        cluster: &Cluster,
         service: &ServiceName,
-        keeper: &mut Keeper,
+        leader: &mut Leader,
     ) {
         let work_ms = self.work_ms.get(service).copied().unwrap_or(FIRST_WORK_MS);
-        let listed = beliefs.registry.of(service);
-        let waiting = beliefs.waiting(now);
+        let listed = cluster.registry.of(service);
+        let waiting = cluster.waiting(now);
         let queues = |tag, slots| waiting.get(&tag).is_some_and(|count| *count > slots);
         let places: Vec<_> = listed
             .map(|known| {
                 let queue = queues(EndpointTag::of(&known.listing.start), known.listing.slots);
-                place_of(now, beliefs, keeper, known, work_ms, queue)
+                place_of(now, cluster, leader, known, work_ms, queue)
             })
             .collect();
         let loads = self
@@ -115,7 +115,7 @@
             .or_insert_with(|| new_loads(now));
         loads.fade(now);
         let scene = Scene {
-            row: keeper.row(),
+            row: leader.row(),
             load: loads,
             places: &places,
         };
@@ -125,7 +125,7 @@
         }
         self.after = now.plus(AFTER_MOVES_MS);
         log::info!(service = service.as_str(), moves = moves.len(); "moves begin");
-        keeper.start(&moves, &beliefs.registry);
+        leader.start(&moves, &cluster.registry);
     }
 }
 
@@ -134,31 +134,31 @@
 }
 
 /// Divides the keys of a service for the first time.
-fn found(now: Mono, beliefs: &Beliefs, service: &ServiceName, keeper: &mut Keeper) {
-    let listed: Vec<_> = beliefs.registry.of(service).collect();
+fn found(now: Mono, cluster: &Cluster, service: &ServiceName, leader: &mut Leader) {
+    let listed: Vec<_> = cluster.registry.of(service).collect();
     let first = listed.iter().map(|known| known.first_seen).min();
     if first.is_none_or(|at| now.since(at) < FOUND_AFTER_MS) {
         return;
     }
     let usable = listed.iter().filter(|known| known.takes_work());
     let usable: Vec<_> = usable.map(|known| &known.listing).collect();
-    keeper.found(&usable);
+    leader.found(&usable);
 }
 
 /// An endpoint as the placement sees it.
 fn place_of(
     now: Mono,
-    beliefs: &Beliefs,
-    keeper: &Keeper,
+    cluster: &Cluster,
+    leader: &Leader,
     known: &Known,
     work_ms: f64,
     queue: bool,
 ) -> Place {
     let listing = &known.listing;
     let tag = EndpointTag::of(&listing.start);
-    let healthy = 1.0 - beliefs.paces.failing(now, tag).min(MOST_FAILING);
-    let lost = keeper.is_lost(now, &listing.start);
-    let taken_ms = work_ms * beliefs.paces.slowness(now, tag);
+    let healthy = 1.0 - cluster.paces.failing(now, tag).min(MOST_FAILING);
+    let lost = leader.is_lost(now, &listing.start);
+    let taken_ms = work_ms * cluster.paces.slowness(now, tag);
     Place {
         endpoint: listing.start.clone(),
         capacity: f64::from(listing.slots) * 1_000.0 * healthy / taken_ms,
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -1,4 +1,4 @@
-//! What this instance tells the others: its reports, and rows as their keeper.
+//! What this instance tells the others: its reports, and rows as their leader.
 
 use std::net::SocketAddr;
 
@@ -12,16 +12,16 @@
 use crate::clock;
 use crate::gateway::traffic::Seen;
 
-/// Of how many looks at the traffic one is reported to the keeper at least: hot ranges
+/// Of how many looks at the traffic one is reported to the leader at least: hot ranges
 /// are cut up by what it hears, and their callers queue meanwhile.
-const KEEPER_LOOKS: u64 = 2;
+const LEADER_LOOKS: u64 = 2;
 
 /// Who gets a datagram.
 #[derive(Debug, Clone, Copy)]
 enum Audience {
     All,
-    /// The keeper has reports of its own.
-    AllButKeeper,
+    /// The leader has reports of its own.
+    AllButLeader,
     /// The same, in this instance's availability zone.
     OwnZone,
     /// The same, in all others.
@@ -34,13 +34,13 @@
         let now = clock::mono();
         self.reports += 1;
         self.duty.work_seen(&seen.work_ms);
-        let instances = self.beliefs.peers.heard(now) + 1;
-        // The keeper is heard often enough that its silence is soon noticed.
+        let instances = self.cluster.peers.heard(now) + 1;
+        // The leader is heard often enough that its silence is soon noticed.
         let keeps = self.duty.in_office();
         let looks = looks_a_report(instances);
-        let [keeper_looks, other_looks] = [KEEPER_LOOKS.min(looks), looks].map(|looks| {
+        let [leader_looks, other_looks] = [LEADER_LOOKS.min(looks), looks].map(|looks| {
             if keeps {
-                KEEPER_LOOKS.min(looks)
+                LEADER_LOOKS.min(looks)
             } else {
                 looks
             }
@@ -48,12 +48,12 @@
         for unreported in &mut self.unreported {
             unreported.add(seen.looked.clone());
         }
-        if self.reports.is_multiple_of(keeper_looks) {
+        if self.reports.is_multiple_of(leader_looks) {
             let seen = std::mem::take(&mut self.unreported[0]);
             let report = self.report(now, seen);
             self.duty.traffic_seen(now, &report);
-            self.beliefs.own_traffic(&report);
-            self.send_to_keeper(socket, report);
+            self.cluster.own_traffic(&report);
+            self.send_to_leader(socket, report);
             if keeps && looks > 1 {
                 self.tell_totals(now, socket);
             }
@@ -62,14 +62,14 @@
             return;
         }
         let mut seen = std::mem::take(&mut self.unreported[1]);
-        // Only the keeper places keys.
+        // Only the leader places keys.
         seen.keys.clear();
         let report = self.report(now, seen);
-        self.beliefs.traffic_seen(now, &report);
+        self.cluster.traffic_seen(now, &report);
         if looks == 1 {
-            self.send_all(socket, &Datagram::Report(report), Audience::AllButKeeper);
+            self.send_all(socket, &Datagram::Report(report), Audience::AllButLeader);
         } else {
-            let has_totals = self.beliefs.peers.fresh_totals(now).is_some();
+            let has_totals = self.cluster.peers.fresh_totals(now).is_some();
             let brief = Datagram::Report(report.brief(keeps || has_totals));
             self.send_all(socket, &Datagram::Report(report), Audience::OwnZone);
             self.send_all(socket, &brief, Audience::OtherZones);
@@ -82,7 +82,7 @@
         let totals = Totals {
             term: self.duty.term(),
             number: self.reports,
-            endpoints: self.beliefs.contended(now),
+            endpoints: self.cluster.contended(now),
         };
         self.send_all(socket, &Datagram::Totals(totals), Audience::All);
     }
@@ -96,17 +96,17 @@
             session: self.me.id,
             number: self.reports,
             stopping: self.stopping,
-            unfit: self.duty.is_unfit(now, &self.beliefs),
+            unfit: self.duty.is_unfit(now, &self.cluster),
             strength: self.cfg.strength,
             term: self.duty.term(),
-            seen: self.beliefs.seen(),
+            seen: self.cluster.seen(),
             endpoints: seen.endpoints,
             keys: seen.keys,
         }
     }
 
-    fn send_to_keeper(&self, socket: &UdpSocket, report: Report) {
-        let Some(address) = self.beliefs.keeper_address() else {
+    fn send_to_leader(&self, socket: &UdpSocket, report: Report) {
+        let Some(address) = self.cluster.leader_address() else {
             return;
         };
         let bytes = datagram::encode(&Datagram::Report(report));
@@ -115,14 +115,14 @@
 
     fn send_all(&self, socket: &UdpSocket, content: &Datagram, audience: Audience) {
         let bytes = datagram::encode(content);
-        let keeper = self.beliefs.keeper_address();
-        for (address, zone) in self.beliefs.peers.addresses() {
+        let leader = self.cluster.leader_address();
+        for (address, zone) in self.cluster.peers.addresses() {
             let near = zone == Some(&self.cfg.zone);
             let is_meant = match audience {
                 Audience::All => true,
-                Audience::AllButKeeper => Some(address) != keeper,
-                Audience::OwnZone => near && Some(address) != keeper,
-                Audience::OtherZones => !near && Some(address) != keeper,
+                Audience::AllButLeader => Some(address) != leader,
+                Audience::OwnZone => near && Some(address) != leader,
+                Audience::OtherZones => !near && Some(address) != leader,
             };
             if is_meant {
                 self.send(socket, &bytes, address);
@@ -145,7 +145,7 @@
         if !self.duty.in_office() {
             return;
         }
-        let relay = self.beliefs.with_patches(relay);
+        let relay = self.cluster.with_patches(relay);
         self.send_all(socket, &Datagram::Relay(relay), Audience::All);
     }
 }
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -28,12 +28,12 @@
 /// the instance then goes without news after the store is back.
 pub(super) const IDLE_WAIT_MS: u64 = 5_000;
 
-/// Long polls of the keeper, in milliseconds.
+/// Long polls of the leader, in milliseconds.
 ///
-/// Each answer confirms it. The others learn of changes from the keeper and have two
-/// seconds for it; when the store falls silent for the keeper alone, this and
+/// Each answer confirms it. The others learn of changes from the leader and have two
+/// seconds for it; when the store falls silent for the leader alone, this and
 /// [`CALL_LIMIT`] pass before they ask for themselves.
-pub(super) const KEEPER_WAIT_MS: u64 = 1_000;
+pub(super) const LEADER_WAIT_MS: u64 = 1_000;
 
 /// First and longest pause after a call that failed, in milliseconds.
 const PAUSE_MS: (u64, u64) = (100, 1_000);
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -6,8 +6,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-use citronway_core::gateway::desk::RefusalReason;
-use citronway_core::gateway::keeper::{OrderKind, OrderResult};
+use citronway_core::gateway::admission::RefusalReason;
+use citronway_core::gateway::leader::{OrderKind, OrderResult};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
 use prometheus_client::encoding::{EncodeLabelSet, text};
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Two threads: `traffic` takes callers' requests and sends them to endpoints,
 //! `control` follows the store, tells the other instances what is in flight and,
-//! where this instance is the keeper, grants keys. A bounded ring carries what the
+//! where this instance is the leader, grants keys. A bounded ring carries what the
 //! traffic saw to `control`; the view that `control` publishes goes the other way.
 //! A third thread writes the logs.
 
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::thread;
 
-use citronway_core::gateway::desk::View;
+use citronway_core::gateway::admission::View;
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{Session, SessionId};
 use tokio::runtime::Builder;
--- a/crates/citronway/src/gateway/traffic/journey.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use citronway_core::gateway::admission::{Choice, Decision, Job, Refusal, RefusalReason};
 use citronway_core::gateway::assignment::Range;
-use citronway_core::gateway::desk::{Choice, Job, Refusal, RefusalReason, Verdict};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
@@ -55,7 +55,7 @@
 }
 
 /// A request on its way.
-pub(super) struct Journey<'a> {
+pub(super) struct Forwarding<'a> {
     pub state: &'a Rc<State>,
     pub route: &'a Route,
     pub words: &'a CallerWords,
@@ -118,7 +118,7 @@
     TimedOut,
 }
 
-impl Journey<'_> {
+impl Forwarding<'_> {
     /// Sends it until it is answered or nothing is left to try.
     pub(super) async fn travel(mut self) -> Outcome {
         let outcome = self.try_all().await;
@@ -132,9 +132,9 @@
     async fn try_all(&mut self) -> Outcome {
         loop {
             let choice = match self.state.place(self.job.clone()).await {
-                Some(Verdict::Send(choice)) => choice,
-                Some(Verdict::Refuse(refusal)) => {
-                    self.log_beliefs(refusal.reason);
+                Some(Decision::Send(choice)) => choice,
+                Some(Decision::Refuse(refusal)) => {
+                    self.log_inputs(refusal.reason);
                     return self.refused(refusal);
                 }
                 None => return self.spent(RefusalReason::Overloaded),
@@ -202,7 +202,7 @@
     }
 
     /// Logs what a refusal was decided by, with versions.
-    fn log_beliefs(&self, reason: RefusalReason) {
+    fn log_inputs(&self, reason: RefusalReason) {
         let request = shown_id(self.words);
         let service = self.job.service.as_str();
         let key = self.job.key;
@@ -244,7 +244,7 @@
 
     fn refused_by(&self, choice: &Choice, meaning: Meaning) {
         match (meaning, choice.fence) {
-            (Meaning::Misdirected, Some(fence)) => self.state.disowned(&self.job, fence),
+            (Meaning::Misdirected, Some(fence)) => self.state.not_held(&self.job, fence),
             (Meaning::Misdirected, None) => self.state.gone(&choice.endpoint),
             _ => self.state.refused(&choice.endpoint),
         }
@@ -263,7 +263,7 @@
         self.has_time(now) && self.state.take_second_send(now, &self.job.service)
     }
 
-    /// Ends a request that was refused at the desk.
+    /// Ends a request that was refused at admission.
     fn refused(&self, refusal: Refusal) -> Outcome {
         if self.run_by.is_empty() {
             return Outcome::NotRun(refusal);
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -1,7 +1,7 @@
 //! Takes callers' requests and sends them to endpoints, on a thread of its own.
 
 mod connection;
-mod journey;
+mod forwarding;
 mod outcome;
 mod pool;
 mod request;
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use citronway_core::gateway::desk::View;
+use citronway_core::gateway::admission::View;
 use citronway_core::gateway::settings::InstanceSettings;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -1,7 +1,7 @@
 //! How a request ended, and the answer that its caller gets.
 
 use bytes::Bytes;
-use citronway_core::gateway::desk::{Refusal, RefusalReason};
+use citronway_core::gateway::admission::{Refusal, RefusalReason};
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, CallerWords};
 use http::header::CONNECTION;
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use citronway_core::gateway::desk::{Job, RefusalReason};
+use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, CallerWords};
 use http::request::Parts;
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use super::connection::{Answering, Done};
-use super::journey::{Journey, Message};
+use super::forwarding::{Forwarding, Message};
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
 use super::state::State;
 use crate::clock;
@@ -111,7 +111,7 @@
         answer_bytes: usual.answer_bytes,
         tried: Vec::new(),
     };
-    let journey = Journey {
+    let forwarding = Forwarding {
         state,
         route,
         words,
@@ -126,5 +126,5 @@
         sends: 0,
         failed: None,
     };
-    journey.travel().await
+    forwarding.travel().await
 }
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -3,8 +3,8 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, View};
 use citronway_core::gateway::budget::{SecondSends, SharedLimit};
-use citronway_core::gateway::desk::{Choice, Desk, Job, Verdict, View};
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
@@ -29,8 +29,8 @@
     pub stop: watch::Receiver<bool>,
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
-    desk: RefCell<Desk>,
-    waiting: RefCell<IndexMap<u64, oneshot::Sender<Verdict>>>,
+    admission: RefCell<Admission>,
+    waiting: RefCell<IndexMap<u64, oneshot::Sender<Decision>>>,
     any_waits: Notify,
     tickets: Cell<u64>,
     limit: SharedLimit,
@@ -79,7 +79,7 @@
             stop,
             pool: RefCell::default(),
             metrics,
-            desk: RefCell::default(),
+            admission: RefCell::default(),
             waiting: RefCell::default(),
             any_waits: Notify::new(),
             tickets: Cell::new(0),
@@ -172,10 +172,13 @@
     }
 
     /// Asks for a place; waits for it if need be.
-    pub(super) async fn place(&self, job: Job) -> Option<Verdict> {
+    pub(super) async fn place(&self, job: Job) -> Option<Decision> {
         let now = clock::mono();
         let ticket = job.ticket;
-        let decided = self.desk.borrow_mut().arrive(now, &self.view.borrow(), job);
+        let decided = self
+            .admission
+            .borrow_mut()
+            .arrive(now, &self.view.borrow(), job);
         if decided.is_some() {
             return decided;
         }
@@ -216,12 +219,14 @@
 
     /// Notes that the endpoint ran a request and answered.
     pub(super) fn answered(&self, choice: &Choice, key: Option<u16>) {
-        self.desk.borrow_mut().answered(clock::mono(), choice, key);
+        self.admission
+            .borrow_mut()
+            .answered(clock::mono(), choice, key);
     }
 
     /// Notes that another process has the endpoint's address.
     pub(super) fn gone(&self, endpoint: &EndpointStart) {
-        self.desk.borrow_mut().gone(clock::mono(), endpoint);
+        self.admission.borrow_mut().gone(clock::mono(), endpoint);
     }
 
     /// Notes that the endpoint failed or refused a request.
@@ -233,24 +238,24 @@
     /// Notes that the endpoint took no connection or fell silent.
     pub(super) fn unreachable(&self, endpoint: &EndpointStart) {
         self.refused(endpoint);
-        self.desk.borrow_mut().failed(clock::mono(), endpoint);
+        self.admission.borrow_mut().failed(clock::mono(), endpoint);
     }
 
     /// Notes that the endpoint reset a connection.
     pub(super) fn reset(&self, endpoint: &EndpointStart) {
         self.refused(endpoint);
-        self.desk.borrow_mut().reset(clock::mono(), endpoint);
+        self.admission.borrow_mut().reset(clock::mono(), endpoint);
     }
 
     /// Notes that the endpoint does not hold the key.
-    pub(super) fn disowned(&self, job: &Job, fence: u64) {
-        let mut desk = self.desk.borrow_mut();
-        desk.disowned(clock::mono(), &self.view.borrow(), job, fence);
+    pub(super) fn not_held(&self, job: &Job, fence: u64) {
+        let mut admission = self.admission.borrow_mut();
+        admission.not_held(clock::mono(), &self.view.borrow(), job, fence);
     }
 
     pub(super) fn view_changed(&self) {
         let now = clock::mono();
-        self.desk
+        self.admission
             .borrow_mut()
             .view_changed(now, &self.view.borrow());
         self.pump();
@@ -258,7 +263,7 @@
 
     /// Has requests that wait end by `end`, with the process.
     pub(super) fn end_by(&self, end: Mono) {
-        self.desk.borrow_mut().end_by(end);
+        self.admission.borrow_mut().end_by(end);
         self.pump();
     }
 
@@ -280,15 +285,15 @@
             return;
         }
         let decided = self
-            .desk
+            .admission
             .borrow_mut()
             .pump(clock::mono(), &self.view.borrow());
-        for (ticket, verdict) in decided {
+        for (ticket, decision) in decided {
             let Some(tx) = self.waiting.borrow_mut().swap_remove(&ticket) else {
                 continue;
             };
-            if let Err(Verdict::Send(choice)) = tx.send(verdict) {
-                self.desk.borrow_mut().finished(&choice.endpoint);
+            if let Err(Decision::Send(choice)) = tx.send(decision) {
+                self.admission.borrow_mut().finished(&choice.endpoint);
             }
         }
     }
@@ -296,11 +301,16 @@
     /// Account of what was seen since the last one.
     pub(super) fn account(&self) -> Seen {
         self.pool.borrow_mut().prune(clock::mono());
-        let in_flight = self.desk.borrow().uses().map(|(_, count, _)| count).sum();
+        let in_flight = self
+            .admission
+            .borrow()
+            .uses()
+            .map(|(_, count, _)| count)
+            .sum();
         self.metrics.load(self.waiting(), in_flight);
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
         let mut endpoints: Vec<_> = self
-            .desk
+            .admission
             .borrow()
             .uses()
             .map(|(tag, in_flight, waiting)| EndpointUse {
@@ -394,7 +404,7 @@
             .swap_remove(&self.ticket)
             .is_some()
         {
-            self.state.desk.borrow_mut().forget(self.ticket);
+            self.state.admission.borrow_mut().forget(self.ticket);
         }
     }
 }
@@ -408,7 +418,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.state.desk.borrow_mut().finished(&self.endpoint);
+        self.state.admission.borrow_mut().finished(&self.endpoint);
         self.state.pump();
     }
 }
--- a/crates/citronway/tests/gateway_path.rs
+++ b/crates/citronway/tests/gateway_path.rs
@@ -229,23 +229,23 @@
     });
 }
 
-/// The keeper is killed. Another instance takes the duty over and renews the same
+/// The leader is killed. Another instance takes the duty over and renews the same
 /// grants before they end; a key changes its owner for no reason.
 #[gtest]
-fn a_killed_keeper_is_replaced_and_keys_stay() {
+fn a_killed_leader_is_replaced_and_keys_stay() {
     let deployment = Deployment::new();
     let mut instances = vec![
         deployment.ready_instance("one"),
         deployment.ready_instance("two"),
     ];
-    until("a keeper is known", || deployment.keeper().is_some());
-    let keeper = deployment.keeper().unwrap_or_default();
+    until("a leader is known", || deployment.leader().is_some());
+    let leader = deployment.leader().unwrap_or_default();
     let owner_before = deployment.a.holds(KEYS[0]);
-    let place = usize::from(keeper == "two");
+    let place = usize::from(leader == "two");
     let mut killed = instances.remove(place);
     killed.kill();
     until("another keeps", || {
-        deployment.keeper().is_some_and(|now| now != keeper)
+        deployment.leader().is_some_and(|now| now != leader)
     });
     until("the key is served", || {
         instances[0].call("GET /look/1", "k", KEYS[0], "").status == 200
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -116,7 +116,7 @@
     }
 
     /// Name of the instance that keeps, as the store has it.
-    pub fn keeper(&self) -> Option<String> {
+    pub fn leader(&self) -> Option<String> {
         let row = self.store.own("keeper")?;
         Some(row["session"]["instance"].as_str()?.to_owned())
     }
--- a/crates/citronway/tests/operations.rs
+++ b/crates/citronway/tests/operations.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use citronway_core::gateway::desk::RefusalReason;
+use citronway_core::gateway::admission::RefusalReason;
 use googletest::prelude::*;
 
 #[gtest]
