An instance takes its part of the free places, not of all

Cause: with sums, each instance drew for its part of all places, those taken by requests in flight included.

The test fails with the parts of before (30 in flight: 90 draws give seven).

--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -216,13 +216,14 @@
         };
         let places = share::places(known.listing.slots);
         let standing = view.standings.get(&tag);
-        let allowed = match standing.and_then(|standing| standing.others_sum) {
-            Some(others) => {
-                let chance = chance(now, view.rank, tag);
-                share::allowed_of_total(places, me.wanted, others, chance)
-            }
-            None => share::allowed(places, me, standing.map_or(&[][..], |s| &s.others)),
-        };
+        if let Some(sum) = standing.filter(|standing| standing.is_sum) {
+            let all_in_flight = in_flight + sum.in_flight;
+            let all_waiting = waiting + sum.waiting;
+            let chance = chance(now, view.rank, tag);
+            return share::part_of_free(places, all_in_flight, waiting, all_waiting, chance) > 0;
+        }
+        let others = standing.map_or(&[][..], |standing| &standing.others);
+        let allowed = share::allowed(places, me, others);
         in_flight < allowed
     }
 
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -60,7 +60,7 @@
 /// milliseconds: until its entry has lapsed.
 const GONE_MS: u64 = 6_000;
 
-/// admission of one instance.
+/// Admission of requests at one instance.
 #[derive(Debug, Default)]
 pub struct Admission {
     waiting: Vec<Job>,
@@ -312,7 +312,7 @@
             .map_or(0, |ranks| ranks.iter().sum())
     }
 
-    /// Requests that wait at the queue_key and go before one of this priority.
+    /// Requests that wait in the same queue and go before one of this priority.
     fn ahead(&self, queue_key: EndpointTag, priority: u8) -> u32 {
         let ranks = self.wanted.get(&queue_key);
         ranks.map_or(0, |ranks| ranks[..=rank(priority)].iter().sum())
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -64,8 +64,8 @@
     pub in_flight: u32,
     /// Requests of others that wait to be sent there.
     pub waiting: u32,
-    /// What all others have there or want to send, where only the sum is known.
-    pub others_sum: Option<u32>,
+    /// The two are the sums of all instances; else those of `others`.
+    pub is_sum: bool,
     /// Time that it takes, relative to an average endpoint.
     pub slowness: f64,
     /// Share of its requests that it fails or refuses.
--- a/crates/citronway-core/src/gateway/share.rs
+++ b/crates/citronway-core/src/gateway/share.rs
@@ -31,19 +31,18 @@
     pub wanted: u32,
 }
 
-/// Places that an instance may use out of `places`, where only the sum of what the others
-/// want is known.
+/// Requests that an instance may send now, where only the sums of all are known.
 ///
-/// Its share in proportion; the fraction of a place is given by `chance`, a number from 0
-/// to 1 that each instance draws for itself and now and then anew. On average all shares
-/// together are `places`, and everybody gets a turn.
+/// Its part of the free places, in proportion to what waits there. The fraction of a place
+/// is given by `chance`, a number from 0 to 1 that each instance draws for itself and now
+/// and then anew: on average all parts together are what is free, and everybody gets a turn.
 #[must_use]
-pub fn allowed_of_total(places: u32, wanted: u32, others: u32, chance: f64) -> u32 {
-    let total = u64::from(wanted) + u64::from(others);
-    if total <= u64::from(places) {
-        return places - others;
+pub fn part_of_free(places: u32, in_flight: u32, mine: u32, all: u32, chance: f64) -> u32 {
+    let free = places.saturating_sub(in_flight);
+    if all <= free {
+        return free;
     }
-    let exact = f64::from(wanted) * f64::from(places) / total as f64;
+    let exact = f64::from(free) * f64::from(mine) / f64::from(all);
     let extra = u32::from(chance < exact.fract());
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/citronway-core/tests/gateway_admission.rs
+++ b/crates/citronway-core/tests/gateway_admission.rs
@@ -341,13 +341,13 @@
 fn a_sum_of_all_keeps_an_endpoint_from_being_overrun() {
     let mut scene = Scene::new();
     let tag = EndpointTag::of(&EndpointStart::new("a", None));
-    scene.standings.insert(
-        tag,
-        Standing {
-            others_sum: Some(89),
-            ..Standing::unknown()
-        },
-    );
+    let sum = |in_flight, waiting| Standing {
+        in_flight,
+        waiting,
+        is_sum: true,
+        ..Standing::unknown()
+    };
+    scene.standings.insert(tag, sum(0, 89));
     let mut view = scene.view();
     let turns = 50;
     let mut sent = 0;
@@ -365,4 +365,13 @@
     }
     expect_that!(sent / turns, all!(ge(7), le(11)));
     expect_that!(served.iter().filter(|count| **count == 0).count(), le(3));
+    // Nobody sends while it is full, however many wait.
+    scene.standings.insert(tag, sum(9, 30));
+    for turn in 0..turns {
+        let now = NOW.plus(turn * 200);
+        let verdict = scene
+            .admission(now)
+            .arrive(now, &scene.view(), keyed(1, 0, now));
+        expect_that!(endpoint(verdict.as_ref()), eq("waits"));
+    }
 }
--- a/crates/citronway-core/tests/gateway_shares.rs
+++ b/crates/citronway-core/tests/gateway_shares.rs
@@ -1,7 +1,7 @@
 //! Places at endpoints and second sends, divided among instances without asking.
 
 use citronway_core::gateway::budget::{SecondSends, SharedLimit};
-use citronway_core::gateway::share::{Demand, allowed, allowed_of_total, places};
+use citronway_core::gateway::share::{Demand, allowed, part_of_free, places};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, prop_assert, prop_assert_eq, proptest};
@@ -35,19 +35,22 @@
 }
 
 /// Ninety instances have one request each for an endpoint with nine places and know the
-/// sum alone. Counting whole shares, none of them would send; each gets its turn.
+/// sum alone. Counting whole shares, none of them would send; each gets its turn. While the
+/// endpoint is full nobody sends: with a part of all places instead of the free ones, each
+/// draw added some, and endpoints that keep silent when they are full lost one in five.
 #[gtest]
 fn fractions_of_a_place_go_round() {
     let draws = 1_000;
-    let mut given = 0;
-    for draw in 0..draws {
-        let chance = f64::from(draw) / f64::from(draws);
-        given += 90 * allowed_of_total(9, 1, 89, chance);
+    for (in_flight, free) in [(0, 9.0), (5, 4.0), (9, 0.0), (30, 0.0)] {
+        let mut given = 0;
+        for draw in 0..draws {
+            let chance = f64::from(draw) / f64::from(draws);
+            given += 90 * part_of_free(9, in_flight, 1, 90, chance);
+        }
+        expect_that!(f64::from(given) / f64::from(draws), near(free, 0.2));
     }
-    expect_that!(f64::from(given) / f64::from(draws), near(9.0, 0.2));
-    expect_that!(allowed_of_total(9, 3, 2, 0.99), eq(7));
-    expect_that!(allowed_of_total(9, 30, 0, 0.99), eq(9));
-    expect_that!(allowed_of_total(9, 0, 30, 0.0), eq(0));
+    expect_that!(part_of_free(9, 2, 1, 3, 0.99), eq(7));
+    expect_that!(part_of_free(9, 0, 30, 30, 0.99), eq(9));
 }
 
 proptest! {
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -211,7 +211,7 @@
             let waiting = total.waiting.saturating_sub(own.waiting);
             standing.in_flight = standing.in_flight.max(in_flight);
             standing.waiting = standing.waiting.max(waiting);
-            standing.others_sum = Some(standing.in_flight + standing.waiting);
+            standing.is_sum = true;
         }
         for (tag, standing) in &mut all {
             standing.slowness = paces.slowness(now, *tag);
