--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -37,6 +37,10 @@
 /// every request, each of which takes an endpoint 1 ms and a round trip more.
 const KEPT_LOAD: f64 = 0.3;
 
+/// Age of the sums when they are used, on average, in milliseconds: half of the time
+/// between two reports to the leader, and half of that between two of its sums.
+const SUMS_AGE_MS: f64 = 200.0;
+
 /// How long an instance keeps the chance that it drew for a fraction of a place, in
 /// milliseconds: until the next sums come.
 const CHANCE_MS: u64 = 200;
@@ -107,7 +111,7 @@
             return Finding::Wait(RefusalReason::Unreachable);
         }
         let waiting = self.wanted(tag).max(1);
-        if !self.has_room(now, view, known, tag, waiting) {
+        if !self.has_room(now, view, known, tag, waiting, job.work_ms) {
             return Finding::Wait(RefusalReason::Overloaded);
         }
         // One request at a time tries a holder that did not hold the keys.
@@ -153,12 +157,12 @@
             if self.is_avoided(now, tag) {
                 continue;
             }
-            if !self.has_room(now, view, known, tag, 1) {
+            if !self.has_room(now, view, known, tag, 1, job.work_ms) {
                 cause = RefusalReason::Overloaded;
                 continue;
             }
             let silent = self.is_silent(now, job, tag);
-            let mut load = self.load(now, view, known, tag) + far(view, known, job);
+            let mut load = self.load(now, view, known, tag) + way_of_answer(view, known, job);
             if silent {
                 load += SILENT_LOAD;
             }
@@ -208,6 +212,7 @@
         known: &Known,
         tag: EndpointTag,
         waiting: u32,
+        work_ms: u64,
     ) -> bool {
         let in_flight = self.in_flight.get(&tag).copied().unwrap_or_default();
         let me = Demand {
@@ -217,7 +222,7 @@
         let places = share::places(known.listing.slots);
         let standing = view.standings.get(&tag);
         if let Some(sum) = standing.filter(|standing| standing.is_sum) {
-            let all_in_flight = in_flight + sum.in_flight;
+            let all_in_flight = in_flight + still_in_flight(sum.in_flight, work_ms);
             let all_waiting = waiting + sum.waiting;
             let chance = chance(now, view.rank, tag);
             return share::part_of_free(places, all_in_flight, waiting, all_waiting, chance) > 0;
@@ -239,18 +244,37 @@
             1.0
         };
         let failing = 1.0 / (1.0 - standing.failing.min(0.9));
+        let far = if known.listing.zone == view.zone {
+            0.0
+        } else {
+            OTHER_ZONE_LOAD
+        };
         // Below its slots an endpoint's queue is empty and only its speed counts.
-        (1.0 + used) * standing.slowness * cold * failing
+        (1.0 + used + far) * standing.slowness * cold * failing
     }
 }
 
-/// Load that is added for an endpoint of another availability zone.
-fn far(view: &View, known: &Known, job: &Job) -> f64 {
+/// Load that is added for the bytes of an answer from another availability zone.
+fn way_of_answer(view: &View, known: &Known, job: &Job) -> f64 {
     if known.listing.zone == view.zone {
         return 0.0;
     }
-    let kilobytes = job.answer_bytes as f64 / 1_024.0;
-    kilobytes.mul_add(OTHER_ZONE_LOAD_PER_KB, OTHER_ZONE_LOAD)
+    job.answer_bytes as f64 / 1_024.0 * OTHER_ZONE_LOAD_PER_KB
+}
+
+/// Requests of others that are still in flight of those that the sums tell.
+///
+/// Load: work takes 250 ms, and by the time that the sums have come half of what was in
+/// flight has ended. Taken for still there, it left half of the slots idle.
+fn still_in_flight(told: u32, work_ms: u64) -> u32 {
+    let part = (-(SUMS_AGE_MS / work_ms.max(1) as f64)).exp();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "at most what was told"
+    )]
+    let left = (f64::from(told) * part).round() as u32;
+    left
 }
 
 /// The chance that an instance draws for an endpoint, the same for a while: a number from 0
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -19,7 +19,7 @@
 
 use citronway_core::gateway::admission::View;
 use citronway_core::gateway::leader::{Order, OrderResult, WriteResult};
-use citronway_core::gateway::report::{self, Report};
+use citronway_core::gateway::report::{self, Report, Totals};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{ServiceName, Session};
@@ -390,11 +390,17 @@
         match datagram::decode(bytes) {
             Ok(Datagram::Report(report)) => self.report_came(&report),
             Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
-            Ok(Datagram::Totals(totals)) => self.cluster.peers.totals(clock::mono(), totals),
+            Ok(Datagram::Totals(totals)) => self.totals_came(totals),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
         }
     }
 
+    fn totals_came(&mut self, totals: Totals) {
+        let now = clock::mono();
+        self.cluster.peers.totals(now, totals);
+        self.publish(now);
+    }
+
     fn report_came(&mut self, report: &Report) {
         let now = clock::mono();
         if report.instance == self.me.instance || !self.cluster.peers.report(now, report) {
