--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -2,7 +2,7 @@
 
 use citronway_core::gateway::election::{
     CLAIM_STEP_MS, Former, LeaderRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation, Strength,
-    TAKE_UP_MS, former_after, has_stopped, should_claim,
+    TAKE_UP_MS, former_after, has_stopped, should_claim, watches,
 };
 use citronway_core::ids::{InstanceName, Session, SessionId, Version};
 use citronway_core::time::Mono;
@@ -33,9 +33,13 @@
     }
 }
 
-fn claims(now: Mono, me: &str, row: Option<&LeaderRow>, peers: &[PeerSight]) -> bool {
-    let situation = Situation {
-        me: &InstanceName::new(me),
+fn situation<'a>(
+    me: &'a InstanceName,
+    row: Option<&'a LeaderRow>,
+    peers: &'a [PeerSight],
+) -> Situation<'a> {
+    Situation {
+        me,
         session: SessionId(1),
         started: START,
         unfit: false,
@@ -43,8 +47,11 @@
         row,
         row_seen: Mono(0),
         peers,
-    };
-    should_claim(now, &situation)
+    }
+}
+
+fn claims(now: Mono, me: &str, row: Option<&LeaderRow>, peers: &[PeerSight]) -> bool {
+    should_claim(now, &situation(&InstanceName::new(me), row, peers))
 }
 
 #[gtest]
@@ -218,3 +225,23 @@
     expect_that!(claims_when(weak, Strength::FULL, CLAIM_STEP_MS), eq(true));
     expect_that!(claims_when(Strength::FULL, weak, 0), eq(true));
 }
+
+/// A leader is lost, and each of 89 instances asked the store for three tables at once. Now
+/// three do; where the store refuses one of them, it says that it is not fit, and the next
+/// one watches in its place.
+#[gtest]
+fn three_instances_watch_the_store_while_nobody_tells_of_it() {
+    let now = START.plus(60_000);
+    let mut peers = ["b", "c", "d", "e"].map(|name| sight(name, now));
+    let watching = |me: &str, peers: &[PeerSight]| {
+        let me = InstanceName::new(me);
+        let others: Vec<_> = peers.iter().filter(|p| p.instance != me).cloned().collect();
+        watches(now, &situation(&me, None, &others))
+    };
+    expect_that!(
+        ["b", "c", "d", "e"].map(|me| watching(me, &peers)),
+        eq([true, true, true, false])
+    );
+    peers[0].unfit = true;
+    expect_that!(watching("e", &peers), eq(true));
+}
