Sight: what is unanswered when an instance stops, and where it stands

Cause: the logs could not tell whether a request that was left without an answer waited at the instance, was being connected, was at an endpoint or had its answer on the way.

--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::open_requests::Open;
 use super::request;
 use super::state::State;
 use crate::clock;
@@ -65,7 +66,10 @@
     let service = service_fn(|req| {
         progress.active.set(progress.active.get() + 1);
         progress.reading.set(false);
-        let done = Done(Rc::clone(&progress));
+        let done = Done {
+            progress: Rc::clone(&progress),
+            open: state.open.take(clock::mono()),
+        };
         let answer = request::answer(Rc::clone(&state), req, done);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -133,20 +137,34 @@
     let end = tokio::time::Instant::now() + Duration::from_millis(left_ms);
     state.end_by(clock::mono().plus(left_ms).minus(ANSWER_MS));
     tokio::time::sleep(STILL_ARRIVING).await;
+    let connections = state.open_connections();
+    state
+        .open
+        .log_counts("idle connections are closed", connections);
     state.close_idle();
     while state.open_connections() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    let connections = state.open_connections();
+    state
+        .open
+        .log_counts("the last connections end", connections);
+    state.open.log_each(clock::mono());
 }
 
 /// Marks a request as answered when the last byte of its answer was taken.
 #[derive(Debug)]
-pub(super) struct Done(Rc<Progress>);
+pub(super) struct Done {
+    progress: Rc<Progress>,
+    /// The request, among those without a whole answer.
+    pub open: Open,
+}
 
 impl Drop for Done {
     fn drop(&mut self) {
-        self.0.active.set(self.0.active.get().saturating_sub(1));
-        self.0.touched.set(clock::mono());
+        let progress = &self.progress;
+        progress.active.set(progress.active.get().saturating_sub(1));
+        progress.touched.set(clock::mono());
     }
 }
 
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -12,6 +12,7 @@
 use citronway_platform::exchange::{self, CallerWords, Meaning};
 use http::{Method, Request, Uri};
 
+use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, shown_id};
 use super::state::State;
 use crate::clock;
@@ -59,6 +60,8 @@
     pub state: &'a Rc<State>,
     pub route: &'a Route,
     pub words: &'a CallerWords,
+    /// Where it stands, for those who look on.
+    pub open: &'a OpenRequest,
     pub message: Message,
     pub job: Job,
     /// Endpoints that may have run it.
@@ -131,6 +134,7 @@
 
     async fn try_all(&mut self) -> Outcome {
         loop {
+            self.open.reach(Stage::Waiting);
             let choice = match self.state.place(self.job.clone()).await {
                 Some(Decision::Send(choice)) => choice,
                 Some(Decision::Refuse(refusal)) => {
@@ -144,6 +148,7 @@
             if self.sends == 0 {
                 self.state.metrics.placed(class, waited_ms);
             }
+            self.open.goes_to(&choice.endpoint);
             let in_flight = self.state.in_flight(&choice);
             let sent = self.send(&choice).await;
             drop(in_flight);
@@ -340,6 +345,7 @@
         let left_ms = self.job.last_at.since(clock::mono());
         let req = self.message.for_endpoint(&choice.endpoint, left_ms);
         self.sends += 1;
+        self.open.reach(Stage::AtEndpoint);
         let sent = link.send(req).await;
         let head = match sent {
             // A kept connection that the endpoint has closed: a new one is as good as
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod forwarding;
+mod open_requests;
 mod outcome;
 mod pool;
 mod request;
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 
 use super::connection::{Answering, Done};
+use super::open_requests::Stage;
 use super::state::State;
 use crate::clock;
 use crate::gateway::http_link::Answer;
@@ -60,6 +61,7 @@
     outcome: Outcome,
     done: Done,
 ) -> Response<Answering> {
+    done.open.request.reach(Stage::Answering);
     let (status, headers, body) = match outcome {
         Outcome::Answered(answer) => (
             answer.status,
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -12,6 +12,7 @@
 
 use super::connection::{Answering, Done};
 use super::forwarding::{Forwarding, Message};
+use super::open_requests::OpenRequest;
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
 use super::state::State;
 use crate::clock;
@@ -43,8 +44,10 @@
             return outcome::respond(&state, None, outcome, done);
         }
     };
+    let open = &done.open.request;
+    open.name(words.id.as_ref());
     let mut class = Class::UNKNOWN;
-    let outcome = serve(&state, arrived, &head, &words, body, &mut class).await;
+    let outcome = serve(&state, arrived, &head, &words, body, open, &mut class).await;
     outcome::note(&state, arrived, &words, class, &outcome);
     outcome::respond(&state, words.id.as_ref(), outcome, done)
 }
@@ -55,6 +58,7 @@
     head: &Parts,
     words: &CallerWords,
     body: Incoming,
+    open: &OpenRequest,
     class: &mut Class,
 ) -> Outcome {
     if state.is_closing() {
@@ -115,6 +119,7 @@
         state,
         route,
         words,
+        open,
         message: Message {
             method: head.method.clone(),
             uri: head.uri.clone(),
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -14,6 +14,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 
+use super::open_requests::OpenRequests;
 use super::pool::Pool;
 use super::seen::Seen;
 use crate::clock;
@@ -29,6 +30,8 @@
     pub stop: watch::Receiver<bool>,
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
+    /// Requests without a whole answer.
+    pub open: Rc<OpenRequests>,
     admission: RefCell<Admission>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Decision>>>,
     any_waits: Notify,
@@ -79,6 +82,7 @@
             stop,
             pool: RefCell::default(),
             metrics,
+            open: Rc::default(),
             admission: RefCell::default(),
             waiting: RefCell::default(),
             any_waits: Notify::new(),
