--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -52,6 +52,8 @@
     work: Duration,
     drop_answers: bool,
     full: bool,
+    /// Grants are answered as too old.
+    refuse_grants: bool,
     /// Answers name the request.
     echo: bool,
     /// Keys of requests that are being run.
@@ -89,6 +91,7 @@
                 work: Duration::from_millis(1),
                 drop_answers: false,
                 full: false,
+                refuse_grants: false,
                 echo: false,
                 running: Vec::new(),
             }),
@@ -152,6 +155,11 @@
         self.shared.lock().drop_answers = drops;
     }
 
+    /// Refuses all grants, so that it holds nothing more.
+    pub fn refuse_grants(&self, refuse: bool) {
+        self.shared.lock().refuse_grants = refuse;
+    }
+
     /// Refuses all requests for want of room.
     pub fn full(&self, full: bool) {
         self.shared.lock().full = full;
@@ -207,6 +215,9 @@
     }
 
     fn grant(&mut self, keys: &Keys) -> StatusCode {
+        if self.refuse_grants {
+            return StatusCode::CONFLICT;
+        }
         let span = usize::from(keys.from)..=usize::from(keys.target);
         let span = &mut self.keys[span];
         if span.iter().any(|key| key.seen > keys.fence) {
