Failing tests: an instance that starts without the store knows no routes

Cause: rows come from the store, or from the leader as changes; whoever has missed one, or has just started, asks the store and nobody else. Seen: not ready within 40 s while the store is silent to it and its neighbour has all rows.

--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -108,7 +108,7 @@
 
     /// Writes another grace into the settings of an instance, in seconds.
     pub fn set_grace(&self, name: &str, seconds: u64) {
-        let path = self.folder.join(format!("{name}.json"));
+        let path = self.settings_of(name);
         let text = std::fs::read_to_string(&path).expect("settings can be read");
         let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
         settings["terms"]["bounds"]["graceS"] = json!(seconds);
@@ -118,21 +118,34 @@
     fn start(&self, name: &str, store: SocketAddr, logs: Stdio) -> Instance {
         let addresses = Addresses::at(own_address());
         let settings = addresses.settings(name, store);
-        let path = self.folder.join(format!("{name}.json"));
-        std::fs::write(&path, settings.to_string()).expect("settings can be written");
-        let process = Command::new(env!("CARGO_BIN_EXE_citronway"))
-            .arg("--on-platform")
-            .env(SETTINGS_VARIABLE, path)
-            .stdout(logs)
-            .spawn()
-            .expect("the instance starts");
+        std::fs::write(self.settings_of(name), settings.to_string())
+            .expect("settings can be written");
         Instance {
+            name: name.to_owned(),
             callers: addresses.callers,
             ready: addresses.ready,
-            process,
+            process: self.spawn(name, logs),
         }
     }
 
+    /// Starts a killed instance again with the settings that it had.
+    pub fn restart(&self, instance: &mut Instance) {
+        instance.process = self.spawn(&instance.name, Stdio::null());
+    }
+
+    fn settings_of(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.json"))
+    }
+
+    fn spawn(&self, name: &str, logs: Stdio) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_citronway"))
+            .arg("--on-platform")
+            .env(SETTINGS_VARIABLE, self.settings_of(name))
+            .stdout(logs)
+            .spawn()
+            .expect("the instance starts")
+    }
+
     /// Name of the instance that keeps, as the store has it.
     pub fn leader(&self) -> Option<String> {
         let row = self.store.own("keeper")?;
@@ -150,6 +163,7 @@
 
 /// A running instance; killed when dropped.
 pub struct Instance {
+    name: String,
     pub callers: SocketAddr,
     ready: SocketAddr,
     process: Child,
