Instances that cannot ask the store copy its rows from a neighbour

Cause: rows come from the store, or from the leader as changes. An instance that the store turns away and that missed a change (a leader changed, a datagram was lost) kept old owners until the store was back; one that started meanwhile knew no routes. Change: an instance that hears of newer rows, and cannot have them from the store, asks one that has them for the whole table over TCP; the answer is a relay from the beginning. The store's own word goes before a copy; elections and writes are as before. Ruled out: copies by datagram (a configuration of many routes has 400 KB); copies of entries as single rows (what has left meanwhile would stay).

--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::election::Strength;
 use crate::gateway::pace::{Answers, EndpointTag};
+use crate::gateway::rows::Table;
 use crate::ids::{InstanceName, ServiceName, SessionId};
 
 /// Time between two looks at what there is to report, in milliseconds.
@@ -87,6 +88,18 @@
     pub own: u64,
 }
 
+impl Versions {
+    /// That of one table.
+    #[must_use]
+    pub const fn of(&self, table: Table) -> u64 {
+        match table {
+            Table::Config => self.config,
+            Table::Endpoints => self.endpoints,
+            Table::Own => self.own,
+        }
+    }
+}
+
 /// Use of one endpoint by one instance.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct EndpointUse {
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -54,12 +54,32 @@
     }
 }
 
-fn write_relay(from: &Relay, mut to: relay::Builder<'_>) {
-    to.set_table(match from.table {
+/// Code of a table between instances.
+#[must_use]
+pub const fn code_of(table: Table) -> u8 {
+    match table {
         Table::Config => 0,
         Table::Endpoints => 1,
         Table::Own => 2,
-    });
+    }
+}
+
+/// The table of a code.
+///
+/// # Errors
+///
+/// When this version knows none of that code.
+pub const fn table_of(code: u8) -> Result<Table, ReportError> {
+    match code {
+        0 => Ok(Table::Config),
+        1 => Ok(Table::Endpoints),
+        2 => Ok(Table::Own),
+        other => Err(ReportError::UnknownTable(other)),
+    }
+}
+
+fn write_relay(from: &Relay, mut to: relay::Builder<'_>) {
+    to.set_table(code_of(from.table));
     to.set_after(from.after.0);
     to.set_position(from.position.0);
     let mut rows = to.reborrow().init_rows(length(from.rows.len()));
@@ -155,12 +175,7 @@
 }
 
 fn read_relay(from: relay::Reader<'_>) -> Result<Relay, ReportError> {
-    let table = match from.get_table() {
-        0 => Table::Config,
-        1 => Table::Endpoints,
-        2 => Table::Own,
-        other => return Err(ReportError::UnknownTable(other)),
-    };
+    let table = table_of(from.get_table())?;
     let mut rows = Vec::new();
     for item in from.get_rows()? {
         let value = match item.which()? {
--- a/crates/citronway/src/gateway/control/cluster.rs
+++ b/crates/citronway/src/gateway/control/cluster.rs
@@ -17,6 +17,8 @@
 use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
 
+use super::kept_rows::KeptRows;
+use super::own_rows;
 use super::peers::Peers;
 use super::store::News;
 use super::unusable::{Source, Unusable};
@@ -25,6 +27,10 @@
 /// milliseconds. Polls are answered within a few milliseconds of a change.
 const BEHIND_MS: u64 = 400;
 
+/// The same for a table that was never read, in milliseconds: the store answers a start
+/// within 20 ms when all is well, and callers are refused until then.
+const NEVER_READ_MS: u64 = 100;
+
 /// Silence of the store and of all peers after which this instance takes itself for
 /// cut off, in milliseconds.
 const CUT_OFF_MS: u64 = 4_000;
@@ -45,6 +51,8 @@
 pub(super) struct Sight {
     /// Newest version of a row that was seen.
     newest: u64,
+    /// Position in the table's history up to which all rows were taken.
+    position: u64,
     /// The last call failed.
     lost: bool,
     /// Since when others have seen newer rows.
@@ -79,6 +87,7 @@
     pub(super) own_addresses: [SocketAddr; 5],
     heard_at: Mono,
     pub(super) unusable: Unusable,
+    kept: KeptRows,
     pub(super) changed: bool,
 }
 
@@ -88,6 +97,11 @@
         self.newest = self.newest.max(version);
         self.behind_since = None;
     }
+
+    /// Notes that all rows up to a position were taken.
+    fn has_taken(&mut self, position: Version) {
+        self.position = self.position.max(position.0);
+    }
 }
 
 impl Cluster {
@@ -112,6 +126,7 @@
             own_addresses: [cfg.callers, cfg.ready, cfg.reports, cfg.metrics, cfg.store],
             heard_at: Mono::default(),
             unusable: Unusable::default(),
+            kept: KeptRows::default(),
             changed: false,
         }
     }
@@ -126,18 +141,18 @@
 
     /// Takes news of a table; tells what they say of the store.
     pub(super) fn news(&mut self, now: Mono, table: Table, news: News) -> StoreSight {
-        let (rows, whole) = match news {
+        let (rows, whole, position) = match news {
             News::Loaded {
                 rows,
                 version,
                 now_ms,
             } => {
                 self.store_clock = Some((now_ms, now));
-                (rows, Some(version))
+                (rows, Some(version), version)
             }
             News::Changed { relay, now_ms } => {
                 self.store_clock = Some((now_ms, now));
-                (relay.rows, None)
+                (relay.rows, None, relay.position)
             }
             News::Lost(cause) => {
                 self.lost(table, &cause);
@@ -147,6 +162,7 @@
         self.heard_at = now;
         let sight = self.regained(now, table);
         self.take_rows(now, table, &rows, whole);
+        self.sight(table).has_taken(position);
         sight
     }
 
@@ -159,6 +175,12 @@
         }
     }
 
+    /// Whether a table cannot be had from the store at present.
+    pub(super) fn needs_copy(&mut self, table: Table) -> bool {
+        let sight = self.sight(table);
+        sight.lost || !sight.loaded
+    }
+
     /// Takes rows that the leader passed on.
     pub(super) fn relayed(&mut self, now: Mono, relay: &Relay) {
         self.heard_at = now;
@@ -167,6 +189,47 @@
         for patch in &relay.patches {
             self.patched(patch);
         }
+        self.sight(relay.table).has_taken(relay.position);
+    }
+
+    /// Takes a table as another instance has it, since the store cannot be asked.
+    ///
+    /// The store stays lost until it answers this instance itself: what it says then goes
+    /// before the copy, which is only as new as its giver was.
+    pub(super) fn copied(&mut self, now: Mono, copy: &Relay) {
+        let (table, rows) = (copy.table.word(), copy.rows.len());
+        log::info!(table, rows, position = copy.position.0; "table copied from another instance");
+        let whole = match copy.table {
+            // An endpoint that is not among them has left.
+            Table::Endpoints => Some(copy.position),
+            Table::Config | Table::Own => None,
+        };
+        self.take_rows(now, copy.table, &copy.rows, whole);
+        self.sight(copy.table).has_taken(copy.position);
+    }
+
+    /// All rows of a table as this instance knows them, if it has read it.
+    pub(super) fn copy(&mut self, table: Table) -> Option<Relay> {
+        let sight = self.sight(table);
+        if !sight.loaded {
+            return None;
+        }
+        let position = Version(sight.position);
+        let kept = self.kept.rows(table);
+        let mut rows: Vec<_> = kept
+            .filter(|row| !own_rows::is_assignment(&row.key))
+            .cloned()
+            .collect();
+        if table == Table::Own {
+            rows.extend(self.owners.iter().filter_map(own_rows::assignment_as_row));
+        }
+        Some(Relay {
+            table,
+            after: Version(0),
+            position,
+            rows,
+            patches: Vec::new(),
+        })
     }
 
     /// Where the leader takes reports.
@@ -188,6 +251,10 @@
         let sight = self.sight(table);
         sight.has_seen(newest);
         sight.loaded = true;
+        match whole {
+            Some(_) => self.kept.replace(table, rows),
+            None => self.kept.keep(table, rows),
+        }
         match table {
             Table::Config => self.config_rows(rows),
             Table::Endpoints => self.endpoint_rows(now, rows, whole),
@@ -381,7 +448,12 @@
                 continue;
             }
             let since = *sight.behind_since.get_or_insert(now);
-            if now.since(since) >= BEHIND_MS {
+            let patience = if sight.loaded {
+                BEHIND_MS
+            } else {
+                NEVER_READ_MS
+            };
+            if now.since(since) >= patience {
                 sight.behind_since = None;
                 stale.push(table);
             }
--- /dev/null
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -0,0 +1,160 @@
+//! Whole tables that one instance gives to another that cannot ask the store.
+//!
+//! One connection a copy, on the TCP port of the reports: the asking side sends the code of
+//! a table, the other answers with a relay from the beginning and closes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use citronway_core::gateway::rows::{Relay, Table};
+use citronway_core::time::Mono;
+use citronway_wire::report::{self as datagram, Datagram, ReportError};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use tokio::time::timeout;
+
+use super::{Control, Event};
+use crate::gateway::http_link::CONNECT_TIMEOUT;
+
+/// Longest time for a copy to come: a configuration of 400 KB takes 0.4 s over a link of
+/// 10 Mbit/s, and some ask at the same time.
+const COPY_LIMIT: Duration = Duration::from_secs(3);
+
+/// Largest copy that is read, in bytes; a configuration of 10,000 routes has 2 MB.
+const MAX_COPY: u64 = 8 * 1024 * 1024;
+
+/// Copies that one instance gives at the same time; whoever finds no place asks another one.
+const AT_ONCE: usize = 4;
+
+/// Why no copy came.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum CopyError {
+    /// The connection was not made or broke.
+    #[error("the connection failed: {0}")]
+    Connection(#[from] io::Error),
+    /// It took too long.
+    #[error("no copy in time")]
+    Timeout(#[from] tokio::time::error::Elapsed),
+    /// What came cannot be read.
+    #[error("the copy cannot be read: {0}")]
+    Unreadable(#[from] ReportError),
+    /// What came is no copy of the table.
+    #[error("the answer is no copy of the table")]
+    Other,
+}
+
+impl Control {
+    /// Asks an instance that has newer rows for all of a table.
+    ///
+    /// Failure: the store turns some instances away. One that missed a change cannot ask for
+    /// it and goes on by old owners: one request in ten came to an endpoint that no longer
+    /// held its key, and one in twenty was refused when no second send was left. One that
+    /// starts meanwhile knows no routes and refuses everybody.
+    pub(super) fn ask_for_copy(&mut self, now: Mono, table: Table, events: &mpsc::Sender<Event>) {
+        let address = self.cluster.peers.with_newest(now, table, &self.cfg.zone);
+        let Some(address) = address else { return };
+        if self.copying.contains(&table) {
+            return;
+        }
+        self.copying.push(table);
+        let events = events.clone();
+        tokio::spawn(async move {
+            let copy = ask(address, table).await;
+            // Nobody is left to be told when the process ends.
+            let _ = events.send(Event::Copied { table, copy }).await;
+        });
+    }
+
+    pub(super) fn copied(&mut self, now: Mono, table: Table, copy: Result<Relay, CopyError>) {
+        self.copying.retain(|copying| *copying != table);
+        let copy = match copy {
+            Ok(copy) => copy,
+            Err(e) => {
+                log::info!(table = table.word(), cause = e.to_string(); "table not copied");
+                return;
+            }
+        };
+        // The store has answered meanwhile, and what it says is newer.
+        if !self.cluster.needs_copy(table) {
+            return;
+        }
+        self.cluster.copied(now, &copy);
+        let position = &self.follow(table).position;
+        position.fetch_max(copy.position.0, Ordering::Relaxed);
+        if table == Table::Own {
+            self.duty.rows_relayed(&self.cluster);
+        }
+    }
+
+    pub(super) fn give_copy(&mut self, table: Table, reply: oneshot::Sender<Vec<u8>>) {
+        let Some(copy) = self.cluster.copy(table) else {
+            return;
+        };
+        // Whoever asked may have left.
+        let _ = reply.send(datagram::encode(&Datagram::Relay(copy)));
+    }
+}
+
+/// Gives copies until the task is dropped.
+pub(super) async fn serve(listener: TcpListener, events: mpsc::Sender<Event>) {
+    let places = Arc::new(Semaphore::new(AT_ONCE));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(cause = e.to_string(); "the reports' address took no connection");
+                tokio::time::sleep(crate::gateway::traffic::ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            continue;
+        };
+        let events = events.clone();
+        tokio::spawn(async move {
+            match timeout(COPY_LIMIT, give(stream, events)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) => log::debug!(cause = e.to_string(); "a copy was not given"),
+                Err(_elapsed) => log::debug!("a copy was not taken in time"),
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn give(mut stream: TcpStream, events: mpsc::Sender<Event>) -> Result<(), CopyError> {
+    let code = stream.read_u8().await?;
+    let table = datagram::table_of(code)?;
+    let (reply, copied) = oneshot::channel();
+    let asked = Event::CopyAsked { table, reply };
+    // Without an answer the process ends, or has nothing to give.
+    if events.send(asked).await.is_err() {
+        return Ok(());
+    }
+    let Ok(copy) = copied.await else {
+        return Ok(());
+    };
+    stream.write_all(&copy).await?;
+    stream.shutdown().await?;
+    Ok(())
+}
+
+/// Asks another instance for a copy of a table.
+pub(super) async fn ask(address: SocketAddr, table: Table) -> Result<Relay, CopyError> {
+    timeout(COPY_LIMIT, read(address, table)).await?
+}
+
+async fn read(address: SocketAddr, table: Table) -> Result<Relay, CopyError> {
+    let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.write_u8(datagram::code_of(table)).await?;
+    let mut bytes = Vec::new();
+    stream.take(MAX_COPY).read_to_end(&mut bytes).await?;
+    match datagram::decode(&bytes)? {
+        Datagram::Relay(copy) if copy.table == table && copy.patches.is_empty() => Ok(copy),
+        _ => Err(CopyError::Other),
+    }
+}
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -1,8 +1,10 @@
 //! Follows the store, tells the other instances what is in flight and keeps keys.
 
 mod cluster;
+mod copies;
 mod duty;
 mod entries;
+mod kept_rows;
 mod orders;
 mod own_rows;
 mod peers;
@@ -12,6 +14,7 @@
 mod unusable;
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -28,10 +31,11 @@
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 use cluster::{Cluster, StoreSight};
+use copies::CopyError;
 use duty::Duty;
 use orders::OrderClient;
 use peers::InstanceRow;
@@ -88,6 +92,16 @@
     Claimed,
     /// The row of this instance stands.
     Registered,
+    /// Another instance asks for a table.
+    CopyAsked {
+        table: Table,
+        reply: oneshot::Sender<Vec<u8>>,
+    },
+    /// An instance that was asked for a table has answered or not.
+    Copied {
+        table: Table,
+        copy: Result<Relay, CopyError>,
+    },
 }
 
 /// Ends of the rings to the traffic.
@@ -125,6 +139,8 @@
     kept: bool,
     /// When a leader last passed rows on.
     told_at: Mono,
+    /// Tables that another instance was asked for.
+    copying: Vec<Table>,
 }
 
 impl Control {
@@ -156,6 +172,7 @@
             stopping: false,
             kept: false,
             told_at: Mono::default(),
+            copying: Vec::new(),
         }
     }
 
@@ -177,6 +194,8 @@
         }
         let socket = UdpSocket::bind(self.cfg.reports).await?;
         let (events_tx, mut events) = mpsc::channel(EVENTS);
+        let copies = ready::bind(self.cfg.reports).await?;
+        tokio::spawn(copies::serve(copies, events_tx.clone()));
         self.follow_tables(&events_tx);
         tokio::spawn(register(
             self.cfg.clone(),
@@ -195,7 +214,9 @@
                     None => return Ok(()),
                 },
                 Some(event) = events.recv() => self.take(&socket, event),
-                Ok(len) = socket.recv(&mut buf) => self.datagram_came(&buf[..len]),
+                Ok((len, from)) = socket.recv_from(&mut buf) => {
+                    self.datagram_came(&buf[..len], from);
+                }
                 _ = term.recv() => self.stop(),
                 _ = hup.recv() => self.reload(),
                 _ = ticks.tick() => {}
@@ -250,6 +271,8 @@
                 self.follow(Table::Own).refresh.notify_one();
             }
             Event::Registered => log::info!("instance is listed in the store"),
+            Event::CopyAsked { table, reply } => self.give_copy(table, reply),
+            Event::Copied { table, copy } => self.copied(now, table, copy),
         }
     }
 
@@ -302,7 +325,7 @@
         if self.cluster.take_changed() {
             self.publish(now);
         }
-        self.refresh_stale(now);
+        self.refresh_stale(now, events);
         let ready = !self.stopping && self.cluster.is_ready(now);
         if self.ready.set(ready) {
             log::info!(ready; "readiness changed");
@@ -314,11 +337,15 @@
         self.view.send_replace(view);
     }
 
-    /// Has tables read anew of which others have seen newer versions for a while.
-    fn refresh_stale(&mut self, now: Mono) {
+    /// Has tables read anew of which others have seen newer versions for a while, or copied
+    /// from one of them where the store does not answer.
+    fn refresh_stale(&mut self, now: Mono, events: &mpsc::Sender<Event>) {
         for table in self.cluster.stale_tables(now) {
             log::info!(table = table.word(); "others see newer rows, asking anew");
             self.follow(table).refresh.notify_one();
+            if self.cluster.needs_copy(table) {
+                self.ask_for_copy(now, table, events);
+            }
         }
     }
 
@@ -386,9 +413,9 @@
         }
     }
 
-    fn datagram_came(&mut self, bytes: &[u8]) {
+    fn datagram_came(&mut self, bytes: &[u8], from: SocketAddr) {
         match datagram::decode(bytes) {
-            Ok(Datagram::Report(report)) => self.report_came(&report),
+            Ok(Datagram::Report(report)) => self.report_came(&report, from),
             Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
             Ok(Datagram::Totals(totals)) => self.totals_came(totals),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
@@ -401,9 +428,10 @@
         self.publish(now);
     }
 
-    fn report_came(&mut self, report: &Report) {
+    fn report_came(&mut self, report: &Report, from: SocketAddr) {
         let now = clock::mono();
-        if report.instance == self.me.instance || !self.cluster.peers.report(now, report) {
+        let is_own = report.instance == self.me.instance;
+        if is_own || !self.cluster.peers.report(now, report, from) {
             return;
         }
         self.cluster.traffic_seen(now, report);
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -184,6 +184,28 @@
     }
 }
 
+/// Whether a key of any table is that of an assignment.
+pub(super) fn is_assignment(key: &str) -> bool {
+    key.starts_with(KEYS_PREFIX)
+}
+
+/// An assignment as its row, with the changes that came since the row was read.
+pub(super) fn assignment_as_row((service, owners): (&ServiceName, &Owners)) -> Option<Row> {
+    let value = match owners.assignment.to_bytes() {
+        Ok(value) => value,
+        Err(e) => {
+            let service = service.as_str();
+            log::error!(service, cause = e.to_string(); "an assignment cannot be copied");
+            return None;
+        }
+    };
+    Some(Row {
+        key: assignment_key(service),
+        value: Some(value),
+        version: owners.version,
+    })
+}
+
 /// Key of an instance's row.
 pub(super) fn instance_key(instance: &InstanceName) -> String {
     format!("{INSTANCE_PREFIX}{instance}")
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -8,6 +8,7 @@
 use citronway_core::gateway::report::{
     EndpointTotal, EndpointUse, REPORT_MS, Report, Totals, Versions, looks_a_report,
 };
+use citronway_core::gateway::rows::Table;
 use citronway_core::gateway::share::Demand;
 use citronway_core::ids::{InstanceName, Session, ZoneName};
 use citronway_core::time::Mono;
@@ -49,9 +50,12 @@
         peer.zone = Some(row.zone);
     }
 
-    /// Takes a report; false if a newer one was taken before.
-    pub(super) fn report(&mut self, now: Mono, report: &Report) -> bool {
+    /// Takes a report that came from an address; false if a newer one was taken before.
+    pub(super) fn report(&mut self, now: Mono, report: &Report, from: SocketAddr) -> bool {
         let peer = self.entry(&report.instance);
+        // Instances send from the address at which they listen. Whoever starts while the
+        // store is silent has read no rows and knows the others by this alone.
+        peer.address.get_or_insert(from);
         let same = peer
             .sight
             .as_ref()
@@ -157,6 +161,21 @@
         newest
     }
 
+    /// Where an instance listens that has the newest rows of a table; those of `zone` first.
+    pub(super) fn with_newest(
+        &self,
+        now: Mono,
+        table: Table,
+        zone: &ZoneName,
+    ) -> Option<SocketAddr> {
+        let rank = |peer: &Peer| (peer.seen.of(table), peer.zone.as_ref() == Some(zone));
+        let peers = self.fresh(now).map(|(_, peer)| peer);
+        let best = peers
+            .filter(|peer| peer.seen.of(table) > 0 && peer.address.is_some())
+            .max_by_key(|peer| rank(peer))?;
+        best.address
+    }
+
     /// Whether the leader that the row names is heard and reaches the store.
     pub(super) fn passes_rows(&self, now: Mono, leader: &LeaderRow) -> bool {
         let sight = self
