--- /dev/null
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -0,0 +1,65 @@
+//! What this instance hears from the others: reports, relayed rows, sums.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use citronway_core::gateway::report::{Report, Totals};
+use citronway_core::gateway::rows::{Relay, Table};
+use citronway_wire::report::{self as datagram, Datagram};
+
+use super::Control;
+use crate::clock;
+
+impl Control {
+    fn relay_came(&mut self, relay: &Relay) {
+        let follow = self.follow(relay.table);
+        let at = follow.position.load(Ordering::Relaxed);
+        if at == 0 {
+            return;
+        }
+        if relay.after.0 > at || !self.cluster.can_patch(relay) {
+            // Something in between was lost.
+            follow.refresh.notify_one();
+            return;
+        }
+        follow
+            .position
+            .fetch_max(relay.position.0, Ordering::Relaxed);
+        if relay.rows.is_empty() && relay.patches.is_empty() {
+            return;
+        }
+        let now = clock::mono();
+        let table = relay.table;
+        self.cluster.relayed(now, relay);
+        if table == Table::Own {
+            self.duty.rows_relayed(&self.cluster);
+        }
+    }
+
+    /// Takes a datagram that came from an address.
+    pub(super) fn datagram_came(&mut self, bytes: &[u8], from: SocketAddr) {
+        match datagram::decode(bytes) {
+            Ok(Datagram::Report(report)) => self.report_came(&report, from),
+            Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
+            Ok(Datagram::Totals(totals)) => self.totals_came(totals),
+            Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
+        }
+    }
+
+    fn totals_came(&mut self, totals: Totals) {
+        let now = clock::mono();
+        self.cluster.peers.totals(now, totals);
+        self.publish(now);
+    }
+
+    fn report_came(&mut self, report: &Report, from: SocketAddr) {
+        let now = clock::mono();
+        let is_own = report.instance == self.me.instance;
+        if is_own || !self.cluster.peers.report(now, report, from) {
+            return;
+        }
+        self.cluster.traffic_seen(now, report);
+        self.duty.traffic_seen(now, report);
+        self.duty.term_heard(report.term);
+    }
+}
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod duty;
 mod entries;
+mod hearing;
 mod kept_rows;
 mod orders;
 mod own_rows;
@@ -14,7 +15,6 @@
 mod unusable;
 
 use std::io;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -22,13 +22,13 @@
 
 use citronway_core::gateway::admission::View;
 use citronway_core::gateway::leader::{Order, OrderResult, WriteResult};
-use citronway_core::gateway::report::{self, Report, Totals};
+use citronway_core::gateway::report;
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{ServiceName, Session};
 use citronway_core::time::Mono;
 use citronway_platform::store::{Change, Refused};
-use citronway_wire::report::{self as datagram, Datagram};
+use citronway_wire::report as datagram;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -388,57 +388,6 @@
         !watches && now.since(self.told_at) < UNTOLD_REST_MS
     }
 
-    fn relay_came(&mut self, relay: &Relay) {
-        let follow = self.follow(relay.table);
-        let at = follow.position.load(Ordering::Relaxed);
-        if at == 0 {
-            return;
-        }
-        if relay.after.0 > at || !self.cluster.can_patch(relay) {
-            // Something in between was lost.
-            follow.refresh.notify_one();
-            return;
-        }
-        follow
-            .position
-            .fetch_max(relay.position.0, Ordering::Relaxed);
-        if relay.rows.is_empty() && relay.patches.is_empty() {
-            return;
-        }
-        let now = clock::mono();
-        let table = relay.table;
-        self.cluster.relayed(now, relay);
-        if table == Table::Own {
-            self.duty.rows_relayed(&self.cluster);
-        }
-    }
-
-    fn datagram_came(&mut self, bytes: &[u8], from: SocketAddr) {
-        match datagram::decode(bytes) {
-            Ok(Datagram::Report(report)) => self.report_came(&report, from),
-            Ok(Datagram::Relay(relay)) => self.relay_came(&relay),
-            Ok(Datagram::Totals(totals)) => self.totals_came(totals),
-            Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
-        }
-    }
-
-    fn totals_came(&mut self, totals: Totals) {
-        let now = clock::mono();
-        self.cluster.peers.totals(now, totals);
-        self.publish(now);
-    }
-
-    fn report_came(&mut self, report: &Report, from: SocketAddr) {
-        let now = clock::mono();
-        let is_own = report.instance == self.me.instance;
-        if is_own || !self.cluster.peers.report(now, report, from) {
-            return;
-        }
-        self.cluster.traffic_seen(now, report);
-        self.duty.traffic_seen(now, report);
-        self.duty.term_heard(report.term);
-    }
-
     fn stop(&mut self) {
         if self.stopping {
             return;
