--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -1,6 +1,10 @@
 //! A small deployment on loopback: a store, endpoints, and instances as processes.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses its own part"
+)]
 
 use std::io::{BufRead as _, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -230,6 +234,16 @@
         self.signal(libc::SIGHUP);
     }
 
+    /// Stops the process where it is, until it is resumed.
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
     fn signal(&self, signal: i32) {
         let id = i32::try_from(self.process.id()).expect("a process id");
         // SAFETY: a signal to a child that has not been waited for.
