The place of a caller that leaves before it knows of it is given back

Cause: a decision in the channel of a request whose caller has left was dropped with it. Change: whoever stops waiting looks whether a decision is there, and gives the place back. Ruled out: giving places only to callers that are known to be there; a caller can leave between the decision and the next look at its connection at any time. Before: the test of the commit before fails, 503 instead of 200, 9 places lost. After: it passes; gateway_stop passes (4 tests).

--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -212,11 +212,12 @@
         let (tx, rx) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, tx);
         self.any_waits.notify_one();
-        let _guard = Waiting {
+        let mut waiting = Waiting {
             state: self,
             ticket,
+            decided: rx,
         };
-        rx.await.ok()
+        (&mut waiting.decided).await.ok()
     }
 
     /// Marks a sent request's place as taken until the guard is dropped.
@@ -425,18 +426,28 @@
 struct Waiting<'a> {
     state: &'a State,
     ticket: u64,
+    decided: oneshot::Receiver<Decision>,
 }
 
 impl Drop for Waiting<'_> {
+    /// Failure guarded against: a caller leaves when its request has been given a place and
+    /// does not know it yet. Nobody gives the place back, and after a few of these the
+    /// endpoint counts as full for as long as the process runs.
     fn drop(&mut self) {
-        if self
-            .state
+        let state = self.state;
+        if state
             .waiting
             .borrow_mut()
             .swap_remove(&self.ticket)
             .is_some()
         {
-            self.state.admission.borrow_mut().forget(self.ticket);
+            state.admission.borrow_mut().forget(self.ticket);
+            return;
+        }
+        // A decision that was read is no longer in the channel.
+        if let Ok(Decision::Send(choice)) = self.decided.try_recv() {
+            state.admission.borrow_mut().finished(&choice.endpoint);
+            state.pump();
         }
     }
 }
