--- a/crates/citronway/tests/gateway_stop.rs
+++ b/crates/citronway/tests/gateway_stop.rs
@@ -13,6 +13,7 @@
 
 mod gateway_support;
 
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,12 @@
 /// Time that callers state to wait, in milliseconds: longer than an instance takes to stop.
 const LONG_MS: u64 = 12_000;
 
+/// Time that the settings give an instance to stop.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Starts of an instance with a signal each: without the guard 8 to 12 of them end by it.
+const STARTS: usize = 30;
+
 /// Routes that wait longer than an instance takes to stop, to a service of mute endpoints.
 fn patient_routes() -> serde_json::Value {
     let mut look = route("patient-look", "/patient-look/", "idempotent", "console");
@@ -136,3 +143,75 @@
     expect_that!(told.elapsed(), lt(Duration::from_secs(4)));
     until("the process ends", || instance.ended() == Some(0));
 }
+
+/// A machine is suspended, or has no processor for a while, when its instance stops. It goes on
+/// after the time by which each request was to have an answer and be on its way. The instance
+/// gave its answers and ended in the same moment, and nobody got one.
+#[gtest]
+fn an_instance_that_was_paused_across_its_grace_answers_before_it_ends() {
+    let (deployment, mute) = mute_deployment();
+    let mut instance = deployment.ready_instance("one");
+    let callers = instance.callers;
+    let call = thread::spawn(move || {
+        let head = head("POST /patient/1", "X-Request-Id: p\r\n", LONG_MS, 1);
+        exchange(callers, &head, "x")
+    });
+    until("the endpoint has a connection", || mute.connections() > 0);
+    instance.terminate();
+    until("it knows that it is to stop", || !instance.is_ready());
+    instance.pause();
+    let paused = Instant::now();
+    until("its grace is over", || paused.elapsed() > GRACE);
+    instance.resume();
+    let reply = call.join().expect("the caller ends");
+    expect_that!(
+        reply.map(|reply| reply.status),
+        some(any![eq(502), eq(504)])
+    );
+    until("the process ends", || instance.ended() == Some(0));
+}
+
+/// The platform shortens the grace in the settings of an instance and sends no signal for it.
+/// The instance went by the grace that it had read at its start, and was killed before what
+/// was at endpoints had an answer.
+#[gtest]
+fn a_grace_that_was_shortened_without_a_signal_holds_for_the_next_stop() {
+    let (deployment, mute) = mute_deployment();
+    let mut instance = deployment.ready_instance("one");
+    deployment.set_grace("one", 2);
+    let callers = instance.callers;
+    let call = thread::spawn(move || {
+        let head = head("POST /patient/1", "X-Request-Id: u\r\n", LONG_MS, 1);
+        exchange(callers, &head, "x")
+    });
+    until("the endpoint has a connection", || mute.connections() > 0);
+    instance.terminate();
+    let told = Instant::now();
+    let reply = call.join().expect("the caller ends");
+    expect_that!(
+        reply.map(|reply| reply.status),
+        some(any![eq(502), eq(504)])
+    );
+    expect_that!(told.elapsed(), lt(Duration::from_secs(4)));
+    until("the process ends", || instance.ended() == Some(0));
+}
+
+/// Settings change while an instance starts. It took callers before it listened for signals,
+/// ended by the one that says so, and its callers saw their connections close.
+#[gtest]
+fn a_signal_that_comes_with_the_first_caller_does_not_end_the_process() {
+    let deployment = Deployment::new();
+    for start in 0..STARTS {
+        let mut instance = deployment.instance(&format!("start-{start}"));
+        // Without a pause between two looks: the signal has to come at once.
+        let begun = Instant::now();
+        while TcpStream::connect(instance.callers).is_err() {
+            assert!(begun.elapsed() < GRACE, "it takes no callers");
+        }
+        instance.hang_up();
+        until("it has started or ended", || {
+            !instance.metrics().is_empty() || instance.ended().is_some()
+        });
+        expect_that!(instance.ended(), none());
+    }
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -1,10 +1,6 @@
 //! A small deployment on loopback: a store, endpoints, and instances as processes.
 
-#![allow(
-    dead_code,
-    unused_imports,
-    reason = "each test file uses its own part"
-)]
+#![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
 use std::io::{BufRead as _, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
