Answers get their time to leave also when a stop was held up

Cause: the last phases of a stop ended by times of the clock. A process that goes on after both gave its answers and ended before any was written. Change: the last phase lasts its part of the grace from its own begin. All times of a stop are read from the clock that counts suspended time, as those of admission are. Ruled out: waiting without an end for callers that do not take their answer. Before: the test of the pause fails, no answer. After: it passes. Not proved: the clock; no test can suspend the machine.

--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -27,9 +27,9 @@
 /// Time between two looks at how long a connection is idle.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 
-/// Time after the signal to stop in which callers still arrive: the balancer asks
-/// once a second and takes an instance out after two misses.
-const STILL_ARRIVING: Duration = Duration::from_millis(2_800);
+/// Time after the signal to stop in which callers still arrive, in milliseconds: the
+/// balancer asks once a second and takes an instance out after two misses.
+const STILL_ARRIVING_MS: u64 = 2_800;
 
 /// Part of the grace after which no more requests are taken at the latest, in hundredths:
 /// where the grace is short, those that were taken need the other half of it.
@@ -48,7 +48,7 @@
 /// processor each: 0.4 s, 7 hundredths. What is left is for the log and the exit.
 const ENDED_AT: u64 = 97;
 
-/// Time between two looks at whether all connections have ended.
+/// Time between two looks at how far a stop has come.
 const END_LOOK: Duration = Duration::from_millis(20);
 
 /// Where a connection stands between two requests.
@@ -144,25 +144,33 @@
         // `control` has ended, and with it the process.
         Ok(Stop::No) | Err(_) => return,
     };
-    let told = tokio::time::Instant::now();
-    let part = |hundredths| Duration::from_millis(grace_ms * hundredths / 100);
-    state.end_by(clock::mono().plus(grace_ms * ANSWERED_AT / 100));
-    tokio::time::sleep_until(told + STILL_ARRIVING.min(part(CLOSED_AT))).await;
+    let told = clock::mono();
+    let part = |hundredths| grace_ms * hundredths / 100;
+    state.end_by(told.plus(part(ANSWERED_AT)));
+    let closes = told.plus(STILL_ARRIVING_MS.min(part(CLOSED_AT)));
+    while clock::mono() < closes {
+        tokio::time::sleep(END_LOOK).await;
+    }
     state.log_open("idle connections are closed");
     state.enter(Phase::Closing);
-    all_ended_by(state, told + part(ANSWERED_AT)).await;
+    all_ended_by(state, told.plus(part(ANSWERED_AT))).await;
     if state.open_connections() > 0 {
         state.log_open("what has no answer gets one now");
         state.enter(Phase::Ending);
-        all_ended_by(state, told + part(ENDED_AT)).await;
+        // Failure guarded against: the process was paused or had no processor, and goes on
+        // when this phase was to be over. The answers have their time to leave all the same.
+        let way_out = part(ENDED_AT) - part(ANSWERED_AT);
+        all_ended_by(state, clock::mono().plus(way_out)).await;
     }
     state.log_open("the last connections end");
     state.open.log_each(clock::mono());
 }
 
 /// Resolves once no connection is open, at `end` at the latest.
-async fn all_ended_by(state: &State, end: tokio::time::Instant) {
-    while state.open_connections() > 0 && tokio::time::Instant::now() < end {
+///
+/// By the clock that counts time in which the machine was suspended: the grace does too.
+async fn all_ended_by(state: &State, end: Mono) {
+    while state.open_connections() > 0 && clock::mono() < end {
         tokio::time::sleep(END_LOOK).await;
     }
 }
