Signals are listened for before callers are taken

Cause: the traffic thread took callers while the control thread had not yet begun to listen for signals; one that came then ended the process by its default. Change: run() begins to listen before it starts the traffic. Ruled out: starting the traffic after control, which delays the first caller by its calls. After: none of 30. Not proved: SIGTERM at that moment; it is listened for in the same place.

--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -27,7 +27,7 @@
 use citronway_platform::store::{Change, Refused};
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -90,7 +90,27 @@
     Registered,
 }
 
-/// Ends of the rings to the traffic.
+/// Signals that an instance listens for.
+#[derive(Debug)]
+pub(super) struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Begins to listen, on the present runtime.
+    ///
+    /// Failure guarded against: a signal comes when callers are taken already and ends the
+    /// process, and their connections with it. So this comes before the traffic starts.
+    pub(super) fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// What joins the control duty to the traffic and to the process.
 #[derive(Debug)]
 pub(super) struct Ends {
     /// What the traffic decides by.
@@ -99,6 +119,8 @@
     pub seen: mpsc::Receiver<Seen>,
     /// Tells it to stop.
     pub stop: watch::Sender<Stop>,
+    /// Signals to this process.
+    pub signals: Signals,
 }
 
 /// The control duty of one instance.
@@ -112,6 +134,7 @@
     view: watch::Sender<View>,
     seen: mpsc::Receiver<Seen>,
     stop: watch::Sender<Stop>,
+    signals: Signals,
     cluster: Cluster,
     duty: Duty,
     orders: OrderClient,
@@ -148,6 +171,7 @@
             view: ends.view,
             seen: ends.seen,
             stop: ends.stop,
+            signals: ends.signals,
             orders: OrderClient::default(),
             reports: 0,
             unreported: Default::default(),
@@ -183,8 +207,6 @@
             self.me.clone(),
             events_tx.clone(),
         ));
-        let mut term = signal(SignalKind::terminate())?;
-        let mut hup = signal(SignalKind::hangup())?;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buf = vec![0; datagram::MAX_DATAGRAM];
@@ -196,8 +218,8 @@
                 },
                 Some(event) = events.recv() => self.take(&socket, event),
                 Ok(len) = socket.recv(&mut buf) => self.datagram_came(&buf[..len]),
-                _ = term.recv() => self.stop(),
-                _ = hup.recv() => self.reload(),
+                _ = self.signals.terminate.recv() => self.stop(),
+                _ = self.signals.hang_up.recv() => self.reload(),
                 _ = ticks.tick() => {}
             }
             self.work(&events_tx);
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -113,12 +113,17 @@
     let (seen_tx, seen_rx) = mpsc::channel(SEEN_RING);
     let (stop_tx, stop_rx) = watch::channel(Stop::No);
 
+    let runtime = runtime("control")?;
+    let signals = {
+        let _within = runtime.enter();
+        control::Signals::listen().map_err(start("signals"))?
+    };
     let ends = control::Ends {
         view: view_tx,
         seen: seen_rx,
         stop: stop_tx,
+        signals,
     };
-    let runtime = runtime("control")?;
     let traffic_cfg = cfg.clone();
     let metrics = Metrics::default();
     let counted = metrics.clone();
