An instance that is told to stop goes by the settings as they stand then

Cause: settings may change without a signal; the grace was the one of the last reading. Change: the settings are read again when the signal to stop comes. Settings that cannot be read leave those of before, as on the signal to read them.

--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -439,6 +439,8 @@
         }
         log::info!("asked to stop");
         self.stopping = true;
+        // Settings may change without a signal, and the process ends by their grace.
+        self.reload();
         let grace_ms = self.cfg.grace_ms;
         self.stop.send_replace(Stop::Within { grace_ms });
     }
