The limits for heads and for idle connections hold as they are stated

The library does not end a connection on which half of a first head has come when it is asked to end in order. And bytes of a body that came after its head counted as the begin of the next head, so that the idle connection ended by the limit for heads. Change: before the first request the connection is dropped, nothing is owed on it; with the end of a request no head has begun. Before: a first head open after 15 s at a limit of 3 s; an idle connection closed after 3.3 s at a limit of 15 s. After: both tests pass. Left: a head that was begun while the request before was under way has the limit for idle connections.

--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -54,6 +54,8 @@
 /// Where a connection stands between two requests.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
+    /// A request was taken.
+    taken: Cell<bool>,
     /// Requests taken and not answered in full.
     active: Cell<u32>,
     /// When the last byte came or the last answer ended.
@@ -76,6 +78,7 @@
     };
     let limits = state.limits();
     let service = service_fn(|req| {
+        progress.taken.set(true);
         progress.active.set(progress.active.get() + 1);
         progress.reading.set(false);
         let done = Done {
@@ -103,6 +106,10 @@
             }
             () = tokio::time::sleep(IDLE_LOOK), if !closing => {
                 if is_overdue(&state, &progress) {
+                    // The library goes on waiting for the rest of a first head.
+                    if !progress.taken.get() {
+                        return;
+                    }
                     connection.as_mut().graceful_shutdown();
                     closing = true;
                 }
@@ -187,6 +194,8 @@
     fn drop(&mut self) {
         let progress = &self.progress;
         progress.active.set(progress.active.get().saturating_sub(1));
+        // What has come since the head was the body of this request.
+        progress.reading.set(false);
         progress.touched.set(clock::mono());
     }
 }
