A failing test: the signal to read settings again ends an entry with own settings

Cause: entries with own settings listen for the signals to stop only; the default of the one to read settings again is the end of the process.

--- a/crates/citronway-standin/src/env/child.rs
+++ b/crates/citronway-standin/src/env/child.rs
@@ -106,6 +106,15 @@
         self.signal(libc::SIGTERM)
     }
 
+    /// Tells it that its settings may have changed (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// If it has ended.
+    pub fn hang_up(&mut self) -> Result<(), EnvError> {
+        self.signal(libc::SIGHUP)
+    }
+
     /// Ends it at once (SIGKILL).
     ///
     /// # Errors
--- a/crates/citronway/tests/process_loss.rs
+++ b/crates/citronway/tests/process_loss.rs
@@ -33,6 +33,23 @@
     expect_that!(cut_off(&records), is_empty());
 }
 
+/// An operator changes the settings of an entry and sends it the signal by which instances on
+/// the platform read theirs again. It ended the entry at once, and callers whose requests were
+/// under way saw their connections close.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signal_to_read_settings_again_ends_nothing() {
+    let mut bench = Bench::start(Deployment::new(3).service_ms(50).without_balancing()).await;
+    let name = bench.dispatcher(ENDPOINT).await;
+    let entry = bench.env.entry_mut(&name).unwrap();
+    entry.child.hang_up().unwrap();
+    bench.env.all_healthy().await.unwrap();
+    expect_that!(bench.env.entry_mut(&name).unwrap().child.exited(), none());
+    bench.traffic.all_served().await.unwrap();
+    let records = bench.finish().await;
+    expect_that!(cut_off(&records), is_empty());
+}
+
 /// The entry that dispatches an endpoint is lost with orders under way. Keys of the
 /// endpoint stay unserved until a successor has waited out its promise. Then callers
 /// repeat bookings that had run, and the successor knows nothing of them.
