The signal to read settings again does not end an entry with own settings

Cause: nobody listened for it, and its default is the end of the process. The signals to stop were listened for only after callers were taken. Change: all three are listened for before any duty starts; this one is noted in the logs, as own settings are read at the start only. Before: the test fails, the process has ended. After: it passes.

--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -95,6 +95,7 @@
 
 async fn serve(cfg: &Settings, me: Session) -> Result<(), Error> {
     let (events_tx, events) = mpsc::channel(EVENTS);
+    listen_for_signals(events_tx.clone()).map_err(start("signals"))?;
     let ready = Arc::new(AtomicBool::new(false));
     let metrics = Arc::new(Metrics::new());
     let (rings, running) = start_duties(cfg, &me, &events_tx, &ready, &metrics)?;
@@ -105,7 +106,6 @@
     let setup = Setup::new(token, published, store_tx, Arc::clone(&metrics));
     let stop = CancellationToken::new();
     let operators = start_operators(cfg, setup, stop.clone()).map_err(start("operators"))?;
-    stop_on_signal(events_tx).map_err(start("signals"))?;
 
     let settings = node_settings(cfg);
     let recorder = start_recorder(cfg, &me, &settings).map_err(start("trace"))?;
@@ -216,13 +216,22 @@
     move |cause| Error::Start { duty, cause }
 }
 
-fn stop_on_signal(events: mpsc::Sender<Event>) -> io::Result<()> {
+/// Passes a call to stop on, and takes note of one to read the settings again.
+///
+/// Failure guarded against: a signal comes that nobody listens for, or before anybody does,
+/// and ends the process by its default, with all requests that are under way. So this comes
+/// before callers are taken.
+fn listen_for_signals(events: mpsc::Sender<Event>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hang_up.recv() => log::warn!("settings are read at the start only"),
+            }
         }
         if events.send(Event::Stop).await.is_err() {
             log::warn!("asked to stop after the end");
