--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -30,7 +30,7 @@
 use citronway_platform::store::{Change, Refused};
 use citronway_wire::report as datagram;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -104,7 +104,27 @@
     },
 }
 
-/// Ends of the rings to the traffic.
+/// Signals that an instance listens for.
+#[derive(Debug)]
+pub(super) struct Signals {
+    terminate: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Begins to listen, on the present runtime.
+    ///
+    /// Failure guarded against: a signal comes when callers are taken already and ends the
+    /// process, and their connections with it. So this comes before the traffic starts.
+    pub(super) fn listen() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// What joins the control duty to the traffic and to the process.
 #[derive(Debug)]
 pub(super) struct Ends {
     /// What the traffic decides by.
@@ -113,6 +133,8 @@
     pub seen: mpsc::Receiver<Seen>,
     /// Tells it to stop.
     pub stop: watch::Sender<Stop>,
+    /// Signals to this process.
+    pub signals: Signals,
 }
 
 /// The control duty of one instance.
@@ -126,6 +148,7 @@
     view: watch::Sender<View>,
     seen: mpsc::Receiver<Seen>,
     stop: watch::Sender<Stop>,
+    signals: Signals,
     cluster: Cluster,
     duty: Duty,
     orders: OrderClient,
@@ -164,6 +187,7 @@
             view: ends.view,
             seen: ends.seen,
             stop: ends.stop,
+            signals: ends.signals,
             orders: OrderClient::default(),
             reports: 0,
             unreported: Default::default(),
@@ -202,8 +226,6 @@
             self.me.clone(),
             events_tx.clone(),
         ));
-        let mut term = signal(SignalKind::terminate())?;
-        let mut hup = signal(SignalKind::hangup())?;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buf = vec![0; datagram::MAX_DATAGRAM];
@@ -217,8 +239,8 @@
                 Ok((len, from)) = socket.recv_from(&mut buf) => {
                     self.datagram_came(&buf[..len], from);
                 }
-                _ = term.recv() => self.stop(),
-                _ = hup.recv() => self.reload(),
+                _ = self.signals.terminate.recv() => self.stop(),
+                _ = self.signals.hang_up.recv() => self.reload(),
                 _ = ticks.tick() => {}
             }
             self.work(&events_tx);
@@ -394,6 +416,8 @@
         }
         log::info!("asked to stop");
         self.stopping = true;
+        // Settings may change without a signal, and the process ends by their grace.
+        self.reload();
         let grace_ms = self.cfg.grace_ms;
         self.stop.send_replace(Stop::Within { grace_ms });
     }
