Sight: where unanswered requests stand, each stage of a stop, callers that leave

Cause: logs and metrics could not tell an engineer on call (1) how many requests stand at which stage and how many connections callers have, (2) whether a request without a last line was lost or its caller left: the line of an early end was of a level that is not written, and had no id, (3) at which endpoint work stood that the stop broke off, and for how long, (4) an endpoint that broke off from an instance that stopped: both were `broken`, (5) the grace of a stop, and when the port closed, (6) the id of a malformed request, which no counter counted. Change: gauges `connections` and `unanswered` by stage, counter `callers_left` by stage; reason `stopped`; lines `broken off by the stop` and `caller left before its answer` with stage, endpoint, fence and time at the stage; `the callers' port is closed`; the grace in `asked to stop`; the end of `control` names what it leaves. Ruled out: an outcome of its own for callers that left: 13 series for each class. Before: the tests of `gateway_sight` fail on the code of before: three of the four were run there and end with "not in time", each at the first missing series. After: they pass, with those of `gateway_path`, `gateway_stop`, `operations`. Conclusion: a request that ends without an answer has a last line with its place. Not proved: the counter with reason `stopped` is read from the line, since the process ends within tenths of a second after it.

--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -113,3 +113,29 @@
         }
     }
 }
+
+/// Why it is not known whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DoubtReason {
+    /// Its endpoint broke off.
+    Broken,
+    /// Its time ended.
+    Timeout,
+    /// Its instance stopped before the endpoint answered.
+    Stopped,
+}
+
+impl DoubtReason {
+    /// All reasons, for tables in documents and tests.
+    pub const ALL: [Self; 3] = [Self::Broken, Self::Timeout, Self::Stopped];
+
+    /// Word for logs and metrics.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Timeout => "timeout",
+            Self::Stopped => "stopped",
+        }
+    }
+}
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -20,7 +20,7 @@
 use choose::Finding;
 use kept::Kept;
 
-pub use job::{Choice, Decision, Job, Refusal, RefusalReason};
+pub use job::{Choice, Decision, DoubtReason, Job, Refusal, RefusalReason};
 pub use kept::SURE_IDLE_MS;
 pub use view::{Owners, Standing, View};
 
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -415,9 +415,9 @@
         if self.stopping {
             return;
         }
-        log::info!("asked to stop");
-        self.stopping = true;
         let grace_ms = self.cfg.grace_ms;
+        log::info!(grace_ms; "asked to stop");
+        self.stopping = true;
         self.stop.send_replace(Stop::Within { grace_ms });
     }
 
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use citronway_core::gateway::admission::RefusalReason;
+use citronway_core::gateway::admission::{DoubtReason, RefusalReason};
 use citronway_core::gateway::leader::{OrderKind, OrderResult};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
@@ -30,10 +30,8 @@
     Answered,
     /// Refused without having run.
     NotRun(RefusalReason),
-    /// Its endpoint broke off.
-    MayHaveRun,
-    /// Its time ended.
-    TimedOut,
+    /// It may have run.
+    MayHaveRun(DoubtReason),
     /// It could not be accepted.
     Rejected,
 }
@@ -43,8 +41,7 @@
         match self {
             Self::Answered => ("answered", ""),
             Self::NotRun(reason) => ("not_run", reason.word()),
-            Self::MayHaveRun => ("may_have_run", "broken"),
-            Self::TimedOut => ("may_have_run", "timeout"),
+            Self::MayHaveRun(reason) => ("may_have_run", reason.word()),
             Self::Rejected => ("rejected", ""),
         }
     }
@@ -105,6 +102,11 @@
     source: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: &'static str,
+}
+
 /// All metrics; clones count together.
 #[derive(Debug, Clone)]
 pub struct Metrics {
@@ -115,6 +117,9 @@
     service: Family<Class, Histogram>,
     waiting: Gauge,
     in_flight: Gauge,
+    connections: Gauge,
+    unanswered: Family<StageLabels, Gauge>,
+    callers_left: Family<StageLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     polls: Family<PollLabels, Counter>,
     writes: Counter,
@@ -137,6 +142,15 @@
         registry.register("waiting", "Requests that wait for a place", waiting.clone());
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests at endpoints", in_flight.clone());
+        let connections = Gauge::default();
+        let help = "Open connections of callers";
+        registry.register("connections", help, connections.clone());
+        let unanswered = Family::default();
+        let help = "Requests without a whole answer, by where they stand";
+        registry.register("unanswered", help, unanswered.clone());
+        let callers_left = Family::default();
+        let help = "Requests whose callers left, by where they stood";
+        registry.register("callers_left", help, callers_left.clone());
         let orders = Family::default();
         registry.register("orders", "Grants and releases by result", orders.clone());
         let polls = Family::default();
@@ -154,6 +168,9 @@
             service,
             waiting,
             in_flight,
+            connections,
+            unanswered,
+            callers_left,
             orders,
             polls,
             writes,
@@ -196,6 +213,30 @@
         self.in_flight.set(i64::from(in_flight));
     }
 
+    /// Shows a stage from the start, so that its counter is seen to begin at 0.
+    pub(super) fn tells_of_stage(&self, stage: &'static str) {
+        let labels = StageLabels { stage };
+        drop(self.unanswered.get_or_create(&labels));
+        drop(self.callers_left.get_or_create(&labels));
+    }
+
+    /// Notes how many connections callers have open.
+    pub(super) fn connections(&self, count: u32) {
+        self.connections.set(i64::from(count));
+    }
+
+    /// Notes how many requests stand at a stage.
+    pub(super) fn unanswered(&self, stage: &'static str, count: usize) {
+        let gauge = self.unanswered.get_or_create(&StageLabels { stage });
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a request whose caller left.
+    pub(super) fn caller_left(&self, stage: &'static str) {
+        let labels = StageLabels { stage };
+        self.callers_left.get_or_create(&labels).inc();
+    }
+
     /// Counts an order.
     pub(super) fn ordered(&self, kind: &OrderKind, result: &OrderResult) {
         let order = match kind {
--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -142,7 +142,11 @@
     let grace_ms = match stop.wait_for(is_told).await.as_deref() {
         Ok(Stop::Within { grace_ms }) => *grace_ms,
         // `control` has ended, and with it the process.
-        Ok(Stop::No) | Err(_) => return,
+        Ok(Stop::No) | Err(_) => {
+            state.log_open("control has ended, all connections end");
+            state.open.end_all(clock::mono());
+            return;
+        }
     };
     let told = tokio::time::Instant::now();
     let part = |hundredths| Duration::from_millis(grace_ms * hundredths / 100);
@@ -157,7 +161,7 @@
         all_ended_by(state, told + part(ENDED_AT)).await;
     }
     state.log_open("the last connections end");
-    state.open.log_each(clock::mono());
+    state.open.end_all(clock::mono());
 }
 
 /// Resolves once no connection is open, at `end` at the latest.
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use citronway_core::gateway::admission::{Choice, Decision, Job, Refusal, RefusalReason};
+use citronway_core::gateway::admission::{
+    Choice, Decision, DoubtReason, Job, Refusal, RefusalReason,
+};
 use citronway_core::gateway::assignment::Range;
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointStart;
@@ -139,7 +141,7 @@
 
     async fn try_all(&mut self) -> Outcome {
         loop {
-            self.open.reach(Stage::Waiting);
+            self.open.reach(clock::mono(), Stage::Waiting);
             let choice = match self.state.place(self.job.clone()).await {
                 Some(Decision::Send(choice)) => choice,
                 Some(Decision::Refuse(refusal)) => {
@@ -149,11 +151,12 @@
                 None => return self.spent(RefusalReason::Overloaded),
             };
             let class = Class::of(self.route);
-            let waited_ms = clock::mono().since(self.job.arrived);
+            let placed = clock::mono();
+            let waited_ms = placed.since(self.job.arrived);
             if self.sends == 0 {
                 self.state.metrics.placed(class, waited_ms);
             }
-            self.open.goes_to(&choice.endpoint);
+            self.open.goes_to(placed, &choice);
             let in_flight = self.state.in_flight(&choice);
             let sent = self.send(&choice).await;
             drop(in_flight);
@@ -200,7 +203,7 @@
                     }
                     self.run_by.push(choice.endpoint);
                     if !self.may_run_again() || !self.may_send_again(now) {
-                        return Outcome::Unknown(doubt.cause());
+                        return Outcome::Unknown(DoubtReason::Broken, doubt.cause());
                     }
                 }
                 Sent::TimedOut => {
@@ -213,7 +216,7 @@
 
     /// Logs what a refusal was decided by, with versions.
     fn log_inputs(&self, reason: RefusalReason) {
-        let request = shown_id(self.words);
+        let request = shown_id(self.words.id.as_ref());
         let service = self.job.service.as_str();
         let key = self.job.key;
         let waiting = self.state.waiting();
@@ -278,17 +281,19 @@
         if self.run_by.is_empty() {
             return Outcome::NotRun(refusal);
         }
-        Outcome::Unknown("no other endpoint has room")
+        Outcome::Unknown(DoubtReason::Broken, "no other endpoint has room")
     }
 
     /// Ends a request that has no answer when the instance ends.
     ///
     /// What an endpoint has, or may have, is not said to be not run.
     fn broken_off(&self) -> Outcome {
+        self.open.log_broken_off(clock::mono());
         if self.run_by.is_empty() && !self.open.may_be_at_endpoint() {
             return stopping();
         }
-        Outcome::Unknown("the instance stopped before the endpoint answered")
+        let cause = "the instance stopped before the endpoint answered";
+        Outcome::Unknown(DoubtReason::Stopped, cause)
     }
 
     /// Ends a request whose last send was refused.
@@ -357,10 +362,11 @@
 
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
         let mut link = self.link(choice).await?;
-        let left_ms = self.job.last_at.since(clock::mono());
+        let now = clock::mono();
+        let left_ms = self.job.last_at.since(now);
         let req = self.message.for_endpoint(&choice.endpoint, left_ms);
         self.sends += 1;
-        self.open.reach(Stage::AtEndpoint);
+        self.open.reach(now, Stage::AtEndpoint);
         let sent = link.send(req).await;
         let head = match sent {
             // A kept connection that the endpoint has closed: a new one is as good as
@@ -411,7 +417,7 @@
 
 /// Logs a send, `ms` after the request's arrival.
 fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32, ms: u64) {
-    let request = shown_id(words);
+    let request = shown_id(words.id.as_ref());
     let endpoint = &choice.endpoint;
     let fence = choice.fence.unwrap_or_default();
     match sent {
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -60,7 +60,10 @@
             // Failure: callers go on connecting when few instances of a zone are left,
             // and the last of them are cut off when the process ends. A closed port
             // sends them elsewhere before a request is read.
-            () = state.reached(Phase::Closing), if listener.is_some() => listener = None,
+            () = state.reached(Phase::Closing), if listener.is_some() => {
+                listener = None;
+                log::info!("the callers' port is closed");
+            }
             () = &mut drained => return Ok(()),
         }
     }
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -1,9 +1,9 @@
 //! How a request ended, and the answer that its caller gets.
 
 use bytes::Bytes;
-use citronway_core::gateway::admission::{Refusal, RefusalReason, STOPPING_RETRY_MS};
+use citronway_core::gateway::admission::{DoubtReason, Refusal, RefusalReason, STOPPING_RETRY_MS};
 use citronway_core::time::Mono;
-use citronway_platform::exchange::{self, CallerWords};
+use citronway_platform::exchange;
 use http::header::CONNECTION;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
@@ -25,8 +25,8 @@
     Answered(Answer),
     /// It has not run and will not.
     NotRun(Refusal),
-    /// It may have run; its endpoint broke off.
-    Unknown(&'static str),
+    /// It may have run; the reason for metrics, the cause for logs and the caller.
+    Unknown(DoubtReason, &'static str),
     /// Its time ended; it may have run.
     TimedOut,
     /// It cannot be accepted as it is.
@@ -39,8 +39,8 @@
         match self {
             Self::Answered(_) => Ended::Answered,
             Self::NotRun(refusal) => Ended::NotRun(refusal.reason),
-            Self::Unknown(_) => Ended::MayHaveRun,
-            Self::TimedOut => Ended::TimedOut,
+            Self::Unknown(reason, _) => Ended::MayHaveRun(*reason),
+            Self::TimedOut => Ended::MayHaveRun(DoubtReason::Timeout),
             Self::Rejected(..) => Ended::Rejected,
         }
     }
@@ -66,7 +66,7 @@
     outcome: Outcome,
     done: Done,
 ) -> Response<Answering> {
-    done.open.request.reach(Stage::Answering);
+    done.open.request.reach(clock::mono(), Stage::Answering);
     let (status, headers, body) = match outcome {
         Outcome::Answered(answer) => (
             answer.status,
@@ -82,7 +82,7 @@
                 refusal.reason.word(),
             )
         }
-        Outcome::Unknown(cause) => own_answer(id, StatusCode::BAD_GATEWAY, None, cause),
+        Outcome::Unknown(_, cause) => own_answer(id, StatusCode::BAD_GATEWAY, None, cause),
         Outcome::TimedOut => own_answer(id, StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
         Outcome::Rejected(status, cause) => own_answer(id, status, None, cause),
     };
@@ -111,23 +111,19 @@
 }
 
 /// Id of a request as logs show it.
-pub(super) fn shown_id(words: &CallerWords) -> &str {
-    words
-        .id
-        .as_ref()
-        .and_then(|id| id.to_str().ok())
-        .unwrap_or("-")
+pub(super) fn shown_id(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or("-")
 }
 
 /// Logs and counts an outcome.
 pub(super) fn note(
     state: &State,
     arrived: Mono,
-    words: &CallerWords,
+    id: Option<&HeaderValue>,
     class: Class,
     outcome: &Outcome,
 ) {
-    let request = shown_id(words);
+    let request = shown_id(id);
     let ms = clock::mono().since(arrived);
     state.metrics.ended(class, outcome.ended(), ms);
     match outcome {
@@ -140,7 +136,10 @@
             let retry_after_ms = refusal.retry_after_ms;
             log::info!(request, reason, retry_after_ms, ms; "refused, not run");
         }
-        Outcome::Unknown(cause) => log::info!(request, cause, ms; "may have run"),
+        Outcome::Unknown(reason, cause) => {
+            let reason = reason.word();
+            log::info!(request, reason, cause, ms; "may have run");
+        }
         Outcome::TimedOut => log::info!(request, ms; "timed out, may have run"),
         Outcome::Rejected(status, cause) => {
             let status = status.as_u16();
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -33,20 +33,23 @@
 ) -> Response<Answering> {
     let arrived = clock::mono();
     let (head, body) = req.into_parts();
+    let open = &done.open.request;
+    let id = exchange::request_id(&head.headers);
+    open.name(id);
     let words = match exchange::read_caller(&head) {
         Ok(words) => words,
         Err(e) => {
-            log::info!(cause = e.to_string(); "a request is malformed");
+            let request = outcome::shown_id(id);
+            log::info!(request, cause = e.to_string(); "a request is malformed");
             let outcome = Outcome::Rejected(StatusCode::BAD_REQUEST, "malformed header");
-            return outcome::respond(&state, None, outcome, done);
+            outcome::note(&state, arrived, id, Class::UNKNOWN, &outcome);
+            return outcome::respond(&state, id, outcome, done);
         }
     };
-    let open = &done.open.request;
-    open.name(words.id.as_ref());
     let mut class = Class::UNKNOWN;
     let outcome = serve(&state, arrived, &head, &words, body, open, &mut class).await;
-    outcome::note(&state, arrived, &words, class, &outcome);
-    outcome::respond(&state, words.id.as_ref(), outcome, done)
+    outcome::note(&state, arrived, id, class, &outcome);
+    outcome::respond(&state, id, outcome, done)
 }
 
 async fn serve(
@@ -77,6 +80,7 @@
         biased;
         body = body => body,
         () = state.reached(Phase::Ending) => {
+            open.log_broken_off(clock::mono());
             return outcome::stopping();
         }
     };
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state.rs
@@ -104,8 +104,8 @@
             view,
             stop,
             pool: RefCell::default(),
+            open: Rc::new(OpenRequests::new(metrics.clone())),
             metrics,
-            open: Rc::default(),
             admission: RefCell::default(),
             waiting: RefCell::default(),
             any_waits: Notify::new(),
@@ -335,6 +335,8 @@
             .map(|(_, count, _)| count)
             .sum();
         self.metrics.load(self.waiting(), in_flight);
+        self.metrics.connections(self.open_connections());
+        self.open.show_counts();
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
         let mut endpoints: Vec<_> = self
             .admission
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -96,6 +96,15 @@
         self.start(name, self.store.address(), Stdio::piped())
     }
 
+    /// Starts an instance whose settings are there with its logs in a pipe.
+    pub fn start_again(&self, name: &str, before: &Instance) -> Instance {
+        Instance {
+            callers: before.callers,
+            ready: before.ready,
+            process: self.process(name, Stdio::piped()),
+        }
+    }
+
     /// Starts an instance that reaches the store at another address.
     pub fn instance_behind(&self, name: &str, store: SocketAddr) -> Instance {
         self.start(name, store, Stdio::null())
@@ -120,19 +129,22 @@
         let settings = addresses.settings(name, store);
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("settings can be written");
-        let process = Command::new(env!("CARGO_BIN_EXE_citronway"))
-            .arg("--on-platform")
-            .env(SETTINGS_VARIABLE, path)
-            .stdout(logs)
-            .spawn()
-            .expect("the instance starts");
         Instance {
             callers: addresses.callers,
             ready: addresses.ready,
-            process,
+            process: self.process(name, logs),
         }
     }
 
+    fn process(&self, name: &str, logs: Stdio) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_citronway"))
+            .arg("--on-platform")
+            .env(SETTINGS_VARIABLE, self.folder.join(format!("{name}.json")))
+            .stdout(logs)
+            .spawn()
+            .expect("the instance starts")
+    }
+
     /// Name of the instance that keeps, as the store has it.
     pub fn leader(&self) -> Option<String> {
         let row = self.store.own("keeper")?;
@@ -247,6 +259,20 @@
         std::thread::spawn(move || lines.count());
     }
 
+    /// Takes its logs, of an instance whose logs nobody has read, and reads on.
+    pub fn logs(&mut self) -> Logs {
+        let logs = self.process.stdout.take().expect("logs that nobody reads");
+        let lines = Arc::<Mutex<Vec<Value>>>::default();
+        let kept = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in BufReader::new(logs).lines() {
+                let line = serde_json::from_str(&line.expect("a line")).expect("a JSON line");
+                kept.lock().expect("no panic").push(line);
+            }
+        });
+        Logs(lines)
+    }
+
     /// Exit code, once it has ended.
     pub fn ended(&mut self) -> Option<i32> {
         let status = self.process.try_wait().expect("the process can be asked");
@@ -262,6 +288,26 @@
     }
 }
 
+/// Lines that an instance has written so far.
+pub struct Logs(Arc<Mutex<Vec<Value>>>);
+
+impl Logs {
+    /// All lines.
+    pub fn all(&self) -> Vec<Value> {
+        self.0.lock().expect("no panic").clone()
+    }
+
+    /// The first line with a message; waits for it.
+    pub fn line(&self, message: &str) -> Value {
+        let mut found = None;
+        until(message, || {
+            found = self.all().into_iter().find(|l| l["message"] == message);
+            found.is_some()
+        });
+        found.expect("it was waited for")
+    }
+}
+
 /// Head of a request whose caller waits for `wait_ms`.
 pub fn head(start: &str, headers: &str, wait_ms: u64, length: usize) -> String {
     format!(
--- a/crates/citronway/tests/operations.rs
+++ b/crates/citronway/tests/operations.rs
@@ -2,15 +2,17 @@
 
 use std::path::Path;
 
-use citronway_core::gateway::admission::RefusalReason;
+use citronway_core::gateway::admission::{DoubtReason, RefusalReason};
 use googletest::prelude::*;
 
 #[gtest]
 fn each_reason_is_explained() -> Result<()> {
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let text = std::fs::read_to_string(page)?;
-    for reason in RefusalReason::ALL {
-        let row = format!("| `{}` |", reason.word());
+    let refused = RefusalReason::ALL.into_iter().map(RefusalReason::word);
+    let in_doubt = DoubtReason::ALL.into_iter().map(DoubtReason::word);
+    for word in refused.chain(in_doubt) {
+        let row = format!("| `{word}` |");
         expect_that!(text, contains_substring(row));
     }
     Ok(())
