A duty that fails is in the logs, and the process ends with a failure

Cause: a panic, or an address that cannot be taken, was on standard error only; the logs ended in the middle. A panic of the control thread ended the process before the last lines were written. One in a part of the traffic duty (who pumps, accounts or follows the view) ended that part alone: the instance went on taking requests that nobody sent. Change: each panic is a line (thread, place, cause); `a duty failed` names duty and cause; both duties are waited for and their failures give the exit code; a panic in a part of the traffic duty ends the duty, and what is open then is logged. Ruled out: restarting the part, since its state may be half changed; the platform starts the process again. Before: `a_duty_that_cannot_start_is_in_the_logs_and_in_the_exit_code` fails, "not in time: a duty failed" (the exit code was right). Conclusion: no failure of a duty is silent. Not proved: a panic inside a running instance, which no input is known to cause. What is open when a duty fails is logged and not answered.

--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -1,6 +1,7 @@
 //! Starts the threads of an instance on the platform and waits for their end.
 
 use std::io;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::thread;
@@ -52,6 +53,14 @@
         /// Why.
         cause: io::Error,
     },
+    /// A thread ended by a panic.
+    #[error("the {duty} duty panicked: {cause}")]
+    Panicked {
+        /// Which duty.
+        duty: &'static str,
+        /// What the panic said.
+        cause: String,
+    },
 }
 
 /// Path of the settings file that the platform names.
@@ -101,6 +110,7 @@
     if logs::to_ring(&cfg.instance, &cfg.zone).is_err() {
         eprintln!("a logger was set before; logs go there");
     }
+    logs::log_panics();
     let (high, low) = uuid::Uuid::new_v4().as_u64_pair();
     let me = Session {
         instance: cfg.instance.clone(),
@@ -127,16 +137,33 @@
         .spawn(move || traffic_thread(&traffic_cfg, view_rx, seen_tx, stop_rx, counted))
         .map_err(start("traffic"))?;
     let control = control::Control::new(cfg, me, path.to_owned(), ready, metrics, ends);
-    let ended = runtime.block_on(control.run());
+    // Each duty ends with the other, since the rings between them close.
+    let controlled = catch_unwind(AssertUnwindSafe(|| runtime.block_on(control.run())));
+    let controlled = controlled.map(|ended| ended.map_err(start("control")));
+    let controlled = duty_ended("control", controlled);
     log::info!("instance stops");
-    let joined = handle.join();
+    let served = duty_ended("traffic", handle.join());
     logs::flush();
-    ended.map_err(start("control"))?;
-    match joined {
-        Ok(result) => result?,
-        Err(_panic) => return Ok(ExitCode::FAILURE),
+    controlled.and(served).map(|()| ExitCode::SUCCESS)
+}
+
+/// What came of a duty; a failure is logged.
+///
+/// # Errors
+///
+/// When the duty ended by an error or a panic.
+pub fn duty_ended(
+    duty: &'static str,
+    ended: thread::Result<Result<(), Error>>,
+) -> Result<(), Error> {
+    let ended = ended.unwrap_or_else(|panic| {
+        let cause = logs::words_of_panic(&*panic).to_owned();
+        Err(Error::Panicked { duty, cause })
+    });
+    if let Err(e) = &ended {
+        log::error!(duty, cause = e.to_string(); "a duty failed");
     }
-    Ok(ExitCode::SUCCESS)
+    ended
 }
 
 fn traffic_thread(
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -17,8 +17,10 @@
 use citronway_core::gateway::settings::InstanceSettings;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::clock;
 use crate::gateway::metrics::Metrics;
 use state::{Phase, State};
 
@@ -39,7 +41,7 @@
 ///
 /// # Errors
 ///
-/// When the address cannot be taken.
+/// When the address cannot be taken, or a part of the duty panicked.
 pub async fn serve(
     cfg: &InstanceSettings,
     view: watch::Receiver<View>,
@@ -49,9 +51,10 @@
 ) -> io::Result<()> {
     let mut listener = Some(TcpListener::bind(cfg.callers).await?);
     let state = Rc::new(State::new(cfg, view, stop.clone(), metrics));
-    tokio::task::spawn_local(follow_view(Rc::clone(&state)));
-    tokio::task::spawn_local(pump(Rc::clone(&state)));
-    tokio::task::spawn_local(account(Rc::clone(&state), seen));
+    let mut parts = JoinSet::new();
+    parts.spawn_local(follow_view(Rc::clone(&state)));
+    parts.spawn_local(pump(Rc::clone(&state)));
+    parts.spawn_local(account(Rc::clone(&state), seen));
     let drained = connection::drained(&state, stop);
     tokio::pin!(drained);
     loop {
@@ -65,6 +68,12 @@
                 log::info!("the callers' port is closed");
             }
             () = &mut drained => return Ok(()),
+            // Failure: one of them panics, and the instance takes requests that nobody
+            // sends on any more.
+            Some(Err(e)) = parts.join_next() => {
+                state.open.end_all(clock::mono());
+                return Err(io::Error::other(e));
+            }
         }
     }
 }
--- a/crates/citronway/src/logs/mod.rs
+++ b/crates/citronway/src/logs/mod.rs
@@ -1,6 +1,7 @@
 //! Logs of the process: one JSON object a line.
 
 mod line;
+mod panics;
 mod ring;
 
 use std::io::{self, Write};
@@ -10,6 +11,7 @@
 use citronway_core::ids::{InstanceName, ZoneName};
 
 pub use line::{HIDDEN, Origin, format};
+pub use panics::{log_panics, words_of_panic};
 pub use ring::{dropped, flush};
 
 /// Starts logging for the whole process.
--- a/crates/citronway/tests/gateway_sight.rs
+++ b/crates/citronway/tests/gateway_sight.rs
@@ -7,7 +7,7 @@
 mod gateway_support;
 
 use std::io::Write as _;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 use gateway_support::{Deployment, Instance, Logs, MuteEndpoint, exchange, head, route, until};
@@ -169,3 +169,18 @@
         r#"citronway_requests_total{repeat="unknown",rank="3",outcome="rejected",reason=""} 1"#;
     expect_that!(stuck.instance.metrics(), contains_substring(counted));
 }
+
+/// An instance ends at once, again and again, and its logs end with its start.
+#[gtest]
+fn a_duty_that_cannot_start_is_in_the_logs_and_in_the_exit_code() {
+    let deployment = Deployment::new();
+    let mut before = deployment.ready_instance("one");
+    before.kill();
+    let _taken = TcpListener::bind(before.callers).expect("the port is free again");
+    let mut instance = deployment.start_again("one", &before);
+    let logs = instance.logs();
+    let line = logs.line("a duty failed");
+    expect_that!(line["duty"], eq(&json!("traffic")));
+    expect_that!(line["cause"].as_str(), some(contains_substring("in use")));
+    until("the process ends", || instance.ended() == Some(1));
+}
