--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -51,7 +51,12 @@
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
             "this instance leads" | "this instance no longer leads" => "own duty".to_owned(),
-            "instance starts" | "asked to stop" => "own life".to_owned(),
+            "instance starts" | "asked to stop" | "instance stops" => "own life".to_owned(),
+            "idle connections are closed"
+            | "the callers' port is closed"
+            | "what has no answer gets one now"
+            | "the last connections end" => "own stop".to_owned(),
+            "a panic" | "a duty failed" => "own failure".to_owned(),
             _ => return None,
         };
         Some(what)
@@ -173,6 +178,8 @@
         "readiness",
         "own duty",
         "own life",
+        "own stop",
+        "own failure",
     ];
     general.contains(&what) || what.starts_with("table ") || named.iter().any(|n| n == what)
 }
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -37,6 +37,34 @@
     expect_that!(story, not(contains_substring("front-waw-a-1: ")));
 }
 
+/// A caller gets a 502. Its instance had been told to stop 0.9 s before the request came;
+/// an endpoint refused it twice, since it did not hold the key any more, and the next one
+/// had not answered when the grace was nearly over. The story has to show the signal, the
+/// stages of the stop, and where the work stood.
+#[gtest]
+fn a_request_at_an_instance_that_stops_is_explained() {
+    let story = explain::run("49c6fbf4ca4fd456", &[log("stop.jsonl")]).expect("a story");
+    let lines: Vec<_> = story.lines().collect();
+    let told = "    own life: asked to stop grace_ms=6000 (";
+    expect_that!(lines, contains(starts_with(told)));
+    let place = |text: &str| lines.iter().position(|line| line.contains(text));
+    let order = [
+        "endpoint did not run it",
+        "* front-waw-b-7: what has no answer gets one now answering=0 at_endpoint=1",
+        "broken off by the stop endpoint=",
+        "may have run cause=the instance stopped before the endpoint answered",
+    ];
+    let places = order.map(place);
+    expect_that!(places, each(some(anything())), "{story}");
+    expect_that!(places.is_sorted(), eq(true), "{story}");
+    let broken = lines[places[2].expect("it is there")];
+    expect_that!(broken, contains_substring("stage=at_endpoint"));
+    expect_that!(broken, contains_substring("stage_ms="));
+    expect_that!(lines.last(), some(contains_substring("reason=stopped")));
+    // Other requests are left out.
+    expect_that!(story, not(contains_substring("status=200")));
+}
+
 #[gtest]
 fn a_request_that_no_log_names_is_an_error_that_says_what_was_read() {
     let failure = explain::run("none", &[log("cut-off.jsonl")]).expect_err("no story");
