Traffic: guards, phases and what came of a send are modules of their own

Change: moved as they were; `state/guards.rs`, `state/phase.rs`, `sent.rs`. No change of what is done.

--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -16,6 +16,7 @@
 
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, shown_id, stopping};
+use super::sent::{Doubt, Sent, Unsent, log_send};
 use super::state::{Phase, State};
 use crate::clock;
 use crate::gateway::http_link::{self, Answer, CallError, Link, Settled};
@@ -74,55 +75,6 @@
     pub failed: Option<Answer>,
 }
 
-/// Why it is not known whether a request ran.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Doubt {
-    /// The answer belongs to another request.
-    Foreign,
-    /// The endpoint was silent for longer than another should be kept waiting.
-    Silent,
-    /// The answer broke off.
-    Cut,
-    /// The connection broke.
-    Broken,
-}
-
-impl Doubt {
-    /// Words for logs and callers.
-    const fn cause(self) -> &'static str {
-        match self {
-            Self::Foreign => "the answer belongs to another request",
-            Self::Silent => "the endpoint was silent",
-            Self::Cut => "the answer is not whole",
-            Self::Broken => "the connection to the endpoint broke",
-        }
-    }
-}
-
-/// Why nothing reached an endpoint.
-enum Unsent {
-    /// It takes no connection.
-    NoConnection,
-    /// It took one and reset it before anything was sent.
-    Reset,
-}
-
-/// What came of one send.
-enum Sent {
-    /// The endpoint's answer.
-    Answer(Answer),
-    /// It has not run there.
-    Refused(Meaning),
-    /// Nothing reached the endpoint.
-    Nowhere(Unsent),
-    /// Nothing was tried: no time was left to work.
-    TooLate,
-    /// It may have run there.
-    Unknown(Doubt),
-    /// The time ended.
-    TimedOut,
-}
-
 impl Forwarding<'_> {
     /// Sends it until it is answered or nothing is left to try.
     pub(super) async fn travel(mut self) -> Outcome {
@@ -414,33 +366,3 @@
     meaning: Meaning,
     answer: Answer,
 }
-
-/// Logs a send, `ms` after the request's arrival.
-fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32, ms: u64) {
-    let request = shown_id(words.id.as_ref());
-    let endpoint = &choice.endpoint;
-    let fence = choice.fence.unwrap_or_default();
-    match sent {
-        Sent::Answer(answer) => {
-            let status = answer.status.as_u16();
-            log::info!(request, endpoint:%, fence, sends, status, ms; "endpoint answered");
-        }
-        Sent::Refused(meaning) => {
-            let refusal = format!("{meaning:?}");
-            log::info!(request, endpoint:%, fence, sends, refusal; "endpoint did not run it");
-        }
-        Sent::TooLate => log::info!(request, endpoint:%, fence, sends; "no time left to send"),
-        Sent::Nowhere(cause) => {
-            let cause = match cause {
-                Unsent::NoConnection => "no connection",
-                Unsent::Reset => "reset before anything was sent",
-            };
-            log::info!(request, endpoint:%, fence, sends, cause; "not sent");
-        }
-        Sent::Unknown(doubt) => {
-            let cause = doubt.cause();
-            log::info!(request, endpoint:%, fence, sends, cause; "endpoint may have run it");
-        }
-        Sent::TimedOut => log::info!(request, endpoint:%, fence, sends; "endpoint was silent"),
-    }
-}
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod pool;
 mod request;
 mod seen;
+mod sent;
 mod state;
 
 use std::io;
--- a/crates/citronway/src/gateway/traffic/state.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -1,5 +1,8 @@
 //! What all requests of the traffic thread share.
 
+mod guards;
+mod phase;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -19,6 +22,11 @@
 use super::seen::Seen;
 use crate::clock;
 use crate::gateway::metrics::Metrics;
+use guards::Waiting;
+
+pub(super) use guards::{InFlight, OpenConnection};
+pub(super) use phase::Phase;
+pub use phase::Stop;
 
 /// Weight of the newest answer in the mean time of work, and size, of a route.
 const WORK_WEIGHT: f64 = 0.02;
@@ -46,29 +54,6 @@
     phase: watch::Sender<Phase>,
 }
 
-/// Whether the instance is to stop, as `control` tells the traffic.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stop {
-    /// It goes on.
-    No,
-    /// It has to have ended when its grace has passed.
-    Within {
-        /// The grace, in milliseconds, as the settings had it when the signal came.
-        grace_ms: u64,
-    },
-}
-
-/// How far the instance has come in stopping.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Phase {
-    /// It takes requests; it may have been told to stop.
-    Serving,
-    /// Idle connections end, and no more requests are taken.
-    Closing,
-    /// Each request that has no answer gets one now.
-    Ending,
-}
-
 #[derive(Debug)]
 struct Work {
     /// First service of the route.
@@ -412,47 +397,3 @@
         }
     }
 }
-
-/// A connection of a caller, counted while it is open.
-#[derive(Debug)]
-pub(super) struct OpenConnection(Rc<State>);
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
-/// Takes a waiting request out when its caller leaves.
-struct Waiting<'a> {
-    state: &'a State,
-    ticket: u64,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if self
-            .state
-            .waiting
-            .borrow_mut()
-            .swap_remove(&self.ticket)
-            .is_some()
-        {
-            self.state.admission.borrow_mut().forget(self.ticket);
-        }
-    }
-}
-
-/// A request at an endpoint; gives its place back when it ends in any way.
-#[derive(Debug)]
-pub(super) struct InFlight {
-    state: Rc<State>,
-    endpoint: EndpointStart,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.state.admission.borrow_mut().finished(&self.endpoint);
-        self.state.pump();
-    }
-}
