--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -414,11 +414,11 @@
         if self.stopping {
             return;
         }
-        log::info!("asked to stop");
-        self.stopping = true;
         // Settings may change without a signal, and the process ends by their grace.
         self.reload();
         let grace_ms = self.cfg.grace_ms;
+        log::info!(grace_ms; "asked to stop");
+        self.stopping = true;
         self.stop.send_replace(Stop::Within { grace_ms });
     }
 
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use citronway_core::gateway::admission::{Choice, Decision, Job, Refusal, RefusalReason};
+use citronway_core::gateway::admission::{
+    Choice, Decision, DoubtReason, Job, Refusal, RefusalReason,
+};
 use citronway_core::gateway::assignment::Range;
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointStart;
@@ -14,6 +16,7 @@
 
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, shown_id, stopping};
+use super::sent::{Doubt, Sent, Unsent, log_send};
 use super::state::{Phase, State};
 use crate::clock;
 use crate::gateway::http_link::{self, Answer, CallError, Link, Settled};
@@ -72,55 +75,6 @@
     pub failed: Option<Answer>,
 }
 
-/// Why it is not known whether a request ran.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Doubt {
-    /// The answer belongs to another request.
-    Foreign,
-    /// The endpoint was silent for longer than another should be kept waiting.
-    Silent,
-    /// The answer broke off.
-    Cut,
-    /// The connection broke.
-    Broken,
-}
-
-impl Doubt {
-    /// Words for logs and callers.
-    const fn cause(self) -> &'static str {
-        match self {
-            Self::Foreign => "the answer belongs to another request",
-            Self::Silent => "the endpoint was silent",
-            Self::Cut => "the answer is not whole",
-            Self::Broken => "the connection to the endpoint broke",
-        }
-    }
-}
-
-/// Why nothing reached an endpoint.
-enum Unsent {
-    /// It takes no connection.
-    NoConnection,
-    /// It took one and reset it before anything was sent.
-    Reset,
-}
-
-/// What came of one send.
-enum Sent {
-    /// The endpoint's answer.
-    Answer(Answer),
-    /// It has not run there.
-    Refused(Meaning),
-    /// Nothing reached the endpoint.
-    Nowhere(Unsent),
-    /// Nothing was tried: no time was left to work.
-    TooLate,
-    /// It may have run there.
-    Unknown(Doubt),
-    /// The time ended.
-    TimedOut,
-}
-
 impl Forwarding<'_> {
     /// Sends it until it is answered or nothing is left to try.
     pub(super) async fn travel(mut self) -> Outcome {
@@ -139,7 +93,7 @@
 
     async fn try_all(&mut self) -> Outcome {
         loop {
-            self.open.reach(Stage::Waiting);
+            self.open.reach(clock::mono(), Stage::Waiting);
             let choice = match self.state.place(self.job.clone()).await {
                 Some(Decision::Send(choice)) => choice,
                 Some(Decision::Refuse(refusal)) => {
@@ -149,11 +103,12 @@
                 None => return self.spent(RefusalReason::Overloaded),
             };
             let class = Class::of(self.route);
-            let waited_ms = clock::mono().since(self.job.arrived);
+            let placed = clock::mono();
+            let waited_ms = placed.since(self.job.arrived);
             if self.sends == 0 {
                 self.state.metrics.placed(class, waited_ms);
             }
-            self.open.goes_to(&choice.endpoint);
+            self.open.goes_to(placed, &choice);
             let in_flight = self.state.in_flight(&choice);
             let sent = self.send(&choice).await;
             drop(in_flight);
@@ -200,7 +155,7 @@
                     }
                     self.run_by.push(choice.endpoint);
                     if !self.may_run_again() || !self.may_send_again(now) {
-                        return Outcome::Unknown(doubt.cause());
+                        return Outcome::Unknown(DoubtReason::Broken, doubt.cause());
                     }
                 }
                 Sent::TimedOut => {
@@ -213,7 +168,7 @@
 
     /// Logs what a refusal was decided by, with versions.
     fn log_inputs(&self, reason: RefusalReason) {
-        let request = shown_id(self.words);
+        let request = shown_id(self.words.id.as_ref());
         let service = self.job.service.as_str();
         let key = self.job.key;
         let waiting = self.state.waiting();
@@ -278,17 +233,19 @@
         if self.run_by.is_empty() {
             return Outcome::NotRun(refusal);
         }
-        Outcome::Unknown("no other endpoint has room")
+        Outcome::Unknown(DoubtReason::Broken, "no other endpoint has room")
     }
 
     /// Ends a request that has no answer when the instance ends.
     ///
     /// What an endpoint has, or may have, is not said to be not run.
     fn broken_off(&self) -> Outcome {
+        self.open.log_broken_off(clock::mono());
         if self.run_by.is_empty() && !self.open.may_be_at_endpoint() {
             return stopping();
         }
-        Outcome::Unknown("the instance stopped before the endpoint answered")
+        let cause = "the instance stopped before the endpoint answered";
+        Outcome::Unknown(DoubtReason::Stopped, cause)
     }
 
     /// Ends a request whose last send was refused.
@@ -357,10 +314,11 @@
 
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
         let mut link = self.link(choice).await?;
-        let left_ms = self.job.last_at.since(clock::mono());
+        let now = clock::mono();
+        let left_ms = self.job.last_at.since(now);
         let req = self.message.for_endpoint(&choice.endpoint, left_ms);
         self.sends += 1;
-        self.open.reach(Stage::AtEndpoint);
+        self.open.reach(now, Stage::AtEndpoint);
         let sent = link.send(req).await;
         let head = match sent {
             // A kept connection that the endpoint has closed: a new one is as good as
@@ -408,33 +366,3 @@
     meaning: Meaning,
     answer: Answer,
 }
-
-/// Logs a send, `ms` after the request's arrival.
-fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32, ms: u64) {
-    let request = shown_id(words);
-    let endpoint = &choice.endpoint;
-    let fence = choice.fence.unwrap_or_default();
-    match sent {
-        Sent::Answer(answer) => {
-            let status = answer.status.as_u16();
-            log::info!(request, endpoint:%, fence, sends, status, ms; "endpoint answered");
-        }
-        Sent::Refused(meaning) => {
-            let refusal = format!("{meaning:?}");
-            log::info!(request, endpoint:%, fence, sends, refusal; "endpoint did not run it");
-        }
-        Sent::TooLate => log::info!(request, endpoint:%, fence, sends; "no time left to send"),
-        Sent::Nowhere(cause) => {
-            let cause = match cause {
-                Unsent::NoConnection => "no connection",
-                Unsent::Reset => "reset before anything was sent",
-            };
-            log::info!(request, endpoint:%, fence, sends, cause; "not sent");
-        }
-        Sent::Unknown(doubt) => {
-            let cause = doubt.cause();
-            log::info!(request, endpoint:%, fence, sends, cause; "endpoint may have run it");
-        }
-        Sent::TimedOut => log::info!(request, endpoint:%, fence, sends; "endpoint was silent"),
-    }
-}
