A failing test: an instance that was held up ends without its answers

Cause: the last answers have their time by the clock since the signal to stop. A process that stands still over the last tenth of its grace goes on when that time has passed, and ends at once with requests that it has read and not answered. Ruled out: a signal that was handled only afterwards (the instance is seen to be not ready before it is held up); the endpoint (it begins nothing either way). Before: the test fails, its caller has no answer. After: not repaired here.

--- a/crates/citronway/tests/gateway_stop.rs
+++ b/crates/citronway/tests/gateway_stop.rs
@@ -136,3 +136,33 @@
     expect_that!(told.elapsed(), lt(Duration::from_secs(4)));
     until("the process ends", || instance.ended() == Some(0));
 }
+
+/// A machine holds the process up over the last part of its grace. When it went on, the time
+/// for its answers had passed by the clock, and it ended at once: callers had no answer.
+#[gtest]
+fn an_instance_that_was_held_up_answers_before_it_ends() {
+    let grace = Duration::from_secs(2);
+    let (deployment, mute) = mute_deployment();
+    let mut instance = deployment.unread_instance("one");
+    until("the instance is ready", || instance.is_ready());
+    deployment.set_grace("one", grace.as_secs());
+    instance.hang_up();
+    instance.read_log_until("settings read again, changed");
+    let callers = instance.callers;
+    let call = thread::spawn(move || {
+        let head = head("POST /patient/1", "X-Request-Id: p\r\n", LONG_MS, 1);
+        exchange(callers, &head, "x")
+    });
+    until("the endpoint has a connection", || mute.connections() > 0);
+    instance.terminate();
+    until("the instance stops", || !instance.is_ready());
+    instance.pause();
+    thread::sleep(grace);
+    instance.go_on();
+    let reply = call.join().expect("the caller ends");
+    expect_that!(
+        reply.map(|reply| reply.status),
+        some(any![eq(502), eq(504)])
+    );
+    until("the process ends", || instance.ended() == Some(0));
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -230,6 +230,16 @@
         self.signal(libc::SIGHUP);
     }
 
+    /// Makes the process stand still.
+    pub fn pause(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets the process go on.
+    pub fn go_on(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
     fn signal(&self, signal: i32) {
         let id = i32::try_from(self.process.id()).expect("a process id");
         // SAFETY: a signal to a child that has not been waited for.
