The last answers have time of their own

Cause: after the phase in which each request gets an answer, the process ended at 97 hundredths of its grace by the clock. One that was held up past that point ended before a connection had written its answer. Change: the time for the answers' way out, 7 hundredths of the grace, counts from the moment at which the answers are given. A process that is not held up ends when it did. Ruled out: giving answers earlier (endpoints use that time, and any point by the clock can be passed while a process stands still); no limit (a caller that takes no answer would keep the process). Before: the test of the commit before fails, its caller has no answer. After: it passes, and the four others of stops too. Conclusion: a process that goes on answers what it has read. Not proved: a process that gets no processor for 7 hundredths of its grace after the answers are due.

--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -41,12 +41,12 @@
 /// still at then may be broken off. The rest of the grace is for the answers' way out.
 const ANSWERED_AT: u64 = 90;
 
-/// Part of the grace after which the process ends though a caller has not taken its
-/// answer, in hundredths.
+/// Part of the grace that the last answers have for their way out, in hundredths; then the
+/// process ends though a caller has not taken its answer.
 ///
-/// The last answers are up to 40 on a machine of 0.1 cores at a millisecond of its
-/// processor each: 0.4 s, 7 hundredths. What is left is for the log and the exit.
-const ENDED_AT: u64 = 97;
+/// They are up to 40 on a machine of 0.1 cores at a millisecond of its processor each:
+/// 0.4 s. What is left of the grace is for the log and the exit.
+const WAY_OUT: u64 = 7;
 
 /// Time between two looks at whether all connections have ended.
 const END_LOOK: Duration = Duration::from_millis(20);
@@ -154,7 +154,11 @@
     if state.open_connections() > 0 {
         state.log_open("what has no answer gets one now");
         state.enter(Phase::Ending);
-        all_ended_by(state, told + part(ENDED_AT)).await;
+        // Failure: a process that was held up over the end of its grace ended as soon as it
+        // went on, before a connection had written anything. From here on, and not from the
+        // signal, the time is the answers' own.
+        let now = tokio::time::Instant::now();
+        all_ended_by(state, now + part(WAY_OUT)).await;
     }
     state.log_open("the last connections end");
     state.open.log_each(clock::mono());
