--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -41,12 +41,12 @@
 /// still at then may be broken off. The rest of the grace is for the answers' way out.
 const ANSWERED_AT: u64 = 90;
 
-/// Part of the grace after which the process ends though a caller has not taken its
-/// answer, in hundredths.
+/// Part of the grace that the last answers have for their way out, in hundredths; then the
+/// process ends though a caller has not taken its answer.
 ///
-/// The last answers are up to 40 on a machine of 0.1 cores at a millisecond of its
-/// processor each: 0.4 s, 7 hundredths. What is left is for the log and the exit.
-const ENDED_AT: u64 = 97;
+/// They are up to 40 on a machine of 0.1 cores at a millisecond of its processor each:
+/// 0.4 s. What is left of the grace is for the log and the exit.
+const WAY_OUT: u64 = 7;
 
 /// Time between two looks at how far a stop has come.
 const END_LOOK: Duration = Duration::from_millis(20);
@@ -144,15 +144,16 @@
 /// process is not the end of the waiting: first each request has an answer, then the
 /// answers leave, then the process ends. On five days made like it, 290 stops left 33
 /// requests without an answer; now none is left.
-pub(super) async fn drained(state: &State, mut stop: watch::Receiver<Stop>) {
+///
+/// Where `control` has failed nobody tells; `usual_grace_ms` holds then, so that what was
+/// taken has its answers all the same.
+pub(super) async fn drained(state: &State, mut stop: watch::Receiver<Stop>, usual_grace_ms: u64) {
     let is_told = |stop: &Stop| matches!(stop, Stop::Within { .. });
     let grace_ms = match stop.wait_for(is_told).await.as_deref() {
         Ok(Stop::Within { grace_ms }) => *grace_ms,
-        // `control` has ended, and with it the process.
         Ok(Stop::No) | Err(_) => {
-            state.log_open("control has ended, all connections end");
-            state.open.end_all(clock::mono());
-            return;
+            state.log_open("control has ended, the traffic ends too");
+            usual_grace_ms
         }
     };
     let told = clock::mono();
@@ -170,8 +171,7 @@
         state.enter(Phase::Ending);
         // Failure guarded against: the process was paused or had no processor, and goes on
         // when this phase was to be over. The answers have their time to leave all the same.
-        let way_out = part(ENDED_AT) - part(ANSWERED_AT);
-        all_ended_by(state, clock::mono().plus(way_out)).await;
+        all_ended_by(state, clock::mono().plus(part(WAY_OUT))).await;
     }
     state.log_open("the last connections end");
     state.open.end_all(clock::mono());
@@ -186,7 +186,8 @@
     }
 }
 
-/// Marks a request as answered when the last byte of its answer was taken.
+/// Marks a request as answered when the library has taken the last byte of its answer; up
+/// to a socket's buffer of it may still be on the way.
 #[derive(Debug)]
 pub(super) struct Done {
     progress: Rc<Progress>,
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -63,7 +63,7 @@
     pub state: &'a Rc<State>,
     pub route: &'a Route,
     pub words: &'a CallerWords,
-    /// Where it stands, for those who look on.
+    /// Where it stands; what it is told at a stop rests on it.
     pub open: &'a OpenRequest,
     pub message: Message,
     pub job: Job,
@@ -144,6 +144,8 @@
                     if !self.may_send_again(now) {
                         return self.spent(RefusalReason::EndpointRefused);
                     }
+                    // It has not run there, and is with nobody until it is sent again.
+                    self.open.reach(Stage::Waiting);
                     tokio::time::sleep(AFTER_REFUSAL).await;
                 }
                 Sent::Unknown(doubt) => {
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -56,7 +56,7 @@
     parts.spawn_local(follow_view(Rc::clone(&state)));
     parts.spawn_local(pump(Rc::clone(&state)));
     parts.spawn_local(account(Rc::clone(&state), seen));
-    let drained = connection::drained(&state, stop);
+    let drained = connection::drained(&state, stop, cfg.grace_ms);
     tokio::pin!(drained);
     loop {
         tokio::select! {
