--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -145,7 +145,7 @@
                         return self.spent(RefusalReason::EndpointRefused);
                     }
                     // It has not run there, and is with nobody until it is sent again.
-                    self.open.reach(Stage::Waiting);
+                    self.open.reach(now, Stage::Waiting);
                     tokio::time::sleep(AFTER_REFUSAL).await;
                 }
                 Sent::Unknown(doubt) => {
