The store's stand-in reads a request before it answers it

Changed: the stand-in reads the request, and the test checks it too. Ruled out: a fault of the client, which has nothing to read an early answer for.

--- a/crates/citronway/tests/platform.rs
+++ b/crates/citronway/tests/platform.rs
@@ -357,8 +357,10 @@
         let mut peer = Peer::accept(&listener);
         let get = peer.read();
         peer.answer(200, "", "plan");
-        Peer::accept(&listener).answer(404, "", "");
-        (put, get)
+        let mut peer = Peer::accept(&listener);
+        let missing = peer.read();
+        peer.answer(404, "", "");
+        (put, get, missing)
     });
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -372,8 +374,9 @@
         expect_that!(found, ok(some(eq("plan"))));
         expect_that!(platform.get_object("c").await, ok(none()));
     });
-    let (put, get) = served.join().unwrap();
+    let (put, get, missing) = served.join().unwrap();
     expect_that!(put.start(), eq("PUT /objects/a%2Fb"));
     expect_that!(put.body, eq(b"plan"));
     expect_that!(get.start(), eq("GET /objects/a%2Fb"));
+    expect_that!(missing.start(), eq("GET /objects/c"));
 }
