--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -49,14 +49,6 @@
 /// stays, and what else its endpoint has makes room for it.
 const ONE_KEY: f64 = 0.8;
 
-/// How many times more than its owner an endpoint must be able to do to get a key that is
-/// more than its owner can do.
-///
-/// Load: two in five requests are for one key, four times what any endpoint can do. It
-/// stayed for six seconds with one that did 19 a second, where the fastest do 38. A full
-/// endpoint seems a third slower than it is, so that equals must not change places.
-const MUCH_FASTER: f64 = 1.5;
-
 /// Parts that the load of a leaving endpoint's range is cut into at most.
 const MAX_PIECES: f64 = 3.0;
 
@@ -108,7 +100,6 @@
     let mut plan = Plan::new(scene);
     plan.empty_leaving();
     plan.use_idle();
-    plan.favour_hot_keys();
     plan.relieve();
     plan.consolidate();
     plan.into_moves()
@@ -326,35 +317,6 @@
         }
     }
 
-    /// Gives keys that are more than their owners can do to the fastest endpoints.
-    fn favour_hot_keys(&mut self) {
-        for from in self.fullest_first() {
-            if self.usage(from, 0.0) <= 1.0 {
-                return;
-            }
-            let Some(to) = self.fastest(from) else {
-                continue;
-            };
-            self.set_apart(from, from.capacity);
-            let hot = self.movable(from).into_iter().find(|i| {
-                let piece = &self.pieces[*i];
-                piece.span.first == piece.span.last && piece.load > from.capacity
-            });
-            if let Some(i) = hot {
-                self.assign(i, to);
-            }
-        }
-    }
-
-    /// The endpoint that can do most, if that is much more than `than` can and it has no
-    /// such key itself.
-    fn fastest(&self, than: &Place) -> Option<&'a Place> {
-        let places = self.scene.places.iter();
-        let usable = places.filter(|p| p.takes && !p.must_leave && self.usage(p, 0.0) <= 1.0);
-        let fastest = usable.max_by(|a, b| a.capacity.total_cmp(&b.capacity))?;
-        (fastest.capacity > than.capacity * MUCH_FASTER).then_some(fastest)
-    }
-
     /// Evens out while an endpoint has more than it can do.
     fn relieve(&mut self) {
         let most = (self.scene.places.len() / ENDPOINTS_A_MOVE).max(MIN_IN_MOTION);
