--- a/crates/citronway/src/gateway/control/copies.rs
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -27,7 +27,7 @@
 /// Largest copy that is read, in bytes; a configuration of 10,000 routes has 2 MB.
 const MAX_COPY: u64 = 8 * 1024 * 1024;
 
-/// Copies that one instance gives at the same time; whoever finds no place asks another one.
+/// Copies that one instance gives at the same time; whoever finds no place asks again.
 const AT_ONCE: usize = 4;
 
 /// Why no copy came.
@@ -69,6 +69,7 @@
         });
     }
 
+    /// Takes a copy that came, or why none did.
     pub(super) fn copied(&mut self, now: Mono, table: Table, copy: Result<Relay, CopyError>) {
         self.copying.retain(|copying| *copying != table);
         let copy = match copy {
@@ -90,6 +91,7 @@
         }
     }
 
+    /// Gives another instance a copy, if this one has read the table.
     pub(super) fn give_copy(&mut self, table: Table, reply: oneshot::Sender<Vec<u8>>) {
         let Some(copy) = self.cluster.copy(table) else {
             return;
--- a/crates/citronway/tests/gateway_copies.rs
+++ b/crates/citronway/tests/gateway_copies.rs
@@ -11,17 +11,15 @@
 use std::time::Duration;
 
 use citronway_standin::soak::{Mode, Proxy};
-use gateway_support::{Deployment, route, until};
+use gateway_support::{Deployment, Instance, route, until};
 use googletest::prelude::*;
 use serde_json::json;
 
 /// Key of the second half of the key space.
 const KEY: u16 = 65_000;
 
-#[gtest]
-fn an_instance_that_starts_without_the_store_serves_by_its_neighbours_rows() {
-    let deployment = Deployment::new();
-    let first = deployment.ready_instance("one");
+/// A second instance that was killed and starts again while its link to the store is silent.
+fn started_without_the_store(deployment: &Deployment) -> (Proxy, Instance) {
     let link = Proxy::start(deployment.store.address()).expect("a link");
     let mut second = deployment.instance_behind("two", link.address);
     until("the second instance is ready", || second.is_ready());
@@ -29,6 +27,14 @@
     link.set(Mode::Silent);
     deployment.restart(&mut second);
     until("it is ready without the store", || second.is_ready());
+    (link, second)
+}
+
+#[gtest]
+fn an_instance_that_starts_without_the_store_serves_by_its_neighbours_rows() {
+    let deployment = Deployment::new();
+    let first = deployment.ready_instance("one");
+    let (_link, second) = started_without_the_store(&deployment);
     expect_that!(second.call("GET /look/1", "k", KEY, "").status, eq(200));
     // What changes meanwhile reaches it too.
     deployment.configure(5, &json!([route("new", "/new/", "idempotent", "console")]));
@@ -45,13 +51,7 @@
 fn a_copy_does_not_outlast_the_store() {
     let deployment = Deployment::new();
     let mut first = deployment.ready_instance("one");
-    let link = Proxy::start(deployment.store.address()).expect("a link");
-    let mut second = deployment.instance_behind("two", link.address);
-    until("the second instance is ready", || second.is_ready());
-    second.kill();
-    link.set(Mode::Silent);
-    deployment.restart(&mut second);
-    until("it is ready without the store", || second.is_ready());
+    let (link, second) = started_without_the_store(&deployment);
     first.kill();
     deployment.configure(5, &json!([route("new", "/new/", "idempotent", "console")]));
     std::thread::sleep(Duration::from_millis(100));
--- a/crates/citronway/tests/gateway_sight.rs
+++ b/crates/citronway/tests/gateway_sight.rs
@@ -10,7 +10,9 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
-use gateway_support::{Deployment, Instance, Logs, MuteEndpoint, exchange, head, route, until};
+use gateway_support::{
+    Deployment, Instance, Logs, MuteEndpoint, exchange, head, mute_deployment, until,
+};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -28,15 +30,7 @@
 
 impl Stuck {
     fn start() -> Self {
-        let deployment = Deployment::bare();
-        let mute = MuteEndpoint::start();
-        deployment.unlist(&deployment.c);
-        deployment
-            .store
-            .put("servers", "i-mute", &mute.entry("console"));
-        let mut order = route("patient", "/patient/", "non_idempotent", "console");
-        order["timeoutS"] = json!(11.0);
-        deployment.configure(2, &json!([order]));
+        let (deployment, mute) = mute_deployment();
         let mut instance = deployment.unread_instance("one");
         let logs = instance.logs();
         until("the instance is ready", || instance.is_ready());
--- a/crates/citronway/tests/gateway_stop.rs
+++ b/crates/citronway/tests/gateway_stop.rs
@@ -14,10 +14,12 @@
 mod gateway_support;
 
 use std::net::TcpStream;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use gateway_support::{Deployment, MuteEndpoint, Reply, exchange, head, route, until};
+use gateway_support::{
+    Deployment, Instance, MuteEndpoint, Reply, exchange, head, mute_deployment, route, until,
+};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -30,59 +32,50 @@
 /// Starts of an instance with a signal each: without the guard 8 to 12 of them end by it.
 const STARTS: usize = 30;
 
-/// Routes that wait longer than an instance takes to stop, to a service of mute endpoints.
-fn patient_routes() -> serde_json::Value {
-    let mut look = route("patient-look", "/patient-look/", "idempotent", "console");
-    let mut order = route("patient", "/patient/", "non_idempotent", "console");
-    for route in [&mut look, &mut order] {
-        route["timeoutS"] = json!(11.0);
-    }
-    json!([look, order])
-}
-
-/// A deployment with one endpoint for `console`, which takes connections and reads nothing.
-fn mute_deployment() -> (Deployment, MuteEndpoint) {
-    let deployment = Deployment::bare();
-    let mute = MuteEndpoint::start();
-    deployment.unlist(&deployment.c);
-    deployment
-        .store
-        .put("servers", "i-mute", &mute.entry("console"));
-    deployment.configure(2, &patient_routes());
-    (deployment, mute)
-}
-
-/// What a caller gets whose request is at the mute endpoint while its instance stops.
-fn told_at_the_end(start: &'static str) -> Option<Reply> {
-    let (deployment, mute) = mute_deployment();
-    let mut instance = deployment.ready_instance("one");
+/// Sends a request and returns once the mute endpoint has it.
+fn call(
+    instance: &Instance,
+    mute: &MuteEndpoint,
+    start: &'static str,
+) -> JoinHandle<Option<Reply>> {
     let callers = instance.callers;
     let call = thread::spawn(move || {
         let head = head(start, "X-Request-Id: e\r\n", LONG_MS, 1);
         exchange(callers, &head, "x")
     });
     until("the endpoint has a connection", || mute.connections() > 0);
-    instance.terminate();
+    call
+}
+
+/// What the caller gets; the process of its instance ends after it.
+fn told(call: JoinHandle<Option<Reply>>, instance: &mut Instance) -> Option<u16> {
     let reply = call.join().expect("the caller ends");
     until("the process ends", || instance.ended() == Some(0));
-    reply
+    reply.map(|reply| reply.status)
+}
+
+/// What a caller gets whose request is at the mute endpoint while its instance stops.
+fn told_at_the_end(start: &'static str) -> Option<u16> {
+    let (deployment, mute) = mute_deployment();
+    let mut instance = deployment.ready_instance("one");
+    let call = call(&instance, &mute, start);
+    instance.terminate();
+    told(call, &mut instance)
 }
 
 #[gtest]
 fn work_at_an_endpoint_has_an_answer_before_the_process_ends() {
-    let reply = told_at_the_end("POST /patient/1");
     // It was sent and may have run: nothing may say that it has not.
     expect_that!(
-        reply.map(|reply| reply.status),
+        told_at_the_end("POST /patient/1"),
         some(any![eq(502), eq(504)])
     );
 }
 
 #[gtest]
 fn a_look_at_an_endpoint_has_an_answer_before_the_process_ends() {
-    let reply = told_at_the_end("GET /patient-look/1");
     expect_that!(
-        reply.map(|reply| reply.status),
+        told_at_the_end("GET /patient-look/1"),
         some(any![eq(502), eq(503), eq(504)])
     );
 }
@@ -111,8 +104,19 @@
         instance.metrics().contains("citronway_waiting 1")
     });
     instance.terminate();
+    expect_that!(told(call, &mut instance), some(eq(503)));
+}
+
+/// Has an instance whose grace is now 2 s stop, with a request at the mute endpoint.
+fn expect_short_stop(mut instance: Instance, mute: &MuteEndpoint) {
+    let call = call(&instance, mute, "POST /patient/1");
+    instance.terminate();
+    let begun = Instant::now();
     let reply = call.join().expect("the caller ends");
-    expect_that!(reply.map(|reply| reply.status), some(eq(503)));
+    // Nine tenths of the new grace are 1.8 s, of the old one 5.4 s.
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(4)));
+    let status = reply.map(|reply| reply.status);
+    expect_that!(status, some(any![eq(502), eq(504)]));
     until("the process ends", || instance.ended() == Some(0));
 }
 
@@ -126,22 +130,18 @@
     deployment.set_grace("one", 2);
     instance.hang_up();
     instance.read_log_until("settings read again, changed");
-    let callers = instance.callers;
-    let call = thread::spawn(move || {
-        let head = head("POST /patient/1", "X-Request-Id: g\r\n", LONG_MS, 1);
-        exchange(callers, &head, "x")
-    });
-    until("the endpoint has a connection", || mute.connections() > 0);
-    instance.terminate();
-    let told = Instant::now();
-    let reply = call.join().expect("the caller ends");
-    expect_that!(
-        reply.map(|reply| reply.status),
-        some(any![eq(502), eq(504)])
-    );
-    // Nine tenths of the new grace are 1.8 s, of the old one 5.4 s.
-    expect_that!(told.elapsed(), lt(Duration::from_secs(4)));
-    until("the process ends", || instance.ended() == Some(0));
+    expect_short_stop(instance, &mute);
+}
+
+/// The platform shortens the grace in the settings of an instance and sends no signal for it.
+/// The instance went by the grace that it had read at its start, and was killed before what
+/// was at endpoints had an answer.
+#[gtest]
+fn a_grace_that_was_shortened_without_a_signal_holds_for_the_next_stop() {
+    let (deployment, mute) = mute_deployment();
+    let instance = deployment.ready_instance("one");
+    deployment.set_grace("one", 2);
+    expect_short_stop(instance, &mute);
 }
 
 /// A machine is suspended, or has no processor for a while, when its instance stops. It goes on
@@ -151,49 +151,14 @@
 fn an_instance_that_was_paused_across_its_grace_answers_before_it_ends() {
     let (deployment, mute) = mute_deployment();
     let mut instance = deployment.ready_instance("one");
-    let callers = instance.callers;
-    let call = thread::spawn(move || {
-        let head = head("POST /patient/1", "X-Request-Id: p\r\n", LONG_MS, 1);
-        exchange(callers, &head, "x")
-    });
-    until("the endpoint has a connection", || mute.connections() > 0);
+    let call = call(&instance, &mute, "POST /patient/1");
     instance.terminate();
     until("it knows that it is to stop", || !instance.is_ready());
     instance.pause();
     let paused = Instant::now();
     until("its grace is over", || paused.elapsed() > GRACE);
     instance.resume();
-    let reply = call.join().expect("the caller ends");
-    expect_that!(
-        reply.map(|reply| reply.status),
-        some(any![eq(502), eq(504)])
-    );
-    until("the process ends", || instance.ended() == Some(0));
-}
-
-/// The platform shortens the grace in the settings of an instance and sends no signal for it.
-/// The instance went by the grace that it had read at its start, and was killed before what
-/// was at endpoints had an answer.
-#[gtest]
-fn a_grace_that_was_shortened_without_a_signal_holds_for_the_next_stop() {
-    let (deployment, mute) = mute_deployment();
-    let mut instance = deployment.ready_instance("one");
-    deployment.set_grace("one", 2);
-    let callers = instance.callers;
-    let call = thread::spawn(move || {
-        let head = head("POST /patient/1", "X-Request-Id: u\r\n", LONG_MS, 1);
-        exchange(callers, &head, "x")
-    });
-    until("the endpoint has a connection", || mute.connections() > 0);
-    instance.terminate();
-    let told = Instant::now();
-    let reply = call.join().expect("the caller ends");
-    expect_that!(
-        reply.map(|reply| reply.status),
-        some(any![eq(502), eq(504)])
-    );
-    expect_that!(told.elapsed(), lt(Duration::from_secs(4)));
-    until("the process ends", || instance.ended() == Some(0));
+    expect_that!(told(call, &mut instance), some(any![eq(502), eq(504)]));
 }
 
 /// Settings change while an instance starts. It took callers before it listened for signals,
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -394,3 +394,21 @@
             "capacity": 6, "state": "ready", "warmupLeftS": 0, "seq": 1})
     }
 }
+
+/// A deployment with one endpoint for `console`, which takes connections and reads nothing,
+/// and with two routes to it that wait longer than an instance takes to stop.
+pub fn mute_deployment() -> (Deployment, MuteEndpoint) {
+    let deployment = Deployment::bare();
+    let mute = MuteEndpoint::start();
+    deployment.unlist(&deployment.c);
+    deployment
+        .store
+        .put("servers", "i-mute", &mute.entry("console"));
+    let mut look = route("patient-look", "/patient-look/", "idempotent", "console");
+    let mut order = route("patient", "/patient/", "non_idempotent", "console");
+    for route in [&mut look, &mut order] {
+        route["timeoutS"] = json!(11.0);
+    }
+    deployment.configure(2, &json!([look, order]));
+    (deployment, mute)
+}
