--- a/crates/citronway/src/decide/mod.rs
+++ b/crates/citronway/src/decide/mod.rs
@@ -15,11 +15,11 @@
 
 use crate::clock;
 use crate::observe::Observer;
+use crate::operator_calls::OperatorCalls;
 use crate::operators::StoreCommand;
 use crate::peers::PeerCommand;
 use crate::publish::StatePublisher;
 use crate::rings::Rings;
-use crate::store_desk::StoreDesk;
 use record::Recorder;
 
 /// Time between two ticks of the machine.
@@ -41,7 +41,7 @@
     /// Shows the state to operators.
     pub publisher: StatePublisher,
     /// Reads and writes of the administration API.
-    pub desk: StoreDesk,
+    pub operator_calls: OperatorCalls,
     /// Records what the machine is fed, if that is wanted.
     pub recorder: Option<Recorder>,
     /// This session.
@@ -62,7 +62,7 @@
                 event = events.recv() => event,
                 _ = ticks.tick() => Some(Event::Tick),
                 Some(command) = store.recv() => {
-                    self.desk.take(command);
+                    self.operator_calls.take(command);
                     continue;
                 }
                 _ = shows.tick() => {
@@ -91,7 +91,7 @@
     fn feed(&mut self, event: Event) -> bool {
         let mut queue = VecDeque::from([event]);
         while let Some(event) = queue.pop_front() {
-            let Some(event) = self.desk.intercept(event) else {
+            let Some(event) = self.operator_calls.intercept(event) else {
                 continue;
             };
             self.pass_instances_on(&event);
--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod logs;
 pub mod metrics;
 mod observe;
+mod operator_calls;
 pub mod operators;
 pub mod peers;
 pub mod platform;
@@ -16,6 +17,5 @@
 mod rings;
 mod run;
 pub mod settings;
-mod store_desk;
 
 pub use run::{Error, check, run};
--- a/crates/citronway/src/store_desk.rs
+++ b/crates/citronway/src/operator_calls.rs
@@ -20,7 +20,7 @@
 
 /// Commands of the administration API that wait for their answer.
 #[derive(Debug)]
-pub struct StoreDesk {
+pub struct OperatorCalls {
     platform: Sender<PlatformCommand>,
     next: Ticket,
     writes: IndexMap<Ticket, Written>,
@@ -35,7 +35,7 @@
     answer: oneshot::Sender<WriteOutcome>,
 }
 
-impl StoreDesk {
+impl OperatorCalls {
     /// Sends to the platform's duty.
     pub fn new(platform: Sender<PlatformCommand>) -> Self {
         Self {
--- a/crates/citronway/src/platform/duty.rs
+++ b/crates/citronway/src/platform/duty.rs
@@ -34,22 +34,22 @@
     mut commands: Receiver<PlatformCommand>,
     events: Sender<Event>,
 ) {
-    let desk = Desk {
+    let calls = StoreCalls {
         platform: Arc::new(platform),
         versions: Arc::default(),
         events,
     };
-    let poll = tokio::spawn(poll(desk.clone(), bounds.poll));
+    let poll = tokio::spawn(poll(calls.clone(), bounds.poll));
     let mut tasks = JoinSet::new();
     loop {
         tokio::select! {
             command = commands.recv() => match command {
                 None | Some(PlatformCommand::Stop) => break,
                 Some(command) if tasks.len() < bounds.max_in_flight => {
-                    tasks.spawn(desk.clone().carry_out(command));
+                    tasks.spawn(calls.clone().carry_out(command));
                 }
                 Some(command) => {
-                    tasks.spawn(desk.clone().turn_down(command));
+                    tasks.spawn(calls.clone().turn_down(command));
                 }
             },
             Some(_) = tasks.join_next() => {}
@@ -59,27 +59,27 @@
     poll.abort();
 }
 
-async fn poll<P: Platform>(desk: Desk<P>, every: Duration) {
+async fn poll<P: Platform>(calls: StoreCalls<P>, every: Duration) {
     let mut ticks = interval(every);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
         let asked = crate::clock::now();
-        match desk.platform.instances().await {
-            Ok(list) => desk.report(Event::Instances { list, asked }).await,
+        match calls.platform.instances().await {
+            Ok(list) => calls.report(Event::Instances { list, asked }).await,
             Err(err) => log::warn!(error:% = err; "instance list not read"),
         }
     }
 }
 
 #[derive(Debug)]
-struct Desk<P> {
+struct StoreCalls<P> {
     platform: Arc<P>,
     versions: Arc<Mutex<Versions>>,
     events: Sender<Event>,
 }
 
-impl<P> Clone for Desk<P> {
+impl<P> Clone for StoreCalls<P> {
     fn clone(&self) -> Self {
         Self {
             platform: Arc::clone(&self.platform),
@@ -89,7 +89,7 @@
     }
 }
 
-impl<P: Platform> Desk<P> {
+impl<P: Platform> StoreCalls<P> {
     async fn carry_out(self, command: PlatformCommand) {
         let event = match command {
             PlatformCommand::ReadTable { table } => self.read_table(table).await,
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -25,13 +25,13 @@
 use crate::logs;
 use crate::metrics::Metrics;
 use crate::observe::Observer;
+use crate::operator_calls::OperatorCalls;
 use crate::operators::{self, Setup, Snapshot, Token, snapshot};
 use crate::peers::{self, PeersConfig, PeersHandle};
 use crate::platform::{self, PlatformConfig};
 use crate::publish::StatePublisher;
 use crate::rings::{COMMANDS, Drops, EVENTS, Rings};
 use crate::settings::{self, Settings};
-use crate::store_desk::StoreDesk;
 
 /// A planner that was not heard of for this long is replaced, in milliseconds.
 const PLANNER_SILENCE_MS: u64 = 800;
@@ -112,14 +112,14 @@
     let publisher = StatePublisher::new(me.clone(), publisher, Arc::clone(&metrics))
         .with_peers(Arc::clone(&running.peers.counters))
         .with_malformed(Arc::clone(&running.callers.malformed));
-    let desk = StoreDesk::new(rings.platform.clone());
+    let operator_calls = OperatorCalls::new(rings.platform.clone());
     let decider = Decider {
         node: Node::new(me.clone(), cfg.instance.zone.clone(), settings),
         rings,
         ready,
         observer: Observer::new(metrics),
         publisher,
-        desk,
+        operator_calls,
         recorder,
         me,
         address: cfg.instance.peer_address().to_string(),
