The stored assignment of 750 endpoints fits the store's row

Cause: a service's assignment is one row, reckoned for 400 endpoints. With all 602 replaced at once it had 89,347 bytes and with 750 endpoints and 1,200 ranges 66,689; the store takes 65,536. A refused write was tried again for ever, and nothing moved or healed.

Ruled out: fewer ranges (hot ranges could not be cut), compression of the long form (a bound that depends on names).

Change: rows above 48,000 bytes have a short form; smaller ones stay as they were, so that the version before reads them. Moves that the row has no room for are not begun, the last ones first, with a log line. Pieces are joined before the row is full.

Before, after: the test fails with the figures above; now both fit. The row is not yet cut into segments: at 6,412 instances one row does not carry a service.

--- a/crates/citronway-core/src/gateway/assignment.rs
+++ b/crates/citronway-core/src/gateway/assignment/mod.rs
@@ -4,21 +4,24 @@
 //! leader, under the condition that neither the row nor the leader has changed.
 //! Whoever may hold keys stands in the row before anything is granted to it.
 
-use std::net::SocketAddr;
+mod stored;
 
-use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
-use crate::ids::{EndpointName, EndpointStart};
+use crate::ids::EndpointStart;
 
 /// Last key of the key space; the first is zero.
 pub const LAST_KEY: u16 = u16::MAX;
 
-/// Most ranges of one assignment.
+/// Most ranges of one assignment: two for each of 600 endpoints.
 ///
-/// A range takes 30 to 40 bytes in its stored form and an endpoint about 55. With 400
-/// endpoints and all ranges moving, the row has 51,000 of the 65,536 bytes that the store
+/// In its short form a range takes up to 18 bytes and a start of an endpoint 30. With 750
+/// endpoints and all ranges moving, the row has 46,000 of the 65,536 bytes that the store
 /// allows a row.
-pub const MAX_RANGES: usize = 850;
+pub const MAX_RANGES: usize = 1_200;
+
+/// Most bytes of a row, as the store allows.
+pub const MAX_ROW_BYTES: usize = 65_536;
 
 /// Fences set aside for one move: seals below, the new owner's on top.
 ///
@@ -97,9 +100,20 @@
     ///
     /// # Errors
     ///
-    /// Only if the library cannot write it.
-    pub fn to_bytes(&self) -> Result<Vec<u8>, serde_json::Error> {
-        serde_json::to_vec(&Stored::from(self))
+    /// Only if a library cannot write it.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, RowError> {
+        stored::write(self)
+    }
+
+    /// Whether the store takes the row.
+    ///
+    /// Failure: endpoints are replaced one after the other, and the row names the old and
+    /// the new starts of them all. The store refuses a longer row, so no move ends, and keys
+    /// of endpoints that have left are served by nobody.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        self.to_bytes()
+            .is_ok_and(|bytes| bytes.len() <= MAX_ROW_BYTES)
     }
 
     /// What leads from `before` to this one: the fence to draw next and the ranges
@@ -108,7 +122,7 @@
     /// # Errors
     ///
     /// Only if the library cannot write it.
-    pub fn changes_since(&self, before: &Self) -> Result<Vec<u8>, serde_json::Error> {
+    pub fn changes_since(&self, before: &Self) -> Result<Vec<u8>, RowError> {
         let is_new = |range: &&Range| before.at(range.first) != Some(*range);
         let changed = Self {
             next_fence: self.next_fence,
@@ -123,7 +137,7 @@
     ///
     /// When the changes are malformed or do not fit.
     pub fn with_changes(&self, bytes: &[u8]) -> Result<Self, RowError> {
-        let changed = serde_json::from_slice::<Stored>(bytes)?.assignment()?;
+        let changed = stored::read(bytes)?;
         let mut ranges = self.ranges.clone();
         ranges.retain(|old| !changed.ranges.iter().any(|new| new.overlaps(old)));
         ranges.extend(changed.ranges);
@@ -168,9 +182,7 @@
     ///
     /// When it is malformed, names an endpoint it does not list, or leaves keys out.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, RowError> {
-        serde_json::from_slice::<Stored>(bytes)?
-            .assignment()?
-            .check()
+        stored::read(bytes)?.check()
     }
 }
 
@@ -180,6 +192,9 @@
     /// Not of the stored form.
     #[error("malformed: {0}")]
     Malformed(#[from] serde_json::Error),
+    /// Not of the short form.
+    #[error("malformed: {0}")]
+    MalformedShort(#[from] postcard::Error),
     /// A range names an endpoint that the row does not list.
     #[error("range {range} names endpoint number {endpoint}, which the row does not list")]
     UnknownEndpoint {
@@ -201,96 +216,3 @@
         range: usize,
     },
 }
-
-/// Stored form: each start of an endpoint once, ranges as numbers.
-///
-/// When the starts began stands in a list of its own: an instance of the version before,
-/// which runs beside this one while all are restarted in turn, reads the row without it.
-/// A row that such an instance wrote lacks the list, and its holders are starts of which
-/// nobody knows when they began. They are taken for ended and their keys are moved, with
-/// seal and release like those of any holder.
-#[derive(Debug, Serialize, Deserialize)]
-struct Stored {
-    next_fence: u64,
-    endpoints: Vec<(EndpointName, SocketAddr)>,
-    /// In the order of `endpoints`; shorter where the last ones do not say.
-    #[serde(default)]
-    born: Vec<Option<u64>>,
-    ranges: Vec<StoredRange>,
-}
-
-/// First key, last key, place and fence of the holder, place and fence of the next.
-#[derive(Debug, Serialize, Deserialize)]
-struct StoredRange(u16, u16, usize, u64, Option<(usize, u64)>);
-
-impl Stored {
-    fn place(&mut self, holder: &Holder) -> usize {
-        let (name, born_ms) = (holder.endpoint.name(), holder.endpoint.born_ms());
-        let listed = self.endpoints.iter().zip(&self.born);
-        let same = |((n, address), born): (&(EndpointName, SocketAddr), &Option<u64>)| {
-            n == name && *born == born_ms && *address == holder.address
-        };
-        if let Some(place) = listed.into_iter().position(same) {
-            return place;
-        }
-        self.endpoints.push((name.clone(), holder.address));
-        self.born.push(born_ms);
-        self.endpoints.len() - 1
-    }
-
-    fn holder(&self, range: usize, place: usize, fence: u64) -> Result<Holder, RowError> {
-        let Some((name, address)) = self.endpoints.get(place) else {
-            return Err(RowError::UnknownEndpoint {
-                range,
-                endpoint: place,
-            });
-        };
-        let born_ms = self.born.get(place).copied().flatten();
-        Ok(Holder {
-            endpoint: EndpointStart::new(name.as_str(), born_ms),
-            address: *address,
-            fence,
-        })
-    }
-
-    fn assignment(&self) -> Result<Assignment, RowError> {
-        let mut ranges = Vec::with_capacity(self.ranges.len());
-        for (i, StoredRange(first, last, place, fence, next)) in self.ranges.iter().enumerate() {
-            let next = match next {
-                Some((place, fence)) => Some(self.holder(i, *place, *fence)?),
-                None => None,
-            };
-            ranges.push(Range {
-                first: *first,
-                last: *last,
-                holder: self.holder(i, *place, *fence)?,
-                next,
-            });
-        }
-        Ok(Assignment {
-            next_fence: self.next_fence,
-            ranges,
-        })
-    }
-}
-
-impl From<&Assignment> for Stored {
-    fn from(assignment: &Assignment) -> Self {
-        let mut stored = Self {
-            next_fence: assignment.next_fence,
-            endpoints: Vec::new(),
-            born: Vec::new(),
-            ranges: Vec::with_capacity(assignment.ranges.len()),
-        };
-        for range in &assignment.ranges {
-            let holder = stored.place(&range.holder);
-            let next = range
-                .next
-                .as_ref()
-                .map(|next| (stored.place(next), next.fence));
-            let row = StoredRange(range.first, range.last, holder, range.holder.fence, next);
-            stored.ranges.push(row);
-        }
-        stored
-    }
-}
--- /dev/null
+++ b/crates/citronway-core/src/gateway/assignment/stored.rs
@@ -0,0 +1,193 @@
+//! Stored forms of an assignment: one that any version reads, and a short one for large
+//! services.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexSet;
+use serde::{Deserialize, Serialize};
+
+use super::{Assignment, Holder, Range, RowError};
+use crate::ids::{EndpointName, EndpointStart};
+
+/// First byte of the short form; the long one is JSON and begins with a brace.
+const SHORT: u8 = 2;
+
+/// Length up to which the long form is written, in bytes.
+///
+/// An instance of the version before, which runs beside this one while all are restarted in
+/// turn, reads the long form alone. Rows that it could write itself have at most 65,536
+/// bytes; three quarters leave room for moves of that time.
+const LONG_UP_TO: usize = 48_000;
+
+/// Writes the stored form.
+pub(super) fn write(assignment: &Assignment) -> Result<Vec<u8>, RowError> {
+    let starts = Starts::of(assignment);
+    let long = serde_json::to_vec(&Stored::new(assignment, &starts))?;
+    if long.len() <= LONG_UP_TO {
+        return Ok(long);
+    }
+    let short = Short::new(assignment, &starts);
+    Ok(postcard::to_extend(&short, vec![SHORT])?)
+}
+
+/// Reads a stored form; what it says is not checked.
+pub(super) fn read(bytes: &[u8]) -> Result<Assignment, RowError> {
+    match bytes.split_first() {
+        Some((&SHORT, short)) => postcard::from_bytes::<Short>(short)?.assignment(),
+        _ => serde_json::from_slice::<Stored>(bytes)?.assignment(),
+    }
+}
+
+/// Starts of endpoints with their addresses, each once.
+struct Starts<'a>(IndexSet<(&'a EndpointStart, SocketAddr)>);
+
+impl<'a> Starts<'a> {
+    fn of(assignment: &'a Assignment) -> Self {
+        let ranges = assignment.ranges.iter();
+        let holders = ranges.flat_map(|range| [Some(&range.holder), range.next.as_ref()]);
+        let starts = holders
+            .flatten()
+            .map(|holder| (&holder.endpoint, holder.address));
+        Self(starts.collect())
+    }
+
+    fn place(&self, holder: &Holder) -> usize {
+        let place = self.0.get_index_of(&(&holder.endpoint, holder.address));
+        place.unwrap_or_default()
+    }
+}
+
+/// Long form: each start of an endpoint once, ranges as numbers.
+///
+/// When the starts began stands in a list of its own: an instance of an earlier version reads
+/// the row without it. A row that such an instance wrote lacks the list, and its holders are
+/// starts of which nobody knows when they began. They are taken for ended and their keys are
+/// moved, with seal and release like those of any holder.
+#[derive(Debug, Serialize, Deserialize)]
+struct Stored {
+    next_fence: u64,
+    endpoints: Vec<(EndpointName, SocketAddr)>,
+    /// In the order of `endpoints`; shorter where the last ones do not say.
+    #[serde(default)]
+    born: Vec<Option<u64>>,
+    ranges: Vec<StoredRange>,
+}
+
+/// First key, last key, place and fence of the holder, place and fence of the next.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredRange(u16, u16, usize, u64, Option<(usize, u64)>);
+
+impl Stored {
+    fn new(assignment: &Assignment, starts: &Starts<'_>) -> Self {
+        let endpoints = starts.0.iter();
+        let range = |range: &Range| {
+            let next = range
+                .next
+                .as_ref()
+                .map(|next| (starts.place(next), next.fence));
+            let place = starts.place(&range.holder);
+            StoredRange(range.first, range.last, place, range.holder.fence, next)
+        };
+        Self {
+            next_fence: assignment.next_fence,
+            endpoints: endpoints
+                .clone()
+                .map(|(start, address)| (start.name().clone(), *address))
+                .collect(),
+            born: endpoints.map(|(start, _)| start.born_ms()).collect(),
+            ranges: assignment.ranges.iter().map(range).collect(),
+        }
+    }
+
+    fn assignment(&self) -> Result<Assignment, RowError> {
+        let holder = |range: usize, place: usize, fence: u64| {
+            let endpoint = self.endpoints.get(place);
+            let (name, address) = endpoint.ok_or(RowError::UnknownEndpoint {
+                range,
+                endpoint: place,
+            })?;
+            let born_ms = self.born.get(place).copied().flatten();
+            Ok::<_, RowError>(Holder {
+                endpoint: EndpointStart::new(name.as_str(), born_ms),
+                address: *address,
+                fence,
+            })
+        };
+        let mut ranges = Vec::with_capacity(self.ranges.len());
+        for (i, StoredRange(first, last, place, fence, next)) in self.ranges.iter().enumerate() {
+            let next = match next {
+                Some((place, fence)) => Some(holder(i, *place, *fence)?),
+                None => None,
+            };
+            ranges.push(Range {
+                first: *first,
+                last: *last,
+                holder: holder(i, *place, *fence)?,
+                next,
+            });
+        }
+        Ok(Assignment {
+            next_fence: self.next_fence,
+            ranges,
+        })
+    }
+}
+
+/// Short form, written by `postcard`: numbers in as many bytes as they need. Fences are told
+/// as what they lack to the fence to draw next, which keeps them small.
+#[derive(Debug, Serialize, Deserialize)]
+struct Short {
+    next_fence: u64,
+    starts: Vec<(EndpointName, SocketAddr, Option<u64>)>,
+    ranges: Vec<ShortRange>,
+}
+
+/// First key, last key, place and fence of the holder, place and fence of the next.
+#[derive(Debug, Serialize, Deserialize)]
+struct ShortRange(u16, u16, u32, u64, Option<(u32, u64)>);
+
+impl Short {
+    fn new(assignment: &Assignment, starts: &Starts<'_>) -> Self {
+        let next_fence = assignment.next_fence;
+        let place = |holder: &Holder| u32::try_from(starts.place(holder)).unwrap_or(u32::MAX);
+        let below = |fence: u64| next_fence.wrapping_sub(fence);
+        let range = |range: &Range| {
+            let holder = &range.holder;
+            let next = range.next.as_ref();
+            ShortRange(
+                range.first,
+                range.last,
+                place(holder),
+                below(holder.fence),
+                next.map(|next| (place(next), below(next.fence))),
+            )
+        };
+        let start = |(start, address): &(&EndpointStart, SocketAddr)| {
+            (start.name().clone(), *address, start.born_ms())
+        };
+        Self {
+            next_fence,
+            starts: starts.0.iter().map(start).collect(),
+            ranges: assignment.ranges.iter().map(range).collect(),
+        }
+    }
+
+    fn assignment(self) -> Result<Assignment, RowError> {
+        let fence = |below: u64| self.next_fence.wrapping_sub(below);
+        let ranges = self.ranges.iter().map(|range| {
+            let ShortRange(first, last, place, below, next) = range;
+            let next = next.map(|(place, below)| (place as usize, fence(below)));
+            StoredRange(*first, *last, *place as usize, fence(*below), next)
+        });
+        let ranges = ranges.collect();
+        let born = self.starts.iter().map(|(_, _, born)| *born).collect();
+        let starts = self.starts.into_iter();
+        let stored = Stored {
+            next_fence: self.next_fence,
+            endpoints: starts.map(|(name, address, _)| (name, address)).collect(),
+            born,
+            ranges,
+        };
+        stored.assignment()
+    }
+}
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -284,11 +284,22 @@
         self.reach.is_cut_off(&self.cfg, now)
     }
 
-    /// Starts moves; those that do not fit the row as it stands are left out.
-    pub fn start(&mut self, moves: &[Move], registry: &Registry) {
+    /// Starts moves; those that do not fit the row as it stands are left out, and so are the
+    /// last ones where the store would not take the row. Returns how many were left out for
+    /// that.
+    pub fn start(&mut self, moves: &[Move], registry: &Registry) -> usize {
         if self.writing || self.wanted.is_some() || self.tenure.is_none() {
-            return;
+            return 0;
+        }
+        let mut begun = moves.len();
+        while begun > 0 && !self.start_first(&moves[..begun], registry) {
+            begun /= 2;
         }
+        moves.len() - begun
+    }
+
+    /// Starts moves if the store takes the row with them.
+    fn start_first(&mut self, moves: &[Move], registry: &Registry) -> bool {
         let mut row = self.row.clone();
         let mut changed = false;
         for wish in moves {
@@ -297,9 +308,13 @@
             };
             changed |= moves::begin(&mut row, wish.span, &known.listing);
         }
+        if changed && !row.fits() {
+            return false;
+        }
         if changed {
             self.wanted = Some(row);
         }
+        true
     }
 
     /// Divides all keys evenly by slots among `endpoints`, where no row exists yet.
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 
-use crate::gateway::assignment::Assignment;
+use crate::gateway::assignment::{Assignment, MAX_RANGES};
 use crate::gateway::keyload::KeyLoads;
 use crate::gateway::leader::{Move, Span};
 use crate::ids::EndpointStart;
@@ -337,7 +337,9 @@
 
     /// Number of pieces above which there are too many.
     fn many_pieces(&self) -> usize {
-        (self.scene.places.len() * PIECES_AN_ENDPOINT).max(MIN_PIECES)
+        let wanted = self.scene.places.len() * PIECES_AN_ENDPOINT;
+        // A row that is full takes no cut, and hot ranges stay whole.
+        wanted.clamp(MIN_PIECES, MAX_RANGES / 8 * 7)
     }
 
     /// Gives small pieces to their neighbours' owners while there are too many.
--- a/crates/citronway-core/tests/gateway_assignment.rs
+++ b/crates/citronway-core/tests/gateway_assignment.rs
@@ -1,6 +1,8 @@
 //! The stored form of an assignment.
 
-use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
+use citronway_core::gateway::assignment::{
+    Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, MAX_ROW_BYTES, Range,
+};
 use citronway_core::ids::EndpointStart;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert, prop_assert_eq, proptest};
@@ -209,3 +211,46 @@
         }
     }
 }
+
+/// A release replaces all endpoints of a large service while hot ranges are cut up: the row
+/// names the old and the new start of each, and every range moves. The store refused it, the
+/// write was tried again for ever, and nothing moved or healed any more.
+#[gtest]
+fn the_row_of_a_large_service_fits_while_all_endpoints_are_replaced() -> Result<()> {
+    let start = |i: usize, age: u64| Holder {
+        endpoint: EndpointStart::new(
+            &format!("i-{:010x}", i * 7_919 + 13),
+            Some(1_776_000_000_000 + age),
+        ),
+        address: ([10, 1, 64, 25], u16::try_from(8_000 + i).unwrap()).into(),
+        fence: 0,
+    };
+    for (endpoints, ranges, replaced) in [(602, 850, true), (750, MAX_RANGES, false)] {
+        let mut assignment = Assignment {
+            next_fence: 100_000,
+            ranges: Vec::new(),
+        };
+        for i in 0..ranges {
+            let (first, after) = (i * 65_536 / ranges, (i + 1) * 65_536 / ranges);
+            let (old, new) = if replaced {
+                (start(i % endpoints, 0), start(i % endpoints, 60_000))
+            } else {
+                (start(i % endpoints, 0), start((i + 7) % endpoints, 0))
+            };
+            let fence = 40_000 + i as u64 * FENCES_A_MOVE;
+            assignment.ranges.push(Range {
+                first: u16::try_from(first).unwrap(),
+                last: u16::try_from(after - 1).unwrap(),
+                holder: Holder { fence, ..old },
+                next: Some(Holder {
+                    fence: fence + 20_000,
+                    ..new
+                }),
+            });
+        }
+        let bytes = assignment.to_bytes().or_fail()?;
+        expect_that!(bytes.len(), le(MAX_ROW_BYTES), "{endpoints} endpoints");
+        expect_that!(Assignment::from_bytes(&bytes).or_fail()?, eq(&assignment));
+    }
+    Ok(())
+}
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -1,6 +1,6 @@
 //! The leader's duty on this instance: claiming it, and keeping while it has it.
 
-use citronway_core::gateway::assignment::Assignment;
+use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::election::{self, Former, LeaderRow, PeerSight, Situation, Strength};
 use citronway_core::gateway::leader::{
     Action, Leader, LeaderSettings, Order, OrderResult, WriteResult,
@@ -412,7 +412,7 @@
     service: ServiceName,
     row: Assignment,
     expected: Version,
-) -> Result<RowWrite, serde_json::Error> {
+) -> Result<RowWrite, RowError> {
     let key = own_rows::assignment_key(&service);
     let value = row.to_bytes()?;
     Ok(RowWrite {
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -125,7 +125,11 @@
         }
         self.after = now.plus(AFTER_MOVES_MS);
         log::info!(service = service.as_str(), moves = moves.len(); "moves begin");
-        leader.start(&moves, &cluster.registry);
+        let left_out = leader.start(&moves, &cluster.registry);
+        if left_out > 0 {
+            let ranges = leader.row().ranges.len();
+            log::warn!(service = service.as_str(), left_out, ranges; "the row has no room for moves");
+        }
     }
 }
 
