A relay is missed by the newest row before it, not by the store's position

Cause: the store's position moves with rows of all tables.

Change: a relay names the newest row of its table before it; rows of instances and of the leader are told apart. A weak machine that nobody can know of yet does not claim.

--- a/crates/citronway-core/src/gateway/rows.rs
+++ b/crates/citronway-core/src/gateway/rows.rs
@@ -47,7 +47,7 @@
 pub struct Relay {
     /// Which table.
     pub table: Table,
-    /// Position in the table's history up to which the receiver must have come.
+    /// Version of the newest row before these; the receiver must have it.
     pub after: Version,
     /// Position to which these rows bring it.
     pub position: Version,
--- a/crates/citronway/src/gateway/control/cluster.rs
+++ b/crates/citronway/src/gateway/control/cluster.rs
@@ -259,8 +259,9 @@
         if rows.is_empty() && whole.is_none() {
             return;
         }
-        // Rows of instances are not passed on in large fleets, and nobody misses them.
-        let told = rows.iter().filter(|row| !own_rows::is_instance(&row.key));
+        // Rows of instances are not passed on in large fleets, and nobody misses them; the
+        // leader's is told apart from the rest.
+        let told = rows.iter().filter(|row| own_rows::is_chained(&row.key));
         let newest = told.map(|row| row.version.0).max().unwrap_or_default();
         let sight = self.sight(table);
         sight.has_seen(newest);
@@ -383,7 +384,10 @@
         if let Some(row) = &totals.row {
             let known = self.leader.as_ref().map(|leader| leader.version);
             if known.is_none_or(|known| known < row.version) {
-                self.take_rows(now, Table::Own, std::slice::from_ref(row), None);
+                let row = std::slice::from_ref(row);
+                self.kept.keep(Table::Own, row);
+                self.own_rows(now, row);
+                self.changed = true;
             }
         }
         self.peers.leader_heard(now, &totals);
@@ -520,14 +524,16 @@
         }
     }
 
-    /// Tables of which others have had newer rows for longer than a poll takes.
-    pub(super) fn stale_tables(&mut self, now: Mono) -> Vec<Table> {
+    /// Tables of which others have had newer rows for longer than a poll takes; `term` is the
+    /// highest of a leader that was heard of.
+    pub(super) fn stale_tables(&mut self, now: Mono, term: u64) -> Vec<Table> {
         let newest = self.peers.newest(now);
         self.outage.heard(now, self.endpoints.lost, newest);
+        let lacks_leader = self.own.loaded && self.leader.as_ref().map_or(0, |row| row.term) < term;
         let tables = [
             (Table::Config, newest.config),
             (Table::Endpoints, newest.endpoints),
-            (Table::Own, newest.own),
+            (Table::Own, if lacks_leader { u64::MAX } else { newest.own }),
         ];
         let mut stale = Vec::new();
         for (table, others) in tables {
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -49,7 +49,8 @@
 pub(super) struct Duty {
     me: Session,
     strength: Strength,
-    started: Mono,
+    /// Since when a leader could know of this instance.
+    known_since: Mono,
     cfg: LeaderSettings,
     leaders: IndexMap<ServiceName, Leader>,
     placing: Placing,
@@ -68,11 +69,12 @@
 }
 
 impl Duty {
-    pub(super) fn new(me: Session, strength: Strength, started: Mono) -> Self {
+    /// `known_since` is when a leader can know of this instance at the latest.
+    pub(super) fn new(me: Session, strength: Strength, known_since: Mono) -> Self {
         Self {
             me,
             strength,
-            started,
+            known_since,
             cfg: LeaderSettings::default(),
             leaders: IndexMap::new(),
             placing: Placing::default(),
@@ -87,6 +89,11 @@
         }
     }
 
+    /// Notes that the store lists this instance since before its start.
+    pub(super) fn listed_at(&mut self, started: Mono) {
+        self.known_since = started;
+    }
+
     pub(super) const fn term(&self) -> u64 {
         self.term
     }
@@ -355,7 +362,7 @@
         Situation {
             me: &self.me.instance,
             session: self.me.id,
-            started: self.started,
+            started: self.known_since,
             unfit,
             strength: self.strength,
             term: self.term,
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -19,7 +19,8 @@
         if at == 0 {
             return;
         }
-        if relay.after.0 > at || !self.cluster.can_patch(relay) {
+        let newest = self.cluster.seen().of(relay.table);
+        if relay.after.0 > newest || !self.cluster.can_patch(relay) {
             // Something in between was lost.
             follow.refresh.notify_one();
             return;
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -28,11 +28,10 @@
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::gateway::tree::{Branch, Gathered, Place, Tree};
-use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
+use citronway_core::ids::{InstanceName, ServiceName, Session};
 use citronway_core::time::Mono;
 use citronway_platform::store::{Change, Refused};
 use citronway_wire::report as datagram;
-use indexmap::IndexMap;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -187,8 +186,6 @@
     told_totals: Mono,
     /// Who claims first when this leader falls silent, and since when they are named.
     heirs: (Vec<InstanceName>, Mono),
-    /// Position that members have where nothing worth passing on came since.
-    passed_on: IndexMap<Table, Version>,
     follows: [(Table, Arc<Follow>); 3],
     started: Mono,
     stopping: bool,
@@ -214,7 +211,11 @@
         let started = clock::mono();
         Self {
             cluster: Cluster::new(&cfg),
-            duty: Duty::new(me.clone(), cfg.strength, started),
+            duty: Duty::new(
+                me.clone(),
+                cfg.strength,
+                started.plus(first::register_after_ms(&cfg)),
+            ),
             cfg,
             me,
             settings,
@@ -233,7 +234,6 @@
             branches: Vec::new(),
             told_totals: Mono::default(),
             heirs: (Vec::new(), Mono::default()),
-            passed_on: IndexMap::new(),
             follows: Table::ALL.map(|table| (table, Follow::new())),
             started,
             stopping: false,
@@ -378,6 +378,7 @@
         };
         if self.cluster.lists(&row) {
             self.listed = Listed::Stands;
+            self.duty.listed_at(self.started);
             log::info!("instance is listed in the store already");
             return;
         }
@@ -479,7 +480,7 @@
     /// from one of them where the store does not answer.
     fn refresh_stale(&mut self, now: Mono, events: &mpsc::Sender<Event>) {
         let held = self.is_held();
-        for table in self.cluster.stale_tables(now) {
+        for table in self.cluster.stale_tables(now, self.duty.term()) {
             if held {
                 self.ask_for_copy(now, table, events);
                 continue;
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -194,6 +194,11 @@
     key.starts_with(INSTANCE_PREFIX)
 }
 
+/// Whether the version of a row of the own table tells that rows before it were missed.
+pub(super) fn is_chained(key: &str) -> bool {
+    !is_instance(key) && key != LEADER_KEY
+}
+
 /// An assignment as its row, with the changes that came since the row was read.
 pub(super) fn assignment_as_row((service, owners): (&ServiceName, &Owners)) -> Option<Row> {
     let value = match owners.assignment.to_bytes() {
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -235,11 +235,14 @@
     }
 
     /// Passes rows on to those that rest.
-    pub(super) fn pass_on(&mut self, now: Mono, socket: &UdpSocket, relay: &Relay) {
+    pub(super) fn pass_on(&self, now: Mono, socket: &UdpSocket, relay: &Relay) {
         if !self.duty.in_office() {
             return;
         }
         let mut relay = self.cluster.with_patches(relay);
+        // What receivers must have seen before is the newest row, not the store's position,
+        // which moves with rows of all tables.
+        relay.after = Version(self.cluster.seen().of(relay.table));
         if !self.leads_many(now) {
             let bytes = datagram::encode(&Datagram::Relay(relay));
             for address in self.cluster.peers.addresses() {
@@ -251,16 +254,8 @@
         // a leader needs them, and reads them when it takes office.
         relay.rows.retain(|row| !own_rows::is_instance(&row.key));
         if relay.rows.is_empty() && relay.patches.is_empty() {
-            self.passed_on.entry(relay.table).or_insert(relay.after);
             return;
         }
-        if let Some(after) = self.passed_on.swap_remove(&relay.table) {
-            relay.after = after;
-        }
-        if relay.table == Table::Own && self.cluster.owners.is_empty() {
-            // The first assignment: nothing that members need came before it.
-            relay.after = Version(0);
-        }
         let bytes = datagram::encode(&Datagram::Relay(relay));
         for Branch { to, .. } in &self.branches {
             self.send(socket, &bytes, *to);
