A hot range of a large service is spread within two seconds

Cause: keys that have just become hot were counted by the longer look (six seconds) as soon as they were cut, and a piece by which nothing seemed to be gained was not moved on; where traffic had just begun, all endpoints seemed half as used as they were.

Ruled out: the leader not hearing of the keys (it did), the limit of moves under way.

Change: a piece keeps the look by which its load was reckoned; the short one is believed where the endpoint has a queue; the load of all keys together corrects the longer one.

--- a/crates/citronway-core/src/gateway/keyload.rs
+++ b/crates/citronway-core/src/gateway/keyload.rs
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub struct KeyLoad {
     weight: Vec<f32>,
+    /// Of all keys.
+    total: f64,
     began: Mono,
     faded_at: Mono,
     half_life_ms: f64,
@@ -24,6 +26,7 @@
     pub fn new(now: Mono, half_life_ms: f64) -> Self {
         Self {
             weight: vec![0.0; KEYS],
+            total: 0.0,
             began: now,
             faded_at: now,
             half_life_ms,
@@ -47,11 +50,13 @@
     /// Takes a request for a key.
     pub fn add(&mut self, key: u16) {
         self.weight[usize::from(key)] += 1.0;
+        self.total += 1.0;
     }
 
     /// Lets old samples fade.
     pub fn fade(&mut self, now: Mono) {
         let by = (-(now.since(self.faded_at) as f64) / self.half_life_ms).exp2();
+        self.total *= by;
         self.faded_at = now;
         #[expect(clippy::cast_possible_truncation, reason = "a factor between 0 and 1")]
         let by_key = by as f32;
@@ -140,8 +145,7 @@
     /// Load of a span, in requests a second.
     #[must_use]
     pub fn of(&self, span: Span) -> f64 {
-        let load = self.fitting(span);
-        load.of(span) * load.per_second()
+        self.by(self.look_at(span, false)).of(span)
     }
 
     /// Requests a second that a new request adds to the steady load of its key.
@@ -150,39 +154,102 @@
         self.steady.per_second()
     }
 
+    /// Which look tells the load of a span: the long one, unless it has clearly changed.
+    ///
+    /// Load: of 200 hot keys an endpoint gets two or three that seemed half as hot when they
+    /// were dealt out, after 0.3 s. That it has more than it can do is known by its queue
+    /// (`queued`), so the short look is believed where it says so.
+    #[must_use]
+    pub fn look_at(&self, span: Span, queued: bool) -> Look {
+        let steady = self.steady.of(span) * self.steady.per_second() * self.surge();
+        let expected = steady / self.recent.per_second();
+        let recent = self.recent.of(span);
+        if has_changed(recent, expected) || (queued && recent > expected) {
+            Look::Recent
+        } else {
+            Look::Steady
+        }
+    }
+
+    /// The loads by one look.
+    #[must_use]
+    pub fn by(&self, look: Look) -> Rates<'_> {
+        match look {
+            Look::Recent => Rates {
+                load: &self.recent,
+                per_second: self.recent.per_second(),
+            },
+            Look::Steady => Rates {
+                load: &self.steady,
+                per_second: self.steady.per_second() * self.surge(),
+            },
+        }
+    }
+
+    /// How much the load of all keys together has changed against the steady one.
+    ///
+    /// Load: traffic begins, or doubles within a second. The longer look has half of it after
+    /// six seconds, and a range that is hot meanwhile was spread over endpoints that seemed
+    /// half as used as they were. All requests together show the change at once.
+    fn surge(&self) -> f64 {
+        let steady = self.steady.total * self.steady.per_second();
+        let expected = steady / self.recent.per_second();
+        let recent = self.recent.total;
+        if steady <= 0.0 || !has_changed(recent, expected) {
+            return 1.0;
+        }
+        recent / expected
+    }
+}
+
+/// A longer or a shorter time in which requests were counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Look {
+    /// The longer one.
+    Steady,
+    /// The shorter one.
+    Recent,
+}
+
+/// Loads of keys by one look, in requests a second.
+#[derive(Debug, Clone, Copy)]
+pub struct Rates<'a> {
+    load: &'a KeyLoad,
+    per_second: f64,
+}
+
+impl Rates<'_> {
+    /// Load of a span.
+    #[must_use]
+    pub fn of(&self, span: Span) -> f64 {
+        self.load.of(span) * self.per_second
+    }
+
     /// Requests that the load of a span was reckoned from.
     #[must_use]
     pub fn samples(&self, span: Span) -> f64 {
-        self.fitting(span).of(span)
+        self.load.of(span)
     }
 
-    /// The key of a span that is asked for most, and its requests a second.
+    /// The key of a span that is asked for most, and its load.
     #[must_use]
     pub fn heaviest(&self, span: Span) -> (u16, f64) {
-        let load = self.fitting(span);
-        let (key, weight) = load.heaviest(span);
-        (key, weight * load.per_second())
+        let (key, weight) = self.load.heaviest(span);
+        (key, weight * self.per_second)
     }
 
-    /// The shortest start of `span` with at least `wanted` requests a second.
+    /// The shortest start of `span` with at least `wanted`.
     ///
     /// Returns its last key and its load; the whole span if it has less.
     #[must_use]
     pub fn prefix(&self, span: Span, wanted: f64) -> (u16, f64) {
-        let load = self.fitting(span);
-        let (last, weight) = load.prefix(span, wanted / load.per_second());
-        (last, weight * load.per_second())
+        let (last, weight) = self.load.prefix(span, wanted / self.per_second);
+        (last, weight * self.per_second)
     }
+}
 
-    /// The steady load of a span, unless it has clearly changed.
-    fn fitting(&self, span: Span) -> &KeyLoad {
-        let steady = self.steady.of(span) * self.steady.per_second();
-        let expected = steady / self.recent.per_second();
-        let off = (self.recent.of(span) - expected).abs();
-        if off > CHANGED_ERRORS.mul_add(expected.sqrt(), CHANGED_REQUESTS) {
-            &self.recent
-        } else {
-            &self.steady
-        }
-    }
+/// Whether a short look differs from what is expected by more than chance.
+fn has_changed(seen: f64, expected: f64) -> bool {
+    let off = (seen - expected).abs();
+    off > CHANGED_ERRORS.mul_add(expected.sqrt(), CHANGED_REQUESTS)
 }
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::assignment::{Assignment, MAX_RANGES};
-use crate::gateway::keyload::KeyLoads;
+use crate::gateway::keyload::{KeyLoads, Look};
 use crate::gateway::leader::{Move, Span};
 use crate::ids::EndpointStart;
 
@@ -128,6 +128,8 @@
     moving: bool,
     /// Who is to get them by this plan.
     to: Option<&'a EndpointStart>,
+    /// The look that its load is by, also when it is cut.
+    look: Look,
     /// In requests a second.
     load: f64,
     /// Requests that it was reckoned from.
@@ -142,6 +144,7 @@
 
 impl<'a> Plan<'a> {
     fn new(scene: &'a Scene<'a>) -> Self {
+        let places: IndexMap<_, _> = scene.places.iter().map(|p| (&p.endpoint, p)).collect();
         let mut load: IndexMap<_, _> = scene.places.iter().map(|p| (&p.endpoint, 0.0)).collect();
         let mut samples = IndexMap::<_, f64>::new();
         let mut held = IndexMap::<_, usize>::new();
@@ -149,8 +152,10 @@
         for range in &scene.row.ranges {
             let owner = &range.next.as_ref().unwrap_or(&range.holder).endpoint;
             let span = range.span();
-            let here = scene.load.of(span);
-            let seen = scene.load.samples(span);
+            let queued = places.get(owner).is_some_and(|place| place.queue);
+            let look = scene.load.look_at(span, queued);
+            let here = scene.load.by(look).of(span);
+            let seen = scene.load.by(look).samples(span);
             *load.entry(owner).or_default() += here;
             *samples.entry(owner).or_default() += seen;
             *held.entry(owner).or_default() += 1;
@@ -159,6 +164,7 @@
                 owner,
                 moving: range.is_moving(),
                 to: None,
+                look,
                 load: here,
                 samples: seen,
             });
@@ -166,7 +172,7 @@
         let in_motion = pieces.iter().filter(|piece| piece.moving).count();
         Self {
             scene,
-            places: scene.places.iter().map(|p| (&p.endpoint, p)).collect(),
+            places,
             load,
             samples,
             held,
@@ -251,8 +257,9 @@
             first: last + 1,
             ..piece.span
         };
-        let load = self.scene.load.of(before).min(piece.load);
-        let samples = self.scene.load.samples(before).min(piece.samples);
+        let rates = self.scene.load.by(piece.look);
+        let load = rates.of(before).min(piece.load);
+        let samples = rates.samples(before).min(piece.samples);
         self.pieces[i].span = before;
         self.pieces[i].load = load;
         self.pieces[i].samples = samples;
@@ -298,7 +305,7 @@
         if piece.span.last - piece.span.first < MIN_CUT || piece.load <= most {
             return;
         }
-        let (last, _) = self.scene.load.prefix(piece.span, most);
+        let (last, _) = self.scene.load.by(piece.look).prefix(piece.span, most);
         self.cut(i, last);
     }
 
@@ -387,8 +394,8 @@
     fn set_apart(&mut self, from: &Place, most: f64) {
         let mut mine = self.movable(from);
         while let Some(i) = mine.pop() {
-            let span = self.pieces[i].span;
-            let (key, load) = self.scene.load.heaviest(span);
+            let Piece { span, look, .. } = self.pieces[i];
+            let (key, load) = self.scene.load.by(look).heaviest(span);
             if span.first == span.last || load <= most {
                 continue;
             }
@@ -424,7 +431,7 @@
         let only = mine.len() == 1;
         for i in mine {
             let piece = self.pieces[i];
-            let (last, moved) = self.scene.load.prefix(piece.span, wanted);
+            let (last, moved) = self.scene.load.by(piece.look).prefix(piece.span, wanted);
             let whole = last >= piece.span.last;
             if whole && only {
                 // All that the endpoint has: the load would only change places.
