Rows that are lost on the way come from a delegate, not from the store

A relay lost on its way to a delegate had each of 17 members ask the store.

Change: a leader that reads a table anew passes on what that changed. Removals are kept, so that such an answer tells them.

--- a/crates/citronway/src/gateway/control/cluster.rs
+++ b/crates/citronway/src/gateway/control/cluster.rs
@@ -61,6 +61,8 @@
     lost: bool,
     /// Since when others have seen newer rows.
     behind_since: Option<Mono>,
+    /// When another instance was asked for rows that were lost on the way.
+    missed_at: Option<Mono>,
     /// It was read at least once.
     loaded: bool,
 }
@@ -182,6 +184,37 @@
         }
     }
 
+    /// What a whole list changes of what is known: rows that are newer, and removals.
+    ///
+    /// Failure: the store forgets its history, the leader reads a table anew and passes
+    /// nothing on, and all instances read it too.
+    pub(super) fn changes_by(&self, table: Table, rows: &[Row], version: Version) -> Relay {
+        let before: IndexMap<_, _> = self
+            .kept
+            .rows(table)
+            .filter(|row| row.value.is_some())
+            .map(|row| (row.key.as_str(), row.version))
+            .collect();
+        let listed: indexmap::IndexSet<_> = rows.iter().map(|row| row.key.as_str()).collect();
+        let newer = rows.iter().filter(|row| {
+            let known = before.get(row.key.as_str());
+            known.is_none_or(|known| *known < row.version)
+        });
+        let gone = before.keys().filter(|key| !listed.contains(*key));
+        let gone = gone.map(|key| Row {
+            key: (*key).to_owned(),
+            value: None,
+            version,
+        });
+        Relay {
+            table,
+            after: Version(0),
+            position: version,
+            rows: newer.cloned().chain(gone).collect(),
+            patches: Vec::new(),
+        }
+    }
+
     /// Whether a table was read or copied at least once.
     pub(super) const fn has_read(&self, table: Table) -> bool {
         match table {
@@ -216,16 +249,28 @@
         let (table, rows) = (copy.table.word(), copy.rows.len());
         log::info!(table, rows, position = copy.position.0; "table copied from another instance");
         let whole = match copy.table {
-            // An endpoint that is not among them has left.
-            Table::Endpoints => Some(copy.position),
-            Table::Config | Table::Own => None,
+            // An endpoint that is not among all of them has left.
+            Table::Endpoints if copy.after == Version(0) => Some(copy.position),
+            Table::Config | Table::Endpoints | Table::Own => None,
         };
         self.take_rows(now, copy.table, &copy.rows, whole);
         self.sight(copy.table).has_taken(copy.position);
     }
 
-    /// All rows of a table as this instance knows them, if it has read it.
-    pub(super) fn copy(&mut self, table: Table) -> Option<Relay> {
+    /// Whether rows of a table that are missed are to come from the store this time: another
+    /// instance was asked a moment ago, and they still are.
+    pub(super) fn brings_by_store(&mut self, now: Mono, table: Table) -> bool {
+        let sight = self.sight(table);
+        let asked = sight.missed_at.replace(now);
+        let again = asked.is_some_and(|at| now.since(at) < 2 * BEHIND_MS);
+        if again {
+            sight.missed_at = None;
+        }
+        again
+    }
+
+    /// The rows of a table after a version as this instance knows them, if it has read it.
+    pub(super) fn copy(&mut self, table: Table, after: Version) -> Option<Relay> {
         let sight = self.sight(table);
         if !sight.loaded {
             return None;
@@ -233,15 +278,19 @@
         let position = Version(sight.position);
         let kept = self.kept.rows(table);
         let mut rows: Vec<_> = kept
-            .filter(|row| !own_rows::is_assignment(&row.key))
+            .filter(|row| !own_rows::is_assignment(&row.key) && row.version > after)
             .cloned()
             .collect();
         if table == Table::Own {
-            rows.extend(self.owners.iter().filter_map(own_rows::assignment_as_row));
+            let newer = self
+                .owners
+                .iter()
+                .filter(|(_, owners)| owners.version > after);
+            rows.extend(newer.filter_map(own_rows::assignment_as_row));
         }
         Some(Relay {
             table,
-            after: Version(0),
+            after,
             position,
             rows,
             patches: Vec::new(),
@@ -267,7 +316,7 @@
         sight.has_seen(newest);
         sight.loaded = true;
         match whole {
-            Some(_) => self.kept.replace(table, rows),
+            Some(version) => self.kept.replace(table, rows, version),
             None => self.kept.keep(table, rows),
         }
         match table {
--- a/crates/citronway/src/gateway/control/copies.rs
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -1,7 +1,9 @@
-//! Whole tables that one instance gives to another that cannot ask the store.
+//! Rows that one instance gives to another: whole tables where the store cannot be asked,
+//! and in large fleets what was lost on the way.
 //!
 //! One connection a copy, on the TCP port of the reports: the asking side sends the code of
-//! a table, the other answers with a relay from the beginning and closes.
+//! a table, with [`SINCE`] and the version of its newest row if it has any; the other answers
+//! with a relay of all rows, or of the newer ones, and closes.
 
 use std::io;
 use std::net::SocketAddr;
@@ -11,6 +13,7 @@
 
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::Role;
+use citronway_core::ids::Version;
 use citronway_core::time::Mono;
 use citronway_wire::report::{self as datagram, Datagram, ReportError};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -29,7 +32,10 @@
 const MAX_COPY: u64 = 8 * 1024 * 1024;
 
 /// Copies that one instance gives at the same time; whoever finds no place asks again.
-const AT_ONCE: usize = 4;
+const AT_ONCE: usize = 8;
+
+/// Added to the code of a table: only rows after a version are wanted.
+const SINCE: u8 = 0x10;
 
 /// Why no copy came.
 #[derive(Debug, thiserror::Error)]
@@ -56,27 +62,42 @@
     /// held its key, and one in twenty was refused when no second send was left. One that
     /// starts meanwhile knows no routes and refuses everybody.
     pub(super) fn ask_for_copy(&mut self, now: Mono, table: Table, events: &mpsc::Sender<Event>) {
-        // Hundreds that lack the same rows do not ask the leader.
+        // Hundreds that lack the same rows do not ask the leader, nor the store.
         let address = match self.place.role(now) {
             Role::Member(_) if self.place.is_new(now) => return,
-            Role::Member(to) => Some(to),
-            Role::Alone | Role::Delegate(_) => {
-                self.cluster.peers.with_newest(now, table, &self.cfg.zone)
-            }
+            Role::Member(to) | Role::Delegate(to) => Some(to),
+            Role::Alone => self.cluster.peers.with_newest(now, table, &self.cfg.zone),
         };
         let Some(address) = address else { return };
         if self.copying.contains(&table) {
             return;
         }
         self.copying.push(table);
+        let after = Version(self.cluster.seen().of(table));
         let events = events.clone();
         tokio::spawn(async move {
-            let copy = ask(address, table).await;
+            let copy = ask(address, table, after).await;
             // Nobody is left to be told when the process ends.
             let _ = events.send(Event::Copied { table, copy }).await;
         });
     }
 
+    /// Has rows brought that were lost on the way: by whoever passes them on, or by the store.
+    ///
+    /// Load: a relay is lost on its way to a delegate, and each of its 17 members asked the
+    /// store; after a lost history all of 295 read three tables anew, 2,100 calls.
+    pub(super) fn bring_missed(&mut self, now: Mono, table: Table, events: &mpsc::Sender<Event>) {
+        if self.copying.contains(&table) {
+            return;
+        }
+        let by_store = self.cluster.brings_by_store(now, table);
+        if by_store || matches!(self.place.role(now), Role::Alone) {
+            self.follow(table).refresh.notify_one();
+        } else {
+            self.ask_for_copy(now, table, events);
+        }
+    }
+
     /// Takes a copy that came, or why none did.
     pub(super) fn copied(&mut self, now: Mono, table: Table, copy: Result<Relay, CopyError>) {
         self.copying.retain(|copying| *copying != table);
@@ -87,8 +108,8 @@
                 return;
             }
         };
-        // The store has answered meanwhile, and what it says is newer.
-        if !self.cluster.needs_copy(table) {
+        // The store, or a relay, has brought newer rows meanwhile.
+        if copy.after.0 < self.cluster.seen().of(table) {
             return;
         }
         self.cluster.copied(now, &copy);
@@ -100,8 +121,13 @@
     }
 
     /// Gives another instance a copy, if this one has read the table.
-    pub(super) fn give_copy(&mut self, table: Table, reply: oneshot::Sender<Vec<u8>>) {
-        let Some(copy) = self.cluster.copy(table) else {
+    pub(super) fn give_copy(
+        &mut self,
+        table: Table,
+        after: Version,
+        reply: oneshot::Sender<Vec<u8>>,
+    ) {
+        let Some(copy) = self.cluster.copy(table, after) else {
             return;
         };
         // Whoever asked may have left.
@@ -138,9 +164,18 @@
 
 async fn give(mut stream: TcpStream, events: mpsc::Sender<Event>) -> Result<(), CopyError> {
     let code = stream.read_u8().await?;
-    let table = datagram::table_of(code)?;
+    let after = if code & SINCE == 0 {
+        Version(0)
+    } else {
+        Version(stream.read_u64().await?)
+    };
+    let table = datagram::table_of(code & !SINCE)?;
     let (reply, copied) = oneshot::channel();
-    let asked = Event::CopyAsked { table, reply };
+    let asked = Event::CopyAsked {
+        table,
+        after,
+        reply,
+    };
     // Without an answer the process ends, or has nothing to give.
     if events.send(asked).await.is_err() {
         return Ok(());
@@ -153,18 +188,29 @@
     Ok(())
 }
 
-/// Asks another instance for a copy of a table.
-pub(super) async fn ask(address: SocketAddr, table: Table) -> Result<Relay, CopyError> {
-    timeout(COPY_LIMIT, read(address, table)).await?
+/// Asks another instance for the rows of a table after a version.
+pub(super) async fn ask(
+    address: SocketAddr,
+    table: Table,
+    after: Version,
+) -> Result<Relay, CopyError> {
+    timeout(COPY_LIMIT, read(address, table, after)).await?
 }
 
-async fn read(address: SocketAddr, table: Table) -> Result<Relay, CopyError> {
+async fn read(address: SocketAddr, table: Table, after: Version) -> Result<Relay, CopyError> {
     let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    stream.write_u8(datagram::code_of(table)).await?;
+    if after == Version(0) {
+        stream.write_u8(datagram::code_of(table)).await?;
+    } else {
+        stream.write_u8(datagram::code_of(table) | SINCE).await?;
+        stream.write_u64(after.0).await?;
+    }
     let mut bytes = Vec::new();
     stream.take(MAX_COPY).read_to_end(&mut bytes).await?;
     match datagram::decode(&bytes)? {
-        Datagram::Relay(copy) if copy.table == table && copy.patches.is_empty() => Ok(copy),
+        Datagram::Relay(copy) if copy.table == table && copy.patches.is_empty() => {
+            Ok(Relay { after, ..copy })
+        }
         _ => Err(CopyError::Other),
     }
 }
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -8,30 +8,28 @@
 use citronway_core::gateway::tree::Role;
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
-use super::Control;
+use super::{Control, Event};
 use crate::clock;
 
 impl Control {
-    fn relay_came(&mut self, relay: &Relay) {
-        let follow = self.follow(relay.table);
-        let at = follow.position.load(Ordering::Relaxed);
-        if at == 0 {
+    fn relay_came(&mut self, events: &mpsc::Sender<Event>, relay: &Relay) {
+        let now = clock::mono();
+        let position = &self.follow(relay.table).position;
+        if position.load(Ordering::Relaxed) == 0 {
             return;
         }
         let newest = self.cluster.seen().of(relay.table);
         if relay.after.0 > newest || !self.cluster.can_patch(relay) {
             // Something in between was lost.
-            follow.refresh.notify_one();
+            self.bring_missed(now, relay.table, events);
             return;
         }
-        follow
-            .position
-            .fetch_max(relay.position.0, Ordering::Relaxed);
+        position.fetch_max(relay.position.0, Ordering::Relaxed);
         if relay.rows.is_empty() && relay.patches.is_empty() {
             return;
         }
-        let now = clock::mono();
         let table = relay.table;
         self.cluster.relayed(now, relay);
         if table == Table::Own {
@@ -40,14 +38,20 @@
     }
 
     /// Takes a datagram that came from an address.
-    pub(super) fn datagram_came(&mut self, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+    pub(super) fn datagram_came(
+        &mut self,
+        socket: &UdpSocket,
+        events: &mpsc::Sender<Event>,
+        bytes: &[u8],
+        from: SocketAddr,
+    ) {
         match datagram::decode(bytes) {
             Ok(Datagram::Report(report)) => self.report_came(&report, from),
             Ok(Datagram::Relay(relay)) => {
                 if self.place.passes_on(from) {
                     self.send_to_members(socket, bytes);
                 }
-                self.relay_came(&relay);
+                self.relay_came(events, &relay);
             }
             Ok(Datagram::Totals(totals)) => self.totals_came(socket, totals, from),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
--- a/crates/citronway/src/gateway/control/kept_rows.rs
+++ b/crates/citronway/src/gateway/control/kept_rows.rs
@@ -1,12 +1,13 @@
 //! Rows of the followed tables as they came, for instances that cannot ask the store.
 
 use citronway_core::gateway::rows::{Row, Table};
-use indexmap::IndexMap;
+use citronway_core::ids::Version;
+use indexmap::{IndexMap, IndexSet};
 
 /// The newest row of each key, removed ones too.
 ///
 /// An endpoint's entry that is gone is kept without its value, so that whoever has an older
-/// one learns it; such keys are dropped with the next whole list.
+/// one learns it.
 #[derive(Debug, Default)]
 pub(super) struct KeptRows {
     config: IndexMap<String, Row>,
@@ -42,9 +43,16 @@
         }
     }
 
-    /// Keeps all rows that there are, and none else.
-    pub(super) fn replace(&mut self, table: Table, rows: &[Row]) {
-        self.of_mut(table).clear();
+    /// Keeps all rows that there are at a version; keys that are no longer among them are kept
+    /// as removed, so that whoever asks for newer rows learns it.
+    pub(super) fn replace(&mut self, table: Table, rows: &[Row], version: Version) {
+        let listed: IndexSet<_> = rows.iter().map(|row| row.key.as_str()).collect();
+        for row in self.of_mut(table).values_mut() {
+            if row.value.is_some() && !listed.contains(row.key.as_str()) {
+                row.value = None;
+                row.version = version;
+            }
+        }
         self.keep(table, rows);
     }
 
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -28,7 +28,7 @@
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::gateway::tree::{Branch, Gathered, Place, Tree};
-use citronway_core::ids::{InstanceName, ServiceName, Session};
+use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
 use citronway_core::time::Mono;
 use citronway_platform::store::{Change, Refused};
 use citronway_wire::report as datagram;
@@ -103,9 +103,10 @@
     Claimed,
     /// The row of this instance stands.
     Registered,
-    /// Another instance asks for a table.
+    /// Another instance asks for the rows of a table after a version.
     CopyAsked {
         table: Table,
+        after: Version,
         reply: oneshot::Sender<Vec<u8>>,
     },
     /// An instance that was asked for a table has answered or not.
@@ -280,7 +281,7 @@
                 },
                 Some(event) = events.recv() => self.take(&socket, &events_tx, event),
                 Ok((len, from)) = socket.recv_from(&mut buf) => {
-                    self.datagram_came(&socket, &buf[..len], from);
+                    self.datagram_came(&socket, &events_tx, &buf[..len], from);
                 }
                 _ = self.signals.terminate.recv() => self.stop(),
                 _ = self.signals.hang_up.recv() => self.reload(),
@@ -330,8 +331,13 @@
         match event {
             Event::Store { table, news, asked } => {
                 self.metrics.polled(table, matches!(news, News::Lost(_)));
-                if let News::Changed { relay, .. } = &news {
-                    self.pass_on(now, socket, relay);
+                match &news {
+                    News::Changed { relay, .. } => self.pass_on(now, socket, relay),
+                    News::Loaded { rows, version, .. } if self.duty.in_office() => {
+                        let relay = self.cluster.changes_by(table, rows, *version);
+                        self.pass_on(now, socket, &relay);
+                    }
+                    News::Loaded { .. } | News::Lost(_) => {}
                 }
                 if self.cluster.news(now, table, news) == StoreSight::Regained {
                     self.ask_all();
@@ -355,7 +361,11 @@
                 self.listed = Listed::Stands;
                 log::info!("instance is listed in the store");
             }
-            Event::CopyAsked { table, reply } => self.give_copy(table, reply),
+            Event::CopyAsked {
+                table,
+                after,
+                reply,
+            } => self.give_copy(table, after, reply),
             Event::Copied { table, copy } => self.copied(now, table, copy),
         }
     }
@@ -486,9 +496,11 @@
                 continue;
             }
             log::info!(table = table.word(); "others see newer rows, asking anew");
-            self.follow(table).refresh.notify_one();
             if self.cluster.needs_copy(table) {
+                self.follow(table).refresh.notify_one();
                 self.ask_for_copy(now, table, events);
+            } else {
+                self.bring_missed(now, table, events);
             }
         }
     }
