--- /dev/null
+++ b/crates/citronway/src/gateway/control/cluster/load.rs
@@ -0,0 +1,118 @@
+//! What this instance believes of the load that all instances bring to endpoints.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::report::{EndpointTotal, Report, Totals};
+use citronway_core::gateway::rows::{Row, Table};
+use citronway_core::time::Mono;
+use indexmap::IndexMap;
+
+use super::super::own_rows;
+use super::Cluster;
+
+/// Most endpoints of which sums are told at once: 16 KB. Of the others, fewer requests wait.
+const MAX_TOLD: usize = 2_000;
+
+impl Cluster {
+    /// Takes what an instance, this one too, reports of endpoints' answers.
+    pub(in super::super) fn traffic_seen(&mut self, now: Mono, report: &Report) {
+        self.heard_at = now;
+        for used in &report.endpoints {
+            self.paces.add(now, used.tag, &used.answers);
+        }
+    }
+
+    /// Takes what this instance itself has in flight and waiting.
+    pub(in super::super) fn own_traffic(&mut self, report: &Report) {
+        let used = report.endpoints.iter().map(|used| (used.tag, *used));
+        self.own_use = used.collect();
+    }
+
+    /// Requests of all instances at endpoints that have nearly as many as slots, those where
+    /// most wait first.
+    pub(in super::super) fn contended(&self, now: Mono) -> Vec<EndpointTotal> {
+        let mut sums = self.peers.sums(now);
+        for used in self.own_use.values() {
+            let sum = sums.entry(used.tag).or_default();
+            sum.tag = used.tag;
+            sum.in_flight += used.in_flight;
+            sum.waiting += used.waiting;
+        }
+        let listed = self.registry.iter();
+        let slots: IndexMap<_, _> = listed
+            .map(|known| (EndpointTag::of(&known.listing.start), known.listing.slots))
+            .collect();
+        let is_contended = |sum: &EndpointTotal| {
+            let wanted = sum.in_flight + sum.waiting;
+            // Requests that wait for no endpoint in particular are told too.
+            let slots = slots.get(&sum.tag).copied().unwrap_or_default();
+            wanted > 0 && wanted * 2 > slots
+        };
+        let mut contended: Vec<_> = sums.into_values().filter(is_contended).collect();
+        contended.sort_unstable_by_key(|sum| Reverse((sum.waiting, sum.in_flight)));
+        contended.truncate(MAX_TOLD);
+        contended
+    }
+
+    /// Takes the sums that the leader tells.
+    pub(in super::super) fn totals_told(&mut self, now: Mono, totals: Totals) {
+        self.heard_at = now;
+        self.store_of_leader(now, &totals);
+        if let Some(row) = &totals.row {
+            let known = self.leader.as_ref().map(|leader| leader.version);
+            if known.is_none_or(|known| known < row.version) {
+                let row = std::slice::from_ref(row);
+                self.kept.keep(Table::Own, row);
+                self.own_rows(now, row);
+                self.changed = true;
+            }
+        }
+        self.peers.leader_heard(now, &totals);
+        for pace in &totals.paces {
+            self.paces.told(now, *pace);
+        }
+        self.peers.totals(now, totals);
+    }
+
+    /// Notes whether the store answers the leader, by whose rows this instance goes while it
+    /// rests.
+    ///
+    /// Failure: the store is away, entries of living endpoints lapse, and the leader tells of
+    /// it when the store is back. An instance that did not ask meanwhile would drop them all
+    /// at once.
+    fn store_of_leader(&mut self, now: Mono, totals: &Totals) {
+        let before = self.leader_store.replace((totals.term, totals.store_lost));
+        if self.endpoints.lost {
+            return;
+        }
+        let was_lost = before.is_some_and(|(_, lost)| lost);
+        let same = before.is_some_and(|(term, _)| term == totals.term);
+        if was_lost == totals.store_lost {
+            return;
+        }
+        let registry = Arc::make_mut(&mut self.registry);
+        match (totals.store_lost, same) {
+            (true, _) => registry.store_lost(),
+            (false, true) => registry.store_back(now),
+            // Another leader has it: only the one before was cut off.
+            (false, false) => registry.store_went_on(),
+        }
+    }
+
+    /// The row that names the leader, as it stands in the store.
+    pub(in super::super) fn leader_row_kept(&self) -> Option<Row> {
+        let mut kept = self.kept.rows(Table::Own);
+        kept.find(|row| row.key == own_rows::LEADER_KEY).cloned()
+    }
+
+    /// Requests of all instances that wait for each endpoint.
+    pub(in super::super) fn waiting(&self, now: Mono) -> IndexMap<EndpointTag, u32> {
+        let mut waiting = self.peers.waiting(now);
+        for (tag, own) in &self.own_use {
+            *waiting.entry(*tag).or_default() += own.waiting;
+        }
+        waiting
+    }
+}
--- a/crates/citronway/src/gateway/control/cluster.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -1,6 +1,8 @@
 //! What this instance believes of the configuration, endpoints, owners and peers.
 
-use std::cmp::Reverse;
+mod copies;
+mod load;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,7 +11,7 @@
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
-use citronway_core::gateway::report::{EndpointTotal, EndpointUse, Report, Totals, Versions};
+use citronway_core::gateway::report::{EndpointUse, Versions};
 use citronway_core::gateway::routes::{Checked, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
@@ -36,9 +38,6 @@
 /// cut off, in milliseconds.
 const CUT_OFF_MS: u64 = 4_000;
 
-/// Most endpoints of which sums are told at once: 16 KB. Of the others, fewer requests wait.
-const MAX_TOLD: usize = 2_000;
-
 /// What an answer, or none, says of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StoreSight {
@@ -184,52 +183,6 @@
         }
     }
 
-    /// What a whole list changes of what is known: rows that are newer, and removals.
-    ///
-    /// Failure: the store forgets its history, the leader reads a table anew and passes
-    /// nothing on, and all instances read it too.
-    pub(super) fn changes_by(&self, table: Table, rows: &[Row], version: Version) -> Relay {
-        let before: IndexMap<_, _> = self
-            .kept
-            .rows(table)
-            .filter(|row| row.value.is_some())
-            .map(|row| (row.key.as_str(), row.version))
-            .collect();
-        let listed: indexmap::IndexSet<_> = rows.iter().map(|row| row.key.as_str()).collect();
-        let newer = rows.iter().filter(|row| {
-            let known = before.get(row.key.as_str());
-            known.is_none_or(|known| *known < row.version)
-        });
-        let gone = before.keys().filter(|key| !listed.contains(*key));
-        let gone = gone.map(|key| Row {
-            key: (*key).to_owned(),
-            value: None,
-            version,
-        });
-        Relay {
-            table,
-            after: Version(0),
-            position: version,
-            rows: newer.cloned().chain(gone).collect(),
-            patches: Vec::new(),
-        }
-    }
-
-    /// Whether a table was read or copied at least once.
-    pub(super) const fn has_read(&self, table: Table) -> bool {
-        match table {
-            Table::Config => self.config.loaded,
-            Table::Endpoints => self.endpoints.loaded,
-            Table::Own => self.own.loaded,
-        }
-    }
-
-    /// Whether a table cannot be had from the store at present.
-    pub(super) fn needs_copy(&mut self, table: Table) -> bool {
-        let sight = self.sight(table);
-        sight.lost || !sight.loaded
-    }
-
     /// Takes rows that the leader passed on.
     pub(super) fn relayed(&mut self, now: Mono, relay: &Relay) {
         self.heard_at = now;
@@ -241,62 +194,6 @@
         self.sight(relay.table).has_taken(relay.position);
     }
 
-    /// Takes a table as another instance has it, since the store cannot be asked.
-    ///
-    /// The store stays lost until it answers this instance itself: what it says then goes
-    /// before the copy, which is only as new as its giver was.
-    pub(super) fn copied(&mut self, now: Mono, copy: &Relay) {
-        let (table, rows) = (copy.table.word(), copy.rows.len());
-        log::info!(table, rows, position = copy.position.0; "table copied from another instance");
-        let whole = match copy.table {
-            // An endpoint that is not among all of them has left.
-            Table::Endpoints if copy.after == Version(0) => Some(copy.position),
-            Table::Config | Table::Endpoints | Table::Own => None,
-        };
-        self.take_rows(now, copy.table, &copy.rows, whole);
-        self.sight(copy.table).has_taken(copy.position);
-    }
-
-    /// Whether rows of a table that are missed are to come from the store this time: another
-    /// instance was asked a moment ago, and they still are.
-    pub(super) fn brings_by_store(&mut self, now: Mono, table: Table) -> bool {
-        let sight = self.sight(table);
-        let asked = sight.missed_at.replace(now);
-        let again = asked.is_some_and(|at| now.since(at) < 2 * BEHIND_MS);
-        if again {
-            sight.missed_at = None;
-        }
-        again
-    }
-
-    /// The rows of a table after a version as this instance knows them, if it has read it.
-    pub(super) fn copy(&mut self, table: Table, after: Version) -> Option<Relay> {
-        let sight = self.sight(table);
-        if !sight.loaded {
-            return None;
-        }
-        let position = Version(sight.position);
-        let kept = self.kept.rows(table);
-        let mut rows: Vec<_> = kept
-            .filter(|row| !own_rows::is_assignment(&row.key) && row.version > after)
-            .cloned()
-            .collect();
-        if table == Table::Own {
-            let newer = self
-                .owners
-                .iter()
-                .filter(|(_, owners)| owners.version > after);
-            rows.extend(newer.filter_map(own_rows::assignment_as_row));
-        }
-        Some(Relay {
-            table,
-            after,
-            position,
-            rows,
-            patches: Vec::new(),
-        })
-    }
-
     /// Where the leader takes reports.
     pub(super) fn leader_address(&self) -> Option<SocketAddr> {
         let leader = self.leader.as_ref()?;
@@ -386,97 +283,6 @@
         }
     }
 
-    /// Takes what an instance, this one too, reports of endpoints' answers.
-    pub(super) fn traffic_seen(&mut self, now: Mono, report: &Report) {
-        self.heard_at = now;
-        for used in &report.endpoints {
-            self.paces.add(now, used.tag, &used.answers);
-        }
-    }
-
-    /// Takes what this instance itself has in flight and waiting.
-    pub(super) fn own_traffic(&mut self, report: &Report) {
-        let used = report.endpoints.iter().map(|used| (used.tag, *used));
-        self.own_use = used.collect();
-    }
-
-    /// Requests of all instances at endpoints that have nearly as many as slots, those where
-    /// most wait first.
-    pub(super) fn contended(&self, now: Mono) -> Vec<EndpointTotal> {
-        let mut sums = self.peers.sums(now);
-        for used in self.own_use.values() {
-            let sum = sums.entry(used.tag).or_default();
-            sum.tag = used.tag;
-            sum.in_flight += used.in_flight;
-            sum.waiting += used.waiting;
-        }
-        let listed = self.registry.iter();
-        let slots: IndexMap<_, _> = listed
-            .map(|known| (EndpointTag::of(&known.listing.start), known.listing.slots))
-            .collect();
-        let is_contended = |sum: &EndpointTotal| {
-            let wanted = sum.in_flight + sum.waiting;
-            // Requests that wait for no endpoint in particular are told too.
-            let slots = slots.get(&sum.tag).copied().unwrap_or_default();
-            wanted > 0 && wanted * 2 > slots
-        };
-        let mut contended: Vec<_> = sums.into_values().filter(is_contended).collect();
-        contended.sort_unstable_by_key(|sum| Reverse((sum.waiting, sum.in_flight)));
-        contended.truncate(MAX_TOLD);
-        contended
-    }
-
-    /// Takes the sums that the leader tells.
-    pub(super) fn totals_told(&mut self, now: Mono, totals: Totals) {
-        self.heard_at = now;
-        self.store_of_leader(now, &totals);
-        if let Some(row) = &totals.row {
-            let known = self.leader.as_ref().map(|leader| leader.version);
-            if known.is_none_or(|known| known < row.version) {
-                let row = std::slice::from_ref(row);
-                self.kept.keep(Table::Own, row);
-                self.own_rows(now, row);
-                self.changed = true;
-            }
-        }
-        self.peers.leader_heard(now, &totals);
-        for pace in &totals.paces {
-            self.paces.told(now, *pace);
-        }
-        self.peers.totals(now, totals);
-    }
-
-    /// Notes whether the store answers the leader, by whose rows this instance goes while it
-    /// rests.
-    ///
-    /// Failure: the store is away, entries of living endpoints lapse, and the leader tells of
-    /// it when the store is back. An instance that did not ask meanwhile would drop them all
-    /// at once.
-    fn store_of_leader(&mut self, now: Mono, totals: &Totals) {
-        let before = self.leader_store.replace((totals.term, totals.store_lost));
-        if self.endpoints.lost {
-            return;
-        }
-        let was_lost = before.is_some_and(|(_, lost)| lost);
-        let same = before.is_some_and(|(term, _)| term == totals.term);
-        if was_lost == totals.store_lost {
-            return;
-        }
-        let registry = Arc::make_mut(&mut self.registry);
-        match (totals.store_lost, same) {
-            (true, _) => registry.store_lost(),
-            (false, true) => registry.store_back(now),
-            // Another leader has it: only the one before was cut off.
-            (false, false) => registry.store_went_on(),
-        }
-    }
-
-    /// The row that names the leader, as it stands in the store.
-    pub(super) fn leader_row_kept(&self) -> Option<Row> {
-        let mut kept = self.kept.rows(Table::Own);
-        kept.find(|row| row.key == own_rows::LEADER_KEY).cloned()
-    }
-
     /// Whether a leader is heard, fit or not.
     pub(super) fn hears_leader(&self, now: Mono) -> bool {
         let leader = self.leader.as_ref();
@@ -522,15 +328,6 @@
         self.own.lost
     }
 
-    /// Requests of all instances that wait for each endpoint.
-    pub(super) fn waiting(&self, now: Mono) -> IndexMap<EndpointTag, u32> {
-        let mut waiting = self.peers.waiting(now);
-        for (tag, own) in &self.own_use {
-            *waiting.entry(*tag).or_default() += own.waiting;
-        }
-        waiting
-    }
-
     /// Whether a fit leader is heard, which passes rows on.
     pub(super) fn is_told(&self, now: Mono) -> bool {
         self.leader
--- a/crates/citronway/src/gateway/control/first.rs
+++ b/crates/citronway/src/gateway/control/first.rs
@@ -5,9 +5,21 @@
 //! before the first caller comes. Now the strong machines and a few others read, one of
 //! them leads, and the rest are called and given copies by delegates of their zone.
 
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use citronway_core::gateway::election::Strength;
 use citronway_core::gateway::pace::rank_of;
+use citronway_core::gateway::rows::Table;
 use citronway_core::gateway::settings::InstanceSettings;
+use citronway_core::time::Mono;
+use citronway_platform::store::Change;
+use tokio::sync::mpsc;
+
+use super::peers::InstanceRow;
+use super::store::Store;
+use super::{Control, Event, own_rows};
 
 /// One in so many weak machines reads the store too, for fleets without strong ones.
 const READERS: u64 = 16;
@@ -19,7 +31,18 @@
 /// Time after the start in which copies are waited for, in milliseconds: a leader is there
 /// after 0.7 s, all are listed 1.5 s after their start, and a delegate gives a copy of a few
 /// hundred kilobytes to each of its members within 2 s.
-pub(super) const COPIES_WITHIN_MS: u64 = 5_000;
+const COPIES_WITHIN_MS: u64 = 5_000;
+
+/// Whether the store lists this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Listed {
+    /// Not that it is known.
+    NotYet,
+    /// Its row is being written.
+    UnderWay,
+    /// Its row stands.
+    Stands,
+}
 
 /// Whether this instance waits for copies.
 pub(super) fn waits_for_copies(cfg: &InstanceSettings) -> bool {
@@ -34,3 +57,77 @@
     }
     rank_of(&cfg.instance) % REGISTER_SPREAD_MS
 }
+
+impl Control {
+    /// Has this instance listed in the store once it has read who is.
+    ///
+    /// Load: 295 instances start within 0.3 s, and the store writes 200 rows of a table a
+    /// second; those that came last were refused and asked again, and the claims of the
+    /// leader's duty waited behind them. After a restart the row stands already.
+    pub(super) fn register(&mut self, events: &mpsc::Sender<Event>) {
+        let knows = self.cluster.own_loaded() || self.is_held();
+        if self.listed != Listed::NotYet || !knows {
+            return;
+        }
+        self.listed = Listed::UnderWay;
+        let row = InstanceRow {
+            session: self.me.clone(),
+            address: self.cfg.reports,
+            zone: self.cfg.zone.clone(),
+        };
+        if self.cluster.lists(&row) {
+            self.listed = Listed::Stands;
+            self.duty.listed_at(self.started);
+            log::info!("instance is listed in the store already");
+            return;
+        }
+        let spread_ms = register_after_ms(&self.cfg);
+        let (store, events) = (self.cfg.store, events.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+            write_row(store, row, events).await;
+        });
+    }
+
+    /// Whether this instance waits for copies instead of asking the store.
+    pub(super) fn is_held(&self) -> bool {
+        let mut follows = self.follows.iter();
+        follows.any(|(_, follow)| follow.held.load(Ordering::Relaxed))
+    }
+
+    /// Has the store asked after all where no copies came.
+    pub(super) fn end_first_wait(&self, now: Mono) {
+        if !self.is_held() {
+            return;
+        }
+        let has_all = Table::ALL.iter().all(|table| self.cluster.has_read(*table));
+        if !has_all && now.since(self.started) < COPIES_WITHIN_MS {
+            return;
+        }
+        for (_, follow) in &self.follows {
+            follow.held.store(false, Ordering::Relaxed);
+            follow.refresh.notify_one();
+        }
+    }
+}
+
+/// Writes the row by which other instances find this one, until it stands.
+async fn write_row(store: SocketAddr, row: InstanceRow, events: mpsc::Sender<Event>) {
+    let value = match serde_json::to_vec(&row) {
+        Ok(value) => value,
+        Err(e) => {
+            log::error!(cause = e.to_string(); "instance cannot be listed");
+            return;
+        }
+    };
+    let change = Change {
+        unless_changed: Vec::new(),
+        put: vec![(own_rows::instance_key(&row.session.instance), value)],
+    };
+    let mut store = Store::new(store);
+    while let Err(e) = store.change(&change).await {
+        log::info!(cause = e.to_string(); "instance not yet listed in the store");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let _ = events.send(Event::Registered).await;
+}
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -5,6 +5,7 @@
 mod duty;
 mod entries;
 mod first;
+mod following;
 mod hearing;
 mod kept_rows;
 mod orders;
@@ -16,7 +17,6 @@
 mod unusable;
 
 use std::io;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -30,7 +30,7 @@
 use citronway_core::gateway::tree::{Branch, Gathered, Place, Tree};
 use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
 use citronway_core::time::Mono;
-use citronway_platform::store::{Change, Refused};
+use citronway_platform::store::Refused;
 use citronway_wire::report as datagram;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -40,9 +40,9 @@
 use cluster::{Cluster, StoreSight};
 use copies::CopyError;
 use duty::Duty;
+use first::Listed;
 use orders::OrderClient;
-use peers::InstanceRow;
-use store::{Follow, Follower, News, Store, StoreError};
+use store::{Follow, News, Store, StoreError};
 
 pub(super) use unusable::Source;
 
@@ -63,23 +63,6 @@
 /// ranges after each of them took 0.1 of a core; at most 180 a second take 0.02.
 const RANGES_A_MS: usize = 150;
 
-/// Time after the start in which the leader's relays are waited for, in milliseconds:
-/// its election takes up to 1 s where all instances start together, and changes have to
-/// be in force within 2 s.
-const FIRST_REST_MS: u64 = 1_200;
-
-/// How long this instance rests on after the leader has stopped to pass rows on, in
-/// milliseconds.
-///
-/// Load: a leader that is lost had each of 89 instances ask for three tables at once, 640
-/// calls. A successor is there 0.4 s after the silence is noticed; changes have to be in
-/// force within 2 s.
-const UNTOLD_REST_MS: u64 = 700;
-
-/// Instances up to which all of them ask a silent store at the usual pace; with more, those
-/// that do not watch it ask so much less often.
-const ASK_OFTEN_UP_TO: u64 = 12;
-
 /// Places in the ring of events of this thread's own tasks.
 const EVENTS: usize = 1_024;
 
@@ -116,17 +99,6 @@
     },
 }
 
-/// Whether the store lists this instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Listed {
-    /// Not that it is known.
-    NotYet,
-    /// Its row is being written.
-    UnderWay,
-    /// Its row stands.
-    Stands,
-}
-
 /// Signals that an instance listens for.
 #[derive(Debug)]
 pub(super) struct Signals {
@@ -304,28 +276,6 @@
         }
     }
 
-    fn follow_tables(&self, events: &mpsc::Sender<Event>) {
-        let held = first::waits_for_copies(&self.cfg);
-        for (table, follow) in &self.follows {
-            follow.held.store(held, Ordering::Relaxed);
-            let follower = Follower {
-                table: *table,
-                address: self.cfg.store,
-                events: events.clone(),
-                follow: Arc::clone(follow),
-            };
-            tokio::spawn(follower.run());
-        }
-    }
-
-    fn follow(&self, table: Table) -> &Follow {
-        match table {
-            Table::Config => &self.follows[0].1,
-            Table::Endpoints => &self.follows[1].1,
-            Table::Own => &self.follows[2].1,
-        }
-    }
-
     fn take(&mut self, socket: &UdpSocket, events: &mpsc::Sender<Event>, event: Event) {
         let now = clock::mono();
         match event {
@@ -370,66 +320,6 @@
         }
     }
 
-    /// Has this instance listed in the store once it has read who is.
-    ///
-    /// Load: 295 instances start within 0.3 s, and the store writes 200 rows of a table a
-    /// second; those that came last were refused and asked again, and the claims of the
-    /// leader's duty waited behind them. After a restart the row stands already.
-    fn register(&mut self, events: &mpsc::Sender<Event>) {
-        let knows = self.cluster.own_loaded() || self.is_held();
-        if self.listed != Listed::NotYet || !knows {
-            return;
-        }
-        self.listed = Listed::UnderWay;
-        let row = InstanceRow {
-            session: self.me.clone(),
-            address: self.cfg.reports,
-            zone: self.cfg.zone.clone(),
-        };
-        if self.cluster.lists(&row) {
-            self.listed = Listed::Stands;
-            self.duty.listed_at(self.started);
-            log::info!("instance is listed in the store already");
-            return;
-        }
-        let spread_ms = first::register_after_ms(&self.cfg);
-        let (store, events) = (self.cfg.store, events.clone());
-        tokio::spawn(async move {
-            tokio::time::sleep(Duration::from_millis(spread_ms)).await;
-            register(store, row, events).await;
-        });
-    }
-
-    /// Whether this instance waits for copies instead of asking the store.
-    fn is_held(&self) -> bool {
-        let mut follows = self.follows.iter();
-        follows.any(|(_, follow)| follow.held.load(Ordering::Relaxed))
-    }
-
-    /// Has the store asked after all where no copies came.
-    fn end_first_wait(&self, now: Mono) {
-        if !self.is_held() {
-            return;
-        }
-        let has_all = Table::ALL.iter().all(|table| self.cluster.has_read(*table));
-        if !has_all && now.since(self.started) < first::COPIES_WITHIN_MS {
-            return;
-        }
-        for (_, follow) in &self.follows {
-            follow.held.store(false, Ordering::Relaxed);
-            follow.refresh.notify_one();
-        }
-    }
-
-    /// Has tables that were not answered asked for now.
-    fn ask_all(&self) {
-        for (table, follow) in &self.follows {
-            if self.cluster.is_lost(*table) {
-                follow.refresh.notify_one();
-            }
-        }
-    }
-
     /// Does what is due.
     fn work(&mut self, events: &mpsc::Sender<Event>) {
         let now = clock::mono();
@@ -486,80 +376,6 @@
         self.view.send_replace(view);
     }
 
-    /// Has tables read anew of which others have seen newer versions for a while, or copied
-    /// from one of them where the store does not answer.
-    fn refresh_stale(&mut self, now: Mono, events: &mpsc::Sender<Event>) {
-        let held = self.is_held();
-        for table in self.cluster.stale_tables(now, self.duty.term()) {
-            if held {
-                self.ask_for_copy(now, table, events);
-                continue;
-            }
-            log::info!(table = table.word(); "others see newer rows, asking anew");
-            if self.cluster.needs_copy(table) {
-                self.follow(table).refresh.notify_one();
-                self.ask_for_copy(now, table, events);
-            } else {
-                self.bring_missed(now, table, events);
-            }
-        }
-    }
-
-    /// Rests while a fit leader passes rows on, and asks the store otherwise.
-    fn rest_or_poll(&mut self, now: Mono) {
-        let keeps = self.duty.in_office();
-        // A leader that is there is heard within a moment; polls of all instances that
-        // start together would be answered anew with each one that lists itself.
-        // It is called once it is listed.
-        let first_rest_ms = FIRST_REST_MS + first::register_after_ms(&self.cfg);
-        let begins_to_hear = now.since(self.started) < first_rest_ms;
-        let is_told = self.is_told(now);
-        let rests = !keeps && (begins_to_hear || is_told);
-        // A poll that began before this instance kept waits for longer than a leader
-        // may go without being confirmed.
-        let begins = keeps && !self.kept;
-        self.kept = keeps;
-        if begins {
-            self.tree.begin();
-            // Rows of instances were not passed on by the leader of many.
-            let reload = self.cluster.peers.are_many(now) || self.cluster.peers.was_told();
-            self.follow(Table::Own)
-                .reload
-                .store(reload, Ordering::Relaxed);
-        }
-        for (_, follow) in &self.follows {
-            let before = follow.resting.swap(rests, Ordering::Relaxed);
-            if begins || (before && !rests) {
-                follow.refresh.notify_one();
-            }
-        }
-    }
-
-    /// Whether a leader passes rows on, or the next one can be waited for.
-    fn is_told(&mut self, now: Mono) -> bool {
-        if self.cluster.is_told(now) {
-            self.told_at = now;
-            return true;
-        }
-        let watches = self.duty.in_office() || self.duty.watches(now, &self.cluster);
-        // Load: the store is away for 8 s, and each of 295 instances tries three tables once a
-        // second. The leader and those that claim next try; they tell when it is back.
-        if !watches && self.cluster.peers.are_many(now) && self.cluster.hears_leader(now) {
-            self.told_at = now;
-            return true;
-        }
-        let patience = if watches {
-            1
-        } else {
-            let instances = self.cluster.peers.instances(now) as u64;
-            instances.div_ceil(ASK_OFTEN_UP_TO).max(1)
-        };
-        for (_, follow) in &self.follows {
-            follow.patience.store(patience, Ordering::Relaxed);
-        }
-        !watches && now.since(self.told_at) < UNTOLD_REST_MS
-    }
-
     fn stop(&mut self) {
         if self.stopping {
             return;
@@ -600,24 +416,3 @@
         }
     }
 }
-
-/// Writes the row by which other instances find this one, until it stands.
-async fn register(store: SocketAddr, row: InstanceRow, events: mpsc::Sender<Event>) {
-    let value = match serde_json::to_vec(&row) {
-        Ok(value) => value,
-        Err(e) => {
-            log::error!(cause = e.to_string(); "instance cannot be listed");
-            return;
-        }
-    };
-    let change = Change {
-        unless_changed: Vec::new(),
-        put: vec![(own_rows::instance_key(&row.session.instance), value)],
-    };
-    let mut store = Store::new(store);
-    while let Err(e) = store.change(&change).await {
-        log::info!(cause = e.to_string(); "instance not yet listed in the store");
-        tokio::time::sleep(Duration::from_millis(500)).await;
-    }
-    let _ = events.send(Event::Registered).await;
-}
