A leader's own writes are passed on by their answer, not by its next poll

Cause: each write of an assignment was answered to the leader's own poll as well; with moves under way that was a quarter of all calls at the store.

Change: the answer to a write is passed on at once, and the leader's own table is polled 0.25 s after each answer.

--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -55,7 +55,7 @@
     /// Newest version of a row that was seen.
     newest: u64,
     /// Position in the table's history up to which all rows were taken.
-    position: u64,
+    pub(super) position: u64,
     /// The last call failed.
     lost: bool,
     /// Since when others have seen newer rows.
--- a/crates/citronway/src/gateway/control/following.rs
+++ b/crates/citronway/src/gateway/control/following.rs
@@ -7,7 +7,7 @@
 use citronway_core::time::Mono;
 use tokio::sync::mpsc;
 
-use super::store::{Follow, Follower};
+use super::store::{ENTRIES_GAP_MS, Follow, Follower, OWN_GAP_MS};
 use super::{Control, Event, first};
 
 /// Time after the start in which the leader's relays are waited for, in milliseconds:
@@ -32,6 +32,9 @@
         let held = first::waits_for_copies(&self.cfg);
         for (table, follow) in &self.follows {
             follow.held.store(held, Ordering::Relaxed);
+            if *table == Table::Endpoints {
+                follow.gather_ms.store(ENTRIES_GAP_MS, Ordering::Relaxed);
+            }
             let follower = Follower {
                 table: *table,
                 address: self.cfg.store,
@@ -100,6 +103,10 @@
                 .reload
                 .store(reload, Ordering::Relaxed);
         }
+        let own_gap_ms = if keeps { OWN_GAP_MS } else { 0 };
+        self.follow(Table::Own)
+            .gather_ms
+            .store(own_gap_ms, Ordering::Relaxed);
         for (_, follow) in &self.follows {
             let before = follow.resting.swap(rests, Ordering::Relaxed);
             if begins || (before && !rests) {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -301,7 +301,12 @@
                 self.metrics.ordered(&order.kind, &result);
                 self.duty.ordered(now, &order, &result);
             }
-            Event::Wrote { service, result } => self.duty.wrote(now, &service, result),
+            Event::Wrote { service, result } => {
+                if let WriteResult::Done(row, version) = &result {
+                    self.pass_on_written(now, socket, &service, row, *version);
+                }
+                self.duty.wrote(now, &service, result);
+            }
             Event::Claimed => {
                 self.duty.claim_ended();
                 // One that rests has nobody yet who would pass the row on.
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -3,7 +3,7 @@
 use citronway_core::gateway::admission::Owners;
 use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::election::{Former, LeaderRow};
-use citronway_core::gateway::rows::{Patch, Relay, Row};
+use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
 use citronway_core::time::Mono;
 use serde::{Deserialize, Serialize};
@@ -124,6 +124,9 @@
             ..relay.clone()
         };
         for row in &relay.rows {
+            if self.knows(row) {
+                continue;
+            }
             match self.patch(row) {
                 Some(patch) => slim.patches.push(patch),
                 None => slim.rows.push(row.clone()),
@@ -132,6 +135,39 @@
         slim
     }
 
+    /// Whether a row is an assignment that is known already, and was passed on when it was
+    /// written.
+    fn knows(&self, row: &Row) -> bool {
+        let service = row.key.strip_prefix(KEYS_PREFIX).map(ServiceName::new);
+        let known = service.and_then(|service| self.owners.get(&service));
+        known.is_some_and(|known| known.version >= row.version)
+    }
+
+    /// An assignment that was just written, as a relay; none if it cannot be written down.
+    pub(super) fn written(
+        &self,
+        service: &ServiceName,
+        row: &Assignment,
+        version: Version,
+    ) -> Option<Relay> {
+        let known = self.owners.get(service);
+        if known.is_some_and(|known| known.version >= version) {
+            return None;
+        }
+        let owners = Owners {
+            assignment: Arc::new(row.clone()),
+            version,
+        };
+        let row = assignment_as_row((service, &owners))?;
+        Some(Relay {
+            table: Table::Own,
+            after: Version(0),
+            position: Version(self.own.position),
+            rows: vec![row],
+            patches: Vec::new(),
+        })
+    }
+
     fn patch(&self, row: &Row) -> Option<Patch> {
         let service = ServiceName::new(row.key.strip_prefix(KEYS_PREFIX)?);
         let value = row.value.as_deref()?;
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 
+use citronway_core::gateway::assignment::Assignment;
 use citronway_core::gateway::election;
 use citronway_core::gateway::report::{self, MAX_KEYS, MOST_TELL_ALL, Report, Totals};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::{Branch, Role, TELL_MS};
-use citronway_core::ids::Version;
+use citronway_core::ids::{ServiceName, Version};
 use citronway_core::time::Mono;
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
@@ -234,6 +235,22 @@
         }
     }
 
+    /// Passes an assignment on that this leader has just written, and believes it.
+    pub(super) fn pass_on_written(
+        &mut self,
+        now: Mono,
+        socket: &UdpSocket,
+        service: &ServiceName,
+        row: &Assignment,
+        version: Version,
+    ) {
+        let Some(relay) = self.cluster.written(service, row, version) else {
+            return;
+        };
+        self.pass_on(now, socket, &relay);
+        self.cluster.relayed(now, &relay);
+    }
+
     /// Passes rows on to those that rest.
     pub(super) fn pass_on(&self, now: Mono, socket: &UdpSocket, relay: &Relay) {
         if !self.duty.in_office() {
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -42,9 +42,18 @@
 /// milliseconds.
 const RESTING_PAUSE_MS: u64 = 5_000;
 
-/// Time between two polls of the endpoints' entries. Endpoints that leave are left alone
-/// in time if it is known within 1.5 s.
-const ENTRIES_GAP: Duration = Duration::from_millis(150);
+/// Time between two polls of the endpoints' entries, in milliseconds. Endpoints that leave
+/// are left alone in time if it is known within 1.5 s.
+///
+/// Load: 395 endpoints list themselves or leave within a few seconds, and each change was
+/// answered by itself: 250 calls before the first request.
+pub(super) const ENTRIES_GAP_MS: u64 = 150;
+
+/// The same of a leader's own table, in milliseconds.
+///
+/// Load: each write of an assignment was answered to the leader's own poll too, a quarter of
+/// all calls while ranges move. What it writes it knows by the answer to the write.
+pub(super) const OWN_GAP_MS: u64 = 250;
 
 /// Why a call of the store brought nothing.
 #[derive(Debug, thiserror::Error)]
@@ -159,6 +168,8 @@
     pub resting: AtomicBool,
     /// How long to wait at the store, in milliseconds.
     pub wait_ms: AtomicU64,
+    /// Time from an answer to the next call, in milliseconds.
+    pub gather_ms: AtomicU64,
     /// Times the usual pause between calls while the store does not answer.
     pub patience: AtomicU64,
     /// Nothing is asked yet: another instance is to give a copy.
@@ -175,6 +186,7 @@
             position: AtomicU64::new(0),
             resting: AtomicBool::new(false),
             wait_ms: AtomicU64::new(IDLE_WAIT_MS),
+            gather_ms: AtomicU64::new(0),
             patience: AtomicU64::new(1),
             held: AtomicBool::new(false),
             reload: AtomicBool::new(false),
@@ -280,13 +292,11 @@
         }
     }
 
-    /// Waits until several entries have changed that change at about the same time.
-    ///
-    /// Load: 395 endpoints list themselves or leave within a few seconds, and each change
-    /// was answered by itself: 250 calls before the first request.
+    /// Waits until several rows have changed that change at about the same time.
     async fn let_changes_gather(&self) {
-        if self.table == Table::Endpoints {
-            tokio::time::sleep(ENTRIES_GAP).await;
+        let gather_ms = self.follow.gather_ms.load(Ordering::Relaxed);
+        if gather_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(gather_ms)).await;
         }
     }
 
