A leader of many takes office after it has read all own rows

Cause, by reading: relays name the newest row before them, and with several services divided by key one that was lost can be below a newer one that came. The next leader would go by an assignment that the store no longer has.

Change: an instance that knows rows as a leader passed them on reads the whole table before it leads; it did so a moment afterwards before. No test: it needs a lost datagram between processes.

--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -164,19 +164,32 @@
         }
     }
 
-    /// Takes the rows as believed after an answer to a call sent at `asked`.
-    pub(super) fn rows_seen(&mut self, now: Mono, asked: Mono, cluster: &Cluster) {
+    /// Takes the rows as believed after an answer to a call sent at `asked`; `whole` if it
+    /// brought all of them. Returns whether all are to be read first, because this instance is
+    /// to lead and knows rows only as a leader passed them on.
+    ///
+    /// Failure: a relayed row was lost, and the next leader goes by an assignment that the
+    /// store no longer has. It renews holds of an endpoint whose keys have another owner.
+    pub(super) fn rows_seen(
+        &mut self,
+        now: Mono,
+        asked: Mono,
+        cluster: &Cluster,
+        whole: bool,
+    ) -> bool {
         self.take_assignments(cluster);
-        let Some(row) = &cluster.leader else { return };
+        let Some(row) = &cluster.leader else {
+            return false;
+        };
         self.term = self.term.max(row.term);
         if row.instance != self.me.instance || row.session != self.me.id {
             if self.office.is_some() {
                 self.leave_office("the row names another leader");
             }
-            return;
+            return false;
         }
         if cluster.store_lost() {
-            return;
+            return false;
         }
         if self
             .office
@@ -189,8 +202,12 @@
                 leader.confirm(asked);
             }
         } else if row.term == self.term {
+            if !whole && cluster.peers.was_told() {
+                return true;
+            }
             self.take_office(now, asked, row, cluster);
         }
+        false
     }
 
     fn take_office(&mut self, now: Mono, asked: Mono, row: &LeaderRow, cluster: &Cluster) {
--- a/crates/citronway/src/gateway/control/following.rs
+++ b/crates/citronway/src/gateway/control/following.rs
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Has all rows of the own table read, those of instances too, which are not passed on.
+    pub(super) fn read_own_rows_anew(&self) {
+        let follow = self.follow(Table::Own);
+        follow.reload.store(true, Ordering::Relaxed);
+        follow.refresh.notify_one();
+    }
+
     /// Has tables that were not answered asked for now.
     pub(super) fn ask_all(&self) {
         for (table, follow) in &self.follows {
@@ -97,11 +104,6 @@
         self.kept = keeps;
         if begins {
             self.tree.begin();
-            // Rows of instances were not passed on by the leader of many.
-            let reload = self.cluster.peers.are_many(now) || self.cluster.peers.was_told();
-            self.follow(Table::Own)
-                .reload
-                .store(reload, Ordering::Relaxed);
         }
         let own_gap_ms = if keeps { OWN_GAP_MS } else { 0 };
         self.follow(Table::Own)
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -281,6 +281,7 @@
         match event {
             Event::Store { table, news, asked } => {
                 self.metrics.polled(table, matches!(news, News::Lost(_)));
+                let whole = matches!(news, News::Loaded { .. });
                 match &news {
                     News::Changed { relay, .. } => self.pass_on(now, socket, relay),
                     News::Loaded { rows, version, .. } if self.duty.in_office() => {
@@ -293,7 +294,9 @@
                     self.ask_all();
                 }
                 if table == Table::Own {
-                    self.duty.rows_seen(now, asked, &self.cluster);
+                    if self.duty.rows_seen(now, asked, &self.cluster, whole) {
+                        self.read_own_rows_anew();
+                    }
                     self.register(events);
                 }
             }
