--- a/crates/citronway/src/gateway/control/following.rs
+++ b/crates/citronway/src/gateway/control/following.rs
@@ -28,6 +28,7 @@
 const ASK_OFTEN_UP_TO: u64 = 12;
 
 impl Control {
+    /// Begins to follow all tables.
     pub(super) fn follow_tables(&self, events: &mpsc::Sender<Event>) {
         let held = first::waits_for_copies(&self.cfg);
         for (table, follow) in &self.follows {
@@ -45,6 +46,7 @@
         }
     }
 
+    /// How a table is followed.
     pub(super) fn follow(&self, table: Table) -> &Follow {
         match table {
             Table::Config => &self.follows[0].1,
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -58,11 +58,7 @@
 
     /// Reports to all others, in a small fleet.
     fn tell_all(&mut self, now: Mono, socket: &UdpSocket) {
-        let own = std::mem::take(&mut self.unreported);
-        let mut report = self.report(now, own);
-        self.duty.traffic_seen(now, &report);
-        self.cluster.own_traffic(&report);
-        self.cluster.traffic_seen(now, &report);
+        let mut report = self.report_to_itself(now);
         let leader = self.cluster.leader_address();
         if let Some(address) = leader {
             let bytes = datagram::encode(&Datagram::Report(report.clone()));
@@ -106,8 +102,8 @@
         report.members = members;
         let bytes = datagram::encode(&Datagram::Report(report));
         self.send(socket, &bytes, to);
-        if to_nobody(self.place.role(now)) {
-            // Sums bring the others their new view.
+        if self.place.role(now) == Role::Alone {
+            // Sums bring all others their new view.
             self.publish(now);
         }
     }
@@ -279,7 +275,3 @@
         }
     }
 }
-
-const fn to_nobody(role: Role) -> bool {
-    matches!(role, Role::Alone)
-}
