--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -141,7 +141,7 @@
     /// Other instances.
     pub peers: &'a [PeerSight],
     /// Who claims first, as the last leader told; none in a fleet where all tell all.
-    pub heirs: &'a [InstanceName],
+    pub standbys: &'a [InstanceName],
     /// Instances that there are, this one included.
     pub instances: usize,
     /// There are too many for all to hear all.
@@ -204,7 +204,7 @@
 }
 
 /// Most instances that the leader names as those that claim first.
-pub const MAX_HEIRS: usize = 8;
+pub const MAX_STANDBYS: usize = 8;
 
 /// Instances that claim in the same step where they do not know of each other.
 ///
@@ -227,7 +227,7 @@
     if !at.many {
         return heard_before(now, at);
     }
-    if let Some(place) = at.heirs.iter().position(|heir| heir == at.me) {
+    if let Some(place) = at.standbys.iter().position(|standby| standby == at.me) {
         return place as u64;
     }
     // Strong machines first, all others spread over the steps after them.
@@ -235,7 +235,7 @@
     let steps = (at.instances as u64).div_ceil(CLAIMS_A_STEP);
     let spread = rank_of(at.me) % if strong { CLAIMS_A_STEP } else { steps };
     let first = if strong { 0 } else { CLAIMS_A_STEP };
-    at.heirs.len() as u64 + first + spread
+    at.standbys.len() as u64 + first + spread
 }
 
 /// How many fit instances that are heard go before this one.
@@ -254,14 +254,14 @@
 
 /// Who is to claim first when the leader falls silent: the strongest that are heard and fit.
 #[must_use]
-pub fn heirs(now: Mono, peers: &[PeerSight]) -> Vec<InstanceName> {
+pub fn standbys(now: Mono, peers: &[PeerSight]) -> Vec<InstanceName> {
     let fit = peers.iter().filter(|peer| {
         let heard = now.since(peer.heard) < SILENCE_MS;
         heard && !peer.stopping && !peer.unfit
     });
     let mut fit: Vec<_> = fit.collect();
     fit.sort_by_key(|peer| (Reverse(peer.strength), &peer.instance));
-    fit.truncate(MAX_HEIRS);
+    fit.truncate(MAX_STANDBYS);
     fit.into_iter().map(|peer| peer.instance.clone()).collect()
 }
 
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -156,7 +156,7 @@
     /// Instances that are heard, the leader included.
     pub instances: u32,
     /// Who claims the duty first when the leader falls silent, in this order.
-    pub heirs: Vec<InstanceName>,
+    pub standbys: Vec<InstanceName>,
     /// Endpoints that have, or are about to have, more requests than slots.
     pub endpoints: Vec<EndpointTotal>,
     /// Estimates for endpoints that are not average; a part of them each time.
--- a/crates/citronway-core/src/gateway/tree/place.rs
+++ b/crates/citronway-core/src/gateway/tree/place.rs
@@ -6,7 +6,7 @@
 use crate::time::Mono;
 
 /// Silence after which whoever passed the sums on no longer counts, in milliseconds.
-const SUPERIOR_SILENT_MS: u64 = 1_000;
+const PARENT_SILENT_MS: u64 = 1_000;
 
 /// Time in which a leader that has called an instance names a delegate for it, in
 /// milliseconds: a report and the next sums.
@@ -26,7 +26,7 @@
 /// Where an instance stands in the tree.
 #[derive(Debug, Default)]
 pub struct Place {
-    superior: Option<(SocketAddr, Mono)>,
+    parent: Option<(SocketAddr, Mono)>,
     /// Since when it is this one.
     since: Mono,
     members: Vec<SocketAddr>,
@@ -39,15 +39,15 @@
     pub fn told(&mut self, now: Mono, totals: &Totals, from: SocketAddr) -> bool {
         let at = (totals.term, totals.number);
         // The same ones may come from the leader too, which then calls this instance: who
-        // names members, or comes first, is the superior.
+        // names members, or comes first, is the parent.
         if at <= self.newest {
             return false;
         }
         self.newest = at;
-        if self.superior.is_none_or(|(before, _)| before != from) {
+        if self.parent.is_none_or(|(before, _)| before != from) {
             self.since = now;
         }
-        self.superior = Some((from, now));
+        self.parent = Some((from, now));
         self.members.clone_from(&totals.members);
         true
     }
@@ -55,8 +55,8 @@
     /// What this instance does at present.
     #[must_use]
     pub fn role(&self, now: Mono) -> Role {
-        let superior = self.superior;
-        let fresh = superior.filter(|(_, at)| now.since(*at) < SUPERIOR_SILENT_MS);
+        let parent = self.parent;
+        let fresh = parent.filter(|(_, at)| now.since(*at) < PARENT_SILENT_MS);
         match fresh {
             None => Role::Alone,
             Some((address, _)) if self.members.is_empty() => Role::Member(address),
@@ -80,7 +80,7 @@
     /// Whether something from this address is passed on: it is the leader that named them.
     #[must_use]
     pub fn passes_on(&self, from: SocketAddr) -> bool {
-        let is_superior = self.superior.is_some_and(|(address, _)| address == from);
-        is_superior && !self.members.is_empty()
+        let is_parent = self.parent.is_some_and(|(address, _)| address == from);
+        is_parent && !self.members.is_empty()
     }
 }
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -48,7 +48,7 @@
         row,
         row_seen: Mono(0),
         peers,
-        heirs: &[],
+        standbys: &[],
         instances: 3,
         many: false,
     }
@@ -139,7 +139,7 @@
             row: Some(&row),
             row_seen,
             peers: &peers,
-            heirs: &[],
+            standbys: &[],
             instances: 3,
             many: false,
         };
@@ -161,7 +161,7 @@
         row: None,
         row_seen: Mono(0),
         peers: &[],
-        heirs: &[],
+        standbys: &[],
         instances: 3,
         many: false,
     };
@@ -235,7 +235,7 @@
             row: Some(&row),
             row_seen: Mono(0),
             peers: &[sight("a", heard), other_sight],
-            heirs: &[],
+            standbys: &[],
             instances: 3,
             many: false,
         };
@@ -265,3 +265,55 @@
     peers[0].unfit = true;
     expect_that!(watching("e", &peers), eq(true));
 }
+
+/// The leader of 295 instances is lost, and nobody hears more than a few others. All of them
+/// claimed at once, and the store was busy for a second and a half with writes of which one
+/// succeeds. Its last sums named eight that claim first.
+#[gtest]
+fn in_a_large_fleet_those_that_the_leader_named_claim_first_and_few_at_once() {
+    let heard = START.plus(60_000);
+    let silent = heard.plus(SILENCE_MS);
+    let row = row("front-0");
+    let names: Vec<_> = (0..295)
+        .map(|i| InstanceName::new(&format!("front-{i}")))
+        .collect();
+    let standbys = names[1..9].to_vec();
+    let peers = [sight("front-0", heard)];
+    let claims_at = |me: &InstanceName, now: Mono| {
+        let situation = Situation {
+            strength: Strength(200),
+            standbys: &standbys,
+            instances: 295,
+            many: true,
+            ..situation(me, Some(&row), &peers)
+        };
+        should_claim(now, &situation)
+    };
+    let mut before = 0;
+    for step in 0..100 {
+        let now = silent.plus(step * CLAIM_STEP_MS);
+        let claimants = names[1..].iter().filter(|me| claims_at(me, now)).count();
+        let at_most = if step < 8 { 1 } else { 14 };
+        expect_that!(claimants - before, le(at_most), "step {step}");
+        before = claimants;
+    }
+    // All of them are gone, and one after the other somebody else claims.
+    expect_that!(before, eq(294));
+}
+
+/// All instances lose power together. The one that led starts again at its address and knows
+/// that the start before it has ended; nobody else has to be waited for.
+#[gtest]
+fn a_leader_that_starts_again_claims_at_once() {
+    let mut row = row("front-7");
+    row.session = SessionId(9);
+    let me = InstanceName::new("front-7");
+    let situation = Situation {
+        row_seen: START,
+        instances: 295,
+        many: true,
+        ..situation(&me, Some(&row), &[])
+    };
+    expect_that!(should_claim(START, &situation), eq(false));
+    expect_that!(should_claim(START.plus(TAKE_UP_MS), &situation), eq(true));
+}
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -319,7 +319,7 @@
             row: None,
             seen: Versions::default(),
             instances: 0,
-            heirs: Vec::new(),
+            standbys: Vec::new(),
             endpoints: Vec::new(),
             paces: Vec::new(),
             members,
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -28,7 +28,7 @@
   seenEndpoints @10 :UInt64;
   seenOwn @11 :UInt64;
   # Newest versions that any instance has seen.
-  heirs @12 :List(Text);
+  standbys @12 :List(Text);
   # Who claims the duty first when the leader falls silent.
   paces @13 :List(EndpointPace);
   members @14 :List(Address);
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -74,9 +74,9 @@
     if let Some(row) = &from.row {
         write_row(row, to.reborrow().init_row());
     }
-    let mut list = to.reborrow().init_heirs(length(from.heirs.len()));
-    for (i, heir) in from.heirs.iter().enumerate() {
-        list.set(length(i), heir.as_str());
+    let mut list = to.reborrow().init_standbys(length(from.standbys.len()));
+    for (i, standby) in from.standbys.iter().enumerate() {
+        list.set(length(i), standby.as_str());
     }
     let mut list = to.reborrow().init_paces(length(from.paces.len()));
     for (i, pace) in from.paces.iter().enumerate() {
@@ -248,9 +248,9 @@
         let ip = Ipv4Addr::from_bits(address.get_ip());
         SocketAddr::from((ip, address.get_port()))
     });
-    let mut heirs = Vec::new();
-    for heir in from.get_heirs()? {
-        heirs.push(InstanceName::new(heir?.to_str()?));
+    let mut standbys = Vec::new();
+    for standby in from.get_standbys()? {
+        standbys.push(InstanceName::new(standby?.to_str()?));
     }
     Ok(Totals {
         leader: Session {
@@ -274,7 +274,7 @@
             None
         },
         instances: from.get_instances(),
-        heirs,
+        standbys,
         endpoints: endpoints.collect(),
         paces: paces.collect(),
         members: members.collect(),
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -449,11 +449,11 @@
             self.reader.get_data_field::<u64>(6)
         }
         #[inline]
-        pub fn get_heirs(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+        pub fn get_standbys(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_heirs(&self) -> bool {
+        pub fn has_standbys(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
@@ -651,19 +651,19 @@
             self.builder.set_data_field::<u64>(6, value);
         }
         #[inline]
-        pub fn get_heirs(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+        pub fn get_standbys(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_heirs(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+        pub fn set_standbys(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn init_heirs(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+        pub fn init_standbys(self, size: u32) -> ::capnp::text_list::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
-        pub fn has_heirs(&self) -> bool {
+        pub fn has_standbys(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
@@ -736,7 +736,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 296] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 297] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
             ::capnp::word(13, 0, 0, 0, 1, 0, 7, 0),
@@ -841,38 +841,38 @@
             ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -980,7 +980,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 101, 105, 114, 115, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 110, 100, 98, 121, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1068,7 +1069,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,12,3,8,14,1,13,16,9,10,11,4,5,15,7,0,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,14,1,13,16,9,10,11,4,12,5,15,7,0,6];
         pub(crate) const TYPE_ID: u64 = 0xa198_0bf8_97e5_f513;
     }
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -89,7 +89,7 @@
             own: 6,
         },
         instances: 295,
-        heirs: vec![InstanceName::new("two"), InstanceName::new("three")],
+        standbys: vec![InstanceName::new("two"), InstanceName::new("three")],
         endpoints: vec![EndpointTotal {
             tag: EndpointTag(77),
             in_flight: 9,
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -386,7 +386,7 @@
             row: cluster.leader.as_ref(),
             row_seen: cluster.leader_seen,
             peers,
-            heirs: cluster.peers.heirs(),
+            standbys: cluster.peers.standbys(),
             instances: cluster.peers.listed(),
             many: cluster.peers.are_many(now) || cluster.peers.was_told(),
         }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -158,7 +158,7 @@
     branches: Vec<Branch>,
     told_totals: Mono,
     /// Who claims first when this leader falls silent, and since when they are named.
-    heirs: (Vec<InstanceName>, Mono),
+    standbys: (Vec<InstanceName>, Mono),
     follows: [(Table, Arc<Follow>); 3],
     started: Mono,
     stopping: bool,
@@ -206,7 +206,7 @@
             tree: Tree::default(),
             branches: Vec::new(),
             told_totals: Mono::default(),
-            heirs: (Vec::new(), Mono::default()),
+            standbys: (Vec::new(), Mono::default()),
             follows: Table::ALL.map(|table| (table, Follow::new())),
             started,
             stopping: false,
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -270,10 +270,10 @@
     }
 
     /// Who claims first when the leader falls silent.
-    pub(super) fn heirs(&self) -> &[InstanceName] {
+    pub(super) fn standbys(&self) -> &[InstanceName] {
         self.totals
             .as_ref()
-            .map_or(&[], |(totals, _)| &totals.heirs)
+            .map_or(&[], |(totals, _)| &totals.standbys)
     }
 
     /// The newest versions that any instance has seen.
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -28,7 +28,7 @@
 
 /// How long the names of those that claim first stand while the store does not answer the
 /// leader, in milliseconds.
-const HEIRS_STAND_MS: u64 = 2_000;
+const STANDBYS_STAND_MS: u64 = 2_000;
 
 impl Control {
     /// Takes an account of the traffic and reports it to the others.
@@ -161,18 +161,18 @@
     /// Failure: the store is away for all. Those that are to watch it say that they are not
     /// fit, the next ones watch, and soon all instances ask it. So the names stand for a
     /// while then.
-    fn name_heirs(&mut self, now: Mono, store_lost: bool) {
-        let stands_ms = if store_lost { HEIRS_STAND_MS } else { 0 };
-        if now.since(self.heirs.1) < stands_ms {
+    fn name_standbys(&mut self, now: Mono, store_lost: bool) {
+        let stands_ms = if store_lost { STANDBYS_STAND_MS } else { 0 };
+        if now.since(self.standbys.1) < stands_ms {
             return;
         }
         let sights = self.cluster.peers.sights();
-        self.heirs = (election::heirs(now, &sights), now);
+        self.standbys = (election::standbys(now, &sights), now);
     }
 
     fn totals(&mut self, now: Mono) -> Totals {
         let store_lost = self.cluster.is_lost(Table::Endpoints);
-        self.name_heirs(now, store_lost);
+        self.name_standbys(now, store_lost);
         let cluster = &self.cluster;
         let newest = cluster.peers.newest(now);
         let own = cluster.seen();
@@ -187,7 +187,7 @@
             row: cluster.leader_row_kept(),
             seen: own.newer(newest),
             instances: u32::try_from(cluster.peers.heard(now) + 1).unwrap_or(u32::MAX),
-            heirs: self.heirs.0.clone(),
+            standbys: self.standbys.0.clone(),
             endpoints: cluster.contended(now),
             paces: cluster
                 .paces
