--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -29,6 +29,9 @@
 /// instance ends, and if what an endpoint has is told not to have run.
 const FIXED_SIGNALS: [u64; 2] = [204, 210];
 
+/// A seed that is always played with so many instances that they report through delegates.
+const FIXED_MANY: (u64, usize) = (500, 30);
+
 /// Seeds that nobody has seen, in each run.
 const FRESH: u64 = 3;
 
@@ -84,6 +87,16 @@
     }
 }
 
+/// Thirty instances are stopped, paused and killed in series, delegates and leaders among
+/// them, while the store and endpoints fail.
+#[gtest]
+fn many_instances_keep_all_promises() {
+    let (seed, instances) = FIXED_MANY;
+    let mut played = Soak::with_signals(seed);
+    played.instances = instances;
+    expect_kept(&soak(played));
+}
+
 #[gtest]
 fn fresh_seeds_keep_all_promises() {
     let base = uuid::Uuid::new_v4().as_u64_pair().0;
