--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -45,7 +45,8 @@
 const KEPT_SLOTS: u32 = 4;
 
 /// Age of the sums when they are used, on average, in milliseconds: half of the time
-/// between two reports to the leader, and half of that between two of its sums.
+/// between two reports, and half of that between two of the leader's sums. A delegate in
+/// between adds 50, which is left out: work takes longer in the fleets that have them.
 const SUMS_AGE_MS: f64 = 200.0;
 
 /// How long an instance keeps the chance that it drew for a fraction of a place, in
