Sight: logs tell which tries are the same work, and a crash from a cut

What callers saw: answers lost with an endpoint that crashes, every few seconds. The logs could not tell whether one request was behind the crashes: each try has an id of its own, and a broken connection looked the same whether the endpoint had ended or the connection was cut.

Now a send of which the outcome is not known is logged with a fingerprint of the request's content: caller, host, method, path, key, body, under a key that all instances read from a row of the store (SipHash-2-4 of the siphasher library; the row is written once by the first leader). After a broken connection the instance looks once whether anything still listens at the endpoint's address.

Ruled out for the fingerprint: the id (new with each try), a hash without a key (callers could choose collisions).

Decisions are unchanged. No measurement yet of what it costs; nothing is hashed while no connection breaks.

--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::assignment::Assignment;
+use crate::gateway::crashes::Known;
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::registry::Registry;
 use crate::gateway::routes::RouteTable;
@@ -28,6 +29,8 @@
     pub rank: u64,
     /// Instances that share the load, this one included.
     pub instances: u32,
+    /// What is known of requests that crash endpoints.
+    pub crashes: Arc<Known>,
 }
 
 impl View {
@@ -42,6 +45,7 @@
             zone,
             rank,
             instances: 1,
+            crashes: Arc::default(),
         }
     }
 }
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -4,12 +4,13 @@
 //! from it: the route of a request ([`routes`]), which endpoints there are
 //! ([`registry`]), who owns which keys ([`assignment`], [`leader`], [`election`],
 //! [`placement`]), and who waits, is sent or is refused ([`admission`], [`share`],
-//! [`budget`]). Instances tell each other what they have in flight ([`report`]), in large
+//! [`budget`]); which requests crash endpoints ([`crashes`]). Instances tell each other what they have in flight ([`report`]), in large
 //! fleets through delegates ([`tree`]).
 
 pub mod admission;
 pub mod assignment;
 pub mod budget;
+pub mod crashes;
 pub mod election;
 pub mod keyload;
 pub mod leader;
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_fingerprints.rs
@@ -0,0 +1,99 @@
+//! Fingerprints: the same for tries of one work, others for all else.
+
+use std::net::IpAddr;
+
+use citronway_core::gateway::crashes::{FingerprintKey, Work};
+use googletest::prelude::*;
+
+const CALLER: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 1));
+
+fn key() -> FingerprintKey {
+    FingerprintKey::new([7; 16])
+}
+
+const fn work() -> Work<'static> {
+    Work {
+        caller: CALLER,
+        host: "h.example",
+        method: "POST",
+        path: "/plan/1?x=2",
+        key: Some(3),
+        body: b"a body",
+    }
+}
+
+#[gtest]
+fn tries_of_one_work_have_one_fingerprint_under_one_key() {
+    expect_that!(work().fingerprint(&key()), eq(work().fingerprint(&key())));
+    let other = FingerprintKey::new([8; 16]);
+    expect_that!(
+        work().fingerprint(&other),
+        not(eq(work().fingerprint(&key())))
+    );
+}
+
+/// A caller crashes endpoints with requests that are like another's but for one part, or that
+/// divide the same bytes otherwise, and the other's work is refused.
+#[gtest]
+fn each_part_tells_work_apart() {
+    let others = [
+        Work {
+            caller: IpAddr::from([10, 0, 0, 2]),
+            ..work()
+        },
+        Work {
+            host: "i.example",
+            ..work()
+        },
+        Work {
+            method: "PUT",
+            ..work()
+        },
+        Work {
+            path: "/plan/1?x=3",
+            ..work()
+        },
+        Work {
+            key: None,
+            ..work()
+        },
+        Work {
+            body: b"a bodY",
+            ..work()
+        },
+        Work {
+            host: "h.exampleP",
+            method: "OST",
+            ..work()
+        },
+    ];
+    for other in others {
+        expect_that!(
+            other.fingerprint(&key()),
+            not(eq(work().fingerprint(&key()))),
+            "{other:?}"
+        );
+    }
+}
+
+#[gtest]
+fn a_key_is_stored_as_digits_and_not_shown() {
+    let text = serde_json::to_string(&key()).expect("it can be written");
+    expect_that!(
+        serde_json::from_str::<FingerprintKey>(&text).ok(),
+        some(eq(key()))
+    );
+    expect_that!(format!("{:?}", key()), not(contains_substring("7")));
+    for wrong in [
+        "\"\"",
+        "\"0707\"",
+        "\"zz070707070707070707070707070707\"",
+        "7",
+    ] {
+        expect_that!(
+            serde_json::from_str::<FingerprintKey>(wrong).is_err(),
+            eq(true),
+            "{wrong}"
+        );
+    }
+}
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -45,6 +45,8 @@
     ended: Notify,
     /// What was put off is begun now.
     hurried: Notify,
+    /// The process crashes.
+    crash: Arc<Notify>,
 }
 
 #[derive(Debug)]
@@ -54,6 +56,7 @@
     work: Duration,
     drop_answers: bool,
     full: bool,
+    crash: Crash,
     /// Answers name the request.
     echo: bool,
     begins: Begins,
@@ -63,6 +66,15 @@
     running: Vec<u16>,
 }
 
+/// Whether the process crashes.
+#[derive(Debug, Default)]
+struct Crash {
+    /// A request whose path ends so crashes it.
+    on: Option<String>,
+    /// It has crashed.
+    happened: bool,
+}
+
 /// When a request that was taken is begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Begins {
@@ -103,6 +115,7 @@
                 work: Duration::from_millis(1),
                 drop_answers: false,
                 full: false,
+                crash: Crash::default(),
                 echo: false,
                 begins: Begins::AtOnce,
                 put_off: 0,
@@ -110,9 +123,11 @@
             }),
             ended: Notify::new(),
             hurried: Notify::new(),
+            crash: Arc::default(),
         });
         let served = Arc::clone(&shared);
-        let server = Background::start(move |req| handle(Arc::clone(&served), req))?;
+        let crash = Arc::clone(&shared.crash);
+        let server = Background::start_until(move |req| handle(Arc::clone(&served), req), crash)?;
         Ok(Self {
             name: name.to_owned(),
             service: service.to_owned(),
@@ -174,6 +189,23 @@
         self.shared.lock().full = full;
     }
 
+    /// Crashes from now on when it begins a request whose path ends so.
+    pub fn crash_on(&self, path_end: &str) {
+        self.shared.lock().crash.on = Some(path_end.to_owned());
+    }
+
+    /// Ends as a process does that crashes.
+    pub fn crash(&self) {
+        self.shared.lock().crash.happened = true;
+        self.shared.crash.notify_one();
+    }
+
+    /// Whether it has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.shared.lock().crash.happened
+    }
+
     /// Takes requests and begins them so much later, also if their connection has ended
     /// meanwhile; with none, begins at once, also those that it has put off.
     pub fn put_off(&self, late: Option<Duration>) {
@@ -311,7 +343,7 @@
     let text = |name: &str| header(req.headers(), name);
     let meant = text("x-target-instance");
     let key = text("x-shard-key").and_then(|key| key.parse().ok());
-    let (work, drops) = {
+    let (work, drops, crashes) = {
         let mut state = shared.lock();
         let held = !shared.sharded || key.is_some_and(|key| state.holds(key));
         if meant.is_some_and(|meant| meant != shared.name) || !held {
@@ -329,8 +361,16 @@
                 .unwrap_or(0),
         });
         state.running.extend(key);
-        (state.work, state.drop_answers)
+        let path = req.uri().path();
+        let crash = &mut state.crash;
+        let crashes = crash.on.as_ref().is_some_and(|end| path.ends_with(end));
+        crash.happened |= crashes;
+        (state.work, state.drop_answers, crashes)
     };
+    if crashes {
+        shared.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
     let running = Running { shared, key };
     tokio::time::sleep(work).await;
     drop(running);
--- a/crates/citronway-standin/src/shared/serve.rs
+++ b/crates/citronway-standin/src/shared/serve.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// What a handler answers; `None` closes the connection without an answer.
 pub type Answer = Option<Response<Full<Bytes>>>;
@@ -33,6 +34,20 @@
     ///
     /// When the port or the thread cannot be had.
     pub fn start<H, F>(handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Bytes>) -> F + Clone + Send + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        Self::start_until(handler, Arc::default())
+    }
+
+    /// The same until notified: then it ends as a process does that crashes, and leaves its
+    /// connections and its port at once.
+    ///
+    /// # Errors
+    ///
+    /// When the port or the thread cannot be had.
+    pub fn start_until<H, F>(handler: H, crash: Arc<Notify>) -> io::Result<Self>
     where
         H: Fn(Request<Bytes>) -> F + Clone + Send + 'static,
         F: Future<Output = Answer> + Send + 'static,
@@ -49,6 +64,7 @@
                 tokio::select! {
                     () = accept(listener, handler) => {}
                     _ = stopped => {}
+                    () = crash.notified() => {}
                 }
             });
         })?;
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -20,6 +20,7 @@
 use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
 
+use super::crashes::Crashes;
 use super::kept_rows::KeptRows;
 use super::own_rows;
 use super::peers::{InstanceRow, Peers};
@@ -78,6 +79,7 @@
     pub leader_seen: Mono,
     pub peers: Peers,
     pub paces: Paces,
+    pub crashes: Crashes,
     config: Sight,
     endpoints: Sight,
     outage: Outage,
@@ -123,6 +125,7 @@
             leader_seen: Mono::default(),
             peers: Peers::default(),
             paces: Paces::default(),
+            crashes: Crashes::default(),
             config: Sight::default(),
             endpoints: Sight::default(),
             outage: Outage::default(),
@@ -411,6 +414,7 @@
             zone: self.zone.clone(),
             rank: self.rank,
             instances: u32::try_from(self.peers.instances(now)).unwrap_or(u32::MAX),
+            crashes: Arc::new(self.crashes.known()),
         }
     }
 }
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -145,6 +145,11 @@
         self.office.is_some()
     }
 
+    /// Version of the row by which this instance leads, while it does.
+    pub(super) fn office_version(&self) -> Option<Version> {
+        self.office.as_ref().map(|row| row.version)
+    }
+
     /// Takes rows that another instance passed on; they confirm nothing.
     pub(super) fn rows_relayed(&mut self, cluster: &Cluster) {
         self.take_assignments(cluster);
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod copies;
+mod crashes;
 mod duty;
 mod entries;
 mod first;
@@ -84,6 +85,8 @@
     },
     /// A claim has ended; the row that stands comes by the feed.
     Claimed,
+    /// A write of the row about crashes has ended.
+    CrashesWritten,
     /// The row of this instance stands.
     Registered,
     /// Another instance asks for the rows of a table after a version.
@@ -315,6 +318,7 @@
                 // One that rests has nobody yet who would pass the row on.
                 self.follow(Table::Own).refresh.notify_one();
             }
+            Event::CrashesWritten => self.crashes_written(),
             Event::Registered => {
                 self.listed = Listed::Stands;
                 log::info!("instance is listed in the store");
@@ -363,6 +367,7 @@
                 let _ = events.send(Event::Claimed).await;
             });
         }
+        self.write_crashes(now, events);
         for (source, count) in self.cluster.unusable.take_counts() {
             self.metrics.unusable(source, count);
         }
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -19,6 +19,9 @@
 /// have to see one leader.
 pub(super) const LEADER_KEY: &str = "keeper";
 
+/// Key of the row about requests that crash endpoints.
+pub(super) const CRASHES_KEY: &str = "crashes";
+
 /// Keys of assignments begin so; the service follows.
 const KEYS_PREFIX: &str = "keys/";
 
@@ -36,8 +39,12 @@
 impl Cluster {
     pub(super) fn own_rows(&mut self, now: Mono, rows: &[Row]) {
         for row in rows {
-            let Some(value) = &row.value else { continue };
             let key = row.key.as_str();
+            if key == CRASHES_KEY {
+                self.crashes_row(row);
+                continue;
+            }
+            let Some(value) = &row.value else { continue };
             let taken = if key == LEADER_KEY {
                 self.leader_row(now, row.version, value)
             } else if let Some(service) = key.strip_prefix(KEYS_PREFIX) {
@@ -54,6 +61,16 @@
         }
     }
 
+    fn crashes_row(&mut self, row: &Row) {
+        match self.crashes.row_seen(row) {
+            Ok(()) => self.unusable.settled(Source::OwnRow, CRASHES_KEY),
+            Err(e) => {
+                let cause = e.to_string();
+                self.unusable.refused(Source::OwnRow, CRASHES_KEY, cause);
+            }
+        }
+    }
+
     fn instance_row(&mut self, name: &InstanceName, value: &[u8]) -> Result<(), RowError> {
         let row = serde_json::from_slice::<InstanceRow>(value)?;
         self.peers.row_seen(name, row);
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -97,6 +97,26 @@
     pub body: Bytes,
 }
 
+/// Whether a process listens at an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listening {
+    /// It takes connections.
+    Yes,
+    /// Its machine answers that nobody listens: the process has ended.
+    No,
+    /// Nothing is known: its machine does not answer.
+    Unknown,
+}
+
+/// Looks whether a process listens at an address, for [`CONNECT_TIMEOUT`] at most.
+pub async fn listening(address: SocketAddr) -> Listening {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_stream)) => Listening::Yes,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Listening::No,
+        Ok(Err(_)) | Err(_) => Listening::Unknown,
+    }
+}
+
 impl Link {
     /// Connects; the connection is driven by a task of the present runtime.
     ///
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -1,5 +1,6 @@
 //! A request on its way to endpoints, with what came of its sends so far.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,10 +9,12 @@
     Choice, Decision, DoubtReason, Job, Refusal, RefusalReason,
 };
 use citronway_core::gateway::assignment::Range;
+use citronway_core::gateway::crashes::{Fingerprint, Work};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, CallerWords, Meaning};
+use http::uri::PathAndQuery;
 use http::{Method, Request, Uri};
 
 use super::open_requests::{OpenRequest, Stage};
@@ -19,7 +22,7 @@
 use super::sent::{Doubt, Sent, Unsent, log_send};
 use super::state::{Phase, State};
 use crate::clock;
-use crate::gateway::http_link::{self, Answer, CallError, Link, Settled};
+use crate::gateway::http_link::{self, Answer, CallError, Link, Listening, Settled};
 use crate::gateway::metrics::Class;
 
 /// Time under which a request is not sent any more, in milliseconds: it would reach
@@ -36,6 +39,8 @@
 /// What goes to an endpoint.
 #[derive(Debug)]
 pub(super) struct Message {
+    /// Who sent it.
+    pub caller: IpAddr,
     pub method: Method,
     pub uri: Uri,
     pub headers: http::HeaderMap,
@@ -113,13 +118,7 @@
             let sent = self.send(&choice).await;
             drop(in_flight);
             let now = clock::mono();
-            log_send(
-                self.words,
-                &choice,
-                &sent,
-                self.sends,
-                now.since(self.job.arrived),
-            );
+            self.log_send(now, &choice, &sent);
             if !self.job.tried.contains(&choice.endpoint) {
                 self.job.tried.push(choice.endpoint.clone());
             }
@@ -149,6 +148,9 @@
                     tokio::time::sleep(AFTER_REFUSAL).await;
                 }
                 Sent::Unknown(doubt) => {
+                    if matches!(doubt, Doubt::Broken | Doubt::Cut) {
+                        self.look_at(&choice).await;
+                    }
                     match doubt {
                         Doubt::Broken => self.state.reset(&choice.endpoint),
                         Doubt::Foreign | Doubt::Silent | Doubt::Cut => {
@@ -168,6 +170,51 @@
         }
     }
 
+    fn log_send(&self, now: Mono, choice: &Choice, sent: &Sent) {
+        let work = match sent {
+            Sent::Unknown(_) => self.fingerprint(),
+            Sent::Answer(_)
+            | Sent::Refused(_)
+            | Sent::Nowhere(_)
+            | Sent::TooLate
+            | Sent::TimedOut => None,
+        };
+        let ms = now.since(self.job.arrived);
+        log_send(self.words, choice, sent, self.sends, ms, work);
+    }
+
+    /// What this try has in common with others of the same work; none while no key is known.
+    fn fingerprint(&self) -> Option<Fingerprint> {
+        let key = self.state.view.borrow().crashes.key?;
+        let message = &self.message;
+        let path = message
+            .uri
+            .path_and_query()
+            .map_or("/", PathAndQuery::as_str);
+        let work = Work {
+            caller: message.caller,
+            host: &self.words.host,
+            method: message.method.as_str(),
+            path,
+            key: self.job.key,
+            body: &message.body,
+        };
+        Some(work.fingerprint(&key))
+    }
+
+    /// Tells a crash of the endpoint from a connection that was cut.
+    async fn look_at(&self, choice: &Choice) {
+        let listening = self.state.looks.at(choice).await;
+        if listening != Listening::No {
+            return;
+        }
+        let request = shown_id(self.words.id.as_ref());
+        let endpoint = &choice.endpoint;
+        let leaves = self.state.leaves(endpoint);
+        let work = self.fingerprint().unwrap_or_default();
+        log::info!(request, endpoint:%, work:%, leaves; "endpoint ended with the request");
+    }
+
     /// Logs what a refusal was decided by, with versions.
     fn log_inputs(&self, reason: RefusalReason) {
         let request = shown_id(self.words.id.as_ref());
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Takes callers' requests and sends them to endpoints, on a thread of its own.
 
 mod connection;
+mod ended;
 mod forwarding;
 mod open_requests;
 mod outcome;
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -1,5 +1,6 @@
 //! A request of a caller: what it asks for, and the answer it gets.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use citronway_core::gateway::admission::{Job, RefusalReason};
@@ -28,6 +29,7 @@
 /// Answers a request of a caller.
 pub(super) async fn answer(
     state: Rc<State>,
+    caller: IpAddr,
     req: Request<Incoming>,
     done: Done,
 ) -> Response<Answering> {
@@ -47,20 +49,38 @@
         }
     };
     let mut class = Class::UNKNOWN;
-    let outcome = serve(&state, arrived, &head, &words, body, open, &mut class).await;
+    let taken = Taken {
+        arrived,
+        caller,
+        head: &head,
+        words: &words,
+    };
+    let outcome = serve(&state, &taken, body, open, &mut class).await;
     outcome::note(&state, arrived, id, class, &outcome);
     outcome::respond(&state, id, outcome, done)
 }
 
+/// A request whose head was read.
+struct Taken<'a> {
+    arrived: Mono,
+    caller: IpAddr,
+    head: &'a Parts,
+    words: &'a CallerWords,
+}
+
 async fn serve(
     state: &Rc<State>,
-    arrived: Mono,
-    head: &Parts,
-    words: &CallerWords,
+    taken: &Taken<'_>,
     body: Incoming,
     open: &OpenRequest,
     class: &mut Class,
 ) -> Outcome {
+    let &Taken {
+        arrived,
+        caller,
+        head,
+        words,
+    } = taken;
     if state.is_closing() {
         return outcome::stopping();
     }
@@ -130,6 +150,7 @@
         words,
         open,
         message: Message {
+            caller,
             method: head.method.clone(),
             uri: head.uri.clone(),
             headers: exchange::forwarded(&head.headers),
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -1,6 +1,7 @@
 //! What came of one send of a request to an endpoint.
 
 use citronway_core::gateway::admission::Choice;
+use citronway_core::gateway::crashes::Fingerprint;
 use citronway_platform::exchange::{CallerWords, Meaning};
 
 use super::outcome::shown_id;
@@ -55,8 +56,15 @@
     TimedOut,
 }
 
-/// Logs a send, `ms` after the request's arrival.
-pub(super) fn log_send(words: &CallerWords, choice: &Choice, sent: &Sent, sends: u32, ms: u64) {
+/// Logs a send, `ms` after the request's arrival; `work` is told where it may have run.
+pub(super) fn log_send(
+    words: &CallerWords,
+    choice: &Choice,
+    sent: &Sent,
+    sends: u32,
+    ms: u64,
+    work: Option<Fingerprint>,
+) {
     let request = shown_id(words.id.as_ref());
     let endpoint = &choice.endpoint;
     let fence = choice.fence.unwrap_or_default();
@@ -79,7 +87,8 @@
         }
         Sent::Unknown(doubt) => {
             let cause = doubt.cause();
-            log::info!(request, endpoint:%, fence, sends, cause; "endpoint may have run it");
+            let work = work.unwrap_or_default();
+            log::info!(request, endpoint:%, fence, sends, work:%, cause; "endpoint may have run it");
         }
         Sent::TimedOut => log::info!(request, endpoint:%, fence, sends; "endpoint was silent"),
     }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -17,6 +17,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 
+use super::ended::Looks;
 use super::open_requests::OpenRequests;
 use super::pool::Pool;
 use super::seen::Seen;
@@ -38,6 +39,8 @@
     pub stop: watch::Receiver<Stop>,
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
+    /// Looks at endpoints whose connections broke.
+    pub looks: Looks,
     /// Requests without a whole answer.
     pub open: Rc<OpenRequests>,
     admission: RefCell<Admission>,
@@ -91,6 +94,7 @@
             pool: RefCell::default(),
             open: Rc::new(OpenRequests::new(metrics.clone())),
             metrics,
+            looks: Looks::default(),
             admission: RefCell::default(),
             waiting: RefCell::default(),
             any_waits: Notify::new(),
@@ -237,6 +241,13 @@
             .answered(clock::mono(), choice, key);
     }
 
+    /// Whether an endpoint has said that it leaves, or is not listed.
+    pub(super) fn leaves(&self, endpoint: &EndpointStart) -> bool {
+        let view = self.view.borrow();
+        let known = view.registry.get(endpoint);
+        known.is_none_or(|known| known.listing.draining)
+    }
+
     /// Notes that another process has the endpoint's address.
     pub(super) fn gone(&self, endpoint: &EndpointStart) {
         self.admission.borrow_mut().gone(clock::mono(), endpoint);
