--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -2,6 +2,8 @@
 
 mod gateway_support;
 
+use std::time::Duration;
+
 use citronway_standin::shared::FencedEndpoint;
 use gateway_support::{Deployment, Instance, Reply, until};
 use googletest::prelude::*;
@@ -9,6 +11,13 @@
 /// End of the path of a request that crashes endpoints.
 const BAD: &str = "bad";
 
+/// Crashes after which a request is known to be harmful.
+const KNOWN_AFTER: usize = 3;
+
+/// Time in which all instances are to know it, and tries that are allowed after it.
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+const ALLOWED_AFTER: usize = 3;
+
 /// Endpoints of `console`: a crashed one has its successor at once.
 const ENDPOINTS: usize = 3;
 
@@ -63,6 +72,53 @@
     instance.call_with(start, &headers.replace(' ', "-"), "")
 }
 
+/// Sends work that crashes endpoints, one try after the other at all instances in turn, each
+/// under an id of its own, until it has crashed so many.
+fn crash(console: &mut Console<'_>, instances: &[Instance], start: &str, crashes: usize) {
+    let before = console.begun(BAD);
+    for id in 0.. {
+        if console.begun(BAD) >= before + crashes {
+            return;
+        }
+        assert!(id < 200, "the request no longer reaches an endpoint");
+        call(&instances[id % instances.len()], start, id);
+        console.replace_crashed();
+    }
+}
+
+fn two_instances(deployment: &Deployment) -> [Instance; 2] {
+    ["one", "two"].map(|name| deployment.ready_instance(name))
+}
+
+/// Callers of a deployment lost their answers again and again: one caller's request ended the
+/// process of each endpoint that began it, and all that ran there with it. It came again under
+/// another id, at another instance, and was sent again, long after it had crashed three.
+#[gtest]
+fn work_that_crashes_endpoints_is_not_sent_on() {
+    for start in ["GET /status/bad", "POST /order/bad"] {
+        is_not_sent_on(start);
+    }
+}
+
+fn is_not_sent_on(start: &str) {
+    let deployment = Deployment::new();
+    let mut console = Console::start(&deployment);
+    let instances = two_instances(&deployment);
+    crash(&mut console, &instances, start, KNOWN_AFTER);
+    std::thread::sleep(KNOWN_WITHIN);
+    let known = console.begun(BAD);
+    for id in 1_000..1_020 {
+        call(&instances[id % 2], start, id);
+        console.replace_crashed();
+    }
+    expect_that!(console.begun(BAD) - known, le(ALLOWED_AFTER), "{start}");
+    for (n, instance) in instances.iter().enumerate() {
+        until("others are served", || {
+            call(instance, "GET /status/good", n).status == 200
+        });
+    }
+}
+
 /// Tries of one work had nothing in common in the logs, and a crash of an endpoint looked
 /// like a connection that was cut: nobody could find the request that caused the crashes.
 #[gtest]
