explain gets from a refused id to the crashes that decided it

What callers' operators saw: a refusal names its reason and the work, the crashes stand under other ids in other instances' logs. The story now ends with them, and with when the work was taken as harmful and let go. Checked on lines of a run of two instances.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -3,7 +3,8 @@
 //! An instance on the platform writes one line for each decision that touches a request
 //! and one for each change of what it believes. The story is the request's lines in
 //! order of time, with what their instance believed when the first was written and how
-//! old that was, and what changed of it meanwhile.
+//! old that was, and what changed of it meanwhile. Where its work is under suspicion of crashing
+//! endpoints, the crashes follow under whatever ids the work had.
 
 use std::fmt::Write as _;
 use std::fs;
@@ -22,6 +23,16 @@
 /// Fields that each line has; the rest is told.
 const COMMON: [&str; 4] = ["level", "zone", "target", "request"];
 
+/// Messages that say why work is refused, or no longer.
+const WORK_LINES: [&str; 3] = [
+    "endpoint ended with the request",
+    "work is taken as harmful",
+    "work is let go",
+];
+
+/// What stands for work where the instance could not make its fingerprint yet.
+const UNKNOWN_WORK: &str = "-";
+
 /// A line of a log.
 #[derive(Debug, Clone, Deserialize)]
 struct Line {
@@ -161,6 +172,7 @@
             let _ = writeln!(story, "{} {mark} {instance}: {}", line.time, line.told());
         }
     }
+    story.push_str(&suspicion(request, lines));
     if others > 0 {
         let _ = writeln!(
             story,
@@ -170,6 +182,29 @@
     Ok(story)
 }
 
+/// What all instances wrote of the request's work, under other ids.
+fn suspicion(request: &str, lines: &[Line]) -> String {
+    let own = lines.iter().filter(|line| line.is_of(request));
+    let mut works = own.filter_map(|line| line.text("work"));
+    let Some(work) = works.rfind(|work| *work != UNKNOWN_WORK) else {
+        return String::new();
+    };
+    let mut text = String::new();
+    for line in lines {
+        let decides = WORK_LINES.contains(&line.message.as_str());
+        if !decides || line.text("work") != Some(work) {
+            continue;
+        }
+        if text.is_empty() {
+            let _ = writeln!(text, "its work {work}:");
+        }
+        let id = line.text("request").unwrap_or("-");
+        let (time, instance) = (&line.time, &line.instance);
+        let _ = writeln!(text, "{time}   {instance}: {} request={id}", line.told());
+    }
+    text
+}
+
 /// Whether a belief bears on the request: endpoints and owners only if it names them.
 fn is_told(what: &str, named: &[String]) -> bool {
     let general = [
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -37,6 +37,40 @@
     expect_that!(story, not(contains_substring("front-waw-a-1: ")));
 }
 
+/// A caller's request is refused at once by an instance that has not sent it. Work like it, under
+/// two other ids, had crashed three endpoints, one of them from another instance. The story has
+/// to show these crashes and when the work was taken as harmful.
+#[gtest]
+fn a_refusal_of_work_that_crashes_endpoints_is_explained() {
+    let story = explain::run("bad-99", &[log("crashes.jsonl")]).expect("a story");
+    let lines: Vec<_> = story.lines().collect();
+    let refused = "refused, not run ms=0 reason=crashes_endpoints work=fa3ab22ec5ffced3";
+    expect_that!(lines, contains(contains_substring(refused)));
+    let crashes: Vec<_> = lines
+        .iter()
+        .filter(|line| line.contains("endpoint ended with the request"))
+        .collect();
+    expect_that!(
+        crashes,
+        elements_are![
+            all!(
+                contains_substring("one: "),
+                contains_substring("request=bad-0")
+            ),
+            all!(
+                contains_substring("one: "),
+                contains_substring("request=bad-0")
+            ),
+            all!(
+                contains_substring("two: "),
+                contains_substring("request=bad-1")
+            ),
+        ]
+    );
+    let harmful = "work is taken as harmful crashes=3 refused_ms=22971 times=1";
+    expect_that!(lines, contains(contains_substring(harmful)));
+}
+
 /// A caller gets a 502. Its instance had been told to stop 0.9 s before the request came;
 /// an endpoint refused it twice, since it did not hold the key any more, and the next one
 /// had not answered when the grace was nearly over. The story has to show the signal, the
