--- /dev/null
+++ b/crates/citronway-core/benches/gateway_crashes.rs
@@ -0,0 +1,77 @@
+//! What a request costs while work is under suspicion, and what the table costs.
+//!
+//! A request that does not come while anything is under suspicion costs one look at an empty
+//! table, as the first group shows; that was nothing before the table was there.
+
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv4Addr};
+
+use citronway_core::gateway::crashes::{Fingerprint, FingerprintKey, Known, Ledger, Sign, Work};
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::time::Mono;
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+
+/// Bodies, in bytes: none, a usual one, the longest of the sites.
+const BODIES: [usize; 3] = [0, 4_000, 30_000];
+
+/// Works in a full table.
+const FULL: u32 = 4_096;
+
+fn request(c: &mut Criterion) {
+    let key = FingerprintKey::new([7; 16]);
+    let nothing = Known::default();
+    c.bench_function("request, nothing under suspicion", |b| {
+        b.iter(|| black_box(&nothing).refused.is_empty());
+    });
+    let known = full().known(Some(key), 0);
+    for bytes in BODIES {
+        let body = vec![9; bytes];
+        let work = Work {
+            caller: IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)),
+            host: "gateway.example",
+            method: "POST",
+            path: "/plans/1f62/9f4c?page=35",
+            key: Some(28_465),
+            body: &body,
+        };
+        c.bench_function(
+            &format!("request with a body of {bytes} bytes, full table"),
+            |b| {
+                b.iter(|| {
+                    let work = black_box(&work).fingerprint(&key);
+                    known.suspects.contains(&work) || known.refuses(Mono(1), work)
+                });
+            },
+        );
+    }
+}
+
+fn crash(n: u32) -> Sign {
+    Sign::Crash {
+        work: Fingerprint(u64::from(n)),
+        endpoint: EndpointTag(n / 8),
+    }
+}
+
+fn full() -> Ledger {
+    let mut ledger = Ledger::default();
+    for n in 0..FULL {
+        ledger.take(Mono(u64::from(n)), crash(n));
+    }
+    ledger
+}
+
+fn table(c: &mut Criterion) {
+    let now = Mono(u64::from(FULL));
+    c.bench_function("a crash of new work, full table", |b| {
+        let take = |mut ledger: Ledger| ledger.take(now, crash(FULL + 8));
+        b.iter_batched(full, take, BatchSize::LargeInput);
+    });
+    let ledger = full();
+    c.bench_function("what the traffic goes by, full table", |b| {
+        b.iter(|| black_box(&ledger).known(None, 0));
+    });
+}
+
+criterion_group!(benches, request, table);
+criterion_main!(benches);
--- a/crates/citronway-core/src/gateway/crashes/sign.rs
+++ b/crates/citronway-core/src/gateway/crashes/sign.rs
@@ -54,8 +54,8 @@
     /// Whether the next report would be the first that carries a sign.
     #[must_use]
     pub fn has_news(&self) -> bool {
-        let next = self.waiting.iter().take(MOST_SIGNS);
-        next.last().is_some_and(|(_, left)| *left == REPEATS)
+        let mut next = self.waiting.iter().take(MOST_SIGNS);
+        next.any(|(_, left)| *left == REPEATS)
     }
 
     /// Takes the signs of the next report, and the number of the first of them.
--- a/crates/citronway-core/tests/gateway_crash_days.rs
+++ b/crates/citronway-core/tests/gateway_crash_days.rs
@@ -15,7 +15,8 @@
 
 const STEP_MS: u64 = 10;
 const LENGTH_MS: u64 = 90_000;
-const ENDPOINTS: usize = 30;
+const ENDPOINTS: u32 = 30;
+const COUNT: usize = ENDPOINTS as usize;
 const ARRIVALS_A_STEP: u32 = 4;
 const WORKS: u64 = 20_000;
 const POPULAR: u64 = 200;
@@ -95,7 +96,7 @@
 
 impl Day {
     fn new(seed: u64, divided: bool, losses: Losses) -> Self {
-        let endpoints = (0..ENDPOINTS as u32).map(|start| Endpoint {
+        let endpoints = (0..ENDPOINTS).map(|start| Endpoint {
             start,
             ..Endpoint::default()
         });
@@ -107,7 +108,7 @@
             ledger: Ledger::default(),
             endpoints: endpoints.collect(),
             waiting: Vec::new(),
-            starts: ENDPOINTS as u32,
+            starts: ENDPOINTS,
             tries: 0,
             refused: 0,
             harmful_crashes: 0,
@@ -163,9 +164,9 @@
         let at = if self.divided {
             // Harmful work and popular works are close together.
             let key = if innocent { run.work.0 } else { 0 };
-            (key / 100) as usize % ENDPOINTS
+            (key / 100) as usize % COUNT
         } else {
-            self.rng.random_range(0..ENDPOINTS)
+            self.rng.random_range(0..COUNT)
         };
         let endpoint = &self.endpoints[at];
         if self.now < endpoint.down_until || endpoint.runs.len() >= AT_ONCE {
@@ -207,7 +208,7 @@
 
     fn finish(&mut self) {
         let now = self.now;
-        for at in 0..ENDPOINTS {
+        for at in 0..COUNT {
             let ended: Vec<_> = self.endpoints[at]
                 .runs
                 .extract_if(.., |r| r.ends <= now)
@@ -258,20 +259,14 @@
     }
 
     fn lose(&mut self) {
+        let at_once = [20_000, 30_000, 40_000].contains(&self.now);
+        let n = (self.now / 1_000) as usize;
+        let each_second = self.now.is_multiple_of(1_000) && (20..50).contains(&n);
         let lost = match self.losses {
-            Losses::None | Losses::Slow => 0..0,
-            Losses::Rolling => {
-                let n = (self.now / 1_000) as usize;
-                let due = self.now.is_multiple_of(1_000) && (20..50).contains(&n);
-                if due {
-                    n % ENDPOINTS..n % ENDPOINTS + 1
-                } else {
-                    0..0
-                }
-            }
-            Losses::Racks if [20_000, 30_000, 40_000].contains(&self.now) => 0..ENDPOINTS / 3,
-            Losses::All if [20_000, 30_000, 40_000].contains(&self.now) => 0..ENDPOINTS,
-            Losses::Racks | Losses::All => 0..0,
+            Losses::Rolling if each_second => n % COUNT..n % COUNT + 1,
+            Losses::Racks if at_once => 0..COUNT / 3,
+            Losses::All if at_once => 0..COUNT,
+            Losses::None | Losses::Slow | Losses::Rolling | Losses::Racks | Losses::All => 0..0,
         };
         for at in lost {
             self.crash(at);
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -1,5 +1,6 @@
 //! A request on its way to endpoints, with what came of its sends so far.
 
+use std::cell::OnceCell;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -79,6 +80,8 @@
     pub sends: u32,
     /// Answer of an endpoint that failed, while another is asked.
     pub failed: Option<Answer>,
+    /// Fingerprint of its work, once it was needed.
+    pub work: OnceCell<Fingerprint>,
 }
 
 impl Forwarding<'_> {
@@ -198,6 +201,14 @@
 
     /// What this try has in common with others of the same work; none while no key is known.
     fn fingerprint(&self) -> Option<Fingerprint> {
+        if let Some(known) = self.work.get() {
+            return Some(*known);
+        }
+        let made = self.make_fingerprint()?;
+        Some(*self.work.get_or_init(|| made))
+    }
+
+    fn make_fingerprint(&self) -> Option<Fingerprint> {
         let key = self.state.view.borrow().crashes.key?;
         let message = &self.message;
         let path = message
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -1,5 +1,6 @@
 //! A request of a caller: what it asks for, and the answer it gets.
 
+use std::cell::OnceCell;
 use std::net::IpAddr;
 use std::rc::Rc;
 
@@ -160,6 +161,7 @@
         run_by: Vec::new(),
         sends: 0,
         failed: None,
+        work: OnceCell::new(),
     };
     forwarding.travel().await
 }
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -87,8 +87,8 @@
         }
         Sent::Unknown(doubt) => {
             let cause = doubt.cause();
-            let work = work.unwrap_or_default();
-            log::info!(request, endpoint:%, fence, sends, work:%, cause; "endpoint may have run it");
+            let work = work.map_or_else(|| "-".to_owned(), |work| work.to_string());
+            log::info!(request, endpoint:%, fence, sends, work, cause; "endpoint may have run it");
         }
         Sent::TimedOut => log::info!(request, endpoint:%, fence, sends; "endpoint was silent"),
     }
