Soak: work that crashes endpoints comes among other requests

A caller sends the same work to all instances again and again, while they are killed, stopped, paused and cut from the store; it crashes the endpoint without keys, which is back 0.3 s later. In the end a healthy fleet is sent it twelve times, and at most three may reach an endpoint.

--- a/crates/citronway-standin/src/soak/callers.rs
+++ b/crates/citronway-standin/src/soak/callers.rs
@@ -50,8 +50,16 @@
     LongStatus,
     /// As `Order`, on a patient route.
     LongOrder,
+    /// As `Status`; crashes each endpoint that begins it.
+    Harmful,
 }
 
+/// End of the path of work that crashes endpoints.
+pub(super) const HARMFUL_PATH: &str = "/harmful";
+
+/// Longest pause between two tries of harmful work, in milliseconds.
+const HARMFUL_PAUSE_MS: u64 = 400;
+
 impl Kind {
     /// All kinds.
     const ALL: [Self; 6] = [
@@ -69,7 +77,10 @@
     /// Whether it may run more than once.
     #[must_use]
     pub const fn may_repeat(self) -> bool {
-        matches!(self, Self::Look | Self::Status | Self::LongStatus)
+        matches!(
+            self,
+            Self::Look | Self::Status | Self::LongStatus | Self::Harmful
+        )
     }
 
     /// Whether it has a key.
@@ -86,12 +97,13 @@
             Self::Order => "POST /order/1",
             Self::LongStatus => "GET /long-status/1",
             Self::LongOrder => "POST /long-order/1",
+            Self::Harmful => "GET /status/harmful",
         }
     }
 
     const fn stated_ms(self) -> u64 {
         match self {
-            Self::Look | Self::Apply | Self::Status | Self::Order => STATED_MS,
+            Self::Look | Self::Apply | Self::Status | Self::Order | Self::Harmful => STATED_MS,
             Self::LongStatus | Self::LongOrder => STATED_PATIENT_MS,
         }
     }
@@ -241,6 +253,21 @@
         told
     }
 
+    /// Sends harmful work to one instance after the other until told to stop.
+    pub async fn do_harm(mut self, seed: u64, stop: watch::Receiver<bool>) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut asked = 0_usize;
+        while !*stop.borrow() {
+            let to = rng.random_range(0..self.instances.len());
+            // What it is told is its own affair.
+            let id = format!("harmful-{seed:x}-{asked}");
+            let _ = self.ask(to, Kind::Harmful, 0, id).await;
+            asked += 1;
+            let pause_ms = rng.random_range(0..HARMFUL_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
     /// Finds out which requests were not read; all processes that were told to stop have
     /// ended by now.
     fn settle(&self, told: &mut [Told]) {
--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -3,11 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
-use super::callers::patient_routes;
+use super::callers::{HARMFUL_PATH, patient_routes};
 use super::instance::{Excuse, Instance};
 use super::plan::{Fault, SHARDED, Soak};
 use super::proxy::{Mode, Proxy};
@@ -50,6 +50,7 @@
     let endpoint = FencedEndpoint::start(name, service, service == "batch")?;
     endpoint.echo();
     endpoint.work(WORK);
+    endpoint.crash_on(HARMFUL_PATH);
     Ok(endpoint)
 }
 
@@ -64,6 +65,9 @@
     patient_routes: serde_json::Value,
     version: u64,
     births: usize,
+    harmful: bool,
+    /// When the endpoint without keys was seen to have crashed.
+    crashed_at: Option<Instant>,
 }
 
 impl Fleet {
@@ -88,6 +92,8 @@
             },
             version: 1,
             births: 0,
+            harmful: soak.harmful,
+            crashed_at: None,
         };
         for n in 0..SHARDED {
             fleet
@@ -116,7 +122,10 @@
     fn list(&self, n: usize, state: &str) {
         let server = &self.servers[n];
         let mut entry = server.now.entry(state);
-        entry["addr"] = json!(server.link.address);
+        // A link would go on taking connections when the endpoint behind it has crashed.
+        if !(self.harmful && n == SHARDED) {
+            entry["addr"] = json!(server.link.address);
+        }
         self.store.put("servers", server.now.name(), &entry);
     }
 
@@ -179,6 +188,30 @@
         Ok(())
     }
 
+    /// Brings the endpoint without keys back when it has crashed a while ago.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started.
+    pub fn replace_crashed(&mut self, after: Duration) -> io::Result<()> {
+        if !self.servers[SHARDED].now.has_crashed() {
+            return Ok(());
+        }
+        let at = *self.crashed_at.get_or_insert_with(Instant::now);
+        if at.elapsed() < after {
+            return Ok(());
+        }
+        self.crashed_at = None;
+        self.bear(SHARDED)
+    }
+
+    /// Times that harmful work was begun.
+    #[must_use]
+    pub fn harm_done(&self) -> usize {
+        let harmful = |ran: &Ran| ran.what.ends_with(HARMFUL_PATH);
+        self.ran().iter().filter(|ran| harmful(ran)).count()
+    }
+
     /// An endpoint ends without a word, and another starts at its address.
     fn bear(&mut self, n: usize) -> io::Result<()> {
         self.births += 1;
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -47,6 +47,9 @@
     /// Besides the other faults, signals come in series that overlap, on several instances
     /// at a time, while endpoints have long work or begin nothing.
     pub signals: bool,
+    /// Besides, a caller sends work again and again that crashes the endpoint without keys,
+    /// which is back a moment later.
+    pub harmful: bool,
 }
 
 impl Soak {
@@ -57,6 +60,7 @@
             seed,
             instances: INSTANCES,
             signals: false,
+            harmful: false,
         }
     }
 
@@ -68,6 +72,15 @@
             ..Self::of(seed)
         }
     }
+
+    /// The same with work that crashes endpoints.
+    #[must_use]
+    pub const fn with_harmful(seed: u64) -> Self {
+        Self {
+            harmful: true,
+            ..Self::with_signals(seed)
+        }
+    }
 }
 
 /// Something that goes wrong.
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -27,6 +27,18 @@
 /// 20 s where a leader and an endpoint are lost together.
 const PATIENCE: Duration = Duration::from_secs(90);
 
+/// Time after which a crashed endpoint is back.
+const BACK_AFTER: Duration = Duration::from_millis(300);
+
+/// Crashes after which work is known to be harmful, and the time in which a healthy fleet has
+/// heard of them.
+const KNOWN_AFTER: usize = 3;
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+
+/// Tries of harmful work at a healthy fleet, and how many of them may reach an endpoint.
+const TRIES: usize = 12;
+const ALLOWED_AFTER: usize = 3;
+
 /// What came of a soak.
 #[derive(Debug)]
 pub struct Soaked {
@@ -73,6 +85,10 @@
             tokio::spawn(caller.call_on(seed, stopped.clone()))
         })
         .collect();
+    let harm = soak.harmful.then(|| {
+        let caller = Caller::new(fleet.callers(), false);
+        tokio::spawn(caller.do_harm(soak.seed, stopped.clone()))
+    });
     violations.extend(go_wrong(&mut fleet, &plan).await?);
     fleet.heal();
     let healing = Instant::now();
@@ -82,8 +98,14 @@
     for caller in all {
         told.extend(caller.await.map_err(io::Error::other)?);
     }
+    if let Some(harm) = harm {
+        harm.await.map_err(io::Error::other)?;
+    }
     violations.extend(until_served(&mut fleet, "after").await?);
     let healed = healing.elapsed();
+    if soak.harmful {
+        violations.extend(sends_on(&mut fleet).await?);
+    }
     fleet.nothing_put_off().await;
     violations.extend(verdict::check(&told, &fleet.ran(), &fleet.excuses()));
     let served = told.iter().filter(|told| is_served(told)).count();
@@ -144,6 +166,7 @@
             fleet.end(under_way.swap_remove(i).fault)?;
         }
         fleet.restart_ended()?;
+        fleet.replace_crashed(BACK_AFTER)?;
         for key in KEYS {
             let owners = fleet.holders(key);
             if owners.len() > 1 {
@@ -164,11 +187,33 @@
             return Ok(Some(Violation::Endless));
         }
         fleet.restart_ended()?;
+        fleet.replace_crashed(BACK_AFTER)?;
         tokio::time::sleep(LOOK).await;
     }
     Ok(None)
 }
 
+/// Sends work to a healthy fleet that has crashed endpoints before, and looks whether it is
+/// begun again and again.
+async fn sends_on(fleet: &mut Fleet) -> io::Result<Option<Violation>> {
+    let before = fleet.harm_done();
+    if before < KNOWN_AFTER {
+        return Ok(None);
+    }
+    tokio::time::sleep(KNOWN_WITHIN).await;
+    let callers = fleet.callers();
+    let mut caller = Caller::new(callers.clone(), false);
+    for n in 0..TRIES {
+        let id = format!("harmful-after-{n}");
+        // What it is told is its own affair.
+        let _ = caller.ask(n % callers.len(), Kind::Harmful, 0, id).await;
+        fleet.replace_crashed(Duration::ZERO)?;
+    }
+    let times = fleet.harm_done() - before;
+    let tries = TRIES;
+    Ok((times > ALLOWED_AFTER).then_some(Violation::SentOn { times, tries }))
+}
+
 /// Waits until each instance serves each key and the service without keys.
 async fn until_served(fleet: &mut Fleet, when: &str) -> io::Result<Vec<Violation>> {
     let callers = fleet.callers();
@@ -198,6 +243,7 @@
                 }
                 tries += 1;
                 fleet.revive()?;
+                fleet.replace_crashed(BACK_AFTER)?;
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
--- a/crates/citronway-standin/src/soak/verdict.rs
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -55,6 +55,14 @@
         /// Who held it.
         owners: Vec<String>,
     },
+    /// Harmful work was begun again and again by a healthy fleet, after it had crashed three
+    /// endpoints.
+    SentOn {
+        /// How often, of how many tries.
+        times: usize,
+        /// Tries.
+        tries: usize,
+    },
     /// A key or a service was not served after all faults had ended.
     Unserved {
         /// What was asked for.
@@ -74,6 +82,9 @@
             Self::Mixed { id, body } => write!(f, "{id} was answered {body:?}"),
             Self::Invented { id } => write!(f, "{id} succeeded and ran nowhere"),
             Self::TwoOwners { key, owners } => write!(f, "key {key} was held by {owners:?}"),
+            Self::SentOn { times, tries } => {
+                write!(f, "harmful work was begun {times} times in {tries} tries")
+            }
             Self::Unserved { what } => write!(f, "{what} is not served"),
         }
     }
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -32,6 +32,9 @@
 /// A seed that is always played with so many instances that they report through delegates.
 const FIXED_MANY: (u64, usize) = (500, 30);
 
+/// Seeds that are always played with work that crashes endpoints. Both fail if it is sent on.
+const FIXED_HARMFUL: [u64; 2] = [700, 701];
+
 /// Seeds that nobody has seen, in each run.
 const FRESH: u64 = 3;
 
@@ -85,6 +88,9 @@
     for seed in FIXED_SIGNALS {
         expect_kept(&soak(Soak::with_signals(seed)));
     }
+    for seed in FIXED_HARMFUL {
+        expect_kept(&soak(Soak::with_harmful(seed)));
+    }
 }
 
 /// Thirty instances are stopped, paused and killed in series, delegates and leaders among
@@ -101,7 +107,7 @@
 fn fresh_seeds_keep_all_promises() {
     let base = uuid::Uuid::new_v4().as_u64_pair().0;
     for n in 0..FRESH {
-        expect_kept(&soak(Soak::with_signals(base.wrapping_add(n))));
+        expect_kept(&soak(Soak::with_harmful(base.wrapping_add(n))));
     }
 }
 
@@ -114,7 +120,7 @@
     let first: u64 = first.parse().expect("a number");
     let last: u64 = last.parse().expect("a number");
     for seed in first..=last {
-        let mut played = Soak::with_signals(seed);
+        let mut played = Soak::with_harmful(seed);
         if let Ok(instances) = std::env::var("CITRONWAY_SOAK_INSTANCES") {
             played.instances = instances.parse().expect("a number");
         }
