Failing test: the own request path sends work that crashes endpoints on, too

The same cause elsewhere: on the path without the platform an instance keeps nothing of a crash once a try has ended. Within one try it is not sent on: the key has no owner for the rest of its time. Not mended: a connection that was cut is not told from a crash there, and instances tell each other nothing of sends.

--- a/crates/citronway-core/tests/node_scenarios.rs
+++ b/crates/citronway-core/tests/node_scenarios.rs
@@ -145,6 +145,25 @@
     }
 }
 
+/// A caller looks up a key again and again, under an id of its own each time and at one instance
+/// after the other. The lookup ends the process of each endpoint that begins it, with all that
+/// runs there, and is sent on after it has crashed three.
+#[gtest]
+fn a_lookup_that_crashes_endpoints_is_not_sent_on() {
+    let mut world = World::new(1);
+    world.harmful = Some(calls::key(3));
+    let mut known = None;
+    for n in 0..20 {
+        world.same_lookup(n % INSTANCES, 3);
+        world.run_for(3_000);
+        if world.crashes >= 3 {
+            known.get_or_insert(world.crashes);
+        }
+    }
+    let known = known.expect("it has crashed three endpoints");
+    expect_that!(world.crashes - known, le(3));
+}
+
 /// The store is down for long, and a process is lost meanwhile.
 #[gtest]
 fn store_down_and_a_process_killed() {
--- a/crates/citronway-core/tests/node_world/calls.rs
+++ b/crates/citronway-core/tests/node_world/calls.rs
@@ -207,12 +207,34 @@
     }
 
     fn call(&mut self, index: usize, key_number: usize, repeat: Repeat) -> Ticket {
+        let id = self.next_id();
+        let body = id.0.as_bytes().to_vec();
+        self.call_with(index, key_number, repeat, id, body)
+    }
+
+    /// A lookup under an id of its own, with the same content each time.
+    pub fn same_lookup(&mut self, index: usize, key: usize) -> Ticket {
+        let id = self.next_id();
+        self.call_with(index, key, Repeat::Idempotent, id, b"the same".to_vec())
+    }
+
+    fn next_id(&mut self) -> RequestId {
         self.calls.last_id += 1;
         let mut tail = [0; 10];
         tail[2..].copy_from_slice(&self.calls.last_id.to_be_bytes());
-        let id = Builder::from_unix_timestamp_millis(START + self.now, &tail).into_uuid();
+        RequestId(Builder::from_unix_timestamp_millis(START + self.now, &tail).into_uuid())
+    }
+
+    fn call_with(
+        &mut self,
+        index: usize,
+        key_number: usize,
+        repeat: Repeat,
+        id: RequestId,
+        body: Vec<u8>,
+    ) -> Ticket {
         let request = CallerRequest {
-            id: RequestId(id),
+            id,
             service: "intake".into(),
             key: key(key_number),
             labels: IndexMap::new(),
@@ -221,7 +243,7 @@
             method: "POST".to_owned(),
             path: "/".to_owned(),
             content_type: None,
-            body: id.as_bytes().to_vec().into(),
+            body: body.into(),
         };
         self.submit(index, request)
     }
--- a/crates/citronway-core/tests/node_world/mod.rs
+++ b/crates/citronway-core/tests/node_world/mod.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeMap;
 
 use citronway_core::config::Config;
-use citronway_core::ids::{Session, Version};
+use citronway_core::ids::{Key, Session, Version};
 use citronway_core::node::{Action, Event};
 use citronway_core::time::Wall;
 use indexmap::IndexMap;
@@ -101,6 +101,10 @@
     pub instances: Instances,
     pub cuts: Cuts,
     pub calls: Calls,
+    /// A request for this key crashes each endpoint that begins it.
+    pub harmful: Option<Key>,
+    /// How often it did.
+    pub crashes: usize,
     /// Whether callers send requests by themselves.
     pub busy: bool,
     /// No fault lasts longer than to this true time.
@@ -141,6 +145,8 @@
             instances: Instances::default(),
             cuts: Cuts::default(),
             calls: Calls::default(),
+            harmful: None,
+            crashes: 0,
             busy: false,
             faults_end: u64::MAX,
             violations: Vec::new(),
--- a/crates/citronway-core/tests/node_world/orders.rs
+++ b/crates/citronway-core/tests/node_world/orders.rs
@@ -7,6 +7,7 @@
 use citronway_core::shard::KeyHash;
 
 use super::endpoint::{Arrival, Message, Run, name};
+use super::faults::Fault;
 use super::{Due, World};
 
 /// A process gives a grant or revocation up after this, in milliseconds.
@@ -113,7 +114,16 @@
         if !server.checks {
             self.ran(endpoint, &run.request);
         }
+        let crashes = self.harmful.as_ref() == Some(&run.request.key);
         self.servers[endpoint].running.insert(number, run);
+        if crashes {
+            self.crashes += 1;
+            self.fault(&Fault::Restart {
+                endpoint,
+                down_ms: 0,
+            });
+            return;
+        }
         self.look_at_owners();
         self.after(
             ms,
