Tests: 300 instances know harmful work in time, and a change of the leader forgets no crash

The first plays a fleet without a network with lost datagrams and a lost delegate, the second real instances whose leader is killed between the second and the third crash.

--- a/crates/citronway-core/tests/gateway_tree.rs
+++ b/crates/citronway-core/tests/gateway_tree.rs
@@ -3,6 +3,7 @@
 
 mod tree_world;
 
+use citronway_core::gateway::crashes::Fingerprint;
 use citronway_core::gateway::tree::Role;
 use googletest::prelude::*;
 
@@ -14,6 +15,11 @@
 /// Silence from which a leader is replaced, in milliseconds.
 const LEADER_SILENT_MS: u64 = 1_000;
 
+/// Time after the third crash in which all instances are to know it, in milliseconds.
+const KNOWN_WITHIN_MS: u64 = 3_000;
+
+const HARMFUL: Fingerprint = Fingerprint(7);
+
 #[gtest]
 fn all_are_told_and_heard_within_a_second_of_a_start() {
     for instances in [30, 100, 300] {
@@ -140,3 +146,27 @@
     expect_that!(world.largest_group(), le(27));
     expect_that!(world.groups(), all!(ge(15), le(60)));
 }
+
+/// Work crashes three endpoints, each time from another instance of a large fleet; one in forty
+/// datagrams is lost, and the delegate that was told last loses power. All others, who have seen
+/// none of the crashes, would send it on.
+#[gtest]
+fn all_of_a_large_fleet_refuse_work_in_time_that_crashed_three_endpoints() {
+    for seed in 0..10 {
+        let mut world = World::new(300, seed);
+        world.lose(0.025);
+        world.run(2_000);
+        for endpoint in 0..3 {
+            let delegate = world.a_delegate();
+            world.crash(world.members_of(delegate)[0], HARMFUL, endpoint);
+            if endpoint == 2 {
+                world.run(50);
+                world.kill(delegate);
+            } else {
+                world.run(1_000);
+            }
+        }
+        world.run(KNOWN_WITHIN_MS);
+        expect_that!(world.sending(HARMFUL), eq(0), "seed {seed}");
+    }
+}
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -2,10 +2,12 @@
 
 use std::net::SocketAddr;
 
+use citronway_core::gateway::crashes::{Fingerprint, Ledger, Outbox, Sign, Taken};
 use citronway_core::gateway::election::Strength;
-use citronway_core::gateway::report::{Totals, Versions};
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::report::{Report, Totals, Versions};
 use citronway_core::gateway::tree::{Branch, Candidate, Place, Role, TELL_MS, Tree};
-use citronway_core::ids::{InstanceName, Session, ZoneName};
+use citronway_core::ids::{InstanceName, Session, SessionId, ZoneName};
 use citronway_core::time::Mono;
 use indexmap::{IndexMap, IndexSet};
 use rand::rngs::StdRng;
@@ -27,8 +29,8 @@
 #[derive(Debug, Clone)]
 enum Message {
     Totals(Box<Totals>),
-    /// Members that were heard, and when.
-    Report(Vec<(usize, Mono)>),
+    /// Members that were heard, and when, and what is told of crashes.
+    Report(Vec<(usize, Mono)>, Box<Report>),
 }
 
 #[derive(Debug)]
@@ -41,6 +43,9 @@
     heard: IndexMap<usize, Mono>,
     phase_ms: u64,
     count: usize,
+    ledger: Ledger,
+    outbox: Outbox,
+    taken: Taken,
 }
 
 pub struct World {
@@ -81,6 +86,9 @@
             heard: IndexMap::new(),
             phase_ms: rng.random_range(0..LOOK_MS / STEP_MS) * STEP_MS,
             count: 0,
+            ledger: Ledger::default(),
+            outbox: Outbox::default(),
+            taken: Taken::default(),
         });
         Self {
             now: Mono(1_000),
@@ -199,6 +207,21 @@
             .unwrap_or_default()
     }
 
+    /// An endpoint crashes with work that an instance had sent there.
+    pub fn crash(&mut self, instance: usize, work: Fingerprint, endpoint: u32) {
+        let endpoint = EndpointTag(endpoint);
+        let sign = Sign::Crash { work, endpoint };
+        let one = &mut self.all[instance];
+        one.ledger.take(self.now, sign);
+        one.outbox.push(sign);
+    }
+
+    /// Instances that are up and do not refuse work.
+    pub fn sending(&self, work: Fingerprint) -> usize {
+        let up = self.all.iter().filter(|one| one.up);
+        up.filter(|one| !one.ledger.refuses(self.now, work)).count()
+    }
+
     pub fn kill(&mut self, instance: usize) {
         self.all[instance].up = false;
     }
@@ -262,15 +285,24 @@
     fn take(&mut self, link: Link, message: Message) {
         let now = self.now;
         match message {
-            Message::Report(members) if link.to == 0 => {
+            Message::Report(members, report) if link.to == 0 => {
+                let one = &mut self.all[0];
+                for sign in one.taken.fresh(&report) {
+                    one.ledger.take(now, *sign);
+                }
                 self.directly.insert(link.from, now);
                 for (instance, at) in members.into_iter().chain([(link.from, now)]) {
                     let heard = self.heard.entry(instance).or_insert(at);
                     *heard = at.max(*heard);
                 }
             }
-            Message::Report(_) => {
-                self.all[link.to].heard.insert(link.from, now);
+            Message::Report(_, report) => {
+                let one = &mut self.all[link.to];
+                one.heard.insert(link.from, now);
+                for sign in one.taken.fresh(&report) {
+                    one.ledger.take(now, *sign);
+                    one.outbox.push(*sign);
+                }
             }
             Message::Totals(mut totals) => {
                 let one = &mut self.all[link.to];
@@ -278,6 +310,9 @@
                     return;
                 }
                 one.told = now;
+                for refused in &totals.refused {
+                    one.ledger.told(now, *refused);
+                }
                 let members = std::mem::take(&mut totals.members);
                 for member in members {
                     self.send(link.to, at(member), Message::Totals(totals.clone()));
@@ -322,26 +357,43 @@
             standbys: Vec::new(),
             endpoints: Vec::new(),
             paces: Vec::new(),
-            refused: Vec::new(),
-            suspects: Vec::new(),
+            refused: self.all[0].ledger.harmful(self.now),
+            suspects: self.all[0].ledger.suspects(),
             members,
         }
     }
 
     fn report(&mut self, instance: usize) {
         let now = self.now;
-        let one = &self.all[instance];
+        let one = &mut self.all[instance];
         let since = now.0 + one.phase_ms;
         let (to, period_ms) = match one.place.role(now) {
             Role::Alone => return,
             Role::Member(to) => (to, 2 * LOOK_MS),
             Role::Delegate(to) => (to, LOOK_MS),
         };
-        if !since.is_multiple_of(period_ms) {
+        let looks = since.is_multiple_of(LOOK_MS);
+        if !since.is_multiple_of(period_ms) && !(looks && one.outbox.has_news()) {
             return;
         }
+        let (first_sign, signs) = one.outbox.take();
+        let report = Box::new(Report {
+            instance: one.name.clone(),
+            session: SessionId(1),
+            number: 1,
+            stopping: false,
+            unfit: false,
+            strength: Strength::FULL,
+            term: 1,
+            seen: Versions::default(),
+            endpoints: Vec::new(),
+            keys: Vec::new(),
+            members: Vec::new(),
+            signs,
+            first_sign,
+        });
         let members = one.heard.iter().filter(|(_, at)| now.since(**at) < 600);
         let members = members.map(|(i, at)| (*i, *at)).collect();
-        self.send(instance, at(to), Message::Report(members));
+        self.send(instance, at(to), Message::Report(members, report));
     }
 }
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -173,13 +173,22 @@
     row.is_some_and(|row| row["refused"][0].is_object())
 }
 
-/// Waits until an instance refuses work.
+fn many_instances(deployment: &Deployment) -> Vec<Instance> {
+    let names = (0..MANY).map(|n| format!("many-{n}"));
+    let instances: Vec<_> = names.map(|name| deployment.instance(&name)).collect();
+    for instance in &instances {
+        until("the instance is ready", || instance.is_ready());
+    }
+    instances
+}
+
+/// Waits until an instance knows harmful work; it refuses it then.
 fn until_refused(instance: &Instance, start: &str) {
-    let mut id = 5_000;
-    until("the work is refused", || {
-        id += 1;
-        call(instance, start, id).body == "crashes_endpoints"
+    let counted = "citronway_work_judged_total{verdict=\"harmful\"}";
+    until("the work is known to be harmful", || {
+        instance.metrics().contains(counted)
     });
+    expect_that!(call(instance, start, 5_000).body, eq("crashes_endpoints"));
 }
 
 /// One instance saw all crashes and is killed; then all are, and start again. What they knew
@@ -326,11 +335,7 @@
 fn instances_that_report_through_delegates_know_it_too() {
     let deployment = Deployment::new();
     let mut console = Console::start(&deployment);
-    let names = (0..MANY).map(|n| format!("many-{n}"));
-    let instances: Vec<_> = names.map(|name| deployment.instance(&name)).collect();
-    for instance in &instances {
-        until("the instance is ready", || instance.is_ready());
-    }
+    let instances = many_instances(&deployment);
     crash(&mut console, &instances, GET_BAD, KNOWN_AFTER);
     std::thread::sleep(KNOWN_WITHIN);
     let known = console.begun(BAD);
@@ -340,3 +345,26 @@
     }
     expect_that!(console.begun(BAD) - known, le(ALLOWED_AFTER));
 }
+
+/// The leader of a large fleet, which alone has heard of all crashes, is killed before the work
+/// crashes its third endpoint. Its successor hears of the others from those who saw them.
+#[gtest]
+fn a_change_of_the_leader_forgets_no_crash() {
+    let deployment = Deployment::new();
+    let mut console = Console::start(&deployment);
+    let mut instances = many_instances(&deployment);
+    let leader = deployment.leader().expect("a leader");
+    let at = instances.iter().position(|one| one.name() == leader);
+    let mut killed = instances.remove(at.expect("it is one of them"));
+    crash(&mut console, &instances[..1], GET_BAD, KNOWN_AFTER - 1);
+    killed.kill();
+    until("there is another leader", || {
+        deployment.leader().is_some_and(|now| now != leader)
+    });
+    crash(&mut console, &instances[1..2], GET_BAD, 1);
+    for instance in &instances {
+        until_refused(instance, GET_BAD);
+    }
+    until("it is stored", || is_stored(&deployment));
+    expect_that!(console.begun(BAD) - KNOWN_AFTER, le(ALLOWED_AFTER));
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -199,6 +199,10 @@
 }
 
 impl Instance {
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     pub fn is_ready(&self) -> bool {
         exchange(
             self.ready,
