--- a/crates/citronway-core/src/gateway/crashes/known.rs
+++ b/crates/citronway-core/src/gateway/crashes/known.rs
@@ -17,12 +17,6 @@
 }
 
 impl Known {
-    /// Whether anything has to be looked up for a request.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-    }
-
     /// Whether work is refused.
     #[must_use]
     pub fn refuses(&self, now: Mono, work: Fingerprint) -> bool {
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod seen;
 mod sent;
 mod state;
+mod suspicion;
 
 use std::io;
 use std::rc::Rc;
