Tests: owners of a key that crash one after the other, and silent endpoints

Silent endpoints time out and are no crashes. The first fails where harmful work is not refused; it passes where instances tell each other nothing, since one of two sees three crashes and the row tells the other.

--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use citronway_standin::shared::{FencedEndpoint, StoreFault};
-use gateway_support::{Deployment, Instance, Reply, until};
+use gateway_support::{Deployment, Instance, Reply, mute_deployment, until};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
@@ -22,37 +22,55 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 const ALLOWED_AFTER: usize = 3;
 
-/// Endpoints of `console`: a crashed one has its successor at once.
+/// Endpoints of a service: a crashed one has its successor at once.
 const ENDPOINTS: usize = 3;
 
+/// Key of all requests; it has a meaning where keys are divided.
+const KEY: u16 = 3;
+
 /// Work that outlasts the test.
 const ENDLESS: Duration = Duration::from_mins(1);
 
 /// Instances that are too many for all to tell all.
 const MANY: usize = 14;
 
-/// The endpoints of `console`, those that have crashed too.
-struct Console<'a> {
+/// The endpoints of a service, those that have crashed too.
+struct Service<'a> {
     deployment: &'a Deployment,
+    name: &'static str,
     all: Vec<FencedEndpoint>,
 }
 
-impl<'a> Console<'a> {
-    fn start(deployment: &'a Deployment) -> Self {
+impl<'a> Service<'a> {
+    /// `console`, whose endpoints serve any key.
+    fn console(deployment: &'a Deployment) -> Self {
         deployment.unlist(&deployment.c);
-        let mut console = Self {
+        Self::start(deployment, "console")
+    }
+
+    /// `batch`, whose endpoints divide the keys.
+    fn batch(deployment: &'a Deployment) -> Self {
+        deployment.unlist(&deployment.a);
+        deployment.unlist(&deployment.b);
+        Self::start(deployment, "batch")
+    }
+
+    fn start(deployment: &'a Deployment, name: &'static str) -> Self {
+        let mut service = Self {
             deployment,
+            name,
             all: Vec::new(),
         };
         for _ in 0..ENDPOINTS {
-            console.start_one();
+            service.start_one();
         }
-        console
+        service
     }
 
     fn start_one(&mut self) {
-        let name = format!("i-console-{}", self.all.len());
-        let endpoint = FencedEndpoint::start(&name, "console", false).expect("an endpoint");
+        let name = format!("i-{}-{}", self.name, self.all.len());
+        let sharded = self.name == "batch";
+        let endpoint = FencedEndpoint::start(&name, self.name, sharded).expect("an endpoint");
         endpoint.crash_on(BAD);
         self.deployment.list(&endpoint, "ready");
         self.all.push(endpoint);
@@ -78,21 +96,25 @@
 }
 
 fn call(instance: &Instance, start: &str, id: usize) -> Reply {
-    let headers = format!("X-Request-Id: {start}-{id}\r\n");
-    instance.call_with(start, &headers.replace(' ', "-"), "")
+    let name = start.replace(' ', "-");
+    instance.call(start, &format!("{name}-{id}"), KEY, "")
 }
 
 /// Sends work that crashes endpoints, one try after the other at all instances in turn, each
 /// under an id of its own, until it has crashed so many.
-fn crash(console: &mut Console<'_>, instances: &[Instance], start: &str, crashes: usize) {
-    let before = console.begun(BAD);
-    for id in 0.. {
-        if console.begun(BAD) >= before + crashes {
-            return;
-        }
-        assert!(id < 200, "the request no longer reaches an endpoint");
-        call(&instances[id % instances.len()], start, id);
-        console.replace_crashed();
+fn crash(service: &mut Service<'_>, instances: &[Instance], start: &str, crashes: usize) {
+    let enough = service.begun(BAD) + crashes;
+    let mut id = 0;
+    for _ in 0..crashes {
+        until("the work reaches endpoints", || {
+            let before = service.begun(BAD);
+            if before < enough {
+                call(&instances[id % instances.len()], start, id);
+            }
+            id += 1;
+            service.replace_crashed();
+            before >= enough || service.begun(BAD) > before
+        });
     }
 }
 
@@ -116,7 +138,7 @@
 
 fn is_not_sent_on(start: &str) {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let instances = two_instances(&deployment);
     crash(&mut console, &instances, start, KNOWN_AFTER);
     std::thread::sleep(KNOWN_WITHIN);
@@ -139,12 +161,31 @@
     }
 }
 
+/// The same where keys are divided: the work comes to another owner of its key after each crash,
+/// once the hold of the one before has ended.
+#[gtest]
+fn work_that_crashes_the_owners_of_its_key_is_not_sent_on() {
+    let deployment = Deployment::new();
+    let mut batch = Service::batch(&deployment);
+    let instances = two_instances(&deployment);
+    crash(&mut batch, &instances, "GET /look/bad", KNOWN_AFTER);
+    for instance in &instances {
+        until_refused(instance, "GET /look/bad");
+    }
+    expect_that!(batch.begun(BAD), le(KNOWN_AFTER + ALLOWED_AFTER));
+    for instance in &instances {
+        until("others are served", || {
+            call(instance, "GET /look/good", 0).status == 200
+        });
+    }
+}
+
 /// Tries of one work had nothing in common in the logs, and a crash of an endpoint looked
 /// like a connection that was cut: nobody could find the request that caused the crashes.
 #[gtest]
 fn logs_tell_which_tries_are_the_same_work_and_which_endpoint_ended() {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let mut instances = ["one", "two"].map(|name| deployment.unread_instance(name));
     let logs = instances.each_mut().map(Instance::logs);
     for instance in &instances {
@@ -196,7 +237,7 @@
 #[gtest]
 fn what_is_known_outlives_the_instance_that_saw_it_and_the_end_of_all() {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let mut instances = two_instances(&deployment);
     crash(&mut console, &instances[..1], GET_BAD, KNOWN_AFTER);
     until("it is stored", || is_stored(&deployment));
@@ -218,7 +259,7 @@
 #[gtest]
 fn crashes_while_the_store_is_away_are_known_to_all() {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let instances = two_instances(&deployment);
     crash(&mut console, &instances, GET_BAD, KNOWN_AFTER - 1);
     deployment.store.fail(StoreFault::Silent);
@@ -257,7 +298,7 @@
 #[gtest]
 fn connections_that_are_cut_are_no_crashes() {
     let deployment = Deployment::new();
-    let console = Console::start(&deployment);
+    let console = Service::console(&deployment);
     let instance = deployment.ready_instance("one");
     for endpoint in &console.all {
         endpoint.drop_answers(true);
@@ -268,6 +309,28 @@
     expect_that!(console.begun("/order/1"), eq(10));
 }
 
+/// An endpoint takes connections and answers nothing, as one that is frozen or stuck. Its callers'
+/// time ends, and nothing shows that it has ended.
+#[gtest]
+fn silent_endpoints_are_no_crashes() {
+    let (deployment, _mute) = mute_deployment();
+    let instance = deployment.ready_instance("one");
+    std::thread::scope(|scope| {
+        let send = |id| call(&instance, "POST /order/1", id);
+        let callers = (0..2 * KNOWN_AFTER).map(|id| scope.spawn(move || send(id)));
+        for caller in callers.collect::<Vec<_>>() {
+            let reply = caller.join().expect("no panic");
+            expect_that!(reply.status, eq(504));
+        }
+    });
+    let metrics = instance.metrics();
+    expect_that!(
+        metrics,
+        contains_substring("citronway_endpoint_crashes_total 0")
+    );
+    expect_that!(metrics, contains_substring("citronway_crash_suspects 0"));
+}
+
 /// Endpoints say that they leave and end with the same work still running, one after the other
 /// as in a release. None has crashed, and the next one gets the work.
 #[gtest]
@@ -312,7 +375,7 @@
 #[gtest]
 fn an_operator_who_removes_the_row_lets_all_work_go() {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let instances = two_instances(&deployment);
     crash(&mut console, &instances, GET_BAD, KNOWN_AFTER);
     for instance in &instances {
@@ -335,7 +398,7 @@
 #[gtest]
 fn instances_that_report_through_delegates_know_it_too() {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let instances = many_instances(&deployment);
     crash(&mut console, &instances, GET_BAD, KNOWN_AFTER - 1);
     deployment.store.fail(StoreFault::Silent);
@@ -352,7 +415,7 @@
 #[gtest]
 fn a_change_of_the_leader_forgets_no_crash() {
     let deployment = Deployment::new();
-    let mut console = Console::start(&deployment);
+    let mut console = Service::console(&deployment);
     let mut instances = many_instances(&deployment);
     let leader = deployment.leader().expect("a leader");
     let other = instances.iter().position(|one| one.name() != leader);
