A row about crashes that cannot be read is left alone

What callers' operators saw, in a test: the leader writes its own row over one that it cannot read once a second, on the condition that there is none, and is refused each time: four refused calls in 3 s, for ever. Cause: a row that cannot be read counted as none. Now it is said once and left alone; requests are served, and the row is written when the other one is removed. Ruled out: overwriting it, which would throw away what a later version knows in a rolling restart.

--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -34,6 +34,8 @@
     taken: Taken,
     row: Option<StoredCrashes>,
     version: Version,
+    /// The row that stands cannot be read.
+    unreadable: bool,
     known: Arc<Known>,
     /// What changed for callers since it was logged.
     verdicts: Vec<Verdict>,
@@ -56,11 +58,14 @@
         if row.version <= self.version {
             return Ok(());
         }
+        self.version = row.version;
         let value = row.value.as_deref();
-        let stored: Option<StoredCrashes> = value.map(serde_json::from_slice).transpose()?;
+        let read = value.map(serde_json::from_slice::<StoredCrashes>);
+        // What is known holds on; another version of the product may have written the row.
+        self.unreadable = read.as_ref().is_some_and(Result::is_err);
+        let stored = read.transpose()?;
         let refused = stored.as_ref().map_or(0, |stored| stored.refused.len());
         log::info!(version = row.version.0, refused, removed = stored.is_none(); "row about crashes");
-        self.version = row.version;
         // Fingerprints under another key have nothing in common with those that are known.
         let key_before = self.row.as_ref().map(|row| row.key);
         if key_before.is_some() && key_before != stored.as_ref().map(|row| row.key) {
@@ -148,7 +153,7 @@
 
     /// What the leader is to write now.
     fn due(&self, now: Mono) -> Option<StoredCrashes> {
-        if self.writing || now < self.write_after {
+        if self.writing || self.unreadable || now < self.write_after {
             return None;
         }
         let mut refused = self.ledger.harmful(now);
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -393,6 +393,34 @@
     }
 }
 
+/// Another writer, or a later version, has left a row that cannot be read. The leader wrote its own
+/// over it once a second and was refused each time. It says so and leaves the row alone; requests
+/// are served, and the row is written when the other one is gone.
+#[gtest]
+fn a_row_that_cannot_be_read_is_left_alone() {
+    let deployment = Deployment::new();
+    let unreadable = json!({"key": "none", "refused": 7});
+    deployment.store.put("citronway", "crashes", &unreadable);
+    let mut instance = deployment.unread_instance("one");
+    let logs = instance.logs();
+    until("the instance is ready", || instance.is_ready());
+    let line = logs.line("row cannot be used");
+    expect_that!(line["key"].as_str(), some(eq("crashes")));
+    expect_that!(call(&instance, "GET /status/good", 0).status, eq(200));
+    std::thread::sleep(KNOWN_WITHIN);
+    expect_that!(deployment.store.own("crashes"), some(eq(&unreadable)));
+    let refused = |line: &Value| line["message"] == "row about crashes not written";
+    expect_that!(
+        logs.all().iter().filter(|line| refused(line)).count(),
+        eq(0)
+    );
+    deployment.store.remove("citronway", "crashes");
+    until("the row is written", || {
+        let row = deployment.store.own("crashes");
+        row.is_some_and(|row| row["refused"].is_array())
+    });
+}
+
 /// Fourteen instances report through delegates. The work comes to another one each time, and
 /// the store is away when it crashes its third endpoint: only the leader's sums tell of it.
 #[gtest]
