The same work by another address is the same work

Cause: the fingerprint held the address of the caller's connection. Clients connect to instances of their own zone; the work came again in another zone, by another address, and was other work.

Now credentials stand in the address's place, where a caller sends any. What it costs: who sends none is told apart by content alone.

--- a/crates/citronway-core/benches/gateway_crashes.rs
+++ b/crates/citronway-core/benches/gateway_crashes.rs
@@ -4,7 +4,6 @@
 //! table, as the first group shows; that was nothing before the table was there.
 
 use std::hint::black_box;
-use std::net::{IpAddr, Ipv4Addr};
 
 use citronway_core::gateway::crashes::{Fingerprint, FingerprintKey, Known, Ledger, Sign, Work};
 use citronway_core::gateway::pace::EndpointTag;
@@ -27,7 +26,7 @@
     for bytes in BODIES {
         let body = vec![9; bytes];
         let work = Work {
-            caller: IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)),
+            caller: b"",
             host: "gateway.example",
             method: "POST",
             path: "/plans/1f62/9f4c?page=35",
--- a/crates/citronway-core/src/gateway/crashes/fingerprint.rs
+++ b/crates/citronway-core/src/gateway/crashes/fingerprint.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 use std::hash::Hasher as _;
-use std::net::IpAddr;
 
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher24;
@@ -80,8 +79,9 @@
 /// Content of a request, as far as tries of the same work share it.
 #[derive(Debug, Clone, Copy)]
 pub struct Work<'a> {
-    /// Who sends it: no caller can bring another's work into question.
-    pub caller: IpAddr,
+    /// Credentials of who sends it, empty where there are none: no caller can bring the work
+    /// of another into question. Its address says nothing: the same work comes by others.
+    pub caller: &'a [u8],
     /// Host that it is for.
     pub host: &'a str,
     /// Method.
@@ -99,10 +99,7 @@
     #[must_use]
     pub fn fingerprint(&self, key: &FingerprintKey) -> Fingerprint {
         let mut hasher = SipHasher24::new_with_key(&key.0);
-        match self.caller {
-            IpAddr::V4(ip) => part(&mut hasher, &ip.octets()),
-            IpAddr::V6(ip) => part(&mut hasher, &ip.octets()),
-        }
+        part(&mut hasher, self.caller);
         part(&mut hasher, self.host.as_bytes());
         part(&mut hasher, self.method.as_bytes());
         part(&mut hasher, self.path.as_bytes());
--- a/crates/citronway-core/tests/gateway_fingerprints.rs
+++ b/crates/citronway-core/tests/gateway_fingerprints.rs
@@ -1,19 +1,15 @@
 //! Fingerprints: the same for tries of one work, others for all else.
 
-use std::net::IpAddr;
-
 use citronway_core::gateway::crashes::{FingerprintKey, Work};
 use googletest::prelude::*;
 
-const CALLER: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(10, 0, 0, 1));
-
 fn key() -> FingerprintKey {
     FingerprintKey::new([7; 16])
 }
 
 const fn work() -> Work<'static> {
     Work {
-        caller: CALLER,
+        caller: b"Bearer one",
         host: "h.example",
         method: "POST",
         path: "/plan/1?x=2",
@@ -38,7 +34,7 @@
 fn each_part_tells_work_apart() {
     let others = [
         Work {
-            caller: IpAddr::from([10, 0, 0, 2]),
+            caller: b"Bearer two",
             ..work()
         },
         Work {
--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -70,13 +70,6 @@
         log::debug!(cause = e.to_string(); "a caller left at once");
         return;
     }
-    let caller = match stream.peer_addr() {
-        Ok(address) => address.ip(),
-        Err(e) => {
-            log::debug!(cause = e.to_string(); "a caller left at once");
-            return;
-        }
-    };
     let progress = Rc::new(Progress::default());
     progress.touched.set(clock::mono());
     let watched = Watched {
@@ -92,7 +85,7 @@
             progress: Rc::clone(&progress),
             open: state.open.take(clock::mono()),
         };
-        let answer = request::answer(Rc::clone(&state), caller, req, done);
+        let answer = request::answer(Rc::clone(&state), req, done);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -1,7 +1,6 @@
 //! A request on its way to endpoints, with what came of its sends so far.
 
 use std::cell::OnceCell;
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,8 +39,6 @@
 /// What goes to an endpoint.
 #[derive(Debug)]
 pub(super) struct Message {
-    /// Who sent it.
-    pub caller: IpAddr,
     pub method: Method,
     pub uri: Uri,
     pub headers: http::HeaderMap,
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -1,7 +1,6 @@
 //! A request of a caller: what it asks for, and the answer it gets.
 
 use std::cell::OnceCell;
-use std::net::IpAddr;
 use std::rc::Rc;
 
 use citronway_core::gateway::admission::{Job, RefusalReason};
@@ -30,7 +29,6 @@
 /// Answers a request of a caller.
 pub(super) async fn answer(
     state: Rc<State>,
-    caller: IpAddr,
     req: Request<Incoming>,
     done: Done,
 ) -> Response<Answering> {
@@ -52,7 +50,6 @@
     let mut class = Class::UNKNOWN;
     let taken = Taken {
         arrived,
-        caller,
         head: &head,
         words: &words,
     };
@@ -64,7 +61,6 @@
 /// A request whose head was read.
 struct Taken<'a> {
     arrived: Mono,
-    caller: IpAddr,
     head: &'a Parts,
     words: &'a CallerWords,
 }
@@ -78,7 +74,6 @@
 ) -> Outcome {
     let &Taken {
         arrived,
-        caller,
         head,
         words,
     } = taken;
@@ -151,7 +146,6 @@
         words,
         open,
         message: Message {
-            caller,
             method: head.method.clone(),
             uri: head.uri.clone(),
             headers: exchange::forwarded(&head.headers),
--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -5,6 +5,7 @@
 use citronway_core::gateway::admission::{Choice, DoubtReason};
 use citronway_core::gateway::crashes::{Fingerprint, Known, Work};
 use citronway_core::time::Mono;
+use citronway_platform::exchange;
 use http::uri::PathAndQuery;
 
 use super::forwarding::Forwarding;
@@ -40,7 +41,7 @@
             .path_and_query()
             .map_or("/", PathAndQuery::as_str);
         let work = Work {
-            caller: message.caller,
+            caller: exchange::credentials(&message.headers),
             host: &self.words.host,
             method: message.method.as_str(),
             path,
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -2,10 +2,13 @@
 
 mod gateway_support;
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use citronway_standin::shared::{FencedEndpoint, StoreFault};
-use gateway_support::{Deployment, Instance, Reply, mute_deployment, until};
+use gateway_support::{
+    Deployment, Instance, Reply, WAIT_MS, exchange_by, head, mute_deployment, until,
+};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
@@ -95,9 +98,13 @@
     }
 }
 
+/// Sends a request by one of several addresses of the caller.
 fn call(instance: &Instance, start: &str, id: usize) -> Reply {
     let name = start.replace(' ', "-");
-    instance.call(start, &format!("{name}-{id}"), KEY, "")
+    let headers = format!("X-Request-Id: {name}-{id}\r\nX-Shard-Key: {KEY}\r\n");
+    let head = head(start, &headers, WAIT_MS, 0);
+    let source = Ipv4Addr::new(127, 0, 0, 1 + u8::try_from(id % 7).expect("small"));
+    exchange_by(source, instance.callers, &head).expect("an answer")
 }
 
 /// Sends work that crashes endpoints, one try after the other at all instances in turn, each
@@ -124,7 +131,8 @@
 
 /// Callers of a deployment lost their answers again and again: one caller's request ended the
 /// process of each endpoint that began it, and all that ran there with it. It came again under
-/// another id, at another instance, and was sent again, long after it had crashed three.
+/// another id, at another instance in another availability zone, by another address, and was
+/// sent again, long after it had crashed three.
 /// Cause: limits counted sends of one id and of a service, and nothing outlived a try; so each
 /// instance took each try for new work. Evidence: the broken sends of three crashes in a row,
 /// at different instances, have one fingerprint in common, and each try is sent without a look
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
 use std::io::{BufRead as _, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -13,6 +13,7 @@
     Addresses, FencedEndpoint, SETTINGS_VARIABLE, SharedStore, configuration, own_address,
 };
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 pub use citronway_standin::shared::route;
 
@@ -20,7 +21,7 @@
 const PATIENCE: Duration = Duration::from_secs(40);
 
 /// Time that a caller states to wait, in milliseconds.
-const WAIT_MS: u64 = 5_000;
+pub const WAIT_MS: u64 = 5_000;
 
 /// Port of the metrics, as the deploy file states it.
 const METRICS_PORT: u16 = 9_464;
@@ -354,6 +355,25 @@
     parse(&text)
 }
 
+/// The same by an address of the caller's own.
+pub fn exchange_by(source: Ipv4Addr, address: SocketAddr, head: &str) -> Option<Reply> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .ok()?;
+    let text = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::from((source, 0)))?;
+        let mut stream = socket.connect(address).await?;
+        stream.write_all(head.as_bytes()).await?;
+        let mut text = Vec::new();
+        // A reset after the answer is the end of it too.
+        let _ = stream.read_to_end(&mut text).await;
+        Ok::<_, std::io::Error>(text)
+    });
+    parse(&text.ok()?)
+}
+
 /// Reads an answer; none if its head is not whole.
 pub fn parse(text: &[u8]) -> Option<Reply> {
     let text = String::from_utf8_lossy(text).into_owned();
