--- a/crates/citronway-core/benches/gateway_crashes.rs
+++ b/crates/citronway-core/benches/gateway_crashes.rs
@@ -38,7 +38,7 @@
             |b| {
                 b.iter(|| {
                     let work = black_box(&work).fingerprint(&key);
-                    known.suspects.contains(&work) || known.refuses(Mono(1), work)
+                    known.suspects(work) || known.refuses(Mono(1), work)
                 });
             },
         );
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -6,6 +6,10 @@
 use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
+/// Times the mean work within which five in six requests are done, as a fraction: work
+/// is spread by half of its mean.
+const SURE_WORKS: (u64, u64) = (8, 5);
+
 /// A request that is to be sent to an endpoint.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -35,6 +39,14 @@
     pub tried: Vec<EndpointStart>,
 }
 
+impl Job {
+    /// Time within which five in six requests of this kind are done, in milliseconds.
+    #[must_use]
+    pub const fn expected_ms(&self) -> u64 {
+        self.work_ms * SURE_WORKS.0 / SURE_WORKS.1
+    }
+}
+
 /// Where to send a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
@@ -85,11 +97,13 @@
     Stopping,
     /// It crashed the endpoints that ran it, under other ids.
     CrashesEndpoints,
+    /// The same work was at an endpoint that crashed, and another copy of it is being tried.
+    UnderTrial,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documents and tests.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -99,6 +113,7 @@
         Self::EndpointRefused,
         Self::Stopping,
         Self::CrashesEndpoints,
+        Self::UnderTrial,
     ];
 
     /// Word for logs, metrics and answers.
@@ -114,6 +129,7 @@
             Self::EndpointRefused => "endpoint_refused",
             Self::Stopping => "stopping",
             Self::CrashesEndpoints => "crashes_endpoints",
+            Self::UnderTrial => "under_trial",
         }
     }
 }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -48,10 +48,6 @@
 /// Ranks of priority that are counted apart; the rest count with the last.
 const RANKS: usize = 4;
 
-/// Times the mean work within which five in six requests are done, as a fraction: work
-/// is spread by half of its mean.
-const SURE_WORKS: (u64, u64) = (8, 5);
-
 /// First and longest time for which an endpoint is avoided that failed to take a
 /// connection, in milliseconds.
 const AVOID_MS: (u64, u64) = (250, 4_000);
@@ -178,7 +174,7 @@
     /// moment later. Its work is broken off, and its caller does not know whether it ran.
     /// Refused, it comes to another instance within 20 ms.
     fn send(&mut self, now: Mono, job: &Job, choice: Choice) -> Decision {
-        let done = now.plus(sure_work_ms(job));
+        let done = now.plus(job.expected_ms());
         if self.ends_at.is_some_and(|end| done > end) {
             return Decision::Refuse(Refusal {
                 reason: RefusalReason::Stopping,
@@ -370,15 +366,10 @@
 /// In order of deadlines alone, all that are served are late. Those that would be late
 /// go behind those that can still be in time, and take what is left.
 fn urgency(now: Mono, job: &Job) -> (u8, bool, Mono) {
-    let usual = now.plus(sure_work_ms(job));
+    let usual = now.plus(job.expected_ms());
     (job.priority, usual > job.objective_at, job.last_at)
 }
 
-/// Time within which five in six requests of this kind are done, in milliseconds.
-const fn sure_work_ms(job: &Job) -> u64 {
-    job.work_ms * SURE_WORKS.0 / SURE_WORKS.1
-}
-
 /// Place of a priority among the ranks that are counted apart.
 fn rank(priority: u8) -> usize {
     usize::from(priority).min(RANKS - 1)
--- a/crates/citronway-core/src/gateway/crashes/entry.rs
+++ b/crates/citronway-core/src/gateway/crashes/entry.rs
@@ -46,8 +46,10 @@
 pub(super) struct Entry {
     pub crashes: Vec<Crash>,
     pub state: State,
-    /// When another instance last told of it.
+    /// When the leader first told of it.
     pub heard: Mono,
+    /// When the leader last told of it.
+    pub told: Mono,
     /// The leader or the store says that it is harmful.
     pub was_told: bool,
 }
--- a/crates/citronway-core/src/gateway/crashes/known.rs
+++ b/crates/citronway-core/src/gateway/crashes/known.rs
@@ -1,6 +1,6 @@
 //! What an instance's traffic goes by.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use super::{Fingerprint, FingerprintKey};
 use crate::time::Mono;
@@ -12,8 +12,9 @@
     pub key: Option<FingerprintKey>,
     /// Harmful work, and until when it is refused.
     pub refused: IndexMap<Fingerprint, Mono>,
-    /// Work that was at an endpoint that crashed, harmful or not.
-    pub suspects: IndexSet<Fingerprint>,
+    /// Work that was at an endpoint that crashed, harmful or not, and when that was last
+    /// heard of.
+    pub suspects: IndexMap<Fingerprint, Mono>,
 }
 
 impl Known {
@@ -22,4 +23,10 @@
     pub fn refuses(&self, now: Mono, work: Fingerprint) -> bool {
         self.refused.get(&work).is_some_and(|until| now < *until)
     }
+
+    /// Whether work was at an endpoint that crashed, and was not answered since.
+    #[must_use]
+    pub fn suspects(&self, work: Fingerprint) -> bool {
+        self.suspects.contains_key(&work)
+    }
 }
--- a/crates/citronway-core/src/gateway/crashes/ledger.rs
+++ b/crates/citronway-core/src/gateway/crashes/ledger.rs
@@ -58,9 +58,12 @@
 /// Most suspects that are told.
 pub const MOST_SUSPECTS: usize = 256;
 
-/// Crashes from which all instances are told of a suspect, so that whoever sees it answered
-/// clears it.
-const TOLD_CRASHES: usize = 2;
+/// Time after the last crash in which all instances are told of a suspect of one crash, in
+/// milliseconds; one of more crashes is told for as long as it is remembered.
+const ONE_CRASH_TOLD_MS: u64 = 60_000;
+
+/// Time after which a suspect that the leader no longer tells of is forgotten, in milliseconds.
+const TOLD_STANDS_MS: u64 = 5_000;
 
 /// Crashes of endpoints that are remembered to tell losses of machines.
 const MOST_ENDED: usize = 1_024;
@@ -237,12 +240,16 @@
 
     /// Takes a suspect that the leader tells of.
     pub fn told_suspect(&mut self, now: Mono, work: Fingerprint) {
-        let is_known = self.entries.contains_key(&work) || self.let_go.contains_key(&work);
-        if is_known || !self.has_room(work) {
+        if let Some(entry) = self.entries.get_mut(&work) {
+            entry.told = now;
+            return;
+        }
+        if self.let_go.contains_key(&work) || !self.has_room(work) {
             return;
         }
         self.changed = true;
-        self.entries.entry(work).or_default().heard = now;
+        let entry = self.entries.entry(work).or_default();
+        (entry.heard, entry.told) = (now, now);
     }
 
     /// Forgets all, as when the key of fingerprints is another one.
@@ -259,6 +266,10 @@
         let before = self.entries.len();
         self.entries.retain(|work, entry| {
             let stays = match entry.state {
+                // Only the leader knows of its crashes, and when it is cleared.
+                State::Suspect if entry.crashes.is_empty() => {
+                    now.since(entry.told) < TOLD_STANDS_MS
+                }
                 State::Suspect => now.since(entry.last()) < CRASH_COUNTS_MS,
                 State::Refused { until, .. } => now < until.plus(CRASH_COUNTS_MS),
             };
@@ -299,9 +310,10 @@
 
     /// Suspects that are to be told of, the newest first.
     #[must_use]
-    pub fn suspects(&self) -> Vec<Fingerprint> {
+    pub fn suspects(&self, now: Mono) -> Vec<Fingerprint> {
         let suspects = self.entries.iter().filter(|(_, entry)| {
-            entry.state == State::Suspect && entry.crashes.len() >= TOLD_CRASHES
+            let is_told = entry.crashes.len() > 1 || now.since(entry.last()) < ONE_CRASH_TOLD_MS;
+            entry.state == State::Suspect && !entry.crashes.is_empty() && is_told
         });
         let mut suspects: Vec<_> = suspects.map(|(work, e)| (e.last(), *work)).collect();
         suspects.sort_by_key(|(last, work)| (std::cmp::Reverse(*last), *work));
@@ -343,7 +355,11 @@
         Known {
             key,
             refused: refused.collect(),
-            suspects: self.entries.keys().copied().collect(),
+            suspects: self
+                .entries
+                .iter()
+                .map(|(work, entry)| (*work, entry.last()))
+                .collect(),
         }
     }
 
--- a/crates/citronway-core/src/gateway/crashes/mod.rs
+++ b/crates/citronway-core/src/gateway/crashes/mod.rs
@@ -5,7 +5,8 @@
 //!
 //! Instances tell each other [`Sign`]s of crashes; a [`Ledger`] counts them by work. Work that
 //! was at [`HARMFUL_CRASHES`] endpoints when they crashed is refused, for a time that doubles;
-//! work that an endpoint runs to its end is cleared at once. Most work that is at an endpoint
+//! work that an endpoint runs to its end is cleared at once. Until then it goes out one copy
+//! at a time in the whole fleet: the leader grants [`Trials`]. Most work that is at an endpoint
 //! that crashes is innocent: it is told from harmful work by that answer, and by crashes of
 //! many endpoints at a time, which no request causes.
 
@@ -15,9 +16,13 @@
 mod ledger;
 mod sign;
 mod stored;
+mod trials;
 
 pub use fingerprint::{Fingerprint, FingerprintKey, KeyError, Work};
 pub use known::Known;
 pub use ledger::{CRASH_COUNTS_MS, HARMFUL_CRASHES, Ledger, MOST_REFUSED, MOST_SUSPECTS, Verdict};
 pub use sign::{MOST_SIGNS, Outbox, Sign, Taken};
 pub use stored::{Refused, StoredCrashes};
+pub use trials::{
+    TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms, may_try_alone,
+};
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_crash_trials.rs
@@ -0,0 +1,152 @@
+//! Which copy of work under suspicion is sent.
+
+use citronway_core::gateway::crashes::{
+    Fingerprint, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms,
+    may_try_alone,
+};
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::ids::SessionId;
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+
+const WORK: Fingerprint = Fingerprint(77);
+const EXPECTED_MS: u64 = 350;
+const LIMIT_MS: u64 = 4_000;
+const CRASHED: TrialEnd = TrialEnd::Crashed {
+    endpoint: EndpointTag(1),
+};
+
+const fn req(session: u64, number: u64) -> TrialRequest {
+    TrialRequest {
+        id: TrialId {
+            session: SessionId(session),
+            number,
+        },
+        work: WORK,
+        expected_ms: EXPECTED_MS,
+        limit_ms: LIMIT_MS,
+    }
+}
+
+/// Guards against two copies at endpoints at once, of one instance or of two.
+#[gtest]
+fn one_copy_is_tried_at_a_time() {
+    let mut trials = Trials::default();
+    let now = Mono(1_000);
+    expect_that!(trials.request(now, &req(1, 1)), eq(TrialGrant::Granted));
+    let later = now.plus(50);
+    for other in [req(1, 2), req(2, 1)] {
+        let for_ms = EXPECTED_MS - 50;
+        expect_that!(
+            trials.request(later, &other),
+            eq(TrialGrant::Busy { for_ms })
+        );
+    }
+    trials.ended(later, req(1, 1).id, WORK, CRASHED);
+    expect_that!(trials.request(later, &req(2, 1)), eq(TrialGrant::Granted));
+}
+
+/// Guards against a trial that is refused to its own holder when a datagram comes twice.
+#[gtest]
+fn a_request_that_comes_twice_is_granted_twice() {
+    let mut trials = Trials::default();
+    for at in [0, 25] {
+        let grant = trials.request(Mono(at), &req(1, 1));
+        expect_that!(grant, eq(TrialGrant::Granted));
+    }
+}
+
+/// Guards against work that nobody may try any more, since the instance that did was lost.
+#[gtest]
+fn a_trial_whose_end_is_not_told_ends_with_its_caller() {
+    let mut trials = Trials::default();
+    trials.request(Mono(0), &req(1, 1));
+    let busy = trials.request(Mono(LIMIT_MS - 1), &req(2, 1));
+    expect_that!(busy, eq(TrialGrant::Busy { for_ms: 0 }));
+    let grant = trials.request(Mono(LIMIT_MS), &req(2, 1));
+    expect_that!(grant, eq(TrialGrant::Granted));
+}
+
+/// Guards against copies that are held back though the work was answered a moment ago.
+#[gtest]
+fn an_answer_lets_all_copies_go_until_the_next_crash() {
+    let mut trials = Trials::default();
+    trials.request(Mono(0), &req(1, 1));
+    trials.ended(Mono(200), req(1, 1).id, WORK, TrialEnd::Answered);
+    for n in 0..3 {
+        let grant = trials.request(Mono(210), &req(2, n));
+        expect_that!(grant, eq(TrialGrant::Cleared));
+    }
+    trials.crashed(WORK);
+    expect_that!(
+        trials.request(Mono(220), &req(2, 3)),
+        eq(TrialGrant::Granted)
+    );
+    expect_that!(
+        trials.request(Mono(220), &req(2, 4)),
+        matches_pattern!(TrialGrant::Busy { .. })
+    );
+}
+
+/// Guards against an end that comes late and closes the trial of another copy.
+#[gtest]
+fn the_end_of_another_trial_ends_nothing() {
+    let mut trials = Trials::default();
+    trials.request(Mono(0), &req(1, 1));
+    trials.ended(Mono(10), req(1, 1).id, WORK, TrialEnd::Open);
+    trials.request(Mono(20), &req(2, 1));
+    trials.ended(Mono(30), req(1, 1).id, WORK, TrialEnd::Open);
+    expect_that!(
+        trials.request(Mono(40), &req(3, 1)),
+        matches_pattern!(TrialGrant::Busy { .. })
+    );
+}
+
+/// Guards against a table that grows without bound, and against more copies when it is full.
+#[gtest]
+fn a_full_table_grants_no_more() {
+    let mut trials = Trials::default();
+    let mut granted = 0;
+    for n in 0..10_000 {
+        let one = TrialRequest {
+            work: Fingerprint(n),
+            ..req(1, n)
+        };
+        granted += usize::from(trials.request(Mono(0), &one) == TrialGrant::Granted);
+    }
+    expect_that!(granted, eq(4_096));
+    let late = trials.request(Mono(LIMIT_MS), &req(2, 1));
+    expect_that!(late, eq(TrialGrant::Granted));
+}
+
+/// Guards against copies that were refused together and come back together, or too late.
+#[gtest]
+fn copies_come_back_after_the_trial_at_moments_of_their_own() {
+    let left_ms = 3_000;
+    let times: Vec<_> = (0..16)
+        .map(|number| come_back_ms(EXPECTED_MS, left_ms, number))
+        .collect();
+    expect_that!(times, each(ge(&EXPECTED_MS)));
+    expect_that!(times, each(le(&(EXPECTED_MS * 3 / 2))));
+    let different: indexmap::IndexSet<_> = times.iter().collect();
+    expect_that!(different.len(), eq(16));
+    expect_that!(come_back_ms(5_000, left_ms, 3), eq(left_ms / 3));
+}
+
+/// Guards against copies that go out together, or never, where no leader answers.
+#[gtest]
+fn without_a_leader_instances_try_work_one_after_the_other() {
+    let heard = Mono(1_000);
+    for rank in 0..100_u64 {
+        let turns = (0..8).filter(|turn| {
+            let now = heard.plus(turn * TURN_MS);
+            let end = now.plus(TURN_MS - 1);
+            let may = may_try_alone(now, heard, rank, WORK);
+            assert_eq!(may, may_try_alone(end, heard, rank, WORK));
+            may
+        });
+        expect_that!(turns.count(), eq(1), "rank {rank}");
+    }
+    let at_once = (0..8).filter(|rank| may_try_alone(heard.plus(3), heard, *rank, WORK));
+    expect_that!(at_once.count(), eq(1));
+}
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -358,7 +358,7 @@
             endpoints: Vec::new(),
             paces: Vec::new(),
             refused: self.all[0].ledger.harmful(self.now),
-            suspects: self.all[0].ledger.suspects(),
+            suspects: self.all[0].ledger.suspects(self.now),
             members,
         }
     }
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -25,6 +25,8 @@
     pub body: Bytes,
     /// Time that it was given, in milliseconds.
     pub left_ms: u64,
+    /// When it was begun.
+    pub at: Instant,
 }
 
 /// An endpoint on loopback.
@@ -71,6 +73,8 @@
 struct Crash {
     /// A request whose path ends so crashes it.
     on: Option<String>,
+    /// Time from the start of such a request to the crash.
+    after: Duration,
     /// It has crashed.
     happened: bool,
 }
@@ -191,7 +195,14 @@
 
     /// Crashes from now on when it begins a request whose path ends so.
     pub fn crash_on(&self, path_end: &str) {
-        self.shared.lock().crash.on = Some(path_end.to_owned());
+        self.crash_on_after(path_end, Duration::ZERO);
+    }
+
+    /// The same, so much later than it began the request.
+    pub fn crash_on_after(&self, path_end: &str, after: Duration) {
+        let crash = &mut self.shared.lock().crash;
+        crash.on = Some(path_end.to_owned());
+        crash.after = after;
     }
 
     /// Ends as a process does that crashes.
@@ -359,15 +370,18 @@
             left_ms: text("x-deadline-ms")
                 .and_then(|ms| ms.parse().ok())
                 .unwrap_or(0),
+            at: Instant::now(),
         });
         state.running.extend(key);
         let path = req.uri().path();
         let crash = &mut state.crash;
         let crashes = crash.on.as_ref().is_some_and(|end| path.ends_with(end));
-        crash.happened |= crashes;
+        let crashes = crashes.then_some(crash.after);
         (state.work, state.drop_answers, crashes)
     };
-    if crashes {
+    if let Some(after) = crashes {
+        tokio::time::sleep(after).await;
+        shared.lock().crash.happened = true;
         shared.crash.notify_one();
         std::future::pending::<()>().await;
     }
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -7,6 +7,48 @@
     report @0 :Report;
     relay @1 :Relay;
     totals @2 :Totals;
+    trialRequest @3 :TrialRequest;
+    trialReply @4 :TrialReply;
+    trialEnd @5 :TrialEnd;
+  }
+}
+
+struct TrialRequest {
+  # To the leader: may a copy of work that is under suspicion be sent?
+  session @0 :UInt64;
+  number @1 :UInt64;
+  # The process that asks, and which of its requests this is.
+  work @2 :UInt64;
+  expectedMs @3 :UInt32;
+  # Time after which it is most likely done.
+  limitMs @4 :UInt32;
+  # Time after which its caller no longer waits.
+}
+
+struct TrialReply {
+  session @0 :UInt64;
+  number @1 :UInt64;
+  work @2 :UInt64;
+  union {
+    granted @3 :Void;
+    cleared @4 :Void;
+    busyMs @5 :UInt32;
+    # Another copy is being tried, and is most likely done after this time.
+  }
+}
+
+struct TrialEnd {
+  # To the leader: a copy that it granted is done.
+  session @0 :UInt64;
+  number @1 :UInt64;
+  work @2 :UInt64;
+  union {
+    answered @3 :Void;
+    # An endpoint ran it to its end.
+    crashed @4 :UInt32;
+    # This start of an endpoint crashed with it.
+    open @5 :Void;
+    # It did not run, or it is not known.
   }
 }
 
@@ -40,7 +82,7 @@
   refused @17 :List(RefusedWork);
   # Work that was taken as harmful.
   suspects @18 :List(UInt64);
-  # Work that was at several endpoints that crashed.
+  # Work that was at an endpoint that crashed.
 }
 
 struct RefusedWork {
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod report;
 pub mod size;
+pub mod trial;
 
 #[allow(
     missing_docs,
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -4,7 +4,7 @@
 
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
-use citronway_core::gateway::crashes::{Fingerprint, Refused, Sign};
+use citronway_core::gateway::crashes::{Fingerprint, Refused, Sign, TrialRequest};
 use citronway_core::gateway::election::Strength;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::{
@@ -14,6 +14,7 @@
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
+use crate::trial::{self, EndedTrial, TrialReply};
 
 /// Largest datagram that is sent or read, in bytes; UDP takes 65,507.
 ///
@@ -30,6 +31,12 @@
     Relay(Relay),
     /// What all instances have in flight.
     Totals(Totals),
+    /// May a copy of work under suspicion be sent?
+    TrialRequest(TrialRequest),
+    /// The answer to that.
+    TrialReply(TrialReply),
+    /// Such a copy is done.
+    TrialEnd(EndedTrial),
 }
 
 /// Writes a datagram.
@@ -41,6 +48,9 @@
         Datagram::Report(report) => write_report(report, root.init_report()),
         Datagram::Relay(relay) => write_relay(relay, root.init_relay()),
         Datagram::Totals(totals) => write_totals(totals, root.init_totals()),
+        Datagram::TrialRequest(req) => trial::write_request(req, root.init_trial_request()),
+        Datagram::TrialReply(reply) => trial::write_reply(reply, root.init_trial_reply()),
+        Datagram::TrialEnd(end) => trial::write_end(end, root.init_trial_end()),
     }
     serialize::write_message_to_words(&message)
 }
@@ -259,6 +269,9 @@
         datagram::Which::Report(report) => Datagram::Report(read_report(report?)?),
         datagram::Which::Relay(relay) => Datagram::Relay(read_relay(relay?)?),
         datagram::Which::Totals(totals) => Datagram::Totals(read_totals(totals?)?),
+        datagram::Which::TrialRequest(req) => Datagram::TrialRequest(trial::read_request(req?)),
+        datagram::Which::TrialReply(reply) => Datagram::TrialReply(trial::read_reply(reply?)?),
+        datagram::Which::TrialEnd(end) => Datagram::TrialEnd(trial::read_end(end?)?),
     })
 }
 
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -6,7 +6,7 @@
 
 
 pub mod datagram {
-    pub use self::Which::{Report,Relay,Totals};
+    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -84,6 +84,21 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_trial_request(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 3 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_trial_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 4 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_trial_end(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 5 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -101,6 +116,21 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(TrialRequest(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                4 => {
+                    ::core::result::Result::Ok(TrialReply(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                5 => {
+                    ::core::result::Result::Ok(TrialEnd(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -204,6 +234,51 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_trial_request(&mut self, value: crate::report_capnp::trial_request::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 3);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_trial_request(self, ) -> crate::report_capnp::trial_request::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 3);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_trial_request(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 3 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_trial_reply(&mut self, value: crate::report_capnp::trial_reply::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 4);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_trial_reply(self, ) -> crate::report_capnp::trial_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 4);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_trial_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 4 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_trial_end(&mut self, value: crate::report_capnp::trial_end::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_trial_end(self, ) -> crate::report_capnp::trial_end::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 5);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_trial_end(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 5 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -221,6 +296,21 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                3 => {
+                    ::core::result::Result::Ok(TrialRequest(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                4 => {
+                    ::core::result::Result::Ok(TrialReply(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                5 => {
+                    ::core::result::Result::Ok(TrialEnd(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -235,45 +325,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(193, 18, 142, 171, 49, 91, 114, 237),
             ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 6, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
             ::capnp::word(97, 103, 114, 97, 109, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
@@ -298,12 +409,42 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 113),
+            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 131, 242, 129, 13, 47, 175, 241),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 112),
+            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 194, 240, 82, 241, 153, 217, 198),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 69, 110, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(79, 81, 214, 131, 93, 56, 103, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::report_capnp::report::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <crate::report_capnp::relay::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <crate::report_capnp::totals::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::report_capnp::trial_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::report_capnp::trial_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::report_capnp::trial_end::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -318,17 +459,1056 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,5,4,3];
         pub(crate) const TYPE_ID: u64 = 0xed72_5b31_ab8e_12c1;
     }
-    pub enum Which<A0,A1,A2> {
+    pub enum Which<A0,A1,A2,A3,A4,A5> {
         Report(A0),
         Relay(A1),
         Totals(A2),
+        TrialRequest(A3),
+        TrialReply(A4),
+        TrialEnd(A5),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>>;
+}
+
+pub mod trial_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_expected_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_limit_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_work(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_expected_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_expected_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_limit_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_limit_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(209, 131, 242, 129, 13, 47, 175, 241),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 84, 114, 105),
+            ::capnp::word(97, 108, 82, 101, 113, 117, 101, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 112, 101, 99, 116, 101, 100),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 77, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xf1af_2f0d_81f2_83d1;
+    }
+}
+
+pub mod trial_reply {
+    pub use self::Which::{Granted,Cleared,BusyMs};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(12) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Cleared(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(BusyMs(
+                        self.reader.get_data_field::<u32>(7)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_work(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn set_granted(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(12, 0);
+        }
+        #[inline]
+        pub fn set_cleared(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(12, 1);
+        }
+        #[inline]
+        pub fn set_busy_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u16>(12, 2);
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(12) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Cleared(
+                        ()
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(BusyMs(
+                        self.builder.get_data_field::<u32>(7)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 107] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(46, 194, 240, 82, 241, 153, 217, 198),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 84, 114, 105),
+            ::capnp::word(97, 108, 82, 101, 112, 108, 121, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 253, 255, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 101, 100, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,3,1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xc6d9_99f1_52f0_c22e;
+    }
+    pub enum Which {
+        Granted(()),
+        Cleared(()),
+        BusyMs(u32),
+    }
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
+}
+
+pub mod trial_end {
+    pub use self::Which::{Answered,Crashed,Open};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(12) {
+                0 => {
+                    ::core::result::Result::Ok(Answered(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Crashed(
+                        self.reader.get_data_field::<u32>(7)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Open(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_work(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn set_answered(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(12, 0);
+        }
+        #[inline]
+        pub fn set_crashed(&mut self, value: u32)  {
+            self.builder.set_data_field::<u16>(12, 1);
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn set_open(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(12, 2);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(12) {
+                0 => {
+                    ::core::result::Result::Ok(Answered(
+                        ()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(Crashed(
+                        self.builder.get_data_field::<u32>(7)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Open(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(79, 81, 214, 131, 93, 56, 103, 220),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 84, 114, 105),
+            ::capnp::word(97, 108, 69, 110, 100, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 254, 255, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 100, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 112, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <() as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,4,1,5,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xdc67_385d_83d6_514f;
+    }
+    pub enum Which {
+        Answered(()),
+        Crashed(u32),
+        Open(()),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>>;
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
 }
 
 pub mod totals {
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use citronway_core::gateway::crashes::{Fingerprint, Refused, Sign};
+use citronway_core::gateway::crashes::{
+    Fingerprint, Refused, Sign, TrialEnd, TrialGrant, TrialId, TrialRequest,
+};
 use citronway_core::gateway::election::Strength;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::report::{
@@ -11,6 +13,7 @@
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 use citronway_wire::report::{Datagram, decode, encode};
+use citronway_wire::trial::{EndedTrial, TrialReply};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 
@@ -201,3 +204,36 @@
         }
     }
 }
+
+/// Guards against a field of a message about trials that is lost on the way.
+#[gtest]
+fn messages_about_trials_are_read_as_they_were_written() -> Result<()> {
+    let id = TrialId {
+        session: SessionId(u64::MAX),
+        number: 9,
+    };
+    let work = Fingerprint(0x1234_5678_9abc_def0);
+    let mut all = vec![Datagram::TrialRequest(TrialRequest {
+        id,
+        work,
+        expected_ms: 350,
+        limit_ms: 12_000,
+    })];
+    let grants = [
+        TrialGrant::Granted,
+        TrialGrant::Cleared,
+        TrialGrant::Busy { for_ms: 250 },
+    ];
+    all.extend(grants.map(|grant| Datagram::TrialReply(TrialReply { id, work, grant })));
+    let endpoint = EndpointTag(7);
+    let ends = [
+        TrialEnd::Answered,
+        TrialEnd::Crashed { endpoint },
+        TrialEnd::Open,
+    ];
+    all.extend(ends.map(|end| Datagram::TrialEnd(EndedTrial { id, work, end })));
+    for datagram in all {
+        expect_that!(decode(&encode(&datagram)).or_fail()?, eq(&datagram));
+    }
+    Ok(())
+}
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -197,6 +197,11 @@
         self.sight(relay.table).has_taken(relay.position);
     }
 
+    /// Order of this instance among all.
+    pub(super) const fn rank(&self) -> u64 {
+        self.rank
+    }
+
     /// Where the leader takes reports.
     pub(super) fn leader_address(&self) -> Option<SocketAddr> {
         let leader = self.leader.as_ref()?;
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -110,6 +110,19 @@
         self.refresh();
     }
 
+    /// Takes a crash that another instance tells the leader of.
+    pub(super) fn crash_told(&mut self, now: Mono, sign: Sign) {
+        self.verdicts.extend(self.ledger.take(now, sign));
+        self.refresh();
+    }
+
+    /// Takes from the leader that an endpoint has answered the work.
+    pub(super) fn cleared(&mut self, now: Mono, work: Fingerprint) {
+        let answered = Sign::Answered { work };
+        self.verdicts.extend(self.ledger.take(now, answered));
+        self.refresh();
+    }
+
     /// Whether there are signs that were in no report yet.
     pub(super) fn has_news(&self) -> bool {
         self.outbox.has_news()
@@ -122,7 +135,7 @@
 
     /// What a leader tells: harmful work, and suspects.
     pub(super) fn totals(&self, now: Mono) -> (Vec<Refused>, Vec<Fingerprint>) {
-        (self.ledger.harmful(now), self.ledger.suspects())
+        (self.ledger.harmful(now), self.ledger.suspects(now))
     }
 
     /// What the traffic goes by.
@@ -178,6 +191,11 @@
 impl Control {
     /// Takes signs that another instance reports.
     pub(super) fn signs_came(&mut self, now: Mono, report: &Report, passes_on: bool) {
+        for sign in &report.signs {
+            if let Sign::Crash { work, .. } = sign {
+                self.trials.crashed(*work);
+            }
+        }
         self.cluster.crashes.heard(now, report, passes_on);
     }
 
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -54,6 +54,9 @@
                 self.relay_came(events, &relay);
             }
             Ok(Datagram::Totals(totals)) => self.totals_came(socket, totals, from),
+            Ok(Datagram::TrialRequest(req)) => self.trial_requested(socket, &req, from),
+            Ok(Datagram::TrialReply(reply)) => self.trial_replied(&reply),
+            Ok(Datagram::TrialEnd(ended)) => self.trial_end_came(&ended),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
         }
     }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -15,6 +15,7 @@
 mod placing;
 mod reporting;
 mod store;
+mod trials;
 mod unusable;
 
 use std::io;
@@ -44,6 +45,7 @@
 use first::Listed;
 use orders::OrderClient;
 use store::{Follow, News, Store, StoreError};
+use trials::TrialDuty;
 
 pub(super) use unusable::Source;
 
@@ -51,7 +53,7 @@
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::{self, Ready};
 use crate::gateway::run;
-use crate::gateway::traffic::{Seen, Stop};
+use crate::gateway::traffic::{Seen, Stop, TrialEvent};
 
 /// Longest time between two looks at what is due, of a leader and of all others.
 const LEADER_TICK: Duration = Duration::from_millis(25);
@@ -129,6 +131,8 @@
     pub view: watch::Sender<View>,
     /// What it saw.
     pub seen: mpsc::Receiver<Seen>,
+    /// What it asks about trials of work under suspicion.
+    pub trials: mpsc::Receiver<TrialEvent>,
     /// Tells it to stop.
     pub stop: watch::Sender<Stop>,
     /// Signals to this process.
@@ -145,6 +149,8 @@
     metrics: Metrics,
     view: watch::Sender<View>,
     seen: mpsc::Receiver<Seen>,
+    trial_events: mpsc::Receiver<TrialEvent>,
+    trials: TrialDuty,
     stop: watch::Sender<Stop>,
     signals: Signals,
     cluster: Cluster,
@@ -199,6 +205,8 @@
             metrics,
             view: ends.view,
             seen: ends.seen,
+            trial_events: ends.trials,
+            trials: TrialDuty::default(),
             stop: ends.stop,
             signals: ends.signals,
             orders: OrderClient::default(),
@@ -223,7 +231,7 @@
     /// Runs until the traffic has ended.
     pub(super) async fn run(self) -> io::Result<()> {
         let local = tokio::task::LocalSet::new();
-        local.run_until(self.run_local()).await
+        Box::pin(local.run_until(self.run_local())).await
     }
 
     async fn run_local(mut self) -> io::Result<()> {
@@ -255,6 +263,7 @@
                     None => return Ok(()),
                 },
                 Some(event) = events.recv() => self.take(&socket, &events_tx, event),
+                Some(event) = self.trial_events.recv() => self.trial_event(&socket, event),
                 Ok((len, from)) = socket.recv_from(&mut buf) => {
                     self.datagram_came(&socket, &events_tx, &buf[..len], from);
                 }
@@ -268,17 +277,24 @@
                 continue;
             }
             self.work(&events_tx);
+            self.step_trials(&socket);
             let ranges = self.cluster.ranges() / RANGES_A_MS;
             not_before = now + Duration::from_millis(ranges as u64);
-            due = now
-                + if self.duty.in_office() {
-                    LEADER_TICK
-                } else {
-                    TICK
-                };
+            due = now + self.tick();
         }
     }
 
+    /// Time until the next look at what is due, unless something comes before.
+    fn tick(&self) -> Duration {
+        if self.trials.is_waiting() {
+            return Duration::from_millis(trials::RESEND_MS);
+        }
+        if self.duty.in_office() {
+            return LEADER_TICK;
+        }
+        TICK
+    }
+
     fn take(&mut self, socket: &UdpSocket, events: &mpsc::Sender<Event>, event: Event) {
         let now = clock::mono();
         match event {
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use citronway_core::gateway::admission::{DoubtReason, RefusalReason};
-use citronway_core::gateway::crashes::Verdict;
+use citronway_core::gateway::crashes::{TrialGrant, Verdict};
 use citronway_core::gateway::leader::{OrderKind, OrderResult};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
@@ -98,6 +98,11 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TrialLabels {
+    answer: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct JudgedLabels {
     verdict: &'static str,
@@ -133,6 +138,7 @@
     crashes: Counter,
     judged: Family<JudgedLabels, Counter>,
     crash_suspects: Gauge,
+    trials: Family<TrialLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -178,6 +184,9 @@
         let crash_suspects = Gauge::default();
         let help = "Work that was at an endpoint that crashed, harmful or not";
         registry.register("crash_suspects", help, crash_suspects.clone());
+        let trials = Family::default();
+        let help = "Requests for trials of work under suspicion, by answer";
+        registry.register("trials", help, trials.clone());
         Self {
             registry: Arc::new(registry),
             requests,
@@ -196,6 +205,7 @@
             crashes,
             judged,
             crash_suspects,
+            trials,
         }
     }
 }
@@ -313,6 +323,16 @@
         self.judged.get_or_create(&JudgedLabels { verdict }).inc();
     }
 
+    /// Counts a request for a trial of work under suspicion.
+    pub(super) fn trial(&self, grant: &TrialGrant) {
+        let answer = match grant {
+            TrialGrant::Granted => "granted",
+            TrialGrant::Cleared => "cleared",
+            TrialGrant::Busy { .. } => "busy",
+        };
+        self.trials.get_or_create(&TrialLabels { answer }).inc();
+    }
+
     /// Notes how much work was at endpoints that crashed.
     pub(super) fn crash_suspects(&self, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -14,7 +14,7 @@
 
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::Ready;
-use crate::gateway::traffic::Stop;
+use crate::gateway::traffic::{Stop, Told};
 use crate::gateway::{control, traffic};
 use crate::logs;
 
@@ -23,6 +23,10 @@
 /// One entry each 100 ms; a full ring drops the oldest knowledge, never a request.
 const SEEN_RING: usize = 16;
 
+/// Places in the ring that carries requests for trials to `control`; what does not fit is
+/// refused and comes again.
+const TRIALS_RING: usize = 256;
+
 /// Why an instance did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -121,6 +125,7 @@
     let rank = citronway_core::gateway::pace::rank_of(&cfg.instance);
     let (view_tx, view_rx) = watch::channel(View::nothing(cfg.zone.clone(), rank));
     let (seen_tx, seen_rx) = mpsc::channel(SEEN_RING);
+    let (trials_tx, trials_rx) = mpsc::channel(TRIALS_RING);
     let (stop_tx, stop_rx) = watch::channel(Stop::No);
 
     let runtime = runtime("control")?;
@@ -131,15 +136,20 @@
     let ends = control::Ends {
         view: view_tx,
         seen: seen_rx,
+        trials: trials_rx,
         stop: stop_tx,
         signals,
     };
     let traffic_cfg = cfg.clone();
     let metrics = Metrics::default();
+    let told = Told {
+        seen: seen_tx,
+        trials: trials_tx,
+    };
     let counted = metrics.clone();
     let handle = thread::Builder::new()
         .name("traffic".to_owned())
-        .spawn(move || traffic_thread(&traffic_cfg, view_rx, seen_tx, stop_rx, counted))
+        .spawn(move || traffic_thread(&traffic_cfg, view_rx, told, stop_rx, counted))
         .map_err(start("traffic"))?;
     let control = control::Control::new(cfg, me, path.to_owned(), ready, metrics, ends);
     // Each duty ends with the other, since the rings between them close.
@@ -174,14 +184,14 @@
 fn traffic_thread(
     cfg: &InstanceSettings,
     view: watch::Receiver<View>,
-    seen: mpsc::Sender<traffic::Seen>,
+    told: Told,
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
 ) -> Result<(), Error> {
     let local = tokio::task::LocalSet::new();
     let served = local.block_on(
         &runtime("traffic")?,
-        traffic::serve(cfg, view, seen, stop, metrics),
+        traffic::serve(cfg, view, told, stop, metrics),
     );
     served.map_err(start("traffic"))
 }
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -21,6 +21,7 @@
 use super::sent::{Doubt, Sent, Unsent, log_send};
 use super::state::{Phase, State};
 use super::suspicion::Look;
+use super::trial::Trial;
 use crate::clock;
 use crate::gateway::http_link::{self, Answer, CallError, Link, Settled};
 use crate::gateway::metrics::Class;
@@ -78,6 +79,10 @@
     pub failed: Option<Answer>,
     /// Fingerprint of its work, once it was needed.
     pub work: OnceCell<Fingerprint>,
+    /// What was granted for the present send, where its work is under suspicion.
+    pub trial: Option<Trial>,
+    /// An endpoint crashed with it.
+    pub has_crashed: bool,
 }
 
 impl Forwarding<'_> {
@@ -99,6 +104,8 @@
     async fn try_all(&mut self) -> Outcome {
         loop {
             let began = clock::mono();
+            // No copy keeps others from being tried while it waits for a place.
+            self.trial = None;
             if let Some(work) = self.harmful(began) {
                 return self.refused_as_harmful(work);
             }
@@ -123,6 +130,9 @@
             if let Some(work) = self.harmful(placed) {
                 return self.refused_as_harmful(work);
             }
+            if let Some(refusal) = self.take_trial().await {
+                return self.refused(refusal);
+            }
             let sent = self.send(&choice).await;
             drop(in_flight);
             let now = clock::mono();
@@ -166,6 +176,7 @@
                             self.state.refused(&choice.endpoint);
                         }
                     }
+                    self.has_crashed |= crashed != Look::NotCrashed;
                     self.run_by.push(choice.endpoint);
                     if crashed == Look::CrashedAgain {
                         return Outcome::Unknown(DoubtReason::Crashed, "the endpoint crashed");
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod sent;
 mod state;
 mod suspicion;
+mod trial;
 
 use std::io;
 use std::rc::Rc;
@@ -29,7 +30,8 @@
 
 pub use state::Stop;
 
-pub use seen::Seen;
+pub use seen::{Seen, Told};
+pub use trial::TrialEvent;
 
 /// Pause after a connection could not be taken, as when descriptors run out.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -52,16 +54,16 @@
 pub async fn serve(
     cfg: &InstanceSettings,
     view: watch::Receiver<View>,
-    seen: mpsc::Sender<Seen>,
+    told: Told,
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
 ) -> io::Result<()> {
     let mut listener = Some(TcpListener::bind(cfg.callers).await?);
-    let state = Rc::new(State::new(cfg, view, stop.clone(), metrics));
+    let state = Rc::new(State::new(cfg, view, stop.clone(), metrics, told.trials));
     let mut parts = JoinSet::new();
     parts.spawn_local(follow_view(Rc::clone(&state)));
     parts.spawn_local(pump(Rc::clone(&state)));
-    parts.spawn_local(account(Rc::clone(&state), seen));
+    parts.spawn_local(account(Rc::clone(&state), told.seen));
     let drained = connection::drained(&state, stop, cfg.grace_ms);
     tokio::pin!(drained);
     loop {
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -156,6 +156,8 @@
         sends: 0,
         failed: None,
         work: OnceCell::new(),
+        trial: None,
+        has_crashed: false,
     };
     forwarding.travel().await
 }
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -2,6 +2,18 @@
 
 use citronway_core::gateway::crashes::Sign;
 use citronway_core::gateway::report;
+use tokio::sync::mpsc;
+
+use super::trial::TrialEvent;
+
+/// Rings by which the traffic tells and asks `control`.
+#[derive(Debug)]
+pub struct Told {
+    /// What was seen.
+    pub seen: mpsc::Sender<Seen>,
+    /// Trials of work under suspicion.
+    pub trials: mpsc::Sender<TrialEvent>,
+}
 
 /// Account of the last period.
 #[derive(Debug, Clone, Default)]
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -8,7 +8,7 @@
 
 use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, View};
 use citronway_core::gateway::budget::{SecondSends, SharedLimit};
-use citronway_core::gateway::crashes::{Fingerprint, Sign};
+use citronway_core::gateway::crashes::{Fingerprint, Sign, TrialEnd, TrialGrant};
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
@@ -16,12 +16,13 @@
 use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use super::ended::Looks;
 use super::open_requests::OpenRequests;
 use super::pool::Pool;
 use super::seen::Seen;
+use super::trial::{TrialAsk, TrialEvent};
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
@@ -58,6 +59,7 @@
     pub crash_seen: Notify,
     /// What was seen of work that may crash endpoints, since the last account.
     signs: RefCell<Vec<Sign>>,
+    trials: mpsc::Sender<TrialEvent>,
     connections: Cell<u32>,
     phase: watch::Sender<Phase>,
 }
@@ -92,6 +94,7 @@
         view: watch::Receiver<View>,
         stop: watch::Receiver<Stop>,
         metrics: Metrics,
+        trials: mpsc::Sender<TrialEvent>,
     ) -> Self {
         Self {
             view,
@@ -111,6 +114,7 @@
             keys: RefCell::default(),
             crash_seen: Notify::new(),
             signs: RefCell::default(),
+            trials,
             connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
         }
@@ -398,6 +402,40 @@
         self.crash_seen.notify_one();
     }
 
+    /// Asks whether a copy of work under suspicion may be sent, as request `number`.
+    pub(super) async fn request_trial(
+        &self,
+        number: u64,
+        work: Fingerprint,
+        expected_ms: u64,
+        limit_ms: u64,
+    ) -> TrialGrant {
+        let (reply, granted) = oneshot::channel();
+        let ask = TrialAsk {
+            number,
+            work,
+            expected_ms,
+            limit_ms,
+            reply,
+        };
+        let busy = TrialGrant::Busy {
+            for_ms: expected_ms,
+        };
+        if let Err(e) = self.trials.try_send(TrialEvent::Request(ask)) {
+            log::warn!(cause = e.to_string(); "a request for a trial was dropped");
+            return busy;
+        }
+        granted.await.unwrap_or(busy)
+    }
+
+    /// Tells that a trial has ended.
+    pub(super) fn trial_ended(&self, number: u64, work: Fingerprint, end: TrialEnd) {
+        let ended = TrialEvent::Ended { number, work, end };
+        if let Err(e) = self.trials.try_send(ended) {
+            log::warn!(cause = e.to_string(); "the end of a trial was not told");
+        }
+    }
+
     /// Notes that an endpoint ran work to its end that is under suspicion.
     pub(super) fn cleared(&self, work: Fingerprint) {
         let sign = Sign::Answered { work };
--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -1,15 +1,21 @@
 //! Whether a request's work crashes endpoints, and what its try adds to that.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
-use citronway_core::gateway::admission::{Choice, DoubtReason};
-use citronway_core::gateway::crashes::{Fingerprint, Known, Work};
+use citronway_core::gateway::admission::{Choice, DoubtReason, Refusal, RefusalReason};
+use citronway_core::gateway::crashes::{
+    Fingerprint, Known, TrialEnd, TrialGrant, Work, come_back_ms,
+};
+use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::time::Mono;
 use citronway_platform::exchange;
 use http::uri::PathAndQuery;
 
 use super::forwarding::Forwarding;
 use super::outcome::{Outcome, shown_id};
+use super::trial::Trial;
+use crate::clock;
 use crate::gateway::http_link::Listening;
 
 /// What a look at an endpoint shows after its connection broke.
@@ -77,7 +83,7 @@
     /// One that has said that it leaves may end at any time. Work that was under suspicion
     /// before this crash is not sent again by this try: it costs an endpoint, and all that
     /// runs there, if the suspicion is right.
-    pub(super) async fn look_at(&self, choice: &Choice) -> Look {
+    pub(super) async fn look_at(&mut self, choice: &Choice) -> Look {
         let listening = self.state.looks.at(choice).await;
         let Some(work) = self.fingerprint().filter(|_| listening == Listening::No) else {
             return Look::NotCrashed;
@@ -90,21 +96,73 @@
             return Look::NotCrashed;
         }
         self.state.crashed(work, endpoint);
-        if self.known().suspects.contains(&work) {
+        if let Some(trial) = self.trial.take() {
+            let endpoint = EndpointTag::of(endpoint);
+            trial.ended(TrialEnd::Crashed { endpoint });
+        }
+        if self.known().suspects(work) {
             Look::CrashedAgain
         } else {
             Look::Crashed
         }
     }
 
+    /// Takes a trial where the work is under suspicion; a refusal if another copy is being
+    /// tried.
+    ///
+    /// Failure guarded against: copies of harmful work gather while their key has no owner,
+    /// all reach the next one in the same moment, and each of them is a send that a crash
+    /// ends.
+    pub(super) async fn take_trial(&mut self) -> Option<Refusal> {
+        let work = self.suspect()?;
+        let number = self.state.ticket();
+        let limit_ms = self.job.last_at.since(clock::mono());
+        let state = Rc::clone(self.state);
+        // Dropped without a grant, it gives back what a late one took.
+        let trial = Trial {
+            state,
+            number,
+            work,
+            end: TrialEnd::Open,
+        };
+        let expected_ms = self.job.expected_ms();
+        let grant = self
+            .state
+            .request_trial(number, work, expected_ms, limit_ms);
+        let grant = grant.await;
+        self.state.metrics.trial(&grant);
+        let TrialGrant::Busy { for_ms } = grant else {
+            self.trial = Some(trial);
+            return None;
+        };
+        let left_ms = self.job.caller_until.since(clock::mono());
+        Some(Refusal {
+            reason: RefusalReason::UnderTrial,
+            retry_after_ms: come_back_ms(for_ms, left_ms, number),
+        })
+    }
+
+    /// The fingerprint of this work if it was at an endpoint that crashed.
+    fn suspect(&self) -> Option<Fingerprint> {
+        let known = self.known();
+        if known.suspects.is_empty() && !self.has_crashed {
+            return None;
+        }
+        let work = self.fingerprint()?;
+        (self.has_crashed || known.suspects(work)).then_some(work)
+    }
+
     /// Clears work that was under suspicion: an endpoint ran it to its end.
-    pub(super) fn clear_suspicion(&self) {
+    pub(super) fn clear_suspicion(&mut self) {
+        if let Some(trial) = self.trial.take() {
+            trial.ended(TrialEnd::Answered);
+        }
         let known = self.known();
         if known.suspects.is_empty() {
             return;
         }
         let work = self.fingerprint();
-        if let Some(work) = work.filter(|work| known.suspects.contains(work)) {
+        if let Some(work) = work.filter(|work| known.suspects(*work)) {
             self.state.cleared(work);
         }
     }
--- /dev/null
+++ b/crates/citronway/tests/gateway_crash_copies.rs
@@ -0,0 +1,96 @@
+//! Copies of a request that crashes endpoints come to all instances at once.
+
+mod gateway_support;
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use gateway_support::crashing::{BAD, Service, call};
+use gateway_support::{Deployment, Instance};
+use googletest::prelude::*;
+
+const INSTANCES: usize = 4;
+
+/// Callers that repeat the request at each instance.
+const CALLERS: usize = 3;
+
+/// For how long they do: the key has an owner again several times.
+const LENGTH: Duration = Duration::from_secs(24);
+
+/// Longest pause of a caller before it asks again.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Time from the start of the request to the crash, in which other copies are begun.
+const FUSE: Duration = Duration::from_millis(80);
+
+/// Runs ended by a crash after which it is known to be harmful, time in which all instances
+/// are to know it, and sends that are allowed after that.
+const KNOWN_AFTER: usize = 3;
+const KNOWN_WITHIN: Duration = Duration::from_secs(3);
+const ALLOWED_AFTER: usize = 3;
+
+/// Asks for the request again and again until told to stop; comes back when it is told to.
+fn repeat(instance: &Instance, start: &str, ids: &AtomicUsize, stop: &AtomicBool) {
+    while !stop.load(Ordering::Relaxed) {
+        let id = ids.fetch_add(1, Ordering::Relaxed);
+        let reply = call(instance, start, id);
+        let told = reply.header("retry-after").and_then(|s| s.parse().ok());
+        let pause = told.map_or(PAUSE, Duration::from_secs_f64);
+        std::thread::sleep(pause.min(PAUSE));
+    }
+}
+
+/// When each run of the request began that a crash ended, in order.
+fn ended_runs(service: &Service<'_>) -> Vec<Instant> {
+    let crashed = service.all.iter().filter(|e| e.has_crashed());
+    let runs = crashed.flat_map(citronway_standin::shared::FencedEndpoint::ran);
+    let mut begun: Vec<_> = runs
+        .filter(|ran| ran.what.ends_with(BAD))
+        .map(|ran| ran.at)
+        .collect();
+    begun.sort();
+    begun
+}
+
+fn play(service: &mut Service<'_>, start: &str) -> Vec<Instant> {
+    for endpoint in &service.all {
+        endpoint.crash_on_after(BAD, FUSE);
+    }
+    let instances: Vec<_> = (0..INSTANCES)
+        .map(|n| service.deployment.ready_instance(&format!("one-{n}")))
+        .collect();
+    let (ids, stop) = (AtomicUsize::new(0), AtomicBool::new(false));
+    let end = Instant::now() + LENGTH;
+    std::thread::scope(|scope| {
+        for instance in instances.iter().cycle().take(INSTANCES * CALLERS) {
+            scope.spawn(|| repeat(instance, start, &ids, &stop));
+        }
+        while Instant::now() < end {
+            let known = service.all.len();
+            service.replace_crashed();
+            for endpoint in &service.all[known..] {
+                endpoint.crash_on_after(BAD, FUSE);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        stop.store(true, Ordering::Relaxed);
+    });
+    ended_runs(service)
+}
+
+fn expect_few_after_the_third(ended: &[Instant], what: &str) {
+    let third = ended[KNOWN_AFTER - 1];
+    let after = ended.iter().filter(|at| **at > third + KNOWN_WITHIN);
+    expect_that!(after.count(), le(ALLOWED_AFTER), "{what}: {}", ended.len());
+}
+
+/// Guards against copies that gather while their key has no owner and reach the next one together.
+#[gtest]
+fn copies_that_waited_for_an_owner_are_not_sent_together() {
+    for start in ["GET /look/bad", "POST /apply/bad"] {
+        let deployment = Deployment::new();
+        let mut batch = Service::batch(&deployment);
+        let ended = play(&mut batch, start);
+        expect_few_after_the_third(&ended, start);
+    }
+}
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -2,19 +2,14 @@
 
 mod gateway_support;
 
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use citronway_standin::shared::{FencedEndpoint, StoreFault};
-use gateway_support::{
-    Deployment, Instance, Reply, WAIT_MS, exchange_by, head, mute_deployment, until,
-};
+use gateway_support::crashing::{BAD, Service, call};
+use gateway_support::{Deployment, Instance, mute_deployment, until};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 
-/// End of the path of a request that crashes endpoints.
-const BAD: &str = "bad";
-
 /// A request that may be repeated and crashes endpoints.
 const GET_BAD: &str = "GET /status/bad";
 
@@ -25,88 +20,12 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 const ALLOWED_AFTER: usize = 3;
 
-/// Endpoints of a service: a crashed one has its successor at once.
-const ENDPOINTS: usize = 3;
-
-/// Key of all requests; it has a meaning where keys are divided.
-const KEY: u16 = 3;
-
 /// Work that outlasts the test.
 const ENDLESS: Duration = Duration::from_mins(1);
 
 /// Instances that are too many for all to tell all.
 const MANY: usize = 14;
 
-/// The endpoints of a service, those that have crashed too.
-struct Service<'a> {
-    deployment: &'a Deployment,
-    name: &'static str,
-    all: Vec<FencedEndpoint>,
-}
-
-impl<'a> Service<'a> {
-    /// `console`, whose endpoints serve any key.
-    fn console(deployment: &'a Deployment) -> Self {
-        deployment.unlist(&deployment.c);
-        Self::start(deployment, "console")
-    }
-
-    /// `batch`, whose endpoints divide the keys.
-    fn batch(deployment: &'a Deployment) -> Self {
-        deployment.unlist(&deployment.a);
-        deployment.unlist(&deployment.b);
-        Self::start(deployment, "batch")
-    }
-
-    fn start(deployment: &'a Deployment, name: &'static str) -> Self {
-        let mut service = Self {
-            deployment,
-            name,
-            all: Vec::new(),
-        };
-        for _ in 0..ENDPOINTS {
-            service.start_one();
-        }
-        service
-    }
-
-    fn start_one(&mut self) {
-        let name = format!("i-{}-{}", self.name, self.all.len());
-        let sharded = self.name == "batch";
-        let endpoint = FencedEndpoint::start(&name, self.name, sharded).expect("an endpoint");
-        endpoint.crash_on(BAD);
-        self.deployment.list(&endpoint, "ready");
-        self.all.push(endpoint);
-    }
-
-    /// Starts an endpoint for each that has crashed and is still listed.
-    fn replace_crashed(&mut self) {
-        let crashed = |e: &&FencedEndpoint| e.has_crashed();
-        let lost = self.all.iter().filter(crashed).count();
-        for endpoint in self.all.iter().filter(crashed) {
-            self.deployment.unlist(endpoint);
-        }
-        while self.all.len() < ENDPOINTS + lost {
-            self.start_one();
-        }
-    }
-
-    /// Times that a request was begun whose path ends so.
-    fn begun(&self, path_end: &str) -> usize {
-        let runs = self.all.iter().flat_map(FencedEndpoint::ran);
-        runs.filter(|ran| ran.what.ends_with(path_end)).count()
-    }
-}
-
-/// Sends a request by one of several addresses of the caller.
-fn call(instance: &Instance, start: &str, id: usize) -> Reply {
-    let name = start.replace(' ', "-");
-    let headers = format!("X-Request-Id: {name}-{id}\r\nX-Shard-Key: {KEY}\r\n");
-    let head = head(start, &headers, WAIT_MS, 0);
-    let source = Ipv4Addr::new(127, 0, 0, 1 + u8::try_from(id % 7).expect("small"));
-    exchange_by(source, instance.callers, &head).expect("an answer")
-}
-
 /// Sends work that crashes endpoints, one try after the other at all instances in turn, each
 /// under an id of its own, until it has crashed so many.
 fn crash(service: &mut Service<'_>, instances: &[Instance], start: &str, crashes: usize) {
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
+pub mod crashing;
+
 use std::io::{BufRead as _, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
