--- a/crates/citronway-core/benches/node_scene/mod.rs
+++ b/crates/citronway-core/benches/node_scene/mod.rs
@@ -125,6 +125,8 @@
                 config: Version(1),
                 store_age_ms: 100,
                 leaving: false,
+                first_sign: 0,
+                signs: Vec::new(),
             }),
         }
     }
--- a/crates/citronway-core/src/gateway/crashes/fingerprint.rs
+++ b/crates/citronway-core/src/gateway/crashes/fingerprint.rs
@@ -18,6 +18,18 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+impl Fingerprint {
+    /// Hashes parts under a key.
+    #[must_use]
+    pub fn of_parts(key: &FingerprintKey, parts: &[&[u8]]) -> Self {
+        let mut hasher = SipHasher24::new_with_key(&key.0);
+        for part in parts {
+            add(&mut hasher, part);
+        }
+        Self(hasher.finish())
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -29,7 +41,7 @@
 /// Failure guarded against: a caller makes requests that have the fingerprint of another's
 /// work, crashes endpoints with them, and the other's work is refused. Without the key it
 /// cannot find such requests.
-#[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct FingerprintKey([u8; KEY_BYTES]);
 
@@ -99,18 +111,18 @@
     #[must_use]
     pub fn fingerprint(&self, key: &FingerprintKey) -> Fingerprint {
         let mut hasher = SipHasher24::new_with_key(&key.0);
-        part(&mut hasher, self.caller);
-        part(&mut hasher, self.host.as_bytes());
-        part(&mut hasher, self.method.as_bytes());
-        part(&mut hasher, self.path.as_bytes());
+        add(&mut hasher, self.caller);
+        add(&mut hasher, self.host.as_bytes());
+        add(&mut hasher, self.method.as_bytes());
+        add(&mut hasher, self.path.as_bytes());
         hasher.write_u32(self.key.map_or(u32::MAX, u32::from));
-        part(&mut hasher, self.body);
+        add(&mut hasher, self.body);
         Fingerprint(hasher.finish())
     }
 }
 
 /// Adds a part with its length, so that no two divisions of the same bytes are alike.
-fn part(hasher: &mut SipHasher24, bytes: &[u8]) {
+fn add(hasher: &mut SipHasher24, bytes: &[u8]) {
     hasher.write_u64(bytes.len() as u64);
     hasher.write(bytes);
 }
--- a/crates/citronway-core/src/gateway/crashes/ledger.rs
+++ b/crates/citronway-core/src/gateway/crashes/ledger.rs
@@ -208,6 +208,21 @@
         state.is_some_and(|state| matches!(state, State::Refused { until, .. } if now < until))
     }
 
+    /// Whether an instance refuses work now; `rank` is its order among all, see
+    /// [`Ledger::known`].
+    #[must_use]
+    pub fn refuses_at(&self, now: Mono, rank: u64, work: Fingerprint) -> bool {
+        let entry = self.entries.get(&work);
+        let until = entry.and_then(|entry| refused_until(work, entry.state, rank));
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Whether work was at an endpoint that crashed, and was not answered since.
+    #[must_use]
+    pub fn suspects_work(&self, work: Fingerprint) -> bool {
+        self.entries.contains_key(&work)
+    }
+
     /// Takes what the leader or the store says of harmful work.
     pub fn told(&mut self, now: Mono, refused: Refused) -> Option<Verdict> {
         let Refused { work, times } = refused;
@@ -344,14 +359,10 @@
     /// they do not try it again at the same moment.
     #[must_use]
     pub fn known(&self, key: Option<FingerprintKey>, rank: u64) -> Known {
-        let refused = self.entries.iter().filter_map(|(work, entry)| {
-            let State::Refused { until, times, .. } = entry.state else {
-                return None;
-            };
-            let step = (rank ^ work.0) % TRIED_STEPS;
-            let later = mean_refused_ms(times) * step / (TRIED_STEPS / 2);
-            Some((*work, until.plus(later)))
-        });
+        let refused = self
+            .entries
+            .iter()
+            .filter_map(|(work, entry)| Some((*work, refused_until(*work, entry.state, rank)?)));
         Known {
             key,
             refused: refused.collect(),
@@ -386,6 +397,16 @@
     mean / 2 + work.0 % mean
 }
 
+/// Until when an instance of this rank refuses work.
+fn refused_until(work: Fingerprint, state: State, rank: u64) -> Option<Mono> {
+    let State::Refused { until, times, .. } = state else {
+        return None;
+    };
+    let step = (rank ^ work.0) % TRIED_STEPS;
+    let later = mean_refused_ms(times) * step / (TRIED_STEPS / 2);
+    Some(until.plus(later))
+}
+
 fn mean_refused_ms(times: u32) -> u64 {
     let (first, longest) = REFUSED_MS;
     let longer = LONGER.saturating_pow(times.saturating_sub(1));
--- a/crates/citronway-core/src/gateway/crashes/sign.rs
+++ b/crates/citronway-core/src/gateway/crashes/sign.rs
@@ -3,11 +3,12 @@
 use std::collections::VecDeque;
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use super::Fingerprint;
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::report::Report;
-use crate::ids::{InstanceName, SessionId};
+use crate::ids::{InstanceName, Session, SessionId};
 
 /// Most signs that one report carries.
 pub const MOST_SIGNS: usize = 128;
@@ -19,7 +20,8 @@
 const MOST_WAITING: usize = 4_096;
 
 /// What an instance saw of work that may crash endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "sign", rename_all = "snake_case")]
 pub enum Sign {
     /// An endpoint crashed while it had the work.
     Crash {
@@ -88,18 +90,27 @@
     /// Failure guarded against: a sign is told several times, and one that an answer has
     /// settled since is taken again. Each counts once, by its number.
     pub fn fresh<'a>(&mut self, report: &'a Report) -> &'a [Sign] {
-        if report.signs.is_empty() {
+        let from = Session {
+            instance: report.instance.clone(),
+            id: report.session,
+        };
+        self.fresh_from(&from, report.first_sign, &report.signs)
+    }
+
+    /// The same for signs of any message; `first` is the number of the first of them.
+    pub fn fresh_from<'a>(&mut self, from: &Session, first: u64, signs: &'a [Sign]) -> &'a [Sign] {
+        if signs.is_empty() {
             return &[];
         }
-        let start = (report.session, 0);
-        let next = self.next.entry(report.instance.clone()).or_insert(start);
-        if next.0 != report.session {
+        let start = (from.id, 0);
+        let next = self.next.entry(from.instance.clone()).or_insert(start);
+        if next.0 != from.id {
             *next = start;
         }
-        let known = next.1.saturating_sub(report.first_sign);
+        let known = next.1.saturating_sub(first);
         let known = usize::try_from(known).unwrap_or(usize::MAX);
-        let fresh = report.signs.get(known..).unwrap_or_default();
-        next.1 = next.1.max(report.first_sign + report.signs.len() as u64);
+        let fresh = signs.get(known..).unwrap_or_default();
+        next.1 = next.1.max(first + signs.len() as u64);
         fresh
     }
 }
--- a/crates/citronway-core/src/gateway/pace.rs
+++ b/crates/citronway-core/src/gateway/pace.rs
@@ -1,6 +1,7 @@
 //! How fast endpoints work and how often they fail, from the answers they give.
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::gateway::report::EndpointPace;
 use crate::ids::EndpointStart;
@@ -18,7 +19,10 @@
 const BOUNDS: (f64, f64) = (0.3, 20.0);
 
 /// Number that stands for a start of an endpoint in reports: a hash of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct EndpointTag(pub u32);
 
 impl EndpointTag {
--- a/crates/citronway-core/src/node/dispatchers.rs
+++ b/crates/citronway-core/src/node/dispatchers.rs
@@ -235,11 +235,16 @@
         let held_until = if active.free { NEVER } else { held_until };
         let (address, connections) = active.dispatcher.address();
         let endpoint = name.clone();
+        let work = match &action {
+            DispatchAction::SendOrder { request, .. } => Some(self.crashes.fingerprint(request)),
+            _ => None,
+        };
         let mut draw = |ticket| {
             self.tickets.draw(Purpose::Endpoint {
                 endpoint: name.clone(),
                 epoch,
                 ticket,
+                work,
             })
         };
         out.push(match action {
@@ -288,8 +293,12 @@
                     endpoint,
                     epoch,
                     ticket,
+                    work,
                 }) = self.tickets.take(ticket)
                 {
+                    if let Some(work) = work {
+                        self.crashes.replied(now.mono, &endpoint, work, &reply);
+                    }
                     let event = DispatchEvent::OrderDone { ticket, reply };
                     self.tell_epoch(&endpoint, epoch, event, now, out);
                 }
@@ -324,6 +333,7 @@
                 endpoint,
                 epoch,
                 ticket,
+                ..
             }) => {
                 let event = DispatchEvent::GrantDone { ticket, report };
                 self.tell_epoch(&endpoint, epoch, event, now, out);
@@ -353,9 +363,12 @@
         now: Now,
         out: &mut Vec<Action>,
     ) {
-        let Some(Purpose::Dispatched { origin }) = self.tickets.take(origin) else {
+        let Some(Purpose::Dispatched { origin, work }) = self.tickets.take(origin) else {
             return;
         };
+        if let Some(work) = work {
+            self.crashes.finished(work);
+        }
         match origin {
             Origin::Caller(ticket) => self.settle(ticket, outcome, now, out),
             Origin::Peer(ticket) => out.push(Action::Reply { ticket, outcome }),
--- a/crates/citronway-core/src/node/entry.rs
+++ b/crates/citronway-core/src/node/entry.rs
@@ -167,6 +167,10 @@
         };
         pending.again_at = None;
         let request = pending.request.clone();
+        if let Some(harmful) = self.harmful(now, &request) {
+            self.settle(ticket, harmful, now, out);
+            return;
+        }
         let target = match self.target(&request) {
             Ok(target) => target,
             Err(reason) => {
@@ -234,10 +238,21 @@
         now: Now,
         out: &mut Vec<Action>,
     ) {
-        let origin = self.tickets.draw(Purpose::Dispatched { origin: from });
         let Target {
             endpoint, shard, ..
         } = target;
+        let refused = self.begin_try(now, &request, self.tickets.next());
+        let (work, refused) = match refused {
+            Ok(work) => (work, None),
+            Err(outcome) => (None, Some(outcome)),
+        };
+        let origin = self
+            .tickets
+            .draw(Purpose::Dispatched { origin: from, work });
+        if let Some(outcome) = refused {
+            self.dispatched(origin, outcome, now, out);
+            return;
+        }
         if !self.seats.has_dispatcher(&endpoint) {
             let outcome = Outcome::NotRun(NotRun::new(NotRunReason::NotDispatcher, COME_BACK_MS));
             self.dispatched(origin, outcome, now, out);
@@ -344,7 +359,7 @@
 }
 
 /// Whether the request was sent to no endpoint because its key has no owner or
-/// no dispatcher at the moment.
+/// no dispatcher at the moment, or since another copy of it is being tried.
 const fn reached_nobody(outcome: &Outcome) -> bool {
     let Outcome::NotRun(not_run) = outcome else {
         return false;
@@ -357,5 +372,6 @@
             | NotRunReason::NoHold
             | NotRunReason::DispatcherUnreachable
             | NotRunReason::EndpointUnreachable
+            | NotRunReason::UnderTrial
     )
 }
--- a/crates/citronway-core/src/node/events.rs
+++ b/crates/citronway-core/src/node/events.rs
@@ -61,6 +61,11 @@
         /// What came back.
         reply: OrderReply,
     },
+    /// Something listens at an endpoint whose connection has just broken: it was cut.
+    EndpointLives {
+        /// The endpoint.
+        endpoint: EndpointName,
+    },
     /// Outcome of [`Action::Cancel`].
     CancelDone {
         /// Endpoint asked.
--- a/crates/citronway-core/src/node/mod.rs
+++ b/crates/citronway-core/src/node/mod.rs
@@ -16,9 +16,11 @@
 //! | `status` | what operators are shown |
 //! | `store` | reads and writes of the platform's tables |
 //! | `probes` | whether successors reach an endpoint |
+//! | `crashes` | work that crashes endpoints |
 //! | `tickets` | which answer is for what |
 //! | `replay` | recorded events against their outcomes |
 
+mod crashes;
 mod dispatchers;
 mod entry;
 pub mod events;
@@ -54,6 +56,7 @@
 use crate::placement::PlannerEvent;
 use crate::time::{Mono, Now};
 
+use crashes::Crashes;
 use entry::Entry;
 use members::Members;
 use planners::Planners;
@@ -77,6 +80,7 @@
     seats: Seats,
     planners: Planners,
     tickets: Tickets,
+    crashes: Crashes,
     polled: Option<Mono>,
     greeted: Option<Mono>,
     reported: Option<Mono>,
@@ -101,6 +105,7 @@
             planners: Planners::default(),
             view: View::default(),
             tickets: Tickets::default(),
+            crashes: Crashes::new(settings.fingerprint_key, &me),
             polled: None,
             greeted: None,
             reported: None,
@@ -167,6 +172,7 @@
             } => {
                 if at_its_address && !self.members.is_connected(&session) {
                     self.tell_rows(&session, &mut out);
+                    self.crashes.tell_all_again();
                 }
                 let gone = self.members.up(&session, at_its_address, now.mono);
                 self.bury(&gone, now, &mut out);
@@ -180,6 +186,7 @@
             Event::WriteDone { ticket, outcome } => {
                 self.write_done(ticket, outcome, now, &mut out);
             }
+            Event::EndpointLives { endpoint } => self.crashes.lives(&endpoint),
             Event::Instances { list, asked } => {
                 let gone = self.members.listed(list, asked);
                 self.bury(&gone, now, &mut out);
@@ -192,6 +199,7 @@
     fn tick(&mut self, now: Now, out: &mut Vec<Action>) {
         self.config_event(&ConfigEvent::Tick, now, out);
         self.poll_store(now, out);
+        self.crashes.tick(now.mono);
         self.send_heartbeat(now, out);
         if self.is_leaving(now) && self.entry_is_done(now) {
             self.leave_seats(now, out);
@@ -249,14 +257,20 @@
     }
 
     fn send_heartbeat(&mut self, now: Now, out: &mut Vec<Action>) {
+        if self.crashes.has_news() {
+            self.greeted = None;
+        }
         if !is_due(&mut self.greeted, self.settings.heartbeat_ms, now.mono) {
             return;
         }
+        let (first_sign, signs) = self.crashes.take_signs();
         out.push(Action::Broadcast {
             message: PeerMessage::Heartbeat(Heartbeat {
                 config: self.view.config_version(),
                 store_age_ms: self.view.store_age_ms(now.mono),
                 leaving: self.stopped.is_some(),
+                first_sign,
+                signs,
             }),
         });
     }
@@ -271,6 +285,7 @@
         match message {
             PeerMessage::Heartbeat(beat) => {
                 self.members.heartbeat(from, &beat, now.mono);
+                self.crashes.heard(now.mono, from, &beat);
                 let event = ConfigEvent::Heartbeat {
                     peer: from.instance.clone(),
                     version: beat.config,
--- a/crates/citronway-core/src/node/settings.rs
+++ b/crates/citronway-core/src/node/settings.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dispatch::DispatchSettings;
+use crate::gateway::crashes::FingerprintKey;
 use crate::hold::HoldSettings;
 use crate::placement::planner::PlannerSettings;
 use crate::retry::RetrySettings;
@@ -51,6 +52,8 @@
     pub planner: PlannerSettings,
     /// Of retries.
     pub retry: RetrySettings,
+    /// Key of fingerprints of work, the same at all instances.
+    pub fingerprint_key: FingerprintKey,
 }
 
 impl Default for NodeSettings {
@@ -68,6 +71,7 @@
             dispatch: DispatchSettings::default(),
             planner: PlannerSettings::default(),
             retry: RetrySettings::default(),
+            fingerprint_key: FingerprintKey::default(),
         }
     }
 }
--- a/crates/citronway-core/src/node/tickets.rs
+++ b/crates/citronway-core/src/node/tickets.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::crashes::Fingerprint;
 use crate::ids::{EndpointName, Epoch, ServiceName, Session};
 
 use super::events::Ticket;
@@ -21,12 +22,18 @@
     /// A caller's request that was forwarded.
     Forward { caller: Ticket },
     /// A request in the hands of a dispatcher of this instance.
-    Dispatched { origin: Origin },
+    Dispatched {
+        origin: Origin,
+        /// Its work, where anything was under suspicion.
+        work: Option<Fingerprint>,
+    },
     /// An order, grant or revocation of a dispatcher of this instance.
     Endpoint {
         endpoint: EndpointName,
         epoch: Epoch,
         ticket: Ticket,
+        /// Work of an order.
+        work: Option<Fingerprint>,
     },
     /// A probe that a dispatcher elsewhere asked for.
     Probe {
@@ -62,6 +69,11 @@
         self.last
     }
 
+    /// Number of the next ticket.
+    pub(super) const fn next(&self) -> Ticket {
+        self.last + 1
+    }
+
     /// What the answer is for; each ticket is answered once.
     pub(super) fn take(&mut self, ticket: Ticket) -> Option<Purpose> {
         self.purposes.swap_remove(&ticket)
--- a/crates/citronway-core/src/outcome.rs
+++ b/crates/citronway-core/src/outcome.rs
@@ -81,6 +81,10 @@
     /// Its id cannot be used: it was used for other work, or does not hold a
     /// time of creation near the present.
     BadId,
+    /// The same work, under other ids, crashed the endpoints that ran it.
+    CrashesEndpoints,
+    /// The same work was at an endpoint that crashed, and another copy of it is being tried.
+    UnderTrial,
 }
 
 /// A request of which it is not known whether it ran.
--- a/crates/citronway-core/src/peer.rs
+++ b/crates/citronway-core/src/peer.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dispatch::fingerprint::Fingerprint;
+use crate::gateway::crashes::Sign;
 use crate::ids::{EndpointName, Epoch, RequestId, Session, Version};
 use crate::outcome::Outcome;
 use crate::platform::Row;
@@ -47,7 +48,7 @@
 }
 
 /// Sign of life.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Version of the configuration in force at the sender.
     pub config: Version,
@@ -55,6 +56,20 @@
     pub store_age_ms: u64,
     /// The sender is shutting down.
     pub leaving: bool,
+    /// Number of the first of the signs.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub first_sign: u64,
+    /// What it saw of work that may crash endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub signs: Vec<Sign>,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// Message about the hold of one endpoint.
--- a/crates/citronway-core/src/retry.rs
+++ b/crates/citronway-core/src/retry.rs
@@ -121,6 +121,8 @@
         | NotRunReason::HotKeyLimited
         | NotRunReason::Cancelled
         | NotRunReason::BadId
+        | NotRunReason::CrashesEndpoints
+        | NotRunReason::UnderTrial
         | NotRunReason::Overloaded => false,
     }
 }
--- a/crates/citronway-wire/examples/message_sizes.rs
+++ b/crates/citronway-wire/examples/message_sizes.rs
@@ -36,6 +36,8 @@
         config: Version(1_000),
         store_age_ms: 200,
         leaving: false,
+        first_sign: 0,
+        signs: Vec::new(),
     })
 }
 
--- a/crates/citronway-wire/schema/peer.capnp
+++ b/crates/citronway-wire/schema/peer.capnp
@@ -128,6 +128,8 @@
   cancelled @17;
   overloaded @18;
   badId @19;
+  crashesEndpoints @20;
+  underTrial @21;
 }
 
 struct MayHaveRun {
@@ -161,6 +163,18 @@
   config @0 :UInt64;
   storeAgeMs @1 :UInt64;
   leaving @2 :Bool;
+  firstSign @3 :UInt64;
+  # Number of the first of these signs.
+  signs @4 :List(Sign);
+  # What was seen of work that may crash endpoints.
+}
+
+struct Sign {
+  work @0 :UInt64;
+  endpoint @1 :UInt32;
+  # Which start crashed with it; without a meaning where it was answered.
+  answered @2 :Bool;
+  # An endpoint ran it to its end.
 }
 
 struct Row {
--- a/crates/citronway-wire/src/convert/message.rs
+++ b/crates/citronway-wire/src/convert/message.rs
@@ -1,6 +1,8 @@
 //! Control messages.
 
 use capnp::message::TypedBuilder;
+use citronway_core::gateway::crashes::{Fingerprint, Sign};
+use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::ids::{EndpointName, Epoch, ServiceName, ShardId, Version};
 use citronway_core::peer::{EndpointLost, Heartbeat, PeerMessage, ShardReleased};
 use citronway_core::platform::{Row, RowKey};
@@ -8,8 +10,8 @@
 
 use super::{Field, read_hold, read_load, read_session, write_hold, write_load, write_session};
 use crate::WireError;
-use crate::limits::{MAX_BATCH, MAX_KEY_BYTES, MAX_NAME_BYTES, MAX_ROW_BYTES, MAX_ROWS};
-use crate::peer_capnp::{endpoint_lost, heartbeat, link, peer_message, row, shard_released};
+use crate::limits::{MAX_BATCH, MAX_KEY_BYTES, MAX_NAME_BYTES, MAX_ROW_BYTES, MAX_ROWS, MAX_SIGNS};
+use crate::peer_capnp::{endpoint_lost, heartbeat, link, peer_message, row, shard_released, sign};
 
 /// The codec counts in words of 64 bits.
 const BYTES_PER_WORD: usize = 8;
@@ -17,6 +19,7 @@
 const BATCH: Field = Field::new("control.messages", MAX_BATCH);
 const CASE: Field = Field::new("message", 0);
 const HEARTBEAT: Field = Field::new("message.heartbeat", 0);
+const SIGNS: Field = Field::new("heartbeat.signs", MAX_SIGNS);
 const ROWS: Field = Field::new("message.rows", MAX_ROWS);
 const HOLD: Field = Field::new("message.hold", 0);
 const LOST: Field = Field::new("message.endpointLost", 0);
@@ -100,7 +103,7 @@
     let message = match CASE.known(r.which())? {
         peer_message::Which::Heartbeat(got) => {
             let r = HEARTBEAT.pointer(r.has_heartbeat(), got)?;
-            PeerMessage::Heartbeat(read_heartbeat(r))
+            PeerMessage::Heartbeat(read_heartbeat(r)?)
         }
         peer_message::Which::Rows(got) => {
             let list = ROWS.list(r.has_rows(), got)?;
@@ -169,18 +172,48 @@
     }
 }
 
-fn read_heartbeat(r: heartbeat::Reader<'_>) -> Heartbeat {
-    Heartbeat {
+fn read_heartbeat(r: heartbeat::Reader<'_>) -> Result<Heartbeat, WireError> {
+    let signs = SIGNS.list(true, r.get_signs())?;
+    Ok(Heartbeat {
         config: Version(r.get_config()),
         store_age_ms: r.get_store_age_ms(),
         leaving: r.get_leaving(),
-    }
+        first_sign: r.get_first_sign(),
+        signs: signs.iter().map(read_sign).collect(),
+    })
 }
 
 fn write_heartbeat(heartbeat: &Heartbeat, mut b: heartbeat::Builder<'_>) {
     b.set_config(heartbeat.config.0);
     b.set_store_age_ms(heartbeat.store_age_ms);
     b.set_leaving(heartbeat.leaving);
+    b.set_first_sign(heartbeat.first_sign);
+    let mut list = b.init_signs(list_len(&heartbeat.signs));
+    for (i, sign) in (0..).zip(&heartbeat.signs) {
+        write_sign(*sign, list.reborrow().get(i));
+    }
+}
+
+fn read_sign(r: sign::Reader<'_>) -> Sign {
+    let work = Fingerprint(r.get_work());
+    if r.get_answered() {
+        return Sign::Answered { work };
+    }
+    let endpoint = EndpointTag(r.get_endpoint());
+    Sign::Crash { work, endpoint }
+}
+
+fn write_sign(sign: Sign, mut b: sign::Builder<'_>) {
+    match sign {
+        Sign::Crash { work, endpoint } => {
+            b.set_work(work.0);
+            b.set_endpoint(endpoint.0);
+        }
+        Sign::Answered { work } => {
+            b.set_work(work.0);
+            b.set_answered(true);
+        }
+    }
 }
 
 fn read_row(r: row::Reader<'_>) -> Result<Row, WireError> {
--- a/crates/citronway-wire/src/convert/outcome.rs
+++ b/crates/citronway-wire/src/convert/outcome.rs
@@ -136,6 +136,8 @@
         Cancelled,
         Overloaded,
         BadId,
+        CrashesEndpoints,
+        UnderTrial,
     ]
 );
 
--- a/crates/citronway-wire/src/greeting.rs
+++ b/crates/citronway-wire/src/greeting.rs
@@ -5,6 +5,7 @@
 //! the prover says it is. The direction is part of it, so that a proof cannot be
 //! sent back to its author as the answer.
 
+use citronway_core::gateway::crashes::FingerprintKey;
 use citronway_core::ids::{Session, ZoneName};
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
@@ -120,6 +121,12 @@
     }
 }
 
+/// What the key for fingerprints is made of, besides the shared one.
+const FINGERPRINTS: &[u8] = b"citronway fingerprints";
+
+/// Length of the key for fingerprints, in bytes.
+const FINGERPRINT_KEY_BYTES: usize = 16;
+
 /// The key that all instances share. It shows up in no log.
 #[derive(Clone)]
 pub struct SharedKey(Hmac<Sha256>);
@@ -134,6 +141,17 @@
     pub fn new(key: &[u8]) -> Self {
         Self(Hmac::new_from_slice(key).expect("HMAC takes keys of any length"))
     }
+
+    /// A key for fingerprints, from which this one cannot be found.
+    #[must_use]
+    pub fn for_fingerprints(&self) -> FingerprintKey {
+        let mut mac = self.0.clone();
+        mac.update(FINGERPRINTS);
+        let made = mac.finalize().into_bytes();
+        let mut key = [0; FINGERPRINT_KEY_BYTES];
+        key.copy_from_slice(&made[..FINGERPRINT_KEY_BYTES]);
+        FingerprintKey::new(key)
+    }
 }
 
 impl std::fmt::Debug for SharedKey {
--- a/crates/citronway-wire/src/limits.rs
+++ b/crates/citronway-wire/src/limits.rs
@@ -15,6 +15,8 @@
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Longest value of a stored row, in bytes.
 pub const MAX_ROW_BYTES: usize = 16 * 1024 * 1024;
+/// Most signs of crashes in a message.
+pub const MAX_SIGNS: usize = 1024;
 /// Most rows in a message.
 pub const MAX_ROWS: usize = 65_536;
 /// Most requests in a handover.
--- a/crates/citronway-wire/src/peer_capnp.rs
+++ b/crates/citronway-wire/src/peer_capnp.rs
@@ -4883,6 +4883,8 @@
     Cancelled = 17,
     Overloaded = 18,
     BadId = 19,
+    CrashesEndpoints = 20,
+    UnderTrial = 21,
 }
 
 impl ::capnp::introspect::Introspect for NotRunReason {
@@ -4915,6 +4917,8 @@
             17 => ::core::result::Result::Ok(Self::Cancelled),
             18 => ::core::result::Result::Ok(Self::Overloaded),
             19 => ::core::result::Result::Ok(Self::BadId),
+            20 => ::core::result::Result::Ok(Self::CrashesEndpoints),
+            21 => ::core::result::Result::Ok(Self::UnderTrial),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -4927,7 +4931,7 @@
     const TYPE_ID: u64 = 0x883d_4ef1_d6eb_a38bu64;
 }
 mod not_run_reason {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(139, 163, 235, 214, 241, 78, 61, 136),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -4937,73 +4941,79 @@
     ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 231, 1, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 23, 2, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 78, 111, 116, 82, 117),
     ::capnp::word(110, 82, 101, 97, 115, 111, 110, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(80, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(88, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(233, 0, 0, 0, 98, 0, 0, 0),
+    ::capnp::word(1, 1, 0, 0, 98, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(229, 0, 0, 0, 122, 0, 0, 0),
+    ::capnp::word(253, 0, 0, 0, 122, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(201, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(225, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+    ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(189, 0, 0, 0, 178, 0, 0, 0),
+    ::capnp::word(213, 0, 0, 0, 178, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(213, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(185, 0, 0, 0, 138, 0, 0, 0),
+    ::capnp::word(209, 0, 0, 0, 138, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(173, 0, 0, 0, 162, 0, 0, 0),
+    ::capnp::word(197, 0, 0, 0, 162, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(173, 0, 0, 0, 130, 0, 0, 0),
+    ::capnp::word(197, 0, 0, 0, 130, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(169, 0, 0, 0, 106, 0, 0, 0),
+    ::capnp::word(193, 0, 0, 0, 106, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
+    ::capnp::word(189, 0, 0, 0, 114, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(161, 0, 0, 0, 106, 0, 0, 0),
+    ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(157, 0, 0, 0, 82, 0, 0, 0),
+    ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(18, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(153, 0, 0, 0, 90, 0, 0, 0),
+    ::capnp::word(177, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(19, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(20, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(165, 0, 0, 0, 138, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(21, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(165, 0, 0, 0, 90, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(115, 116, 97, 108, 101, 67, 111, 110),
     ::capnp::word(102, 105, 103, 0, 0, 0, 0, 0),
@@ -5042,6 +5052,11 @@
     ::capnp::word(111, 118, 101, 114, 108, 111, 97, 100),
     ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
     ::capnp::word(98, 97, 100, 73, 100, 0, 0, 0),
+    ::capnp::word(99, 114, 97, 115, 104, 101, 115, 69),
+    ::capnp::word(110, 100, 112, 111, 105, 110, 116, 115),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(117, 110, 100, 101, 114, 84, 114, 105),
+    ::capnp::word(97, 108, 0, 0, 0, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -5988,7 +6003,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -6008,11 +6023,23 @@
         pub fn get_leaving(self) -> bool {
             self.reader.get_bool_field(128)
         }
+        #[inline]
+        pub fn get_first_sign(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_signs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::sign::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_signs(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6086,6 +6113,30 @@
         pub fn set_leaving(&mut self, value: bool)  {
             self.builder.set_bool_field(128, value);
         }
+        #[inline]
+        pub fn get_first_sign(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_first_sign(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_signs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::sign::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_signs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::sign::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_signs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::sign::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_signs(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6097,45 +6148,59 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 98] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(248, 203, 69, 1, 228, 239, 238, 161),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6161,12 +6226,35 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 105, 114, 115, 116, 83, 105, 103),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 103, 110, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 232, 187, 188, 81, 242, 253, 210),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::sign::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6180,13 +6268,265 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,4,1];
         pub(crate) const TYPE_ID: u64 = 0xa1ee_efe4_0145_cbf8;
     }
 }
 
+pub mod sign {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.reader.get_bool_field(96)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_work(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_work(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_answered(self) -> bool {
+            self.builder.get_bool_field(96)
+        }
+        #[inline]
+        pub fn set_answered(&mut self, value: bool)  {
+            self.builder.set_bool_field(96, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(28, 232, 187, 188, 81, 242, 253, 210),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(145, 90, 226, 183, 240, 193, 164, 211),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 105, 103, 110, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 96, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(119, 111, 114, 107, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 110, 115, 119, 101, 114, 101, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd2fd_f251_bcbb_e81c;
+    }
+}
+
 pub mod row {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/citronway-wire/tests/round_trip.rs
+++ b/crates/citronway-wire/tests/round_trip.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use capnp::message::TypedBuilder;
 use citronway_core::dispatch::fingerprint::Fingerprint;
+use citronway_core::gateway::crashes::{self, Sign};
+use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::ids::{ClassName, EndpointName, Epoch, Key, RequestId, ServiceName};
 use citronway_core::ids::{Session, ShardId, Version};
 use citronway_core::outcome::{
@@ -91,6 +93,8 @@
         NotRunReason::Cancelled,
         NotRunReason::Overloaded,
         NotRunReason::BadId,
+        NotRunReason::CrashesEndpoints,
+        NotRunReason::UnderTrial,
     ])
 }
 
@@ -222,17 +226,35 @@
     })
 }
 
+fn sign() -> impl Strategy<Value = Sign> {
+    (any::<u64>(), option::of(any::<u32>())).prop_map(|(work, crashed)| {
+        let work = crashes::Fingerprint(work);
+        match crashed.map(EndpointTag) {
+            Some(endpoint) => Sign::Crash { work, endpoint },
+            None => Sign::Answered { work },
+        }
+    })
+}
+
+fn heartbeat() -> impl Strategy<Value = Heartbeat> {
+    let fields = (version(), any::<u64>(), any::<bool>());
+    (fields, any::<u64>(), vec(sign(), 0..5)).prop_map(|(fields, first_sign, signs)| {
+        let (config, store_age_ms, leaving) = fields;
+        Heartbeat {
+            config,
+            store_age_ms,
+            leaving,
+            first_sign,
+            signs,
+        }
+    })
+}
+
 fn message() -> impl Strategy<Value = PeerMessage> {
     let names = (text(), text(), text());
     let numbers = (any::<u64>(), any::<u64>(), any::<u64>());
     prop_oneof![
-        (version(), any::<u64>(), any::<bool>()).prop_map(|(config, store_age_ms, leaving)| {
-            PeerMessage::Heartbeat(Heartbeat {
-                config,
-                store_age_ms,
-                leaving,
-            })
-        }),
+        heartbeat().prop_map(PeerMessage::Heartbeat),
         vec(row(), 0..5).prop_map(|rows| PeerMessage::Rows { rows }),
         (text(), hold()).prop_map(|(endpoint, message)| PeerMessage::Hold {
             endpoint: EndpointName::new(&endpoint),
--- a/crates/citronway/src/callers/reply.rs
+++ b/crates/citronway/src/callers/reply.rs
@@ -126,7 +126,7 @@
     });
     let mut res = json(not_run_status(not_run.reason), NOT_RUN, &body);
     // Repeating such a request as it is never helps.
-    if not_run.reason != NotRunReason::BadId {
+    if may_come_back(not_run.reason) {
         set_retry_after(&mut res, not_run.retry_after_ms);
     }
     res
@@ -144,6 +144,11 @@
     res
 }
 
+/// Whether the same request may be served later.
+const fn may_come_back(reason: NotRunReason) -> bool {
+    !matches!(reason, NotRunReason::BadId | NotRunReason::CrashesEndpoints)
+}
+
 const fn not_run_status(reason: NotRunReason) -> StatusCode {
     match reason {
         NotRunReason::HotKeyLimited | NotRunReason::EndpointShed => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/citronway/src/decide/mod.rs
+++ b/crates/citronway/src/decide/mod.rs
@@ -111,6 +111,9 @@
                 self.observer.action(&action, at);
                 queue.extend(self.rings.carry_out(action));
             }
+            for verdict in self.node.take_verdicts() {
+                crate::observe::log_verdict(&verdict);
+            }
             self.ready.store(self.node.ready(now), Ordering::Relaxed);
         }
         true
--- a/crates/citronway/src/endpoints/duty.rs
+++ b/crates/citronway/src/endpoints/duty.rs
@@ -7,9 +7,10 @@
 use citronway_core::node::events::{Grant, Ticket};
 use citronway_core::node::{Event, OrderReply, ProbeReport};
 use citronway_core::request::{Fence, Request};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::clock::wall_now;
 use super::command::{EndpointCommand, Target};
@@ -19,6 +20,9 @@
 use super::order;
 use super::pools::{EndpointPool, Pools};
 
+/// Longest wait for a look whether an endpoint listens.
+const LOOK_WAIT: Duration = Duration::from_millis(100);
+
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -70,9 +74,15 @@
                 let until = Until::held(request.deadline, held_until);
                 let pool = self.pools.with_limit(&self.cfg, &to, connections);
                 let cfg = Arc::clone(&self.cfg);
-                self.report(async move {
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
                     let reply = send_order(&cfg, &pool, &to, (&fence, until), &request).await;
-                    Event::OrderDone { ticket, reply }
+                    let is_lost = reply == OrderReply::Lost;
+                    send_event(&events, Event::OrderDone { ticket, reply }).await;
+                    if is_lost && listens(&to).await {
+                        let endpoint = to.endpoint;
+                        send_event(&events, Event::EndpointLives { endpoint }).await;
+                    }
                 });
             }
             EndpointCommand::Cancel { to, id } => {
@@ -111,13 +121,26 @@
         let events = self.events.clone();
         self.tasks.spawn(async move {
             let event = work.await;
-            if events.send(event).await.is_err() {
-                log::error!("no one takes events any more");
-            }
+            send_event(&events, event).await;
         });
     }
 }
 
+async fn send_event(events: &Sender<Event>, event: Event) {
+    if events.send(event).await.is_err() {
+        log::error!("no one takes events any more");
+    }
+}
+
+/// Whether something listens at an endpoint whose connection has just broken.
+///
+/// Failure guarded against: connections are cut on the way, and the work that they carried
+/// is taken for work that crashes endpoints.
+async fn listens(to: &Target) -> bool {
+    let connected = timeout(LOOK_WAIT, TcpStream::connect(to.address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 async fn send_order(
     cfg: &EndpointsConfig,
     pool: &EndpointPool,
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -20,6 +20,7 @@
 use super::store::Store;
 use super::{Control, Event};
 use crate::gateway::metrics::Metrics;
+use crate::observe;
 
 /// Time between two writes of the row, in milliseconds.
 const WRITE_PAUSE_MS: u64 = 1_000;
@@ -260,15 +261,5 @@
 
 fn note(metrics: &Metrics, verdict: &Verdict) {
     metrics.judged(verdict);
-    match verdict {
-        Verdict::Harmful {
-            work,
-            times,
-            crashes,
-            refused_ms,
-        } => {
-            log::warn!(work:%, times, crashes, refused_ms; "work is taken as harmful");
-        }
-        Verdict::LetGo { work, cause } => log::info!(work:%, cause; "work is let go"),
-    }
+    observe::log_verdict(verdict);
 }
--- a/crates/citronway/src/observe.rs
+++ b/crates/citronway/src/observe.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use citronway_core::gateway::crashes::Verdict;
 use citronway_core::ids::{ClassName, RequestId, ServiceName};
 use citronway_core::node::events::Ticket;
 use citronway_core::node::{Action, Event, View};
@@ -157,3 +158,18 @@
         );
     }
 }
+
+/// Logs what changed for callers about work that crashes endpoints.
+pub fn log_verdict(verdict: &Verdict) {
+    match verdict {
+        Verdict::Harmful {
+            work,
+            times,
+            crashes,
+            refused_ms,
+        } => {
+            log::warn!(work:%, times, crashes, refused_ms; "work is taken as harmful");
+        }
+        Verdict::LetGo { work, cause } => log::info!(work:%, cause; "work is let go"),
+    }
+}
--- a/crates/citronway/src/run.rs
+++ b/crates/citronway/src/run.rs
@@ -14,6 +14,7 @@
 use citronway_core::ids::{Session, SessionId};
 use citronway_core::node::{Event, Node, NodeSettings};
 use citronway_core::placement::PlannerSettings;
+use citronway_wire::greeting::SharedKey;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -241,7 +242,7 @@
 }
 
 fn peers_config(cfg: &Settings, me: &Session) -> PeersConfig {
-    let key = citronway_wire::greeting::SharedKey::new(cfg.peers.shared_key.reveal().as_bytes());
+    let key = shared_key(cfg);
     PeersConfig::builder(
         me.clone(),
         cfg.instance.zone.clone(),
@@ -277,6 +278,10 @@
         .build()
 }
 
+fn shared_key(cfg: &Settings) -> SharedKey {
+    SharedKey::new(cfg.peers.shared_key.reveal().as_bytes())
+}
+
 fn node_settings(cfg: &Settings) -> NodeSettings {
     let skew_ms = cfg.clock.skew_ms;
     NodeSettings {
@@ -300,6 +305,7 @@
             .id_window_ms(cfg.dispatch.duplicate_window_ms)
             .skew_ms(skew_ms)
             .build(),
+        fingerprint_key: shared_key(cfg).for_fingerprints(),
         planner: PlannerSettings::default()
             .with_skew_ms(skew_ms)
             .with_silence_ms(PLANNER_SILENCE_MS),
--- a/crates/citronway/tests/callers.rs
+++ b/crates/citronway/tests/callers.rs
@@ -423,6 +423,7 @@
     let mut bench = Bench::new();
     for (reason, status, seconds) in [
         (NotRunReason::BadId, 409, None),
+        (NotRunReason::CrashesEndpoints, 503, None),
         (NotRunReason::QueueFull, 503, Some("1")),
     ] {
         let mut caller = bench.caller();
--- a/crates/citronway/tests/endpoints.rs
+++ b/crates/citronway/tests/endpoints.rs
@@ -93,10 +93,14 @@
         self.reply()
     }
 
+    /// The end of an order; a look at the endpoint after an earlier one is passed over.
     fn reply(&mut self) -> OrderReply {
-        match next(&mut self.events) {
-            Event::OrderDone { reply, .. } => reply,
-            other => panic!("not the end of an order: {other:?}"),
+        loop {
+            match next(&mut self.events) {
+                Event::OrderDone { reply, .. } => return reply,
+                Event::EndpointLives { .. } => {}
+                other => panic!("not the end of an order: {other:?}"),
+            }
         }
     }
 
@@ -300,6 +304,50 @@
     expect_that!(bench.reply(), eq(&OrderReply::Lost));
 }
 
+/// Guards against a cut connection that is taken for the crash of its endpoint.
+#[gtest]
+fn an_endpoint_that_listens_after_its_connection_broke_is_said_to_live() {
+    let mut bench = Bench::new();
+    let mut peer = bench.idle();
+    bench.order(2, FAR_MS);
+    peer.read();
+    drop(peer);
+    expect_that!(bench.reply(), eq(&OrderReply::Lost));
+    expect_that!(
+        next(&mut bench.events),
+        matches_pattern!(Event::EndpointLives { .. })
+    );
+}
+
+/// Guards against a crash that is taken for a cut connection.
+#[gtest]
+fn nothing_is_said_of_an_endpoint_that_has_ended_with_its_connection() {
+    let mut bench = Bench::new();
+    let mut peer = bench.idle();
+    bench.order(2, FAR_MS);
+    peer.read();
+    let Bench {
+        listener,
+        commands,
+        mut events,
+        handle,
+        ..
+    } = bench;
+    drop((listener, peer));
+    expect_that!(
+        next(&mut events),
+        matches_pattern!(Event::OrderDone {
+            reply: eq(&OrderReply::Lost),
+            ..
+        })
+    );
+    commands
+        .blocking_send(EndpointCommand::Stop)
+        .expect("the duty runs");
+    handle.join();
+    expect_that!(events.blocking_recv(), none());
+}
+
 #[gtest]
 fn order_to_a_dead_address_is_not_sent() {
     let mut bench = Bench::new();
--- a/crates/citronway/tests/peers/common/mod.rs
+++ b/crates/citronway/tests/peers/common/mod.rs
@@ -221,5 +221,7 @@
         config: Version(config),
         store_age_ms: 5,
         leaving: false,
+        first_sign: 0,
+        signs: Vec::new(),
     })
 }
