A change of the leader lets no two copies of a suspect go

What callers saw: where the leader was killed just then, up to three copies of work that crashes endpoints reached the third endpoint together.

Cause: an instance that heard no leader for 0.6 s tried the work in its turn at once, and one turn of eight belonged to several of twelve instances; and a new leader granted a copy while one that its predecessor had granted ran.

Change: an instance goes by turns only after no leader has answered for 2 s, longer than most changes of the leader; turns are by place among the known instances, so up to 16 have one each; a new leader grants no trial for its first 0.5 s. Until then copies are refused with a time to come back.

--- a/crates/citronway-core/src/gateway/crashes/mod.rs
+++ b/crates/citronway-core/src/gateway/crashes/mod.rs
@@ -24,5 +24,6 @@
 pub use sign::{MOST_SIGNS, Outbox, Sign, Taken};
 pub use stored::{Refused, StoredCrashes};
 pub use trials::{
-    TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms, may_try_alone,
+    Place, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms,
+    may_try_alone,
 };
--- a/crates/citronway-core/src/gateway/crashes/trials.rs
+++ b/crates/citronway-core/src/gateway/crashes/trials.rs
@@ -16,6 +16,10 @@
 /// instances have heard that the work is cleared.
 const CLEARED_MS: u64 = 2_000;
 
+/// Time in which a new leader grants no trial, in milliseconds: most that its predecessor
+/// granted are done then.
+const FORMER_TRIAL_MS: u64 = 500;
+
 /// Longest time of a trial whose end is not told, in milliseconds.
 const LONGEST_MS: u64 = 15_000;
 
@@ -25,8 +29,8 @@
 /// Steps in which copies that were refused come back.
 const SPREAD_STEPS: u64 = 16;
 
-/// Turns in which instances without a leader try work.
-const TURNS: u64 = 8;
+/// Most turns in which instances without a leader try work.
+const MOST_TURNS: u64 = 16;
 
 /// Length of such a turn, in milliseconds.
 pub const TURN_MS: u64 = 500;
@@ -91,16 +95,34 @@
 /// Trials of the whole fleet.
 #[derive(Debug, Default)]
 pub struct Trials {
+    /// Until then none is granted.
+    not_before: Mono,
     open: IndexMap<Fingerprint, Trial>,
     cleared: IndexMap<Fingerprint, Mono>,
 }
 
 impl Trials {
+    /// None so far, and none is granted for a while.
+    ///
+    /// Failure guarded against: the leader changes while a copy is being tried, and the next
+    /// one, which knows nothing of it, grants another.
+    #[must_use]
+    pub fn of_new_leader(now: Mono) -> Self {
+        Self {
+            not_before: now.plus(FORMER_TRIAL_MS),
+            ..Self::default()
+        }
+    }
+
     /// Decides about a request for a trial; the same request gets the same answer.
     pub fn request(&mut self, now: Mono, req: &TrialRequest) -> TrialGrant {
         if self.is_cleared(now, req.work) {
             return TrialGrant::Cleared;
         }
+        if now < self.not_before {
+            let for_ms = self.not_before.since(now);
+            return TrialGrant::Busy { for_ms };
+        }
         let open = self.open.get(&req.work).filter(|open| now < open.until);
         if let Some(open) = open.filter(|open| open.id != req.id) {
             let for_ms = open.expected.since(now);
@@ -135,17 +157,6 @@
         self.cleared.swap_remove(&work);
     }
 
-    /// Forgets all trials.
-    pub fn clear(&mut self) {
-        *self = Self::default();
-    }
-
-    /// Whether no trial is under way.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.open.is_empty()
-    }
-
     fn is_cleared(&self, now: Mono, work: Fingerprint) -> bool {
         let at = self.cleared.get(&work);
         at.is_some_and(|at| now.since(*at) < CLEARED_MS)
@@ -173,14 +184,23 @@
     (soonest + spread).min(left_ms / 3).max(MIN_COME_BACK_MS)
 }
 
+/// Order of an instance among those that it knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Instances that come before it.
+    pub before: u64,
+    /// Instances, itself included.
+    pub of: u64,
+}
+
 /// Whether an instance may try work without the leader; `heard` is when the last crash of
-/// the work was heard of, `rank` the order of the instance among all.
+/// the work was heard of.
 ///
 /// Failure guarded against: no leader answers, as in an outage of the store, and work that
 /// was beside harmful work is refused until one does. All instances hear of a crash within a
 /// fraction of a turn, so no two of them with different turns try the work together.
 #[must_use]
-pub fn may_try_alone(now: Mono, heard: Mono, rank: u64, work: Fingerprint) -> bool {
-    let turn = now.since(heard) / TURN_MS % TURNS;
-    turn == (rank ^ work.0) % TURNS
+pub fn may_try_alone(now: Mono, heard: Mono, place: Place) -> bool {
+    let turns = place.of.clamp(1, MOST_TURNS);
+    now.since(heard) / TURN_MS % turns == place.before % turns
 }
--- a/crates/citronway-core/tests/gateway_crash_trials.rs
+++ b/crates/citronway-core/tests/gateway_crash_trials.rs
@@ -1,7 +1,7 @@
 //! Which copy of work under suspicion is sent.
 
 use citronway_core::gateway::crashes::{
-    Fingerprint, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms,
+    Fingerprint, Place, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms,
     may_try_alone,
 };
 use citronway_core::gateway::pace::EndpointTag;
@@ -137,16 +137,42 @@
 #[gtest]
 fn without_a_leader_instances_try_work_one_after_the_other() {
     let heard = Mono(1_000);
-    for rank in 0..100_u64 {
-        let turns = (0..8).filter(|turn| {
+    for of in [1, 12, 16] {
+        for turn in 0..of {
+            let begins = heard.plus(turn * TURN_MS);
+            let ends = begins.plus(TURN_MS - 1);
+            let try_it = |now| (0..of).filter(move |b| may_try_alone(now, heard, place(*b, of)));
+            expect_that!(try_it(begins).collect::<Vec<_>>(), elements_are![eq(&turn)]);
+            expect_that!(try_it(ends).collect::<Vec<_>>(), elements_are![eq(&turn)]);
+        }
+    }
+}
+
+/// Guards against instances of a large fleet that wait for their turn for minutes.
+#[gtest]
+fn in_a_large_fleet_a_turn_comes_within_seconds() {
+    let heard = Mono(1_000);
+    for before in [0, 17, 294] {
+        let turns = (0..16).filter(|turn| {
             let now = heard.plus(turn * TURN_MS);
-            let end = now.plus(TURN_MS - 1);
-            let may = may_try_alone(now, heard, rank, WORK);
-            assert_eq!(may, may_try_alone(end, heard, rank, WORK));
-            may
+            may_try_alone(now, heard, place(before, 295))
         });
-        expect_that!(turns.count(), eq(1), "rank {rank}");
+        expect_that!(turns.count(), eq(1));
     }
-    let at_once = (0..8).filter(|rank| may_try_alone(heard.plus(3), heard, *rank, WORK));
-    expect_that!(at_once.count(), eq(1));
+}
+
+/// Guards against a second copy where the leader changes while one is being tried.
+#[gtest]
+fn a_new_leader_grants_nothing_for_a_moment() {
+    let mut trials = Trials::of_new_leader(Mono(1_000));
+    expect_that!(
+        trials.request(Mono(1_100), &req(1, 1)),
+        eq(TrialGrant::Busy { for_ms: 400 })
+    );
+    let grant = trials.request(Mono(1_500), &req(1, 1));
+    expect_that!(grant, eq(TrialGrant::Granted));
+}
+
+const fn place(before: u64, of: u64) -> Place {
+    Place { before, of }
 }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -176,6 +176,11 @@
         self.all.values().filter_map(|peer| peer.address)
     }
 
+    /// Order of each other instance among all.
+    pub(super) fn ranks(&self) -> impl Iterator<Item = u64> {
+        self.all.keys().map(rank_of)
+    }
+
     /// Instances that are listed, this one included.
     pub(super) fn listed(&self) -> usize {
         self.all.len() + 1
--- a/crates/citronway/src/gateway/control/trials.rs
+++ b/crates/citronway/src/gateway/control/trials.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use citronway_core::gateway::crashes::{
-    Fingerprint, Sign, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, may_try_alone,
+    Fingerprint, Place, Sign, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials,
+    may_try_alone,
 };
 use citronway_core::time::Mono;
 use citronway_wire::report::{self as datagram, Datagram};
@@ -22,6 +23,10 @@
 /// Time after which the leader's answer is no longer waited for, in milliseconds.
 const ANSWER_MS: u64 = 100;
 
+/// Time without an answer of any leader after which an instance tries work in its turn, in
+/// milliseconds: longer than most changes of the leader.
+const ALONE_AFTER_MS: u64 = 2_000;
+
 /// A request that the leader has not answered yet.
 #[derive(Debug)]
 struct Asked {
@@ -41,6 +46,8 @@
     /// Term in which it granted them.
     term: u64,
     asked: IndexMap<u64, Asked>,
+    /// Since when no leader has answered a request.
+    unanswered_since: Option<Mono>,
 }
 
 impl TrialDuty {
@@ -50,14 +57,20 @@
     }
 
     /// Trials that this instance grants as the leader of a term.
-    fn granted_in(&mut self, term: u64) -> &mut Trials {
+    fn granted_in(&mut self, now: Mono, term: u64) -> &mut Trials {
         if self.term != term {
             self.term = term;
-            self.granted.clear();
+            self.granted = Trials::of_new_leader(now);
         }
         &mut self.granted
     }
 
+    /// Whether no leader has answered for so long that none is waited for.
+    fn is_alone(&mut self, now: Mono) -> bool {
+        let since = *self.unanswered_since.get_or_insert(now);
+        now.since(since) >= ALONE_AFTER_MS
+    }
+
     /// Notes that an endpoint crashed with the work.
     pub(super) fn crashed(&mut self, work: Fingerprint) {
         self.own.crashed(work);
@@ -123,6 +136,7 @@
             return;
         }
         if self.duty.in_office() {
+            self.trials.unanswered_since = None;
             let grant = self.grant_trial(now, &req);
             self.trials.settle(now, asked, grant);
             return;
@@ -139,7 +153,7 @@
     /// As the leader, decides about a request of any instance.
     fn grant_trial(&mut self, now: Mono, req: &TrialRequest) -> TrialGrant {
         let term = self.duty.term();
-        let grant = self.trials.granted_in(term).request(now, req);
+        let grant = self.trials.granted_in(now, term).request(now, req);
         log::debug!(work:% = req.work, session = req.id.session.0, grant:?; "trial requested");
         grant
     }
@@ -151,10 +165,11 @@
         self.cluster.leader_address()
     }
 
-    fn try_alone(&self, now: Mono, work: Fingerprint) -> TrialGrant {
+    fn try_alone(&mut self, now: Mono, work: Fingerprint) -> TrialGrant {
         let known = self.cluster.crashes.known();
         let heard = known.suspects.get(&work).copied().unwrap_or(now);
-        let may_send = may_try_alone(now, heard, self.cluster.rank(), work);
+        let place = self.place_among_peers(work);
+        let may_send = self.trials.is_alone(now) && may_try_alone(now, heard, place);
         log::info!(work:%, may_send; "no leader answers about a trial");
         if may_send {
             TrialGrant::Granted
@@ -163,6 +178,17 @@
         }
     }
 
+    fn place_among_peers(&self, work: Fingerprint) -> Place {
+        let order = |rank: u64| rank ^ work.0;
+        let own = order(self.cluster.rank());
+        let peers = self.cluster.peers.ranks();
+        let before = peers.filter(|rank| order(*rank) < own).count();
+        Place {
+            before: before as u64,
+            of: self.cluster.peers.listed() as u64,
+        }
+    }
+
     fn end_trial(&mut self, now: Mono, socket: &UdpSocket, ended: EndedTrial) {
         self.trials.own.ended(now, ended.id, ended.work, ended.end);
         self.trials.asked.swap_remove(&ended.id.number);
@@ -188,7 +214,7 @@
             self.trials.crashed(work);
         }
         let term = self.duty.term();
-        self.trials.granted_in(term).ended(now, id, work, end);
+        self.trials.granted_in(now, term).ended(now, id, work, end);
     }
 
     /// Takes a message about trials that came from an address.
@@ -216,6 +242,7 @@
             return;
         };
         let now = clock::mono();
+        self.trials.unanswered_since = None;
         if reply.grant == TrialGrant::Cleared {
             self.cluster.crashes.cleared(now, reply.work);
         }
