An instance that starts is told of work under suspicion

What callers saw: while all instances were restarted in turn, four copies of work that crashes endpoints reached the second endpoint together, and four the third.

Cause: crashes are told once, in eight reports. An instance that starts after that knows of no suspect until it sees one itself, and sends copies without asking for a trial.

Change: the leader of a fleet in which all tell all tells the newest crashes once more when it hears of a start for the first time, as many as one report holds. In a large fleet its sums name the suspects anyway. A new test fails without it (the later instance never hears) and passes with it.

--- a/crates/citronway-core/src/gateway/crashes/ledger.rs
+++ b/crates/citronway-core/src/gateway/crashes/ledger.rs
@@ -347,6 +347,21 @@
         })
     }
 
+    /// The newest of these crashes.
+    #[must_use]
+    pub fn newest_signs(&self, most: usize) -> Vec<Sign> {
+        let entries = self.entries.iter();
+        let crashes = entries.flat_map(|(work, entry)| {
+            let of_work = entry.crashes.iter();
+            of_work.map(|crash| (crash.at, *work, crash.endpoint))
+        });
+        let mut crashes: Vec<_> = crashes.collect();
+        crashes.sort_unstable_by_key(|(at, work, _)| (std::cmp::Reverse(*at), *work));
+        crashes.truncate(most);
+        let sign = |(_, work, endpoint)| Sign::Crash { work, endpoint };
+        crashes.into_iter().map(sign).collect()
+    }
+
     /// Whether something changed that the traffic goes by, since this was asked last.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use citronway_core::gateway::crashes::{
-    Fingerprint, FingerprintKey, Known, Ledger, Outbox, Refused, Sign, StoredCrashes, Taken,
-    Verdict,
+    Fingerprint, FingerprintKey, Known, Ledger, MOST_SIGNS, Outbox, Refused, Sign, StoredCrashes,
+    Taken, Verdict,
 };
 use citronway_core::gateway::report::{Report, Totals};
 use citronway_core::gateway::rows::Row;
@@ -158,6 +158,17 @@
         self.refresh();
     }
 
+    /// Tells the newest crashes once more, for an instance that has just started.
+    ///
+    /// Failure guarded against: instances are restarted in turn, hear nothing of what the
+    /// others have told before, and send copies of a suspect without asking. One report holds
+    /// what is told, so that it does not keep news waiting.
+    pub(super) fn tell_again(&mut self) {
+        for sign in self.ledger.newest_signs(MOST_SIGNS) {
+            self.outbox.push(sign);
+        }
+    }
+
     fn refresh(&mut self) {
         let key = self.row.as_ref().map(|row| row.key);
         if self.ledger.take_changed() || self.known.key != key {
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -97,6 +97,7 @@
     fn report_came(&mut self, report: &Report, from: SocketAddr) {
         let now = clock::mono();
         let is_own = report.instance == self.me.instance;
+        let has_started = !self.cluster.peers.knows(&report.instance, report.session);
         if is_own || !self.cluster.peers.report(now, report, from) {
             return;
         }
@@ -105,6 +106,9 @@
         self.duty.term_heard(report.term);
         let sums_up = matches!(self.place.role(now), Role::Delegate(_));
         self.signs_came(now, report, sums_up);
+        if has_started && self.duty.in_office() {
+            self.cluster.crashes.tell_again();
+        }
         if sums_up {
             self.gathered.add(&report.endpoints, &report.keys);
         }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -11,7 +11,7 @@
 use citronway_core::gateway::rows::Table;
 use citronway_core::gateway::share::Demand;
 use citronway_core::gateway::tree::Candidate;
-use citronway_core::ids::{InstanceName, Session, ZoneName};
+use citronway_core::ids::{InstanceName, Session, SessionId, ZoneName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 
@@ -57,6 +57,12 @@
         peer.zone = Some(row.zone);
     }
 
+    /// Whether this start of an instance was heard of.
+    pub(super) fn knows(&self, instance: &InstanceName, session: SessionId) -> bool {
+        let sight = self.all.get(instance).and_then(|peer| peer.sight.as_ref());
+        sight.is_some_and(|sight| sight.session == session)
+    }
+
     /// Takes a report that came from an address; false if a newer one was taken before.
     pub(super) fn report(&mut self, now: Mono, report: &Report, from: SocketAddr) -> bool {
         let peer = self.entry(&report.instance);
--- a/crates/citronway/tests/gateway_crash_copies.rs
+++ b/crates/citronway/tests/gateway_crash_copies.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use gateway_support::crashing::{BAD, Service, call};
-use gateway_support::{Deployment, Instance};
+use gateway_support::crashing::{BAD, Service, call, crash};
+use gateway_support::{Deployment, Instance, until};
 use googletest::prelude::*;
 
 const INSTANCES: usize = 4;
@@ -94,3 +94,23 @@
         expect_few_after_the_third(&ended, start);
     }
 }
+
+/// Guards against an instance that starts after a crash and sends copies of the suspect unasked.
+#[gtest]
+fn an_instance_that_starts_later_is_told_of_suspects() {
+    let deployment = Deployment::new();
+    let mut console = Service::console(&deployment);
+    let first = deployment.ready_instance("first");
+    crash(
+        &mut console,
+        std::slice::from_ref(&first),
+        "GET /status/bad",
+        1,
+    );
+    // By then all reports that repeat it have gone.
+    std::thread::sleep(KNOWN_WITHIN);
+    let later = deployment.ready_instance("later");
+    until("it knows of the suspect", || {
+        later.metrics().contains("citronway_crash_suspects 1")
+    });
+}
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use citronway_standin::shared::{FencedEndpoint, StoreFault};
-use gateway_support::crashing::{BAD, Service, call};
+use gateway_support::crashing::{BAD, Service, call, crash};
 use gateway_support::{Deployment, Instance, mute_deployment, until};
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -26,24 +26,6 @@
 /// Instances that are too many for all to tell all.
 const MANY: usize = 14;
 
-/// Sends work that crashes endpoints, one try after the other at all instances in turn, each
-/// under an id of its own, until it has crashed so many.
-fn crash(service: &mut Service<'_>, instances: &[Instance], start: &str, crashes: usize) {
-    let enough = service.begun(BAD) + crashes;
-    let mut id = 0;
-    for _ in 0..crashes {
-        until("the work reaches endpoints", || {
-            let before = service.begun(BAD);
-            if before < enough {
-                call(&instances[id % instances.len()], start, id);
-            }
-            id += 1;
-            service.replace_crashed();
-            before >= enough || service.begun(BAD) > before
-        });
-    }
-}
-
 fn two_instances(deployment: &Deployment) -> [Instance; 2] {
     ["one", "two"].map(|name| deployment.ready_instance(name))
 }
--- a/crates/citronway/tests/gateway_support/crashing.rs
+++ b/crates/citronway/tests/gateway_support/crashing.rs
@@ -4,7 +4,7 @@
 
 use citronway_standin::shared::FencedEndpoint;
 
-use super::{Deployment, Instance, Reply, WAIT_MS, exchange_by, head};
+use super::{Deployment, Instance, Reply, WAIT_MS, exchange_by, head, until};
 
 /// End of the path of a request that crashes endpoints.
 pub const BAD: &str = "bad";
@@ -84,3 +84,21 @@
     let source = Ipv4Addr::new(127, 0, 0, 1 + u8::try_from(id % 7).expect("small"));
     exchange_by(source, instance.callers, &head).expect("an answer")
 }
+
+/// Sends work that crashes endpoints, one try after the other at all instances in turn, each
+/// under an id of its own, until it has crashed so many.
+pub fn crash(service: &mut Service<'_>, instances: &[Instance], start: &str, crashes: usize) {
+    let enough = service.begun(BAD) + crashes;
+    let mut id = 0;
+    for _ in 0..crashes {
+        until("the work reaches endpoints", || {
+            let before = service.begun(BAD);
+            if before < enough {
+                call(&instances[id % instances.len()], start, id);
+            }
+            id += 1;
+            service.replace_crashed();
+            before >= enough || service.begun(BAD) > before
+        });
+    }
+}
