The assignment of 2,500 endpoints fits into a row

A row that gives keys to 2,500 endpoints had 91,559 bytes where the store takes 65,536, so no row could name them all, and a cap of 1,200 ranges left most without keys even where the bytes would do.

Cause: the short form writes each endpoint and range as a record: the last key of each range though it follows from the next one's first, fences and births in full, names letter by letter.

Change: a third form, used only where the short one is longer than the store takes, so that nothing changes for services that had room and for older versions beside. It has columns of like numbers, each told as its difference to the one before, written by postcard and deflated by flate2. The cap on ranges follows the endpoints from 960 on: one each and one more for every fourth.

Not done: segments of the key space with rows of their own, so that a write costs what changed. While all 2,500 endpoints are replaced at once the row would name 5,000 starts and not fit; moves that do not fit wait, as before.

--- a/crates/citronway-core/src/gateway/assignment/mod.rs
+++ b/crates/citronway-core/src/gateway/assignment/mod.rs
@@ -4,22 +4,33 @@
 //! leader, under the condition that neither the row nor the leader has changed.
 //! Whoever may hold keys stands in the row before anything is granted to it.
 
+mod packed;
 mod stored;
 
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
+
 use crate::ids::EndpointStart;
 
 /// Last key of the key space; the first is zero.
 pub const LAST_KEY: u16 = u16::MAX;
 
-/// Most ranges of one assignment: two for each of 600 endpoints.
+/// Most ranges of one assignment of up to 960 endpoints.
 ///
 /// In its short form a range takes up to 18 bytes and a start of an endpoint 30. With 750
 /// endpoints and all ranges moving, the row has 46,000 of the 65,536 bytes that the store
 /// allows a row.
 pub const MAX_RANGES: usize = 1_200;
 
+/// Most ranges of the assignment of a service with so many endpoints: with more than 960,
+/// each has one and every fourth another.
+#[must_use]
+pub const fn most_ranges(endpoints: usize) -> usize {
+    let more = endpoints + endpoints / 4;
+    if more > MAX_RANGES { more } else { MAX_RANGES }
+}
+
 /// Most bytes of a row, as the store allows.
 pub const MAX_ROW_BYTES: usize = 65_536;
 
@@ -96,6 +107,13 @@
         self.ranges.get(i)
     }
 
+    /// Endpoints that hold a range.
+    #[must_use]
+    pub fn holders(&self) -> usize {
+        let holders = self.ranges.iter().map(|range| &range.holder.endpoint);
+        holders.collect::<IndexSet<_>>().len()
+    }
+
     /// Writes the stored form.
     ///
     /// # Errors
@@ -195,6 +213,15 @@
     /// Not of the short form.
     #[error("malformed: {0}")]
     MalformedShort(#[from] postcard::Error),
+    /// Not of the packed form.
+    #[error("malformed: {0}")]
+    MalformedPacked(#[from] std::io::Error),
+    /// The parts of a packed row do not go together.
+    #[error("malformed: part {part} of a packed row is too short")]
+    PackedPart {
+        /// Which part.
+        part: &'static str,
+    },
     /// A range names an endpoint that the row does not list.
     #[error("range {range} names endpoint number {endpoint}, which the row does not list")]
     UnknownEndpoint {
--- /dev/null
+++ b/crates/citronway-core/src/gateway/assignment/packed.rs
@@ -0,0 +1,199 @@
+//! The packed form of an assignment: columns of like numbers, each told as what it adds to the
+//! one before, and deflated.
+
+use std::io::{Read as _, Write as _};
+use std::net::SocketAddr;
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::{Deserialize, Serialize};
+
+use super::stored::Starts;
+use super::{Assignment, Holder, Range, RowError};
+use crate::ids::{EndpointName, EndpointStart};
+
+/// Most bytes of the columns before they are deflated; a row that has more is refused.
+const MOST_BYTES: u64 = 4 * 1024 * 1024;
+
+/// The columns.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Packed {
+    next_fence: u64,
+    names: Vec<EndpointName>,
+    addresses: Vec<SocketAddr>,
+    /// When each start began, added to the one before; zero stands for none.
+    births: Vec<i64>,
+    /// Number of keys of each range, less one.
+    widths: Vec<u16>,
+    holders: Places,
+    /// Ranges that move: how many lie between each and the one before.
+    moving: Vec<u32>,
+    next: Places,
+}
+
+/// Place and fence of one holder after the other.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Places {
+    /// Added to the one before.
+    places: Vec<i64>,
+    /// Added to the one before.
+    fences: Vec<i64>,
+}
+
+impl Packed {
+    pub(super) fn new(assignment: &Assignment) -> Self {
+        let starts = Starts::of(assignment);
+        let births = starts.iter().map(|(start, _)| start.born_ms().unwrap_or(0));
+        let ranges = assignment.ranges.iter();
+        let next = ranges.clone().filter_map(|range| range.next.as_ref());
+        let mut moving = Vec::new();
+        let mut skipped = 0;
+        for range in &assignment.ranges {
+            if !range.is_moving() {
+                skipped += 1;
+                continue;
+            }
+            moving.push(skipped);
+            skipped = 0;
+        }
+        Self {
+            next_fence: assignment.next_fence,
+            names: starts
+                .iter()
+                .map(|(start, _)| start.name().clone())
+                .collect(),
+            addresses: starts.iter().map(|(_, address)| *address).collect(),
+            births: differences(births),
+            widths: ranges
+                .clone()
+                .map(|range| range.last - range.first)
+                .collect(),
+            holders: Places::new(&starts, ranges.map(|range| &range.holder)),
+            moving,
+            next: Places::new(&starts, next),
+        }
+    }
+
+    /// Writes it behind what is in `buf`.
+    pub(super) fn write(&self, buf: Vec<u8>) -> Result<Vec<u8>, RowError> {
+        let columns = postcard::to_stdvec(self)?;
+        let mut deflated = DeflateEncoder::new(buf, Compression::fast());
+        deflated.write_all(&columns)?;
+        Ok(deflated.finish()?)
+    }
+
+    pub(super) fn read(bytes: &[u8]) -> Result<Self, RowError> {
+        let mut columns = Vec::new();
+        let mut inflated = DeflateDecoder::new(bytes).take(MOST_BYTES);
+        inflated.read_to_end(&mut columns)?;
+        Ok(postcard::from_bytes(&columns)?)
+    }
+
+    pub(super) fn assignment(self) -> Result<Assignment, RowError> {
+        let starts = self.starts()?;
+        let holders = self.holders.holders(&starts, "holders")?;
+        let mut next = self.next.holders(&starts, "next")?.into_iter();
+        if holders.len() != self.widths.len() {
+            return Err(RowError::PackedPart { part: "holders" });
+        }
+        let mut ranges = Vec::with_capacity(self.widths.len());
+        let mut first = Some(0_u16);
+        for (i, (width, holder)) in self.widths.iter().zip(holders).enumerate() {
+            let begins = first.ok_or(RowError::Gap { range: i })?;
+            let last = begins
+                .checked_add(*width)
+                .ok_or(RowError::Gap { range: i })?;
+            first = last.checked_add(1);
+            ranges.push(Range {
+                first: begins,
+                last,
+                holder,
+                next: None,
+            });
+        }
+        let mut at = 0;
+        for skipped in &self.moving {
+            at += *skipped as usize;
+            let range = ranges.get_mut(at);
+            let range = range.ok_or(RowError::PackedPart { part: "ranges" })?;
+            let holder = next.next();
+            range.next = Some(holder.ok_or(RowError::PackedPart { part: "next" })?);
+            at += 1;
+        }
+        Ok(Assignment {
+            next_fence: self.next_fence,
+            ranges,
+        })
+    }
+
+    fn starts(&self) -> Result<Vec<(EndpointStart, SocketAddr)>, RowError> {
+        let births = sums(&self.births);
+        let count = self.names.len();
+        if self.addresses.len() != count || births.len() != count {
+            return Err(RowError::PackedPart { part: "starts" });
+        }
+        let starts = self.names.iter().zip(&self.addresses).zip(births);
+        let start = |((name, address), born): ((&EndpointName, &SocketAddr), u64)| {
+            let born_ms = (born > 0).then_some(born);
+            (EndpointStart::new(name.as_str(), born_ms), *address)
+        };
+        Ok(starts.map(start).collect())
+    }
+}
+
+impl Places {
+    fn new<'a>(starts: &Starts<'_>, holders: impl Iterator<Item = &'a Holder> + Clone) -> Self {
+        let places = holders.clone().map(|holder| starts.place(holder) as u64);
+        Self {
+            places: differences(places),
+            fences: differences(holders.map(|holder| holder.fence)),
+        }
+    }
+
+    fn holders(
+        &self,
+        starts: &[(EndpointStart, SocketAddr)],
+        part: &'static str,
+    ) -> Result<Vec<Holder>, RowError> {
+        let (places, fences) = (sums(&self.places), sums(&self.fences));
+        if places.len() != fences.len() {
+            return Err(RowError::PackedPart { part });
+        }
+        let mut holders = Vec::with_capacity(places.len());
+        for (range, (place, fence)) in places.into_iter().zip(fences).enumerate() {
+            let place = usize::try_from(place).unwrap_or(usize::MAX);
+            let (endpoint, address) = starts.get(place).ok_or(RowError::UnknownEndpoint {
+                range,
+                endpoint: place,
+            })?;
+            holders.push(Holder {
+                endpoint: endpoint.clone(),
+                address: *address,
+                fence,
+            });
+        }
+        Ok(holders)
+    }
+}
+
+/// What each number adds to the one before.
+fn differences(numbers: impl Iterator<Item = u64>) -> Vec<i64> {
+    let mut before = 0_u64;
+    let difference = |number: u64| {
+        let added = number.wrapping_sub(before).cast_signed();
+        before = number;
+        added
+    };
+    numbers.map(difference).collect()
+}
+
+/// The numbers whose [`differences`] these are.
+fn sums(differences: &[i64]) -> Vec<u64> {
+    let mut sum = 0_u64;
+    let add = |added: &i64| {
+        sum = sum.wrapping_add(added.cast_unsigned());
+        sum
+    };
+    differences.iter().map(add).collect()
+}
--- a/crates/citronway-core/src/gateway/assignment/stored.rs
+++ b/crates/citronway-core/src/gateway/assignment/stored.rs
@@ -1,17 +1,21 @@
-//! Stored forms of an assignment: one that any version reads, and a short one for large
-//! services.
+//! Stored forms of an assignment: one that any version reads, a short one for large services,
+//! and a packed one for services whose short form the store does not take.
 
 use std::net::SocketAddr;
 
 use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
-use super::{Assignment, Holder, Range, RowError};
+use super::packed::Packed;
+use super::{Assignment, Holder, MAX_ROW_BYTES, Range, RowError};
 use crate::ids::{EndpointName, EndpointStart};
 
 /// First byte of the short form; the long one is JSON and begins with a brace.
 const SHORT: u8 = 2;
 
+/// First byte of the packed form.
+const PACKED: u8 = 3;
+
 /// Length up to which the long form is written, in bytes.
 ///
 /// An instance of the version before, which runs beside this one while all are restarted in
@@ -27,22 +31,28 @@
         return Ok(long);
     }
     let short = Short::new(assignment, &starts);
-    Ok(postcard::to_extend(&short, vec![SHORT])?)
+    let short = postcard::to_extend(&short, vec![SHORT])?;
+    // Versions before this one read the short form as long as the store takes it.
+    if short.len() <= MAX_ROW_BYTES {
+        return Ok(short);
+    }
+    Packed::new(assignment).write(vec![PACKED])
 }
 
 /// Reads a stored form; what it says is not checked.
 pub(super) fn read(bytes: &[u8]) -> Result<Assignment, RowError> {
     match bytes.split_first() {
         Some((&SHORT, short)) => postcard::from_bytes::<Short>(short)?.assignment(),
+        Some((&PACKED, packed)) => Packed::read(packed)?.assignment(),
         _ => serde_json::from_slice::<Stored>(bytes)?.assignment(),
     }
 }
 
 /// Starts of endpoints with their addresses, each once.
-struct Starts<'a>(IndexSet<(&'a EndpointStart, SocketAddr)>);
+pub(super) struct Starts<'a>(IndexSet<(&'a EndpointStart, SocketAddr)>);
 
 impl<'a> Starts<'a> {
-    fn of(assignment: &'a Assignment) -> Self {
+    pub(super) fn of(assignment: &'a Assignment) -> Self {
         let ranges = assignment.ranges.iter();
         let holders = ranges.flat_map(|range| [Some(&range.holder), range.next.as_ref()]);
         let starts = holders
@@ -51,7 +61,13 @@
         Self(starts.collect())
     }
 
-    fn place(&self, holder: &Holder) -> usize {
+    /// All of them, in the order of their first range.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &(&'a EndpointStart, SocketAddr)> {
+        self.0.iter()
+    }
+
+    /// Place of a holder among them.
+    pub(super) fn place(&self, holder: &Holder) -> usize {
         let place = self.0.get_index_of(&(&holder.endpoint, holder.address));
         place.unwrap_or_default()
     }
--- a/crates/citronway-core/src/gateway/leader/moves.rs
+++ b/crates/citronway-core/src/gateway/leader/moves.rs
@@ -1,6 +1,6 @@
 //! A range on its way from its holder to the next owner.
 
-use crate::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
+use crate::gateway::assignment::{self, Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
 use crate::gateway::leader::holds::Given;
 use crate::gateway::leader::orders::{Action, Order, OrderKind, OrderResult, Span};
 use crate::gateway::leader::{Leader, LeaderSettings};
@@ -51,6 +51,15 @@
     }
 }
 
+/// Most ranges of a row, by its endpoints.
+fn most_ranges(row: &Assignment) -> usize {
+    if row.ranges.len() < MAX_RANGES {
+        // No row has to have fewer.
+        return MAX_RANGES;
+    }
+    assignment::most_ranges(row.holders())
+}
+
 /// Cuts the span out of its range and starts its move; false if it does not fit.
 pub(super) fn begin(row: &mut Assignment, span: Span, to: &Listing) -> bool {
     let Some(i) = row
@@ -72,7 +81,7 @@
     // endpoints that had ended were served by nobody. Whole ranges need no room.
     let cuts =
         usize::from(row.ranges[i].first < span.first) + usize::from(span.last < row.ranges[i].last);
-    let has_room = cuts == 0 || row.ranges.len() + cuts <= MAX_RANGES;
+    let has_room = cuts == 0 || row.ranges.len() + cuts <= most_ranges(row);
     if target(&row.ranges[i]) == to.start || !has_room {
         return false;
     }
--- a/crates/citronway-core/tests/gateway_assignment.rs
+++ b/crates/citronway-core/tests/gateway_assignment.rs
@@ -1,11 +1,13 @@
 //! The stored form of an assignment.
 
 use citronway_core::gateway::assignment::{
-    Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, MAX_ROW_BYTES, Range,
+    Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, MAX_ROW_BYTES, Range, most_ranges,
 };
 use citronway_core::ids::EndpointStart;
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert, prop_assert_eq, proptest};
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
 
 fn holder(id: &str, fence: u64) -> Holder {
     Holder {
@@ -275,3 +277,78 @@
     expect_that!(assignment.to_bytes().or_fail()?.len(), le(MAX_ROW_BYTES));
     Ok(())
 }
+
+/// A row as it stands after a day: endpoints with names, addresses and births of their own, in
+/// any order, and a part of the ranges on their way.
+fn used_row(seed: u64, endpoints: usize, moving: usize) -> Assignment {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut holder = |fence: u64| Holder {
+        endpoint: EndpointStart::new(
+            &format!("i-{:010x}", rng.random_range(0..1_u64 << 40)),
+            Some(1_776_000_000_000 + rng.random_range(0..86_400_000)),
+        ),
+        address: (
+            [10, rng.random_range(1..6), 64, rng.random()],
+            rng.random_range(7_000..9_000),
+        )
+            .into(),
+        fence,
+    };
+    let mut ranges = Vec::new();
+    for i in 0..endpoints {
+        let (first, after) = (i * 65_536 / endpoints, (i + 1) * 65_536 / endpoints);
+        let fence = ((i * 7_919) % 100_000) as u64 * FENCES_A_MOVE;
+        ranges.push(Range {
+            first: u16::try_from(first).expect("a key"),
+            last: u16::try_from(after - 1).expect("a key"),
+            holder: holder(fence),
+            next: (i < moving).then(|| holder(900_000 + i as u64 * FENCES_A_MOVE)),
+        });
+    }
+    Assignment {
+        next_fence: 2_000_000,
+        ranges,
+    }
+}
+
+/// Guards against a row of 2,500 endpoints that fits only where its numbers are regular.
+#[gtest]
+fn rows_of_2_500_endpoints_fit_after_a_day_of_moves() -> Result<()> {
+    for seed in 0..8 {
+        let row = used_row(seed, 2_500, 100);
+        let bytes = row.to_bytes().or_fail()?;
+        expect_that!(Assignment::from_bytes(&bytes).or_fail()?, eq(&row));
+    }
+    Ok(())
+}
+
+/// Guards against a cut that a service of thousands of endpoints is refused for its size alone.
+#[gtest]
+fn a_service_may_have_more_ranges_than_endpoints() {
+    for endpoints in [1, 600, 960, 2_500, 6_000] {
+        expect_that!(most_ranges(endpoints), ge(endpoints * 5 / 4));
+    }
+    expect_that!(most_ranges(600), eq(MAX_RANGES));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    /// Guards against a damaged packed row that ends the process or leaves keys to two owners.
+    #[test]
+    fn a_damaged_packed_row_is_refused_or_covers_all_keys(
+        flips in proptest::collection::vec((any::<usize>(), any::<u8>()), 1..4),
+        cut in proptest::option::of(any::<usize>()),
+    ) {
+        let mut bytes = used_row(1, 2_500, 100).to_bytes().unwrap_or_default();
+        for (at, bits) in flips {
+            let at = 1 + at % (bytes.len() - 1);
+            bytes[at] ^= bits;
+        }
+        bytes.truncate(cut.map_or(bytes.len(), |cut| cut % bytes.len()));
+        if let Ok(row) = Assignment::from_bytes(&bytes) {
+            let width: u32 = row.ranges.iter().map(Range::width).sum();
+            prop_assert!(row.ranges.is_empty() || width == 65_536);
+        }
+    }
+}
