--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -135,6 +135,8 @@
             self.trial = Some(trial);
             return None;
         };
+        let request = shown_id(self.words.id.as_ref());
+        log::info!(request, work:%, busy_ms = for_ms; "another copy of the work is being tried");
         let left_ms = self.job.caller_until.since(clock::mono());
         Some(Refusal {
             reason: RefusalReason::UnderTrial,
