--- a/crates/citronway/tests/endpoints.rs
+++ b/crates/citronway/tests/endpoints.rs
@@ -1,177 +1,23 @@
 //! Failures between a dispatcher and its endpoint.
 
 mod common;
+mod endpoints_support;
 
-use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use citronway::endpoints::EndpointCommand;
 use citronway::endpoints::clock::wall_now;
 use citronway::endpoints::gate::{Gate, GatedStream};
-use citronway::endpoints::{EndpointCommand, EndpointsConfig, EndpointsHandle, Target, start};
-use citronway_core::ids::{EndpointName, Epoch, Key, RequestId, ServiceName, Session, ShardId};
-use citronway_core::node::events::{Grant, OrderReply, ProbeReport, RefusedReason};
-use citronway_core::node::{Event, events::Ticket};
-use citronway_core::outcome::Answer;
-use citronway_core::request::{Fence, Repeat, Request};
-use citronway_core::time::{Mono, Wall};
+use citronway_core::ids::{EndpointName, RequestId};
+use citronway_core::node::Event;
+use citronway_core::node::events::{OrderReply, ProbeReport, RefusedReason};
+use citronway_core::time::Mono;
 use common::{Peer, dead_address, listener, next};
+use endpoints_support::*;
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
-use tokio::sync::mpsc::{Receiver, Sender, channel};
 use uuid::Uuid;
 
-/// Deadline that a test does not reach.
-const FAR_MS: u64 = 60_000;
-/// Deadline that a test waits for.
-const NEAR_MS: u64 = 400;
-const CONNECTIONS: u32 = 8;
-
-struct Bench {
-    listener: TcpListener,
-    address: SocketAddr,
-    commands: Sender<EndpointCommand>,
-    events: Receiver<Event>,
-    handle: EndpointsHandle,
-}
-
-impl Bench {
-    fn new() -> Self {
-        Self::with_probe_timeout(FAR_MS)
-    }
-
-    fn with_probe_timeout(ms: u64) -> Self {
-        let cfg = EndpointsConfig::builder()
-            .probe_timeout_ms(ms)
-            .idle_ms(FAR_MS)
-            .max_answer_bytes(1024);
-        let (listener, address) = listener();
-        let (commands, commands_rx) = channel(16);
-        let (events_tx, events) = channel(16);
-        let handle = start(cfg.build(), commands_rx, events_tx).expect("a thread");
-        Self {
-            listener,
-            address,
-            commands,
-            events,
-            handle,
-        }
-    }
-
-    fn target(&self) -> Target {
-        Target {
-            endpoint: EndpointName::new("a"),
-            address: self.address,
-        }
-    }
-
-    fn command(&self, command: EndpointCommand) {
-        self.commands.blocking_send(command).expect("an open ring");
-    }
-
-    fn order(&self, ticket: Ticket, ms: u64) -> RequestId {
-        self.order_of(ticket, ms, CONNECTIONS)
-    }
-
-    fn order_of(&self, ticket: Ticket, ms: u64, connections: u32) -> RequestId {
-        let id = RequestId(Uuid::now_v7());
-        self.command(EndpointCommand::SendOrder {
-            ticket,
-            to: self.target(),
-            connections,
-            fence: fence(),
-            held_until: Mono(u64::MAX),
-            request: Box::new(request(id, wall_now().plus(ms))),
-        });
-        id
-    }
-
-    /// Sends an order, answers it with `answer`, and gives the reply.
-    fn reply_to(&mut self, peer: &mut Peer, answer: impl Fn(&mut Peer, RequestId)) -> OrderReply {
-        let id = self.order(9, FAR_MS);
-        peer.read();
-        answer(peer, id);
-        self.reply()
-    }
-
-    /// The end of an order; a look at the endpoint after an earlier one is passed over.
-    fn reply(&mut self) -> OrderReply {
-        loop {
-            match next(&mut self.events) {
-                Event::OrderDone { reply, .. } => return reply,
-                Event::EndpointLives { .. } => {}
-                other => panic!("not the end of an order: {other:?}"),
-            }
-        }
-    }
-
-    /// A connection that is idle after one whole answer.
-    fn idle(&mut self) -> Peer {
-        let id = self.order(1, FAR_MS);
-        let mut peer = Peer::accept(&self.listener);
-        peer.read();
-        answer(&mut peer, id, "first");
-        assert_that!(self.reply(), eq(&answered("first")));
-        peer
-    }
-
-    fn stop(self) {
-        self.command(EndpointCommand::Stop);
-        self.handle.join();
-    }
-}
-
-fn fence() -> Fence {
-    Fence {
-        shard: ShardId(3),
-        shard_epoch: Epoch(4),
-        dispatch_epoch: Epoch(5),
-        dispatcher: Session::new("entry-1", 17),
-    }
-}
-
-fn request(id: RequestId, deadline: Wall) -> Request {
-    Request {
-        id,
-        service: ServiceName::new("bookings"),
-        key: Key::new("Łódź 7"),
-        tenant: "labs".to_owned(),
-        class: "batch".into(),
-        repeat: Repeat::NonIdempotent,
-        deadline,
-        method: "POST".to_owned(),
-        path: "/book?x=1".to_owned(),
-        content_type: Some("text/plain".to_owned()),
-        body: "bottle".into(),
-    }
-}
-
-fn grant() -> Grant {
-    Grant {
-        dispatch_epoch: Epoch(5),
-        dispatcher: Session::new("entry-1", 17),
-        end: Wall(1),
-        shards: vec![],
-    }
-}
-
-fn named(id: RequestId) -> String {
-    format!("citronway-request-id: {id}\r\n")
-}
-
-fn answer(peer: &mut Peer, id: RequestId, body: &str) {
-    peer.answer(201, &named(id), body);
-}
-
-fn answered(body: &'static str) -> OrderReply {
-    OrderReply::Answered {
-        answer: Answer {
-            status: 201,
-            content_type: None,
-            body: body.into(),
-        },
-    }
-}
-
 #[gtest]
 fn order_carries_its_fence_and_connection_is_used_again() {
     let mut bench = Bench::new();
