A link is given up by time in which its own process could run

Cause, of the first: a link whose control messages are not confirmed within 0.5 s is given up, and what was forwarded on it ends as lost. Logs of the entries, copied while the test ran with 100 busy processes beside: 12 and more `link down` with `control messages not confirmed in time`, between processes that were all alive. A process that is held up for longer finds its own timer due before it has read the confirmation that has come meanwhile.

Change: the wait is made in ten parts, each of which ends only when this process has had the processor and read what has come. A peer that is silent is given up after the same time.

A new test holds the process up for twice the limit while an answer comes through two tasks: with one part it is taken for silent, with ten it counts.

What is left: a peer that is itself held up for longer than the limit cannot be told from a frozen one, and deadlines pass on a machine that does not run its processes.

--- a/crates/citronway/src/peers/link.rs
+++ b/crates/citronway/src/peers/link.rs
@@ -15,6 +15,7 @@
 use super::config::PeersConfig;
 use super::context::Context;
 use super::control_queue::{ControlQueue, Encoded};
+use super::patience::within;
 
 /// Time between two notices that a session still answers.
 const SHOW_EVERY: Duration = Duration::from_secs(1);
@@ -136,11 +137,13 @@
         cx.counters.control_messages_sent.add(batch.len());
         cx.counters.control_calls_sent.add(1);
         let sent = req.send().promise;
-        match tokio::time::timeout(cx.cfg.control_timeout, sent).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(err)) if err.kind == capnp::ErrorKind::Disconnected => Err(LinkEnd::Broken(err)),
-            Ok(Err(err)) => Err(LinkEnd::Refused(err)),
-            Err(_) => Err(LinkEnd::Silent),
+        match within(cx.cfg.control_timeout, sent).await {
+            Some(Ok(_)) => Ok(()),
+            Some(Err(err)) if err.kind == capnp::ErrorKind::Disconnected => {
+                Err(LinkEnd::Broken(err))
+            }
+            Some(Err(err)) => Err(LinkEnd::Refused(err)),
+            None => Err(LinkEnd::Silent),
         }
     }
 }
--- a/crates/citronway/src/peers/mod.rs
+++ b/crates/citronway/src/peers/mod.rs
@@ -24,6 +24,7 @@
 mod link;
 mod link_server;
 mod listen;
+mod patience;
 mod remote;
 mod replies;
 
@@ -38,6 +39,7 @@
 pub use command::PeerCommand;
 pub use config::{PeersConfig, PeersConfigBuilder};
 pub use counters::{Counter, PeerCounters};
+pub use patience::within;
 pub use replies::PEER_TICKET_BASE;
 
 /// The running duty.
--- a/crates/citronway/tests/peers/main.rs
+++ b/crates/citronway/tests/peers/main.rs
@@ -6,3 +6,4 @@
 mod greeting;
 mod normal;
 mod overload;
+mod patience;
