--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -201,16 +201,22 @@
         return Ok(None);
     }
     tokio::time::sleep(KNOWN_WITHIN).await;
-    let callers = fleet.callers();
-    let mut caller = Caller::new(callers.clone(), false);
-    for n in 0..TRIES {
-        let id = format!("harmful-after-{n}");
-        // What it is told is its own affair.
-        let _ = caller.ask(n % callers.len(), Kind::Harmful, 0, id).await;
+    let addresses = fleet.callers();
+    let instances = addresses.len();
+    let mut callers: Vec<_> = (0..instances)
+        .map(|_| Caller::new(addresses.clone(), false))
+        .collect();
+    for round in 0..TRIES {
+        // A copy at each instance, all at once; what they are told is their own affair.
+        let copies = callers.iter_mut().enumerate().map(|(n, caller)| {
+            let id = format!("harmful-after-{round}-{n}");
+            caller.ask(n, Kind::Harmful, 0, id)
+        });
+        futures::future::join_all(copies).await;
         fleet.replace_crashed(Duration::ZERO)?;
     }
     let times = fleet.harm_done() - before;
-    let tries = TRIES;
+    let tries = TRIES * instances;
     Ok((times > ALLOWED_AFTER).then_some(Violation::SentOn { times, tries }))
 }
 
