--- a/crates/citronway-core/benches/gateway_crashes.rs
+++ b/crates/citronway-core/benches/gateway_crashes.rs
@@ -5,8 +5,11 @@
 
 use std::hint::black_box;
 
-use citronway_core::gateway::crashes::{Fingerprint, FingerprintKey, Known, Ledger, Sign, Work};
+use citronway_core::gateway::crashes::{
+    Fingerprint, FingerprintKey, Known, Ledger, Sign, TrialId, TrialRequest, Trials, Work,
+};
 use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::ids::SessionId;
 use citronway_core::time::Mono;
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 
@@ -72,5 +75,31 @@
     });
 }
 
-criterion_group!(benches, request, table);
+fn trial_request(number: u64) -> TrialRequest {
+    TrialRequest {
+        id: TrialId {
+            session: SessionId(1),
+            number,
+        },
+        work: Fingerprint(number),
+        expected_ms: 350,
+        limit_ms: 4_000,
+    }
+}
+
+fn trials(c: &mut Criterion) {
+    let known = full().known(None, 0);
+    c.bench_function("a look at a suspect, full table", |b| {
+        b.iter(|| known.suspects(black_box(Fingerprint(7))));
+    });
+    let mut open = Trials::default();
+    for number in 0..u64::from(FULL) {
+        open.request(Mono(0), &trial_request(number));
+    }
+    c.bench_function("a request for a trial, full table", |b| {
+        b.iter(|| open.request(Mono(1), black_box(&trial_request(7))));
+    });
+}
+
+criterion_group!(benches, request, table, trials);
 criterion_main!(benches);
