A crash of its own ends what an instance took as cleared

Read in the code: an instance that got an answer for a suspect sends copies of it without a trial for 2 s. Crashes that others told ended that, crashes that its own traffic saw did not; copies of work that crashes endpoints now and then could go out together there. Both ways are one function now.

--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -203,11 +203,7 @@
 impl Control {
     /// Takes signs that another instance reports.
     pub(super) fn signs_came(&mut self, now: Mono, report: &Report, passes_on: bool) {
-        for sign in &report.signs {
-            if let Sign::Crash { work, .. } = sign {
-                self.trials.crashed(*work);
-            }
-        }
+        self.trials.crashes_seen(&report.signs);
         self.cluster.crashes.heard(now, report, passes_on);
     }
 
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -37,6 +37,7 @@
         self.reports += 1;
         self.duty.work_seen(&seen.work_ms);
         self.unreported.add(seen.looked.clone());
+        self.trials.crashes_seen(&seen.signs);
         self.cluster.crashes.own_seen(now, &seen.signs);
         if self.leads_many(now) {
             self.report_to_itself(now);
--- a/crates/citronway/src/gateway/control/trials.rs
+++ b/crates/citronway/src/gateway/control/trials.rs
@@ -71,10 +71,15 @@
         now.since(since) >= ALONE_AFTER_MS
     }
 
-    /// Notes that an endpoint crashed with the work.
-    pub(super) fn crashed(&mut self, work: Fingerprint) {
-        self.own.crashed(work);
-        self.granted.crashed(work);
+    /// Notes crashes: what was cleared by an answer before is under suspicion again.
+    pub(super) fn crashes_seen(&mut self, signs: &[Sign]) {
+        for sign in signs {
+            let Sign::Crash { work, .. } = sign else {
+                continue;
+            };
+            self.own.crashed(*work);
+            self.granted.crashed(*work);
+        }
     }
 
     fn settle(&mut self, now: Mono, asked: Asked, grant: TrialGrant) {
@@ -208,10 +213,9 @@
     fn trial_ended(&mut self, now: Mono, ended: &EndedTrial) {
         let EndedTrial { id, work, end } = *ended;
         if let TrialEnd::Crashed { endpoint } = end {
-            self.cluster
-                .crashes
-                .crash_told(now, Sign::Crash { work, endpoint });
-            self.trials.crashed(work);
+            let crash = Sign::Crash { work, endpoint };
+            self.cluster.crashes.crash_told(now, crash);
+            self.trials.crashes_seen(&[crash]);
         }
         let term = self.duty.term();
         self.trials.granted_in(now, term).ended(now, id, work, end);
