Own request path: a planned stop is no crash

What callers would see: an endpoint that leaves ends with a lookup it still runs, three times in a row as in a release, and the lookup is refused with `crashes_endpoints`.

Cause: the dispatcher took each broken connection for a crash unless the endpoint listened a moment later, also where it knew that the endpoint leaves.

Evidence: a new test stops draining endpoints with the same slow lookup under way; it was told `crashes_endpoints` before, and is answered with the guard.

--- a/crates/citronway-core/src/dispatch/machine.rs
+++ b/crates/citronway-core/src/dispatch/machine.rs
@@ -201,7 +201,9 @@
         self.report(turn);
     }
 
-    pub(super) fn is_draining(&self) -> bool {
+    /// Whether the endpoint leaves, by its own word or the operator's.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
         self.endpoint.drain || self.health.draining()
     }
 
--- a/crates/citronway-core/src/node/crashes.rs
+++ b/crates/citronway-core/src/node/crashes.rs
@@ -167,11 +167,8 @@
 
     /// Takes as crashes what has not shown otherwise, and forgets what no longer counts.
     pub(super) fn tick(&mut self, now: Mono) {
-        while let Some(broken) = self.broken.front() {
-            if now.since(broken.at) < MAY_LIVE_MS {
-                break;
-            }
-            let Broken { at, endpoint, work } = self.broken.pop_front().expect("it was there");
+        let is_due = |broken: &mut Broken| now.since(broken.at) >= MAY_LIVE_MS;
+        while let Some(Broken { at, endpoint, work }) = self.broken.pop_front_if(is_due) {
             let endpoint = self.crashed_start(at, &endpoint);
             self.tell(now, Sign::Crash { work, endpoint });
         }
--- a/crates/citronway-core/src/node/dispatchers.rs
+++ b/crates/citronway-core/src/node/dispatchers.rs
@@ -296,7 +296,9 @@
                     work,
                 }) = self.tickets.take(ticket)
                 {
-                    if let Some(work) = work {
+                    // An endpoint that leaves may end with what it runs.
+                    let leaves = self.seats.leaves(&endpoint, epoch);
+                    if let Some(work) = work.filter(|_| !leaves) {
                         self.crashes.replied(now.mono, &endpoint, work, &reply);
                     }
                     let event = DispatchEvent::OrderDone { ticket, reply };
--- a/crates/citronway-core/src/node/seats.rs
+++ b/crates/citronway-core/src/node/seats.rs
@@ -97,6 +97,13 @@
 }
 
 impl Seats {
+    /// Whether an endpoint leaves, as the dispatcher of an epoch knows it.
+    pub(super) fn leaves(&mut self, endpoint: &EndpointName, epoch: Epoch) -> bool {
+        let seat = self.by_endpoint.get_mut(endpoint);
+        let active = seat.and_then(|seat| seat.of_epoch(epoch));
+        active.is_some_and(|active| active.dispatcher.is_draining())
+    }
+
     /// Whether no dispatcher has work or a role left.
     pub(super) fn is_idle(&self) -> bool {
         self.by_endpoint.values().all(|seat| !seat.is_busy())
--- a/crates/citronway-core/tests/node_crashes.rs
+++ b/crates/citronway-core/tests/node_crashes.rs
@@ -67,3 +67,47 @@
         expect_that!(world.calls.told(other), eq("answered"));
     }
 }
+
+/// The endpoint that runs anything, while a slow lookup of a key is under way.
+fn owner_of_slow_lookup(world: &mut World) -> Option<usize> {
+    for endpoint in 0..ENDPOINTS {
+        world.fault(&Fault::Slow {
+            endpoint,
+            ms: 1_000,
+        });
+    }
+    world.same_lookup(0, 3);
+    world.run_for(60);
+    world.servers.iter().position(|server| server.is_running())
+}
+
+/// Guards against work that is refused since planned stops broke its connections.
+#[gtest]
+fn planned_stops_are_no_crashes() {
+    let mut world = World::new(2);
+    let mut stops = 0;
+    for _ in 0..40 {
+        let Some(endpoint) = owner_of_slow_lookup(&mut world) else {
+            world.run_for(2_000);
+            continue;
+        };
+        world.fault(&Fault::Drain {
+            endpoint,
+            drain: true,
+        });
+        world.run_for(700);
+        stops += usize::from(world.servers[endpoint].is_running());
+        let down_ms = 500;
+        world.fault(&Fault::Restart { endpoint, down_ms });
+        world.run_for(3_000);
+        world.fault(&Fault::Drain {
+            endpoint,
+            drain: false,
+        });
+        world.run_for(4_000);
+    }
+    expect_that!(stops, gt(KNOWN_AFTER));
+    let lookup = world.same_lookup(0, 3);
+    world.run_for(4_000);
+    expect_that!(world.calls.told(lookup), eq("answered"));
+}
