--- a/crates/citronway-core/tests/node_crashes.rs
+++ b/crates/citronway-core/tests/node_crashes.rs
@@ -78,7 +78,10 @@
     }
     world.same_lookup(0, 3);
     world.run_for(60);
-    world.servers.iter().position(|server| server.is_running())
+    world
+        .servers
+        .iter()
+        .position(node_world::endpoint::Server::is_running)
 }
 
 /// Guards against work that is refused since planned stops broke its connections.
