A new leader that hears of few leaves each instance its own share of second sends

Cause: each instance takes an equal part of the free second sends. In large fleets the number of parts is what the newest leader tells, and a new leader hears of few at first: it told 1, 8, 26 and 35 of 88 for one to three seconds, and each instance that heard it took the part of a whole small fleet.

Change: the largest number that a leader told stands for 15 s against smaller ones, which is longer than a window and than a new leader takes to hear of all. A test in which a new leader tells few fails without it by design of the number itself: 87 instances with the part of one take 87 times the slack.

--- a/crates/citronway-core/src/gateway/budget.rs
+++ b/crates/citronway-core/src/gateway/budget.rs
@@ -11,6 +11,37 @@
 /// at different moments and requests that end outside the window.
 const USED_PART: f64 = 0.7;
 
+/// Time for which a larger number of instances stands against a smaller one, in milliseconds:
+/// longer than a window, and than a new leader takes to hear of all.
+const LARGER_STANDS_MS: u64 = 15_000;
+
+/// Number of instances that share the limit.
+///
+/// Failure guarded against: the leader changes, its successor hears of few instances at first
+/// and says so, and each instance takes the slack of the whole fleet for its own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FleetSize {
+    count: u32,
+    told: Mono,
+}
+
+impl FleetSize {
+    /// Takes what a leader tells.
+    pub const fn told(&mut self, now: Mono, count: u32) {
+        let is_old = now.since(self.told) >= LARGER_STANDS_MS;
+        if count >= self.count || is_old {
+            self.count = count;
+            self.told = now;
+        }
+    }
+
+    /// Instances; zero before any leader told.
+    #[must_use]
+    pub const fn count(self) -> u32 {
+        self.count
+    }
+}
+
 /// Limit on second sends that all instances together keep.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SharedLimit {
--- a/crates/citronway-core/tests/gateway_shares.rs
+++ b/crates/citronway-core/tests/gateway_shares.rs
@@ -1,6 +1,6 @@
 //! Places at endpoints and second sends, divided among instances without asking.
 
-use citronway_core::gateway::budget::{SecondSends, SharedLimit};
+use citronway_core::gateway::budget::{FleetSize, SecondSends, SharedLimit};
 use citronway_core::gateway::share::{Demand, allowed, part_of_free, places};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
@@ -114,3 +114,39 @@
     expect_that!(budget.take(Mono(9_000), 10), eq(false));
     expect_that!(budget.take(Mono(20_500), 10), eq(true));
 }
+
+/// Guards against a new leader that hears of few, by which each instance takes the slack of all.
+#[gtest]
+fn second_sends_stay_within_the_limit_while_the_leader_changes() {
+    const INSTANCES: u32 = 87;
+    let limit = SharedLimit {
+        ratio: 0.2,
+        slack: 214.0,
+        window_ms: 10_000,
+    };
+    let mut fleet = FleetSize::default();
+    fleet.told(Mono(0), INSTANCES);
+    for (at, told) in [(9_000, 1), (9_200, 8), (9_400, 26), (9_600, 87)] {
+        fleet.told(Mono(at), told);
+        let now = Mono(at);
+        let mut all = 0;
+        for _ in 0..INSTANCES {
+            let mut sends = SecondSends::new(limit);
+            while sends.take(now, fleet.count()) {
+                all += 1;
+            }
+        }
+        expect_that!(f64::from(all), le(limit.slack));
+    }
+}
+
+/// Guards against a fleet that was large once and refuses second sends for ever.
+#[gtest]
+fn a_smaller_fleet_counts_once_it_was_told_for_long() {
+    let mut fleet = FleetSize::default();
+    fleet.told(Mono(0), 87);
+    fleet.told(Mono(14_000), 20);
+    expect_that!(fleet.count(), eq(87));
+    fleet.told(Mono(15_000), 20);
+    expect_that!(fleet.count(), eq(20));
+}
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use citronway_core::gateway::admission::Standing;
+use citronway_core::gateway::budget::FleetSize;
 use citronway_core::gateway::election::{LeaderRow, PeerSight, Strength};
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::report::{
@@ -47,6 +48,8 @@
     all: IndexMap<InstanceName, Peer>,
     /// Sums that the leader told last, and when.
     totals: Option<(Totals, Mono)>,
+    /// Instances by the sums of leaders.
+    fleet: FleetSize,
 }
 
 impl Peers {
@@ -155,6 +158,7 @@
     pub(super) fn totals(&mut self, now: Mono, totals: Totals) {
         let newest = self.totals.as_ref().map(|(t, _)| (t.term, t.number));
         if newest.is_none_or(|newest| newest < (totals.term, totals.number)) {
+            self.fleet.told(now, totals.instances);
             self.totals = Some((totals, now));
         }
     }
@@ -265,14 +269,14 @@
     /// uses up second sends that all share. So the last number that was told holds on.
     pub(super) fn instances(&self, now: Mono) -> usize {
         let heard = self.heard(now) + 1;
-        if !self.are_many(now) {
-            return heard;
+        let told = self.fleet.count() as usize;
+        if told > 0 {
+            return told.max(heard);
         }
-        let told = self
-            .totals
-            .as_ref()
-            .map(|(totals, _)| totals.instances as usize);
-        told.unwrap_or(self.all.len()).max(heard)
+        if self.are_many(now) {
+            return self.all.len().max(heard);
+        }
+        heard
     }
 
     /// Whether a leader ever told sums.
