Work under suspicion outlives the end of all instances

Cause: suspects of one or two crashes stood in the memory of instances alone.

The row about crashes now names suspects with the starts that crashed with them; an instance takes them from the first row that it reads.

suspects_outlive_the_end_of_all_instances failed before (no suspect known after the start) and passes.

--- a/crates/citronway-core/src/gateway/crashes/ledger.rs
+++ b/crates/citronway-core/src/gateway/crashes/ledger.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::entry::{Crash, Entry, State};
-use super::{Fingerprint, FingerprintKey, Known, Refused, Sign};
+use super::{Fingerprint, FingerprintKey, Known, Refused, Sign, StoredSuspect};
 use crate::gateway::pace::EndpointTag;
 use crate::time::Mono;
 
@@ -253,6 +253,38 @@
         })
     }
 
+    /// Takes a suspect that the store remembers, at a start; it tells no loss of machines, and
+    /// its crashes count from now.
+    pub fn remember(&mut self, now: Mono, suspect: &StoredSuspect) {
+        if !self.has_room(suspect.work) {
+            return;
+        }
+        let entry = self.entries.entry(suspect.work).or_default();
+        for endpoint in &suspect.endpoints {
+            if entry.has(*endpoint) {
+                continue;
+            }
+            self.changed = true;
+            let endpoint = *endpoint;
+            entry.add(Crash { endpoint, at: now });
+        }
+    }
+
+    /// Suspects that the store is to remember, the newest.
+    #[must_use]
+    pub fn to_remember(&self, now: Mono) -> Vec<StoredSuspect> {
+        let works = self.suspects(now).into_iter();
+        let mut suspects: Vec<_> = works
+            .filter_map(|work| {
+                let crashes = &self.entries.get(&work)?.crashes;
+                let endpoints = crashes.iter().map(|crash| crash.endpoint).collect();
+                Some(StoredSuspect { work, endpoints })
+            })
+            .collect();
+        suspects.sort_unstable();
+        suspects
+    }
+
     /// Takes a suspect that the leader tells of.
     pub fn told_suspect(&mut self, now: Mono, work: Fingerprint) {
         if let Some(entry) = self.entries.get_mut(&work) {
--- a/crates/citronway-core/src/gateway/crashes/mod.rs
+++ b/crates/citronway-core/src/gateway/crashes/mod.rs
@@ -22,7 +22,7 @@
 pub use known::Known;
 pub use ledger::{CRASH_COUNTS_MS, HARMFUL_CRASHES, Ledger, MOST_REFUSED, MOST_SUSPECTS, Verdict};
 pub use sign::{MOST_SIGNS, Outbox, Sign, Taken};
-pub use stored::{Refused, StoredCrashes};
+pub use stored::{Refused, StoredCrashes, StoredSuspect};
 pub use trials::{
     Place, TURN_MS, TrialEnd, TrialGrant, TrialId, TrialRequest, Trials, come_back_ms,
     may_try_alone,
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -345,3 +345,23 @@
     expect_that!(taken.fresh(&report(7, 5, vec![crash(BAD, 1)])).len(), eq(0));
     expect_that!(taken.fresh(&report(8, 0, vec![crash(BAD, 1)])).len(), eq(1));
 }
+
+/// Guards against crashes that are counted anew once all instances have ended and started again.
+#[gtest]
+fn crashes_that_the_store_remembers_count_on() {
+    let mut before = Ledger::default();
+    let now = crash_all(&mut before, BAD, 0..2);
+    let stored = before.to_remember(now);
+    expect_that!(stored, len(eq(1)));
+    let mut after = Ledger::default();
+    for suspect in &stored {
+        after.remember(now, suspect);
+    }
+    expect_that!(after.suspects_work(BAD), eq(true));
+    expect_that!(refuses(&after, now, BAD), eq(false));
+    // The same crash, told by another instance, is no further one.
+    after.take(now, crash(BAD, 1));
+    expect_that!(refuses(&after, now, BAD), eq(false));
+    after.take(now, crash(BAD, 2));
+    expect_that!(refuses(&after, now, BAD), eq(true));
+}
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -7,7 +7,7 @@
 
 use citronway_core::gateway::crashes::{
     Fingerprint, FingerprintKey, Known, Ledger, MOST_SIGNS, Outbox, Refused, Sign, StoredCrashes,
-    Taken, Verdict,
+    StoredSuspect, Taken, Verdict,
 };
 use citronway_core::gateway::report::{Report, Totals};
 use citronway_core::gateway::rows::Row;
@@ -25,6 +25,10 @@
 /// Time between two writes of the row, in milliseconds.
 const WRITE_PAUSE_MS: u64 = 1_000;
 
+/// Time for which suspects that were cleared stay in the row, in milliseconds. After a start
+/// they are tried once more, and cleared by the next answer.
+const CLEARED_STAY_MS: u64 = 10_000;
+
 /// What this instance knows of crashes.
 #[derive(Debug, Default)]
 pub(super) struct Crashes {
@@ -35,6 +39,8 @@
     taken: Taken,
     row: Option<StoredCrashes>,
     version: Version,
+    /// A row was read.
+    has_read: bool,
     /// The row that stands cannot be read.
     unreadable: bool,
     known: Arc<Known>,
@@ -44,6 +50,8 @@
     told_term: u64,
     writing: bool,
     write_after: Mono,
+    /// When it was last begun to be written here.
+    written: Mono,
 }
 
 impl Crashes {
@@ -75,11 +83,26 @@
         for refused in stored.iter().flat_map(|stored| &stored.refused) {
             self.verdicts.extend(self.ledger.told(now, *refused));
         }
+        self.remember(now, stored.as_ref());
         self.row = stored;
         self.refresh();
         Ok(())
     }
 
+    /// Takes the suspects of the first row that is read.
+    ///
+    /// Failure guarded against: all instances end and start again, and work that crashed
+    /// endpoints before is sent at all of them at once. Later rows tell nothing that the
+    /// others do not report, and may name work that was cleared since.
+    fn remember(&mut self, now: Mono, stored: Option<&StoredCrashes>) {
+        if std::mem::replace(&mut self.has_read, true) {
+            return;
+        }
+        for suspect in stored.iter().flat_map(|stored| &stored.suspects) {
+            self.ledger.remember(now, suspect);
+        }
+    }
+
     /// Takes what this instance's own traffic saw.
     pub(super) fn own_seen(&mut self, now: Mono, signs: &[Sign]) {
         for sign in signs {
@@ -183,12 +206,30 @@
         }
         let mut refused = self.ledger.harmful(now);
         refused.sort_unstable();
+        let suspects = self.ledger.to_remember(now);
         let key = match &self.row {
-            Some(row) if row.refused == refused => return None,
+            Some(row) if self.stands(now, row, &refused, &suspects) => return None,
             Some(row) => row.key,
             None => FingerprintKey::new(uuid::Uuid::new_v4().into_bytes()),
         };
-        Some(StoredCrashes { key, refused })
+        Some(StoredCrashes {
+            key,
+            refused,
+            suspects,
+        })
+    }
+
+    /// Whether the row needs not be written anew.
+    fn stands(
+        &self,
+        now: Mono,
+        row: &StoredCrashes,
+        refused: &[Refused],
+        suspects: &[StoredSuspect],
+    ) -> bool {
+        let is_fresh = now.since(self.written) < CLEARED_STAY_MS;
+        let is_same = row.suspects.len() == suspects.len();
+        row.refused == refused && row.covers(suspects) && (is_same || is_fresh)
     }
 
     /// Version that the row must have to be written.
@@ -243,6 +284,7 @@
         };
         crashes.writing = true;
         crashes.write_after = now.plus(WRITE_PAUSE_MS);
+        crashes.written = now;
         let change = Change {
             unless_changed: vec![
                 (LEADER_KEY.to_owned(), office),
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -164,6 +164,30 @@
     expect_that!(console.begun(BAD), eq(known));
 }
 
+/// Guards against copies that reach endpoints together once all instances have ended and started again.
+#[gtest]
+fn suspects_outlive_the_end_of_all_instances() {
+    let deployment = Deployment::new();
+    let mut console = Service::console(&deployment);
+    let mut instances = two_instances(&deployment);
+    crash(&mut console, &instances, GET_BAD, 1);
+    until("it is stored", || {
+        let row = deployment.store.own("crashes");
+        row.is_some_and(|row| row["suspects"][0].is_object())
+    });
+    for instance in &mut instances {
+        instance.kill();
+    }
+    for instance in &mut instances {
+        deployment.restart(instance);
+    }
+    for instance in &instances {
+        until("it knows of the suspect", || {
+            instance.metrics().contains("citronway_crash_suspects 1")
+        });
+    }
+}
+
 /// The store is away when the work crashes its third endpoint: nothing can be written.
 #[gtest]
 fn crashes_while_the_store_is_away_are_known_to_all() {
