An instance that missed the row of a new leader reads own rows anew

Callers with work under suspicion were refused by one instance of three for six seconds, and the store got a claim from it each half second: it knew no leader, though it heard of one.

Cause: the row that names a leader is written before that one is in office, so nobody passes it on; the leader's next, empty relay moves the receivers' position in the table beyond that row, and a poll for what came since no longer tells of it. It heals only when the row is written once more, which happens only if an earlier leader may still give holds.

Such an instance now reads the whole table, or takes a whole copy where the store is away. Ruled out: that the store did not answer it, as its claims were answered with a conflict.

all_instances_that_start_together_learn_of_the_leader failed before (not in 40 s) and passes.

--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -383,12 +383,21 @@
     pub(super) fn stale_tables(&mut self, now: Mono, term: u64) -> Vec<Table> {
         let newest = self.peers.newest(now);
         self.outage.heard(now, self.endpoints.lost, newest);
-        let lacks_leader = self.own.loaded && self.leader.as_ref().map_or(0, |row| row.term) < term;
+        let lacks_leader = self.lacks_leader(term);
         let tables = [
             (Table::Config, newest.config),
             (Table::Endpoints, newest.endpoints),
             (Table::Own, if lacks_leader { u64::MAX } else { newest.own }),
         ];
+    /// Whether others know a leader whose row this instance has not seen.
+    ///
+    /// Failure guarded against: the row that names a new leader is missed, and rows that it
+    /// passes on move the position beyond it. Asked for what came since, the store no longer
+    /// tells of it, and the instance goes without a leader until the next one.
+    pub(super) fn lacks_leader(&self, term: u64) -> bool {
+        self.own.loaded && self.leader.as_ref().map_or(0, |row| row.term) < term
+    }
+
         let mut stale = Vec::new();
         for (table, others) in tables {
             let sight = self.sight(table);
--- a/crates/citronway/src/gateway/control/copies.rs
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -73,7 +73,12 @@
             return;
         }
         self.copying.push(table);
-        let after = Version(self.cluster.seen().of(table));
+        let lacks_leader = table == Table::Own && self.cluster.lacks_leader(self.duty.term());
+        let after = if lacks_leader {
+            Version(0)
+        } else {
+            Version(self.cluster.seen().of(table))
+        };
         let events = events.clone();
         tokio::spawn(async move {
             let copy = ask(address, table, after).await;
@@ -108,8 +113,9 @@
                 return;
             }
         };
-        // The store, or a relay, has brought newer rows meanwhile.
-        if copy.after.0 < self.cluster.seen().of(table) {
+        // The store, or a relay, has brought newer rows meanwhile. Own rows are taken one by
+        // one, each if it is newer.
+        if table != Table::Own && copy.after.0 < self.cluster.seen().of(table) {
             return;
         }
         self.cluster.copied(now, &copy);
--- a/crates/citronway/src/gateway/control/following.rs
+++ b/crates/citronway/src/gateway/control/following.rs
@@ -81,6 +81,9 @@
                 continue;
             }
             log::info!(table = table.word(); "others see newer rows, asking anew");
+            if table == Table::Own && self.cluster.lacks_leader(self.duty.term()) {
+                self.read_own_rows_anew();
+            }
             if self.cluster.needs_copy(table) {
                 self.follow(table).refresh.notify_one();
                 self.ask_for_copy(now, table, events);
