--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -112,9 +112,12 @@
             return Finding::Wait(RefusalReason::KeyUnowned);
         };
         if !known.takes_owned_work(now) {
-            return Finding::Wait(RefusalReason::KeyUnowned);
+            return Finding::Wait(without_owner(view, job));
         }
         let tag = EndpointTag::of(&holder.endpoint);
+        if self.is_cold_busy(now, tag) {
+            return Finding::Wait(RefusalReason::Overloaded);
+        }
         if self.is_avoided(now, tag) {
             return Finding::Wait(RefusalReason::Unreachable);
         }
@@ -150,7 +153,12 @@
             .filter(|known| known.takes_work())
             .collect();
         if endpoints.is_empty() {
-            return Finding::Wait(RefusalReason::NoEndpoint);
+            let cause = if is_evacuated(view, job) {
+                RefusalReason::Evacuated
+            } else {
+                RefusalReason::NoEndpoint
+            };
+            return Finding::Wait(cause);
         }
         let untried = endpoints
             .iter()
@@ -165,7 +173,8 @@
             if self.is_avoided(now, tag) {
                 continue;
             }
-            if !self.has_room(now, view, known, tag, 1, job.work_ms) {
+            let cold_busy = self.is_cold_busy(now, tag);
+            if cold_busy || !self.has_room(now, view, known, tag, 1, job.work_ms) {
                 cause = RefusalReason::Overloaded;
                 continue;
             }
@@ -214,6 +223,10 @@
             .is_some_and(|avoided| now < avoided.until)
     }
 
+    fn is_cold_busy(&self, now: Mono, tag: EndpointTag) -> bool {
+        self.cold_busy.get(&tag).is_some_and(|until| now < *until)
+    }
+
     fn has_room(
         &self,
         now: Mono,
@@ -247,7 +260,7 @@
         let standing = view.standings.get(&tag).unwrap_or(&unknown);
         let in_flight = self.in_flight.get(&tag).copied().unwrap_or_default();
         let used = f64::from(in_flight + standing.in_flight) / f64::from(known.listing.slots);
-        let cold = if known.warm_at > now {
+        let cold = if known.is_cold(now) {
             COLD_SLOWNESS
         } else {
             1.0
@@ -263,6 +276,25 @@
     }
 }
 
+/// Whether endpoints of the service are there, all of those that stay in evacuated zones.
+fn is_evacuated(view: &View, job: &Job) -> bool {
+    let mut stay = view.registry.of(&job.service);
+    let mut any = false;
+    let all = stay.all(|known| {
+        any |= known.is_evacuated();
+        !known.takes_work()
+    });
+    all && any
+}
+
+/// Why a key cannot be served whose owner takes no more work.
+fn without_owner(view: &View, job: &Job) -> RefusalReason {
+    if is_evacuated(view, job) {
+        return RefusalReason::Evacuated;
+    }
+    RefusalReason::KeyUnowned
+}
+
 /// Load that is added for the bytes of an answer from another availability zone.
 fn way_of_answer(view: &View, known: &Known, job: &Job) -> f64 {
     if known.listing.zone == view.zone {
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -95,6 +95,8 @@
     EndpointRefused,
     /// The instance stops; another one serves.
     Stopping,
+    /// All endpoints of the service are in evacuated zones.
+    Evacuated,
     /// It crashed the endpoints that ran it, under other ids.
     CrashesEndpoints,
     /// The same work was at an endpoint that crashed, and another copy of it is being tried.
@@ -103,7 +105,7 @@
 
 impl RefusalReason {
     /// All reasons, for tables in documents and tests.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -112,6 +114,7 @@
         Self::Unreachable,
         Self::EndpointRefused,
         Self::Stopping,
+        Self::Evacuated,
         Self::CrashesEndpoints,
         Self::UnderTrial,
     ];
@@ -128,6 +131,7 @@
             Self::Unreachable => "unreachable",
             Self::EndpointRefused => "endpoint_refused",
             Self::Stopping => "stopping",
+            Self::Evacuated => "evacuated",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::UnderTrial => "under_trial",
         }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -41,6 +41,10 @@
 /// The same where nobody serves the request at the moment: a move takes up to this long.
 const MOVE_RETRY_MS: u64 = 400;
 
+/// The same where all endpoints of a service are in evacuated zones, in milliseconds: until one
+/// is taken back, or endpoints join elsewhere.
+const EVACUATED_RETRY_MS: u64 = 1_000;
+
 /// Time to come back to another instance, in milliseconds: the balancer sends a new
 /// connection to one that does not stop.
 pub const STOPPING_RETRY_MS: u64 = 20;
@@ -68,6 +72,8 @@
     /// Requests that wait, by where they do and by rank, as of the last look.
     wanted: IndexMap<EndpointTag, [u32; RANKS]>,
     avoided: IndexMap<EndpointTag, Avoided>,
+    /// Cold endpoints that are to get nothing until then.
+    cold_busy: IndexMap<EndpointTag, Mono>,
     /// Holders that said they do not hold the keys, by fence and first key.
     not_held: IndexMap<(u64, u16), Avoided>,
     /// Endpoints with requests in flight: since when none was answered.
@@ -230,6 +236,11 @@
         self.avoided.insert(tag, Avoided { until, for_ms });
     }
 
+    /// Notes that a cold endpoint is to get nothing until then: others use what it can do.
+    pub fn cold_busy(&mut self, endpoint: &EndpointStart, until: Mono) {
+        self.cold_busy.insert(EndpointTag::of(endpoint), until);
+    }
+
     /// Notes that the endpoint answered a request that it ran.
     pub fn answered(&mut self, now: Mono, choice: &Choice, key: Option<u16>) {
         let tag = EndpointTag::of(&choice.endpoint);
@@ -288,6 +299,7 @@
         self.moving = moving;
         self.not_held
             .retain(|(fence, _), _| self.fences.contains_key(fence));
+        self.cold_busy.retain(|_, until| now < *until);
     }
 
     /// Requests in flight and waiting for each endpoint, for the next report.
@@ -340,13 +352,15 @@
 ) -> Option<Refusal> {
     let wait_ms = choose::expected_wait_ms(view, job, ahead);
     let due = now.plus(wait_ms + job.work_ms);
+    let is_evacuated = cause == RefusalReason::Evacuated;
     // Work that misses its objective is still worth something; whoever cannot
     // meet even the end of his time only keeps others waiting.
-    if due < job.last_at {
+    if due < job.last_at && !is_evacuated {
         return None;
     }
     let left = job.caller_until.since(now);
     let least = match cause {
+        RefusalReason::Evacuated => EVACUATED_RETRY_MS,
         RefusalReason::KeyUnowned | RefusalReason::Unreachable | RefusalReason::NoEndpoint => {
             MOVE_RETRY_MS
         }
--- /dev/null
+++ b/crates/citronway-core/src/gateway/cold.rs
@@ -0,0 +1,102 @@
+//! How many requests a cold endpoint gets from all instances together.
+//!
+//! An endpoint that has just started crashes under more requests a second than its service
+//! states. The leader spaces them out: an instance asks it before each send to a cold endpoint.
+
+use indexmap::IndexMap;
+
+use crate::gateway::pace::EndpointTag;
+use crate::time::Mono;
+
+/// Time in which a new leader grants nothing, in milliseconds: what its predecessor granted is
+/// sent and counted by then.
+const FORMER_GRANTS_MS: u64 = 1_200;
+
+/// Requests that may follow each other at once after a pause.
+const BURST: f64 = 2.0;
+
+/// Shortest time to come back that is told, in milliseconds.
+const MIN_BUSY_MS: u64 = 20;
+
+/// Endpoints that are remembered before those that are free again are forgotten.
+const REMEMBERED: usize = 4_096;
+
+/// A request for a send to a cold endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdRequest {
+    /// Which endpoint.
+    pub endpoint: EndpointTag,
+    /// Requests a second that all instances together may send there.
+    pub per_s: f64,
+    /// How long the request would wait for its turn, in milliseconds.
+    pub patience_ms: u64,
+}
+
+/// What is decided about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdGrant {
+    /// It may be sent so much later.
+    Granted {
+        /// In milliseconds.
+        after_ms: u64,
+    },
+    /// It is not to be sent; the next one may be after this time.
+    Busy {
+        /// In milliseconds.
+        for_ms: u64,
+    },
+}
+
+/// Sends of the whole fleet to cold endpoints, as the leader grants them.
+#[derive(Debug, Default)]
+pub struct ColdSends {
+    /// Until then none is granted.
+    not_before: Mono,
+    /// When the next send would be due at an even pace, by endpoint, in milliseconds.
+    due: IndexMap<EndpointTag, f64>,
+}
+
+impl ColdSends {
+    /// None so far, and none is granted for a while.
+    ///
+    /// Failure guarded against: the leader changes, its successor knows nothing of what was
+    /// granted a moment ago, and the endpoint gets twice as much.
+    #[must_use]
+    pub fn of_new_leader(now: Mono) -> Self {
+        Self {
+            not_before: now.plus(FORMER_GRANTS_MS),
+            ..Self::default()
+        }
+    }
+
+    /// Decides about a send; one that is granted counts whether it is made or not.
+    pub fn request(&mut self, now: Mono, req: &ColdRequest) -> ColdGrant {
+        if req.per_s <= 0.0 {
+            let for_ms = FORMER_GRANTS_MS;
+            return ColdGrant::Busy { for_ms };
+        }
+        self.forget_free(now);
+        let gap_ms = 1_000.0 / req.per_s;
+        let start = self.not_before.max(now).0 as f64;
+        let due = self.due.get(&req.endpoint).copied().unwrap_or_default();
+        let earliest = (due - gap_ms * (BURST - 1.0)).max(start);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a wait is positive and far below the range"
+        )]
+        let wait_ms = (earliest - now.0 as f64).ceil() as u64;
+        if wait_ms > req.patience_ms {
+            let for_ms = wait_ms.max(MIN_BUSY_MS);
+            return ColdGrant::Busy { for_ms };
+        }
+        self.due.insert(req.endpoint, due.max(start) + gap_ms);
+        ColdGrant::Granted { after_ms: wait_ms }
+    }
+
+    fn forget_free(&mut self, now: Mono) {
+        if self.due.len() >= REMEMBERED {
+            self.due.retain(|_, due| *due > now.0 as f64);
+        }
+    }
+}
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -4,14 +4,17 @@
 //! from it: the route of a request ([`routes`]), which endpoints there are
 //! ([`registry`]), who owns which keys ([`assignment`], [`leader`], [`election`],
 //! [`placement`]), and who waits, is sent or is refused ([`admission`], [`share`],
-//! [`budget`]); which requests crash endpoints ([`crashes`]). Instances tell each other what they have in flight ([`report`]), in large
+//! [`budget`]); which zones are evacuated ([`evacuation`]); which requests crash endpoints
+//! ([`crashes`]). Instances tell each other what they have in flight ([`report`]), in large
 //! fleets through delegates ([`tree`]).
 
 pub mod admission;
 pub mod assignment;
 pub mod budget;
+pub mod cold;
 pub mod crashes;
 pub mod election;
+pub mod evacuation;
 pub mod keyload;
 pub mod leader;
 pub mod outage;
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -23,6 +23,10 @@
 /// milliseconds: nearly two heartbeats, in which a living start would have written again.
 const BORN_EARLIER_MS: u64 = 1_500;
 
+/// How long the endpoints of a zone that is taken back are taken for cold unless their entries
+/// say otherwise, in milliseconds: cold ones write at each heartbeat, and two are waited for.
+const COLD_WHEN_TAKEN_BACK_MS: u64 = 2_000;
+
 /// One start of an endpoint, as it lists itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
@@ -59,6 +63,8 @@
     earlier: Option<(Listing, Mono)>,
     /// A later start listens at its address.
     shadowed: bool,
+    /// Its zone is evacuated; until then its keys are sent there.
+    evacuated: Option<Mono>,
 }
 
 /// How long keys of a draining endpoint are still sent there, in milliseconds.
@@ -77,6 +83,7 @@
             missing_until: None,
             earlier: None,
             shadowed: false,
+            evacuated: None,
             listing,
         }
     }
@@ -112,14 +119,28 @@
     /// Whether new work may be sent to it that another endpoint could do as well.
     #[must_use]
     pub const fn takes_work(&self) -> bool {
-        !self.listing.draining
+        !self.listing.draining && self.evacuated.is_none()
+    }
+
+    /// Whether its availability zone is evacuated.
+    #[must_use]
+    pub const fn is_evacuated(&self) -> bool {
+        self.evacuated.is_some()
+    }
+
+    /// Whether it is slow after its start, or since its zone was taken back.
+    #[must_use]
+    pub fn is_cold(&self, now: Mono) -> bool {
+        now < self.warm_at
     }
 
     /// Whether work may be sent to it for keys that only it holds.
     #[must_use]
     pub fn takes_owned_work(&self, now: Mono) -> bool {
-        self.draining_since
-            .is_none_or(|since| now.since(since) < DRAINING_USE_MS)
+        let stays = self
+            .draining_since
+            .is_none_or(|since| now.since(since) < DRAINING_USE_MS);
+        stays && self.evacuated.is_none_or(|until| now < until)
     }
 }
 
@@ -134,6 +155,8 @@
     first_seen: IndexMap<EndpointStart, Mono>,
     /// Services that the configuration names; none while no configuration is known.
     services: Option<IndexSet<ServiceName>>,
+    /// Zones that are evacuated, and until when keys are sent to their owners there.
+    evacuated: IndexMap<ZoneName, Mono>,
     /// Set while the store does not answer; then when it came back.
     store: StoreSight,
 }
@@ -152,13 +175,13 @@
         let first = *self.first_seen.entry(listing.start.clone()).or_insert(now);
         let Some(known) = self.known.get_mut(listing.start.name()) else {
             let name = listing.start.name().clone();
-            self.known.insert(name, Known::new(now, first, listing));
-            self.shadow();
+            self.insert(name, Known::new(now, first, listing));
             return;
         };
         if known.listing.start == listing.start {
             let same = known.listing.address == listing.address
                 && known.listing.service == listing.service;
+            known.evacuated = self.evacuated.get(&listing.zone).copied();
             known.renewed(now, listing);
             if !same {
                 self.shadow();
@@ -174,10 +197,33 @@
                 .get_or_insert((listing, now.plus(BORN_EARLIER_MS)));
             return;
         }
-        *known = Known::new(now, first, listing);
+        let name = listing.start.name().clone();
+        self.insert(name, Known::new(now, first, listing));
+    }
+
+    /// Puts a start in the place of whatever had its name.
+    fn insert(&mut self, name: EndpointName, mut known: Known) {
+        known.evacuated = self.evacuated.get(&known.listing.zone).copied();
+        self.known.insert(name, known);
         self.shadow();
     }
 
+    /// Takes which zones are evacuated, each with the moment until which keys are sent to
+    /// their owners there.
+    ///
+    /// Failure guarded against: endpoints of a zone that is taken back are cold, all instances
+    /// take them for idle before their entries say so, and crash them.
+    pub fn evacuated(&mut self, now: Mono, zones: IndexMap<ZoneName, Mono>) {
+        for known in self.known.values_mut() {
+            let before = known.evacuated;
+            known.evacuated = zones.get(&known.listing.zone).copied();
+            if before.is_some() && known.evacuated.is_none() {
+                known.warm_at = known.warm_at.max(now.plus(COLD_WHEN_TAKEN_BACK_MS));
+            }
+        }
+        self.evacuated = zones;
+    }
+
     /// Takes the names of the services that the configuration in force has.
     pub fn configured(&mut self, services: IndexSet<ServiceName>) {
         self.services = Some(services);
@@ -245,7 +291,9 @@
             .retain(|_, known| known.missing_until.is_none_or(|end| now < end));
         for known in self.known.values_mut() {
             if let Some((listing, _)) = known.earlier.take_if(|(_, at)| *at <= now) {
+                let evacuated = self.evacuated.get(&listing.zone).copied();
                 *known = Known::new(now, now, listing);
+                known.evacuated = evacuated;
             }
         }
         if expired {
--- a/crates/citronway-core/src/gateway/routes.rs
+++ b/crates/citronway-core/src/gateway/routes.rs
@@ -106,6 +106,8 @@
     pub sharded: bool,
     /// How long a key is slow that arrives without a handover, in milliseconds.
     pub warm_ms: u64,
+    /// Requests a second that an endpoint bears while it is cold; none where nothing is said.
+    pub cold_per_s: Option<f64>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -29,6 +29,11 @@
     pub grace_ms: u64,
     /// Longest hold that an endpoint accepts, in milliseconds.
     pub hold_max_ms: u64,
+    /// Time from the acknowledgement of an evacuation until nothing reaches the zone's endpoints
+    /// any more, in milliseconds.
+    pub evacuation_ms: u64,
+    /// How much more than its service states a cold endpoint may get, as a factor.
+    pub cold_overage: f64,
     /// Memory of the instance, in megabytes.
     pub memory_mb: u64,
     /// How much of a leader's work the machine could do.
--- a/crates/citronway-core/tests/admission_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -1,6 +1,8 @@
 //! A small deployment as one instance sees it: `a` and `b` divide the keys of `batch`,
 //! `near`, `far1` and `far2` serve `console`; six slots each.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use std::sync::Arc;
 
 use citronway_core::gateway::admission::{Admission, Job, Owners, Standing, View};
@@ -75,6 +77,10 @@
         }
     }
 
+    pub const fn registry(&mut self) -> &mut Registry {
+        &mut self.registry
+    }
+
     pub fn drain(&mut self, id: &str) {
         for (name, service, zone, port) in LISTINGS {
             if name == id {
--- a/crates/citronway-core/tests/gateway_routes.rs
+++ b/crates/citronway-core/tests/gateway_routes.rs
@@ -30,6 +30,7 @@
         max_connections: 130,
         sharded: false,
         warm_ms: 0,
+        cold_per_s: None,
     };
     let names = ["batch", "console"].map(ServiceName::new);
     let services: IndexMap<_, _> = names
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -10,6 +10,31 @@
     trialRequest @3 :TrialRequest;
     trialReply @4 :TrialReply;
     trialEnd @5 :TrialEnd;
+    coldRequest @6 :ColdRequest;
+    coldReply @7 :ColdReply;
+  }
+}
+
+struct ColdRequest {
+  # To the leader: may a request be sent to an endpoint that is cold?
+  session @0 :UInt64;
+  number @1 :UInt64;
+  # The process that asks, and which of its requests this is.
+  endpoint @2 :UInt32;
+  perS @3 :Float32;
+  # Requests a second that all instances together may send there.
+  patienceMs @4 :UInt32;
+  # How long the request would wait for its turn.
+}
+
+struct ColdReply {
+  session @0 :UInt64;
+  number @1 :UInt64;
+  union {
+    afterMs @2 :UInt32;
+    # It may be sent so much later.
+    busyMs @3 :UInt32;
+    # It is not to be sent; the next one may be after this time.
   }
 }
 
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O. A message that arrives is either converted whole or
 //! refused with a [`WireError`] that names the field at fault.
 
+pub mod cold;
 pub mod convert;
 pub mod error;
 pub mod greeting;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -13,6 +13,7 @@
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 
+use crate::cold::{self, ColdAsked, ColdReply};
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
 use crate::trial::{self, EndedTrial, TrialReply};
 
@@ -37,6 +38,10 @@
     TrialReply(TrialReply),
     /// Such a copy is done.
     TrialEnd(EndedTrial),
+    /// May a request be sent to a cold endpoint?
+    ColdRequest(ColdAsked),
+    /// The answer to that.
+    ColdReply(ColdReply),
 }
 
 /// Writes a datagram.
@@ -51,6 +56,8 @@
         Datagram::TrialRequest(req) => trial::write_request(req, root.init_trial_request()),
         Datagram::TrialReply(reply) => trial::write_reply(reply, root.init_trial_reply()),
         Datagram::TrialEnd(end) => trial::write_end(end, root.init_trial_end()),
+        Datagram::ColdRequest(asked) => cold::write_request(asked, root.init_cold_request()),
+        Datagram::ColdReply(reply) => cold::write_reply(reply, root.init_cold_reply()),
     }
     serialize::write_message_to_words(&message)
 }
@@ -272,6 +279,8 @@
         datagram::Which::TrialRequest(req) => Datagram::TrialRequest(trial::read_request(req?)),
         datagram::Which::TrialReply(reply) => Datagram::TrialReply(trial::read_reply(reply?)?),
         datagram::Which::TrialEnd(end) => Datagram::TrialEnd(trial::read_end(end?)?),
+        datagram::Which::ColdRequest(asked) => Datagram::ColdRequest(cold::read_request(asked?)),
+        datagram::Which::ColdReply(reply) => Datagram::ColdReply(cold::read_reply(reply?)?),
     })
 }
 
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -6,7 +6,7 @@
 
 
 pub mod datagram {
-    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd};
+    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd,ColdRequest,ColdReply};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -99,6 +99,16 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_cold_request(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 6 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_cold_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 7 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -131,6 +141,16 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                6 => {
+                    ::core::result::Result::Ok(ColdRequest(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                7 => {
+                    ::core::result::Result::Ok(ColdReply(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -279,6 +299,36 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_cold_request(&mut self, value: crate::report_capnp::cold_request::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 6);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_cold_request(self, ) -> crate::report_capnp::cold_request::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 6);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_cold_request(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 6 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_cold_reply(&mut self, value: crate::report_capnp::cold_reply::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_cold_reply(self, ) -> crate::report_capnp::cold_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 7);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_cold_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 7 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -311,6 +361,16 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                6 => {
+                    ::core::result::Result::Ok(ColdRequest(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                7 => {
+                    ::core::result::Result::Ok(ColdReply(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -325,66 +385,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(193, 18, 142, 171, 49, 91, 114, 237),
             ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 6, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 8, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
             ::capnp::word(97, 103, 114, 97, 109, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
@@ -436,6 +510,24 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 108, 100, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(223, 247, 7, 255, 18, 52, 86, 205),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 108, 100, 82, 101, 112, 108),
+            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(254, 248, 93, 21, 44, 41, 223, 210),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -445,6 +537,8 @@
                 3 => <crate::report_capnp::trial_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::report_capnp::trial_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::report_capnp::trial_end::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::report_capnp::cold_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::report_capnp::cold_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -459,20 +553,637 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2,5,4,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,1,0,2,5,4,3];
         pub(crate) const TYPE_ID: u64 = 0xed72_5b31_ab8e_12c1;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
         Report(A0),
         Relay(A1),
         Totals(A2),
         TrialRequest(A3),
         TrialReply(A4),
         TrialEnd(A5),
+        ColdRequest(A6),
+        ColdReply(A7),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_request::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_request::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Builder<'a>>>;
+}
+
+pub mod cold_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f32 {
+            self.reader.get_data_field::<f32>(5)
+        }
+        #[inline]
+        pub fn get_patience_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f32 {
+            self.builder.get_data_field::<f32>(5)
+        }
+        #[inline]
+        pub fn set_per_s(&mut self, value: f32)  {
+            self.builder.set_data_field::<f32>(5, value);
+        }
+        #[inline]
+        pub fn get_patience_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_patience_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>>;
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(223, 247, 7, 255, 18, 52, 86, 205),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 67, 111, 108),
+            ::capnp::word(100, 82, 101, 113, 117, 101, 115, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 116, 105, 101, 110, 99, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,4,3,0];
+        pub(crate) const TYPE_ID: u64 = 0xcd56_3412_ff07_f7df;
+    }
+}
+
+pub mod cold_reply {
+    pub use self::Which::{AfterMs,BusyMs};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(10) {
+                0 => {
+                    ::core::result::Result::Ok(AfterMs(
+                        self.reader.get_data_field::<u32>(4)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(BusyMs(
+                        self.reader.get_data_field::<u32>(4)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn set_after_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u16>(10, 0);
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn set_busy_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u16>(10, 1);
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(10) {
+                0 => {
+                    ::core::result::Result::Ok(AfterMs(
+                        self.builder.get_data_field::<u32>(4)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(BusyMs(
+                        self.builder.get_data_field::<u32>(4)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(254, 248, 93, 21, 44, 41, 223, 210),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 67, 111, 108),
+            ::capnp::word(100, 82, 101, 112, 108, 121, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 255, 255, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 254, 255, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 102, 116, 101, 114, 77, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xd2df_292c_155d_f8fe;
+    }
+    pub enum Which {
+        AfterMs(u32),
+        BusyMs(u32),
+    }
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
 }
 
 pub mod trial_request {
--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -68,8 +68,8 @@
         let (table, rows) = (copy.table.word(), copy.rows.len());
         log::info!(table, rows, position = copy.position.0; "table copied from another instance");
         let whole = match copy.table {
-            // An endpoint that is not among all of them has left.
-            Table::Endpoints if copy.after == Version(0) => Some(copy.position),
+            // What is not among all of them is gone.
+            Table::Config | Table::Endpoints if copy.after == Version(0) => Some(copy.position),
             Table::Config | Table::Endpoints | Table::Own => None,
         };
         self.take_rows(now, copy.table, &copy.rows, whole);
--- /dev/null
+++ b/crates/citronway/src/gateway/control/cluster/evacuations.rs
@@ -0,0 +1,107 @@
+//! Evacuations of availability zones, as rows of the operator's table say them.
+
+use std::sync::Arc;
+
+use citronway_core::gateway::evacuation::{self, ZoneChange, ZoneState};
+use citronway_core::gateway::rows::Row;
+use citronway_core::ids::{Version, ZoneName};
+use citronway_core::time::Mono;
+use citronway_platform::store;
+
+use super::super::unusable::Source;
+use super::Cluster;
+
+impl Cluster {
+    /// Takes rows of the operator's table; `learnt` is when an evacuation among them was, if it
+    /// began after the table was first read, `whole` the version of the store if these are all.
+    pub(super) fn evacuation_rows(
+        &mut self,
+        now: Mono,
+        learnt: Option<Mono>,
+        rows: &[Row],
+        whole: Option<Version>,
+    ) {
+        let zones = rows.iter().filter_map(|row| {
+            let zone = store::evacuated_zone(&row.key)?;
+            Some((zone, row))
+        });
+        let zones: Vec<_> = zones.collect();
+        let mut changes = Vec::new();
+        for (zone, row) in &zones {
+            let Some(state) = self.evacuation(zone, row, learnt) else {
+                continue;
+            };
+            changes.extend(self.evacuations.row_seen(zone, row.version, state));
+        }
+        if let Some(version) = whole {
+            let listed = zones.into_iter().map(|(zone, _)| zone).collect();
+            changes.extend(self.evacuations.listed(&listed, version));
+        }
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            self.log_zone(change);
+        }
+        let zones = self.evacuations.evacuated().map(|(zone, since)| {
+            let until = evacuation::owned_work_until(since, self.evacuation_ms);
+            (zone.clone(), until)
+        });
+        let zones = zones.collect();
+        Arc::make_mut(&mut self.registry).evacuated(now, zones);
+    }
+
+    /// What a row says of a zone; none if it cannot be read, and what is known holds on.
+    fn evacuation(
+        &mut self,
+        zone: &ZoneName,
+        row: &Row,
+        learnt: Option<Mono>,
+    ) -> Option<ZoneState> {
+        let Some(value) = &row.value else {
+            self.unusable.settled(Source::Configuration, &row.key);
+            return Some(ZoneState::TakenBack);
+        };
+        if let Err(e) = store::check_evacuation(zone, value) {
+            self.unusable
+                .refused(Source::Configuration, &row.key, e.to_string());
+            return None;
+        }
+        self.unusable.settled(Source::Configuration, &row.key);
+        Some(ZoneState::Evacuated { since: learnt })
+    }
+
+    /// Evacuated zones, and ranges of keys whose owners are there.
+    pub(in super::super) fn left_in_evacuated_zones(&self) -> (usize, usize) {
+        let zones = self.evacuations.evacuated().count();
+        if zones == 0 {
+            return (0, 0);
+        }
+        let rows = self.owners.values();
+        let holders = rows.flat_map(|owners| &owners.assignment.ranges);
+        let left = holders.filter(|range| {
+            let known = self.registry.get(&range.holder.endpoint);
+            known.is_some_and(citronway_core::gateway::registry::Known::is_evacuated)
+        });
+        (zones, left.count())
+    }
+
+    fn log_zone(&self, change: &ZoneChange) {
+        let ZoneChange {
+            zone,
+            state,
+            version,
+        } = change;
+        let in_zone = self.registry.iter();
+        let endpoints = in_zone.filter(|known| known.listing.zone == *zone).count();
+        let zone = zone.as_str();
+        let version = version.0;
+        match state {
+            ZoneState::Evacuated { since } => {
+                let just_now = since.is_some();
+                log::info!(zone, version, endpoints, just_now; "zone evacuated");
+            }
+            ZoneState::TakenBack => log::info!(zone, version, endpoints; "zone taken back"),
+        }
+    }
+}
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! What this instance believes of the configuration, endpoints, owners and peers.
 
 mod copies;
+mod evacuations;
 mod load;
 
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 
 use citronway_core::gateway::admission::{Owners, View};
 use citronway_core::gateway::election::LeaderRow;
+use citronway_core::gateway::evacuation::Evacuations;
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointTag, Paces, rank_of};
 use citronway_core::gateway::registry::Registry;
@@ -80,6 +82,9 @@
     pub peers: Peers,
     pub paces: Paces,
     pub crashes: Crashes,
+    pub evacuations: Evacuations,
+    /// Time for an evacuation, in milliseconds.
+    evacuation_ms: u64,
     config: Sight,
     endpoints: Sight,
     outage: Outage,
@@ -126,6 +131,8 @@
             peers: Peers::default(),
             paces: Paces::default(),
             crashes: Crashes::new(rank_of(&cfg.instance)),
+            evacuations: Evacuations::default(),
+            evacuation_ms: cfg.evacuation_ms,
             config: Sight::default(),
             endpoints: Sight::default(),
             outage: Outage::default(),
@@ -219,13 +226,17 @@
         let newest = told.map(|row| row.version.0).max().unwrap_or_default();
         let sight = self.sight(table);
         sight.has_seen(newest);
-        sight.loaded = true;
+        let is_first = !std::mem::replace(&mut sight.loaded, true);
         match whole {
             Some(version) => self.kept.replace(table, rows, version),
             None => self.kept.keep(table, rows),
         }
         match table {
-            Table::Config => self.config_rows(rows),
+            Table::Config => {
+                self.config_rows(rows);
+                let learnt = (!is_first).then_some(now);
+                self.evacuation_rows(now, learnt, rows, whole);
+            }
             Table::Endpoints => self.endpoint_rows(now, rows, whole),
             Table::Own => self.own_rows(now, rows),
         }
@@ -378,6 +389,15 @@
         }
     }
 
+    /// Whether others know a leader whose row this instance has not seen.
+    ///
+    /// Failure guarded against: the row that names a new leader is missed, and rows that it
+    /// passes on move the position beyond it. Asked for what came since, the store no longer
+    /// tells of it, and the instance goes without a leader until the next one.
+    pub(super) fn lacks_leader(&self, term: u64) -> bool {
+        self.own.loaded && self.leader.as_ref().map_or(0, |row| row.term) < term
+    }
+
     /// Tables of which others have had newer rows for longer than a poll takes; `term` is the
     /// highest of a leader that was heard of.
     pub(super) fn stale_tables(&mut self, now: Mono, term: u64) -> Vec<Table> {
@@ -389,15 +409,6 @@
             (Table::Endpoints, newest.endpoints),
             (Table::Own, if lacks_leader { u64::MAX } else { newest.own }),
         ];
-    /// Whether others know a leader whose row this instance has not seen.
-    ///
-    /// Failure guarded against: the row that names a new leader is missed, and rows that it
-    /// passes on move the position beyond it. Asked for what came since, the store no longer
-    /// tells of it, and the instance goes without a leader until the next one.
-    pub(super) fn lacks_leader(&self, term: u64) -> bool {
-        self.own.loaded && self.leader.as_ref().map_or(0, |row| row.term) < term
-    }
-
         let mut stale = Vec::new();
         for (table, others) in tables {
             let sight = self.sight(table);
--- /dev/null
+++ b/crates/citronway/src/gateway/control/cold.rs
@@ -0,0 +1,119 @@
+//! Sends to cold endpoints: asked of the leader, and granted as the leader.
+
+use std::net::SocketAddr;
+
+use citronway_core::gateway::cold::{ColdGrant, ColdSends};
+use citronway_core::time::Mono;
+use citronway_wire::cold::{ColdAsked, ColdReply};
+use citronway_wire::report::{self as datagram, Datagram};
+use indexmap::IndexMap;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use super::Control;
+use crate::clock;
+use crate::gateway::traffic::ColdAsk;
+
+/// Time after which an answer of the leader is of no use, in milliseconds: longer than the
+/// traffic waits for it.
+const FORGOTTEN_MS: u64 = 500;
+
+#[derive(Debug)]
+struct Asked {
+    reply: oneshot::Sender<ColdGrant>,
+    at: Mono,
+}
+
+/// What this instance knows of sends to cold endpoints.
+#[derive(Debug, Default)]
+pub(super) struct ColdDuty {
+    /// Those of all instances, while this one leads.
+    granted: ColdSends,
+    /// Term in which it granted them.
+    term: u64,
+    asked: IndexMap<u64, Asked>,
+}
+
+impl ColdDuty {
+    /// Sends that this instance grants as the leader of a term.
+    fn granted_in(&mut self, now: Mono, term: u64) -> &mut ColdSends {
+        if self.term != term {
+            self.term = term;
+            self.granted = ColdSends::of_new_leader(now);
+        }
+        &mut self.granted
+    }
+}
+
+impl Control {
+    /// Takes what the traffic asks about a cold endpoint.
+    pub(super) fn cold_asked(&mut self, socket: &UdpSocket, ask: ColdAsk) {
+        let now = clock::mono();
+        if self.duty.in_office() {
+            let term = self.duty.term();
+            let grant = self.cold.granted_in(now, term).request(now, &ask.req);
+            // Its caller may have left.
+            let _ = ask.reply.send(grant);
+            return;
+        }
+        let Some(leader) = self.answering_leader(now) else {
+            // Dropped without an answer: the endpoint gets nothing.
+            return;
+        };
+        self.cold
+            .asked
+            .retain(|_, asked| now.since(asked.at) < FORGOTTEN_MS);
+        let asked = ColdAsked {
+            session: self.me.id,
+            number: ask.number,
+            req: ask.req,
+        };
+        self.send_cold(socket, &Datagram::ColdRequest(asked), leader);
+        let reply = ask.reply;
+        self.cold.asked.insert(ask.number, Asked { reply, at: now });
+    }
+
+    /// As the leader, counts from the first moment in office what its predecessor granted.
+    pub(super) fn step_cold(&mut self, now: Mono) {
+        if self.duty.in_office() {
+            self.cold.granted_in(now, self.duty.term());
+        }
+    }
+
+    /// Takes a request of another instance.
+    pub(super) fn cold_requested(
+        &mut self,
+        socket: &UdpSocket,
+        asked: &ColdAsked,
+        from: SocketAddr,
+    ) {
+        if !self.duty.in_office() {
+            return;
+        }
+        let now = clock::mono();
+        let term = self.duty.term();
+        let grant = self.cold.granted_in(now, term).request(now, &asked.req);
+        let reply = ColdReply {
+            session: asked.session,
+            number: asked.number,
+            grant,
+        };
+        self.send_cold(socket, &Datagram::ColdReply(reply), from);
+    }
+
+    /// Takes the answer of the leader.
+    pub(super) fn cold_replied(&mut self, reply: &ColdReply) {
+        if reply.session != self.me.id {
+            return;
+        }
+        let Some(asked) = self.cold.asked.swap_remove(&reply.number) else {
+            return;
+        };
+        // Its caller may have left.
+        let _ = asked.reply.send(reply.grant);
+    }
+
+    fn send_cold(&self, socket: &UdpSocket, message: &Datagram, to: SocketAddr) {
+        self.send(socket, &datagram::encode(message), to);
+    }
+}
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -57,6 +57,8 @@
             Ok(Datagram::TrialRequest(req)) => self.trial_requested(socket, &req, from),
             Ok(Datagram::TrialReply(reply)) => self.trial_replied(&reply),
             Ok(Datagram::TrialEnd(ended)) => self.trial_end_came(&ended),
+            Ok(Datagram::ColdRequest(asked)) => self.cold_requested(socket, &asked, from),
+            Ok(Datagram::ColdReply(reply)) => self.cold_replied(&reply),
             Err(e) => log::warn!(cause = e.to_string(); "a datagram was dropped"),
         }
     }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -1,6 +1,7 @@
 //! Follows the store, tells the other instances what is in flight and keeps keys.
 
 mod cluster;
+mod cold;
 mod copies;
 mod crashes;
 mod duty;
@@ -40,6 +41,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use cluster::{Cluster, StoreSight};
+use cold::ColdDuty;
 use copies::CopyError;
 use duty::Duty;
 use first::Listed;
@@ -53,7 +55,7 @@
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::{self, Ready};
 use crate::gateway::run;
-use crate::gateway::traffic::{Seen, Stop, TrialEvent};
+use crate::gateway::traffic::{ColdAsk, Seen, Stop, TrialEvent};
 
 /// Longest time between two looks at what is due, of a leader and of all others.
 const LEADER_TICK: Duration = Duration::from_millis(25);
@@ -133,6 +135,8 @@
     pub seen: mpsc::Receiver<Seen>,
     /// What it asks about trials of work under suspicion.
     pub trials: mpsc::Receiver<TrialEvent>,
+    /// What it asks about cold endpoints.
+    pub cold: mpsc::Receiver<ColdAsk>,
     /// Tells it to stop.
     pub stop: watch::Sender<Stop>,
     /// Signals to this process.
@@ -151,6 +155,8 @@
     seen: mpsc::Receiver<Seen>,
     trial_events: mpsc::Receiver<TrialEvent>,
     trials: TrialDuty,
+    cold_asks: mpsc::Receiver<ColdAsk>,
+    cold: ColdDuty,
     stop: watch::Sender<Stop>,
     signals: Signals,
     cluster: Cluster,
@@ -207,6 +213,8 @@
             seen: ends.seen,
             trial_events: ends.trials,
             trials: TrialDuty::default(),
+            cold_asks: ends.cold,
+            cold: ColdDuty::default(),
             stop: ends.stop,
             signals: ends.signals,
             orders: OrderClient::default(),
@@ -264,6 +272,7 @@
                 },
                 Some(event) = events.recv() => self.take(&socket, &events_tx, event),
                 Some(event) = self.trial_events.recv() => self.trial_event(&socket, event),
+                Some(ask) = self.cold_asks.recv() => self.cold_asked(&socket, ask),
                 Ok((len, from)) = socket.recv_from(&mut buf) => {
                     self.datagram_came(&socket, &events_tx, &buf[..len], from);
                 }
@@ -384,6 +393,9 @@
             });
         }
         self.step_crashes(now, events);
+        self.step_cold(now);
+        let (zones, ranges) = self.cluster.left_in_evacuated_zones();
+        self.metrics.evacuated(zones, ranges);
         for (source, count) in self.cluster.unusable.take_counts() {
             self.metrics.unusable(source, count);
         }
--- a/crates/citronway/src/gateway/control/trials.rs
+++ b/crates/citronway/src/gateway/control/trials.rs
@@ -163,7 +163,7 @@
         grant
     }
 
-    fn answering_leader(&self, now: Mono) -> Option<SocketAddr> {
+    pub(super) fn answering_leader(&self, now: Mono) -> Option<SocketAddr> {
         if !self.cluster.hears_leader(now) {
             return None;
         }
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use citronway_core::gateway::admission::{DoubtReason, RefusalReason};
+use citronway_core::gateway::cold::ColdGrant;
 use citronway_core::gateway::crashes::{TrialGrant, Verdict};
 use citronway_core::gateway::leader::{OrderKind, OrderResult};
 use citronway_core::gateway::routes::{Repeat, Route};
@@ -99,7 +100,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct TrialLabels {
+struct AnswerLabels {
     answer: &'static str,
 }
 
@@ -138,7 +139,10 @@
     crashes: Counter,
     judged: Family<JudgedLabels, Counter>,
     crash_suspects: Gauge,
-    trials: Family<TrialLabels, Counter>,
+    trials: Family<AnswerLabels, Counter>,
+    cold: Family<AnswerLabels, Counter>,
+    evacuated_zones: Gauge,
+    evacuated_ranges: Gauge,
 }
 
 impl Default for Metrics {
@@ -187,6 +191,15 @@
         let trials = Family::default();
         let help = "Requests for trials of work under suspicion, by answer";
         registry.register("trials", help, trials.clone());
+        let cold = Family::default();
+        let help = "Requests for sends to cold endpoints, by answer";
+        registry.register("cold_sends", help, cold.clone());
+        let evacuated_zones = Gauge::default();
+        let help = "Availability zones that are evacuated";
+        registry.register("evacuated_zones", help, evacuated_zones.clone());
+        let evacuated_ranges = Gauge::default();
+        let help = "Ranges of keys whose owners are in evacuated zones";
+        registry.register("evacuated_ranges", help, evacuated_ranges.clone());
         Self {
             registry: Arc::new(registry),
             requests,
@@ -206,6 +219,9 @@
             judged,
             crash_suspects,
             trials,
+            cold,
+            evacuated_zones,
+            evacuated_ranges,
         }
     }
 }
@@ -330,7 +346,23 @@
             TrialGrant::Cleared => "cleared",
             TrialGrant::Busy { .. } => "busy",
         };
-        self.trials.get_or_create(&TrialLabels { answer }).inc();
+        self.trials.get_or_create(&AnswerLabels { answer }).inc();
+    }
+
+    /// Counts a request for a send to a cold endpoint.
+    pub(super) fn cold(&self, grant: &ColdGrant) {
+        let answer = match grant {
+            ColdGrant::Granted { .. } => "granted",
+            ColdGrant::Busy { .. } => "busy",
+        };
+        self.cold.get_or_create(&AnswerLabels { answer }).inc();
+    }
+
+    /// Notes which zones are evacuated, and what is left to move out of them.
+    pub(super) fn evacuated(&self, zones: usize, ranges: usize) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.evacuated_zones.set(gauge(zones));
+        self.evacuated_ranges.set(gauge(ranges));
     }
 
     /// Notes how much work was at endpoints that crashed.
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -27,6 +27,9 @@
 /// refused and comes again.
 const TRIALS_RING: usize = 256;
 
+/// Places in the ring of requests about cold endpoints.
+const COLD_RING: usize = 256;
+
 /// Why an instance did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -126,6 +129,7 @@
     let (view_tx, view_rx) = watch::channel(View::nothing(cfg.zone.clone(), rank));
     let (seen_tx, seen_rx) = mpsc::channel(SEEN_RING);
     let (trials_tx, trials_rx) = mpsc::channel(TRIALS_RING);
+    let (cold_tx, cold_rx) = mpsc::channel(COLD_RING);
     let (stop_tx, stop_rx) = watch::channel(Stop::No);
 
     let runtime = runtime("control")?;
@@ -137,6 +141,7 @@
         view: view_tx,
         seen: seen_rx,
         trials: trials_rx,
+        cold: cold_rx,
         stop: stop_tx,
         signals,
     };
@@ -145,6 +150,7 @@
     let told = Told {
         seen: seen_tx,
         trials: trials_tx,
+        cold: cold_tx,
     };
     let counted = metrics.clone();
     let handle = thread::Builder::new()
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -133,6 +133,13 @@
             if let Some(refusal) = self.take_trial().await {
                 return self.refused(refusal);
             }
+            if !self.take_cold_turn(&choice).await {
+                drop(in_flight);
+                if !self.has_time(clock::mono()) {
+                    return self.spent(RefusalReason::Overloaded);
+                }
+                continue;
+            }
             let sent = self.send(&choice).await;
             drop(in_flight);
             let now = clock::mono();
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -1,5 +1,7 @@
 //! Takes callers' requests and sends them to endpoints, on a thread of its own.
 
+mod asks;
+mod cold;
 mod connection;
 mod ended;
 mod forwarding;
@@ -26,10 +28,12 @@
 
 use crate::clock;
 use crate::gateway::metrics::Metrics;
+use asks::Asks;
 use state::{Phase, State};
 
 pub use state::Stop;
 
+pub use cold::ColdAsk;
 pub use seen::{Seen, Told};
 pub use trial::TrialEvent;
 
@@ -59,7 +63,11 @@
     metrics: Metrics,
 ) -> io::Result<()> {
     let mut listener = Some(TcpListener::bind(cfg.callers).await?);
-    let state = Rc::new(State::new(cfg, view, stop.clone(), metrics, told.trials));
+    let asks = Asks {
+        trials: told.trials,
+        cold: told.cold,
+    };
+    let state = Rc::new(State::new(cfg, view, stop.clone(), metrics, asks));
     let mut parts = JoinSet::new();
     parts.spawn_local(follow_view(Rc::clone(&state)));
     parts.spawn_local(pump(Rc::clone(&state)));
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -4,6 +4,7 @@
 use citronway_core::gateway::report;
 use tokio::sync::mpsc;
 
+use super::cold::ColdAsk;
 use super::trial::TrialEvent;
 
 /// Rings by which the traffic tells and asks `control`.
@@ -13,6 +14,8 @@
     pub seen: mpsc::Sender<Seen>,
     /// Trials of work under suspicion.
     pub trials: mpsc::Sender<TrialEvent>,
+    /// Sends to cold endpoints.
+    pub cold: mpsc::Sender<ColdAsk>,
 }
 
 /// Account of the last period.
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -8,7 +8,7 @@
 
 use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, View};
 use citronway_core::gateway::budget::{SecondSends, SharedLimit};
-use citronway_core::gateway::crashes::{Fingerprint, Sign, TrialEnd, TrialGrant};
+use citronway_core::gateway::crashes::{Fingerprint, Sign};
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
@@ -16,13 +16,13 @@
 use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
+use super::asks::Asks;
 use super::ended::Looks;
 use super::open_requests::OpenRequests;
 use super::pool::Pool;
 use super::seen::Seen;
-use super::trial::{TrialAsk, TrialEvent};
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
@@ -50,6 +50,8 @@
     any_waits: Notify,
     tickets: Cell<u64>,
     limit: SharedLimit,
+    /// How much more than its service states a cold endpoint may get, as a factor.
+    cold_overage: f64,
     second_sends: RefCell<IndexMap<ServiceName, SecondSends>>,
     /// Mean time of work by route, in milliseconds.
     work: RefCell<IndexMap<String, Work>>,
@@ -59,7 +61,8 @@
     pub crash_seen: Notify,
     /// What was seen of work that may crash endpoints, since the last account.
     signs: RefCell<Vec<Sign>>,
-    trials: mpsc::Sender<TrialEvent>,
+    /// What `control` decides.
+    pub asks: Asks,
     connections: Cell<u32>,
     phase: watch::Sender<Phase>,
 }
@@ -94,7 +97,7 @@
         view: watch::Receiver<View>,
         stop: watch::Receiver<Stop>,
         metrics: Metrics,
-        trials: mpsc::Sender<TrialEvent>,
+        asks: Asks,
     ) -> Self {
         Self {
             view,
@@ -108,13 +111,14 @@
             any_waits: Notify::new(),
             tickets: Cell::new(0),
             limit: cfg.second_sends,
+            cold_overage: cfg.cold_overage,
             second_sends: RefCell::default(),
             work: RefCell::default(),
             answers: RefCell::default(),
             keys: RefCell::default(),
             crash_seen: Notify::new(),
             signs: RefCell::default(),
-            trials,
+            asks,
             connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
         }
@@ -282,6 +286,28 @@
         self.admission.borrow_mut().reset(clock::mono(), endpoint);
     }
 
+    /// Requests a second that all instances together may send to an endpoint, where it is cold
+    /// and its service states a limit.
+    pub(super) fn cold_per_s(
+        &self,
+        now: Mono,
+        service: &ServiceName,
+        e: &EndpointStart,
+    ) -> Option<f64> {
+        let view = self.view.borrow();
+        if !view.registry.get(e)?.is_cold(now) {
+            return None;
+        }
+        let per_s = view.routes.as_ref()?.services.get(service)?.cold_per_s?;
+        Some(per_s * self.cold_overage)
+    }
+
+    /// Notes that a cold endpoint is to get nothing for a while.
+    pub(super) fn cold_busy(&self, endpoint: &EndpointStart, for_ms: u64) {
+        let until = clock::mono().plus(for_ms);
+        self.admission.borrow_mut().cold_busy(endpoint, until);
+    }
+
     /// Notes that the endpoint does not hold the key.
     pub(super) fn not_held(&self, job: &Job, fence: u64) {
         let mut admission = self.admission.borrow_mut();
@@ -402,40 +428,6 @@
         self.crash_seen.notify_one();
     }
 
-    /// Asks whether a copy of work under suspicion may be sent, as request `number`.
-    pub(super) async fn request_trial(
-        &self,
-        number: u64,
-        work: Fingerprint,
-        expected_ms: u64,
-        limit_ms: u64,
-    ) -> TrialGrant {
-        let (reply, granted) = oneshot::channel();
-        let ask = TrialAsk {
-            number,
-            work,
-            expected_ms,
-            limit_ms,
-            reply,
-        };
-        let busy = TrialGrant::Busy {
-            for_ms: expected_ms,
-        };
-        if let Err(e) = self.trials.try_send(TrialEvent::Request(ask)) {
-            log::warn!(cause = e.to_string(); "a request for a trial was dropped");
-            return busy;
-        }
-        granted.await.unwrap_or(busy)
-    }
-
-    /// Tells that a trial has ended.
-    pub(super) fn trial_ended(&self, number: u64, work: Fingerprint, end: TrialEnd) {
-        let ended = TrialEvent::Ended { number, work, end };
-        if let Err(e) = self.trials.try_send(ended) {
-            log::warn!(cause = e.to_string(); "the end of a trial was not told");
-        }
-    }
-
     /// Notes that an endpoint ran work to its end that is under suspicion.
     pub(super) fn cleared(&self, work: Fingerprint) {
         let sign = Sign::Answered { work };
--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -126,9 +126,7 @@
             end: TrialEnd::Open,
         };
         let expected_ms = self.job.expected_ms();
-        let grant = self
-            .state
-            .request_trial(number, work, expected_ms, limit_ms);
+        let grant = self.state.asks.trial(number, work, expected_ms, limit_ms);
         let grant = grant.await;
         self.state.metrics.trial(&grant);
         let TrialGrant::Busy { for_ms } = grant else {
--- a/crates/citronway/src/gateway/traffic/trial.rs
+++ b/crates/citronway/src/gateway/traffic/trial.rs
@@ -56,6 +56,8 @@
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.state.trial_ended(self.number, self.work, self.end);
+        self.state
+            .asks
+            .trial_ended(self.number, self.work, self.end);
     }
 }
