The row about crashes names work while it becomes harmful, and is written sooner

First: the leader wrote the row with the first news of a crash and then not for a second, in which it was killed; other instances had told it of the same crash 3 ms later. News now gather for 50 ms, and writes are 0.3 s apart. Second: work that was taken as harmful is no suspect any more, and is told and stored as harmful only a second later. The row that was written in between named it nowhere, and all instances ended before the next. It stays among the suspects until it is settled.

work_that_has_just_become_harmful_is_remembered fails without the second change.

--- a/crates/citronway-core/src/gateway/crashes/ledger.rs
+++ b/crates/citronway-core/src/gateway/crashes/ledger.rs
@@ -270,10 +270,20 @@
         }
     }
 
-    /// Suspects that the store is to remember, the newest.
+    /// Suspects that the store is to remember, the newest; work that has just become harmful
+    /// too.
+    ///
+    /// Failure guarded against: work is taken as harmful, is no suspect any more and not yet
+    /// told of as harmful, and the row that is written in between names it nowhere.
     #[must_use]
     pub fn to_remember(&self, now: Mono) -> Vec<StoredSuspect> {
-        let works = self.suspects(now).into_iter();
+        let settled = self.harmful(now);
+        let unsettled = self.entries.iter().filter(|(work, entry)| {
+            let is_settled = settled.iter().any(|refused| refused.work == **work);
+            entry.was_harmful() && !entry.crashes.is_empty() && !is_settled
+        });
+        let unsettled = unsettled.map(|(work, _)| *work);
+        let works = unsettled.chain(self.suspects(now)).take(MOST_SUSPECTS);
         let mut suspects: Vec<_> = works
             .filter_map(|work| {
                 let crashes = &self.entries.get(&work)?.crashes;
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -346,6 +346,22 @@
     expect_that!(taken.fresh(&report(8, 0, vec![crash(BAD, 1)])).len(), eq(1));
 }
 
+/// Guards against work that the row names nowhere while it becomes harmful.
+#[gtest]
+fn work_that_has_just_become_harmful_is_remembered() {
+    let mut ledger = Ledger::default();
+    let now = crash_all(&mut ledger, BAD, 0..3);
+    expect_that!(refuses(&ledger, now, BAD), eq(true));
+    expect_that!(ledger.harmful(now), is_empty());
+    let remembered = ledger.to_remember(now);
+    let works: Vec<_> = remembered.iter().map(|suspect| suspect.work).collect();
+    expect_that!(works, elements_are![eq(&BAD)]);
+    // Once it is stored as harmful, it is no suspect.
+    let settled = now.plus(2_000);
+    expect_that!(ledger.harmful(settled), len(eq(1)));
+    expect_that!(ledger.to_remember(settled), is_empty());
+}
+
 /// Guards against crashes that are counted anew once all instances have ended and started again.
 #[gtest]
 fn crashes_that_the_store_remembers_count_on() {
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -23,7 +23,11 @@
 use crate::observe;
 
 /// Time between two writes of the row, in milliseconds.
-const WRITE_PAUSE_MS: u64 = 1_000;
+const WRITE_PAUSE_MS: u64 = 300;
+
+/// Time from the first news for the row until it is written, in milliseconds: all instances
+/// tell of one crash within it.
+const GATHER_MS: u64 = 50;
 
 /// Time for which suspects that were cleared stay in the row, in milliseconds. After a start
 /// they are tried once more, and cleared by the next answer.
@@ -50,8 +54,10 @@
     told_term: u64,
     writing: bool,
     write_after: Mono,
-    /// When it was last begun to be written here.
-    written: Mono,
+    /// Since when the row lacks something.
+    lacks_since: Option<Mono>,
+    /// When the row was last seen to change.
+    row_changed: Mono,
 }
 
 impl Crashes {
@@ -68,6 +74,7 @@
             return Ok(());
         }
         self.version = row.version;
+        self.row_changed = now;
         let value = row.value.as_deref();
         let read = value.map(serde_json::from_slice::<StoredCrashes>);
         // What is known holds on; another version of the product may have written the row.
@@ -200,7 +207,7 @@
     }
 
     /// What the leader is to write now.
-    fn due(&self, now: Mono) -> Option<StoredCrashes> {
+    fn due(&mut self, now: Mono) -> Option<StoredCrashes> {
         if self.writing || self.unreadable || now < self.write_after {
             return None;
         }
@@ -208,10 +215,17 @@
         refused.sort_unstable();
         let suspects = self.ledger.to_remember(now);
         let key = match &self.row {
-            Some(row) if self.stands(now, row, &refused, &suspects) => return None,
+            Some(row) if self.stands(now, row, &refused, &suspects) => {
+                self.lacks_since = None;
+                return None;
+            }
             Some(row) => row.key,
             None => FingerprintKey::new(uuid::Uuid::new_v4().into_bytes()),
         };
+        let since = *self.lacks_since.get_or_insert(now);
+        if now.since(since) < GATHER_MS && self.row.is_some() {
+            return None;
+        }
         Some(StoredCrashes {
             key,
             refused,
@@ -227,7 +241,7 @@
         refused: &[Refused],
         suspects: &[StoredSuspect],
     ) -> bool {
-        let is_fresh = now.since(self.written) < CLEARED_STAY_MS;
+        let is_fresh = now.since(self.row_changed) < CLEARED_STAY_MS;
         let is_same = row.suspects.len() == suspects.len();
         row.refused == refused && row.covers(suspects) && (is_same || is_fresh)
     }
@@ -284,7 +298,7 @@
         };
         crashes.writing = true;
         crashes.write_after = now.plus(WRITE_PAUSE_MS);
-        crashes.written = now;
+        crashes.lacks_since = None;
         let change = Change {
             unless_changed: vec![
                 (LEADER_KEY.to_owned(), office),
