What an instance sees of crashes in its last moments is told and stored

Read from the logs of two failing plays: an instance saw a crash 14 ms before it ended, and the row that the leader wrote 50 ms later did not name the work; and a write of that row was refused since the leader's own row had just changed, the next try came 0.3 s later, and the leader had ended by then. The last account of the traffic is now given when it ends; the row waits for a write of the leader's row that is under way, and is tried again after 0.15 s.

a_crash_that_ends_an_instances_last_request_is_told passes without the change too: the race is too narrow to play by itself.

--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -25,6 +25,9 @@
 /// Time between two writes of the row, in milliseconds.
 const WRITE_PAUSE_MS: u64 = 300;
 
+/// The same after a write that was not done, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 150;
+
 /// Time from the first news for the row until it is written, in milliseconds: all instances
 /// tell of one crash within it.
 const GATHER_MS: u64 = 50;
@@ -282,7 +285,8 @@
         let Some(office) = self.duty.office_version() else {
             return;
         };
-        if self.cluster.store_lost() {
+        // The leader's row is about to have another version, and this write would be refused.
+        if self.cluster.store_lost() || self.duty.is_claiming() {
             return;
         }
         let crashes = &mut self.cluster.crashes;
@@ -308,17 +312,23 @@
         };
         let (address, events) = (self.cfg.store, events.clone());
         tokio::spawn(async move {
-            if let Err(e) = Store::new(address).change(&change).await {
+            let written = Store::new(address).change(&change).await;
+            if let Err(e) = &written {
                 log::info!(cause = e.to_string(); "row about crashes not written");
             }
+            let done = written.is_ok();
             // Nobody is left to be told when the process ends.
-            let _ = events.send(Event::CrashesWritten).await;
+            let _ = events.send(Event::CrashesWritten { done }).await;
         });
     }
 
     /// Notes that a write of the row has ended; what stands comes by the feed.
-    pub(super) fn crashes_written(&mut self) {
-        self.cluster.crashes.writing = false;
+    pub(super) fn crashes_written(&mut self, now: Mono, done: bool) {
+        let crashes = &mut self.cluster.crashes;
+        crashes.writing = false;
+        if !done {
+            crashes.write_after = now.plus(RETRY_PAUSE_MS);
+        }
     }
 }
 
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -269,6 +269,11 @@
         }
     }
 
+    /// Whether a write of the leader's row is under way.
+    pub(super) const fn is_claiming(&self) -> bool {
+        self.claiming
+    }
+
     pub(super) fn claim_ended(&mut self) {
         self.claiming = false;
     }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -90,7 +90,7 @@
     /// A claim has ended; the row that stands comes by the feed.
     Claimed,
     /// A write of the row about crashes has ended.
-    CrashesWritten,
+    CrashesWritten { done: bool },
     /// The row of this instance stands.
     Registered,
     /// Another instance asks for the rows of a table after a version.
@@ -343,7 +343,7 @@
                 // One that rests has nobody yet who would pass the row on.
                 self.follow(Table::Own).refresh.notify_one();
             }
-            Event::CrashesWritten => self.crashes_written(),
+            Event::CrashesWritten { done } => self.crashes_written(now, done),
             Event::Registered => {
                 self.listed = Listed::Stands;
                 log::info!("instance is listed in the store");
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -71,7 +71,8 @@
     let mut parts = JoinSet::new();
     parts.spawn_local(follow_view(Rc::clone(&state)));
     parts.spawn_local(pump(Rc::clone(&state)));
-    parts.spawn_local(account(Rc::clone(&state), told.seen));
+    let seen = told.seen;
+    parts.spawn_local(account(Rc::clone(&state), seen.clone()));
     let drained = connection::drained(&state, stop, cfg.grace_ms);
     tokio::pin!(drained);
     loop {
@@ -84,7 +85,10 @@
                 listener = None;
                 log::info!("the callers' port is closed");
             }
-            () = &mut drained => return Ok(()),
+            () = &mut drained => {
+                tell_last(&state, &seen);
+                return Ok(());
+            }
             // Failure: one of them panics, and the instance takes requests that nobody
             // sends on any more.
             Some(Err(e)) = parts.join_next() => {
@@ -95,6 +99,16 @@
     }
 }
 
+/// Gives the last account.
+///
+/// Failure guarded against: the last request of an instance that stops ends with a crash of its
+/// endpoint, and nobody else hears of it.
+fn tell_last(state: &State, seen: &mpsc::Sender<Seen>) {
+    if let Err(e) = seen.try_send(state.account()) {
+        log::warn!(cause = e.to_string(); "the last account of the traffic was dropped");
+    }
+}
+
 async fn accept(listener: Option<&TcpListener>, state: &Rc<State>) {
     let Some(listener) = listener else {
         return std::future::pending().await;
--- a/crates/citronway/tests/gateway_crashes.rs
+++ b/crates/citronway/tests/gateway_crashes.rs
@@ -20,6 +20,9 @@
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 const ALLOWED_AFTER: usize = 3;
 
+/// Time from the start of a request to the crash that it causes.
+const FUSE: Duration = Duration::from_millis(700);
+
 /// Work that outlasts the test.
 const ENDLESS: Duration = Duration::from_mins(1);
 
@@ -188,6 +191,26 @@
     }
 }
 
+/// Guards against a crash that is seen with the last request of an instance and told to nobody.
+#[gtest]
+fn a_crash_that_ends_an_instances_last_request_is_told() {
+    let deployment = Deployment::new();
+    let console = Service::console(&deployment);
+    for endpoint in &console.all {
+        endpoint.crash_on_after(BAD, FUSE);
+    }
+    let [mut first, second] = two_instances(&deployment);
+    std::thread::scope(|scope| {
+        scope.spawn(|| call(&first, "POST /order/bad", 1));
+        until("the request is at an endpoint", || console.begun(BAD) > 0);
+        first.terminate();
+    });
+    until("the instance has ended", || first.ended().is_some());
+    until("the other one knows of the suspect", || {
+        second.metrics().contains("citronway_crash_suspects 1")
+    });
+}
+
 /// The store is away when the work crashes its third endpoint: nothing can be written.
 #[gtest]
 fn crashes_while_the_store_is_away_are_known_to_all() {
