--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -152,6 +152,60 @@
     run(700..760, faults);
 }
 
+/// Time in which a zone is to be empty without faults, in steps of 25 ms: 2.5 s.
+const EMPTY_WITHIN: usize = 100;
+
+/// The same after faults in which a leader and an endpoint were lost together: 25 s.
+const EMPTY_AFTER_FAULTS: usize = 1_000;
+
+fn steps(seed: u64, world: &mut World, count: usize) {
+    for _ in 0..count {
+        if let Some(broken) = world.step() {
+            panic!("seed {seed}: {broken}");
+        }
+    }
+}
+
+/// Guards against keys that stay in an evacuated zone, and against a write for each of them.
+#[test]
+fn a_zone_that_is_evacuated_is_empty_in_time() {
+    for seed in 1_200..1_220 {
+        let mut world = World::new(seed, NO_FAULTS);
+        steps(seed, &mut world, 800);
+        let before = world.writes;
+        world.evacuate(true);
+        steps(seed, &mut world, EMPTY_WITHIN);
+        assert_eq!(world.left_behind(), 0, "seed {seed}");
+        let writes = world.writes - before;
+        assert!(writes <= 20, "seed {seed}: {writes} writes");
+    }
+}
+
+/// Guards against two holders of a key, or keys left behind, where a zone is evacuated and
+/// taken back while leaders, orders, writes and endpoints are lost.
+#[test]
+fn zones_evacuated_amid_faults() {
+    let faults = Faults {
+        lost_orders: 800,
+        store_cuts: 20,
+        pauses: 10,
+        endpoint_cuts: 20,
+        lost_writes: 800,
+        crashes: 10,
+        ..NO_FAULTS
+    };
+    for seed in 1_300..1_320 {
+        let mut world = World::new(seed, faults);
+        for evacuated in [false, true, false, true] {
+            world.evacuate(evacuated);
+            steps(seed, &mut world, 400);
+        }
+        world.heal(NO_FAULTS);
+        steps(seed, &mut world, EMPTY_AFTER_FAULTS);
+        assert_eq!(world.left_behind(), 0, "seed {seed}");
+    }
+}
+
 /// All of it at once.
 #[test]
 fn everything_at_once() {
