A new connection is looked at for a round trip and a handshake

Callers of work that may not be repeated got 502 for requests that no endpoint had begun: a full endpoint resets a new connection one trip after the time of a handshake, and 3 ms were looked at whatever the distance; on the shifted deployment a trip between zones takes 1.4 ms.

--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -35,7 +35,7 @@
     /// Failure: a call is given up while its bytes wait in this machine or on the link,
     /// and the endpoint carries it out long after. A reset drops what was not sent.
     AtOnceOrReset,
-    /// Once it was not reset for [`LOOK`].
+    /// Once it was not reset for as long as the other side takes to do so, see [`look_for`].
     ///
     /// Failure: a full endpoint takes a connection and resets it, and a request that was
     /// written meanwhile may or may not have run. Work that may not be repeated is then
@@ -43,16 +43,26 @@
     AfterLook,
 }
 
-/// How long a new connection is looked at before it is used.
+/// Time that an endpoint takes from a new connection to its reset, at most.
+const HANDSHAKE: Duration = Duration::from_millis(2);
+
+/// Longest time for which a new connection is looked at before it is used: the opening packet
+/// was lost, or this instance was short of processor time.
+const LONGEST_LOOK: Duration = Duration::from_millis(12);
+
+/// How long a new connection is looked at that took so long to be made.
 ///
-/// A reset comes one trip and the time of a handshake, 1 ms, after the connection is
-/// open; trips between zones take 0.5 to 0.9 ms.
-const LOOK: Duration = Duration::from_millis(3);
+/// It is open here half a round trip before the other side knows, and a reset takes as long
+/// to come back; so the time of a round trip is looked at, whatever the distance.
+#[must_use]
+pub fn look_for(connected_in: Duration) -> Duration {
+    (connected_in + HANDSHAKE).min(LONGEST_LOOK)
+}
 
 /// Whether the other side ends a connection on which nothing was sent.
-async fn is_reset(stream: &TcpStream) -> bool {
+async fn is_reset(stream: &TcpStream, look: Duration) -> bool {
     // Nobody speaks first on HTTP/1.1: what can be read is the end.
-    timeout(LOOK, stream.readable()).await.is_ok()
+    timeout(look, stream.readable()).await.is_ok()
 }
 
 /// Why a call brought no whole answer.
@@ -124,6 +134,7 @@
     ///
     /// When there is no connection within [`CONNECT_TIMEOUT`].
     pub async fn open(address: SocketAddr, settled: Settled) -> Result<Self, CallError> {
+        let began = Instant::now();
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(stream) => stream.map_err(CallError::Connect)?,
             Err(elapsed) => return Err(CallError::Connect(io::Error::other(elapsed))),
@@ -132,7 +143,8 @@
         if settled == Settled::AtOnceOrReset {
             stream.set_zero_linger().map_err(CallError::Connect)?;
         }
-        if settled == Settled::AfterLook && is_reset(&stream).await {
+        let look = look_for(began.elapsed());
+        if settled == Settled::AfterLook && is_reset(&stream, look).await {
             return Err(CallError::Reset);
         }
         let handshake = Builder::new()
