--- a/crates/citronway-core/src/gateway/crashes/ledger.rs
+++ b/crates/citronway-core/src/gateway/crashes/ledger.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::entry::{Crash, Entry, State};
-use super::{Fingerprint, FingerprintKey, Known, Refused, Sign, StoredSuspect};
+use super::{Fingerprint, FingerprintKey, Known, Refused, Sign};
 use crate::gateway::pace::EndpointTag;
 use crate::time::Mono;
 
@@ -94,11 +94,11 @@
 /// All work that was at endpoints that crashed.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    entries: IndexMap<Fingerprint, Entry>,
+    pub(super) entries: IndexMap<Fingerprint, Entry>,
     /// Endpoints that crashed, and when.
     ended: VecDeque<(Mono, EndpointTag)>,
     let_go: IndexMap<Fingerprint, (u32, Mono)>,
-    changed: bool,
+    pub(super) changed: bool,
 }
 
 impl Ledger {
@@ -143,7 +143,7 @@
     }
 
     /// Makes room for work that is not known, at the cost of a suspect.
-    fn has_room(&mut self, work: Fingerprint) -> bool {
+    pub(super) fn has_room(&mut self, work: Fingerprint) -> bool {
         if self.entries.contains_key(&work) || self.entries.len() < MOST_ENTRIES {
             return true;
         }
@@ -253,48 +253,6 @@
         })
     }
 
-    /// Takes a suspect that the store remembers, at a start; it tells no loss of machines, and
-    /// its crashes count from now.
-    pub fn remember(&mut self, now: Mono, suspect: &StoredSuspect) {
-        if !self.has_room(suspect.work) {
-            return;
-        }
-        let entry = self.entries.entry(suspect.work).or_default();
-        for endpoint in &suspect.endpoints {
-            if entry.has(*endpoint) {
-                continue;
-            }
-            self.changed = true;
-            let endpoint = *endpoint;
-            entry.add(Crash { endpoint, at: now });
-        }
-    }
-
-    /// Suspects that the store is to remember, the newest; work that has just become harmful
-    /// too.
-    ///
-    /// Failure guarded against: work is taken as harmful, is no suspect any more and not yet
-    /// told of as harmful, and the row that is written in between names it nowhere.
-    #[must_use]
-    pub fn to_remember(&self, now: Mono) -> Vec<StoredSuspect> {
-        let settled = self.harmful(now);
-        let unsettled = self.entries.iter().filter(|(work, entry)| {
-            let is_settled = settled.iter().any(|refused| refused.work == **work);
-            entry.was_harmful() && !entry.crashes.is_empty() && !is_settled
-        });
-        let unsettled = unsettled.map(|(work, _)| *work);
-        let works = unsettled.chain(self.suspects(now)).take(MOST_SUSPECTS);
-        let mut suspects: Vec<_> = works
-            .filter_map(|work| {
-                let crashes = &self.entries.get(&work)?.crashes;
-                let endpoints = crashes.iter().map(|crash| crash.endpoint).collect();
-                Some(StoredSuspect { work, endpoints })
-            })
-            .collect();
-        suspects.sort_unstable();
-        suspects
-    }
-
     /// Takes a suspect that the leader tells of.
     pub fn told_suspect(&mut self, now: Mono, work: Fingerprint) {
         if let Some(entry) = self.entries.get_mut(&work) {
--- a/crates/citronway-core/src/gateway/crashes/mod.rs
+++ b/crates/citronway-core/src/gateway/crashes/mod.rs
@@ -14,6 +14,7 @@
 mod fingerprint;
 mod known;
 mod ledger;
+mod remembered;
 mod sign;
 mod stored;
 mod trials;
--- /dev/null
+++ b/crates/citronway-core/src/gateway/crashes/remembered.rs
@@ -0,0 +1,49 @@
+//! Which suspects the store remembers beyond the end of all instances.
+
+use super::entry::Crash;
+use super::{Ledger, MOST_SUSPECTS, StoredSuspect};
+use crate::time::Mono;
+
+impl Ledger {
+    /// Takes a suspect that the store remembers, at a start; it tells no loss of machines, and
+    /// its crashes count from now.
+    pub fn remember(&mut self, now: Mono, suspect: &StoredSuspect) {
+        if !self.has_room(suspect.work) {
+            return;
+        }
+        let entry = self.entries.entry(suspect.work).or_default();
+        for endpoint in &suspect.endpoints {
+            if entry.has(*endpoint) {
+                continue;
+            }
+            self.changed = true;
+            let endpoint = *endpoint;
+            entry.add(Crash { endpoint, at: now });
+        }
+    }
+
+    /// Suspects that the store is to remember, the newest; work that has just become harmful
+    /// too.
+    ///
+    /// Failure guarded against: work is taken as harmful, is no suspect any more and not yet
+    /// told of as harmful, and the row that is written in between names it nowhere.
+    #[must_use]
+    pub fn to_remember(&self, now: Mono) -> Vec<StoredSuspect> {
+        let settled = self.harmful(now);
+        let unsettled = self.entries.iter().filter(|(work, entry)| {
+            let is_settled = settled.iter().any(|refused| refused.work == **work);
+            entry.was_harmful() && !entry.crashes.is_empty() && !is_settled
+        });
+        let unsettled = unsettled.map(|(work, _)| *work);
+        let works = unsettled.chain(self.suspects(now)).take(MOST_SUSPECTS);
+        let mut suspects: Vec<_> = works
+            .filter_map(|work| {
+                let crashes = &self.entries.get(&work)?.crashes;
+                let endpoints = crashes.iter().map(|crash| crash.endpoint).collect();
+                Some(StoredSuspect { work, endpoints })
+            })
+            .collect();
+        suspects.sort_unstable();
+        suspects
+    }
+}
