--- a/crates/citronway-core/tests/gateway_evacuation.rs
+++ b/crates/citronway-core/tests/gateway_evacuation.rs
@@ -5,7 +5,7 @@
 use admission_support::{Scene, job, keyed};
 use citronway_core::gateway::admission::{Decision, RefusalReason};
 use citronway_core::gateway::evacuation::{Evacuations, ZoneState, owned_work_until};
-use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::gateway::registry::{Known, Listing, Registry};
 use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
@@ -167,7 +167,7 @@
     registry.evacuated(NOW, IndexMap::from([(zone("a"), NOW)]));
     registry.put(NOW, listing("new", "a", 2));
     registry.put(NOW, listing("else", "b", 3));
-    let takes: Vec<_> = registry.iter().map(|known| known.takes_work()).collect();
+    let takes: Vec<_> = registry.iter().map(Known::takes_work).collect();
     expect_that!(takes, elements_are![eq(&false), eq(&false), eq(&true)]);
     let back = NOW.plus(10_000);
     registry.evacuated(back, IndexMap::new());
@@ -175,5 +175,5 @@
     expect_that!(cold, elements_are![eq(&true), eq(&true), eq(&false)]);
     let later = back.plus(3_000);
     expect_that!(registry.iter().any(|known| known.is_cold(later)), eq(false));
-    expect_that!(registry.iter().all(|known| known.takes_work()), eq(true));
+    expect_that!(registry.iter().all(Known::takes_work), eq(true));
 }
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -155,13 +155,7 @@
                 }
                 Sent::TooLate => return self.spent(RefusalReason::Overloaded),
                 Sent::Nowhere(cause) => {
-                    match cause {
-                        Unsent::NoConnection => self.state.unreachable(&choice.endpoint),
-                        Unsent::Reset => {
-                            self.state.reset(&choice.endpoint);
-                            self.note_turned_away(&choice);
-                        }
-                    }
+                    self.not_sent(&choice, &cause);
                     if !self.has_time(now) {
                         return self.spent(RefusalReason::Unreachable);
                     }
@@ -176,26 +170,8 @@
                     tokio::time::sleep(AFTER_REFUSAL).await;
                 }
                 Sent::Unknown(doubt) => {
-                    let crashed = match doubt {
-                        Doubt::Broken | Doubt::Cut => self.look_at(&choice).await,
-                        Doubt::Foreign | Doubt::Silent => Look::NotCrashed,
-                    };
-                    match doubt {
-                        Doubt::Broken => {
-                            self.state.reset(&choice.endpoint);
-                            self.note_turned_away(&choice);
-                        }
-                        Doubt::Foreign | Doubt::Silent | Doubt::Cut => {
-                            self.state.refused(&choice.endpoint);
-                        }
-                    }
-                    self.has_crashed |= crashed != Look::NotCrashed;
-                    self.run_by.push(choice.endpoint);
-                    if crashed == Look::CrashedAgain {
-                        return Outcome::Unknown(DoubtReason::Crashed, "the endpoint crashed");
-                    }
-                    if !self.may_run_again() || !self.may_send_again(now) {
-                        return Outcome::Unknown(DoubtReason::Broken, doubt.cause());
+                    if let Some(outcome) = self.in_doubt(now, choice, doubt).await {
+                        return outcome;
                     }
                 }
                 Sent::TimedOut => {
@@ -206,6 +182,44 @@
         }
     }
 
+    /// Notes that nothing reached the endpoint.
+    fn not_sent(&self, choice: &Choice, cause: &Unsent) {
+        match cause {
+            Unsent::NoConnection => self.state.unreachable(&choice.endpoint),
+            Unsent::Reset => {
+                self.state.reset(&choice.endpoint);
+                self.note_turned_away(choice);
+            }
+        }
+    }
+
+    /// Takes that the endpoint may have run it; none if it is to be sent again.
+    async fn in_doubt(&mut self, now: Mono, choice: Choice, doubt: Doubt) -> Option<Outcome> {
+        let crashed = match doubt {
+            Doubt::Broken | Doubt::Cut => self.look_at(&choice).await,
+            Doubt::Foreign | Doubt::Silent => Look::NotCrashed,
+        };
+        match doubt {
+            Doubt::Broken => {
+                self.state.reset(&choice.endpoint);
+                self.note_turned_away(&choice);
+            }
+            Doubt::Foreign | Doubt::Silent | Doubt::Cut => {
+                self.state.refused(&choice.endpoint);
+            }
+        }
+        self.has_crashed |= crashed != Look::NotCrashed;
+        self.run_by.push(choice.endpoint);
+        if crashed == Look::CrashedAgain {
+            let cause = "the endpoint crashed";
+            return Some(Outcome::Unknown(DoubtReason::Crashed, cause));
+        }
+        if !self.may_run_again() || !self.may_send_again(now) {
+            return Some(Outcome::Unknown(DoubtReason::Broken, doubt.cause()));
+        }
+        None
+    }
+
     fn log_send(&self, now: Mono, choice: &Choice, sent: &Sent) {
         let work = match sent {
             Sent::Unknown(_) => self.fingerprint(),
--- a/crates/citronway/tests/gateway_leader_row.rs
+++ b/crates/citronway/tests/gateway_leader_row.rs
@@ -44,7 +44,7 @@
             if instance.name() == leader {
                 std::thread::sleep(LEADER_LATER);
             }
-            *instance = deployment.start_again(&instance.name().to_owned(), instance);
+            *instance = deployment.start_again(instance.name(), instance);
         }
         let logs: Vec<_> = instances
             .iter_mut()
