Long relays are divided and deflated

One cause, read from the code and from the logs of the first seconds of a scratch deployment of that size: rows of more than 48 KB in one relay were dropped without a word, and 3,000 endpoints list themselves within two seconds; each instance then asks for whole tables, over links of 10 Mbit/s, 155 copies of one second failing in time. Relays are now cut into datagrams in the order of their versions, and long datagrams and copies are deflated. Entries of a whole table are one line of the log instead of one each, 900,000 in the fleet.

An instance of an earlier version drops a deflated datagram and asks the store.

--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -12,6 +12,9 @@
     trialEnd @5 :TrialEnd;
     coldRequest @6 :ColdRequest;
     coldReply @7 :ColdReply;
+    packed @8 :Data;
+    # Another datagram, deflated. An instance of an earlier version drops it and asks the
+    # store for what it lacks.
   }
 }
 
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod error;
 pub mod greeting;
 pub mod limits;
+mod pack;
+pub mod relays;
 pub mod report;
 pub mod size;
 pub mod trial;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -1,5 +1,6 @@
 //! Reports and relayed rows between instances as datagrams.
 
+use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use capnp::message::{Builder, ReaderOptions};
@@ -14,6 +15,7 @@
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 
 use crate::cold::{self, ColdAsked, ColdReply};
+use crate::pack;
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
 use crate::trial::{self, EndedTrial, TrialReply};
 
@@ -44,9 +46,26 @@
     ColdReply(ColdReply),
 }
 
-/// Writes a datagram.
+/// Writes a datagram, deflated if it is long.
 #[must_use]
 pub fn encode(datagram: &Datagram) -> Vec<u8> {
+    let plain = encode_plain(datagram);
+    if plain.len() < pack::PACK_FROM {
+        return plain;
+    }
+    match pack::deflated(&plain) {
+        Ok(packed) => {
+            let mut message = Builder::new_default();
+            let mut root = message.init_root::<datagram::Builder<'_>>();
+            root.set_packed(&packed);
+            serialize::write_message_to_words(&message)
+        }
+        // Memory is the one thing that it could lack.
+        Err(_unpacked) => plain,
+    }
+}
+
+fn encode_plain(datagram: &Datagram) -> Vec<u8> {
     let mut message = Builder::new_default();
     let root = message.init_root::<datagram::Builder<'_>>();
     match datagram {
@@ -269,10 +288,27 @@
 /// # Errors
 ///
 /// When it is none.
-pub fn decode(mut bytes: &[u8]) -> Result<Datagram, ReportError> {
+pub fn decode(bytes: &[u8]) -> Result<Datagram, ReportError> {
+    match decode_one(bytes)? {
+        Decoded::Plain(datagram) => Ok(*datagram),
+        Decoded::Packed(plain) => match decode_one(&plain)? {
+            Decoded::Plain(datagram) => Ok(*datagram),
+            Decoded::Packed(_) => Err(ReportError::PackedTwice),
+        },
+    }
+}
+
+/// A datagram, or the bytes of one that was deflated.
+enum Decoded {
+    Plain(Box<Datagram>),
+    Packed(Vec<u8>),
+}
+
+fn decode_one(mut bytes: &[u8]) -> Result<Decoded, ReportError> {
     let message = serialize::read_message(&mut bytes, ReaderOptions::new())?;
     let root = message.get_root::<datagram::Reader<'_>>()?;
-    Ok(match root.which()? {
+    let plain = match root.which()? {
+        datagram::Which::Packed(packed) => return Ok(Decoded::Packed(pack::inflated(packed?)?)),
         datagram::Which::Report(report) => Datagram::Report(read_report(report?)?),
         datagram::Which::Relay(relay) => Datagram::Relay(read_relay(relay?)?),
         datagram::Which::Totals(totals) => Datagram::Totals(read_totals(totals?)?),
@@ -281,7 +317,8 @@
         datagram::Which::TrialEnd(end) => Datagram::TrialEnd(trial::read_end(end?)?),
         datagram::Which::ColdRequest(asked) => Datagram::ColdRequest(cold::read_request(asked?)),
         datagram::Which::ColdReply(reply) => Datagram::ColdReply(cold::read_reply(reply?)?),
-    })
+    };
+    Ok(Decoded::Plain(Box::new(plain)))
 }
 
 fn read_totals(from: totals::Reader<'_>) -> Result<Totals, ReportError> {
@@ -459,6 +496,12 @@
     /// A table that this version does not know.
     #[error("unknown table {0}")]
     UnknownTable(u8),
+    /// What is deflated cannot be inflated.
+    #[error("a packed datagram cannot be read: {0}")]
+    Packed(#[from] io::Error),
+    /// A deflated datagram holds another one.
+    #[error("a datagram was packed twice")]
+    PackedTwice,
     /// A name is not UTF-8.
     #[error("a name in a report is not UTF-8: {0}")]
     Name(#[from] std::str::Utf8Error),
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -6,7 +6,7 @@
 
 
 pub mod datagram {
-    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd,ColdRequest,ColdReply};
+    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd,ColdRequest,ColdReply,Packed};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -109,6 +109,11 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_packed(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 8 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -151,6 +156,11 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                8 => {
+                    ::core::result::Result::Ok(Packed(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -329,6 +339,21 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_packed(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.set_data_field::<u16>(0, 8);
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_packed(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 8);
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_packed(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 8 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -371,6 +396,11 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                8 => {
+                    ::core::result::Result::Ok(Packed(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -385,80 +415,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 142] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(193, 18, 142, 171, 49, 91, 114, 237),
             ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 8, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 9, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
             ::capnp::word(97, 103, 114, 97, 109, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
@@ -528,6 +565,14 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 99, 107, 101, 100, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -539,6 +584,7 @@
                 5 => <crate::report_capnp::trial_end::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <crate::report_capnp::cold_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::report_capnp::cold_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -553,11 +599,11 @@
             MEMBERS_BY_NAME
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,1,0,2,5,4,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,8,1,0,2,5,4,3];
         pub(crate) const TYPE_ID: u64 = 0xed72_5b31_ab8e_12c1;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7> {
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8> {
         Report(A0),
         Relay(A1),
         Totals(A2),
@@ -566,9 +612,10 @@
         TrialEnd(A5),
         ColdRequest(A6),
         ColdReply(A7),
+        Packed(A8),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_request::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_request::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Builder<'a>>>;
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_request::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_request::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>>;
 }
 
 pub mod cold_request {
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -12,7 +12,8 @@
 };
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
-use citronway_wire::report::{Datagram, decode, encode};
+use citronway_wire::relays::in_datagrams;
+use citronway_wire::report::{Datagram, MAX_DATAGRAM, decode, encode};
 use citronway_wire::trial::{EndedTrial, TrialReply};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
@@ -237,3 +238,67 @@
     }
     Ok(())
 }
+
+/// Rows that cannot be made shorter, one version after the other.
+fn long_relay(rows: u64) -> Relay {
+    let row = |n: u64| Row {
+        key: format!("i-{n}"),
+        value: Some((0..400).map(|i| noise(n * 400 + i)).collect()),
+        version: Version(100 + n),
+    };
+    Relay {
+        table: Table::Endpoints,
+        after: Version(99),
+        position: Version(100 + rows),
+        rows: (0..rows).map(row).collect(),
+        patches: Vec::new(),
+    }
+}
+
+fn noise(n: u64) -> u8 {
+    let mixed = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (mixed ^ (mixed >> 29)).to_le_bytes()[3]
+}
+
+/// Guards against rows of thousands of endpoints that are not passed on since they are too long.
+#[gtest]
+fn a_relay_that_is_too_long_is_divided_in_the_order_of_its_rows() -> Result<()> {
+    let relay = long_relay(1_000);
+    let all = in_datagrams(relay.clone());
+    expect_that!(all.len(), gt(1));
+    let (mut rows, mut newest) = (Vec::new(), relay.after);
+    for bytes in &all {
+        expect_that!(bytes.len(), le(MAX_DATAGRAM));
+        let Datagram::Relay(part) = decode(bytes).or_fail()? else {
+            return fail!("no relay");
+        };
+        expect_that!(part.after, eq(newest));
+        newest = part.rows.last().or_fail()?.version;
+        expect_that!(part.position, ge(newest));
+        rows.extend(part.rows);
+    }
+    expect_that!(rows, eq(&relay.rows));
+    Ok(())
+}
+
+/// Guards against datagrams whose text takes a link of 10 Mbit/s for seconds.
+#[gtest]
+fn long_text_is_deflated_and_read_as_it_was() -> Result<()> {
+    let mut relay = long_relay(300);
+    for row in &mut relay.rows {
+        let text = format!(
+            "{{\"service\":\"batch\",\"addr\":\"10.1.0.1:80\",\"seq\":{}}}",
+            row.version.0
+        );
+        row.value = Some(text.into_bytes());
+    }
+    let plain: usize = relay
+        .rows
+        .iter()
+        .filter_map(|row| Some(row.value.as_ref()?.len()))
+        .sum();
+    let bytes = encode(&Datagram::Relay(relay.clone()));
+    expect_that!(bytes.len() * 2, le(plain));
+    expect_that!(decode(&bytes).or_fail()?, eq(&Datagram::Relay(relay)));
+    Ok(())
+}
--- a/crates/citronway/src/gateway/control/entries.rs
+++ b/crates/citronway/src/gateway/control/entries.rs
@@ -36,7 +36,17 @@
             }
             *newest = row.version;
             let said = self.read_entry(row);
-            self.entry(now, &row.key, said);
+            // Load: 3,000 lines of each of 300 instances at a start, on a tenth of a core.
+            let level = if whole.is_some() {
+                log::Level::Debug
+            } else {
+                log::Level::Info
+            };
+            self.entry(now, &row.key, said, level);
+        }
+        if let Some(version) = whole {
+            let endpoints = self.registry.iter().count();
+            log::info!(endpoints, version = version.0; "all endpoints read");
         }
     }
 
@@ -68,12 +78,12 @@
         }
     }
 
-    fn entry(&mut self, now: Mono, key: &str, said: Said) {
+    fn entry(&mut self, now: Mono, key: &str, said: Said, level: log::Level) {
         let registry = Arc::make_mut(&mut self.registry);
         let name = EndpointName::new(key);
         match said {
             Said::Listed(listing) => {
-                log_news(registry, &listing);
+                log_news(registry, &listing, level);
                 registry.put(now, listing);
                 self.unusable.settled(Source::Entry, key);
             }
@@ -90,7 +100,7 @@
     }
 }
 
-fn log_news(registry: &Registry, listing: &Listing) {
+fn log_news(registry: &Registry, listing: &Listing, level: log::Level) {
     let known = registry.get(&listing.start);
     if known.is_some_and(|known| known.listing.draining == listing.draining) {
         return;
@@ -98,5 +108,5 @@
     let endpoint = &listing.start;
     let address = listing.address;
     let draining = listing.draining;
-    log::info!(endpoint:%, address:%, draining; "endpoint listed");
+    log::log!(level, endpoint:%, address:%, draining; "endpoint listed");
 }
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -9,6 +9,7 @@
 use citronway_core::gateway::tree::{Branch, Role, TELL_MS};
 use citronway_core::ids::{ServiceName, Version};
 use citronway_core::time::Mono;
+use citronway_wire::relays;
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
 
@@ -269,9 +270,10 @@
         // which moves with rows of all tables.
         relay.after = Version(self.cluster.seen().of(relay.table));
         if !self.leads_many(now) {
-            let bytes = datagram::encode(&Datagram::Relay(relay));
-            for address in self.cluster.peers.addresses() {
-                self.send(socket, &bytes, address);
+            for bytes in relays::in_datagrams(relay) {
+                for address in self.cluster.peers.addresses() {
+                    self.send(socket, &bytes, address);
+                }
             }
             return;
         }
@@ -281,9 +283,10 @@
         if relay.rows.is_empty() && relay.patches.is_empty() {
             return;
         }
-        let bytes = datagram::encode(&Datagram::Relay(relay));
-        for Branch { to, .. } in &self.branches {
-            self.send(socket, &bytes, *to);
+        for bytes in relays::in_datagrams(relay) {
+            for Branch { to, .. } in &self.branches {
+                self.send(socket, &bytes, *to);
+            }
         }
     }
 }
