--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -30,11 +30,6 @@
 /// at 500 ranges.
 const RANGES_A_MS: u64 = 8;
 
-/// Ranges of a row that make the time between two renewals a millisecond longer, and the part
-/// of a hold that it takes at most.
-const RANGES_A_RENEWAL_MS: u64 = 4;
-const LONGEST_RENEWAL: (u64, u64) = (9, 20);
-
 /// Times of a leader, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct LeaderSettings {
@@ -90,21 +85,6 @@
 }
 
 impl LeaderSettings {
-    /// Time between two renewals where the row has so many ranges, in milliseconds.
-    ///
-    /// Load: renewals of 2,500 endpoints each second take more than half a core. Three tries
-    /// still fit into a hold.
-    const fn renew_ms_of(&self, ranges: usize) -> u64 {
-        let longer = ranges as u64 / RANGES_A_RENEWAL_MS;
-        let longest = self.hold_ms * LONGEST_RENEWAL.0 / LONGEST_RENEWAL.1;
-        let renew_ms = self.renew_ms + longer;
-        if renew_ms < longest {
-            renew_ms
-        } else {
-            longest
-        }
-    }
-
     /// Latest end of a hold whose grant arrived at `arrival` or before.
     ///
     /// The endpoint's clock may run 2% slow; 50 ms cover its timers.
--- a/crates/citronway-core/src/gateway/leader/moves.rs
+++ b/crates/citronway-core/src/gateway/leader/moves.rs
@@ -168,7 +168,6 @@
 
     /// Renews what the row gives and grants what is new.
     pub(super) fn renew(&mut self, now: Mono, registry: &Registry, actions: &mut Vec<Action>) {
-        let renew_ms = self.cfg.renew_ms_of(self.row.ranges.len());
         for range in &self.row.ranges {
             if range.is_moving() || self.reach.is_lost(&self.cfg, now, &range.holder.endpoint) {
                 continue;
@@ -177,7 +176,7 @@
             let given = self
                 .holds
                 .get(&range.holder.endpoint, span, range.holder.fence);
-            if !is_due(&self.cfg, renew_ms, now, given) {
+            if !is_due(&self.cfg, now, given) {
                 continue;
             }
             if self.reach.backs_off(&self.cfg, now, &range.holder.endpoint) {
@@ -373,13 +372,13 @@
     }
 }
 
-fn is_due(cfg: &LeaderSettings, renew_ms: u64, now: Mono, given: Option<Given>) -> bool {
+fn is_due(cfg: &LeaderSettings, now: Mono, given: Option<Given>) -> bool {
     let Some(given) = given else { return true };
     if given.pending {
         return false;
     }
     let period = if given.answered {
-        renew_ms
+        cfg.renew_ms
     } else {
         cfg.retry_ms
     };
