The limit of a service holds no instance back before its endpoints say so

Read, not seen: an instance with hundreds of requests at a service, as where few instances serve many callers, would have begun at a limit of eight and grown by half a request a second. It now begins without one; the first sign of a queue brings it down to what is in use, and each answer lets it grow a little more. A rate that is no number is refused by the leader.

--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -252,9 +252,10 @@
     }
 
     /// Notes that an endpoint of a service without keys had no room for a request.
-    pub fn turned_away(&mut self, now: Mono, service: &ServiceName) {
+    pub fn turned_away(&mut self, now: Mono, view: &View, service: &ServiceName) {
+        let in_flight = self.in_flight_at(view, service);
         let limit = self.limits.entry(service.clone()).or_default();
-        limit.turned_away(now);
+        limit.turned_away(now, in_flight);
     }
 
     /// Requests of this instance at all endpoints of a service.
--- a/crates/citronway-core/src/gateway/cold.rs
+++ b/crates/citronway-core/src/gateway/cold.rs
@@ -71,7 +71,7 @@
 
     /// Decides about a send; one that is granted counts whether it is made or not.
     pub fn request(&mut self, now: Mono, req: &ColdRequest) -> ColdGrant {
-        if req.per_s <= 0.0 {
+        if !req.per_s.is_finite() || req.per_s <= 0.0 {
             let for_ms = FORMER_GRANTS_MS;
             return ColdGrant::Busy { for_ms };
         }
--- a/crates/citronway-core/src/gateway/limit.rs
+++ b/crates/citronway-core/src/gateway/limit.rs
@@ -9,14 +9,15 @@
 use crate::time::Mono;
 
 /// Limit of an instance that has heard nothing yet, and the largest.
-const FIRST: f64 = 8.0;
-const LARGEST: f64 = 256.0;
+const LARGEST: f64 = 1_024.0;
 
 /// Smallest limit: each instance tries one request at a time.
 const SMALLEST: f64 = 1.0;
 
-/// Growth by the answers to as many requests as the limit allows.
+/// Growth by the answers to as many requests as the limit allows, and by each answer besides,
+/// without which an instance with hundreds of requests would take minutes to grow.
 const GROWTH: f64 = 0.25;
+const GROWTH_BY_ANSWER: f64 = 0.01;
 
 /// What is left of the limit after an answer of an endpoint with a queue, and after one that
 /// turned a request away.
@@ -57,7 +58,7 @@
 impl Default for ServiceLimit {
     fn default() -> Self {
         Self {
-            limit: FIRST,
+            limit: LARGEST,
             turned_away: Mono::default(),
         }
     }
@@ -68,22 +69,23 @@
     /// requests were there.
     pub fn answered(&mut self, load: Option<EndpointLoad>, in_flight: u32) {
         if load.is_some_and(|load| load.has_queue()) {
-            self.shrink(QUEUED_LEAVES);
+            self.shrink(in_flight, QUEUED_LEAVES);
             return;
         }
         // A limit that holds nothing back says nothing by its growth.
         if f64::from(in_flight) + 1.0 >= self.limit {
-            self.limit = (self.limit + GROWTH / self.limit).min(LARGEST);
+            let grown = self.limit + GROWTH / self.limit + GROWTH_BY_ANSWER;
+            self.limit = grown.min(LARGEST);
         }
     }
 
-    /// Takes that an endpoint had no room for a request.
-    pub fn turned_away(&mut self, now: Mono) {
+    /// Takes that an endpoint had no room for a request, beside so many of this instance.
+    pub fn turned_away(&mut self, now: Mono, in_flight: u32) {
         if now.since(self.turned_away) < TURNED_AWAY_ONCE_MS {
             return;
         }
         self.turned_away = now;
-        self.shrink(TURNED_AWAY_LEAVES);
+        self.shrink(in_flight, TURNED_AWAY_LEAVES);
     }
 
     /// Whether one more request may be sent beside so many; `chance` is a number from 0 to 1
@@ -100,7 +102,9 @@
         self.limit
     }
 
-    fn shrink(&mut self, leaves: f64) {
-        self.limit = (self.limit * leaves).max(SMALLEST);
+    /// What is above the requests that were there had no part in it.
+    fn shrink(&mut self, in_flight: u32, leaves: f64) {
+        let used = self.limit.min(f64::from(in_flight) + 1.0);
+        self.limit = (used * leaves).max(SMALLEST);
     }
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -266,7 +266,7 @@
     /// Notes that an endpoint of a service without keys had no room.
     pub(super) fn turned_away(&self, job: &Job) {
         let mut admission = self.admission.borrow_mut();
-        admission.turned_away(clock::mono(), &job.service);
+        admission.turned_away(clock::mono(), &self.view.borrow(), &job.service);
     }
 
     /// Whether an endpoint has said that it leaves, or is not listed.
