--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -181,8 +181,7 @@
     }
 }
 
-/// Guards against two holders of a key, or keys left behind, where a zone is evacuated and
-/// taken back while leaders, orders, writes and endpoints are lost.
+/// Guards against keys with two holders, or left behind, where zones are evacuated amid faults.
 #[test]
 fn zones_evacuated_amid_faults() {
     let faults = Faults {
