--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -193,7 +193,26 @@
         crashes: 10,
         ..NO_FAULTS
     };
-    for seed in 1_300..1_320 {
+    evacuate_amid(faults, 1_300..1_320);
+}
+
+/// Guards against the same where endpoints start again under their names beside lost leaders.
+#[test]
+fn starts_under_their_names_beside_evacuations() {
+    let faults = Faults {
+        lost_orders: 800,
+        store_cuts: 20,
+        pauses: 10,
+        endpoint_cuts: 20,
+        lost_writes: 800,
+        rebirths: 20,
+        ..NO_FAULTS
+    };
+    evacuate_amid(faults, 1_300..1_340);
+}
+
+fn evacuate_amid(faults: Faults, seeds: std::ops::Range<u64>) {
+    for seed in seeds {
         let mut world = World::new(seed, faults);
         for evacuated in [false, true, false, true] {
             world.evacuate(evacuated);
