Leaders that the store does not confirm grant on old connections only

Cause: a leader that lost the store goes on renewing by its row for 13 s. Its successor seals a range at the holder and gives it on. A holder that starts again under its name forgets the fence of the seal, and takes the next renewal of the earlier leader.

Change: a connection ends with the process that took it. Each grant and seal states by when its connection must have been made: 2 s after the last confirmation by the store. A successor seals nothing for 2.05 s, unless all earlier leaders are known to have stopped (then 0.45 s). So whatever an earlier leader still reaches has seen the seal, or is not there any more. A grant without such a connection is not sent; that tells nothing of the endpoint.

Price: in an outage of the store an endpoint that starts again, or whose connections all ended, has no keys until the store is back.

The walk learnt of connections: an order goes on one that there is or on a new one, and what was sent ends with the life that took it.

--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -7,6 +7,11 @@
 //! leader may have given it. A leader that has not heard the store confirm it for
 //! [`LeaderSettings::contact_limit_ms`] sends no more grants, which bounds what an
 //! earlier leader may still have given.
+//!
+//! An endpoint that starts again forgets the fences that it confirmed. So a leader grants on
+//! a new connection only within [`LeaderSettings::connect_limit_ms`] of its last
+//! confirmation, and its successor seals nothing for as long: the connections of an earlier
+//! leader then reach only starts that see the seal.
 
 mod holds;
 mod moves;
@@ -30,6 +35,9 @@
 /// at 500 ranges.
 const RANGES_A_MS: u64 = 8;
 
+/// How late timers fire and how exactly times are read, in milliseconds.
+const TIMER_MARGIN_MS: u64 = 50;
+
 /// Times of a leader, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct LeaderSettings {
@@ -64,6 +72,10 @@
     ///
     /// Longer than the outages of the store that are to be ridden out.
     pub contact_limit_ms: u64,
+    /// How long after word from the store grants may go on connections made since.
+    ///
+    /// Longer than the time between two such words.
+    pub connect_limit_ms: u64,
     /// Silence after which an endpoint counts as lost.
     pub lost_after_ms: u64,
 }
@@ -79,6 +91,7 @@
             retry_ms: 250,
             write_gap_ms: 40,
             contact_limit_ms: 13_000,
+            connect_limit_ms: 2_000,
             lost_after_ms: 1_000,
         }
     }
@@ -87,10 +100,10 @@
 impl LeaderSettings {
     /// Latest end of a hold whose grant arrived at `arrival` or before.
     ///
-    /// The endpoint's clock may run 2% slow; 50 ms cover its timers.
+    /// The endpoint's clock may run 2% slow.
     #[must_use]
     pub const fn end_of_hold(&self, arrival: Mono) -> Mono {
-        arrival.plus(self.hold_ms + self.hold_ms / 50 + 50)
+        arrival.plus(self.hold_ms + self.hold_ms / 50 + TIMER_MARGIN_MS)
     }
 
     /// Latest end of a hold that is given by an order of `decided`.
@@ -106,10 +119,22 @@
         }
     }
 
-    /// Until when an earlier leader, replaced at `replaced`, may have given holds.
+    /// What an earlier leader, replaced at `replaced`, may still do.
+    #[must_use]
+    pub const fn rivals(&self, replaced: Mono) -> Rivals {
+        Rivals {
+            connect_until: replaced.plus(self.connect_limit_ms + TIMER_MARGIN_MS),
+            hold_until: replaced.plus(self.rival_wait_ms()),
+        }
+    }
+
+    /// What a leader that stopped at `at` may have left behind.
     #[must_use]
-    pub const fn rival_until(&self, replaced: Mono) -> Mono {
-        replaced.plus(self.rival_wait_ms())
+    pub const fn stopped_rivals(&self, at: Mono) -> Rivals {
+        Rivals {
+            connect_until: at.plus(self.order_timeout_ms + TIMER_MARGIN_MS),
+            hold_until: self.end_of_order(at),
+        }
     }
 
     /// How long after it was replaced an earlier leader's last hold can end, in
@@ -120,6 +145,25 @@
     }
 }
 
+/// What earlier leaders may still do.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Rivals {
+    /// Until then they may make connections to endpoints and grant on them.
+    pub connect_until: Mono,
+    /// Until then holds that they gave may last.
+    pub hold_until: Mono,
+}
+
+impl Rivals {
+    /// The earlier ends of both.
+    fn min(self, other: Self) -> Self {
+        Self {
+            connect_until: self.connect_until.min(other.connect_until),
+            hold_until: self.hold_until.min(other.hold_until),
+        }
+    }
+}
+
 /// Keys that are to go to another endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Move {
@@ -168,8 +212,8 @@
 struct Tenure {
     /// Start of the newest call that confirmed it.
     contact: Mono,
-    /// Until then an earlier leader may have given holds.
-    rival_until: Mono,
+    /// What earlier leaders may still do.
+    rivals: Rivals,
 }
 
 impl Leader {
@@ -195,13 +239,9 @@
 
     /// Takes office after the row has been read again.
     ///
-    /// `contact` is when the confirming call was sent, `rival_until` when the last
-    /// hold of an earlier leader has ended.
-    pub fn begin(&mut self, contact: Mono, rival_until: Mono) {
-        self.tenure = Some(Tenure {
-            contact,
-            rival_until,
-        });
+    /// `contact` is when the confirming call was sent.
+    pub fn begin(&mut self, contact: Mono, rivals: Rivals) {
+        self.tenure = Some(Tenure { contact, rivals });
         self.writing = false;
         self.takeover = Takeover::Begins;
         self.wanted = None;
@@ -231,9 +271,9 @@
 
     /// Learns that the earlier leader stopped at `at`.
     pub fn rival_stopped(&mut self, at: Mono) {
-        let end = self.cfg.end_of_order(at);
+        let left = self.cfg.stopped_rivals(at);
         if let Some(tenure) = &mut self.tenure {
-            tenure.rival_until = tenure.rival_until.min(end);
+            tenure.rivals = tenure.rivals.min(left);
         }
     }
 
@@ -366,14 +406,14 @@
         // on renewing, and two endpoints hold the same keys. Its successor counts on
         // this limit before it gives the keys of a silent endpoint to another.
         if now.since(tenure.contact) < self.cfg.contact_limit_ms {
-            self.renew(now, registry, &mut actions);
+            self.renew(now, tenure, registry, &mut actions);
         }
         if self.takeover != Takeover::Done {
             self.take_over(now, &mut actions);
             return actions;
         }
         if now.since(tenure.contact) < self.cfg.contact_limit_ms {
-            self.advance_moves(now, tenure.rival_until, &mut actions);
+            self.advance_moves(now, tenure, &mut actions);
         }
         self.write(now, &mut actions);
         actions
--- a/crates/citronway-core/src/gateway/leader/moves.rs
+++ b/crates/citronway-core/src/gateway/leader/moves.rs
@@ -3,7 +3,7 @@
 use crate::gateway::assignment::{self, Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
 use crate::gateway::leader::holds::Given;
 use crate::gateway::leader::orders::{Action, Order, OrderKind, OrderResult, Span};
-use crate::gateway::leader::{Leader, LeaderSettings};
+use crate::gateway::leader::{Leader, LeaderSettings, Tenure};
 use crate::gateway::registry::{Listing, Registry};
 use crate::time::Mono;
 
@@ -167,7 +167,14 @@
     }
 
     /// Renews what the row gives and grants what is new.
-    pub(super) fn renew(&mut self, now: Mono, registry: &Registry, actions: &mut Vec<Action>) {
+    pub(super) fn renew(
+        &mut self,
+        now: Mono,
+        tenure: Tenure,
+        registry: &Registry,
+        actions: &mut Vec<Action>,
+    ) {
+        let connect_by = self.connect_by(tenure);
         for range in &self.row.ranges {
             if range.is_moving() || self.reach.is_lost(&self.cfg, now, &range.holder.endpoint) {
                 continue;
@@ -193,24 +200,20 @@
             let holder = &range.holder;
             self.holds
                 .sent(now, &holder.endpoint, span, holder.fence, times);
-            actions.push(Action::Order(order(
-                self,
-                now,
-                span,
-                holder,
-                holder.fence,
-                kind,
-            )));
+            let mut order = order(self, now, span, holder, holder.fence, kind);
+            order.connect_by = order.connect_by.min(connect_by);
+            actions.push(Action::Order(order));
         }
     }
 
+    /// When a connection must have been made at the latest that is to carry a grant.
+    const fn connect_by(&self, tenure: Tenure) -> Mono {
+        tenure.contact.plus(self.cfg.connect_limit_ms)
+    }
+
     /// Takes each moving range one step further.
-    pub(super) fn advance_moves(
-        &mut self,
-        now: Mono,
-        rival_until: Mono,
-        actions: &mut Vec<Action>,
-    ) {
+    pub(super) fn advance_moves(&mut self, now: Mono, tenure: Tenure, actions: &mut Vec<Action>) {
+        let connect_by = self.connect_by(tenure);
         let moving: Vec<_> = self
             .row
             .ranges
@@ -239,7 +242,7 @@
             let latest = self
                 .holds
                 .latest_end(&holder.endpoint, span)
-                .max(rival_until);
+                .max(tenure.rivals.hold_until);
             if now > latest {
                 state.freed = Some(Freed::Lapsed);
                 continue;
@@ -262,6 +265,11 @@
                 if self.holds.may_arrive(now, &holder.endpoint, span) {
                     continue;
                 }
+                // Failure: the same, and the renewal comes from an earlier leader that does
+                // not know of this one.
+                if now < tenure.rivals.connect_until {
+                    continue;
+                }
                 state.seals += 1;
                 OrderKind::Seal {
                     hold_ms: self.cfg.hold_ms,
@@ -271,11 +279,13 @@
             };
             state.pending = true;
             let fence = state.seal_fence(next);
-            if matches!(kind, OrderKind::Seal { .. }) {
+            let mut order = order(self, now, span, holder, fence, kind);
+            if matches!(order.kind, OrderKind::Seal { .. }) {
+                order.connect_by = order.connect_by.min(connect_by);
                 let times = self.cfg.call_times(now);
                 self.holds.sent(now, &holder.endpoint, span, fence, times);
             }
-            actions.push(Action::Order(order(self, now, span, holder, fence, kind)));
+            actions.push(Action::Order(order));
         }
     }
 
@@ -287,7 +297,7 @@
             }
             // Failure: a leader with too much to do begins its orders too late, takes the
             // endpoints for lost, and has even more to do by moving their keys.
-            OrderResult::TooLate => {}
+            OrderResult::TooLate | OrderResult::NotConnected => {}
             OrderResult::NotSent | OrderResult::Lost => {
                 // A release takes as long as the work that it waits for.
                 if order.kind != OrderKind::Release || *result == OrderResult::NotSent {
@@ -303,7 +313,7 @@
 
     fn grant_answered(&mut self, now: Mono, order: &Order, result: &OrderResult) {
         let ok = matches!(result, OrderResult::Done { .. });
-        if matches!(result, OrderResult::NotSent | OrderResult::TooLate) {
+        if result.nothing_sent() {
             // The order before it was given up by now and may still arrive.
             let end = self.cfg.end_of_hold(now.plus(self.cfg.late_ms));
             self.holds
@@ -325,7 +335,8 @@
             OrderResult::Stale
             | OrderResult::NotThere
             | OrderResult::NotSent
-            | OrderResult::TooLate => self.holds.answered(endpoint, span, fence, false),
+            | OrderResult::TooLate
+            | OrderResult::NotConnected => self.holds.answered(endpoint, span, fence, false),
         }
     }
 
@@ -357,6 +368,7 @@
             OrderResult::Stale
             | OrderResult::NotSent
             | OrderResult::TooLate
+            | OrderResult::NotConnected
             | OrderResult::Lost => {
                 state.order_after = now.plus(self.cfg.retry_ms);
             }
@@ -397,8 +409,10 @@
         OrderKind::Grant { .. } | OrderKind::Seal { .. } => leader.cfg.order_timeout_ms,
         OrderKind::Release => leader.cfg.release_timeout_ms,
     };
+    let until = now.plus(limit_ms);
     Order {
-        until: now.plus(limit_ms),
+        until,
+        connect_by: until,
         service: leader.service.clone(),
         endpoint: holder.endpoint.clone(),
         address: holder.address,
--- a/crates/citronway-core/src/gateway/leader/orders.rs
+++ b/crates/citronway-core/src/gateway/leader/orders.rs
@@ -56,6 +56,12 @@
     pub kind: OrderKind,
     /// Then the call is given up and its connection closed.
     pub until: Mono,
+    /// The call goes only on a connection that was made by then.
+    ///
+    /// Failure guarded against: a leader that was replaced while it could not reach the store
+    /// renews at an endpoint that has started again and remembers no fence of its successor.
+    /// A connection ends with the process that took it.
+    pub connect_by: Mono,
 }
 
 /// Which call an order is.
@@ -93,10 +99,23 @@
     NotSent,
     /// Nothing was sent: this instance was too busy to begin in time.
     TooLate,
+    /// Nothing was sent: no connection was made early enough.
+    NotConnected,
     /// No answer; it may be carried out later.
     Lost,
 }
 
+impl OrderResult {
+    /// Whether it is certain that the endpoint got nothing.
+    #[must_use]
+    pub const fn nothing_sent(&self) -> bool {
+        match self {
+            Self::NotSent | Self::TooLate | Self::NotConnected => true,
+            Self::Done { .. } | Self::Stale | Self::NotThere | Self::Lost => false,
+        }
+    }
+}
+
 /// What came of a write.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteResult {
--- /dev/null
+++ b/crates/citronway-core/tests/gateway_leader_moves.rs
@@ -0,0 +1,167 @@
+//! Moves of keys: beside other leaders, and of ranges that are on their way already.
+
+use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, Range};
+use citronway_core::gateway::leader::{
+    Action, Leader, LeaderSettings, Move, Order, OrderKind, OrderResult, Rivals, Span, WriteResult,
+};
+use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
+use citronway_core::time::Mono;
+use googletest::prelude::*;
+
+const NOW: Mono = Mono(100_000);
+const STEP_MS: u64 = 25;
+const WHOLE: Span = Span {
+    first: 0,
+    last: u16::MAX,
+};
+
+fn listing(id: &str, port: u16) -> Listing {
+    Listing {
+        start: EndpointStart::new(id, None),
+        service: ServiceName::new("batch"),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: ZoneName::new("a"),
+        slots: 6,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+fn done(_: &Order) -> OrderResult {
+    OrderResult::Done { handover: None }
+}
+
+/// All keys are with endpoint `a`; `b` and `c` have none.
+struct Scene {
+    leader: Leader,
+    registry: Registry,
+    version: Version,
+    now: Mono,
+}
+
+impl Scene {
+    fn new(rivals: Rivals) -> Self {
+        let listings = [listing("a", 1), listing("b", 2), listing("c", 3)];
+        let mut registry = Registry::default();
+        for listing in &listings {
+            registry.put(NOW, listing.clone());
+        }
+        let mut row = Assignment {
+            next_fence: 1,
+            ranges: Vec::new(),
+        };
+        let fence = row.draw_fences(FENCES_A_MOVE);
+        row.ranges.push(Range {
+            first: WHOLE.first,
+            last: WHOLE.last,
+            holder: Holder {
+                endpoint: listings[0].start.clone(),
+                address: listings[0].address,
+                fence,
+            },
+            next: None,
+        });
+        let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
+        leader.row_seen(row, Version(5));
+        leader.begin(NOW, rivals);
+        Self {
+            leader,
+            registry,
+            version: Version(5),
+            now: NOW,
+        }
+    }
+
+    fn wish(&mut self, span: Span, to: &str) {
+        let to = EndpointStart::new(to, None);
+        self.leader.start(&[Move { span, to }], &self.registry);
+    }
+
+    /// One step in which writes succeed.
+    fn step(&mut self, answer: impl Fn(&Order) -> OrderResult) -> Vec<Order> {
+        self.now = self.now.plus(STEP_MS);
+        let mut orders = Vec::new();
+        for action in self.leader.step(self.now, &self.registry) {
+            match action {
+                Action::Write { row, .. } => {
+                    self.version = self.version.next();
+                    let done = WriteResult::Done(row, self.version);
+                    self.leader.wrote(self.now, done);
+                }
+                Action::Order(order) => {
+                    self.leader.answered(self.now, &order, &answer(&order));
+                    orders.push(order);
+                }
+            }
+        }
+        orders
+    }
+
+    /// When the first seal was sent, within five seconds.
+    fn first_seal(&mut self) -> Option<Mono> {
+        let seals = |orders: &[Order]| {
+            let mut all = orders.iter();
+            all.any(|order| matches!(order.kind, OrderKind::Seal { .. }))
+        };
+        (0..200).find_map(|_| seals(&self.step(done)).then_some(self.now))
+    }
+}
+
+/// Guards against grants of a leader that was replaced unawares at a start that never saw the
+/// fences of its successor.
+#[gtest]
+fn grants_go_on_connections_from_before_the_last_confirmation() {
+    let cfg = LeaderSettings::default();
+    let mut scene = Scene::new(Rivals::default());
+    let mut grants = 0;
+    while scene.now < NOW.plus(cfg.contact_limit_ms) {
+        for order in scene.step(done) {
+            grants += 1;
+            expect_that!(order.connect_by, le(NOW.plus(cfg.connect_limit_ms)));
+        }
+    }
+    expect_that!(grants, gt(5));
+    scene.leader.confirm(scene.now);
+    let confirmed = scene.now;
+    let orders = scene.step(done);
+    let latest = orders.iter().map(|order| order.connect_by).max();
+    expect_that!(latest, none().or(some(gt(confirmed))));
+}
+
+/// Guards against a seal that its holder forgets before an earlier leader renews.
+#[gtest]
+fn nothing_is_sealed_while_an_earlier_leader_may_connect() -> Result<()> {
+    let cfg = LeaderSettings::default();
+    let mut scene = Scene::new(cfg.rivals(NOW));
+    scene.step(done);
+    scene.wish(WHOLE, "b");
+    let sealed = scene.first_seal().or_fail()?;
+    expect_that!(sealed, ge(NOW.plus(cfg.connect_limit_ms)));
+    Ok(())
+}
+
+/// Guards against moves that wait for an earlier leader that is known to have stopped.
+#[gtest]
+fn a_seal_waits_only_for_the_last_orders_of_a_leader_that_has_stopped() -> Result<()> {
+    let cfg = LeaderSettings::default();
+    let mut scene = Scene::new(cfg.rivals(NOW));
+    scene.leader.rival_stopped(NOW);
+    scene.step(done);
+    scene.wish(WHOLE, "b");
+    let sealed = scene.first_seal().or_fail()?;
+    expect_that!(sealed, ge(NOW.plus(cfg.order_timeout_ms)));
+    expect_that!(sealed, lt(NOW.plus(cfg.connect_limit_ms)));
+    Ok(())
+}
+
+/// Guards against an endpoint that counts as lost because its leader may not connect.
+#[gtest]
+fn orders_without_a_connection_tell_nothing_of_the_endpoint() {
+    let mut scene = Scene::new(Rivals::default());
+    for _ in 0..200 {
+        scene.step(|_| OrderResult::NotConnected);
+    }
+    let a = EndpointStart::new("a", None);
+    expect_that!(scene.leader.is_lost(scene.now, &a), eq(false));
+}
--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -14,6 +14,7 @@
     lost_writes: 0,
     rebirths: 0,
     lapses: 0,
+    ended_links: 0,
 };
 
 /// Simulated steps of 25 ms: one minute and a half.
@@ -211,6 +212,47 @@
     evacuate_amid(faults, 1_300..1_340);
 }
 
+/// Guards against two holders where an endpoint starts again beside leaders that lose the store.
+#[test]
+fn starts_under_their_names_beside_leaders_that_lose_the_store() {
+    let faults = Faults {
+        store_cuts: 20,
+        endpoint_cuts: 20,
+        rebirths: 20,
+        ..NO_FAULTS
+    };
+    for seed in [5_008, 5_013, 5_056, 5_065, 5_069, 5_264, 5_388] {
+        play(seed, World::new(seed, faults));
+    }
+    let long = Faults {
+        longest_cut_ms: 40_000,
+        ..faults
+    };
+    run(5_000..5_024, long);
+}
+
+/// Guards against the same amid all faults, and where connections end by themselves.
+#[test]
+fn starts_under_their_names_amid_all_faults() {
+    let faults = Faults {
+        lost_orders: 800,
+        store_cuts: 20,
+        pauses: 10,
+        endpoint_cuts: 20,
+        lost_writes: 800,
+        rebirths: 20,
+        ..NO_FAULTS
+    };
+    for seed in [1_303, 1_311, 1_351, 1_372, 1_386, 5_002, 5_018, 5_162] {
+        play(seed, World::new(seed, faults));
+    }
+    let ending = Faults {
+        ended_links: 100,
+        ..faults
+    };
+    run(5_100..5_112, ending);
+}
+
 fn evacuate_amid(faults: Faults, seeds: std::ops::Range<u64>) {
     for seed in seeds {
         let mut world = World::new(seed, faults);
--- a/crates/citronway-core/tests/gateway_leader_rows.rs
+++ b/crates/citronway-core/tests/gateway_leader_rows.rs
@@ -2,7 +2,7 @@
 
 use citronway_core::gateway::assignment::{Assignment, FENCES_A_MOVE, Holder, MAX_RANGES, Range};
 use citronway_core::gateway::leader::{
-    Action, Leader, LeaderSettings, Move, OrderKind, OrderResult, Span, WriteResult,
+    Action, Leader, LeaderSettings, Move, OrderKind, OrderResult, Rivals, Span, WriteResult,
 };
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
@@ -55,7 +55,7 @@
 fn leader(row: &Assignment) -> Leader {
     let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
     leader.row_seen(row.clone(), Version(5));
-    leader.begin(NOW, NOW);
+    leader.begin(NOW, Rivals::default());
     leader
 }
 
--- a/crates/citronway-core/tests/leader_world/endpoint.rs
+++ b/crates/citronway-core/tests/leader_world/endpoint.rs
@@ -27,6 +27,8 @@
 pub struct Endpoint {
     place: usize,
     start: u64,
+    /// Which process, counted from the first.
+    life: u64,
     /// By its own clock; starts under one name may have the same or a falling one.
     born_ms: u64,
     pub address: SocketAddr,
@@ -40,6 +42,7 @@
         Self {
             place,
             start: 0,
+            life: 0,
             born_ms: 1_000_000,
             address: SocketAddr::from(([10, 0, 0, 1], 8_000 + u16::try_from(place).unwrap_or(0))),
             checks_names: true,
@@ -47,6 +50,10 @@
         }
     }
 
+    pub const fn life(&self) -> u64 {
+        self.life
+    }
+
     pub fn id(&self) -> EndpointStart {
         super::name(self.place, self.start, self.born_ms)
     }
@@ -66,11 +73,13 @@
     /// Another process starts at the same address; it holds nothing.
     pub fn restart(&mut self) {
         self.start += 1;
+        self.life += 1;
         self.keys.clear();
     }
 
     /// It starts again under its name; it holds and remembers nothing.
     pub fn start_again(&mut self, clock: Clock) {
+        self.life += 1;
         self.born_ms = match clock {
             Clock::Right => self.born_ms + 1,
             Clock::SetBack => self.born_ms - 1,
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -2,30 +2,31 @@
 //!
 //! Time goes in steps. Calls arrive at once or never; a grant whose answer is lost
 //! may be carried out up to 12 s later, its time counting from its arrival. A leader
-//! may lose the store, some endpoints, or its own time; whoever claims follows.
+//! may lose the store, some endpoints, or its own time; whoever claims follows. Leaders
+//! hear nothing of one another.
 
 mod endpoint;
+mod links;
 mod random;
 
 use citronway_core::gateway::assignment::Assignment;
 use citronway_core::gateway::keyload::KeyLoads;
 use citronway_core::gateway::leader::{
-    Action, Leader, LeaderSettings, Move, Order, OrderKind, OrderResult, Span, WriteResult,
+    Action, Leader, LeaderSettings, Move, Order, OrderResult, Rivals, Span, WriteResult,
 };
 use citronway_core::gateway::placement::{self, Place, Scene};
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
 use citronway_core::time::Mono;
 
+use links::{LateOrders, Links};
+
 pub use endpoint::{Clock, Endpoint};
 pub use random::Random;
 
 /// Length of a step, in milliseconds.
 pub const STEP_MS: u64 = 25;
 
-/// How long after it was decided a lost order may arrive: its time and some more.
-const LATEST_ARRIVAL_MS: u64 = 650;
-
 /// Time between two looks at the placement, in milliseconds.
 const PLACE_MS: u64 = 100;
 
@@ -54,6 +55,8 @@
     pub rebirths: u64,
     /// An entry lapses; of these, half with the store, which makes them believed on.
     pub lapses: u64,
+    /// A connection of one leader to one endpoint ends.
+    pub ended_links: u64,
 }
 
 /// One instance that may keep.
@@ -65,14 +68,7 @@
     cut_until: Mono,
     paused_until: Mono,
     unreached: Vec<(usize, Mono)>,
-}
-
-#[derive(Debug)]
-struct LateOrder {
-    at: Mono,
-    arrived: Mono,
-    endpoint: usize,
-    order: Order,
+    links: Links,
 }
 
 #[derive(Debug)]
@@ -96,7 +92,7 @@
     term: u64,
     leader: usize,
     leader_acted: Mono,
-    late_orders: Vec<LateOrder>,
+    late_orders: LateOrders,
     late_writes: Vec<LateWrite>,
     /// Second starts that follow soon after a first, and at which endpoint.
     rebirths: Vec<(Mono, usize)>,
@@ -123,6 +119,7 @@
             cut_until: Mono(0),
             paused_until: Mono(0),
             unreached: Vec::new(),
+            links: Links::default(),
         });
         let mut world = Self {
             now: start,
@@ -135,7 +132,7 @@
             term: 1,
             leader: 0,
             leader_acted: start,
-            late_orders: Vec::new(),
+            late_orders: LateOrders::default(),
             late_writes: Vec::new(),
             rebirths: Vec::new(),
             started: start.plus(STEP_MS),
@@ -146,7 +143,7 @@
             evacuated: false,
         };
         world.instances[0].term = 1;
-        world.instances[0].leader.begin(start, Mono(0));
+        world.instances[0].leader.begin(start, Rivals::default());
         world
     }
 
@@ -202,6 +199,11 @@
         if self.random.chance(faults.lapses) {
             self.lapse();
         }
+        if faults.ended_links > 0 && self.random.chance(faults.ended_links) {
+            let i = self.random.index(count);
+            let endpoint = self.random.index(self.endpoints.len());
+            self.instances[i].links.end(endpoint);
+        }
     }
 
     fn rebirth(&mut self) {
@@ -212,13 +214,9 @@
             _ => Clock::Right,
         };
         self.endpoints[i].start_again(clock);
-        // What a start has received and not carried out ends with it.
-        let now = self.now;
-        self.late_orders
-            .retain(|late| late.endpoint != i || late.arrived > now);
         if self.random.chance(2_500) {
             let again_ms = self.random.below(2_000);
-            self.rebirths.push((now.plus(again_ms), i));
+            self.rebirths.push((self.now.plus(again_ms), i));
         }
     }
 
@@ -229,8 +227,6 @@
         self.rebirths = later;
         for (_, i) in due {
             self.endpoints[i].start_again(Clock::Right);
-            self.late_orders
-                .retain(|late| late.endpoint != i || late.arrived > now);
         }
     }
 
@@ -246,11 +242,7 @@
 
     fn carry_out_late(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) = self.late_orders.drain(..).partition(|o| o.at <= now);
-        self.late_orders = later;
-        for late in due {
-            self.endpoints[late.endpoint].take(now, late.arrived, &late.order);
-        }
+        self.late_orders.carry_out(now, &mut self.endpoints);
         let (due, later): (Vec<_>, Vec<_>) = self.late_writes.drain(..).partition(|w| w.at <= now);
         self.late_writes = later;
         for late in due {
@@ -310,8 +302,8 @@
         instance.term = self.term;
         instance.contact = now;
         instance.leader.row_seen(self.row.clone(), self.version);
-        let rival_until = LeaderSettings::default().rival_until(now);
-        instance.leader.begin(now, rival_until);
+        let rivals = LeaderSettings::default().rivals(now);
+        instance.leader.begin(now, rivals);
     }
 
     fn run_leader(&mut self, i: usize) {
@@ -437,35 +429,23 @@
             .iter()
             .any(|(e, end)| *e == place && *end > now);
         let lost = unreached || self.random.chance(self.faults.lost_orders);
-        let result = if lost {
-            if self.random.chance(5_000) && order.kind != OrderKind::Release {
-                self.arrive_late(place, order);
+        let life = self.endpoints[place].life();
+        let links = &mut self.instances[i].links;
+        let result = if now >= order.connect_by && !links.is_open(place, life) {
+            OrderResult::NotConnected
+        } else if lost {
+            if self.random.chance(5_000) && links::may_be_late(order) {
+                let to = (place, life);
+                self.late_orders.push(now, &mut self.random, to, order);
             }
             OrderResult::Lost
         } else {
+            links.open(place, life);
             self.endpoints[place].take(now, now, order)
         };
         self.instances[i].leader.answered(now, order, &result);
     }
 
-    /// An order arrives within its time or a little after, and is carried out then or
-    /// up to 12 s later.
-    fn arrive_late(&mut self, endpoint: usize, order: &Order) {
-        let now = self.now;
-        let arrived = now.plus(self.random.below(LATEST_ARRIVAL_MS));
-        let at = if self.random.chance(5_000) {
-            now.plus(2_000 + self.random.below(10_000))
-        } else {
-            arrived
-        };
-        self.late_orders.push(LateOrder {
-            at,
-            arrived,
-            endpoint,
-            order: order.clone(),
-        });
-    }
-
     fn check(&mut self) -> Option<String> {
         let now = self.now;
         for key in (0..=u16::MAX).step_by(997) {
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -110,6 +110,25 @@
     ///
     /// When no port can be had.
     pub fn start(name: &str, service: &str, sharded: bool) -> io::Result<Self> {
+        let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(anywhere, name, service, sharded)
+    }
+
+    /// Starts again under its name and address, once it has crashed; it holds nothing.
+    ///
+    /// # Errors
+    ///
+    /// When the port cannot be had.
+    pub fn start_again(&self) -> io::Result<Self> {
+        Self::start_at(
+            self.address(),
+            &self.name,
+            &self.service,
+            self.shared.sharded,
+        )
+    }
+
+    fn start_at(address: SocketAddr, name: &str, service: &str, sharded: bool) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             sharded,
@@ -131,7 +150,8 @@
         });
         let served = Arc::clone(&shared);
         let crash = Arc::clone(&shared.crash);
-        let server = Background::start_until(move |req| handle(Arc::clone(&served), req), crash)?;
+        let handler = move |req| handle(Arc::clone(&served), req);
+        let server = Background::start_at(address, handler, crash)?;
         Ok(Self {
             name: name.to_owned(),
             service: service.to_owned(),
--- a/crates/citronway-standin/src/shared/serve.rs
+++ b/crates/citronway-standin/src/shared/serve.rs
@@ -52,7 +52,21 @@
         H: Fn(Request<Bytes>) -> F + Clone + Send + 'static,
         F: Future<Output = Answer> + Send + 'static,
     {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(anywhere, handler, crash)
+    }
+
+    /// The same at an address; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// When the port or the thread cannot be had.
+    pub fn start_at<H, F>(address: SocketAddr, handler: H, crash: Arc<Notify>) -> io::Result<Self>
+    where
+        H: Fn(Request<Bytes>) -> F + Clone + Send + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -3,7 +3,7 @@
 use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::election::{self, Former, LeaderRow, PeerSight, Situation, Strength};
 use citronway_core::gateway::leader::{
-    Action, Leader, LeaderSettings, Order, OrderResult, WriteResult,
+    Action, Leader, LeaderSettings, Order, OrderResult, Rivals, WriteResult,
 };
 use citronway_core::gateway::report::Report;
 use citronway_core::ids::{ServiceName, Session, Version};
@@ -62,8 +62,8 @@
     claiming: bool,
     claim_after: Mono,
     cleared: bool,
-    /// Until then earlier leaders may have given holds.
-    rival_until: Mono,
+    /// What earlier leaders may still do.
+    rivals: Rivals,
     /// Why this instance is not fit to lead, as it was last logged.
     unfit_for: Option<&'static str>,
 }
@@ -84,7 +84,7 @@
             claiming: false,
             claim_after: Mono::default(),
             cleared: false,
-            rival_until: Mono::default(),
+            rivals: Rivals::default(),
             unfit_for: None,
         }
     }
@@ -227,26 +227,28 @@
                 .entry(service.clone())
                 .or_insert_with(|| Leader::new(self.cfg, service));
         }
-        let rival_until = self.rival_until(now, cluster);
-        self.rival_until = rival_until;
+        self.rivals = self.rivals(now, cluster);
         for leader in self.leaders.values_mut() {
-            leader.begin(asked, rival_until);
+            leader.begin(asked, self.rivals);
         }
     }
 
-    /// Until when earlier leaders may have given holds, if none is known to have
-    /// stopped.
-    fn rival_until(&self, now: Mono, cluster: &Cluster) -> Mono {
+    /// What earlier leaders may still do, if none is known to have stopped.
+    fn rivals(&self, now: Mono, cluster: &Cluster) -> Rivals {
         let former = self.office.iter().flat_map(|row| &row.former);
         let Some(free_at) = former.map(|former| former.free_at_ms).max() else {
             // All have ended; the last hold was given before.
-            return self.cfg.end_of_hold(now);
+            return Rivals {
+                connect_until: now,
+                hold_until: self.cfg.end_of_hold(now),
+            };
         };
-        let longest = self.cfg.rival_until(now);
-        match cluster.store_ms(now) {
-            Some(store_ms) => now.plus(free_at.saturating_sub(store_ms)).min(longest),
-            None => longest,
+        let mut rivals = self.cfg.rivals(now);
+        if let Some(store_ms) = cluster.store_ms(now) {
+            let free_at = now.plus(free_at.saturating_sub(store_ms));
+            rivals.hold_until = rivals.hold_until.min(free_at);
         }
+        rivals
     }
 
     fn leave_office(&mut self, cause: &'static str) {
@@ -308,7 +310,7 @@
         for service in cluster.sharded() {
             self.leaders.entry(service.clone()).or_insert_with(|| {
                 let mut leader = Leader::new(self.cfg, service);
-                leader.begin(self.contact, Mono::default());
+                leader.begin(self.contact, Rivals::default());
                 leader
             });
         }
@@ -363,7 +365,7 @@
             .office
             .as_ref()
             .filter(|office| !office.former.is_empty())?;
-        let free = self.cleared || now > self.rival_until;
+        let free = self.cleared || now > self.rivals.hold_until;
         if !free || self.claiming || now < self.claim_after {
             return None;
         }
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -51,32 +51,35 @@
         let Ok(req) = orders::request(order) else {
             return Err(CallError::NotSent);
         };
-        let kept = self.take(order.address);
-        let mut link = match kept {
+        let mut link = match self.take(order) {
             Some(link) => link,
+            None if clock::mono() >= order.connect_by => return Ok(OrderResult::NotConnected),
             None => Link::open(order.address, Settled::AtOnceOrReset).await?,
         };
+        if link.opened() >= order.connect_by {
+            self.keep(order.address, link);
+            return Ok(OrderResult::NotConnected);
+        }
         let answer = link.call(req, limit).await?;
-        self.links
-            .borrow_mut()
-            .entry(order.address)
-            .or_default()
-            .push(link);
+        self.keep(order.address, link);
         Ok(orders::result(answer.status, &answer.headers))
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Link> {
+    fn keep(&self, address: SocketAddr, link: Link) {
         let mut links = self.links.borrow_mut();
-        let kept = links.get_mut(&address)?;
+        links.entry(address).or_default().push(link);
+    }
+
+    /// Takes a connection that may carry the order.
+    fn take(&self, order: &Order) -> Option<Link> {
+        let mut links = self.links.borrow_mut();
+        let kept = links.get_mut(&order.address)?;
+        kept.retain(|link| !link.is_closed());
         // The one that was idle longest: a new connection to a full endpoint waits for a
         // slot, so those that there are must not lapse for want of use.
-        while !kept.is_empty() {
-            let link = kept.remove(0);
-            if link.is_usable() {
-                return Some(link);
-            }
-        }
-        None
+        let may_carry = |link: &Link| link.is_usable() && link.opened() < order.connect_by;
+        let first = kept.iter().position(may_carry)?;
+        Some(kept.remove(first))
     }
 }
 
@@ -89,7 +92,9 @@
         OrderKind::Seal { .. } => "seal",
         OrderKind::Release => "release",
     };
-    let routine = matches!(result, OrderResult::Done { .. }) && what == "grant";
+    let renewed = matches!(result, OrderResult::Done { .. }) && what == "grant";
+    // Tried again four times a second for as long as the store is silent.
+    let routine = renewed || *result == OrderResult::NotConnected;
     let level = if routine {
         log::Level::Debug
     } else {
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use citronway_core::time::Mono;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
@@ -13,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::clock;
+
 /// Time for a connection to be made.
 ///
 /// Round trips are below 20 ms; a lost opening packet is sent again only after a
@@ -23,6 +26,8 @@
 #[derive(Debug)]
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
+    /// When it was made, at the latest.
+    opened: Mono,
 }
 
 /// When a new connection counts as taken by the other side.
@@ -143,6 +148,7 @@
         if settled == Settled::AtOnceOrReset {
             stream.set_zero_linger().map_err(CallError::Connect)?;
         }
+        let opened = clock::mono();
         let look = look_for(began.elapsed());
         if settled == Settled::AfterLook && is_reset(&stream, look).await {
             return Err(CallError::Reset);
@@ -160,7 +166,13 @@
                 log::debug!(cause = e.to_string(); "a connection ended");
             }
         });
-        Ok(Self { sender })
+        Ok(Self { sender, opened })
+    }
+
+    /// When it was made, at the latest.
+    #[must_use]
+    pub const fn opened(&self) -> Mono {
+        self.opened
     }
 
     /// Whether another request can be sent.
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -297,6 +297,7 @@
             OrderResult::NotThere => "not_there",
             OrderResult::NotSent => "not_sent",
             OrderResult::TooLate => "too_late",
+            OrderResult::NotConnected => "not_connected",
             OrderResult::Lost => "lost",
         };
         self.orders
