Two leaders grant cold endpoints no more than one

Cause: the same as for keys: a leader that lost the store is replaced without knowing of it and goes on granting sends to the instances cut off with it, for any time, beside its successor.

Change: a leader that the store has not confirmed for 2 s leaves half of all sends to a successor and grants none after 13 s; a successor grants none until an earlier one makes no new connections, and leaves half to each that may still be at work. Parts of leaders that do not know of one another add up to one.

--- a/crates/citronway-core/src/gateway/cold.rs
+++ b/crates/citronway-core/src/gateway/cold.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::leader::{LeaderSettings, Rivals};
 use crate::gateway::pace::EndpointTag;
 use crate::time::Mono;
 
@@ -47,6 +48,38 @@
     },
 }
 
+/// What a leader knows of others that may grant sends beside it.
+#[derive(Debug, Clone, Copy)]
+pub struct Office {
+    /// Start of the newest call by which the store confirmed it.
+    pub contact: Mono,
+    /// What earlier leaders may still do.
+    pub rivals: Rivals,
+    /// Earlier leaders that are not known to have stopped.
+    pub earlier: u32,
+}
+
+/// Which part of all sends a leader grants now; none if it grants nothing.
+///
+/// Failure guarded against: a leader that was replaced unawares grants on beside its
+/// successor, and a cold endpoint gets twice what it bears. A leader that the store has not
+/// confirmed for a while leaves half to a successor, and each successor half of its part to
+/// those before it for as long as they may be at work.
+#[must_use]
+pub fn granted_part(now: Mono, cfg: &LeaderSettings, office: &Office) -> Option<f64> {
+    let unconfirmed_ms = now.since(office.contact);
+    if unconfirmed_ms >= cfg.contact_limit_ms || now < office.rivals.connect_until {
+        return None;
+    }
+    let earlier = if now < office.rivals.hold_until {
+        office.earlier
+    } else {
+        0
+    };
+    let halvings = earlier + u32::from(unconfirmed_ms >= cfg.connect_limit_ms);
+    Some(0.5_f64.powi(i32::try_from(halvings).ok()?))
+}
+
 /// Sends of the whole fleet to cold endpoints, as the leader grants them.
 #[derive(Debug, Default)]
 pub struct ColdSends {
@@ -69,6 +102,16 @@
         }
     }
 
+    /// Decides about a send by a leader that grants this part of all.
+    pub fn request_of(&mut self, now: Mono, req: &ColdRequest, part: Option<f64>) -> ColdGrant {
+        let Some(part) = part else {
+            let for_ms = FORMER_GRANTS_MS;
+            return ColdGrant::Busy { for_ms };
+        };
+        let per_s = req.per_s * part;
+        self.request(now, &ColdRequest { per_s, ..*req })
+    }
+
     /// Decides about a send; one that is granted counts whether it is made or not.
     pub fn request(&mut self, now: Mono, req: &ColdRequest) -> ColdGrant {
         if !req.per_s.is_finite() || req.per_s <= 0.0 {
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -156,7 +156,8 @@
 
 impl Rivals {
     /// The earlier ends of both.
-    fn min(self, other: Self) -> Self {
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
         Self {
             connect_until: self.connect_until.min(other.connect_until),
             hold_until: self.hold_until.min(other.hold_until),
--- a/crates/citronway-core/tests/gateway_cold.rs
+++ b/crates/citronway-core/tests/gateway_cold.rs
@@ -4,7 +4,8 @@
 #[expect(dead_code, reason = "shared with the tests of the leader")]
 mod random;
 
-use citronway_core::gateway::cold::{ColdGrant, ColdRequest, ColdSends};
+use citronway_core::gateway::cold::{self, ColdGrant, ColdRequest, ColdSends, Office};
+use citronway_core::gateway::leader::{LeaderSettings, Rivals};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::time::Mono;
 use googletest::prelude::*;
@@ -22,10 +23,26 @@
 /// Longest time that an answer of the leader, and a send, are on their way.
 const ON_THE_WAY_MS: u64 = 60;
 
+/// Far later than any test plays: the store confirms the leader all the time.
+const CONFIRMED: Mono = Mono(1_000_000);
+
+/// A leader that knows of no other.
+fn alone() -> Office {
+    Office {
+        contact: CONFIRMED,
+        rivals: Rivals::default(),
+        earlier: 0,
+    }
+}
+
 struct Fleet {
     instances: u64,
     random: Random,
     leaders: Vec<ColdSends>,
+    /// What each leader knows of the others.
+    offices: Vec<Office>,
+    /// Instances that are cut off with the first leader.
+    cut_off: usize,
     /// Which leader each instance asks.
     asks: Vec<usize>,
     /// Until when each instance asks no more.
@@ -40,6 +57,8 @@
             instances,
             random: Random::new(seed),
             leaders: vec![ColdSends::default()],
+            offices: vec![alone()],
+            cut_off: 0,
             asks: vec![0; count],
             busy_until: vec![Mono(0); count],
             sent: Vec::new(),
@@ -49,12 +68,31 @@
     /// Another leader takes office; instances hear of it one after the other.
     fn change_leader(&mut self, now: Mono) {
         self.leaders.push(ColdSends::of_new_leader(now));
+        self.offices.push(alone());
+    }
+
+    /// The store has confirmed the first leader at this moment for the last time; half of the
+    /// instances stay with it, and others follow it in office.
+    fn lose_first_leader(&mut self, now: Mono) {
+        self.offices[0].contact = now;
+        self.cut_off = self.asks.len() / 2;
+    }
+
+    /// Another leader takes office, which knows nothing of the end of those before it.
+    fn add_rival(&mut self, now: Mono, contact: Mono) {
+        let office = Office {
+            contact,
+            rivals: LeaderSettings::default().rivals(now),
+            earlier: u32::try_from(self.leaders.len()).unwrap(),
+        };
+        self.leaders.push(ColdSends::of_new_leader(now));
+        self.offices.push(office);
     }
 
     fn step(&mut self, now: Mono, patience_ms: u64, demand: u64) {
         let newest = self.leaders.len() - 1;
         for i in 0..self.asks.len() {
-            if self.asks[i] < newest && self.random.chance(100) {
+            if i >= self.cut_off && self.asks[i] < newest && self.random.chance(100) {
                 self.asks[i] = newest;
             }
         }
@@ -68,7 +106,10 @@
                 per_s: PER_S * OVERAGE,
                 patience_ms,
             };
-            match self.leaders[self.asks[i]].request(now, &req) {
+            let leader = self.asks[i];
+            let cfg = LeaderSettings::default();
+            let part = cold::granted_part(now, &cfg, &self.offices[leader]);
+            match self.leaders[leader].request_of(now, &req, part) {
                 ColdGrant::Granted { after_ms } => {
                     let late_ms = self.random.below(ON_THE_WAY_MS);
                     self.sent.push(now.0 + after_ms + late_ms);
@@ -134,6 +175,49 @@
     }
 }
 
+/// Guards against leaders that do not know of one another and grant twice what is allowed.
+#[gtest]
+fn leaders_beside_each_other_keep_the_bound_together() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(90, seed);
+        let lost = Mono(2_000);
+        for ms in 0..LENGTH_MS {
+            let now = Mono(1 + ms);
+            match ms {
+                2_000 => fleet.lose_first_leader(lost),
+                // The second leader loses the store as well.
+                2_100 => fleet.add_rival(now, now),
+                6_000 => fleet.add_rival(now, CONFIRMED),
+                _ => {}
+            }
+            fleet.step(now, 150, 2);
+        }
+        expect_that!(fleet.most_in_a_window(), le(allowed()), "seed {seed}");
+    }
+}
+
+/// Guards against cold endpoints that are left out for good after a change of the leader.
+#[gtest]
+fn a_successor_grants_all_once_earlier_leaders_have_ended() {
+    let cfg = LeaderSettings::default();
+    let replaced = Mono(50_000);
+    let office = Office {
+        contact: CONFIRMED,
+        rivals: cfg.rivals(replaced),
+        earlier: 1,
+    };
+    let part = |ms| cold::granted_part(replaced.plus(ms), &cfg, &office);
+    expect_that!(part(0), none());
+    expect_that!(part(cfg.connect_limit_ms + 100), some(eq(0.5)));
+    expect_that!(part(cfg.rival_wait_ms()), some(eq(1.0)));
+    let stopped = Office {
+        rivals: office.rivals.min(cfg.stopped_rivals(replaced)),
+        ..office
+    };
+    let soon = replaced.plus(cfg.order_timeout_ms + 100);
+    expect_that!(cold::granted_part(soon, &cfg, &stopped), some(eq(0.5)));
+}
+
 /// Guards against requests that wait for a turn longer than they said.
 #[gtest]
 fn a_turn_that_comes_too_late_is_refused_with_its_time() {
--- a/crates/citronway/src/gateway/control/cold.rs
+++ b/crates/citronway/src/gateway/control/cold.rs
@@ -51,7 +51,9 @@
         let now = clock::mono();
         if self.duty.in_office() {
             let term = self.duty.term();
-            let grant = self.cold.granted_in(now, term).request(now, &ask.req);
+            let part = self.duty.cold_part(now);
+            let granted = self.cold.granted_in(now, term);
+            let grant = granted.request_of(now, &ask.req, part);
             // Its caller may have left.
             let _ = ask.reply.send(grant);
             return;
@@ -92,7 +94,9 @@
         }
         let now = clock::mono();
         let term = self.duty.term();
-        let grant = self.cold.granted_in(now, term).request(now, &asked.req);
+        let part = self.duty.cold_part(now);
+        let granted = self.cold.granted_in(now, term);
+        let grant = granted.request_of(now, &asked.req, part);
         let reply = ColdReply {
             session: asked.session,
             number: asked.number,
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -1,6 +1,7 @@
 //! The leader's duty on this instance: claiming it, and keeping while it has it.
 
 use citronway_core::gateway::assignment::{Assignment, RowError};
+use citronway_core::gateway::cold::{self, Office};
 use citronway_core::gateway::election::{self, Former, LeaderRow, PeerSight, Situation, Strength};
 use citronway_core::gateway::leader::{
     Action, Leader, LeaderSettings, Order, OrderResult, Rivals, WriteResult,
@@ -145,6 +146,17 @@
         self.office.is_some()
     }
 
+    /// Which part of all sends to cold endpoints this leader grants now.
+    pub(super) fn cold_part(&self, now: Mono) -> Option<f64> {
+        let row = self.office.as_ref()?;
+        let office = Office {
+            contact: self.contact,
+            rivals: self.rivals,
+            earlier: u32::try_from(row.former.len()).unwrap_or(u32::MAX),
+        };
+        cold::granted_part(now, &self.cfg, &office)
+    }
+
     /// Version of the row by which this instance leads, while it does.
     pub(super) fn office_version(&self) -> Option<Version> {
         self.office.as_ref().map(|row| row.version)
@@ -348,6 +360,7 @@
         };
         if office.former.iter().all(stopped) {
             self.cleared = true;
+            self.rivals = self.rivals.min(self.cfg.stopped_rivals(now));
             log::info!(term = office.term; "earlier leaders have stopped");
             for leader in self.leaders.values_mut() {
                 leader.rival_stopped(now);
