A forward that has no outcome in time is told as a timeout

Callers saw: 502 dispatcher_lost for requests whose dispatcher was alive and linked; operators looked for a lost instance.

Cause: the wait for the outcome of a forward ended at its deadline and 0.2 s with the reason of a lost link.

Change: a wait that ends in time says timeout, and a log line names ticket and link. A link that ends says dispatcher_lost, as before.

--- a/crates/citronway/src/peers/forward.rs
+++ b/crates/citronway/src/peers/forward.rs
@@ -96,11 +96,14 @@
     let outcome = tokio::select! {
         biased;
         outcome = &mut call => Some(outcome),
-        () = link.closed.cancelled() => Some(lost()),
+        () = link.closed.cancelled() => Some(lost(MayHaveRunReason::DispatcherLost)),
         () = tokio::time::sleep(timeout) => None,
     };
     let is_late = outcome.is_none();
-    let outcome = outcome.unwrap_or_else(lost);
+    if is_late {
+        log::info!(ticket, session:% = link.session; "no outcome of a forward in time");
+    }
+    let outcome = outcome.unwrap_or_else(|| lost(MayHaveRunReason::Timeout));
     if matches!(outcome, Outcome::MayHaveRun(_)) {
         cx.counters.forwards_lost.add(1);
     }
@@ -128,7 +131,7 @@
         Err(err) => {
             let ticket = forward.ticket;
             log::warn!(ticket, session:% = link.session, err:%; "forward without an outcome");
-            lost()
+            lost(MayHaveRunReason::DispatcherLost)
         }
     }
 }
@@ -142,9 +145,9 @@
     Duration::from_millis(left).min(cx.cfg.call_timeout)
 }
 
-const fn lost() -> Outcome {
+const fn lost(reason: MayHaveRunReason) -> Outcome {
     Outcome::MayHaveRun(MayHaveRun {
-        reason: MayHaveRunReason::DispatcherLost,
+        reason,
         retry_after_ms: RETRY_AFTER_MS,
     })
 }
