A claim that the store takes late extends the wait for the earlier leader

Callers saw: nothing; found by reading while the case of two holders was traced.

Cause: until when an earlier leader may have given holds was reckoned from the sending of the claim and 0.5 s. A claim whose answer is lost may be taken up to 6 s later, and until then the store confirms the earlier leader. Keys of a silent endpoint were then given on up to 5.5 s before its holds end.

Change: the time since the first claim against the same version of the leader's row is added, up to what a leader replaced at this moment may do.

Before: a_claim_that_is_taken_late_extends_the_wait_for_the_earlier_leader fails from 0.4 s of lateness on (80.270 s needed, 77.270 s waited with 3 s). After: it passes.

Left: an instance that takes office after both goes by the end that the late claim wrote, if its own predecessor is known to have ended.

--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::leader::LeaderSettings;
 use crate::gateway::pace::rank_of;
 use crate::ids::{InstanceName, Session, SessionId, Version};
 use crate::time::Mono;
@@ -295,6 +296,33 @@
     former
 }
 
+/// When the last hold of earlier leaders has ended, for one that takes office at `now`;
+/// `store_ms` is the store's clock by then, if it is known, and `claimed` when the claim was
+/// sent at the earliest.
+///
+/// Failure guarded against: the answer to a claim is lost and the store takes it seconds
+/// later. Until then it confirms the earlier leader, whose end was reckoned from the sending.
+#[must_use]
+pub fn holds_until(
+    now: Mono,
+    cfg: &LeaderSettings,
+    former: &[Former],
+    store_ms: Option<u64>,
+    claimed: Mono,
+) -> Mono {
+    let Some(free_at_ms) = former.iter().map(|former| former.free_at_ms).max() else {
+        // All have ended; the last hold was given before.
+        return cfg.end_of_hold(now);
+    };
+    let longest = cfg.rivals(now).hold_until;
+    let Some(store_ms) = store_ms else {
+        return longest;
+    };
+    let late_ms = now.since(claimed);
+    let left_ms = free_at_ms.saturating_sub(store_ms) + late_ms;
+    longest.min(now.plus(left_ms))
+}
+
 /// Whether a process is known to have ended: its instance has started anew.
 #[must_use]
 pub fn has_ended(session: &Session, peers: &[PeerSight]) -> bool {
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -2,8 +2,9 @@
 
 use citronway_core::gateway::election::{
     CLAIM_STEP_MS, FIRST_STEPS, Former, LeaderRow, PeerSight, SETTLE_MS, SILENCE_MS, Situation,
-    Strength, TAKE_UP_MS, former_after, has_stopped, should_claim, watches,
+    Strength, TAKE_UP_MS, former_after, has_stopped, holds_until, should_claim, watches,
 };
+use citronway_core::gateway::leader::LeaderSettings;
 use citronway_core::ids::{InstanceName, Session, SessionId, Version};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
@@ -213,6 +214,24 @@
     expect_that!(after(17_000), eq(&[former("b", 34_000)]));
 }
 
+/// Guards against keys that are given on too soon where the store took a claim late and
+/// confirmed the earlier leader until then.
+#[gtest]
+fn a_claim_that_is_taken_late_extends_the_wait_for_the_earlier_leader() {
+    let cfg = LeaderSettings::default();
+    let (claimed, store_ms) = (Mono(60_000), 5_000);
+    let former = [former("first", store_ms + cfg.rival_wait_ms())];
+    for late_ms in [0, 400, 3_000, 6_000] {
+        let now = claimed.plus(late_ms);
+        let until = holds_until(now, &cfg, &former, Some(store_ms + late_ms), claimed);
+        // The store may have confirmed it until this moment.
+        expect_that!(until, ge(now.plus(cfg.rival_wait_ms())), "{late_ms} ms");
+        expect_that!(until, le(cfg.rivals(now).hold_until), "{late_ms} ms");
+    }
+    let ended = holds_until(claimed, &cfg, &[], Some(store_ms), claimed);
+    expect_that!(ended, eq(cfg.end_of_hold(claimed)));
+}
+
 /// Machines are unequal. The first to claim had a tenth of a core and a link of
 /// 10 Mbit/s; the rows that it passed on came seconds late or not at all.
 #[gtest]
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -62,6 +62,8 @@
     contact: Mono,
     claiming: bool,
     claim_after: Mono,
+    /// When the first claim was sent that replaces a version of the leader's row, and which.
+    claimed: Option<(Version, Mono)>,
     cleared: bool,
     /// What earlier leaders may still do.
     rivals: Rivals,
@@ -84,6 +86,7 @@
             contact: Mono::default(),
             claiming: false,
             claim_after: Mono::default(),
+            claimed: None,
             cleared: false,
             rivals: Rivals::default(),
             unfit_for: None,
@@ -247,18 +250,13 @@
 
     /// What earlier leaders may still do, if none is known to have stopped.
     fn rivals(&self, now: Mono, cluster: &Cluster) -> Rivals {
-        let former = self.office.iter().flat_map(|row| &row.former);
-        let Some(free_at) = former.map(|former| former.free_at_ms).max() else {
-            // All have ended; the last hold was given before.
-            return Rivals {
-                connect_until: now,
-                hold_until: self.cfg.end_of_hold(now),
-            };
-        };
+        let former = self.office.as_ref().map_or(&[][..], |row| &row.former);
+        let store_ms = cluster.store_ms(now);
+        let claimed = self.claimed.map_or(now, |(_, at)| at);
         let mut rivals = self.cfg.rivals(now);
-        if let Some(store_ms) = cluster.store_ms(now) {
-            let free_at = now.plus(free_at.saturating_sub(store_ms));
-            rivals.hold_until = rivals.hold_until.min(free_at);
+        rivals.hold_until = election::holds_until(now, &self.cfg, former, store_ms, claimed);
+        if former.is_empty() {
+            rivals.connect_until = now;
         }
         rivals
     }
@@ -448,6 +446,9 @@
         };
         log::info!(term; "claiming the leader's duty");
         self.claiming = true;
+        if self.claimed.is_none_or(|(version, _)| version != expected) {
+            self.claimed = Some((expected, now));
+        }
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
         Some(Change {
             unless_changed: vec![(own_rows::LEADER_KEY.to_owned(), expected)],
