--- a/crates/citronway-core/src/gateway/leader/settings.rs
+++ b/crates/citronway-core/src/gateway/leader/settings.rs
@@ -22,8 +22,7 @@
     ///
     /// Failure: a full endpoint takes a connection late, and what was sent before the
     /// call was given up is read then. Its hold runs from there, and the next owner gets
-    /// the keys before it ends. 0.05 to 0.12 s were seen with 87 instances that all
-    /// connected anew.
+    /// the keys before it ends.
     pub late_ms: u64,
     /// Time after which an unanswered release counts as lost: it is answered when the
     /// work on its keys has ended, and the longest takes about three seconds at a slow
