--- a/crates/citronway-core/tests/gateway_cold.rs
+++ b/crates/citronway-core/tests/gateway_cold.rs
@@ -71,14 +71,13 @@
         self.offices.push(alone());
     }
 
-    /// The store has confirmed the first leader at this moment for the last time; half of the
-    /// instances stay with it, and others follow it in office.
+    /// The store confirms the first leader no more; half of the instances stay with it.
     fn lose_first_leader(&mut self, now: Mono) {
         self.offices[0].contact = now;
         self.cut_off = self.asks.len() / 2;
     }
 
-    /// Another leader takes office, which knows nothing of the end of those before it.
+    /// Another leader takes office, which does not know whether those before it have stopped.
     fn add_rival(&mut self, now: Mono, contact: Mono) {
         let office = Office {
             contact,
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -214,8 +214,7 @@
     expect_that!(after(17_000), eq(&[former("b", 34_000)]));
 }
 
-/// Guards against keys that are given on too soon where the store took a claim late and
-/// confirmed the earlier leader until then.
+/// Guards against keys that are given on too soon where the store took a claim late.
 #[gtest]
 fn a_claim_that_is_taken_late_extends_the_wait_for_the_earlier_leader() {
     let cfg = LeaderSettings::default();
--- a/crates/citronway-core/tests/gateway_leader_moves.rs
+++ b/crates/citronway-core/tests/gateway_leader_moves.rs
@@ -108,8 +108,7 @@
     }
 }
 
-/// Guards against grants of a leader that was replaced unawares at a start that never saw the
-/// fences of its successor.
+/// Guards against grants of a replaced leader at a start that saw no fence of its successor.
 #[gtest]
 fn grants_go_on_connections_from_before_the_last_confirmation() {
     let cfg = LeaderSettings::default();
