--- a/crates/citronway/tests/gateway_renewals.rs
+++ b/crates/citronway/tests/gateway_renewals.rs
@@ -28,8 +28,7 @@
     });
 }
 
-/// Guards against a renewal by an old row at an endpoint that started again and forgot the
-/// fence of a later leader.
+/// Guards against a renewal by an old row at a start that forgot the fence of a later leader.
 #[gtest]
 fn an_unconfirmed_leader_renews_nothing_at_a_new_start() {
     let mut deployment = Deployment::new();
