--- a/crates/citronway-core/tests/leader_world/links.rs
+++ b/crates/citronway-core/tests/leader_world/links.rs
@@ -59,8 +59,7 @@
 }
 
 impl LateOrders {
-    /// An order arrives within its time or a little after, and is carried out then or up to
-    /// 12 s later; on a new connection unless it is too late for one.
+    /// An order arrives within its time or a little after; it is carried out up to 12 s later.
     pub(super) fn push(
         &mut self,
         now: Mono,
