Log and count the limits that endpoints state

Callers saw nothing; two endpoints that had stated how many requests a second they take got as many as before. Logs and metrics did not say whether an instance had read the limit. It is now read from each answer that is the endpoint's own, and its begin, change and end are logged. It decides nothing yet. Malformed limits are counted and change nothing.

--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! derived from it: the route of a request ([`routes`]), the listed endpoints ([`registry`]),
 //! the ownership of keys ([`assignment`], [`leader`], [`election`], [`placement`]), whether a
 //! request waits, is sent or is refused ([`admission`], [`share`], [`limit`], [`budget`]), the
-//! evacuated zones ([`evacuation`]), and the requests that crash endpoints ([`crashes`]).
+//! evacuated zones ([`evacuation`]), the limits that endpoints state ([`stated_limits`]), and the
+//! requests that crash endpoints ([`crashes`]).
 //! Instances report to each other what they have in flight ([`report`]), in large fleets
 //! through delegates ([`tree`]).
 
@@ -27,4 +28,5 @@
 pub mod rows;
 pub mod settings;
 pub mod share;
+pub mod stated_limits;
 pub mod tree;
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -12,8 +12,12 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::limits::LimitLog;
 use super::serve::{Answer, Background};
 
+/// Header in which a caller names the instance that it calls, which passes it on.
+pub const SENDER_HEADER: &str = "x-sender";
+
 /// A request that an endpoint ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ran {
@@ -66,6 +70,9 @@
     put_off: usize,
     /// Keys of requests that are being run.
     running: Vec<u16>,
+    /// Texts of the limit that each answer states.
+    limit: Vec<String>,
+    limits: LimitLog,
 }
 
 /// Whether the process crashes.
@@ -143,6 +150,8 @@
                 begins: Begins::AtOnce,
                 put_off: 0,
                 running: Vec::new(),
+                limit: Vec::new(),
+                limits: LimitLog::default(),
             }),
             ended: Notify::new(),
             hurried: Notify::new(),
@@ -203,6 +212,24 @@
         self.shared.lock().echo = true;
     }
 
+    /// States a limit in each answer from now on, in requests a second; `None` states none.
+    pub fn state_limit(&self, per_s: Option<f64>) {
+        let mut state = self.shared.lock();
+        state.limit = per_s.iter().map(f64::to_string).collect();
+        state.limits.state(Instant::now(), per_s);
+    }
+
+    /// Puts texts into each answer from now on where a limit is stated. They count as no limit.
+    pub fn state_texts(&self, texts: &[&str]) {
+        self.shared.lock().limit = texts.iter().map(|text| (*text).to_owned()).collect();
+    }
+
+    /// What it stated of its limit and what it got.
+    #[must_use]
+    pub fn limits(&self) -> LimitLog {
+        self.shared.lock().limits.clone()
+    }
+
     /// Runs requests and closes the connection without an answer.
     pub fn drop_answers(&self, drops: bool) {
         self.shared.lock().drop_answers = drops;
@@ -333,13 +360,21 @@
 async fn handle(shared: Arc<Shared>, req: Request<Bytes>) -> Answer {
     let path = req.uri().path().to_owned();
     if path != "/api/grant" && path != "/api/release" {
-        let begins = shared.lock().begins;
-        let Begins::Later(late) = begins else {
-            return run(&shared, &req).await;
+        let sender = header(req.headers(), SENDER_HEADER).unwrap_or_default();
+        let begins = {
+            let mut state = shared.lock();
+            state.limits.arrive(Instant::now(), &sender);
+            state.begins
         };
-        // A task of its own goes on when the connection ends.
-        let task = tokio::spawn(run_later(shared, req, late));
-        return task.await.ok().flatten();
+        let answer = match begins {
+            Begins::AtOnce | Begins::Never => run(&shared, &req).await,
+            Begins::Later(late) => {
+                // A task of its own goes on when the connection ends.
+                let task = tokio::spawn(run_later(Arc::clone(&shared), req, late));
+                task.await.ok().flatten()
+            }
+        };
+        return answer.map(|answer| with_limit(&shared, &sender, answer));
     }
     let Ok(keys) = serde_json::from_slice::<Keys>(req.body()) else {
         return Some(plain(StatusCode::BAD_REQUEST));
@@ -429,6 +464,24 @@
     Some(answer)
 }
 
+/// The answer with the limit that is stated now.
+fn with_limit(
+    shared: &Shared,
+    sender: &str,
+    mut answer: Response<Full<Bytes>>,
+) -> Response<Full<Bytes>> {
+    let mut state = shared.lock();
+    for text in &state.limit {
+        if let Ok(value) = http::HeaderValue::from_str(text) {
+            answer.headers_mut().append("server-limit", value);
+        }
+    }
+    if !state.limit.is_empty() {
+        state.limits.tell(Instant::now(), sender);
+    }
+    answer
+}
+
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -4,10 +4,12 @@
 
 mod documents;
 mod endpoint;
+mod limits;
 mod serve;
 mod store;
 
 pub use documents::{Addresses, SETTINGS_VARIABLE, configuration, own_address, route};
-pub use endpoint::{FencedEndpoint, Ran};
+pub use endpoint::{FencedEndpoint, Ran, SENDER_HEADER};
+pub use limits::{Excess, LimitLog, STABLE};
 pub use serve::Background;
 pub use store::{SharedStore, StoreFault};
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -18,6 +18,7 @@
 use citronway_core::gateway::routes::{CheckedRoutes, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
+use citronway_core::gateway::stated_limits::StatedLimits;
 use citronway_core::ids::{ServiceName, Version, ZoneName};
 use citronway_core::time::Mono;
 use citronway_platform::store::CONFIG_KEY;
@@ -84,6 +85,7 @@
     pub paces: EndpointPaces,
     pub crashes: Crashes,
     pub evacuations: Evacuations,
+    pub stated_limits: StatedLimits,
     /// Time allowed for an evacuation, in milliseconds.
     evacuation_ms: u64,
     config: TableState,
@@ -133,6 +135,7 @@
             paces: EndpointPaces::default(),
             crashes: Crashes::new(rank_of(&cfg.instance)),
             evacuations: Evacuations::default(),
+            stated_limits: StatedLimits::default(),
             evacuation_ms: cfg.evacuation_ms,
             config: TableState::default(),
             endpoints: TableState::default(),
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -11,6 +11,7 @@
 mod following;
 mod hearing;
 mod kept_rows;
+mod limits;
 mod orders;
 mod own_rows;
 mod peers;
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -13,6 +13,7 @@
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
 
+use super::limits::OWN_ANSWER;
 use super::{Control, own_rows};
 use crate::clock;
 use crate::gateway::traffic::TrafficReport;
@@ -24,6 +25,10 @@
 const MEMBER_PERIOD: u64 = 2;
 const ALONE_PERIOD: u64 = 6;
 
+/// One observation of the traffic in this many is followed by a check which limits that endpoints
+/// state still matter.
+const LIMIT_CHECK_PERIOD: u64 = 10;
+
 /// Rounds over which the estimates of all endpoints are sent: each endpoint's every second.
 const PACE_ROUNDS: u64 = 5;
 
@@ -40,6 +45,10 @@
         self.unreported.add(seen.usage.clone());
         self.trials.record_crashes(&seen.signs);
         self.cluster.crashes.record_own_signs(now, &seen.signs);
+        self.observe_limits(now, &seen.stated_limits, OWN_ANSWER);
+        if self.report_number.is_multiple_of(LIMIT_CHECK_PERIOD) {
+            self.prune_limits(now);
+        }
         if self.leads_large_fleet(now) {
             self.record_own_report(now);
             self.send_totals(now, socket);
--- a/crates/citronway/src/gateway/control/unusable.rs
+++ b/crates/citronway/src/gateway/control/unusable.rs
@@ -15,6 +15,8 @@
     Entry,
     /// A row of the product's own table.
     OwnRow,
+    /// A limit that an endpoint states in an answer.
+    Limit,
 }
 
 impl Source {
@@ -24,6 +26,7 @@
             Self::Configuration => "configuration",
             Self::Entry => "entry",
             Self::OwnRow => "own_row",
+            Self::Limit => "limit",
         }
     }
 }
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -143,6 +143,7 @@
     cold: Family<AnswerLabels, Counter>,
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
+    limited_endpoints: Gauge,
 }
 
 impl Default for Metrics {
@@ -200,6 +201,9 @@
         let evacuated_ranges = Gauge::default();
         let help = "Ranges of keys whose owners are in evacuated zones";
         registry.register("evacuated_ranges", help, evacuated_ranges.clone());
+        let limited_endpoints = Gauge::default();
+        let help = "Endpoints that state a limit on the requests of all instances";
+        registry.register("limited_endpoints", help, limited_endpoints.clone());
         Self {
             registry: Arc::new(registry),
             requests,
@@ -222,6 +226,7 @@
             cold,
             evacuated_zones,
             evacuated_ranges,
+            limited_endpoints,
         }
     }
 }
@@ -368,6 +373,12 @@
         self.evacuated_ranges.set(gauge(ranges));
     }
 
+    /// Sets the number of endpoints that state a limit.
+    pub(super) fn set_limited_endpoints(&self, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.limited_endpoints.set(count);
+    }
+
     /// Sets the number of crash suspects.
     pub(super) fn set_crash_suspects(&self, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -435,6 +435,7 @@
             sent => sent?,
         };
         let kind = exchange::answer_kind(self.metadata.id.as_ref(), head.status(), head.headers());
+        self.record_stated_limit(choice, kind, head.headers());
         let answer = http_link::read_answer(head).await?;
         if kind != AnswerKind::Foreign {
             let mut pool = self.state.pool.borrow_mut();
@@ -443,6 +444,18 @@
         Ok(Exchanged { kind, answer })
     }
 
+    /// Records the limit that an answer states. An answer that may be another process's states
+    /// nothing about the endpoint.
+    fn record_stated_limit(&self, choice: &Choice, kind: AnswerKind, headers: &http::HeaderMap) {
+        if matches!(kind, AnswerKind::Foreign | AnswerKind::Misdirected) {
+            return;
+        }
+        match exchange::stated_limit(headers) {
+            Ok(per_s) => self.state.record_stated_limit(&choice.endpoint, per_s),
+            Err(e) => self.state.record_unusable_limit(&choice.endpoint, &e),
+        }
+    }
+
     async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
         let now = clock::mono();
         let kept = {
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -2,6 +2,7 @@
 
 use citronway_core::gateway::crashes::Sign;
 use citronway_core::gateway::report;
+use citronway_core::gateway::stated_limits::StatedLimit;
 use tokio::sync::mpsc;
 
 use super::cold::ColdQuery;
@@ -27,4 +28,6 @@
     pub work_ms: Vec<(citronway_core::ids::ServiceName, f64)>,
     /// Signs of work that crashed endpoints, or that ran to its end.
     pub signs: Vec<Sign>,
+    /// What endpoints stated of their limits.
+    pub stated_limits: Vec<StatedLimit>,
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -14,8 +14,10 @@
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
+use citronway_core::gateway::stated_limits::StatedLimit;
 use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
+use citronway_platform::DecodeError;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -25,6 +27,7 @@
 use super::pool::Pool;
 use super::seen::TrafficReport;
 use crate::clock;
+use crate::gateway::control::Source;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
 
@@ -35,6 +38,9 @@
 /// Weight of the newest answer in a route's mean work time and mean answer size.
 const MEAN_WEIGHT: f64 = 0.02;
 
+/// Shortest interval between two log lines about unusable limits, in milliseconds.
+const UNUSABLE_LIMIT_LOG_MS: u64 = 1_000;
+
 /// State of the traffic thread.
 #[derive(Debug)]
 pub(super) struct State {
@@ -62,6 +68,10 @@
     pub crash_seen: Notify,
     /// Signs of work that crashed endpoints, or that ran to its end, since the last report.
     signs: RefCell<Vec<Sign>>,
+    /// What endpoints stated of their limits since the last report, and when.
+    stated_limits: RefCell<IndexMap<EndpointTag, (Option<f64>, Mono)>>,
+    /// When an unusable limit was last logged.
+    unusable_limit_logged_at: Cell<Option<Mono>>,
     /// Queries to `control`.
     pub control: ControlClient,
     connections: Cell<u32>,
@@ -119,6 +129,8 @@
             key_samples: RefCell::default(),
             crash_seen: Notify::new(),
             signs: RefCell::default(),
+            stated_limits: RefCell::default(),
+            unusable_limit_logged_at: Cell::default(),
             control,
             connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
@@ -282,6 +294,25 @@
         admission.record_rejection(clock::mono(), &self.view.borrow(), &job.service);
     }
 
+    /// Records what an answer of the endpoint states of its limit.
+    pub(super) fn record_stated_limit(&self, endpoint: &EndpointStart, per_s: Option<f64>) {
+        let now = clock::mono();
+        let mut stated = self.stated_limits.borrow_mut();
+        stated.insert(EndpointTag::of(endpoint), (per_s, now));
+    }
+
+    /// Counts a limit that cannot be used; it changes nothing.
+    pub(super) fn record_unusable_limit(&self, endpoint: &EndpointStart, e: &DecodeError) {
+        self.metrics.count_unusable(Source::Limit, 1);
+        let now = clock::mono();
+        let logged_at = self.unusable_limit_logged_at.get();
+        if logged_at.is_some_and(|at| now.since(at) < UNUSABLE_LIMIT_LOG_MS) {
+            return;
+        }
+        self.unusable_limit_logged_at.set(Some(now));
+        log::warn!(endpoint:%, cause = e.to_string(); "stated limit cannot be used");
+    }
+
     /// Whether an endpoint has announced that it is draining, or is not listed.
     pub(super) fn is_leaving(&self, endpoint: &EndpointStart) -> bool {
         let view = self.view.borrow();
@@ -446,9 +477,23 @@
             },
             work_ms: work_ms.collect(),
             signs: self.signs.take(),
+            stated_limits: self.take_stated_limits(),
         }
     }
 
+    fn take_stated_limits(&self) -> Vec<StatedLimit> {
+        let now = clock::mono();
+        let stated = self.stated_limits.take();
+        let stated = stated
+            .into_iter()
+            .map(|(endpoint, (per_s, at))| StatedLimit {
+                endpoint,
+                per_s,
+                age_ms: u32::try_from(now.since(at)).unwrap_or(u32::MAX),
+            });
+        stated.collect()
+    }
+
     /// Keeps the crash signs of a report that could not be sent, for the next report.
     pub(super) fn restore_signs(&self, signs: Vec<Sign>) {
         self.signs.borrow_mut().extend(signs);
