--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -59,6 +59,9 @@
             "assignment" => format!("owners of {}", self.text("service")?),
             "leader" => "leader".to_owned(),
             "endpoint listed" | "endpoint no longer listed" => self.text("endpoint")?.to_owned(),
+            "endpoint states a limit"
+            | "endpoint changes its limit"
+            | "endpoint states no limit any more" => limit_of(self.text("endpoint")?),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
             "this instance leads" | "this instance no longer leads" => "own duty".to_owned(),
@@ -152,6 +155,8 @@
                     .filter_map(|f| line.text(f))
                     .map(str::to_owned),
             );
+            let limits = named.iter().map(|name| limit_of(name));
+            named.extend(limits.collect::<Vec<_>>());
             named.extend(
                 line.text("service")
                     .map(|service| format!("owners of {service}")),
@@ -182,6 +187,11 @@
     Ok(story)
 }
 
+/// Name of what an instance believes of an endpoint's limit.
+fn limit_of(endpoint: &str) -> String {
+    format!("limit of {endpoint}")
+}
+
 /// What all instances wrote of the request's work, under other ids.
 fn suspicion(request: &str, lines: &[Line]) -> String {
     let own = lines.iter().filter(|line| line.is_of(request));
--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -6,6 +6,7 @@
 use crate::gateway::registry::ListedEndpoint;
 use crate::gateway::report::MAX_FULL_MESH;
 use crate::gateway::share::{self, Demand};
+use crate::gateway::stated_limits::MIN_PER_S;
 use crate::time::Mono;
 
 /// Time after a new owner is first seen in which it gets no requests, in milliseconds.
@@ -130,6 +131,9 @@
         if self.is_cold_busy(now, tag) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
+        if self.is_limit_used(now, view, tag) {
+            return Selection::Wait(RefusalReason::EndpointLimited);
+        }
         if self.is_avoided(now, tag) {
             return Selection::Wait(RefusalReason::Unreachable);
         }
@@ -188,6 +192,10 @@
             if self.is_avoided(now, tag) {
                 continue;
             }
+            if self.is_limit_used(now, view, tag) {
+                cause = RefusalReason::EndpointLimited;
+                continue;
+            }
             let cold_busy = self.is_cold_busy(now, tag);
             if cold_busy || !self.has_room(now, view, listed, tag, 1, job.work_ms) {
                 cause = RefusalReason::Overloaded;
@@ -259,6 +267,12 @@
         self.cold_busy.get(&tag).is_some_and(|until| now < *until)
     }
 
+    /// Whether the endpoint states a limit and this instance has to wait for the next send.
+    fn is_limit_used(&self, now: Mono, view: &View, tag: EndpointTag) -> bool {
+        let blocked = self.send_grants.blocked_until(now, tag);
+        blocked.is_some() && view.limits.contains_key(&tag)
+    }
+
     /// Whether this instance may send one more request to the endpoint.
     fn has_room(
         &self,
@@ -327,6 +341,15 @@
     all && any
 }
 
+/// Reason for refusing a request behind others in its queue.
+pub(super) fn reason_to_queue(view: &View, job: &Job) -> RefusalReason {
+    let queue_key = Admission::queue_key(view, job);
+    if view.limits.contains_key(&queue_key) {
+        return RefusalReason::EndpointLimited;
+    }
+    RefusalReason::Overloaded
+}
+
 /// Reason for refusing a request whose key owner accepts no more work.
 fn reason_without_owner(view: &View, job: &Job) -> RefusalReason {
     if is_evacuated(view, job) {
@@ -453,16 +476,18 @@
     let tag = Admission::queue_key(view, job);
     let unknown = ReportedLoad::unknown();
     let reported = view.reported_loads.get(&tag).unwrap_or(&unknown);
-    let slots = match range_of(view, job) {
+    let work = job.work_ms.max(1) as f64 * reported.slowness;
+    let rate = |listed: &ListedEndpoint| requests_per_ms(view, listed, work);
+    let all_per_ms = match range_of(view, job) {
         Some(range) => view
             .registry
             .get(&range.holder.endpoint)
-            .map_or(1, |listed| listed.listing.slots),
+            .map_or(1.0 / work, rate),
         None => view
             .registry
             .of_service(&job.service)
             .filter(|listed| listed.accepts_work())
-            .map(|listed| listed.listing.slots)
+            .map(rate)
             .sum(),
     };
     // The queues of other instances are assumed to be like this one's: each has as many requests
@@ -470,8 +495,12 @@
     let own = f64::from(ahead);
     let others = f64::from(view.instances.max(1) - 1);
     let theirs = f64::from(reported.waiting).min(own * others);
-    let work = job.work_ms as f64 * reported.slowness;
-    let wait = (own + theirs) * work / f64::from(slots.max(1));
+    let per_ms = if all_per_ms > 0.0 {
+        all_per_ms
+    } else {
+        1.0 / work
+    };
+    let wait = (own + theirs) / per_ms;
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -480,3 +509,14 @@
     let wait_ms = wait as u64;
     wait_ms
 }
+
+/// Requests a millisecond that an endpoint takes: as many as its slots allow, or its limit if
+/// that is lower.
+fn requests_per_ms(view: &View, listed: &ListedEndpoint, work_ms: f64) -> f64 {
+    let by_slots = f64::from(listed.listing.slots) / work_ms;
+    let tag = EndpointTag::of(&listed.listing.start);
+    let limit = view.limits.get(&tag);
+    limit.map_or(by_slots, |per_s| {
+        by_slots.min(per_s.max(MIN_PER_S) / 1_000.0)
+    })
+}
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -101,11 +101,13 @@
     CrashesEndpoints,
     /// The same work was at an endpoint that crashed, and another copy of it is under trial.
     UnderTrial,
+    /// The endpoint states a limit that leaves no room for the request before its deadline.
+    EndpointLimited,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -117,6 +119,7 @@
         Self::Evacuated,
         Self::CrashesEndpoints,
         Self::UnderTrial,
+        Self::EndpointLimited,
     ];
 
     /// Name of the reason in logs, metrics and answers.
@@ -134,6 +137,7 @@
             Self::Evacuated => "evacuated",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::UnderTrial => "under_trial",
+            Self::EndpointLimited => "endpoint_limited",
         }
     }
 }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::limit::{EndpointLoad, ServiceLimit};
 use crate::gateway::pace::EndpointTag;
+use crate::gateway::stated_limits::{SendGrant, SendGrants};
 use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
@@ -52,6 +53,10 @@
 /// a new connection to another instance.
 pub const STOPPING_RETRY_MS: u64 = 20;
 
+/// Step by which consecutive requests to a limited endpoint spread over the time to retry, in
+/// percent of it; coprime to the number of steps.
+const LIMITED_JITTER_STEP: u64 = 37;
+
 /// Number of priorities that are counted separately; lower ones count with the last.
 const COUNTED_PRIORITIES: usize = 4;
 
@@ -80,6 +85,8 @@
     limits: IndexMap<ServiceName, ServiceLimit>,
     /// Cold endpoints, and the time until which they get no requests.
     cold_busy: IndexMap<EndpointTag, Mono>,
+    /// Grants for sends to endpoints that state a limit.
+    send_grants: SendGrants,
     /// Ranges whose holder said that it does not hold them, by fence and first key.
     not_held: IndexMap<(u64, u16), Avoided>,
     /// Endpoints with requests in flight, and since when none was answered.
@@ -115,15 +122,15 @@
         let queue_key = Self::queue_key(view, &job);
         let ahead = self.ahead(queue_key, job.priority);
         let selection = if ahead > 0 {
-            Selection::Wait(RefusalReason::Overloaded)
+            Selection::Wait(choose::reason_to_queue(view, &job))
         } else {
             self.find(now, view, &job)
         };
         let cause = match selection {
-            Selection::Send(choice) => return Some(self.send(now, &job, choice)),
+            Selection::Send(choice) => return Some(self.send(now, view, &job, choice)),
             Selection::Wait(cause) => cause,
         };
-        if let Some(refusal) = refuse_if_late(now, view, &job, ahead, cause) {
+        if let Some(refusal) = self.refuse_if_late(now, view, &job, ahead, cause) {
             return Some(Decision::Refuse(refusal));
         }
         self.wanted.entry(queue_key).or_default()[priority_index(job.priority)] += 1;
@@ -148,14 +155,15 @@
             let queue_key = Self::queue_key(view, &job);
             let before = ahead.get(&queue_key).copied().unwrap_or_default();
             let selection = if before > 0 {
-                Selection::Wait(RefusalReason::Overloaded)
+                Selection::Wait(choose::reason_to_queue(view, &job))
             } else {
                 self.find(now, view, &job)
             };
             let decision = match selection {
-                Selection::Send(choice) => Some(self.send(now, &job, choice)),
+                Selection::Send(choice) => Some(self.send(now, view, &job, choice)),
                 Selection::Wait(cause) => {
-                    refuse_if_late(now, view, &job, before, cause).map(Decision::Refuse)
+                    let refusal = self.refuse_if_late(now, view, &job, before, cause);
+                    refusal.map(Decision::Refuse)
                 }
             };
             let Some(decision) = decision else {
@@ -190,7 +198,7 @@
     /// Failure: a slot becomes free for a queued request just before its instance ends. The
     /// work is aborted, and the caller does not know whether it ran. A refused request reaches
     /// another instance within 20 ms.
-    fn send(&mut self, now: Mono, job: &Job, choice: Choice) -> Decision {
+    fn send(&mut self, now: Mono, view: &View, job: &Job, choice: Choice) -> Decision {
         let done = now.plus(job.expected_ms());
         if self.ends_at.is_some_and(|end| done > end) {
             return Decision::Refuse(Refusal {
@@ -199,9 +207,38 @@
             });
         }
         self.record_sent(now, &choice.endpoint);
+        let tag = EndpointTag::of(&choice.endpoint);
+        if view.limits.contains_key(&tag) {
+            self.send_grants.begin_send(now, tag, job.ticket);
+        }
         Decision::Send(choice)
     }
 
+    /// Number of sends to a limited endpoint that an admitted request has to ask for before it is
+    /// sent; `None` if it may be sent without.
+    #[must_use]
+    pub fn grants_to_ask(&self, endpoint: &EndpointStart, ticket: u64) -> Option<u32> {
+        self.send_grants
+            .count_to_ask(EndpointTag::of(endpoint), ticket)
+    }
+
+    /// Records that an admitted request ended before it had an answer to what it asked.
+    pub fn withdraw_ask(&mut self, ticket: u64) {
+        self.send_grants.withdraw(ticket);
+    }
+
+    /// Records the answer to a request that asked for sends.
+    pub fn record_grant(
+        &mut self,
+        now: Mono,
+        endpoint: &EndpointStart,
+        ticket: u64,
+        grant: SendGrant,
+    ) {
+        self.send_grants
+            .record(now, EndpointTag::of(endpoint), ticket, grant);
+    }
+
     /// Removes a queued request whose caller has disconnected.
     pub fn remove(&mut self, ticket: u64) {
         self.waiting.retain(|job| job.ticket != ticket);
@@ -333,6 +370,8 @@
         self.not_held
             .retain(|(fence, _), _| self.fences.contains_key(fence));
         self.cold_busy.retain(|_, until| now < *until);
+        self.send_grants
+            .retain(|tag| view.limits.contains_key(&tag));
     }
 
     /// Number of requests in flight and waiting for each endpoint, for the next report.
@@ -355,6 +394,58 @@
         self.waiting.len()
     }
 
+    /// Refuses a request that cannot be served before its deadline, or any request if `cause` is
+    /// [`RefusalReason::Evacuated`]. Returns `None` if it may still be served.
+    ///
+    /// `ahead` is the number of requests before it, `cause` is why it was not sent now.
+    fn refuse_if_late(
+        &self,
+        now: Mono,
+        view: &View,
+        job: &Job,
+        ahead: u32,
+        cause: RefusalReason,
+    ) -> Option<Refusal> {
+        let wait_ms = self
+            .busy_ms(now, view, job)
+            .max(choose::expected_wait_ms(view, job, ahead));
+        let due = now.plus(wait_ms + job.work_ms);
+        let is_evacuated = cause == RefusalReason::Evacuated;
+        // An answer that misses the latency objective still has some worth. A request that cannot
+        // even meet its deadline only delays others.
+        if due < job.deadline && !is_evacuated {
+            return None;
+        }
+        let left = job.caller_deadline.since(now);
+        let min_wait_ms = match cause {
+            RefusalReason::Evacuated => EVACUATED_RETRY_MS,
+            RefusalReason::KeyUnowned | RefusalReason::Unreachable | RefusalReason::NoEndpoint => {
+                MOVE_RETRY_MS
+            }
+            _ => MIN_RETRY_MS,
+        };
+        // Jitter, so that callers do not retry at the same time: a fifth to either side, or the
+        // time in which a limited endpoint takes the requests that wait now.
+        let percent = match cause {
+            RefusalReason::EndpointLimited => 100 + job.ticket * LIMITED_JITTER_STEP % 101,
+            _ => 80 + job.ticket % 41,
+        };
+        let retry_after_ms = wait_ms.max(min_wait_ms) * percent / 100;
+        Some(Refusal {
+            reason: cause,
+            retry_after_ms: retry_after_ms.min(left / 3).max(MIN_RETRY_MS),
+        })
+    }
+
+    /// Time for which the limit of a key's owner lets this instance send nothing, in
+    /// milliseconds; zero for requests without a key, which may go elsewhere.
+    fn busy_ms(&self, now: Mono, view: &View, job: &Job) -> u64 {
+        let owner =
+            choose::range_of(view, job).map(|range| EndpointTag::of(&range.holder.endpoint));
+        let busy = owner.and_then(|tag| self.send_grants.busy_until(tag));
+        busy.map_or(0, |until| until.since(now))
+    }
+
     fn record_sent(&mut self, now: Mono, endpoint: &EndpointStart) {
         let tag = EndpointTag::of(endpoint);
         *self.in_flight.entry(tag).or_default() += 1;
@@ -375,41 +466,6 @@
     }
 }
 
-/// Refuses a request that cannot be served before its deadline, or any request if `cause` is
-/// [`RefusalReason::Evacuated`]. Returns `None` if it may still be served.
-///
-/// `ahead` is the number of requests before it, `cause` is why it was not sent now.
-fn refuse_if_late(
-    now: Mono,
-    view: &View,
-    job: &Job,
-    ahead: u32,
-    cause: RefusalReason,
-) -> Option<Refusal> {
-    let wait_ms = choose::expected_wait_ms(view, job, ahead);
-    let due = now.plus(wait_ms + job.work_ms);
-    let is_evacuated = cause == RefusalReason::Evacuated;
-    // An answer that misses the latency objective still has some worth. A request that cannot
-    // even meet its deadline only delays others.
-    if due < job.deadline && !is_evacuated {
-        return None;
-    }
-    let left = job.caller_deadline.since(now);
-    let min_wait_ms = match cause {
-        RefusalReason::Evacuated => EVACUATED_RETRY_MS,
-        RefusalReason::KeyUnowned | RefusalReason::Unreachable | RefusalReason::NoEndpoint => {
-            MOVE_RETRY_MS
-        }
-        _ => MIN_RETRY_MS,
-    };
-    // Jitter of a fifth to either side, so that callers do not retry at the same time.
-    let retry_after_ms = wait_ms.max(min_wait_ms) * (80 + job.ticket % 41) / 100;
-    Some(Refusal {
-        reason: cause,
-        retry_after_ms: retry_after_ms.min(left / 3).max(MIN_RETRY_MS),
-    })
-}
-
 /// Order of queued requests; the smallest goes first.
 ///
 /// Load: one key gets twice the requests that its endpoint can answer, for seconds. In order of
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -31,6 +31,8 @@
     pub instances: u32,
     /// Requests that crash endpoints or are suspected of it.
     pub crashes: Arc<CrashSnapshot>,
+    /// Requests a second that limited endpoints take from all instances together.
+    pub limits: IndexMap<EndpointTag, f64>,
 }
 
 impl View {
@@ -46,6 +48,7 @@
             rank,
             instances: 1,
             crashes: Arc::default(),
+            limits: IndexMap::new(),
         }
     }
 }
--- a/crates/citronway-core/src/gateway/cold.rs
+++ b/crates/citronway-core/src/gateway/cold.rs
@@ -69,6 +69,17 @@
 /// former leaders may act.
 #[must_use]
 pub fn granted_share(now: Mono, cfg: &LeaderSettings, standing: &LeaderStanding) -> Option<f64> {
+    share_halved_after(now, cfg, standing, cfg.connect_limit_ms)
+}
+
+/// Like [`granted_share`], for a leader that leaves half of its share to a possible successor
+/// from this long after its last confirmation on, in milliseconds.
+pub(crate) fn share_halved_after(
+    now: Mono,
+    cfg: &LeaderSettings,
+    standing: &LeaderStanding,
+    halved_after_ms: u64,
+) -> Option<f64> {
     let unconfirmed_ms = now.since(standing.confirmed_at);
     if unconfirmed_ms >= cfg.contact_limit_ms || now < standing.former_leader_limits.connect_until {
         return None;
@@ -78,7 +89,7 @@
     } else {
         0
     };
-    let halvings = former_leaders + u32::from(unconfirmed_ms >= cfg.connect_limit_ms);
+    let halvings = former_leaders + u32::from(unconfirmed_ms >= halved_after_ms);
     Some(0.5_f64.powi(i32::try_from(halvings).ok()?))
 }
 
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -7,6 +7,7 @@
 use crate::gateway::election::Strength;
 use crate::gateway::pace::{Answers, EndpointTag};
 use crate::gateway::rows::{Row, Table};
+use crate::gateway::stated_limits::StatedLimit;
 use crate::ids::{InstanceName, ServiceName, Session, SessionId};
 
 /// Interval at which an instance collects its observations for a report, in milliseconds.
@@ -55,6 +56,8 @@
     pub signs: Vec<Sign>,
     /// Sequence number of the first of `signs`; the signs of a session are numbered consecutively.
     pub first_sign: u64,
+    /// What endpoints stated of their limits, including what members reported.
+    pub limits: Vec<StatedLimit>,
 }
 
 /// State of an instance whose report is included in the report of its delegate.
@@ -173,6 +176,8 @@
     /// Fingerprints of requests that are suspected to crash endpoints, since one or more endpoints
     /// that had them crashed.
     pub suspects: Vec<Fingerprint>,
+    /// What endpoints stated of their limits.
+    pub limits: Vec<StatedLimit>,
     /// Addresses to which the receiving delegate forwards the totals; empty for others.
     pub members: Vec<SocketAddr>,
 }
--- a/crates/citronway-core/src/gateway/stated_limits/mod.rs
+++ b/crates/citronway-core/src/gateway/stated_limits/mod.rs
@@ -1,13 +1,23 @@
 //! Limits that endpoints state in their answers: requests a second that an endpoint takes from
 //! all instances together.
 //!
-//! [`StatedLimits`] keeps the newest statement of each endpoint.
+//! Instances tell each other the newest statement of each endpoint ([`StatedLimits`]). The leader
+//! grants the sends to limited endpoints ([`LimitedSendLimiter`]); while none does, each instance
+//! has a share of its own ([`LocalShare`]). [`SendGrants`] keeps the grants of an instance.
+
+mod grants;
+mod limiter;
 
 use indexmap::IndexMap;
 
 use crate::gateway::pace::EndpointTag;
 use crate::time::Mono;
 
+pub use grants::{GrantState, SendGrants};
+pub use limiter::{
+    GRANT_VALID_MS, LimitedSendLimiter, LocalShare, MIN_PER_S, SendGrant, SendRequest, leader_share,
+};
+
 /// Interval in milliseconds at which an unchanged statement is reported again, so that instances
 /// that have missed it learn of it.
 const REPEAT_MS: u64 = 1_000;
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -316,6 +316,7 @@
         members: Vec::new(),
         signs,
         first_sign,
+        limits: Vec::new(),
     }
 }
 
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -383,6 +383,7 @@
             paces: Vec::new(),
             refused: self.all[0].ledger.harmful(self.now),
             suspects: self.all[0].ledger.suspects(self.now),
+            limits: Vec::new(),
             members,
         }
     }
@@ -417,6 +418,7 @@
             members: Vec::new(),
             signs,
             first_sign,
+            limits: Vec::new(),
         });
         let members = instance
             .heard
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -15,6 +15,51 @@
     packed @8 :Data;
     # Another datagram, deflated. An instance of an earlier version drops it and asks the
     # store for what it lacks.
+    limitedSendRequest @9 :LimitedSendRequest;
+    limitedSendReply @10 :LimitedSendReply;
+  }
+}
+
+struct LimitedSendRequest {
+  # To the leader: may requests be sent to an endpoint that states a limit?
+  session @0 :UInt64;
+  number @1 :UInt64;
+  # The process that asks, and which of its requests this is.
+  endpoint @2 :UInt32;
+  perS @3 :Float64;
+  # Requests a second that the endpoint takes from all instances together.
+  count @4 :UInt16;
+  # Requests that the instance can send at once.
+  maxWaitMs @5 :UInt32;
+}
+
+struct LimitedSendReply {
+  session @0 :UInt64;
+  number @1 :UInt64;
+  union {
+    granted :group {
+      count @2 :UInt16;
+      # Requests that may be sent.
+      afterMs @3 :UInt32;
+      # Delay before the first one.
+    }
+    busyMs @4 :UInt32;
+    # None may be sent; the instance may ask again after this time.
+    unavailable @5 :Void;
+    # The receiver cannot decide.
+  }
+}
+
+struct StatedLimit {
+  # What an endpoint stated of the requests that it takes from all instances together.
+  endpoint @0 :UInt32;
+  ageMs @1 :UInt32;
+  # Time since it stated so.
+  union {
+    perS @2 :Float64;
+    # Requests a second.
+    none @3 :Void;
+    # It stated no limit any more.
   }
 }
 
@@ -111,6 +156,7 @@
   # Work that was taken as harmful.
   suspects @18 :List(UInt64);
   # Work that was at an endpoint that crashed.
+  limits @19 :List(StatedLimit);
 }
 
 struct RefusedWork {
@@ -199,6 +245,7 @@
   # What was seen of work that may crash endpoints.
   firstSign @14 :UInt64;
   # Number of the first of these signs.
+  limits @15 :List(StatedLimit);
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod relays;
 pub mod report;
 pub mod size;
+pub mod stated_limits;
 pub mod trial;
 
 #[allow(
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -12,11 +12,15 @@
     EndpointPace, EndpointTotal, EndpointUse, KeySamples, MemberState, Report, Totals, Versions,
 };
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
+use citronway_core::gateway::stated_limits::StatedLimit;
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 
 use crate::cold::{self, ColdAsked, ColdReply};
 use crate::pack;
-use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
+use crate::report_capnp::{
+    datagram, endpoint_use, member, relay, report, row, sign, stated_limit, totals,
+};
+use crate::stated_limits::{self, LimitedSendReply, LimitedSendRequest};
 use crate::trial::{self, EndedTrial, TrialReply};
 
 /// Largest datagram that is sent or read, in bytes; UDP takes 65,507.
@@ -44,6 +48,10 @@
     ColdRequest(ColdAsked),
     /// The answer to that.
     ColdReply(ColdReply),
+    /// May requests be sent to an endpoint that states a limit?
+    LimitedSendRequest(LimitedSendRequest),
+    /// The answer to that.
+    LimitedSendReply(LimitedSendReply),
 }
 
 /// Writes a datagram, deflated if it is long.
@@ -77,6 +85,12 @@
         Datagram::TrialEnd(end) => trial::write_end(end, root.init_trial_end()),
         Datagram::ColdRequest(asked) => cold::write_request(asked, root.init_cold_request()),
         Datagram::ColdReply(reply) => cold::write_reply(reply, root.init_cold_reply()),
+        Datagram::LimitedSendRequest(req) => {
+            stated_limits::write_request(req, root.init_limited_send_request());
+        }
+        Datagram::LimitedSendReply(reply) => {
+            stated_limits::write_reply(reply, root.init_limited_send_reply());
+        }
     }
     serialize::write_message_to_words(&message)
 }
@@ -147,6 +161,10 @@
     for (i, suspect) in from.suspects.iter().enumerate() {
         list.set(length(i), suspect.0);
     }
+    write_limits(
+        &from.limits,
+        to.reborrow().init_limits(length(from.limits.len())),
+    );
     let mut list = to.init_endpoints(length(from.endpoints.len()));
     for (i, total) in from.endpoints.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -156,6 +174,22 @@
     }
 }
 
+fn write_limits(
+    from: &[StatedLimit],
+    mut to: capnp::struct_list::Builder<'_, stated_limit::Owned>,
+) {
+    for (i, stated) in from.iter().enumerate() {
+        stated_limits::write_limit(stated, to.reborrow().get(length(i)));
+    }
+}
+
+fn read_limits(
+    from: capnp::struct_list::Reader<'_, stated_limit::Owned>,
+) -> Result<Vec<StatedLimit>, ReportError> {
+    let limits = from.iter().map(stated_limits::read_limit);
+    limits.collect()
+}
+
 /// Code of a table between instances.
 #[must_use]
 pub const fn code_of(table: Table) -> u8 {
@@ -231,6 +265,10 @@
     for (i, sign) in from.signs.iter().enumerate() {
         write_sign(*sign, list.reborrow().get(length(i)));
     }
+    write_limits(
+        &from.limits,
+        to.reborrow().init_limits(length(from.limits.len())),
+    );
     let mut list = to.init_keys(length(from.keys.len()));
     for (i, samples) in from.keys.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -317,6 +355,12 @@
         datagram::Which::TrialEnd(end) => Datagram::TrialEnd(trial::read_end(end?)?),
         datagram::Which::ColdRequest(asked) => Datagram::ColdRequest(cold::read_request(asked?)),
         datagram::Which::ColdReply(reply) => Datagram::ColdReply(cold::read_reply(reply?)?),
+        datagram::Which::LimitedSendRequest(req) => {
+            Datagram::LimitedSendRequest(stated_limits::read_request(req?)?)
+        }
+        datagram::Which::LimitedSendReply(reply) => {
+            Datagram::LimitedSendReply(stated_limits::read_reply(reply?)?)
+        }
     };
     Ok(Decoded::Plain(Box::new(plain)))
 }
@@ -371,6 +415,7 @@
         paces: paces.collect(),
         refused: refused.collect(),
         suspects: from.get_suspects()?.iter().map(Fingerprint).collect(),
+        limits: read_limits(from.get_limits()?)?,
         members: members.collect(),
     })
 }
@@ -445,6 +490,7 @@
         members,
         signs: from.get_signs()?.iter().map(read_sign).collect(),
         first_sign: from.get_first_sign(),
+        limits: read_limits(from.get_limits()?)?,
     })
 }
 
@@ -499,6 +545,9 @@
     /// What is deflated cannot be inflated.
     #[error("a packed datagram cannot be read: {0}")]
     Packed(#[from] io::Error),
+    /// Requests a second that are negative or not a number.
+    #[error("{0} is not a number of requests a second")]
+    Rate(f64),
     /// A deflated datagram holds another one.
     #[error("a datagram was packed twice")]
     PackedTwice,
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -6,7 +6,7 @@
 
 
 pub mod datagram {
-    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd,ColdRequest,ColdReply,Packed};
+    pub use self::Which::{Report,Relay,Totals,TrialRequest,TrialReply,TrialEnd,ColdRequest,ColdReply,Packed,LimitedSendRequest,LimitedSendReply};
 
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -114,6 +114,16 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
+        pub fn has_limited_send_request(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 9 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn has_limited_send_reply(&self) -> bool {
+            if self.reader.get_data_field::<u16>(0) != 10 { return false; }
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(0) {
                 0 => {
@@ -161,6 +171,16 @@
                         ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
+                9 => {
+                    ::core::result::Result::Ok(LimitedSendRequest(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                10 => {
+                    ::core::result::Result::Ok(LimitedSendReply(
+                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
             }
         }
@@ -354,6 +374,36 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
+        pub fn set_limited_send_request(&mut self, value: crate::report_capnp::limited_send_request::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 9);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_limited_send_request(self, ) -> crate::report_capnp::limited_send_request::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 9);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_limited_send_request(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 9 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn set_limited_send_reply(&mut self, value: crate::report_capnp::limited_send_reply::Reader<'_>) -> ::capnp::Result<()> {
+            self.builder.set_data_field::<u16>(0, 10);
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_limited_send_reply(self, ) -> crate::report_capnp::limited_send_reply::Builder<'a> {
+            self.builder.set_data_field::<u16>(0, 10);
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_limited_send_reply(&self) -> bool {
+            if self.builder.get_data_field::<u16>(0) != 10 { return false; }
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(0) {
                 0 => {
@@ -396,9 +446,1348 @@
                         ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
                     ))
                 }
-                8 => {
-                    ::core::result::Result::Ok(Packed(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                8 => {
+                    ::core::result::Result::Ok(Packed(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                9 => {
+                    ::core::result::Result::Ok(LimitedSendRequest(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                10 => {
+                    ::core::result::Result::Ok(LimitedSendReply(
+                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 191] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(193, 18, 142, 171, 49, 91, 114, 237),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 11, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
+            ::capnp::word(97, 103, 114, 97, 109, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 246, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 245, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 108, 97, 121, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 144, 14, 16, 127, 47, 142, 185),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 116, 97, 108, 115, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 113),
+            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 131, 242, 129, 13, 47, 175, 241),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 112),
+            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 194, 240, 82, 241, 153, 217, 198),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 69, 110, 100),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(79, 81, 214, 131, 93, 56, 103, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 108, 100, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(223, 247, 7, 255, 18, 52, 86, 205),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 108, 100, 82, 101, 112, 108),
+            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(254, 248, 93, 21, 44, 41, 223, 210),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 99, 107, 101, 100, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 101, 100, 83),
+            ::capnp::word(101, 110, 100, 82, 101, 113, 117, 101),
+            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 180, 38, 172, 33, 126, 247, 202),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 101, 100, 83),
+            ::capnp::word(101, 110, 100, 82, 101, 112, 108, 121),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(106, 252, 243, 177, 226, 190, 115, 221),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::report_capnp::report::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::report_capnp::relay::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::report_capnp::totals::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::report_capnp::trial_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::report_capnp::trial_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <crate::report_capnp::trial_end::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::report_capnp::cold_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::report_capnp::cold_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::report_capnp::limited_send_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <crate::report_capnp::limited_send_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,10,9,8,1,0,2,5,4,3];
+        pub(crate) const TYPE_ID: u64 = 0xed72_5b31_ab8e_12c1;
+    }
+    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8,A9,A10> {
+        Report(A0),
+        Relay(A1),
+        Totals(A2),
+        TrialRequest(A3),
+        TrialReply(A4),
+        TrialEnd(A5),
+        ColdRequest(A6),
+        ColdReply(A7),
+        Packed(A8),
+        LimitedSendRequest(A9),
+        LimitedSendReply(A10),
+    }
+    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_request::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>,::capnp::Result<crate::report_capnp::limited_send_request::Reader<'a>>,::capnp::Result<crate::report_capnp::limited_send_reply::Reader<'a>>>;
+    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_request::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>,::capnp::Result<crate::report_capnp::limited_send_request::Builder<'a>>,::capnp::Result<crate::report_capnp::limited_send_reply::Builder<'a>>>;
+}
+
+pub mod limited_send_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f64 {
+            self.reader.get_data_field::<f64>(3)
+        }
+        #[inline]
+        pub fn get_count(self) -> u16 {
+            self.reader.get_data_field::<u16>(10)
+        }
+        #[inline]
+        pub fn get_max_wait_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_per_s(self) -> f64 {
+            self.builder.get_data_field::<f64>(3)
+        }
+        #[inline]
+        pub fn set_per_s(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(3, value);
+        }
+        #[inline]
+        pub fn get_count(self) -> u16 {
+            self.builder.get_data_field::<u16>(10)
+        }
+        #[inline]
+        pub fn set_count(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(10, value);
+        }
+        #[inline]
+        pub fn get_max_wait_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_max_wait_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(8, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(157, 180, 38, 172, 33, 126, 247, 202),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 76, 105, 109),
+            ::capnp::word(105, 116, 101, 100, 83, 101, 110, 100),
+            ::capnp::word(82, 101, 113, 117, 101, 115, 116, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 120, 87, 97, 105, 116, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,5,1,3,0];
+        pub(crate) const TYPE_ID: u64 = 0xcaf7_7e21_ac26_b49d;
+    }
+}
+
+pub mod limited_send_reply {
+    pub use self::Which::{Granted,BusyMs,Unavailable};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(12) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        self.reader.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(BusyMs(
+                        self.reader.get_data_field::<u32>(4)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Unavailable(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_session(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_session(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_number(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn init_granted(self, ) -> crate::report_capnp::limited_send_reply::granted::Builder<'a> {
+            self.builder.set_data_field::<u16>(12, 0);
+            self.builder.set_data_field::<u16>(8, 0u16);
+            self.builder.set_data_field::<u32>(5, 0u32);
+            self.builder.into()
+        }
+        #[inline]
+        pub fn set_busy_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u16>(12, 1);
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn set_unavailable(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(12, 2);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(12) {
+                0 => {
+                    ::core::result::Result::Ok(Granted(
+                        self.builder.into()
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(BusyMs(
+                        self.builder.get_data_field::<u32>(4)
+                    ))
+                }
+                2 => {
+                    ::core::result::Result::Ok(Unavailable(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(106, 252, 243, 177, 226, 190, 115, 221),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 3, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 76, 105, 109),
+            ::capnp::word(105, 116, 101, 100, 83, 101, 110, 100),
+            ::capnp::word(82, 101, 112, 108, 121, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 248, 61, 30, 6, 253, 231, 203),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 254, 255, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+            ::capnp::word(98, 117, 115, 121, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 110, 97, 118, 97, 105, 108, 97),
+            ::capnp::word(98, 108, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::report_capnp::limited_send_reply::granted::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <() as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,0,4];
+        pub(crate) const TYPE_ID: u64 = 0xdd73_bee2_b1f3_fc6a;
+    }
+    pub enum Which<A0> {
+        Granted(A0),
+        BusyMs(u32),
+        Unavailable(()),
+    }
+    pub type WhichReader<'a,> = Which<crate::report_capnp::limited_send_reply::granted::Reader<'a>>;
+    pub type WhichBuilder<'a,> = Which<crate::report_capnp::limited_send_reply::granted::Builder<'a>>;
+
+    pub mod granted {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_count(self) -> u16 {
+                self.reader.get_data_field::<u16>(8)
+            }
+            #[inline]
+            pub fn get_after_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(5)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_count(self) -> u16 {
+                self.builder.get_data_field::<u16>(8)
+            }
+            #[inline]
+            pub fn set_count(&mut self, value: u16)  {
+                self.builder.set_data_field::<u16>(8, value);
+            }
+            #[inline]
+            pub fn get_after_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(5)
+            }
+            #[inline]
+            pub fn set_after_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(5, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(88, 248, 61, 30, 6, 253, 231, 203),
+                ::capnp::word(30, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(106, 252, 243, 177, 226, 190, 115, 221),
+                ::capnp::word(0, 0, 7, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+                ::capnp::word(97, 112, 110, 112, 58, 76, 105, 109),
+                ::capnp::word(105, 116, 101, 100, 83, 101, 110, 100),
+                ::capnp::word(82, 101, 112, 108, 121, 46, 103, 114),
+                ::capnp::word(97, 110, 116, 101, 100, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 8, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 5, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 111, 117, 110, 116, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 77, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xcbe7_fd06_1e3d_f858;
+        }
+    }
+}
+
+pub mod stated_limit {
+    pub use self::Which::{PerS,None};
+
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+            match self.reader.get_data_field::<u16>(8) {
+                0 => {
+                    ::core::result::Result::Ok(PerS(
+                        self.reader.get_data_field::<f64>(1)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(None(
+                        ()
+                    ))
+                }
+                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+            }
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn set_per_s(&mut self, value: f64)  {
+            self.builder.set_data_field::<u16>(8, 0);
+            self.builder.set_data_field::<f64>(1, value);
+        }
+        #[inline]
+        pub fn set_none(&mut self, _value: ())  {
+            self.builder.set_data_field::<u16>(8, 1);
+        }
+        #[inline]
+        pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+            match self.builder.get_data_field::<u16>(8) {
+                0 => {
+                    ::core::result::Result::Ok(PerS(
+                        self.builder.get_data_field::<f64>(1)
+                    ))
+                }
+                1 => {
+                    ::core::result::Result::Ok(None(
+                        ()
                     ))
                 }
                 x => ::core::result::Result::Err(::capnp::NotInSchema(x))
@@ -415,176 +1804,93 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(193, 18, 142, 171, 49, 91, 114, 237),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(54, 160, 74, 130, 235, 153, 182, 188),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 9, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 2, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
-            ::capnp::word(97, 112, 110, 112, 58, 68, 97, 116),
-            ::capnp::word(97, 103, 114, 97, 109, 0, 0, 0),
+            ::capnp::word(97, 112, 110, 112, 58, 83, 116, 97),
+            ::capnp::word(116, 101, 100, 76, 105, 109, 105, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 106, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 251, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 250, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 249, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 248, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 247, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 108, 97, 121, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 144, 14, 16, 127, 47, 142, 185),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 111, 116, 97, 108, 115, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 113),
-            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 131, 242, 129, 13, 47, 175, 241),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 114, 105, 97, 108, 82, 101, 112),
-            ::capnp::word(108, 121, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(46, 194, 240, 82, 241, 153, 217, 198),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 114, 105, 97, 108, 69, 110, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(79, 81, 214, 131, 93, 56, 103, 220),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 108, 100, 82, 101, 113, 117),
-            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(223, 247, 7, 255, 18, 52, 86, 205),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 114, 83, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 108, 100, 82, 101, 112, 108),
-            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(254, 248, 93, 21, 44, 41, 223, 210),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 110, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 97, 99, 107, 101, 100, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::report_capnp::report::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <crate::report_capnp::relay::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::report_capnp::totals::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <crate::report_capnp::trial_request::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <crate::report_capnp::trial_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <crate::report_capnp::trial_end::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <crate::report_capnp::cold_request::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::report_capnp::cold_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <() as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -598,24 +1904,17 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3,4,5,6,7,8];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[7,6,8,1,0,2,5,4,3];
-        pub(crate) const TYPE_ID: u64 = 0xed72_5b31_ab8e_12c1;
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,3,2];
+        pub(crate) const TYPE_ID: u64 = 0xbcb6_99eb_824a_a036;
     }
-    pub enum Which<A0,A1,A2,A3,A4,A5,A6,A7,A8> {
-        Report(A0),
-        Relay(A1),
-        Totals(A2),
-        TrialRequest(A3),
-        TrialReply(A4),
-        TrialEnd(A5),
-        ColdRequest(A6),
-        ColdReply(A7),
-        Packed(A8),
+    pub enum Which {
+        PerS(f64),
+        None(()),
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<crate::report_capnp::report::Reader<'a>>,::capnp::Result<crate::report_capnp::relay::Reader<'a>>,::capnp::Result<crate::report_capnp::totals::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_request::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Reader<'a>>,::capnp::Result<crate::report_capnp::trial_end::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_request::Reader<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Reader<'a>>,::capnp::Result<::capnp::data::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<crate::report_capnp::report::Builder<'a>>,::capnp::Result<crate::report_capnp::relay::Builder<'a>>,::capnp::Result<crate::report_capnp::totals::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_request::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_reply::Builder<'a>>,::capnp::Result<crate::report_capnp::trial_end::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_request::Builder<'a>>,::capnp::Result<crate::report_capnp::cold_reply::Builder<'a>>,::capnp::Result<::capnp::data::Builder<'a>>>;
+    pub type WhichReader = Which;
+    pub type WhichBuilder = Which;
 }
 
 pub mod cold_request {
@@ -2438,11 +3737,19 @@
         pub fn has_suspects(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::report_capnp::stated_limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2708,6 +4015,22 @@
         pub fn has_suspects(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::report_capnp::stated_limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::report_capnp::stated_limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::report_capnp::stated_limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2722,157 +4045,164 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 336] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 355] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
             ::capnp::word(13, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 84, 111, 116),
             ::capnp::word(97, 108, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3059,6 +4389,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(54, 160, 74, 130, 235, 153, 182, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3081,6 +4423,7 @@
                 16 => <crate::report_capnp::row::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <::capnp::struct_list::Owned<crate::report_capnp::refused_work::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <::capnp::struct_list::Owned<crate::report_capnp::stated_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3094,9 +4437,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,14,1,13,17,16,9,10,11,4,12,5,15,7,18,0,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,19,14,1,13,17,16,9,10,11,4,12,5,15,7,18,0,6];
         pub(crate) const TYPE_ID: u64 = 0xa198_0bf8_97e5_f513;
     }
 }
@@ -5548,11 +6891,19 @@
         pub fn get_first_sign(self) -> u64 {
             self.reader.get_data_field::<u64>(7)
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::report_capnp::stated_limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5762,6 +7113,22 @@
         pub fn set_first_sign(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(7, value);
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::report_capnp::stated_limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::report_capnp::stated_limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::report_capnp::stated_limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5773,129 +7140,136 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 265] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 284] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
             ::capnp::word(13, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 101, 112),
             ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -6039,6 +7413,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(54, 160, 74, 130, 235, 153, 182, 188),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6057,6 +7443,7 @@
                 12 => <::capnp::struct_list::Owned<crate::report_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::struct_list::Owned<crate::report_capnp::sign::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::struct_list::Owned<crate::report_capnp::stated_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6070,9 +7457,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,14,0,10,12,2,6,7,8,1,13,3,11,5,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,14,0,10,15,12,2,6,7,8,1,13,3,11,5,4];
         pub(crate) const TYPE_ID: u64 = 0xcf45_8167_f9c8_d01a;
     }
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -11,9 +11,11 @@
     EndpointPace, EndpointTotal, KeySamples, MemberState, Report, Totals, Versions,
 };
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
+use citronway_core::gateway::stated_limits::{SendGrant, SendRequest, StatedLimit};
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 use citronway_wire::relays::in_datagrams;
 use citronway_wire::report::{Datagram, MAX_DATAGRAM, decode, encode};
+use citronway_wire::stated_limits::{LimitedSendReply, LimitedSendRequest};
 use citronway_wire::trial::{EndedTrial, TrialReply};
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
@@ -79,11 +81,78 @@
             },
         ],
         first_sign: 9,
+        limits: limits(),
     });
     expect_that!(decode(&encode(&report)).or_fail()?, eq(&report));
     Ok(())
 }
 
+fn limits() -> Vec<StatedLimit> {
+    vec![
+        StatedLimit {
+            endpoint: EndpointTag(9),
+            per_s: Some(5.2),
+            age_ms: 120,
+        },
+        StatedLimit {
+            endpoint: EndpointTag(10),
+            per_s: None,
+            age_ms: 0,
+        },
+    ]
+}
+
+#[gtest]
+fn queries_about_limited_endpoints_are_read_as_they_were_written() -> Result<()> {
+    let request = Datagram::LimitedSendRequest(LimitedSendRequest {
+        session: SessionId(7),
+        number: 8,
+        req: SendRequest {
+            endpoint: EndpointTag(9),
+            per_s: 5.2,
+            count: 3,
+            max_wait_ms: 150,
+        },
+    });
+    expect_that!(decode(&encode(&request)).or_fail()?, eq(&request));
+    let grants = [
+        SendGrant::Granted {
+            count: 2,
+            after_ms: 30,
+        },
+        SendGrant::Busy { for_ms: 190 },
+        SendGrant::Unavailable,
+    ];
+    for grant in grants {
+        let reply = Datagram::LimitedSendReply(LimitedSendReply {
+            session: SessionId(7),
+            number: 8,
+            grant,
+        });
+        expect_that!(decode(&encode(&reply)).or_fail()?, eq(&reply));
+    }
+    Ok(())
+}
+
+/// Guards against a rate from another instance that is no rate.
+#[gtest]
+fn a_limit_that_is_not_a_rate_is_refused() {
+    for per_s in [f64::NAN, f64::INFINITY, -1.0] {
+        let report = Totals {
+            limits: vec![StatedLimit {
+                endpoint: EndpointTag(9),
+                per_s: Some(per_s),
+                age_ms: 0,
+            }],
+            ..totals()
+        };
+        expect_that!(
+            decode(&encode(&Datagram::Totals(report))).is_err(),
+            eq(true)
+        );
+    }
+}
+
 fn totals() -> Totals {
     Totals {
         leader: Session::new("one", 7),
@@ -120,6 +189,7 @@
             times: 2,
         }],
         suspects: vec![Fingerprint(3), Fingerprint(4)],
+        limits: limits(),
         members: vec![SocketAddr::from(([10, 1, 0, 35], 7_660))],
     }
 }
@@ -163,6 +233,7 @@
             work: Fingerprint(6),
         }],
         first_sign: 0,
+        limits: limits(),
     };
     let relay = Relay {
         table: Table::Own,
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -453,6 +453,7 @@
             rank: self.rank,
             instances: u32::try_from(self.peers.instance_count(now)).unwrap_or(u32::MAX),
             crashes: self.crashes.known(),
+            limits: self.stated_limits.in_force(),
         }
     }
 }
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -10,6 +10,7 @@
     Action, FormerLeaderLimits, Leader, LeaderSettings, Order, OrderResult, WriteResult,
 };
 use citronway_core::gateway::report::Report;
+use citronway_core::gateway::stated_limits;
 use citronway_core::ids::{ServiceName, Session, Version};
 use citronway_core::time::Mono;
 use citronway_platform::store::ConditionalWrite;
@@ -154,16 +155,27 @@
         self.own_row.is_some()
     }
 
+    /// Share of endpoints' limits that this leader may grant now, from 0 to 1; `None` if it must
+    /// grant nothing.
+    pub(super) fn limited_share(&self, now: Mono) -> Option<f64> {
+        let standing = self.standing()?;
+        stated_limits::leader_share(now, &self.cfg, &standing)
+    }
+
     /// Share of all sends to cold endpoints that this leader may grant now, from 0 to 1;
     /// `None` if this instance does not lead or may grant none.
     pub(super) fn cold_share(&self, now: Mono) -> Option<f64> {
+        let standing = self.standing()?;
+        cold::granted_share(now, &self.cfg, &standing)
+    }
+
+    fn standing(&self) -> Option<LeaderStanding> {
         let row = self.own_row.as_ref()?;
-        let state = LeaderStanding {
+        Some(LeaderStanding {
             confirmed_at: self.confirmed_at,
             former_leader_limits: self.former_limits,
             former_leaders: u32::try_from(row.former.len()).unwrap_or(u32::MAX),
-        };
-        cold::granted_share(now, &self.cfg, &state)
+        })
     }
 
     /// Version of the leader's row by which this instance leads; `None` if it does not.
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -59,6 +59,10 @@
             Ok(Datagram::TrialEnd(ended)) => self.on_trial_end(&ended),
             Ok(Datagram::ColdRequest(asked)) => self.on_cold_request(socket, &asked, from),
             Ok(Datagram::ColdReply(reply)) => self.on_cold_reply(&reply),
+            Ok(Datagram::LimitedSendRequest(asked)) => {
+                self.on_limited_request(socket, &asked, from);
+            }
+            Ok(Datagram::LimitedSendReply(reply)) => self.on_limited_reply(&reply),
             Err(e) => log::warn!(cause = e.to_string(); "malformed datagram dropped"),
         }
     }
@@ -86,6 +90,8 @@
             let bytes = datagram::encode(&Datagram::Totals(totals.clone()));
             self.send_to_members(socket, &bytes);
         }
+        let leader = totals.leader.instance.clone();
+        self.hear_limits(now, &totals.limits, leader.as_str());
         self.cluster.apply_totals(now, totals);
         self.publish(now);
     }
@@ -114,6 +120,12 @@
         if is_new_session && self.leadership.is_leader() {
             self.cluster.crashes.resend_newest_signs();
         }
+        let source = report.instance.as_str();
+        if is_delegate || self.leads_large_fleet(now) {
+            self.observe_limits(now, &report.limits, source);
+        } else {
+            self.hear_limits(now, &report.limits, source);
+        }
         if is_delegate {
             self.gathered.add(&report.endpoints, &report.keys);
         }
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -47,6 +47,7 @@
 use copies::CopyError;
 use duty::Leadership;
 use first::Registration;
+use limits::LimitedSendState;
 use orders::OrderClient;
 use store::{PollControl, Store, StoreError, TableUpdate};
 use trials::TrialState;
@@ -57,7 +58,7 @@
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::{self, Ready};
 use crate::gateway::run;
-use crate::gateway::traffic::{ColdQuery, Stop, TrafficReport, TrialEvent};
+use crate::gateway::traffic::{ColdQuery, LimitedSendQuery, Stop, TrafficReport, TrialEvent};
 
 /// Longest time between two runs of [`Control::run_due`], on the leader and on all other
 /// instances.
@@ -141,6 +142,8 @@
     pub trials: mpsc::Receiver<TrialEvent>,
     /// Requests of the traffic thread about cold endpoints.
     pub cold: mpsc::Receiver<ColdQuery>,
+    /// Requests of the traffic thread about endpoints that state a limit.
+    pub limited: mpsc::Receiver<LimitedSendQuery>,
     /// Stops the traffic thread.
     pub stop: watch::Sender<Stop>,
     /// Signals to this process.
@@ -161,6 +164,8 @@
     trials: TrialState,
     cold_queries: mpsc::Receiver<ColdQuery>,
     cold: ColdSendState,
+    limited_queries: mpsc::Receiver<LimitedSendQuery>,
+    limited: LimitedSendState,
     stop: watch::Sender<Stop>,
     signals: Signals,
     cluster: Cluster,
@@ -220,6 +225,8 @@
             trials: TrialState::default(),
             cold_queries: channels.cold,
             cold: ColdSendState::default(),
+            limited_queries: channels.limited,
+            limited: LimitedSendState::default(),
             stop: channels.stop,
             signals: channels.signals,
             orders: OrderClient::default(),
@@ -278,6 +285,9 @@
                 Some(event) = events.recv() => self.on_event(&socket, &events_tx, event),
                 Some(event) = self.trial_events.recv() => self.on_trial_event(&socket, event),
                 Some(query) = self.cold_queries.recv() => self.on_cold_query(&socket, query),
+                Some(query) = self.limited_queries.recv() => {
+                    self.on_limited_query(&socket, query);
+                }
                 Ok((len, from)) = socket.recv_from(&mut buf) => {
                     self.on_datagram(&socket, &events_tx, &buf[..len], from);
                 }
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -6,6 +6,7 @@
 use citronway_core::gateway::placement::{self, PlacementEndpoint, PlacementInput};
 use citronway_core::gateway::registry::ListedEndpoint;
 use citronway_core::gateway::report::Report;
+use citronway_core::gateway::stated_limits::MIN_PER_S;
 use citronway_core::ids::ServiceName;
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
@@ -168,9 +169,11 @@
     let healthy = 1.0 - cluster.paces.failing(now, tag).min(MAX_FAILURE_SHARE);
     let lost = leader.is_lost(now, &listing.start);
     let expected_ms = work_ms * cluster.paces.slowness(now, tag);
+    let by_slots = f64::from(listing.slots) * 1_000.0 * healthy / expected_ms;
+    let limit = cluster.stated_limits.for_placement(now, tag);
     PlacementEndpoint {
         endpoint: listing.start.clone(),
-        capacity: f64::from(listing.slots) * 1_000.0 * healthy / expected_ms,
+        capacity: limit.map_or(by_slots, |per_s| by_slots.min(per_s.max(MIN_PER_S))),
         accepts_keys: known.accepts_work() && !lost && known.warm_at <= now,
         must_drain: lost || !known.accepts_work(),
         has_queue: queue,
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -72,6 +72,7 @@
     /// Sends a report to all others, in a small fleet.
     fn broadcast(&mut self, now: Mono, socket: &UdpSocket) {
         let mut report = self.record_own_report(now);
+        report.limits = self.cluster.stated_limits.take_due(now);
         (report.first_sign, report.signs) = self.cluster.crashes.take_signs();
         let leader = self.cluster.leader_address();
         if let Some(address) = leader {
@@ -115,6 +116,7 @@
         };
         let mut report = self.build_report(now, merged);
         report.members = members;
+        report.limits = self.cluster.stated_limits.take_due(now);
         (report.first_sign, report.signs) = self.cluster.crashes.take_signs();
         let bytes = datagram::encode(&Datagram::Report(report));
         self.send(socket, &bytes, to);
@@ -214,6 +216,7 @@
                 .estimates_to_send(now, self.report_number / 2, PACE_ROUNDS),
             refused,
             suspects,
+            limits: cluster.stated_limits.all(now),
             members: Vec::new(),
         }
     }
@@ -236,6 +239,7 @@
             members: Vec::new(),
             signs: Vec::new(),
             first_sign: 0,
+            limits: Vec::new(),
         }
     }
 
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -12,6 +12,7 @@
 use citronway_core::gateway::leader::{OrderKind, OrderResult};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
+use citronway_core::gateway::stated_limits::SendGrant;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -144,6 +145,7 @@
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
     limited_endpoints: Gauge,
+    limited_sends: Family<AnswerLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -204,6 +206,9 @@
         let limited_endpoints = Gauge::default();
         let help = "Endpoints that state a limit on the requests of all instances";
         registry.register("limited_endpoints", help, limited_endpoints.clone());
+        let limited_sends = Family::default();
+        let help = "Requests for sends to endpoints that state a limit, by answer";
+        registry.register("limited_sends", help, limited_sends.clone());
         Self {
             registry: Arc::new(registry),
             requests,
@@ -227,6 +232,7 @@
             evacuated_zones,
             evacuated_ranges,
             limited_endpoints,
+            limited_sends,
         }
     }
 }
@@ -366,6 +372,17 @@
         self.cold.get_or_create(&AnswerLabels { answer }).inc();
     }
 
+    /// Counts a query about sends to an endpoint that states a limit.
+    pub(super) fn count_limited_send(&self, grant: &SendGrant) {
+        let answer = match grant {
+            SendGrant::Granted { .. } => "granted",
+            SendGrant::Busy { .. } => "busy",
+            SendGrant::Unavailable => "unavailable",
+        };
+        let labels = AnswerLabels { answer };
+        self.limited_sends.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of evacuated zones and of key ranges still owned in them.
     pub(super) fn set_evacuated(&self, zones: usize, ranges: usize) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -31,6 +31,9 @@
 /// Capacity of the channel of queries about cold endpoints.
 const COLD_CAPACITY: usize = 256;
 
+/// Capacity of the channel of queries about endpoints that state a limit.
+const LIMITED_CAPACITY: usize = 256;
+
 /// Why an instance could not start, or failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -131,6 +134,7 @@
     let (report_tx, report_rx) = mpsc::channel(REPORTS_CAPACITY);
     let (trials_tx, trials_rx) = mpsc::channel(TRIALS_CAPACITY);
     let (cold_tx, cold_rx) = mpsc::channel(COLD_CAPACITY);
+    let (limited_tx, limited_rx) = mpsc::channel(LIMITED_CAPACITY);
     let (stop_tx, stop_rx) = watch::channel(Stop::No);
 
     let runtime = runtime("control")?;
@@ -143,6 +147,7 @@
         seen: report_rx,
         trials: trials_rx,
         cold: cold_rx,
+        limited: limited_rx,
         stop: stop_tx,
         signals,
     };
@@ -152,6 +157,7 @@
         reports: report_tx,
         trials: trials_tx,
         cold: cold_tx,
+        limited: limited_tx,
     };
     let traffic_metrics = metrics.clone();
     let traffic_handle = thread::Builder::new()
--- a/crates/citronway/src/gateway/traffic/asks.rs
+++ b/crates/citronway/src/gateway/traffic/asks.rs
@@ -4,10 +4,12 @@
 
 use citronway_core::gateway::cold::{ColdGrant, ColdRequest};
 use citronway_core::gateway::crashes::{Fingerprint, TrialEnd, TrialGrant};
+use citronway_core::gateway::stated_limits::{SendGrant, SendRequest};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use super::cold::ColdQuery;
+use super::limited::LimitedSendQuery;
 use super::trial::{TrialEvent, TrialQuery};
 
 /// Timeout for the leader's answer about a cold endpoint; without an answer nothing is sent.
@@ -16,6 +18,10 @@
 /// another time than the one for which the leader counted it.
 const COLD_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Timeout for the leader's answer about a limited endpoint; without an answer this instance's own
+/// share decides.
+const LIMITED_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time for which a cold endpoint receives no requests after a query about it was not answered,
 /// in milliseconds.
 const NO_ANSWER_PAUSE_MS: u64 = 200;
@@ -25,6 +31,7 @@
 pub(super) struct ControlClient {
     pub trials: mpsc::Sender<TrialEvent>,
     pub cold: mpsc::Sender<ColdQuery>,
+    pub limited: mpsc::Sender<LimitedSendQuery>,
 }
 
 impl ControlClient {
@@ -84,4 +91,34 @@
             Ok(Err(_)) | Err(_) => busy,
         }
     }
+
+    /// Asks whether requests may be sent to an endpoint that states a limit. `next_number` numbers
+    /// the queries.
+    ///
+    /// Returns `Busy` if no query can be queued.
+    pub(super) async fn request_limited_send(
+        &self,
+        next_number: impl Fn() -> u64,
+        req: SendRequest,
+    ) -> SendGrant {
+        for leader_silent in [false, true] {
+            let (reply, granted) = oneshot::channel();
+            let query = LimitedSendQuery {
+                number: next_number(),
+                req,
+                leader_silent,
+                reply,
+            };
+            if let Err(e) = self.limited.try_send(query) {
+                log::warn!(cause = e.to_string(); "limited endpoint query dropped");
+                break;
+            }
+            if let Ok(Ok(grant)) = timeout(LIMITED_ANSWER_TIMEOUT, granted).await {
+                return grant;
+            }
+        }
+        SendGrant::Busy {
+            for_ms: NO_ANSWER_PAUSE_MS,
+        }
+    }
 }
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -10,6 +10,7 @@
 };
 use citronway_core::gateway::assignment::Range;
 use citronway_core::gateway::crashes::Fingerprint;
+use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
@@ -128,7 +129,7 @@
                 self.state.metrics.record_wait(class, waited_ms);
             }
             self.open.set_endpoint(placed, &choice);
-            let in_flight = self.state.in_flight(&choice);
+            let in_flight = self.state.in_flight(&choice, self.job.ticket);
             // The work may have been classified as harmful while the request waited.
             if let Some(work) = self.harmful_work(placed) {
                 return self.refuse_harmful(work);
@@ -143,6 +144,13 @@
                 }
                 continue;
             }
+            if !self.admit_limited_send(&choice).await {
+                drop(in_flight);
+                if !self.has_time(clock::mono()) {
+                    return self.refuse_with(RefusalReason::EndpointLimited);
+                }
+                continue;
+            }
             let sent = self.send(&choice).await;
             drop(in_flight);
             let now = clock::mono();
@@ -263,11 +271,13 @@
         let owner = range.map_or_else(|| "-".to_owned(), |r| r.holder.endpoint.to_string());
         let fence = range.map_or(0, |range| range.holder.fence);
         let moving = range.is_some_and(Range::is_moving);
+        let limit = range.and_then(|r| view.limits.get(&EndpointTag::of(&r.holder.endpoint)));
+        let limit = limit.map_or_else(|| "-".to_owned(), f64::to_string);
         let row = owners.map_or(0, |owners| owners.version.0);
         let instances = view.instances;
         let key = key.map_or(-1, i32::from);
         log::info!(
-            request, service, key, owner = owner.as_str(), fence, moving, row, routes, waiting, instances,
+            request, service, key, owner = owner.as_str(), fence, moving, limit = limit.as_str(), row, routes, waiting, instances,
             reason = reason.as_str();
             "no place found"
         );
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod ended;
 mod forwarding;
+mod limited;
 mod open_requests;
 mod outcome;
 mod pool;
@@ -34,6 +35,7 @@
 pub use state::Stop;
 
 pub use cold::ColdQuery;
+pub use limited::LimitedSendQuery;
 pub use seen::{ControlSenders, TrafficReport};
 pub use trial::TrialEvent;
 
@@ -66,6 +68,7 @@
     let control = ControlClient {
         trials: to_control.trials,
         cold: to_control.cold,
+        limited: to_control.limited,
     };
     let state = Rc::new(State::new(cfg, view, stop.clone(), metrics, control));
     let mut tasks = JoinSet::new();
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc;
 
 use super::cold::ColdQuery;
+use super::limited::LimitedSendQuery;
 use super::trial::TrialEvent;
 
 /// Sending halves of the channels from the traffic thread to `control`.
@@ -17,6 +18,8 @@
     pub trials: mpsc::Sender<TrialEvent>,
     /// Queries about sends to cold endpoints.
     pub cold: mpsc::Sender<ColdQuery>,
+    /// Queries about sends to endpoints that state a limit.
+    pub limited: mpsc::Sender<LimitedSendQuery>,
 }
 
 /// Report on the last period.
--- a/crates/citronway/src/gateway/traffic/state/guards.rs
+++ b/crates/citronway/src/gateway/traffic/state/guards.rs
@@ -42,10 +42,10 @@
         }
         // A decision that has been read is no longer in the channel.
         if let Ok(Decision::Send(choice)) = self.decided.try_recv() {
-            state
-                .admission
-                .borrow_mut()
-                .record_finished(&choice.endpoint);
+            let mut admission = state.admission.borrow_mut();
+            admission.record_finished(&choice.endpoint);
+            admission.withdraw_ask(self.ticket);
+            drop(admission);
             state.decide_waiting();
         }
     }
@@ -56,14 +56,15 @@
 pub(in crate::gateway::traffic) struct InFlight {
     pub(super) state: Rc<State>,
     pub(super) endpoint: EndpointStart,
+    pub(super) ticket: u64,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.state
-            .admission
-            .borrow_mut()
-            .record_finished(&self.endpoint);
+        let mut admission = self.state.admission.borrow_mut();
+        admission.record_finished(&self.endpoint);
+        admission.withdraw_ask(self.ticket);
+        drop(admission);
         self.state.decide_waiting();
     }
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -14,7 +14,7 @@
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
-use citronway_core::gateway::stated_limits::StatedLimit;
+use citronway_core::gateway::stated_limits::{SendGrant, StatedLimit};
 use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
 use citronway_platform::DecodeError;
@@ -245,10 +245,11 @@
     }
 
     /// Holds the place of a sent request until the guard is dropped.
-    pub(super) fn in_flight(self: &Rc<Self>, choice: &Choice) -> InFlight {
+    pub(super) fn in_flight(self: &Rc<Self>, choice: &Choice, ticket: u64) -> InFlight {
         InFlight {
             state: Rc::clone(self),
             endpoint: choice.endpoint.clone(),
+            ticket,
         }
     }
 
@@ -301,6 +302,26 @@
         stated.insert(EndpointTag::of(endpoint), (per_s, now));
     }
 
+    /// Requests a second that a limited endpoint takes from all instances together.
+    pub(super) fn limit_per_s(&self, endpoint: EndpointTag) -> Option<f64> {
+        self.view.borrow().limits.get(&endpoint).copied()
+    }
+
+    /// Number of sends that an admitted request has to ask for before it is sent.
+    pub(super) fn grants_to_ask(&self, choice: &Choice, ticket: u64) -> Option<u32> {
+        self.admission
+            .borrow()
+            .grants_to_ask(&choice.endpoint, ticket)
+    }
+
+    /// Records the answer to a request that asked for sends.
+    pub(super) fn record_grant(&self, choice: &Choice, ticket: u64, grant: SendGrant) {
+        self.admission
+            .borrow_mut()
+            .record_grant(clock::mono(), &choice.endpoint, ticket, grant);
+        self.decide_waiting();
+    }
+
     /// Counts a limit that cannot be used; it changes nothing.
     pub(super) fn record_unusable_limit(&self, endpoint: &EndpointStart, e: &DecodeError) {
         self.metrics.count_unusable(Source::Limit, 1);
@@ -417,9 +438,9 @@
                 continue;
             };
             if let Err(Decision::Send(choice)) = tx.send(decision) {
-                self.admission
-                    .borrow_mut()
-                    .record_finished(&choice.endpoint);
+                let mut admission = self.admission.borrow_mut();
+                admission.record_finished(&choice.endpoint);
+                admission.withdraw_ask(ticket);
             }
         }
     }
