Instances that start hear of limits, and placement tries limited endpoints again

Found by tests of the limits that endpoints state, before it was seen by anybody: where the keys of a limited endpoint had moved away, an instance that started did not hear of the limit, since statements were reported only with new answers; and an endpoint without keys stayed limited for good, since it gets no request in whose answer it could state the end. Reports now repeat all limits when a new session is heard, and placement counts on a limit only for 20 s after it was stated. The limit itself still ends with an answer alone.

More tests: a limit used by one instance, zero, malformed, refused at once, keys that move, stops and a lost leader; the soak draws limits and checks them at the endpoints.

--- a/crates/citronway-core/src/gateway/stated_limits/mod.rs
+++ b/crates/citronway-core/src/gateway/stated_limits/mod.rs
@@ -26,9 +26,10 @@
 /// that arrive later must not bring the limit back.
 const ENDED_KEPT_MS: u64 = 10_000;
 
-/// Time in milliseconds for which placement counts an endpoint as limited after its limit ended.
+/// Time in milliseconds for which placement counts an endpoint as limited after its last statement.
 ///
-/// Keys that left a limited endpoint would otherwise return and leave again with each limit.
+/// Keys that left a limited endpoint would otherwise return and leave again with each limit. After
+/// this time it is given keys again, since without requests it cannot state that its limit ended.
 const PLACEMENT_KEPT_MS: u64 = 20_000;
 
 /// What an endpoint stated in an answer, as instances tell each other.
@@ -150,6 +151,13 @@
         }
     }
 
+    /// Has all limits in force reported, to an instance that has just started.
+    pub fn make_all_due(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.is_due |= entry.per_s.is_some();
+        }
+    }
+
     /// Takes the statements that are to be reported now.
     pub fn take_due(&mut self, now: Mono) -> Vec<StatedLimit> {
         let mut due = Vec::new();
@@ -188,13 +196,13 @@
         self.entries.get(&endpoint)?.per_s
     }
 
-    /// Requests a second that placement counts on at an endpoint; `None` if it was not limited
+    /// Requests a second that placement counts on at an endpoint; `None` if it stated no limit
     /// recently.
     #[must_use]
     pub fn for_placement(&self, now: Mono, endpoint: EndpointTag) -> Option<f64> {
         let entry = self.entries.get(&endpoint)?;
         let is_recent = now.since(entry.stated_at) < PLACEMENT_KEPT_MS;
-        (entry.per_s.is_some() || is_recent).then_some(entry.last_per_s)
+        is_recent.then_some(entry.last_per_s)
     }
 
     /// Removes endpoints that are not listed any more, and limits that ended long ago.
--- a/crates/citronway-core/tests/gateway_stated_limits.rs
+++ b/crates/citronway-core/tests/gateway_stated_limits.rs
@@ -278,6 +278,32 @@
     expect_that!(limits.for_placement(now.plus(30_000), ENDPOINT), none());
 }
 
+/// Guards against an endpoint without keys that stays limited for good: it gets no request, and so
+/// cannot state that its limit has ended.
+#[gtest]
+fn placement_forgets_a_limit_that_is_not_stated_any_more() {
+    let mut limits = StatedLimits::default();
+    let now = Mono(50_000);
+    limits.observe(now, &stated(Some(0.0), 0));
+    expect_that!(
+        limits.for_placement(now.plus(15_000), ENDPOINT),
+        some(eq(0.0))
+    );
+    expect_that!(limits.for_placement(now.plus(30_000), ENDPOINT), none());
+    expect_that!(limits.per_s(ENDPOINT), some(eq(0.0)));
+}
+
+/// Guards against an instance that starts and hears of no limit until an endpoint states it anew.
+#[gtest]
+fn limits_in_force_are_reported_to_an_instance_that_starts() {
+    let mut limits = StatedLimits::default();
+    let now = Mono(50_000);
+    limits.hear(now, &stated(Some(5.0), 0));
+    expect_that!(limits.take_due(now), is_empty());
+    limits.make_all_due();
+    expect_that!(limits.take_due(now).len(), eq(1));
+}
+
 /// Guards against reports that repeat what all instances know, and against a lost report.
 #[gtest]
 fn a_statement_is_reported_when_it_changes_and_again_while_it_holds() {
--- a/crates/citronway-standin/src/shared/limits.rs
+++ b/crates/citronway-standin/src/shared/limits.rs
@@ -98,13 +98,9 @@
     /// Requests that are allowed in the window that ends at a moment; `None` if there was no
     /// limit in a part of it, or the limit had just begun.
     fn allowed_until(&self, end: Instant) -> Option<f64> {
-        let (begun, _) = self
-            .changes
-            .iter()
-            .rev()
-            .take_while(|(_, per_s)| per_s.is_some())
-            .filter(|(at, _)| *at <= end)
-            .last()?;
+        let stated = self.changes.iter().filter(|(at, _)| *at <= end);
+        let in_force = stated.rev().take_while(|(_, per_s)| per_s.is_some());
+        let (begun, _) = in_force.last()?;
         if *begun + STABLE > end {
             return None;
         }
--- a/crates/citronway-standin/src/soak/callers.rs
+++ b/crates/citronway-standin/src/soak/callers.rs
@@ -12,7 +12,7 @@
 
 pub use super::exchange::Cut;
 use super::exchange::{exchange, is_open, was_reset};
-use crate::shared::route;
+use crate::shared::{SENDER_HEADER, route};
 
 /// Bound of the wait for an answer, far above what routes and pauses take.
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -109,7 +109,7 @@
     }
 
     /// The bytes of a request.
-    fn request(self, key: u16, id: &str) -> String {
+    fn request(self, instance: usize, key: u16, id: &str) -> String {
         let body = if self.may_repeat() { "" } else { "work" };
         let key = if self.has_key() {
             format!("x-shard-key: {key}\r\n")
@@ -118,7 +118,7 @@
         };
         format!(
             "{} HTTP/1.1\r\nhost: h.example\r\nx-request-id: {id}\r\nx-deadline-ms: {}\r\n\
-             {key}content-length: {}\r\n\r\n{body}",
+             {SENDER_HEADER}: {instance}\r\n{key}content-length: {}\r\n\r\n{body}",
             self.start(),
             self.stated_ms(),
             body.len(),
@@ -193,7 +193,7 @@
     pub async fn ask(&mut self, instance: usize, kind: Kind, key: u16, id: String) -> Option<Told> {
         let mut stream = self.connection(instance).await?;
         let sent = Instant::now();
-        let req = kind.request(key, &id);
+        let req = kind.request(instance, key, &id);
         let exchanged = tokio::time::timeout(PATIENCE, exchange(&mut stream, req.as_bytes())).await;
         let was = match exchanged.unwrap_or(Err(Cut::Open)) {
             Ok(answer) => {
--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -11,7 +11,7 @@
 use super::instance::{Excuse, Instance};
 use super::plan::{Fault, SHARDED, Soak};
 use super::proxy::{Mode, Proxy};
-use crate::shared::{FencedEndpoint, Ran, SharedStore, StoreFault, configuration};
+use crate::shared::{Excess, FencedEndpoint, Ran, STABLE, SharedStore, StoreFault, configuration};
 
 /// Time that endpoints work on a request.
 const WORK: Duration = Duration::from_millis(15);
@@ -30,6 +30,8 @@
     /// Earlier starts at its address.
     ended: Vec<FencedEndpoint>,
     link: Proxy,
+    /// Times in which the link misbehaved.
+    disturbed: Vec<(Instant, Option<Instant>)>,
     service: &'static str,
 }
 
@@ -41,11 +43,27 @@
             now,
             ended: Vec::new(),
             link,
+            disturbed: Vec::new(),
             service,
         })
     }
 }
 
+impl Server {
+    fn mend_link(&mut self) {
+        self.link.set(Mode::Pass);
+        for (_, until) in &mut self.disturbed {
+            until.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Whether the link misbehaves or has just done so.
+    fn is_disturbed(&self, at: Instant) -> bool {
+        let mut all = self.disturbed.iter();
+        all.any(|(from, until)| *from <= at && until.is_none_or(|until| at < until + STABLE))
+    }
+}
+
 fn started(name: &str, service: &str) -> io::Result<FencedEndpoint> {
     let endpoint = FencedEndpoint::start(name, service, service == "batch")?;
     endpoint.echo();
@@ -148,7 +166,10 @@
             Fault::StoreLink(n, mode) => self.instances[n].link.set(mode),
             Fault::Store(how) => self.store.fail(how),
             Fault::Forget => self.store.forget(),
-            Fault::EndpointLink(n, mode) => self.servers[n].link.set(mode),
+            Fault::EndpointLink(n, mode) => {
+                self.servers[n].link.set(mode);
+                self.servers[n].disturbed.push((Instant::now(), None));
+            }
             Fault::DropAnswers(n) => self.servers[n].now.drop_answers(true),
             Fault::Full(n) => self.servers[n].now.full(true),
             Fault::Slow(n) => self.servers[n].now.work(LONG_WORK),
@@ -156,6 +177,7 @@
             Fault::Reborn(n) => self.bear(n)?,
             Fault::Drain(n) => self.list(n, "draining"),
             Fault::Configure => self.configure(),
+            Fault::Limit(n, per_s) => self.servers[n].now.state_limit(Some(per_s)),
         }
         Ok(())
     }
@@ -177,11 +199,12 @@
             Fault::Pause(n) => self.instances[n].go_on(),
             Fault::StoreLink(n, _) => self.instances[n].link.set(Mode::Pass),
             Fault::Store(_) => self.store.fail(StoreFault::None),
-            Fault::EndpointLink(n, _) => self.servers[n].link.set(Mode::Pass),
+            Fault::EndpointLink(n, _) => self.servers[n].mend_link(),
             Fault::DropAnswers(n) => self.servers[n].now.drop_answers(false),
             Fault::Full(n) => self.servers[n].now.full(false),
             Fault::Slow(n) => self.servers[n].now.work(WORK),
             Fault::Late(n, _) => self.servers[n].now.put_off(None),
+            Fault::Limit(n, _) => self.servers[n].now.state_limit(None),
             Fault::Drain(n) => self.list(n, "ready"),
             Fault::HangUp(..) | Fault::Reborn(_) | Fault::Forget | Fault::Configure => {}
         }
@@ -228,18 +251,19 @@
     }
 
     /// Ends all faults.
-    pub fn heal(&self) {
+    pub fn heal(&mut self) {
         self.store.fail(StoreFault::None);
         for n in 0..self.servers.len() {
-            let server = &self.servers[n];
-            server.link.set(Mode::Pass);
+            let server = &mut self.servers[n];
+            server.mend_link();
             server.now.drop_answers(false);
             server.now.full(false);
             server.now.work(WORK);
             server.now.put_off(None);
+            server.now.state_limit(None);
             self.list(n, "ready");
         }
-        for instance in &self.instances {
+        for instance in &mut self.instances {
             instance.link.set(Mode::Pass);
             instance.go_on();
         }
@@ -315,6 +339,24 @@
             .collect()
     }
 
+    /// Times at which endpoints got more than they stated.
+    #[must_use]
+    pub fn excesses(&self) -> Vec<Excess> {
+        let is_excused = |server: &Server, sender: &str, at| {
+            let n = sender.parse::<usize>();
+            let instance = n.ok().and_then(|n| self.instances.get(n));
+            server.is_disturbed(at) || instance.is_none_or(|i| i.is_disturbed(at, STABLE))
+        };
+        let mut found = Vec::new();
+        for server in &self.servers {
+            for endpoint in server.ended.iter().chain([&server.now]) {
+                let log = endpoint.limits();
+                found.extend(log.excesses(|sender, at| is_excused(server, sender, at)));
+            }
+        }
+        found
+    }
+
     /// Folder with the logs of the instances.
     #[must_use]
     pub fn folder(&self) -> &Path {
--- a/crates/citronway-standin/src/soak/instance.rs
+++ b/crates/citronway-standin/src/soak/instance.rs
@@ -49,6 +49,8 @@
     /// It starts again as soon as its process has ended.
     returns: bool,
     excuses: Vec<Excuse>,
+    /// Times in which its process did not run, or stood still.
+    disturbed: Vec<(Instant, Option<Instant>)>,
 }
 
 impl Instance {
@@ -63,6 +65,7 @@
             stopping: false,
             returns: false,
             excuses: Vec::new(),
+            disturbed: Vec::new(),
         };
         instance.write_settings(None)?;
         Ok(instance)
@@ -106,6 +109,7 @@
             .stderr(Stdio::inherit())
             .spawn()?;
         self.process = Some(process);
+        self.end_disturbance();
         Ok(())
     }
 
@@ -134,13 +138,17 @@
     }
 
     /// Makes its process stand still.
-    pub fn pause(&self) {
+    pub fn pause(&mut self) {
+        self.begin_disturbance();
         self.signal(libc::SIGSTOP);
     }
 
     /// Lets its process go on.
-    pub fn go_on(&self) {
+    pub fn go_on(&mut self) {
         self.signal(libc::SIGCONT);
+        if self.process.is_some() {
+            self.end_disturbance();
+        }
     }
 
     /// Changes the grace in its settings and has them read again.
@@ -187,6 +195,22 @@
         &self.excuses
     }
 
+    /// Whether its process did not run at a moment, or less than `after` before it.
+    pub fn is_disturbed(&self, at: Instant, after: Duration) -> bool {
+        let mut all = self.disturbed.iter();
+        all.any(|(from, until)| *from <= at && until.is_none_or(|until| at < until + after))
+    }
+
+    fn begin_disturbance(&mut self) {
+        self.disturbed.push((Instant::now(), None));
+    }
+
+    fn end_disturbance(&mut self) {
+        for (_, until) in &mut self.disturbed {
+            until.get_or_insert_with(Instant::now);
+        }
+    }
+
     /// Notices that its process has ended.
     fn look(&mut self) -> io::Result<()> {
         if let Some(process) = &mut self.process
@@ -198,6 +222,7 @@
     }
 
     fn gone(&mut self) {
+        self.begin_disturbance();
         self.process = None;
         self.stopping = false;
     }
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -34,6 +34,18 @@
 /// the shortest are long beside the time for which a busy machine holds a process up.
 const GRACES_MS: [u64; 3] = [4_000, 6_000, 8_000];
 
+/// Fewest and most limits of one soak.
+const LIMITS: (usize, usize) = (2, 5);
+
+/// Limits that endpoints state, in requests a second: from none to more than callers send.
+const LIMITS_PER_S: [f64; 7] = [0.0, 0.4, 1.5, 4.0, 10.0, 30.0, 300.0];
+
+/// Shortest time for which an endpoint states a limit, in milliseconds.
+const SHORTEST_LIMIT_MS: u64 = 3_500;
+
+/// Sets the draws of the limits apart from those of the other faults.
+const LIMITS_STREAM: u64 = 0x006c_696d_6974;
+
 /// Sets the draws of the signals apart from those of the other faults.
 const SIGNALS_STREAM: u64 = 0x5167_6e61_6c73;
 
@@ -50,6 +62,8 @@
     /// Besides, a caller sends work again and again that crashes the endpoint without keys,
     /// which is back a moment later.
     pub harmful: bool,
+    /// Besides, endpoints state limits on the requests of all instances.
+    pub limits: bool,
 }
 
 impl Soak {
@@ -61,6 +75,7 @@
             instances: INSTANCES,
             signals: false,
             harmful: false,
+            limits: false,
         }
     }
 
@@ -81,10 +96,19 @@
             ..Self::with_signals(seed)
         }
     }
+
+    /// The same with limits that endpoints state.
+    #[must_use]
+    pub const fn with_limits(seed: u64) -> Self {
+        Self {
+            limits: true,
+            ..Self::with_harmful(seed)
+        }
+    }
 }
 
 /// Something that goes wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
     /// An instance is killed and starts again.
     Kill(usize),
@@ -118,10 +142,12 @@
     Drain(usize),
     /// A new configuration.
     Configure,
+    /// An endpoint states a limit, in requests a second.
+    Limit(usize, f64),
 }
 
 /// A fault with its time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Planned {
     /// When it begins, from the start of the soak.
     pub at: Duration,
@@ -149,6 +175,12 @@
             series(&mut rng, soak.instances, &mut plan);
         }
     }
+    if soak.limits {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ LIMITS_STREAM);
+        for _ in 0..rng.random_range(LIMITS.0..=LIMITS.1) {
+            plan.push(limit(&mut rng));
+        }
+    }
     plan.sort_by_key(|planned| planned.at);
     plan
 }
@@ -185,6 +217,15 @@
     }
 }
 
+fn limit(rng: &mut StdRng) -> Planned {
+    let per_s = LIMITS_PER_S[rng.random_range(0..LIMITS_PER_S.len())];
+    Planned {
+        at: Duration::from_millis(rng.random_range(0..LENGTH_MS / 2)),
+        lasts: Duration::from_millis(rng.random_range(SHORTEST_LIMIT_MS..LENGTH_MS)),
+        fault: Fault::Limit(rng.random_range(0..=SHARDED), per_s),
+    }
+}
+
 /// A stop is likeliest: it is what the others are to fall into.
 fn signal(rng: &mut StdRng, instance: usize) -> Fault {
     match rng.random_range(0..10) {
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -10,6 +10,7 @@
 use super::fleet::Fleet;
 use super::plan::{self, LENGTH_MS, Planned, Soak};
 use super::verdict::{self, Violation};
+use crate::shared::Excess;
 
 /// Callers at the same time.
 const CALLERS: u64 = 4;
@@ -107,6 +108,7 @@
         violations.extend(sends_on(&mut fleet).await?);
     }
     fleet.nothing_put_off().await;
+    violations.extend(fleet.excesses().iter().map(over_limit));
     violations.extend(verdict::check(&told, &fleet.ran(), &fleet.excuses()));
     let served = told.iter().filter(|told| is_served(told)).count();
     let logs = if violations.is_empty() {
@@ -127,6 +129,17 @@
     })
 }
 
+fn over_limit(excess: &Excess) -> Violation {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "limits are positive and small"
+    )]
+    let allowed = excess.allowed as u32;
+    let got = excess.got;
+    Violation::OverLimit { got, allowed }
+}
+
 fn callers(soak: &Soak) -> u64 {
     if !soak.signals {
         return CALLERS;
--- a/crates/citronway-standin/src/soak/verdict.rs
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -63,6 +63,13 @@
         /// Tries.
         tries: usize,
     },
+    /// An endpoint got more than it stated from instances that it had told.
+    OverLimit {
+        /// Requests in a window.
+        got: usize,
+        /// Requests that its limit allows.
+        allowed: u32,
+    },
     /// A key or a service was not served after all faults had ended.
     Unserved {
         /// What was asked for.
@@ -85,6 +92,12 @@
             Self::SentOn { times, tries } => {
                 write!(f, "harmful work was begun {times} times in {tries} tries")
             }
+            Self::OverLimit { got, allowed } => {
+                write!(
+                    f,
+                    "an endpoint got {got} requests where its limit allows {allowed}"
+                )
+            }
             Self::Unserved { what } => write!(f, "{what} is not served"),
         }
     }
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -117,6 +117,9 @@
         self.leadership.observe_term(report.term);
         let is_delegate = matches!(self.tree_position.role(now), Role::Delegate(_));
         self.record_signs(now, report, is_delegate);
+        if is_new_session {
+            self.cluster.stated_limits.make_all_due();
+        }
         if is_new_session && self.leadership.is_leader() {
             self.cluster.crashes.resend_newest_signs();
         }
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -38,6 +38,10 @@
 /// sent after it is known to be harmful.
 const FIXED_HARMFUL: [u64; 2] = [700, 701];
 
+/// Seeds that are always run, with endpoints that state limits. Both fail if instances do not keep
+/// them together.
+const FIXED_LIMITS: [u64; 2] = [800, 801];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -97,6 +101,9 @@
     for seed in FIXED_HARMFUL {
         expect_no_violations(&soak(Soak::with_harmful(seed)));
     }
+    for seed in FIXED_LIMITS {
+        expect_no_violations(&soak(Soak::with_limits(seed)));
+    }
 }
 
 /// Thirty instances, including delegates and leaders, are stopped, paused and killed in series
@@ -120,7 +127,7 @@
 fn fresh_seeds_keep_all_promises() {
     let base = uuid::Uuid::new_v4().as_u64_pair().0;
     for n in 0..NEW_SEEDS {
-        expect_no_violations(&soak(Soak::with_harmful(base.wrapping_add(n))));
+        expect_no_violations(&soak(Soak::with_limits(base.wrapping_add(n))));
     }
 }
 
@@ -133,7 +140,7 @@
     let first: u64 = first.parse().expect("a number");
     let last: u64 = last.parse().expect("a number");
     for seed in first..=last {
-        let mut soak_run = Soak::with_harmful(seed);
+        let mut soak_run = Soak::with_limits(seed);
         if let Ok(instances) = std::env::var("CITRONWAY_SOAK_INSTANCES") {
             soak_run.instances = instances.parse().expect("a number");
         }
--- a/crates/citronway/tests/gateway_stated_limits.rs
+++ b/crates/citronway/tests/gateway_stated_limits.rs
@@ -18,7 +18,7 @@
 const USED_PART: f64 = 0.9;
 
 /// Callers of an instance, each of which sends one request after the other.
-const CALLERS: u64 = 4;
+const CALLERS: usize = 4;
 
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(40);
@@ -26,7 +26,7 @@
 /// Time that callers wait, in milliseconds.
 const CALLER_WAIT_MS: u64 = 1_500;
 
-/// A key of endpoint `a` or `b`, whichever owns the lower half.
+/// Key of the requests.
 const KEY: u16 = 7;
 
 /// Callers that send requests to an instance until they are dropped.
@@ -37,8 +37,18 @@
 
 impl Load {
     fn start(instance: &Instance, start: &'static str) -> Self {
+        Self::on_keys(instance, start, [KEY; CALLERS], PAUSE)
+    }
+
+    /// One caller for each key.
+    fn on_keys(
+        instance: &Instance,
+        start: &'static str,
+        keys: [u16; CALLERS],
+        pause: Duration,
+    ) -> Self {
         let stop = Arc::<AtomicBool>::default();
-        let callers = (0..CALLERS).map(|n| {
+        let callers = keys.into_iter().enumerate().map(|(n, key)| {
             let stop = Arc::clone(&stop);
             let (address, name) = (instance.callers, instance.name().to_owned());
             std::thread::spawn(move || {
@@ -46,12 +56,12 @@
                 while !stop.load(Ordering::Relaxed) {
                     let id = format!("{name}-{n}-{sent}");
                     let headers = format!(
-                        "X-Request-Id: {id}\r\nX-Shard-Key: {KEY}\r\n{SENDER_HEADER}: {name}\r\n"
+                        "X-Request-Id: {id}\r\nX-Shard-Key: {key}\r\n{SENDER_HEADER}: {name}\r\n"
                     );
                     // A stopping instance may take no connection.
                     let _ = exchange(address, &head(start, &headers, CALLER_WAIT_MS, 0), "");
                     sent += 1;
-                    std::thread::sleep(PAUSE);
+                    std::thread::sleep(pause);
                 }
             })
         });
@@ -84,27 +94,27 @@
     excesses.first().copied()
 }
 
-/// The endpoint that owns [`KEY`].
-fn owner(deployment: &Deployment) -> &FencedEndpoint {
-    until("the key has an owner", || {
-        deployment.a.holds(KEY) || deployment.b.holds(KEY)
-    });
-    if deployment.a.holds(KEY) {
-        return &deployment.a;
-    }
-    &deployment.b
+/// A deployment in which endpoint `a` owns all keys.
+fn one_owner() -> Deployment {
+    let deployment = Deployment::new();
+    deployment.unlist(&deployment.b);
+    deployment
 }
 
 fn three_instances(deployment: &Deployment) -> [Instance; 3] {
-    ["one", "two", "three"].map(|name| deployment.ready_instance(name))
+    let instances = ["one", "two", "three"].map(|name| deployment.ready_instance(name));
+    until("the key has an owner", || {
+        deployment.a.holds(KEY) || deployment.b.holds(KEY)
+    });
+    instances
 }
 
 /// Guards against instances that together send an endpoint more than it states.
 #[gtest]
 fn all_instances_together_keep_the_limit_that_an_endpoint_states() {
-    let deployment = Deployment::new();
+    let deployment = one_owner();
     let instances = three_instances(&deployment);
-    let owner = owner(&deployment);
+    let owner = &deployment.a;
     let endpoints = [(owner, 6.0), (&deployment.c, 4.0)];
     let _keyed = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
     let _others = instances
@@ -127,3 +137,172 @@
         expect_that!(used, ge(per_s * USED_PART), "{name}");
     }
 }
+
+/// Guards against fixed shares of a limit: one instance has all the work and may use a third.
+#[gtest]
+fn an_instance_that_has_all_the_work_uses_the_whole_limit() {
+    let deployment = one_owner();
+    let instances = three_instances(&deployment);
+    let owner = &deployment.a;
+    let _load = Load::start(&instances[1], "GET /look/1");
+    owner.state_limit(Some(8.0));
+    let (from, until) = watch();
+    expect_that!(first_excess(owner), none());
+    let used = owner.limits().arrived(from, until) as f64 / WATCHED.as_secs_f64();
+    expect_that!(used, ge(8.0 * USED_PART));
+}
+
+/// Guards against a limit that outlives its end, and against an endpoint with a limit of zero that
+/// is never asked again.
+#[gtest]
+fn a_limit_of_zero_ends_with_an_answer_that_states_none() {
+    let deployment = one_owner();
+    let instances = three_instances(&deployment);
+    let owner = &deployment.a;
+    let _load = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
+    owner.state_limit(Some(0.0));
+    watch();
+    expect_that!(first_excess(owner), none());
+    owner.state_limit(None);
+    for instance in &instances {
+        until("the limit has ended", || {
+            instance
+                .metrics()
+                .contains("citronway_limited_endpoints 0\n")
+        });
+    }
+    let from = Instant::now();
+    std::thread::sleep(STABLE);
+    expect_that!(owner.limits().arrived(from, Instant::now()), ge(100));
+}
+
+/// Guards against a limit that holds only at instances with an answer of their own: one that
+/// starts, and one that has had no request, know it from the others.
+#[gtest]
+fn instances_that_were_not_told_hear_of_a_limit() {
+    let deployment = one_owner();
+    let mut instances = three_instances(&deployment);
+    let owner = &deployment.a;
+    owner.state_limit(Some(5.0));
+    let _load = Load::start(&instances[0], "GET /look/1");
+    let knows = |instance: &Instance| {
+        let metrics = instance.metrics();
+        metrics.contains("citronway_limited_endpoints 1\n")
+    };
+    for instance in &instances {
+        until("the limit is known", || knows(instance));
+    }
+    instances[2].kill();
+    deployment.restart(&mut instances[2]);
+    until("the limit is known after a start", || knows(&instances[2]));
+}
+
+/// Guards against requests that wait for a limited endpoint while others are free.
+#[gtest]
+fn other_endpoints_take_what_a_limited_one_does_not() {
+    let deployment = Deployment::new();
+    let other = FencedEndpoint::start("i-d", "console", false).expect("an endpoint");
+    deployment.list(&other, "ready");
+    let instances = three_instances(&deployment);
+    deployment.c.state_limit(Some(2.0));
+    let _load = instances
+        .each_ref()
+        .map(|i| Load::start(i, "POST /order/1"));
+    let (from, until) = watch();
+    expect_that!(first_excess(&deployment.c), none());
+    expect_that!(other.limits().arrived(from, until), ge(200));
+    for instance in &instances {
+        let metrics = instance.metrics();
+        expect_that!(metrics, not(contains_substring("endpoint_limited")));
+    }
+}
+
+/// Guards against a limit that is lost with the leader that grants the sends, and with an instance
+/// that stops while callers use their open connections.
+#[gtest]
+fn a_limit_is_kept_while_instances_stop_and_the_leader_is_lost() {
+    let deployment = one_owner();
+    let mut instances = three_instances(&deployment);
+    let owner = &deployment.a;
+    let _load = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
+    owner.state_limit(Some(6.0));
+    std::thread::sleep(STABLE);
+    let leader = deployment.leader().expect("a leader");
+    let lost = instances.iter().position(|i| i.name() == leader);
+    let lost = lost.expect("the leader is one of the instances");
+    instances[lost].kill();
+    instances[(lost + 1) % 3].terminate();
+    watch();
+    let is_excused = |sender: &str, _: Instant| sender == leader;
+    let excesses = owner.limits().excesses(is_excused);
+    expect_that!(excesses.first(), none());
+}
+
+/// Guards against a malformed limit that ends or changes the one before, or stops the service.
+#[gtest]
+fn malformed_limits_change_nothing_and_are_counted() {
+    let deployment = one_owner();
+    let instance = deployment.ready_instance("one");
+    let owner = &deployment.a;
+    let _load = Load::start(&instance, "GET /look/1");
+    owner.state_texts(&["many"]);
+    until("it is counted", || {
+        let metrics = instance.metrics();
+        let counted = |line: &str| line.starts_with("citronway_unusable_total{source=\"limit\"}");
+        metrics.lines().any(counted)
+    });
+    expect_that!(
+        instance.metrics(),
+        contains_substring("citronway_limited_endpoints 0\n")
+    );
+    owner.state_limit(Some(5.0));
+    until("the limit is known", || {
+        let metrics = instance.metrics();
+        metrics.contains("citronway_limited_endpoints 1\n")
+    });
+    owner.state_texts(&["5.0", "6.0"]);
+    watch();
+    expect_that!(first_excess(owner), none());
+}
+
+/// Guards against a refusal that waits for its deadline, or that names no time to come back.
+#[gtest]
+fn what_a_limit_leaves_no_room_for_is_refused_at_once() {
+    let deployment = one_owner();
+    let instance = deployment.ready_instance("one");
+    let owner = &deployment.a;
+    let _load = Load::start(&instance, "GET /look/1");
+    owner.state_limit(Some(0.2));
+    let mut refusal = None;
+    until("a request is refused", || {
+        let sent = Instant::now();
+        let reply = instance.call("POST /apply/1", "probe", KEY, "x");
+        if reply.status == 503 && reply.body == "endpoint_limited" {
+            refusal = Some((reply, sent.elapsed()));
+        }
+        refusal.is_some()
+    });
+    let (reply, took) = refusal.expect("a refusal");
+    let retry_after = reply.header("retry-after").map(str::parse::<f64>);
+    expect_that!(retry_after, some(ok(gt(&0.0))));
+    expect_that!(took, lt(Duration::from_secs(1)));
+}
+
+/// Guards against keys that stay at an endpoint whose limit is too low for them while another one
+/// has room.
+#[gtest]
+fn keys_move_away_from_a_limited_endpoint() {
+    let deployment = Deployment::new();
+    let instances = three_instances(&deployment);
+    let (limited, other) = if deployment.a.holds(KEY) {
+        (&deployment.a, &deployment.b)
+    } else {
+        (&deployment.b, &deployment.a)
+    };
+    let keys = [KEY, KEY + 1, KEY + 2, KEY + 3];
+    let pause = Duration::from_millis(400);
+    let _load = Load::on_keys(&instances[0], "GET /look/1", keys, pause);
+    limited.state_limit(Some(2.0));
+    until("a key moves", || keys.iter().any(|key| other.holds(*key)));
+    expect_that!(first_excess(limited), none());
+}
