--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -64,6 +64,10 @@
     }
 }
 
+fn is_harmful(ran: &Ran) -> bool {
+    ran.what.ends_with(HARMFUL_PATH)
+}
+
 fn started(name: &str, service: &str) -> io::Result<FencedEndpoint> {
     let endpoint = FencedEndpoint::start(name, service, service == "batch")?;
     endpoint.echo();
@@ -231,8 +235,18 @@
     /// Times that harmful work was begun.
     #[must_use]
     pub fn harm_done(&self) -> usize {
-        let harmful = |ran: &Ran| ran.what.ends_with(HARMFUL_PATH);
-        self.ran().iter().filter(|ran| harmful(ran)).count()
+        self.ran().iter().filter(|ran| is_harmful(ran)).count()
+    }
+
+    /// Number of endpoints that crashed with harmful work.
+    #[must_use]
+    pub fn crashed_by_harm(&self) -> usize {
+        let all = self.servers.iter();
+        let endpoints = all.flat_map(|server| server.ended.iter().chain([&server.now]));
+        endpoints
+            .filter(|endpoint| endpoint.has_crashed())
+            .filter(|endpoint| endpoint.ran().iter().any(is_harmful))
+            .count()
     }
 
     /// An endpoint ends without a word, and another starts at its address.
