--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod kept;
 mod view;
+mod wait;
 
 use indexmap::IndexMap;
 
@@ -408,7 +409,7 @@
     ) -> Option<Refusal> {
         let wait_ms = self
             .busy_ms(now, view, job)
-            .max(choose::expected_wait_ms(view, job, ahead));
+            .max(wait::expected_wait_ms(view, job, ahead));
         let due = now.plus(wait_ms + job.work_ms);
         let is_evacuated = cause == RefusalReason::Evacuated;
         // An answer that misses the latency objective still has some worth. A request that cannot
--- /dev/null
+++ b/crates/citronway-core/src/gateway/admission/wait.rs
@@ -0,0 +1,57 @@
+//! Expected waiting times of queued requests.
+
+use super::choose::range_of;
+use crate::gateway::admission::{Admission, Job, ReportedLoad, View};
+use crate::gateway::pace::EndpointTag;
+use crate::gateway::registry::ListedEndpoint;
+use crate::gateway::stated_limits::MIN_PER_S;
+
+/// Expected waiting time of a request with `ahead` requests before it, in milliseconds.
+pub(super) fn expected_wait_ms(view: &View, job: &Job, ahead: u32) -> u64 {
+    let tag = Admission::queue_key(view, job);
+    let unknown = ReportedLoad::unknown();
+    let reported = view.reported_loads.get(&tag).unwrap_or(&unknown);
+    let work = job.work_ms.max(1) as f64 * reported.slowness;
+    let rate = |listed: &ListedEndpoint| requests_per_ms(view, listed, work);
+    let all_per_ms = match range_of(view, job) {
+        Some(range) => view
+            .registry
+            .get(&range.holder.endpoint)
+            .map_or(1.0 / work, rate),
+        None => view
+            .registry
+            .of_service(&job.service)
+            .filter(|listed| listed.accepts_work())
+            .map(rate)
+            .sum(),
+    };
+    // The queues of other instances are assumed to be like this one's: each has as many requests
+    // that go first, but all together no more than were reported.
+    let own = f64::from(ahead);
+    let others = f64::from(view.instances.max(1) - 1);
+    let theirs = f64::from(reported.waiting).min(own * others);
+    let per_ms = if all_per_ms > 0.0 {
+        all_per_ms
+    } else {
+        1.0 / work
+    };
+    let wait = (own + theirs) / per_ms;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a wait is positive and far below the range"
+    )]
+    let wait_ms = wait as u64;
+    wait_ms
+}
+
+/// Requests a millisecond that an endpoint takes: as many as its slots allow, or its limit if
+/// that is lower.
+fn requests_per_ms(view: &View, listed: &ListedEndpoint, work_ms: f64) -> f64 {
+    let by_slots = f64::from(listed.listing.slots) / work_ms;
+    let tag = EndpointTag::of(&listed.listing.start);
+    let limit = view.limits.get(&tag);
+    limit.map_or(by_slots, |per_s| {
+        by_slots.min(per_s.max(MIN_PER_S) / 1_000.0)
+    })
+}
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -12,14 +12,11 @@
     EndpointPace, EndpointTotal, EndpointUse, KeySamples, MemberState, Report, Totals, Versions,
 };
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
-use citronway_core::gateway::stated_limits::StatedLimit;
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 
 use crate::cold::{self, ColdAsked, ColdReply};
 use crate::pack;
-use crate::report_capnp::{
-    datagram, endpoint_use, member, relay, report, row, sign, stated_limit, totals,
-};
+use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
 use crate::stated_limits::{self, LimitedSendReply, LimitedSendRequest};
 use crate::trial::{self, EndedTrial, TrialReply};
 
@@ -161,7 +158,7 @@
     for (i, suspect) in from.suspects.iter().enumerate() {
         list.set(length(i), suspect.0);
     }
-    write_limits(
+    stated_limits::write_all(
         &from.limits,
         to.reborrow().init_limits(length(from.limits.len())),
     );
@@ -174,22 +171,6 @@
     }
 }
 
-fn write_limits(
-    from: &[StatedLimit],
-    mut to: capnp::struct_list::Builder<'_, stated_limit::Owned>,
-) {
-    for (i, stated) in from.iter().enumerate() {
-        stated_limits::write_limit(stated, to.reborrow().get(length(i)));
-    }
-}
-
-fn read_limits(
-    from: capnp::struct_list::Reader<'_, stated_limit::Owned>,
-) -> Result<Vec<StatedLimit>, ReportError> {
-    let limits = from.iter().map(stated_limits::read_limit);
-    limits.collect()
-}
-
 /// Code of a table between instances.
 #[must_use]
 pub const fn code_of(table: Table) -> u8 {
@@ -265,7 +246,7 @@
     for (i, sign) in from.signs.iter().enumerate() {
         write_sign(*sign, list.reborrow().get(length(i)));
     }
-    write_limits(
+    stated_limits::write_all(
         &from.limits,
         to.reborrow().init_limits(length(from.limits.len())),
     );
@@ -415,7 +396,7 @@
         paces: paces.collect(),
         refused: refused.collect(),
         suspects: from.get_suspects()?.iter().map(Fingerprint).collect(),
-        limits: read_limits(from.get_limits()?)?,
+        limits: stated_limits::read_all(from.get_limits()?)?,
         members: members.collect(),
     })
 }
@@ -490,7 +471,7 @@
         members,
         signs: from.get_signs()?.iter().map(read_sign).collect(),
         first_sign: from.get_first_sign(),
-        limits: read_limits(from.get_limits()?)?,
+        limits: stated_limits::read_all(from.get_limits()?)?,
     })
 }
 
--- a/crates/citronway-wire/src/stated_limits.rs
+++ b/crates/citronway-wire/src/stated_limits.rs
@@ -87,7 +87,26 @@
     })
 }
 
-pub(crate) fn write_limit(from: &StatedLimit, mut to: stated_limit::Builder<'_>) {
+pub(crate) fn write_all(
+    from: &[StatedLimit],
+    mut to: capnp::struct_list::Builder<'_, stated_limit::Owned>,
+) {
+    for (i, stated) in from.iter().enumerate() {
+        write_limit(
+            stated,
+            to.reborrow().get(u32::try_from(i).unwrap_or(u32::MAX)),
+        );
+    }
+}
+
+pub(crate) fn read_all(
+    from: capnp::struct_list::Reader<'_, stated_limit::Owned>,
+) -> Result<Vec<StatedLimit>, ReportError> {
+    let limits = from.iter().map(read_limit);
+    limits.collect()
+}
+
+fn write_limit(from: &StatedLimit, mut to: stated_limit::Builder<'_>) {
     to.set_endpoint(from.endpoint.0);
     to.set_age_ms(from.age_ms);
     match from.per_s {
@@ -96,7 +115,7 @@
     }
 }
 
-pub(crate) fn read_limit(from: stated_limit::Reader<'_>) -> Result<StatedLimit, ReportError> {
+fn read_limit(from: stated_limit::Reader<'_>) -> Result<StatedLimit, ReportError> {
     let per_s = match from.which()? {
         stated_limit::Which::PerS(per_s) => Some(rate(per_s)?),
         stated_limit::Which::None(()) => None,
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -454,18 +454,6 @@
         Ok(Exchanged { kind, answer })
     }
 
-    /// Records the limit that an answer states. An answer that may be another process's states
-    /// nothing about the endpoint.
-    fn record_stated_limit(&self, choice: &Choice, kind: AnswerKind, headers: &http::HeaderMap) {
-        if matches!(kind, AnswerKind::Foreign | AnswerKind::Misdirected) {
-            return;
-        }
-        match exchange::stated_limit(headers) {
-            Ok(per_s) => self.state.record_stated_limit(&choice.endpoint, per_s),
-            Err(e) => self.state.record_unusable_limit(&choice.endpoint, &e),
-        }
-    }
-
     async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
         let now = clock::mono();
         let kept = {
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -1,6 +1,7 @@
 //! State that all requests of the traffic thread share.
 
 mod guards;
+mod limits;
 mod phase;
 
 use std::cell::{Cell, RefCell};
@@ -14,10 +15,8 @@
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
-use citronway_core::gateway::stated_limits::{SendGrant, StatedLimit};
 use citronway_core::ids::{EndpointStart, ServiceName};
 use citronway_core::time::Mono;
-use citronway_platform::DecodeError;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -27,7 +26,6 @@
 use super::pool::Pool;
 use super::seen::TrafficReport;
 use crate::clock;
-use crate::gateway::control::Source;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
 
@@ -38,9 +36,6 @@
 /// Weight of the newest answer in a route's mean work time and mean answer size.
 const MEAN_WEIGHT: f64 = 0.02;
 
-/// Shortest interval between two log lines about unusable limits, in milliseconds.
-const UNUSABLE_LIMIT_LOG_MS: u64 = 1_000;
-
 /// State of the traffic thread.
 #[derive(Debug)]
 pub(super) struct State {
@@ -295,45 +290,6 @@
         admission.record_rejection(clock::mono(), &self.view.borrow(), &job.service);
     }
 
-    /// Records what an answer of the endpoint states of its limit.
-    pub(super) fn record_stated_limit(&self, endpoint: &EndpointStart, per_s: Option<f64>) {
-        let now = clock::mono();
-        let mut stated = self.stated_limits.borrow_mut();
-        stated.insert(EndpointTag::of(endpoint), (per_s, now));
-    }
-
-    /// Requests a second that a limited endpoint takes from all instances together.
-    pub(super) fn limit_per_s(&self, endpoint: EndpointTag) -> Option<f64> {
-        self.view.borrow().limits.get(&endpoint).copied()
-    }
-
-    /// Number of sends that an admitted request has to ask for before it is sent.
-    pub(super) fn grants_to_ask(&self, choice: &Choice, ticket: u64) -> Option<u32> {
-        self.admission
-            .borrow()
-            .grants_to_ask(&choice.endpoint, ticket)
-    }
-
-    /// Records the answer to a request that asked for sends.
-    pub(super) fn record_grant(&self, choice: &Choice, ticket: u64, grant: SendGrant) {
-        self.admission
-            .borrow_mut()
-            .record_grant(clock::mono(), &choice.endpoint, ticket, grant);
-        self.decide_waiting();
-    }
-
-    /// Counts a limit that cannot be used; it changes nothing.
-    pub(super) fn record_unusable_limit(&self, endpoint: &EndpointStart, e: &DecodeError) {
-        self.metrics.count_unusable(Source::Limit, 1);
-        let now = clock::mono();
-        let logged_at = self.unusable_limit_logged_at.get();
-        if logged_at.is_some_and(|at| now.since(at) < UNUSABLE_LIMIT_LOG_MS) {
-            return;
-        }
-        self.unusable_limit_logged_at.set(Some(now));
-        log::warn!(endpoint:%, cause = e.to_string(); "stated limit cannot be used");
-    }
-
     /// Whether an endpoint has announced that it is draining, or is not listed.
     pub(super) fn is_leaving(&self, endpoint: &EndpointStart) -> bool {
         let view = self.view.borrow();
@@ -502,19 +458,6 @@
         }
     }
 
-    fn take_stated_limits(&self) -> Vec<StatedLimit> {
-        let now = clock::mono();
-        let stated = self.stated_limits.take();
-        let stated = stated
-            .into_iter()
-            .map(|(endpoint, (per_s, at))| StatedLimit {
-                endpoint,
-                per_s,
-                age_ms: u32::try_from(now.since(at)).unwrap_or(u32::MAX),
-            });
-        stated.collect()
-    }
-
     /// Keeps the crash signs of a report that could not be sent, for the next report.
     pub(super) fn restore_signs(&self, signs: Vec<Sign>) {
         self.signs.borrow_mut().extend(signs);
--- a/crates/citronway/tests/gateway_stated_limits.rs
+++ b/crates/citronway/tests/gateway_stated_limits.rs
@@ -306,3 +306,26 @@
     until("a key moves", || keys.iter().any(|key| other.holds(*key)));
     expect_that!(first_excess(limited), none());
 }
+
+/// Guards against a limit that does not reach instances that report through delegates.
+#[gtest]
+fn thirty_instances_hear_of_a_limit_that_one_was_told() {
+    let deployment = one_owner();
+    let instances: Vec<_> = (0..30)
+        .map(|n| deployment.instance(&format!("front-{n}")))
+        .collect();
+    for instance in &instances {
+        until("the instance is ready", || instance.is_ready());
+    }
+    until("the key has an owner", || deployment.a.holds(KEY));
+    let _load = Load::start(&instances[17], "GET /look/1");
+    deployment.a.state_limit(Some(10.0));
+    let stated = Instant::now();
+    for instance in &instances {
+        until("the limit is known", || {
+            let metrics = instance.metrics();
+            metrics.contains("citronway_limited_endpoints 1\n")
+        });
+    }
+    println!("known at all instances after {:?}", stated.elapsed());
+}
