Log where a configuration came from, and export the version in force

Callers got 404 for a route that the operator had added. Logs could not tell whether an instance had heard of the version late, by whom, or was late to apply it: lines kept from an instance end before such an incident is looked at, and no metric had the version. The line now has source (store, relay, copy), citronway_config_version the version; no decision is changed.

--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -6,7 +6,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::own_rows;
-use super::{BEHIND_MS, Cluster};
+use super::{BEHIND_MS, Cluster, RowSource};
 
 impl Cluster {
     /// The changes that bring what this instance knows of a table to `rows`, a list of all
@@ -74,7 +74,7 @@
             Table::Config | Table::Endpoints if copy.after == Version(0) => Some(copy.position),
             Table::Config | Table::Endpoints | Table::Own => None,
         };
-        self.apply_rows(now, copy.table, &copy.rows, list_version);
+        self.apply_rows(now, copy.table, RowSource::Copy, &copy.rows, list_version);
         self.table_state(copy.table).advance_position(copy.position);
     }
 
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -54,6 +54,28 @@
     Regained,
 }
 
+/// Where rows of a table came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RowSource {
+    /// The store itself.
+    Store,
+    /// The leader, which relayed them.
+    Relay,
+    /// A copy that another instance sent on request.
+    Copy,
+}
+
+impl RowSource {
+    /// Name for logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Relay => "relay",
+            Self::Copy => "copy",
+        }
+    }
+}
+
 /// How far a table is known.
 #[derive(Debug, Default)]
 pub(super) struct TableState {
@@ -188,7 +210,7 @@
         };
         self.last_heard_at = now;
         let status = self.mark_regained(now, table);
-        self.apply_rows(now, table, &rows, list_version);
+        self.apply_rows(now, table, RowSource::Store, &rows, list_version);
         self.table_state(table).advance_position(position);
         status
     }
@@ -206,7 +228,7 @@
     pub(super) fn apply_relay(&mut self, now: Mono, relay: &Relay) {
         self.last_heard_at = now;
         self.mark_regained(now, relay.table);
-        self.apply_rows(now, relay.table, &relay.rows, None);
+        self.apply_rows(now, relay.table, RowSource::Relay, &relay.rows, None);
         for patch in &relay.patches {
             self.apply_patch(patch);
         }
@@ -227,7 +249,14 @@
 
     /// Applies rows of a table. `list_version` is the version of the store if `rows` are all rows
     /// of the table.
-    fn apply_rows(&mut self, now: Mono, table: Table, rows: &[Row], list_version: Option<Version>) {
+    fn apply_rows(
+        &mut self,
+        now: Mono,
+        table: Table,
+        source: RowSource,
+        rows: &[Row],
+        list_version: Option<Version>,
+    ) {
         if rows.is_empty() && list_version.is_none() {
             return;
         }
@@ -244,7 +273,7 @@
         }
         match table {
             Table::Config => {
-                self.apply_config_rows(rows);
+                self.apply_config_rows(source, rows);
                 let learned_at = (!is_first).then_some(now);
                 self.apply_evacuation_rows(now, learned_at, rows, list_version);
             }
@@ -288,7 +317,7 @@
         StoreStatus::Regained
     }
 
-    fn apply_config_rows(&mut self, rows: &[Row]) {
+    fn apply_config_rows(&mut self, source: RowSource, rows: &[Row]) {
         for row in rows {
             let Some(value) = row.value.as_deref().filter(|_| row.key == CONFIG_KEY) else {
                 continue;
@@ -306,7 +335,8 @@
             if old.is_some_and(|old| routes.version <= old) {
                 continue;
             }
-            log::info!(version = routes.version.0, row = row.version.0; "configuration in force");
+            let (version, row, source) = (routes.version.0, row.version.0, source.as_str());
+            log::info!(version, row, source; "configuration in force");
             self.unusable.record_findings(&findings);
             let services = routes.services.keys().cloned().collect();
             Arc::make_mut(&mut self.registry).set_services(services);
@@ -314,6 +344,11 @@
         }
     }
 
+    /// Version of the configuration in force; `None` until the first one is known.
+    pub(super) fn config_version(&self) -> Option<u64> {
+        self.routes.as_ref().map(|routes| routes.version.0)
+    }
+
     /// Whether the leader is heard, also if it is unfit.
     pub(super) fn hears_leader(&self, now: Mono) -> bool {
         let leader = self.leader.as_ref();
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -417,6 +417,9 @@
         }
         self.step_crashes(now, events);
         self.step_cold(now);
+        if let Some(version) = self.cluster.config_version() {
+            self.metrics.set_config_version(version);
+        }
         let (zones, ranges) = self.cluster.count_evacuated();
         self.metrics.set_evacuated(zones, ranges);
         for (source, count) in self.cluster.unusable.take_counts() {
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -142,6 +142,7 @@
     crash_suspects: Gauge,
     trials: Family<AnswerLabels, Counter>,
     cold: Family<AnswerLabels, Counter>,
+    config_version: Gauge,
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
     limited_endpoints: Gauge,
@@ -197,6 +198,9 @@
         let cold = Family::default();
         let help = "Requests for sends to cold endpoints, by answer";
         registry.register("cold_sends", help, cold.clone());
+        let config_version = Gauge::default();
+        let help = "Version of the configuration in force";
+        registry.register("config_version", help, config_version.clone());
         let evacuated_zones = Gauge::default();
         let help = "Availability zones that are evacuated";
         registry.register("evacuated_zones", help, evacuated_zones.clone());
@@ -229,6 +233,7 @@
             crash_suspects,
             trials,
             cold,
+            config_version,
             evacuated_zones,
             evacuated_ranges,
             limited_endpoints,
@@ -383,6 +388,12 @@
         self.limited_sends.get_or_create(&labels).inc();
     }
 
+    /// Sets the version of the configuration in force.
+    pub(super) fn set_config_version(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.config_version.set(version);
+    }
+
     /// Sets the number of evacuated zones and of key ranges still owned in them.
     pub(super) fn set_evacuated(&self, zones: usize, ranges: usize) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
