Confirm the configuration, and fetch it where the confirmation grows old

Cause: the leader alone reads the store for all. The store stopped answering it (and a third of the others) just before the change. Its polls time out after 1.5 s, the first standby is refused too, and the others ask only once a successor has told them that they are behind: an instance that is behind does not know it, and answers on trust.

Change: whoever reads the store confirms the configuration; reports, totals and copies carry the confirmation and its age. Past half of the time in which changes must be in force an instance asks the store and other instances; past four fifths an unknown route gets 503 and a time to come back. Where nobody confirms anything after three attempts the store is out for all, and service goes on. The leader polls the configuration every quarter of that time, and relays what it had to copy.

Ruled out: shorter time-outs of the leader's polls (a lost relay, a lost delegate or a starved instance stay unseen), polls by each instance (price), 503 for all routes (turns callers away in each outage).

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -56,6 +56,9 @@
     fn belief(&self) -> Option<String> {
         let what = match self.message.as_str() {
             "configuration in force" => "configuration".to_owned(),
+            "configuration not confirmed; fetching it" | "configuration confirmed again" => {
+                "confirmation of the configuration".to_owned()
+            }
             "assignment" => format!("owners of {}", self.text("service")?),
             "leader" => "leader".to_owned(),
             "endpoint listed" | "endpoint no longer listed" => self.text("endpoint")?.to_owned(),
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -103,11 +103,13 @@
     UnderTrial,
     /// The endpoint states a limit that leaves no room for the request before its deadline.
     EndpointLimited,
+    /// The configuration known here may not be the newest one, and a newer one may decide otherwise.
+    UnconfirmedConfiguration,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -120,6 +122,7 @@
         Self::CrashesEndpoints,
         Self::UnderTrial,
         Self::EndpointLimited,
+        Self::UnconfirmedConfiguration,
     ];
 
     /// Name of the reason in logs, metrics and answers.
@@ -138,6 +141,7 @@
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::UnderTrial => "under_trial",
             Self::EndpointLimited => "endpoint_limited",
+            Self::UnconfirmedConfiguration => "unconfirmed_configuration",
         }
     }
 }
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod crashes;
 pub mod election;
 pub mod evacuation;
+pub mod freshness;
 pub mod keyload;
 pub mod leader;
 pub mod limit;
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::crashes::{Fingerprint, RefusedWork, Sign};
 use crate::gateway::election::Strength;
+use crate::gateway::freshness::Confirmation;
 use crate::gateway::pace::{Answers, EndpointTag};
 use crate::gateway::rows::{Row, Table};
 use crate::gateway::stated_limits::StatedLimit;
@@ -58,6 +59,8 @@
     pub first_sign: u64,
     /// What endpoints stated of their limits, including what members reported.
     pub limits: Vec<StatedLimit>,
+    /// When its configuration was the newest one; `None` if that was never confirmed.
+    pub confirmed: Option<Confirmation>,
 }
 
 /// State of an instance whose report is included in the report of its delegate.
@@ -178,6 +181,9 @@
     pub suspects: Vec<Fingerprint>,
     /// What endpoints stated of their limits.
     pub limits: Vec<StatedLimit>,
+    /// When the configuration of the sender, a leader or delegate, was the newest one; `None` if
+    /// that was never confirmed.
+    pub confirmed: Option<Confirmation>,
     /// Addresses to which the receiving delegate forwards the totals; empty for others.
     pub members: Vec<SocketAddr>,
 }
--- a/crates/citronway-core/src/gateway/rows.rs
+++ b/crates/citronway-core/src/gateway/rows.rs
@@ -1,6 +1,7 @@
 //! Tables of the store that an instance follows, their rows, and the relay of rows to other
 //! instances.
 
+use crate::gateway::freshness::Confirmation;
 use crate::ids::Version;
 
 /// A table that an instance follows. Instances write only to [`Table::Own`].
@@ -56,6 +57,8 @@
     pub rows: Vec<Row>,
     /// Changes of large rows that stay mostly the same.
     pub patches: Vec<Patch>,
+    /// In a copy of the configuration: when the sender's was the newest one, if that was confirmed.
+    pub confirmed: Option<Confirmation>,
 }
 
 /// Difference between two versions of the row of an assignment.
--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -32,6 +32,8 @@
     /// Time from the acknowledgement of an evacuation until the zone's endpoints get no more
     /// requests, in milliseconds.
     pub evacuation_ms: u64,
+    /// Time from the acknowledgement of a configuration until it must be in force, in milliseconds.
+    pub config_apply_ms: u64,
     /// Factor by which requests to a cold endpoint may exceed the rate that its service states.
     pub cold_overage: f64,
     /// Memory available to the instance, in megabytes.
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -157,6 +157,16 @@
   suspects @18 :List(UInt64);
   # Work that was at an endpoint that crashed.
   limits @19 :List(StatedLimit);
+  confirmed @20 :Confirmation;
+  # Absent where the configuration was never confirmed.
+}
+
+struct Confirmation {
+  # The store had no newer row of the configuration.
+  version @0 :UInt64;
+  # Version of the newest row.
+  ageMs @1 :UInt32;
+  # Time since then, in milliseconds.
 }
 
 struct RefusedWork {
@@ -201,6 +211,8 @@
   position @2 :UInt64;
   rows @3 :List(Row);
   patches @4 :List(Patch);
+  confirmed @5 :Confirmation;
+  # In copies of the configuration; absent where it was never confirmed.
 }
 
 struct Patch {
@@ -246,6 +258,8 @@
   firstSign @14 :UInt64;
   # Number of the first of these signs.
   limits @15 :List(StatedLimit);
+  confirmed @16 :Confirmation;
+  # Absent where the configuration was never confirmed.
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! refused with a [`WireError`] that names the field at fault.
 
 pub mod cold;
+mod confirmation;
 pub mod convert;
 pub mod error;
 pub mod greeting;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -15,6 +15,7 @@
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
 
 use crate::cold::{self, ColdAsked, ColdReply};
+use crate::confirmation;
 use crate::pack;
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
 use crate::stated_limits::{self, LimitedSendReply, LimitedSendRequest};
@@ -122,6 +123,9 @@
     if let Some(row) = &from.row {
         write_row(row, to.reborrow().init_row());
     }
+    if let Some(confirmed) = from.confirmed {
+        confirmation::write(confirmed, to.reborrow().init_confirmed());
+    }
     let mut list = to.reborrow().init_standbys(length(from.standbys.len()));
     for (i, standby) in from.standbys.iter().enumerate() {
         list.set(length(i), standby.as_str());
@@ -203,6 +207,9 @@
     for (i, row) in from.rows.iter().enumerate() {
         write_row(row, rows.reborrow().get(length(i)));
     }
+    if let Some(confirmed) = from.confirmed {
+        confirmation::write(confirmed, to.reborrow().init_confirmed());
+    }
     let mut patches = to.init_patches(length(from.patches.len()));
     for (i, patch) in from.patches.iter().enumerate() {
         let mut item = patches.reborrow().get(length(i));
@@ -241,6 +248,9 @@
     for (i, state) in from.members.iter().enumerate() {
         write_member(state, list.reborrow().get(length(i)));
     }
+    if let Some(confirmed) = from.confirmed {
+        confirmation::write(confirmed, to.reborrow().init_confirmed());
+    }
     to.set_first_sign(from.first_sign);
     let mut list = to.reborrow().init_signs(length(from.signs.len()));
     for (i, sign) in from.signs.iter().enumerate() {
@@ -398,6 +408,7 @@
         suspects: from.get_suspects()?.iter().map(Fingerprint).collect(),
         limits: stated_limits::read_all(from.get_limits()?)?,
         members: members.collect(),
+        confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
 }
 
@@ -434,6 +445,7 @@
         after: Version(from.get_after()),
         position: Version(from.get_position()),
         rows,
+        confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
 }
 
@@ -472,6 +484,7 @@
         signs: from.get_signs()?.iter().map(read_sign).collect(),
         first_sign: from.get_first_sign(),
         limits: stated_limits::read_all(from.get_limits()?)?,
+        confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
 }
 
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -6,6 +6,7 @@
     Fingerprint, RefusedWork, Sign, TrialEnd, TrialGrant, TrialId, TrialRequest,
 };
 use citronway_core::gateway::election::Strength;
+use citronway_core::gateway::freshness::Confirmation;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::report::{
     EndpointPace, EndpointTotal, KeySamples, MemberState, Report, Totals, Versions,
@@ -20,6 +21,11 @@
 use googletest::prelude::*;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 
+const CONFIRMED: Confirmation = Confirmation {
+    version: 9,
+    age_ms: 350,
+};
+
 #[gtest]
 fn a_relay_is_read_as_it_was_written() -> Result<()> {
     let relay = Datagram::Relay(Relay {
@@ -44,6 +50,7 @@
             version: Version(9),
             change: vec![7, 8, 9],
         }],
+        confirmed: Some(CONFIRMED),
     });
     expect_that!(decode(&encode(&relay)).or_fail()?, eq(&relay));
     Ok(())
@@ -82,6 +89,7 @@
         ],
         first_sign: 9,
         limits: limits(),
+        confirmed: Some(CONFIRMED),
     });
     expect_that!(decode(&encode(&report)).or_fail()?, eq(&report));
     Ok(())
@@ -190,6 +198,7 @@
         }],
         suspects: vec![Fingerprint(3), Fingerprint(4)],
         limits: limits(),
+        confirmed: Some(CONFIRMED),
         members: vec![SocketAddr::from(([10, 1, 0, 35], 7_660))],
     }
 }
@@ -209,6 +218,7 @@
         position: Version(2),
         rows: Vec::new(),
         patches: Vec::new(),
+        confirmed: None,
     }));
     expect_that!(decode(&report[..report.len() / 2]).is_err(), eq(true));
 }
@@ -234,6 +244,7 @@
         }],
         first_sign: 0,
         limits: limits(),
+        confirmed: Some(CONFIRMED),
     };
     let relay = Relay {
         table: Table::Own,
@@ -245,6 +256,7 @@
             version: Version(5),
         }],
         patches: Vec::new(),
+        confirmed: Some(CONFIRMED),
     };
     let all = [
         Datagram::Report(report),
@@ -323,6 +335,7 @@
         position: Version(100 + rows),
         rows: (0..rows).map(row).collect(),
         patches: Vec::new(),
+        confirmed: None,
     }
 }
 
--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -43,6 +43,7 @@
             position: version,
             rows: newer.cloned().chain(gone).collect(),
             patches: Vec::new(),
+            confirmed: None,
         }
     }
 
@@ -75,7 +76,7 @@
             Table::Config | Table::Endpoints | Table::Own => None,
         };
         self.apply_rows(now, copy.table, RowSource::Copy, &copy.rows, list_version);
-        self.table_state(copy.table).advance_position(copy.position);
+        self.advance_position(copy.table, copy.position);
     }
 
     /// Whether missed rows of a table must be read from the store: another instance was
@@ -93,7 +94,16 @@
 
     /// Rows of a table that are newer than a version, as this instance knows them; `None`
     /// if it has never read the table.
-    pub(in super::super) fn copy_since(&mut self, table: Table, after: Version) -> Option<Relay> {
+    pub(in super::super) fn copy_since(
+        &mut self,
+        now: Mono,
+        table: Table,
+        after: Version,
+    ) -> Option<Relay> {
+        let confirmed = match table {
+            Table::Config => self.freshness.confirmation(now),
+            Table::Endpoints | Table::Own => None,
+        };
         let state = self.table_state(table);
         if !state.loaded {
             return None;
@@ -117,6 +127,7 @@
             position,
             rows,
             patches: Vec::new(),
+            confirmed,
         })
     }
 }
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -11,6 +11,7 @@
 use citronway_core::gateway::admission::{Owners, View};
 use citronway_core::gateway::election::LeaderRow;
 use citronway_core::gateway::evacuation::Evacuations;
+use citronway_core::gateway::freshness::ConfigFreshness;
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointPaces, EndpointTag, rank_of};
 use citronway_core::gateway::registry::Registry;
@@ -108,6 +109,7 @@
     pub crashes: Crashes,
     pub evacuations: Evacuations,
     pub stated_limits: StatedLimits,
+    pub freshness: ConfigFreshness,
     /// Time allowed for an evacuation, in milliseconds.
     evacuation_ms: u64,
     config: TableState,
@@ -158,6 +160,7 @@
             crashes: Crashes::new(rank_of(&cfg.instance)),
             evacuations: Evacuations::default(),
             stated_limits: StatedLimits::default(),
+            freshness: ConfigFreshness::new(cfg.config_apply_ms),
             evacuation_ms: cfg.evacuation_ms,
             config: TableState::default(),
             endpoints: TableState::default(),
@@ -211,10 +214,20 @@
         self.last_heard_at = now;
         let status = self.mark_regained(now, table);
         self.apply_rows(now, table, RowSource::Store, &rows, list_version);
-        self.table_state(table).advance_position(position);
+        self.advance_position(table, position);
         status
     }
 
+    /// Records that all rows of a table up to a position were taken.
+    fn advance_position(&mut self, table: Table, position: Version) {
+        let state = self.table_state(table);
+        state.advance_position(position);
+        let (newest, position) = (state.newest, state.position);
+        if table == Table::Config {
+            self.freshness.advance(newest, position);
+        }
+    }
+
     /// Whether the last call for a table failed.
     pub(super) const fn is_lost(&self, table: Table) -> bool {
         match table {
@@ -232,8 +245,7 @@
         for patch in &relay.patches {
             self.apply_patch(patch);
         }
-        self.table_state(relay.table)
-            .advance_position(relay.position);
+        self.advance_position(relay.table, relay.position);
     }
 
     /// Rank of this instance, by which all instances are ordered.
--- a/crates/citronway/src/gateway/control/copies.rs
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -18,11 +18,12 @@
 use citronway_core::time::Mono;
 use citronway_wire::report::{self as datagram, Datagram, ReportError};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::timeout;
 
 use super::{Control, Event};
+use crate::clock;
 use crate::gateway::http_link::CONNECT_TIMEOUT;
 
 /// Timeout of a copy: a configuration of 400 KB takes 0.4 s over a link of 10 Mbit/s, and
@@ -82,12 +83,7 @@
         } else {
             Version(self.cluster.seen_versions().of(table))
         };
-        let events = events.clone();
-        tokio::spawn(async move {
-            let copy = fetch_copy(address, table, after).await;
-            // The receiver is gone when the process ends.
-            let _ = events.send(Event::CopyDone { table, copy }).await;
-        });
+        spawn_copy(address, table, after, events.clone());
     }
 
     /// Fetches rows that were lost on the way, from the instance that relays them or from
@@ -109,7 +105,14 @@
     }
 
     /// Applies a copy that came, or logs why it failed.
-    pub(super) fn on_copy_done(&mut self, now: Mono, table: Table, copy: Result<Relay, CopyError>) {
+    pub(super) fn on_copy_done(
+        &mut self,
+        now: Mono,
+        socket: &UdpSocket,
+        table: Table,
+        requested_at: Mono,
+        copy: Result<Relay, CopyError>,
+    ) {
         self.pending_copies.retain(|pending| *pending != table);
         let copy = match copy {
             Ok(copy) => copy,
@@ -123,7 +126,12 @@
         if table != Table::Own && copy.after.0 < self.cluster.seen_versions().of(table) {
             return;
         }
+        if table == Table::Config && !copy.rows.is_empty() {
+            // A leader that cannot read the store itself still passes on what it hears.
+            self.relay_rows(now, socket, &copy);
+        }
         self.cluster.apply_copy(now, &copy);
+        self.hear_copied_confirmation(now, requested_at, &copy);
         let position = &self.poll_control(table).position;
         position.fetch_max(copy.position.0, Ordering::Relaxed);
         if table == Table::Own {
@@ -138,7 +146,7 @@
         after: Version,
         reply: oneshot::Sender<Vec<u8>>,
     ) {
-        let Some(copy) = self.cluster.copy_since(table, after) else {
+        let Some(copy) = self.cluster.copy_since(clock::mono(), table, after) else {
             return;
         };
         // The requesting instance may have left.
@@ -146,6 +154,26 @@
     }
 }
 
+/// Requests a copy of a table, which is reported as an event.
+pub(super) fn spawn_copy(
+    address: SocketAddr,
+    table: Table,
+    after: Version,
+    events: mpsc::Sender<Event>,
+) {
+    let requested_at = clock::mono();
+    tokio::spawn(async move {
+        let copy = fetch_copy(address, table, after).await;
+        let done = Event::CopyDone {
+            table,
+            requested_at,
+            copy,
+        };
+        // The receiver is gone when the process ends.
+        let _ = events.send(done).await;
+    });
+}
+
 /// Serves copies until the task is dropped.
 pub(super) async fn serve(listener: TcpListener, events: mpsc::Sender<Event>) {
     let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_COPIES));
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -84,13 +84,15 @@
             let members = self.tree_position.members().len();
             log::info!(from = from.to_string(), members, term = totals.term; "told by another instance");
         }
+        let leader = totals.leader.instance.clone();
+        self.hear_confirmation(now, totals.confirmed, leader.as_str());
+        self.pass_on_confirmation(now, &mut totals);
         let has_members = !totals.members.is_empty();
         totals.members.clear();
         if has_members {
             let bytes = datagram::encode(&Datagram::Totals(totals.clone()));
             self.send_to_members(socket, &bytes);
         }
-        let leader = totals.leader.instance.clone();
         self.hear_limits(now, &totals.limits, leader.as_str());
         self.cluster.apply_totals(now, totals);
         self.publish(now);
@@ -124,6 +126,7 @@
             self.cluster.crashes.resend_newest_signs();
         }
         let source = report.instance.as_str();
+        self.hear_confirmation(now, report.confirmed, source);
         if is_delegate || self.leads_large_fleet(now) {
             self.observe_limits(now, &report.limits, source);
         } else {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod cluster;
 mod cold;
+mod confirming;
 mod copies;
 mod crashes;
 mod duty;
@@ -28,6 +29,7 @@
 use std::time::Duration;
 
 use citronway_core::gateway::admission::View;
+use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::leader::{Order, OrderResult, WriteResult};
 use citronway_core::gateway::report;
 use citronway_core::gateway::rows::{Relay, Table};
@@ -78,11 +80,13 @@
 /// A result that a task on this thread reports to the control loop.
 #[derive(Debug)]
 enum Event {
-    /// The store answered a poll of a table, or failed to; the poll was sent at `sent_at`.
+    /// The store answered a poll of a table, or failed to; the poll was sent at `sent_at`, and
+    /// the answer was true at `current_at` or later.
     Store {
         table: Table,
         update: TableUpdate,
         sent_at: Mono,
+        current_at: Mono,
     },
     /// An order was carried out, or failed.
     OrderDone { order: Order, result: OrderResult },
@@ -106,6 +110,7 @@
     /// A request to another instance for a copy of a table has ended.
     CopyDone {
         table: Table,
+        requested_at: Mono,
         copy: Result<Relay, CopyError>,
     },
 }
@@ -136,6 +141,8 @@
 pub(super) struct Channels {
     /// The view by which the traffic thread decides.
     pub view: watch::Sender<View>,
+    /// How far the traffic thread may rely on the configuration.
+    pub trust: watch::Sender<Trust>,
     /// Load that the traffic thread observed.
     pub seen: mpsc::Receiver<TrafficReport>,
     /// Requests of the traffic thread about trials of suspect work.
@@ -159,6 +166,7 @@
     ready: Ready,
     metrics: Metrics,
     view: watch::Sender<View>,
+    trust: watch::Sender<Trust>,
     seen: mpsc::Receiver<TrafficReport>,
     trial_events: mpsc::Receiver<TrialEvent>,
     trials: TrialState,
@@ -186,6 +194,8 @@
     standbys: (Vec<InstanceName>, Mono),
     polls: [(Table, Arc<PollControl>); 3],
     started: Mono,
+    /// When no datagram was left to be received; later ones may have come at any time since.
+    received_all_at: Mono,
     stopping: bool,
     /// This instance was the leader at the last run of [`Control::update_polling`].
     was_leader: bool,
@@ -220,6 +230,7 @@
             ready,
             metrics,
             view: channels.view,
+            trust: channels.trust,
             seen: channels.seen,
             trial_events: channels.trials,
             trials: TrialState::default(),
@@ -240,6 +251,7 @@
             standbys: (Vec::new(), Mono::default()),
             polls: Table::ALL.map(|table| (table, PollControl::new())),
             started,
+            received_all_at: started,
             stopping: false,
             was_leader: false,
             relays_heard_at: Mono::default(),
@@ -288,13 +300,12 @@
                 Some(query) = self.limited_queries.recv() => {
                     self.on_limited_query(&socket, query);
                 }
-                Ok((len, from)) = socket.recv_from(&mut buf) => {
-                    self.on_datagram(&socket, &events_tx, &buf[..len], from);
-                }
+                Ok(()) = socket.readable() => {}
                 _ = self.signals.terminate.recv() => self.stop(),
                 _ = self.signals.hang_up.recv() => self.reload(),
                 () = sleep_until(next_run) => {}
             }
+            self.receive_datagrams(&socket, &events_tx, &mut buf);
             let now = Instant::now();
             if now < not_before {
                 next_run = not_before;
@@ -326,6 +337,7 @@
                 table,
                 update,
                 sent_at,
+                current_at,
             } => {
                 self.metrics
                     .count_poll(table, matches!(update, TableUpdate::Lost(_)));
@@ -338,9 +350,13 @@
                     }
                     TableUpdate::Loaded { .. } | TableUpdate::Lost(_) => {}
                 }
-                if self.cluster.apply_update(now, table, update) == StoreStatus::Regained {
+                let status = self.cluster.apply_update(now, table, update);
+                if status == StoreStatus::Regained {
                     self.retry_lost_tables();
                 }
+                if table == Table::Config && status != StoreStatus::Lost {
+                    self.confirm_by_store(now, current_at);
+                }
                 if table == Table::Own {
                     if self
                         .leadership
@@ -376,7 +392,11 @@
                 after,
                 reply,
             } => self.send_copy(table, after, reply),
-            Event::CopyDone { table, copy } => self.on_copy_done(now, table, copy),
+            Event::CopyDone {
+                table,
+                requested_at,
+                copy,
+            } => self.on_copy_done(now, socket, table, requested_at, copy),
         }
     }
 
@@ -386,8 +406,12 @@
         self.cluster.expire(now);
         self.end_copy_wait(now);
         let due = self.leadership.step(now, &mut self.cluster, self.stopping);
-        for (_, control) in &self.polls {
-            control.wait_ms.store(due.wait_ms, Ordering::Relaxed);
+        for (table, control) in &self.polls {
+            let wait_ms = match table {
+                Table::Config => due.wait_ms.min(self.cluster.freshness.read_interval_ms()),
+                Table::Endpoints | Table::Own => due.wait_ms,
+            };
+            control.wait_ms.store(wait_ms, Ordering::Relaxed);
         }
         self.update_polling(now);
         for order in due.orders {
@@ -429,6 +453,8 @@
             self.publish(now);
         }
         self.refresh_stale_tables(now, events);
+        self.fetch_unconfirmed_config(now, events);
+        self.publish_trust(now);
         // Failure: this instance takes callers and is killed before the store lists it. It
         // starts again while the store is silent, and no other instance knows that it needs
         // rows.
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -189,6 +189,7 @@
             position: Version(self.own.position),
             rows: vec![row],
             patches: Vec::new(),
+            confirmed: None,
         })
     }
 
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -329,6 +329,13 @@
         best.address
     }
 
+    /// Address of an instance whose own report says that it has a version of the configuration.
+    pub(super) fn reporter_of_config(&self, now: Mono, version: u64) -> Option<SocketAddr> {
+        let mut reporters = self.direct_reporters(now);
+        let holder = reporters.find(|peer| peer.seen.config >= version);
+        holder?.address
+    }
+
     /// Whether the leader that the row names is heard, fit and not stopping, so that it
     /// relays rows.
     pub(super) fn leader_relays_rows(&self, now: Mono, leader: &LeaderRow) -> bool {
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -217,6 +217,7 @@
             refused,
             suspects,
             limits: cluster.stated_limits.all(now),
+            confirmed: cluster.freshness.confirmation(now),
             members: Vec::new(),
         }
     }
@@ -240,6 +241,7 @@
             signs: Vec::new(),
             first_sign: 0,
             limits: Vec::new(),
+            confirmed: self.cluster.freshness.confirmation(now),
         }
     }
 
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -163,6 +163,16 @@
     Lost(String),
 }
 
+impl TableUpdate {
+    const fn has_rows(&self) -> bool {
+        match self {
+            Self::Loaded { .. } => true,
+            Self::Changed { relay, .. } => !relay.rows.is_empty(),
+            Self::Lost(_) => false,
+        }
+    }
+}
+
 /// State that a poller shares with the control task.
 #[derive(Debug)]
 pub(super) struct PollControl {
@@ -232,9 +242,14 @@
                 skip_wait = true;
             }
             let sent_at = clock::mono();
+            let wait_ms = if skip_wait {
+                0
+            } else {
+                self.control.wait_ms.load(Ordering::Relaxed)
+            };
             loaded &= !self.control.reload.swap(false, Ordering::Relaxed);
             let update = if loaded {
-                match self.poll(&mut store, skip_wait).await {
+                match self.poll(&mut store, skip_wait, wait_ms).await {
                     Polled::Update(update) => update,
                     Polled::Refresh => {
                         skip_wait = true;
@@ -254,10 +269,13 @@
             // store is back, and meanwhile an old configuration stays in force. Until the
             // store has answered again, calls do not wait.
             skip_wait = lost;
+            // The store answers without rows only after it has waited.
+            let waited_ms = if update.has_rows() { 0 } else { wait_ms };
             let event = Event::Store {
                 table: self.table,
                 update,
                 sent_at,
+                current_at: sent_at.plus(waited_ms).min(clock::mono()),
             };
             if self.events.send(event).await.is_err() {
                 return;
@@ -314,9 +332,8 @@
         }
     }
 
-    async fn poll(&self, store: &mut Store, skip_wait: bool) -> Polled {
+    async fn poll(&self, store: &mut Store, skip_wait: bool, wait_ms: u64) -> Polled {
         let after = Version(self.control.position.load(Ordering::Relaxed));
-        let wait_ms = self.control.wait_ms.load(Ordering::Relaxed);
         let polled = if skip_wait {
             // Failure: rows change faster than a poll takes, and each row that was missed
             // requests a refresh. If a refresh cancelled this poll too, no poll would ever
@@ -347,6 +364,7 @@
                     position: rows.version,
                     rows: rows.rows,
                     patches: Vec::new(),
+                    confirmed: None,
                 };
                 let now_ms = rows.now_ms;
                 Polled::Update(TableUpdate::Changed { relay, now_ms })
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use citronway_core::gateway::admission::{RefusalReason, UnknownOutcomeReason};
 use citronway_core::gateway::cold::ColdGrant;
@@ -143,6 +144,7 @@
     trials: Family<AnswerLabels, Counter>,
     cold: Family<AnswerLabels, Counter>,
     config_version: Gauge,
+    config_age: Gauge<f64, AtomicU64>,
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
     limited_endpoints: Gauge,
@@ -201,6 +203,9 @@
         let config_version = Gauge::default();
         let help = "Version of the configuration in force";
         registry.register("config_version", help, config_version.clone());
+        let config_age = Gauge::default();
+        let help = "Time since the configuration was confirmed to be the newest one";
+        registry.register("config_confirmed_age_seconds", help, config_age.clone());
         let evacuated_zones = Gauge::default();
         let help = "Availability zones that are evacuated";
         registry.register("evacuated_zones", help, evacuated_zones.clone());
@@ -234,6 +239,7 @@
             trials,
             cold,
             config_version,
+            config_age,
             evacuated_zones,
             evacuated_ranges,
             limited_endpoints,
@@ -394,6 +400,11 @@
         self.config_version.set(version);
     }
 
+    /// Sets the time since the configuration was confirmed to be the newest one.
+    pub(super) fn set_config_age(&self, ms: u64) {
+        self.config_age.set(ms as f64 / 1_000.0);
+    }
+
     /// Sets the number of evacuated zones and of key ranges still owned in them.
     pub(super) fn set_evacuated(&self, zones: usize, ranges: usize) {
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -7,6 +7,7 @@
 use std::thread;
 
 use citronway_core::gateway::admission::View;
+use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{Session, SessionId};
 use tokio::runtime::Builder;
@@ -14,7 +15,7 @@
 
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::Ready;
-use crate::gateway::traffic::{ControlSenders, Stop};
+use crate::gateway::traffic::{ControlSenders, Stop, Views};
 use crate::gateway::{control, traffic};
 use crate::logs;
 
@@ -131,6 +132,7 @@
     let ready = Ready::default();
     let rank = citronway_core::gateway::pace::rank_of(&cfg.instance);
     let (view_tx, view_rx) = watch::channel(View::empty(cfg.zone.clone(), rank));
+    let (trust_tx, trust_rx) = watch::channel(Trust::UNCONFIRMED);
     let (report_tx, report_rx) = mpsc::channel(REPORTS_CAPACITY);
     let (trials_tx, trials_rx) = mpsc::channel(TRIALS_CAPACITY);
     let (cold_tx, cold_rx) = mpsc::channel(COLD_CAPACITY);
@@ -144,6 +146,7 @@
     };
     let channels = control::Channels {
         view: view_tx,
+        trust: trust_tx,
         seen: report_rx,
         trials: trials_rx,
         cold: cold_rx,
@@ -160,9 +163,13 @@
         limited: limited_tx,
     };
     let traffic_metrics = metrics.clone();
+    let views = Views {
+        view: view_rx,
+        trust: trust_rx,
+    };
     let traffic_handle = thread::Builder::new()
         .name("traffic".to_owned())
-        .spawn(move || traffic_thread(&traffic_cfg, view_rx, to_control, stop_rx, traffic_metrics))
+        .spawn(move || traffic_thread(&traffic_cfg, views, to_control, stop_rx, traffic_metrics))
         .map_err(start("traffic"))?;
     let control =
         control::Control::new(cfg, own_session, path.to_owned(), ready, metrics, channels);
@@ -199,7 +206,7 @@
 
 fn traffic_thread(
     cfg: &InstanceSettings,
-    view: watch::Receiver<View>,
+    views: Views,
     to_control: ControlSenders,
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
@@ -207,7 +214,7 @@
     let local = tokio::task::LocalSet::new();
     let traffic_result = local.block_on(
         &runtime("traffic")?,
-        traffic::serve(cfg, view, to_control, stop, metrics),
+        traffic::serve(cfg, views, to_control, stop, metrics),
     );
     traffic_result.map_err(start("traffic"))
 }
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -20,7 +20,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use citronway_core::gateway::admission::View;
 use citronway_core::gateway::settings::InstanceSettings;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -36,7 +35,7 @@
 
 pub use cold::ColdQuery;
 pub use limited::LimitedSendQuery;
-pub use seen::{ControlSenders, TrafficReport};
+pub use seen::{ControlSenders, TrafficReport, Views};
 pub use trial::TrialEvent;
 
 /// Pause after a failed accept, for example when no descriptors are left.
@@ -59,7 +58,7 @@
 /// When the address cannot be bound, or a task of the thread panicked.
 pub async fn serve(
     cfg: &InstanceSettings,
-    view: watch::Receiver<View>,
+    views: Views,
     to_control: ControlSenders,
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
@@ -70,7 +69,7 @@
         cold: to_control.cold,
         limited: to_control.limited,
     };
-    let state = Rc::new(State::new(cfg, view, stop.clone(), metrics, control));
+    let state = Rc::new(State::new(cfg, views, stop.clone(), metrics, control));
     let mut tasks = JoinSet::new();
     tasks.spawn_local(follow_view(Rc::clone(&state)));
     tasks.spawn_local(check_waiting(Rc::clone(&state)));
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 
 use citronway_core::gateway::admission::{Job, RefusalReason};
+use citronway_core::gateway::freshness::Trust;
+use citronway_core::gateway::routes::RouteTable;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, RequestMetadata};
 use http::request::Parts;
@@ -26,6 +28,9 @@
 /// operator needs seconds at least.
 const UNUSABLE_RETRY_MS: u64 = 2_000;
 
+/// Retry-after time while the configuration is being fetched, in milliseconds.
+const UNCONFIRMED_RETRY_MS: u64 = 300;
+
 /// Answers a request of a caller.
 pub(super) async fn answer(
     state: Rc<State>,
@@ -65,6 +70,26 @@
     metadata: &'a RequestMetadata,
 }
 
+/// Outcome of a request without a route. It is rejected for good only while no newer
+/// configuration can have one.
+fn without_route(parsed: &ParsedRequest<'_>, routes: &RouteTable, trust: &Trust) -> Outcome {
+    let request = outcome::display_id(exchange::request_id(&parsed.head.headers));
+    let version = routes.version.0;
+    let confirmed_ms_ago = trust.confirmed_at.map(|at| parsed.arrived.since(at));
+    log::info!(request, version, confirmed_ms_ago; "no route in the configuration in force");
+    if parsed.arrived > trust.reject_until {
+        return unconfirmed();
+    }
+    Outcome::Rejected(StatusCode::NOT_FOUND, "no route")
+}
+
+const fn unconfirmed() -> Outcome {
+    not_run(
+        RefusalReason::UnconfirmedConfiguration,
+        UNCONFIRMED_RETRY_MS,
+    )
+}
+
 async fn serve(
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
@@ -80,6 +105,8 @@
     if state.is_closing() {
         return outcome::stopping();
     }
+    // The trust is read before the routes: control publishes new routes first.
+    let trust = *state.trust.borrow();
     let routes = state.view.borrow().routes.clone();
     let Some(routes) = routes else {
         return not_run(RefusalReason::NoConfiguration, DEFAULT_RETRY_MS);
@@ -88,8 +115,11 @@
         if routes.is_incomplete() {
             return not_run(RefusalReason::UnusableRoute, UNUSABLE_RETRY_MS);
         }
-        return Outcome::Rejected(StatusCode::NOT_FOUND, "no route");
+        return without_route(parsed, &routes, &trust);
     };
+    if arrived > trust.serve_until {
+        return unconfirmed();
+    }
     *class = Class::of(route);
     let body = Limited::new(body, routes.limits.body_bytes).collect();
     let body = tokio::select! {
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -1,9 +1,11 @@
 //! Reports that the traffic thread sends to `control` several times a second.
 
+use citronway_core::gateway::admission::View;
 use citronway_core::gateway::crashes::Sign;
+use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::report;
 use citronway_core::gateway::stated_limits::StatedLimit;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::cold::ColdQuery;
 use super::limited::LimitedSendQuery;
@@ -22,6 +24,15 @@
     pub limited: mpsc::Sender<LimitedSendQuery>,
 }
 
+/// What `control` publishes for the traffic thread.
+#[derive(Debug)]
+pub struct Views {
+    /// State of the cluster by which requests are decided.
+    pub view: watch::Receiver<View>,
+    /// How far the configuration in the view may be relied on.
+    pub trust: watch::Receiver<Trust>,
+}
+
 /// Report on the last period.
 #[derive(Debug, Clone, Default)]
 pub struct TrafficReport {
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -10,6 +10,7 @@
 use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, View};
 use citronway_core::gateway::budget::{RetryLimit, SharedRetryBudget};
 use citronway_core::gateway::crashes::{Fingerprint, Sign};
+use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::limit::EndpointLoad;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
@@ -24,7 +25,7 @@
 use super::ended::ListenerProbes;
 use super::open_requests::OpenRequests;
 use super::pool::Pool;
-use super::seen::TrafficReport;
+use super::seen::{TrafficReport, Views};
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
@@ -40,6 +41,8 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub view: watch::Receiver<View>,
+    /// How far the configuration in the view may be relied on.
+    pub trust: watch::Receiver<Trust>,
     pub stop: watch::Receiver<Stop>,
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
@@ -100,13 +103,14 @@
 impl State {
     pub(super) fn new(
         cfg: &InstanceSettings,
-        view: watch::Receiver<View>,
+        views: Views,
         stop: watch::Receiver<Stop>,
         metrics: Metrics,
         control: ControlClient,
     ) -> Self {
         Self {
-            view,
+            view: views.view,
+            trust: views.trust,
             stop,
             pool: RefCell::default(),
             open_requests: Rc::new(OpenRequests::new(metrics.clone())),
--- a/crates/citronway/tests/gateway_late_configuration.rs
+++ b/crates/citronway/tests/gateway_late_configuration.rs
@@ -99,6 +99,22 @@
     }
 }
 
+/// Statuses that instance `n` gives for a path during a time.
+fn statuses(fleet: &Fleet, n: usize, path: &str, time: Duration) -> Vec<Reply> {
+    let end = Instant::now() + time;
+    let mut replies = Vec::new();
+    while Instant::now() < end {
+        let start = format!("GET {path}");
+        replies.push(fleet.members[n].0.call_with(
+            &start,
+            "X-Request-Id: s\r\nX-Shard-Key: 1\r\n",
+            "",
+        ));
+        std::thread::sleep(PAUSE);
+    }
+    replies
+}
+
 /// Guards against a leader without an answer of the store: nobody else reads the configuration.
 #[gtest]
 fn a_configuration_is_in_force_in_time_where_the_store_refuses_the_leader() {
@@ -108,3 +124,84 @@
     let times = fleet.times_to_serve(5, acknowledged);
     expect_that!(times, each(le(&APPLY_LIMIT)));
 }
+
+/// Guards against a fleet that relies on a few instances to read the store.
+#[gtest]
+fn a_configuration_is_in_force_in_time_where_one_instance_alone_reaches_the_store() {
+    for count in [6, 30] {
+        let fleet = Fleet::start(count);
+        fleet.set_links(count - 2, Mode::Silent);
+        let acknowledged = fleet.add_route(5);
+        let times = fleet.times_to_serve(5, acknowledged);
+        expect_that!(times, each(le(&APPLY_LIMIT)), "{count} instances");
+    }
+}
+
+/// Guards against a leader that is suspended or lost between two changes, after it read the first.
+#[gtest]
+fn a_second_change_is_in_force_in_time_where_the_leader_is_lost_before_it() {
+    for is_killed in [false, true] {
+        let mut fleet = Fleet::start(8);
+        let leader = fleet.leader();
+        fleet.add_route(5);
+        std::thread::sleep(Duration::from_millis(60));
+        if is_killed {
+            fleet.members[leader].0.kill();
+        } else {
+            fleet.members[leader].0.pause();
+        }
+        std::thread::sleep(Duration::from_millis(30));
+        let acknowledged = fleet.add_route(7);
+        let lost = fleet.members.remove(leader);
+        let times = fleet.times_to_serve(7, acknowledged);
+        expect_that!(times, each(le(&APPLY_LIMIT)), "killed: {is_killed}");
+        drop(lost);
+    }
+}
+
+/// Guards against a route that is rejected for good by a configuration that nobody confirms.
+#[gtest]
+fn an_unknown_route_is_rejected_for_good_only_by_a_confirmed_configuration() {
+    let fleet = Fleet::start(1);
+    let before = statuses(&fleet, 0, "/none/", Duration::from_secs(1));
+    expect_that!(before, each(field!(&Reply.status, eq(404))));
+    fleet.members[0].1.set(Mode::Silent);
+    let replies = statuses(&fleet, 0, "/none/", Duration::from_secs(4));
+    let refused: Vec<_> = replies.iter().filter(|reply| reply.status == 503).collect();
+    expect_that!(refused.len(), gt(0));
+    for reply in refused {
+        expect_that!(reply.header("retry-after"), some(anything()));
+    }
+    // Nobody reaches the store, and service goes on as before.
+    expect_that!(replies.last(), some(field!(&Reply.status, eq(404))));
+}
+
+/// Guards against callers who are turned away while the store is unreachable for all.
+#[gtest]
+fn known_routes_are_served_while_no_instance_reaches_the_store() {
+    let fleet = Fleet::start(3);
+    fleet.set_links(2, Mode::Silent);
+    let replies = statuses(&fleet, 1, "/look/1", Duration::from_secs(5));
+    let failed = replies.iter().filter(|reply| reply.status != 200).count();
+    expect_that!(failed, eq(0));
+}
+
+/// Guards against a configuration that cannot be decoded and holds up those after it.
+#[gtest]
+fn a_change_after_one_that_cannot_be_decoded_is_in_force_in_time() {
+    let fleet = Fleet::start(4);
+    fleet
+        .deployment
+        .store
+        .put("op", "config", &json!({"version": "x"}));
+    std::thread::sleep(Duration::from_millis(90));
+    let acknowledged = fleet.add_route(7);
+    let times = fleet.times_to_serve(7, acknowledged);
+    expect_that!(times, each(le(&APPLY_LIMIT)));
+    // The route is dropped again.
+    fleet.deployment.configure(9, &json!([]));
+    std::thread::sleep(APPLY_LIMIT);
+    for n in 0..fleet.members.len() {
+        expect_that!(fleet.call(n, 7).status, eq(404));
+    }
+}
