--- a/crates/citronway-standin/src/env/endpoints.rs
+++ b/crates/citronway-standin/src/env/endpoints.rs
@@ -1,9 +1,11 @@
 //! An endpoint stand-in of an environment.
 
-use std::fs::File;
-use std::io::{BufRead, BufReader, ErrorKind};
+use std::fs;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
 
 use http::Method;
 
@@ -13,6 +15,10 @@
 use crate::endpoint::{Endpoint, EndpointFaults, EndpointOptions, Journal, Run};
 use crate::http::{Client, ClientError};
 
+/// How often a journal is read again while its last line is not whole, and the pause before.
+const WHOLE_LINE_TRIES: usize = 100;
+const WHOLE_LINE_PAUSE: Duration = Duration::from_millis(10);
+
 /// An endpoint stand-in of an environment.
 #[derive(Debug)]
 pub struct EndpointHandle {
@@ -108,11 +114,18 @@
     /// If they cannot be read.
     pub fn runs(&self) -> Result<Vec<Run>, EnvError> {
         let doing = format!("read {}", self.journal_file.display());
-        let file = File::open(&self.journal_file).map_err(EnvError::io(doing.as_str()))?;
+        let mut text = String::new();
+        for _ in 0..WHOLE_LINE_TRIES {
+            text = fs::read_to_string(&self.journal_file).map_err(EnvError::io(doing.as_str()))?;
+            if text.is_empty() || text.ends_with('\n') {
+                break;
+            }
+            // The endpoint is writing the last line.
+            thread::sleep(WHOLE_LINE_PAUSE);
+        }
         let mut runs = Vec::new();
-        for line in BufReader::new(file).lines() {
-            let line = line.map_err(EnvError::io(doing.as_str()))?;
-            let run = serde_json::from_str(&line)
+        for line in text.lines() {
+            let run = serde_json::from_str(line)
                 .map_err(|error| std::io::Error::new(ErrorKind::InvalidData, error))
                 .map_err(EnvError::io(doing.as_str()))?;
             runs.push(run);
