Log why no connection to an endpoint was made

Lines about requests that were not sent said that there was no connection, not whether it was refused, reset or not answered: an endpoint that has ended could not be told from a link that is cut. The line now has error.

--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -197,7 +197,7 @@
     /// Records that nothing reached the endpoint.
     fn record_unsent(&self, choice: &Choice, cause: &NotSentCause) {
         match cause {
-            NotSentCause::NoConnection => self.state.record_unreachable(&choice.endpoint),
+            NotSentCause::NoConnection(_) => self.state.record_unreachable(&choice.endpoint),
             NotSentCause::Reset => {
                 self.state.record_reset(&choice.endpoint);
                 self.record_no_room(choice);
@@ -396,13 +396,13 @@
                 AnswerKind::Foreign => SendResult::MayHaveRun(UnknownOutcome::Foreign),
             },
             Ok(Err(CallError::Reset)) => SendResult::NotSent(NotSentCause::Reset),
-            Ok(Err(e)) if e.is_unsent() => SendResult::NotSent(NotSentCause::NoConnection),
+            Ok(Err(e)) if e.is_unsent() => SendResult::NotSent(NotSentCause::NoConnection(e)),
             Ok(Err(CallError::Timeout)) | Err(_) if timeout_ms < left_ms => {
                 SendResult::MayHaveRun(UnknownOutcome::NoAnswer)
             }
             // The time ended while the connection was being opened.
             Ok(Err(CallError::Timeout)) | Err(_) if self.sends == sends => {
-                SendResult::NotSent(NotSentCause::NoConnection)
+                SendResult::NotSent(NotSentCause::NoConnection(CallError::Timeout))
             }
             Ok(Err(CallError::Timeout)) | Err(_) => SendResult::TimedOut,
             Ok(Err(CallError::Truncated(_))) => SendResult::MayHaveRun(UnknownOutcome::Truncated),
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -5,7 +5,7 @@
 use citronway_platform::exchange::{AnswerKind, RequestMetadata};
 
 use super::outcome::display_id;
-use crate::gateway::http_link::Answer;
+use crate::gateway::http_link::{Answer, CallError};
 
 /// Why it is unknown whether a request ran.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -35,8 +35,8 @@
 
 /// Why nothing reached an endpoint.
 pub(super) enum NotSentCause {
-    /// The endpoint accepted no connection.
-    NoConnection,
+    /// The endpoint accepted no connection, for this reason.
+    NoConnection(CallError),
     /// The endpoint accepted a connection and reset it before anything was sent.
     Reset,
 }
@@ -83,11 +83,11 @@
             log::info!(request, endpoint:%, fence, sends; "no time left to send");
         }
         SendResult::NotSent(cause) => {
-            let cause = match cause {
-                NotSentCause::NoConnection => "no connection",
-                NotSentCause::Reset => "reset before anything was sent",
+            let (cause, error) = match cause {
+                NotSentCause::NoConnection(e) => ("no connection", e.to_string()),
+                NotSentCause::Reset => ("reset before anything was sent", "-".to_owned()),
             };
-            log::info!(request, endpoint:%, fence, sends, cause; "not sent");
+            log::info!(request, endpoint:%, fence, sends, cause, error; "not sent");
         }
         SendResult::MayHaveRun(unknown) => {
             let cause = unknown.cause();
