A test that fails: instances without links to endpoints turn all callers away

What callers saw: at instances that had lost their links to all endpoints, 2 to 3 of 100 first tries were served, while instances that kept them served 95 of 100. The test has six instances as processes and a proxy before each endpoint that knows instances by their address (endpointSource in the settings, which the platform does not state).

--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway instance.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use crate::gateway::budget::RetryLimit;
 use crate::gateway::election::Strength;
@@ -21,6 +21,8 @@
     pub reports: SocketAddr,
     /// Address on which metrics are served.
     pub metrics: SocketAddr,
+    /// Address from which connections to endpoints are opened; `None` for the system's choice.
+    pub endpoint_source: Option<IpAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Limit on retries that all instances share.
--- a/crates/citronway-standin/src/shared/documents.rs
+++ b/crates/citronway-standin/src/shared/documents.rs
@@ -54,7 +54,7 @@
             "self": {"nodeName": name, "role": "entry", "zone": "a", "region": "r",
                 "ip": self.ip, "limits": {"memoryMb": 260}},
             "network": {"listen": {"front": self.callers, "ready": self.ready},
-                "portRange": [REPORTS_PORT, REPORTS_PORT], "seeds": [], "zones": {"a": "r"}},
+                "portRange": [REPORTS_PORT, REPORTS_PORT + 1], "endpointSource": self.ip, "seeds": [], "zones": {"a": "r"}},
             "provider": {"heartbeatS": 1.0, "provider": {"addr": store}},
             "terms": {"bounds": {"retryRatio": 0.2, "retryWindowS": 10, "retrySlack": 64,
                 "graceS": 6, "holdMaxS": 10}},
--- a/crates/citronway-standin/src/soak/proxy.rs
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -1,11 +1,12 @@
 //! A TCP proxy on loopback that misbehaves on demand.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -28,6 +29,19 @@
     Silent,
 }
 
+/// What the proxy does, for all and for some sources.
+#[derive(Debug, Clone)]
+struct Modes {
+    all: Mode,
+    by_source: IndexMap<IpAddr, Mode>,
+}
+
+impl Modes {
+    fn of(&self, source: IpAddr) -> Mode {
+        self.by_source.get(&source).copied().unwrap_or(self.all)
+    }
+}
+
 /// Which way bytes go.
 #[derive(Debug, Clone, Copy)]
 enum Way {
@@ -41,7 +55,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
-    mode: watch::Sender<Mode>,
+    modes: watch::Sender<Modes>,
     /// Grows when all connections are reset.
     breaks: watch::Sender<u64>,
     thread: Option<JoinHandle<()>>,
@@ -58,7 +72,10 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let target = Arc::new(Mutex::new(target));
-        let (mode, seen) = watch::channel(Mode::Pass);
+        let (modes, seen) = watch::channel(Modes {
+            all: Mode::Pass,
+            by_source: IndexMap::new(),
+        });
         let (breaks, broken) = watch::channel(0);
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -69,7 +86,7 @@
         Ok(Self {
             address,
             target,
-            mode,
+            modes,
             breaks,
             thread: Some(thread),
         })
@@ -77,12 +94,19 @@
 
     /// Misbehaves so from now on.
     pub fn set(&self, mode: Mode) {
-        self.mode.send_replace(mode);
+        self.modes.send_modify(|modes| modes.all = mode);
         if mode == Mode::Reset {
             self.break_all();
         }
     }
 
+    /// Misbehaves so from now on for connections from one address.
+    pub fn set_for(&self, source: IpAddr, mode: Mode) {
+        self.modes.send_modify(|modes| {
+            modes.by_source.insert(source, mode);
+        });
+    }
+
     /// Resets all connections and sends new ones to another address.
     pub fn retarget(&self, target: SocketAddr) {
         *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
@@ -97,8 +121,11 @@
 impl Drop for Proxy {
     fn drop(&mut self) {
         // The accepting task ends when nobody can change its mode any more.
-        let (closed, _) = watch::channel(Mode::Reset);
-        self.mode = closed;
+        let (closed, _) = watch::channel(Modes {
+            all: Mode::Reset,
+            by_source: IndexMap::new(),
+        });
+        self.modes = closed;
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
@@ -110,37 +137,76 @@
 async fn accept(
     listener: std::net::TcpListener,
     target: Arc<Mutex<SocketAddr>>,
-    mode: watch::Receiver<Mode>,
+    modes: watch::Receiver<Modes>,
     breaks: watch::Receiver<u64>,
 ) {
     let Ok(listener) = TcpListener::from_std(listener) else {
         return;
     };
-    let mut closed = mode.clone();
+    let mut closed = modes.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = ended(&mut closed) => return,
         };
-        let Ok((stream, _)) = accepted else { continue };
+        let Ok((stream, source)) = accepted else {
+            continue;
+        };
         let to = *target.lock().unwrap_or_else(PoisonError::into_inner);
-        tokio::spawn(relay(stream, to, mode.clone(), breaks.clone()));
+        let seen = SourceModes {
+            modes: modes.clone(),
+            source: source.ip(),
+        };
+        tokio::spawn(relay(stream, to, seen, breaks.clone()));
+    }
+}
+
+/// What the proxy does with connections from one address.
+#[derive(Debug, Clone)]
+struct SourceModes {
+    modes: watch::Receiver<Modes>,
+    source: IpAddr,
+}
+
+impl SourceModes {
+    fn get(&self) -> Mode {
+        self.modes.borrow().of(self.source)
+    }
+
+    /// Waits until what goes one way is no longer held back; fails when the proxy is dropped.
+    async fn wait_until_passed(&mut self, way: Way) -> Result<(), watch::error::RecvError> {
+        let source = self.source;
+        let passed = self.modes.wait_for(|modes| !is_held(modes.of(source), way));
+        passed.await.map(|_| ())
+    }
+
+    /// Waits until connections are reset.
+    async fn wait_until_reset(&mut self) {
+        let source = self.source;
+        if self
+            .modes
+            .wait_for(|modes| modes.of(source) == Mode::Reset)
+            .await
+            .is_err()
+        {
+            std::future::pending::<()>().await;
+        }
     }
 }
 
 /// Resolves when the proxy is dropped.
-async fn ended(mode: &mut watch::Receiver<Mode>) {
-    while mode.changed().await.is_ok() {}
+async fn ended(modes: &mut watch::Receiver<Modes>) {
+    while modes.changed().await.is_ok() {}
 }
 
 async fn relay(
     near: TcpStream,
     target: SocketAddr,
-    mode: watch::Receiver<Mode>,
+    mut modes: SourceModes,
     mut breaks: watch::Receiver<u64>,
 ) {
     breaks.mark_unchanged();
-    let refused = *mode.borrow() == Mode::Reset;
+    let refused = modes.get() == Mode::Reset;
     let far = TcpStream::connect(target).await;
     let (Ok(far), false) = (far, refused) else {
         reset(&near);
@@ -152,11 +218,12 @@
     }
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = copy(near_read, far_write, Way::There, mode.clone());
-    let back = copy(far_read, near_write, Way::Back, mode);
+    let there = copy(near_read, far_write, Way::There, modes.clone());
+    let back = copy(far_read, near_write, Way::Back, modes.clone());
     tokio::select! {
         // Dropped with unread or unsent bytes, both sides see a reset or an end.
         _ = breaks.changed() => {}
+        () = modes.wait_until_reset() => {}
         ((), ()) = futures::future::join(there, back) => {}
     }
 }
@@ -166,25 +233,20 @@
     let _ = stream.set_zero_linger();
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    way: Way,
-    mut mode: watch::Receiver<Mode>,
-) {
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: Way, mut modes: SourceModes) {
     let mut buf = vec![0; 16 * 1024];
     loop {
         let len = match from.read(&mut buf).await {
             Ok(0) | Err(_) => break,
             Ok(len) => len,
         };
-        let delay = match *mode.borrow() {
+        let delay = match modes.get() {
             Mode::Delay(delay) => delay,
             _ => Duration::ZERO,
         };
         tokio::time::sleep(delay).await;
-        let held = is_held(*mode.borrow(), way);
-        if held && mode.wait_for(|mode| !is_held(*mode, way)).await.is_err() {
+        let held = is_held(modes.get(), way);
+        if held && modes.wait_until_passed(way).await.is_err() {
             return;
         }
         // Bytes that were held back are lost if their sender has closed meanwhile.
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -57,6 +57,7 @@
 pub(super) use unusable::Source;
 
 use crate::clock;
+use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::{self, Ready};
 use crate::gateway::run;
@@ -217,6 +218,9 @@
         channels: Channels,
     ) -> Self {
         let started = clock::mono();
+        let orders = OrderClient::new(Dialer {
+            source: cfg.endpoint_source,
+        });
         Self {
             cluster: Cluster::new(&cfg),
             leadership: Leadership::new(
@@ -240,7 +244,7 @@
             limited: LimitedSendState::default(),
             stop: channels.stop,
             signals: channels.signals,
-            orders: OrderClient::default(),
+            orders,
             report_number: 0,
             unreported: report::Observations::default(),
             gathered: GatheredReports::default(),
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -12,15 +12,24 @@
 
 use super::Event;
 use crate::clock;
-use crate::gateway::http_link::{CallError, ConnectMode, Link};
+use crate::gateway::http_link::{CallError, ConnectMode, Dialer, Link};
 
 /// Idle connections for orders, by address.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(super) struct OrderClient {
+    dialer: Dialer,
     links: Rc<RefCell<IndexMap<SocketAddr, Vec<Link>>>>,
 }
 
 impl OrderClient {
+    /// Opens its connections with `dialer`.
+    pub(super) fn new(dialer: Dialer) -> Self {
+        Self {
+            dialer,
+            links: Rc::default(),
+        }
+    }
+
     /// Starts an order. Its result comes as an event.
     pub(super) fn start(&self, order: Order, events: mpsc::Sender<Event>) {
         let client = self.clone();
@@ -55,7 +64,7 @@
         let mut link = match self.take_link(order) {
             Some(link) => link,
             None if clock::mono() >= order.connect_by => return Ok(OrderResult::NotConnected),
-            None => Link::open(order.address, ConnectMode::ImmediateWithReset).await?,
+            None => Link::open(self.dialer, order.address, ConnectMode::ImmediateWithReset).await?,
         };
         if link.opened() >= order.connect_by {
             self.return_link(order.address, link);
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -15,7 +15,7 @@
 
 use super::Event;
 use crate::clock;
-use crate::gateway::http_link::{Answer, CallError, ConnectMode, Link};
+use crate::gateway::http_link::{Answer, CallError, ConnectMode, Dialer, Link};
 
 /// Timeout of a call, in addition to the time that the store is asked to wait.
 ///
@@ -83,7 +83,7 @@
     async fn call(&mut self, req: Request<Bytes>, timeout: Duration) -> Result<Answer, CallError> {
         let mut link = match self.link.take().filter(Link::is_usable) {
             Some(link) => link,
-            None => Link::open(self.address, ConnectMode::Immediate).await?,
+            None => Link::open(Dialer::default(), self.address, ConnectMode::Immediate).await?,
         };
         let answer = link.call(req, timeout).await?;
         self.link = Some(link);
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 client connections to endpoints and to the store.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use crate::clock;
@@ -22,6 +22,48 @@
 /// attempt is faster.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Opens connections, from a stated address of this machine or from any.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Dialer {
+    /// Address from which connections are opened; `None` for the system's choice.
+    pub source: Option<IpAddr>,
+}
+
+impl Dialer {
+    /// Connects, for [`CONNECT_TIMEOUT`] at most.
+    ///
+    /// # Errors
+    ///
+    /// When no connection is established in time.
+    pub async fn connect(self, address: SocketAddr) -> io::Result<TcpStream> {
+        match timeout(CONNECT_TIMEOUT, self.connect_unlimited(address)).await {
+            Ok(connected) => connected,
+            Err(elapsed) => Err(io::Error::new(io::ErrorKind::TimedOut, elapsed)),
+        }
+    }
+
+    async fn connect_unlimited(self, address: SocketAddr) -> io::Result<TcpStream> {
+        let Some(source) = self.source else {
+            return TcpStream::connect(address).await;
+        };
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(address).await
+    }
+
+    /// Probes whether a process listens at an address, for [`CONNECT_TIMEOUT`] at most.
+    pub async fn probe_listener(self, address: SocketAddr) -> Listening {
+        match self.connect(address).await {
+            Ok(_stream) => Listening::Yes,
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => Listening::No,
+            Err(_) => Listening::Unknown,
+        }
+    }
+}
+
 /// An open connection without a request in progress.
 #[derive(Debug)]
 pub struct Link {
@@ -124,15 +166,6 @@
     Unknown,
 }
 
-/// Probes whether a process listens at an address, for [`CONNECT_TIMEOUT`] at most.
-pub async fn probe_listener(address: SocketAddr) -> Listening {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_stream)) => Listening::Yes,
-        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Listening::No,
-        Ok(Err(_)) | Err(_) => Listening::Unknown,
-    }
-}
-
 impl Link {
     /// Connects. A task of the current runtime drives the connection.
     ///
@@ -140,12 +173,13 @@
     ///
     /// When no connection is established within [`CONNECT_TIMEOUT`], or when it is reset during
     /// the check of [`ConnectMode::AfterResetCheck`].
-    pub async fn open(address: SocketAddr, mode: ConnectMode) -> Result<Self, CallError> {
+    pub async fn open(
+        dialer: Dialer,
+        address: SocketAddr,
+        mode: ConnectMode,
+    ) -> Result<Self, CallError> {
         let began = Instant::now();
-        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(stream) => stream.map_err(CallError::Connect)?,
-            Err(elapsed) => return Err(CallError::Connect(io::Error::other(elapsed))),
-        };
+        let stream = dialer.connect(address).await.map_err(CallError::Connect)?;
         stream.set_nodelay(true).map_err(CallError::Connect)?;
         if mode == ConnectMode::ImmediateWithReset {
             stream.set_zero_linger().map_err(CallError::Connect)?;
--- a/crates/citronway/src/gateway/traffic/ended.rs
+++ b/crates/citronway/src/gateway/traffic/ended.rs
@@ -11,7 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::clock;
-use crate::gateway::http_link::{self, Listening};
+use crate::gateway::http_link::{Dialer, Listening};
 
 /// Time for which the result of one probe is shared, in milliseconds.
 ///
@@ -19,14 +19,23 @@
 const PROBE_TTL_MS: u64 = 100;
 
 /// The latest probe of each endpoint whose connection broke.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ListenerProbes {
+    dialer: Dialer,
     last: RefCell<IndexMap<EndpointStart, (Mono, SharedProbe)>>,
 }
 
 type SharedProbe = Shared<LocalBoxFuture<'static, Listening>>;
 
 impl ListenerProbes {
+    /// Probes with `dialer`.
+    pub(super) fn new(dialer: Dialer) -> Self {
+        Self {
+            dialer,
+            last: RefCell::default(),
+        }
+    }
+
     /// Whether a process listens at the address of an endpoint whose connection has just
     /// broken.
     pub(super) async fn probe(&self, choice: &Choice) -> Listening {
@@ -36,13 +45,13 @@
             last.retain(|_, (at, _)| now.since(*at) < PROBE_TTL_MS);
             let (_, probe) = last
                 .entry(choice.endpoint.clone())
-                .or_insert_with(|| (now, start_probe(choice.address)));
+                .or_insert_with(|| (now, start_probe(self.dialer, choice.address)));
             probe.clone()
         };
         probe.await
     }
 }
 
-fn start_probe(address: SocketAddr) -> SharedProbe {
-    http_link::probe_listener(address).boxed_local().shared()
+fn start_probe(dialer: Dialer, address: SocketAddr) -> SharedProbe {
+    dialer.probe_listener(address).boxed_local().shared()
 }
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -472,7 +472,7 @@
             Repeat::Idempotent => ConnectMode::Immediate,
             Repeat::AtMostOnce => ConnectMode::AfterResetCheck,
         };
-        Link::open(choice.address, mode).await
+        Link::open(self.state.dialer, choice.address, mode).await
     }
 }
 
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -27,6 +27,7 @@
 use super::pool::Pool;
 use super::seen::{TrafficReport, Views};
 use crate::clock;
+use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
 
@@ -46,6 +47,8 @@
     pub stop: watch::Receiver<Stop>,
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
+    /// Opens connections to endpoints.
+    pub dialer: Dialer,
     /// Probes of endpoints whose connections broke.
     pub listener_probes: ListenerProbes,
     /// Requests without a complete answer.
@@ -108,6 +111,9 @@
         metrics: Metrics,
         control: ControlClient,
     ) -> Self {
+        let dialer = Dialer {
+            source: cfg.endpoint_source,
+        };
         Self {
             view: views.view,
             trust: views.trust,
@@ -115,7 +121,8 @@
             pool: RefCell::default(),
             open_requests: Rc::new(OpenRequests::new(metrics.clone())),
             metrics,
-            listener_probes: ListenerProbes::default(),
+            dialer,
+            listener_probes: ListenerProbes::new(dialer),
             admission: RefCell::default(),
             waiting: RefCell::default(),
             waiting_added: Notify::new(),
