Pass requests on to a neighbor where an instance does not reach endpoints

What callers saw: at instances that had lost their links to all endpoints, 38 of 2,019 first tries were served, at the others 886 of 908.

Cause: each instance sends to endpoints itself or not at all; what it cannot reach it holds until the request is late, or refuses. What one instance sees of its links is taken for the state of the endpoints.

Change: an instance that cannot connect to the endpoint passes the request on, over a port and with a token of its own, to a neighbor, which decides and sends as for its own callers, states the outcome and never passes it on again. Several failing endpoints and no answer for 0.4 s raise a suspicion; probes of other endpoints confirm it. A cut-off instance does not lead, reports no failures of what it could not reach, and sends one request after an accepted probe; an answer ends the cut. A refused connection is evidence of a crash only where another endpoint is reached. The way in which probes and orders connect is one (Dialer).

Ruled out: readiness and Connection: close (open connections stay; the few sound instances get all at once), the forward of peers, a second hop. A first form took any two broken connections for a cut, without probes: four tests of crashes failed, where endpoints break off answers or end; reverted to the form with probes.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -59,6 +59,8 @@
             "configuration not confirmed; fetching it" | "configuration confirmed again" => {
                 "confirmation of the configuration".to_owned()
             }
+            "no endpoint answers this instance; requests are passed on to others"
+            | "endpoints answer this instance again" => "links to endpoints".to_owned(),
             "assignment" => format!("owners of {}", self.text("service")?),
             "leader" => "leader".to_owned(),
             "endpoint listed" | "endpoint no longer listed" => self.text("endpoint")?.to_owned(),
--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -89,6 +89,12 @@
 impl Admission {
     /// Searches for an endpoint that can take a job.
     pub(super) fn find(&mut self, now: Mono, view: &View, job: &Job) -> Selection {
+        if self.links.is_cut_off() {
+            if job.is_forwarded || !self.links.begin_trial(now, job.repeat) {
+                return Selection::Wait(RefusalReason::Unreachable);
+            }
+            self.avoided.clear();
+        }
         match job.key {
             Some(_) => self.find_owner(now, view, job),
             None => self.find_least_loaded(now, view, job),
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -37,6 +37,8 @@
     pub answer_bytes: u64,
     /// Endpoints that the request was sent to before.
     pub tried: Vec<EndpointStart>,
+    /// Whether another instance passed the request on to this one.
+    pub is_forwarded: bool,
 }
 
 impl Job {
@@ -63,6 +65,9 @@
 pub enum Decision {
     /// Send the request.
     Send(Choice),
+    /// Pass the request on to another instance: this one does not reach the endpoints that may run
+    /// it.
+    Forward,
     /// Refuse the request, which has not run; the caller may retry.
     Refuse(Refusal),
 }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod job;
 mod kept;
+mod links;
 mod view;
 mod wait;
 
@@ -21,10 +22,11 @@
 
 use choose::Selection;
 use kept::IdleConnections;
+use links::{EndpointLinks, LinkFailure};
 
 pub use job::{Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason};
 pub use kept::AT_MOST_ONCE_IDLE_MS;
-pub use view::{Owners, ReportedLoad, View};
+pub use view::{Neighbor, Owners, ReportedLoad, View};
 
 /// Shortest retry-after time of a refusal, in milliseconds.
 const MIN_RETRY_MS: u64 = 60;
@@ -70,6 +72,10 @@
 /// two requests have ended.
 const RESET_MS: (u64, u64) = (50, 800);
 
+/// Time for which requests of a queue are not passed on after other instances did not reach its
+/// endpoints either, in milliseconds.
+const NOT_FORWARDED_MS: u64 = 500;
+
 /// Time for which an endpoint is avoided after another process was found at its address, in
 /// milliseconds: until its entry has expired.
 const REPLACED_MS: u64 = 6_000;
@@ -98,6 +104,9 @@
     moving: IndexMap<u64, Mono>,
     /// Idle open connections.
     idle_connections: IdleConnections,
+    links: EndpointLinks,
+    /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
+    not_forwarded: IndexMap<EndpointTag, Mono>,
     /// Sequence number that varies the choice between equal endpoints.
     sequence: u64,
     /// When the process ends; `None` unless it is shutting down.
@@ -120,6 +129,7 @@
         job.deadline = self
             .ends_at
             .map_or(job.deadline, |end| job.deadline.min(end));
+        self.links.update(now, &self.unanswered);
         let queue_key = Self::queue_key(view, &job);
         let ahead = self.ahead(queue_key, job.priority);
         let selection = if ahead > 0 {
@@ -131,6 +141,9 @@
             Selection::Send(choice) => return Some(self.send(now, view, &job, choice)),
             Selection::Wait(cause) => cause,
         };
+        if let Some(decision) = self.decide_unreachable(now, view, &job, cause) {
+            return Some(decision);
+        }
         if let Some(refusal) = self.refuse_if_late(now, view, &job, ahead, cause) {
             return Some(Decision::Refuse(refusal));
         }
@@ -142,6 +155,7 @@
     /// Decides about queued requests that can now be sent or refused, and returns them by
     /// ticket.
     pub fn decide_waiting(&mut self, now: Mono, view: &View) -> Vec<(u64, Decision)> {
+        self.links.update(now, &self.unanswered);
         let mut decided = Vec::new();
         let mut jobs = std::mem::take(&mut self.waiting);
         jobs.sort_by_key(|job| queue_order(now, job));
@@ -163,8 +177,10 @@
             let decision = match selection {
                 Selection::Send(choice) => Some(self.send(now, view, &job, choice)),
                 Selection::Wait(cause) => {
-                    let refusal = self.refuse_if_late(now, view, &job, before, cause);
-                    refusal.map(Decision::Refuse)
+                    self.decide_unreachable(now, view, &job, cause).or_else(|| {
+                        let refusal = self.refuse_if_late(now, view, &job, before, cause);
+                        refusal.map(Decision::Refuse)
+                    })
                 }
             };
             let Some(decision) = decision else {
@@ -181,6 +197,60 @@
         decided
     }
 
+    /// Decides about a request whose endpoints this instance does not reach: another instance gets
+    /// it, or it is refused at once if no other one can help and waiting here is in vain. Returns
+    /// `None` if it may wait here.
+    fn decide_unreachable(
+        &self,
+        now: Mono,
+        view: &View,
+        job: &Job,
+        cause: RefusalReason,
+    ) -> Option<Decision> {
+        if cause != RefusalReason::Unreachable && !self.links.is_cut_off() {
+            return None;
+        }
+        let queue_key = Self::queue_key(view, job);
+        let helps = self
+            .not_forwarded
+            .get(&queue_key)
+            .is_none_or(|until| now >= *until);
+        let is_link_lost = self.links.is_cut_off()
+            || job.key.is_none()
+            || self.links.is_unconnected(now, queue_key);
+        if !job.is_forwarded && helps && is_link_lost && !view.neighbors.is_empty() {
+            return Some(Decision::Forward);
+        }
+        let is_in_vain = job.is_forwarded || self.links.is_cut_off();
+        is_in_vain.then_some(Decision::Refuse(Refusal {
+            reason: RefusalReason::Unreachable,
+            retry_after_ms: MOVE_RETRY_MS,
+        }))
+    }
+
+    /// Records that no other instance reaches the endpoints that may run a request either.
+    pub fn record_not_forwarded(&mut self, now: Mono, view: &View, job: &Job) {
+        let until = now.plus(NOT_FORWARDED_MS);
+        self.not_forwarded.retain(|_, until| now < *until);
+        self.not_forwarded.insert(Self::queue_key(view, job), until);
+    }
+
+    /// Notices whether endpoints answer this instance; returns true if none does.
+    pub fn update_links(&mut self, now: Mono) -> bool {
+        self.links.update(now, &self.unanswered);
+        self.links.is_cut_off()
+    }
+
+    /// Whether endpoints are to be probed now, since none answers; this then counts as begun.
+    pub fn begin_probe(&mut self, now: Mono) -> bool {
+        self.links.begin_probe(now)
+    }
+
+    /// Records whether an endpoint accepted a connection of a probe.
+    pub fn record_probe(&mut self, now: Mono, is_accepted: bool) {
+        self.links.record_probe(now, is_accepted);
+    }
+
     /// Limits the deadlines of queued and future requests to `end`, the end of the process.
     ///
     /// Failure: an instance stops while requests are queued for an owner that is busy or lost,
@@ -260,9 +330,24 @@
 
     /// Records that the endpoint accepted no connection or stopped responding.
     pub fn record_failure(&mut self, now: Mono, endpoint: &EndpointStart) {
+        let tag = EndpointTag::of(endpoint);
+        self.links
+            .record_failure(now, tag, LinkFailure::NotConnected);
         self.avoid(now, endpoint, AVOID_MS);
     }
 
+    /// Records that a connection to the endpoint was reset, which may be a matter of the link.
+    pub fn record_link_reset(&mut self, now: Mono, endpoint: &EndpointStart) {
+        let tag = EndpointTag::of(endpoint);
+        self.links.record_failure(now, tag, LinkFailure::Reset);
+    }
+
+    /// Whether the last connection to an endpoint failed.
+    #[must_use]
+    pub fn has_failed_link(&self, endpoint: &EndpointStart) -> bool {
+        self.links.has_failed(EndpointTag::of(endpoint))
+    }
+
     /// Records that the endpoint reset a connection.
     ///
     /// Failure: keys in demand move to a new owner, and all instances send to it before they
@@ -314,6 +399,11 @@
     /// Records that the endpoint answered a request that it ran.
     pub fn record_answer(&mut self, now: Mono, choice: &Choice, key: Option<u16>) {
         let tag = EndpointTag::of(&choice.endpoint);
+        if self.links.is_cut_off() {
+            // The links are back, also those that are avoided on account of the cut.
+            self.avoided.clear();
+        }
+        self.links.record_answer(now, tag);
         self.avoided.swap_remove(&tag);
         self.idle_connections.record_idle(now, tag);
         if let Some(since) = self.unanswered.get_mut(&tag) {
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -1,5 +1,6 @@
 //! Snapshot of the cluster state on which an instance bases its admission decisions.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -10,7 +11,7 @@
 use crate::gateway::registry::Registry;
 use crate::gateway::routes::RouteTable;
 use crate::gateway::share::Demand;
-use crate::ids::{ServiceName, Version, ZoneName};
+use crate::ids::{InstanceName, ServiceName, Version, ZoneName};
 
 /// Everything that admission uses besides the instance's own traffic.
 #[derive(Debug, Clone)]
@@ -31,6 +32,8 @@
     pub instances: u32,
     /// Requests that crash endpoints or are suspected of it.
     pub crashes: Arc<CrashSnapshot>,
+    /// Other instances that may reach endpoints which this one does not.
+    pub neighbors: Vec<Neighbor>,
     /// Requests a second that limited endpoints take from all instances together.
     pub limits: IndexMap<EndpointTag, f64>,
 }
@@ -48,11 +51,23 @@
             rank,
             instances: 1,
             crashes: Arc::default(),
+            neighbors: Vec::new(),
             limits: IndexMap::new(),
         }
     }
 }
 
+/// Another instance, to which requests may be passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Neighbor {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Address on which it takes requests from other instances.
+    pub address: SocketAddr,
+    /// Whether it is in this instance's availability zone.
+    pub is_near: bool,
+}
+
 /// Owners of a service's keys.
 #[derive(Debug, Clone)]
 pub struct Owners {
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -41,6 +41,8 @@
     pub stopping: bool,
     /// Whether it cannot lead.
     pub unfit: bool,
+    /// Whether no endpoint answers it.
+    pub is_cut_off: bool,
     /// Part of a leader's work that its machine can do.
     pub strength: Strength,
     /// Highest term of a leader that it knows.
--- a/crates/citronway-core/src/gateway/routes.rs
+++ b/crates/citronway-core/src/gateway/routes.rs
@@ -197,6 +197,17 @@
         Some((name, self.services.get(name)?))
     }
 
+    /// The service `name` of a route; `None` if the route does not have it, or it does not exist.
+    #[must_use]
+    pub fn service_named<'a>(
+        &'a self,
+        route: &'a Route,
+        name: &ServiceName,
+    ) -> Option<(&'a ServiceName, &'a Service)> {
+        let target = route.targets.iter().find(|t| t.service == *name)?;
+        Some((&target.service, self.services.get(&target.service)?))
+    }
+
     /// Finds the route of `host` whose prefix is the longest that `path` starts with. Returns it
     /// with its index.
     ///
--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -19,6 +19,8 @@
     pub ready: SocketAddr,
     /// Address to which other instances send their reports.
     pub reports: SocketAddr,
+    /// Address on which other instances pass requests on to this one; `None` for none.
+    pub neighbors: Option<SocketAddr>,
     /// Address on which metrics are served.
     pub metrics: SocketAddr,
     /// Address from which connections to endpoints are opened; `None` for the system's choice.
--- a/crates/citronway-core/tests/gateway_admission.rs
+++ b/crates/citronway-core/tests/gateway_admission.rs
@@ -16,6 +16,7 @@
     match decision {
         Some(Decision::Send(choice)) => choice.endpoint.to_string(),
         Some(Decision::Refuse(refusal)) => refusal.reason.as_str().to_owned(),
+        Some(Decision::Forward) => "forward".to_owned(),
         None => "waits".to_owned(),
     }
 }
@@ -142,7 +143,7 @@
     for ticket in 0..200 {
         match admission.submit(NOW, &scene.view(), keyed(ticket, 0, NOW)) {
             Some(Decision::Refuse(refusal)) => refused.push(refusal),
-            Some(Decision::Send(_)) | None => {}
+            Some(Decision::Send(_) | Decision::Forward) | None => {}
         }
     }
     // 2 s at six slots of 200 ms: about 60 requests, and the endpoint's queue.
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -308,6 +308,7 @@
         number: 1,
         stopping: false,
         unfit: false,
+        is_cut_off: false,
         strength: Strength(250),
         term: 1,
         seen: Versions::default(),
--- a/crates/citronway-core/tests/gateway_evacuation.rs
+++ b/crates/citronway-core/tests/gateway_evacuation.rs
@@ -102,6 +102,7 @@
     match decision {
         Some(Decision::Send(choice)) => choice.endpoint.to_string(),
         Some(Decision::Refuse(refusal)) => refusal.reason.as_str().to_owned(),
+        Some(Decision::Forward) => "forward".to_owned(),
         None => "waits".to_owned(),
     }
 }
--- a/crates/citronway-core/tests/gateway_service_limit.rs
+++ b/crates/citronway-core/tests/gateway_service_limit.rs
@@ -129,10 +129,11 @@
             work_ms: WORK_MS,
             answer_bytes: 400,
             tried: Vec::new(),
+            is_forwarded: false,
         };
         match self.admissions[i].submit(now, &self.views[i], job.clone()) {
             Some(Decision::Send(choice)) => self.send(now, i, choice),
-            Some(Decision::Refuse(_)) => {}
+            Some(Decision::Refuse(_) | Decision::Forward) => {}
             None => self.jobs[i].push(job),
         }
     }
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -411,6 +411,7 @@
             number: 1,
             stopping: false,
             unfit: false,
+            is_cut_off: false,
             strength: Strength::FULL,
             term: 1,
             seen: Versions::default(),
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -260,6 +260,8 @@
   limits @15 :List(StatedLimit);
   confirmed @16 :Confirmation;
   # Absent where the configuration was never confirmed.
+  cutOff @17 :Bool;
+  # No endpoint answers it.
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -235,6 +235,7 @@
     to.set_number(from.number);
     to.set_stopping(from.stopping);
     to.set_unfit(from.unfit);
+    to.set_cut_off(from.is_cut_off);
     to.set_strength(from.strength.0);
     to.set_term(from.term);
     to.set_seen_config(from.seen.config);
@@ -471,6 +472,7 @@
         number: from.get_number(),
         stopping: from.get_stopping(),
         unfit: from.get_unfit(),
+        is_cut_off: from.get_cut_off(),
         strength: Strength(from.get_strength()),
         term: from.get_term(),
         seen: Versions {
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -98,6 +98,8 @@
 pub(super) struct Cluster {
     zone: ZoneName,
     rank: u64,
+    /// Port on which instances take requests from each other; `None` for none.
+    neighbor_port: Option<u16>,
     routes: Option<Arc<RouteTable>>,
     pub registry: Arc<Registry>,
     pub owners: IndexMap<ServiceName, Owners>,
@@ -150,6 +152,7 @@
         Self {
             zone: cfg.zone.clone(),
             rank: rank_of(&cfg.instance),
+            neighbor_port: cfg.neighbors.map(|address| address.port()),
             routes: None,
             registry: Arc::default(),
             owners: IndexMap::new(),
@@ -500,6 +503,10 @@
             rank: self.rank,
             instances: u32::try_from(self.peers.instance_count(now)).unwrap_or(u32::MAX),
             crashes: self.crashes.known(),
+            neighbors: match self.neighbor_port {
+                Some(port) => self.peers.neighbors(now, &self.zone, port, self.rank),
+                None => Vec::new(),
+            },
             limits: self.stated_limits.in_force(),
         }
     }
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -75,6 +75,8 @@
     former_limits: FormerLeaderLimits,
     /// The cause of unfitness that was last logged; `None` if this instance was fit.
     logged_unfit_cause: Option<&'static str>,
+    /// No endpoint answers this instance's callers.
+    is_cut_off: bool,
 }
 
 impl Leadership {
@@ -96,6 +98,7 @@
             former_leaders_stopped: false,
             former_limits: FormerLeaderLimits::default(),
             logged_unfit_cause: None,
+            is_cut_off: false,
         }
     }
 
@@ -104,6 +107,17 @@
         self.known_since = started;
     }
 
+    /// Records whether any endpoint answers this instance's callers. One that reaches none must
+    /// not lead.
+    pub(super) const fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.is_cut_off = is_cut_off;
+    }
+
+    /// Whether no endpoint answers this instance's callers.
+    pub(super) const fn is_cut_off(&self) -> bool {
+        self.is_cut_off
+    }
+
     pub(super) const fn term(&self) -> u64 {
         self.term
     }
@@ -134,6 +148,9 @@
         if self.own_row.is_some() && now.since(self.confirmed_at) > UNCONFIRMED_MS {
             return Some("the store has not confirmed the leader");
         }
+        if self.is_cut_off {
+            return Some("no endpoint answers this instance");
+        }
         let cut_off = self.leaders.values().any(|leader| leader.is_cut_off(now));
         cut_off.then_some("most endpoints do not answer")
     }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use citronway_core::gateway::admission::ReportedLoad;
+use citronway_core::gateway::admission::{Neighbor, ReportedLoad};
 use citronway_core::gateway::budget::FleetSize;
 use citronway_core::gateway::election::{LeaderRow, PeerState, Strength};
 use citronway_core::gateway::pace::{EndpointPaces, EndpointTag, rank_of};
@@ -30,6 +30,9 @@
 /// six reports.
 const LEADER_SILENT_MS: u64 = 600;
 
+/// Most instances to which requests may be passed on.
+const MAX_NEIGHBORS: usize = 24;
+
 /// An instance of which a row or a report was seen.
 #[derive(Debug)]
 struct Peer {
@@ -40,6 +43,8 @@
     direct_at: Option<Mono>,
     report_number: u64,
     seen: Versions,
+    /// No endpoint answers it, by its own last report.
+    is_cut_off: bool,
     endpoints: Vec<EndpointUse>,
 }
 
@@ -83,6 +88,7 @@
         }
         peer.report_number = report.number;
         peer.seen = report.seen;
+        peer.is_cut_off = report.is_cut_off;
         peer.direct_at = Some(now);
         peer.endpoints.clone_from(&report.endpoints);
         peer.update_state(PeerState {
@@ -152,6 +158,7 @@
             direct_at: None,
             report_number: 0,
             seen: Versions::default(),
+            is_cut_off: false,
             endpoints: Vec::new(),
         })
     }
@@ -329,6 +336,44 @@
         best.address
     }
 
+    /// Instances to which requests may be passed on, at the port `port` of each. Where few are heard
+    /// of directly, those that are listed count too; `rank` varies which.
+    pub(super) fn neighbors(
+        &self,
+        now: Mono,
+        zone: &ZoneName,
+        port: u16,
+        rank: u64,
+    ) -> Vec<Neighbor> {
+        let is_large = self.is_large_fleet(now);
+        let usable = |peer: &Peer| {
+            let state = peer.state.as_ref();
+            let stopping = state.is_some_and(|state| state.stopping);
+            let heard = state.is_some_and(|state| now.since(state.heard) < STALE_MS);
+            !stopping && !peer.is_cut_off && (heard || is_large)
+        };
+        let all = self.all.iter().filter_map(|(instance, peer)| {
+            let address = peer.address.filter(|_| usable(peer))?;
+            Some(Neighbor {
+                instance: instance.clone(),
+                address: SocketAddr::new(address.ip(), port),
+                is_near: peer.zone.as_ref() == Some(zone),
+            })
+        });
+        let mut all: Vec<_> = all.collect();
+        if all.len() > MAX_NEIGHBORS {
+            let from = usize::try_from(rank % all.len() as u64).unwrap_or_default();
+            all.rotate_left(from);
+            // Stable: the order within both parts stays.
+            all.sort_by_key(|neighbor| !neighbor.is_near);
+            let near = all.iter().filter(|neighbor| neighbor.is_near).count();
+            let near_kept = near.min(MAX_NEIGHBORS / 2);
+            all.drain(near_kept..near);
+            all.truncate(MAX_NEIGHBORS);
+        }
+        all
+    }
+
     /// Address of an instance whose own report says that it has a version of the configuration.
     pub(super) fn reporter_of_config(&self, now: Mono, version: u64) -> Option<SocketAddr> {
         let mut reporters = self.direct_reporters(now);
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -41,6 +41,7 @@
     pub(super) fn report_traffic(&mut self, socket: &UdpSocket, seen: &TrafficReport) {
         let now = clock::mono();
         self.report_number += 1;
+        self.leadership.set_cut_off(seen.is_cut_off);
         self.leadership.set_work_ms(&seen.work_ms);
         self.unreported.add(seen.usage.clone());
         self.trials.record_crashes(&seen.signs);
@@ -232,6 +233,7 @@
             number: self.report_number,
             stopping: self.stopping,
             unfit: self.leadership.is_unfit(now, &self.cluster),
+            is_cut_off: self.leadership.is_cut_off(),
             strength: self.cfg.strength,
             term: self.leadership.term(),
             seen: self.cluster.seen_versions(),
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -54,6 +54,18 @@
         socket.connect(address).await
     }
 
+    /// Whether an address accepts a connection and does not reset it at once.
+    pub async fn probe_link(self, address: SocketAddr) -> bool {
+        let began = Instant::now();
+        match self.connect(address).await {
+            Ok(stream) => !is_reset(&stream, reset_check_duration(began.elapsed())).await,
+            Err(e) => {
+                log::debug!(address = address.to_string(), cause = e.to_string(); "endpoint does not accept a probe");
+                false
+            }
+        }
+    }
+
     /// Probes whether a process listens at an address, for [`CONNECT_TIMEOUT`] at most.
     pub async fn probe_listener(self, address: SocketAddr) -> Listening {
         match self.connect(address).await {
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -143,6 +143,8 @@
     crash_suspects: Gauge,
     trials: Family<AnswerLabels, Counter>,
     cold: Family<AnswerLabels, Counter>,
+    forwarded: Family<AnswerLabels, Counter>,
+    cut_off: Gauge,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     evacuated_zones: Gauge,
@@ -200,6 +202,12 @@
         let cold = Family::default();
         let help = "Requests for sends to cold endpoints, by answer";
         registry.register("cold_sends", help, cold.clone());
+        let forwarded = Family::default();
+        let help = "Requests passed on to other instances, by result";
+        registry.register("forwarded", help, forwarded.clone());
+        let cut_off = Gauge::default();
+        let help = "Whether no endpoint answers this instance";
+        registry.register("cut_off", help, cut_off.clone());
         let config_version = Gauge::default();
         let help = "Version of the configuration in force";
         registry.register("config_version", help, config_version.clone());
@@ -238,6 +246,8 @@
             crash_suspects,
             trials,
             cold,
+            forwarded,
+            cut_off,
             config_version,
             config_age,
             evacuated_zones,
@@ -394,6 +404,17 @@
         self.limited_sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was passed on to another instance.
+    pub(super) fn count_forwarded(&self, answer: &'static str) {
+        let labels = AnswerLabels { answer };
+        self.forwarded.get_or_create(&labels).inc();
+    }
+
+    /// Sets whether no endpoint answers this instance.
+    pub(super) fn set_cut_off(&self, is_cut_off: bool) {
+        self.cut_off.set(i64::from(is_cut_off));
+    }
+
     /// Sets the version of the configuration in force.
     pub(super) fn set_config_version(&self, version: u64) {
         let version = i64::try_from(version).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::neighbor::Origin;
 use super::open_requests::OpenGuard;
 use super::request;
 use super::state::{Phase, State, Stop};
@@ -65,7 +66,7 @@
 }
 
 /// Serves one connection until it ends.
-pub(super) async fn serve(state: Rc<State>, stream: TcpStream) {
+pub(super) async fn serve(state: Rc<State>, stream: TcpStream, origin: Origin) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(cause = e.to_string(); "caller disconnected at once");
         return;
@@ -85,7 +86,7 @@
             progress: Rc::clone(&progress),
             open: state.open_requests.insert(clock::mono()),
         };
-        let answer = request::answer(Rc::clone(&state), req, guard);
+        let answer = request::answer(Rc::clone(&state), req, guard, origin);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     let connection = http1::Builder::new()
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -36,6 +36,11 @@
 /// endpoints are healthy.
 const ENDPOINT_TIMEOUT_FACTOR: u64 = 5;
 
+/// Multiple of the usual work time after which a request that tries whether endpoints answer this
+/// instance again is given up, and the shortest such time, in milliseconds.
+const LINK_TRIAL_FACTOR: u64 = 2;
+const MIN_LINK_TRIAL_MS: u64 = 300;
+
 /// Shortest time after a refusal before the same request is sent again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(10);
 
@@ -49,17 +54,22 @@
 }
 
 impl Message {
-    fn for_endpoint(&self, endpoint: &EndpointStart, left_ms: u64) -> Request<Bytes> {
+    /// The request as it is passed on, with its path and query only.
+    pub(super) fn in_origin_form(&self) -> Request<Bytes> {
         let mut req = Request::new(self.body.clone());
         *req.method_mut() = self.method.clone();
-        // Origin form only: the absolute form is for proxies.
+        // The absolute form is for proxies.
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
         if let Ok(uri) = path.parse() {
             *req.uri_mut() = uri;
         }
-        let mut headers = self.headers.clone();
-        exchange::set_target_headers(&mut headers, endpoint, left_ms);
-        *req.headers_mut() = headers;
+        req.headers_mut().clone_from(&self.headers);
+        req
+    }
+
+    fn for_endpoint(&self, endpoint: &EndpointStart, left_ms: u64) -> Request<Bytes> {
+        let mut req = self.in_origin_form();
+        exchange::set_target_headers(req.headers_mut(), endpoint, left_ms);
         req
     }
 }
@@ -75,6 +85,8 @@
     pub job: Job,
     /// Endpoints that may have run the request.
     pub may_have_run_at: Vec<EndpointStart>,
+    /// Number of endpoints that may have run the request through other instances.
+    pub runs_elsewhere: u32,
     /// Number of sends that reached an endpoint.
     pub sends: u32,
     /// Answer of an endpoint that failed with a server error, kept while another endpoint is
@@ -120,6 +132,15 @@
                     self.log_refusal_inputs(refusal.reason);
                     return self.refuse(refusal);
                 }
+                Some(Decision::Forward) => {
+                    if let Some(outcome) = self.forward().await {
+                        return outcome;
+                    }
+                    if !self.has_time(clock::mono()) {
+                        return self.refuse_with(RefusalReason::Unreachable);
+                    }
+                    continue;
+                }
                 None => return self.refuse_with(RefusalReason::Overloaded),
             };
             let class = Class::of(self.route);
@@ -199,6 +220,7 @@
         match cause {
             NotSentCause::NoConnection(_) => self.state.record_unreachable(&choice.endpoint),
             NotSentCause::Reset => {
+                self.state.record_link_reset(&choice.endpoint);
                 self.state.record_reset(&choice.endpoint);
                 self.record_no_room(choice);
             }
@@ -221,6 +243,7 @@
         };
         match unknown {
             UnknownOutcome::Broken => {
+                self.state.record_link_reset(&choice.endpoint);
                 self.state.record_reset(&choice.endpoint);
                 self.record_no_room(&choice);
             }
@@ -323,18 +346,24 @@
         now.plus(MIN_SEND_TIME_MS) < self.job.deadline
     }
 
-    fn may_run_again(&self) -> bool {
-        let attempts = self.route.attempts.max(1) as usize;
-        self.job.repeat == Repeat::Idempotent && self.may_have_run_at.len() < attempts
+    pub(super) fn may_run_again(&self) -> bool {
+        let attempts = self.route.attempts.max(1);
+        self.job.repeat == Repeat::Idempotent && self.runs() < attempts
+    }
+
+    /// Number of endpoints that may have run the request.
+    pub(super) fn runs(&self) -> u32 {
+        let here = u32::try_from(self.may_have_run_at.len()).unwrap_or(u32::MAX);
+        here.saturating_add(self.runs_elsewhere)
     }
 
-    fn may_send_again(&self, now: Mono) -> bool {
+    pub(super) fn may_send_again(&self, now: Mono) -> bool {
         self.has_time(now) && self.state.take_retry(now, &self.job.service)
     }
 
     /// Outcome of a request that was refused at admission.
-    fn refuse(&self, refusal: Refusal) -> Outcome {
-        if self.may_have_run_at.is_empty() {
+    pub(super) fn refuse(&self, refusal: Refusal) -> Outcome {
+        if self.runs() == 0 {
             return Outcome::NotRun(refusal);
         }
         Outcome::Unknown(UnknownOutcomeReason::Broken, "no other endpoint has room")
@@ -345,7 +374,7 @@
     /// A request that an endpoint has, or may have, is not reported as not run.
     fn end_for_stop(&self) -> Outcome {
         self.open.log_stopped(clock::mono());
-        if self.may_have_run_at.is_empty() && !self.open.may_be_at_endpoint() {
+        if self.runs() == 0 && !self.open.may_be_at_endpoint() {
             return stopping();
         }
         let cause = "the instance stopped before the endpoint answered";
@@ -369,7 +398,21 @@
         let sends = self.sends;
         let timeout_ms = self.endpoint_timeout_ms(choice, left_ms);
         let limit = Duration::from_millis(timeout_ms);
-        match tokio::time::timeout(limit, self.exchange(choice)).await {
+        // A request that may be repeated does not wait for an endpoint that no longer answers.
+        let may_repeat =
+            self.job.repeat == Repeat::Idempotent && self.runs() + 1 < self.route.attempts;
+        let state = Rc::clone(self.state);
+        let cut_off = async {
+            if !may_repeat || state.is_cut_off() {
+                std::future::pending::<()>().await;
+            }
+            state.wait_until_cut_off().await;
+        };
+        let exchanged = tokio::select! {
+            exchanged = tokio::time::timeout(limit, self.exchange(choice)) => exchanged,
+            () = cut_off => return SendResult::MayHaveRun(UnknownOutcome::NoAnswer),
+        };
+        match exchanged {
             Ok(Ok(Exchanged { kind, answer })) => match kind {
                 AnswerKind::Ran => {
                     self.state.record_answer(choice, self.job.key);
@@ -415,10 +458,14 @@
     /// This is all the time left, unless another endpoint could run the request too: then the
     /// first one gets a multiple of the usual work time.
     fn endpoint_timeout_ms(&self, choice: &Choice, left_ms: u64) -> u64 {
-        let attempts = self.route.attempts as usize;
-        let other = choice.fence.is_none()
-            && self.job.repeat == Repeat::Idempotent
-            && self.may_have_run_at.len() + 1 < attempts;
+        let may_repeat =
+            self.job.repeat == Repeat::Idempotent && self.runs() + 1 < self.route.attempts;
+        if may_repeat && self.state.is_cut_off() {
+            // This request shows whether endpoints answer again.
+            let timeout_ms = self.job.work_ms * LINK_TRIAL_FACTOR;
+            return timeout_ms.max(MIN_LINK_TRIAL_MS).min(left_ms);
+        }
+        let other = choice.fence.is_none() && may_repeat;
         if !other {
             return left_ms;
         }
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -6,6 +6,8 @@
 mod ended;
 mod forwarding;
 mod limited;
+mod links;
+mod neighbor;
 mod open_requests;
 mod outcome;
 mod pool;
@@ -29,6 +31,7 @@
 use crate::clock;
 use crate::gateway::metrics::Metrics;
 use asks::ControlClient;
+use neighbor::Origin;
 use state::{Phase, State};
 
 pub use state::Stop;
@@ -64,6 +67,10 @@
     metrics: Metrics,
 ) -> io::Result<()> {
     let mut listener = Some(TcpListener::bind(cfg.callers).await?);
+    let mut neighbor_listener = match cfg.neighbors {
+        Some(address) => Some(TcpListener::bind(address).await?),
+        None => None,
+    };
     let control = ControlClient {
         trials: to_control.trials,
         cold: to_control.cold,
@@ -73,18 +80,21 @@
     let mut tasks = JoinSet::new();
     tasks.spawn_local(follow_view(Rc::clone(&state)));
     tasks.spawn_local(check_waiting(Rc::clone(&state)));
+    tasks.spawn_local(links::watch(Rc::clone(&state)));
     let reports = to_control.reports;
     tasks.spawn_local(send_reports(Rc::clone(&state), reports.clone()));
     let drained = connection::drain(&state, stop, cfg.grace_ms);
     tokio::pin!(drained);
     loop {
         tokio::select! {
-            () = accept(listener.as_ref(), &state) => {}
+            () = accept(listener.as_ref(), &state, Origin::Caller) => {}
+            () = accept(neighbor_listener.as_ref(), &state, Origin::Neighbor) => {}
             // Failure: when few instances of a zone are left, callers keep connecting, and the
             // last of them are cut off when the process ends. Closing the port sends them
             // elsewhere before a request is read.
             () = state.wait_for_phase(Phase::Closing), if listener.is_some() => {
                 listener = None;
+                neighbor_listener = None;
                 log::info!("the callers' port is closed");
             }
             () = &mut drained => {
@@ -111,17 +121,17 @@
     }
 }
 
-async fn accept(listener: Option<&TcpListener>, state: &Rc<State>) {
+async fn accept(listener: Option<&TcpListener>, state: &Rc<State>, origin: Origin) {
     let Some(listener) = listener else {
         return std::future::pending().await;
     };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection::serve(Rc::clone(state), stream));
+                tokio::task::spawn_local(connection::serve(Rc::clone(state), stream, origin));
             }
             Err(e) => {
-                log::warn!(cause = e.to_string(); "failed to accept a caller connection");
+                log::warn!(cause = e.to_string(); "failed to accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 
 use super::connection::{GuardedBody, RequestGuard};
+use super::neighbor::{self, Origin};
 use super::open_requests::Stage;
 use super::state::State;
 use crate::clock;
@@ -72,7 +73,12 @@
     id: Option<&HeaderValue>,
     outcome: Outcome,
     guard: RequestGuard,
+    origin: Origin,
 ) -> Response<GuardedBody> {
+    let mut stated = http::HeaderMap::new();
+    if origin == Origin::Neighbor {
+        neighbor::write_outcome(&outcome, &mut stated);
+    }
     guard
         .open
         .request
@@ -106,6 +112,7 @@
     });
     *response.status_mut() = status;
     *response.headers_mut() = headers;
+    response.headers_mut().extend(stated);
     if state.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -3,6 +3,7 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::routes::RouteTable;
@@ -15,6 +16,7 @@
 
 use super::connection::{GuardedBody, RequestGuard};
 use super::forwarding::{Forwarding, Message};
+use super::neighbor::{ForwardedRequest, Origin};
 use super::open_requests::OpenRequest;
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
 use super::state::{Phase, State};
@@ -36,9 +38,21 @@
     state: Rc<State>,
     req: Request<Incoming>,
     guard: RequestGuard,
+    origin: Origin,
 ) -> Response<GuardedBody> {
     let arrived = clock::mono();
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
+    let forwarded = match origin {
+        Origin::Caller => None,
+        Origin::Neighbor => match state.read_forwarded(&mut head.headers) {
+            Ok(forwarded) => Some(forwarded),
+            Err(e) => {
+                log::warn!(cause = e.to_string(); "forwarded request is not accepted");
+                let outcome = Outcome::Rejected(StatusCode::FORBIDDEN, "not an instance");
+                return outcome::respond(&state, None, outcome, guard, origin);
+            }
+        },
+    };
     let open = &guard.open.request;
     let id = exchange::request_id(&head.headers);
     open.set_id(id);
@@ -49,7 +63,7 @@
             log::info!(request, cause = e.to_string(); "a request is malformed");
             let outcome = Outcome::Rejected(StatusCode::BAD_REQUEST, "malformed header");
             outcome::record(&state, arrived, id, Class::UNKNOWN, &outcome);
-            return outcome::respond(&state, id, outcome, guard);
+            return outcome::respond(&state, id, outcome, guard, origin);
         }
     };
     let mut class = Class::UNKNOWN;
@@ -57,10 +71,11 @@
         arrived,
         head: &head,
         metadata: &metadata,
+        forwarded: forwarded.as_ref(),
     };
     let outcome = serve(&state, &parsed, body, open, &mut class).await;
     outcome::record(&state, arrived, id, class, &outcome);
-    outcome::respond(&state, id, outcome, guard)
+    outcome::respond(&state, id, outcome, guard, origin)
 }
 
 /// A request whose head has been parsed.
@@ -68,6 +83,8 @@
     arrived: Mono,
     head: &'a Parts,
     metadata: &'a RequestMetadata,
+    /// What the instance said that passed it on; `None` if it came from a caller.
+    forwarded: Option<&'a ForwardedRequest>,
 }
 
 /// Outcome of a request without a route. It is rejected for good only while no newer
@@ -90,6 +107,32 @@
     )
 }
 
+/// Reads the body of a request, unless it is too long or the instance ends.
+async fn read_body(
+    state: &State,
+    body: Incoming,
+    max_bytes: usize,
+    open: &OpenRequest,
+) -> Result<Bytes, Outcome> {
+    let body = Limited::new(body, max_bytes).collect();
+    let body = tokio::select! {
+        biased;
+        body = body => body,
+        () = state.wait_for_phase(Phase::Ending) => {
+            open.log_stopped(clock::mono());
+            return Err(outcome::stopping());
+        }
+    };
+    match body {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Outcome::Rejected(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body too large",
+        )),
+        Err(_broken) => Err(Outcome::Rejected(StatusCode::BAD_REQUEST, "body not whole")),
+    }
+}
+
 async fn serve(
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
@@ -101,6 +144,7 @@
         arrived,
         head,
         metadata,
+        forwarded,
     } = parsed;
     if state.is_closing() {
         return outcome::stopping();
@@ -121,37 +165,33 @@
         return unconfirmed();
     }
     *class = Class::of(route);
-    let body = Limited::new(body, routes.limits.body_bytes).collect();
-    let body = tokio::select! {
-        biased;
-        body = body => body,
-        () = state.wait_for_phase(Phase::Ending) => {
-            open.log_stopped(clock::mono());
-            return outcome::stopping();
-        }
-    };
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<LengthLimitError>() => {
-            return Outcome::Rejected(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
-        }
-        Err(_broken) => return Outcome::Rejected(StatusCode::BAD_REQUEST, "body not whole"),
+    let body = match read_body(state, body, routes.limits.body_bytes, open).await {
+        Ok(body) => body,
+        Err(outcome) => return outcome,
     };
     let estimate = state.record_arrival(route);
     let number = estimate.number;
-    let Some((service, service_config)) = routes.service(route, number) else {
+    let chosen = forwarded.and_then(|forwarded| routes.service_named(route, &forwarded.service));
+    let Some((service, service_config)) = chosen.or_else(|| routes.service(route, number)) else {
         return not_run(RefusalReason::UnusableRoute, UNUSABLE_RETRY_MS);
     };
     let key = match (service_config.sharded, metadata.key) {
         (true, None) => return Outcome::Rejected(StatusCode::BAD_REQUEST, "no key"),
         (true, Some(key)) => {
-            state.count_key(service, key);
+            if forwarded.is_none() {
+                state.count_key(service, key);
+            }
             Some(key)
         }
         (false, _) => None,
     };
-    state.count_request(arrived, service);
-    let stated_ms = metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS);
+    if forwarded.is_none() {
+        state.count_request(arrived, service);
+    }
+    let stated_ms = match forwarded {
+        Some(forwarded) => forwarded.wait_ms,
+        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
+    };
     let wait_ms = stated_ms.min(route.timeout_ms);
     // A caller that retries states only the time it has left. The time it spent before counts
     // towards the objective too.
@@ -169,6 +209,7 @@
         work_ms: estimate.work_ms,
         answer_bytes: estimate.answer_bytes,
         tried: Vec::new(),
+        is_forwarded: forwarded.is_some(),
     };
     let forwarding = Forwarding {
         state,
@@ -183,6 +224,7 @@
         },
         job,
         may_have_run_at: Vec::new(),
+        runs_elsewhere: forwarded.map_or(0, |forwarded| forwarded.runs),
         sends: 0,
         failed_answer: None,
         work: OnceCell::new(),
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -42,6 +42,8 @@
     pub work_ms: Vec<(citronway_core::ids::ServiceName, f64)>,
     /// Signs of work that crashed endpoints, or that ran to its end.
     pub signs: Vec<Sign>,
+    /// Whether no endpoint answers this instance.
+    pub is_cut_off: bool,
     /// What endpoints stated of their limits.
     pub stated_limits: Vec<StatedLimit>,
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -2,9 +2,11 @@
 
 mod guards;
 mod limits;
+mod neighbors;
 mod phase;
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, View};
@@ -16,7 +18,7 @@
 use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
-use citronway_core::ids::{EndpointStart, ServiceName};
+use citronway_core::ids::{EndpointStart, InstanceName, ServiceName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot, watch};
@@ -75,6 +77,12 @@
     unusable_limit_logged_at: Cell<Option<Mono>>,
     /// Queries to `control`.
     pub control: ControlClient,
+    /// Name of this instance.
+    pub instance: InstanceName,
+    /// Neighbors to which nothing is passed on, and until when.
+    avoided_neighbors: RefCell<IndexMap<SocketAddr, Mono>>,
+    /// Whether no endpoint answers this instance.
+    cut_off: watch::Sender<bool>,
     connections: Cell<u32>,
     phase: watch::Sender<Phase>,
 }
@@ -138,6 +146,9 @@
             stated_limits: RefCell::default(),
             unusable_limit_logged_at: Cell::default(),
             control,
+            instance: cfg.instance.clone(),
+            avoided_neighbors: RefCell::default(),
+            cut_off: watch::Sender::new(false),
             connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
         }
@@ -323,7 +334,11 @@
 
     /// Records that the endpoint accepted no connection.
     pub(super) fn record_unreachable(&self, endpoint: &EndpointStart) {
-        self.record_failure(endpoint);
+        // Where nothing is reached, the fault is this instance's own, and not reported as the
+        // endpoint's.
+        if !self.is_cut_off() {
+            self.record_failure(endpoint);
+        }
         self.admission
             .borrow_mut()
             .record_failure(clock::mono(), endpoint);
@@ -465,6 +480,7 @@
             },
             work_ms: work_ms.collect(),
             signs: self.signs.take(),
+            is_cut_off: self.is_cut_off(),
             stated_limits: self.take_stated_limits(),
         }
     }
--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -75,7 +75,7 @@
     /// Outcome of a request whose work is harmful: it has not run, unless an earlier send of it
     /// may have.
     pub(super) fn refuse_harmful(&self, work: Fingerprint) -> Outcome {
-        if self.may_have_run_at.is_empty() {
+        if self.runs() == 0 {
             return Outcome::Harmful(work);
         }
         Outcome::Unknown(UnknownOutcomeReason::Crashed, "endpoints that run it crash")
@@ -87,7 +87,11 @@
     /// that was under suspicion before this crash is not sent again by this request: if the
     /// suspicion is right, that costs another endpoint and everything that runs there.
     pub(super) async fn check_for_crash(&mut self, choice: &Choice) -> CrashCheck {
-        let listening = self.state.listener_probes.probe(choice).await;
+        let mut listening = self.state.listener_probes.probe(choice).await;
+        if listening == Listening::No && !self.state.reaches_another(&choice.endpoint).await {
+            // This instance reaches no endpoint, so the fault may be its own link.
+            listening = Listening::Unknown;
+        }
         let Some(work) = self.fingerprint().filter(|_| listening == Listening::No) else {
             return CrashCheck::NotCrashed;
         };
--- a/crates/citronway/tests/gateway_cut_instances.rs
+++ b/crates/citronway/tests/gateway_cut_instances.rs
@@ -8,8 +8,9 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use citronway_standin::shared::FencedEndpoint;
 use citronway_standin::soak::{Mode, Proxy};
-use gateway_support::{Deployment, Instance, exchange, head, until};
+use gateway_support::{Deployment, Instance, Reply, exchange, head, until};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -22,6 +23,9 @@
 /// Least part of first tries that cut instances serve, relative to the others.
 const SERVED_PART: f64 = 0.9;
 
+/// Port on which instances take requests from each other.
+const HOP_PORT: u16 = 8_004;
+
 /// Time that a caller waits, in milliseconds.
 const CALLER_WAIT_MS: u64 = 3_000;
 
@@ -79,6 +83,22 @@
         }
     }
 
+    /// Cuts the first instance from all endpoints and waits until it has noticed.
+    fn cut_first(&self) {
+        self.set_links(0..1, Mode::Reset);
+        until("the first instance has noticed the cut", || {
+            // Also its kept connections must have been found broken.
+            self.call("GET /look/1", "n", "");
+            self.call("GET /status/1", "n", "");
+            self.instances[0].metrics().contains("citronway_cut_off 1")
+        });
+    }
+
+    /// Sends a request with a key to the first instance.
+    fn call(&self, start: &str, id: &str, body: &str) -> Reply {
+        self.instances[0].call(start, id, 7, body)
+    }
+
     /// Sets the links of the instances in `range` to all endpoints.
     fn set_links(&self, range: std::ops::Range<usize>, mode: Mode) {
         for instance in &self.instances[range] {
@@ -186,3 +206,115 @@
     expect_that!(others, ge(SERVED_PART));
     expect_that!(cut, ge(SERVED_PART * others));
 }
+
+/// Guards against a neighbor that is the only one left and gets nothing, and against a single cut
+/// instance that is not noticed.
+#[gtest]
+fn one_cut_instance_and_all_but_one_are_served() {
+    for cut in [1, 5] {
+        let fleet = Fleet::start(6);
+        let (cut_part, others) = served_in_cut(&fleet, cut, Mode::Reset);
+        expect_that!(others, ge(SERVED_PART), "{cut} of 6 cut");
+        expect_that!(cut_part, ge(SERVED_PART * others), "{cut} of 6 cut");
+    }
+}
+
+/// Guards against requests that wait for their deadline where no instance reaches an endpoint, and
+/// against links that are given up for long.
+#[gtest]
+fn where_all_are_cut_requests_are_refused_at_once_and_served_soon_after() {
+    let fleet = Fleet::start(3);
+    fleet.set_links(0..3, Mode::Reset);
+    let callers = Callers::start(&fleet);
+    std::thread::sleep(NOTICED);
+    let began = Instant::now();
+    let reply = fleet.call("GET /look/1", "all-cut", "");
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.header("retry-after"), some(anything()));
+    expect_that!(began.elapsed(), lt(Duration::from_secs(1)));
+    fleet.set_links(0..3, Mode::Pass);
+    let healed = Instant::now();
+    std::thread::sleep(Duration::from_secs(3));
+    let tries = callers.stop();
+    let from = healed + Duration::from_secs(1);
+    expect_that!(
+        served_part(&tries, from, healed + Duration::from_secs(3)),
+        ge(SERVED_PART)
+    );
+}
+
+/// Guards against a request that is changed on its way through a neighbor, or runs twice.
+#[gtest]
+fn a_request_passes_through_a_neighbor_unchanged_and_runs_once() {
+    let fleet = Fleet::start(3);
+    fleet.cut_first();
+    let body = "x".repeat(20_000);
+    let reply = fleet.call("POST /apply/1?a=b%20c", "unchanged", &body);
+    expect_that!(reply.status, eq(200));
+    expect_that!(reply.head, not(contains_substring("citronway-")));
+    let endpoints = [&fleet.deployment.a, &fleet.deployment.b];
+    let ran: Vec<_> = endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.ran())
+        .filter(|ran| ran.id == "unchanged")
+        .collect();
+    expect_that!(ran.len(), eq(1));
+    for ran in ran {
+        expect_that!(ran.what, eq("POST /apply/1?a=b%20c"));
+        expect_that!(ran.body.len(), eq(body.len()));
+        expect_that!(ran.left_ms, le(CALLER_WAIT_MS));
+    }
+}
+
+/// Guards against work that may have run at a neighbor's endpoint and is called not run.
+#[gtest]
+fn work_at_a_neighbor_that_is_killed_may_have_run_and_runs_once() {
+    let mut fleet = Fleet::start(2);
+    fleet.cut_first();
+    for endpoint in [&fleet.deployment.a, &fleet.deployment.b] {
+        endpoint.work(Duration::from_millis(800));
+    }
+    let address = fleet.instances[0].callers;
+    let caller = std::thread::spawn(move || {
+        let headers = "X-Request-Id: lost\r\nX-Shard-Key: 7\r\n";
+        exchange(
+            address,
+            &head("POST /apply/1", headers, CALLER_WAIT_MS, 0),
+            "",
+        )
+    });
+    std::thread::sleep(Duration::from_millis(400));
+    fleet.instances[1].kill();
+    let reply = caller.join().expect("no panic").expect("an answer");
+    expect_that!(reply.status, eq(502));
+    let runs = |endpoint: &FencedEndpoint| {
+        let ran = endpoint.ran();
+        ran.iter().filter(|ran| ran.id == "lost").count()
+    };
+    expect_that!(runs(&fleet.deployment.a) + runs(&fleet.deployment.b), le(1));
+}
+
+/// Guards against a caller who takes the way between instances.
+#[gtest]
+fn the_address_for_neighbors_serves_no_one_else() {
+    let fleet = Fleet::start(2);
+    let hop = std::net::SocketAddr::new(fleet.instances[0].callers.ip(), HOP_PORT);
+    let forged = "citronway-sender: n1\r\ncitronway-token: 0123456789abcdef\r\n\
+                  citronway-wait-ms: 3000\r\ncitronway-service: console\r\ncitronway-runs: 0\r\n";
+    for headers in ["X-Request-Id: f\r\n", forged] {
+        let reply = exchange(hop, &head("GET /status/1", headers, CALLER_WAIT_MS, 0), "");
+        expect_that!(reply.expect("an answer").status, eq(403));
+    }
+    let garbage = exchange(hop, "\u{1}\u{2}garbage\r\n\r\n", "");
+    expect_that!(garbage.is_none_or(|reply| reply.status == 400), eq(true));
+    let cut_short = exchange(
+        hop,
+        "POST /status/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n",
+        "",
+    );
+    expect_that!(cut_short.is_none_or(|reply| reply.status != 200), eq(true));
+    // Headers of a caller do not make its request one of an instance.
+    let headers = format!("X-Request-Id: own\r\n{forged}");
+    let reply = fleet.instances[0].call_with("GET /status/1", &headers, "");
+    expect_that!(reply.status, eq(200));
+}
