--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod evacuations;
 mod load;
+mod table;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,6 +32,7 @@
 use super::peers::{InstanceRow, Peers};
 use super::store::TableUpdate;
 use super::unusable::{Source, Unusable};
+use table::{RowSource, TableState};
 
 /// Time in milliseconds for which others may have newer rows of a table before its poll
 /// counts as hung. Polls are answered within a few milliseconds of a change.
@@ -55,45 +57,6 @@
     Regained,
 }
 
-/// Where rows of a table came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RowSource {
-    /// The store itself.
-    Store,
-    /// The leader, which relayed them.
-    Relay,
-    /// A copy that another instance sent on request.
-    Copy,
-}
-
-impl RowSource {
-    /// Name for logs.
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Store => "store",
-            Self::Relay => "relay",
-            Self::Copy => "copy",
-        }
-    }
-}
-
-/// How far a table is known.
-#[derive(Debug, Default)]
-pub(super) struct TableState {
-    /// Newest version among the rows that were seen.
-    newest: u64,
-    /// Position in the table's history up to which all rows were taken.
-    pub(super) position: u64,
-    /// The last call failed.
-    lost: bool,
-    /// Since when others are known to have newer rows.
-    behind_since: Option<Mono>,
-    /// When another instance was last asked for rows that were lost on the way.
-    missed_requested_at: Option<Mono>,
-    /// The table was read or copied at least once.
-    loaded: bool,
-}
-
 #[derive(Debug)]
 pub(super) struct Cluster {
     zone: ZoneName,
@@ -134,19 +97,6 @@
     pub(super) changed: bool,
 }
 
-impl TableState {
-    /// Records that a row of this version was seen.
-    pub(super) fn observe_version(&mut self, version: u64) {
-        self.newest = self.newest.max(version);
-        self.behind_since = None;
-    }
-
-    /// Records that all rows up to a position were taken.
-    fn advance_position(&mut self, position: Version) {
-        self.position = self.position.max(position.0);
-    }
-}
-
 impl Cluster {
     pub(super) fn new(cfg: &InstanceSettings) -> Self {
         Self {
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use citronway_core::gateway::admission::{
     Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason,
 };
@@ -15,8 +14,8 @@
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, AnswerKind, RequestMetadata};
-use http::{Method, Request, Uri};
 
+use super::message::Message;
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, display_id, stopping};
 use super::sent::{NotSentCause, SendResult, UnknownOutcome, log_send};
@@ -44,36 +43,6 @@
 /// Shortest time after a refusal before the same request is sent again.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(10);
 
-/// The request as it is sent to an endpoint.
-#[derive(Debug)]
-pub(super) struct Message {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: http::HeaderMap,
-    pub body: Bytes,
-}
-
-impl Message {
-    /// The request as it is passed on, with its path and query only.
-    pub(super) fn in_origin_form(&self) -> Request<Bytes> {
-        let mut req = Request::new(self.body.clone());
-        *req.method_mut() = self.method.clone();
-        // The absolute form is for proxies.
-        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        if let Ok(uri) = path.parse() {
-            *req.uri_mut() = uri;
-        }
-        req.headers_mut().clone_from(&self.headers);
-        req
-    }
-
-    fn for_endpoint(&self, endpoint: &EndpointStart, left_ms: u64) -> Request<Bytes> {
-        let mut req = self.in_origin_form();
-        exchange::set_target_headers(req.headers_mut(), endpoint, left_ms);
-        req
-    }
-}
-
 /// A request that is being forwarded.
 pub(super) struct Forwarding<'a> {
     pub state: &'a Rc<State>,
--- a/crates/citronway/src/gateway/traffic/links.rs
+++ b/crates/citronway/src/gateway/traffic/links.rs
@@ -34,8 +34,8 @@
     /// Whether this instance reaches another endpoint than one that refuses connections, or knows
     /// no other.
     ///
-    /// Failure guarded against: links of this instance are reset, all endpoints seem to have ended
-    /// with what they ran, and innocent work is under suspicion at all instances.
+    /// Where links of this instance are reset, all endpoints seem to have ended with what they ran,
+    /// and innocent work would be under suspicion at all instances.
     pub(super) async fn reaches_another(&self, endpoint: &EndpointStart) -> bool {
         self.is_only_endpoint(endpoint) || self.reaches_any(Some(endpoint), MAX_PROBED).await
     }
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod limited;
 mod links;
+mod message;
 mod neighbor;
 mod open_requests;
 mod outcome;
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -15,7 +15,8 @@
 use hyper::body::Incoming;
 
 use super::connection::{GuardedBody, RequestGuard};
-use super::forwarding::{Forwarding, Message};
+use super::forwarding::Forwarding;
+use super::message::Message;
 use super::neighbor::{ForwardedRequest, Origin};
 use super::open_requests::OpenRequest;
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod neighbors;
 mod phase;
+mod report;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::limit::EndpointLoad;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
-use citronway_core::gateway::report::{self, EndpointUse, KeySamples, MAX_KEYS};
+use citronway_core::gateway::report::MAX_KEYS;
 use citronway_core::gateway::routes::{CallerLimits, Route};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{EndpointStart, InstanceName, ServiceName};
@@ -27,7 +28,7 @@
 use super::ended::ListenerProbes;
 use super::open_requests::OpenRequests;
 use super::pool::Pool;
-use super::seen::{TrafficReport, Views};
+use super::seen::Views;
 use crate::clock;
 use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
@@ -427,64 +428,6 @@
         }
     }
 
-    /// Takes the report on the time since the last one, and updates the gauges.
-    pub(super) fn take_report(&self) -> TrafficReport {
-        self.pool.borrow_mut().prune(clock::mono());
-        let in_flight = self
-            .admission
-            .borrow()
-            .usage()
-            .map(|(_, count, _)| count)
-            .sum();
-        self.metrics.set_load(self.waiting_count(), in_flight);
-        self.metrics.set_connections(self.open_connections());
-        self.open_requests.update_metrics();
-        let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
-        let mut endpoints: Vec<_> = self
-            .admission
-            .borrow()
-            .usage()
-            .map(|(tag, in_flight, waiting)| EndpointUse {
-                tag,
-                in_flight,
-                waiting,
-                answers: answers.swap_remove(&tag).unwrap_or_default(),
-            })
-            .filter(|used| used.in_flight + used.waiting > 0 || used.answers != Answers::default())
-            .collect();
-        endpoints.extend(answers.into_iter().map(|(tag, answers)| EndpointUse {
-            tag,
-            answers,
-            ..EndpointUse::default()
-        }));
-        let keys = std::mem::take(&mut *self.key_samples.borrow_mut());
-        let samples = keys
-            .into_iter()
-            .map(|(service, keys)| KeySamples { service, keys });
-        let mut work = IndexMap::<ServiceName, (f64, f64)>::new();
-        for route in self.route_stats.borrow().values() {
-            let Some(service) = &route.service else {
-                continue;
-            };
-            let sum = work.entry(service.clone()).or_default();
-            sum.0 += route.mean_ms * route.requests as f64;
-            sum.1 += route.requests as f64;
-        }
-        let work_ms = work
-            .into_iter()
-            .map(|(service, (sum, count))| (service, sum / count));
-        TrafficReport {
-            usage: report::Observations {
-                endpoints,
-                keys: samples.collect(),
-            },
-            work_ms: work_ms.collect(),
-            signs: self.signs.take(),
-            is_cut_off: self.is_cut_off(),
-            stated_limits: self.take_stated_limits(),
-        }
-    }
-
     /// Keeps the crash signs of a report that could not be sent, for the next report.
     pub(super) fn restore_signs(&self, signs: Vec<Sign>) {
         self.signs.borrow_mut().extend(signs);
