Soak: instances lose their links to endpoints

The soak had no way to cut one instance from an endpoint that others reach. Its proxies know instances by their address now; a soak with cuts draws some instances, or all, that lose their links to all endpoints or to one, by resets or silence, beside series of signals, a store that fails and changes of the configuration.

--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -151,6 +151,21 @@
         self.store.put("servers", server.now.name(), &entry);
     }
 
+    /// Sets the links of an instance to all endpoints, or to one.
+    fn set_links(&self, instance: usize, endpoint: Option<usize>, mode: Mode) {
+        let source = self.instances[instance].callers().ip();
+        for (n, server) in self.servers.iter().enumerate() {
+            if endpoint.is_some_and(|endpoint| endpoint != n) {
+                continue;
+            }
+            if mode == Mode::Pass {
+                server.link.clear_for(source);
+            } else {
+                server.link.set_for(source, mode);
+            }
+        }
+    }
+
     /// Begins a fault.
     ///
     /// # Errors
@@ -174,6 +189,7 @@
                 self.servers[n].link.set(mode);
                 self.servers[n].disturbed.push((Instant::now(), None));
             }
+            Fault::InstanceCut(n, endpoint, mode) => self.set_links(n, endpoint, mode),
             Fault::DropAnswers(n) => self.servers[n].now.drop_answers(true),
             Fault::Full(n) => self.servers[n].now.full(true),
             Fault::Slow(n) => self.servers[n].now.work(LONG_WORK),
@@ -204,6 +220,7 @@
             Fault::StoreLink(n, _) => self.instances[n].link.set(Mode::Pass),
             Fault::Store(_) => self.store.fail(StoreFault::None),
             Fault::EndpointLink(n, _) => self.servers[n].mend_link(),
+            Fault::InstanceCut(n, endpoint, _) => self.set_links(n, endpoint, Mode::Pass),
             Fault::DropAnswers(n) => self.servers[n].now.drop_answers(false),
             Fault::Full(n) => self.servers[n].now.full(false),
             Fault::Slow(n) => self.servers[n].now.work(WORK),
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -43,6 +43,12 @@
 /// Shortest time for which an endpoint states a limit, in milliseconds.
 const SHORTEST_LIMIT_MS: u64 = 3_500;
 
+/// Fewest and most cuts of one soak.
+const CUTS: (usize, usize) = (2, 5);
+
+/// Sets the draws of the cuts apart from those of the other faults.
+const CUTS_STREAM: u64 = 0x0063_7574_7300;
+
 /// Sets the draws of the limits apart from those of the other faults.
 const LIMITS_STREAM: u64 = 0x006c_696d_6974;
 
@@ -51,6 +57,10 @@
 
 /// What is played.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "kinds of faults that are added independently of each other"
+)]
 pub struct Soak {
     /// From which all is drawn.
     pub seed: u64,
@@ -64,6 +74,8 @@
     pub harmful: bool,
     /// Besides, endpoints state limits on the requests of all instances.
     pub limits: bool,
+    /// Besides, instances lose their links to all endpoints or to one.
+    pub cuts: bool,
 }
 
 impl Soak {
@@ -76,6 +88,7 @@
             signals: false,
             harmful: false,
             limits: false,
+            cuts: false,
         }
     }
 
@@ -107,6 +120,15 @@
         }
     }
 
+    /// Signals in series and instances that lose their links to endpoints.
+    #[must_use]
+    pub const fn with_cuts(seed: u64) -> Self {
+        Self {
+            cuts: true,
+            ..Self::with_signals(seed)
+        }
+    }
+
     /// Everything at once.
     #[must_use]
     pub const fn with_all(seed: u64) -> Self {
@@ -138,6 +160,8 @@
     Forget,
     /// The link of all instances to an endpoint misbehaves.
     EndpointLink(usize, Mode),
+    /// The links of an instance to all endpoints misbehave, or to one.
+    InstanceCut(usize, Option<usize>, Mode),
     /// An endpoint runs requests and breaks their answers off.
     DropAnswers(usize),
     /// An endpoint refuses for want of room.
@@ -191,10 +215,38 @@
             plan.push(limit(&mut rng));
         }
     }
+    if soak.cuts {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
+        for _ in 0..rng.random_range(CUTS.0..=CUTS.1) {
+            cut(&mut rng, soak.instances, &mut plan);
+        }
+    }
     plan.sort_by_key(|planned| planned.at);
     plan
 }
 
+/// Some instances, or all, lose their links to endpoints at the same time.
+fn cut(rng: &mut StdRng, instances: usize, plan: &mut Vec<Planned>) {
+    let at = Duration::from_millis(rng.random_range(0..LENGTH_MS * 3 / 4));
+    let lasts = Duration::from_millis(rng.random_range(200..LENGTH_MS / 2));
+    let endpoint = match rng.random_range(0..3) {
+        0 => Some(rng.random_range(0..=SHARDED)),
+        _ => None,
+    };
+    let mode = match rng.random_range(0..3) {
+        0 => Mode::Silent,
+        _ => Mode::Reset,
+    };
+    let first = rng.random_range(0..instances);
+    for n in 0..rng.random_range(1..=instances) {
+        plan.push(Planned {
+            at,
+            lasts,
+            fault: Fault::InstanceCut((first + n) % instances, endpoint, mode),
+        });
+    }
+}
+
 /// Signals to several instances at the same time, while an endpoint holds work up.
 fn series(rng: &mut StdRng, instances: usize, plan: &mut Vec<Planned>) {
     let begin = Duration::from_millis(rng.random_range(0..LENGTH_MS * 3 / 4));
--- a/crates/citronway-standin/src/soak/proxy.rs
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -107,6 +107,13 @@
         });
     }
 
+    /// Treats connections from one address like all others again.
+    pub fn clear_for(&self, source: IpAddr) {
+        self.modes.send_modify(|modes| {
+            modes.by_source.swap_remove(&source);
+        });
+    }
+
     /// Resets all connections and sends new ones to another address.
     pub fn retarget(&self, target: SocketAddr) {
         *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -42,6 +42,9 @@
 /// them together.
 const FIXED_LIMITS: [u64; 2] = [804, 806];
 
+/// Seeds that are always run, with instances that lose their links to endpoints.
+const FIXED_CUTS: [u64; 2] = [900, 901];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -66,9 +69,11 @@
     soaked
 }
 
-/// Soak of a new seed: limits with few signals, or everything at once.
+/// Soak of a new seed: limits with few signals, cut links, or everything at once.
 const fn drawn(seed: u64) -> Soak {
-    if seed.is_multiple_of(2) {
+    if seed % 4 == 3 {
+        Soak::with_cuts(seed)
+    } else if seed.is_multiple_of(2) {
         Soak::with_limits(seed)
     } else {
         Soak::with_all(seed)
@@ -113,6 +118,9 @@
     for seed in FIXED_LIMITS {
         expect_no_violations(&soak(Soak::with_limits(seed)));
     }
+    for seed in FIXED_CUTS {
+        expect_no_violations(&soak(Soak::with_cuts(seed)));
+    }
 }
 
 /// Thirty instances, including delegates and leaders, are stopped, paused and killed in series
