Decode heads of answers once, and tell instances of endpoints that leave

Logs and metrics could not tell whether a statement of an endpoint that it leaves was not read, or read and not followed. It is decoded, logged once with its source and age, told to all instances, and counted; nothing decides by it yet. One typed value of an answer's head replaces a function for each header.

--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -4,8 +4,9 @@
 //! derived from it: the route of a request ([`routes`]), the listed endpoints ([`registry`]),
 //! the ownership of keys ([`assignment`], [`leader`], [`election`], [`placement`]), whether a
 //! request waits, is sent or is refused ([`admission`], [`share`], [`limit`], [`budget`]), the
-//! evacuated zones ([`evacuation`]), the limits that endpoints state ([`stated_limits`]), and the
-//! requests that crash endpoints ([`crashes`]).
+//! evacuated zones ([`evacuation`]), the limits that endpoints state ([`stated_limits`]), the
+//! endpoints that state that they leave ([`departures`]), and the requests that crash endpoints
+//! ([`crashes`]).
 //! Instances report to each other what they have in flight ([`report`]), in large fleets
 //! through delegates ([`tree`]).
 
@@ -14,6 +15,7 @@
 pub mod budget;
 pub mod cold;
 pub mod crashes;
+pub mod departures;
 pub mod election;
 pub mod evacuation;
 pub mod freshness;
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::crashes::{Fingerprint, RefusedWork, Sign};
+use crate::gateway::departures::Departure;
 use crate::gateway::election::Strength;
 use crate::gateway::freshness::Confirmation;
 use crate::gateway::pace::{Answers, EndpointTag};
@@ -61,6 +62,8 @@
     pub first_sign: u64,
     /// What endpoints stated of their limits, including what members reported.
     pub limits: Vec<StatedLimit>,
+    /// Endpoints that stated that they leave, including what members reported.
+    pub departures: Vec<Departure>,
     /// When its configuration was the newest one; `None` if that was never confirmed.
     pub confirmed: Option<Confirmation>,
 }
@@ -183,6 +186,8 @@
     pub suspects: Vec<Fingerprint>,
     /// What endpoints stated of their limits.
     pub limits: Vec<StatedLimit>,
+    /// Endpoints that stated that they leave.
+    pub departures: Vec<Departure>,
     /// When the configuration of the sender, a leader or delegate, was the newest one; `None` if
     /// that was never confirmed.
     pub confirmed: Option<Confirmation>,
--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -36,6 +36,9 @@
     /// Time from the acknowledgement of an evacuation until the zone's endpoints get no more
     /// requests, in milliseconds.
     pub evacuation_ms: u64,
+    /// Time from an endpoint's first statement that it leaves until it gets no more requests, in
+    /// milliseconds.
+    pub drain_ms: u64,
     /// Time from the acknowledgement of a configuration until it must be in force, in milliseconds.
     pub config_apply_ms: u64,
     /// Factor by which requests to a cold endpoint may exceed the rate that its service states.
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -318,6 +318,7 @@
         signs,
         first_sign,
         limits: Vec::new(),
+        departures: Vec::new(),
         confirmed: None,
     }
 }
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -384,6 +384,7 @@
             refused: self.all[0].ledger.harmful(self.now),
             suspects: self.all[0].ledger.suspects(self.now),
             limits: Vec::new(),
+            departures: Vec::new(),
             confirmed: None,
             members,
         }
@@ -421,6 +422,7 @@
             signs,
             first_sign,
             limits: Vec::new(),
+            departures: Vec::new(),
             confirmed: None,
         });
         let members = instance
--- /dev/null
+++ b/crates/citronway-standin/src/shared/departures.rs
@@ -0,0 +1,69 @@
+//! Whether instances that were told that an endpoint leaves stop sending to it.
+
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+/// Time after which an instance that was told that an endpoint leaves must send it nothing.
+pub const DRAIN: Duration = Duration::from_secs(2);
+
+/// A request that reached an endpoint too late.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LateArrival {
+    /// Instance that sent it.
+    pub sender: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// Time since the instance was told.
+    pub after: Duration,
+}
+
+/// What a leaving endpoint told instances, and what reached it.
+#[derive(Debug, Clone, Default)]
+pub struct DepartureLog {
+    /// When each instance was first told.
+    told: IndexMap<String, Instant>,
+    arrivals: Vec<(Instant, String)>,
+}
+
+impl DepartureLog {
+    /// Records a request that an instance sent.
+    pub(super) fn arrive(&mut self, at: Instant, sender: &str) {
+        if self.told.is_empty() {
+            return;
+        }
+        self.arrivals.push((at, sender.to_owned()));
+    }
+
+    /// Records an answer to an instance that said so.
+    pub(super) fn tell(&mut self, at: Instant, sender: &str) {
+        self.told.entry(sender.to_owned()).or_insert(at);
+    }
+
+    /// Number of instances that were told.
+    #[must_use]
+    pub fn told_count(&self) -> usize {
+        self.told.len()
+    }
+
+    /// Number of requests that arrived since a moment.
+    #[must_use]
+    pub fn arrived_since(&self, from: Instant) -> usize {
+        let arrivals = self.arrivals.iter();
+        arrivals.filter(|(at, _)| *at >= from).count()
+    }
+
+    /// Requests that arrived later than [`DRAIN`] after their senders were told.
+    #[must_use]
+    pub fn late(&self) -> Vec<LateArrival> {
+        let late = self.arrivals.iter().filter_map(|(at, sender)| {
+            let after = at.duration_since(*self.told.get(sender)?);
+            (after > DRAIN).then(|| LateArrival {
+                sender: sender.clone(),
+                at: *at,
+                after,
+            })
+        });
+        late.collect()
+    }
+}
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::departures::DepartureLog;
 use super::limits::LimitLog;
 use super::serve::{Answer, Background};
 
@@ -73,6 +74,9 @@
     /// Texts of the limit that each answer states.
     limit: Vec<String>,
     limits: LimitLog,
+    /// Texts by which each answer states that the endpoint leaves.
+    leaving: Vec<String>,
+    departure: DepartureLog,
 }
 
 /// Whether the process crashes.
@@ -152,6 +156,8 @@
                 running: Vec::new(),
                 limit: Vec::new(),
                 limits: LimitLog::default(),
+                leaving: Vec::new(),
+                departure: DepartureLog::default(),
             }),
             ended: Notify::new(),
             hurried: Notify::new(),
@@ -230,6 +236,22 @@
         self.shared.lock().limits.clone()
     }
 
+    /// States in each answer from now on that it leaves.
+    pub fn leave(&self) {
+        self.say_of_leaving(&["1"]);
+    }
+
+    /// Puts texts into each answer from now on where an endpoint states that it leaves.
+    pub fn say_of_leaving(&self, texts: &[&str]) {
+        self.shared.lock().leaving = texts.iter().map(|text| (*text).to_owned()).collect();
+    }
+
+    /// Whom it told that it leaves, and what it got.
+    #[must_use]
+    pub fn departure(&self) -> DepartureLog {
+        self.shared.lock().departure.clone()
+    }
+
     /// Runs requests and closes the connection without an answer.
     pub fn drop_answers(&self, drops: bool) {
         self.shared.lock().drop_answers = drops;
@@ -364,6 +386,7 @@
         let begins = {
             let mut state = shared.lock();
             state.limits.arrive(Instant::now(), &sender);
+            state.departure.arrive(Instant::now(), &sender);
             state.begins
         };
         let answer = match begins {
@@ -374,13 +397,20 @@
                 task.await.ok().flatten()
             }
         };
-        return answer.map(|answer| with_limit(&shared, &sender, answer));
+        return answer.map(|answer| with_statements(&shared, &sender, answer));
     }
+    let mut answer = carry_out(&shared, &path, &req).await;
+    state_leaving(&shared.lock(), &mut answer);
+    Some(answer)
+}
+
+/// Carries out a grant or a release of keys.
+async fn carry_out(shared: &Shared, path: &str, req: &Request<Bytes>) -> Response<Full<Bytes>> {
     let Ok(keys) = serde_json::from_slice::<Keys>(req.body()) else {
-        return Some(plain(StatusCode::BAD_REQUEST));
+        return plain(StatusCode::BAD_REQUEST);
     };
     if path == "/api/grant" {
-        return Some(plain(shared.lock().grant(&keys)));
+        return plain(shared.lock().grant(&keys));
     }
     shared.lock().release(&keys);
     shared.until_idle(&keys).await;
@@ -388,7 +418,7 @@
     if let Ok(token) = format!("{:x}", keys.fence).parse() {
         answer.headers_mut().insert("x-handover", token);
     }
-    Some(answer)
+    answer
 }
 
 async fn run_later(shared: Arc<Shared>, req: Request<Bytes>, late: Duration) -> Answer {
@@ -464,8 +494,8 @@
     Some(answer)
 }
 
-/// The answer with the limit that is stated now.
-fn with_limit(
+/// The answer with what the endpoint states of itself now.
+fn with_statements(
     shared: &Shared,
     sender: &str,
     mut answer: Response<Full<Bytes>>,
@@ -479,9 +509,21 @@
     if !state.limit.is_empty() {
         state.limits.tell(Instant::now(), sender);
     }
+    state_leaving(&state, &mut answer);
+    if !state.leaving.is_empty() {
+        state.departure.tell(Instant::now(), sender);
+    }
     answer
 }
 
+fn state_leaving(state: &State, answer: &mut Response<Full<Bytes>>) {
+    for text in &state.leaving {
+        if let Ok(value) = http::HeaderValue::from_str(text) {
+            answer.headers_mut().append("server-leaving", value);
+        }
+    }
+}
+
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -2,12 +2,14 @@
 //! a feed, and endpoints that hold keys by fenced grants. Each serves on loopback
 //! from a thread of its own until it is dropped.
 
+mod departures;
 mod documents;
 mod endpoint;
 mod limits;
 mod serve;
 mod store;
 
+pub use departures::{DRAIN, DepartureLog, LateArrival};
 pub use documents::{Addresses, SETTINGS_VARIABLE, configuration, own_address, route};
 pub use endpoint::{FencedEndpoint, Ran, SENDER_HEADER};
 pub use limits::{Excess, LimitLog, STABLE};
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -63,6 +63,13 @@
   }
 }
 
+struct Departure {
+  # An endpoint that stated that it leaves.
+  endpoint @0 :UInt32;
+  ageMs @1 :UInt32;
+  # Time since it first stated so.
+}
+
 struct ColdRequest {
   # To the leader: may a request be sent to an endpoint that is cold?
   session @0 :UInt64;
@@ -159,6 +166,7 @@
   limits @19 :List(StatedLimit);
   confirmed @20 :Confirmation;
   # Absent where the configuration was never confirmed.
+  departures @21 :List(Departure);
 }
 
 struct Confirmation {
@@ -262,6 +270,7 @@
   # Absent where the configuration was never confirmed.
   cutOff @17 :Bool;
   # No endpoint answers it.
+  departures @18 :List(Departure);
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 mod confirmation;
 pub mod convert;
+mod departures;
 pub mod error;
 pub mod greeting;
 pub mod limits;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -16,6 +16,7 @@
 
 use crate::cold::{self, ColdAsked, ColdReply};
 use crate::confirmation;
+use crate::departures;
 use crate::pack;
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
 use crate::stated_limits::{self, LimitedSendReply, LimitedSendRequest};
@@ -166,6 +167,10 @@
         &from.limits,
         to.reborrow().init_limits(length(from.limits.len())),
     );
+    departures::write_all(
+        &from.departures,
+        to.reborrow().init_departures(length(from.departures.len())),
+    );
     let mut list = to.init_endpoints(length(from.endpoints.len()));
     for (i, total) in from.endpoints.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -261,6 +266,10 @@
         &from.limits,
         to.reborrow().init_limits(length(from.limits.len())),
     );
+    departures::write_all(
+        &from.departures,
+        to.reborrow().init_departures(length(from.departures.len())),
+    );
     let mut list = to.init_keys(length(from.keys.len()));
     for (i, samples) in from.keys.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -408,6 +417,7 @@
         refused: refused.collect(),
         suspects: from.get_suspects()?.iter().map(Fingerprint).collect(),
         limits: stated_limits::read_all(from.get_limits()?)?,
+        departures: departures::read_all(from.get_departures()?),
         members: members.collect(),
         confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
@@ -486,6 +496,7 @@
         signs: from.get_signs()?.iter().map(read_sign).collect(),
         first_sign: from.get_first_sign(),
         limits: stated_limits::read_all(from.get_limits()?)?,
+        departures: departures::read_all(from.get_departures()?),
         confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -5,6 +5,7 @@
 use citronway_core::gateway::crashes::{
     Fingerprint, RefusedWork, Sign, TrialEnd, TrialGrant, TrialId, TrialRequest,
 };
+use citronway_core::gateway::departures::Departure;
 use citronway_core::gateway::election::Strength;
 use citronway_core::gateway::freshness::Confirmation;
 use citronway_core::gateway::pace::EndpointTag;
@@ -90,12 +91,20 @@
         ],
         first_sign: 9,
         limits: limits(),
+        departures: departures(),
         confirmed: Some(CONFIRMED),
     });
     expect_that!(decode(&encode(&report)).or_fail()?, eq(&report));
     Ok(())
 }
 
+fn departures() -> Vec<Departure> {
+    vec![Departure {
+        endpoint: EndpointTag(u32::MAX),
+        age_ms: 1_700,
+    }]
+}
+
 fn limits() -> Vec<StatedLimit> {
     vec![
         StatedLimit {
@@ -199,6 +208,7 @@
         }],
         suspects: vec![Fingerprint(3), Fingerprint(4)],
         limits: limits(),
+        departures: departures(),
         confirmed: Some(CONFIRMED),
         members: vec![SocketAddr::from(([10, 1, 0, 35], 7_660))],
     }
@@ -246,6 +256,7 @@
         }],
         first_sign: 0,
         limits: limits(),
+        departures: departures(),
         confirmed: Some(CONFIRMED),
     };
     let relay = Relay {
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use citronway_core::gateway::admission::{Owners, View};
+use citronway_core::gateway::departures::Departures;
 use citronway_core::gateway::election::LeaderRow;
 use citronway_core::gateway::evacuation::Evacuations;
 use citronway_core::gateway::freshness::ConfigFreshness;
@@ -74,6 +75,7 @@
     pub crashes: Crashes,
     pub evacuations: Evacuations,
     pub stated_limits: StatedLimits,
+    pub departures: Departures,
     pub freshness: ConfigFreshness,
     /// Time allowed for an evacuation, in milliseconds.
     evacuation_ms: u64,
@@ -113,6 +115,7 @@
             crashes: Crashes::new(rank_of(&cfg.instance)),
             evacuations: Evacuations::default(),
             stated_limits: StatedLimits::default(),
+            departures: Departures::default(),
             freshness: ConfigFreshness::new(cfg.config_apply_ms),
             evacuation_ms: cfg.evacuation_ms,
             config: TableState::default(),
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -94,6 +94,7 @@
             self.send_to_members(socket, &bytes);
         }
         self.hear_limits(now, &totals.limits, leader.as_str());
+        self.hear_departures(now, &totals.departures, leader.as_str());
         self.cluster.apply_totals(now, totals);
         self.publish(now);
     }
@@ -129,8 +130,10 @@
         self.hear_confirmation(now, report.confirmed, source);
         if is_delegate || self.leads_large_fleet(now) {
             self.observe_limits(now, &report.limits, source);
+            self.observe_departures(now, &report.departures, source);
         } else {
             self.hear_limits(now, &report.limits, source);
+            self.hear_departures(now, &report.departures, source);
         }
         if is_delegate {
             self.gathered.add(&report.endpoints, &report.keys);
--- a/crates/citronway/src/gateway/control/limits.rs
+++ b/crates/citronway/src/gateway/control/limits.rs
@@ -194,16 +194,21 @@
             .stated_limits
             .prune(now, |tag| listed.contains(&tag));
         let limited = self.cluster.stated_limits.in_force().len();
-        self.metrics.set_limited_endpoints(limited);
+        self.metrics.statements.set_limited_endpoints(limited);
     }
 
-    fn log_limit_change(&self, stated: &StatedLimit, change: LimitChange, source: &str) {
+    /// Name of an endpoint in logs: its tag if it is not listed.
+    pub(super) fn endpoint_name(&self, endpoint: EndpointTag) -> String {
         let mut listed = self.cluster.registry.iter();
-        let known = listed.find(|known| EndpointTag::of(&known.listing.start) == stated.endpoint);
-        let endpoint = known.map_or_else(
-            || format!("{:08x}", stated.endpoint.0),
+        let known = listed.find(|known| EndpointTag::of(&known.listing.start) == endpoint);
+        known.map_or_else(
+            || format!("{:08x}", endpoint.0),
             |known| known.listing.start.to_string(),
-        );
+        )
+    }
+
+    fn log_limit_change(&self, stated: &StatedLimit, change: LimitChange, source: &str) {
+        let endpoint = self.endpoint_name(stated.endpoint);
         let endpoint = endpoint.as_str();
         let age_ms = stated.age_ms;
         match change {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -6,6 +6,7 @@
 mod confirming;
 mod copies;
 mod crashes;
+mod departures;
 mod duty;
 mod entries;
 mod first;
@@ -37,6 +38,7 @@
 use citronway_core::gateway::tree::{Branch, GatheredReports, Tree, TreePosition};
 use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
 use citronway_core::time::Mono;
+use citronway_platform::DecodeError;
 use citronway_platform::store::StoreRefusal;
 use citronway_wire::report as datagram;
 use tokio::net::UdpSocket;
@@ -90,7 +92,12 @@
         current_at: Mono,
     },
     /// An order was carried out, or failed.
-    OrderDone { order: Order, result: OrderResult },
+    OrderDone {
+        order: Order,
+        result: OrderResult,
+        /// Whether the answer stated that the endpoint leaves.
+        leaving: Result<bool, DecodeError>,
+    },
     /// A write of an assignment has ended.
     WriteDone {
         service: ServiceName,
@@ -371,7 +378,16 @@
                     self.register(events);
                 }
             }
-            Event::OrderDone { order, result } => {
+            Event::OrderDone {
+                order,
+                result,
+                leaving,
+            } => {
+                match leaving {
+                    Ok(true) => self.observe_departure_of(now, &order),
+                    Ok(false) => {}
+                    Err(e) => self.record_unusable_statement(&order, &e),
+                }
                 self.metrics.count_order(&order.kind, &result);
                 self.leadership.on_order_done(now, &order, &result);
             }
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use citronway_core::gateway::leader::{Order, OrderKind, OrderResult};
-use citronway_platform::orders;
+use citronway_platform::orders::{self, OrderAnswer};
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
@@ -34,45 +34,52 @@
     pub(super) fn start(&self, order: Order, events: mpsc::Sender<Event>) {
         let client = self.clone();
         tokio::task::spawn_local(async move {
-            let result = client.execute(&order).await;
+            let OrderAnswer { result, leaving } = client.execute(&order).await;
             log_result(&order, &result);
+            let event = Event::OrderDone {
+                order,
+                result,
+                leaving,
+            };
             // The receiver is gone when the process ends.
-            let _ = events.send(Event::OrderDone { order, result }).await;
+            let _ = events.send(event).await;
         });
     }
 
-    async fn execute(&self, order: &Order) -> OrderResult {
+    async fn execute(&self, order: &Order) -> OrderAnswer {
         // Failure: this thread is busy and starts the call long after it was decided. The
         // leader counts from the decision, and gives the keys to another endpoint before
         // this hold ends.
         let left_ms = order.deadline.since(clock::mono());
         if left_ms == 0 {
-            return OrderResult::TooLate;
+            return unanswered(OrderResult::TooLate);
         }
         let timeout = Duration::from_millis(left_ms);
         match tokio::time::timeout(timeout, self.call(order, timeout)).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(e)) if e.is_unsent() => OrderResult::NotSent,
-            Ok(Err(_)) | Err(_) => OrderResult::Lost,
+            Ok(Ok(answer)) => answer,
+            Ok(Err(e)) if e.is_unsent() => unanswered(OrderResult::NotSent),
+            Ok(Err(_)) | Err(_) => unanswered(OrderResult::Lost),
         }
     }
 
-    async fn call(&self, order: &Order, timeout: Duration) -> Result<OrderResult, CallError> {
+    async fn call(&self, order: &Order, timeout: Duration) -> Result<OrderAnswer, CallError> {
         let Ok(req) = orders::request(order) else {
             return Err(CallError::NotSent);
         };
         let mut link = match self.take_link(order) {
             Some(link) => link,
-            None if clock::mono() >= order.connect_by => return Ok(OrderResult::NotConnected),
+            None if clock::mono() >= order.connect_by => {
+                return Ok(unanswered(OrderResult::NotConnected));
+            }
             None => Link::open(self.dialer, order.address, ConnectMode::ImmediateWithReset).await?,
         };
         if link.opened() >= order.connect_by {
             self.return_link(order.address, link);
-            return Ok(OrderResult::NotConnected);
+            return Ok(unanswered(OrderResult::NotConnected));
         }
         let answer = link.call(req, timeout).await?;
         self.return_link(order.address, link);
-        Ok(orders::result(answer.status, &answer.headers))
+        Ok(orders::read_answer(answer.status, &answer.headers))
     }
 
     fn return_link(&self, address: SocketAddr, link: Link) {
@@ -93,6 +100,14 @@
     }
 }
 
+/// Result of an order that got no answer, which states nothing.
+const fn unanswered(result: OrderResult) -> OrderAnswer {
+    OrderAnswer {
+        result,
+        leaving: Ok(false),
+    }
+}
+
 fn log_result(order: &Order, result: &OrderResult) {
     let endpoint = &order.endpoint;
     let (first, last) = (order.span.first, order.span.last);
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -25,9 +25,9 @@
 const MEMBER_PERIOD: u64 = 2;
 const ALONE_PERIOD: u64 = 6;
 
-/// One observation of the traffic in this many is followed by a check which limits that endpoints
-/// state still matter.
-const LIMIT_CHECK_PERIOD: u64 = 10;
+/// One observation of the traffic in this many is followed by a check which statements of endpoints
+/// still matter.
+const STATEMENT_CHECK_PERIOD: u64 = 10;
 
 /// Rounds over which the estimates of all endpoints are sent: each endpoint's every second.
 const PACE_ROUNDS: u64 = 5;
@@ -47,8 +47,10 @@
         self.trials.record_crashes(&seen.signs);
         self.cluster.crashes.record_own_signs(now, &seen.signs);
         self.observe_limits(now, &seen.stated_limits, OWN_ANSWER);
-        if self.report_number.is_multiple_of(LIMIT_CHECK_PERIOD) {
+        self.observe_departures(now, &seen.departures, OWN_ANSWER);
+        if self.report_number.is_multiple_of(STATEMENT_CHECK_PERIOD) {
             self.prune_limits(now);
+            self.prune_departures(now);
         }
         if self.leads_large_fleet(now) {
             self.record_own_report(now);
@@ -74,6 +76,7 @@
     fn broadcast(&mut self, now: Mono, socket: &UdpSocket) {
         let mut report = self.record_own_report(now);
         report.limits = self.cluster.stated_limits.take_due(now);
+        report.departures = self.cluster.departures.take_due(now);
         (report.first_sign, report.signs) = self.cluster.crashes.take_signs();
         let leader = self.cluster.leader_address();
         if let Some(address) = leader {
@@ -118,6 +121,7 @@
         let mut report = self.build_report(now, merged);
         report.members = members;
         report.limits = self.cluster.stated_limits.take_due(now);
+        report.departures = self.cluster.departures.take_due(now);
         (report.first_sign, report.signs) = self.cluster.crashes.take_signs();
         let bytes = datagram::encode(&Datagram::Report(report));
         self.send(socket, &bytes, to);
@@ -195,6 +199,7 @@
     fn build_totals(&mut self, now: Mono) -> Totals {
         let store_lost = self.cluster.is_lost(Table::Endpoints);
         self.update_standbys(now, store_lost);
+        let departures = self.cluster.departures.take_due(now);
         let cluster = &self.cluster;
         let (refused, suspects) = cluster.crashes.totals(now);
         let newest = cluster.peers.newest(now);
@@ -218,6 +223,7 @@
             refused,
             suspects,
             limits: cluster.stated_limits.all(now),
+            departures,
             confirmed: cluster.freshness.confirmation(now),
             members: Vec::new(),
         }
@@ -243,6 +249,7 @@
             signs: Vec::new(),
             first_sign: 0,
             limits: Vec::new(),
+            departures: Vec::new(),
             confirmed: self.cluster.freshness.confirmation(now),
         }
     }
--- a/crates/citronway/src/gateway/control/unusable.rs
+++ b/crates/citronway/src/gateway/control/unusable.rs
@@ -17,6 +17,8 @@
     OwnRow,
     /// A limit that an endpoint states in an answer.
     Limit,
+    /// A statement of an endpoint that it leaves.
+    Leaving,
 }
 
 impl Source {
@@ -27,6 +29,7 @@
             Self::Entry => "entry",
             Self::OwnRow => "own_row",
             Self::Limit => "limit",
+            Self::Leaving => "leaving",
         }
     }
 }
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -13,7 +13,6 @@
 use citronway_core::gateway::leader::{OrderKind, OrderResult};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
-use citronway_core::gateway::stated_limits::SendGrant;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -22,6 +21,7 @@
 use prometheus_client::registry::Registry;
 
 use super::control::Source;
+use super::statement_metrics::StatementMetrics;
 use crate::logs;
 
 /// Buckets of the latency histograms, in seconds; objectives are 0.2 to 1.5 s.
@@ -102,8 +102,8 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct AnswerLabels {
-    answer: &'static str,
+pub(super) struct AnswerLabels {
+    pub answer: &'static str,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -149,8 +149,8 @@
     config_age: Gauge<f64, AtomicU64>,
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
-    limited_endpoints: Gauge,
-    limited_sends: Family<AnswerLabels, Counter>,
+    /// What endpoints state of themselves.
+    pub(super) statements: StatementMetrics,
 }
 
 impl Default for Metrics {
@@ -220,12 +220,7 @@
         let evacuated_ranges = Gauge::default();
         let help = "Ranges of keys whose owners are in evacuated zones";
         registry.register("evacuated_ranges", help, evacuated_ranges.clone());
-        let limited_endpoints = Gauge::default();
-        let help = "Endpoints that state a limit on the requests of all instances";
-        registry.register("limited_endpoints", help, limited_endpoints.clone());
-        let limited_sends = Family::default();
-        let help = "Requests for sends to endpoints that state a limit, by answer";
-        registry.register("limited_sends", help, limited_sends.clone());
+        let statements = StatementMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
             requests,
@@ -252,8 +247,7 @@
             config_age,
             evacuated_zones,
             evacuated_ranges,
-            limited_endpoints,
-            limited_sends,
+            statements,
         }
     }
 }
@@ -393,17 +387,6 @@
         self.cold.get_or_create(&AnswerLabels { answer }).inc();
     }
 
-    /// Counts a query about sends to an endpoint that states a limit.
-    pub(super) fn count_limited_send(&self, grant: &SendGrant) {
-        let answer = match grant {
-            SendGrant::Granted { .. } => "granted",
-            SendGrant::Busy { .. } => "busy",
-            SendGrant::Unavailable => "unavailable",
-        };
-        let labels = AnswerLabels { answer };
-        self.limited_sends.get_or_create(&labels).inc();
-    }
-
     /// Counts a request that was passed on to another instance.
     pub(super) fn count_forwarded(&self, answer: &'static str) {
         let labels = AnswerLabels { answer };
@@ -433,12 +416,6 @@
         self.evacuated_ranges.set(gauge(ranges));
     }
 
-    /// Sets the number of endpoints that state a limit.
-    pub(super) fn set_limited_endpoints(&self, count: usize) {
-        let count = i64::try_from(count).unwrap_or(i64::MAX);
-        self.limited_endpoints.set(count);
-    }
-
     /// Sets the number of crash suspects.
     pub(super) fn set_crash_suspects(&self, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod ready;
 mod run;
+mod statement_metrics;
 mod traffic;
 
 pub use run::{Error, check, finish_duty, run, settings_path};
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -13,7 +13,8 @@
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
-use citronway_platform::exchange::{self, AnswerKind, RequestMetadata};
+use citronway_platform::answers::{AnswerHead, AnswerKind};
+use citronway_platform::exchange::RequestMetadata;
 
 use super::message::Message;
 use super::open_requests::{OpenRequest, Stage};
@@ -383,12 +384,11 @@
         };
         let is_given_up = timeout_ms < left_ms || (may_repeat && self.state.is_cut_off());
         match exchanged {
-            Ok(Ok(Exchanged { kind, answer })) => match kind {
+            Ok(Ok(Exchanged { head, answer })) => match head.kind {
                 AnswerKind::Ran => {
                     self.state.record_answer(choice, self.job.key);
                     if choice.fence.is_none() {
-                        let load = exchange::endpoint_load(&answer.headers);
-                        self.state.record_load(&self.job, load);
+                        self.state.record_load(&self.job, head.load);
                     }
                     if !answer.status.is_server_error() {
                         self.clear_suspicion();
@@ -404,7 +404,7 @@
                     SendResult::Answer(answer)
                 }
                 AnswerKind::Full | AnswerKind::Misdirected | AnswerKind::NotRun => {
-                    SendResult::Refused(kind)
+                    SendResult::Refused(head.kind)
                 }
                 AnswerKind::Foreign => SendResult::MayHaveRun(UnknownOutcome::Foreign),
             },
@@ -461,14 +461,18 @@
             }
             sent => sent?,
         };
-        let kind = exchange::answer_kind(self.metadata.id.as_ref(), head.status(), head.headers());
-        self.record_stated_limit(choice, kind, head.headers());
+        let id = self.metadata.id.as_ref();
+        let decoded = AnswerHead::read(id, head.status(), head.headers());
+        self.state.record_statements(&choice.endpoint, &decoded);
         let answer = http_link::read_answer(head).await?;
-        if kind != AnswerKind::Foreign {
+        if decoded.kind != AnswerKind::Foreign {
             let mut pool = self.state.pool.borrow_mut();
-            pool.put(clock::mono(), choice, link, &answer.headers);
+            pool.put(clock::mono(), choice, link, decoded.keep_alive);
         }
-        Ok(Exchanged { kind, answer })
+        Ok(Exchanged {
+            head: decoded,
+            answer,
+        })
     }
 
     async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
@@ -495,6 +499,6 @@
 
 /// An answer and what it means for the request.
 struct Exchanged {
-    kind: AnswerKind,
+    head: AnswerHead,
     answer: Answer,
 }
--- a/crates/citronway/src/gateway/traffic/limited.rs
+++ b/crates/citronway/src/gateway/traffic/limited.rs
@@ -5,8 +5,6 @@
 use citronway_core::gateway::admission::Choice;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::stated_limits::{SendGrant, SendRequest};
-use citronway_platform::exchange::{self, AnswerKind};
-use http::HeaderMap;
 use tokio::sync::oneshot;
 
 use super::forwarding::Forwarding;
@@ -33,23 +31,6 @@
 }
 
 impl Forwarding<'_> {
-    /// Records the limit that an answer states. An answer that may be another process's states
-    /// nothing about the endpoint.
-    pub(super) fn record_stated_limit(
-        &self,
-        choice: &Choice,
-        kind: AnswerKind,
-        headers: &HeaderMap,
-    ) {
-        if matches!(kind, AnswerKind::Foreign | AnswerKind::Misdirected) {
-            return;
-        }
-        match exchange::stated_limit(headers) {
-            Ok(per_s) => self.state.record_stated_limit(&choice.endpoint, per_s),
-            Err(e) => self.state.record_unusable_limit(&choice.endpoint, &e),
-        }
-    }
-
     /// Waits until the request may be sent to the endpoint, if that states a limit. Returns false
     /// if it may not be sent now.
     ///
@@ -79,7 +60,7 @@
             .control
             .request_limited_send(|| self.state.next_ticket(), req)
             .await;
-        self.state.metrics.count_limited_send(&grant);
+        self.state.metrics.statements.count_limited_send(grant);
         self.state.record_grant(choice, ticket, grant);
         match grant {
             SendGrant::Granted { after_ms, .. } => {
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Neighbor, RefusalReason, UnknownOutcomeReason};
 use citronway_core::gateway::crashes::FingerprintKey;
-use citronway_platform::exchange::{self, AnswerKind};
+use citronway_platform::answers::{AnswerHead, AnswerKind};
 use http::Request;
 
 use super::message::{ForwardedOutcome, ForwardedRequest, read_outcome};
@@ -119,7 +119,7 @@
         match outcome {
             Some(ForwardedOutcome::Answered) => {
                 let id = self.metadata.id.as_ref();
-                match exchange::answer_kind(id, answer.status, &answer.headers) {
+                match AnswerHead::read(id, answer.status, &answer.headers).kind {
                     AnswerKind::Foreign => {
                         Passed::MayHaveRun("the answer belongs to another request")
                     }
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -6,7 +6,7 @@
 use citronway_core::gateway::routes::Repeat;
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
-use http::HeaderMap;
+use citronway_platform::answers::KeepAlive;
 use indexmap::IndexMap;
 
 use crate::gateway::http_link::Link;
@@ -63,10 +63,9 @@
         None
     }
 
-    /// Keeps a connection after a complete answer with these headers, if the endpoint allows
-    /// reuse.
-    pub fn put(&mut self, now: Mono, choice: &Choice, link: Link, headers: &HeaderMap) {
-        let Some(idle_ms) = reusable_ms(headers) else {
+    /// Keeps a connection after a complete answer, if the endpoint allows reuse.
+    pub fn put(&mut self, now: Mono, choice: &Choice, link: Link, keep_alive: KeepAlive) {
+        let Some(idle_ms) = reusable_ms(keep_alive) else {
             return;
         };
         let idle = self.idle.entry(choice.address).or_default();
@@ -97,26 +96,11 @@
 
 /// Time in which a connection may be reused after an answer, in milliseconds; `None` if it may
 /// not.
-fn reusable_ms(headers: &HeaderMap) -> Option<u64> {
-    let closes = headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .any(|value| {
-            let directives = value.to_str().unwrap_or_default().split(',');
-            directives
-                .map(str::trim)
-                .any(|directive| directive.eq_ignore_ascii_case("close"))
-        });
-    if closes {
-        return None;
-    }
-    let stated = headers.get("keep-alive").and_then(|value| {
-        let directives = value.to_str().ok()?.split(',');
-        let seconds = directives
-            .map(str::trim)
-            .find_map(|directive| directive.strip_prefix("timeout="))?;
-        seconds.parse::<u64>().ok()
-    });
-    let ms = stated.map_or(IDLE_MS, |s| (s * 1_000).saturating_sub(IDLE_MARGIN_MS));
+fn reusable_ms(keep_alive: KeepAlive) -> Option<u64> {
+    let ms = match keep_alive {
+        KeepAlive::Close => return None,
+        KeepAlive::Unstated => IDLE_MS,
+        KeepAlive::IdleMs(ms) => ms.saturating_sub(IDLE_MARGIN_MS),
+    };
     (ms > 0).then_some(ms)
 }
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -2,6 +2,7 @@
 
 use citronway_core::gateway::admission::View;
 use citronway_core::gateway::crashes::Sign;
+use citronway_core::gateway::departures::Departure;
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::report;
 use citronway_core::gateway::stated_limits::StatedLimit;
@@ -46,4 +47,6 @@
     pub is_cut_off: bool,
     /// What endpoints stated of their limits.
     pub stated_limits: Vec<StatedLimit>,
+    /// Endpoints that stated that they leave.
+    pub departures: Vec<Departure>,
 }
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -2,7 +2,8 @@
 
 use citronway_core::gateway::admission::Choice;
 use citronway_core::gateway::crashes::Fingerprint;
-use citronway_platform::exchange::{AnswerKind, RequestMetadata};
+use citronway_platform::answers::AnswerKind;
+use citronway_platform::exchange::RequestMetadata;
 
 use super::outcome::display_id;
 use crate::gateway::http_link::{Answer, CallError};
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -5,6 +5,7 @@
 mod neighbors;
 mod phase;
 mod report;
+mod statements;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
+use statements::Unreported;
 
 pub(super) use guards::{InFlight, OpenConnection};
 pub(super) use phase::Phase;
@@ -72,10 +74,8 @@
     pub crash_seen: Notify,
     /// Signs of work that crashed endpoints, or that ran to its end, since the last report.
     signs: RefCell<Vec<Sign>>,
-    /// What endpoints stated of their limits since the last report, and when.
-    stated_limits: RefCell<IndexMap<EndpointTag, (Option<f64>, Mono)>>,
-    /// When an unusable limit was last logged.
-    unusable_limit_logged_at: Cell<Option<Mono>>,
+    /// What endpoints stated since the last report.
+    unreported: RefCell<Unreported>,
     /// Queries to `control`.
     pub control: ControlClient,
     /// Name of this instance.
@@ -144,8 +144,7 @@
             key_samples: RefCell::default(),
             crash_seen: Notify::new(),
             signs: RefCell::default(),
-            stated_limits: RefCell::default(),
-            unusable_limit_logged_at: Cell::default(),
+            unreported: RefCell::default(),
             control,
             instance: cfg.instance.clone(),
             avoided_neighbors: RefCell::default(),
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -65,6 +65,7 @@
             signs: self.signs.take(),
             is_cut_off: self.is_cut_off(),
             stated_limits: self.take_stated_limits(),
+            departures: self.take_departures(),
         }
     }
 }
--- /dev/null
+++ b/crates/citronway/src/gateway/traffic/state/statements.rs
@@ -0,0 +1,112 @@
+//! What endpoints state of themselves in their answers, as the traffic thread keeps it.
+
+use citronway_core::gateway::departures::Departure;
+use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::stated_limits::StatedLimit;
+use citronway_core::ids::EndpointStart;
+use citronway_core::time::Mono;
+use citronway_platform::DecodeError;
+use citronway_platform::answers::{AnswerHead, AnswerKind};
+use indexmap::IndexMap;
+
+use super::State;
+use crate::clock;
+use crate::gateway::control::Source;
+
+/// Shortest interval between two log lines about unusable statements, in milliseconds.
+const UNUSABLE_LOG_MS: u64 = 1_000;
+
+/// Statements since the last report to `control`.
+#[derive(Debug, Default)]
+pub(super) struct Unreported {
+    /// Limits, and when they were stated.
+    limits: IndexMap<EndpointTag, (Option<f64>, Mono)>,
+    /// Endpoints that leave, and when they first said so.
+    departures: IndexMap<EndpointTag, Mono>,
+    /// When an unusable statement was last logged.
+    unusable_logged_at: Option<Mono>,
+}
+
+impl State {
+    /// Records what an answer states of its endpoint.
+    ///
+    /// An answer to another request states nothing, as it may come from another endpoint. One that
+    /// rejects the request as misdirected may come from a later process at the address, which has
+    /// a limit of its own; that it leaves applies to both, since the earlier one has ended.
+    pub(in crate::gateway::traffic) fn record_statements(
+        &self,
+        endpoint: &EndpointStart,
+        head: &AnswerHead,
+    ) {
+        if head.kind == AnswerKind::Foreign {
+            return;
+        }
+        match &head.leaving {
+            Ok(true) => self.record_departure(EndpointTag::of(endpoint)),
+            Ok(false) => {}
+            Err(e) => self.record_unusable(endpoint, Source::Leaving, e),
+        }
+        if head.kind == AnswerKind::Misdirected {
+            return;
+        }
+        match &head.limit {
+            Ok(per_s) => {
+                let stated = (*per_s, clock::mono());
+                let mut unreported = self.unreported.borrow_mut();
+                unreported.limits.insert(EndpointTag::of(endpoint), stated);
+            }
+            Err(e) => self.record_unusable(endpoint, Source::Limit, e),
+        }
+    }
+
+    /// Records that an endpoint states that it leaves.
+    pub(in crate::gateway::traffic) fn record_departure(&self, endpoint: EndpointTag) {
+        let mut unreported = self.unreported.borrow_mut();
+        unreported
+            .departures
+            .entry(endpoint)
+            .or_insert_with(clock::mono);
+    }
+
+    /// Counts a statement that cannot be used; it changes nothing.
+    fn record_unusable(&self, endpoint: &EndpointStart, source: Source, e: &DecodeError) {
+        self.metrics.count_unusable(source, 1);
+        let now = clock::mono();
+        let mut unreported = self.unreported.borrow_mut();
+        let logged_at = unreported.unusable_logged_at;
+        if logged_at.is_some_and(|at| now.since(at) < UNUSABLE_LOG_MS) {
+            return;
+        }
+        unreported.unusable_logged_at = Some(now);
+        log::warn!(endpoint:%, cause = e.to_string(); "statement of an endpoint cannot be used");
+    }
+
+    /// Takes the limits that endpoints stated since the last report.
+    pub(super) fn take_stated_limits(&self) -> Vec<StatedLimit> {
+        let now = clock::mono();
+        let stated = std::mem::take(&mut self.unreported.borrow_mut().limits);
+        let stated = stated
+            .into_iter()
+            .map(|(endpoint, (per_s, at))| StatedLimit {
+                endpoint,
+                per_s,
+                age_ms: age_ms(now, at),
+            });
+        stated.collect()
+    }
+
+    /// Takes the endpoints that stated since the last report that they leave.
+    pub(super) fn take_departures(&self) -> Vec<Departure> {
+        let now = clock::mono();
+        let stated = std::mem::take(&mut self.unreported.borrow_mut().departures);
+        let stated = stated.into_iter().map(|(endpoint, at)| Departure {
+            endpoint,
+            age_ms: age_ms(now, at),
+        });
+        stated.collect()
+    }
+}
+
+fn age_ms(now: Mono, at: Mono) -> u32 {
+    u32::try_from(now.since(at)).unwrap_or(u32::MAX)
+}
--- a/crates/citronway/tests/gateway_stated_limits.rs
+++ b/crates/citronway/tests/gateway_stated_limits.rs
@@ -2,13 +2,11 @@
 
 mod gateway_support;
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use citronway_standin::shared::{Excess, FencedEndpoint, SENDER_HEADER, STABLE};
-use gateway_support::{Deployment, Instance, exchange, head, until};
+use citronway_standin::shared::{Excess, FencedEndpoint, STABLE};
+use gateway_support::load::{KEY, Load};
+use gateway_support::{Deployment, Instance, until};
 use googletest::prelude::*;
 
 /// Time for which a limit is watched.
@@ -17,70 +15,6 @@
 /// Part of a limit that is used at least while enough work waits.
 const USED_PART: f64 = 0.9;
 
-/// Callers of an instance, each of which sends one request after the other.
-const CALLERS: usize = 4;
-
-/// Pause of a caller between two requests.
-const PAUSE: Duration = Duration::from_millis(40);
-
-/// Time that callers wait, in milliseconds.
-const CALLER_WAIT_MS: u64 = 1_500;
-
-/// Key of the requests.
-const KEY: u16 = 7;
-
-/// Callers that send requests to an instance until they are dropped.
-struct Load {
-    stop: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<()>>,
-}
-
-impl Load {
-    fn start(instance: &Instance, start: &'static str) -> Self {
-        Self::on_keys(instance, start, [KEY; CALLERS], PAUSE)
-    }
-
-    /// One caller for each key.
-    fn on_keys(
-        instance: &Instance,
-        start: &'static str,
-        keys: [u16; CALLERS],
-        pause: Duration,
-    ) -> Self {
-        let stop = Arc::<AtomicBool>::default();
-        let callers = keys.into_iter().enumerate().map(|(n, key)| {
-            let stop = Arc::clone(&stop);
-            let (address, name) = (instance.callers, instance.name().to_owned());
-            std::thread::spawn(move || {
-                let mut sent = 0_u64;
-                while !stop.load(Ordering::Relaxed) {
-                    let id = format!("{name}-{n}-{sent}");
-                    let headers = format!(
-                        "X-Request-Id: {id}\r\nX-Shard-Key: {key}\r\n{SENDER_HEADER}: {name}\r\n"
-                    );
-                    // A stopping instance may take no connection.
-                    let _ = exchange(address, &head(start, &headers, CALLER_WAIT_MS, 0), "");
-                    sent += 1;
-                    std::thread::sleep(pause);
-                }
-            })
-        });
-        Self {
-            callers: callers.collect(),
-            stop,
-        }
-    }
-}
-
-impl Drop for Load {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        for caller in self.callers.drain(..) {
-            assert!(caller.join().is_ok(), "a caller panicked");
-        }
-    }
-}
-
 /// Lets time pass while a limit is in force.
 fn watch() -> (Instant, Instant) {
     std::thread::sleep(STABLE);
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
 pub mod crashing;
+pub mod load;
 
 use std::io::{BufRead as _, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
