--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod request;
 mod seen;
+mod send;
 mod sent;
 mod state;
 mod suspicion;
--- /dev/null
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -0,0 +1,171 @@
+//! Sends a request to one endpoint and reads the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use citronway_core::gateway::admission::Choice;
+use citronway_core::gateway::routes::Repeat;
+use citronway_platform::answers::{AnswerHead, AnswerKind};
+
+use super::forwarding::{Forwarding, MIN_SEND_TIME_MS};
+use super::open_requests::Stage;
+use super::sent::{NotSentCause, SendResult, UnknownOutcome};
+use crate::clock;
+use crate::gateway::http_link::{self, Answer, CallError, ConnectMode, Link};
+use crate::gateway::metrics::Class;
+
+/// Multiple of the usual work time after which an endpoint that has not answered is given up,
+/// where another endpoint could run the request. One request in a hundred takes longer when all
+/// endpoints are healthy.
+const ENDPOINT_TIMEOUT_FACTOR: u64 = 5;
+
+/// Multiple of the usual work time after which a request that tries whether endpoints answer this
+/// instance again is given up, and the shortest such time, in milliseconds.
+const LINK_TRIAL_FACTOR: u64 = 2;
+const MIN_LINK_TRIAL_MS: u64 = 300;
+
+impl Forwarding<'_> {
+    /// Sends the request once to an endpoint and reads the answer.
+    pub(super) async fn send(&mut self, choice: &Choice) -> SendResult {
+        let started = clock::mono();
+        let left_ms = self.job.deadline.since(started);
+        if left_ms < MIN_SEND_TIME_MS {
+            return SendResult::TooLate;
+        }
+        let sends = self.sends;
+        let timeout_ms = self.endpoint_timeout_ms(choice, left_ms);
+        let limit = Duration::from_millis(timeout_ms);
+        // A request that may be repeated does not wait for an endpoint that no longer answers.
+        let may_repeat =
+            self.job.repeat == Repeat::Idempotent && self.runs() + 1 < self.route.attempts;
+        let state = Rc::clone(self.state);
+        let cut_off = async {
+            if !may_repeat || state.is_cut_off() {
+                std::future::pending::<()>().await;
+            }
+            state.wait_until_cut_off().await;
+        };
+        let exchanged = tokio::select! {
+            exchanged = tokio::time::timeout(limit, self.exchange(choice)) => exchanged,
+            () = cut_off => Ok(Err(CallError::Timeout)),
+        };
+        let is_given_up = timeout_ms < left_ms || (may_repeat && self.state.is_cut_off());
+        match exchanged {
+            Ok(Ok(Exchanged { head, answer })) => match head.kind {
+                AnswerKind::Ran => {
+                    self.state.record_answer(choice, self.job.key);
+                    if choice.fence.is_none() {
+                        self.state.record_load(&self.job, head.load);
+                    }
+                    if !answer.status.is_server_error() {
+                        self.clear_suspicion();
+                        let took = clock::mono().since(started);
+                        self.state
+                            .metrics
+                            .record_service_time(Class::of(self.route), took);
+                        let bytes = answer.body.len();
+                        let route = &self.route.name;
+                        self.state
+                            .record_served(route, &choice.endpoint, took, bytes);
+                    }
+                    SendResult::Answer(answer)
+                }
+                AnswerKind::Full | AnswerKind::Misdirected | AnswerKind::NotRun => {
+                    SendResult::Refused(head.kind)
+                }
+                AnswerKind::Foreign => SendResult::MayHaveRun(UnknownOutcome::Foreign),
+            },
+            Ok(Err(CallError::Reset)) => SendResult::NotSent(NotSentCause::Reset),
+            Ok(Err(e)) if e.is_unsent() => SendResult::NotSent(NotSentCause::NoConnection(e)),
+            // The time ended while the connection was being opened.
+            Ok(Err(CallError::Timeout)) | Err(_) if self.sends == sends => {
+                SendResult::NotSent(NotSentCause::NoConnection(CallError::Timeout))
+            }
+            Ok(Err(CallError::Timeout)) | Err(_) if is_given_up => {
+                SendResult::MayHaveRun(UnknownOutcome::NoAnswer)
+            }
+            Ok(Err(CallError::Timeout)) | Err(_) => SendResult::TimedOut,
+            Ok(Err(CallError::Truncated(_))) => SendResult::MayHaveRun(UnknownOutcome::Truncated),
+            Ok(Err(_)) => SendResult::MayHaveRun(UnknownOutcome::Broken),
+        }
+    }
+
+    /// How long to wait for one endpoint, in milliseconds.
+    ///
+    /// This is all the time left, unless another endpoint could run the request too: then the
+    /// first one gets a multiple of the usual work time.
+    fn endpoint_timeout_ms(&self, choice: &Choice, left_ms: u64) -> u64 {
+        let may_repeat =
+            self.job.repeat == Repeat::Idempotent && self.runs() + 1 < self.route.attempts;
+        if may_repeat && self.state.is_cut_off() {
+            // This request shows whether endpoints answer again.
+            let timeout_ms = self.job.work_ms * LINK_TRIAL_FACTOR;
+            return timeout_ms.max(MIN_LINK_TRIAL_MS).min(left_ms);
+        }
+        let other = choice.fence.is_none() && may_repeat;
+        if !other {
+            return left_ms;
+        }
+        let timeout = self.job.work_ms * ENDPOINT_TIMEOUT_FACTOR;
+        timeout.max(self.route.objective_ms / 2).min(left_ms)
+    }
+
+    async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
+        let mut link = self.acquire_link(choice).await?;
+        let now = clock::mono();
+        let left_ms = self.job.deadline.since(now);
+        let req = self.message.for_endpoint(&choice.endpoint, left_ms);
+        self.sends += 1;
+        self.open.enter_stage(now, Stage::AtEndpoint);
+        let sent = link.send(req).await;
+        let head = match sent {
+            // The endpoint had closed the pooled connection, and nothing was sent on it. A new
+            // connection is as good as the first.
+            Err(CallError::NotSent) => {
+                link = self.open_link(choice).await?;
+                let req = self.message.for_endpoint(&choice.endpoint, left_ms);
+                link.send(req).await?
+            }
+            sent => sent?,
+        };
+        let id = self.metadata.id.as_ref();
+        let decoded = AnswerHead::read(id, head.status(), head.headers());
+        self.state.record_statements(&choice.endpoint, &decoded);
+        let answer = http_link::read_answer(head).await?;
+        if decoded.kind != AnswerKind::Foreign {
+            let mut pool = self.state.pool.borrow_mut();
+            pool.put(clock::mono(), choice, link, decoded.keep_alive);
+        }
+        Ok(Exchanged {
+            head: decoded,
+            answer,
+        })
+    }
+
+    async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
+        let now = clock::mono();
+        let kept = {
+            let mut pool = self.state.pool.borrow_mut();
+            pool.take(now, choice, self.job.repeat)
+        };
+        match kept {
+            Some(link) => Ok(link),
+            None => self.open_link(choice).await,
+        }
+    }
+
+    async fn open_link(&self, choice: &Choice) -> Result<Link, CallError> {
+        self.state.pool.borrow_mut().count_opened();
+        let mode = match self.job.repeat {
+            Repeat::Idempotent => ConnectMode::Immediate,
+            Repeat::AtMostOnce => ConnectMode::AfterResetCheck,
+        };
+        Link::open(self.state.dialer, choice.address, mode).await
+    }
+}
+
+/// An answer and what it means for the request.
+struct Exchanged {
+    head: AnswerHead,
+    answer: Answer,
+}
