Send nothing to an endpoint whose answers have said that it leaves

Callers' requests reached an endpoint more than two seconds after its answers had said that it leaves. Cause: an endpoint left for the instances only when its row said so, which took 13 s while the store was silent; the header was returned to callers unread.

The statement decides now: at once for work that others can serve, and for keys until 0.5 s before the bound, counted from the earliest statement that any instance got. Instances tell each other, so that the leader moves the keys and all act alike. An entry of the same start does not revoke it. It is looked at again right before the bytes go out, since a request waits for a trial, for grants and for a connection after its endpoint was chosen. Where no leader can move the keys, requests are refused at once (endpoint_leaving); no neighbor is asked instead.

--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -129,10 +129,10 @@
         let Some(listed) = view.registry.get(&holder.endpoint) else {
             return Selection::Wait(RefusalReason::KeyUnowned);
         };
-        if !listed.accepts_owned_work(now) {
-            return Selection::Wait(reason_without_owner(view, job));
-        }
         let tag = EndpointTag::of(&holder.endpoint);
+        if !self.accepts_owned_work(now, listed, tag) {
+            return Selection::Wait(self.reason_without_owner(view, job, range, listed));
+        }
         if self.is_cold_busy(now, tag) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
@@ -171,18 +171,9 @@
         if !self.service_has_room(view, job) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
-        let endpoints: Vec<_> = view
-            .registry
-            .of_service(&job.service)
-            .filter(|listed| listed.accepts_work())
-            .collect();
+        let endpoints = self.accepting(now, view, job);
         if endpoints.is_empty() {
-            let cause = if is_evacuated(view, job) {
-                RefusalReason::Evacuated
-            } else {
-                RefusalReason::NoEndpoint
-            };
-            return Selection::Wait(cause);
+            return Selection::Wait(reason_without_endpoint(view, job));
         }
         let has_untried = endpoints
             .iter()
@@ -335,15 +326,21 @@
     }
 }
 
-/// Whether no endpoint of the service accepts work and at least one is in an evacuated zone.
-fn is_evacuated(view: &View, job: &Job) -> bool {
-    let mut stay = view.registry.of_service(&job.service);
-    let mut any = false;
-    let all = stay.all(|listed| {
-        any |= listed.is_evacuated();
-        !listed.accepts_work()
-    });
-    all && any
+/// Reason for refusing a request for whose service no endpoint accepts work;
+/// [`RefusalReason::NoEndpoint`] also if one does.
+pub(super) fn reason_without_endpoint(view: &View, job: &Job) -> RefusalReason {
+    let mut reason = RefusalReason::NoEndpoint;
+    for listed in view.registry.of_service(&job.service) {
+        if listed.accepts_work() {
+            return RefusalReason::NoEndpoint;
+        }
+        if listed.is_evacuated() {
+            reason = RefusalReason::Evacuated;
+        } else if listed.states_departure() && reason == RefusalReason::NoEndpoint {
+            reason = RefusalReason::EndpointLeaving;
+        }
+    }
+    reason
 }
 
 /// Reason for refusing a request behind others in its queue.
@@ -355,14 +352,6 @@
     RefusalReason::Overloaded
 }
 
-/// Reason for refusing a request whose key owner accepts no more work.
-fn reason_without_owner(view: &View, job: &Job) -> RefusalReason {
-    if is_evacuated(view, job) {
-        return RefusalReason::Evacuated;
-    }
-    RefusalReason::KeyUnowned
-}
-
 /// Load added for the transfer of an answer from another availability zone.
 fn answer_transfer_load(view: &View, listed: &ListedEndpoint, job: &Job) -> f64 {
     if listed.listing.zone == view.zone {
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -108,13 +108,16 @@
     UnderTrial,
     /// The endpoint states a limit that leaves no room for the request before its deadline.
     EndpointLimited,
+    /// The endpoint that owns the key leaves, or all endpoints of the service do, and no other one
+    /// can take over now.
+    EndpointLeaving,
     /// The configuration known here may not be the newest one, and a newer one may decide otherwise.
     UnconfirmedConfiguration,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -127,6 +130,7 @@
         Self::CrashesEndpoints,
         Self::UnderTrial,
         Self::EndpointLimited,
+        Self::EndpointLeaving,
         Self::UnconfirmedConfiguration,
     ];
 
@@ -146,6 +150,7 @@
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::UnderTrial => "under_trial",
             Self::EndpointLimited => "endpoint_limited",
+            Self::EndpointLeaving => "endpoint_leaving",
             Self::UnconfirmedConfiguration => "unconfirmed_configuration",
         }
     }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod kept;
 mod links;
+mod stated;
 mod unreachable;
 mod view;
 mod wait;
@@ -24,6 +25,7 @@
 use choose::Selection;
 use kept::IdleConnections;
 use links::{EndpointLinks, LinkFailure};
+use stated::OwnDepartures;
 
 pub use job::{Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason};
 pub use kept::AT_MOST_ONCE_IDLE_MS;
@@ -53,6 +55,10 @@
 /// another zone.
 const EVACUATED_RETRY_MS: u64 = 1_000;
 
+/// Shortest retry-after time while an endpoint that owns a key leaves and no other one can take over,
+/// in milliseconds. That takes a leader that reaches the store.
+const LEAVING_RETRY_MS: u64 = 1_000;
+
 /// Retry-after time of an instance that shuts down, in milliseconds. The load balancer directs
 /// a new connection to another instance.
 pub const STOPPING_RETRY_MS: u64 = 20;
@@ -102,6 +108,7 @@
     /// Idle open connections.
     idle_connections: IdleConnections,
     links: EndpointLinks,
+    departures: OwnDepartures,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
     not_forwarded: IndexMap<EndpointTag, Mono>,
     /// Sequence number that varies the choice between equal endpoints.
@@ -392,6 +399,7 @@
         self.not_held
             .retain(|(fence, _), _| self.fences.contains_key(fence));
         self.cold_busy.retain(|_, until| now < *until);
+        self.departures.prune(now);
         self.send_grants
             .retain(|tag| view.limits.contains_key(&tag));
     }
@@ -416,8 +424,8 @@
         self.waiting.len()
     }
 
-    /// Refuses a request that cannot be served before its deadline, or any request if `cause` is
-    /// [`RefusalReason::Evacuated`]. Returns `None` if it may still be served.
+    /// Refuses a request that cannot be served before its deadline, or any request if no endpoint
+    /// will serve it for `cause`. Returns `None` if it may still be served.
     ///
     /// `ahead` is the number of requests before it, `cause` is why it was not sent now.
     fn refuse_if_late(
@@ -432,15 +440,19 @@
             .busy_ms(now, view, job)
             .max(wait::expected_wait_ms(view, job, ahead));
         let due = now.plus(wait_ms + job.work_ms);
-        let is_evacuated = cause == RefusalReason::Evacuated;
+        let is_in_vain = matches!(
+            cause,
+            RefusalReason::Evacuated | RefusalReason::EndpointLeaving
+        );
         // An answer that misses the latency objective still has some worth. A request that cannot
         // even meet its deadline only delays others.
-        if due < job.deadline && !is_evacuated {
+        if due < job.deadline && !is_in_vain {
             return None;
         }
         let left = job.caller_deadline.since(now);
         let min_wait_ms = match cause {
             RefusalReason::Evacuated => EVACUATED_RETRY_MS,
+            RefusalReason::EndpointLeaving => LEAVING_RETRY_MS,
             RefusalReason::KeyUnowned | RefusalReason::Unreachable | RefusalReason::NoEndpoint => {
                 MOVE_RETRY_MS
             }
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -34,6 +34,8 @@
     pub crashes: Arc<CrashSnapshot>,
     /// Other instances that may reach endpoints which this one does not.
     pub neighbors: Vec<Neighbor>,
+    /// Whether a leader is known that can move keys.
+    pub has_leader: bool,
     /// Requests a second that limited endpoints take from all instances together.
     pub limits: IndexMap<EndpointTag, f64>,
 }
@@ -52,6 +54,7 @@
             instances: 1,
             crashes: Arc::default(),
             neighbors: Vec::new(),
+            has_leader: false,
             limits: IndexMap::new(),
         }
     }
--- a/crates/citronway-core/src/gateway/departures.rs
+++ b/crates/citronway-core/src/gateway/departures.rs
@@ -20,9 +20,20 @@
 /// entry may expire and come back while the store is unavailable.
 const UNLISTED_KEPT_MS: u64 = 60_000;
 
+/// Part of the time that the platform allows in which nothing is sent any more, in milliseconds:
+/// for the way of a request to the endpoint, and for an instance that is short of processor time.
+const SEND_MARGIN_MS: u64 = 500;
+
 /// Largest number of statements in one message.
 pub const MAX_TOLD: usize = 32;
 
+/// Time until which requests for its keys are sent to an endpoint that first stated at `since` that
+/// it leaves. `allowed_ms` is the time that the platform allows.
+#[must_use]
+pub const fn owned_work_until(since: Mono, allowed_ms: u64) -> Mono {
+    since.plus(allowed_ms.saturating_sub(SEND_MARGIN_MS))
+}
+
 /// A statement of an endpoint, as instances tell each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Departure {
@@ -44,6 +55,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Departures {
     entries: IndexMap<EndpointTag, Entry>,
+    /// Whether the endpoints or their times have changed since the last look.
+    is_changed: bool,
 }
 
 impl Departures {
@@ -52,9 +65,11 @@
     pub fn observe(&mut self, now: Mono, departure: &Departure) -> bool {
         let since = now.minus(u64::from(departure.age_ms));
         if let Some(entry) = self.entries.get_mut(&departure.endpoint) {
+            self.is_changed |= since < entry.since;
             entry.since = entry.since.min(since);
             return false;
         }
+        self.is_changed = true;
         let entry = Entry {
             since,
             told_at: None,
@@ -97,12 +112,17 @@
         self.entries.iter().map(|(tag, entry)| (*tag, entry.since))
     }
 
-    /// Forgets endpoints that have not been listed for long. Returns whether there were any.
-    pub fn prune(&mut self, now: Mono, is_listed: impl Fn(EndpointTag) -> bool) -> bool {
+    /// Whether the endpoints or their times have changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.is_changed)
+    }
+
+    /// Forgets endpoints that have not been listed for long.
+    pub fn prune(&mut self, now: Mono, is_listed: impl Fn(EndpointTag) -> bool) {
         let before = self.entries.len();
         self.entries
             .retain(|tag, entry| now.since(entry.since) < UNLISTED_KEPT_MS || is_listed(*tag));
-        self.entries.len() < before
+        self.is_changed |= self.entries.len() < before;
     }
 }
 
--- a/crates/citronway-core/src/gateway/registry.rs
+++ b/crates/citronway-core/src/gateway/registry.rs
@@ -4,6 +4,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use crate::gateway::pace::EndpointTag;
 use crate::ids::{EndpointName, EndpointStart, ServiceName, ZoneName};
 use crate::time::Mono;
 
@@ -67,6 +68,9 @@
     /// Set while its zone is evacuated: time until which requests for its keys are still sent to
     /// it.
     evacuated: Option<Mono>,
+    /// Set once its answers state that it leaves: time until which requests for its keys are still
+    /// sent to it. Its entry cannot revoke this.
+    leaving: Option<Mono>,
 }
 
 /// Time in milliseconds for which requests for the keys of a draining endpoint are still sent
@@ -87,6 +91,7 @@
             postponed: None,
             shadowed: false,
             evacuated: None,
+            leaving: None,
             listing,
         }
     }
@@ -122,7 +127,19 @@
     /// Whether it may be sent new requests that any endpoint of the service can serve.
     #[must_use]
     pub const fn accepts_work(&self) -> bool {
-        !self.listing.draining && self.evacuated.is_none()
+        !self.is_leaving() && self.evacuated.is_none()
+    }
+
+    /// Whether its entry or its answers state that it leaves.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.listing.draining || self.leaving.is_some()
+    }
+
+    /// Whether its answers state that it leaves.
+    #[must_use]
+    pub const fn states_departure(&self) -> bool {
+        self.leaving.is_some()
     }
 
     /// Whether its availability zone is being evacuated.
@@ -143,7 +160,8 @@
         let stays = self
             .draining_since
             .is_none_or(|since| now.since(since) < DRAINING_USE_MS);
-        stays && self.evacuated.is_none_or(|until| now < until)
+        let bounds = [self.evacuated, self.leaving];
+        stays && bounds.into_iter().flatten().all(|until| now < until)
     }
 }
 
@@ -161,6 +179,9 @@
     /// Evacuated zones, each with the time until which requests are still sent to the owners of
     /// keys there.
     evacuated: IndexMap<ZoneName, Mono>,
+    /// Endpoints whose answers state that they leave, each with the time until which requests for
+    /// its keys are still sent to it.
+    leaving: IndexMap<EndpointTag, Mono>,
     /// Whether the store can be reached, and since when after an outage.
     store: StoreState,
 }
@@ -213,6 +234,7 @@
     /// Inserts an endpoint, replacing any other start with its name.
     fn insert(&mut self, name: EndpointName, mut endpoint: ListedEndpoint) {
         endpoint.evacuated = self.evacuated.get(&endpoint.listing.zone).copied();
+        endpoint.leaving = leaving_until(&self.leaving, &endpoint.listing);
         self.endpoints.insert(name, endpoint);
         self.update_shadowed();
     }
@@ -233,6 +255,15 @@
         self.evacuated = zones;
     }
 
+    /// Sets the endpoints whose answers state that they leave, each with the time until which
+    /// requests for its keys are still sent to it.
+    pub fn set_leaving(&mut self, endpoints: IndexMap<EndpointTag, Mono>) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.leaving = leaving_until(&endpoints, &endpoint.listing);
+        }
+        self.leaving = endpoints;
+    }
+
     /// Sets the services of the configuration in force.
     pub fn set_services(&mut self, services: IndexSet<ServiceName>) {
         self.services = Some(services);
@@ -307,6 +338,7 @@
                 let evacuated = self.evacuated.get(&listing.zone).copied();
                 *endpoint = ListedEndpoint::new(now, now, listing);
                 endpoint.evacuated = evacuated;
+                endpoint.leaving = leaving_until(&self.leaving, &endpoint.listing);
             }
         }
         if expired {
@@ -400,3 +432,10 @@
         services.is_none_or(|services| services.contains(&endpoint.listing.service))
     }
 }
+
+fn leaving_until(leaving: &IndexMap<EndpointTag, Mono>, listing: &Listing) -> Option<Mono> {
+    if leaving.is_empty() {
+        return None;
+    }
+    leaving.get(&EndpointTag::of(&listing.start)).copied()
+}
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use citronway_core::gateway::admission::{Owners, View};
-use citronway_core::gateway::departures::Departures;
+use citronway_core::gateway::departures::{Departures, owned_work_until};
 use citronway_core::gateway::election::LeaderRow;
 use citronway_core::gateway::evacuation::Evacuations;
 use citronway_core::gateway::freshness::ConfigFreshness;
@@ -79,6 +79,8 @@
     pub freshness: ConfigFreshness,
     /// Time allowed for an evacuation, in milliseconds.
     evacuation_ms: u64,
+    /// Time for which a leaving endpoint goes on serving, in milliseconds.
+    drain_ms: u64,
     config: TableState,
     endpoints: TableState,
     outage: Outage,
@@ -118,6 +120,7 @@
             departures: Departures::default(),
             freshness: ConfigFreshness::new(cfg.config_apply_ms),
             evacuation_ms: cfg.evacuation_ms,
+            drain_ms: cfg.drain_ms,
             config: TableState::default(),
             endpoints: TableState::default(),
             outage: Outage::default(),
@@ -330,6 +333,17 @@
         }
     }
 
+    /// Applies changes of the endpoints that state that they leave.
+    pub(super) fn apply_departures(&mut self) {
+        if !self.departures.take_changed() {
+            return;
+        }
+        let leaving = self.departures.iter();
+        let leaving = leaving.map(|(tag, since)| (tag, owned_work_until(since, self.drain_ms)));
+        Arc::make_mut(&mut self.registry).set_leaving(leaving.collect());
+        self.changed = true;
+    }
+
     pub(super) fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
     }
@@ -460,6 +474,7 @@
                 Some(port) => self.peers.neighbors(now, &self.zone, port, self.rank),
                 None => Vec::new(),
             },
+            has_leader: self.has_relaying_leader(now),
             limits: self.stated_limits.in_force(),
         }
     }
--- a/crates/citronway/src/gateway/control/departures.rs
+++ b/crates/citronway/src/gateway/control/departures.rs
@@ -20,6 +20,7 @@
                 self.log_departure(*departure, source);
             }
         }
+        self.cluster.apply_departures();
     }
 
     /// Records statements that another instance told all others.
@@ -29,6 +30,7 @@
                 self.log_departure(*departure, source);
             }
         }
+        self.cluster.apply_departures();
     }
 
     /// Records that the answer to an order stated that its endpoint leaves.
@@ -56,6 +58,7 @@
         self.cluster
             .departures
             .prune(now, |tag| listed.contains(&tag));
+        self.cluster.apply_departures();
         let leaving = self.cluster.departures.iter();
         let leaving = leaving.filter(|(tag, _)| listed.contains(tag)).count();
         self.metrics.statements.set_leaving_endpoints(leaving);
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -486,7 +486,10 @@
     }
 
     fn publish(&mut self, now: Mono) {
-        let view = self.cluster.view(now);
+        let mut view = self.cluster.view(now);
+        if self.leadership.is_leader() {
+            view.has_leader = !self.leadership.is_unfit(now, &self.cluster);
+        }
         self.view.send_replace(view);
     }
 
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -136,10 +136,16 @@
             drop(in_flight);
             let now = clock::mono();
             self.log_send(now, &choice, &sent);
-            if !self.job.tried.contains(&choice.endpoint) {
+            let is_withheld = matches!(sent, SendResult::Withheld);
+            if !is_withheld && !self.job.tried.contains(&choice.endpoint) {
                 self.job.tried.push(choice.endpoint.clone());
             }
             match sent {
+                SendResult::Withheld => {
+                    if !self.has_time(now) {
+                        return self.refuse_with(RefusalReason::Overloaded);
+                    }
+                }
                 SendResult::Answer(answer) => {
                     if let Some(outcome) = self.handle_answer(now, &choice, answer) {
                         return outcome;
@@ -233,6 +239,7 @@
             | SendResult::Refused(_)
             | SendResult::NotSent(_)
             | SendResult::TooLate
+            | SendResult::Withheld
             | SendResult::TimedOut => None,
         };
         let ms = now.since(self.job.arrived);
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -167,10 +167,10 @@
             () = state.crash_seen.notified() => tokio::time::sleep(CRASH_BATCH_DELAY).await,
         }
         // A full channel means that `control` is behind. The next report has the same gauges,
-        // and lost samples only delay an estimate, but each crash sign is reported only once.
+        // and lost samples only delay an estimate, but crash signs and departures are reported once.
         if let Err(e) = reports.try_send(state.take_report()) {
             log::debug!(cause = e.to_string(); "traffic report dropped");
-            state.restore_signs(e.into_inner().signs);
+            state.restore_report(e.into_inner());
         }
     }
 }
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -144,7 +144,8 @@
                 | RefusalReason::Evacuated
                 | RefusalReason::CrashesEndpoints
                 | RefusalReason::UnderTrial
-                | RefusalReason::EndpointLimited => Passed::Ended(self.refuse(refusal)),
+                | RefusalReason::EndpointLimited
+                | RefusalReason::EndpointLeaving => Passed::Ended(self.refuse(refusal)),
             },
             Some(ForwardedOutcome::Ended(outcome)) => Passed::Ended(outcome),
             Some(ForwardedOutcome::Rejected(status)) => Passed::NotThere(status.to_string()),
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -51,7 +51,8 @@
         };
         let is_given_up = timeout_ms < left_ms || (may_repeat && self.state.is_cut_off());
         match exchanged {
-            Ok(Ok(Exchanged { head, answer })) => match head.kind {
+            Ok(Ok(None)) => SendResult::Withheld,
+            Ok(Ok(Some(Exchanged { head, answer }))) => match head.kind {
                 AnswerKind::Ran => {
                     self.state.record_answer(choice, self.job.key);
                     if choice.fence.is_none() {
@@ -110,8 +111,13 @@
         timeout.max(self.route.objective_ms / 2).min(left_ms)
     }
 
-    async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
+    /// Sends the request on one connection and reads the answer. Returns `None` if nothing was sent,
+    /// since the endpoint may not be sent the request any more.
+    async fn exchange(&mut self, choice: &Choice) -> Result<Option<Exchanged>, CallError> {
         let mut link = self.acquire_link(choice).await?;
+        if !self.state.may_send(&self.job, choice) {
+            return Ok(None);
+        }
         let now = clock::mono();
         let left_ms = self.job.deadline.since(now);
         let req = self.message.for_endpoint(&choice.endpoint, left_ms);
@@ -123,6 +129,10 @@
             // connection is as good as the first.
             Err(CallError::NotSent) => {
                 link = self.open_link(choice).await?;
+                if !self.state.may_send(&self.job, choice) {
+                    self.sends -= 1;
+                    return Ok(None);
+                }
                 let req = self.message.for_endpoint(&choice.endpoint, left_ms);
                 link.send(req).await?
             }
@@ -136,10 +146,10 @@
             let mut pool = self.state.pool.borrow_mut();
             pool.put(clock::mono(), choice, link, decoded.keep_alive);
         }
-        Ok(Exchanged {
+        Ok(Some(Exchanged {
             head: decoded,
             answer,
-        })
+        }))
     }
 
     async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
@@ -164,7 +174,7 @@
     }
 }
 
-/// An answer and what it means for the request.
+/// An answer and its decoded head.
 struct Exchanged {
     head: AnswerHead,
     answer: Answer,
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -52,6 +52,8 @@
     NotSent(NotSentCause),
     /// No attempt was made because no time was left to work.
     TooLate,
+    /// No attempt was made because the endpoint may not be sent the request any more.
+    Withheld,
     /// The endpoint may have run the request.
     MayHaveRun(UnknownOutcome),
     /// The request's time ended.
@@ -83,6 +85,9 @@
         SendResult::TooLate => {
             log::info!(request, endpoint:%, fence, sends; "no time left to send");
         }
+        SendResult::Withheld => {
+            log::info!(request, endpoint:%, fence, sends; "endpoint may not be sent the request any more");
+        }
         SendResult::NotSent(cause) => {
             let (cause, error) = match cause {
                 NotSentCause::NoConnection(e) => ("no connection", e.to_string()),
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -29,7 +29,7 @@
 use super::ended::ListenerProbes;
 use super::open_requests::OpenRequests;
 use super::pool::Pool;
-use super::seen::Views;
+use super::seen::{TrafficReport, Views};
 use crate::clock;
 use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
@@ -63,6 +63,8 @@
     waiting_added: Notify,
     last_ticket: Cell<u64>,
     retry_limit: RetryLimit,
+    /// Time for which a leaving endpoint goes on serving, in milliseconds.
+    drain_ms: u64,
     /// Factor by which the rate limit that a service states for cold endpoints may be exceeded.
     cold_overage: f64,
     retry_budgets: RefCell<IndexMap<ServiceName, SharedRetryBudget>>,
@@ -137,6 +139,7 @@
             waiting_added: Notify::new(),
             last_ticket: Cell::new(0),
             retry_limit: cfg.retries,
+            drain_ms: cfg.drain_ms,
             cold_overage: cfg.cold_overage,
             retry_budgets: RefCell::default(),
             route_stats: RefCell::default(),
@@ -312,11 +315,16 @@
         admission.record_rejection(clock::mono(), &self.view.borrow(), &job.service);
     }
 
-    /// Whether an endpoint has announced that it is draining, or is not listed.
-    pub(super) fn is_leaving(&self, endpoint: &EndpointStart) -> bool {
-        let view = self.view.borrow();
-        let known = view.registry.get(endpoint);
-        known.is_none_or(|known| known.listing.draining)
+    /// Whether an endpoint has announced that it leaves, or is not listed.
+    pub(super) fn has_left(&self, endpoint: &EndpointStart) -> bool {
+        let admission = self.admission.borrow();
+        admission.has_left(&self.view.borrow(), endpoint)
+    }
+
+    /// Whether an admitted request may still be sent to the endpoint that was chosen for it.
+    pub(super) fn may_send(&self, job: &Job, choice: &Choice) -> bool {
+        let admission = self.admission.borrow();
+        admission.may_send(clock::mono(), &self.view.borrow(), job, choice)
     }
 
     /// Records that another process has the endpoint's address.
@@ -428,9 +436,10 @@
         }
     }
 
-    /// Keeps the crash signs of a report that could not be sent, for the next report.
-    pub(super) fn restore_signs(&self, signs: Vec<Sign>) {
-        self.signs.borrow_mut().extend(signs);
+    /// Keeps what a report that could not be sent says once only, for the next report.
+    pub(super) fn restore_report(&self, report: TrafficReport) {
+        self.signs.borrow_mut().extend(report.signs);
+        self.restore_departures(&report.departures);
     }
 
     /// Records that an endpoint crashed while it had the work.
--- a/crates/citronway/src/gateway/traffic/state/statements.rs
+++ b/crates/citronway/src/gateway/traffic/state/statements.rs
@@ -1,6 +1,6 @@
 //! What endpoints state of themselves in their answers, as the traffic thread keeps it.
 
-use citronway_core::gateway::departures::Departure;
+use citronway_core::gateway::departures::{Departure, owned_work_until};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::stated_limits::StatedLimit;
 use citronway_core::ids::EndpointStart;
@@ -61,11 +61,12 @@
 
     /// Records that an endpoint states that it leaves.
     pub(in crate::gateway::traffic) fn record_departure(&self, endpoint: EndpointTag) {
+        let now = clock::mono();
+        let until = owned_work_until(now, self.drain_ms);
+        let mut admission = self.admission.borrow_mut();
+        admission.record_departure(now, endpoint, until);
         let mut unreported = self.unreported.borrow_mut();
-        unreported
-            .departures
-            .entry(endpoint)
-            .or_insert_with(clock::mono);
+        unreported.departures.entry(endpoint).or_insert(now);
     }
 
     /// Counts a statement that cannot be used; it changes nothing.
@@ -95,6 +96,20 @@
         stated.collect()
     }
 
+    /// Keeps departures for the next report.
+    pub(super) fn restore_departures(&self, departures: &[Departure]) {
+        let now = clock::mono();
+        let mut unreported = self.unreported.borrow_mut();
+        for departure in departures {
+            let at = now.minus(u64::from(departure.age_ms));
+            let known = unreported
+                .departures
+                .entry(departure.endpoint)
+                .or_insert(at);
+            *known = at.min(*known);
+        }
+    }
+
     /// Takes the endpoints that stated since the last report that they leave.
     pub(super) fn take_departures(&self) -> Vec<Departure> {
         let now = clock::mono();
--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -97,7 +97,7 @@
         };
         let request = display_id(self.metadata.id.as_ref());
         let endpoint = &choice.endpoint;
-        let leaves = self.state.is_leaving(endpoint);
+        let leaves = self.state.has_left(endpoint);
         log::info!(request, endpoint:%, work:%, leaves; "endpoint ended with the request");
         if leaves {
             return CrashCheck::NotCrashed;
