--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -67,6 +67,7 @@
             "endpoint states a limit"
             | "endpoint changes its limit"
             | "endpoint states no limit any more" => limit_of(self.text("endpoint")?),
+            "endpoint states that it leaves" => departure_of(self.text("endpoint")?),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
             "this instance leads" | "this instance no longer leads" => "own duty".to_owned(),
@@ -160,8 +161,8 @@
                     .filter_map(|f| line.text(f))
                     .map(str::to_owned),
             );
-            let limits = named.iter().map(|name| limit_of(name));
-            named.extend(limits.collect::<Vec<_>>());
+            let stated = named.iter().flat_map(|name| statements_of(name));
+            named.extend(stated.collect::<Vec<_>>());
             named.extend(
                 line.text("service")
                     .map(|service| format!("owners of {service}")),
@@ -197,6 +198,16 @@
     format!("limit of {endpoint}")
 }
 
+/// Name of what an instance believes of an endpoint's departure.
+fn departure_of(endpoint: &str) -> String {
+    format!("departure of {endpoint}")
+}
+
+/// Names of what an instance believes of an endpoint by its own statements.
+fn statements_of(endpoint: &str) -> [String; 2] {
+    [limit_of(endpoint), departure_of(endpoint)]
+}
+
 /// What all instances wrote of the request's work, under other ids.
 fn suspicion(request: &str, lines: &[Line]) -> String {
     let own = lines.iter().filter(|line| line.is_of(request));
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -139,6 +139,15 @@
         )
     }
 
+    /// Starts under another name at its address, once it has crashed.
+    ///
+    /// # Errors
+    ///
+    /// When the port cannot be had.
+    pub fn start_again_as(&self, name: &str) -> io::Result<Self> {
+        Self::start_at(self.address(), name, &self.service, self.shared.sharded)
+    }
+
     fn start_at(address: SocketAddr, name: &str, service: &str, sharded: bool) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             name: name.to_owned(),
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -17,6 +17,7 @@
 use citronway_platform::exchange::RequestMetadata;
 
 use super::message::Message;
+use super::neighbor;
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, display_id, stopping};
 use super::sent::{NotSentCause, SendResult, UnknownOutcome, log_send};
@@ -263,18 +264,23 @@
         let moving = range.is_some_and(Range::is_moving);
         let limit = range.and_then(|r| view.limits.get(&EndpointTag::of(&r.holder.endpoint)));
         let limit = limit.map_or_else(|| "-".to_owned(), f64::to_string);
+        let leaving = range.is_some_and(|r| self.state.has_left(&r.holder.endpoint));
         let row = owners.map_or(0, |owners| owners.version.0);
         let instances = view.instances;
         let key = key.map_or(-1, i32::from);
         log::info!(
-            request, service, key, owner = owner.as_str(), fence, moving, limit = limit.as_str(), row, routes, waiting, instances,
+            request, service, key, owner = owner.as_str(), fence, moving, limit = limit.as_str(), leaving, row, routes, waiting, instances,
             reason = reason.as_str();
             "no place found"
         );
     }
 
     /// Handles an endpoint's answer. Returns `None` if another endpoint is to be tried.
-    fn handle_answer(&mut self, now: Mono, choice: &Choice, answer: Answer) -> Option<Outcome> {
+    fn handle_answer(&mut self, now: Mono, choice: &Choice, mut answer: Answer) -> Option<Outcome> {
+        if self.job.is_forwarded {
+            let endpoint = EndpointTag::of(&choice.endpoint);
+            neighbor::write_endpoint(endpoint, &mut answer.headers);
+        }
         if answer.status.is_server_error() {
             // A server error: the endpoint ran the request and failed. Another endpoint may
             // succeed; a key has only its owner.
--- a/crates/citronway/src/gateway/traffic/neighbor/message.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/message.rs
@@ -2,6 +2,7 @@
 
 use citronway_core::gateway::admission::{Refusal, RefusalReason, UnknownOutcomeReason};
 use citronway_core::gateway::crashes::{Fingerprint, FingerprintKey};
+use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::ids::{InstanceName, ServiceName};
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -27,8 +28,11 @@
 const RETRY_MS: HeaderName = HeaderName::from_static("citronway-retry-ms");
 const WORK: HeaderName = HeaderName::from_static("citronway-work");
 
-const ALL: [HeaderName; 9] = [
-    SENDER, TOKEN, WAIT_MS, SERVICE, RUNS, OUTCOME, REASON, RETRY_MS, WORK,
+/// Endpoint that answered a forwarded request.
+const ENDPOINT: HeaderName = HeaderName::from_static("citronway-endpoint");
+
+const ALL: [HeaderName; 10] = [
+    SENDER, TOKEN, WAIT_MS, SERVICE, RUNS, OUTCOME, REASON, RETRY_MS, WORK, ENDPOINT,
 ];
 
 /// Cause that a caller is told where the neighbor does not know whether the request ran.
@@ -169,11 +173,16 @@
     }
 }
 
+/// Names the endpoint that answered a forwarded request.
+pub(in crate::gateway::traffic) fn write_endpoint(endpoint: EndpointTag, headers: &mut HeaderMap) {
+    headers.insert(ENDPOINT, HeaderValue::from(endpoint.0));
+}
+
 /// Outcome of a forwarded request as its sender reads it, without an endpoint's answer.
 #[derive(Debug)]
 pub(super) enum ForwardedOutcome {
-    /// The answer is the endpoint's own.
-    Answered,
+    /// The answer is the endpoint's own; the endpoint, if the neighbor names it.
+    Answered(Option<EndpointTag>),
     /// The request has not run at the neighbor, and will not.
     NotRun(Refusal),
     /// The request may have run, or is known to be harmful.
@@ -189,7 +198,9 @@
 ) -> Option<ForwardedOutcome> {
     let outcome = text(headers, &OUTCOME).ok()?;
     let read = match outcome {
-        name::ANSWERED => ForwardedOutcome::Answered,
+        name::ANSWERED => {
+            ForwardedOutcome::Answered(number(headers, &ENDPOINT).ok().map(EndpointTag))
+        }
         name::NOT_RUN => {
             let reason = text(headers, &REASON).ok()?;
             let all = RefusalReason::ALL.into_iter();
--- a/crates/citronway/src/gateway/traffic/neighbor/mod.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/mod.rs
@@ -8,7 +8,9 @@
 mod message;
 mod send;
 
-pub(super) use message::{ForwardError, ForwardedRequest, read_forwarded, write_outcome};
+pub(super) use message::{
+    ForwardError, ForwardedRequest, read_forwarded, write_endpoint, write_outcome,
+};
 
 /// Instance that has the request from its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -117,17 +117,16 @@
     fn outcome_of(&self, mut answer: Answer) -> Passed {
         let outcome = read_outcome(answer.status, &mut answer.headers);
         match outcome {
-            Some(ForwardedOutcome::Answered) => {
+            Some(ForwardedOutcome::Answered(endpoint)) => {
                 let id = self.metadata.id.as_ref();
-                match AnswerHead::read(id, answer.status, &answer.headers).kind {
-                    AnswerKind::Foreign => {
-                        Passed::MayHaveRun("the answer belongs to another request")
-                    }
-                    AnswerKind::Ran
-                    | AnswerKind::Full
-                    | AnswerKind::Misdirected
-                    | AnswerKind::NotRun => Passed::Ended(Outcome::Answered(answer)),
+                let head = AnswerHead::read(id, answer.status, &answer.headers);
+                if head.kind == AnswerKind::Foreign {
+                    return Passed::MayHaveRun("the answer belongs to another request");
                 }
+                if let (Some(endpoint), Ok(true)) = (endpoint, &head.leaving) {
+                    self.state.record_departure(endpoint);
+                }
+                Passed::Ended(Outcome::Answered(answer))
             }
             Some(ForwardedOutcome::NotRun(refusal)) => match refusal.reason {
                 RefusalReason::Unreachable
