--- a/crates/citronway-standin/src/shared/departures.rs
+++ b/crates/citronway-standin/src/shared/departures.rs
@@ -21,8 +21,8 @@
 /// What a leaving endpoint told instances, and what reached it.
 #[derive(Debug, Clone, Default)]
 pub struct DepartureLog {
-    /// When each instance was first told.
-    told: IndexMap<String, Instant>,
+    /// When each instance was told.
+    told: IndexMap<String, Vec<Instant>>,
     arrivals: Vec<(Instant, String)>,
 }
 
@@ -37,7 +37,7 @@
 
     /// Records an answer to an instance that said so.
     pub(super) fn tell(&mut self, at: Instant, sender: &str) {
-        self.told.entry(sender.to_owned()).or_insert(at);
+        self.told.entry(sender.to_owned()).or_default().push(at);
     }
 
     /// Number of instances that were told.
@@ -56,14 +56,29 @@
     /// Requests that arrived later than [`DRAIN`] after their senders were told.
     #[must_use]
     pub fn late(&self) -> Vec<LateArrival> {
-        let late = self.arrivals.iter().filter_map(|(at, sender)| {
-            let after = at.duration_since(*self.told.get(sender)?);
-            (after > DRAIN).then(|| LateArrival {
+        self.late_unless(|_, _, _| false)
+    }
+
+    /// The same without those that are excused, by their sender, when it was told, and when they
+    /// arrived.
+    #[must_use]
+    pub fn late_unless(
+        &self,
+        is_excused: impl Fn(&str, Instant, Instant) -> bool,
+    ) -> Vec<LateArrival> {
+        let mut late = Vec::new();
+        for (at, sender) in &self.arrivals {
+            let told = self.told.get(sender).into_iter().flatten();
+            let mut bound = told.filter(|told| **told + DRAIN < *at);
+            let Some(told) = bound.find(|told| !is_excused(sender, **told, *at)) else {
+                continue;
+            };
+            late.push(LateArrival {
                 sender: sender.clone(),
                 at: *at,
-                after,
-            })
-        });
-        late.collect()
+                after: at.duration_since(*told),
+            });
+        }
+        late
     }
 }
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -12,9 +12,8 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use super::departures::DepartureLog;
-use super::limits::LimitLog;
 use super::serve::{Answer, Background};
+use super::statements::{Statements, with_statements};
 
 /// Header in which a caller names the instance that it calls, which passes it on.
 pub const SENDER_HEADER: &str = "x-sender";
@@ -39,12 +38,12 @@
 pub struct FencedEndpoint {
     name: String,
     service: String,
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
     server: Background,
 }
 
 #[derive(Debug)]
-struct Shared {
+pub(super) struct Shared {
     name: String,
     sharded: bool,
     state: Mutex<State>,
@@ -57,7 +56,7 @@
 }
 
 #[derive(Debug)]
-struct State {
+pub(super) struct State {
     keys: Vec<KeyState>,
     ran: Vec<Ran>,
     work: Duration,
@@ -71,12 +70,7 @@
     put_off: usize,
     /// Keys of requests that are being run.
     running: Vec<u16>,
-    /// Texts of the limit that each answer states.
-    limit: Vec<String>,
-    limits: LimitLog,
-    /// Texts by which each answer states that the endpoint leaves.
-    leaving: Vec<String>,
-    departure: DepartureLog,
+    pub(super) statements: Statements,
 }
 
 /// Whether the process crashes.
@@ -163,10 +157,7 @@
                 begins: Begins::AtOnce,
                 put_off: 0,
                 running: Vec::new(),
-                limit: Vec::new(),
-                limits: LimitLog::default(),
-                leaving: Vec::new(),
-                departure: DepartureLog::default(),
+                statements: Statements::default(),
             }),
             ended: Notify::new(),
             hurried: Notify::new(),
@@ -227,40 +218,6 @@
         self.shared.lock().echo = true;
     }
 
-    /// States a limit in each answer from now on, in requests a second; `None` states none.
-    pub fn state_limit(&self, per_s: Option<f64>) {
-        let mut state = self.shared.lock();
-        state.limit = per_s.iter().map(f64::to_string).collect();
-        state.limits.state(Instant::now(), per_s);
-    }
-
-    /// Puts texts into each answer from now on where a limit is stated. They count as no limit.
-    pub fn state_texts(&self, texts: &[&str]) {
-        self.shared.lock().limit = texts.iter().map(|text| (*text).to_owned()).collect();
-    }
-
-    /// What it stated of its limit and what it got.
-    #[must_use]
-    pub fn limits(&self) -> LimitLog {
-        self.shared.lock().limits.clone()
-    }
-
-    /// States in each answer from now on that it leaves.
-    pub fn leave(&self) {
-        self.say_of_leaving(&["1"]);
-    }
-
-    /// Puts texts into each answer from now on where an endpoint states that it leaves.
-    pub fn say_of_leaving(&self, texts: &[&str]) {
-        self.shared.lock().leaving = texts.iter().map(|text| (*text).to_owned()).collect();
-    }
-
-    /// Whom it told that it leaves, and what it got.
-    #[must_use]
-    pub fn departure(&self) -> DepartureLog {
-        self.shared.lock().departure.clone()
-    }
-
     /// Runs requests and closes the connection without an answer.
     pub fn drop_answers(&self, drops: bool) {
         self.shared.lock().drop_answers = drops;
@@ -318,7 +275,7 @@
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -394,8 +351,7 @@
         let sender = header(req.headers(), SENDER_HEADER).unwrap_or_default();
         let begins = {
             let mut state = shared.lock();
-            state.limits.arrive(Instant::now(), &sender);
-            state.departure.arrive(Instant::now(), &sender);
+            state.statements.arrive(Instant::now(), &sender);
             state.begins
         };
         let answer = match begins {
@@ -409,7 +365,7 @@
         return answer.map(|answer| with_statements(&shared, &sender, answer));
     }
     let mut answer = carry_out(&shared, &path, &req).await;
-    state_leaving(&shared.lock(), &mut answer);
+    shared.lock().statements.add_to_order(&mut answer);
     Some(answer)
 }
 
@@ -503,36 +459,6 @@
     Some(answer)
 }
 
-/// The answer with what the endpoint states of itself now.
-fn with_statements(
-    shared: &Shared,
-    sender: &str,
-    mut answer: Response<Full<Bytes>>,
-) -> Response<Full<Bytes>> {
-    let mut state = shared.lock();
-    for text in &state.limit {
-        if let Ok(value) = http::HeaderValue::from_str(text) {
-            answer.headers_mut().append("server-limit", value);
-        }
-    }
-    if !state.limit.is_empty() {
-        state.limits.tell(Instant::now(), sender);
-    }
-    state_leaving(&state, &mut answer);
-    if !state.leaving.is_empty() {
-        state.departure.tell(Instant::now(), sender);
-    }
-    answer
-}
-
-fn state_leaving(state: &State, answer: &mut Response<Full<Bytes>>) {
-    for text in &state.leaving {
-        if let Ok(value) = http::HeaderValue::from_str(text) {
-            answer.headers_mut().append("server-leaving", value);
-        }
-    }
-}
-
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod limits;
 mod serve;
+mod statements;
 mod store;
 
 pub use departures::{DRAIN, DepartureLog, LateArrival};
--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -11,7 +11,9 @@
 use super::instance::{Excuse, Instance};
 use super::plan::{Fault, SHARDED, Soak};
 use super::proxy::{Mode, Proxy};
-use crate::shared::{Excess, FencedEndpoint, Ran, STABLE, SharedStore, StoreFault, configuration};
+use crate::shared::{
+    Excess, FencedEndpoint, LateArrival, Ran, STABLE, SharedStore, StoreFault, configuration,
+};
 
 /// Time that endpoints work on a request.
 const WORK: Duration = Duration::from_millis(15);
@@ -57,6 +59,12 @@
         }
     }
 
+    /// Whether the link misbehaved at any time between two moments.
+    fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        let mut all = self.disturbed.iter();
+        all.any(|(began, until)| *began <= to && until.is_none_or(|until| from < until))
+    }
+
     /// Whether the link misbehaves or has just done so.
     fn is_disturbed(&self, at: Instant) -> bool {
         let mut all = self.disturbed.iter();
@@ -198,6 +206,12 @@
             Fault::Drain(n) => self.list(n, "draining"),
             Fault::Configure => self.configure(),
             Fault::Limit(n, per_s) => self.servers[n].now.state_limit(Some(per_s)),
+            Fault::Leave(n, is_listed) => {
+                self.servers[n].now.leave();
+                if is_listed {
+                    self.list(n, "draining");
+                }
+            }
         }
         Ok(())
     }
@@ -227,6 +241,7 @@
             Fault::Late(n, _) => self.servers[n].now.put_off(None),
             Fault::Limit(n, _) => self.servers[n].now.state_limit(None),
             Fault::Drain(n) => self.list(n, "ready"),
+            Fault::Leave(n, _) => self.bear(n)?,
             Fault::HangUp(..) | Fault::Reborn(_) | Fault::Forget | Fault::Configure => {}
         }
         Ok(())
@@ -282,7 +297,11 @@
     }
 
     /// Ends all faults.
-    pub fn heal(&mut self) {
+    ///
+    /// # Errors
+    ///
+    /// When an endpoint cannot be started in place of one that leaves.
+    pub fn heal(&mut self) -> io::Result<()> {
         self.store.fail(StoreFault::None);
         for n in 0..self.servers.len() {
             let server = &mut self.servers[n];
@@ -292,12 +311,16 @@
             server.now.work(WORK);
             server.now.put_off(None);
             server.now.state_limit(None);
+            if server.now.is_leaving() {
+                self.bear(n)?;
+            }
             self.list(n, "ready");
         }
         for instance in &mut self.instances {
             instance.link.set(Mode::Pass);
             instance.go_on();
         }
+        Ok(())
     }
 
     /// Starts whatever has ended.
@@ -388,6 +411,25 @@
         found
     }
 
+    /// Requests that reached endpoints too late after these had stated that they leave.
+    #[must_use]
+    pub fn late_arrivals(&self) -> Vec<LateArrival> {
+        let is_excused = |server: &Server, sender: &str, told, at| {
+            let n = sender.parse::<usize>();
+            let instance = n.ok().and_then(|n| self.instances.get(n));
+            server.was_disturbed(told, at) || instance.is_none_or(|i| i.was_disturbed(told, at))
+        };
+        let mut found = Vec::new();
+        for server in &self.servers {
+            for endpoint in server.ended.iter().chain([&server.now]) {
+                let log = endpoint.departure();
+                let late = log.late_unless(|sender, told, at| is_excused(server, sender, told, at));
+                found.extend(late);
+            }
+        }
+        found
+    }
+
     /// Folder with the logs of the instances.
     #[must_use]
     pub fn folder(&self) -> &Path {
--- a/crates/citronway-standin/src/soak/instance.rs
+++ b/crates/citronway-standin/src/soak/instance.rs
@@ -201,6 +201,12 @@
         all.any(|(from, until)| *from <= at && until.is_none_or(|until| at < until + after))
     }
 
+    /// Whether its process did not run at any time between two moments.
+    pub fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        let mut all = self.disturbed.iter();
+        all.any(|(began, until)| *began <= to && until.is_none_or(|until| from < until))
+    }
+
     fn begin_disturbance(&mut self) {
         self.disturbed.push((Instant::now(), None));
     }
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -46,6 +46,16 @@
 /// Fewest and most cuts of one soak.
 const CUTS: (usize, usize) = (2, 5);
 
+/// Fewest and most endpoints that leave in one soak.
+const DEPARTURES: (usize, usize) = (2, 5);
+
+/// Shortest and longest time from an endpoint's first statement that it leaves to its end, in
+/// milliseconds.
+const LEAVES_MS: (u64, u64) = (2_500, 5_000);
+
+/// Sets the draws of the endpoints that leave apart from those of the other faults.
+const DEPARTURES_STREAM: u64 = 0x6c65_6176_6573;
+
 /// Sets the draws of the cuts apart from those of the other faults.
 const CUTS_STREAM: u64 = 0x0063_7574_7300;
 
@@ -76,6 +86,8 @@
     pub limits: bool,
     /// Besides, instances lose their links to all endpoints or to one.
     pub cuts: bool,
+    /// Besides, endpoints state that they leave, and end some seconds later.
+    pub departures: bool,
 }
 
 impl Soak {
@@ -89,6 +101,7 @@
             harmful: false,
             limits: false,
             cuts: false,
+            departures: false,
         }
     }
 
@@ -129,6 +142,16 @@
         }
     }
 
+    /// Faults of a seed and endpoints that state that they leave. Instances that are hit by signals
+    /// are not bound by that, so series of them are left out.
+    #[must_use]
+    pub const fn with_departures(seed: u64) -> Self {
+        Self {
+            departures: true,
+            ..Self::of(seed)
+        }
+    }
+
     /// Everything at once.
     #[must_use]
     pub const fn with_all(seed: u64) -> Self {
@@ -178,6 +201,9 @@
     Configure,
     /// An endpoint states a limit, in requests a second.
     Limit(usize, f64),
+    /// An endpoint states that it leaves; its entry says so too if the second value is set. When
+    /// the time is over it ends and another one starts at its address.
+    Leave(usize, bool),
 }
 
 /// A fault with its time.
@@ -215,6 +241,12 @@
             plan.push(limit(&mut rng));
         }
     }
+    if soak.departures {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ DEPARTURES_STREAM);
+        for _ in 0..rng.random_range(DEPARTURES.0..=DEPARTURES.1) {
+            plan.push(departure(&mut rng));
+        }
+    }
     if soak.cuts {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
         for _ in 0..rng.random_range(CUTS.0..=CUTS.1) {
@@ -288,6 +320,14 @@
     }
 }
 
+fn departure(rng: &mut StdRng) -> Planned {
+    Planned {
+        at: Duration::from_millis(rng.random_range(0..LENGTH_MS / 2)),
+        lasts: Duration::from_millis(rng.random_range(LEAVES_MS.0..LEAVES_MS.1)),
+        fault: Fault::Leave(rng.random_range(0..=SHARDED), rng.random_range(0..2) == 0),
+    }
+}
+
 /// A stop is likeliest: it is what the others are to fall into.
 fn signal(rng: &mut StdRng, instance: usize) -> Fault {
     match rng.random_range(0..10) {
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -91,7 +91,7 @@
         tokio::spawn(caller.do_harm(soak.seed, stopped.clone()))
     });
     violations.extend(go_wrong(&mut fleet, &plan).await?);
-    fleet.heal();
+    fleet.heal()?;
     let healing = Instant::now();
     violations.extend(until_stopped(&mut fleet).await?);
     stop.send_replace(true);
@@ -109,6 +109,11 @@
     }
     fleet.nothing_put_off().await;
     violations.extend(fleet.excesses().iter().map(over_limit));
+    let late = fleet.late_arrivals();
+    violations.extend(late.into_iter().map(|late| Violation::SentToLeaving {
+        instance: late.sender,
+        after: late.after,
+    }));
     violations.extend(verdict::check(&told, &fleet.ran(), &fleet.excuses()));
     let served = told.iter().filter(|told| is_served(told)).count();
     let logs = if violations.is_empty() {
--- a/crates/citronway-standin/src/soak/verdict.rs
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -1,6 +1,7 @@
 //! What callers were told, held against what endpoints ran.
 
 use std::fmt;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 
@@ -70,6 +71,13 @@
         /// Requests that its limit allows.
         allowed: u32,
     },
+    /// An endpoint got a request too late after it had told the sender that it leaves.
+    SentToLeaving {
+        /// Instance that sent it.
+        instance: String,
+        /// Time since it was told.
+        after: Duration,
+    },
     /// A key or a service was not served after all faults had ended.
     Unserved {
         /// What was asked for.
@@ -98,6 +106,12 @@
                     "an endpoint got {got} requests where its limit allows {allowed}"
                 )
             }
+            Self::SentToLeaving { instance, after } => {
+                write!(
+                    f,
+                    "instance {instance} sent to a leaving endpoint {after:?} after it was told"
+                )
+            }
             Self::Unserved { what } => write!(f, "{what} is not served"),
         }
     }
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -45,6 +45,10 @@
 /// Seeds that are always run, with instances that lose their links to endpoints.
 const FIXED_CUTS: [u64; 2] = [900, 901];
 
+/// Seeds that are always run, with endpoints that state that they leave. Both fail if requests are
+/// sent to such endpoints after the bound.
+const FIXED_DEPARTURES: [u64; 2] = [1_214, 1_219];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -69,14 +73,14 @@
     soaked
 }
 
-/// Soak of a new seed: limits with few signals, cut links, or everything at once.
+/// Soak of a new seed: limits with few signals, cut links, endpoints that leave, or everything at
+/// once.
 const fn drawn(seed: u64) -> Soak {
-    if seed % 4 == 3 {
-        Soak::with_cuts(seed)
-    } else if seed.is_multiple_of(2) {
-        Soak::with_limits(seed)
-    } else {
-        Soak::with_all(seed)
+    match seed % 5 {
+        0 | 2 => Soak::with_limits(seed),
+        1 => Soak::with_all(seed),
+        3 => Soak::with_cuts(seed),
+        _ => Soak::with_departures(seed),
     }
 }
 
@@ -118,6 +122,9 @@
     for seed in FIXED_LIMITS {
         expect_no_violations(&soak(Soak::with_limits(seed)));
     }
+    for seed in FIXED_DEPARTURES {
+        expect_no_violations(&soak(Soak::with_departures(seed)));
+    }
     for seed in FIXED_CUTS {
         expect_no_violations(&soak(Soak::with_cuts(seed)));
     }
