Decode rests for which endpoints ask, log and count them

Logs could not tell whether a rest was not read, or read and not kept. Nothing decides by it yet. The stand-in endpoint asks for rest and records what reaches it.

--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod kept;
 mod links;
+mod rests;
 mod stated;
 mod unreachable;
 mod view;
@@ -25,6 +26,7 @@
 use choose::Selection;
 use kept::IdleConnections;
 use links::{EndpointLinks, LinkFailure};
+use rests::Rests;
 use stated::OwnDepartures;
 
 pub use job::{Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason};
@@ -109,6 +111,7 @@
     idle_connections: IdleConnections,
     links: EndpointLinks,
     departures: OwnDepartures,
+    rests: Rests,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
     not_forwarded: IndexMap<EndpointTag, Mono>,
     /// Sequence number that varies the choice between equal endpoints.
@@ -400,6 +403,7 @@
             .retain(|(fence, _), _| self.fences.contains_key(fence));
         self.cold_busy.retain(|_, until| now < *until);
         self.departures.prune(now);
+        self.prune_rests(now, view);
         self.send_grants
             .retain(|tag| view.limits.contains_key(&tag));
     }
--- a/crates/citronway-core/src/gateway/admission/stated.rs
+++ b/crates/citronway-core/src/gateway/admission/stated.rs
@@ -3,7 +3,7 @@
 //! A statement in an answer to this instance counts at once; those of other instances come with the
 //! view.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::choose::{range_of, reason_without_endpoint};
 use super::{Admission, Choice, Job, RefusalReason, View};
@@ -44,6 +44,30 @@
         });
     }
 
+    /// Records an answer in which an endpoint asked this instance for rest. Returns whether a rest has
+    /// begun.
+    pub fn record_rest(&mut self, now: Mono, endpoint: EndpointTag, rest_ms: u64) -> bool {
+        self.rests.record(now, endpoint, rest_ms)
+    }
+
+    /// Endpoints that rest now, each with the time that is left, in milliseconds.
+    pub fn resting(&self, now: Mono) -> impl Iterator<Item = (EndpointTag, u64)> {
+        self.rests.resting(now)
+    }
+
+    /// Takes the endpoints whose rest has ended since the last call.
+    pub fn take_ended_rests(&mut self, now: Mono) -> Vec<EndpointTag> {
+        self.rests.take_ended(now)
+    }
+
+    pub(super) fn prune_rests(&mut self, now: Mono, view: &View) {
+        let listed = view.registry.iter();
+        let listed: IndexSet<_> = listed
+            .map(|listed| EndpointTag::of(&listed.listing.start))
+            .collect();
+        self.rests.prune(now, |tag| listed.contains(&tag));
+    }
+
     /// Whether the endpoint states that it leaves.
     #[must_use]
     pub fn is_leaving(&self, endpoint: EndpointTag) -> bool {
--- a/crates/citronway-standin/src/shared/statements.rs
+++ b/crates/citronway-standin/src/shared/statements.rs
@@ -1,14 +1,15 @@
 //! What an endpoint states of itself in its answers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderValue, Response};
+use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
 use super::departures::DepartureLog;
 use super::endpoint::{FencedEndpoint, Shared};
 use super::limits::LimitLog;
+use super::rests::RestLog;
 
 /// Statements of an endpoint, and what reached it.
 #[derive(Debug, Default)]
@@ -19,6 +20,9 @@
     /// Texts by which each answer states that the endpoint leaves.
     leaving: Vec<String>,
     departure: DepartureLog,
+    /// Texts by which each rejection asks for rest, and how long that is.
+    rest: Option<(Vec<String>, Duration)>,
+    rests: RestLog,
 }
 
 impl Statements {
@@ -26,6 +30,7 @@
     pub(super) fn arrive(&mut self, at: Instant, sender: &str) {
         self.limits.arrive(at, sender);
         self.departure.arrive(at, sender);
+        self.rests.arrive(at, sender);
     }
 
     /// Adds the statements to the answer to an order.
@@ -44,6 +49,12 @@
         if !self.leaving.is_empty() {
             self.departure.tell(now, sender);
         }
+        if let Some((texts, rest)) = &self.rest
+            && answer.status() == StatusCode::SERVICE_UNAVAILABLE
+        {
+            append(answer, "retry-after", texts);
+            self.rests.ask(now, sender, *rest);
+        }
     }
 }
 
@@ -93,6 +104,30 @@
         self.say_of_leaving(&["1"]);
     }
 
+    /// Rejects all requests from now on and asks for rest each time.
+    pub fn rest(&self, rest: Duration) {
+        let text = rest.as_secs_f64().to_string();
+        self.rest_in_texts(&[&text], rest);
+    }
+
+    /// Rejects all requests from now on and asks for rest in these texts. They count as `rest`.
+    pub fn rest_in_texts(&self, texts: &[&str], rest: Duration) {
+        self.full(true);
+        self.shared.lock().statements.rest = Some((owned(texts), rest));
+    }
+
+    /// Takes requests again.
+    pub fn stop_resting(&self) {
+        self.full(false);
+        self.shared.lock().statements.rest = None;
+    }
+
+    /// The rests for which it asked, and what it got.
+    #[must_use]
+    pub fn rests(&self) -> RestLog {
+        self.shared.lock().statements.rests.clone()
+    }
+
     /// Whether it states that it leaves.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/citronway/src/gateway/control/unusable.rs
+++ b/crates/citronway/src/gateway/control/unusable.rs
@@ -19,6 +19,8 @@
     Limit,
     /// A statement of an endpoint that it leaves.
     Leaving,
+    /// A rest for which an endpoint asks.
+    Rest,
 }
 
 impl Source {
@@ -30,6 +32,7 @@
             Self::OwnRow => "own_row",
             Self::Limit => "limit",
             Self::Leaving => "leaving",
+            Self::Rest => "rest",
         }
     }
 }
--- a/crates/citronway/src/gateway/statement_metrics.rs
+++ b/crates/citronway/src/gateway/statement_metrics.rs
@@ -14,6 +14,7 @@
     limited_endpoints: Gauge,
     limited_sends: Family<AnswerLabels, Counter>,
     leaving_endpoints: Gauge,
+    resting_endpoints: Gauge,
 }
 
 impl StatementMetrics {
@@ -28,10 +29,14 @@
         let leaving_endpoints = Gauge::default();
         let help = "Listed endpoints that state that they leave";
         registry.register("leaving_endpoints", help, leaving_endpoints.clone());
+        let resting_endpoints = Gauge::default();
+        let help = "Endpoints that asked this instance for rest";
+        registry.register("resting_endpoints", help, resting_endpoints.clone());
         Self {
             limited_endpoints,
             limited_sends,
             leaving_endpoints,
+            resting_endpoints,
         }
     }
 
@@ -55,6 +60,11 @@
     pub(super) fn set_leaving_endpoints(&self, count: usize) {
         self.leaving_endpoints.set(gauge_value(count));
     }
+
+    /// Sets the number of endpoints that asked this instance for rest.
+    pub(super) fn set_resting_endpoints(&self, count: usize) {
+        self.resting_endpoints.set(gauge_value(count));
+    }
 }
 
 fn gauge_value(count: usize) -> i64 {
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -1,6 +1,6 @@
 //! Passes a request on to a neighbor and reads the outcome.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Neighbor, RefusalReason, UnknownOutcomeReason};
@@ -119,7 +119,7 @@
         match outcome {
             Some(ForwardedOutcome::Answered(endpoint)) => {
                 let id = self.metadata.id.as_ref();
-                let head = AnswerHead::read(id, answer.status, &answer.headers);
+                let head = AnswerHead::read(id, answer.status, &answer.headers, SystemTime::now());
                 if head.kind == AnswerKind::Foreign {
                     return Passed::MayHaveRun("the answer belongs to another request");
                 }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one endpoint and reads the answer.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use citronway_core::gateway::admission::Choice;
 use citronway_core::gateway::routes::Repeat;
@@ -139,7 +139,7 @@
             sent => sent?,
         };
         let id = self.metadata.id.as_ref();
-        let decoded = AnswerHead::read(id, head.status(), head.headers());
+        let decoded = AnswerHead::read(id, head.status(), head.headers(), SystemTime::now());
         self.state.record_statements(&choice.endpoint, &decoded);
         let answer = http_link::read_answer(head).await?;
         if decoded.kind != AnswerKind::Foreign {
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -22,6 +22,7 @@
         self.metrics.set_load(self.waiting_count(), in_flight);
         self.metrics.set_connections(self.open_connections());
         self.open_requests.update_metrics();
+        self.update_rests();
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
         let mut endpoints: Vec<_> = self
             .admission
--- a/crates/citronway/src/gateway/traffic/state/statements.rs
+++ b/crates/citronway/src/gateway/traffic/state/statements.rs
@@ -49,6 +49,11 @@
         if head.kind == AnswerKind::Misdirected {
             return;
         }
+        match &head.rest_ms {
+            Ok(Some(rest_ms)) => self.record_rest(endpoint, *rest_ms),
+            Ok(None) => {}
+            Err(e) => self.record_unusable(endpoint, Source::Rest, e),
+        }
         match &head.limit {
             Ok(per_s) => {
                 let stated = (*per_s, clock::mono());
@@ -69,6 +74,28 @@
         unreported.departures.entry(endpoint).or_insert(now);
     }
 
+    fn record_rest(&self, endpoint: &EndpointStart, rest_ms: u64) {
+        let mut admission = self.admission.borrow_mut();
+        if admission.record_rest(clock::mono(), EndpointTag::of(endpoint), rest_ms) {
+            log::info!(endpoint:%, rest_ms; "endpoint asks for rest");
+        }
+    }
+
+    /// Logs rests that have ended, and updates the metric.
+    pub(super) fn update_rests(&self) {
+        let now = clock::mono();
+        let ended = self.admission.borrow_mut().take_ended_rests(now);
+        if !ended.is_empty() {
+            let view = self.view.borrow();
+            let listed = view.registry.iter().map(|known| &known.listing.start);
+            for endpoint in listed.filter(|start| ended.contains(&EndpointTag::of(start))) {
+                log::info!(endpoint:%; "rest of an endpoint has ended");
+            }
+        }
+        let resting = self.admission.borrow().resting(now).count();
+        self.metrics.statements.set_resting_endpoints(resting);
+    }
+
     /// Counts a statement that cannot be used; it changes nothing.
     fn record_unusable(&self, endpoint: &EndpointStart, source: Source, e: &DecodeError) {
         self.metrics.count_unusable(source, 1);
