Give rest to an endpoint that asks this instance for it

Callers' requests piled up at endpoints that had turned requests away and asked for some seconds of rest: up to 16 of one instance in the time of a rest, where two are allowed. Cause: Retry-After of an endpoint's answer was returned to callers unread, and a rejected request went to the same endpoint again after 10 ms, which made half of the rejected sends.

Nothing is sent to an endpoint during its rest; the latest end of several rests counts. Other endpoints take the work. Where the key has one owner, a request waits only if the rest and the return after it leave it time, else it is refused at once (endpoint_resting) with a time to return after the rest, spread over half of it. A request is not sent again to the endpoint that has just rejected it before a pause that grows from 50 ms, while others in its queue go on, and takes its second send from the budget when it is sent. All is looked at again before the bytes go out.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -67,6 +67,9 @@
             "endpoint states a limit"
             | "endpoint changes its limit"
             | "endpoint states no limit any more" => limit_of(self.text("endpoint")?),
+            "endpoint asks for rest" | "rest of an endpoint has ended" => {
+                rest_of(self.text("endpoint")?)
+            }
             "endpoint states that it leaves" => departure_of(self.text("endpoint")?),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
@@ -203,9 +206,18 @@
     format!("departure of {endpoint}")
 }
 
+/// Name of what an instance believes of an endpoint's rest.
+fn rest_of(endpoint: &str) -> String {
+    format!("rest of {endpoint}")
+}
+
 /// Names of what an instance believes of an endpoint by its own statements.
-fn statements_of(endpoint: &str) -> [String; 2] {
-    [limit_of(endpoint), departure_of(endpoint)]
+fn statements_of(endpoint: &str) -> [String; 3] {
+    [
+        limit_of(endpoint),
+        departure_of(endpoint),
+        rest_of(endpoint),
+    ]
 }
 
 /// What all instances wrote of the request's work, under other ids.
--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -109,6 +109,18 @@
         )
     }
 
+    /// Reason for refusing a request behind others in its queue.
+    pub(super) fn reason_to_queue(&self, now: Mono, view: &View, job: &Job) -> RefusalReason {
+        let queue_key = Self::queue_key(view, job);
+        if self.rests.until(now, queue_key).is_some() {
+            return RefusalReason::EndpointResting;
+        }
+        if view.limits.contains_key(&queue_key) {
+            return RefusalReason::EndpointLimited;
+        }
+        RefusalReason::Overloaded
+    }
+
     fn find_owner(&mut self, now: Mono, view: &View, job: &Job) -> Selection {
         let Some(range) = range_of(view, job) else {
             return Selection::Wait(RefusalReason::KeyUnowned);
@@ -133,6 +145,12 @@
         if !self.accepts_owned_work(now, listed, tag) {
             return Selection::Wait(self.reason_without_owner(view, job, range, listed));
         }
+        if self.rests.until(now, tag).is_some() {
+            return Selection::Wait(RefusalReason::EndpointResting);
+        }
+        if job.is_paused(now, &holder.endpoint) {
+            return Selection::Wait(RefusalReason::EndpointRefused);
+        }
         if self.is_cold_busy(now, tag) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
@@ -188,6 +206,13 @@
             if self.is_avoided(now, tag) {
                 continue;
             }
+            let rests = self.rests.until(now, tag).is_some();
+            if rests || job.is_paused(now, &listed.listing.start) {
+                if cause == RefusalReason::Unreachable {
+                    cause = rejected_cause(rests);
+                }
+                continue;
+            }
             if self.is_limit_used(now, view, tag) {
                 cause = RefusalReason::EndpointLimited;
                 continue;
@@ -280,6 +305,10 @@
         work_ms: u64,
     ) -> bool {
         let in_flight = self.in_flight.get(&tag).copied().unwrap_or_default();
+        let returning = self.rests.max_in_flight(tag);
+        if returning.is_some_and(|max| in_flight >= max) {
+            return false;
+        }
         let me = Demand {
             rank: view.rank,
             wanted: in_flight + waiting,
@@ -343,13 +372,14 @@
     reason
 }
 
-/// Reason for refusing a request behind others in its queue.
-pub(super) fn reason_to_queue(view: &View, job: &Job) -> RefusalReason {
-    let queue_key = Admission::queue_key(view, job);
-    if view.limits.contains_key(&queue_key) {
-        return RefusalReason::EndpointLimited;
+/// Reason for refusing a request where all endpoints that it could be sent to rest, or rejected it
+/// a moment ago.
+const fn rejected_cause(rests: bool) -> RefusalReason {
+    if rests {
+        RefusalReason::EndpointResting
+    } else {
+        RefusalReason::EndpointRefused
     }
-    RefusalReason::Overloaded
 }
 
 /// Load added for the transfer of an answer from another availability zone.
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -10,6 +10,10 @@
 /// work time varies by half of its mean.
 const MOST_WORK_FACTOR: (u64, u64) = (8, 5);
 
+/// First and longest pause before a request is sent again to an endpoint that rejected it, in
+/// milliseconds.
+const REJECTED_PAUSE_MS: (u64, u64) = (50, 800);
+
 /// A request that is to be sent to an endpoint.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -37,16 +41,49 @@
     pub answer_bytes: u64,
     /// Endpoints that the request was sent to before.
     pub tried: Vec<EndpointStart>,
+    /// Endpoints that rejected the request, and until when it is not sent to them again.
+    pub pauses: Vec<SendPause>,
     /// Whether another instance passed the request on to this one.
     pub is_forwarded: bool,
 }
 
+/// Pause of a request before it is sent again to an endpoint that rejected it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendPause {
+    endpoint: EndpointStart,
+    until: Mono,
+    for_ms: u64,
+}
+
 impl Job {
     /// Time within which five in six requests of this kind end, in milliseconds.
     #[must_use]
     pub const fn expected_ms(&self) -> u64 {
         self.work_ms * MOST_WORK_FACTOR.0 / MOST_WORK_FACTOR.1
     }
+
+    /// Records that an endpoint rejected the request, which is not sent there again before a pause
+    /// that grows each time.
+    pub fn record_rejection(&mut self, now: Mono, endpoint: &EndpointStart) {
+        let known = self.pauses.iter_mut().find(|p| p.endpoint == *endpoint);
+        let Some(pause) = known else {
+            self.pauses.push(SendPause {
+                endpoint: endpoint.clone(),
+                until: now.plus(REJECTED_PAUSE_MS.0),
+                for_ms: REJECTED_PAUSE_MS.0,
+            });
+            return;
+        };
+        pause.for_ms = (pause.for_ms * 2).min(REJECTED_PAUSE_MS.1);
+        pause.until = now.plus(pause.for_ms);
+    }
+
+    /// Whether the request is not sent to the endpoint for now, since it rejected it.
+    #[must_use]
+    pub fn is_paused(&self, now: Mono, endpoint: &EndpointStart) -> bool {
+        let mut pauses = self.pauses.iter();
+        pauses.any(|pause| pause.endpoint == *endpoint && now < pause.until)
+    }
 }
 
 /// Where to send a request.
@@ -111,13 +148,15 @@
     /// The endpoint that owns the key leaves, or all endpoints of the service do, and no other one
     /// can take over now.
     EndpointLeaving,
+    /// The endpoints that may serve the request have asked for rest.
+    EndpointResting,
     /// The configuration known here may not be the newest one, and a newer one may decide otherwise.
     UnconfirmedConfiguration,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -131,6 +170,7 @@
         Self::UnderTrial,
         Self::EndpointLimited,
         Self::EndpointLeaving,
+        Self::EndpointResting,
         Self::UnconfirmedConfiguration,
     ];
 
@@ -151,6 +191,7 @@
             Self::UnderTrial => "under_trial",
             Self::EndpointLimited => "endpoint_limited",
             Self::EndpointLeaving => "endpoint_leaving",
+            Self::EndpointResting => "endpoint_resting",
             Self::UnconfirmedConfiguration => "unconfirmed_configuration",
         }
     }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -29,7 +29,7 @@
 use rests::Rests;
 use stated::OwnDepartures;
 
-pub use job::{Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason};
+pub use job::{Choice, Decision, Job, Refusal, RefusalReason, SendPause, UnknownOutcomeReason};
 pub use kept::AT_MOST_ONCE_IDLE_MS;
 pub use view::{Neighbor, Owners, ReportedLoad, View};
 
@@ -65,7 +65,7 @@
 /// a new connection to another instance.
 pub const STOPPING_RETRY_MS: u64 = 20;
 
-/// Step by which consecutive requests to a limited endpoint spread over the time to retry, in
+/// Step by which consecutive requests to a limited or resting endpoint spread over the time to retry, in
 /// percent of it; coprime to the number of steps.
 const LIMITED_JITTER_STEP: u64 = 37;
 
@@ -112,6 +112,8 @@
     links: EndpointLinks,
     departures: OwnDepartures,
     rests: Rests,
+    /// Requests that were queued for an endpoint that rests, since the last look.
+    held_for_rest: u64,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
     not_forwarded: IndexMap<EndpointTag, Mono>,
     /// Sequence number that varies the choice between equal endpoints.
@@ -140,7 +142,7 @@
         let queue_key = Self::queue_key(view, &job);
         let ahead = self.ahead(queue_key, job.priority);
         let selection = if ahead > 0 {
-            Selection::Wait(choose::reason_to_queue(view, &job))
+            Selection::Wait(self.reason_to_queue(now, view, &job))
         } else {
             self.find(now, view, &job)
         };
@@ -154,7 +156,12 @@
         if let Some(refusal) = self.refuse_if_late(now, view, &job, ahead, cause) {
             return Some(Decision::Refuse(refusal));
         }
-        self.wanted.entry(queue_key).or_default()[priority_index(job.priority)] += 1;
+        if cause == RefusalReason::EndpointResting {
+            self.held_for_rest += 1;
+        }
+        if !Self::is_paused(now, view, &job) {
+            self.wanted.entry(queue_key).or_default()[priority_index(job.priority)] += 1;
+        }
         self.waiting.push(job);
         None
     }
@@ -167,7 +174,7 @@
         let mut jobs = std::mem::take(&mut self.waiting);
         jobs.sort_by_key(|job| queue_order(now, job));
         self.wanted.clear();
-        for job in &jobs {
+        for job in jobs.iter().filter(|job| !Self::is_paused(now, view, job)) {
             let queue_key = Self::queue_key(view, job);
             self.wanted.entry(queue_key).or_default()[priority_index(job.priority)] += 1;
         }
@@ -177,7 +184,7 @@
             let queue_key = Self::queue_key(view, &job);
             let before = ahead.get(&queue_key).copied().unwrap_or_default();
             let selection = if before > 0 {
-                Selection::Wait(choose::reason_to_queue(view, &job))
+                Selection::Wait(self.reason_to_queue(now, view, &job))
             } else {
                 self.find(now, view, &job)
             };
@@ -191,7 +198,9 @@
                 }
             };
             let Some(decision) = decision else {
-                *ahead.entry(queue_key).or_default() += 1;
+                if !Self::is_paused(now, view, &job) {
+                    *ahead.entry(queue_key).or_default() += 1;
+                }
                 self.waiting.push(job);
                 continue;
             };
@@ -345,6 +354,7 @@
             self.avoided.clear();
         }
         self.links.record_answer(now, tag);
+        self.rests.record_answer(now, tag);
         self.avoided.swap_remove(&tag);
         self.idle_connections.record_idle(now, tag);
         if let Some(since) = self.unanswered.get_mut(&tag) {
@@ -440,10 +450,14 @@
         ahead: u32,
         cause: RefusalReason,
     ) -> Option<Refusal> {
+        let rest_ms = self.rest_wait_ms(now, view, job, ahead);
         let wait_ms = self
             .busy_ms(now, view, job)
-            .max(wait::expected_wait_ms(view, job, ahead));
-        let due = now.plus(wait_ms + job.work_ms);
+            .max(self.expected_wait_ms(now, view, job, ahead))
+            .max(rest_ms.unwrap_or_default());
+        // After a rest there is little room at first, so that a usual work time may not be enough.
+        let work_ms = rest_ms.map_or(job.work_ms, |_| job.expected_ms());
+        let due = now.plus(wait_ms + work_ms);
         let is_in_vain = matches!(
             cause,
             RefusalReason::Evacuated | RefusalReason::EndpointLeaving
@@ -462,16 +476,22 @@
             }
             _ => MIN_RETRY_MS,
         };
-        // Jitter, so that callers do not retry at the same time: a fifth to either side, or the
-        // time in which a limited endpoint takes the requests that wait now.
+        // Jitter, so that callers do not retry at the same time: a fifth to either side, half of the
+        // time of a rest, or the time in which a limited endpoint takes the requests that wait now.
         let percent = match cause {
             RefusalReason::EndpointLimited => 100 + job.ticket * LIMITED_JITTER_STEP % 101,
+            RefusalReason::EndpointResting => 100 + job.ticket * LIMITED_JITTER_STEP % 51,
             _ => 80 + job.ticket % 41,
         };
         let retry_after_ms = wait_ms.max(min_wait_ms) * percent / 100;
+        // A caller that returns before the end of a rest is refused again.
+        let most_ms = match cause {
+            RefusalReason::EndpointResting => u64::MAX,
+            _ => left / 3,
+        };
         Some(Refusal {
             reason: cause,
-            retry_after_ms: retry_after_ms.min(left / 3).max(MIN_RETRY_MS),
+            retry_after_ms: retry_after_ms.min(most_ms).max(MIN_RETRY_MS),
         })
     }
 
--- a/crates/citronway-core/src/gateway/admission/rests.rs
+++ b/crates/citronway-core/src/gateway/admission/rests.rs
@@ -8,6 +8,9 @@
 use crate::gateway::pace::EndpointTag;
 use crate::time::Mono;
 
+/// Number of requests in flight from which an endpoint counts as recovered.
+const RECOVERED_IN_FLIGHT: u32 = 16;
+
 /// Time in milliseconds for which an endpoint that is no longer listed, or that gets no requests
 /// after its rest, is remembered.
 const KEPT_MS: u64 = 60_000;
@@ -51,6 +54,38 @@
         begins
     }
 
+    /// Records that the endpoint ran a request.
+    pub(super) fn record_answer(&mut self, now: Mono, endpoint: EndpointTag) {
+        let Some(rest) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        if now < rest.until {
+            return;
+        }
+        rest.max_in_flight += 1;
+        if rest.max_in_flight >= RECOVERED_IN_FLIGHT && rest.is_end_told {
+            self.endpoints.swap_remove(&endpoint);
+        }
+    }
+
+    /// End of the rest of an endpoint; `None` if it does not rest.
+    pub(super) fn until(&self, now: Mono, endpoint: EndpointTag) -> Option<Mono> {
+        let rest = self.endpoints.get(&endpoint)?;
+        (now < rest.until).then_some(rest.until)
+    }
+
+    /// Number of requests that may be in flight at an endpoint after its rest; `None` if it has
+    /// recovered or asked for none.
+    pub(super) fn max_in_flight(&self, endpoint: EndpointTag) -> Option<u32> {
+        let rest = self.endpoints.get(&endpoint)?;
+        Some(rest.max_in_flight)
+    }
+
+    /// Whether no endpoint has asked for rest lately.
+    pub(super) fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
     /// Endpoints that rest now, each with the time that is left, in milliseconds.
     pub(super) fn resting(&self, now: Mono) -> impl Iterator<Item = (EndpointTag, u64)> {
         let all = self.endpoints.iter();
--- a/crates/citronway-core/src/gateway/admission/stated.rs
+++ b/crates/citronway-core/src/gateway/admission/stated.rs
@@ -60,6 +60,18 @@
         self.rests.take_ended(now)
     }
 
+    /// Takes the number of requests that were queued for endpoints that rest, since the last call.
+    pub fn take_held_for_rest(&mut self) -> u64 {
+        std::mem::take(&mut self.held_for_rest)
+    }
+
+    /// Whether the request waits since the owner of its key rejected it a moment ago. Others in its
+    /// queue do not wait for it.
+    pub(super) fn is_paused(now: Mono, view: &View, job: &Job) -> bool {
+        !job.pauses.is_empty()
+            && range_of(view, job).is_some_and(|range| job.is_paused(now, &range.holder.endpoint))
+    }
+
     pub(super) fn prune_rests(&mut self, now: Mono, view: &View) {
         let listed = view.registry.iter();
         let listed: IndexSet<_> = listed
@@ -121,6 +133,9 @@
             return false;
         };
         let tag = EndpointTag::of(&choice.endpoint);
+        if self.rests.until(now, tag).is_some() {
+            return false;
+        }
         if choice.fence.is_some() {
             let is_holder =
                 range_of(view, job).is_some_and(|range| range.holder.endpoint == choice.endpoint);
--- a/crates/citronway-core/tests/gateway_service_limit.rs
+++ b/crates/citronway-core/tests/gateway_service_limit.rs
@@ -129,6 +129,7 @@
             work_ms: WORK_MS,
             answer_bytes: 400,
             tried: Vec::new(),
+            pauses: Vec::new(),
             is_forwarded: false,
         };
         match self.admissions[i].submit(now, &self.views[i], job.clone()) {
--- a/crates/citronway/src/gateway/statement_metrics.rs
+++ b/crates/citronway/src/gateway/statement_metrics.rs
@@ -15,6 +15,7 @@
     limited_sends: Family<AnswerLabels, Counter>,
     leaving_endpoints: Gauge,
     resting_endpoints: Gauge,
+    held_for_rest: Counter,
 }
 
 impl StatementMetrics {
@@ -32,11 +33,15 @@
         let resting_endpoints = Gauge::default();
         let help = "Endpoints that asked this instance for rest";
         registry.register("resting_endpoints", help, resting_endpoints.clone());
+        let held_for_rest = Counter::default();
+        let help = "Requests that waited for an endpoint that rests";
+        registry.register("held_for_rest", help, held_for_rest.clone());
         Self {
             limited_endpoints,
             limited_sends,
             leaving_endpoints,
             resting_endpoints,
+            held_for_rest,
         }
     }
 
@@ -65,6 +70,11 @@
     pub(super) fn set_resting_endpoints(&self, count: usize) {
         self.resting_endpoints.set(gauge_value(count));
     }
+
+    /// Counts requests that waited for an endpoint that rests.
+    pub(super) fn count_held_for_rest(&self, count: u64) {
+        self.held_for_rest.inc_by(count);
+    }
 }
 
 fn gauge_value(count: usize) -> i64 {
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -2,7 +2,6 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use citronway_core::gateway::admission::{
     Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason,
@@ -32,8 +31,13 @@
 /// would have no time to work on it.
 pub(super) const MIN_SEND_TIME_MS: u64 = 20;
 
-/// Shortest time after a refusal before the same request is sent again.
-const REFUSAL_BACKOFF: Duration = Duration::from_millis(10);
+/// Whether a request that has a place may be sent.
+enum SendAdmission {
+    Granted,
+    /// Not now; an endpoint is chosen again.
+    ChooseAgain,
+    Refused(Outcome),
+}
 
 /// A request that is being forwarded.
 pub(super) struct Forwarding<'a> {
@@ -59,6 +63,9 @@
     pub trial: Option<Trial>,
     /// Whether an endpoint has crashed while it ran the request.
     pub has_crashed: bool,
+    /// Whether the next send is to be taken from the budget of second sends. A rejected request may
+    /// be refused before it is sent again.
+    pub owes_retry: bool,
 }
 
 impl Forwarding<'_> {
@@ -112,26 +119,18 @@
             }
             self.open.set_endpoint(placed, &choice);
             let in_flight = self.state.in_flight(&choice, self.job.ticket);
+            let owes_retry = std::mem::take(&mut self.owes_retry);
+            if owes_retry && !self.state.take_retry(placed, &self.job.service) {
+                return self.refuse_with(RefusalReason::EndpointRefused);
+            }
             // The work may have been classified as harmful while the request waited.
             if let Some(work) = self.harmful_work(placed) {
                 return self.refuse_harmful(work);
             }
-            if let Some(refusal) = self.admit_trial().await {
-                return self.refuse(refusal);
-            }
-            if !self.admit_cold_send(&choice).await {
-                drop(in_flight);
-                if !self.has_time(clock::mono()) {
-                    return self.refuse_with(RefusalReason::Overloaded);
-                }
-                continue;
-            }
-            if !self.admit_limited_send(&choice).await {
-                drop(in_flight);
-                if !self.has_time(clock::mono()) {
-                    return self.refuse_with(RefusalReason::EndpointLimited);
-                }
-                continue;
+            match self.admit_send(&choice).await {
+                SendAdmission::Granted => {}
+                SendAdmission::ChooseAgain => continue,
+                SendAdmission::Refused(outcome) => return outcome,
             }
             let sent = self.send(&choice).await;
             drop(in_flight);
@@ -161,13 +160,11 @@
                 }
                 SendResult::Refused(kind) => {
                     self.record_refusal(&choice, kind);
-                    if !self.may_send_again(now) {
+                    if !self.has_time(now) || !self.state.has_retry(now, &self.job.service) {
                         return self.refuse_with(RefusalReason::EndpointRefused);
                     }
-                    // The endpoint did not run it, and no endpoint has it until it is sent
-                    // again.
-                    self.open.enter_stage(now, Stage::Waiting);
-                    tokio::time::sleep(REFUSAL_BACKOFF).await;
+                    self.job.record_rejection(now, &choice.endpoint);
+                    self.owes_retry = true;
                 }
                 SendResult::MayHaveRun(unknown) => {
                     if let Some(outcome) = self.handle_unknown_outcome(now, choice, unknown).await {
@@ -182,6 +179,26 @@
         }
     }
 
+    /// Asks for what a send needs besides a place: a trial, and leave to send to a cold or limited
+    /// endpoint.
+    async fn admit_send(&mut self, choice: &Choice) -> SendAdmission {
+        if let Some(refusal) = self.admit_trial().await {
+            return SendAdmission::Refused(self.refuse(refusal));
+        }
+        let reason = if !self.admit_cold_send(choice).await {
+            RefusalReason::Overloaded
+        } else if !self.admit_limited_send(choice).await {
+            RefusalReason::EndpointLimited
+        } else {
+            return SendAdmission::Granted;
+        };
+        if self.has_time(clock::mono()) {
+            SendAdmission::ChooseAgain
+        } else {
+            SendAdmission::Refused(self.refuse_with(reason))
+        }
+    }
+
     /// Records that nothing reached the endpoint.
     fn record_unsent(&self, choice: &Choice, cause: &NotSentCause) {
         match cause {
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -144,7 +144,8 @@
                 | RefusalReason::CrashesEndpoints
                 | RefusalReason::UnderTrial
                 | RefusalReason::EndpointLimited
-                | RefusalReason::EndpointLeaving => Passed::Ended(self.refuse(refusal)),
+                | RefusalReason::EndpointLeaving
+                | RefusalReason::EndpointResting => Passed::Ended(self.refuse(refusal)),
             },
             Some(ForwardedOutcome::Ended(outcome)) => Passed::Ended(outcome),
             Some(ForwardedOutcome::Rejected(status)) => Passed::NotThere(status.to_string()),
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -210,6 +210,7 @@
         work_ms: estimate.work_ms,
         answer_bytes: estimate.answer_bytes,
         tried: Vec::new(),
+        pauses: Vec::new(),
         is_forwarded: forwarded.is_some(),
     };
     let forwarding = Forwarding {
@@ -231,6 +232,7 @@
         work: OnceCell::new(),
         trial: None,
         has_crashed: false,
+        owes_retry: false,
     };
     forwarding.run().await
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -223,6 +223,12 @@
         self.with_budget(service, |budget| budget.record_request(now));
     }
 
+    /// Whether the budget of second sends has one left.
+    pub(super) fn has_retry(&self, now: Mono, service: &ServiceName) -> bool {
+        let instances = self.view.borrow().instances;
+        self.with_budget(service, |budget| budget.remaining(now, instances)) >= 1.0
+    }
+
     pub(super) fn take_retry(&self, now: Mono, service: &ServiceName) -> bool {
         let instances = self.view.borrow().instances;
         self.with_budget(service, |budget| budget.try_take(now, instances))
--- a/crates/citronway/src/gateway/traffic/state/statements.rs
+++ b/crates/citronway/src/gateway/traffic/state/statements.rs
@@ -94,6 +94,8 @@
         }
         let resting = self.admission.borrow().resting(now).count();
         self.metrics.statements.set_resting_endpoints(resting);
+        let held = self.admission.borrow_mut().take_held_for_rest();
+        self.metrics.statements.count_held_for_rest(held);
     }
 
     /// Counts a statement that cannot be used; it changes nothing.
