Placement counts endpoints that ask many instances for rest as fully used

A rest concerns one instance; one that three instances or half of a small fleet were asked for is the state of the endpoint.

--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -5,8 +5,8 @@
 //! the ownership of keys ([`assignment`], [`leader`], [`election`], [`placement`]), whether a
 //! request waits, is sent or is refused ([`admission`], [`share`], [`limit`], [`budget`]), the
 //! evacuated zones ([`evacuation`]), the limits that endpoints state ([`stated_limits`]), the
-//! endpoints that state that they leave ([`departures`]), and the requests that crash endpoints
-//! ([`crashes`]).
+//! endpoints that state that they leave ([`departures`]) or ask for rest ([`rests`]), and the requests
+//! that crash endpoints ([`crashes`]).
 //! Instances report to each other what they have in flight ([`report`]), in large fleets
 //! through delegates ([`tree`]).
 
@@ -27,6 +27,7 @@
 pub mod placement;
 pub mod registry;
 pub mod report;
+pub mod rests;
 pub mod routes;
 pub mod rows;
 pub mod settings;
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -8,6 +8,7 @@
 use crate::gateway::election::Strength;
 use crate::gateway::freshness::Confirmation;
 use crate::gateway::pace::{Answers, EndpointTag};
+use crate::gateway::rests::RestReport;
 use crate::gateway::rows::{Row, Table};
 use crate::gateway::stated_limits::StatedLimit;
 use crate::ids::{InstanceName, ServiceName, Session, SessionId};
@@ -64,6 +65,8 @@
     pub limits: Vec<StatedLimit>,
     /// Endpoints that stated that they leave, including what members reported.
     pub departures: Vec<Departure>,
+    /// Endpoints that asked the sender for rest, or its members.
+    pub rests: Vec<RestReport>,
     /// When its configuration was the newest one; `None` if that was never confirmed.
     pub confirmed: Option<Confirmation>,
 }
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -319,6 +319,7 @@
         first_sign,
         limits: Vec::new(),
         departures: Vec::new(),
+        rests: Vec::new(),
         confirmed: None,
     }
 }
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -423,6 +423,7 @@
             first_sign,
             limits: Vec::new(),
             departures: Vec::new(),
+            rests: Vec::new(),
             confirmed: None,
         });
         let members = instance
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -70,6 +70,15 @@
   # Time since it first stated so.
 }
 
+struct Rest {
+  # An endpoint that asked for rest.
+  endpoint @0 :UInt32;
+  leftMs @1 :UInt32;
+  # Time until the last rest ends.
+  instances @2 :UInt16;
+  # How many instances it asked.
+}
+
 struct ColdRequest {
   # To the leader: may a request be sent to an endpoint that is cold?
   session @0 :UInt64;
@@ -271,6 +280,7 @@
   cutOff @17 :Bool;
   # No endpoint answers it.
   departures @18 :List(Departure);
+  rests @19 :List(Rest);
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod pack;
 pub mod relays;
 pub mod report;
+mod rests;
 pub mod size;
 pub mod stated_limits;
 pub mod trial;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -19,6 +19,7 @@
 use crate::departures;
 use crate::pack;
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
+use crate::rests;
 use crate::stated_limits::{self, LimitedSendReply, LimitedSendRequest};
 use crate::trial::{self, EndedTrial, TrialReply};
 
@@ -270,6 +271,10 @@
         &from.departures,
         to.reborrow().init_departures(length(from.departures.len())),
     );
+    rests::write_all(
+        &from.rests,
+        to.reborrow().init_rests(length(from.rests.len())),
+    );
     let mut list = to.init_keys(length(from.keys.len()));
     for (i, samples) in from.keys.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -497,6 +502,7 @@
         first_sign: from.get_first_sign(),
         limits: stated_limits::read_all(from.get_limits()?)?,
         departures: departures::read_all(from.get_departures()?),
+        rests: rests::read_all(from.get_rests()?),
         confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
 }
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -2141,6 +2141,259 @@
     }
 }
 
+pub mod rest {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_left_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_instances(self) -> u16 {
+            self.reader.get_data_field::<u16>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_left_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_left_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_instances(self) -> u16 {
+            self.builder.get_data_field::<u16>(4)
+        }
+        #[inline]
+        pub fn set_instances(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(4, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(228, 245, 58, 114, 163, 49, 27, 163),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 82, 101, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 102, 116, 77, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xa31b_31a3_723a_f5e4;
+    }
+}
+
 pub mod cold_request {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -7500,11 +7753,19 @@
         pub fn has_departures(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_rests(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::report_capnp::rest::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_rests(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7770,6 +8031,22 @@
         pub fn has_departures(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_rests(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::report_capnp::rest::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_rests(&mut self, value: ::capnp::struct_list::Reader<'_,crate::report_capnp::rest::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
+        }
+        #[inline]
+        pub fn init_rests(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::report_capnp::rest::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
+        }
+        #[inline]
+        pub fn has_rests(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7784,157 +8061,164 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 335] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 354] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
             ::capnp::word(13, 0, 0, 0, 1, 0, 8, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 47, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 101, 112),
             ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(109, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -8120,6 +8404,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 115, 116, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 245, 58, 114, 163, 49, 27, 163),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8142,6 +8438,7 @@
                 16 => <crate::report_capnp::confirmation::Owned as ::capnp::introspect::Introspect>::introspect(),
                 17 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::struct_list::Owned<crate::report_capnp::departure::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                19 => <::capnp::struct_list::Owned<crate::report_capnp::rest::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8155,9 +8452,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[16,17,18,9,14,0,10,15,12,2,6,7,8,1,13,3,11,5,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[16,17,18,9,14,0,10,15,12,2,19,6,7,8,1,13,3,11,5,4];
         pub(crate) const TYPE_ID: u64 = 0xcf45_8167_f9c8_d01a;
     }
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -12,6 +12,7 @@
 use citronway_core::gateway::report::{
     EndpointPace, EndpointTotal, KeySamples, MemberState, Report, Totals, Versions,
 };
+use citronway_core::gateway::rests::RestReport;
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::gateway::stated_limits::{SendGrant, SendRequest, StatedLimit};
 use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
@@ -92,12 +93,21 @@
         first_sign: 9,
         limits: limits(),
         departures: departures(),
+        rests: rests(),
         confirmed: Some(CONFIRMED),
     });
     expect_that!(decode(&encode(&report)).or_fail()?, eq(&report));
     Ok(())
 }
 
+fn rests() -> Vec<RestReport> {
+    vec![RestReport {
+        endpoint: EndpointTag(81),
+        left_ms: 2_900,
+        instances: 7,
+    }]
+}
+
 fn departures() -> Vec<Departure> {
     vec![Departure {
         endpoint: EndpointTag(u32::MAX),
@@ -257,6 +267,7 @@
         first_sign: 0,
         limits: limits(),
         departures: departures(),
+        rests: rests(),
         confirmed: Some(CONFIRMED),
     };
     let relay = Relay {
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -18,6 +18,7 @@
 use citronway_core::gateway::pace::{EndpointPaces, EndpointTag, rank_of};
 use citronway_core::gateway::registry::Registry;
 use citronway_core::gateway::report::{EndpointUse, Versions};
+use citronway_core::gateway::rests::ReportedRests;
 use citronway_core::gateway::routes::{CheckedRoutes, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
@@ -76,6 +77,7 @@
     pub evacuations: Evacuations,
     pub stated_limits: StatedLimits,
     pub departures: Departures,
+    pub rests: ReportedRests,
     pub freshness: ConfigFreshness,
     /// Time allowed for an evacuation, in milliseconds.
     evacuation_ms: u64,
@@ -118,6 +120,7 @@
             evacuations: Evacuations::default(),
             stated_limits: StatedLimits::default(),
             departures: Departures::default(),
+            rests: ReportedRests::default(),
             freshness: ConfigFreshness::new(cfg.config_apply_ms),
             evacuation_ms: cfg.evacuation_ms,
             drain_ms: cfg.drain_ms,
--- a/crates/citronway/src/gateway/control/departures.rs
+++ b/crates/citronway/src/gateway/control/departures.rs
@@ -1,8 +1,10 @@
-//! Endpoints that state in their answers that they leave.
+//! Endpoints that state in their answers that they leave, or ask for rest.
 
 use citronway_core::gateway::departures::Departure;
 use citronway_core::gateway::leader::Order;
 use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::rests::RestReport;
+use citronway_core::ids::InstanceName;
 use citronway_core::time::Mono;
 use citronway_platform::DecodeError;
 use indexmap::IndexSet;
@@ -64,6 +66,13 @@
         self.metrics.statements.set_leaving_endpoints(leaving);
     }
 
+    /// Records the endpoints that asked an instance for rest.
+    pub(super) fn hear_rests(&mut self, now: Mono, from: &InstanceName, rests: &[RestReport]) {
+        let instances = self.cluster.peers.instance_count(now);
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        self.cluster.rests.hear(now, from, rests, instances);
+    }
+
     fn log_departure(&self, departure: Departure, source: &str) {
         let endpoint = self.endpoint_name(departure.endpoint);
         let age_ms = departure.age_ms;
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -135,6 +135,7 @@
             self.hear_limits(now, &report.limits, source);
             self.hear_departures(now, &report.departures, source);
         }
+        self.hear_rests(now, &report.instance, &report.rests);
         if is_delegate {
             self.gathered.add(&report.endpoints, &report.keys);
         }
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -173,7 +173,11 @@
     let limit = cluster.stated_limits.for_placement(now, tag);
     PlacementEndpoint {
         endpoint: listing.start.clone(),
-        capacity: limit.map_or(by_slots, |per_s| by_slots.min(per_s.max(MIN_PER_S))),
+        capacity: if cluster.rests.is_full(now, tag) {
+            MIN_PER_S
+        } else {
+            limit.map_or(by_slots, |per_s| by_slots.min(per_s.max(MIN_PER_S)))
+        },
         accepts_keys: known.accepts_work() && !lost && known.warm_at <= now,
         must_drain: lost || !known.accepts_work(),
         has_queue: queue,
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -48,6 +48,8 @@
         self.cluster.crashes.record_own_signs(now, &seen.signs);
         self.observe_limits(now, &seen.stated_limits, OWN_ANSWER);
         self.observe_departures(now, &seen.departures, OWN_ANSWER);
+        let me = self.me.instance.clone();
+        self.hear_rests(now, &me, &seen.rests);
         if self.report_number.is_multiple_of(STATEMENT_CHECK_PERIOD) {
             self.prune_limits(now);
             self.prune_departures(now);
@@ -77,6 +79,7 @@
         let mut report = self.record_own_report(now);
         report.limits = self.cluster.stated_limits.take_due(now);
         report.departures = self.cluster.departures.take_due(now);
+        report.rests = self.cluster.rests.reported_by(now, &self.me.instance);
         (report.first_sign, report.signs) = self.cluster.crashes.take_signs();
         let leader = self.cluster.leader_address();
         if let Some(address) = leader {
@@ -122,6 +125,7 @@
         report.members = members;
         report.limits = self.cluster.stated_limits.take_due(now);
         report.departures = self.cluster.departures.take_due(now);
+        report.rests = self.cluster.rests.sums(now);
         (report.first_sign, report.signs) = self.cluster.crashes.take_signs();
         let bytes = datagram::encode(&Datagram::Report(report));
         self.send(socket, &bytes, to);
@@ -250,6 +254,7 @@
             first_sign: 0,
             limits: Vec::new(),
             departures: Vec::new(),
+            rests: Vec::new(),
             confirmed: self.cluster.freshness.confirmation(now),
         }
     }
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -5,6 +5,7 @@
 use citronway_core::gateway::departures::Departure;
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::report;
+use citronway_core::gateway::rests::RestReport;
 use citronway_core::gateway::stated_limits::StatedLimit;
 use tokio::sync::{mpsc, watch};
 
@@ -49,4 +50,6 @@
     pub stated_limits: Vec<StatedLimit>,
     /// Endpoints that stated that they leave.
     pub departures: Vec<Departure>,
+    /// Endpoints that asked this instance for rest.
+    pub rests: Vec<RestReport>,
 }
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -67,6 +67,7 @@
             is_cut_off: self.is_cut_off(),
             stated_limits: self.take_stated_limits(),
             departures: self.take_departures(),
+            rests: self.rests(),
         }
     }
 }
--- a/crates/citronway/src/gateway/traffic/state/statements.rs
+++ b/crates/citronway/src/gateway/traffic/state/statements.rs
@@ -2,6 +2,7 @@
 
 use citronway_core::gateway::departures::{Departure, owned_work_until};
 use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::rests::{MAX_REPORTED, RestReport};
 use citronway_core::gateway::stated_limits::StatedLimit;
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
@@ -81,6 +82,18 @@
         }
     }
 
+    /// Endpoints that rest now.
+    pub(super) fn rests(&self) -> Vec<RestReport> {
+        let admission = self.admission.borrow();
+        let resting = admission.resting(clock::mono());
+        let reports = resting.map(|(endpoint, left_ms)| RestReport {
+            endpoint,
+            left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
+            instances: 1,
+        });
+        reports.take(MAX_REPORTED).collect()
+    }
+
     /// Logs rests that have ended, and updates the metric.
     pub(super) fn update_rests(&self) {
         let now = clock::mono();
