--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -12,7 +12,8 @@
 use super::plan::{Fault, SHARDED, Soak};
 use super::proxy::{Mode, Proxy};
 use crate::shared::{
-    Excess, FencedEndpoint, LateArrival, Ran, STABLE, SharedStore, StoreFault, configuration,
+    BrokenRest, Excess, FencedEndpoint, LateArrival, Ran, STABLE, SharedStore, StoreFault,
+    configuration,
 };
 
 /// Time that endpoints work on a request.
@@ -206,6 +207,7 @@
             Fault::Drain(n) => self.list(n, "draining"),
             Fault::Configure => self.configure(),
             Fault::Limit(n, per_s) => self.servers[n].now.state_limit(Some(per_s)),
+            Fault::Rest(n, rest) => self.servers[n].now.rest(rest),
             Fault::Leave(n, is_listed) => {
                 self.servers[n].now.leave();
                 if is_listed {
@@ -241,6 +243,7 @@
             Fault::Late(n, _) => self.servers[n].now.put_off(None),
             Fault::Limit(n, _) => self.servers[n].now.state_limit(None),
             Fault::Drain(n) => self.list(n, "ready"),
+            Fault::Rest(n, _) => self.servers[n].now.stop_resting(),
             Fault::Leave(n, _) => self.bear(n)?,
             Fault::HangUp(..) | Fault::Reborn(_) | Fault::Forget | Fault::Configure => {}
         }
@@ -307,7 +310,7 @@
             let server = &mut self.servers[n];
             server.mend_link();
             server.now.drop_answers(false);
-            server.now.full(false);
+            server.now.stop_resting();
             server.now.work(WORK);
             server.now.put_off(None);
             server.now.state_limit(None);
@@ -411,20 +414,41 @@
         found
     }
 
+    /// Whether the link of an instance to an endpoint, or the instance, was disturbed at any time
+    /// between two moments.
+    fn was_disturbed(&self, server: &Server, sender: &str, from: Instant, to: Instant) -> bool {
+        let n = sender.parse::<usize>();
+        let instance = n.ok().and_then(|n| self.instances.get(n));
+        server.was_disturbed(from, to) || instance.is_none_or(|i| i.was_disturbed(from, to))
+    }
+
     /// Requests that reached endpoints too late after these had stated that they leave.
     #[must_use]
     pub fn late_arrivals(&self) -> Vec<LateArrival> {
-        let is_excused = |server: &Server, sender: &str, told, at| {
-            let n = sender.parse::<usize>();
-            let instance = n.ok().and_then(|n| self.instances.get(n));
-            server.was_disturbed(told, at) || instance.is_none_or(|i| i.was_disturbed(told, at))
-        };
         let mut found = Vec::new();
         for server in &self.servers {
             for endpoint in server.ended.iter().chain([&server.now]) {
                 let log = endpoint.departure();
-                let late = log.late_unless(|sender, told, at| is_excused(server, sender, told, at));
-                found.extend(late);
+                found.extend(
+                    log.late_unless(|sender, told, at| {
+                        self.was_disturbed(server, sender, told, at)
+                    }),
+                );
+            }
+        }
+        found
+    }
+
+    /// Rests in which endpoints got more requests than are allowed.
+    #[must_use]
+    pub fn broken_rests(&self) -> Vec<BrokenRest> {
+        let mut found = Vec::new();
+        for server in &self.servers {
+            for endpoint in server.ended.iter().chain([&server.now]) {
+                let log = endpoint.rests();
+                found.extend(log.broken_unless(|sender, asked, end| {
+                    self.was_disturbed(server, sender, asked, end)
+                }));
             }
         }
         found
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -53,6 +53,15 @@
 /// milliseconds.
 const LEAVES_MS: (u64, u64) = (2_500, 5_000);
 
+/// Fewest and most times that endpoints ask for rest in one soak.
+const RESTS: (usize, usize) = (3, 6);
+
+/// Rests for which endpoints ask, in milliseconds.
+const RESTS_MS: [u64; 4] = [400, 1_000, 2_500, 4_000];
+
+/// Sets the draws of the rests apart from those of the other faults.
+const RESTS_STREAM: u64 = 0x7265_7374_7300;
+
 /// Sets the draws of the endpoints that leave apart from those of the other faults.
 const DEPARTURES_STREAM: u64 = 0x6c65_6176_6573;
 
@@ -88,6 +97,8 @@
     pub cuts: bool,
     /// Besides, endpoints state that they leave, and end some seconds later.
     pub departures: bool,
+    /// Besides, endpoints reject requests and ask for rest.
+    pub rests: bool,
 }
 
 impl Soak {
@@ -102,6 +113,7 @@
             limits: false,
             cuts: false,
             departures: false,
+            rests: false,
         }
     }
 
@@ -142,12 +154,13 @@
         }
     }
 
-    /// Faults of a seed and endpoints that state that they leave. Instances that are hit by signals
-    /// are not bound by that, so series of them are left out.
+    /// Faults of a seed, and endpoints that state that they leave or ask for rest. Instances that are
+    /// hit by signals are not bound by that, so series of them are left out.
     #[must_use]
     pub const fn with_departures(seed: u64) -> Self {
         Self {
             departures: true,
+            rests: true,
             ..Self::of(seed)
         }
     }
@@ -204,6 +217,8 @@
     /// An endpoint states that it leaves; its entry says so too if the second value is set. When
     /// the time is over it ends and another one starts at its address.
     Leave(usize, bool),
+    /// An endpoint rejects all requests and asks for rest each time.
+    Rest(usize, Duration),
 }
 
 /// A fault with its time.
@@ -247,6 +262,12 @@
             plan.push(departure(&mut rng));
         }
     }
+    if soak.rests {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ RESTS_STREAM);
+        for _ in 0..rng.random_range(RESTS.0..=RESTS.1) {
+            plan.push(rest(&mut rng));
+        }
+    }
     if soak.cuts {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
         for _ in 0..rng.random_range(CUTS.0..=CUTS.1) {
@@ -320,6 +341,15 @@
     }
 }
 
+fn rest(rng: &mut StdRng) -> Planned {
+    let rest = RESTS_MS[rng.random_range(0..RESTS_MS.len())];
+    Planned {
+        at: Duration::from_millis(rng.random_range(0..LENGTH_MS * 3 / 4)),
+        lasts: Duration::from_millis(rng.random_range(200..LENGTH_MS / 2)),
+        fault: Fault::Rest(rng.random_range(0..=SHARDED), Duration::from_millis(rest)),
+    }
+}
+
 fn departure(rng: &mut StdRng) -> Planned {
     Planned {
         at: Duration::from_millis(rng.random_range(0..LENGTH_MS / 2)),
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -114,6 +114,11 @@
         instance: late.sender,
         after: late.after,
     }));
+    let broken = fleet.broken_rests();
+    violations.extend(broken.into_iter().map(|broken| Violation::RestBroken {
+        instance: broken.sender,
+        got: broken.got,
+    }));
     violations.extend(verdict::check(&told, &fleet.ran(), &fleet.excuses()));
     let served = told.iter().filter(|told| is_served(told)).count();
     let logs = if violations.is_empty() {
--- a/crates/citronway-standin/src/soak/verdict.rs
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -78,6 +78,13 @@
         /// Time since it was told.
         after: Duration,
     },
+    /// An endpoint that had asked an instance for rest got requests of it.
+    RestBroken {
+        /// Instance that sent them.
+        instance: String,
+        /// How many.
+        got: usize,
+    },
     /// A key or a service was not served after all faults had ended.
     Unserved {
         /// What was asked for.
@@ -112,6 +119,10 @@
                     "instance {instance} sent to a leaving endpoint {after:?} after it was told"
                 )
             }
+            Self::RestBroken { instance, got } => write!(
+                f,
+                "instance {instance} sent {got} requests to an endpoint in its rest"
+            ),
             Self::Unserved { what } => write!(f, "{what} is not served"),
         }
     }
