--- a/crates/citronway-core/tests/gateway_departures.rs
+++ b/crates/citronway-core/tests/gateway_departures.rs
@@ -2,6 +2,9 @@
 //! requests that are sent to such endpoints.
 
 mod admission_support;
+#[path = "leader_world/random.rs"]
+#[expect(dead_code, reason = "shared with the tests of the leader")]
+mod random;
 
 use admission_support::{Scene, job, keyed};
 use citronway_core::gateway::admission::{
@@ -9,10 +12,12 @@
 };
 use citronway_core::gateway::departures::{Departure, Departures, MAX_TOLD, owned_work_until};
 use citronway_core::gateway::pace::EndpointTag;
+use citronway_core::gateway::report::MAX_FULL_MESH;
 use citronway_core::ids::{EndpointStart, InstanceName};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 use indexmap::IndexMap;
+use random::Random;
 
 const NOW: Mono = Mono(50_000);
 
@@ -232,3 +237,105 @@
     let known = scene.registry().get(&listing.start).cloned();
     expect_that!(known.map(|known| known.accepts_work()), some(eq(true)));
 }
+
+/// Instances to a delegate.
+const GROUP: usize = 24;
+
+/// Time within which all instances know of a departure, in milliseconds.
+const KNOWN_WITHIN_MS: u64 = 1_000;
+
+/// A fleet in which instances tell each other: all tell all if it is small; else members tell their
+/// delegates, these the leader, and the leader tells all.
+struct Fleet {
+    instances: Vec<Departures>,
+    rng: Random,
+    /// One message in so many is lost; none if it is zero.
+    loss: u64,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64, loss: u64) -> Self {
+        Self {
+            instances: vec![Departures::default(); count],
+            rng: Random::new(seed),
+            loss,
+        }
+    }
+
+    fn is_small(&self) -> bool {
+        self.instances.len() <= MAX_FULL_MESH
+    }
+
+    fn is_delegate(&self, n: usize) -> bool {
+        n != 0 && n.is_multiple_of(GROUP)
+    }
+
+    /// Has one instance tell what is due.
+    fn tell(&mut self, now: Mono, from: usize) {
+        let due = self.instances[from].take_due(now);
+        let receivers = if self.is_small() || from == 0 {
+            0..self.instances.len()
+        } else if self.is_delegate(from) {
+            0..1
+        } else {
+            let delegate = from / GROUP * GROUP;
+            delegate..delegate + 1
+        };
+        for to in receivers {
+            let is_lost = self.loss > 0 && self.rng.below(self.loss) == 0;
+            if to == from || is_lost {
+                continue;
+            }
+            for departure in &due {
+                if self.is_small() || from == 0 {
+                    self.instances[to].hear(now, departure);
+                } else {
+                    self.instances[to].observe(now, departure);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass, and returns how many instances do not know of the endpoint.
+    fn unaware_after(&mut self, ms: u64) -> usize {
+        let count = self.instances.len();
+        for at in (0..ms).step_by(100) {
+            for from in 0..count {
+                // Members report half as often as delegates, and the leader as often as they.
+                let is_often = self.is_small() || self.is_delegate(from);
+                if is_often || at.is_multiple_of(200) {
+                    self.tell(NOW.plus(at), from);
+                }
+            }
+        }
+        let unaware = self.instances.iter().filter(|d| since(d, "a").is_none());
+        unaware.count()
+    }
+}
+
+/// Guards against instances that do not hear of a departure, or hear of it late.
+#[gtest]
+fn all_instances_of_a_fleet_know_within_a_second() {
+    for count in [12, 90, 300] {
+        for seed in 0..50 {
+            let mut fleet = Fleet::new(count, seed, 0);
+            let told = usize::try_from(fleet.rng.below(count as u64)).expect("a place");
+            fleet.instances[told].observe(NOW, &said("a", 0));
+            let unaware = fleet.unaware_after(KNOWN_WITHIN_MS);
+            expect_that!(unaware, eq(0), "{count} instances, seed {seed}");
+        }
+    }
+}
+
+/// Guards against instances that never hear of a departure since the message was lost.
+#[gtest]
+fn lost_messages_are_made_up_for() {
+    for count in [12, 90, 300] {
+        for seed in 0..50 {
+            let mut fleet = Fleet::new(count, seed, 5);
+            fleet.instances[count / 2].observe(NOW, &said("a", 0));
+            let unaware = fleet.unaware_after(20_000);
+            expect_that!(unaware, eq(0), "{count} instances, seed {seed}");
+        }
+    }
+}
