--- a/crates/citronway-core/tests/admission_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use citronway_core::gateway::admission::{Admission, Job, Owners, ReportedLoad, View};
+use citronway_core::gateway::admission::{Admission, Decision, Job, Owners, ReportedLoad, View};
 use citronway_core::gateway::assignment::{Assignment, FENCES_PER_MOVE, Holder, LAST_KEY, Range};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::registry::{Listing, Registry};
@@ -150,3 +150,13 @@
         ..job(ticket, now)
     }
 }
+
+/// Name of the chosen endpoint, reason of the refusal, or "waits".
+pub fn shown(decision: Option<&Decision>) -> String {
+    match decision {
+        Some(Decision::Send(choice)) => choice.endpoint.to_string(),
+        Some(Decision::Refuse(refusal)) => refusal.reason.as_str().to_owned(),
+        Some(Decision::Forward) => "forward".to_owned(),
+        None => "waits".to_owned(),
+    }
+}
--- a/crates/citronway-core/tests/gateway_departures.rs
+++ b/crates/citronway-core/tests/gateway_departures.rs
@@ -6,7 +6,7 @@
 #[expect(dead_code, reason = "shared with the tests of the leader")]
 mod random;
 
-use admission_support::{Scene, job, keyed};
+use admission_support::{Scene, job, keyed, shown};
 use citronway_core::gateway::admission::{
     Admission, Choice, Decision, Neighbor, RefusalReason, View,
 };
@@ -85,16 +85,6 @@
     expect_that!(departures.iter().count(), eq(1));
 }
 
-/// Name of the chosen endpoint, reason of the refusal, or "waits".
-fn shown(decision: Option<&Decision>) -> String {
-    match decision {
-        Some(Decision::Send(choice)) => choice.endpoint.to_string(),
-        Some(Decision::Refuse(refusal)) => refusal.reason.as_str().to_owned(),
-        Some(Decision::Forward) => "forward".to_owned(),
-        None => "waits".to_owned(),
-    }
-}
-
 fn leave(admission: &mut Admission, name: &str) {
     admission.record_departure(NOW, tag(name), owned_work_until(NOW, ALLOWED_MS));
 }
@@ -253,6 +243,10 @@
     loss: u64,
 }
 
+const fn is_delegate(n: usize) -> bool {
+    n != 0 && n.is_multiple_of(GROUP)
+}
+
 impl Fleet {
     fn new(count: usize, seed: u64, loss: u64) -> Self {
         Self {
@@ -266,16 +260,12 @@
         self.instances.len() <= MAX_FULL_MESH
     }
 
-    fn is_delegate(&self, n: usize) -> bool {
-        n != 0 && n.is_multiple_of(GROUP)
-    }
-
     /// Has one instance tell what is due.
     fn tell(&mut self, now: Mono, from: usize) {
         let due = self.instances[from].take_due(now);
         let receivers = if self.is_small() || from == 0 {
             0..self.instances.len()
-        } else if self.is_delegate(from) {
+        } else if is_delegate(from) {
             0..1
         } else {
             let delegate = from / GROUP * GROUP;
@@ -302,7 +292,7 @@
         for at in (0..ms).step_by(100) {
             for from in 0..count {
                 // Members report half as often as delegates, and the leader as often as they.
-                let is_often = self.is_small() || self.is_delegate(from);
+                let is_often = self.is_small() || is_delegate(from);
                 if is_often || at.is_multiple_of(200) {
                     self.tell(NOW.plus(at), from);
                 }
--- a/crates/citronway-core/tests/gateway_evacuation.rs
+++ b/crates/citronway-core/tests/gateway_evacuation.rs
@@ -2,7 +2,7 @@
 
 mod admission_support;
 
-use admission_support::{Scene, job, keyed};
+use admission_support::{Scene, job, keyed, shown};
 use citronway_core::gateway::admission::{Decision, RefusalReason};
 use citronway_core::gateway::evacuation::{Evacuations, ZoneState, owned_work_until};
 use citronway_core::gateway::registry::{ListedEndpoint, Listing, Registry};
@@ -97,16 +97,6 @@
         .set_evacuated(NOW, zones.collect::<IndexMap<_, _>>());
 }
 
-/// Name of the chosen endpoint, reason of the refusal, or "waits".
-fn shown(decision: Option<&Decision>) -> String {
-    match decision {
-        Some(Decision::Send(choice)) => choice.endpoint.to_string(),
-        Some(Decision::Refuse(refusal)) => refusal.reason.as_str().to_owned(),
-        Some(Decision::Forward) => "forward".to_owned(),
-        None => "waits".to_owned(),
-    }
-}
-
 /// Guards against requests that are sent to endpoints of an evacuated zone.
 #[gtest]
 fn work_without_a_key_leaves_the_zone_at_once() {
--- a/crates/citronway-core/tests/gateway_rests.rs
+++ b/crates/citronway-core/tests/gateway_rests.rs
@@ -2,7 +2,7 @@
 
 mod admission_support;
 
-use admission_support::{Scene, job, keyed};
+use admission_support::{Scene, job, keyed, shown};
 use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, RefusalReason, View};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::rests::{MAX_REPORTED, ReportedRests, RestReport};
@@ -22,16 +22,6 @@
     EndpointTag::of(&start(name))
 }
 
-/// Name of the chosen endpoint, reason of the refusal, or "waits".
-fn shown(decision: Option<&Decision>) -> String {
-    match decision {
-        Some(Decision::Send(choice)) => choice.endpoint.to_string(),
-        Some(Decision::Refuse(refusal)) => refusal.reason.as_str().to_owned(),
-        Some(Decision::Forward) => "forward".to_owned(),
-        None => "waits".to_owned(),
-    }
-}
-
 /// A scene and an admission that endpoints have asked for rest.
 fn resting(names: &[&str]) -> (View, Admission) {
     let scene = Scene::new();
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -5,6 +5,7 @@
 mod neighbors;
 mod phase;
 mod report;
+mod retries;
 mod statements;
 
 use std::cell::{Cell, RefCell};
@@ -219,33 +220,6 @@
         }
     }
 
-    pub(super) fn count_request(&self, now: Mono, service: &ServiceName) {
-        self.with_budget(service, |budget| budget.record_request(now));
-    }
-
-    /// Whether the budget of second sends has one left.
-    pub(super) fn has_retry(&self, now: Mono, service: &ServiceName) -> bool {
-        let instances = self.view.borrow().instances;
-        self.with_budget(service, |budget| budget.remaining(now, instances)) >= 1.0
-    }
-
-    pub(super) fn take_retry(&self, now: Mono, service: &ServiceName) -> bool {
-        let instances = self.view.borrow().instances;
-        self.with_budget(service, |budget| budget.try_take(now, instances))
-    }
-
-    fn with_budget<T>(
-        &self,
-        service: &ServiceName,
-        f: impl FnOnce(&mut SharedRetryBudget) -> T,
-    ) -> T {
-        let mut all = self.retry_budgets.borrow_mut();
-        let limit = self.retry_limit;
-        f(all
-            .entry(service.clone())
-            .or_insert_with(|| SharedRetryBudget::new(limit)))
-    }
-
     /// Requests a place at an endpoint and waits for it if none is free.
     ///
     /// Returns `None` if no decision was made.
--- a/crates/citronway/tests/gateway_leaving.rs
+++ b/crates/citronway/tests/gateway_leaving.rs
@@ -15,14 +15,6 @@
 /// Time within which a request that cannot be served is refused.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-fn three_instances(deployment: &Deployment) -> [Instance; 3] {
-    let instances = ["one", "two", "three"].map(|name| deployment.ready_instance(name));
-    until("the key has an owner", || {
-        deployment.a.holds(KEY) || deployment.b.holds(KEY)
-    });
-    instances
-}
-
 /// The endpoint that holds the key of the requests, and the other one of its service.
 fn owner_and_other(deployment: &Deployment) -> (&FencedEndpoint, &FencedEndpoint) {
     if deployment.a.holds(KEY) {
@@ -48,7 +40,7 @@
 #[gtest]
 fn nothing_reaches_an_endpoint_after_its_answers_said_that_it_leaves() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let owner = if deployment.a.holds(KEY) {
         &deployment.a
     } else {
@@ -81,7 +73,7 @@
 #[gtest]
 fn keys_move_before_their_owner_gets_no_more_requests() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let (owner, other) = owner_and_other(&deployment);
     let load = instances
         .each_ref()
@@ -102,7 +94,7 @@
 #[gtest]
 fn instances_that_were_not_told_act_alike() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let (owner, _) = owner_and_other(&deployment);
     deployment.store.fail(StoreFault::Silent);
     owner.leave();
@@ -138,7 +130,7 @@
 #[gtest]
 fn the_last_endpoint_of_a_service_serves_until_the_bound() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     deployment.store.fail(StoreFault::Silent);
     let load = Load::start(&instances[0], "POST /order/1");
     deployment.c.leave();
@@ -168,7 +160,7 @@
 #[gtest]
 fn a_later_start_at_the_address_owes_nothing() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let _load = instances
         .each_ref()
         .map(|i| Load::start(i, "GET /status/1"));
@@ -214,7 +206,7 @@
 #[gtest]
 fn a_departure_is_kept_while_instances_stop_and_the_leader_is_lost() {
     let deployment = Deployment::new();
-    let mut instances = three_instances(&deployment);
+    let mut instances = deployment.three_instances(KEY);
     let (owner, other) = owner_and_other(&deployment);
     let leader = deployment.leader().expect("a leader");
     let lost = instances.iter().position(|i| i.name() == leader);
--- a/crates/citronway/tests/gateway_resting.rs
+++ b/crates/citronway/tests/gateway_resting.rs
@@ -23,21 +23,13 @@
     instance.metrics().contains(&line)
 }
 
-fn three_instances(deployment: &Deployment) -> [Instance; 3] {
-    let instances = ["one", "two", "three"].map(|name| deployment.ready_instance(name));
-    until("the key has an owner", || {
-        deployment.a.holds(KEY) || deployment.b.holds(KEY)
-    });
-    instances
-}
-
 /// Guards against requests that an instance sends to an endpoint that has asked it for rest: to the
 /// owner of a key, and to one of several endpoints.
 #[gtest]
 fn an_endpoint_that_asks_for_rest_gets_it() {
     let deployment = Deployment::new();
     deployment.unlist(&deployment.b);
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     until("all keys are at one endpoint", || {
         deployment.a.holds(KEY) && !deployment.b.holds(KEY)
     });
@@ -63,7 +55,7 @@
     let deployment = Deployment::new();
     let other = FencedEndpoint::start("i-d", "console", false).expect("an endpoint");
     deployment.list(&other, "ready");
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let load = instances
         .each_ref()
         .map(|i| Load::start(i, "POST /order/1"));
@@ -105,7 +97,7 @@
 #[gtest]
 fn requests_return_after_the_rest() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let _load = instances
         .each_ref()
         .map(|i| Load::start(i, "POST /order/1"));
@@ -132,7 +124,7 @@
 fn a_rest_is_kept_while_instances_reload_and_stop_and_the_endpoint_leaves() {
     let deployment = Deployment::new();
     deployment.unlist(&deployment.b);
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let _keyed = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
     deployment.a.rest(Duration::from_secs(2));
     until("it has asked for rest", || {
@@ -150,7 +142,7 @@
 #[gtest]
 fn keys_move_away_from_an_endpoint_that_many_give_rest() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let (resting, other) = if deployment.a.holds(KEY) {
         (&deployment.a, &deployment.b)
     } else {
--- a/crates/citronway/tests/gateway_stated_limits.rs
+++ b/crates/citronway/tests/gateway_stated_limits.rs
@@ -35,19 +35,11 @@
     deployment
 }
 
-fn three_instances(deployment: &Deployment) -> [Instance; 3] {
-    let instances = ["one", "two", "three"].map(|name| deployment.ready_instance(name));
-    until("the key has an owner", || {
-        deployment.a.holds(KEY) || deployment.b.holds(KEY)
-    });
-    instances
-}
-
 /// Guards against instances that together send an endpoint more than it states.
 #[gtest]
 fn all_instances_together_keep_the_limit_that_an_endpoint_states() {
     let deployment = one_owner();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let owner = &deployment.a;
     let endpoints = [(owner, 6.0), (&deployment.c, 4.0)];
     let _keyed = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
@@ -76,7 +68,7 @@
 #[gtest]
 fn an_instance_that_has_all_the_work_uses_the_whole_limit() {
     let deployment = one_owner();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let owner = &deployment.a;
     let _load = Load::start(&instances[1], "GET /look/1");
     owner.state_limit(Some(8.0));
@@ -91,7 +83,7 @@
 #[gtest]
 fn a_limit_of_zero_ends_with_an_answer_that_states_none() {
     let deployment = one_owner();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let owner = &deployment.a;
     let _load = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
     owner.state_limit(Some(0.0));
@@ -115,7 +107,7 @@
 #[gtest]
 fn instances_that_were_not_told_hear_of_a_limit() {
     let deployment = one_owner();
-    let mut instances = three_instances(&deployment);
+    let mut instances = deployment.three_instances(KEY);
     let owner = &deployment.a;
     owner.state_limit(Some(5.0));
     let _load = Load::start(&instances[0], "GET /look/1");
@@ -137,7 +129,7 @@
     let deployment = Deployment::new();
     let other = FencedEndpoint::start("i-d", "console", false).expect("an endpoint");
     deployment.list(&other, "ready");
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     deployment.c.state_limit(Some(2.0));
     let _load = instances
         .each_ref()
@@ -156,7 +148,7 @@
 #[gtest]
 fn a_limit_is_kept_while_instances_stop_and_the_leader_is_lost() {
     let deployment = one_owner();
-    let mut instances = three_instances(&deployment);
+    let mut instances = deployment.three_instances(KEY);
     let owner = &deployment.a;
     let _load = instances.each_ref().map(|i| Load::start(i, "GET /look/1"));
     owner.state_limit(Some(6.0));
@@ -227,7 +219,7 @@
 #[gtest]
 fn keys_move_away_from_a_limited_endpoint() {
     let deployment = Deployment::new();
-    let instances = three_instances(&deployment);
+    let instances = deployment.three_instances(KEY);
     let (limited, other) = if deployment.a.holds(KEY) {
         (&deployment.a, &deployment.b)
     } else {
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -95,6 +95,15 @@
         instance
     }
 
+    /// Starts three instances and waits until they are ready and a key has an owner.
+    pub fn three_instances(&self, key: u16) -> [Instance; 3] {
+        let instances = ["one", "two", "three"].map(|name| self.ready_instance(name));
+        until("the key has an owner", || {
+            self.a.holds(key) || self.b.holds(key)
+        });
+        instances
+    }
+
     /// Starts an instance whose logs go to a pipe that is not read.
     pub fn instance_with_piped_logs(&self, name: &str) -> Instance {
         self.start(name, self.store.address(), Stdio::piped())
