Read the era of the store, count writes of assignments by answer

What the logs could not tell: whether the leader's writes are refused, and whether the store came back from an older copy. No decision depends on it yet.

--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -34,3 +34,4 @@
 pub mod share;
 pub mod stated_limits;
 pub mod tree;
+pub mod version;
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -23,6 +23,7 @@
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::gateway::stated_limits::StatedLimits;
+use citronway_core::gateway::version::Era;
 use citronway_core::ids::{ServiceName, Version, ZoneName};
 use citronway_core::time::Mono;
 use citronway_platform::store::CONFIG_KEY;
@@ -63,6 +64,8 @@
 pub(super) struct Cluster {
     zone: ZoneName,
     rank: u64,
+    /// Highest known era of the store.
+    pub era: Era,
     /// Port on which instances take requests from each other; `None` for none.
     neighbor_port: Option<u16>,
     routes: Option<Arc<RouteTable>>,
@@ -108,6 +111,7 @@
         Self {
             zone: cfg.zone.clone(),
             rank: rank_of(&cfg.instance),
+            era: Era::default(),
             neighbor_port: cfg.neighbors.map(|address| address.port()),
             routes: None,
             registry: Arc::default(),
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -316,9 +316,9 @@
             ],
             put: vec![(CRASHES_KEY.to_owned(), value)],
         };
-        let (address, events) = (self.cfg.store, events.clone());
+        let (store, events) = (self.store.clone(), events.clone());
         tokio::spawn(async move {
-            let written = Store::new(address).change(&change).await;
+            let written = Store::new(store).change(&change).await;
             if let Err(e) = &written {
                 log::info!(cause = e.to_string(); "row about crashes not written");
             }
--- a/crates/citronway/src/gateway/control/first.rs
+++ b/crates/citronway/src/gateway/control/first.rs
@@ -5,7 +5,6 @@
 //! first caller comes. Therefore only the strong machines and a few others read. One of
 //! them leads, and delegates in each zone send copies to the rest.
 
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -19,6 +18,7 @@
 
 use super::peers::InstanceRow;
 use super::store::Store;
+use super::store_era::StoreAccess;
 use super::{Control, Event, own_rows};
 
 /// One weak machine in this many reads the store too, for fleets without strong ones.
@@ -83,7 +83,7 @@
             return;
         }
         let spread_ms = register_after_ms(&self.cfg);
-        let (store, events) = (self.cfg.store, events.clone());
+        let (store, events) = (self.store.clone(), events.clone());
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(spread_ms)).await;
             write_row(store, row, events).await;
@@ -117,7 +117,7 @@
 
 /// Writes the row by which other instances find this one, and tries again until it is
 /// stored.
-async fn write_row(store: SocketAddr, row: InstanceRow, events: mpsc::Sender<Event>) {
+async fn write_row(store: StoreAccess, row: InstanceRow, events: mpsc::Sender<Event>) {
     let value = match serde_json::to_vec(&row) {
         Ok(value) => value,
         Err(e) => {
--- a/crates/citronway/src/gateway/control/following.rs
+++ b/crates/citronway/src/gateway/control/following.rs
@@ -39,7 +39,7 @@
             }
             let poller = TablePoller {
                 table: *table,
-                address: self.cfg.store,
+                store: self.store.clone(),
                 events: events.clone(),
                 control: Arc::clone(control),
             };
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -20,6 +20,7 @@
 mod reporting;
 mod statements;
 mod store;
+mod store_era;
 mod trials;
 mod unusable;
 
@@ -54,6 +55,7 @@
 use limits::LimitedSendState;
 use orders::OrderClient;
 use store::{PollControl, Store, StoreError, TableUpdate};
+use store_era::StoreAccess;
 use trials::TrialState;
 
 pub(super) use unusable::Source;
@@ -170,6 +172,7 @@
 pub(super) struct Control {
     cfg: InstanceSettings,
     me: Session,
+    store: StoreAccess,
     settings: PathBuf,
     ready: Ready,
     metrics: Metrics,
@@ -235,6 +238,7 @@
                 cfg.strength,
                 started.plus(first::register_after_ms(&cfg)),
             ),
+            store: StoreAccess::new(cfg.store),
             cfg,
             me,
             settings,
@@ -392,6 +396,7 @@
                 self.leadership.on_order_done(now, &order, &result);
             }
             Event::WriteDone { service, result } => {
+                self.metrics.count_write(&result);
                 if let WriteResult::Done(row, version) = &result {
                     self.relay_write(now, socket, &service, row, *version);
                 }
@@ -437,22 +442,21 @@
         for order in due.orders {
             self.orders.start(order, events.clone());
         }
-        self.metrics.count_writes(due.writes.len());
         for write in due.writes {
-            let address = self.cfg.store;
+            let store = self.store.clone();
             let events = events.clone();
             tokio::spawn(async move {
-                let result = write_row(address, &write).await;
+                let result = write_row(store, &write).await;
                 let service = write.service;
                 // The receiver is gone when the process ends.
                 let _ = events.send(Event::WriteDone { service, result }).await;
             });
         }
         if let Some(claim) = due.claim {
-            let address = self.cfg.store;
+            let store = self.store.clone();
             let events = events.clone();
             tokio::spawn(async move {
-                match Store::new(address).change(&claim).await {
+                match Store::new(store).change(&claim).await {
                     Ok(version) => log::info!(version = version.0; "leader row written"),
                     Err(e) => log::info!(cause = e.to_string(); "leader row not written"),
                 }
@@ -466,6 +470,7 @@
         }
         let (zones, ranges) = self.cluster.count_evacuated();
         self.metrics.set_evacuated(zones, ranges);
+        self.observe_era();
         for (source, count) in self.cluster.unusable.take_counts() {
             self.metrics.count_unusable(source, count);
         }
@@ -485,6 +490,20 @@
         }
     }
 
+    /// Logs a new era of the store, and statements about it that cannot be used.
+    fn observe_era(&mut self) {
+        if let Some((cause, count)) = self.store.era.take_unusable() {
+            self.cluster.unusable.record_era(cause.to_string(), count);
+        }
+        let era = self.store.era.get();
+        if era == self.cluster.era {
+            return;
+        }
+        log::warn!(era = era.0, before = self.cluster.era.0; "era of the store");
+        self.cluster.era = era;
+        self.metrics.set_store_era(era);
+    }
+
     fn publish(&mut self, now: Mono) {
         let mut view = self.cluster.view(now);
         if self.leadership.is_leader() {
@@ -522,8 +541,8 @@
     }
 }
 
-async fn write_row(address: std::net::SocketAddr, write: &duty::AssignmentWrite) -> WriteResult {
-    match Store::new(address).change(&write.change).await {
+async fn write_row(store: StoreAccess, write: &duty::AssignmentWrite) -> WriteResult {
+    match Store::new(store).change(&write.change).await {
         Ok(version) => WriteResult::Done(write.row.clone(), version),
         Err(StoreError::Refused(StoreRefusal::Conflict)) => WriteResult::Conflict,
         Err(StoreError::Refused(StoreRefusal::Busy(_))) => WriteResult::NotDone,
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -1,6 +1,5 @@
 //! Client of the store: a long poll for each table, and conditional writes of own rows.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,6 +13,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use super::Event;
+use super::store_era::StoreAccess;
 use crate::clock;
 use crate::gateway::http_link::{Answer, CallError, ConnectMode, Dialer, Link};
 
@@ -68,30 +68,36 @@
 /// A connection to the store, opened when it is needed.
 #[derive(Debug)]
 pub(super) struct Store {
-    address: SocketAddr,
+    access: StoreAccess,
     link: Option<Link>,
 }
 
 impl Store {
-    pub(super) const fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            link: None,
-        }
+    pub(super) const fn new(access: StoreAccess) -> Self {
+        Self { access, link: None }
     }
 
     async fn call(&mut self, req: Request<Bytes>, timeout: Duration) -> Result<Answer, CallError> {
         let mut link = match self.link.take().filter(Link::is_usable) {
             Some(link) => link,
-            None => Link::open(Dialer::default(), self.address, ConnectMode::Immediate).await?,
+            None => {
+                Link::open(
+                    Dialer::default(),
+                    self.access.address,
+                    ConnectMode::Immediate,
+                )
+                .await?
+            }
         };
         let answer = link.call(req, timeout).await?;
         self.link = Some(link);
+        // The answer is used in either case, as its rows have no era yet.
+        let _ = self.access.era.observe(&answer.headers);
         Ok(answer)
     }
 
     async fn page(&mut self, table: Table, after: Option<&str>) -> Result<store::Rows, StoreError> {
-        let req = store::get(&self.address.to_string(), table, after);
+        let req = store::get(&self.access.address.to_string(), table, after);
         let answer = self.call(req, CALL_TIMEOUT).await?;
         Ok(store::read_rows(answer.status, &answer.body)?)
     }
@@ -121,7 +127,7 @@
         after: Version,
         wait_ms: u64,
     ) -> Result<store::Rows, StoreError> {
-        let req = store::feed(&self.address.to_string(), table, after, wait_ms);
+        let req = store::feed(&self.access.address.to_string(), table, after, wait_ms);
         let timeout = CALL_TIMEOUT + Duration::from_millis(wait_ms);
         let answer = self.call(req, timeout).await?;
         Ok(store::read_rows(answer.status, &answer.body)?)
@@ -132,7 +138,7 @@
         &mut self,
         change: &ConditionalWrite,
     ) -> Result<Version, StoreError> {
-        let req = store::change(&self.address.to_string(), change)
+        let req = store::change(&self.access.address.to_string(), change)
             .map_err(|e| StoreError::Refused(StoreRefusal::Malformed(e)))?;
         let answer = self.call(req, CALL_TIMEOUT).await?;
         Ok(store::read_change(answer.status, &answer.body)?)
@@ -221,14 +227,14 @@
 #[derive(Debug)]
 pub(super) struct TablePoller {
     pub table: Table,
-    pub address: SocketAddr,
+    pub store: StoreAccess,
     pub events: mpsc::Sender<Event>,
     pub control: Arc<PollControl>,
 }
 
 impl TablePoller {
     pub(super) async fn run(self) {
-        let mut store = Store::new(self.address);
+        let mut store = Store::new(self.store.clone());
         let mut pause = RETRY_PAUSE_MS.0;
         while self.control.awaits_copy.load(Ordering::Relaxed) {
             self.control.refresh.notified().await;
--- a/crates/citronway/src/gateway/control/unusable.rs
+++ b/crates/citronway/src/gateway/control/unusable.rs
@@ -21,6 +21,8 @@
     Leaving,
     /// A rest for which an endpoint asks.
     Rest,
+    /// The era that an answer of the store states.
+    StoreEra,
 }
 
 impl Source {
@@ -33,6 +35,7 @@
             Self::Limit => "limit",
             Self::Leaving => "leaving",
             Self::Rest => "rest",
+            Self::StoreEra => "store_era",
         }
     }
 }
@@ -77,6 +80,17 @@
         self.count(source, 1);
     }
 
+    /// Counts statements of the store about its era that can't be used, and logs their cause when it
+    /// changes.
+    pub(super) fn record_era(&mut self, cause: String, more: u64) {
+        self.count(Source::StoreEra, more);
+        let at = (Source::StoreEra, String::new());
+        if self.causes.get(&at) != Some(&cause) {
+            log::error!(cause = cause.as_str(); "era of the store cannot be used");
+            self.causes.insert(at, cause);
+        }
+    }
+
     /// Forgets a row that can be used or was removed.
     pub(super) fn clear(&mut self, source: Source, key: &str) {
         self.causes.swap_remove(&(source, key.to_owned()));
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -10,9 +10,10 @@
 use citronway_core::gateway::admission::{RefusalReason, UnknownOutcomeReason};
 use citronway_core::gateway::cold::ColdGrant;
 use citronway_core::gateway::crashes::{TrialGrant, Verdict};
-use citronway_core::gateway::leader::{OrderKind, OrderResult};
+use citronway_core::gateway::leader::{OrderKind, OrderResult, WriteResult};
 use citronway_core::gateway::routes::{Repeat, Route};
 use citronway_core::gateway::rows::Table;
+use citronway_core::gateway::version::Era;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -136,7 +137,8 @@
     callers_left: Family<StageLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     polls: Family<PollLabels, Counter>,
-    writes: Counter,
+    writes: Family<AnswerLabels, Counter>,
+    store_era: Gauge,
     unusable: Family<UnusableLabels, Counter>,
     crashes: Counter,
     verdicts: Family<VerdictLabels, Counter>,
@@ -182,8 +184,12 @@
         registry.register("orders", "Grants and releases by result", orders.clone());
         let polls = Family::default();
         registry.register("polls", "Polls of the store by result", polls.clone());
-        let writes = Counter::default();
-        registry.register("writes", "Assignments written", writes.clone());
+        let writes = Family::default();
+        let help = "Writes of assignments, by the store's answer";
+        registry.register("writes", help, writes.clone());
+        let store_era = Gauge::default();
+        let help = "Highest known era of the store";
+        registry.register("store_era", help, store_era.clone());
         let unusable = Family::default();
         let help = "Parts of the configuration and rows that could not be used";
         registry.register("unusable", help, unusable.clone());
@@ -235,6 +241,7 @@
             orders,
             polls,
             writes,
+            store_era,
             unusable,
             crashes,
             verdicts,
@@ -340,9 +347,20 @@
         self.polls.get_or_create(&labels).inc();
     }
 
-    /// Counts written assignments.
-    pub(super) fn count_writes(&self, count: usize) {
-        self.writes.inc_by(count as u64);
+    /// Counts a write of an assignment.
+    pub(super) fn count_write(&self, result: &WriteResult) {
+        let answer = match result {
+            WriteResult::Done(..) => "done",
+            WriteResult::Conflict => "conflict",
+            WriteResult::NotDone => "not_done",
+            WriteResult::Unknown => "unknown",
+        };
+        self.writes.get_or_create(&AnswerLabels { answer }).inc();
+    }
+
+    /// Sets the highest known era of the store.
+    pub(super) fn set_store_era(&self, era: Era) {
+        self.store_era.set(i64::from(era.0));
     }
 
     /// Counts rows and parts of the configuration, written by others, that could not be used.
