--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -17,4 +17,4 @@
 pub use limits::{Excess, LimitLog, STABLE};
 pub use rests::{BrokenRest, RestLog};
 pub use serve::Background;
-pub use store::{SharedStore, StoreFault};
+pub use store::{LostChanges, SharedStore, StoreCopy, StoreFault};
--- a/crates/citronway-standin/src/shared/store.rs
+++ b/crates/citronway-standin/src/shared/store.rs
@@ -1,13 +1,14 @@
-//! The store: rows with versions, conditional changes, a feed with a history.
+//! The store: rows with versions, conditional changes, a feed with a history, and a return from an
+//! older copy.
 
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -44,7 +45,22 @@
 
 type At = (String, String, String);
 
-#[derive(Debug, Default)]
+/// Table of the product's own rows; nobody writes them again after a restore.
+const OWN_TABLE: &str = "citronway";
+
+/// A copy of all rows, from which the store may come back.
+#[derive(Debug, Clone)]
+pub struct StoreCopy {
+    rows: BTreeMap<At, (String, u64)>,
+    history: Vec<(u64, At, Option<String>)>,
+    version: u64,
+}
+
+/// Changes by others than the product that a restore lost.
+#[derive(Debug)]
+pub struct LostChanges(Vec<(At, Option<String>)>);
+
+#[derive(Debug)]
 struct State {
     rows: BTreeMap<At, (String, u64)>,
     /// Changes in order: version, place, value; none for a removed row.
@@ -52,10 +68,28 @@
     /// Changes before this version are forgotten.
     forgotten: u64,
     version: u64,
+    /// Text of the header that states the era; `None` before the first restore.
+    era: Option<String>,
+    started: Instant,
     fault: StoreFault,
     calls: u64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            forgotten: 0,
+            version: 0,
+            era: None,
+            started: Instant::now(),
+            fault: StoreFault::default(),
+            calls: 0,
+        }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Change {
     #[serde(default)]
@@ -122,7 +156,7 @@
     #[must_use]
     pub fn own(&self, key: &str) -> Option<serde_json::Value> {
         let state = self.shared.lock();
-        let at = ("citronway".to_owned(), String::new(), key.to_owned());
+        let at = (OWN_TABLE.to_owned(), String::new(), key.to_owned());
         let (value, _) = state.rows.get(&at)?;
         serde_json::from_slice(&decoded(value)).ok()
     }
@@ -143,6 +177,60 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// A copy of what it has at present.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.shared.lock();
+        StoreCopy {
+            rows: state.rows.clone(),
+            history: state.history.clone(),
+            version: state.version,
+        }
+    }
+
+    /// Comes back from a copy, in the era that follows. All that was written since is lost; returns
+    /// the part of it that the operator and endpoints write again.
+    pub fn restore(&self, copy: StoreCopy) -> LostChanges {
+        let mut state = self.shared.lock();
+        let era = state.era.as_ref().and_then(|era| era.parse::<u64>().ok());
+        state.era = Some((era.unwrap_or_default() + 1).to_string());
+        let before = std::mem::replace(&mut state.rows, copy.rows);
+        state.history = copy.history;
+        state.version = copy.version;
+        state.forgotten = state.forgotten.min(copy.version);
+        let keys = before.keys().chain(state.rows.keys()).cloned();
+        let others: std::collections::BTreeSet<_> = keys.filter(|at| at.0 != OWN_TABLE).collect();
+        let value_of = |rows: &BTreeMap<At, (String, u64)>, at: &At| {
+            let row = rows.get(at);
+            row.map(|(value, _)| value.clone())
+        };
+        let lost = others.into_iter().filter_map(|at| {
+            let value = value_of(&before, &at);
+            (value != value_of(&state.rows, &at)).then_some((at, value))
+        });
+        let lost = LostChanges(lost.collect());
+        drop(state);
+        self.shared.changed.notify_waiters();
+        lost
+    }
+
+    /// The operator and endpoints write again what a restore lost.
+    pub fn write_again(&self, lost: LostChanges) {
+        let mut state = self.shared.lock();
+        for (at, value) in lost.0 {
+            state.version += 1;
+            state.write(at, value);
+        }
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// States this text as its era from now on; `None` for no header.
+    pub fn state_era(&self, text: Option<&str>) {
+        self.shared.lock().era = text.map(str::to_owned);
+        self.shared.changed.notify_waiters();
+    }
+
     /// Calls so far.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -193,11 +281,16 @@
         for row in change.remove {
             self.write((row.table, row.part, row.key), None);
         }
-        (StatusCode::OK, json!({"ver": self.version, "nowS": 1.0}))
+        let answer = json!({"ver": self.version, "nowS": self.now_s()});
+        (StatusCode::OK, answer)
+    }
+
+    fn now_s(&self) -> f64 {
+        1.0 + self.started.elapsed().as_secs_f64()
     }
 
     fn changes(&self, table: &str, after: u64) -> Option<Vec<Row>> {
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.version {
             return None;
         }
         let newer = self
@@ -230,7 +323,9 @@
         state.fault
     };
     match fault {
-        StoreFault::Busy => return Some(answer(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
+        StoreFault::Busy => {
+            return Some(answer(&shared, StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+        }
         StoreFault::Silent => std::future::pending().await,
         StoreFault::None | StoreFault::AnswersLost => {}
     }
@@ -238,6 +333,7 @@
         (&Method::POST, "/api/rows-tx") => {
             let Ok(change) = serde_json::from_slice(req.body()) else {
                 return Some(answer(
+                    &shared,
                     StatusCode::BAD_REQUEST,
                     &json!({"error": "malformed"}),
                 ));
@@ -253,7 +349,7 @@
         (&Method::GET, "/api/rows-feed") => feed(&shared, req.uri()).await,
         _ => (StatusCode::NOT_FOUND, json!({"error": "no such call"})),
     };
-    Some(answer(status, &body))
+    Some(answer(&shared, status, &body))
 }
 
 fn get(shared: &Shared, uri: &Uri) -> (StatusCode, serde_json::Value) {
@@ -267,7 +363,7 @@
         .collect();
     (
         StatusCode::OK,
-        json!({"rows": rows, "hasMore": false, "ver": state.version, "nowS": 1.0}),
+        json!({"rows": rows, "hasMore": false, "ver": state.version, "nowS": state.now_s()}),
     )
 }
 
@@ -292,7 +388,7 @@
             if !rows.is_empty() || tokio::time::Instant::now() >= end {
                 return (
                     StatusCode::OK,
-                    json!({"rows": rows, "ver": state.version, "nowS": 1.0}),
+                    json!({"rows": rows, "ver": state.version, "nowS": state.now_s()}),
                 );
             }
         }
@@ -312,9 +408,17 @@
         .map(|(_, value)| value.to_owned())
 }
 
-fn answer(status: StatusCode, body: &serde_json::Value) -> Response<Full<Bytes>> {
+/// An answer that states the era. An era in several parts, separated by bars, becomes several
+/// headers.
+fn answer(shared: &Shared, status: StatusCode, body: &serde_json::Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = status;
+    let era = shared.lock().era.clone();
+    for part in era.iter().flat_map(|era| era.split('|')) {
+        if let Ok(value) = HeaderValue::from_str(part) {
+            response.headers_mut().append("store-era", value);
+        }
+    }
     response
 }
 
