--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -11,7 +11,8 @@
 use crate::gateway::registry::Registry;
 use crate::gateway::routes::RouteTable;
 use crate::gateway::share::Demand;
-use crate::ids::{InstanceName, ServiceName, Version, ZoneName};
+use crate::gateway::version::RowVersion;
+use crate::ids::{InstanceName, ServiceName, ZoneName};
 
 /// Everything that admission uses besides the instance's own traffic.
 #[derive(Debug, Clone)]
@@ -77,7 +78,7 @@
     /// Assignment of the keys.
     pub assignment: Arc<Assignment>,
     /// Version of the assignment's row.
-    pub version: Version,
+    pub version: RowVersion,
 }
 
 /// Load of an endpoint as reported by all instances.
--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -9,7 +9,8 @@
 
 use crate::gateway::leader::LeaderSettings;
 use crate::gateway::pace::rank_of;
-use crate::ids::{InstanceName, Session, SessionId, Version};
+use crate::gateway::version::RowVersion;
+use crate::ids::{InstanceName, Session, SessionId};
 use crate::time::Mono;
 
 /// Silence in milliseconds after which the leader is replaced.
@@ -88,7 +89,7 @@
     /// Former leaders that may still act because they do not know of this one.
     pub former: Vec<FormerLeader>,
     /// Version of the row.
-    pub version: Version,
+    pub version: RowVersion,
 }
 
 /// A former leader that may still act.
--- a/crates/citronway-core/src/gateway/evacuation.rs
+++ b/crates/citronway-core/src/gateway/evacuation.rs
@@ -2,7 +2,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::ids::{Version, ZoneName};
+use crate::gateway::version::RowVersion;
+use crate::ids::ZoneName;
 use crate::time::Mono;
 
 /// Divisor of the time allowed for an evacuation: in this part of it, requests are still sent
@@ -31,12 +32,12 @@
     /// New state.
     pub state: ZoneState,
     /// Version of the row with this state, or of the store in which the row is missing.
-    pub version: Version,
+    pub version: RowVersion,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Recorded {
-    version: Version,
+    version: RowVersion,
     state: ZoneState,
 }
 
@@ -54,7 +55,7 @@
     pub fn apply_row(
         &mut self,
         zone: &ZoneName,
-        version: Version,
+        version: RowVersion,
         state: ZoneState,
     ) -> Option<ZoneChange> {
         let known = self.zones.get(zone).copied();
@@ -86,7 +87,7 @@
     pub fn apply_listing(
         &mut self,
         zones: &IndexSet<ZoneName>,
-        version: Version,
+        version: RowVersion,
     ) -> Vec<ZoneChange> {
         let known: Vec<_> = self.zones.keys().cloned().collect();
         let gone = known.iter().filter(|zone| !zones.contains(*zone));
--- a/crates/citronway-core/src/gateway/freshness.rs
+++ b/crates/citronway-core/src/gateway/freshness.rs
@@ -6,6 +6,7 @@
 //! old fetches the configuration by other ways, and meanwhile gives no answer that a newer version
 //! may contradict.
 
+use crate::gateway::version::RowVersion;
 use crate::time::Mono;
 
 /// Pauses between the attempts to fetch an unconfirmed configuration, in milliseconds; the last one
@@ -24,7 +25,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Confirmation {
     /// Version of the newest row.
-    pub version: u64,
+    pub version: RowVersion,
     /// Time since the store was in that state, in milliseconds.
     pub age_ms: u32,
 }
@@ -53,7 +54,7 @@
 /// Version that other instances say they have and this one lacks.
 #[derive(Debug, Clone, Copy)]
 struct Claim {
-    version: u64,
+    version: RowVersion,
     /// When this version was first heard of.
     heard_at: Mono,
     /// Since when this instance has lacked a version.
@@ -68,13 +69,13 @@
     /// Age of a confirmation up to which the configuration is relied on, in milliseconds.
     trust_ms: u64,
     /// Version of the newest row that this instance has.
-    newest: u64,
+    newest: RowVersion,
     /// Version up to which this instance has all rows.
-    known: u64,
+    known: RowVersion,
     confirmed_at: Option<Mono>,
     claimed: Option<Claim>,
     /// A claimed version that the store itself did not have.
-    refuted: Option<u64>,
+    refuted: Option<RowVersion>,
     attempts: usize,
     last_attempt_at: Mono,
     next_attempt_at: Mono,
@@ -88,8 +89,8 @@
         Self {
             fetch_ms: apply_ms / 2,
             trust_ms: apply_ms / 5 * 4,
-            newest: 0,
-            known: 0,
+            newest: RowVersion::NONE,
+            known: RowVersion::NONE,
             confirmed_at: None,
             claimed: None,
             refuted: None,
@@ -101,7 +102,7 @@
 
     /// Records that all rows up to the version `position` were taken, of which `newest` is the last
     /// one that changed a row.
-    pub fn advance(&mut self, newest: u64, position: u64) {
+    pub fn advance(&mut self, newest: RowVersion, position: RowVersion) {
         self.newest = self.newest.max(newest);
         self.known = self.known.max(newest).max(position);
         if self
@@ -135,7 +136,7 @@
     }
 
     fn confirm_at(&mut self, now: Mono, at: Mono) {
-        if self.known == 0 || self.confirmed_at.is_some_and(|known| known >= at) {
+        if self.known == RowVersion::NONE || self.confirmed_at.is_some_and(|known| known >= at) {
             return;
         }
         self.confirmed_at = Some(at);
@@ -146,7 +147,7 @@
     }
 
     /// Records the newest version that other instances claim to have at present.
-    pub fn observe_claim(&mut self, now: Mono, version: u64) {
+    pub fn observe_claim(&mut self, now: Mono, version: RowVersion) {
         if version <= self.known || self.refuted == Some(version) {
             self.claimed = None;
             return;
@@ -173,7 +174,7 @@
     /// newer version is known, attempts begin `spread_ms` milliseconds later, so that one instance
     /// may ask for several.
     pub fn begin_attempt(&mut self, now: Mono, spread_ms: u64) -> bool {
-        if self.known == 0 || now < self.next_attempt_at {
+        if self.known == RowVersion::NONE || now < self.next_attempt_at {
             return false;
         }
         let is_due = match self.claimed {
@@ -209,7 +210,7 @@
 
     /// Version that another instance has and this one lacks; `None` if there is none.
     #[must_use]
-    pub fn missing(&self) -> Option<u64> {
+    pub fn missing(&self) -> Option<RowVersion> {
         self.claimed.map(|claim| claim.version)
     }
 
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -26,7 +26,8 @@
 
 use crate::gateway::assignment::{Assignment, FENCES_PER_MOVE, Holder, LAST_KEY, Range};
 use crate::gateway::registry::Registry;
-use crate::ids::{EndpointStart, ServiceName, Version};
+use crate::gateway::version::RowVersion;
+use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
 use holds::Holds;
@@ -56,7 +57,7 @@
     cfg: LeaderSettings,
     service: ServiceName,
     row: Assignment,
-    version: Version,
+    version: RowVersion,
     /// `None` while this instance does not lead the service.
     term: Option<Term>,
     /// Whether a write awaits its result.
@@ -102,7 +103,7 @@
             cfg,
             service,
             row: Assignment::default(),
-            version: Version(0),
+            version: RowVersion::NONE,
             term: None,
             writing: false,
             write_after: Mono(0),
@@ -159,7 +160,7 @@
     }
 
     /// Updates the row to its stored state; older versions are ignored.
-    pub fn update_row(&mut self, row: Assignment, version: Version) {
+    pub fn update_row(&mut self, row: Assignment, version: RowVersion) {
         if version < self.version {
             return;
         }
@@ -189,7 +190,7 @@
 
     /// Version of the newest known row.
     #[must_use]
-    pub const fn version(&self) -> Version {
+    pub const fn version(&self) -> RowVersion {
         self.version
     }
 
--- a/crates/citronway-core/src/gateway/leader/orders.rs
+++ b/crates/citronway-core/src/gateway/leader/orders.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::gateway::assignment::Assignment;
-use crate::ids::{EndpointStart, ServiceName, Version};
+use crate::gateway::version::RowVersion;
+use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
 /// A contiguous range of keys, both ends included.
@@ -35,7 +36,7 @@
         /// The new row.
         row: Assignment,
         /// Version that the stored row must have; zero if no row may exist.
-        expected: Version,
+        expected: RowVersion,
     },
 }
 
@@ -121,7 +122,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum WriteResult {
     /// The row was written and has this version.
-    Done(Assignment, Version),
+    Done(Assignment, RowVersion),
     /// The row or the leader has changed.
     Conflict,
     /// The store did not carry out the write.
--- a/crates/citronway-core/src/gateway/outage.rs
+++ b/crates/citronway-core/src/gateway/outage.rs
@@ -14,8 +14,8 @@
 #[derive(Debug, Default)]
 pub struct Outage {
     lost_since: Option<Mono>,
-    /// Sum of the newest versions that others have reported.
-    newest: u64,
+    /// The newest versions that others have reported.
+    newest: Versions,
     is_local: bool,
 }
 
@@ -23,8 +23,6 @@
     /// Records the newest versions that others report. `lost` says that the store does not answer
     /// this instance.
     pub fn observe(&mut self, now: Mono, lost: bool, newest: Versions) {
-        // Each version only increases, so their sum increases when any of them does.
-        let newest = newest.config + newest.endpoints + newest.own;
         if !lost {
             *self = Self {
                 newest,
@@ -33,8 +31,8 @@
             return;
         }
         let since = *self.lost_since.get_or_insert(now);
-        if newest > self.newest {
-            self.newest = newest;
+        if newest.has_newer_than(&self.newest) {
+            self.newest = self.newest.newer(newest);
             self.is_local |= now.since(since) > REPORT_DELAY_MS;
         }
     }
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -11,6 +11,7 @@
 use crate::gateway::rests::RestReport;
 use crate::gateway::rows::{Row, Table};
 use crate::gateway::stated_limits::StatedLimit;
+use crate::gateway::version::RowVersion;
 use crate::ids::{InstanceName, ServiceName, Session, SessionId};
 
 /// Interval at which an instance collects its observations for a report, in milliseconds.
@@ -105,11 +106,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Versions {
     /// Version of the operator's configuration.
-    pub config: u64,
+    pub config: RowVersion,
     /// Version of the listed endpoints.
-    pub endpoints: u64,
+    pub endpoints: RowVersion,
     /// Version of this product's rows, such as the leader and the assignments.
-    pub own: u64,
+    pub own: RowVersion,
 }
 
 impl Versions {
@@ -123,9 +124,15 @@
         }
     }
 
+    /// Whether any table is newer here than in `other`.
+    #[must_use]
+    pub fn has_newer_than(&self, other: &Self) -> bool {
+        self.config > other.config || self.endpoints > other.endpoints || self.own > other.own
+    }
+
     /// Version of one table.
     #[must_use]
-    pub const fn of(&self, table: Table) -> u64 {
+    pub const fn of(&self, table: Table) -> RowVersion {
         match table {
             Table::Config => self.config,
             Table::Endpoints => self.endpoints,
--- a/crates/citronway-core/src/gateway/rows.rs
+++ b/crates/citronway-core/src/gateway/rows.rs
@@ -2,7 +2,7 @@
 //! instances.
 
 use crate::gateway::freshness::Confirmation;
-use crate::ids::Version;
+use crate::gateway::version::RowVersion;
 
 /// A table that an instance follows. Instances write only to [`Table::Own`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -38,7 +38,7 @@
     /// Value of the row; `None` if it was removed.
     pub value: Option<Vec<u8>>,
     /// Version of its last change.
-    pub version: Version,
+    pub version: RowVersion,
 }
 
 /// Rows that the leader has read and relays to the other instances.
@@ -50,9 +50,9 @@
     /// Table of the rows.
     pub table: Table,
     /// Version before these rows; the receiver must have reached it.
-    pub after: Version,
+    pub after: RowVersion,
     /// Version that the receiver has reached after these rows.
-    pub position: Version,
+    pub position: RowVersion,
     /// Rows that changed in between these versions.
     pub rows: Vec<Row>,
     /// Changes of large rows that stay mostly the same.
@@ -71,9 +71,9 @@
     /// Key of the row.
     pub key: String,
     /// Version of the row to which the change applies.
-    pub before: Version,
+    pub before: RowVersion,
     /// Version of the row after the change.
-    pub version: Version,
+    pub version: RowVersion,
     /// The change, as encoded by `Assignment::changes_since`.
     pub change: Vec<u8>,
 }
--- a/crates/citronway-core/tests/admission_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -10,7 +10,8 @@
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::gateway::routes::Repeat;
-use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 
@@ -68,7 +69,7 @@
         };
         let owners = Owners {
             assignment: Arc::new(assignment),
-            version: Version(1),
+            version: RowVersion::first(1),
         };
         Self {
             registry,
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -6,7 +6,8 @@
     former_leaders_after, has_stopped, should_claim, watches_store,
 };
 use citronway_core::gateway::leader::LeaderSettings;
-use citronway_core::ids::{InstanceName, Session, SessionId, Version};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{InstanceName, Session, SessionId};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 
@@ -32,7 +33,7 @@
         session: SessionId(1),
         term: 3,
         former: Vec::new(),
-        version: Version(9),
+        version: RowVersion::first(9),
     }
 }
 
--- a/crates/citronway-core/tests/gateway_evacuation.rs
+++ b/crates/citronway-core/tests/gateway_evacuation.rs
@@ -6,7 +6,8 @@
 use citronway_core::gateway::admission::{Decision, RefusalReason};
 use citronway_core::gateway::evacuation::{Evacuations, ZoneState, owned_work_until};
 use citronway_core::gateway::registry::{ListedEndpoint, Listing, Registry};
-use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 use indexmap::{IndexMap, IndexSet};
@@ -37,18 +38,21 @@
     let mut zones = Evacuations::default();
     let a = zone("a");
     expect_that!(
-        zones.apply_row(&a, Version(5), evacuated_at(NOW)),
+        zones.apply_row(&a, RowVersion::first(5), evacuated_at(NOW)),
         some(anything())
     );
     expect_that!(
-        zones.apply_row(&a, Version(9), ZoneState::Restored),
+        zones.apply_row(&a, RowVersion::first(9), ZoneState::Restored),
         some(anything())
     );
-    expect_that!(zones.apply_row(&a, Version(5), evacuated_at(NOW)), none());
+    expect_that!(
+        zones.apply_row(&a, RowVersion::first(5), evacuated_at(NOW)),
+        none()
+    );
     expect_that!(names(&zones), is_empty());
     // Evacuated again after it was restored.
     expect_that!(
-        zones.apply_row(&a, Version(10), evacuated_at(NOW)),
+        zones.apply_row(&a, RowVersion::first(10), evacuated_at(NOW)),
         some(anything())
     );
     expect_that!(names(&zones), elements_are![eq("a")]);
@@ -58,8 +62,12 @@
 #[gtest]
 fn a_row_that_is_written_again_does_not_restart_the_time() {
     let mut zones = Evacuations::default();
-    zones.apply_row(&zone("a"), Version(5), evacuated_at(NOW));
-    let again = zones.apply_row(&zone("a"), Version(6), evacuated_at(NOW.plus(4_000)));
+    zones.apply_row(&zone("a"), RowVersion::first(5), evacuated_at(NOW));
+    let again = zones.apply_row(
+        &zone("a"),
+        RowVersion::first(6),
+        evacuated_at(NOW.plus(4_000)),
+    );
     expect_that!(again, none());
     let since: Vec<_> = zones.evacuated().map(|(_, since)| since).collect();
     expect_that!(since, elements_are![eq(&Some(NOW))]);
@@ -69,15 +77,18 @@
 #[gtest]
 fn a_zone_that_is_no_longer_listed_is_restored() {
     let mut zones = Evacuations::default();
-    zones.apply_row(&zone("a"), Version(5), evacuated_at(NOW));
-    zones.apply_row(&zone("b"), Version(7), evacuated_at(NOW));
+    zones.apply_row(&zone("a"), RowVersion::first(5), evacuated_at(NOW));
+    zones.apply_row(&zone("b"), RowVersion::first(7), evacuated_at(NOW));
     let listed = IndexSet::from([zone("b")]);
-    let changes = zones.apply_listing(&listed, Version(9));
+    let changes = zones.apply_listing(&listed, RowVersion::first(9));
     expect_that!(changes, len(eq(1)));
     expect_that!(names(&zones), elements_are![eq("b")]);
     // A list older than the row of a zone does not restore the zone.
-    zones.apply_row(&zone("c"), Version(12), evacuated_at(NOW));
-    expect_that!(zones.apply_listing(&listed, Version(11)), is_empty());
+    zones.apply_row(&zone("c"), RowVersion::first(12), evacuated_at(NOW));
+    expect_that!(
+        zones.apply_listing(&listed, RowVersion::first(11)),
+        is_empty()
+    );
     expect_that!(names(&zones), elements_are![eq("b"), eq("c")]);
 }
 
--- a/crates/citronway-core/tests/gateway_freshness.rs
+++ b/crates/citronway-core/tests/gateway_freshness.rs
@@ -1,6 +1,7 @@
 //! Confirmations of the configuration: when it is fetched, and what may be answered by it.
 
 use citronway_core::gateway::freshness::{ConfigFreshness, Confirmation};
+use citronway_core::gateway::version::RowVersion;
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 
@@ -8,7 +9,7 @@
 const APPLY_MS: u64 = 2_000;
 
 /// Version of the row that the instance has.
-const NEWEST: u64 = 7;
+const NEWEST: RowVersion = RowVersion::first(7);
 
 /// When the instance had its rows confirmed by the store.
 const START: Mono = Mono(10_000);
@@ -20,7 +21,7 @@
     freshness
 }
 
-const fn heard(version: u64, age_ms: u32) -> Confirmation {
+const fn heard(version: RowVersion, age_ms: u32) -> Confirmation {
     Confirmation { version, age_ms }
 }
 
@@ -70,7 +71,7 @@
     expect_that!(may_reject(&freshness, START.plus(9_000)), eq(true));
     expect_that!(may_serve(&freshness, START.plus(9_000)), eq(true));
     // The store answers another instance, which has a newer version.
-    freshness.observe_claim(START.plus(9_000), NEWEST + 1);
+    freshness.observe_claim(START.plus(9_000), NEWEST.next());
     expect_that!(may_reject(&freshness, START.plus(9_000)), eq(false));
 }
 
@@ -78,13 +79,13 @@
 #[gtest]
 fn a_known_newer_version_ends_trust_until_it_is_taken() {
     let mut freshness = confirmed();
-    freshness.hear(START.plus(300), heard(NEWEST + 1, 0), 0);
+    freshness.hear(START.plus(300), heard(NEWEST.next(), 0), 0);
     let now = START.plus(300);
     expect_that!(freshness.begin_attempt(now, 500), eq(true));
     expect_that!(may_reject(&freshness, now), eq(false));
     expect_that!(may_serve(&freshness, now), eq(true));
     expect_that!(may_serve(&freshness, START.plus(1_601)), eq(false));
-    freshness.advance(NEWEST + 1, NEWEST + 1);
+    freshness.advance(NEWEST.next(), NEWEST.next());
     expect_that!(may_serve(&freshness, START.plus(1_601)), eq(true));
 }
 
@@ -98,11 +99,11 @@
     // An older confirmation does not take time back.
     freshness.hear(now, heard(NEWEST, 900), 0);
     expect_that!(freshness.trust().confirmed_at, some(eq(START.plus(1_500))));
-    freshness.hear(now, heard(NEWEST - 1, 100), 0);
+    freshness.hear(now, heard(RowVersion::first(NEWEST.number - 1), 100), 0);
     expect_that!(freshness.trust().confirmed_at, some(eq(START.plus(1_900))));
-    freshness.hear(now, heard(NEWEST + 1, 0), 0);
+    freshness.hear(now, heard(NEWEST.next(), 0), 0);
     expect_that!(freshness.trust().confirmed_at, some(eq(START.plus(1_900))));
-    expect_that!(freshness.missing(), some(eq(NEWEST + 1)));
+    expect_that!(freshness.missing(), some(eq(NEWEST.next())));
 }
 
 /// Guards against a datagram with a version that does not exist, by which nobody is served.
@@ -110,13 +111,13 @@
 fn a_claim_that_the_store_refutes_changes_nothing() {
     let mut freshness = confirmed();
     let now = START.plus(100);
-    freshness.observe_claim(now, u64::MAX);
+    freshness.observe_claim(now, RowVersion::first(u64::MAX));
     expect_that!(may_reject(&freshness, now), eq(false));
     freshness.confirm_by_store(now.plus(50), now.plus(40));
-    freshness.observe_claim(now.plus(60), u64::MAX);
+    freshness.observe_claim(now.plus(60), RowVersion::first(u64::MAX));
     expect_that!(may_reject(&freshness, now.plus(60)), eq(true));
     // A later claim of another version still counts.
-    freshness.observe_claim(now.plus(70), NEWEST + 1);
+    freshness.observe_claim(now.plus(70), NEWEST.next());
     expect_that!(may_reject(&freshness, now.plus(70)), eq(false));
 }
 
@@ -124,10 +125,10 @@
 #[gtest]
 fn an_answer_refutes_only_versions_that_were_heard_of_before_it() {
     let mut freshness = confirmed();
-    freshness.observe_claim(START.plus(100), NEWEST + 1);
-    freshness.observe_claim(START.plus(150), NEWEST + 2);
+    freshness.observe_claim(START.plus(100), NEWEST.next());
+    freshness.observe_claim(START.plus(150), NEWEST.next().next());
     freshness.confirm_by_store(START.plus(160), START.plus(120));
-    expect_that!(freshness.missing(), some(eq(NEWEST + 2)));
+    expect_that!(freshness.missing(), some(eq(NEWEST.next().next())));
 }
 
 /// Guards against a store that hundreds of instances ask again and again while it is away.
@@ -144,8 +145,8 @@
 #[gtest]
 fn a_version_below_the_position_is_not_missing() {
     let mut freshness = confirmed();
-    freshness.advance(NEWEST, NEWEST + 20);
-    freshness.observe_claim(START, NEWEST + 10);
+    freshness.advance(NEWEST, RowVersion::first(NEWEST.number + 20));
+    freshness.observe_claim(START, RowVersion::first(NEWEST.number + 10));
     expect_that!(freshness.missing(), none());
     // The confirmation names the row, which others have too.
     let confirmation = freshness.confirmation(START.plus(50));
--- a/crates/citronway-core/tests/gateway_leader_moves.rs
+++ b/crates/citronway-core/tests/gateway_leader_moves.rs
@@ -6,7 +6,8 @@
     WriteResult,
 };
 use citronway_core::gateway::registry::{Listing, Registry};
-use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 
@@ -37,7 +38,7 @@
 struct Scene {
     leader: Leader,
     registry: Registry,
-    version: Version,
+    version: RowVersion,
     now: Mono,
 }
 
@@ -64,12 +65,12 @@
             next: None,
         });
         let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
-        leader.update_row(row, Version(5));
+        leader.update_row(row, RowVersion::first(5));
         leader.begin_term(NOW, former_leaders);
         Self {
             leader,
             registry,
-            version: Version(5),
+            version: RowVersion::first(5),
             now: NOW,
         }
     }
--- a/crates/citronway-core/tests/gateway_leader_rows.rs
+++ b/crates/citronway-core/tests/gateway_leader_rows.rs
@@ -6,7 +6,8 @@
     WriteResult,
 };
 use citronway_core::gateway::registry::{Listing, Registry};
-use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 
@@ -55,7 +56,7 @@
 
 fn leader(row: &Assignment) -> Leader {
     let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
-    leader.update_row(row.clone(), Version(5));
+    leader.update_row(row.clone(), RowVersion::first(5));
     leader.begin_term(NOW, FormerLeaderLimits::default());
     leader
 }
@@ -97,7 +98,10 @@
     };
     expect_that!(fences(&actions), le(highest));
     let fence = joined.ranges[0].holder.fence;
-    leader.handle_write_result(NOW.plus(30), WriteResult::Done(joined, Version(6)));
+    leader.handle_write_result(
+        NOW.plus(30),
+        WriteResult::Done(joined, RowVersion::first(6)),
+    );
     let actions = leader.step(NOW.plus(50), &registry);
     expect_that!(fences(&actions), eq(fence));
 }
@@ -171,7 +175,7 @@
     let to = starts[1].start.clone();
     leader.start_moves(&[Move { span: whole, to }], &registry);
     let mut now = NOW;
-    let mut version = Version(5);
+    let mut version = RowVersion::first(5);
     let mut granted = None;
     for _ in 0..200 {
         now = now.plus(25);
--- a/crates/citronway-core/tests/gateway_outage.rs
+++ b/crates/citronway-core/tests/gateway_outage.rs
@@ -2,14 +2,15 @@
 
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::report::Versions;
+use citronway_core::gateway::version::RowVersion;
 use citronway_core::time::Mono;
 use googletest::prelude::*;
 
 const fn seen(own: u64) -> Versions {
     Versions {
-        config: 3,
-        endpoints: 50,
-        own,
+        config: RowVersion::first(3),
+        endpoints: RowVersion::first(50),
+        own: RowVersion::first(own),
     }
 }
 
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -16,7 +16,8 @@
 };
 use citronway_core::gateway::placement::{self, PlacementEndpoint, PlacementInput};
 use citronway_core::gateway::registry::{Listing, Registry};
-use citronway_core::ids::{EndpointStart, ServiceName, Version, ZoneName};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 
 use links::{LateOrders, Links};
@@ -76,7 +77,7 @@
     at: Mono,
     term: u64,
     row: Assignment,
-    expected: Version,
+    expected: RowVersion,
 }
 
 /// State of the simulation.
@@ -88,7 +89,7 @@
     instances: Vec<Instance>,
     pub endpoints: Vec<Endpoint>,
     row: Assignment,
-    version: Version,
+    version: RowVersion,
     term: u64,
     leader: usize,
     leader_acted: Mono,
@@ -128,7 +129,7 @@
             instances: instances.collect(),
             endpoints: (0..4).map(Endpoint::new).collect(),
             row: Assignment::default(),
-            version: Version(0),
+            version: RowVersion::first(0),
             term: 1,
             leader: 0,
             leader_acted: start,
@@ -253,7 +254,7 @@
         }
     }
 
-    fn apply_write(&mut self, term: u64, row: &Assignment, expected: Version) -> bool {
+    fn apply_write(&mut self, term: u64, row: &Assignment, expected: RowVersion) -> bool {
         if term != self.term || expected != self.version {
             return false;
         }
@@ -396,7 +397,7 @@
         leader.start_moves(&moves, registry);
     }
 
-    fn write(&mut self, i: usize, row: Assignment, expected: Version) {
+    fn write(&mut self, i: usize, row: Assignment, expected: RowVersion) {
         let now = self.now;
         let term = self.instances[i].term;
         let result = if self.instances[i].cut_until > now {
--- a/crates/citronway-standin/src/shared/store.rs
+++ b/crates/citronway-standin/src/shared/store.rs
@@ -190,6 +190,7 @@
 
     /// Comes back from a copy, in the era that follows. All that was written since is lost; returns
     /// the part of it that the operator and endpoints write again.
+    #[must_use]
     pub fn restore(&self, copy: StoreCopy) -> LostChanges {
         let mut state = self.shared.lock();
         let era = state.era.as_ref().and_then(|era| era.parse::<u64>().ok());
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -176,6 +176,10 @@
   confirmed @20 :Confirmation;
   # Absent where the configuration was never confirmed.
   departures @21 :List(Departure);
+  seenConfigEra @22 :UInt32;
+  seenEndpointsEra @23 :UInt32;
+  seenOwnEra @24 :UInt32;
+  # Eras of the store to which the newest versions belong.
 }
 
 struct Confirmation {
@@ -184,6 +188,8 @@
   # Version of the newest row.
   ageMs @1 :UInt32;
   # Time since then, in milliseconds.
+  era @2 :UInt32;
+  # Era of the version.
 }
 
 struct RefusedWork {
@@ -230,6 +236,8 @@
   patches @4 :List(Patch);
   confirmed @5 :Confirmation;
   # In copies of the configuration; absent where it was never confirmed.
+  afterEra @6 :UInt32;
+  positionEra @7 :UInt32;
 }
 
 struct Patch {
@@ -238,6 +246,8 @@
   before @1 :UInt64;
   version @2 :UInt64;
   change @3 :Data;
+  beforeEra @4 :UInt32;
+  versionEra @5 :UInt32;
 }
 
 struct Row {
@@ -247,6 +257,8 @@
     value @2 :Data;
     removed @3 :Void;
   }
+  era @4 :UInt32;
+  # Era of the store to which the version belongs.
 }
 
 struct Report {
@@ -281,6 +293,10 @@
   # No endpoint answers it.
   departures @18 :List(Departure);
   rests @19 :List(Rest);
+  seenConfigEra @20 :UInt32;
+  seenEndpointsEra @21 :UInt32;
+  seenOwnEra @22 :UInt32;
+  # Eras of the store to which the newest versions belong.
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -12,7 +12,8 @@
     EndpointPace, EndpointTotal, EndpointUse, KeySamples, MemberState, Report, Totals, Versions,
 };
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
-use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
+use citronway_core::gateway::version::{Era, RowVersion};
+use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId};
 
 use crate::cold::{self, ColdAsked, ColdReply};
 use crate::confirmation;
@@ -119,9 +120,12 @@
     to.set_store_lost(from.store_lost);
     to.set_strength(from.strength.0);
     to.set_instances(from.instances);
-    to.set_seen_config(from.seen.config);
-    to.set_seen_endpoints(from.seen.endpoints);
-    to.set_seen_own(from.seen.own);
+    to.set_seen_config(from.seen.config.number);
+    to.set_seen_endpoints(from.seen.endpoints.number);
+    to.set_seen_own(from.seen.own.number);
+    to.set_seen_config_era(from.seen.config.era.0);
+    to.set_seen_endpoints_era(from.seen.endpoints.era.0);
+    to.set_seen_own_era(from.seen.own.era.0);
     if let Some(row) = &from.row {
         write_row(row, to.reborrow().init_row());
     }
@@ -207,8 +211,10 @@
 
 fn write_relay(from: &Relay, mut to: relay::Builder<'_>) {
     to.set_table(code_of(from.table));
-    to.set_after(from.after.0);
-    to.set_position(from.position.0);
+    to.set_after(from.after.number);
+    to.set_after_era(from.after.era.0);
+    to.set_position(from.position.number);
+    to.set_position_era(from.position.era.0);
     let mut rows = to.reborrow().init_rows(length(from.rows.len()));
     for (i, row) in from.rows.iter().enumerate() {
         write_row(row, rows.reborrow().get(length(i)));
@@ -220,15 +226,18 @@
     for (i, patch) in from.patches.iter().enumerate() {
         let mut item = patches.reborrow().get(length(i));
         item.set_key(patch.key.as_str());
-        item.set_before(patch.before.0);
-        item.set_version(patch.version.0);
+        item.set_before(patch.before.number);
+        item.set_before_era(patch.before.era.0);
+        item.set_version(patch.version.number);
+        item.set_version_era(patch.version.era.0);
         item.set_change(&patch.change);
     }
 }
 
 fn write_row(from: &Row, mut to: row::Builder<'_>) {
     to.set_key(from.key.as_str());
-    to.set_version(from.version.0);
+    to.set_version(from.version.number);
+    to.set_era(from.version.era.0);
     match &from.value {
         Some(value) => to.set_value(value),
         None => to.set_removed(()),
@@ -244,9 +253,12 @@
     to.set_cut_off(from.is_cut_off);
     to.set_strength(from.strength.0);
     to.set_term(from.term);
-    to.set_seen_config(from.seen.config);
-    to.set_seen_endpoints(from.seen.endpoints);
-    to.set_seen_own(from.seen.own);
+    to.set_seen_config(from.seen.config.number);
+    to.set_seen_endpoints(from.seen.endpoints.number);
+    to.set_seen_own(from.seen.own.number);
+    to.set_seen_config_era(from.seen.config.era.0);
+    to.set_seen_endpoints_era(from.seen.endpoints.era.0);
+    to.set_seen_own_era(from.seen.own.era.0);
     let mut list = to.reborrow().init_endpoints(length(from.endpoints.len()));
     for (i, used) in from.endpoints.iter().enumerate() {
         write_use(used, list.reborrow().get(length(i)));
@@ -406,9 +418,9 @@
         store_lost: from.get_store_lost(),
         strength: Strength(from.get_strength()),
         seen: Versions {
-            config: from.get_seen_config(),
-            endpoints: from.get_seen_endpoints(),
-            own: from.get_seen_own(),
+            config: row_version(from.get_seen_config_era(), from.get_seen_config()),
+            endpoints: row_version(from.get_seen_endpoints_era(), from.get_seen_endpoints()),
+            own: row_version(from.get_seen_own_era(), from.get_seen_own()),
         },
         row: if from.has_row() {
             Some(read_row(from.get_row()?)?)
@@ -428,6 +440,13 @@
     })
 }
 
+pub(crate) const fn row_version(era: u32, number: u64) -> RowVersion {
+    RowVersion {
+        era: Era(era),
+        number,
+    }
+}
+
 fn read_row(from: row::Reader<'_>) -> Result<Row, ReportError> {
     let value = match from.which()? {
         row::Which::Value(value) => Some(value?.to_vec()),
@@ -436,7 +455,7 @@
     Ok(Row {
         key: from.get_key()?.to_string()?,
         value,
-        version: Version(from.get_version()),
+        version: row_version(from.get_era(), from.get_version()),
     })
 }
 
@@ -450,16 +469,16 @@
     for item in from.get_patches()? {
         patches.push(Patch {
             key: item.get_key()?.to_string()?,
-            before: Version(item.get_before()),
-            version: Version(item.get_version()),
+            before: row_version(item.get_before_era(), item.get_before()),
+            version: row_version(item.get_version_era(), item.get_version()),
             change: item.get_change()?.to_vec(),
         });
     }
     Ok(Relay {
         patches,
         table,
-        after: Version(from.get_after()),
-        position: Version(from.get_position()),
+        after: row_version(from.get_after_era(), from.get_after()),
+        position: row_version(from.get_position_era(), from.get_position()),
         rows,
         confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
     })
@@ -491,9 +510,9 @@
         strength: Strength(from.get_strength()),
         term: from.get_term(),
         seen: Versions {
-            config: from.get_seen_config(),
-            endpoints: from.get_seen_endpoints(),
-            own: from.get_seen_own(),
+            config: row_version(from.get_seen_config_era(), from.get_seen_config()),
+            endpoints: row_version(from.get_seen_endpoints_era(), from.get_seen_endpoints()),
+            own: row_version(from.get_seen_own_era(), from.get_seen_own()),
         },
         endpoints,
         keys,
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -4238,11 +4238,23 @@
         pub fn has_departures(&self) -> bool {
             !self.reader.get_pointer_field(10).is_null()
         }
+        #[inline]
+        pub fn get_seen_config_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(14)
+        }
+        #[inline]
+        pub fn get_seen_endpoints_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(15)
+        }
+        #[inline]
+        pub fn get_seen_own_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(16)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 11 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 11 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4556,6 +4568,30 @@
         pub fn has_departures(&self) -> bool {
             !self.builder.is_pointer_field_null(10)
         }
+        #[inline]
+        pub fn get_seen_config_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(14)
+        }
+        #[inline]
+        pub fn set_seen_config_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(14, value);
+        }
+        #[inline]
+        pub fn get_seen_endpoints_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(15)
+        }
+        #[inline]
+        pub fn set_seen_endpoints_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(15, value);
+        }
+        #[inline]
+        pub fn get_seen_own_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(16)
+        }
+        #[inline]
+        pub fn set_seen_own_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(16, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4573,178 +4609,199 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 391] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 440] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 7, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
             ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 215, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 127, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 84, 111, 116),
             ::capnp::word(97, 108, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(53, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(73, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(81, 3, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(149, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(157, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(22, 0, 0, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(23, 0, 0, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4965,6 +5022,34 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 67, 111, 110, 102),
+            ::capnp::word(105, 103, 69, 114, 97, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 69, 110, 100, 112),
+            ::capnp::word(111, 105, 110, 116, 115, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 79, 119, 110, 69),
+            ::capnp::word(114, 97, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4990,6 +5075,9 @@
                 19 => <::capnp::struct_list::Owned<crate::report_capnp::stated_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 20 => <crate::report_capnp::confirmation::Owned as ::capnp::introspect::Introspect>::introspect(),
                 21 => <::capnp::struct_list::Owned<crate::report_capnp::departure::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                22 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                23 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                24 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5003,9 +5091,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[20,21,2,3,8,19,14,1,13,17,16,9,10,11,4,12,5,15,7,18,0,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[20,21,2,3,8,19,14,1,13,17,16,9,22,10,23,11,24,4,12,5,15,7,18,0,6];
         pub(crate) const TYPE_ID: u64 = 0xa198_0bf8_97e5_f513;
     }
 }
@@ -5079,6 +5167,10 @@
         pub fn get_age_ms(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5149,6 +5241,14 @@
         pub fn set_age_ms(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5160,7 +5260,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(236, 50, 62, 70, 97, 161, 84, 150),
             ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
@@ -5170,7 +5270,7 @@
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
@@ -5178,21 +5278,28 @@
             ::capnp::word(102, 105, 114, 109, 97, 116, 105, 111),
             ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5209,11 +5316,20 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5227,9 +5343,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
         pub(crate) const TYPE_ID: u64 = 0x9654_a161_463e_32ec;
     }
 }
@@ -6663,11 +6779,19 @@
         pub fn has_confirmed(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_after_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_position_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6789,6 +6913,22 @@
         pub fn has_confirmed(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_after_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_after_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_position_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_position_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6803,66 +6943,80 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 117] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 149] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(77, 144, 14, 16, 127, 47, 142, 185),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 101, 108),
             ::capnp::word(97, 121, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 98, 108, 101, 0, 0, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6921,6 +7075,24 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 102, 116, 101, 114, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
+            ::capnp::word(69, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -6930,6 +7102,8 @@
                 3 => <::capnp::struct_list::Owned<crate::report_capnp::row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::report_capnp::patch::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::report_capnp::confirmation::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6943,9 +7117,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,5,4,2,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,6,5,4,2,7,3,0];
         pub(crate) const TYPE_ID: u64 = 0xb98e_2f7f_100e_904d;
     }
 }
@@ -7035,11 +7209,19 @@
         pub fn has_change(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_before_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_version_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7137,6 +7319,22 @@
         pub fn has_change(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_before_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_before_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_version_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_version_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7148,52 +7346,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(131, 47, 252, 173, 38, 222, 121, 165),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 80, 97, 116),
             ::capnp::word(99, 104, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7226,6 +7438,24 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 102, 111, 114, 101, 69, 114),
+            ::capnp::word(97, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 69),
+            ::capnp::word(114, 97, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7233,6 +7463,8 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7246,9 +7478,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,3,0,2,5];
         pub(crate) const TYPE_ID: u64 = 0xa579_de26_adfc_2f83;
     }
 }
@@ -7334,6 +7566,10 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
+        pub fn get_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
             match self.reader.get_data_field::<u16>(4) {
                 0 => {
@@ -7447,6 +7683,14 @@
             self.builder.set_data_field::<u16>(4, 1);
         }
         #[inline]
+        pub fn get_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
         pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
             match self.builder.get_data_field::<u16>(4) {
                 0 => {
@@ -7473,7 +7717,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 92] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(198, 35, 48, 220, 153, 155, 62, 186),
             ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
@@ -7483,42 +7727,49 @@
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 111, 119),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 255, 255, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 254, 255, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7551,6 +7802,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 97, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7558,6 +7817,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7571,9 +7831,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[2,3];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,0,3,2,1];
         pub(crate) const TYPE_ID: u64 = 0xba3e_9b99_dc30_23c6;
     }
     pub enum Which<A0> {
@@ -7761,11 +8021,23 @@
         pub fn has_rests(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
+        #[inline]
+        pub fn get_seen_config_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_seen_endpoints_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(16)
+        }
+        #[inline]
+        pub fn get_seen_own_era(self) -> u32 {
+            self.reader.get_data_field::<u32>(17)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 8, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 9 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8047,6 +8319,30 @@
         pub fn has_rests(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
+        #[inline]
+        pub fn get_seen_config_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_seen_config_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_seen_endpoints_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(16)
+        }
+        #[inline]
+        pub fn set_seen_endpoints_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(16, value);
+        }
+        #[inline]
+        pub fn get_seen_own_era(self) -> u32 {
+            self.builder.get_data_field::<u32>(17)
+        }
+        #[inline]
+        pub fn set_seen_own_era(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(17, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -8061,164 +8357,185 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 354] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 403] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(26, 208, 200, 249, 103, 129, 69, 207),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 8, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
             ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 103, 4, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 15, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 82, 101, 112),
             ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(157, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(5, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(33, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(45, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(22, 0, 0, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -8416,6 +8733,34 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 67, 111, 110, 102),
+            ::capnp::word(105, 103, 69, 114, 97, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 69, 110, 100, 112),
+            ::capnp::word(111, 105, 110, 116, 115, 69, 114, 97),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 79, 119, 110, 69),
+            ::capnp::word(114, 97, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -8439,6 +8784,9 @@
                 17 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::struct_list::Owned<crate::report_capnp::departure::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 19 => <::capnp::struct_list::Owned<crate::report_capnp::rest::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                20 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                21 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                22 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -8452,9 +8800,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[16,17,18,9,14,0,10,15,12,2,19,6,7,8,1,13,3,11,5,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[16,17,18,9,14,0,10,15,12,2,19,6,20,7,21,8,22,1,13,3,11,5,4];
         pub(crate) const TYPE_ID: u64 = 0xcf45_8167_f9c8_d01a;
     }
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -15,7 +15,8 @@
 use citronway_core::gateway::rests::RestReport;
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
 use citronway_core::gateway::stated_limits::{SendGrant, SendRequest, StatedLimit};
-use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId, Version};
+use citronway_core::gateway::version::{Era, RowVersion};
+use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId};
 use citronway_wire::relays::in_datagrams;
 use citronway_wire::report::{Datagram, MAX_DATAGRAM, decode, encode};
 use citronway_wire::stated_limits::{LimitedSendReply, LimitedSendRequest};
@@ -24,7 +25,10 @@
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 
 const CONFIRMED: Confirmation = Confirmation {
-    version: 9,
+    version: RowVersion {
+        era: Era(3),
+        number: 9,
+    },
     age_ms: 350,
 };
 
@@ -32,24 +36,33 @@
 fn a_relay_is_read_as_it_was_written() -> Result<()> {
     let relay = Datagram::Relay(Relay {
         table: Table::Own,
-        after: Version(3),
-        position: Version(9),
+        after: RowVersion::first(3),
+        position: RowVersion {
+            era: Era(2),
+            number: 9,
+        },
         rows: vec![
             Row {
                 key: "leader".to_owned(),
                 value: Some(vec![1, 2]),
-                version: Version(5),
+                version: RowVersion {
+                    era: Era(2),
+                    number: 5,
+                },
             },
             Row {
                 key: "instance/x".to_owned(),
                 value: None,
-                version: Version(6),
+                version: RowVersion::first(6),
             },
         ],
         patches: vec![Patch {
             key: "keys/batch".to_owned(),
-            before: Version(4),
-            version: Version(9),
+            before: RowVersion::first(4),
+            version: RowVersion {
+                era: Era(1),
+                number: 9,
+            },
             change: vec![7, 8, 9],
         }],
         confirmed: Some(CONFIRMED),
@@ -193,12 +206,21 @@
         row: Some(Row {
             key: "leader".to_owned(),
             value: Some(vec![1, 2]),
-            version: Version(5),
+            version: RowVersion::first(5),
         }),
         seen: Versions {
-            config: 4,
-            endpoints: 5,
-            own: 6,
+            config: RowVersion {
+                era: Era(1),
+                number: 4,
+            },
+            endpoints: RowVersion {
+                era: Era(2),
+                number: 5,
+            },
+            own: RowVersion {
+                era: Era(3),
+                number: 6,
+            },
         },
         instances: 295,
         standbys: vec![InstanceName::new("two"), InstanceName::new("three")],
@@ -235,8 +257,8 @@
 fn a_datagram_that_is_cut_short_is_refused() {
     let report = encode(&Datagram::Relay(Relay {
         table: Table::Config,
-        after: Version(1),
-        position: Version(2),
+        after: RowVersion::first(1),
+        position: RowVersion::first(2),
         rows: Vec::new(),
         patches: Vec::new(),
         confirmed: None,
@@ -272,12 +294,12 @@
     };
     let relay = Relay {
         table: Table::Own,
-        after: Version(3),
-        position: Version(9),
+        after: RowVersion::first(3),
+        position: RowVersion::first(9),
         rows: vec![Row {
             key: "leader".to_owned(),
             value: Some(vec![1, 2]),
-            version: Version(5),
+            version: RowVersion::first(5),
         }],
         patches: Vec::new(),
         confirmed: Some(CONFIRMED),
@@ -351,12 +373,12 @@
     let row = |n: u64| Row {
         key: format!("i-{n}"),
         value: Some((0..400).map(|i| noise(n * 400 + i)).collect()),
-        version: Version(100 + n),
+        version: RowVersion::first(100 + n),
     };
     Relay {
         table: Table::Endpoints,
-        after: Version(99),
-        position: Version(100 + rows),
+        after: RowVersion::first(99),
+        position: RowVersion::first(100 + rows),
         rows: (0..rows).map(row).collect(),
         patches: Vec::new(),
         confirmed: None,
@@ -396,7 +418,7 @@
     for row in &mut relay.rows {
         let text = format!(
             "{{\"service\":\"batch\",\"addr\":\"10.1.0.1:80\",\"seq\":{}}}",
-            row.version.0
+            row.version.number
         );
         row.value = Some(text.into_bytes());
     }
--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -1,7 +1,7 @@
 //! Copies of tables for other instances, and copies taken from them.
 
 use citronway_core::gateway::rows::{Relay, Row, Table};
-use citronway_core::ids::Version;
+use citronway_core::gateway::version::RowVersion;
 use citronway_core::time::Mono;
 use indexmap::{IndexMap, IndexSet};
 
@@ -18,7 +18,7 @@
         &self,
         table: Table,
         rows: &[Row],
-        version: Version,
+        version: RowVersion,
     ) -> Relay {
         let before: IndexMap<_, _> = self
             .kept
@@ -39,7 +39,7 @@
         });
         Relay {
             table,
-            after: Version(0),
+            after: RowVersion::NONE,
             position: version,
             rows: newer.cloned().chain(gone).collect(),
             patches: Vec::new(),
@@ -69,10 +69,12 @@
     /// takes precedence, as a copy is only as new as the instance that sent it.
     pub(in super::super) fn apply_copy(&mut self, now: Mono, copy: &Relay) {
         let (table, rows) = (copy.table.as_str(), copy.rows.len());
-        log::info!(table, rows, position = copy.position.0; "table copied from another instance");
+        log::info!(table, rows, position = copy.position.number, era = copy.position.era.0; "table copied from another instance");
         let list_version = match copy.table {
             // A copy of all rows removes those that it lacks.
-            Table::Config | Table::Endpoints if copy.after == Version(0) => Some(copy.position),
+            Table::Config | Table::Endpoints if copy.after == RowVersion::NONE => {
+                Some(copy.position)
+            }
             Table::Config | Table::Endpoints | Table::Own => None,
         };
         self.apply_rows(now, copy.table, RowSource::Copy, &copy.rows, list_version);
@@ -98,7 +100,7 @@
         &mut self,
         now: Mono,
         table: Table,
-        after: Version,
+        after: RowVersion,
     ) -> Option<Relay> {
         let confirmed = match table {
             Table::Config => self.freshness.confirmation(now),
@@ -108,7 +110,7 @@
         if !state.loaded {
             return None;
         }
-        let position = Version(state.position);
+        let position = state.position;
         let kept = self.kept.rows(table);
         let mut rows: Vec<_> = kept
             .filter(|row| !own_rows::is_assignment(&row.key) && row.version > after)
--- a/crates/citronway/src/gateway/control/cluster/evacuations.rs
+++ b/crates/citronway/src/gateway/control/cluster/evacuations.rs
@@ -4,7 +4,8 @@
 
 use citronway_core::gateway::evacuation::{self, ZoneChange, ZoneState};
 use citronway_core::gateway::rows::Row;
-use citronway_core::ids::{Version, ZoneName};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::ZoneName;
 use citronway_core::time::Mono;
 use citronway_platform::store;
 
@@ -20,7 +21,7 @@
         now: Mono,
         learned_at: Option<Mono>,
         rows: &[Row],
-        list_version: Option<Version>,
+        list_version: Option<RowVersion>,
     ) {
         let zones = rows.iter().filter_map(|row| {
             let zone = store::evacuated_zone(&row.key)?;
@@ -97,7 +98,7 @@
         let in_zone = self.registry.iter();
         let endpoints = in_zone.filter(|known| known.listing.zone == *zone).count();
         let zone = zone.as_str();
-        let version = version.0;
+        let version = version.number;
         match state {
             ZoneState::Evacuated { since } => {
                 let just_now = since.is_some();
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -23,8 +23,8 @@
 use citronway_core::gateway::rows::{Relay, Row, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::gateway::stated_limits::StatedLimits;
-use citronway_core::gateway::version::Era;
-use citronway_core::ids::{ServiceName, Version, ZoneName};
+use citronway_core::gateway::version::{Era, RowVersion};
+use citronway_core::ids::{ServiceName, ZoneName};
 use citronway_core::time::Mono;
 use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
@@ -97,7 +97,7 @@
     /// Requests that this instance itself has in flight and waiting, by endpoint.
     own_use: IndexMap<EndpointTag, EndpointUse>,
     /// Newest version of each endpoint's entry, also of removed ones.
-    pub(super) entries: IndexMap<String, Version>,
+    pub(super) entries: IndexMap<String, RowVersion>,
     /// Addresses of this instance and of the store, which no endpoint may have.
     pub(super) own_addresses: [SocketAddr; 5],
     last_heard_at: Mono,
@@ -185,7 +185,7 @@
     }
 
     /// Records that all rows of a table up to a position were taken.
-    fn advance_position(&mut self, table: Table, position: Version) {
+    fn advance_position(&mut self, table: Table, position: RowVersion) {
         let state = self.table_state(table);
         state.advance_position(position);
         let (newest, position) = (state.newest, state.position);
@@ -233,7 +233,7 @@
         table: Table,
         source: RowSource,
         rows: &[Row],
-        list_version: Option<Version>,
+        list_version: Option<RowVersion>,
     ) {
         if rows.is_empty() && list_version.is_none() {
             return;
@@ -241,7 +241,7 @@
         // Only sequenced rows show a gap: in large fleets rows of instances are not
         // relayed, and the leader's row comes apart from the others, with the totals.
         let sequenced = rows.iter().filter(|row| own_rows::is_sequenced(&row.key));
-        let newest = sequenced.map(|row| row.version.0).max().unwrap_or_default();
+        let newest = sequenced.map(|row| row.version).max().unwrap_or_default();
         let state = self.table_state(table);
         state.observe_version(newest);
         let is_first = !std::mem::replace(&mut state.loaded, true);
@@ -313,7 +313,7 @@
             if old.is_some_and(|old| routes.version <= old) {
                 continue;
             }
-            let (version, row, source) = (routes.version.0, row.version.0, source.as_str());
+            let (version, row, source) = (routes.version.0, row.version.number, source.as_str());
             log::info!(version, row, source; "configuration in force");
             self.unusable.record_findings(&findings);
             let services = routes.services.keys().cloned().collect();
@@ -444,12 +444,13 @@
         let tables = [
             (Table::Config, newest.config),
             (Table::Endpoints, newest.endpoints),
-            (Table::Own, if lacks_leader { u64::MAX } else { newest.own }),
+            (Table::Own, newest.own),
         ];
         let mut stale = Vec::new();
         for (table, others) in tables {
             let state = self.table_state(table);
-            if others <= state.newest {
+            let lacks_row = table == Table::Own && lacks_leader;
+            if others <= state.newest && !lacks_row {
                 state.behind_since = None;
                 continue;
             }
--- a/crates/citronway/src/gateway/control/cluster/table.rs
+++ b/crates/citronway/src/gateway/control/cluster/table.rs
@@ -1,6 +1,6 @@
 //! How far an instance knows a table of the store.
 
-use citronway_core::ids::Version;
+use citronway_core::gateway::version::RowVersion;
 use citronway_core::time::Mono;
 
 /// Where rows of a table came from.
@@ -29,9 +29,9 @@
 #[derive(Debug, Default)]
 pub(in super::super) struct TableState {
     /// Newest version among the rows that were seen.
-    pub(super) newest: u64,
+    pub(super) newest: RowVersion,
     /// Position in the table's history up to which all rows were taken.
-    pub(in super::super) position: u64,
+    pub(in super::super) position: RowVersion,
     /// The last call failed.
     pub(super) lost: bool,
     /// Since when others are known to have newer rows.
@@ -44,13 +44,13 @@
 
 impl TableState {
     /// Records that a row of this version was seen.
-    pub(in super::super) fn observe_version(&mut self, version: u64) {
+    pub(in super::super) fn observe_version(&mut self, version: RowVersion) {
         self.newest = self.newest.max(version);
         self.behind_since = None;
     }
 
     /// Records that all rows up to a position were taken.
-    pub(super) fn advance_position(&mut self, position: Version) {
-        self.position = self.position.max(position.0);
+    pub(super) fn advance_position(&mut self, position: RowVersion) {
+        self.position = self.position.max(position);
     }
 }
--- a/crates/citronway/src/gateway/control/confirming.rs
+++ b/crates/citronway/src/gateway/control/confirming.rs
@@ -7,7 +7,6 @@
 use citronway_core::gateway::report::Totals;
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::Role;
-use citronway_core::ids::Version;
 use citronway_core::time::Mono;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -116,9 +115,9 @@
         let confirmed_at = self.cluster.freshness.trust().confirmed_at;
         let confirmed_ms_ago = confirmed_at.map(|at| now.since(at));
         let newer = self.cluster.freshness.missing().unwrap_or_default();
-        log::info!(version, confirmed_ms_ago, newer; "configuration not confirmed; fetching it");
+        log::info!(version, confirmed_ms_ago, newer = newer.number; "configuration not confirmed; fetching it");
         self.poll_control(Table::Config).refresh.notify_one();
-        let after = Version(self.cluster.seen_versions().config);
+        let after = self.cluster.seen_versions().config;
         for address in self.config_sources(now) {
             copies::spawn_copy(address, Table::Config, after, events.clone());
         }
--- a/crates/citronway/src/gateway/control/copies.rs
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -2,19 +2,18 @@
 //! asked, and in large fleets rows that were lost on the way.
 //!
 //! Each copy uses one connection, on the TCP port of the reports. The requesting side sends
-//! the code of a table; if it has rows, it adds [`SINCE_FLAG`] and the version of its
-//! newest row. The other side answers with a relay of all rows, or of the newer ones, and
+//! the code of a table; if it has rows, it adds [`SINCE_FLAG`], if needed [`ERA_FLAG`], and the
+//! version of its newest row. The other side answers with a relay of all rows, or of the newer ones, and
 //! closes.
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::Role;
-use citronway_core::ids::Version;
+use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_core::time::Mono;
 use citronway_wire::report::{self as datagram, Datagram, ReportError};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -40,6 +39,10 @@
 /// Added to the code of a table: only rows newer than a version are requested.
 const SINCE_FLAG: u8 = 0x10;
 
+/// Added to the code of a table: that version is of a later era than the first, and the era comes
+/// before its number. Earlier versions of the product do not know it.
+const ERA_FLAG: u8 = 0x20;
+
 /// Why a copy failed.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum CopyError {
@@ -79,9 +82,9 @@
         self.pending_copies.push(table);
         let lacks_leader = table == Table::Own && self.cluster.lacks_leader(self.leadership.term());
         let after = if lacks_leader {
-            Version(0)
+            RowVersion::NONE
         } else {
-            Version(self.cluster.seen_versions().of(table))
+            self.cluster.seen_versions().of(table)
         };
         spawn_copy(address, table, after, events.clone());
     }
@@ -123,7 +126,7 @@
         };
         // Meanwhile the store or a relay has brought newer rows. Own rows are applied one
         // by one, each if it is newer.
-        if table != Table::Own && copy.after.0 < self.cluster.seen_versions().of(table) {
+        if table != Table::Own && copy.after < self.cluster.seen_versions().of(table) {
             return;
         }
         if table == Table::Config && !copy.rows.is_empty() {
@@ -132,8 +135,7 @@
         }
         self.cluster.apply_copy(now, &copy);
         self.hear_copied_confirmation(now, requested_at, &copy);
-        let position = &self.poll_control(table).position;
-        position.fetch_max(copy.position.0, Ordering::Relaxed);
+        self.poll_control(table).advance(copy.position);
         if table == Table::Own {
             self.leadership.apply_relayed_rows(&self.cluster);
         }
@@ -143,7 +145,7 @@
     pub(super) fn send_copy(
         &mut self,
         table: Table,
-        after: Version,
+        after: RowVersion,
         reply: oneshot::Sender<Vec<u8>>,
     ) {
         let Some(copy) = self.cluster.copy_since(clock::mono(), table, after) else {
@@ -158,7 +160,7 @@
 pub(super) fn spawn_copy(
     address: SocketAddr,
     table: Table,
-    after: Version,
+    after: RowVersion,
     events: mpsc::Sender<Event>,
 ) {
     let requested_at = clock::mono();
@@ -203,12 +205,18 @@
 
 async fn serve_copy(mut stream: TcpStream, events: mpsc::Sender<Event>) -> Result<(), CopyError> {
     let code = stream.read_u8().await?;
-    let after = if code & SINCE_FLAG == 0 {
-        Version(0)
+    let era = if code & ERA_FLAG == 0 {
+        Era::FIRST
+    } else {
+        Era(stream.read_u32().await?)
+    };
+    let number = if code & SINCE_FLAG == 0 {
+        0
     } else {
-        Version(stream.read_u64().await?)
+        stream.read_u64().await?
     };
-    let table = datagram::table_of(code & !SINCE_FLAG)?;
+    let after = RowVersion { era, number };
+    let table = datagram::table_of(code & !(SINCE_FLAG | ERA_FLAG))?;
     let (reply, copied) = oneshot::channel();
     let requested = Event::CopyRequested {
         table,
@@ -231,20 +239,27 @@
 pub(super) async fn fetch_copy(
     address: SocketAddr,
     table: Table,
-    after: Version,
+    after: RowVersion,
 ) -> Result<Relay, CopyError> {
     timeout(COPY_TIMEOUT, read_copy(address, table, after)).await?
 }
 
-async fn read_copy(address: SocketAddr, table: Table, after: Version) -> Result<Relay, CopyError> {
+async fn read_copy(
+    address: SocketAddr,
+    table: Table,
+    after: RowVersion,
+) -> Result<Relay, CopyError> {
     let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
-    if after == Version(0) {
-        stream.write_u8(datagram::code_of(table)).await?;
+    let code = datagram::code_of(table);
+    if after == RowVersion::NONE {
+        stream.write_u8(code).await?;
+    } else if after.era == Era::FIRST {
+        stream.write_u8(code | SINCE_FLAG).await?;
+        stream.write_u64(after.number).await?;
     } else {
-        stream
-            .write_u8(datagram::code_of(table) | SINCE_FLAG)
-            .await?;
-        stream.write_u64(after.0).await?;
+        stream.write_u8(code | SINCE_FLAG | ERA_FLAG).await?;
+        stream.write_u32(after.era.0).await?;
+        stream.write_u64(after.number).await?;
     }
     let mut bytes = Vec::new();
     stream.take(MAX_COPY_BYTES).read_to_end(&mut bytes).await?;
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -12,7 +12,7 @@
 };
 use citronway_core::gateway::report::{Report, Totals};
 use citronway_core::gateway::rows::Row;
-use citronway_core::ids::Version;
+use citronway_core::gateway::version::RowVersion;
 use citronway_core::time::Mono;
 use citronway_platform::store::ConditionalWrite;
 use tokio::sync::mpsc;
@@ -46,7 +46,7 @@
     outbox: SignQueue,
     received: SignReceiver,
     row: Option<StoredCrashes>,
-    version: Version,
+    version: RowVersion,
     /// A row was read at least once.
     has_loaded: bool,
     /// The stored row is malformed.
@@ -85,7 +85,7 @@
         self.unreadable = read.as_ref().is_some_and(Result::is_err);
         let stored = read.transpose()?;
         let refused = stored.as_ref().map_or(0, |stored| stored.refused.len());
-        log::info!(version = row.version.0, refused, removed = stored.is_none(); "row about crashes");
+        log::info!(version = row.version.number, refused, removed = stored.is_none(); "row about crashes");
         // Fingerprints under different keys can't be compared.
         let key_before = self.row.as_ref().map(|row| row.key);
         if key_before.is_some() && key_before != stored.as_ref().map(|row| row.key) {
@@ -255,10 +255,10 @@
     }
 
     /// Version that the stored row must have for a write to succeed; 0 if there is no row.
-    const fn expected(&self) -> Version {
+    const fn expected(&self) -> RowVersion {
         match self.row {
             Some(_) => self.version,
-            None => Version(0),
+            None => RowVersion::NONE,
         }
     }
 }
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -11,7 +11,8 @@
 };
 use citronway_core::gateway::report::Report;
 use citronway_core::gateway::stated_limits;
-use citronway_core::ids::{ServiceName, Session, Version};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{ServiceName, Session};
 use citronway_core::time::Mono;
 use citronway_platform::store::ConditionalWrite;
 use indexmap::IndexMap;
@@ -69,7 +70,7 @@
     claim_after: Mono,
     /// The version of the leader's row that a claim is to replace, and when the first claim
     /// for it was sent.
-    first_claim: Option<(Version, Mono)>,
+    first_claim: Option<(RowVersion, Mono)>,
     former_leaders_stopped: bool,
     /// What former leaders may still do, and until when.
     former_limits: FormerLeaderLimits,
@@ -196,7 +197,7 @@
     }
 
     /// Version of the leader's row by which this instance leads; `None` if it does not.
-    pub(super) fn row_version(&self) -> Option<Version> {
+    pub(super) fn row_version(&self) -> Option<RowVersion> {
         self.own_row.as_ref().map(|row| row.version)
     }
 
@@ -478,7 +479,7 @@
         let store_ms = cluster.store_ms(now)?;
         let wait_ms = self.cfg.former_leader_wait_ms() + CLOCK_MARGIN_MS;
         let former = election::former_leaders_after(row, &peers, store_ms, wait_ms);
-        let expected = row.map_or(Version(0), |row| row.version);
+        let expected = row.map_or(RowVersion::NONE, |row| row.version);
         let value = match own_rows::leader_value(&self.me, term, former) {
             Ok(value) => value,
             Err(e) => {
@@ -506,7 +507,7 @@
     own_row: &LeaderRow,
     service: ServiceName,
     row: Assignment,
-    expected: Version,
+    expected: RowVersion,
 ) -> Result<AssignmentWrite, RowError> {
     let key = own_rows::assignment_key(&service);
     let value = row.to_bytes()?;
--- a/crates/citronway/src/gateway/control/entries.rs
+++ b/crates/citronway/src/gateway/control/entries.rs
@@ -7,7 +7,8 @@
 
 use citronway_core::gateway::registry::{Listing, Registry};
 use citronway_core::gateway::rows::Row;
-use citronway_core::ids::{EndpointName, Version};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::EndpointName;
 use citronway_core::time::Mono;
 
 use super::cluster::Cluster;
@@ -27,7 +28,7 @@
         &mut self,
         now: Mono,
         rows: &[Row],
-        list_version: Option<Version>,
+        list_version: Option<RowVersion>,
     ) {
         if let Some(version) = list_version {
             self.remove_unlisted(now, rows, version);
@@ -52,12 +53,12 @@
         }
         if let Some(version) = list_version {
             let endpoints = self.registry.iter().count();
-            log::info!(endpoints, version = version.0; "all endpoint entries read");
+            log::info!(endpoints, version = version.number, era = version.era.0; "all endpoint entries read");
         }
     }
 
     /// Removes endpoints whose entries are not in `rows`, all entries at `version`.
-    fn remove_unlisted(&mut self, now: Mono, rows: &[Row], version: Version) {
+    fn remove_unlisted(&mut self, now: Mono, rows: &[Row], version: RowVersion) {
         let registry = Arc::make_mut(&mut self.registry);
         for name in registry.names() {
             // An entry that was relayed since the rows were read is not in them.
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -1,11 +1,11 @@
 //! Datagrams from other instances: reports, relayed rows, and totals of the leader.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 
 use citronway_core::gateway::report::{Report, Totals};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::Role;
+use citronway_core::gateway::version::RowVersion;
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -16,17 +16,16 @@
 impl Control {
     fn on_relay(&mut self, events: &mpsc::Sender<Event>, relay: &Relay) {
         let now = clock::mono();
-        let position = &self.poll_control(relay.table).position;
-        if position.load(Ordering::Relaxed) == 0 {
+        if self.poll_control(relay.table).position() == RowVersion::NONE {
             return;
         }
         let newest = self.cluster.seen_versions().of(relay.table);
-        if relay.after.0 > newest || !self.cluster.can_patch(relay) {
+        if relay.after > newest || !self.cluster.can_patch(relay) {
             // A relay in between was lost.
             self.fetch_missed(now, relay.table, events);
             return;
         }
-        position.fetch_max(relay.position.0, Ordering::Relaxed);
+        self.poll_control(relay.table).advance(relay.position);
         if relay.rows.is_empty() && relay.patches.is_empty() {
             return;
         }
--- a/crates/citronway/src/gateway/control/kept_rows.rs
+++ b/crates/citronway/src/gateway/control/kept_rows.rs
@@ -1,7 +1,7 @@
 //! Rows of the polled tables as they came, for instances that can't ask the store.
 
 use citronway_core::gateway::rows::{Row, Table};
-use citronway_core::ids::Version;
+use citronway_core::gateway::version::RowVersion;
 use indexmap::{IndexMap, IndexSet};
 
 /// The newest row of each key, also of removed ones.
@@ -45,7 +45,7 @@
 
     /// Keeps `rows`, all rows of a table at a version. Keys that are not in them become
     /// tombstones, so that an instance that requests newer rows learns of the removal.
-    pub(super) fn replace(&mut self, table: Table, rows: &[Row], version: Version) {
+    pub(super) fn replace(&mut self, table: Table, rows: &[Row], version: RowVersion) {
         let listed: IndexSet<_> = rows.iter().map(|row| row.key.as_str()).collect();
         for row in self.of_mut(table).values_mut() {
             if row.value.is_some() && !listed.contains(row.key.as_str()) {
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -37,7 +37,8 @@
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::gateway::tree::{Branch, GatheredReports, Tree, TreePosition};
-use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{InstanceName, ServiceName, Session};
 use citronway_core::time::Mono;
 use citronway_platform::DecodeError;
 use citronway_platform::store::StoreRefusal;
@@ -114,7 +115,7 @@
     /// Another instance requests the rows of a table that are newer than a version.
     CopyRequested {
         table: Table,
-        after: Version,
+        after: RowVersion,
         reply: oneshot::Sender<Vec<u8>>,
     },
     /// A request to another instance for a copy of a table has ended.
@@ -457,7 +458,7 @@
             let events = events.clone();
             tokio::spawn(async move {
                 match Store::new(store).change(&claim).await {
-                    Ok(version) => log::info!(version = version.0; "leader row written"),
+                    Ok(version) => log::info!(version = version.number; "leader row written"),
                     Err(e) => log::info!(cause = e.to_string(); "leader row not written"),
                 }
                 let _ = events.send(Event::ClaimDone).await;
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -4,7 +4,8 @@
 use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::election::{FormerLeader, LeaderRow};
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
-use citronway_core::ids::{InstanceName, ServiceName, Session, Version};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::{InstanceName, ServiceName, Session};
 use citronway_core::time::Mono;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -80,7 +81,7 @@
     fn apply_leader_row(
         &mut self,
         now: Mono,
-        version: Version,
+        version: RowVersion,
         value: &[u8],
     ) -> Result<(), RowError> {
         let stored = serde_json::from_slice::<StoredLeader>(value)?;
@@ -113,7 +114,7 @@
     fn apply_assignment_row(
         &mut self,
         service: &ServiceName,
-        version: Version,
+        version: RowVersion,
         value: &[u8],
     ) -> Result<(), RowError> {
         let assignment = Assignment::from_bytes(value)?;
@@ -124,14 +125,14 @@
         Ok(())
     }
 
-    fn set_owners(&mut self, service: &ServiceName, version: Version, assignment: Assignment) {
+    fn set_owners(&mut self, service: &ServiceName, version: RowVersion, assignment: Assignment) {
         let moving = assignment
             .ranges
             .iter()
             .filter(|range| range.is_moving())
             .count();
         let ranges = assignment.ranges.len();
-        log::info!(service = service.as_str(), version = version.0, ranges, moving; "assignment");
+        log::info!(service = service.as_str(), version = version.number, era = version.era.0, ranges, moving; "assignment");
         let owners = Owners {
             assignment: Arc::new(assignment),
             version,
@@ -172,7 +173,7 @@
         &self,
         service: &ServiceName,
         row: &Assignment,
-        version: Version,
+        version: RowVersion,
     ) -> Option<Relay> {
         let known = self.owners.get(service);
         if known.is_some_and(|known| known.version >= version) {
@@ -185,8 +186,8 @@
         let row = assignment_as_row((service, &owners))?;
         Some(Relay {
             table: Table::Own,
-            after: Version(0),
-            position: Version(self.own.position),
+            after: RowVersion::NONE,
+            position: self.own.position,
             rows: vec![row],
             patches: Vec::new(),
             confirmed: None,
@@ -236,7 +237,7 @@
             Ok(assignment) => {
                 let service = ServiceName::new(patch.key.trim_start_matches(KEYS_PREFIX));
                 self.set_owners(&service, patch.version, assignment);
-                self.own.observe_version(patch.version.0);
+                self.own.observe_version(patch.version);
                 self.changed = true;
             }
             Err(e) => self
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -12,6 +12,7 @@
 use citronway_core::gateway::rows::Table;
 use citronway_core::gateway::share::Demand;
 use citronway_core::gateway::tree::Candidate;
+use citronway_core::gateway::version::RowVersion;
 use citronway_core::ids::{InstanceName, Session, SessionId, ZoneName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
@@ -331,7 +332,7 @@
         let rank = |peer: &Peer| (peer.seen.of(table), peer.zone.as_ref() == Some(zone));
         let peers = self.fresh(now).map(|(_, peer)| peer);
         let best = peers
-            .filter(|peer| peer.seen.of(table) > 0 && peer.address.is_some())
+            .filter(|peer| peer.seen.of(table) > RowVersion::NONE && peer.address.is_some())
             .max_by_key(|peer| rank(peer))?;
         best.address
     }
@@ -375,7 +376,7 @@
     }
 
     /// Address of an instance whose own report says that it has a version of the configuration.
-    pub(super) fn reporter_of_config(&self, now: Mono, version: u64) -> Option<SocketAddr> {
+    pub(super) fn reporter_of_config(&self, now: Mono, version: RowVersion) -> Option<SocketAddr> {
         let mut reporters = self.direct_reporters(now);
         let holder = reporters.find(|peer| peer.seen.config >= version);
         holder?.address
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -7,7 +7,8 @@
 use citronway_core::gateway::report::{self, MAX_FULL_MESH, MAX_KEYS, Report, Totals};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::{Branch, Role, TOTALS_INTERVAL_MS};
-use citronway_core::ids::{ServiceName, Version};
+use citronway_core::gateway::version::RowVersion;
+use citronway_core::ids::ServiceName;
 use citronway_core::time::Mono;
 use citronway_wire::relays;
 use citronway_wire::report::{self as datagram, Datagram};
@@ -282,7 +283,7 @@
         socket: &UdpSocket,
         service: &ServiceName,
         row: &Assignment,
-        version: Version,
+        version: RowVersion,
     ) {
         let Some(relay) = self.cluster.relay_of_write(service, row, version) else {
             return;
@@ -299,7 +300,7 @@
         let mut relay = self.cluster.with_patches(relay);
         // Receivers must have seen the newest row before, rather than the store's position,
         // which moves with rows of all tables.
-        relay.after = Version(self.cluster.seen_versions().of(relay.table));
+        relay.after = self.cluster.seen_versions().of(relay.table);
         if !self.leads_large_fleet(now) {
             for bytes in relays::in_datagrams(relay) {
                 for address in self.cluster.peers.addresses() {
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -2,18 +2,19 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use citronway_core::gateway::rows::{Relay, Row, Table};
-use citronway_core::ids::Version;
+use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_platform::store::{self, ConditionalWrite, StoreRefusal};
 use futures::FutureExt as _;
 use http::Request;
 use tokio::sync::{Notify, mpsc};
 
 use super::Event;
-use super::store_era::StoreAccess;
+use super::store_era::{AnswerEraError, StoreAccess};
 use crate::clock;
 use crate::gateway::http_link::{Answer, CallError, ConnectMode, Dialer, Link};
 
@@ -63,6 +64,8 @@
     Call(#[from] CallError),
     #[error(transparent)]
     Refused(#[from] StoreRefusal),
+    #[error(transparent)]
+    Era(#[from] AnswerEraError),
 }
 
 /// A connection to the store, opened when it is needed.
@@ -77,7 +80,12 @@
         Self { access, link: None }
     }
 
-    async fn call(&mut self, req: Request<Bytes>, timeout: Duration) -> Result<Answer, CallError> {
+    /// Makes a call; returns the answer and its era. An answer of an earlier era is none.
+    async fn call(
+        &mut self,
+        req: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<(Answer, Era), StoreError> {
         let mut link = match self.link.take().filter(Link::is_usable) {
             Some(link) => link,
             None => {
@@ -91,15 +99,14 @@
         };
         let answer = link.call(req, timeout).await?;
         self.link = Some(link);
-        // The answer is used in either case, as its rows have no era yet.
-        let _ = self.access.era.observe(&answer.headers);
-        Ok(answer)
+        let era = self.access.era.observe(answer.status, &answer.headers)?;
+        Ok((answer, era))
     }
 
     async fn page(&mut self, table: Table, after: Option<&str>) -> Result<store::Rows, StoreError> {
         let req = store::get(&self.access.address.to_string(), table, after);
-        let answer = self.call(req, CALL_TIMEOUT).await?;
-        Ok(store::read_rows(answer.status, &answer.body)?)
+        let (answer, era) = self.call(req, CALL_TIMEOUT).await?;
+        Ok(store::read_rows(answer.status, era, &answer.body)?)
     }
 
     /// Reads all rows of a table, and the version from which to poll it.
@@ -112,6 +119,14 @@
                 break;
             };
             page = self.page(table, Some(&last)).await?;
+            // The store came back from a copy between two pages.
+            if page.version.era != version.era {
+                return Err(AnswerEraError::Earlier {
+                    answer: version.era,
+                    known: page.version.era,
+                }
+                .into());
+            }
             rows.append(&mut page.rows);
         }
         Ok(Loaded {
@@ -124,24 +139,24 @@
     async fn feed(
         &mut self,
         table: Table,
-        after: Version,
+        after: RowVersion,
         wait_ms: u64,
     ) -> Result<store::Rows, StoreError> {
         let req = store::feed(&self.access.address.to_string(), table, after, wait_ms);
         let timeout = CALL_TIMEOUT + Duration::from_millis(wait_ms);
-        let answer = self.call(req, timeout).await?;
-        Ok(store::read_rows(answer.status, &answer.body)?)
+        let (answer, era) = self.call(req, timeout).await?;
+        Ok(store::read_rows(answer.status, era, &answer.body)?)
     }
 
     /// Makes a conditional change; returns the version of the store after it.
     pub(super) async fn change(
         &mut self,
         change: &ConditionalWrite,
-    ) -> Result<Version, StoreError> {
+    ) -> Result<RowVersion, StoreError> {
         let req = store::change(&self.access.address.to_string(), change)
             .map_err(|e| StoreError::Refused(StoreRefusal::Malformed(e)))?;
-        let answer = self.call(req, CALL_TIMEOUT).await?;
-        Ok(store::read_change(answer.status, &answer.body)?)
+        let (answer, era) = self.call(req, CALL_TIMEOUT).await?;
+        Ok(store::read_change(answer.status, era, &answer.body)?)
     }
 }
 
@@ -149,7 +164,7 @@
 #[derive(Debug)]
 struct Loaded {
     rows: Vec<Row>,
-    version: Version,
+    version: RowVersion,
     now_ms: u64,
 }
 
@@ -160,7 +175,7 @@
     Loaded {
         rows: Vec<Row>,
         /// Version of the store when the rows were read.
-        version: Version,
+        version: RowVersion,
         now_ms: u64,
     },
     /// Rows that changed, and the positions in the history between which they did.
@@ -183,7 +198,7 @@
 #[derive(Debug)]
 pub(super) struct PollControl {
     /// Position in the table's history; relayed rows advance it too.
-    pub position: AtomicU64,
+    position: Mutex<RowVersion>,
     /// Another instance relays rows; this one polls only when `refresh` is notified.
     pub passive: AtomicBool,
     /// Time that the store is asked to wait for changes, in milliseconds.
@@ -203,7 +218,7 @@
 impl PollControl {
     pub(super) fn new() -> Arc<Self> {
         Arc::new(Self {
-            position: AtomicU64::new(0),
+            position: Mutex::default(),
             passive: AtomicBool::new(false),
             wait_ms: AtomicU64::new(IDLE_WAIT_MS),
             batch_ms: AtomicU64::new(0),
@@ -214,6 +229,29 @@
         })
     }
 
+    /// Position in the table's history.
+    pub(super) fn position(&self) -> RowVersion {
+        *self.lock_position()
+    }
+
+    /// Sets the position after the whole table was read.
+    fn set_loaded(&self, version: RowVersion) {
+        let mut known = self.lock_position();
+        if version.era >= known.era {
+            *known = version;
+        }
+    }
+
+    /// Moves the position forward; an earlier one changes nothing.
+    pub(super) fn advance(&self, position: RowVersion) {
+        let mut known = self.lock_position();
+        *known = position.max(*known);
+    }
+
+    fn lock_position(&self) -> std::sync::MutexGuard<'_, RowVersion> {
+        self.position.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Clears a refresh that was requested before the answer that just came.
     ///
     /// Rows that the answer lacks show by the next relayed row, or by the versions that
@@ -240,7 +278,7 @@
             self.control.refresh.notified().await;
         }
         // A table that another instance copied to this one need not be read again.
-        let mut loaded = self.control.position.load(Ordering::Relaxed) > 0;
+        let mut loaded = self.control.position() > RowVersion::NONE;
         let mut skip_wait = false;
         loop {
             if loaded && !skip_wait && self.control.passive.load(Ordering::Relaxed) {
@@ -308,9 +346,7 @@
     async fn load(&self, store: &mut Store) -> TableUpdate {
         match store.load(self.table).await {
             Ok(loaded) => {
-                self.control
-                    .position
-                    .store(loaded.version.0, Ordering::Relaxed);
+                self.control.set_loaded(loaded.version);
                 TableUpdate::Loaded {
                     rows: loaded.rows,
                     version: loaded.version,
@@ -339,7 +375,10 @@
     }
 
     async fn poll(&self, store: &mut Store, skip_wait: bool, wait_ms: u64) -> Polled {
-        let after = Version(self.control.position.load(Ordering::Relaxed));
+        let after = self.control.position();
+        if after.era < self.store.era.get() {
+            return Polled::HistoryGone;
+        }
         let polled = if skip_wait {
             // Failure: rows change faster than a poll takes, and each row that was missed
             // requests a refresh. If a refresh cancelled this poll too, no poll would ever
@@ -360,10 +399,10 @@
             }
         };
         match polled {
+            // The position is none of this era, even if the store has given out its number again.
+            Ok(rows) if rows.version.era != after.era => Polled::HistoryGone,
             Ok(rows) => {
-                self.control
-                    .position
-                    .fetch_max(rows.version.0, Ordering::Relaxed);
+                self.control.advance(rows.version);
                 let relay = Relay {
                     table: self.table,
                     after,
--- a/crates/citronway/src/gateway/control/store_era.rs
+++ b/crates/citronway/src/gateway/control/store_era.rs
@@ -6,7 +6,7 @@
 
 use citronway_core::gateway::version::Era;
 use citronway_platform::store::{self, EraError};
-use http::HeaderMap;
+use http::{HeaderMap, StatusCode};
 
 /// Address of the store and its era. Clones share the era.
 #[derive(Debug, Clone)]
@@ -61,8 +61,16 @@
     /// # Errors
     ///
     /// When the answer is of an earlier era, or of none that could be used.
-    pub(super) fn observe(&self, headers: &HeaderMap) -> Result<Era, AnswerEraError> {
+    pub(super) fn observe(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Result<Era, AnswerEraError> {
         let observed = self.read(headers);
+        if matches!(observed, Err(AnswerEraError::Unstated(_))) && !status.is_success() {
+            // A refusal has no rows, and may come from something in front of the store.
+            return Ok(self.get());
+        }
         if let Err(e) = &observed
             && !matches!(e, AnswerEraError::Earlier { .. })
         {
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -282,7 +282,7 @@
         let limit = range.and_then(|r| view.limits.get(&EndpointTag::of(&r.holder.endpoint)));
         let limit = limit.map_or_else(|| "-".to_owned(), f64::to_string);
         let leaving = range.is_some_and(|r| self.state.has_left_in(&view, &r.holder.endpoint));
-        let row = owners.map_or(0, |owners| owners.version.0);
+        let row = owners.map_or(0, |owners| owners.version.number);
         let instances = view.instances;
         let key = key.map_or(-1, i32::from);
         log::info!(
