--- a/crates/citronway-core/src/gateway/election.rs
+++ b/crates/citronway-core/src/gateway/election.rs
@@ -9,7 +9,7 @@
 
 use crate::gateway::leader::LeaderSettings;
 use crate::gateway::pace::rank_of;
-use crate::gateway::version::RowVersion;
+use crate::gateway::version::{Era, RowVersion};
 use crate::ids::{InstanceName, Session, SessionId};
 use crate::time::Mono;
 
@@ -90,6 +90,10 @@
     pub former: Vec<FormerLeader>,
     /// Version of the row.
     pub version: RowVersion,
+    /// Era of the store in which it was elected; `None` in rows of releases that know no era.
+    pub era: Option<Era>,
+    /// Lowest fence of this era; `None` if no leader of an earlier era may act any more.
+    pub first_fence: Option<u64>,
 }
 
 /// A former leader that may still act.
@@ -102,6 +106,34 @@
     pub free_at_ms: u64,
 }
 
+impl FormerLeader {
+    /// Stands for all leaders of earlier eras of the store. Their rows may be lost, so that nobody
+    /// knows which instances they are.
+    #[must_use]
+    pub fn of_earlier_eras(free_at_ms: u64) -> Self {
+        Self {
+            session: Session {
+                instance: InstanceName::new(""),
+                id: SessionId(0),
+            },
+            free_at_ms,
+        }
+    }
+
+    /// Most leaders that may act beside the present one because of this entry. A leader of an earlier
+    /// era may have been replaced in rows that are lost.
+    #[must_use]
+    pub fn most_leaders(&self) -> u32 {
+        if self.is_of_earlier_eras() { 2 } else { 1 }
+    }
+
+    /// Whether this entry stands for all leaders of earlier eras.
+    #[must_use]
+    pub fn is_of_earlier_eras(&self) -> bool {
+        self.session.instance.as_str().is_empty()
+    }
+}
+
 /// State of another instance as this one knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerState {
@@ -152,6 +184,17 @@
     pub instances: usize,
     /// Whether there are too many instances for each to receive the reports of all.
     pub is_large_fleet: bool,
+    /// The store came back from a copy, and no leader was elected since.
+    pub restored: Option<RestoredView>,
+}
+
+/// What an instance knows of the return of the store from a copy.
+#[derive(Debug, Clone, Copy)]
+pub struct RestoredView {
+    /// When this instance learnt of it.
+    pub learnt_at: Mono,
+    /// Whether this instance led when it learnt of it, and knows of no other leader.
+    pub leads: bool,
 }
 
 /// Whether this instance should claim leadership now.
@@ -160,6 +203,9 @@
     if view.unfit {
         return false;
     }
+    if let Some(restored) = view.restored {
+        return now >= claim_after_restore(now, view, restored);
+    }
     let vacant_since = match view.row {
         // There is a leader, and its row has not arrived yet.
         None if view.term > 0 => return false,
@@ -180,6 +226,30 @@
     now >= since.plus(steps * CLAIM_STEP_MS)
 }
 
+/// Time at which this instance claims after the store came back from a copy.
+///
+/// The leader until then goes first: the others cannot know that they have its last rows, and must
+/// wait until all holds have ended.
+fn claim_after_restore(now: Mono, view: &ElectionView<'_>, restored: RestoredView) -> Mono {
+    if restored.leads {
+        return restored.learnt_at;
+    }
+    let leader = view.row.and_then(|row| {
+        let mut peers = view.peers.iter();
+        peers.find(|peer| peer.instance == row.instance && peer.session == row.session)
+    });
+    let is_expected =
+        leader.is_some_and(|peer| !peer.stopping && now.since(peer.heard) < LEADER_SILENT_MS);
+    let first = if is_expected {
+        LEADER_SILENT_MS
+    } else {
+        TAKEOVER_GRACE_MS
+    };
+    restored
+        .learnt_at
+        .plus(first + rank(now, view) * CLAIM_STEP_MS)
+}
+
 /// Time since which the leader in `row` does not work; `None` if it does.
 fn vacant_since(now: Mono, view: &ElectionView<'_>, row: &LeaderRow) -> Option<Mono> {
     if row.instance == *view.me {
--- a/crates/citronway-core/src/gateway/leader/holds.rs
+++ b/crates/citronway-core/src/gateway/leader/holds.rs
@@ -142,6 +142,26 @@
         })
     }
 
+    /// Whether grants that were sent to the endpoint cover the whole span.
+    pub(super) fn cover(&self, endpoint: &EndpointStart, span: Span) -> bool {
+        let mut spans: Vec<_> = self
+            .sent
+            .iter()
+            .filter(|((_, at), _)| at.overlaps(span))
+            .filter(|(_, all)| all.iter().any(|sent| sent.endpoint == *endpoint))
+            .map(|((_, at), _)| *at)
+            .collect();
+        spans.sort_unstable_by_key(|at| at.first);
+        let mut next = u32::from(span.first);
+        for at in spans {
+            if u32::from(at.first) > next {
+                break;
+            }
+            next = next.max(u32::from(at.last) + 1);
+        }
+        next > u32::from(span.last)
+    }
+
     /// Latest end of any hold at the endpoint that overlaps the span; zero if there is none.
     pub(super) fn latest_end(&self, endpoint: &EndpointStart, span: Span) -> Mono {
         let overlapping = self.sent.iter().filter(|((_, at), _)| at.overlaps(span));
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -15,11 +15,15 @@
 //! on a new connection only within [`LeaderSettings::connect_limit_ms`] of its last
 //! confirmation, and its successor sends no seal for as long: connections of the earlier
 //! leader then reach only starts that receive the seal.
+//!
+//! All of this rests on a store that keeps what it has acknowledged. Where it came back from an older
+//! copy, `restore` applies until the holds of all earlier leaders have ended.
 
 mod holds;
 mod moves;
 mod orders;
 mod reach;
+mod restore;
 mod settings;
 
 use indexmap::IndexMap;
@@ -33,6 +37,7 @@
 use holds::Holds;
 use moves::{Freed, MoveState};
 use reach::Reach;
+use restore::Restore;
 
 pub use orders::{Action, Order, OrderKind, OrderResult, Span, WriteResult};
 pub use settings::{FormerLeaderLimits, LeaderSettings};
@@ -93,6 +98,8 @@
     contact: Mono,
     /// Limits on the effects of former leaders.
     former_leaders: FormerLeaderLimits,
+    /// Progress after the store came back from an older copy.
+    restore: Restore,
 }
 
 impl Leader {
@@ -123,6 +130,7 @@
         self.term = Some(Term {
             contact,
             former_leaders,
+            restore: Restore::Settled,
         });
         self.writing = false;
         self.takeover = Takeover::Begins;
@@ -144,6 +152,11 @@
         self.term.is_some()
     }
 
+    /// Whether keys may be given to other endpoints.
+    fn may_move(&self) -> bool {
+        self.is_leading() && !self.is_restoring()
+    }
+
     /// Records that the store confirmed the leader in a call that was sent at `at`.
     pub fn confirm(&mut self, at: Mono) {
         if let Some(term) = &mut self.term {
@@ -160,8 +173,13 @@
     }
 
     /// Updates the row to its stored state; older versions are ignored.
+    ///
+    /// A row with a lower next fence than the known one, or in a new era with the same, is from a copy
+    /// of the store that is older than what this instance knows. Only its version is taken, for the
+    /// next write.
     pub fn update_row(&mut self, row: Assignment, version: RowVersion) {
-        if version < self.version {
+        let is_empty = self.row.ranges.is_empty();
+        if version < self.version || (version == self.version && !is_empty) {
             return;
         }
         // Failure: a write whose answer was lost takes effect after new moves were planned on
@@ -170,8 +188,13 @@
         if version > self.version {
             self.wanted = None;
         }
-        self.row = row;
+        let is_restored = version.era > self.version.era && !is_empty;
         self.version = version;
+        let (stored, known) = (row.next_fence, self.row.next_fence);
+        if stored < known || (is_restored && stored == known) {
+            return;
+        }
+        self.row = row;
         let fences: Vec<_> = self
             .row
             .ranges
@@ -212,7 +235,7 @@
     /// If the row would exceed the size limit of the store, tries the first half of the list, then
     /// a quarter and so on. Returns the number of moves left out for this.
     pub fn start_moves(&mut self, moves: &[Move], registry: &Registry) -> usize {
-        if self.writing || self.wanted.is_some() || self.term.is_none() {
+        if self.writing || self.wanted.is_some() || !self.may_move() {
             return 0;
         }
         let mut count = moves.len();
@@ -243,7 +266,7 @@
 
     /// Divides all keys among `endpoints` in proportion to their slots, if no row exists yet.
     pub fn create_assignment(&mut self, endpoints: &[&crate::gateway::registry::Listing]) {
-        let idle = !self.writing && self.wanted.is_none() && self.term.is_some();
+        let idle = !self.writing && self.wanted.is_none() && self.may_move();
         if !idle || !self.row.ranges.is_empty() || endpoints.is_empty() {
             return;
         }
@@ -253,7 +276,7 @@
             .sum::<u64>();
         let keys = u64::from(LAST_KEY) + 1;
         let mut row = Assignment {
-            next_fence: 1,
+            next_fence: self.row.next_fence.max(1),
             ranges: Vec::new(),
         };
         let mut before = 0;
@@ -286,6 +309,10 @@
         };
         self.holds.prune(now);
         let mut actions = Vec::new();
+        if term.restore != Restore::Settled {
+            self.step_restore(now, term, registry, &mut actions);
+            return actions;
+        }
         // Failure: a leader that was replaced while it could not reach the store continues
         // to renew grants, and two endpoints hold the same keys. Its successor relies on
         // this limit before it reassigns the keys of an unresponsive endpoint.
--- a/crates/citronway-core/src/gateway/leader/moves.rs
+++ b/crates/citronway-core/src/gateway/leader/moves.rs
@@ -1,7 +1,7 @@
 //! Moves of key ranges: seal and release at the old holder, then the grant to the next owner.
 
 use crate::gateway::assignment::{self, Assignment, FENCES_PER_MOVE, Holder, MAX_RANGES, Range};
-use crate::gateway::leader::holds::GrantStatus;
+use crate::gateway::leader::holds::{GrantStatus, Holds};
 use crate::gateway::leader::orders::{Action, Order, OrderKind, OrderResult, Span};
 use crate::gateway::leader::{Leader, LeaderSettings, Term};
 use crate::gateway::registry::{Listing, Registry};
@@ -191,6 +191,33 @@
         actions: &mut Vec<Action>,
     ) {
         let connect_by = self.connect_by(term);
+        self.renew_by(now, connect_by, |_, _| true, registry, actions);
+    }
+
+    /// Renews grants that are due and were sent before. A range that was joined of several ones is
+    /// granted under its own fence if its holder has the grants of all of them.
+    pub(super) fn renew_sent(
+        &mut self,
+        now: Mono,
+        connect_by: Mono,
+        registry: &Registry,
+        actions: &mut Vec<Action>,
+    ) {
+        let was_sent =
+            |holds: &Holds, range: &Range| holds.cover(&range.holder.endpoint, range.span());
+        self.renew_by(now, connect_by, was_sent, registry, actions);
+    }
+
+    /// Sends the grants that are due and of which `sends` is true, on connections that were opened
+    /// by `connect_by`.
+    fn renew_by(
+        &mut self,
+        now: Mono,
+        connect_by: Mono,
+        sends: impl Fn(&Holds, &Range) -> bool,
+        registry: &Registry,
+        actions: &mut Vec<Action>,
+    ) {
         for range in &self.row.ranges {
             if range.is_moving() || self.reach.is_lost(&self.cfg, now, &range.holder.endpoint) {
                 continue;
@@ -199,7 +226,7 @@
             let status = self
                 .holds
                 .get(&range.holder.endpoint, span, range.holder.fence);
-            if !is_due(&self.cfg, now, status) {
+            if !is_due(&self.cfg, now, status) || !sends(&self.holds, range) {
                 continue;
             }
             if self.reach.backs_off(&self.cfg, now, &range.holder.endpoint) {
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -11,7 +11,7 @@
 use crate::gateway::rests::RestReport;
 use crate::gateway::rows::{Row, Table};
 use crate::gateway::stated_limits::StatedLimit;
-use crate::gateway::version::RowVersion;
+use crate::gateway::version::{Era, RowVersion};
 use crate::ids::{InstanceName, ServiceName, Session, SessionId};
 
 /// Interval at which an instance collects its observations for a report, in milliseconds.
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Latest era of any table.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.config.era.max(self.endpoints.era).max(self.own.era)
+    }
+
     /// Whether any table is newer here than in `other`.
     #[must_use]
     pub fn has_newer_than(&self, other: &Self) -> bool {
--- a/crates/citronway-core/src/gateway/version.rs
+++ b/crates/citronway-core/src/gateway/version.rs
@@ -6,6 +6,9 @@
 /// Number of bits of a leader's term below its era.
 const TERM_BITS: u32 = 32;
 
+/// Number of bits of a fence below its era.
+const FENCE_BITS: u32 = 32;
+
 /// Era of the store: increases by one each time that the store comes back from an older copy.
 ///
 /// A store that states no era is in the first one.
@@ -16,6 +19,18 @@
     /// The era of a store that states none.
     pub const FIRST: Self = Self(0);
 
+    /// The last era. Its fences are integers of 53 bits, which each reader of JSON keeps.
+    pub const LAST: Self = Self(1 << 20);
+
+    /// Lowest fence that a leader gives out after the store came back in this era.
+    ///
+    /// Failure guarded against: fences of rows that are lost are given out again. No leader may know
+    /// how high they were.
+    #[must_use]
+    pub const fn first_fence(self) -> u64 {
+        (self.0 as u64) << FENCE_BITS
+    }
+
     /// Term that is lower than all terms of leaders that replace a leader of an earlier era.
     ///
     /// Failure guarded against: two leaders have the same term, since the row of the earlier one was
--- a/crates/citronway-core/tests/gateway_election.rs
+++ b/crates/citronway-core/tests/gateway_election.rs
@@ -34,6 +34,8 @@
         term: 3,
         former: Vec::new(),
         version: RowVersion::first(9),
+        era: None,
+        first_fence: None,
     }
 }
 
@@ -54,6 +56,7 @@
         peers,
         standbys: &[],
         instances: 3,
+        restored: None,
         is_large_fleet: false,
     }
 }
@@ -146,6 +149,7 @@
             peers: &peers,
             standbys: &[],
             instances: 3,
+            restored: None,
             is_large_fleet: false,
         };
         should_claim(now, &view)
@@ -168,6 +172,7 @@
         peers: &[],
         standbys: &[],
         instances: 3,
+        restored: None,
         is_large_fleet: false,
     };
     expect_that!(should_claim(START.plus(60_000), &view), eq(false));
@@ -267,6 +272,7 @@
             peers: &[peer("a", heard), other_peer],
             standbys: &[],
             instances: 3,
+            restored: None,
             is_large_fleet: false,
         };
         should_claim(heard.plus(LEADER_SILENT_MS + after_ms), &view)
@@ -314,6 +320,7 @@
             strength: Strength(200),
             standbys: &standbys,
             instances: 295,
+            restored: None,
             is_large_fleet: true,
             ..view(me, Some(&row), &peers)
         };
@@ -341,6 +348,7 @@
     let view = ElectionView {
         row_seen: START,
         instances: 295,
+        restored: None,
         is_large_fleet: true,
         ..view(&me, Some(&row), &[])
     };
--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -15,6 +15,8 @@
     restarts: 0,
     expirations: 0,
     closed_links: 0,
+    restores: 0,
+    fleet_restarts: 0,
 };
 
 /// Number of steps of 25 ms: 90 s of simulated time.
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -3,11 +3,13 @@
 //! Time advances in steps. Calls arrive at once or never. A grant whose answer is lost may be
 //! carried out up to 12 s later, with a hold that counts from its arrival. A leader may lose the
 //! connection to the store or to endpoints, or be paused; another instance then claims the
-//! leadership. Leaders do not learn of one another.
+//! leadership. Leaders do not learn of one another. The store may come back from an older copy; the
+//! numbers of its versions then repeat.
 
 mod endpoint;
 mod links;
 mod random;
+mod store;
 
 use citronway_core::gateway::assignment::Assignment;
 use citronway_core::gateway::keyload::KeyLoads;
@@ -16,11 +18,13 @@
 };
 use citronway_core::gateway::placement::{self, PlacementEndpoint, PlacementInput};
 use citronway_core::gateway::registry::{Listing, Registry};
+use citronway_core::gateway::version::Era;
 use citronway_core::gateway::version::RowVersion;
 use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 
 use links::{LateOrders, Links};
+use store::{LeaderEntry, Store};
 
 pub use endpoint::{Clock, Endpoint};
 pub use random::Random;
@@ -58,6 +62,11 @@
     pub expirations: u64,
     /// A connection of one leader to one endpoint is closed.
     pub closed_links: u64,
+    /// The store is away for up to 4 s and comes back from a copy of up to 30 s before. One in four
+    /// times it does so twice in a row.
+    pub restores: u64,
+    /// All instances restart and know nothing.
+    pub fleet_restarts: u64,
 }
 
 /// An instance that may lead.
@@ -65,6 +74,10 @@
 struct Instance {
     leader: Leader,
     term: u64,
+    /// Era of the store that it knows.
+    era: Era,
+    /// Claim by which the leader was elected that it last saw in the store.
+    seen_claim: u64,
     contact: Mono,
     cut_until: Mono,
     paused_until: Mono,
@@ -72,10 +85,25 @@
     links: Links,
 }
 
+impl Instance {
+    fn reaches_store(&self, now: Mono) -> bool {
+        self.cut_until <= now && self.paused_until <= now
+    }
+
+    /// Reads the stored assignment.
+    fn read(&mut self, store: &Store) {
+        if store.row.ranges.is_empty() {
+            self.leader.row_is_absent(store.era);
+        } else {
+            self.leader.update_row(store.row.clone(), store.version);
+        }
+    }
+}
+
 #[derive(Debug)]
 struct LateWrite {
     at: Mono,
-    term: u64,
+    claim: u64,
     row: Assignment,
     expected: RowVersion,
 }
@@ -88,11 +116,14 @@
     faults: Faults,
     instances: Vec<Instance>,
     pub endpoints: Vec<Endpoint>,
-    row: Assignment,
-    version: RowVersion,
-    term: u64,
-    leader: usize,
+    store: Store,
     leader_acted: Mono,
+    /// When all instances last restarted.
+    restarted: Option<Mono>,
+    /// Next restore that follows soon after the last one.
+    next_restore: Option<Mono>,
+    /// Number of times that the store came back from a copy.
+    pub restores: u64,
     late_orders: LateOrders,
     late_writes: Vec<LateWrite>,
     /// Second restarts that follow soon after a first one, with the index of the endpoint.
@@ -106,6 +137,8 @@
     pub writes: u64,
     /// Whether the first zone is evacuated.
     evacuated: bool,
+    /// Whether keys are moved all the time.
+    pub moving: bool,
 }
 
 impl World {
@@ -116,6 +149,8 @@
         let instances = (0..3).map(|_| Instance {
             leader: Leader::new(cfg, service.clone()),
             term: 0,
+            era: Era::FIRST,
+            seen_claim: 0,
             contact: start,
             cut_until: Mono(0),
             paused_until: Mono(0),
@@ -128,11 +163,11 @@
             faults,
             instances: instances.collect(),
             endpoints: (0..4).map(Endpoint::new).collect(),
-            row: Assignment::default(),
-            version: RowVersion::first(0),
-            term: 1,
-            leader: 0,
+            store: Store::new(start),
             leader_acted: start,
+            restarted: None,
+            next_restore: None,
+            restores: 0,
             late_orders: LateOrders::default(),
             late_writes: Vec::new(),
             restarts: Vec::new(),
@@ -142,6 +177,7 @@
             moves: 0,
             writes: 0,
             evacuated: false,
+            moving: true,
         };
         world.instances[0].term = 1;
         world.instances[0]
@@ -164,10 +200,12 @@
     pub fn step(&mut self) -> Option<String> {
         self.now = self.now.plus(STEP_MS);
         self.draw_faults();
+        self.draw_store_faults();
         self.repeat_restarts();
         self.registry.expire(self.now);
         self.list();
         self.carry_out_late();
+        self.store.keep(self.now);
         self.claim();
         for i in 0..self.instances.len() {
             self.run_leader(i);
@@ -210,6 +248,42 @@
         }
     }
 
+    fn draw_store_faults(&mut self) {
+        let faults = self.faults;
+        let is_repeated = self.next_restore.take_if(|at| *at <= self.now).is_some();
+        if is_repeated || (faults.restores > 0 && self.random.chance(faults.restores)) {
+            let age_ms = self.random.below(30_000);
+            let away_ms = self.random.below(4_000);
+            self.restore(age_ms, away_ms);
+            if self.random.chance(2_500) {
+                let again_ms = away_ms + self.random.below(6_000);
+                self.next_restore = Some(self.now.plus(again_ms));
+            }
+        }
+        if faults.fleet_restarts > 0 && self.random.chance(faults.fleet_restarts) {
+            self.restart_instances();
+        }
+    }
+
+    /// The store is away, and then comes back from a copy.
+    pub fn restore(&mut self, age_ms: u64, away_ms: u64) {
+        self.restores += 1;
+        self.store.restore(self.now, age_ms, away_ms);
+    }
+
+    /// All instances restart and know nothing.
+    pub fn restart_instances(&mut self) {
+        let cfg = LeaderSettings::default();
+        for instance in &mut self.instances {
+            instance.leader = Leader::new(cfg, ServiceName::new("batch"));
+            instance.term = 0;
+            instance.era = Era::FIRST;
+            instance.seen_claim = 0;
+            instance.links = Links::default();
+        }
+        self.restarted = Some(self.now);
+    }
+
     fn restart_under_name(&mut self) {
         let i = self.random.index(self.endpoints.len());
         let clock = match self.random.below(8) {
@@ -250,18 +324,14 @@
         let (due, later): (Vec<_>, Vec<_>) = self.late_writes.drain(..).partition(|w| w.at <= now);
         self.late_writes = later;
         for late in due {
-            self.apply_write(late.term, &late.row, late.expected);
+            self.apply_write(late.claim, &late.row, late.expected);
         }
     }
 
-    fn apply_write(&mut self, term: u64, row: &Assignment, expected: RowVersion) -> bool {
-        if term != self.term || expected != self.version {
-            return false;
-        }
-        self.row = row.clone();
-        self.version = self.version.next();
-        self.writes += 1;
-        true
+    fn apply_write(&mut self, claim: u64, row: &Assignment, expected: RowVersion) -> bool {
+        let applied = self.store.write(self.now, claim, row, expected);
+        self.writes += u64::from(applied);
+        applied
     }
 
     /// Evacuates the first zone, or restores it.
@@ -283,32 +353,83 @@
             let mut all = self.endpoints.iter();
             all.any(|e| e.id().name() == start.name() && e.listing().zone == zone_of(0))
         };
-        let ranges = self.row.ranges.iter();
+        let ranges = self.store.row.ranges.iter();
         let owners = ranges.map(|range| range.next.as_ref().unwrap_or(&range.holder));
         owners.filter(|owner| there(&owner.endpoint)).count()
     }
 
     /// Makes another instance claim the leadership if the leader has not acted for
-    /// [`CLAIM_AFTER_MS`].
+    /// [`CLAIM_AFTER_MS`]. After a restore the leader until then claims first.
     fn claim(&mut self) {
-        if self.now.since(self.leader_acted) < CLAIM_AFTER_MS {
+        let now = self.now;
+        if self.store.is_away(now) {
             return;
         }
-        let now = self.now;
-        let next = (0..self.instances.len()).find(|i| {
-            let other = &self.instances[*i];
-            *i != self.leader && other.cut_until <= now && other.paused_until <= now
+        let leads_on = self.instances.iter().position(|instance| {
+            instance.reaches_store(now)
+                && instance.era == self.store.era
+                && instance.leader.is_leading()
         });
+        let next = if self.store.is_restored() && leads_on.is_some() {
+            leads_on
+        } else if now.since(self.leader_acted.max(self.store.away_until)) < CLAIM_AFTER_MS {
+            None
+        } else {
+            let leader = self.store.leader.instance;
+            let claims_again = self.store.is_restored() || self.restarted.is_some();
+            (0..self.instances.len())
+                .find(|i| (claims_again || *i != leader) && self.instances[*i].reaches_store(now))
+        };
         let Some(next) = next else { return };
-        self.term += 1;
-        self.leader = next;
+        self.elect(next);
+    }
+
+    fn elect(&mut self, next: usize) {
+        let now = self.now;
+        let before = self.store.leader;
+        let era = self.store.era;
+        let is_restored = self.store.is_restored();
+        let first_fence = if is_restored {
+            Some(era.first_fence())
+        } else {
+            before.first_fence
+        };
+        let cfg = LeaderSettings::default();
+        let mut rivals = cfg.former_leader_limits(now);
+        if self.restarted.take().is_some() && !is_restored {
+            rivals = FormerLeaderLimits {
+                connect_until: now,
+                hold_until: cfg.latest_hold_end(now),
+            };
+        }
+        if first_fence.is_some() && !is_restored {
+            // Leaders of earlier eras may still act for as long as they were waited for.
+            let until = before.elected.plus(cfg.former_leader_wait_ms());
+            rivals.hold_until = rivals.hold_until.max(until);
+        }
+        self.store.elect(
+            now,
+            LeaderEntry {
+                instance: next,
+                term: before.term.max(era.first_term()) + 1,
+                claim: 0,
+                era,
+                first_fence,
+                elected: now,
+            },
+        );
         self.leader_acted = now;
+        let entry = self.store.leader;
         let instance = &mut self.instances[next];
-        instance.term = self.term;
+        instance.term = entry.term;
+        instance.seen_claim = entry.claim;
+        instance.era = era;
         instance.contact = now;
-        instance.leader.update_row(self.row.clone(), self.version);
-        let rivals = LeaderSettings::default().former_leader_limits(now);
-        instance.leader.begin_term(now, rivals);
+        instance.read(&self.store);
+        match first_fence {
+            None => instance.leader.begin_term(now, rivals),
+            Some(first) => instance.leader.begin_restored_term(now, rivals, first),
+        }
     }
 
     fn run_leader(&mut self, i: usize) {
@@ -317,16 +438,9 @@
             return;
         }
         let registry = self.registry.clone();
-        let connected = self.instances[i].cut_until <= now;
+        let connected = self.instances[i].reaches_store(now) && !self.store.is_away(now);
         if connected {
-            let instance = &mut self.instances[i];
-            instance.leader.update_row(self.row.clone(), self.version);
-            if instance.term == self.term && i == self.leader {
-                instance.leader.confirm(now);
-                self.leader_acted = now;
-            } else {
-                instance.leader.end_term();
-            }
+            self.read_store(i);
         }
         if !self.instances[i].leader.is_leading() {
             return;
@@ -341,6 +455,38 @@
         }
     }
 
+    fn read_store(&mut self, i: usize) {
+        let now = self.now;
+        let instance = &mut self.instances[i];
+        if instance.era < self.store.era {
+            instance.era = self.store.era;
+            instance.leader.store_restored();
+        }
+        instance.read(&self.store);
+        if self.store.is_restored() {
+            return;
+        }
+        let entry = self.store.leader;
+        instance.seen_claim = entry.claim;
+        if entry.instance != i || entry.term != instance.term {
+            instance.leader.end_term();
+            return;
+        }
+        instance.leader.confirm(now);
+        self.leader_acted = now;
+        let is_known = self
+            .instances
+            .iter()
+            .all(|other| other.seen_claim == entry.claim);
+        let leader = &mut self.instances[i].leader;
+        if entry.first_fence.is_some() && is_known {
+            leader.former_leader_stopped(now);
+        }
+        if entry.first_fence.is_some() && !leader.is_restoring() {
+            self.store.settle();
+        }
+    }
+
     fn propose(&mut self, i: usize, registry: &Registry) {
         let listings: Vec<_> = self.endpoints.iter().map(Endpoint::listing).collect();
         let listings: Vec<&Listing> = listings.iter().collect();
@@ -351,7 +497,7 @@
             }
             return;
         }
-        if !self.random.chance(400) {
+        if !self.moving || !self.random.chance(400) {
             return;
         }
         let first = self.random.key();
@@ -399,23 +545,24 @@
 
     fn write(&mut self, i: usize, row: Assignment, expected: RowVersion) {
         let now = self.now;
-        let term = self.instances[i].term;
-        let result = if self.instances[i].cut_until > now {
+        let claim = self.instances[i].seen_claim;
+        let reaches = self.instances[i].reaches_store(now) && !self.store.is_away(now);
+        let result = if !reaches {
             WriteResult::Unknown
         } else if self.random.chance(self.faults.lost_writes) {
             if self.random.chance(5_000) {
                 self.late_writes.push(LateWrite {
                     at: now.plus(self.random.below(6_000)),
-                    term,
+                    claim,
                     row,
                     expected,
                 });
             } else {
-                self.apply_write(term, &row, expected);
+                self.apply_write(claim, &row, expected);
             }
             WriteResult::Unknown
-        } else if self.apply_write(term, &row, expected) {
-            WriteResult::Done(row, self.version)
+        } else if self.apply_write(claim, &row, expected) {
+            WriteResult::Done(row, self.store.version)
         } else {
             WriteResult::Conflict
         };
--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -24,12 +24,12 @@
             .kept
             .rows(table)
             .filter(|row| row.value.is_some())
-            .map(|row| (row.key.as_str(), row.version))
+            .map(|row| (row.key.as_str(), row))
             .collect();
         let listed: IndexSet<_> = rows.iter().map(|row| row.key.as_str()).collect();
         let newer = rows.iter().filter(|row| {
             let known = before.get(row.key.as_str());
-            known.is_none_or(|known| *known < row.version)
+            known.is_none_or(|known| is_change(known, row))
         });
         let gone = before.keys().filter(|key| !listed.contains(*key));
         let gone = gone.map(|key| Row {
@@ -133,3 +133,13 @@
         })
     }
 }
+
+/// Whether a listed row differs from the known one. After a restore all versions are newer, and most
+/// rows are the same.
+fn is_change(known: &Row, listed: &Row) -> bool {
+    if known.version.era < listed.version.era {
+        known.value != listed.value
+    } else {
+        known.version < listed.version
+    }
+}
--- a/crates/citronway/src/gateway/control/cluster/load.rs
+++ b/crates/citronway/src/gateway/control/cluster/load.rs
@@ -63,7 +63,7 @@
         self.last_heard_at = now;
         self.update_leader_store(now, &totals);
         if let Some(row) = &totals.row {
-            let known = self.leader.as_ref().map(|leader| leader.version);
+            let known = self.stored_leader.as_ref().map(|leader| leader.version);
             if known.is_none_or(|known| known < row.version) {
                 let row = std::slice::from_ref(row);
                 self.kept.keep(Table::Own, row);
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod evacuations;
 mod load;
+mod restore;
 mod table;
 
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 use super::peers::{InstanceRow, Peers};
 use super::store::TableUpdate;
 use super::unusable::{Source, Unusable};
+use restore::HeldRows;
 use table::{RowSource, TableState};
 
 /// Time in milliseconds for which others may have newer rows of a table before its poll
@@ -66,11 +68,24 @@
     rank: u64,
     /// Highest known era of the store.
     pub era: Era,
+    /// Whether this process has known an earlier era.
+    pub(super) era_changed: bool,
+    /// When the era was learnt.
+    pub era_learnt: Mono,
+    /// Whether the deployment was started for the first time with this process.
+    pub(super) first_start: bool,
+    /// Rows of a restored store that are older than the known ones, or missing.
+    held: HeldRows,
+    /// The row that names the leader, as the store has it.
+    pub(super) stored_leader: Option<LeaderRow>,
+    /// Version of the stored assignment of each service, also where a newer content is known.
+    pub(super) assignment_versions: IndexMap<ServiceName, RowVersion>,
     /// Port on which instances take requests from each other; `None` for none.
     neighbor_port: Option<u16>,
     routes: Option<Arc<RouteTable>>,
     pub registry: Arc<Registry>,
     pub owners: IndexMap<ServiceName, Owners>,
+    /// The newest leader that is known. After a restore it may be newer than the stored one.
     pub leader: Option<LeaderRow>,
     /// When the current leader was first seen.
     pub leader_seen: Mono,
@@ -111,7 +126,13 @@
         Self {
             zone: cfg.zone.clone(),
             rank: rank_of(&cfg.instance),
-            era: Era::default(),
+            era: Era::FIRST,
+            era_changed: false,
+            era_learnt: Mono::default(),
+            first_start: cfg.first_start,
+            held: HeldRows::default(),
+            stored_leader: None,
+            assignment_versions: IndexMap::new(),
             neighbor_port: cfg.neighbors.map(|address| address.port()),
             routes: None,
             registry: Arc::default(),
@@ -211,6 +232,7 @@
         for patch in &relay.patches {
             self.apply_patch(patch);
         }
+        self.table_state(relay.table).enter_era_of(relay.position);
         self.advance_position(relay.table, relay.position);
     }
 
@@ -244,6 +266,9 @@
         let newest = sequenced.map(|row| row.version).max().unwrap_or_default();
         let state = self.table_state(table);
         state.observe_version(newest);
+        if let Some(version) = list_version {
+            state.enter_era_of(version);
+        }
         let is_first = !std::mem::replace(&mut state.loaded, true);
         match list_version {
             Some(version) => self.kept.replace(table, rows, version),
@@ -256,7 +281,12 @@
                 self.apply_evacuation_rows(now, learned_at, rows, list_version);
             }
             Table::Endpoints => self.apply_endpoint_rows(now, rows, list_version),
-            Table::Own => self.apply_own_rows(now, rows),
+            Table::Own => {
+                self.apply_own_rows(now, rows);
+                if let Some(version) = list_version {
+                    self.apply_absent_own_rows(rows, version);
+                }
+            }
         }
         self.changed = true;
     }
@@ -407,7 +437,7 @@
         let key = own_rows::instance_key(&row.session.instance);
         let mut kept = self.kept.rows(Table::Own);
         let value = kept
-            .find(|kept| kept.key == key)
+            .find(|kept| kept.key == key && kept.version.era == self.era)
             .and_then(|kept| kept.value.as_deref());
         let listed = value.and_then(|value| serde_json::from_slice::<InstanceRow>(value).ok());
         listed.is_some_and(|listed| listed.address == row.address && listed.zone == row.zone)
@@ -418,6 +448,11 @@
         self.own.loaded
     }
 
+    /// Whether the table of own rows was read in the present era of the store.
+    pub(super) fn own_is_current(&self) -> bool {
+        self.own.loaded && self.own.newest.era == self.era
+    }
+
     pub(super) const fn seen_versions(&self) -> Versions {
         Versions {
             config: self.config.newest,
@@ -432,7 +467,10 @@
     /// the leader relays move the position past it. A poll from that position no longer
     /// returns the row, and the instance has no leader until the next one is elected.
     pub(super) fn lacks_leader(&self, term: u64) -> bool {
-        self.own.loaded && self.leader.as_ref().map_or(0, |row| row.term) < term
+        // The first term of an era is that of no leader.
+        let is_of_leader = term > Era::of_term(term).first_term();
+        let known = self.leader.as_ref().map_or(0, |row| row.term);
+        self.own.loaded && is_of_leader && known < term
     }
 
     /// Tables of which others have had newer rows for longer than a poll takes; `term` is
--- a/crates/citronway/src/gateway/control/cluster/table.rs
+++ b/crates/citronway/src/gateway/control/cluster/table.rs
@@ -49,6 +49,13 @@
         self.behind_since = None;
     }
 
+    /// Records that the table is known in the era of this version of the store.
+    pub(super) fn enter_era_of(&mut self, version: RowVersion) {
+        if version.era > self.newest.era {
+            self.observe_version(version);
+        }
+    }
+
     /// Records that all rows up to a position were taken.
     pub(super) fn advance_position(&mut self, position: RowVersion) {
         self.position = self.position.max(position);
--- a/crates/citronway/src/gateway/control/confirming.rs
+++ b/crates/citronway/src/gateway/control/confirming.rs
@@ -162,7 +162,11 @@
     /// Tells the traffic thread how far it may rely on the configuration, after the view with that
     /// configuration.
     pub(super) fn publish_trust(&self, now: Mono) {
-        let trust = self.cluster.freshness.trust();
+        let mut trust = self.cluster.freshness.trust();
+        // Failure: a route that the restored store does not have yet is taken for none.
+        if self.cluster.is_settling(now) {
+            trust.reject_until = Mono(0);
+        }
         self.trust.send_if_modified(|known| {
             let is_changed = *known != trust;
             *known = trust;
--- a/crates/citronway/src/gateway/control/copies.rs
+++ b/crates/citronway/src/gateway/control/copies.rs
@@ -124,6 +124,7 @@
                 return;
             }
         };
+        self.hear_era(now, copy.position.era, "copy");
         // Meanwhile the store or a relay has brought newer rows. Own rows are applied one
         // by one, each if it is newer.
         if table != Table::Own && copy.after < self.cluster.seen_versions().of(table) {
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -12,12 +12,12 @@
 };
 use citronway_core::gateway::report::{Report, Totals};
 use citronway_core::gateway::rows::Row;
-use citronway_core::gateway::version::RowVersion;
+use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_core::time::Mono;
 use citronway_platform::store::ConditionalWrite;
 use tokio::sync::mpsc;
 
-use super::own_rows::{CRASHES_KEY, LEADER_KEY};
+use super::own_rows::CRASHES_KEY;
 use super::store::Store;
 use super::{Control, Event};
 use crate::gateway::metrics::Metrics;
@@ -101,6 +101,18 @@
         Ok(())
     }
 
+    /// Records that an era of the store has no row.
+    pub(super) fn row_is_absent(&mut self, era: Era) {
+        if self.version.era < era && self.row.is_some() {
+            self.version = RowVersion::absent(era);
+        }
+    }
+
+    /// Whether a restored store has no row, and the known one must be written again.
+    const fn is_lost(&self) -> bool {
+        self.row.is_some() && self.version.number == 0
+    }
+
     /// Takes the suspects of the first row that is read.
     ///
     /// Failure guarded against: all instances end and start again, and work that crashed
@@ -223,7 +235,7 @@
         refused.sort_unstable();
         let suspects = self.ledger.suspects_to_store(now);
         let key = match &self.row {
-            Some(row) if self.is_row_current(now, row, &refused, &suspects) => {
+            Some(row) if !self.is_lost() && self.is_row_current(now, row, &refused, &suspects) => {
                 self.outdated_since = None;
                 return None;
             }
@@ -288,7 +300,7 @@
     }
 
     fn write_crashes(&mut self, now: Mono, events: &mpsc::Sender<Event>) {
-        let Some(leader_version) = self.leadership.row_version() else {
+        let Some(mut preconditions) = self.leadership.preconditions(&self.cluster) else {
             return;
         };
         // A claim changes the version of the leader's row, and this write would be refused.
@@ -306,15 +318,14 @@
                 return;
             }
         };
+        preconditions.push((CRASHES_KEY.to_owned(), crashes.expected()));
         crashes.writing = true;
         crashes.write_after = now.plus(WRITE_PAUSE_MS);
         crashes.outdated_since = None;
         let change = ConditionalWrite {
-            preconditions: vec![
-                (LEADER_KEY.to_owned(), leader_version),
-                (CRASHES_KEY.to_owned(), crashes.expected()),
-            ],
+            preconditions,
             put: vec![(CRASHES_KEY.to_owned(), value)],
+            remove: Vec::new(),
         };
         let (store, events) = (self.store.clone(), events.clone());
         tokio::spawn(async move {
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -4,14 +4,14 @@
 use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::cold::{self, LeaderStanding};
 use citronway_core::gateway::election::{
-    self, ElectionView, FormerLeader, LeaderRow, PeerState, Strength,
+    self, ElectionView, FormerLeader, LeaderRow, PeerState, RestoredView, Strength,
 };
 use citronway_core::gateway::leader::{
     Action, FormerLeaderLimits, Leader, LeaderSettings, Order, OrderResult, WriteResult,
 };
 use citronway_core::gateway::report::Report;
 use citronway_core::gateway::stated_limits;
-use citronway_core::gateway::version::RowVersion;
+use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_core::ids::{ServiceName, Session};
 use citronway_core::time::Mono;
 use citronway_platform::store::ConditionalWrite;
@@ -63,6 +63,8 @@
     placer: Placer,
     /// The leader's row that names this instance; `None` while another instance leads.
     own_row: Option<LeaderRow>,
+    /// Version of the row that was written with the claim of this leader.
+    claim_version: RowVersion,
     /// Highest term of any leader that is known.
     term: u64,
     confirmed_at: Mono,
@@ -91,6 +93,7 @@
             leaders: IndexMap::new(),
             placer: Placer::default(),
             own_row: None,
+            claim_version: RowVersion::NONE,
             term: 0,
             confirmed_at: Mono::default(),
             claim_pending: false,
@@ -146,7 +149,8 @@
         if cluster.store_lost() {
             return Some("the store does not answer");
         }
-        if self.own_row.is_some() && now.since(self.confirmed_at) > UNCONFIRMED_MS {
+        let is_confirmable = !self.must_claim_again(cluster) && self.own_row.is_some();
+        if is_confirmable && now.since(self.confirmed_at) > UNCONFIRMED_MS {
             return Some("the store has not confirmed the leader");
         }
         if self.is_cut_off {
@@ -168,6 +172,27 @@
         }
     }
 
+    /// Whether this instance leads by a row of an earlier era of the store.
+    fn must_claim_again(&self, cluster: &Cluster) -> bool {
+        let row = self.own_row.as_ref();
+        row.and_then(|row| row.era)
+            .is_some_and(|era| era < cluster.era)
+    }
+
+    /// Records that the store came back from a copy, in this era. A leader renews the grants that it
+    /// sent until it has claimed again or knows of another leader.
+    pub(super) fn enter_era(&mut self, era: Era) {
+        self.term = self.term.max(era.first_term());
+        self.first_claim = None;
+        // The claim is due at once.
+        self.claim_after = Mono::default();
+        let Some(row) = &self.own_row else { return };
+        log::warn!(era = era.0, term = row.term; "this leader is not confirmed in the new era of the store");
+        for leader in self.leaders.values_mut() {
+            leader.store_restored();
+        }
+    }
+
     /// Whether this instance is the leader, as far as it knows.
     pub(super) const fn is_leader(&self) -> bool {
         self.own_row.is_some()
@@ -192,13 +217,23 @@
         Some(LeaderStanding {
             confirmed_at: self.confirmed_at,
             former_leader_limits: self.former_limits,
-            former_leaders: u32::try_from(row.former.len()).unwrap_or(u32::MAX),
+            former_leaders: row.former.iter().map(FormerLeader::most_leaders).sum(),
         })
     }
 
-    /// Version of the leader's row by which this instance leads; `None` if it does not.
-    pub(super) fn row_version(&self) -> Option<RowVersion> {
-        self.own_row.as_ref().map(|row| row.version)
+    /// Rows that a write of this leader names, with their versions; `None` if it may not write.
+    pub(super) fn preconditions(&self, cluster: &Cluster) -> Option<Vec<(String, RowVersion)>> {
+        let row = self.own_row.as_ref()?;
+        if self.must_claim_again(cluster) {
+            return None;
+        }
+        Some(vec![
+            (own_rows::LEADER_KEY.to_owned(), row.version),
+            (
+                own_rows::claim_key(self.me.id, row.term),
+                self.claim_version,
+            ),
+        ])
     }
 
     /// Takes rows that another instance relayed. They do not confirm this instance as the
@@ -215,8 +250,11 @@
                 .leaders
                 .entry(service.clone())
                 .or_insert_with(|| Leader::new(self.cfg, service.clone()));
-            if owners.version > leader.version() {
-                leader.update_row(owners.assignment.as_ref().clone(), owners.version);
+            // After a restore the known content may be newer than the stored row.
+            let stored = cluster.assignment_versions.get(service).copied();
+            let version = stored.unwrap_or(owners.version);
+            if version > leader.version() {
+                leader.update_row(owners.assignment.as_ref().clone(), version);
             }
         }
     }
@@ -237,6 +275,10 @@
         is_full: bool,
     ) -> bool {
         self.update_assignments(cluster);
+        // Nobody is confirmed by a row of an earlier era.
+        if cluster.is_restored() {
+            return false;
+        }
         let Some(row) = &cluster.leader else {
             return false;
         };
@@ -261,7 +303,7 @@
                 leader.confirm(sent_at);
             }
         } else if row.term == self.term {
-            if !is_full && cluster.peers.has_totals() {
+            if !is_full && cluster.peers.has_totals() && !self.must_claim_again(cluster) {
                 return true;
             }
             self.become_leader(now, sent_at, row, cluster);
@@ -271,8 +313,9 @@
 
     fn become_leader(&mut self, now: Mono, sent_at: Mono, row: &LeaderRow, cluster: &Cluster) {
         let former = row.former.len();
-        log::info!(term = row.term, former; "this instance leads");
+        log::info!(term = row.term, former, era = cluster.era.0, first_fence = row.first_fence; "this instance leads");
         self.own_row = Some(row.clone());
+        self.claim_version = row.version;
         self.confirmed_at = sent_at;
         self.former_leaders_stopped = false;
         self.placer.reset();
@@ -282,8 +325,9 @@
                 .or_insert_with(|| Leader::new(self.cfg, service));
         }
         self.former_limits = self.former_leader_limits(now, cluster);
+        let limits = self.former_limits;
         for leader in self.leaders.values_mut() {
-            leader.begin_term(sent_at, self.former_limits);
+            begin_term(leader, sent_at, limits, row.first_fence);
         }
     }
 
@@ -360,11 +404,16 @@
         for service in cluster.sharded() {
             self.leaders.entry(service.clone()).or_insert_with(|| {
                 let mut leader = Leader::new(self.cfg, service);
-                leader.begin_term(self.confirmed_at, FormerLeaderLimits::default());
+                let limits = match own_row.first_fence {
+                    Some(_) => self.former_limits,
+                    None => FormerLeaderLimits::default(),
+                };
+                begin_term(&mut leader, self.confirmed_at, limits, own_row.first_fence);
                 leader
             });
         }
         self.placer.place(now, cluster, &mut self.leaders);
+        let preconditions = self.preconditions(cluster);
         for leader in self.leaders.values_mut() {
             for action in leader.step(now, &cluster.registry) {
                 match action {
@@ -373,13 +422,18 @@
                         service,
                         row,
                         expected,
-                    } => match assignment_write(&own_row, service.clone(), row, expected) {
-                        Ok(write) => due.writes.push(write),
-                        Err(e) => {
-                            let service = service.as_str();
-                            log::error!(service, cause = e.to_string(); "assignment not written");
+                    } => {
+                        let Some(preconditions) = preconditions.clone() else {
+                            continue;
+                        };
+                        match assignment_write(preconditions, service.clone(), row, expected) {
+                            Ok(write) => due.writes.push(write),
+                            Err(e) => {
+                                let service = service.as_str();
+                                log::error!(service, cause = e.to_string(); "assignment not written");
+                            }
                         }
-                    },
+                    }
                 }
             }
         }
@@ -393,6 +447,9 @@
         }
         let states = cluster.peers.states();
         let stopped = |former: &FormerLeader| {
+            if former.is_of_earlier_eras() {
+                return cluster.peers.all_know_term(own_row.term);
+            }
             former.session.instance == self.me.instance
                 || election::has_stopped(&former.session, own_row.term, &states)
         };
@@ -419,11 +476,17 @@
             .own_row
             .as_ref()
             .filter(|own_row| !own_row.former.is_empty())?;
-        let free = self.former_leaders_stopped || now > self.former_limits.hold_until;
+        let is_restoring = self.leaders.values().any(Leader::is_restoring);
+        let has_ended = self.former_leaders_stopped || now > self.former_limits.hold_until;
+        let free = has_ended && !is_restoring;
         if !free || self.claim_pending || now < self.claim_after {
             return None;
         }
-        let value = own_rows::leader_value(&self.me, own_row.term, Vec::new());
+        let value = own_rows::leader_value(&LeaderRow {
+            former: Vec::new(),
+            first_fence: None,
+            ..own_row.clone()
+        });
         let value = value
             .inspect_err(|e| log::error!(cause = e.to_string(); "leader row not written"))
             .ok()?;
@@ -432,6 +495,7 @@
         Some(ConditionalWrite {
             preconditions: vec![(own_rows::LEADER_KEY.to_owned(), own_row.version)],
             put: vec![(own_rows::LEADER_KEY.to_owned(), value)],
+            remove: Vec::new(),
         })
     }
 
@@ -455,6 +519,10 @@
             standbys: cluster.peers.standbys(),
             instances: cluster.peers.listed_count(),
             is_large_fleet: cluster.peers.is_large_fleet(now) || cluster.peers.has_totals(),
+            restored: cluster.is_restored().then_some(RestoredView {
+                learnt_at: cluster.era_learnt,
+                leads: self.must_claim_again(cluster),
+            }),
         }
     }
 
@@ -466,28 +534,26 @@
     }
 
     fn claim(&mut self, now: Mono, cluster: &Cluster, stopping: bool) -> Option<ConditionalWrite> {
-        if self.claim_pending || now < self.claim_after || self.own_row.is_some() {
+        let leads = self.own_row.is_some() && !self.must_claim_again(cluster);
+        if self.claim_pending || now < self.claim_after || leads {
             return None;
         }
         let peers = cluster.peers.states();
-        let unfit = stopping || self.is_unfit(now, cluster) || !cluster.own_loaded();
+        let unfit = stopping || self.is_unfit(now, cluster) || !cluster.own_is_current();
         if !election::should_claim(now, &self.election_view(now, unfit, cluster, &peers)) {
             return None;
         }
-        let row = cluster.leader.as_ref();
-        let term = row.map_or(0, |row| row.term).max(self.term) + 1;
-        let store_ms = cluster.store_ms(now)?;
-        let wait_ms = self.cfg.former_leader_wait_ms() + CLOCK_MARGIN_MS;
-        let former = election::former_leaders_after(row, &peers, store_ms, wait_ms);
-        let expected = row.map_or(RowVersion::NONE, |row| row.version);
-        let value = match own_rows::leader_value(&self.me, term, former) {
+        let stored = cluster.stored_leader.as_ref();
+        let expected = stored.map_or(RowVersion::absent(cluster.era), |row| row.version);
+        let row = self.claimed_row(now, cluster, &peers)?;
+        let value = match own_rows::leader_value(&row) {
             Ok(value) => value,
             Err(e) => {
                 log::error!(cause = e.to_string(); "leader row not written");
                 return None;
             }
         };
-        log::info!(term; "claiming leadership");
+        log::info!(term = row.term, era = cluster.era.0, restored = cluster.is_restored(); "claiming leadership");
         self.claim_pending = true;
         if self
             .first_claim
@@ -496,30 +562,72 @@
             self.first_claim = Some((expected, now));
         }
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
+        let claim = own_rows::claim_key(self.me.id, row.term);
+        let replaced = stored.map(|row| own_rows::claim_key(row.session, row.term));
         Some(ConditionalWrite {
             preconditions: vec![(own_rows::LEADER_KEY.to_owned(), expected)],
-            put: vec![(own_rows::LEADER_KEY.to_owned(), value)],
+            put: vec![
+                (own_rows::LEADER_KEY.to_owned(), value),
+                (claim.clone(), b"{}".to_vec()),
+            ],
+            remove: replaced.into_iter().filter(|key| *key != claim).collect(),
         })
     }
+
+    /// The row by which this instance would lead.
+    fn claimed_row(&self, now: Mono, cluster: &Cluster, peers: &[PeerState]) -> Option<LeaderRow> {
+        let stored = cluster.stored_leader.as_ref();
+        let store_ms = cluster.store_ms(now)?;
+        let wait_ms = self.cfg.former_leader_wait_ms() + CLOCK_MARGIN_MS;
+        let term = stored.map_or(0, |row| row.term).max(self.term);
+        let (former, first_fence) = if cluster.is_restored() {
+            let all = FormerLeader::of_earlier_eras(store_ms + wait_ms);
+            (vec![all], Some(cluster.era.first_fence()))
+        } else {
+            let former = election::former_leaders_after(stored, peers, store_ms, wait_ms);
+            (former, stored.and_then(|row| row.first_fence))
+        };
+        Some(LeaderRow {
+            instance: self.me.instance.clone(),
+            session: self.me.id,
+            term: term.max(cluster.first_term()) + 1,
+            former,
+            version: RowVersion::NONE,
+            era: Some(cluster.era),
+            first_fence,
+        })
+    }
+}
+
+/// Begins a term; with a first fence, that of a leader after a restore.
+fn begin_term(
+    leader: &mut Leader,
+    contact: Mono,
+    former_leaders: FormerLeaderLimits,
+    first_fence: Option<u64>,
+) {
+    match first_fence {
+        Some(first_fence) => leader.begin_restored_term(contact, former_leaders, first_fence),
+        None => leader.begin_term(contact, former_leaders),
+    }
 }
 
 fn assignment_write(
-    own_row: &LeaderRow,
+    mut preconditions: Vec<(String, RowVersion)>,
     service: ServiceName,
     row: Assignment,
     expected: RowVersion,
 ) -> Result<AssignmentWrite, RowError> {
     let key = own_rows::assignment_key(&service);
     let value = row.to_bytes()?;
+    preconditions.push((key.clone(), expected));
     Ok(AssignmentWrite {
         service,
         row,
         change: ConditionalWrite {
-            preconditions: vec![
-                (own_rows::LEADER_KEY.to_owned(), own_row.version),
-                (key.clone(), expected),
-            ],
+            preconditions,
             put: vec![(key, value)],
+            remove: Vec::new(),
         },
     })
 }
--- a/crates/citronway/src/gateway/control/first.rs
+++ b/crates/citronway/src/gateway/control/first.rs
@@ -71,17 +71,27 @@
             return;
         }
         self.registration = Registration::Pending;
-        let row = InstanceRow {
-            session: self.me.clone(),
-            address: self.cfg.reports,
-            zone: self.cfg.zone.clone(),
-        };
+        let row = self.instance_row();
         if self.cluster.is_listed_as(&row) {
             self.registration = Registration::Done;
             self.leadership.set_known_since(self.started);
             log::info!("instance is listed in the store already");
             return;
         }
+        self.write_instance_row(row, events);
+    }
+
+    /// The row by which other instances find this one.
+    pub(super) fn instance_row(&self) -> InstanceRow {
+        InstanceRow {
+            session: self.me.clone(),
+            address: self.cfg.reports,
+            zone: self.cfg.zone.clone(),
+        }
+    }
+
+    /// Writes the row of this instance, at a time by which the instances are spread.
+    pub(super) fn write_instance_row(&self, row: InstanceRow, events: &mpsc::Sender<Event>) {
         let spread_ms = register_after_ms(&self.cfg);
         let (store, events) = (self.store.clone(), events.clone());
         tokio::spawn(async move {
@@ -128,6 +138,7 @@
     let change = ConditionalWrite {
         preconditions: Vec::new(),
         put: vec![(own_rows::instance_key(&row.session.instance), value)],
+        remove: Vec::new(),
     };
     let mut store = Store::new(store);
     while let Err(e) = store.change(&change).await {
--- a/crates/citronway/src/gateway/control/hearing.rs
+++ b/crates/citronway/src/gateway/control/hearing.rs
@@ -5,7 +5,7 @@
 use citronway_core::gateway::report::{Report, Totals};
 use citronway_core::gateway::rows::{Relay, Table};
 use citronway_core::gateway::tree::Role;
-use citronway_core::gateway::version::RowVersion;
+use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_wire::report::{self as datagram, Datagram};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -16,6 +16,7 @@
 impl Control {
     fn on_relay(&mut self, events: &mpsc::Sender<Event>, relay: &Relay) {
         let now = clock::mono();
+        self.hear_era(now, relay.position.era, "relay");
         if self.poll_control(relay.table).position() == RowVersion::NONE {
             return;
         }
@@ -26,7 +27,8 @@
             return;
         }
         self.poll_control(relay.table).advance(relay.position);
-        if relay.rows.is_empty() && relay.patches.is_empty() {
+        let is_new_era = relay.position.era > newest.era;
+        if relay.rows.is_empty() && relay.patches.is_empty() && !is_new_era {
             return;
         }
         let table = relay.table;
@@ -68,6 +70,8 @@
 
     fn on_totals(&mut self, socket: &UdpSocket, mut totals: Totals, from: SocketAddr) {
         let now = clock::mono();
+        let era = totals.seen.era().max(Era::of_term(totals.term));
+        self.hear_era(now, era, totals.leader.instance.as_str());
         if totals.term < self.leadership.term() {
             // The sender was replaced as the leader and does not know it yet.
             self.send_term(now, socket, from);
@@ -114,6 +118,8 @@
         if is_own || !self.cluster.peers.record_report(now, report, from) {
             return;
         }
+        let era = report.seen.era().max(Era::of_term(report.term));
+        self.hear_era(now, era, report.instance.as_str());
         self.cluster.record_traffic(now, report);
         self.leadership.record_traffic(now, report);
         self.leadership.observe_term(report.term);
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod duty;
 mod entries;
+mod eras;
 mod first;
 mod following;
 mod hearing;
@@ -217,6 +218,10 @@
     pending_copies: Vec<Table>,
     /// Whether the store lists this instance.
     registration: Registration,
+    /// When this process listed itself; `None` if it was listed before.
+    registered_at: Option<Mono>,
+    /// When it lists itself again after a restore of the store.
+    relist_at: Option<Mono>,
 }
 
 impl Control {
@@ -273,6 +278,8 @@
             relays_heard_at: Mono::default(),
             pending_copies: Vec::new(),
             registration: Registration::NotStarted,
+            registered_at: None,
+            relist_at: None,
         }
     }
 
@@ -322,6 +329,7 @@
                 () = sleep_until(next_run) => {}
             }
             self.receive_datagrams(&socket, &events_tx, &mut buf);
+            self.apply_held_rows(clock::mono(), &socket);
             let now = Instant::now();
             if now < not_before {
                 next_run = not_before;
@@ -355,17 +363,22 @@
                 sent_at,
                 current_at,
             } => {
+                // Rows of a new era must not meet decisions of the earlier one.
+                self.observe_era(now, "store");
                 self.metrics
                     .count_poll(table, matches!(update, TableUpdate::Lost(_)));
                 let is_full = matches!(update, TableUpdate::Loaded { .. });
                 match &update {
                     TableUpdate::Changed { relay, .. } => self.relay_rows(now, socket, relay),
-                    TableUpdate::Loaded { rows, version, .. } if self.leadership.is_leader() => {
-                        let relay = self.cluster.changes_from_list(table, rows, *version);
-                        self.relay_rows(now, socket, &relay);
-                    }
                     TableUpdate::Loaded { .. } | TableUpdate::Lost(_) => {}
                 }
+                let update = self.cluster.merge_update(now, table, update);
+                if let TableUpdate::Loaded { rows, version, .. } = &update
+                    && self.leadership.is_leader()
+                {
+                    let relay = self.cluster.changes_from_list(table, rows, *version);
+                    self.relay_rows(now, socket, &relay);
+                }
                 let status = self.cluster.apply_update(now, table, update);
                 if status == StoreStatus::Regained {
                     self.retry_lost_tables();
@@ -411,6 +424,7 @@
             Event::CrashesWritten { done } => self.on_crashes_written(now, done),
             Event::Registered => {
                 self.registration = Registration::Done;
+                self.registered_at = Some(now);
                 log::info!("instance is listed in the store");
             }
             Event::CopyRequested {
@@ -471,7 +485,8 @@
         }
         let (zones, ranges) = self.cluster.count_evacuated();
         self.metrics.set_evacuated(zones, ranges);
-        self.observe_era();
+        self.observe_era(now, "store");
+        self.relist(now, events);
         for (source, count) in self.cluster.unusable.take_counts() {
             self.metrics.count_unusable(source, count);
         }
@@ -491,20 +506,6 @@
         }
     }
 
-    /// Logs a new era of the store, and statements about it that cannot be used.
-    fn observe_era(&mut self) {
-        if let Some((cause, count)) = self.store.era.take_unusable() {
-            self.cluster.unusable.record_era(cause.to_string(), count);
-        }
-        let era = self.store.era.get();
-        if era == self.cluster.era {
-            return;
-        }
-        log::warn!(era = era.0, before = self.cluster.era.0; "era of the store");
-        self.cluster.era = era;
-        self.metrics.set_store_era(era);
-    }
-
     fn publish(&mut self, now: Mono) {
         let mut view = self.cluster.view(now);
         if self.leadership.is_leader() {
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -4,8 +4,8 @@
 use citronway_core::gateway::assignment::{Assignment, RowError};
 use citronway_core::gateway::election::{FormerLeader, LeaderRow};
 use citronway_core::gateway::rows::{Patch, Relay, Row, Table};
-use citronway_core::gateway::version::RowVersion;
-use citronway_core::ids::{InstanceName, ServiceName, Session};
+use citronway_core::gateway::version::{Era, RowVersion};
+use citronway_core::ids::{InstanceName, ServiceName, Session, SessionId};
 use citronway_core::time::Mono;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -23,6 +23,14 @@
 /// Key of the row about requests that crash endpoints.
 pub(super) const CRASHES_KEY: &str = "crashes";
 
+/// Prefix of the keys of rows that are written with the claim of a leader and removed by the next
+/// claim, followed by the leader's term and session.
+///
+/// Failure guarded against: the store comes back from a copy and gives out the versions of lost rows
+/// again. A write of an earlier leader that is carried out late finds the versions that it names, and
+/// replaces the row of another leader. The key of its claim never comes again.
+const CLAIM_PREFIX: &str = "claim/";
+
 /// Prefix of the keys of assignments, followed by the service.
 const KEYS_PREFIX: &str = "keys/";
 
@@ -35,6 +43,11 @@
     session: Session,
     term: u64,
     former: Vec<FormerLeader>,
+    /// Missing in rows of releases that know no era.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    first_fence: Option<u64>,
 }
 
 impl Cluster {
@@ -85,32 +98,71 @@
         value: &[u8],
     ) -> Result<(), RowError> {
         let stored = serde_json::from_slice::<StoredLeader>(value)?;
-        if self
-            .leader
-            .as_ref()
-            .is_some_and(|row| row.version >= version)
-        {
+        let known = self.stored_leader.as_ref();
+        if known.is_some_and(|row| row.version >= version) {
+            return Ok(());
+        }
+        let row = LeaderRow {
+            instance: stored.session.instance,
+            session: stored.session.id,
+            term: stored.term,
+            former: stored.former,
+            version,
+            era: stored.era.map(Era),
+            first_fence: stored.first_fence,
+        };
+        self.stored_leader = Some(row.clone());
+        // A row of an earlier era may name a leader that was replaced long ago.
+        if self.is_restored() && self.leader.is_some() {
+            let instance = row.instance.as_str();
+            log::info!(instance, term = row.term, version = version.number, era = version.era.0; "leader row of an earlier era");
             return Ok(());
         }
         if self
             .leader
             .as_ref()
-            .is_none_or(|row| row.term < stored.term)
+            .is_none_or(|known| known.term < row.term)
         {
-            let instance = stored.session.instance.as_str();
-            log::info!(instance, term = stored.term; "leader");
+            let instance = row.instance.as_str();
+            log::info!(instance, term = row.term; "leader");
             self.leader_seen = now;
         }
-        self.leader = Some(LeaderRow {
-            instance: stored.session.instance,
-            session: stored.session.id,
-            term: stored.term,
-            former: stored.former,
-            version,
-        });
+        self.leader = Some(row);
         Ok(())
     }
 
+    /// Whether the store came back from a copy and no leader was elected since.
+    pub(super) fn is_restored(&self) -> bool {
+        if self.era == Era::FIRST {
+            return false;
+        }
+        match &self.stored_leader {
+            Some(row) => row.era.map_or(self.era_changed, |era| era < self.era),
+            None => self.era_changed || !self.first_start,
+        }
+    }
+
+    /// Records that a list of all own rows in this version lacks rows that are known.
+    pub(super) fn apply_absent_own_rows(&mut self, rows: &[Row], version: RowVersion) {
+        let listed = |key: &str| rows.iter().any(|row| row.key == key);
+        let is_gone = |known: RowVersion, key: &str| known.era < version.era && !listed(key);
+        let stored = self.stored_leader.as_ref();
+        if stored.is_some_and(|row| is_gone(row.version, LEADER_KEY)) {
+            log::warn!(era = version.era.0; "the restored store names no leader");
+            self.stored_leader = None;
+        }
+        for (service, known) in &mut self.assignment_versions {
+            if is_gone(*known, &assignment_key(service)) {
+                let service = service.as_str();
+                log::warn!(service, era = version.era.0; "the restored store has no assignment");
+                *known = RowVersion::absent(version.era);
+            }
+        }
+        if !listed(CRASHES_KEY) {
+            self.crashes.row_is_absent(version.era);
+        }
+    }
+
     fn apply_assignment_row(
         &mut self,
         service: &ServiceName,
@@ -118,13 +170,37 @@
         value: &[u8],
     ) -> Result<(), RowError> {
         let assignment = Assignment::from_bytes(value)?;
-        let known = self.owners.get(service);
-        if known.is_none_or(|known| known.version < version) {
-            self.set_owners(service, version, assignment);
+        let newest = self.assignment_versions.entry(service.clone()).or_default();
+        if *newest >= version {
+            return Ok(());
         }
+        *newest = version;
+        // Others know the row by its version of the earlier era, and changes of it refer to that one.
+        if self.is_older_assignment(service, version.era, &assignment) {
+            let service = service.as_str();
+            log::warn!(service, version = version.number, era = version.era.0; "restored assignment is not newer than the known one");
+            return Ok(());
+        }
+        self.set_owners(service, version, assignment);
         Ok(())
     }
 
+    /// Whether an assignment is older than the known one, though its row has a newer version. It is
+    /// then from a copy of the store. Next fences only grow, and moves may end without a new one.
+    fn is_older_assignment(
+        &self,
+        service: &ServiceName,
+        era: Era,
+        assignment: &Assignment,
+    ) -> bool {
+        self.owners.get(service).is_some_and(|known| {
+            let next_fence = known.assignment.next_fence;
+            let is_restored = known.version.era < era;
+            assignment.next_fence < next_fence
+                || (is_restored && assignment.next_fence == next_fence)
+        })
+    }
+
     fn set_owners(&mut self, service: &ServiceName, version: RowVersion, assignment: Assignment) {
         let moving = assignment
             .ranges
@@ -148,7 +224,7 @@
             ..relay.clone()
         };
         for row in &relay.rows {
-            if self.is_known_assignment(row) {
+            if self.is_known_assignment(row) || self.is_restored_assignment(row) {
                 continue;
             }
             match self.patch_for(row) {
@@ -167,6 +243,23 @@
         known.is_some_and(|known| known.version >= row.version)
     }
 
+    /// Whether a row is an assignment from a copy of the store that is older than the known one.
+    fn is_restored_assignment(&self, row: &Row) -> bool {
+        let service = row.key.strip_prefix(KEYS_PREFIX).map(ServiceName::new);
+        let (Some(service), Some(value)) = (service, &row.value) else {
+            return false;
+        };
+        let known = self.owners.get(&service);
+        if known.is_none_or(|known| known.version.era == row.version.era) {
+            return false;
+        }
+        // A malformed row is relayed as it is, and each receiver logs it.
+        let assignment = Assignment::from_bytes(value);
+        assignment.is_ok_and(|assignment| {
+            self.is_older_assignment(&service, row.version.era, &assignment)
+        })
+    }
+
     /// A relay of an assignment that was just written; `None` if this version or a newer
     /// one is known, or if it can't be encoded.
     pub(super) fn relay_of_write(
@@ -236,6 +329,8 @@
         match known.assignment.with_changes(&patch.change) {
             Ok(assignment) => {
                 let service = ServiceName::new(patch.key.trim_start_matches(KEYS_PREFIX));
+                let newest = self.assignment_versions.entry(service.clone()).or_default();
+                *newest = patch.version.max(*newest);
                 self.set_owners(&service, patch.version, assignment);
                 self.own.observe_version(patch.version);
                 self.changed = true;
@@ -260,7 +355,17 @@
 /// Whether a gap in the versions of this row of the own table shows that earlier rows were
 /// missed.
 pub(super) fn is_sequenced(key: &str) -> bool {
-    !is_instance(key) && key != LEADER_KEY
+    !is_instance(key) && !is_claim(key) && key != LEADER_KEY
+}
+
+/// Whether a key of the own table is that of a leader's claim.
+pub(super) fn is_claim(key: &str) -> bool {
+    key.starts_with(CLAIM_PREFIX)
+}
+
+/// Key of the row that is written with the claim of a leader.
+pub(super) fn claim_key(session: SessionId, term: u64) -> String {
+    format!("{CLAIM_PREFIX}{term}-{:x}", session.0)
 }
 
 /// The row of an assignment, with all patches since the row was read; `None` if it can't be
@@ -292,14 +397,15 @@
 }
 
 /// Stored form of the leader's row.
-pub(super) fn leader_value(
-    me: &Session,
-    term: u64,
-    former: Vec<FormerLeader>,
-) -> Result<Vec<u8>, serde_json::Error> {
+pub(super) fn leader_value(row: &LeaderRow) -> Result<Vec<u8>, serde_json::Error> {
     serde_json::to_vec(&StoredLeader {
-        session: me.clone(),
-        term,
-        former,
+        session: Session {
+            instance: row.instance.clone(),
+            id: row.session,
+        },
+        term: row.term,
+        former: row.former.clone(),
+        era: row.era.map(|era| era.0),
+        first_fence: row.first_fence,
     })
 }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -278,6 +278,13 @@
             .collect()
     }
 
+    /// Whether each listed instance has reported a leader's term that is not lower than this one, so
+    /// that none of them leads in an earlier era of the store.
+    pub(super) fn all_know_term(&self, term: u64) -> bool {
+        let mut states = self.all.values().map(|peer| peer.state.as_ref());
+        states.all(|state| state.is_some_and(|state| state.term >= term))
+    }
+
     /// Number of other instances that are heard.
     pub(super) fn heard_count(&self, now: Mono) -> usize {
         self.fresh(now).count()
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -311,8 +311,10 @@
         }
         // Load: 295 instances list themselves within 2 s, and each row would go to all.
         // Only a leader needs them, and reads them when it becomes leader.
-        relay.rows.retain(|row| !own_rows::is_instance(&row.key));
-        if relay.rows.is_empty() && relay.patches.is_empty() {
+        let is_for_all = |key: &str| !own_rows::is_instance(key) && !own_rows::is_claim(key);
+        relay.rows.retain(|row| is_for_all(&row.key));
+        let is_new_era = relay.position.era > relay.after.era;
+        if relay.rows.is_empty() && relay.patches.is_empty() && !is_new_era {
             return;
         }
         for bytes in relays::in_datagrams(relay) {
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -229,6 +229,10 @@
         })
     }
 
+    pub(super) fn is_passive(&self) -> bool {
+        self.passive.load(Ordering::Relaxed)
+    }
+
     /// Position in the table's history.
     pub(super) fn position(&self) -> RowVersion {
         *self.lock_position()
@@ -414,6 +418,7 @@
                 let now_ms = rows.now_ms;
                 Polled::Update(TableUpdate::Changed { relay, now_ms })
             }
+            Err(StoreError::Era(AnswerEraError::Earlier { .. })) => Polled::HistoryGone,
             Err(StoreError::Refused(StoreRefusal::HistoryGone)) => {
                 log::info!(table = self.table.as_str(); "table history is gone; reading the whole table");
                 Polled::HistoryGone
