--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
 use serde_json::json;
 
 use super::callers::{HARMFUL_PATH, patient_routes};
@@ -12,8 +13,8 @@
 use super::plan::{Fault, SHARDED, Soak};
 use super::proxy::{Mode, Proxy};
 use crate::shared::{
-    BrokenRest, Excess, FencedEndpoint, LateArrival, Ran, STABLE, SharedStore, StoreFault,
-    configuration,
+    BrokenRest, Excess, FencedEndpoint, LateArrival, LostChanges, Ran, STABLE, SharedStore,
+    StoreCopy, StoreFault, configuration,
 };
 
 /// Time that endpoints work on a request.
@@ -23,6 +24,9 @@
 /// than the time of any route.
 const LONG_WORK: Duration = Duration::from_secs(20);
 
+/// Time from the store's return until others have written again what it has lost.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(600);
+
 /// Time between two looks at whether work that was put off has been done.
 const PUT_OFF_LOOK: Duration = Duration::from_millis(5);
 
@@ -99,6 +103,10 @@
     harmful: bool,
     /// When the endpoint without keys was seen to have crashed.
     crashed_at: Option<Instant>,
+    /// Copies of the store from which it comes back.
+    copies: IndexMap<usize, StoreCopy>,
+    /// What the operator and endpoints write again after a restore, and when.
+    lost: Vec<(Instant, LostChanges)>,
 }
 
 impl Fleet {
@@ -125,6 +133,8 @@
             births: 0,
             harmful: soak.harmful,
             crashed_at: None,
+            copies: IndexMap::new(),
+            lost: Vec::new(),
         };
         for n in 0..SHARDED {
             fleet
@@ -194,6 +204,9 @@
             Fault::StoreLink(n, mode) => self.instances[n].link.set(mode),
             Fault::Store(how) => self.store.fail(how),
             Fault::Forget => self.store.forget(),
+            Fault::Restore(n) => {
+                self.copies.insert(n, self.store.copy());
+            }
             Fault::EndpointLink(n, mode) => {
                 self.servers[n].link.set(mode);
                 self.servers[n].disturbed.push((Instant::now(), None));
@@ -235,6 +248,12 @@
             Fault::Pause(n) => self.instances[n].go_on(),
             Fault::StoreLink(n, _) => self.instances[n].link.set(Mode::Pass),
             Fault::Store(_) => self.store.fail(StoreFault::None),
+            Fault::Restore(n) => {
+                if let Some(copy) = self.copies.swap_remove(&n) {
+                    let lost = self.store.restore(copy);
+                    self.lost.push((Instant::now() + WRITTEN_AGAIN_AFTER, lost));
+                }
+            }
             Fault::EndpointLink(n, _) => self.servers[n].mend_link(),
             Fault::InstanceCut(n, endpoint, _) => self.set_links(n, endpoint, Mode::Pass),
             Fault::DropAnswers(n) => self.servers[n].now.drop_answers(false),
@@ -250,6 +269,15 @@
         Ok(())
     }
 
+    /// Has the operator and endpoints write again what restores have lost, if it is time.
+    pub fn write_again(&mut self) {
+        let now = Instant::now();
+        while let Some(i) = self.lost.iter().position(|(at, _)| *at <= now) {
+            let (_, lost) = self.lost.swap_remove(i);
+            self.store.write_again(lost);
+        }
+    }
+
     /// Brings the endpoint without keys back when it has crashed a while ago.
     ///
     /// # Errors
@@ -306,6 +334,9 @@
     /// When an endpoint cannot be started in place of one that leaves.
     pub fn heal(&mut self) -> io::Result<()> {
         self.store.fail(StoreFault::None);
+        for (_, lost) in self.lost.drain(..) {
+            self.store.write_again(lost);
+        }
         for n in 0..self.servers.len() {
             let server = &mut self.servers[n];
             server.mend_link();
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -59,6 +59,15 @@
 /// Rests for which endpoints ask, in milliseconds.
 const RESTS_MS: [u64; 4] = [400, 1_000, 2_500, 4_000];
 
+/// Fewest and most times that the store comes back from a copy in one soak.
+const RESTORES: (usize, usize) = (1, 3);
+
+/// Longest time for which the store is away before it comes back, in milliseconds.
+const AWAY_MS: u64 = 1_500;
+
+/// Sets the draws of the restores apart from those of the other faults.
+const RESTORES_STREAM: u64 = 0x7265_7374_6f72;
+
 /// Sets the draws of the rests apart from those of the other faults.
 const RESTS_STREAM: u64 = 0x7265_7374_7300;
 
@@ -99,6 +108,8 @@
     pub departures: bool,
     /// Besides, endpoints reject requests and ask for rest.
     pub rests: bool,
+    /// Besides, the store comes back from copies of itself.
+    pub restores: bool,
 }
 
 impl Soak {
@@ -114,6 +125,7 @@
             cuts: false,
             departures: false,
             rests: false,
+            restores: false,
         }
     }
 
@@ -165,11 +177,21 @@
         }
     }
 
+    /// Signals in series and a store that comes back from copies of itself.
+    #[must_use]
+    pub const fn with_restores(seed: u64) -> Self {
+        Self {
+            restores: true,
+            ..Self::with_signals(seed)
+        }
+    }
+
     /// Everything at once.
     #[must_use]
     pub const fn with_all(seed: u64) -> Self {
         Self {
             limits: true,
+            restores: true,
             ..Self::with_harmful(seed)
         }
     }
@@ -194,6 +216,9 @@
     Store(StoreFault),
     /// The store forgets its history.
     Forget,
+    /// A copy of the store is taken at the beginning, and the store comes back from it at the end.
+    /// The number tells copies apart.
+    Restore(usize),
     /// The link of all instances to an endpoint misbehaves.
     EndpointLink(usize, Mode),
     /// The links of an instance to all endpoints misbehave, or to one.
@@ -268,6 +293,12 @@
             plan.push(rest(&mut rng));
         }
     }
+    if soak.restores {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ RESTORES_STREAM);
+        for n in 0..rng.random_range(RESTORES.0..=RESTORES.1) {
+            restore(&mut rng, n, &mut plan);
+        }
+    }
     if soak.cuts {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
         for _ in 0..rng.random_range(CUTS.0..=CUTS.1) {
@@ -300,6 +331,26 @@
     }
 }
 
+/// The store is away and comes back from a copy; every other time it answers all the while.
+fn restore(rng: &mut StdRng, number: usize, plan: &mut Vec<Planned>) {
+    let at = Duration::from_millis(rng.random_range(0..LENGTH_MS / 2));
+    let lasts = Duration::from_millis(rng.random_range(300..LENGTH_MS / 2));
+    plan.push(Planned {
+        at,
+        lasts,
+        fault: Fault::Restore(number),
+    });
+    if rng.random_range(0..2) == 0 {
+        return;
+    }
+    let away = Duration::from_millis(rng.random_range(100..AWAY_MS));
+    plan.push(Planned {
+        at: (at + lasts).saturating_sub(away),
+        lasts: away,
+        fault: Fault::Store(StoreFault::Silent),
+    });
+}
+
 /// Signals to several instances at the same time, while an endpoint holds work up.
 fn series(rng: &mut StdRng, instances: usize, plan: &mut Vec<Planned>) {
     let begin = Duration::from_millis(rng.random_range(0..LENGTH_MS * 3 / 4));
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -188,6 +188,7 @@
         while let Some(i) = under_way.iter().position(|p| p.at + p.lasts <= now) {
             fleet.end(under_way.swap_remove(i).fault)?;
         }
+        fleet.write_again();
         fleet.restart_ended()?;
         fleet.replace_crashed(BACK_AFTER)?;
         for key in KEYS {
--- a/crates/citronway/tests/gateway_restored_store.rs
+++ b/crates/citronway/tests/gateway_restored_store.rs
@@ -80,3 +80,76 @@
         std::thread::sleep(Duration::from_millis(2));
     }
 }
+
+/// Sum of the values of a metric's series that have this label.
+fn metric(instance: &gateway_support::Instance, start: &str) -> f64 {
+    let text = instance.metrics();
+    let lines = text.lines().filter(|line| line.starts_with(start));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum()
+}
+
+/// Whether a route is served.
+fn is_served(instance: &gateway_support::Instance, path: &str) -> bool {
+    let reply = instance.try_call(&format!("GET {path}"), "X-Request-Id: r\r\n", "");
+    reply.is_some_and(|reply| reply.status == 200)
+}
+
+/// Guards against eras that cannot be used and change what is known, or stop an instance for good.
+#[gtest]
+fn damaged_eras_change_nothing() {
+    let deployment = Deployment::new();
+    deployment.store.state_era(Some("3"));
+    let instance = deployment.ready_instance("one");
+    let unusable = || metric(&instance, "citronway_unusable_total{source=\"store_era\"}");
+    until("the era is known", || {
+        metric(&instance, "citronway_store_era").eq(&3.0)
+    });
+    for text in ["", "-1", "x", "18446744073709551616", "4|4"] {
+        let before = unusable();
+        deployment.store.state_era(Some(text));
+        until("the statement is counted", || unusable() > before);
+        expect_that!(
+            metric(&instance, "citronway_store_era"),
+            eq(3.0),
+            "{text:?}"
+        );
+    }
+    let before = unusable();
+    deployment.store.state_era(None);
+    until("a missing statement is counted", || unusable() > before);
+    deployment.store.state_era(Some("3"));
+    let more = serde_json::json!([gateway_support::route(
+        "more",
+        "/more/",
+        "idempotent",
+        "console"
+    )]);
+    deployment.configure(9, &more);
+    until("a new configuration is in force", || {
+        is_served(&instance, "/more/x")
+    });
+}
+
+/// Guards against an answer of an earlier era that arrives last and brings its rows back.
+#[gtest]
+fn the_highest_era_stays() {
+    let deployment = Deployment::new();
+    deployment.store.state_era(Some("5"));
+    let instance = deployment.ready_instance("one");
+    deployment.store.state_era(Some("4"));
+    let more = serde_json::json!([gateway_support::route(
+        "more",
+        "/more/",
+        "idempotent",
+        "console"
+    )]);
+    deployment.configure(9, &more);
+    std::thread::sleep(Duration::from_secs(1));
+    expect_that!(metric(&instance, "citronway_store_era"), eq(5.0));
+    expect_that!(is_served(&instance, "/more/x"), eq(false));
+    deployment.store.state_era(Some("5"));
+    until("the configuration is in force", || {
+        is_served(&instance, "/more/x")
+    });
+}
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -49,6 +49,9 @@
 /// sent to such endpoints after the bound.
 const FIXED_DEPARTURES: [u64; 2] = [1_214, 1_219];
 
+/// Seeds that are always run, with a store that comes back from copies of itself.
+const FIXED_RESTORES: [u64; 2] = [1_300, 1_301];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -73,14 +76,15 @@
     soaked
 }
 
-/// Soak of a new seed: limits with few signals, cut links, endpoints that leave, or everything at
-/// once.
+/// Soak of a new seed: limits with few signals, cut links, endpoints that leave, a store that comes
+/// back from copies, or everything at once.
 const fn drawn(seed: u64) -> Soak {
-    match seed % 5 {
+    match seed % 7 {
         0 | 2 => Soak::with_limits(seed),
         1 => Soak::with_all(seed),
         3 => Soak::with_cuts(seed),
-        _ => Soak::with_departures(seed),
+        4 => Soak::with_departures(seed),
+        _ => Soak::with_restores(seed),
     }
 }
 
@@ -125,6 +129,9 @@
     for seed in FIXED_DEPARTURES {
         expect_no_violations(&soak(Soak::with_departures(seed)));
     }
+    for seed in FIXED_RESTORES {
+        expect_no_violations(&soak(Soak::with_restores(seed)));
+    }
     for seed in FIXED_CUTS {
         expect_no_violations(&soak(Soak::with_cuts(seed)));
     }
