Keep the known row about crashes where a restored store has none; held rows do not mark a table as answered

Found by reading: a tombstone of the row, relayed after a restore, cleared what is known of harmful work.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -61,7 +61,10 @@
             }
             "no endpoint answers this instance; requests are passed on to others"
             | "endpoints answer this instance again" => "links to endpoints".to_owned(),
-            "assignment" => format!("owners of {}", self.text("service")?),
+            "assignment" | "restored assignment is not newer than the known one" => {
+                format!("owners of {}", self.text("service")?)
+            }
+            "era of the store" => "era of the store".to_owned(),
             "leader" => "leader".to_owned(),
             "endpoint listed" | "endpoint no longer listed" => self.text("endpoint")?.to_owned(),
             "endpoint states a limit"
@@ -73,7 +76,10 @@
             "endpoint states that it leaves" => departure_of(self.text("endpoint")?),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
-            "this instance leads" | "this instance no longer leads" => "own duty".to_owned(),
+            "this instance leads"
+            | "this instance no longer leads"
+            | "this leader is not confirmed in the new era of the store"
+            | "all keys have fences of the new era" => "own duty".to_owned(),
             "instance starts" | "asked to stop" | "instance stops" => "own life".to_owned(),
             "idle connections are closed"
             | "the callers' port is closed"
@@ -248,6 +254,7 @@
     let general = [
         "configuration",
         "leader",
+        "era of the store",
         "readiness",
         "own duty",
         "own life",
--- a/crates/citronway/src/gateway/control/cluster/restore.rs
+++ b/crates/citronway/src/gateway/control/cluster/restore.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::store::TableUpdate;
-use super::Cluster;
+use super::{Cluster, RowSource};
 
 /// Time in milliseconds after which a restored row counts although it is older than the known one:
 /// endpoints are listed again about two seconds after the store's return.
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Applies held rows, unless newer ones have come.
+    pub(in super::super) fn apply_held(&mut self, now: Mono, held: &Relay) {
+        self.apply_rows(now, held.table, RowSource::Store, &held.rows, None);
+    }
+
     /// Held rows that count from now on, as relays; empty while others may still write.
     pub(in super::super) fn take_held(&mut self, now: Mono) -> Vec<Relay> {
         if self.held.rows.is_empty() || now < self.held.until {
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -77,6 +77,10 @@
         if row.version <= self.version {
             return Ok(());
         }
+        if row.value.is_none() && self.version.era < row.version.era {
+            self.row_is_absent(row.version.era);
+            return Ok(());
+        }
         self.version = row.version;
         self.row_changed_at = now;
         let value = row.value.as_deref();
--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -487,6 +487,9 @@
             first_fence: None,
             ..own_row.clone()
         });
+        if own_row.first_fence.is_some() {
+            log::info!(term = own_row.term, first_fence = own_row.first_fence; "all keys have fences of the new era");
+        }
         let value = value
             .inspect_err(|e| log::error!(cause = e.to_string(); "leader row not written"))
             .ok()?;
--- a/crates/citronway/src/gateway/control/eras.rs
+++ b/crates/citronway/src/gateway/control/eras.rs
@@ -71,7 +71,7 @@
         for relay in self.cluster.take_held(now) {
             log::info!(table = relay.table.as_str(), rows = relay.rows.len(); "restored rows are in force");
             self.relay_rows(now, socket, &relay);
-            self.cluster.apply_relay(now, &relay);
+            self.cluster.apply_held(now, &relay);
         }
     }
 }
