--- a/crates/citronway/tests/gateway_restored_store.rs
+++ b/crates/citronway/tests/gateway_restored_store.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use citronway_standin::shared::{SharedStore, StoreFault};
+use gateway_support::crashing::{BAD, Service, call, crash};
 use gateway_support::{Deployment, until};
 use googletest::prelude::*;
 
@@ -153,3 +154,70 @@
         is_served(&instance, "/more/x")
     });
 }
+
+/// Guards against harmful work that is sent again since the store has lost what is known of it.
+#[gtest]
+fn harmful_work_stays_known_after_a_restore() {
+    let deployment = Deployment::new();
+    let mut console = Service::console(&deployment);
+    let instances = ["one", "two"].map(|name| deployment.ready_instance(name));
+    let copy = deployment.store.copy();
+    crash(&mut console, &instances, "GET /status/bad", 3);
+    let refused = |instance| call(instance, "GET /status/bad", 1).body == "crashes_endpoints";
+    for instance in &instances {
+        until("the work is refused", || refused(instance));
+    }
+    let begun = console.begun(BAD);
+    let lost = deployment.store.restore(copy);
+    deployment.store.write_again(lost);
+    let is_stored = || {
+        let row = deployment.store.own("crashes");
+        row.is_some_and(|row| row["refused"].as_array().is_some_and(|all| !all.is_empty()))
+    };
+    until("what is known is stored again", is_stored);
+    for instance in &instances {
+        expect_that!(refused(instance), eq(true));
+    }
+    expect_that!(console.begun(BAD), eq(begun));
+}
+
+/// Guards against an older configuration, and endpoints that seem gone, while the operator and
+/// endpoints have not written again what the store has lost.
+#[gtest]
+fn what_others_write_again_stays_in_force_meanwhile() {
+    let deployment = Deployment::unconfigured();
+    deployment.unlist(&deployment.c);
+    deployment.configure(2, &serde_json::json!([]));
+    let instances = ["one", "two"].map(|name| deployment.ready_instance(name));
+    let copy = deployment.store.copy();
+    let more = serde_json::json!([gateway_support::route(
+        "more",
+        "/more/",
+        "idempotent",
+        "console"
+    )]);
+    deployment.configure(9, &more);
+    deployment.list(&deployment.c, "ready");
+    for instance in &instances {
+        until("the route is served", || is_served(instance, "/more/x"));
+    }
+    let lost = deployment.store.restore(copy);
+    let restored = Instant::now();
+    let third = deployment.instance("three");
+    while restored.elapsed() < Duration::from_secs(1) {
+        for instance in &instances {
+            expect_that!(is_served(instance, "/more/x"), eq(true));
+        }
+        let reply = third.try_call("GET /more/x", "X-Request-Id: r\r\n", "");
+        expect_that!(reply.map(|reply| reply.status), not(some(eq(404))));
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    deployment.store.write_again(lost);
+    until("a new instance serves the route", || {
+        is_served(&third, "/more/x")
+    });
+    std::thread::sleep(Duration::from_secs(3));
+    for instance in &instances {
+        expect_that!(is_served(instance, "/more/x"), eq(true));
+    }
+}
