A leader does not step down by the term that it has claimed itself after a restore

And the wait for earlier leaders never ended early, as an instance counted its own listing among those that had to report.

keys_stay_held_by_the_leader_that_goes_on guards both: before, the key had no holder after 3.5 s and the row kept its first fence until 17 s after the claim.

--- a/crates/citronway/src/gateway/control/duty.rs
+++ b/crates/citronway/src/gateway/control/duty.rs
@@ -69,6 +69,8 @@
     term: u64,
     confirmed_at: Mono,
     claim_pending: bool,
+    /// Term of the last claim, until it is known to have failed or another instance leads.
+    claimed_term: Option<u64>,
     claim_after: Mono,
     /// The version of the leader's row that a claim is to replace, and when the first claim
     /// for it was sent.
@@ -97,6 +99,7 @@
             term: 0,
             confirmed_at: Mono::default(),
             claim_pending: false,
+            claimed_term: None,
             claim_after: Mono::default(),
             first_claim: None,
             former_leaders_stopped: false,
@@ -130,6 +133,12 @@
         if term <= self.term {
             return;
         }
+        // Failure: a leader claims again after a restore, and others read its new row first. If it
+        // stepped down by its own term, its keys would be unserved. It may as well be the term of
+        // another instance, which takes this one for stopped once this one reports the term.
+        if self.own_row.is_some() && self.claimed_term == Some(term) {
+            return;
+        }
         self.term = term;
         // Failure: a leader that cannot reach the store does not see that it was replaced,
         // and grants keys at the same time as its successor. Any instance that knows the
@@ -313,9 +322,10 @@
 
     fn become_leader(&mut self, now: Mono, sent_at: Mono, row: &LeaderRow, cluster: &Cluster) {
         let former = row.former.len();
-        log::info!(term = row.term, former, era = cluster.era.0, first_fence = row.first_fence; "this instance leads");
+        log::info!(term = row.term, former, era = cluster.era.0, first_fence = row.first_fence.unwrap_or_default(); "this instance leads");
         self.own_row = Some(row.clone());
         self.claim_version = row.version;
+        self.claimed_term = None;
         self.confirmed_at = sent_at;
         self.former_leaders_stopped = false;
         self.placer.reset();
@@ -348,6 +358,7 @@
     fn step_down(&mut self, cause: &'static str) {
         log::info!(cause; "this instance no longer leads");
         self.own_row = None;
+        self.claimed_term = None;
         for leader in self.leaders.values_mut() {
             leader.end_term();
         }
@@ -370,8 +381,11 @@
         self.claim_pending
     }
 
-    pub(super) fn on_claim_done(&mut self) {
+    pub(super) const fn on_claim_done(&mut self, is_refused: bool) {
         self.claim_pending = false;
+        if is_refused {
+            self.claimed_term = None;
+        }
     }
 
     /// Sets the typical service time of each service, in milliseconds.
@@ -448,7 +462,7 @@
         let states = cluster.peers.states();
         let stopped = |former: &FormerLeader| {
             if former.is_of_earlier_eras() {
-                return cluster.peers.all_know_term(own_row.term);
+                return cluster.peers.all_know_term(&self.me.instance, own_row.term);
             }
             former.session.instance == self.me.instance
                 || election::has_stopped(&former.session, own_row.term, &states)
@@ -488,7 +502,7 @@
             ..own_row.clone()
         });
         if own_row.first_fence.is_some() {
-            log::info!(term = own_row.term, first_fence = own_row.first_fence; "all keys have fences of the new era");
+            log::info!(term = own_row.term, first_fence = own_row.first_fence.unwrap_or_default(); "all keys have fences of the new era");
         }
         let value = value
             .inspect_err(|e| log::error!(cause = e.to_string(); "leader row not written"))
@@ -558,6 +572,7 @@
         };
         log::info!(term = row.term, era = cluster.era.0, restored = cluster.is_restored(); "claiming leadership");
         self.claim_pending = true;
+        self.claimed_term = Some(row.term);
         if self
             .first_claim
             .is_none_or(|(version, _)| version != expected)
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -108,7 +108,7 @@
         result: WriteResult,
     },
     /// A claim has ended. The row that is stored comes by the next poll.
-    ClaimDone,
+    ClaimDone { is_refused: bool },
     /// A write of the row about crashes has ended.
     CrashesWritten { done: bool },
     /// The row of this instance is written.
@@ -416,8 +416,8 @@
                 }
                 self.leadership.on_write_done(now, &service, result);
             }
-            Event::ClaimDone => {
-                self.leadership.on_claim_done();
+            Event::ClaimDone { is_refused } => {
+                self.leadership.on_claim_done(is_refused);
                 // A passive instance has no leader yet that would relay the row to it.
                 self.poll_control(Table::Own).refresh.notify_one();
             }
@@ -471,11 +471,14 @@
             let store = self.store.clone();
             let events = events.clone();
             tokio::spawn(async move {
-                match Store::new(store).change(&claim).await {
+                let written = Store::new(store).change(&claim).await;
+                let is_refused =
+                    matches!(&written, Err(StoreError::Refused(StoreRefusal::Conflict)));
+                match written {
                     Ok(version) => log::info!(version = version.number; "leader row written"),
                     Err(e) => log::info!(cause = e.to_string(); "leader row not written"),
                 }
-                let _ = events.send(Event::ClaimDone).await;
+                let _ = events.send(Event::ClaimDone { is_refused }).await;
             });
         }
         self.step_crashes(now, events);
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -278,11 +278,11 @@
             .collect()
     }
 
-    /// Whether each listed instance has reported a leader's term that is not lower than this one, so
-    /// that none of them leads in an earlier era of the store.
-    pub(super) fn all_know_term(&self, term: u64) -> bool {
-        let mut states = self.all.values().map(|peer| peer.state.as_ref());
-        states.all(|state| state.is_some_and(|state| state.term >= term))
+    /// Whether each listed instance except `me` has reported a leader's term that is not lower than
+    /// this one, so that none of them leads in an earlier era of the store.
+    pub(super) fn all_know_term(&self, me: &InstanceName, term: u64) -> bool {
+        let mut others = self.all.iter().filter(|(instance, _)| *instance != me);
+        others.all(|(_, peer)| peer.state.as_ref().is_some_and(|state| state.term >= term))
     }
 
     /// Number of other instances that are heard.
--- a/crates/citronway/tests/gateway_restored_store.rs
+++ b/crates/citronway/tests/gateway_restored_store.rs
@@ -58,6 +58,32 @@
     });
 }
 
+/// Guards against keys that are unserved although their holder and its leader are there.
+#[gtest]
+fn keys_stay_held_by_the_leader_that_goes_on() {
+    let (deployment, _instances, copy) = moved_since_a_copy();
+    deployment.store.fail(StoreFault::Silent);
+    std::thread::sleep(Duration::from_secs(1));
+    let lost = deployment.store.restore(copy);
+    deployment.store.fail(StoreFault::None);
+    deployment.store.write_again(lost);
+    let end = Instant::now() + WATCH;
+    while Instant::now() < end {
+        let held = deployment.b.holds(KEY);
+        expect_that!(held, eq(true), "the key has no holder");
+        if !held {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    let row = deployment.store.own("keeper").expect("a leader");
+    expect_that!(
+        row["first_fence"].is_null(),
+        eq(true),
+        "keys have no new fences: {row}"
+    );
+}
+
 /// Guards against a second holder when all instances restart after the store was restored.
 #[gtest]
 fn keys_have_one_holder_when_all_instances_restart_after_a_restore() {
