explain: memory no longer grows with a power of the request's lines

Cause: with each line of the request the names of statements were made of all names before, those of statements too, so that each line made four times as many. Now a line adds the names of its own endpoint. The test takes 200 lines.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -11,7 +11,7 @@
 use std::io::{self, Read as _};
 use std::path::{Path, PathBuf};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
@@ -161,17 +161,14 @@
     };
     let mut story = format!("request {request}\n");
     let mut seen = Vec::<&str>::new();
-    let mut named = Vec::<String>::new();
+    let mut named = IndexSet::<String>::new();
     for line in &lines[first..=last] {
         if own(line) {
-            named.extend(
-                ["endpoint", "owner"]
-                    .iter()
-                    .filter_map(|f| line.text(f))
-                    .map(str::to_owned),
-            );
-            let stated = named.iter().flat_map(|name| statements_of(name));
-            named.extend(stated.collect::<Vec<_>>());
+            let endpoints = ["endpoint", "owner"].iter().filter_map(|f| line.text(f));
+            for endpoint in endpoints {
+                named.insert(endpoint.to_owned());
+                named.extend(statements_of(endpoint));
+            }
             named.extend(
                 line.text("service")
                     .map(|service| format!("owners of {service}")),
@@ -250,7 +247,7 @@
 }
 
 /// Whether a belief bears on the request: endpoints and owners only if it names them.
-fn is_told(what: &str, named: &[String]) -> bool {
+fn is_told(what: &str, named: &IndexSet<String>) -> bool {
     let general = [
         "configuration",
         "leader",
@@ -261,11 +258,11 @@
         "own stop",
         "own failure",
     ];
-    general.contains(&what) || what.starts_with("table ") || named.iter().any(|n| n == what)
+    general.contains(&what) || what.starts_with("table ") || named.contains(what)
 }
 
 /// What the instance of `line` believed when it wrote it, by the lines before.
-fn believed(before: &[Line], line: &Line, named: &[String]) -> String {
+fn believed(before: &[Line], line: &Line, named: &IndexSet<String>) -> String {
     let mut cluster = IndexMap::<String, &Line>::new();
     for earlier in before.iter().filter(|l| l.instance == line.instance) {
         if let Some(what) = earlier.belief().filter(|what| is_told(what, named)) {
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -109,3 +109,20 @@
     let failure = explain::run("none", &[log("missing.jsonl")]).expect_err("no file");
     expect_that!(failure.to_string(), contains_substring("missing.jsonl"));
 }
+
+/// Guards against a story that takes more memory with each line of the request, without end.
+#[gtest]
+fn a_request_with_many_lines_is_explained() {
+    let line = |n: usize| {
+        let time = format!("2026-12-04T02:05:{:02}.{:03}Z", n / 10, n % 10 * 100);
+        format!(
+            r#"{{"time":"{time}","instance":"one","message":"endpoint did not run it","request":"r","endpoint":"i-{n}"}}"#
+        )
+    };
+    let text: Vec<_> = (0..200).map(line).collect();
+    let path = std::env::temp_dir().join(format!("citronctl-{}.jsonl", std::process::id()));
+    std::fs::write(&path, text.join("\n")).expect("a log can be written");
+    let story = explain::run("r", std::slice::from_ref(&path)).expect("a story");
+    std::fs::remove_file(&path).expect("the log can be removed");
+    expect_that!(story.lines().count(), eq(203));
+}
