--- a/crates/citronway-core/src/gateway/leader/restore.rs
+++ b/crates/citronway-core/src/gateway/leader/restore.rs
@@ -16,7 +16,6 @@
 use crate::gateway::leader::orders::Action;
 use crate::gateway::leader::{FormerLeaderLimits, Leader, Takeover, Term};
 use crate::gateway::registry::Registry;
-use crate::gateway::version::Era;
 use crate::time::Mono;
 
 /// Progress of a leader after the store came back from an older copy.
@@ -102,13 +101,6 @@
             .is_some_and(|term| term.restore != Restore::Settled)
     }
 
-    /// Records that an era of the store has no row of this service.
-    pub fn row_is_absent(&mut self, era: Era) {
-        if self.version.era < era {
-            self.version = crate::gateway::version::RowVersion::absent(era);
-        }
-    }
-
     /// Does what is due while the term is not settled.
     pub(super) fn step_restore(
         &mut self,
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -18,8 +18,7 @@
 };
 use citronway_core::gateway::placement::{self, PlacementEndpoint, PlacementInput};
 use citronway_core::gateway::registry::{Listing, Registry};
-use citronway_core::gateway::version::Era;
-use citronway_core::gateway::version::RowVersion;
+use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_core::ids::{EndpointStart, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 
@@ -93,7 +92,8 @@
     /// Reads the stored assignment.
     fn read(&mut self, store: &Store) {
         if store.row.ranges.is_empty() {
-            self.leader.row_is_absent(store.era);
+            let known = self.leader.row().clone();
+            self.leader.update_row(known, RowVersion::absent(store.era));
         } else {
             self.leader.update_row(store.row.clone(), store.version);
         }
