--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -78,6 +78,7 @@
             Table::Config | Table::Endpoints | Table::Own => None,
         };
         self.apply_rows(now, copy.table, RowSource::Copy, &copy.rows, list_version);
+        self.table_state(copy.table).enter_era_of(copy.position);
         self.advance_position(copy.table, copy.position);
     }
 
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -201,6 +201,7 @@
         self.last_heard_at = now;
         let status = self.mark_regained(now, table);
         self.apply_rows(now, table, RowSource::Store, &rows, list_version);
+        self.table_state(table).enter_era_of(position);
         self.advance_position(table, position);
         status
     }
