--- a/crates/citronway/src/gateway/control/duty/claims.rs
+++ b/crates/citronway/src/gateway/control/duty/claims.rs
@@ -84,6 +84,7 @@
         election::watches_store(now, &self.election_view(now, false, cluster, &peers))
     }
 
+    /// The write by which this instance claims leadership; `None` if no claim is due.
     pub(super) fn claim(
         &mut self,
         now: Mono,
@@ -120,7 +121,9 @@
         }
         self.claim_after = now.plus(CLAIM_PAUSE_MS);
         let claim = own_rows::claim_key(self.me.id, row.term);
-        let replaced = stored.map(|row| own_rows::claim_key(row.session, row.term));
+        // Releases that know no era write no row of a claim.
+        let replaced = stored.filter(|row| row.era.is_some());
+        let replaced = replaced.map(|row| own_rows::claim_key(row.session, row.term));
         Some(ConditionalWrite {
             preconditions: vec![(own_rows::LEADER_KEY.to_owned(), expected)],
             put: vec![
--- a/crates/citronway/tests/gateway_restored_store.rs
+++ b/crates/citronway/tests/gateway_restored_store.rs
@@ -247,3 +247,47 @@
         expect_that!(is_served(instance, "/more/x"), eq(true));
     }
 }
+
+/// Instances of a fleet in which not all report to all, unless `CITRONWAY_INSTANCES` says another
+/// number.
+const MANY: usize = 14;
+
+/// Time from a restore until its calls are counted.
+const COUNTED: Duration = Duration::from_secs(3);
+
+/// Most calls of one instance after a restore: it reads each of three tables, once more where a row
+/// was held, and writes its own row.
+const CALLS_EACH: u64 = 7;
+
+/// Guards against a storm of calls after a restore, and against polls that are refused again and again.
+#[gtest]
+fn a_restore_makes_few_calls() {
+    let asked = std::env::var("CITRONWAY_INSTANCES").ok();
+    let count = asked.map_or(MANY, |count| count.parse().expect("a number"));
+    let deployment = Deployment::new();
+    let names = (0..count).map(|n| format!("one-{n}"));
+    let instances: Vec<_> = names.map(|name| deployment.instance(&name)).collect();
+    for instance in &instances {
+        until("all instances are ready", || instance.is_ready());
+    }
+    until("the key has an owner", || {
+        deployment.a.holds(KEY) || deployment.b.holds(KEY)
+    });
+    std::thread::sleep(COUNTED);
+    let copy = deployment.store.copy();
+    let before = deployment.store.calls();
+    std::thread::sleep(COUNTED);
+    let usual = deployment.store.calls() - before;
+    let before = deployment.store.calls();
+    let lost = deployment.store.restore(copy);
+    deployment.store.write_again(lost);
+    std::thread::sleep(COUNTED);
+    let calls = deployment.store.calls() - before;
+    println!("{count} instances: {calls} calls in {COUNTED:?} after a restore, {usual} before");
+    expect_that!(calls, le(usual + CALLS_EACH * count as u64));
+    for instance in &instances {
+        until("the era is known everywhere", || {
+            metric(instance, "citronway_store_era").eq(&1.0)
+        });
+    }
+}
