Read a table again after a restore instead of applying held rows later

Cause: it had read the restored entry of an endpoint that had ended, and held it; the removal was written again before the leader read the table, so that nobody passed it on, and after two seconds the instance listed the ended start, which hid its successor at the same address. Now the table is read once more.

--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -36,7 +36,6 @@
 use super::peers::{InstanceRow, Peers};
 use super::store::TableUpdate;
 use super::unusable::{Source, Unusable};
-use restore::HeldRows;
 use table::{RowSource, TableState};
 
 /// Time in milliseconds for which others may have newer rows of a table before its poll
@@ -74,8 +73,8 @@
     pub era_learnt: Mono,
     /// Whether the deployment was started for the first time with this process.
     pub(super) first_start: bool,
-    /// Rows of a restored store that are older than the known ones, or missing.
-    held: HeldRows,
+    /// Tables of a restored store of which known rows were kept, and when to read them again.
+    unsettled: IndexMap<Table, Mono>,
     /// The row that names the leader, as the store has it.
     pub(super) stored_leader: Option<LeaderRow>,
     /// Version of the stored assignment of each service, also where a newer content is known.
@@ -130,7 +129,7 @@
             era_changed: false,
             era_learnt: Mono::default(),
             first_start: cfg.first_start,
-            held: HeldRows::default(),
+            unsettled: IndexMap::new(),
             stored_leader: None,
             assignment_versions: IndexMap::new(),
             neighbor_port: cfg.neighbors.map(|address| address.port()),
--- a/crates/citronway/src/gateway/control/cluster/restore.rs
+++ b/crates/citronway/src/gateway/control/cluster/restore.rs
@@ -3,7 +3,7 @@
 //! The operator and endpoints write again what the copy lacks, within about two seconds. Until then a
 //! row that is older than the known one changes nothing, and a missing row is no removal.
 
-use citronway_core::gateway::rows::{Relay, Row, Table};
+use citronway_core::gateway::rows::{Row, Table};
 use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_core::time::Mono;
 use citronway_platform::endpoints;
@@ -11,19 +11,12 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::super::store::TableUpdate;
-use super::{Cluster, RowSource};
+use super::Cluster;
 
 /// Time in milliseconds after which a restored row counts although it is older than the known one:
 /// endpoints are listed again about two seconds after the store's return.
 pub(in super::super) const SETTLE_MS: u64 = 2_000;
 
-/// Rows that are not applied until the others have written theirs again.
-#[derive(Debug, Default)]
-pub(super) struct HeldRows {
-    rows: Vec<(Table, Row)>,
-    until: Mono,
-}
-
 impl Cluster {
     /// Records that the store is in a later era. Returns whether this process has known an earlier
     /// one, so that rows which it knows may be lost.
@@ -86,7 +79,7 @@
     }
 
     /// The rows of a list of all rows, in which rows that are older than the known ones are replaced
-    /// by these, and missing ones added. What the store says instead is held for [`SETTLE_MS`].
+    /// by these, and missing ones added. The table is read again after [`SETTLE_MS`].
     fn merge_restored(
         &mut self,
         now: Mono,
@@ -105,34 +98,26 @@
             .collect();
         let listed: IndexSet<_> = rows.iter().map(|row| row.key.clone()).collect();
         let mut merged = Vec::with_capacity(rows.len());
-        let mut held = Vec::new();
+        let mut kept = 0;
         for row in rows {
             match known.get(&row.key) {
                 Some(newer) if self.is_outdated(table, newer, &row) => {
+                    kept += 1;
                     merged.extend(newer.value.is_some().then(|| newer.clone()));
-                    held.push((table, row));
                 }
                 Some(_) | None => merged.push(row),
             }
         }
-        for (key, row) in &known {
-            if row.value.is_none() || listed.contains(key) {
-                continue;
-            }
-            merged.push(row.clone());
-            held.push((
-                table,
-                Row {
-                    key: key.clone(),
-                    value: None,
-                    version,
-                },
-            ));
+        let missing = known.iter().filter(|(key, row)| {
+            let is_missing = row.value.is_some() && !listed.contains(*key);
+            kept += usize::from(is_missing);
+            is_missing
+        });
+        merged.extend(missing.map(|(_, row)| row.clone()));
+        log::info!(table = table.as_str(), era = version.era.0, rows = merged.len(), kept; "table of a restored store merged");
+        if kept > 0 {
+            self.unsettled.insert(table, now.plus(SETTLE_MS));
         }
-        log::info!(table = table.as_str(), era = version.era.0, rows = merged.len(), held = held.len(); "table of a restored store merged");
-        self.held.rows.retain(|(of, _)| *of != table);
-        self.held.rows.extend(held);
-        self.held.until = now.plus(SETTLE_MS);
         merged
     }
 
@@ -166,28 +151,14 @@
         }
     }
 
-    /// Applies held rows, unless newer ones have come.
-    pub(in super::super) fn apply_held(&mut self, now: Mono, held: &Relay) {
-        self.apply_rows(now, held.table, RowSource::Store, &held.rows, None);
-    }
-
-    /// Held rows that count from now on, as relays; empty while others may still write.
-    pub(in super::super) fn take_held(&mut self, now: Mono) -> Vec<Relay> {
-        if self.held.rows.is_empty() || now < self.held.until {
-            return Vec::new();
-        }
-        let mut relays = IndexMap::<Table, Vec<Row>>::new();
-        for (table, row) in std::mem::take(&mut self.held.rows) {
-            relays.entry(table).or_default().push(row);
-        }
-        let relays = relays.into_iter().map(|(table, rows)| Relay {
-            table,
-            after: RowVersion::NONE,
-            position: self.seen_versions().of(table),
-            rows,
-            patches: Vec::new(),
-            confirmed: None,
-        });
-        relays.collect()
+    /// Tables that must be read again, since others had the time to write theirs again.
+    ///
+    /// Failure guarded against: a row is restored, and removed again after this instance has read it.
+    /// Nobody else knows of the removal, as for them the row was gone before.
+    pub(in super::super) fn take_settled(&mut self, now: Mono) -> Vec<Table> {
+        let settled = self.unsettled.iter().filter(|(_, until)| **until <= now);
+        let settled: Vec<_> = settled.map(|(table, _)| *table).collect();
+        self.unsettled.retain(|table, _| !settled.contains(table));
+        settled
     }
 }
--- a/crates/citronway/src/gateway/control/eras.rs
+++ b/crates/citronway/src/gateway/control/eras.rs
@@ -2,7 +2,6 @@
 
 use citronway_core::gateway::version::Era;
 use citronway_core::time::Mono;
-use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use super::first::Registration;
@@ -66,12 +65,11 @@
         }
     }
 
-    /// Applies rows of a restored store that were held until others had written theirs again.
-    pub(super) fn apply_held_rows(&mut self, now: Mono, socket: &UdpSocket) {
-        for relay in self.cluster.take_held(now) {
-            log::info!(table = relay.table.as_str(), rows = relay.rows.len(); "restored rows are in force");
-            self.relay_rows(now, socket, &relay);
-            self.cluster.apply_held(now, &relay);
+    /// Reads tables again in which rows of a restored store did not count.
+    pub(super) fn read_settled_tables(&mut self, now: Mono) {
+        for table in self.cluster.take_settled(now) {
+            log::info!(table = table.as_str(); "restored rows are in force");
+            self.reload_table(table);
         }
     }
 }
--- a/crates/citronway/src/gateway/control/following.rs
+++ b/crates/citronway/src/gateway/control/following.rs
@@ -56,10 +56,10 @@
         }
     }
 
-    /// Makes the poller read all rows of the own table, including rows of instances, which
-    /// are not relayed.
-    pub(super) fn reload_own_rows(&self) {
-        let control = self.poll_control(Table::Own);
+    /// Makes the poller read all rows of a table. Those of the own table include rows of
+    /// instances, which are not relayed.
+    pub(super) fn reload_table(&self, table: Table) {
+        let control = self.poll_control(table);
         control.reload.store(true, Ordering::Relaxed);
         control.refresh.notify_one();
     }
@@ -84,7 +84,7 @@
             }
             log::info!(table = table.as_str(); "others have newer rows; refreshing the table");
             if table == Table::Own && self.cluster.lacks_leader(self.leadership.term()) {
-                self.reload_own_rows();
+                self.reload_table(Table::Own);
             }
             if self.cluster.needs_copy(table) {
                 self.poll_control(table).refresh.notify_one();
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -329,7 +329,6 @@
                 () = sleep_until(next_run) => {}
             }
             self.receive_datagrams(&socket, &events_tx, &mut buf);
-            self.apply_held_rows(clock::mono(), &socket);
             let now = Instant::now();
             if now < not_before {
                 next_run = not_before;
@@ -391,7 +390,7 @@
                         .leadership
                         .apply_store_rows(now, sent_at, &self.cluster, is_full)
                     {
-                        self.reload_own_rows();
+                        self.reload_table(Table::Own);
                     }
                     self.register(events);
                 }
@@ -490,6 +489,7 @@
         self.metrics.set_evacuated(zones, ranges);
         self.observe_era(now, "store");
         self.relist(now, events);
+        self.read_settled_tables(now);
         for (source, count) in self.cluster.unusable.take_counts() {
             self.metrics.count_unusable(source, count);
         }
