--- a/crates/citronway-core/src/gateway/leader/restore.rs
+++ b/crates/citronway-core/src/gateway/leader/restore.rs
@@ -151,10 +151,8 @@
         ranges.iter().all(|range| range.holder.fence >= first_fence)
     }
 
-    /// The row with a new fence for each owner and next owner.
-    ///
-    /// Failure guarded against: an endpoint has seen a fence of a leader whose rows were lost, and
-    /// refuses the lower one of the row for ever.
+    /// The row with a new fence for each owner and next owner. An endpoint that has seen a fence of a
+    /// leader whose rows were lost refuses the lower one of the row.
     fn with_new_fences(&mut self) -> Assignment {
         let mut row = self.row.clone();
         for i in 0..row.ranges.len() {
--- a/crates/citronway-core/src/gateway/version.rs
+++ b/crates/citronway-core/src/gateway/version.rs
@@ -22,19 +22,15 @@
     /// The last era. Its fences are integers of 53 bits, which each reader of JSON keeps.
     pub const LAST: Self = Self(1 << 20);
 
-    /// Lowest fence that a leader gives out after the store came back in this era.
-    ///
-    /// Failure guarded against: fences of rows that are lost are given out again. No leader may know
-    /// how high they were.
+    /// Lowest fence that a leader gives out after the store came back in this era. It does not depend
+    /// on known fences, as no leader may know how high those of lost rows were.
     #[must_use]
     pub const fn first_fence(self) -> u64 {
         (self.0 as u64) << FENCE_BITS
     }
 
-    /// Term that is lower than all terms of leaders that replace a leader of an earlier era.
-    ///
-    /// Failure guarded against: two leaders have the same term, since the row of the earlier one was
-    /// lost and its term was given out again.
+    /// Term that is lower than all terms of leaders that replace a leader of an earlier era, also one
+    /// whose row was lost.
     #[must_use]
     pub const fn first_term(self) -> u64 {
         (self.0 as u64) << TERM_BITS
--- a/crates/citronway-core/tests/gateway_restored_store.rs
+++ b/crates/citronway-core/tests/gateway_restored_store.rs
@@ -131,8 +131,7 @@
     run(600..720, faults);
 }
 
-/// Guards against keys with two holders or in an evacuated zone when the store comes back from a copy
-/// while a zone is evacuated.
+/// Guards against keys with two holders or in an evacuated zone after restores during an evacuation.
 #[test]
 fn zones_evacuated_beside_restores() {
     for seed in 800..840 {
@@ -147,8 +146,7 @@
     }
 }
 
-/// Guards against a leader whose writes are refused after a restore, so that a successor without
-/// memory begins with the rows of the copy.
+/// Guards against a successor without memory that begins with the rows of an old copy.
 #[test]
 fn all_instances_restart_a_minute_after_a_restore() {
     for seed in 900..960 {
--- a/crates/citronway/src/gateway/control/cluster/restore.rs
+++ b/crates/citronway/src/gateway/control/cluster/restore.rs
@@ -151,10 +151,8 @@
         }
     }
 
-    /// Tables that must be read again, since others had the time to write theirs again.
-    ///
-    /// Failure guarded against: a row is restored, and removed again after this instance has read it.
-    /// Nobody else knows of the removal, as for them the row was gone before.
+    /// Tables that must be read again, since others had the time to write theirs again. The rows as
+    /// first read do not do: one may have been removed again without a relay.
     pub(in super::super) fn take_settled(&mut self, now: Mono) -> Vec<Table> {
         let settled = self.unsettled.iter().filter(|(_, until)| **until <= now);
         let settled: Vec<_> = settled.map(|(table, _)| *table).collect();
--- a/crates/citronway/src/gateway/control/confirming.rs
+++ b/crates/citronway/src/gateway/control/confirming.rs
@@ -163,7 +163,7 @@
     /// configuration.
     pub(super) fn publish_trust(&self, now: Mono) {
         let mut trust = self.cluster.freshness.trust();
-        // Failure: a route that the restored store does not have yet is taken for none.
+        // The restored store may not have the newest routes yet.
         if self.cluster.is_settling(now) {
             trust.reject_until = Mono(0);
         }
--- a/crates/citronway/src/gateway/control/duty/mod.rs
+++ b/crates/citronway/src/gateway/control/duty/mod.rs
@@ -133,9 +133,8 @@
         if term <= self.term {
             return;
         }
-        // Failure: a leader claims again after a restore, and others read its new row first. If it
-        // stepped down by its own term, its keys would be unserved. It may as well be the term of
-        // another instance, which takes this one for stopped once this one reports the term.
+        // It may be the term of this instance, whose row others have read first, or that of another
+        // one, which takes this instance for stopped once it reports the term.
         if self.own_row.is_some() && self.claimed_term == Some(term) {
             return;
         }
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -24,11 +24,8 @@
 pub(super) const CRASHES_KEY: &str = "crashes";
 
 /// Prefix of the keys of rows that are written with the claim of a leader and removed by the next
-/// claim, followed by the leader's term and session.
-///
-/// Failure guarded against: the store comes back from a copy and gives out the versions of lost rows
-/// again. A write of an earlier leader that is carried out late finds the versions that it names, and
-/// replaces the row of another leader. The key of its claim never comes again.
+/// claim, followed by the leader's term and session. Versions of lost rows are given out again after a
+/// restore; the key of a claim is not, so that no late write of an earlier leader finds it.
 const CLAIM_PREFIX: &str = "claim/";
 
 /// Prefix of the keys of assignments, followed by the service.
--- a/crates/citronway/tests/gateway_restored_store.rs
+++ b/crates/citronway/tests/gateway_restored_store.rs
@@ -44,8 +44,7 @@
     (deployment, instances, copy)
 }
 
-/// Guards against a leader that disbelieves a restored store and whose writes are refused from then
-/// on, so that the stored assignment stays as it was in the copy.
+/// Guards against a leader whose writes are refused from a restore on.
 #[gtest]
 fn assignments_are_written_again_after_a_restore() {
     let (deployment, _instances, copy) = moved_since_a_copy();
@@ -207,8 +206,7 @@
     expect_that!(console.begun(BAD), eq(begun));
 }
 
-/// Guards against an older configuration, and endpoints that seem gone, while the operator and
-/// endpoints have not written again what the store has lost.
+/// Guards against an older configuration and endpoints that seem gone right after a restore.
 #[gtest]
 fn what_others_write_again_stays_in_force_meanwhile() {
     let deployment = Deployment::unconfigured();
