Tests: requests of a caller that left behind further requests of its connection

What callers and operators see: requests are sent on to endpoints, and worked on, after their callers have closed the connection, reset it or closed their half of it, if further requests stand unread behind them.

--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -425,6 +425,12 @@
         self.accepted.lock().expect("no panic").len()
     }
 
+    /// Number of its connections that the other side has not ended.
+    pub fn open_connections(&self) -> usize {
+        let accepted = self.accepted.lock().expect("no panic");
+        accepted.iter().filter(|stream| is_open(stream)).count()
+    }
+
     /// The row that lists the endpoint for a service.
     pub fn entry(&self, service: &str) -> Value {
         json!({"service": service, "addr": self.address, "zone": "a", "version": "v1",
@@ -432,6 +438,19 @@
     }
 }
 
+/// Reads what has arrived, and tells whether the other side may still send.
+fn is_open(mut stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("an open stream");
+    let mut buf = [0; 4_096];
+    loop {
+        match stream.read(&mut buf) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(e) => return e.kind() == std::io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
 /// A deployment with one endpoint for `console`, which accepts connections and reads nothing,
 /// and with two routes to it whose timeout is longer than an instance takes to stop.
 pub fn silent_deployment() -> (Deployment, SilentEndpoint) {
