Settings: table traffic with limits and switches of callers' requests

Cause: the limits of pipelining, memory and admission have to be settings with checked bounds. Change: an optional table traffic in the settings; what is absent has a default.

--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -45,9 +45,60 @@
     pub cold_overage: f64,
     /// Memory available to the instance, in megabytes.
     pub memory_mb: u64,
+    /// Limits and switches of how callers' requests are handled.
+    pub traffic: TrafficSettings,
     /// Part of a leader's work that the machine can do.
     pub strength: Strength,
     /// Whether the whole system starts for the first time, so the store has no rows of this
     /// product.
     pub first_start: bool,
 }
+
+/// Limits and switches of how callers' requests are handled; each has a default.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrafficSettings {
+    /// Most requests of one connection that are begun and not delivered; 1 for one at a time.
+    pub pipeline_requests: u32,
+    /// Most bytes of answers of one connection that wait for their turn.
+    pub pipeline_answer_bytes: u64,
+    /// Most requests of all connections that are begun before earlier ones of their connection are
+    /// answered.
+    pub pipelined_total: u32,
+    /// Percentage of the instance's memory that may be used for connections, requests and answers.
+    pub memory_percent: u8,
+    /// Time after which a caller that takes no byte of its answer is disconnected, in milliseconds.
+    pub write_stall_ms: u64,
+    /// Whether instances decide together which requests get scarce capacity.
+    pub fleet_admission: bool,
+    /// Whether an endpoint is chosen by when a request is expected to end there.
+    pub timed_choice: Switch,
+    /// Whether a hot range of keys is divided at once.
+    pub fast_division: Switch,
+}
+
+impl Default for TrafficSettings {
+    fn default() -> Self {
+        Self {
+            pipeline_requests: 16,
+            pipeline_answer_bytes: 1_048_576,
+            pipelined_total: 2_000,
+            memory_percent: 60,
+            write_stall_ms: 5_000,
+            fleet_admission: false,
+            timed_choice: Switch::Auto,
+            fast_division: Switch::Auto,
+        }
+    }
+}
+
+/// Whether a feature is used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Switch {
+    /// Where the operator's configuration calls for it.
+    #[default]
+    Auto,
+    /// Always.
+    On,
+    /// Never.
+    Off,
+}
--- a/crates/citronway/tests/gateway_pipelining.rs
+++ b/crates/citronway/tests/gateway_pipelining.rs
@@ -157,7 +157,9 @@
     until("the endpoint has a request", || silent.connections() > 0);
     leave(stream, Leaves::Closes);
     let left = Instant::now();
-    until("all connections are dropped", || silent.open_connections() == 0);
+    until("all connections are dropped", || {
+        silent.open_connections() == 0
+    });
     expect_that!(left.elapsed(), le(CANCEL_WITHIN));
     let count = silent.connections();
     thread::sleep(CANCEL_WITHIN);
