Soak: callers that send several requests before they read an answer, read late or leave

Cause: the soak's callers took turns, so that nothing checked order, wholeness and ids of answers where further requests stand behind an unanswered one. Requests behind an answer that closes the connection count as not passed on: one that ran is a violation. Seeds by hand are divided among eight kinds now.

--- a/crates/citronway-standin/src/soak/callers.rs
+++ b/crates/citronway-standin/src/soak/callers.rs
@@ -7,11 +7,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use serde_json::json;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 pub use super::exchange::Cut;
-use super::exchange::{exchange, is_open, was_reset};
+use super::exchange::{exchange, is_open, read_answer, was_reset};
 use crate::shared::{SENDER_HEADER, route};
 
 /// Bound of the wait for an answer, far above what routes and pauses take.
@@ -32,6 +33,15 @@
 /// Longest pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: u64 = 25;
 
+/// Fewest and most requests that are sent on a connection before the first answer is read.
+const ROW: (usize, usize) = (2, 6);
+
+/// Longest time for which a caller of rows reads nothing, in milliseconds.
+const UNREAD_MS: u64 = 400;
+
+/// Rows of which one is left before its answers, in place of being read.
+const ROWS_LEFT: u32 = 8;
+
 /// Keys that callers use, over the whole key space.
 pub const KEYS: [u16; 8] = [0, 3, 9_000, 21_844, 21_846, 40_000, 55_555, u16::MAX];
 
@@ -148,6 +158,8 @@
     },
     /// It got none.
     Cut(Cut),
+    /// Its caller left.
+    Left,
 }
 
 /// A request and its end.
@@ -174,8 +186,8 @@
     /// Calls patient routes too.
     is_patient: bool,
     open: IndexMap<usize, TcpStream>,
-    /// Connections that ended without an answer, by the id of the request.
-    ended: Vec<(String, TcpStream)>,
+    /// Connections that ended without an answer, by the ids of the requests.
+    ended: Vec<(Vec<String>, TcpStream)>,
 }
 
 impl Caller {
@@ -206,7 +218,7 @@
                 }
             }
             Err(cut) => {
-                self.ended.push((id.clone(), stream));
+                self.ended.push((vec![id.clone()], stream));
                 Was::Cut(cut)
             }
         };
@@ -253,6 +265,105 @@
         told
     }
 
+    /// Sends rows of requests, each row on one connection, until told to stop.
+    pub async fn send_rows(mut self, seed: u64, stop: watch::Receiver<bool>) -> Vec<Told> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut told = Vec::new();
+        let mut rows = 0_usize;
+        while !*stop.borrow() {
+            let to = rng.random_range(0..self.instances.len());
+            let length = rng.random_range(ROW.0..=ROW.1);
+            let row: Vec<_> = (0..length)
+                .map(|n| {
+                    let kind = Kind::ALL[rng.random_range(0..Kind::USUAL)];
+                    let key = KEYS[rng.random_range(0..KEYS.len())];
+                    (kind, key, format!("row-{seed:x}-{rows}-{n}"))
+                })
+                .collect();
+            rows += 1;
+            let leaves = rng.random_ratio(1, ROWS_LEFT);
+            let unread = Duration::from_millis(rng.random_range(0..UNREAD_MS));
+            told.extend(self.send_row(to, &row, unread, leaves).await);
+        }
+        self.settle(&mut told);
+        told
+    }
+
+    /// Sends a row of requests at once and reads the answers after a while, or leaves.
+    async fn send_row(
+        &mut self,
+        instance: usize,
+        row: &[(Kind, u16, String)],
+        unread: Duration,
+        leaves: bool,
+    ) -> Vec<Told> {
+        let Some(mut stream) = self.connection(instance).await else {
+            return Vec::new();
+        };
+        let sent = Instant::now();
+        let bytes: String = row
+            .iter()
+            .map(|(kind, key, id)| kind.request(instance, *key, id))
+            .collect();
+        let is_written = stream.write_all(bytes.as_bytes()).await.is_ok();
+        tokio::time::sleep(unread).await;
+        let ends = if leaves {
+            drop(stream);
+            row.iter().map(|_| Was::Left).collect()
+        } else {
+            self.read_row(instance, row, stream, is_written).await
+        };
+        let ended = Instant::now();
+        let all = row.iter().zip(ends);
+        all.map(|((kind, _, id), was)| Told {
+            id: id.clone(),
+            kind: *kind,
+            instance,
+            sent,
+            ended,
+            was,
+        })
+        .collect()
+    }
+
+    /// Reads the answers to a row. What stands behind the last answer was not passed on.
+    async fn read_row(
+        &mut self,
+        instance: usize,
+        row: &[(Kind, u16, String)],
+        mut stream: TcpStream,
+        is_written: bool,
+    ) -> Vec<Was> {
+        let mut ends = Vec::new();
+        let mut got = Vec::new();
+        let mut is_last = false;
+        while ends.len() < row.len() && !is_last && is_written {
+            let answer = tokio::time::timeout(PATIENCE, read_answer(&mut stream, &mut got)).await;
+            match answer.unwrap_or(Err(Cut::Open)) {
+                Ok(answer) => {
+                    is_last = answer.is_last;
+                    ends.push(Was::Answered {
+                        status: answer.status,
+                        body: answer.body,
+                    });
+                }
+                Err(cut) => {
+                    ends.push(Was::Cut(cut));
+                    break;
+                }
+            }
+        }
+        let is_whole = ends.len() == row.len() && !matches!(ends.last(), Some(Was::Cut(_)));
+        ends.resize(row.len(), Was::Cut(Cut::Unread));
+        if is_whole && !is_last {
+            self.open.insert(instance, stream);
+        } else if !is_whole {
+            let ids = row.iter().map(|(_, _, id)| id.clone()).collect();
+            self.ended.push((ids, stream));
+        }
+        ends
+    }
+
     /// Sends harmful work to one instance after the other until told to stop.
     pub async fn do_harm(mut self, seed: u64, stop: watch::Receiver<bool>) {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -271,12 +382,14 @@
     /// Finds out which requests were not read; all processes that were told to stop have
     /// ended by now.
     fn settle(&self, told: &mut [Told]) {
-        for (id, stream) in &self.ended {
-            let Some(told) = told.iter_mut().find(|told| told.id == *id) else {
+        for (ids, stream) in &self.ended {
+            if !was_reset(stream).unwrap_or(false) {
                 continue;
-            };
-            if told.was == Was::Cut(Cut::Read) && was_reset(stream).unwrap_or(false) {
-                told.was = Was::Cut(Cut::Unread);
+            }
+            for told in told.iter_mut().filter(|told| ids.contains(&told.id)) {
+                if told.was == Was::Cut(Cut::Read) {
+                    told.was = Was::Cut(Cut::Unread);
+                }
             }
         }
     }
--- a/crates/citronway-standin/src/soak/exchange.rs
+++ b/crates/citronway-standin/src/soak/exchange.rs
@@ -54,11 +54,24 @@
         return Err(Cut::Unread);
     }
     let mut got = Vec::new();
+    let mut answer = read_answer(stream, &mut got).await?;
+    // Bytes that belong to no request are shown with the answer.
+    answer.body.push_str(&String::from_utf8_lossy(&got));
+    Ok(answer)
+}
+
+/// Reads the next answer; `got` holds what was read beyond it, before and after.
+///
+/// # Errors
+///
+/// When the connection ends without a whole answer.
+pub async fn read_answer(stream: &mut TcpStream, got: &mut Vec<u8>) -> Result<Answer, Cut> {
     loop {
-        if let Some(answer) = whole(&got) {
+        if let Some((answer, length)) = whole(got) {
+            got.drain(..length);
             return Ok(answer);
         }
-        match stream.read_buf(&mut got).await {
+        match stream.read_buf(got).await {
             Ok(1..) => {}
             Ok(_) | Err(_) if !got.is_empty() => return Err(Cut::Within),
             Ok(_) => return Err(Cut::Read),
@@ -86,10 +99,11 @@
     matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
-fn whole(got: &[u8]) -> Option<Answer> {
-    let text = String::from_utf8_lossy(got);
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let head = head.to_ascii_lowercase();
+/// The first answer and its length in bytes; `None` if it is not whole.
+fn whole(got: &[u8]) -> Option<(Answer, usize)> {
+    let end = got.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&got[..end]).to_ascii_lowercase();
+    let body = &got[end + 4..];
     let mut lines = head.lines();
     let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
     let value = |name: &str| {
@@ -97,9 +111,11 @@
         pairs.find(|pair| pair.0 == name).map(|pair| pair.1)
     };
     let length: usize = value("content-length")?.parse().ok()?;
-    (body.len() >= length).then(|| Answer {
+    let body = body.get(..length)?;
+    let answer = Answer {
         status,
-        body: body.to_owned(),
+        body: String::from_utf8_lossy(body).into_owned(),
         is_last: value("connection") == Some("close"),
-    })
+    };
+    Some((answer, end + 4 + length))
 }
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -110,6 +110,8 @@
     pub rests: bool,
     /// Besides, the store comes back from copies of itself.
     pub restores: bool,
+    /// Besides, callers send several requests on a connection before they read the answers.
+    pub rows: bool,
 }
 
 impl Soak {
@@ -126,6 +128,7 @@
             departures: false,
             rests: false,
             restores: false,
+            rows: false,
         }
     }
 
@@ -186,12 +189,22 @@
         }
     }
 
+    /// Signals in series, and callers that send rows of requests, read late or leave.
+    #[must_use]
+    pub const fn with_rows(seed: u64) -> Self {
+        Self {
+            rows: true,
+            ..Self::with_signals(seed)
+        }
+    }
+
     /// Everything at once.
     #[must_use]
     pub const fn with_all(seed: u64) -> Self {
         Self {
             limits: true,
             restores: true,
+            rows: true,
             ..Self::with_harmful(seed)
         }
     }
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -18,6 +18,12 @@
 /// The same where some of them wait for long work.
 const CALLERS_OF_LONG_WORK: u64 = 12;
 
+/// Callers that send rows of requests.
+const CALLERS_OF_ROWS: u64 = 4;
+
+/// Sets the draws of callers of rows apart from those of the others.
+const ROWS_STREAM: u64 = 0x726f_7773;
+
 /// Instances to a caller where there are many.
 const INSTANCES_A_CALLER: u64 = 3;
 
@@ -79,13 +85,20 @@
     let mut violations = until_served(&mut fleet, "before").await?;
     let (stop, stopped) = watch::channel(false);
     let count = callers(&soak);
-    let all: Vec<_> = (0..count)
+    let mut all: Vec<_> = (0..count)
         .map(|n| {
             let seed = soak.seed.wrapping_mul(count).wrapping_add(n);
             let caller = Caller::new(fleet.callers(), soak.signals);
             tokio::spawn(caller.call_on(seed, stopped.clone()))
         })
         .collect();
+    for n in 0..if soak.rows { CALLERS_OF_ROWS } else { 0 } {
+        let seed = (soak.seed ^ ROWS_STREAM)
+            .wrapping_mul(count)
+            .wrapping_add(n);
+        let caller = Caller::new(fleet.callers(), false);
+        all.push(tokio::spawn(caller.send_rows(seed, stopped.clone())));
+    }
     let harm = soak.harmful.then(|| {
         let caller = Caller::new(fleet.callers(), false);
         tokio::spawn(caller.do_harm(soak.seed, stopped.clone()))
--- a/crates/citronway-standin/src/soak/verdict.rs
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -166,7 +166,7 @@
             Some(Violation::Mixed { id, body })
         }
         Was::Answered { status: 200, .. } if times == 0 => Some(Violation::Invented { id }),
-        Was::Answered { .. } | Was::Cut(_) => None,
+        Was::Answered { .. } | Was::Cut(_) | Was::Left => None,
     }
 }
 
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -52,6 +52,9 @@
 /// Seeds that are always run, with a store that comes back from copies of itself.
 const FIXED_RESTORES: [u64; 2] = [1_300, 1_301];
 
+/// Seeds that are always run, with callers that send several requests before they read an answer.
+const FIXED_ROWS: [u64; 2] = [1_400, 1_401];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -77,9 +80,10 @@
 }
 
 /// Soak of a new seed: limits with few signals, cut links, endpoints that leave, a store that comes
-/// back from copies, or everything at once.
+/// back from copies, rows of requests, or everything at once.
 const fn drawn(seed: u64) -> Soak {
-    match seed % 7 {
+    match seed % 8 {
+        7 => Soak::with_rows(seed),
         0 | 2 => Soak::with_limits(seed),
         1 => Soak::with_all(seed),
         3 => Soak::with_cuts(seed),
@@ -132,6 +136,9 @@
     for seed in FIXED_RESTORES {
         expect_no_violations(&soak(Soak::with_restores(seed)));
     }
+    for seed in FIXED_ROWS {
+        expect_no_violations(&soak(Soak::with_rows(seed)));
+    }
     for seed in FIXED_CUTS {
         expect_no_violations(&soak(Soak::with_cuts(seed)));
     }
