Gateway: a connection is read ahead of the HTTP library

Cause: the library sees the end of a connection only while it reads, and it does not read while bytes of a further request are in its buffer. So requests of callers that had left were sent to endpoints or worked on.

Change: a stream between socket and library gives the library one request at a time and reads up to 64 KiB behind it. The end of the connection behind a request without an answer ends the connection and cancels its work. A request that is not framed beyond doubt is passed on byte for byte.

--- /dev/null
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -0,0 +1,308 @@
+//! The stream between a caller's socket and the HTTP library.
+//!
+//! It gives the library the bytes of one request at a time. What arrives behind a request that is
+//! not answered yet is read ahead, up to a bound, so that the end of the connection is seen.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Buf as _, BytesMut};
+use citronway_core::time::Mono;
+use futures::FutureExt as _;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+use super::framing::{self, Head};
+use super::progress::Progress;
+use crate::clock;
+
+/// Most bytes that are read behind the request that is being answered.
+///
+/// A head has a few hundred bytes, so this is more than the most requests that are begun of one
+/// connection.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+
+/// Least room that is made for a read.
+const MIN_READ_BYTES: usize = 4 * 1024;
+
+/// Interval between checks whether the caller has left while the buffer is full. Callers that
+/// leave have their work cancelled within 500 ms.
+const FULL_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
+/// How far the request has been passed on that the HTTP library reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Position {
+    /// In its head.
+    Head,
+    /// In its body, of which so many bytes are missing.
+    Body(u64),
+    /// It was passed on in full.
+    Whole,
+    /// Bytes are no longer told apart.
+    Unframed,
+}
+
+/// Reads a caller's connection ahead of the HTTP library.
+#[derive(Debug)]
+pub(super) struct ReadAhead {
+    stream: TcpStream,
+    progress: Rc<Progress>,
+    position: Position,
+    /// Bytes of a head that were passed on before the rest of it arrived.
+    partial: Vec<u8>,
+    /// Bytes that the library has not got yet.
+    ahead: BytesMut,
+    /// Requests whose heads were passed on in full.
+    given: u64,
+    /// When the head of the latest of them arrived.
+    arrived: Mono,
+    /// Whether the library waits for bytes of the socket since the last [`Self::poll_ahead`].
+    is_waiting: bool,
+    /// Whether the library was woken since it last read.
+    is_woken: bool,
+    /// Next check whether the caller has left, while the buffer is full.
+    full_check: Option<Pin<Box<Sleep>>>,
+}
+
+impl ReadAhead {
+    pub(super) fn new(stream: TcpStream, progress: Rc<Progress>) -> Self {
+        Self {
+            stream,
+            progress,
+            position: Position::Head,
+            partial: Vec::new(),
+            ahead: BytesMut::new(),
+            given: 0,
+            arrived: clock::mono(),
+            is_waiting: false,
+            is_woken: false,
+            full_check: None,
+        }
+    }
+
+    /// When the head of the request arrived that the library parsed last. `None` if requests are
+    /// no longer told apart.
+    pub(super) fn arrived(&self) -> Option<Mono> {
+        (self.position != Position::Unframed).then_some(self.arrived)
+    }
+
+    /// Whether the library gets nothing because a request is not answered.
+    fn is_held(&self) -> bool {
+        self.position == Position::Whole && self.progress.answered() < self.given
+    }
+
+    /// Reads what the library does not read. Resolves once the caller has left behind a request
+    /// that is not answered.
+    ///
+    /// Has to be called each time after the library has been polled.
+    pub(super) fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        // The library has read all there is, so it sees the end of the connection itself.
+        if std::mem::take(&mut self.is_waiting) {
+            return Poll::Pending;
+        }
+        let is_passed_on = matches!(self.position, Position::Unframed);
+        if self.is_held() || (is_passed_on && self.progress.is_active()) {
+            return self.poll_fill(cx);
+        }
+        // An answer has ended after the library last tried to read. Only once: a library that
+        // closes the connection does not read any more.
+        let has_bytes = !self.ahead.is_empty() || self.stream.poll_read_ready(cx).is_ready();
+        if has_bytes && !self.is_woken {
+            self.is_woken = true;
+            cx.waker().wake_by_ref();
+        }
+        Poll::Pending
+    }
+
+    /// Reads into the buffer until it is full or nothing is left to read.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.ahead.len() < MAX_AHEAD_BYTES {
+            self.full_check = None;
+            // Room is made only once there is something to read.
+            match self.stream.poll_read_ready(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Err(_broken)) => return Poll::Ready(()),
+                Poll::Ready(Ok(())) => {}
+            }
+            self.ahead.reserve(MIN_READ_BYTES);
+            match self.stream.try_read_buf(&mut self.ahead) {
+                Ok(0) => return Poll::Ready(()),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_broken) => return Poll::Ready(()),
+            }
+        }
+        self.poll_left(cx)
+    }
+
+    /// Resolves once the caller has left while the buffer is full.
+    fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let ready = self.stream.ready(Interest::READABLE).now_or_never();
+            let has_left = match ready {
+                Some(Ok(ready)) => ready.is_read_closed(),
+                Some(Err(_broken)) => true,
+                None => false,
+            };
+            if has_left {
+                return Poll::Ready(());
+            }
+            let check = self
+                .full_check
+                .get_or_insert_with(|| Box::pin(tokio::time::sleep(FULL_CHECK_PERIOD)));
+            if check.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            self.full_check = None;
+        }
+    }
+
+    fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.is_woken = false;
+        if self.is_held() {
+            return Poll::Pending;
+        }
+        if self.position == Position::Whole {
+            self.position = Position::Head;
+        }
+        if !self.ahead.is_empty() {
+            self.take_buffered(buf);
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.is_waiting = read.is_pending();
+        let new = &buf.filled()[before..];
+        if new.is_empty() {
+            return read;
+        }
+        let now = clock::mono();
+        self.progress.record_bytes(now);
+        let taken = self.pass(now, before, buf);
+        let excess = &buf.filled()[before + taken..];
+        self.ahead.extend_from_slice(excess);
+        buf.set_filled(before + taken);
+        read
+    }
+
+    /// Gives the library bytes that were read ahead.
+    fn take_buffered(&mut self, buf: &mut ReadBuf<'_>) {
+        let now = clock::mono();
+        self.progress.record_bytes(now);
+        let before = buf.filled().len();
+        let count = self.ahead.len().min(buf.remaining());
+        buf.put_slice(&self.ahead[..count]);
+        let taken = self.pass(now, before, buf);
+        buf.set_filled(before + taken);
+        self.ahead.advance(taken);
+        if self.ahead.is_empty() {
+            // A row ends seldom; the memory is not kept for the next one.
+            self.ahead = BytesMut::new();
+        }
+    }
+
+    /// Follows the request through the bytes of `buf` from `from` on; returns how many of them
+    /// belong to it.
+    fn pass(&mut self, now: Mono, from: usize, buf: &ReadBuf<'_>) -> usize {
+        let new = &buf.filled()[from..];
+        match self.position {
+            Position::Unframed => new.len(),
+            Position::Whole => 0,
+            Position::Body(missing) => self.pass_body(missing, new.len()),
+            Position::Head => self.pass_head(now, new),
+        }
+    }
+
+    fn pass_body(&mut self, missing: u64, available: usize) -> usize {
+        let count = usize::try_from(missing).map_or(available, |missing| missing.min(available));
+        let left = missing - count as u64;
+        self.position = if left == 0 {
+            Position::Whole
+        } else {
+            Position::Body(left)
+        };
+        count
+    }
+
+    fn pass_head(&mut self, now: Mono, new: &[u8]) -> usize {
+        let known = self.partial.len();
+        let head = if known == 0 {
+            framing::read_head(new)
+        } else {
+            self.partial.extend_from_slice(new);
+            if framing::has_blank_line(&self.partial[known.saturating_sub(3)..]) {
+                framing::read_head(&self.partial)
+            } else {
+                Head::Partial
+            }
+        };
+        match head {
+            Head::Partial if known == 0 => {
+                self.partial.extend_from_slice(new);
+                new.len()
+            }
+            Head::Partial => new.len(),
+            Head::Unclear => {
+                self.partial = Vec::new();
+                self.position = Position::Unframed;
+                new.len()
+            }
+            Head::Plain(head) => {
+                self.partial = Vec::new();
+                self.given += 1;
+                self.arrived = now;
+                let rest = head.head_bytes - known;
+                rest + self.pass_body(head.body_bytes, new.len() - rest)
+            }
+        }
+    }
+}
+
+/// The stream as the HTTP library gets it.
+#[derive(Debug, Clone)]
+pub(super) struct SharedStream(pub(super) Rc<RefCell<ReadAhead>>);
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.0.borrow_mut().poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().stream.is_write_vectored()
+    }
+}
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -1,6 +1,7 @@
 //! Reads a caller's request, forwards it and builds the response.
 
 use std::cell::OnceCell;
+use std::error::Error;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::Body;
 
 use super::connection::{GuardedBody, RequestGuard};
 use super::forwarding::Forwarding;
@@ -34,14 +35,17 @@
 /// Retry-after time while the configuration is being fetched, in milliseconds.
 const UNCONFIRMED_RETRY_MS: u64 = 300;
 
-/// Answers a request of a caller.
-pub(super) async fn answer(
+/// Answers a request of a caller, whose head arrived at `arrived`.
+pub(super) async fn answer<B>(
     state: Rc<State>,
-    req: Request<Incoming>,
+    arrived: Mono,
+    req: Request<B>,
     guard: RequestGuard,
     origin: Origin,
-) -> Response<GuardedBody> {
-    let arrived = clock::mono();
+) -> Response<GuardedBody>
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+{
     let (mut head, body) = req.into_parts();
     let forwarded = match origin {
         Origin::Caller => None,
@@ -109,12 +113,15 @@
 }
 
 /// Reads the body of a request, unless it is too long or the instance ends.
-async fn read_body(
+async fn read_body<B>(
     state: &State,
-    body: Incoming,
+    body: B,
     max_bytes: usize,
     open: &OpenRequest,
-) -> Result<Bytes, Outcome> {
+) -> Result<Bytes, Outcome>
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+{
     let body = Limited::new(body, max_bytes).collect();
     let body = tokio::select! {
         biased;
@@ -134,13 +141,16 @@
     }
 }
 
-async fn serve(
+async fn serve<B>(
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
-    body: Incoming,
+    body: B,
     open: &OpenRequest,
     class: &mut Class,
-) -> Outcome {
+) -> Outcome
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+{
     let &ParsedRequest {
         arrived,
         head,
--- a/crates/citronway/tests/gateway_pipelining.rs
+++ b/crates/citronway/tests/gateway_pipelining.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::io::{Read as _, Write as _};
+use std::io::Write as _;
 use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
