Gateway: requests of a row are begun before the earlier ones are answered

Cause: status and position reads of callers that pipeline waited unread behind the first request of their connection and timed out unseen.

Change: heads that arrive behind a request without an answer are queued with their time of arrival, and begun at once where the route is idempotent, within bounds of connection and instance. Answers are sent in order of arrival. What is not idempotent, and all behind it, waits. Only the answer to the last request that is begun closes the connection of a stopping instance. A request whose time ends before it is begun is refused as not run (behind_unanswered).

--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod limit;
 pub mod outage;
 pub mod pace;
+pub mod pipeline;
 pub mod placement;
 pub mod registry;
 pub mod report;
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
 use prometheus_client::registry::Registry;
 
 use super::control::Source;
+use super::pipeline_metrics::PipelineMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
 
@@ -153,6 +154,16 @@
     evacuated_ranges: Gauge,
     /// What endpoints state of themselves.
     pub(super) statements: StatementMetrics,
+    /// Requests that arrive before earlier ones are answered.
+    pub(super) pipeline: PipelineMetrics,
+}
+
+/// Registers the metrics that have files of their own.
+fn register_groups(registry: &mut Registry) -> (StatementMetrics, PipelineMetrics) {
+    (
+        StatementMetrics::register(registry),
+        PipelineMetrics::register(registry),
+    )
 }
 
 impl Default for Metrics {
@@ -226,7 +237,7 @@
         let evacuated_ranges = Gauge::default();
         let help = "Ranges of keys whose owners are in evacuated zones";
         registry.register("evacuated_ranges", help, evacuated_ranges.clone());
-        let statements = StatementMetrics::register(&mut registry);
+        let (statements, pipeline) = register_groups(&mut registry);
         Self {
             registry: Arc::new(registry),
             requests,
@@ -255,6 +266,7 @@
             evacuated_zones,
             evacuated_ranges,
             statements,
+            pipeline,
         }
     }
 }
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod control;
 mod http_link;
 mod metrics;
+mod pipeline_metrics;
 mod ready;
 mod run;
 mod statement_metrics;
--- a/crates/citronway/src/gateway/traffic/connection/framing.rs
+++ b/crates/citronway/src/gateway/traffic/connection/framing.rs
@@ -3,7 +3,9 @@
 //! Only a request that cannot be understood in two ways is framed. Any other is passed on as it
 //! came, and so is everything behind it: the HTTP library alone then decides what it means.
 
-use http::Method;
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderName, HeaderValue, Method, Request, Uri, Version};
 
 /// Most header lines of a request; the HTTP library refuses a request with more.
 const MAX_HEADERS: usize = 100;
@@ -69,6 +71,27 @@
     })
 }
 
+/// Builds the head at the start of `buf` as the HTTP library would; `None` if it would not.
+pub(super) fn build_head(buf: &[u8]) -> Option<Parts> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    if !parsed.parse(buf).ok()?.is_complete() {
+        return None;
+    }
+    let mut req = Request::new(());
+    *req.method_mut() = Method::from_bytes(parsed.method?.as_bytes()).ok()?;
+    // Shared bytes are what the library parses; what it accepts of a text may differ.
+    *req.uri_mut() =
+        Uri::from_maybe_shared(Bytes::copy_from_slice(parsed.path?.as_bytes())).ok()?;
+    *req.version_mut() = Version::HTTP_11;
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = HeaderValue::from_bytes(header.value).ok()?;
+        req.headers_mut().append(name, value);
+    }
+    Some(req.into_parts().0)
+}
+
 /// Whether `buf` may contain the end of a head; a cheap check before it is parsed.
 pub(super) fn has_blank_line(buf: &[u8]) -> bool {
     let mut after_line_feed = false;
--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -2,15 +2,19 @@
 
 mod drain;
 mod framing;
+mod pipeline;
 mod progress;
 mod read_ahead;
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -20,8 +24,9 @@
 use super::request;
 use super::state::{Phase, State};
 use crate::clock;
+use pipeline::{Row, TurnError};
 use progress::Progress;
-use read_ahead::{ReadAhead, SharedStream};
+use read_ahead::{Given, ReadAhead, SharedStream, Turn};
 
 pub(super) use drain::drain;
 pub(super) use progress::{GuardedBody, RequestGuard};
@@ -32,6 +37,25 @@
 /// Interval between checks of how long a connection has been idle.
 const IDLE_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
+/// Whether a connection closes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Closing {
+    No,
+    /// Once the last request that is begun has its turn.
+    AfterRow,
+    /// After the answer that is being sent.
+    AfterAnswer,
+}
+
+/// What happens to the row of requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RowEvent {
+    /// The caller has left behind a request without an answer.
+    CallerLeft,
+    /// Nothing is begun behind the request whose turn it is.
+    AtLast,
+}
+
 /// Serves one connection until it ends.
 pub(super) async fn serve(state: Rc<State>, stream: TcpStream, origin: Origin) {
     if let Err(e) = stream.set_nodelay(true) {
@@ -40,12 +64,11 @@
     }
     let progress = Rc::new(Progress::new(clock::mono()));
     let reader = Rc::new(RefCell::new(ReadAhead::new(stream, Rc::clone(&progress))));
+    let row = Rc::new(RefCell::new(Row::new(&state, origin, &progress)));
     let limits = state.limits();
     let service = service_fn(|req| {
-        let arrived = reader.borrow().arrived().unwrap_or_else(clock::mono);
-        let guard = progress.begin(state.open_requests.insert(arrived));
-        let answer = request::answer(Rc::clone(&state), arrived, req, guard, origin);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let turn = reader.borrow_mut().take_turn();
+        answer_in_turn(&state, &progress, &row, turn, req, origin)
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -54,7 +77,7 @@
         .serve_connection(TokioIo::new(SharedStream(Rc::clone(&reader))), service);
     tokio::pin!(connection);
     let _open = state.track_connection();
-    let mut closing = false;
+    let mut closing = Closing::No;
     loop {
         tokio::select! {
             // Reading ahead follows what the library has read in the same round.
@@ -65,24 +88,94 @@
                 }
                 return;
             }
-            () = poll_fn(|cx| reader.borrow_mut().poll_ahead(cx)) => {
-                log::debug!("caller left behind requests without an answer");
-                return;
-            }
-            () = state.wait_for_phase(Phase::Closing), if !closing => {
-                connection.as_mut().graceful_shutdown();
-                closing = true;
+            event = poll_fn(|cx| poll_row(cx, &reader, &row, closing)) => match event {
+                RowEvent::CallerLeft => {
+                    state.metrics.pipeline.count_left();
+                    log::debug!("caller left behind requests without an answer");
+                    return;
+                }
+                RowEvent::AtLast => {
+                    connection.as_mut().graceful_shutdown();
+                    closing = Closing::AfterAnswer;
+                }
+            },
+            () = state.wait_for_phase(Phase::Closing), if closing == Closing::No => {
+                row.borrow().close();
+                closing = Closing::AfterRow;
             }
-            () = tokio::time::sleep(IDLE_CHECK_PERIOD), if !closing => {
+            () = tokio::time::sleep(IDLE_CHECK_PERIOD), if closing == Closing::No => {
                 if progress.is_overdue(clock::mono(), state.limits()) {
                     // The library keeps waiting for the rest of a connection's first head.
                     if !progress.has_request() {
                         return;
                     }
-                    connection.as_mut().graceful_shutdown();
-                    closing = true;
+                    row.borrow().close();
+                    closing = Closing::AfterRow;
                 }
             }
         }
     }
 }
+
+/// Reads ahead and begins requests, after the HTTP library has been polled.
+fn poll_row(
+    cx: &mut Context<'_>,
+    reader: &RefCell<ReadAhead>,
+    row: &RefCell<Row>,
+    closing: Closing,
+) -> Poll<RowEvent> {
+    if reader.borrow_mut().poll_ahead(cx).is_ready() {
+        return Poll::Ready(RowEvent::CallerLeft);
+    }
+    let mut row = row.borrow_mut();
+    row.begin_ready(&reader.borrow());
+    if closing == Closing::AfterRow && row.is_at_last() {
+        return Poll::Ready(RowEvent::AtLast);
+    }
+    Poll::Pending
+}
+
+/// Answers a request that the HTTP library has parsed.
+fn answer_in_turn(
+    state: &Rc<State>,
+    progress: &Rc<Progress>,
+    row: &Rc<RefCell<Row>>,
+    turn: Turn,
+    req: Request<Incoming>,
+    origin: Origin,
+) -> impl Future<Output = Result<Response<GuardedBody>, TurnError>> + use<> {
+    let (state, row) = (Rc::clone(state), Rc::clone(row));
+    let begun = row.borrow_mut().take_begun();
+    let given = match turn {
+        Turn::Given(given) => Ok(given),
+        Turn::Unframed => Ok(Given {
+            arrived: clock::mono(),
+            queued_at: None,
+        }),
+        Turn::Unknown => Err(TurnError::Differs),
+    };
+    let in_turn = given.map(|given| {
+        if begun.is_some() {
+            return None;
+        }
+        let open = state.open_requests.insert(given.arrived);
+        let mut row = row.borrow_mut();
+        row.begin_in_turn(&open.request, given.queued_at);
+        Some((progress.begin(open), given.arrived))
+    });
+    async move {
+        let mut answer = match (begun, in_turn?) {
+            (Some(begun), _) => begun.finish(req).await?,
+            (None, Some((guard, arrived))) => {
+                request::answer(Rc::clone(&state), arrived, req, guard, origin).await
+            }
+            (None, None) => return Err(TurnError::Differs),
+        };
+        // Requests that are begun behind this one are answered before the connection closes.
+        if state.is_stopping() && row.borrow().is_at_last() {
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
+        }
+        Ok(answer)
+    }
+}
--- a/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -4,20 +4,21 @@
 //! not answered yet is read ahead, up to a bound, so that the end of the connection is seen.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf as _, BytesMut};
+use bytes::{Buf as _, BufMut as _, BytesMut};
 use citronway_core::time::Mono;
 use futures::FutureExt as _;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use super::framing::{self, Head};
+use super::framing::{self, Head, PlainHead};
 use super::progress::Progress;
 use crate::clock;
 
@@ -30,6 +31,9 @@
 /// Least room that is made for a read.
 const MIN_READ_BYTES: usize = 4 * 1024;
 
+/// Length of the longest line end with the empty line behind it that ends a head.
+const BLANK_LINE_BYTES: usize = 4;
+
 /// Interval between checks whether the caller has left while the buffer is full. Callers that
 /// leave have their work cancelled within 500 ms.
 const FULL_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -47,6 +51,34 @@
     Unframed,
 }
 
+/// A request whose head has arrived behind one that is not answered.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Queued {
+    pub arrived: Mono,
+    /// Position of its first byte in the connection.
+    pub start: u64,
+    /// `None` if it is not framed; nothing behind it is told apart.
+    pub head: Option<PlainHead>,
+}
+
+/// A request that the HTTP library has got.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Given {
+    pub arrived: Mono,
+    /// Position of its first byte if it was queued.
+    pub queued_at: Option<u64>,
+}
+
+/// What is known of a request when the HTTP library has parsed it.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Turn {
+    Given(Given),
+    /// Requests are no longer told apart.
+    Unframed,
+    /// The library parsed a request that it has not got.
+    Unknown,
+}
+
 /// Reads a caller's connection ahead of the HTTP library.
 #[derive(Debug)]
 pub(super) struct ReadAhead {
@@ -57,10 +89,20 @@
     partial: Vec<u8>,
     /// Bytes that the library has not got yet.
     ahead: BytesMut,
+    /// Position of the first of them in the connection.
+    ahead_start: u64,
+    /// Requests in them, in order.
+    queue: VecDeque<Queued>,
+    /// Position of the first byte whose request is not in the queue.
+    queued_to: u64,
+    /// Number of bytes from there on that contain no end of a head.
+    searched: usize,
+    /// Whether requests further behind are not told apart.
+    is_queue_ended: bool,
     /// Requests whose heads were passed on in full.
     given: u64,
-    /// When the head of the latest of them arrived.
-    arrived: Mono,
+    /// The latest of them, until the library has parsed it.
+    turn: Option<Given>,
     /// Whether the library waits for bytes of the socket since the last [`Self::poll_ahead`].
     is_waiting: bool,
     /// Whether the library was woken since it last read.
@@ -77,18 +119,44 @@
             position: Position::Head,
             partial: Vec::new(),
             ahead: BytesMut::new(),
+            ahead_start: 0,
+            queue: VecDeque::new(),
+            queued_to: 0,
+            searched: 0,
+            is_queue_ended: false,
             given: 0,
-            arrived: clock::mono(),
+            turn: None,
             is_waiting: false,
             is_woken: false,
             full_check: None,
         }
     }
 
-    /// When the head of the request arrived that the library parsed last. `None` if requests are
-    /// no longer told apart.
-    pub(super) fn arrived(&self) -> Option<Mono> {
-        (self.position != Position::Unframed).then_some(self.arrived)
+    /// What is known of the request that the library has just parsed.
+    pub(super) fn take_turn(&mut self) -> Turn {
+        match (self.turn.take(), self.position) {
+            (Some(given), _) => Turn::Given(given),
+            (None, Position::Unframed) => Turn::Unframed,
+            (None, _) => Turn::Unknown,
+        }
+    }
+
+    /// The `n`th request behind the one that is being answered.
+    pub(super) fn queued(&self, n: usize) -> Option<Queued> {
+        if !self.is_held() {
+            return None;
+        }
+        self.queue.get(n).copied()
+    }
+
+    /// Head and body of a queued request; `None` if its body is not whole or not framed.
+    pub(super) fn bytes_of(&self, queued: &Queued) -> Option<(&[u8], &[u8])> {
+        let head = queued.head?;
+        let start = usize::try_from(queued.start - self.ahead_start).ok()?;
+        let body_start = start + head.head_bytes;
+        let end = body_start.checked_add(usize::try_from(head.body_bytes).ok()?)?;
+        let body = self.ahead.get(body_start..end)?;
+        Some((&self.ahead[start..body_start], body))
     }
 
     /// Whether the library gets nothing because a request is not answered.
@@ -129,10 +197,12 @@
                 Poll::Ready(Err(_broken)) => return Poll::Ready(()),
                 Poll::Ready(Ok(())) => {}
             }
-            self.ahead.reserve(MIN_READ_BYTES);
-            match self.stream.try_read_buf(&mut self.ahead) {
+            self.ahead
+                .reserve(MIN_READ_BYTES.min(MAX_AHEAD_BYTES - self.ahead.len()));
+            let room = MAX_AHEAD_BYTES - self.ahead.len();
+            match self.stream.try_read_buf(&mut (&mut self.ahead).limit(room)) {
                 Ok(0) => return Poll::Ready(()),
-                Ok(_) => {}
+                Ok(_) => self.queue_requests(clock::mono()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_broken) => return Poll::Ready(()),
             }
@@ -140,6 +210,38 @@
         self.poll_left(cx)
     }
 
+    /// Finds the requests in the bytes that were read ahead, which arrived by now.
+    fn queue_requests(&mut self, now: Mono) {
+        while !self.is_queue_ended {
+            let Some(offset) = usize::try_from(self.queued_to - self.ahead_start).ok() else {
+                return;
+            };
+            let Some(bytes) = self.ahead.get(offset..).filter(|bytes| !bytes.is_empty()) else {
+                return;
+            };
+            let from = self.searched.saturating_sub(BLANK_LINE_BYTES - 1);
+            if !framing::has_blank_line(&bytes[from..]) {
+                self.searched = bytes.len();
+                return;
+            }
+            self.searched = bytes.len();
+            let head = match framing::read_head(bytes) {
+                Head::Partial => return,
+                Head::Unclear => None,
+                Head::Plain(head) => Some(head),
+            };
+            self.queue.push_back(Queued {
+                arrived: now,
+                start: self.queued_to,
+                head,
+            });
+            self.searched = 0;
+            self.is_queue_ended = head.is_none_or(|head| head.closes);
+            let length = head.map_or(0, |head| head.head_bytes as u64 + head.body_bytes);
+            self.queued_to += length;
+        }
+    }
+
     /// Resolves once the caller has left while the buffer is full.
     fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
@@ -185,7 +287,11 @@
         self.progress.record_bytes(now);
         let taken = self.pass(now, before, buf);
         let excess = &buf.filled()[before + taken..];
-        self.ahead.extend_from_slice(excess);
+        self.skip(taken);
+        if !excess.is_empty() {
+            self.ahead.extend_from_slice(excess);
+            self.queue_requests(now);
+        }
         buf.set_filled(before + taken);
         read
     }
@@ -200,12 +306,23 @@
         let taken = self.pass(now, before, buf);
         buf.set_filled(before + taken);
         self.ahead.advance(taken);
+        self.skip(taken);
         if self.ahead.is_empty() {
             // A row ends seldom; the memory is not kept for the next one.
             self.ahead = BytesMut::new();
         }
     }
 
+    /// Records that the library got the next `count` bytes of the connection.
+    fn skip(&mut self, count: usize) {
+        self.ahead_start += count as u64;
+        if self.queued_to < self.ahead_start {
+            // A request of which a part is queued nowhere: its end is not searched any more.
+            self.queued_to = self.ahead_start;
+            self.searched = 0;
+        }
+    }
+
     /// Follows the request through the bytes of `buf` from `from` on; returns how many of them
     /// belong to it.
     fn pass(&mut self, now: Mono, from: usize, buf: &ReadBuf<'_>) -> usize {
@@ -235,7 +352,8 @@
             framing::read_head(new)
         } else {
             self.partial.extend_from_slice(new);
-            if framing::has_blank_line(&self.partial[known.saturating_sub(3)..]) {
+            if framing::has_blank_line(&self.partial[known.saturating_sub(BLANK_LINE_BYTES - 1)..])
+            {
                 framing::read_head(&self.partial)
             } else {
                 Head::Partial
@@ -250,17 +368,29 @@
             Head::Unclear => {
                 self.partial = Vec::new();
                 self.position = Position::Unframed;
+                self.is_queue_ended = true;
+                self.record_given(now);
                 new.len()
             }
             Head::Plain(head) => {
                 self.partial = Vec::new();
                 self.given += 1;
-                self.arrived = now;
+                self.is_queue_ended |= head.closes;
+                self.record_given(now);
                 let rest = head.head_bytes - known;
                 rest + self.pass_body(head.body_bytes, new.len() - rest)
             }
         }
     }
+
+    /// Records that the library got a head. It arrived now unless it was queued.
+    fn record_given(&mut self, now: Mono) {
+        let queued = self.queue.pop_front();
+        self.turn = Some(Given {
+            arrived: queued.map_or(now, |queued| queued.arrived),
+            queued_at: queued.map(|queued| queued.start),
+        });
+    }
 }
 
 /// The stream as the HTTP library gets it.
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -145,7 +145,8 @@
                 | RefusalReason::UnderTrial
                 | RefusalReason::EndpointLimited
                 | RefusalReason::EndpointLeaving
-                | RefusalReason::EndpointResting => Passed::Ended(self.refuse(refusal)),
+                | RefusalReason::EndpointResting
+                | RefusalReason::BehindUnanswered => Passed::Ended(self.refuse(refusal)),
             },
             Some(ForwardedOutcome::Ended(outcome)) => Passed::Ended(outcome),
             Some(ForwardedOutcome::Rejected(status)) => Passed::NotThere(status.to_string()),
--- a/crates/citronway/src/gateway/traffic/open_requests.rs
+++ b/crates/citronway/src/gateway/traffic/open_requests.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use citronway_core::gateway::admission::Choice;
+use citronway_core::gateway::routes::Repeat;
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use http::HeaderValue;
@@ -70,6 +71,8 @@
     /// When the current stage began.
     stage_since: Cell<Mono>,
     id: RefCell<Option<HeaderValue>>,
+    /// Whether it may run more than once; `None` before its route is known.
+    repeat: Cell<Option<Repeat>>,
     endpoint: RefCell<Option<EndpointStart>>,
     /// Fence under which that endpoint holds its key; 0 without one.
     fence: Cell<u64>,
@@ -81,6 +84,16 @@
         self.id.replace(id.cloned());
     }
 
+    /// Sets whether the request may run more than once, by its route.
+    pub(super) fn set_repeat(&self, repeat: Repeat) {
+        self.repeat.set(Some(repeat));
+    }
+
+    /// Whether the request may run more than once; `None` before its route is known.
+    pub(super) fn repeat(&self) -> Option<Repeat> {
+        self.repeat.get()
+    }
+
     /// Moves the request to a stage.
     pub(super) fn enter_stage(&self, now: Mono, stage: Stage) {
         self.stage.set(stage);
@@ -140,6 +153,7 @@
             stage: Cell::new(Stage::Reading),
             stage_since: Cell::new(now),
             id: RefCell::default(),
+            repeat: Cell::new(None),
             endpoint: RefCell::default(),
             fence: Cell::new(0),
         });
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -7,7 +7,6 @@
 use citronway_core::gateway::crashes::Fingerprint;
 use citronway_core::time::Mono;
 use citronway_platform::exchange;
-use http::header::CONNECTION;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
@@ -69,7 +68,6 @@
 
 /// Builds the response for an outcome.
 pub(super) fn respond(
-    state: &State,
     id: Option<&HeaderValue>,
     outcome: Outcome,
     guard: RequestGuard,
@@ -113,10 +111,6 @@
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response.headers_mut().extend(stated);
-    if state.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
     response
 }
 
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::gateway::freshness::Trust;
+use citronway_core::gateway::pipeline;
 use citronway_core::gateway::routes::RouteTable;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, RequestMetadata};
@@ -46,6 +47,7 @@
 where
     B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
 {
+    let began = clock::mono();
     let (mut head, body) = req.into_parts();
     let forwarded = match origin {
         Origin::Caller => None,
@@ -54,7 +56,7 @@
             Err(e) => {
                 log::warn!(cause = e.to_string(); "forwarded request is not accepted");
                 let outcome = Outcome::Rejected(StatusCode::FORBIDDEN, "not an instance");
-                return outcome::respond(&state, None, outcome, guard, origin);
+                return outcome::respond(None, outcome, guard, origin);
             }
         },
     };
@@ -68,24 +70,28 @@
             log::info!(request, cause = e.to_string(); "a request is malformed");
             let outcome = Outcome::Rejected(StatusCode::BAD_REQUEST, "malformed header");
             outcome::record(&state, arrived, id, Class::UNKNOWN, &outcome);
-            return outcome::respond(&state, id, outcome, guard, origin);
+            return outcome::respond(id, outcome, guard, origin);
         }
     };
     let mut class = Class::UNKNOWN;
     let parsed = ParsedRequest {
         arrived,
+        began,
         head: &head,
         metadata: &metadata,
         forwarded: forwarded.as_ref(),
     };
     let outcome = serve(&state, &parsed, body, open, &mut class).await;
     outcome::record(&state, arrived, id, class, &outcome);
-    outcome::respond(&state, id, outcome, guard, origin)
+    outcome::respond(id, outcome, guard, origin)
 }
 
 /// A request whose head has been parsed.
 struct ParsedRequest<'a> {
     arrived: Mono,
+    /// When it was begun; later than its arrival if earlier requests of its connection were without
+    /// an answer.
+    began: Mono,
     head: &'a Parts,
     metadata: &'a RequestMetadata,
     /// What the instance said that passed it on; `None` if it came from a caller.
@@ -97,9 +103,9 @@
 fn without_route(parsed: &ParsedRequest<'_>, routes: &RouteTable, trust: &Trust) -> Outcome {
     let request = outcome::display_id(exchange::request_id(&parsed.head.headers));
     let version = routes.version.0;
-    let confirmed_ms_ago = trust.confirmed_at.map(|at| parsed.arrived.since(at));
+    let confirmed_ms_ago = trust.confirmed_at.map(|at| parsed.began.since(at));
     log::info!(request, version, confirmed_ms_ago; "no route in the configuration in force");
-    if parsed.arrived > trust.reject_until {
+    if parsed.began > trust.reject_until {
         return unconfirmed();
     }
     Outcome::Rejected(StatusCode::NOT_FOUND, "no route")
@@ -153,6 +159,7 @@
 {
     let &ParsedRequest {
         arrived,
+        began,
         head,
         metadata,
         forwarded,
@@ -172,10 +179,19 @@
         }
         return without_route(parsed, &routes, &trust);
     };
-    if arrived > trust.serve_until {
+    if began > trust.serve_until {
         return unconfirmed();
     }
     *class = Class::of(route);
+    open.set_repeat(route.repeat);
+    let stated_ms = match forwarded {
+        Some(forwarded) => forwarded.wait_ms,
+        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
+    };
+    let wait_ms = stated_ms.min(route.timeout_ms);
+    if pipeline::is_expired(began, arrived, wait_ms) {
+        return not_run(RefusalReason::BehindUnanswered, DEFAULT_RETRY_MS);
+    }
     let body = match read_body(state, body, routes.limits.body_bytes, open).await {
         Ok(body) => body,
         Err(outcome) => return outcome,
@@ -197,13 +213,8 @@
         (false, _) => None,
     };
     if forwarded.is_none() {
-        state.count_request(arrived, service);
+        state.count_request(began, service);
     }
-    let stated_ms = match forwarded {
-        Some(forwarded) => forwarded.wait_ms,
-        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
-    };
-    let wait_ms = stated_ms.min(route.timeout_ms);
     // A caller that retries states only the time it has left. The time it spent before counts
     // towards the objective too.
     let spent_ms = state.record_wait(&route.name, stated_ms) - stated_ms;
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod neighbors;
 mod phase;
+mod pipelined;
 mod report;
 mod retries;
 mod statements;
@@ -20,7 +21,7 @@
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::MAX_KEYS;
 use citronway_core::gateway::routes::{CallerLimits, Route};
-use citronway_core::gateway::settings::InstanceSettings;
+use citronway_core::gateway::settings::{InstanceSettings, TrafficSettings};
 use citronway_core::ids::{EndpointStart, InstanceName, ServiceName};
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
@@ -40,6 +41,7 @@
 pub(super) use guards::{InFlight, OpenConnection};
 pub(super) use phase::Phase;
 pub use phase::Stop;
+pub(super) use pipelined::Pipelined;
 
 /// Weight of the newest answer in a route's mean work time and mean answer size.
 const MEAN_WEIGHT: f64 = 0.02;
@@ -89,6 +91,9 @@
     cut_off: watch::Sender<bool>,
     connections: Cell<u32>,
     phase: watch::Sender<Phase>,
+    traffic: TrafficSettings,
+    /// Requests that are begun before earlier ones of their connections are answered.
+    pipelined: Cell<u32>,
 }
 
 #[derive(Debug)]
@@ -155,6 +160,8 @@
             cut_off: watch::Sender::new(false),
             connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
+            traffic: cfg.traffic,
+            pipelined: Cell::new(0),
         }
     }
 
