Tests: rows of requests, bounds, times, stop, framing and neighbors

Rows against an instance with stand-in endpoints, and random rows against the decisions of the core.

--- a/crates/citronway/src/gateway/traffic/connection/pipeline.rs
+++ b/crates/citronway/src/gateway/traffic/connection/pipeline.rs
@@ -198,7 +198,7 @@
 
     /// Whether no request is begun behind the one whose turn it is.
     pub(super) fn is_at_last(&self) -> bool {
-        self.begun.is_empty()
+        self.pipeline.borrow().is_at_last()
     }
 }
 
--- a/crates/citronway/tests/gateway_pipelining.rs
+++ b/crates/citronway/tests/gateway_pipelining.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use citronway_standin::soak::{Mode, Proxy};
 use gateway_support::{Deployment, Instance, head, route, silent_deployment, until};
 use googletest::prelude::*;
 use serde_json::json;
@@ -165,3 +166,38 @@
     thread::sleep(CANCEL_WITHIN);
     expect_that!(silent.connections(), eq(count));
 }
+
+/// Failure: a neighbor's endpoints work on for a caller that left behind further requests.
+#[gtest]
+fn work_at_a_neighbor_is_cancelled_after_its_caller_left() {
+    for how in [Leaves::Closes, Leaves::Resets, Leaves::HalfCloses] {
+        let (deployment, silent) = silent_deployment();
+        let proxies = [&deployment.a, &deployment.b].map(|endpoint| {
+            let proxy = Proxy::start(endpoint.address()).expect("a proxy");
+            let mut entry = endpoint.entry("ready");
+            entry["addr"] = json!(proxy.address);
+            deployment.store.put("servers", endpoint.name(), &entry);
+            proxy
+        });
+        let proxy = Proxy::start(silent.address()).expect("a proxy");
+        let mut entry = silent.entry("console");
+        entry["addr"] = json!(proxy.address);
+        deployment.store.put("servers", "i-mute", &entry);
+        let instances = ["one", "two"].map(|name| deployment.ready_instance(name));
+        for proxy in proxies.iter().chain([&proxy]) {
+            proxy.set_for(instances[0].callers.ip(), Mode::Reset);
+        }
+        until("the first instance has noticed the cut", || {
+            let _refused = instances[0].try_call("GET /look/1", "X-Shard-Key: 7\r\n", "");
+            instances[0].metrics().contains("citronway_cut_off 1")
+        });
+        let stream = send_row(&instances[0], &row("/patient-look/", 0));
+        until("the endpoint has the row", || silent.open_connections() > 1);
+        let _half_closed = leave(stream, how);
+        let left = Instant::now();
+        until("all connections are dropped", || {
+            silent.open_connections() == 0
+        });
+        expect_that!(left.elapsed(), le(CANCEL_WITHIN), "{how:?}");
+    }
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing;
 pub mod load;
+pub mod rows;
 
 use std::io::{BufRead as _, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -138,6 +139,20 @@
         std::fs::write(&path, settings.to_string()).expect("settings can be written");
     }
 
+    /// Starts an instance with settings of its table `traffic`, and waits until it is ready.
+    pub fn instance_with_traffic(&self, name: &str, traffic: &Value) -> Instance {
+        let mut instance = self.instance(name);
+        instance.kill();
+        let path = self.settings_of(name);
+        let text = std::fs::read_to_string(&path).expect("settings can be read");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
+        settings["traffic"] = traffic.clone();
+        std::fs::write(&path, settings.to_string()).expect("settings can be written");
+        self.restart(&mut instance);
+        until("the instance is ready", || instance.is_ready());
+        instance
+    }
+
     fn start(&self, name: &str, store: SocketAddr, logs: Stdio) -> Instance {
         let addresses = Addresses::at(own_address());
         let settings = addresses.settings(name, store);
@@ -420,6 +435,11 @@
         Self { address, accepted }
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Number of its connections.
     pub fn connections(&self) -> usize {
         self.accepted.lock().expect("no panic").len()
