--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -1,18 +1,20 @@
 //! Reads a caller's request, forwards it and builds the response.
 
 use std::cell::OnceCell;
+use std::error::Error;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::gateway::freshness::Trust;
+use citronway_core::gateway::pipeline;
 use citronway_core::gateway::routes::RouteTable;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, RequestMetadata};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::Body;
 
 use super::connection::{GuardedBody, RequestGuard};
 use super::forwarding::Forwarding;
@@ -34,14 +36,18 @@
 /// Retry-after time while the configuration is being fetched, in milliseconds.
 const UNCONFIRMED_RETRY_MS: u64 = 300;
 
-/// Answers a request of a caller.
-pub(super) async fn answer(
+/// Answers a request of a caller, whose head arrived at `arrived`.
+pub(super) async fn answer<B>(
     state: Rc<State>,
-    req: Request<Incoming>,
+    arrived: Mono,
+    req: Request<B>,
     guard: RequestGuard,
     origin: Origin,
-) -> Response<GuardedBody> {
-    let arrived = clock::mono();
+) -> Response<GuardedBody>
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+{
+    let began = clock::mono();
     let (mut head, body) = req.into_parts();
     let forwarded = match origin {
         Origin::Caller => None,
@@ -50,7 +56,7 @@
             Err(e) => {
                 log::warn!(cause = e.to_string(); "forwarded request is not accepted");
                 let outcome = Outcome::Rejected(StatusCode::FORBIDDEN, "not an instance");
-                return outcome::respond(&state, None, outcome, guard, origin);
+                return outcome::respond(None, outcome, guard, origin);
             }
         },
     };
@@ -64,24 +70,28 @@
             log::info!(request, cause = e.to_string(); "a request is malformed");
             let outcome = Outcome::Rejected(StatusCode::BAD_REQUEST, "malformed header");
             outcome::record(&state, arrived, id, Class::UNKNOWN, &outcome);
-            return outcome::respond(&state, id, outcome, guard, origin);
+            return outcome::respond(id, outcome, guard, origin);
         }
     };
     let mut class = Class::UNKNOWN;
     let parsed = ParsedRequest {
         arrived,
+        began,
         head: &head,
         metadata: &metadata,
         forwarded: forwarded.as_ref(),
     };
     let outcome = serve(&state, &parsed, body, open, &mut class).await;
     outcome::record(&state, arrived, id, class, &outcome);
-    outcome::respond(&state, id, outcome, guard, origin)
+    outcome::respond(id, outcome, guard, origin)
 }
 
 /// A request whose head has been parsed.
 struct ParsedRequest<'a> {
     arrived: Mono,
+    /// When it was begun; later than its arrival if earlier requests of its connection were without
+    /// an answer.
+    began: Mono,
     head: &'a Parts,
     metadata: &'a RequestMetadata,
     /// What the instance said that passed it on; `None` if it came from a caller.
@@ -93,9 +103,9 @@
 fn without_route(parsed: &ParsedRequest<'_>, routes: &RouteTable, trust: &Trust) -> Outcome {
     let request = outcome::display_id(exchange::request_id(&parsed.head.headers));
     let version = routes.version.0;
-    let confirmed_ms_ago = trust.confirmed_at.map(|at| parsed.arrived.since(at));
+    let confirmed_ms_ago = trust.confirmed_at.map(|at| parsed.began.since(at));
     log::info!(request, version, confirmed_ms_ago; "no route in the configuration in force");
-    if parsed.arrived > trust.reject_until {
+    if parsed.began > trust.reject_until {
         return unconfirmed();
     }
     Outcome::Rejected(StatusCode::NOT_FOUND, "no route")
@@ -109,12 +119,15 @@
 }
 
 /// Reads the body of a request, unless it is too long or the instance ends.
-async fn read_body(
+async fn read_body<B>(
     state: &State,
-    body: Incoming,
+    body: B,
     max_bytes: usize,
     open: &OpenRequest,
-) -> Result<Bytes, Outcome> {
+) -> Result<Bytes, Outcome>
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+{
     let body = Limited::new(body, max_bytes).collect();
     let body = tokio::select! {
         biased;
@@ -134,15 +147,19 @@
     }
 }
 
-async fn serve(
+async fn serve<B>(
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
-    body: Incoming,
+    body: B,
     open: &OpenRequest,
     class: &mut Class,
-) -> Outcome {
+) -> Outcome
+where
+    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+{
     let &ParsedRequest {
         arrived,
+        began,
         head,
         metadata,
         forwarded,
@@ -162,10 +179,19 @@
         }
         return without_route(parsed, &routes, &trust);
     };
-    if arrived > trust.serve_until {
+    if began > trust.serve_until {
         return unconfirmed();
     }
     *class = Class::of(route);
+    open.set_repeat(route.repeat);
+    let stated_ms = match forwarded {
+        Some(forwarded) => forwarded.wait_ms,
+        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
+    };
+    let wait_ms = stated_ms.min(route.timeout_ms);
+    if pipeline::is_expired(began, arrived, wait_ms) {
+        return not_run(RefusalReason::BehindUnanswered, DEFAULT_RETRY_MS);
+    }
     let body = match read_body(state, body, routes.limits.body_bytes, open).await {
         Ok(body) => body,
         Err(outcome) => return outcome,
@@ -187,13 +213,8 @@
         (false, _) => None,
     };
     if forwarded.is_none() {
-        state.count_request(arrived, service);
+        state.count_request(began, service);
     }
-    let stated_ms = match forwarded {
-        Some(forwarded) => forwarded.wait_ms,
-        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
-    };
-    let wait_ms = stated_ms.min(route.timeout_ms);
     // A caller that retries states only the time it has left. The time it spent before counts
     // towards the objective too.
     let spent_ms = state.record_wait(&route.name, stated_ms) - stated_ms;
