Gateway: chunked bodies are framed; tests of slow callers and long rows

A row behind a chunked body is read ahead too; chunks with extensions or trailers are passed on as they come. Little is read ahead while the instance has no room. A request that the HTTP library has and has not parsed keeps those behind it from being begun, so that tasks and requests cannot be matched wrongly.

--- a/crates/citronway-core/tests/gateway_pipeline.rs
+++ b/crates/citronway-core/tests/gateway_pipeline.rs
@@ -117,7 +117,6 @@
 /// A request of the model that is begun, with the size of its answer as far as it is known.
 struct Begun {
     number: u64,
-    is_ahead: bool,
     is_repeatable: bool,
     bytes: u64,
 }
@@ -166,7 +165,6 @@
                 last_number = Some(number);
                 begun.push_back(Begun {
                     number,
-                    is_ahead,
                     is_repeatable: next.repeat == Some(Repeat::Idempotent),
                     bytes: if next.answer_bytes == 0 { 16_384 } else { next.answer_bytes },
                 });
--- a/crates/citronway/src/gateway/pipeline_metrics.rs
+++ b/crates/citronway/src/gateway/pipeline_metrics.rs
@@ -18,7 +18,6 @@
     ahead: Gauge,
     begun: Counter,
     held: Family<HoldLabels, Counter>,
-    left: Counter,
 }
 
 impl PipelineMetrics {
@@ -37,15 +36,7 @@
         }
         let help = "Requests that waited for the earlier ones of their connection, by reason";
         registry.register("pipelined_held", help, held.clone());
-        let left = Counter::default();
-        let help = "Connections that callers left behind a request without an answer";
-        registry.register("pipelined_left", help, left.clone());
-        Self {
-            ahead,
-            begun,
-            held,
-            left,
-        }
+        Self { ahead, begun, held }
     }
 
     /// Sets the number of requests that are begun before an earlier one is answered.
@@ -63,9 +54,4 @@
         let reason = reason.as_str();
         self.held.get_or_create(&HoldLabels { reason }).inc();
     }
-
-    /// Counts a connection that its caller left behind a request without an answer.
-    pub(super) fn count_left(&self) {
-        self.left.inc();
-    }
 }
--- a/crates/citronway/src/gateway/traffic/connection/framing.rs
+++ b/crates/citronway/src/gateway/traffic/connection/framing.rs
@@ -10,6 +10,9 @@
 /// Most header lines of a request; the HTTP library refuses a request with more.
 const MAX_HEADERS: usize = 100;
 
+/// Length of the longest line end with the empty line behind it that ends a head.
+const BLANK_LINE_BYTES: usize = 4;
+
 /// What the bytes of a head mean.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Head {
@@ -24,11 +27,19 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PlainHead {
     pub head_bytes: usize,
-    pub body_bytes: u64,
+    pub body: BodyFrame,
     /// Whether the caller asks to close the connection after the answer.
     pub closes: bool,
 }
 
+/// How the end of a body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BodyFrame {
+    /// It has so many bytes.
+    Length(u64),
+    Chunked,
+}
+
 /// Reads the head at the start of `buf`.
 pub(super) fn read_head(buf: &[u8]) -> Head {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -44,7 +55,7 @@
     {
         return Head::Unclear;
     }
-    let mut length = None;
+    let mut body = None;
     let mut closes = false;
     for header in req.headers.iter() {
         if is_unclear(header.name) {
@@ -56,17 +67,23 @@
                 None => return Head::Unclear,
             }
         }
-        if !header.name.eq_ignore_ascii_case("content-length") {
+        let found = if header.name.eq_ignore_ascii_case("content-length") {
+            read_length(header.value).map(BodyFrame::Length)
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            let is_chunked = header.value.eq_ignore_ascii_case(b"chunked");
+            is_chunked.then_some(BodyFrame::Chunked)
+        } else {
             continue;
+        };
+        // Two of them are unclear even if they agree.
+        if found.is_none() || body.is_some() {
+            return Head::Unclear;
         }
-        match (length, read_length(header.value)) {
-            (None, Some(bytes)) => length = Some(bytes),
-            (Some(_), _) | (_, None) => return Head::Unclear,
-        }
+        body = found;
     }
     Head::Plain(PlainHead {
         head_bytes,
-        body_bytes: length.unwrap_or(0),
+        body: body.unwrap_or(BodyFrame::Length(0)),
         closes,
     })
 }
@@ -92,10 +109,11 @@
     Some(req.into_parts().0)
 }
 
-/// Whether `buf` may contain the end of a head; a cheap check before it is parsed.
-pub(super) fn has_blank_line(buf: &[u8]) -> bool {
+/// Whether `buf` may contain the end of a head behind its first `searched` bytes; a cheap check
+/// before it is parsed.
+pub(super) fn has_blank_line(buf: &[u8], searched: usize) -> bool {
     let mut after_line_feed = false;
-    for byte in buf {
+    for byte in &buf[searched.saturating_sub(BLANK_LINE_BYTES - 1)..] {
         match byte {
             b'\n' if after_line_feed => return true,
             b'\n' => after_line_feed = true,
@@ -119,7 +137,7 @@
 
 /// Whether a header changes how a request ends or what follows it.
 fn is_unclear(name: &str) -> bool {
-    const NAMES: [&str; 4] = ["transfer-encoding", "expect", "upgrade", "http2-settings"];
+    const NAMES: [&str; 4] = ["expect", "upgrade", "http2-settings", "trailer"];
     NAMES.iter().any(|other| name.eq_ignore_ascii_case(other))
 }
 
--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -1,10 +1,13 @@
 //! Serves callers' connections, and drains them when the instance stops.
 
+mod chunks;
 mod drain;
 mod framing;
 mod pipeline;
 mod progress;
+mod queue;
 mod read_ahead;
+mod stream;
 
 use std::cell::RefCell;
 use std::future::poll_fn;
@@ -12,6 +15,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use citronway_core::time::Mono;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -24,9 +28,10 @@
 use super::request;
 use super::state::{Phase, State};
 use crate::clock;
-use pipeline::{Row, TurnError};
+use pipeline::{Begun, Row, TurnError};
 use progress::Progress;
-use read_ahead::{Given, ReadAhead, SharedStream, Turn};
+use read_ahead::{Given, ReadAhead, Turn};
+use stream::SharedStream;
 
 pub(super) use drain::drain;
 pub(super) use progress::{GuardedBody, RequestGuard};
@@ -56,6 +61,14 @@
     AtLast,
 }
 
+/// A request whose turn it is.
+enum InTurn {
+    /// It was begun ahead.
+    Begun(Box<Begun>),
+    /// It is begun now; with its time of arrival.
+    New(RequestGuard, Mono),
+}
+
 /// Serves one connection until it ends.
 pub(super) async fn serve(state: Rc<State>, stream: TcpStream, origin: Origin) {
     if let Err(e) = stream.set_nodelay(true) {
@@ -88,9 +101,8 @@
                 }
                 return;
             }
-            event = poll_fn(|cx| poll_row(cx, &reader, &row, closing)) => match event {
+            event = poll_fn(|cx| poll_row(cx, &state, &reader, &row, closing)) => match event {
                 RowEvent::CallerLeft => {
-                    state.metrics.pipeline.count_left();
                     log::debug!("caller left behind requests without an answer");
                     return;
                 }
@@ -120,11 +132,16 @@
 /// Reads ahead and begins requests, after the HTTP library has been polled.
 fn poll_row(
     cx: &mut Context<'_>,
+    state: &State,
     reader: &RefCell<ReadAhead>,
     row: &RefCell<Row>,
     closing: Closing,
 ) -> Poll<RowEvent> {
-    if reader.borrow_mut().poll_ahead(cx).is_ready() {
+    if reader
+        .borrow_mut()
+        .poll_ahead(cx, state.may_read_ahead())
+        .is_ready()
+    {
         return Poll::Ready(RowEvent::CallerLeft);
     }
     let mut row = row.borrow_mut();
@@ -145,7 +162,6 @@
     origin: Origin,
 ) -> impl Future<Output = Result<Response<GuardedBody>, TurnError>> + use<> {
     let (state, row) = (Rc::clone(state), Rc::clone(row));
-    let begun = row.borrow_mut().take_begun();
     let given = match turn {
         Turn::Given(given) => Ok(given),
         Turn::Unframed => Ok(Given {
@@ -154,22 +170,21 @@
         }),
         Turn::Unknown => Err(TurnError::Differs),
     };
-    let in_turn = given.map(|given| {
-        if begun.is_some() {
-            return None;
+    let in_turn = given.and_then(|given| {
+        let mut row = row.borrow_mut();
+        if let Some(begun) = row.take_begun(given.queued_at)? {
+            return Ok(InTurn::Begun(Box::new(begun)));
         }
         let open = state.open_requests.insert(given.arrived);
-        let mut row = row.borrow_mut();
         row.begin_in_turn(&open.request, given.queued_at);
-        Some((progress.begin(open), given.arrived))
+        Ok(InTurn::New(progress.begin(open), given.arrived))
     });
     async move {
-        let mut answer = match (begun, in_turn?) {
-            (Some(begun), _) => begun.finish(req).await?,
-            (None, Some((guard, arrived))) => {
+        let mut answer = match in_turn? {
+            InTurn::Begun(begun) => begun.finish(req).await?,
+            InTurn::New(guard, arrived) => {
                 request::answer(Rc::clone(&state), arrived, req, guard, origin).await
             }
-            (None, None) => return Err(TurnError::Differs),
         };
         // Requests that are begun behind this one are answered before the connection closes.
         if state.is_stopping() && row.borrow().is_at_last() {
--- a/crates/citronway/src/gateway/traffic/connection/pipeline.rs
+++ b/crates/citronway/src/gateway/traffic/connection/pipeline.rs
@@ -17,7 +17,8 @@
 
 use super::framing;
 use super::progress::{GuardedBody, Progress};
-use super::read_ahead::{Queued, ReadAhead};
+use super::queue::Queued;
+use super::read_ahead::ReadAhead;
 use crate::gateway::traffic::neighbor::Origin;
 use crate::gateway::traffic::open_requests::OpenRequest;
 use crate::gateway::traffic::outcome::display_id;
@@ -57,6 +58,8 @@
 /// A request that is begun before its turn; it is cancelled when this is dropped.
 #[derive(Debug)]
 pub(super) struct Begun {
+    /// Position of its first byte in the connection.
+    start: u64,
     head: Parts,
     body: Bytes,
     answer: AbortOnDropHandle<Response<GuardedBody>>,
@@ -146,6 +149,7 @@
             answer
         });
         self.begun.push_back(Begun {
+            start: next.start,
             head: next.head,
             body: next.body,
             answer: AbortOnDropHandle::new(answer),
@@ -163,15 +167,18 @@
         }
     }
 
-    /// Ends the turn of the request before, and takes what was begun of the next one.
-    pub(super) fn take_begun(&mut self) -> Option<Begun> {
+    /// Ends the turn of the request before, and takes the next one if it was begun.
+    pub(super) fn take_begun(&mut self, start: Option<u64>) -> Result<Option<Begun>, TurnError> {
         self.present = None;
         let mut pipeline = self.pipeline.borrow_mut();
         if pipeline.begun() > self.begun.len() {
             pipeline.record_delivered();
         }
         drop(pipeline);
-        self.begun.pop_front()
+        match self.begun.pop_front() {
+            Some(begun) if Some(begun.start) != start => Err(TurnError::Differs),
+            begun => Ok(begun),
+        }
     }
 
     /// Records that a request that was not begun ahead is begun in its turn.
--- a/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -3,8 +3,6 @@
 //! It gives the library the bytes of one request at a time. What arrives behind a request that is
 //! not answered yet is read ahead, up to a bound, so that the end of the connection is seen.
 
-use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -14,12 +12,14 @@
 use bytes::{Buf as _, BufMut as _, BytesMut};
 use citronway_core::time::Mono;
 use futures::FutureExt as _;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::{AsyncRead as _, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use super::framing::{self, Head, PlainHead};
+use super::chunks::{Chunked, Chunks};
+use super::framing::{self, BodyFrame, Head};
 use super::progress::Progress;
+use super::queue::{Queued, RequestQueue};
 use crate::clock;
 
 /// Most bytes that are read behind the request that is being answered.
@@ -31,9 +31,6 @@
 /// Least room that is made for a read.
 const MIN_READ_BYTES: usize = 4 * 1024;
 
-/// Length of the longest line end with the empty line behind it that ends a head.
-const BLANK_LINE_BYTES: usize = 4;
-
 /// Interval between checks whether the caller has left while the buffer is full. Callers that
 /// leave have their work cancelled within 500 ms.
 const FULL_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -45,22 +42,14 @@
     Head,
     /// In its body, of which so many bytes are missing.
     Body(u64),
+    /// In its body, which is sent in chunks.
+    Chunked(Chunks),
     /// It was passed on in full.
     Whole,
     /// Bytes are no longer told apart.
     Unframed,
 }
 
-/// A request whose head has arrived behind one that is not answered.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Queued {
-    pub arrived: Mono,
-    /// Position of its first byte in the connection.
-    pub start: u64,
-    /// `None` if it is not framed; nothing behind it is told apart.
-    pub head: Option<PlainHead>,
-}
-
 /// A request that the HTTP library has got.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Given {
@@ -91,14 +80,10 @@
     ahead: BytesMut,
     /// Position of the first of them in the connection.
     ahead_start: u64,
-    /// Requests in them, in order.
-    queue: VecDeque<Queued>,
-    /// Position of the first byte whose request is not in the queue.
-    queued_to: u64,
-    /// Number of bytes from there on that contain no end of a head.
-    searched: usize,
-    /// Whether requests further behind are not told apart.
-    is_queue_ended: bool,
+    /// Requests in them.
+    queue: RequestQueue,
+    /// Whether the request that was passed on last is the last one of the connection.
+    is_last: bool,
     /// Requests whose heads were passed on in full.
     given: u64,
     /// The latest of them, until the library has parsed it.
@@ -120,10 +105,8 @@
             partial: Vec::new(),
             ahead: BytesMut::new(),
             ahead_start: 0,
-            queue: VecDeque::new(),
-            queued_to: 0,
-            searched: 0,
-            is_queue_ended: false,
+            queue: RequestQueue::default(),
+            is_last: false,
             given: 0,
             turn: None,
             is_waiting: false,
@@ -143,10 +126,11 @@
 
     /// The `n`th request behind the one that is being answered.
     pub(super) fn queued(&self, n: usize) -> Option<Queued> {
-        if !self.is_held() {
+        // Until the library has parsed what it got, the row does not know of that request.
+        if !self.is_held() || self.turn.is_some() {
             return None;
         }
-        self.queue.get(n).copied()
+        self.queue.get(n)
     }
 
     /// Head and body of a queued request; `None` if its body is not whole or not framed.
@@ -154,11 +138,19 @@
         let head = queued.head?;
         let start = usize::try_from(queued.start - self.ahead_start).ok()?;
         let body_start = start + head.head_bytes;
-        let end = body_start.checked_add(usize::try_from(head.body_bytes).ok()?)?;
+        let BodyFrame::Length(body_bytes) = head.body else {
+            return None;
+        };
+        let end = body_start.checked_add(usize::try_from(body_bytes).ok()?)?;
         let body = self.ahead.get(body_start..end)?;
         Some((&self.ahead[start..body_start], body))
     }
 
+    /// The socket, to write to.
+    pub(super) const fn stream(&mut self) -> &mut TcpStream {
+        &mut self.stream
+    }
+
     /// Whether the library gets nothing because a request is not answered.
     fn is_held(&self) -> bool {
         self.position == Position::Whole && self.progress.answered() < self.given
@@ -167,15 +159,21 @@
     /// Reads what the library does not read. Resolves once the caller has left behind a request
     /// that is not answered.
     ///
-    /// Has to be called each time after the library has been polled.
-    pub(super) fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    /// Has to be called each time after the library has been polled. Little is read while the
+    /// instance has no room.
+    pub(super) fn poll_ahead(&mut self, cx: &mut Context<'_>, has_room: bool) -> Poll<()> {
         // The library has read all there is, so it sees the end of the connection itself.
         if std::mem::take(&mut self.is_waiting) {
             return Poll::Pending;
         }
         let is_passed_on = matches!(self.position, Position::Unframed);
         if self.is_held() || (is_passed_on && self.progress.is_active()) {
-            return self.poll_fill(cx);
+            let most = if has_room {
+                MAX_AHEAD_BYTES
+            } else {
+                MIN_READ_BYTES
+            };
+            return self.poll_fill(cx, most);
         }
         // An answer has ended after the library last tried to read. Only once: a library that
         // closes the connection does not read any more.
@@ -188,8 +186,8 @@
     }
 
     /// Reads into the buffer until it is full or nothing is left to read.
-    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while self.ahead.len() < MAX_AHEAD_BYTES {
+    fn poll_fill(&mut self, cx: &mut Context<'_>, most: usize) -> Poll<()> {
+        while self.ahead.len() < most {
             self.full_check = None;
             // Room is made only once there is something to read.
             match self.stream.poll_read_ready(cx) {
@@ -197,12 +195,11 @@
                 Poll::Ready(Err(_broken)) => return Poll::Ready(()),
                 Poll::Ready(Ok(())) => {}
             }
-            self.ahead
-                .reserve(MIN_READ_BYTES.min(MAX_AHEAD_BYTES - self.ahead.len()));
-            let room = MAX_AHEAD_BYTES - self.ahead.len();
+            let room = most - self.ahead.len();
+            self.ahead.reserve(MIN_READ_BYTES.min(room));
             match self.stream.try_read_buf(&mut (&mut self.ahead).limit(room)) {
                 Ok(0) => return Poll::Ready(()),
-                Ok(_) => self.queue_requests(clock::mono()),
+                Ok(_) => self.find_requests(clock::mono()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_broken) => return Poll::Ready(()),
             }
@@ -210,38 +207,6 @@
         self.poll_left(cx)
     }
 
-    /// Finds the requests in the bytes that were read ahead, which arrived by now.
-    fn queue_requests(&mut self, now: Mono) {
-        while !self.is_queue_ended {
-            let Some(offset) = usize::try_from(self.queued_to - self.ahead_start).ok() else {
-                return;
-            };
-            let Some(bytes) = self.ahead.get(offset..).filter(|bytes| !bytes.is_empty()) else {
-                return;
-            };
-            let from = self.searched.saturating_sub(BLANK_LINE_BYTES - 1);
-            if !framing::has_blank_line(&bytes[from..]) {
-                self.searched = bytes.len();
-                return;
-            }
-            self.searched = bytes.len();
-            let head = match framing::read_head(bytes) {
-                Head::Partial => return,
-                Head::Unclear => None,
-                Head::Plain(head) => Some(head),
-            };
-            self.queue.push_back(Queued {
-                arrived: now,
-                start: self.queued_to,
-                head,
-            });
-            self.searched = 0;
-            self.is_queue_ended = head.is_none_or(|head| head.closes);
-            let length = head.map_or(0, |head| head.head_bytes as u64 + head.body_bytes);
-            self.queued_to += length;
-        }
-    }
-
     /// Resolves once the caller has left while the buffer is full.
     fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
@@ -264,7 +229,12 @@
         }
     }
 
-    fn poll_read(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    /// Gives the library the next bytes of the request that it reads.
+    pub(super) fn poll_read(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         self.is_woken = false;
         if self.is_held() {
             return Poll::Pending;
@@ -290,7 +260,7 @@
         self.skip(taken);
         if !excess.is_empty() {
             self.ahead.extend_from_slice(excess);
-            self.queue_requests(now);
+            self.find_requests(now);
         }
         buf.set_filled(before + taken);
         read
@@ -307,6 +277,9 @@
         buf.set_filled(before + taken);
         self.ahead.advance(taken);
         self.skip(taken);
+        if self.position == Position::Whole {
+            self.find_requests(now);
+        }
         if self.ahead.is_empty() {
             // A row ends seldom; the memory is not kept for the next one.
             self.ahead = BytesMut::new();
@@ -316,11 +289,12 @@
     /// Records that the library got the next `count` bytes of the connection.
     fn skip(&mut self, count: usize) {
         self.ahead_start += count as u64;
-        if self.queued_to < self.ahead_start {
-            // A request of which a part is queued nowhere: its end is not searched any more.
-            self.queued_to = self.ahead_start;
-            self.searched = 0;
-        }
+        self.queue.skip_to(self.ahead_start);
+    }
+
+    /// Finds the requests in the bytes that were read ahead, which arrived by now.
+    fn find_requests(&mut self, now: Mono) {
+        self.queue.find(now, &self.ahead, self.ahead_start);
     }
 
     /// Follows the request through the bytes of `buf` from `from` on; returns how many of them
@@ -331,6 +305,7 @@
             Position::Unframed => new.len(),
             Position::Whole => 0,
             Position::Body(missing) => self.pass_body(missing, new.len()),
+            Position::Chunked(chunks) => self.pass_chunks(chunks, new),
             Position::Head => self.pass_head(now, new),
         }
     }
@@ -346,14 +321,32 @@
         count
     }
 
+    fn pass_chunks(&mut self, chunks: Chunks, new: &[u8]) -> usize {
+        match chunks.follow(new) {
+            Chunked::More(chunks) => {
+                self.position = Position::Chunked(chunks);
+                new.len()
+            }
+            Chunked::End(count) => {
+                self.position = Position::Whole;
+                self.queue.set_ended(self.is_last);
+                count
+            }
+            Chunked::Unclear => {
+                self.position = Position::Unframed;
+                self.queue.set_ended(true);
+                new.len()
+            }
+        }
+    }
+
     fn pass_head(&mut self, now: Mono, new: &[u8]) -> usize {
         let known = self.partial.len();
         let head = if known == 0 {
             framing::read_head(new)
         } else {
             self.partial.extend_from_slice(new);
-            if framing::has_blank_line(&self.partial[known.saturating_sub(BLANK_LINE_BYTES - 1)..])
-            {
+            if framing::has_blank_line(&self.partial, known) {
                 framing::read_head(&self.partial)
             } else {
                 Head::Partial
@@ -368,71 +361,34 @@
             Head::Unclear => {
                 self.partial = Vec::new();
                 self.position = Position::Unframed;
-                self.is_queue_ended = true;
+                self.queue.set_ended(true);
                 self.record_given(now);
                 new.len()
             }
             Head::Plain(head) => {
                 self.partial = Vec::new();
                 self.given += 1;
-                self.is_queue_ended |= head.closes;
+                self.is_last = head.closes;
+                if head.closes {
+                    self.queue.set_ended(true);
+                }
                 self.record_given(now);
                 let rest = head.head_bytes - known;
-                rest + self.pass_body(head.body_bytes, new.len() - rest)
+                let body = &new[rest..];
+                rest + match head.body {
+                    BodyFrame::Length(bytes) => self.pass_body(bytes, body.len()),
+                    BodyFrame::Chunked => self.pass_chunks(Chunks::START, body),
+                }
             }
         }
     }
 
     /// Records that the library got a head. It arrived now unless it was queued.
     fn record_given(&mut self, now: Mono) {
-        let queued = self.queue.pop_front();
+        let queued = self.queue.pop();
         self.turn = Some(Given {
             arrived: queued.map_or(now, |queued| queued.arrived),
             queued_at: queued.map(|queued| queued.start),
         });
     }
 }
-
-/// The stream as the HTTP library gets it.
-#[derive(Debug, Clone)]
-pub(super) struct SharedStream(pub(super) Rc<RefCell<ReadAhead>>);
-
-impl AsyncRead for SharedStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        self.0.borrow_mut().poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for SharedStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.borrow().stream.is_write_vectored()
-    }
-}
--- a/crates/citronway/tests/gateway_pipelining.rs
+++ b/crates/citronway/tests/gateway_pipelining.rs
@@ -149,6 +149,15 @@
     expect_that!(reached, is_empty());
 }
 
+/// Failure: the same with a reset, or with only the caller's direction closed.
+#[gtest]
+fn a_waiting_request_is_not_sent_after_its_caller_left_otherwise_behind_a_long_row() {
+    for how in [Leaves::Resets, Leaves::HalfCloses] {
+        let reached = reach_an_endpoint_after_leaving(LONG_ROW_BYTES, how);
+        expect_that!(reached, is_empty(), "{how:?}");
+    }
+}
+
 /// Failure: an endpoint works on for a caller that left behind further requests.
 #[gtest]
 fn work_is_cancelled_after_its_caller_closed_behind_further_requests() {
--- a/crates/citronway/tests/gateway_rows.rs
+++ b/crates/citronway/tests/gateway_rows.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use citronway_standin::shared::FencedEndpoint;
+use gateway_support::large::LargeEndpoint;
 use gateway_support::rows::{RowCaller, look, look_within, order};
 use gateway_support::{Deployment, Instance, until};
 use googletest::prelude::*;
@@ -173,7 +174,10 @@
         + &order("PUT /status/1", "r1", "two\r\n\r\nparts")
         + "\r\n"
         + &order("POST /order/1", "r2", &"x".repeat(20_000))
-        + &look("GET /status/1", "r3");
+        + &look("GET /status/1", "r3")
+            .replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n")
+        + "5\r\nab\r\nc\r\n0a\r\n0123456789\r\n0\r\n\r\n"
+        + &look("GET /status/1", "r4");
     let step = 37;
     let cuts = (1..600)
         .step_by(step)
@@ -183,7 +187,7 @@
         caller.send(&row[..cut]);
         thread::sleep(Duration::from_millis(5));
         caller.send(&row[cut..]);
-        for id in ["r0", "r1", "r2", "r3"] {
+        for id in ["r0", "r1", "r2", "r3", "r4"] {
             let reply = caller.next().expect("an answer");
             expect_that!(reply.body, ends_with(format!("to {id}")), "cut at {cut}");
         }
@@ -193,7 +197,7 @@
         .ran()
         .into_iter()
         .map(|ran| (ran.id, ran.body.len()));
-    let lengths = [("r0", 0), ("r1", 12), ("r2", 20_000), ("r3", 0)];
+    let lengths = [("r0", 0), ("r1", 12), ("r2", 20_000), ("r3", 15), ("r4", 0)];
     let right = |(id, length): (String, usize)| lengths.contains(&(id.as_str(), length));
     expect_that!(bodies.map(right).collect::<Vec<_>>(), each(eq(&true)));
 }
@@ -226,6 +230,10 @@
         format!("{start}\r\n").replace("HTTP/1.1", "HTTP/1.0"),
         format!("{start}Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"),
         format!("{start}Transfer-Encoding: chunked\r\n\r\n1\na\n0\n\n"),
+        format!("{start}Transfer-Encoding: chunked\r\n\r\n1;e=1\r\na\r\n0\r\n\r\n"),
+        format!("{start}Transfer-Encoding: chunked\r\n\r\n0\r\nX-End: 1\r\n\r\n"),
+        format!("{start}Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n"),
+        format!("{start}Transfer-Encoding: chunked\r\n\r\n10000000000000000\r\na"),
         "\u{0}\r\n\r\n".to_owned(),
     ];
     for case in cases {
@@ -260,6 +268,31 @@
     }
 }
 
+/// Guards against a row that stands still, or is answered with parts of other answers, where its
+/// caller reads more slowly than answers arrive.
+#[gtest]
+fn large_answers_reach_a_slow_caller_whole_and_in_order() {
+    const LENGTH: usize = 540_000;
+    let deployment = Deployment::unconfigured();
+    deployment.unlist(&deployment.c);
+    let large = LargeEndpoint::start(LENGTH);
+    deployment.store.put("servers", "i-large", &large.entry());
+    deployment.configure(2, &json!([]));
+    let instance = deployment.ready_instance("one");
+    let mut caller = RowCaller::connect(instance.callers);
+    let ids: Vec<_> = (0..12).map(|n| format!("r{n}")).collect();
+    for id in &ids {
+        caller.send(&look_within("GET /status/1", id, 30_000));
+    }
+    for id in &ids {
+        thread::sleep(Duration::from_millis(50));
+        let reply = caller.next().expect("an answer");
+        expect_that!(reply.status, eq(200), "{id}: {}", reply.body);
+        expect_that!(reply.header("x-request-id"), some(eq(id.as_str())));
+        expect_that!(reply.body == id.repeat(LENGTH / id.len()), eq(true), "{id}");
+    }
+}
+
 /// Guards against an answer of an earlier start of an endpoint, or of another request, after the
 /// endpoint has started again under its id while a row is at work there.
 #[gtest]
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
 pub mod crashing;
+pub mod large;
 pub mod load;
 pub mod rows;
 
