--- a/crates/citronway/tests/gateway_rows.rs
+++ b/crates/citronway/tests/gateway_rows.rs
@@ -8,7 +8,7 @@
 use citronway_standin::shared::FencedEndpoint;
 use gateway_support::large::LargeEndpoint;
 use gateway_support::rows::{RowCaller, look, look_within, order};
-use gateway_support::{Deployment, Instance, until};
+use gateway_support::{Deployment, Instance, route, until};
 use googletest::prelude::*;
 use serde_json::json;
 
@@ -146,10 +146,18 @@
 /// against an answer that closes the connection in front of others.
 #[gtest]
 fn a_stopping_instance_answers_what_it_has_begun_of_a_row() {
-    let deployment = Deployment::new();
+    let deployment = Deployment::unconfigured();
+    let mut look_long = route("long", "/long/", "idempotent", "console");
+    look_long["timeoutS"] = json!(11.0);
+    deployment.configure(2, &json!([look_long]));
     let mut instance = deployment.ready_instance("one");
-    let (mut caller, before) = begun(&deployment, &instance, &looks(&["r0", "r1", "r2"]));
-    expect_that!(before, len(eq(3)));
+    let rows = ["r0", "r1", "r2"].map(|id| look_within("GET /long/1", id, 11_000));
+    let (mut caller, before) = begun(&deployment, &instance, &rows[0]);
+    expect_that!(before, len(eq(1)));
+    // The second is at work when idle connections are closed.
+    deployment.c.work(Duration::from_secs(4));
+    caller.send(&rows[1..].concat());
+    until("all have begun", || deployment.c.ran().len() == 3);
     instance.terminate();
     until("the instance is not ready", || !instance.is_ready());
     caller.send(&looks(&["r3"]));
