Check all fields of a route whose prefix cannot be used

The proptest damaged_configurations failed once: a route with the prefix ".a/" and a timeout of -0.5 s kept its service with a timeout of zero.

Cause: the check skipped the other fields of a route with an unusable prefix. Its other problems were not reported, and its targets stayed. Callers were not affected, as such a route matches no request.

Change: every field is checked.

--- a/crates/citronway-core/src/gateway/routes.rs
+++ b/crates/citronway-core/src/gateway/routes.rs
@@ -152,6 +152,7 @@
         } = draft;
         let mut by_host = IndexMap::<String, Vec<usize>>::new();
         for (i, route) in routes.iter_mut().enumerate() {
+            check_route(&mut findings, i, route, &services);
             if !has_slashes(&route.prefix) {
                 findings.push(Finding::new(
                     place(i, "prefix"),
@@ -161,7 +162,6 @@
                 incomplete = true;
                 continue;
             }
-            check_route(&mut findings, i, route, &services);
             let host = route.host.to_ascii_lowercase();
             by_host.entry(host).or_default().push(i);
         }
