Listen for callers before the instance can be ready

A test failed once in a whole run beside load: after a restart the readiness check answered 200 and the next connection to the callers' port was refused.

Cause: the traffic thread binds the port and the control thread decides on readiness, and neither waited for the other.

Change: the control duty begins once the traffic duty listens.

--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -11,7 +11,7 @@
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{Session, SessionId};
 use tokio::runtime::Builder;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::Ready;
@@ -138,6 +138,7 @@
     let (cold_tx, cold_rx) = mpsc::channel(COLD_CAPACITY);
     let (limited_tx, limited_rx) = mpsc::channel(LIMITED_CAPACITY);
     let (stop_tx, stop_rx) = watch::channel(Stop::No);
+    let (listening_tx, listening_rx) = oneshot::channel();
 
     let runtime = runtime("control")?;
     let signals = {
@@ -169,8 +170,23 @@
     };
     let traffic_handle = thread::Builder::new()
         .name("traffic".to_owned())
-        .spawn(move || traffic_thread(&traffic_cfg, views, to_control, stop_rx, traffic_metrics))
+        .spawn(move || {
+            let cfg = &traffic_cfg;
+            traffic_thread(
+                cfg,
+                views,
+                to_control,
+                stop_rx,
+                traffic_metrics,
+                listening_tx,
+            )
+        })
         .map_err(start("traffic"))?;
+    // Failure guarded against: the instance is ready before the traffic thread listens, and callers
+    // whom the balancer sends are refused connections.
+    if listening_rx.blocking_recv().is_err() {
+        log::debug!("the traffic duty ended before it listened");
+    }
     let control =
         control::Control::new(cfg, own_session, path.to_owned(), ready, metrics, channels);
     // Each duty ends when the other one does, because the channels between them close.
@@ -210,11 +226,12 @@
     to_control: ControlSenders,
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
+    listening: oneshot::Sender<()>,
 ) -> Result<(), Error> {
     let local = tokio::task::LocalSet::new();
     let traffic_result = local.block_on(
         &runtime("traffic")?,
-        traffic::serve(cfg, views, to_control, stop, metrics),
+        traffic::serve(cfg, views, to_control, stop, metrics, listening),
     );
     traffic_result.map_err(start("traffic"))
 }
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -26,7 +26,7 @@
 
 use citronway_core::gateway::settings::InstanceSettings;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -56,7 +56,8 @@
 /// Interval between reports to `control`.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
 
-/// Serves callers until the instance is asked to stop and all requests are answered.
+/// Serves callers until the instance is asked to stop and all requests are answered; `listening` is
+/// told once callers can connect.
 ///
 /// # Errors
 ///
@@ -67,12 +68,16 @@
     to_control: ControlSenders,
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
+    listening: oneshot::Sender<()>,
 ) -> io::Result<()> {
     let mut listener = Some(TcpListener::bind(cfg.callers).await?);
     let mut neighbor_listener = match cfg.neighbors {
         Some(address) => Some(TcpListener::bind(address).await?),
         None => None,
     };
+    if listening.send(()).is_err() {
+        log::debug!("the process ends before callers are served");
+    }
     let control = ControlClient {
         trials: to_control.trials,
         cold: to_control.cold,
