Hot ranges: divide the keys of an overloaded endpoint at once

Cause: the balance moves the load of a hot range by an underestimate (a decaying window shows a sixth of a load that has just begun), splits it in several places and corrects that with further moves.

Change: HotRanges keeps the keys of the last 0.4 s, waits until the load of an owner has settled (0.2 to 0.3 s), estimates the load of each key from those around it and cuts the keys into as many pieces as they need, each for the endpoint that can take most by its capacity. A key that no endpoint can serve stays and its neighbours leave. Balance::Calm leaves pieces at rest for 20 s and moves load only off endpoints that are clearly overloaded. propose() is unchanged; nothing uses the new functions yet.

--- a/crates/citronway-core/src/gateway/keyload.rs
+++ b/crates/citronway-core/src/gateway/keyload.rs
@@ -54,6 +54,25 @@
         self.total += 1.0;
     }
 
+    /// Multiplies the load of all keys.
+    fn scale(&mut self, by: f64) {
+        self.total *= by;
+        #[expect(clippy::cast_possible_truncation, reason = "a factor of about 1")]
+        let by_key = by as f32;
+        for weight in &mut self.weight {
+            *weight *= by_key;
+        }
+    }
+
+    /// Sets the load of a key.
+    fn set(&mut self, key: u16, load: f64) {
+        let weight = &mut self.weight[usize::from(key)];
+        self.total += load - f64::from(*weight);
+        #[expect(clippy::cast_possible_truncation, reason = "some requests")]
+        let load = load as f32;
+        *weight = load;
+    }
+
     /// Applies the decay up to `now`.
     pub fn decay(&mut self, now: Mono) {
         let by = (-(now.since(self.decayed_at) as f64) / self.half_life_ms).exp2();
@@ -149,6 +168,20 @@
         self.recent.decay(now);
     }
 
+    /// Sets the long window to loads that were measured otherwise: those of some keys, in requests
+    /// a second, and for all other keys the factor by which theirs has changed.
+    pub fn set_steady(&mut self, others_factor: f64, known: &[(Span, Vec<f64>)]) {
+        // The rates of the long window include the change of the total, which is applied now.
+        let factor = others_factor * self.surge();
+        self.steady.scale(factor);
+        let per_second = self.steady.per_second();
+        for (span, rates) in known {
+            for (key, rate) in (span.first..=span.last).zip(rates) {
+                self.steady.set(key, rate / per_second);
+            }
+        }
+    }
+
     /// Load of a range of keys, in requests a second.
     #[must_use]
     pub fn of(&self, span: Span) -> f64 {
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -230,12 +230,18 @@
         self.reach.is_cut_off(&self.cfg, now)
     }
 
+    /// Whether moves can be started now: no other change of the row is under way.
+    #[must_use]
+    pub fn can_start_moves(&self) -> bool {
+        !self.writing && self.wanted.is_none() && self.may_move()
+    }
+
     /// Starts moves, except those that do not apply to the current row.
     ///
     /// If the row would exceed the size limit of the store, tries the first half of the list, then
     /// a quarter and so on. Returns the number of moves left out for this.
     pub fn start_moves(&mut self, moves: &[Move], registry: &Registry) -> usize {
-        if self.writing || self.wanted.is_some() || !self.may_move() {
+        if !self.can_start_moves() {
             return 0;
         }
         let mut count = moves.len();
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Durable state is kept in the platform's store. This module holds the decisions that are
 //! derived from it: the route of a request ([`routes`]), the listed endpoints ([`registry`]),
-//! the ownership of keys ([`assignment`], [`leader`], [`election`], [`placement`]), whether a
+//! the ownership of keys ([`assignment`], [`leader`], [`election`], [`placement`], [`hot_range`]), whether a
 //! request waits, is sent or is refused ([`admission`], [`share`], [`limit`], [`budget`]), the
 //! evacuated zones ([`evacuation`]), the limits that endpoints state ([`stated_limits`]), the
 //! endpoints that state that they leave ([`departures`]) or ask for rest ([`rests`]), and the requests
@@ -19,6 +19,7 @@
 pub mod election;
 pub mod evacuation;
 pub mod freshness;
+pub mod hot_range;
 pub mod keyload;
 pub mod leader;
 pub mod limit;
--- a/crates/citronway-core/src/gateway/placement.rs
+++ b/crates/citronway-core/src/gateway/placement.rs
@@ -8,9 +8,11 @@
 use indexmap::IndexMap;
 
 use crate::gateway::assignment::{Assignment, max_ranges};
+use crate::gateway::hot_range::MoveRests;
 use crate::gateway::keyload::{KeyLoads, LoadWindow};
 use crate::gateway::leader::{Move, Span};
 use crate::ids::EndpointStart;
+use crate::time::Mono;
 
 /// Usage above which an endpoint gives load away, as a part of its capacity. Below it no request
 /// waits for long.
@@ -27,6 +29,14 @@
 /// split and moved without need.
 const DOUBT_ERRORS: f64 = 0.7;
 
+/// Like [`DOUBT_ERRORS`], for [`Balance::Calm`]: by chance alone, one check in forty seems
+/// overloaded.
+const CALM_DOUBT_ERRORS: f64 = 2.0;
+
+/// Multiple of the usage up to which endpoints are filled above which one gives load away, for
+/// [`Balance::Calm`].
+const CALM_ABOVE_TARGET: f64 = 1.1;
+
 /// Factor by which the usage of the source must exceed the usage that the target has after a move
 /// for balance.
 const MIN_RATIO: f64 = 1.15;
@@ -106,7 +116,28 @@
 /// Moves that should start now, in the order of the keys.
 #[must_use]
 pub fn propose(input: &PlacementInput<'_>) -> Vec<Move> {
-    let mut plan = Plan::new(input);
+    propose_by(input, Balance::Prompt)
+}
+
+/// How the load is balanced.
+#[derive(Debug, Clone, Copy)]
+pub enum Balance<'a> {
+    /// As soon as an endpoint has a queue or seems overloaded.
+    Prompt,
+    /// Once an endpoint is clearly overloaded for some time, and without pieces that rest. Hot
+    /// ranges are divided by [`HotRanges`](crate::gateway::hot_range::HotRanges).
+    Calm {
+        /// Present time.
+        now: Mono,
+        /// Pieces that rest.
+        rests: &'a MoveRests,
+    },
+}
+
+/// Moves that should start now, in the order of the keys.
+#[must_use]
+pub fn propose_by(input: &PlacementInput<'_>, balance: Balance<'_>) -> Vec<Move> {
+    let mut plan = Plan::new(input, balance);
     plan.drain_endpoints();
     plan.fill_idle();
     plan.balance();
@@ -116,6 +147,7 @@
 
 struct Plan<'a> {
     input: &'a PlacementInput<'a>,
+    balance: Balance<'a>,
     endpoints: IndexMap<&'a EndpointStart, &'a PlacementEndpoint>,
     /// Load of each endpoint after all moves.
     load: IndexMap<&'a EndpointStart, f64>,
@@ -154,7 +186,7 @@
 }
 
 impl<'a> Plan<'a> {
-    fn new(input: &'a PlacementInput<'a>) -> Self {
+    fn new(input: &'a PlacementInput<'a>, balance: Balance<'a>) -> Self {
         let endpoints: IndexMap<_, _> = input.endpoints.iter().map(|p| (&p.endpoint, p)).collect();
         let mut load: IndexMap<_, _> = input.endpoints.iter().map(|p| (&p.endpoint, 0.0)).collect();
         let mut samples = IndexMap::<_, f64>::new();
@@ -166,6 +198,7 @@
             let queued = endpoints
                 .get(owner)
                 .is_some_and(|candidate| candidate.has_queue);
+            let queued = queued && matches!(balance, Balance::Prompt);
             let window = input.load.window_for(span, queued);
             let piece_load = input.load.rates(window).of(span);
             let piece_samples = input.load.rates(window).samples(span);
@@ -185,6 +218,7 @@
         let moving = pieces.iter().filter(|piece| piece.moving).count();
         Self {
             input,
+            balance,
             endpoints,
             load,
             samples,
@@ -239,7 +273,30 @@
     fn min_usage(&self, candidate: &PlacementEndpoint) -> f64 {
         let samples = self.samples.get(&candidate.endpoint).copied();
         let samples = samples.unwrap_or_default();
-        self.usage(candidate, 0.0) * (1.0 - DOUBT_ERRORS / samples.max(1.0).sqrt())
+        let errors = match self.balance {
+            Balance::Prompt => DOUBT_ERRORS,
+            Balance::Calm { .. } => CALM_DOUBT_ERRORS,
+        };
+        self.usage(candidate, 0.0) * (1.0 - errors / samples.max(1.0).sqrt())
+    }
+
+    /// Usage above which an endpoint gives load away.
+    fn overloaded_above(&self) -> f64 {
+        match self.balance {
+            Balance::Prompt => OVERLOADED_ABOVE,
+            Balance::Calm { .. } => self.target_usage() * CALM_ABOVE_TARGET,
+        }
+    }
+
+    /// Whether a piece was moved a short time ago and stays where it is.
+    fn is_resting(&self, i: usize) -> bool {
+        match self.balance {
+            Balance::Prompt => false,
+            Balance::Calm { now, rests } => {
+                let Piece { owner, span, .. } = self.pieces[i];
+                rests.is_resting(now, owner, span)
+            }
+        }
     }
 
     /// The endpoint that would be used least after getting `more` load; `None` if none accepts
@@ -358,9 +415,10 @@
             };
             let sources = self.by_usage();
             let queues = sources.iter().any(|source| source.has_queue);
+            let overloaded_above = self.overloaded_above();
             let full = sources
                 .iter()
-                .filter(|source| self.min_usage(source) > OVERLOADED_ABOVE)
+                .filter(|source| self.min_usage(source) > overloaded_above)
                 .filter(|source| source.has_queue || !queues);
             let full: Vec<_> = full.copied().collect();
             if !full
@@ -387,6 +445,7 @@
         }
         let mut free: Vec<_> = (1..self.pieces.len())
             .filter(|i| !self.pieces[*i].moving && self.pieces[*i].to.is_none())
+            .filter(|i| !self.is_resting(*i))
             .collect();
         free.sort_by(|a, b| self.pieces[*a].load.total_cmp(&self.pieces[*b].load));
         let at_once = (excess / MERGED_DIVISOR).max(MIN_MERGED).min(excess);
@@ -417,6 +476,7 @@
         (0..self.pieces.len())
             .filter(|i| !self.pieces[*i].moving)
             .filter(|i| *self.pieces[*i].planned_owner() == from.endpoint)
+            .filter(|i| !self.is_resting(*i))
             .collect()
     }
 
