Hot ranges: the leader divides them at once and counts the time of each step

Cause: a division was planned in rounds of 0.3 s by the balance, and nothing said how long it took or which step took the time.

Change: where fastDivision is used, the placement runs HotRanges each 0.1 s as soon as the row can change, and otherwise the calm balance. The leader observes each division: planned, stored, sealed, released, granted, and known by the instances that report to it. One log line and histograms of division_seconds state the times, counted from the first requests. With the switch off the placement calls propose() as before.

--- a/crates/citronway-core/src/gateway/hot_range/mod.rs
+++ b/crates/citronway-core/src/gateway/hot_range/mod.rs
@@ -18,7 +18,10 @@
 use crate::gateway::keyload::KeyLoads;
 use crate::gateway::leader::{Move, Span};
 use crate::gateway::placement::PlacementEndpoint;
-use crate::ids::EndpointStart;
+use crate::gateway::report::MAX_FULL_MESH;
+use crate::gateway::routes::RouteTable;
+use crate::gateway::settings::Switch;
+use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
 use cut::{Cut, Cutter, Targets};
@@ -52,6 +55,9 @@
 /// Number of requests in the short window from which a rate is calculated.
 const MIN_COUNT: f64 = 30.0;
 
+/// Objective below which callers of a route notice how long a division takes, in milliseconds.
+const URGENT_BELOW_MS: u64 = 1_000;
+
 /// Division of an endpoint's keys.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Division {
@@ -59,6 +65,8 @@
     pub owner: EndpointStart,
     /// When its load was first seen.
     pub seen_at: Mono,
+    /// Estimated time from its first requests until it was seen, in milliseconds.
+    pub seen_ms: u64,
     /// Requests a second of its keys.
     pub per_s: f64,
     /// A key that no endpoint can serve alone; it stays.
@@ -80,11 +88,26 @@
 #[derive(Debug)]
 struct Seen {
     since: Mono,
-    /// Requests a second at the last pass.
+    /// Requests a second at the first pass, and at the last one.
+    first_per_s: f64,
     per_s: f64,
 }
 
 impl Seen {
+    /// Estimated time from the first requests to the first pass, from the number of requests that
+    /// had been reported by then.
+    fn ms_before(&self) -> u64 {
+        let part = self.first_per_s / self.per_s.max(f64::MIN_POSITIVE);
+        let ms = part.min(1.0) * WINDOWS_MS[0] as f64;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "at most the length of a window"
+        )]
+        let ms = ms as u64;
+        ms
+    }
+
     /// Whether the load is known well enough; `per_s` is that of this pass.
     fn is_settled(&mut self, now: Mono, per_s: f64) -> bool {
         let before = std::mem::replace(&mut self.per_s, per_s);
@@ -124,6 +147,30 @@
     }
 }
 
+/// Whether hot ranges of a service are divided at once: always or never by the switch, else if
+/// callers of one of its routes expect answers within a second and the fleet is so large that
+/// reports pass through delegates, which makes a division take longer.
+#[must_use]
+pub fn is_used(
+    switch: Switch,
+    routes: Option<&RouteTable>,
+    service: &ServiceName,
+    instances: usize,
+) -> bool {
+    match switch {
+        Switch::On => true,
+        Switch::Off => false,
+        Switch::Auto => {
+            let mut routes = routes.into_iter().flat_map(|table| &table.routes);
+            instances > MAX_FULL_MESH
+                && routes.any(|route| {
+                    route.objective_ms < URGENT_BELOW_MS
+                        && route.targets.iter().any(|to| to.service == *service)
+                })
+        }
+    }
+}
+
 impl HotRanges {
     /// Adds a request for a key.
     pub fn add(&mut self, now: Mono, key: u16) {
@@ -163,6 +210,7 @@
         for (owner, (_, per_s)) in &hot {
             let seen = self.seen.entry((*owner).clone()).or_insert(Seen {
                 since: now,
+                first_per_s: *per_s,
                 per_s: 0.0,
             });
             if seen.is_settled(now, *per_s) {
@@ -179,7 +227,7 @@
         let mut divisions = Vec::new();
         for (owner, (endpoint, _)) in &hot {
             let seen = self.seen.get(*owner).filter(|_| due.contains(owner));
-            let Some(Seen { since, .. }) = seen else {
+            let Some(seen) = seen else {
                 continue;
             };
             let cut = self.cut(now, row, &rates, endpoint, &mut targets);
@@ -188,7 +236,8 @@
             }
             divisions.push(Division {
                 owner: (*owner).clone(),
-                seen_at: *since,
+                seen_at: seen.since,
+                seen_ms: seen.ms_before(),
                 per_s: cut.rates.iter().map(|(_, of)| of.iter().sum::<f64>()).sum(),
                 hot_key: cut.hot_key,
                 moves: cut.moves,
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -19,6 +19,7 @@
 //! All of this rests on a store that keeps what it has acknowledged. Where it came back from an older
 //! copy, `restore` applies until the holds of all earlier leaders have ended.
 
+mod divisions;
 mod holds;
 mod moves;
 mod orders;
@@ -39,6 +40,7 @@
 use reach::Reach;
 use restore::Restore;
 
+pub use divisions::{DivisionProgress, DivisionStep};
 pub use orders::{Action, Order, OrderKind, OrderResult, Span, WriteResult};
 pub use settings::{FormerLeaderLimits, LeaderSettings};
 
@@ -78,6 +80,8 @@
     reach: Reach,
     /// Handover proofs of finished moves, by the fence of the new owner.
     handovers: IndexMap<u64, String>,
+    /// Divisions of hot ranges whose moves have not ended.
+    divisions: Vec<DivisionProgress>,
 }
 
 /// Progress in giving new fences to the moves of a former leader.
@@ -120,6 +124,7 @@
             moves: IndexMap::new(),
             reach: Reach::default(),
             handovers: IndexMap::new(),
+            divisions: Vec::new(),
         }
     }
 
@@ -139,6 +144,7 @@
         self.holds = Holds::default();
         self.reach = Reach::default();
         self.handovers.clear();
+        self.divisions.clear();
     }
 
     /// Ends the term at once.
@@ -333,6 +339,7 @@
             self.advance_moves(now, term, &mut actions);
         }
         self.write(now, &mut actions);
+        self.advance_divisions(now);
         actions
     }
 
--- a/crates/citronway-core/src/gateway/leader/moves.rs
+++ b/crates/citronway-core/src/gateway/leader/moves.rs
@@ -1,6 +1,7 @@
 //! Moves of key ranges: seal and release at the old holder, then the grant to the next owner.
 
 use crate::gateway::assignment::{self, Assignment, FENCES_PER_MOVE, Holder, MAX_RANGES, Range};
+use crate::gateway::leader::divisions::DivisionStep;
 use crate::gateway::leader::holds::{GrantStatus, Holds};
 use crate::gateway::leader::orders::{Action, Order, OrderKind, OrderResult, Span};
 use crate::gateway::leader::{Leader, LeaderSettings, Term};
@@ -41,6 +42,15 @@
 }
 
 impl MoveState {
+    /// Step of the move, for the times of a division.
+    pub(super) const fn step(&self) -> DivisionStep {
+        match (&self.freed, self.sealed) {
+            (Some(_), _) => DivisionStep::Released,
+            (None, true) => DivisionStep::Sealed,
+            (None, false) => DivisionStep::Stored,
+        }
+    }
+
     pub(super) const fn freed(&self) -> Option<&Freed> {
         self.freed.as_ref()
     }
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -15,6 +15,7 @@
 use citronway_core::gateway::election::LeaderRow;
 use citronway_core::gateway::evacuation::Evacuations;
 use citronway_core::gateway::freshness::ConfigFreshness;
+use citronway_core::gateway::hot_range;
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointPaces, EndpointTag, rank_of};
 use citronway_core::gateway::registry::Registry;
@@ -22,7 +23,7 @@
 use citronway_core::gateway::rests::ReportedRests;
 use citronway_core::gateway::routes::{CheckedRoutes, RouteTable};
 use citronway_core::gateway::rows::{Relay, Row, Table};
-use citronway_core::gateway::settings::InstanceSettings;
+use citronway_core::gateway::settings::{InstanceSettings, Switch};
 use citronway_core::gateway::stated_limits::StatedLimits;
 use citronway_core::gateway::version::{Era, RowVersion};
 use citronway_core::ids::{ServiceName, ZoneName};
@@ -82,6 +83,7 @@
     /// Port on which instances take requests from each other; `None` for none.
     neighbor_port: Option<u16>,
     routes: Option<Arc<RouteTable>>,
+    fast_division: Switch,
     pub registry: Arc<Registry>,
     pub owners: IndexMap<ServiceName, Owners>,
     /// The newest leader that is known. After a restore it may be newer than the stored one.
@@ -134,6 +136,7 @@
             assignment_versions: IndexMap::new(),
             neighbor_port: cfg.neighbors.map(|address| address.port()),
             routes: None,
+            fast_division: cfg.traffic.fast_division,
             registry: Arc::default(),
             owners: IndexMap::new(),
             leader: None,
@@ -397,6 +400,17 @@
         sharded.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Whether hot ranges of a service are divided at once.
+    pub(super) fn divides_fast(&self, now: Mono, service: &ServiceName) -> bool {
+        let instances = self.peers.instance_count(now);
+        hot_range::is_used(
+            self.fast_division,
+            self.routes.as_deref(),
+            service,
+            instances,
+        )
+    }
+
     /// Whether this instance knows enough to serve callers, and is not cut off.
     pub(super) fn is_ready(&self, now: Mono) -> bool {
         let store_lost = self.config.lost && self.endpoints.lost && self.own.lost;
--- a/crates/citronway/src/gateway/control/duty/mod.rs
+++ b/crates/citronway/src/gateway/control/duty/mod.rs
@@ -7,7 +7,8 @@
 use citronway_core::gateway::cold::{self, LeaderStanding};
 use citronway_core::gateway::election::{self, FormerLeader, LeaderRow, Strength};
 use citronway_core::gateway::leader::{
-    Action, FormerLeaderLimits, Leader, LeaderSettings, Order, OrderResult, WriteResult,
+    Action, DivisionProgress, FormerLeaderLimits, Leader, LeaderSettings, Order, OrderResult,
+    WriteResult,
 };
 use citronway_core::gateway::report::Report;
 use citronway_core::gateway::stated_limits;
@@ -48,6 +49,8 @@
     pub orders: Vec<Order>,
     pub writes: Vec<AssignmentWrite>,
     pub claim: Option<ConditionalWrite>,
+    /// Divisions of hot ranges that have ended.
+    pub divisions: Vec<(ServiceName, DivisionProgress)>,
     /// Longest wait of a poll of the store for changes, in milliseconds.
     pub wait_ms: u64,
 }
@@ -407,6 +410,7 @@
             orders: Vec::new(),
             writes: Vec::new(),
             claim: claim.or_else(|| self.remove_former_leaders(now)),
+            divisions: Vec::new(),
             wait_ms: IDLE_WAIT_MS,
         };
         let Some(own_row) = self.own_row.clone() else {
@@ -427,7 +431,11 @@
         }
         self.placer.place(now, cluster, &mut self.leaders);
         let preconditions = self.preconditions(cluster);
-        for leader in self.leaders.values_mut() {
+        for (service, leader) in &mut self.leaders {
+            let knows = |version| cluster.peers.all_know_rows(now, version);
+            for progress in leader.take_ended_divisions(now, knows) {
+                due.divisions.push((service.clone(), progress));
+            }
             for action in leader.step(now, &cluster.registry) {
                 match action {
                     Action::Order(order) => due.orders.push(order),
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -6,6 +6,7 @@
 mod confirming;
 mod copies;
 mod crashes;
+mod divided;
 mod duty;
 mod entries;
 mod eras;
@@ -453,6 +454,10 @@
             control.wait_ms.store(wait_ms, Ordering::Relaxed);
         }
         self.update_polling(now);
+        for (service, progress) in &due.divisions {
+            divided::log(service, progress);
+            self.metrics.divisions.observe(progress);
+        }
         for order in due.orders {
             self.orders.start(order, events.clone());
         }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -285,6 +285,12 @@
         others.all(|(_, peer)| peer.state.as_ref().is_some_and(|state| state.term >= term))
     }
 
+    /// Whether all instances that report to this one know its own rows of a version.
+    pub(super) fn all_know_rows(&self, now: Mono, version: RowVersion) -> bool {
+        let mut reporters = self.direct_reporters(now);
+        reporters.all(|peer| peer.seen.own >= version)
+    }
+
     /// Number of other instances that are heard.
     pub(super) fn heard_count(&self, now: Mono) -> usize {
         self.fresh(now).count()
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -1,9 +1,10 @@
 //! Starts moves of keys between endpoints, by the load of keys and endpoints.
 
+use citronway_core::gateway::hot_range::{Division, HotRanges};
 use citronway_core::gateway::keyload::KeyLoads;
-use citronway_core::gateway::leader::Leader;
+use citronway_core::gateway::leader::{Leader, Move};
 use citronway_core::gateway::pace::EndpointTag;
-use citronway_core::gateway::placement::{self, PlacementEndpoint, PlacementInput};
+use citronway_core::gateway::placement::{self, Balance, PlacementEndpoint, PlacementInput};
 use citronway_core::gateway::registry::ListedEndpoint;
 use citronway_core::gateway::report::Report;
 use citronway_core::gateway::stated_limits::MIN_PER_S;
@@ -44,6 +45,8 @@
 pub(super) struct Placer {
     loads: IndexMap<ServiceName, KeyLoads>,
     work_ms: IndexMap<ServiceName, f64>,
+    /// Recent requests of the services whose hot ranges are divided at once.
+    hot: IndexMap<ServiceName, HotRanges>,
     next_at: Mono,
 }
 
@@ -51,6 +54,7 @@
     /// Clears all loads, as a new leader starts without them.
     pub(super) fn reset(&mut self) {
         self.loads.clear();
+        self.hot.clear();
     }
 
     /// Sets the typical service time of each service, in milliseconds.
@@ -67,8 +71,12 @@
                 .loads
                 .entry(samples.service.clone())
                 .or_insert_with(|| new_loads(now));
+            let mut hot = self.hot.get_mut(&samples.service);
             for key in &samples.keys {
                 loads.add(*key);
+                if let Some(hot) = &mut hot {
+                    hot.add(now, *key);
+                }
             }
         }
     }
@@ -120,6 +128,15 @@
             .entry(service.clone())
             .or_insert_with(|| new_loads(now));
         loads.decay(now);
+        if cluster.divides_fast(now, service) {
+            if leader.can_start_moves() {
+                let hot = self.hot.entry(service.clone()).or_default();
+                let moves = plan_fast(now, leader, loads, hot, &endpoints);
+                start_moves(service, leader, &moves, cluster);
+            }
+            return;
+        }
+        self.hot.swap_remove(service);
         let input = PlacementInput {
             row: leader.row(),
             load: loads,
@@ -130,12 +147,70 @@
             return;
         }
         self.next_at = now.plus(AFTER_MOVES_MS);
-        log::info!(service = service.as_str(), moves = moves.len(); "key moves started");
-        let left_out = leader.start_moves(&moves, &cluster.registry);
-        if left_out > 0 {
-            let ranges = leader.row().ranges.len();
-            log::warn!(service = service.as_str(), left_out, ranges; "assignment row has no room for all moves");
+        start_moves(service, leader, &moves, cluster);
+    }
+}
+
+/// Plans moves of a service whose hot ranges are divided at once. The divisions are observed by
+/// its leader.
+fn plan_fast(
+    now: Mono,
+    leader: &mut Leader,
+    loads: &mut KeyLoads,
+    hot: &mut HotRanges,
+    endpoints: &[PlacementEndpoint],
+) -> Vec<Move> {
+    let divisions = hot.divide(now, leader.row(), loads, endpoints);
+    let input = PlacementInput {
+        row: leader.row(),
+        load: loads,
+        endpoints,
+    };
+    let rests = hot.rests();
+    let mut moves = placement::propose_by(&input, Balance::Calm { now, rests });
+    if !divisions.is_empty() {
+        // The balance does not know of the division. Keys of lost endpoints do not wait for it.
+        moves.retain(|request| must_leave(leader, endpoints, request));
+        moves.extend(divisions.iter().flat_map(|division| division.moves.clone()));
+    }
+    hot.record_moves(now, &moves);
+    for division in divisions {
+        log_division(&division);
+        leader.observe_division(now, division);
+    }
+    moves
+}
+
+/// Whether the keys of a move have to leave their owner.
+fn must_leave(leader: &Leader, endpoints: &[PlacementEndpoint], request: &Move) -> bool {
+    let Some(range) = leader.row().range_at(request.span.first) else {
+        return false;
+    };
+    let owner = &range.next.as_ref().unwrap_or(&range.holder).endpoint;
+    let stays = |p: &PlacementEndpoint| p.endpoint == *owner && !p.must_drain;
+    !endpoints.iter().any(stays)
+}
+
+fn log_division(division: &Division) {
+    let owner = &division.owner;
+    let (moves, per_s) = (division.moves.len(), division.per_s.round());
+    match division.hot_key {
+        Some(_) => {
+            log::info!(endpoint:% = owner, moves, per_s; "neighbors leave a key that no endpoint can serve");
         }
+        None => log::info!(endpoint:% = owner, moves, per_s; "hot range is divided"),
+    }
+}
+
+fn start_moves(service: &ServiceName, leader: &mut Leader, moves: &[Move], cluster: &Cluster) {
+    if moves.is_empty() {
+        return;
+    }
+    log::info!(service = service.as_str(), moves = moves.len(); "key moves started");
+    let left_out = leader.start_moves(moves, &cluster.registry);
+    if left_out > 0 {
+        let ranges = leader.row().ranges.len();
+        log::warn!(service = service.as_str(), left_out, ranges; "assignment row has no room for all moves");
     }
 }
 
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
 use prometheus_client::registry::Registry;
 
 use super::control::Source;
+use super::division_metrics::DivisionMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
 
@@ -151,10 +152,22 @@
     config_age: Gauge<f64, AtomicU64>,
     evacuated_zones: Gauge,
     evacuated_ranges: Gauge,
+    /// Divisions of hot ranges.
+    pub(super) divisions: DivisionMetrics,
     /// What endpoints state of themselves.
     pub(super) statements: StatementMetrics,
 }
 
+/// Registers the numbers of evacuated zones, and of ranges whose owners are there.
+fn evacuation_gauges(registry: &mut Registry) -> (Gauge, Gauge) {
+    let (zones, ranges) = (Gauge::default(), Gauge::default());
+    let help = "Availability zones that are evacuated";
+    registry.register("evacuated_zones", help, zones.clone());
+    let help = "Ranges of keys whose owners are in evacuated zones";
+    registry.register("evacuated_ranges", help, ranges.clone());
+    (zones, ranges)
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("citronway");
@@ -220,12 +233,8 @@
         let config_age = Gauge::default();
         let help = "Time since the configuration was confirmed to be the newest one";
         registry.register("config_confirmed_age_seconds", help, config_age.clone());
-        let evacuated_zones = Gauge::default();
-        let help = "Availability zones that are evacuated";
-        registry.register("evacuated_zones", help, evacuated_zones.clone());
-        let evacuated_ranges = Gauge::default();
-        let help = "Ranges of keys whose owners are in evacuated zones";
-        registry.register("evacuated_ranges", help, evacuated_ranges.clone());
+        let (evacuated_zones, evacuated_ranges) = evacuation_gauges(&mut registry);
+        let divisions = DivisionMetrics::register(&mut registry);
         let statements = StatementMetrics::register(&mut registry);
         Self {
             registry: Arc::new(registry),
@@ -254,6 +263,7 @@
             config_age,
             evacuated_zones,
             evacuated_ranges,
+            divisions,
             statements,
         }
     }
