Admission: demand of all instances by queue and rank

Cause: each instance decides by what it sees itself. With 80 instances it cannot tell that elsewhere more urgent requests wait for the same endpoint, that it holds late requests in front of others that could be in time, or that many callers were told to come back at the same moment.

Change: reports and totals carry the demand of each contended queue: waiting requests by rank (in time and late apart), arrivals, and promised returns in steps of 0.5 s. Delegates and the leader add up; each instance computes room, expected waits and times to retry from the sums. In use with TrafficSettings::fleet_admission and sums younger than 1 s only; otherwise nothing changes. Metrics, a log line when the use of the sums changes, and `citronctl explain` shows it as a belief.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -61,6 +61,9 @@
             }
             "no endpoint answers this instance; requests are passed on to others"
             | "endpoints answer this instance again" => "links to endpoints".to_owned(),
+            "admission by the demand of all instances" | "admission by own demand only" => {
+                "admission".to_owned()
+            }
             "assignment" | "restored assignment is not newer than the known one" => {
                 format!("owners of {}", self.text("service")?)
             }
@@ -257,6 +260,7 @@
         "own life",
         "own stop",
         "own failure",
+        "admission",
     ];
     general.contains(&what) || what.starts_with("table ") || named.contains(what)
 }
--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -160,8 +160,7 @@
         if self.is_avoided(now, tag) {
             return Selection::Wait(RefusalReason::Unreachable);
         }
-        let waiting = self.wanted(tag).max(1);
-        if !self.has_room(now, view, listed, tag, waiting, job.work_ms) {
+        if !self.owner_has_room(now, view, listed, job) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
         // Only one request at a time is sent to a holder that said it does not hold the keys.
@@ -186,7 +185,7 @@
 
     fn find_least_loaded(&mut self, now: Mono, view: &View, job: &Job) -> Selection {
         self.sequence += 1;
-        if !self.service_has_room(view, job) {
+        if !self.service_has_room(view, job) || !self.rank_has_room(now, view, job) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
         let endpoints = self.accepting(now, view, job);
@@ -278,7 +277,7 @@
             .is_some_and(|since| now.since(*since) > limit)
     }
 
-    fn is_avoided(&self, now: Mono, tag: EndpointTag) -> bool {
+    pub(super) fn is_avoided(&self, now: Mono, tag: EndpointTag) -> bool {
         self.avoided
             .get(&tag)
             .is_some_and(|avoided| now < avoided.until)
@@ -295,7 +294,7 @@
     }
 
     /// Whether this instance may send one more request to the endpoint.
-    fn has_room(
+    pub(super) fn has_room(
         &self,
         now: Mono,
         view: &View,
@@ -395,7 +394,7 @@
 ///
 /// Load: with work of 250 ms, half of the requests in flight have ended by the time the sums
 /// arrive. Counting them all left half of the slots idle.
-fn still_in_flight(reported_count: u32, work_ms: u64) -> u32 {
+pub(super) fn still_in_flight(reported_count: u32, work_ms: u64) -> u32 {
     let part = (-(SUMS_AGE_MS / work_ms.max(1) as f64)).exp();
     #[expect(
         clippy::cast_possible_truncation,
@@ -408,7 +407,7 @@
 
 /// Random number from 0 to 1 that an instance uses for an endpoint; it changes every
 /// [`DRAW_PERIOD_MS`].
-fn random(now: Mono, rank: u64, tag: EndpointTag) -> f64 {
+pub(super) fn random(now: Mono, rank: u64, tag: EndpointTag) -> f64 {
     let period = now.0 / DRAW_PERIOD_MS;
     let seed = rank ^ period.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&tag.0.to_le_bytes(), seed);
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -45,6 +45,9 @@
     pub pauses: Vec<SendPause>,
     /// Whether another instance passed the request on to this one.
     pub is_forwarded: bool,
+    /// Time that the caller has spent since its first attempt, as far as it is known, in
+    /// milliseconds.
+    pub spent_ms: u64,
 }
 
 /// Pause of a request before it is sent again to an endpoint that rejected it.
@@ -62,6 +65,12 @@
         self.work_ms * MOST_WORK_FACTOR.0 / MOST_WORK_FACTOR.1
     }
 
+    /// Whether the request will most likely miss its latency objective.
+    #[must_use]
+    pub fn is_late(&self, now: Mono) -> bool {
+        now.plus(self.expected_ms()) > self.objective_at
+    }
+
     /// Records that an endpoint rejected the request, which is not sent there again before a pause
     /// that grows each time.
     pub fn record_rejection(&mut self, now: Mono, endpoint: &EndpointStart) {
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -6,6 +6,7 @@
 //! deadline is refused as soon as that is known (load shedding), with a time to retry.
 
 mod choose;
+mod fleet;
 mod job;
 mod kept;
 mod links;
@@ -18,6 +19,7 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::fleet_admission::CLASSES;
 use crate::gateway::limit::{EndpointLoad, ServiceLimit};
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::stated_limits::{SendGrant, SendGrants};
@@ -25,11 +27,13 @@
 use crate::time::Mono;
 
 use choose::Selection;
+use fleet::FleetAdmission;
 use kept::IdleConnections;
 use links::{EndpointLinks, LinkFailure};
 use rests::Rests;
 use stated::OwnDepartures;
 
+pub use fleet::FleetCounts;
 pub use job::{Choice, Decision, Job, Refusal, RefusalReason, SendPause, UnknownOutcomeReason};
 pub use kept::AT_MOST_ONCE_IDLE_MS;
 pub use view::{Neighbor, Owners, ReportedLoad, View};
@@ -54,9 +58,6 @@
 /// a new connection to another instance.
 pub const STOPPING_RETRY_MS: u64 = 20;
 
-/// Number of priorities that are counted separately; lower ones count with the last.
-const COUNTED_PRIORITIES: usize = 4;
-
 /// Initial and longest time for which an endpoint is avoided after it accepted no connection
 /// or stopped responding, in milliseconds.
 const AVOID_MS: (u64, u64) = (250, 4_000);
@@ -75,8 +76,8 @@
 pub struct Admission {
     waiting: Vec<Job>,
     in_flight: IndexMap<EndpointTag, u32>,
-    /// Number of waiting requests by queue and priority, as of the last decision.
-    wanted: IndexMap<EndpointTag, [u32; COUNTED_PRIORITIES]>,
+    /// Number of waiting requests by queue and class, as of the last decision.
+    wanted: IndexMap<EndpointTag, [u32; CLASSES]>,
     avoided: IndexMap<EndpointTag, Avoided>,
     /// Limits on this instance's requests in flight at services without keys.
     limits: IndexMap<ServiceName, ServiceLimit>,
@@ -105,6 +106,8 @@
     sequence: u64,
     /// When the process ends; `None` unless it is shutting down.
     ends_at: Option<Mono>,
+    /// Use of the demand of all instances.
+    fleet: FleetAdmission,
 }
 
 /// A time of avoidance, which grows with each failure.
@@ -125,8 +128,10 @@
             .map_or(job.deadline, |end| job.deadline.min(end));
         self.links.update(now, &self.unanswered);
         let queue_key = Self::queue_key(view, &job);
-        let ahead = self.ahead(queue_key, job.priority);
-        let selection = if ahead > 0 {
+        self.record_arrival(queue_key, &job);
+        let class = self.class(now, view, &job);
+        let ahead = self.ahead(queue_key, class);
+        let selection = if self.is_behind(now, view, &job, ahead) {
             Selection::Wait(self.reason_to_queue(now, view, &job))
         } else {
             self.find(now, view, &job)
@@ -139,13 +144,14 @@
             return Some(decision);
         }
         if let Some(refusal) = self.refuse_if_late(now, view, &job, ahead, cause) {
+            self.record_refusal(now, view, &job, &refusal);
             return Some(Decision::Refuse(refusal));
         }
         if cause == RefusalReason::EndpointResting {
             self.held_for_rest += 1;
         }
         if !Self::is_paused(now, view, &job) {
-            self.wanted.entry(queue_key).or_default()[priority_index(job.priority)] += 1;
+            self.wanted.entry(queue_key).or_default()[class] += 1;
         }
         self.waiting.push(job);
         None
@@ -157,18 +163,23 @@
         self.links.update(now, &self.unanswered);
         let mut decided = Vec::new();
         let mut jobs = std::mem::take(&mut self.waiting);
-        jobs.sort_by_key(|job| queue_order(now, job));
+        if self.fleet_demand(now, view).is_some() {
+            jobs.sort_by_key(|job| fleet::queue_order(now, job));
+        } else {
+            jobs.sort_by_key(|job| queue_order(now, job));
+        }
         self.wanted.clear();
         for job in jobs.iter().filter(|job| !Self::is_paused(now, view, job)) {
             let queue_key = Self::queue_key(view, job);
-            self.wanted.entry(queue_key).or_default()[priority_index(job.priority)] += 1;
+            let class = self.class(now, view, job);
+            self.wanted.entry(queue_key).or_default()[class] += 1;
         }
         // Number of requests that found no room before this one, by queue.
         let mut ahead = IndexMap::<EndpointTag, u32>::new();
         for job in jobs {
             let queue_key = Self::queue_key(view, &job);
             let before = ahead.get(&queue_key).copied().unwrap_or_default();
-            let selection = if before > 0 {
+            let selection = if self.is_behind(now, view, &job, before) {
                 Selection::Wait(self.reason_to_queue(now, view, &job))
             } else {
                 self.find(now, view, &job)
@@ -177,8 +188,9 @@
                 Selection::Send(choice) => Some(self.send(now, view, &job, choice)),
                 Selection::Wait(cause) => {
                     self.decide_unreachable(now, view, &job, cause).or_else(|| {
-                        let refusal = self.refuse_if_late(now, view, &job, before, cause);
-                        refusal.map(Decision::Refuse)
+                        let refusal = self.refuse_if_late(now, view, &job, before, cause)?;
+                        self.record_refusal(now, view, &job, &refusal);
+                        Some(Decision::Refuse(refusal))
                     })
                 }
             };
@@ -189,8 +201,9 @@
                 self.waiting.push(job);
                 continue;
             };
+            let class = self.class(now, view, &job);
             if let Some(wanted) = self.wanted.get_mut(&queue_key) {
-                let count = &mut wanted[priority_index(job.priority)];
+                let count = &mut wanted[class];
                 *count = count.saturating_sub(1);
             }
             decided.push((job.ticket, decision));
@@ -436,10 +449,10 @@
             .map_or(0, |counts| counts.iter().sum())
     }
 
-    /// Number of requests in the same queue that go before one of this priority.
-    fn ahead(&self, queue_key: EndpointTag, priority: u8) -> u32 {
+    /// Number of requests in the same queue that go before one of this class.
+    fn ahead(&self, queue_key: EndpointTag, class: usize) -> u32 {
         let counts = self.wanted.get(&queue_key);
-        counts.map_or(0, |counts| counts[..=priority_index(priority)].iter().sum())
+        counts.map_or(0, |counts| counts[..=class].iter().sum())
     }
 }
 
@@ -449,11 +462,5 @@
 /// deadlines alone, all requests that are served miss their objective. So requests that would
 /// miss it go after those that can still meet it.
 fn queue_order(now: Mono, job: &Job) -> (u8, bool, Mono) {
-    let usual = now.plus(job.expected_ms());
-    (job.priority, usual > job.objective_at, job.deadline)
-}
-
-/// Index of a priority among those that are counted separately.
-fn priority_index(priority: u8) -> usize {
-    usize::from(priority).min(COUNTED_PRIORITIES - 1)
+    (job.priority, job.is_late(now), job.deadline)
 }
--- a/crates/citronway-core/src/gateway/admission/refuse.rs
+++ b/crates/citronway-core/src/gateway/admission/refuse.rs
@@ -5,7 +5,7 @@
 use crate::time::Mono;
 
 /// Shortest retry-after time of a refusal, in milliseconds.
-const MIN_RETRY_MS: u64 = 60;
+pub(super) const MIN_RETRY_MS: u64 = 60;
 
 /// Shortest retry-after time while all endpoints of a service are in evacuated zones, in
 /// milliseconds. Requests can be served again once a zone is restored or endpoints join in
@@ -50,6 +50,14 @@
         if due < job.deadline && !is_in_vain {
             return None;
         }
+        if cause == RefusalReason::Overloaded
+            && let Some(retry_after_ms) = self.fleet_retry_ms(now, view, job)
+        {
+            return Some(Refusal {
+                reason: cause,
+                retry_after_ms,
+            });
+        }
         let left = job.caller_deadline.since(now);
         let min_wait_ms = match cause {
             RefusalReason::Evacuated => EVACUATED_RETRY_MS,
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::assignment::Assignment;
 use crate::gateway::crashes::CrashSnapshot;
+use crate::gateway::fleet_admission::FleetDemand;
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::registry::Registry;
 use crate::gateway::routes::RouteTable;
@@ -39,6 +40,8 @@
     pub has_leader: bool,
     /// Requests a second that limited endpoints take from all instances together.
     pub limits: IndexMap<EndpointTag, f64>,
+    /// Demand of all other instances by queue and rank; `None` where it is not known or not used.
+    pub fleet: Option<FleetDemand>,
 }
 
 impl View {
@@ -57,6 +60,7 @@
             neighbors: Vec::new(),
             has_leader: false,
             limits: IndexMap::new(),
+            fleet: None,
         }
     }
 }
--- a/crates/citronway-core/src/gateway/admission/wait.rs
+++ b/crates/citronway-core/src/gateway/admission/wait.rs
@@ -10,6 +10,30 @@
 impl Admission {
     /// Expected waiting time of a request with `ahead` requests before it, in milliseconds.
     pub(super) fn expected_wait_ms(&self, now: Mono, view: &View, job: &Job, ahead: u32) -> u64 {
+        let tag = Self::queue_key(view, job);
+        let per_ms = self.served_per_ms(now, view, job);
+        if let Some(wait_ms) = self.fleet_wait_ms(now, view, job, ahead, per_ms) {
+            return wait_ms;
+        }
+        // The queues of other instances are assumed to be like this one's: each has as many requests
+        // that go first, but all together no more than were reported.
+        let own = f64::from(ahead);
+        let others = f64::from(view.instances.max(1) - 1);
+        let reported = view.reported_loads.get(&tag);
+        let waiting = reported.map_or(0, |reported| reported.waiting);
+        let theirs = f64::from(waiting).min(own * others);
+        let wait = (own + theirs) / per_ms;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a wait is positive and far below the range"
+        )]
+        let wait_ms = wait as u64;
+        wait_ms
+    }
+
+    /// Requests a millisecond that the endpoints which may run a request serve for all instances.
+    pub(super) fn served_per_ms(&self, now: Mono, view: &View, job: &Job) -> f64 {
         let tag = Self::queue_key(view, job);
         let unknown = ReportedLoad::unknown();
         let reported = view.reported_loads.get(&tag).unwrap_or(&unknown);
@@ -27,24 +51,11 @@
                 .map(rate)
                 .sum(),
         };
-        // The queues of other instances are assumed to be like this one's: each has as many requests
-        // that go first, but all together no more than were reported.
-        let own = f64::from(ahead);
-        let others = f64::from(view.instances.max(1) - 1);
-        let theirs = f64::from(reported.waiting).min(own * others);
-        let per_ms = if all_per_ms > 0.0 {
+        if all_per_ms > 0.0 {
             all_per_ms
         } else {
             1.0 / work
-        };
-        let wait = (own + theirs) / per_ms;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a wait is positive and far below the range"
-        )]
-        let wait_ms = wait as u64;
-        wait_ms
+        }
     }
 
     fn is_resting(&self, now: Mono, listed: &ListedEndpoint) -> bool {
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! Durable state is kept in the platform's store. This module holds the decisions that are
 //! derived from it: the route of a request ([`routes`]), the listed endpoints ([`registry`]),
 //! the ownership of keys ([`assignment`], [`leader`], [`election`], [`placement`]), whether a
-//! request waits, is sent or is refused ([`admission`], [`share`], [`limit`], [`budget`]), the
+//! request waits, is sent or is refused ([`admission`], [`fleet_admission`], [`share`], [`limit`],
+//! [`budget`]), the
 //! evacuated zones ([`evacuation`]), the limits that endpoints state ([`stated_limits`]), the
 //! endpoints that state that they leave ([`departures`]) or ask for rest ([`rests`]), and the requests
 //! that crash endpoints ([`crashes`]).
@@ -18,6 +19,7 @@
 pub mod departures;
 pub mod election;
 pub mod evacuation;
+pub mod fleet_admission;
 pub mod freshness;
 pub mod keyload;
 pub mod leader;
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -6,6 +6,7 @@
 use crate::gateway::crashes::{Fingerprint, RefusedWork, Sign};
 use crate::gateway::departures::Departure;
 use crate::gateway::election::Strength;
+use crate::gateway::fleet_admission::QueueDemand;
 use crate::gateway::freshness::Confirmation;
 use crate::gateway::pace::{Answers, EndpointTag};
 use crate::gateway::rests::RestReport;
@@ -70,6 +71,9 @@
     pub rests: Vec<RestReport>,
     /// When its configuration was the newest one; `None` if that was never confirmed.
     pub confirmed: Option<Confirmation>,
+    /// Demand by queue and rank, including that of members; `None` from an instance without
+    /// admission control across instances.
+    pub demand: Option<Vec<QueueDemand>>,
 }
 
 /// State of an instance whose report is included in the report of its delegate.
@@ -209,6 +213,9 @@
     pub confirmed: Option<Confirmation>,
     /// Addresses to which the receiving delegate forwards the totals; empty for others.
     pub members: Vec<SocketAddr>,
+    /// Demand of all instances by queue and rank; `None` from a leader without admission control
+    /// across instances.
+    pub demand: Option<Vec<QueueDemand>>,
 }
 
 /// Estimate of how slow an endpoint is and how often it fails.
--- a/crates/citronway-core/tests/admission_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -140,6 +140,7 @@
         tried: Vec::new(),
         pauses: Vec::new(),
         is_forwarded: false,
+        spent_ms: 0,
     }
 }
 
--- a/crates/citronway-core/tests/gateway_crash_ledger.rs
+++ b/crates/citronway-core/tests/gateway_crash_ledger.rs
@@ -321,6 +321,7 @@
         departures: Vec::new(),
         rests: Vec::new(),
         confirmed: None,
+        demand: None,
     }
 }
 
--- a/crates/citronway-core/tests/gateway_service_limit.rs
+++ b/crates/citronway-core/tests/gateway_service_limit.rs
@@ -131,6 +131,7 @@
             tried: Vec::new(),
             pauses: Vec::new(),
             is_forwarded: false,
+            spent_ms: 0,
         };
         match self.admissions[i].submit(now, &self.views[i], job.clone()) {
             Some(Decision::Send(choice)) => self.send(now, i, choice),
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -387,6 +387,7 @@
             departures: Vec::new(),
             confirmed: None,
             members,
+            demand: None,
         }
     }
 
@@ -425,6 +426,7 @@
             departures: Vec::new(),
             rests: Vec::new(),
             confirmed: None,
+            demand: None,
         });
         let members = instance
             .heard
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -180,6 +180,8 @@
   seenEndpointsEra @23 :UInt32;
   seenOwnEra @24 :UInt32;
   # Eras of the store to which the newest versions belong.
+  demand @25 :List(QueueDemand);
+  # Absent from a leader without admission control across instances.
 }
 
 struct Confirmation {
@@ -297,6 +299,23 @@
   seenEndpointsEra @21 :UInt32;
   seenOwnEra @22 :UInt32;
   # Eras of the store to which the newest versions belong.
+  demand @23 :List(QueueDemand);
+  # Absent from an instance without admission control across instances.
+}
+
+struct QueueDemand {
+  # Demand of one or more instances for an endpoint or a service without keys.
+  queue @0 :UInt32;
+  waiting @1 :UInt64;
+  # Requests that wait and can still be in time, by rank: four numbers of 16 bits, that of rank 0
+  # in the lowest.
+  arrivals @2 :UInt64;
+  # Sixteenths of requests a second that arrive for the first time, by rank, in the same form.
+  soonReturns @3 :UInt64;
+  lateReturns @4 :UInt64;
+  # Callers told to come back, by steps of 0.5 s: the first and last four, in the same form.
+  waitingLate @5 :UInt64;
+  # Requests that wait and will be late, by rank, in the same form.
 }
 
 struct Sign {
--- a/crates/citronway-wire/src/lib.rs
+++ b/crates/citronway-wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 mod confirmation;
 pub mod convert;
+mod demand;
 mod departures;
 pub mod error;
 pub mod greeting;
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -17,6 +17,7 @@
 
 use crate::cold::{self, ColdAsked, ColdReply};
 use crate::confirmation;
+use crate::demand;
 use crate::departures;
 use crate::pack;
 use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
@@ -176,6 +177,9 @@
         &from.departures,
         to.reborrow().init_departures(length(from.departures.len())),
     );
+    if let Some(all) = &from.demand {
+        demand::write_all(all, to.reborrow().init_demand(length(all.len())));
+    }
     let mut list = to.init_endpoints(length(from.endpoints.len()));
     for (i, total) in from.endpoints.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -287,6 +291,9 @@
         &from.rests,
         to.reborrow().init_rests(length(from.rests.len())),
     );
+    if let Some(all) = &from.demand {
+        demand::write_all(all, to.reborrow().init_demand(length(all.len())));
+    }
     let mut list = to.init_keys(length(from.keys.len()));
     for (i, samples) in from.keys.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
@@ -437,6 +444,7 @@
         departures: departures::read_all(from.get_departures()?),
         members: members.collect(),
         confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
+        demand: demand::read(from.has_demand().then(|| from.get_demand()))?,
     })
 }
 
@@ -523,6 +531,7 @@
         departures: departures::read_all(from.get_departures()?),
         rests: rests::read_all(from.get_rests()?),
         confirmed: confirmation::read(from.has_confirmed().then(|| from.get_confirmed()))?,
+        demand: demand::read(from.has_demand().then(|| from.get_demand()))?,
     })
 }
 
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -7,6 +7,7 @@
 };
 use citronway_core::gateway::departures::Departure;
 use citronway_core::gateway::election::Strength;
+use citronway_core::gateway::fleet_admission::{MAX_QUEUES, QueueDemand};
 use citronway_core::gateway::freshness::Confirmation;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::report::{
@@ -108,11 +109,62 @@
         departures: departures(),
         rests: rests(),
         confirmed: Some(CONFIRMED),
+        demand: Some(vec![demand(7)]),
     });
     expect_that!(decode(&encode(&report)).or_fail()?, eq(&report));
     Ok(())
 }
 
+fn demand(queue: u32) -> QueueDemand {
+    QueueDemand {
+        queue: EndpointTag(queue),
+        waiting: [1, 2, 3, 4, 5, 6, 7, 65_535],
+        arrivals: [9, 8, 7, queue & 0xff],
+        returns: [1, 0, 0, 4, 5, 0, 7, 8],
+    }
+}
+
+/// Guards against a leader of an earlier release whose totals are read as those of no demand.
+#[gtest]
+fn demand_that_is_not_stated_is_told_from_none() -> Result<()> {
+    for demand in [None, Some(Vec::new()), Some(vec![demand(1), demand(2)])] {
+        let totals = Datagram::Totals(Totals { demand, ..totals() });
+        expect_that!(decode(&encode(&totals)).or_fail()?, eq(&totals));
+    }
+    Ok(())
+}
+
+/// Guards against totals that are too long to be sent once many queues are contended.
+#[gtest]
+fn totals_with_the_most_demand_fit_into_a_datagram() {
+    let spread = |n: u32| n.wrapping_mul(2_654_435_761);
+    let endpoints = (0..2_000).map(|n| EndpointTotal {
+        tag: EndpointTag(spread(n)),
+        in_flight: spread(n) >> 28,
+        waiting: spread(n) >> 29,
+    });
+    let totals = Datagram::Totals(Totals {
+        endpoints: endpoints.collect(),
+        demand: Some((0..).take(MAX_QUEUES).map(|n| demand(spread(n))).collect()),
+        ..totals()
+    });
+    expect_that!(encode(&totals).len(), le(MAX_DATAGRAM));
+}
+
+/// Guards against a damaged or truncated datagram that ends the instance which reads it.
+#[gtest]
+fn damaged_demand_is_an_error_or_other_demand() {
+    let demand = Some(vec![demand(1), demand(2)]);
+    let bytes = encode(&Datagram::Totals(Totals { demand, ..totals() }));
+    for place in 0..bytes.len() {
+        expect_that!(decode(&bytes[..place]), err(anything()));
+        let mut damaged = bytes.clone();
+        damaged[place] ^= 0xff;
+        // Most damage is not noticed by the encoding; what is read has no invariant to break.
+        let _ = decode(&damaged);
+    }
+}
+
 fn rests() -> Vec<RestReport> {
     vec![RestReport {
         endpoint: EndpointTag(81),
@@ -243,6 +295,7 @@
         departures: departures(),
         confirmed: Some(CONFIRMED),
         members: vec![SocketAddr::from(([10, 1, 0, 35], 7_660))],
+        demand: None,
     }
 }
 
@@ -291,6 +344,7 @@
         departures: departures(),
         rests: rests(),
         confirmed: Some(CONFIRMED),
+        demand: None,
     };
     let relay = Relay {
         table: Table::Own,
--- a/crates/citronway/src/gateway/control/cluster/load.rs
+++ b/crates/citronway/src/gateway/control/cluster/load.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 
+use citronway_core::gateway::fleet_admission::{self, FleetDemand, QueueDemand};
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::report::{EndpointTotal, Report, Totals};
 use citronway_core::gateway::rows::{Row, Table};
@@ -58,6 +59,38 @@
         contended
     }
 
+    /// Sets the demand at this instance; `None` without admission control across instances.
+    pub(in super::super) fn set_own_demand(&mut self, demand: Option<&[QueueDemand]>) {
+        self.own_demand = demand.map(<[_]>::to_vec);
+    }
+
+    /// Demand at this instance.
+    pub(in super::super) const fn own_demand(&self) -> Option<&Vec<QueueDemand>> {
+        self.own_demand.as_ref()
+    }
+
+    /// Demand at this instance and at the members of this delegate.
+    pub(in super::super) fn demand_with_members(&self, now: Mono) -> Option<Vec<QueueDemand>> {
+        let own = self.own_demand.as_ref()?;
+        let members = self.peers.members_demand(now);
+        let sums = fleet_admission::add_up(own.iter().chain(members));
+        Some(fleet_admission::largest(sums))
+    }
+
+    /// Demand of all instances, for the leader's totals.
+    pub(in super::super) fn demand_of_all(&self, now: Mono) -> Option<Vec<QueueDemand>> {
+        let own = self.own_demand.as_ref()?;
+        let others = self.peers.reported_demand(now);
+        let sums = fleet_admission::add_up(own.iter().chain(others));
+        Some(fleet_admission::largest(sums))
+    }
+
+    /// Demand of all other instances; `None` if it is not known or not used here.
+    pub(super) fn fleet_demand(&self, now: Mono) -> Option<FleetDemand> {
+        let own = self.own_demand.as_ref()?;
+        self.peers.fleet_demand(now, own)
+    }
+
     /// Applies the totals that the leader sent.
     pub(in super::super) fn apply_totals(&mut self, now: Mono, totals: Totals) {
         self.last_heard_at = now;
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -14,6 +14,7 @@
 use citronway_core::gateway::departures::{Departures, owned_work_until};
 use citronway_core::gateway::election::LeaderRow;
 use citronway_core::gateway::evacuation::Evacuations;
+use citronway_core::gateway::fleet_admission::QueueDemand;
 use citronway_core::gateway::freshness::ConfigFreshness;
 use citronway_core::gateway::outage::Outage;
 use citronway_core::gateway::pace::{EndpointPaces, EndpointTag, rank_of};
@@ -110,6 +111,8 @@
     leader_store: Option<(u64, bool)>,
     /// Requests that this instance itself has in flight and waiting, by endpoint.
     own_use: IndexMap<EndpointTag, EndpointUse>,
+    /// Demand at this instance; `None` without admission control across instances.
+    own_demand: Option<Vec<QueueDemand>>,
     /// Newest version of each endpoint's entry, also of removed ones.
     pub(super) entries: IndexMap<String, RowVersion>,
     /// Addresses of this instance and of the store, which no endpoint may have.
@@ -155,6 +158,7 @@
             store_clock: None,
             leader_store: None,
             own_use: IndexMap::new(),
+            own_demand: None,
             entries: IndexMap::new(),
             own_addresses: [cfg.callers, cfg.ready, cfg.reports, cfg.metrics, cfg.store],
             last_heard_at: Mono::default(),
@@ -522,6 +526,7 @@
             },
             has_leader: self.has_relaying_leader(now),
             limits: self.stated_limits.in_force(),
+            fleet: self.fleet_demand(now),
         }
     }
 }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -5,6 +5,7 @@
 use citronway_core::gateway::admission::{Neighbor, ReportedLoad};
 use citronway_core::gateway::budget::FleetSize;
 use citronway_core::gateway::election::{LeaderRow, PeerState, Strength};
+use citronway_core::gateway::fleet_admission::{FleetDemand, QueueDemand};
 use citronway_core::gateway::pace::{EndpointPaces, EndpointTag, rank_of};
 use citronway_core::gateway::report::{
     EndpointTotal, EndpointUse, MAX_LISTED_FULL_MESH, MemberState, Report, Totals, Versions,
@@ -47,6 +48,8 @@
     /// No endpoint answers it, by its own last report.
     is_cut_off: bool,
     endpoints: Vec<EndpointUse>,
+    /// Demand by its own last report; `None` if it states none.
+    demand: Option<Vec<QueueDemand>>,
 }
 
 /// All other instances.
@@ -92,6 +95,7 @@
         peer.is_cut_off = report.is_cut_off;
         peer.direct_at = Some(now);
         peer.endpoints.clone_from(&report.endpoints);
+        peer.demand.clone_from(&report.demand);
         peer.update_state(PeerState {
             instance: report.instance.clone(),
             session: report.session,
@@ -115,6 +119,7 @@
         if peer.direct_at.is_none_or(|at| at < heard) {
             // Its delegate now counts its requests in flight.
             peer.endpoints.clear();
+            peer.demand = None;
         }
         if peer
             .state
@@ -161,6 +166,7 @@
             seen: Versions::default(),
             is_cut_off: false,
             endpoints: Vec::new(),
+            demand: None,
         })
     }
 
@@ -256,6 +262,42 @@
         uses.map(|used| (used.tag, used.in_flight, used.waiting))
     }
 
+    /// Demand that the members of this delegate reported.
+    pub(super) fn members_demand(&self, now: Mono) -> impl Iterator<Item = &QueueDemand> {
+        let members = self.direct_reporters(now);
+        members.flat_map(|peer| peer.demand.iter().flatten())
+    }
+
+    /// Demand that all other instances reported to this one.
+    pub(super) fn reported_demand(&self, now: Mono) -> impl Iterator<Item = &QueueDemand> {
+        let reporters = self.load_reporters(now);
+        reporters.flat_map(|(_, peer)| peer.demand.iter().flatten())
+    }
+
+    /// Demand of the other instances by the leader's totals, or by their own reports where all
+    /// report to all; `None` if no one states any. `own` is what this instance itself reported.
+    pub(super) fn fleet_demand(&self, now: Mono, own: &[QueueDemand]) -> Option<FleetDemand> {
+        if let Some((totals, at)) = &self.totals
+            && self.fresh_totals(now).is_some()
+        {
+            let sums = totals.demand.as_ref()?;
+            return Some(FleetDemand::from_sums(*at, sums, own));
+        }
+        if self.is_large_fleet(now) {
+            return None;
+        }
+        let reporters = self.load_reporters(now);
+        let reports = reporters.filter_map(|(instance, peer)| {
+            let demand = peer.demand.as_deref()?;
+            Some((peer.direct_at?, rank_of(instance), demand))
+        });
+        let reports: Vec<_> = reports.collect();
+        let newest = reports.iter().map(|(at, _, _)| *at).max()?;
+        let demands = reports.into_iter();
+        let demands: Vec<_> = demands.map(|(_, rank, demand)| (rank, demand)).collect();
+        Some(FleetDemand::from_reports(newest, &demands))
+    }
+
     /// Instances that report directly to this one.
     fn direct_reporters(&self, now: Mono) -> impl Iterator<Item = &Peer> {
         let all = self.all.values();
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -45,6 +45,7 @@
         self.leadership.set_cut_off(seen.is_cut_off);
         self.leadership.set_work_ms(&seen.work_ms);
         self.unreported.add(seen.usage.clone());
+        self.cluster.set_own_demand(seen.demand.as_deref());
         self.trials.record_crashes(&seen.signs);
         self.cluster.crashes.record_own_signs(now, &seen.signs);
         self.observe_limits(now, &seen.stated_limits, OWN_ANSWER);
@@ -124,6 +125,7 @@
         };
         let mut report = self.build_report(now, merged);
         report.members = members;
+        report.demand = self.cluster.demand_with_members(now);
         report.limits = self.cluster.stated_limits.take_due(now);
         report.departures = self.cluster.departures.take_due(now);
         report.rests = self.cluster.rests.sums(now);
@@ -231,6 +233,7 @@
             departures,
             confirmed: cluster.freshness.confirmation(now),
             members: Vec::new(),
+            demand: cluster.demand_of_all(now),
         }
     }
 
@@ -257,6 +260,7 @@
             departures: Vec::new(),
             rests: Vec::new(),
             confirmed: self.cluster.freshness.confirmation(now),
+            demand: self.cluster.own_demand().cloned(),
         }
     }
 
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
 use prometheus_client::registry::Registry;
 
 use super::control::Source;
+use super::fleet_metrics::FleetMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
 
@@ -153,6 +154,8 @@
     evacuated_ranges: Gauge,
     /// What endpoints state of themselves.
     pub(super) statements: StatementMetrics,
+    /// Admission control across all instances.
+    pub(super) fleet: FleetMetrics,
 }
 
 impl Default for Metrics {
@@ -228,6 +231,8 @@
         registry.register("evacuated_ranges", help, evacuated_ranges.clone());
         let statements = StatementMetrics::register(&mut registry);
         Self {
+            // Registers its own, so it comes before the registry is moved.
+            fleet: FleetMetrics::register(&mut registry),
             registry: Arc::new(registry),
             requests,
             latency,
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! view that `control` publishes goes the other way. A third thread writes the logs.
 
 mod control;
+mod fleet_metrics;
 mod http_link;
 mod metrics;
 mod ready;
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -284,9 +284,11 @@
         let leaving = range.is_some_and(|r| self.state.has_left_in(&view, &r.holder.endpoint));
         let row = owners.map_or(0, |owners| owners.version.number);
         let instances = view.instances;
+        let rank = self.job.priority;
+        let demand = self.state.demand_of(&view, &self.job);
         let key = key.map_or(-1, i32::from);
         log::info!(
-            request, service, key, owner = owner.as_str(), fence, moving, limit = limit.as_str(), leaving, row, routes, waiting, instances,
+            request, service, key, owner = owner.as_str(), fence, moving, limit = limit.as_str(), leaving, row, routes, waiting, instances, rank, demand = demand.as_str(),
             reason = reason.as_str();
             "no place found"
         );
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -212,6 +212,7 @@
         tried: Vec::new(),
         pauses: Vec::new(),
         is_forwarded: forwarded.is_some(),
+        spent_ms,
     };
     let forwarding = Forwarding {
         state,
--- a/crates/citronway/src/gateway/traffic/seen.rs
+++ b/crates/citronway/src/gateway/traffic/seen.rs
@@ -3,6 +3,7 @@
 use citronway_core::gateway::admission::View;
 use citronway_core::gateway::crashes::Sign;
 use citronway_core::gateway::departures::Departure;
+use citronway_core::gateway::fleet_admission::QueueDemand;
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::report;
 use citronway_core::gateway::rests::RestReport;
@@ -52,4 +53,6 @@
     pub departures: Vec<Departure>,
     /// Endpoints that asked this instance for rest.
     pub rests: Vec<RestReport>,
+    /// Demand by queue and rank; `None` without admission control across instances.
+    pub demand: Option<Vec<QueueDemand>>,
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -1,5 +1,6 @@
 //! State that all requests of the traffic thread share.
 
+mod fleet;
 mod guards;
 mod limits;
 mod neighbors;
@@ -60,6 +61,8 @@
     /// Requests without a complete answer.
     pub open_requests: Rc<OpenRequests>,
     admission: RefCell<Admission>,
+    /// Whether the demand of all instances was in use at the last report.
+    decides_by_fleet: Cell<bool>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Decision>>>,
     waiting_added: Notify,
     last_ticket: Cell<u64>,
@@ -135,7 +138,8 @@
             metrics,
             dialer,
             listener_probes: ListenerProbes::new(dialer),
-            admission: RefCell::default(),
+            admission: RefCell::new(Admission::with_fleet_admission(cfg.traffic.fleet_admission)),
+            decides_by_fleet: Cell::new(false),
             waiting: RefCell::default(),
             waiting_added: Notify::new(),
             last_ticket: Cell::new(0),
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -23,6 +23,7 @@
         self.metrics.set_connections(self.open_connections());
         self.open_requests.update_metrics();
         self.update_rests();
+        let demand = self.take_demand();
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
         let mut endpoints: Vec<_> = self
             .admission
@@ -68,6 +69,7 @@
             stated_limits: self.take_stated_limits(),
             departures: self.take_departures(),
             rests: self.rests(),
+            demand,
         }
     }
 }
