--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
 
 use super::control::Source;
 use super::division_metrics::DivisionMetrics;
+use super::fleet_metrics::FleetMetrics;
 use super::pipeline_metrics::PipelineMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
@@ -159,13 +160,16 @@
     pub(super) statements: StatementMetrics,
     /// Requests that arrive before earlier ones are answered.
     pub(super) pipeline: PipelineMetrics,
+    /// Admission control across all instances.
+    pub(super) fleet: FleetMetrics,
 }
 
 /// Registers the metrics that have files of their own.
-fn register_groups(registry: &mut Registry) -> (StatementMetrics, PipelineMetrics) {
+fn register_groups(registry: &mut Registry) -> (StatementMetrics, PipelineMetrics, FleetMetrics) {
     (
         StatementMetrics::register(registry),
         PipelineMetrics::register(registry),
+        FleetMetrics::register(registry),
     )
 }
 
@@ -246,7 +250,7 @@
         registry.register("config_confirmed_age_seconds", help, config_age.clone());
         let (evacuated_zones, evacuated_ranges) = evacuation_gauges(&mut registry);
         let divisions = DivisionMetrics::register(&mut registry);
-        let (statements, pipeline) = register_groups(&mut registry);
+        let (statements, pipeline, fleet) = register_groups(&mut registry);
         Self {
             registry: Arc::new(registry),
             requests,
@@ -277,6 +281,7 @@
             divisions,
             statements,
             pipeline,
+            fleet,
         }
     }
 }
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod division_metrics;
+mod fleet_metrics;
 mod http_link;
 mod metrics;
 mod pipeline_metrics;
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -233,6 +233,7 @@
         tried: Vec::new(),
         pauses: Vec::new(),
         is_forwarded: forwarded.is_some(),
+        spent_ms,
     };
     let forwarding = Forwarding {
         state,
