--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -77,8 +77,9 @@
     }
     let progress = Rc::new(Progress::new(clock::mono()));
     let reader = Rc::new(RefCell::new(ReadAhead::new(stream, Rc::clone(&progress))));
-    let row = Rc::new(RefCell::new(Row::new(&state, origin, &progress)));
-    let limits = state.limits();
+    let max_head_bytes = state.limits().header_bytes.max(MIN_HEAD_BYTES);
+    let row = Row::new(&state, origin, &progress, max_head_bytes);
+    let row = Rc::new(RefCell::new(row));
     let service = service_fn(|req| {
         let turn = reader.borrow_mut().take_turn();
         answer_in_turn(&state, &progress, &row, turn, req, origin)
@@ -86,7 +87,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BYTES))
+        .max_buf_size(max_head_bytes)
         .serve_connection(TokioIo::new(SharedStream(Rc::clone(&reader))), service);
     tokio::pin!(connection);
     let _open = state.track_connection();
@@ -117,8 +118,8 @@
             }
             () = tokio::time::sleep(IDLE_CHECK_PERIOD), if closing == Closing::No => {
                 if progress.is_overdue(clock::mono(), state.limits()) {
-                    // The library keeps waiting for the rest of a connection's first head.
-                    if !progress.has_request() {
+                    // The library keeps waiting for the rest of a head.
+                    if progress.is_in_head() {
                         return;
                     }
                     row.borrow().close();
--- a/crates/citronway/src/gateway/traffic/connection/pipeline.rs
+++ b/crates/citronway/src/gateway/traffic/connection/pipeline.rs
@@ -46,6 +46,8 @@
     state: Rc<State>,
     origin: Origin,
     progress: Rc<Progress>,
+    /// Bytes of a head from which on the HTTP library refuses it.
+    max_head_bytes: usize,
     pipeline: Rc<RefCell<Pipeline>>,
     /// The request whose turn it is, unless it was begun ahead.
     present: Option<Rc<OpenRequest>>,
@@ -78,12 +80,18 @@
 }
 
 impl Row {
-    pub(super) fn new(state: &Rc<State>, origin: Origin, progress: &Rc<Progress>) -> Self {
+    pub(super) fn new(
+        state: &Rc<State>,
+        origin: Origin,
+        progress: &Rc<Progress>,
+        max_head_bytes: usize,
+    ) -> Self {
         let pipeline = Pipeline::new(state.pipeline_limits());
         Self {
             state: Rc::clone(state),
             origin,
             progress: Rc::clone(progress),
+            max_head_bytes,
             pipeline: Rc::new(RefCell::new(pipeline)),
             present: None,
             begun: VecDeque::new(),
@@ -103,10 +111,27 @@
         }
     }
 
+    /// Reads a queued request; `None` if it is not begun ahead, whatever its route.
+    fn read_next(&self, reader: &ReadAhead, queued: &Queued) -> Option<Next> {
+        let (head, body) = reader.bytes_of(queued)?;
+        if head.len() >= self.max_head_bytes || body.len() > MAX_BODY_BYTES {
+            return None;
+        }
+        let head = framing::build_head(head)?;
+        let metadata = exchange::read_request_metadata(&head).ok()?;
+        Some(Next {
+            start: queued.start,
+            host: metadata.host,
+            head,
+            body: Bytes::copy_from_slice(body),
+            hold: None,
+        })
+    }
+
     /// Begins a request if it may be begun.
     fn begin_next(&mut self, reader: &ReadAhead, queued: &Queued) -> bool {
         if self.next.as_ref().map(|next| next.start) != Some(queued.start) {
-            self.next = read_next(reader, queued);
+            self.next = self.read_next(reader, queued);
         }
         let Some(mut next) = self.next.take() else {
             return false;
@@ -230,20 +255,3 @@
         self.answer.await.map_err(TurnError::NoAnswer)
     }
 }
-
-/// Reads a queued request; `None` if it is not begun ahead, whatever its route.
-fn read_next(reader: &ReadAhead, queued: &Queued) -> Option<Next> {
-    let (head, body) = reader.bytes_of(queued)?;
-    if body.len() > MAX_BODY_BYTES {
-        return None;
-    }
-    let head = framing::build_head(head)?;
-    let metadata = exchange::read_request_metadata(&head).ok()?;
-    Some(Next {
-        start: queued.start,
-        host: metadata.host,
-        head,
-        body: Bytes::copy_from_slice(body),
-        hold: None,
-    })
-}
--- a/crates/citronway/tests/gateway_limits.rs
+++ b/crates/citronway/tests/gateway_limits.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use gateway_support::rows::{RowCaller, look};
 use gateway_support::{Deployment, until};
 use googletest::prelude::*;
 
@@ -31,6 +32,24 @@
     expect_that!(end, ok(eq(&0)));
 }
 
+/// Guards against a connection that never times out: half of a head stands behind a request that
+/// was unanswered when it arrived.
+#[gtest]
+fn a_head_behind_an_unanswered_request_that_does_not_come_in_time_ends_its_connection() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    deployment.c.work(Duration::from_millis(500));
+    let mut caller = RowCaller::connect(instance.callers);
+    caller.send(&look("GET /status/1", "l"));
+    caller.send("GET /status/1 HTTP/1.1\r\nHost: h.exa");
+    let answer = caller.next().map(|reply| reply.status);
+    expect_that!(answer, some(eq(200)));
+    let began = Instant::now();
+    expect_that!(caller.rest(), is_empty());
+    expect_that!(began.elapsed(), ge(HEAD_LIMIT));
+    expect_that!(began.elapsed(), lt(IDLE_LIMIT));
+}
+
 /// Guards against a wrong timeout: a caller sends a body in a segment of its own, gets its
 /// answer and keeps the connection. The bytes of the body were taken for the start of the next
 /// head, and the header timeout closed the connection: a caller that used it again ran into the
