Hot keys: what a key's owner cannot serve in time is refused at once

Cause: all requests of an owner share one queue. A key with more load than its owner can serve filled it up to the deadlines of its requests; those were then late, and other keys of the owner waited behind them.

Change: where hot ranges are divided at once, an instance counts the recent arrivals for the keys of an owner. A key with more than half of them waits behind the other keys of its rank, and what would miss its objective is refused at once as key_overloaded, with the time at which the others have been served. citronctl explain shows divisions of the request's service.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -30,6 +30,16 @@
     "work is let go",
 ];
 
+/// Messages of the leader about the division of a hot range.
+const DIVISION_LINES: [&str; 3] = [
+    "hot range is divided",
+    "neighbors leave a key that no endpoint can serve",
+    "division of a hot range ended",
+];
+
+/// Time before a request in which a division may have to do with it, in milliseconds.
+const DIVISION_BEFORE_MS: i64 = 10_000;
+
 /// What stands for work where the instance could not make its fingerprint yet.
 const UNKNOWN_WORK: &str = "-";
 
@@ -189,6 +199,7 @@
             let _ = writeln!(story, "{} {mark} {instance}: {}", line.time, line.told());
         }
     }
+    story.push_str(&divisions(first, &lines[..=last], &named));
     story.push_str(&suspicion(request, lines));
     if others > 0 {
         let _ = writeln!(
@@ -199,6 +210,29 @@
     Ok(story)
 }
 
+/// Divisions of hot ranges of the service that the request names, shortly before its line `first`
+/// or after it. The leader logs them, which may be another instance.
+fn divisions(first: usize, lines: &[Line], named: &IndexSet<String>) -> String {
+    let mut text = String::new();
+    for (place, line) in lines.iter().enumerate() {
+        if !DIVISION_LINES.contains(&line.message.as_str()) {
+            continue;
+        }
+        let is_named = line
+            .text("service")
+            .is_some_and(|service| named.contains(&format!("owners of {service}")));
+        let age_ms = age_ms(&line.time, &lines[first].time);
+        let is_recent = place >= first || age_ms.is_some_and(|ms| ms <= DIVISION_BEFORE_MS);
+        if is_named && is_recent {
+            let _ = writeln!(text, "  {} {}: {}", line.time, line.instance, line.told());
+        }
+    }
+    if text.is_empty() {
+        return text;
+    }
+    format!("divisions of hot ranges:\n{text}")
+}
+
 /// Name of what an instance believes of an endpoint's limit.
 fn limit_of(endpoint: &str) -> String {
     format!("limit of {endpoint}")
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -99,6 +99,21 @@
     expect_that!(story, not(contains_substring("status=200")));
 }
 
+/// A caller's request is refused for a key with more load than its owner can serve. The leader, which
+/// is another instance, had divided the keys around it a moment before and another service's long
+/// before. The story has to show the first only.
+#[gtest]
+fn a_refusal_beside_a_division_of_a_hot_range_is_explained() {
+    let story = explain::run("hot-1", &[log("division.jsonl")]).expect("a story");
+    let lines: Vec<_> = story.lines().collect();
+    expect_that!(story, contains_substring("reason=key_overloaded"));
+    let ended = "two: division of a hot range ended";
+    let told: Vec<_> = lines.iter().filter(|line| line.contains(ended)).collect();
+    expect_that!(told, elements_are![contains_substring("known_ms=743")]);
+    let left = "two: neighbors leave a key that no endpoint can serve";
+    expect_that!(lines, contains(contains_substring(left)));
+}
+
 #[gtest]
 fn a_request_that_no_log_names_is_an_error_that_says_what_was_read() {
     let failure = explain::run("none", &[log("cut-off.jsonl")]).expect_err("no story");
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -6,6 +6,7 @@
 //! deadline is refused as soon as that is known (load shedding), with a time to retry.
 
 mod choose;
+mod hot_keys;
 mod job;
 mod kept;
 mod links;
@@ -25,6 +26,7 @@
 use crate::time::Mono;
 
 use choose::Selection;
+use hot_keys::KeyArrivals;
 use kept::IdleConnections;
 use links::{EndpointLinks, LinkFailure};
 use rests::Rests;
@@ -101,6 +103,8 @@
     held_for_rest: u64,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
     not_forwarded: IndexMap<EndpointTag, Mono>,
+    /// Recent arrivals for keys, at services whose hot ranges are divided at once.
+    key_arrivals: KeyArrivals,
     /// Sequence number that varies the choice between equal endpoints.
     sequence: u64,
     /// When the process ends; `None` unless it is shutting down.
@@ -125,7 +129,9 @@
             .map_or(job.deadline, |end| job.deadline.min(end));
         self.links.update(now, &self.unanswered);
         let queue_key = Self::queue_key(view, &job);
+        self.record_arrival(now, view, &job);
         let ahead = self.ahead(queue_key, job.priority);
+        let ahead = ahead.saturating_sub(self.hot_ahead(view, queue_key, &job));
         let selection = if ahead > 0 {
             Selection::Wait(self.reason_to_queue(now, view, &job))
         } else {
@@ -157,7 +163,10 @@
         self.links.update(now, &self.unanswered);
         let mut decided = Vec::new();
         let mut jobs = std::mem::take(&mut self.waiting);
-        jobs.sort_by_key(|job| queue_order(now, job));
+        jobs.sort_by_cached_key(|job| {
+            let (priority, is_late, deadline) = queue_order(now, job);
+            (priority, self.is_for_hot_key(view, job), is_late, deadline)
+        });
         self.wanted.clear();
         for job in jobs.iter().filter(|job| !Self::is_paused(now, view, job)) {
             let queue_key = Self::queue_key(view, job);
@@ -398,6 +407,7 @@
             .retain(|(fence, _), _| self.fences.contains_key(fence));
         self.cold_busy.retain(|_, until| now < *until);
         self.departures.prune(now);
+        self.key_arrivals.prune(now);
         self.prune_rests(now, view);
         self.send_grants
             .retain(|tag| view.limits.contains_key(&tag));
--- a/crates/citronway-core/src/gateway/admission/refuse.rs
+++ b/crates/citronway-core/src/gateway/admission/refuse.rs
@@ -47,9 +47,15 @@
         );
         // An answer that misses the latency objective still has some worth. A request that cannot
         // even meet its deadline only delays others.
-        if due < job.deadline && !is_in_vain {
+        let must_end_by = self.must_end_by(view, job);
+        if due < must_end_by && !is_in_vain {
             return None;
         }
+        let cause = if cause == RefusalReason::Overloaded && must_end_by < job.deadline {
+            RefusalReason::KeyOverloaded
+        } else {
+            cause
+        };
         let left = job.caller_deadline.since(now);
         let min_wait_ms = match cause {
             RefusalReason::Evacuated => EVACUATED_RETRY_MS,
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -39,6 +39,8 @@
     pub has_leader: bool,
     /// Requests a second that limited endpoints take from all instances together.
     pub limits: IndexMap<EndpointTag, f64>,
+    /// Services whose hot ranges are divided at once.
+    pub divided_fast: Vec<ServiceName>,
 }
 
 impl View {
@@ -57,6 +59,7 @@
             neighbors: Vec::new(),
             has_leader: false,
             limits: IndexMap::new(),
+            divided_fast: Vec::new(),
         }
     }
 }
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -521,7 +521,10 @@
     }
 
     pub(super) fn view(&self, now: Mono) -> View {
+        let mut divided_fast = self.sharded();
+        divided_fast.retain(|service| self.divides_fast(now, service));
         View {
+            divided_fast,
             routes: self.routes.clone(),
             registry: Arc::clone(&self.registry),
             owners: self.owners.clone(),
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -131,7 +131,7 @@
         if cluster.divides_fast(now, service) {
             if leader.can_start_moves() {
                 let hot = self.hot.entry(service.clone()).or_default();
-                let moves = plan_fast(now, leader, loads, hot, &endpoints);
+                let moves = plan_fast(now, service, leader, loads, hot, &endpoints);
                 start_moves(service, leader, &moves, cluster);
             }
             return;
@@ -155,6 +155,7 @@
 /// its leader.
 fn plan_fast(
     now: Mono,
+    service: &ServiceName,
     leader: &mut Leader,
     loads: &mut KeyLoads,
     hot: &mut HotRanges,
@@ -175,7 +176,7 @@
     }
     hot.record_moves(now, &moves);
     for division in divisions {
-        log_division(&division);
+        log_division(service, &division);
         leader.observe_division(now, division);
     }
     moves
@@ -191,14 +192,14 @@
     !endpoints.iter().any(stays)
 }
 
-fn log_division(division: &Division) {
-    let owner = &division.owner;
+fn log_division(service: &ServiceName, division: &Division) {
+    let (service, owner) = (service.as_str(), &division.owner);
     let (moves, per_s) = (division.moves.len(), division.per_s.round());
     match division.hot_key {
         Some(_) => {
-            log::info!(endpoint:% = owner, moves, per_s; "neighbors leave a key that no endpoint can serve");
+            log::info!(service, endpoint:% = owner, moves, per_s; "neighbors leave a key that no endpoint can serve");
         }
-        None => log::info!(endpoint:% = owner, moves, per_s; "hot range is divided"),
+        None => log::info!(service, endpoint:% = owner, moves, per_s; "hot range is divided"),
     }
 }
 
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -139,6 +139,7 @@
                 | RefusalReason::NoEndpoint
                 | RefusalReason::KeyUnowned
                 | RefusalReason::Overloaded
+                | RefusalReason::KeyOverloaded
                 | RefusalReason::EndpointRefused
                 | RefusalReason::Evacuated
                 | RefusalReason::CrashesEndpoints
