--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -163,11 +163,13 @@
     UnconfirmedConfiguration,
     /// Its time ended while earlier requests of its connection were without an answer.
     BehindUnanswered,
+    /// One key has more requests than its owner can serve; those beyond that are refused.
+    KeyOverloaded,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -184,6 +186,7 @@
         Self::EndpointResting,
         Self::UnconfirmedConfiguration,
         Self::BehindUnanswered,
+        Self::KeyOverloaded,
     ];
 
     /// Name of the reason in logs, metrics and answers.
@@ -206,6 +209,7 @@
             Self::EndpointResting => "endpoint_resting",
             Self::UnconfirmedConfiguration => "unconfirmed_configuration",
             Self::BehindUnanswered => "behind_unanswered",
+            Self::KeyOverloaded => "key_overloaded",
         }
     }
 }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -7,6 +7,7 @@
 
 mod choose;
 mod fleet;
+mod hot_keys;
 mod job;
 mod kept;
 mod links;
@@ -28,6 +29,7 @@
 
 use choose::Selection;
 use fleet::FleetAdmission;
+use hot_keys::KeyArrivals;
 use kept::IdleConnections;
 use links::{EndpointLinks, LinkFailure};
 use rests::Rests;
@@ -102,6 +104,8 @@
     held_for_rest: u64,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
     not_forwarded: IndexMap<EndpointTag, Mono>,
+    /// Recent arrivals for keys, at services whose hot ranges are divided at once.
+    key_arrivals: KeyArrivals,
     /// Sequence number that varies the choice between equal endpoints.
     sequence: u64,
     /// When the process ends; `None` unless it is shutting down.
@@ -129,8 +133,10 @@
         self.links.update(now, &self.unanswered);
         let queue_key = Self::queue_key(view, &job);
         self.record_arrival(queue_key, &job);
+        self.record_key_arrival(now, view, &job);
         let class = self.class(now, view, &job);
         let ahead = self.ahead(queue_key, class);
+        let ahead = ahead.saturating_sub(self.hot_ahead(view, queue_key, &job));
         let selection = if self.is_behind(now, view, &job, ahead) {
             Selection::Wait(self.reason_to_queue(now, view, &job))
         } else {
@@ -164,9 +170,16 @@
         let mut decided = Vec::new();
         let mut jobs = std::mem::take(&mut self.waiting);
         if self.fleet_demand(now, view).is_some() {
-            jobs.sort_by_key(|job| fleet::queue_order(now, job));
+            jobs.sort_by_cached_key(|job| {
+                let (is_late, priority, is_new, deadline) = fleet::queue_order(now, job);
+                let is_hot = self.is_for_hot_key(view, job);
+                (is_late, priority, is_hot, is_new, deadline)
+            });
         } else {
-            jobs.sort_by_key(|job| queue_order(now, job));
+            jobs.sort_by_cached_key(|job| {
+                let (priority, is_late, deadline) = queue_order(now, job);
+                (priority, self.is_for_hot_key(view, job), is_late, deadline)
+            });
         }
         self.wanted.clear();
         for job in jobs.iter().filter(|job| !Self::is_paused(now, view, job)) {
@@ -411,6 +424,7 @@
             .retain(|(fence, _), _| self.fences.contains_key(fence));
         self.cold_busy.retain(|_, until| now < *until);
         self.departures.prune(now);
+        self.key_arrivals.prune(now);
         self.prune_rests(now, view);
         self.send_grants
             .retain(|tag| view.limits.contains_key(&tag));
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -42,6 +42,8 @@
     pub limits: IndexMap<EndpointTag, f64>,
     /// Demand of all other instances by queue and rank; `None` where it is not known or not used.
     pub fleet: Option<FleetDemand>,
+    /// Services whose hot ranges are divided at once.
+    pub divided_fast: Vec<ServiceName>,
 }
 
 impl View {
@@ -61,6 +63,7 @@
             has_leader: false,
             limits: IndexMap::new(),
             fleet: None,
+            divided_fast: Vec::new(),
         }
     }
 }
