--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -126,3 +126,27 @@
     std::fs::remove_file(&path).expect("the log can be removed");
     expect_that!(story.lines().count(), eq(203));
 }
+
+/// Guards against a refusal of which nothing shows whether the demand of all instances decided it.
+#[gtest]
+fn a_refusal_shows_the_demand_that_decided_it() {
+    let text = concat!(
+        r#"{"time":"2026-12-04T02:05:01.000Z","instance":"one","message":"admission by the demand of all instances","instances":80}"#,
+        "\n",
+        r#"{"time":"2026-12-04T02:05:01.500Z","instance":"one","message":"no place found","request":"r","rank":2,"demand":"urgent 40, equal 9, of these here 1"}"#,
+    );
+    let path = std::env::temp_dir().join(format!("citronctl-demand-{}.jsonl", std::process::id()));
+    std::fs::write(&path, text).expect("a log can be written");
+    let story = explain::run("r", std::slice::from_ref(&path)).expect("a story");
+    std::fs::remove_file(&path).expect("the log can be removed");
+    expect_that!(
+        story,
+        contains_substring(
+            "admission: admission by the demand of all instances instances=80 (500 ms old)"
+        )
+    );
+    expect_that!(
+        story,
+        contains_substring("demand=urgent 40, equal 9, of these here 1 rank=2")
+    );
+}
--- a/crates/citronway-core/src/gateway/admission/fleet.rs
+++ b/crates/citronway-core/src/gateway/admission/fleet.rs
@@ -2,9 +2,10 @@
 //!
 //! Without demand that is young enough each function decides as if it were not there.
 
-use super::choose::{random, still_in_flight};
+use super::choose::{random, range_of, still_in_flight};
 use super::refuse::MIN_RETRY_MS;
 use super::{Admission, Job, Refusal, RefusalReason, View};
+use crate::gateway::assignment::Range;
 use crate::gateway::fleet_admission::{
     AdmissionShares, DemandLedger, FleetDemand, KEPT_PART, QueueDemand, QueueSums, RETURN_STEP_MS,
     RETURN_STEPS, class_index, rank_index,
@@ -81,7 +82,10 @@
         queues.extend(view.fleet.iter().flat_map(FleetDemand::contended));
         let demands = queues.into_iter().map(|queue| {
             let waiting = self.wanted.get(&queue).copied().unwrap_or_default();
-            self.fleet.ledger.demand(now, queue, waiting)
+            QueueDemand {
+                returns: self.fleet.ledger.returns(now, queue, 1.0).map(whole),
+                ..self.fleet.ledger.demand(queue, waiting)
+            }
         });
         let has_any =
             |demand: &QueueDemand| demand.is_contended() || demand.arrivals.iter().any(|n| *n > 0);
@@ -103,7 +107,7 @@
         let reported = view.reported_loads.get(&queue);
         let others_waiting = reported.map_or(0, |reported| reported.waiting);
         let waiting = self.wanted.get(&queue).copied().unwrap_or_default();
-        let own = self.fleet.ledger.demand(now, queue, waiting);
+        let own = self.fleet.ledger.demand(queue, waiting);
         Some(AdmissionShares::new(&own, &others, others_waiting))
     }
 
@@ -229,6 +233,7 @@
             // divided by them.
             return free > 0;
         }
+        let equal = equal + shares.equal_within(class, SUMS_INTERVAL_MS);
         let random = random(now, view.rank, queue);
         share::share_of_free(free, 0, mine, equal, random) > 0
     }
@@ -256,19 +261,23 @@
     }
 
     /// Expected wait by the demand of all instances; `None` if it is not used.
+    ///
+    /// Requests for a range that moves wait for its next owner, and the sums count them at the
+    /// present one.
     pub(super) fn fleet_wait_ms(
         &self,
         now: Mono,
         view: &View,
         job: &Job,
         ahead: u32,
-        per_ms: f64,
     ) -> Option<u64> {
+        if range_of(view, job).is_some_and(Range::is_moving) {
+            return None;
+        }
         let shares = self.shares(now, view, job)?;
-        let queue = Self::queue_key(view, job);
         let class = self.class(now, view, job);
-        let before = self.equal_ahead(queue, class, ahead);
-        Some(shares.wait_ms(class, before, per_ms))
+        let before = self.equal_ahead(Self::queue_key(view, job), class, ahead);
+        Some(shares.wait_ms(class, before, self.served_per_ms(now, view, job)))
     }
 
     /// Time to retry by the demand of all instances; `None` if it is not used.
@@ -382,3 +391,13 @@
     let rank = xxhash_rust::xxh3::xxh3_64_with_seed(&demand.rank.to_le_bytes(), seed);
     Demand { rank, ..demand }
 }
+
+fn whole(count: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "counts are positive and far below the range"
+    )]
+    let whole = count.round() as u32;
+    whole
+}
--- a/crates/citronway-core/src/gateway/admission/refuse.rs
+++ b/crates/citronway-core/src/gateway/admission/refuse.rs
@@ -34,9 +34,16 @@
         cause: RefusalReason,
     ) -> Option<Refusal> {
         let rest_ms = self.rest_wait_ms(now, view, job, ahead);
+        // Requests that wait for something else than room are not served in the order of the demand.
+        let by_fleet = if cause == RefusalReason::Overloaded {
+            self.fleet_wait_ms(now, view, job, ahead)
+        } else {
+            None
+        };
+        let expected_ms = by_fleet.unwrap_or_else(|| self.expected_wait_ms(now, view, job, ahead));
         let wait_ms = self
             .busy_ms(now, view, job)
-            .max(self.expected_wait_ms(now, view, job, ahead))
+            .max(expected_ms)
             .max(rest_ms.unwrap_or_default());
         // After a rest there is little room at first, so that a usual work time may not be enough.
         let work_ms = rest_ms.map_or(job.work_ms, |_| job.expected_ms());
--- a/crates/citronway-core/src/gateway/admission/wait.rs
+++ b/crates/citronway-core/src/gateway/admission/wait.rs
@@ -12,9 +12,6 @@
     pub(super) fn expected_wait_ms(&self, now: Mono, view: &View, job: &Job, ahead: u32) -> u64 {
         let tag = Self::queue_key(view, job);
         let per_ms = self.served_per_ms(now, view, job);
-        if let Some(wait_ms) = self.fleet_wait_ms(now, view, job, ahead, per_ms) {
-            return wait_ms;
-        }
         // The queues of other instances are assumed to be like this one's: each has as many requests
         // that go first, but all together no more than were reported.
         let own = f64::from(ahead);
--- a/crates/citronway-core/src/gateway/fleet_admission/ledger.rs
+++ b/crates/citronway-core/src/gateway/fleet_admission/ledger.rs
@@ -77,21 +77,15 @@
         queues.filter_map(|(tag, queue)| (!queue.promised.is_empty()).then_some(*tag))
     }
 
-    /// Demand for a queue, of which `waiting` requests wait here.
+    /// Demand for a queue, of which `waiting` requests wait here, without promised returns.
     #[must_use]
-    pub fn demand(&self, now: Mono, queue: EndpointTag, waiting: [u32; CLASSES]) -> QueueDemand {
-        let Some(own) = self.queues.get(&queue) else {
-            return QueueDemand {
-                queue,
-                waiting,
-                ..QueueDemand::default()
-            };
-        };
+    pub fn demand(&self, queue: EndpointTag, waiting: [u32; CLASSES]) -> QueueDemand {
+        let own = self.queues.get(&queue);
         QueueDemand {
             queue,
             waiting,
-            arrivals: own.per_s.map(in_parts),
-            returns: own.returns(now, |_| 1.0).map(whole),
+            arrivals: own.map_or([0; RANKS], |own| own.per_s.map(in_parts)),
+            ..QueueDemand::default()
         }
     }
 
