--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -144,14 +144,19 @@
     pub fn instance_with_traffic(&self, name: &str, traffic: &Value) -> Instance {
         let mut instance = self.instance(name);
         instance.kill();
+        self.set_traffic(name, traffic);
+        self.restart(&mut instance);
+        until("the instance is ready", || instance.is_ready());
+        instance
+    }
+
+    /// Sets the table of limits and switches of callers' requests in the settings of an instance.
+    pub fn set_traffic(&self, name: &str, traffic: &Value) {
         let path = self.settings_of(name);
         let text = std::fs::read_to_string(&path).expect("settings can be read");
         let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
         settings["traffic"] = traffic.clone();
         std::fs::write(&path, settings.to_string()).expect("settings can be written");
-        self.restart(&mut instance);
-        until("the instance is ready", || instance.is_ready());
-        instance
     }
 
     fn start(&self, name: &str, store: SocketAddr, logs: Stdio) -> Instance {
