--- a/crates/citronway-core/tests/gateway_hot_division.rs
+++ b/crates/citronway-core/tests/gateway_hot_division.rs
@@ -94,8 +94,7 @@
             ..calm(TOTAL)
         };
         world.run(68_000, &load);
-        expect_that!(world.moved_back(0), eq(0), "seed {seed}");
-        expect_that!(world.moved_keys(), lt(0.1), "seed {seed}");
+        expect_that!(world.moves.len(), eq(0), "seed {seed}");
     }
 }
 
