--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -177,7 +177,7 @@
             return Ok(InTurn::Begun(Box::new(begun)));
         }
         let open = state.open_requests.insert(given.arrived);
-        row.begin_in_turn(&open.request, given.queued_at);
+        row.begin_in_turn(&open.request, given);
         Ok(InTurn::New(progress.begin(open), given.arrived))
     });
     async move {
--- a/crates/citronway/src/gateway/traffic/connection/pipeline.rs
+++ b/crates/citronway/src/gateway/traffic/connection/pipeline.rs
@@ -18,7 +18,8 @@
 use super::framing;
 use super::progress::{GuardedBody, Progress};
 use super::queue::Queued;
-use super::read_ahead::ReadAhead;
+use super::read_ahead::{Given, ReadAhead};
+use crate::clock;
 use crate::gateway::traffic::neighbor::Origin;
 use crate::gateway::traffic::open_requests::OpenRequest;
 use crate::gateway::traffic::outcome::display_id;
@@ -207,20 +208,23 @@
     }
 
     /// Records that a request that was not begun ahead is begun in its turn.
-    pub(super) fn begin_in_turn(&mut self, open: &Rc<OpenRequest>, queued_at: Option<u64>) {
+    pub(super) fn begin_in_turn(&mut self, open: &Rc<OpenRequest>, given: Given) {
         let unknown = Arrival {
             repeat: None,
             answer_bytes: 0,
         };
         self.pipeline.borrow_mut().begin(&unknown);
         self.present = Some(Rc::clone(open));
-        let next = self.next.take_if(|next| Some(next.start) == queued_at);
+        let next = self
+            .next
+            .take_if(|next| Some(next.start) == given.queued_at);
         let Some((next, hold)) = next.and_then(|next| next.hold.map(|hold| (next, hold))) else {
             return;
         };
         let request = display_id(exchange::request_id(&next.head.headers));
         let reason = hold.as_str();
-        log::info!(request, reason; "waited for the earlier requests of its connection");
+        let ms = clock::mono().since(given.arrived);
+        log::info!(request, reason, ms; "waited for the earlier requests of its connection");
     }
 
     /// Begins no further request before its turn.
