Memory of callers' traffic as a limit that decides

Cause: nothing counts the bytes that an instance holds. Bodies of up to 64 MB and answers that are read slowly are buffered whole on machines of 120 MB, and a process that outgrows its machine is ended. Change: one budget (memoryPercent of memoryMb) is charged with connections, requests and answers. From 70 % on, bodies wait shortly and are then refused, and no room is reserved for long answers; from 85 % on, every request is refused with out_of_memory and a time to retry that follows the rate of release. Room for the usual answer is reserved before a request is sent. The charge of an answer belongs to its bytes, since the HTTP library drops a body before its bytes are written. The rest of a refused body is read and dropped, so that its caller sees the refusal. A caller that takes no byte for writeStallMs is disconnected; send buffers of the system are bounded, since they would hide it and are not counted.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -74,6 +74,7 @@
                 rest_of(self.text("endpoint")?)
             }
             "endpoint states that it leaves" => departure_of(self.text("endpoint")?),
+            "pressure on memory changed" => "pressure on memory".to_owned(),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
             "this instance leads"
@@ -253,6 +254,7 @@
         "leader",
         "era of the store",
         "readiness",
+        "pressure on memory",
         "own duty",
         "own life",
         "own stop",
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -152,11 +152,13 @@
     EndpointResting,
     /// The configuration known here may not be the newest one, and a newer one may decide otherwise.
     UnconfirmedConfiguration,
+    /// The instance has no memory for the request or its answer.
+    OutOfMemory,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -172,6 +174,7 @@
         Self::EndpointLeaving,
         Self::EndpointResting,
         Self::UnconfirmedConfiguration,
+        Self::OutOfMemory,
     ];
 
     /// Name of the reason in logs, metrics and answers.
@@ -193,6 +196,7 @@
             Self::EndpointLeaving => "endpoint_leaving",
             Self::EndpointResting => "endpoint_resting",
             Self::UnconfirmedConfiguration => "unconfirmed_configuration",
+            Self::OutOfMemory => "out_of_memory",
         }
     }
 }
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod keyload;
 pub mod leader;
 pub mod limit;
+pub mod memory;
 pub mod outage;
 pub mod pace;
 pub mod placement;
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -65,6 +65,8 @@
     crash: Crash,
     /// Answers name the request.
     echo: bool,
+    /// Start of a path, and the size of answers to requests below it.
+    long_answers: Option<(String, usize)>,
     begins: Begins,
     /// Requests that were taken and put off.
     put_off: usize,
@@ -154,6 +156,7 @@
                 full: false,
                 crash: Crash::default(),
                 echo: false,
+                long_answers: None,
                 begins: Begins::AtOnce,
                 put_off: 0,
                 running: Vec::new(),
@@ -218,6 +221,11 @@
         self.shared.lock().echo = true;
     }
 
+    /// Answers requests for paths that begin with `path_start` with `bytes` bytes from now on.
+    pub fn answer_long(&self, path_start: &str, bytes: usize) {
+        self.shared.lock().long_answers = Some((path_start.to_owned(), bytes));
+    }
+
     /// Runs requests and closes the connection without an answer.
     pub fn drop_answers(&self, drops: bool) {
         self.shared.lock().drop_answers = drops;
@@ -447,6 +455,11 @@
         body.push_str(" to ");
         body.push_str(&id);
     }
+    if let Some((start, bytes)) = &shared.lock().long_answers
+        && req.uri().path().starts_with(start)
+    {
+        body = "-".repeat(*bytes);
+    }
     let mut answer = Response::new(Full::new(Bytes::from(body)));
     for (name, value) in [
         ("x-request-id", text("x-request-id").unwrap_or_default()),
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -4,11 +4,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use citronway_core::time::Mono;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
@@ -286,14 +286,49 @@
 ///
 /// When it is truncated or too long.
 pub async fn read_answer(answer: Response<Incoming>) -> Result<Answer, CallError> {
+    read_answer_within(answer, |_bytes| true).await
+}
+
+/// There is no memory for the rest of an answer.
+#[derive(Debug, thiserror::Error)]
+#[error("no memory for the answer")]
+struct NoRoom;
+
+/// Least room that a body of unknown length is given at a time, in bytes.
+const MIN_GROWTH_BYTES: usize = 8 * 1024;
+
+/// Reads the body of an answer. `has_room` says whether so many bytes may be used for it.
+///
+/// # Errors
+///
+/// When it is truncated or too long, or has no room.
+pub async fn read_answer_within(
+    answer: Response<Incoming>,
+    mut has_room: impl FnMut(u64) -> bool,
+) -> Result<Answer, CallError> {
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(CallError::Truncated)?;
+    let stated = body.size_hint().exact();
+    let stated = stated.map(|stated| usize::try_from(stated).unwrap_or(usize::MAX));
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(CallError::Truncated)?.into_data() else {
+            continue;
+        };
+        let length = read.len() + data.len();
+        if length > read.capacity() {
+            let wanted = stated.unwrap_or((read.capacity() * 2).max(MIN_GROWTH_BYTES));
+            let capacity = wanted.min(MAX_ANSWER_BYTES).max(length);
+            if !has_room(capacity as u64) {
+                return Err(CallError::Truncated(Box::new(NoRoom)));
+            }
+            read.reserve(capacity - read.len());
+        }
+        read.extend_from_slice(&data);
+    }
     Ok(Answer {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body: read.freeze(),
     })
 }
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
 use prometheus_client::registry::Registry;
 
 use super::control::Source;
+use super::memory_metrics::MemoryMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
 
@@ -153,6 +154,8 @@
     evacuated_ranges: Gauge,
     /// What endpoints state of themselves.
     pub(super) statements: StatementMetrics,
+    /// Memory that callers' traffic uses.
+    pub(super) memory: MemoryMetrics,
 }
 
 impl Default for Metrics {
@@ -228,6 +231,7 @@
         registry.register("evacuated_ranges", help, evacuated_ranges.clone());
         let statements = StatementMetrics::register(&mut registry);
         Self {
+            memory: MemoryMetrics::register(&mut registry),
             registry: Arc::new(registry),
             requests,
             latency,
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod http_link;
+mod memory_metrics;
 mod metrics;
 mod ready;
 mod run;
--- a/crates/citronway/src/gateway/traffic/connection.rs
+++ b/crates/citronway/src/gateway/traffic/connection.rs
@@ -8,7 +8,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use citronway_core::gateway::memory::{CONNECTION_BYTES, Use};
 use citronway_core::time::Mono;
+use citronway_platform::exchange;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -16,10 +18,12 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::answer_buf::AnswerBuf;
 use super::neighbor::Origin;
 use super::open_requests::OpenGuard;
 use super::request;
 use super::state::{Phase, State, Stop};
+use super::write_stall::{LastAnswer, WriteStall};
 use crate::clock;
 
 /// Smallest read buffer that the HTTP library accepts, in bytes.
@@ -73,8 +77,10 @@
     }
     let progress = Rc::new(Progress::default());
     progress.last_activity.set(clock::mono());
+    let _memory = state.memory.charge(Use::Connections, CONNECTION_BYTES);
+    let last = Rc::new(LastAnswer::default());
     let monitored = MonitoredStream {
-        stream,
+        stream: WriteStall::new(stream, Rc::clone(&state), Rc::clone(&last)),
         progress: Rc::clone(&progress),
     };
     let limits = state.limits();
@@ -87,7 +93,12 @@
             open: state.open_requests.insert(clock::mono()),
         };
         let answer = request::answer(Rc::clone(&state), req, guard, origin);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let last = Rc::clone(&last);
+        async move {
+            let answer = answer.await;
+            last.set(exchange::request_id(answer.headers()));
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -210,12 +221,12 @@
 /// Response body that keeps its [`RequestGuard`] until it has been sent.
 #[derive(Debug)]
 pub(super) struct GuardedBody {
-    pub body: http_body_util::Full<bytes::Bytes>,
+    pub body: http_body_util::Full<AnswerBuf>,
     pub _guard: RequestGuard,
 }
 
 impl hyper::body::Body for GuardedBody {
-    type Data = bytes::Bytes;
+    type Data = AnswerBuf;
     type Error = Infallible;
 
     fn poll_frame(
@@ -237,7 +248,7 @@
 /// A stream that records when bytes arrive.
 #[derive(Debug)]
 struct MonitoredStream {
-    stream: TcpStream,
+    stream: WriteStall,
     progress: Rc<Progress>,
 }
 
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -20,7 +20,7 @@
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, display_id, stopping};
 use super::sent::{NotSentCause, SendResult, UnknownOutcome, log_send};
-use super::state::{Phase, State};
+use super::state::{Charge, Phase, State};
 use super::suspicion::CrashCheck;
 use super::trial::Trial;
 use crate::clock;
@@ -57,6 +57,10 @@
     /// Answer of an endpoint that failed with a server error, kept while another endpoint is
     /// tried.
     pub failed_answer: Option<Answer>,
+    /// Charge of the request, head and body.
+    pub _held: Charge,
+    /// Room for the answer: the usual one until it is known.
+    pub room: Charge,
     /// Fingerprint of the request's work, computed on first use.
     pub work: OnceCell<Fingerprint>,
     /// Trial granted for the current send, if the work is under suspicion.
@@ -101,6 +105,9 @@
                     return self.refuse(refusal);
                 }
                 Some(Decision::Forward) => {
+                    if !self.reserve_answer() {
+                        return self.refuse_for_memory();
+                    }
                     if let Some(outcome) = self.forward().await {
                         return outcome;
                     }
@@ -123,6 +130,9 @@
             if owes_retry && !self.state.take_retry(placed, &self.job.service) {
                 return self.refuse_with(RefusalReason::EndpointRefused);
             }
+            if !self.reserve_answer() {
+                return self.refuse_for_memory();
+            }
             // The work may have been classified as harmful while the request waited.
             if let Some(work) = self.harmful_work(placed) {
                 return self.refuse_harmful(work);
@@ -359,6 +369,21 @@
         Outcome::Unknown(UnknownOutcomeReason::Broken, "no other endpoint has room")
     }
 
+    /// Reserves room for the usual answer of the route; returns whether there is any.
+    ///
+    /// Failure guarded against: requests are sent on while there is memory for them, and their
+    /// answers come all at once.
+    fn reserve_answer(&mut self) -> bool {
+        self.room.reserve(self.job.answer_bytes)
+    }
+
+    fn refuse_for_memory(&self) -> Outcome {
+        self.refuse(Refusal {
+            reason: RefusalReason::OutOfMemory,
+            retry_after_ms: self.state.memory.retry_after_ms(self.job.answer_bytes),
+        })
+    }
+
     /// Outcome of a request that has no answer when the instance ends.
     ///
     /// A request that an endpoint has, or may have, is not reported as not run.
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -1,6 +1,8 @@
 //! The traffic thread: accepts callers' requests and forwards them to endpoints.
 
+mod answer_buf;
 mod asks;
+mod body;
 mod cold;
 mod connection;
 mod ended;
@@ -19,6 +21,7 @@
 mod state;
 mod suspicion;
 mod trial;
+mod write_stall;
 
 use std::io;
 use std::rc::Rc;
@@ -68,7 +71,7 @@
     stop: watch::Receiver<Stop>,
     metrics: Metrics,
 ) -> io::Result<()> {
-    let mut listener = Some(TcpListener::bind(cfg.callers).await?);
+    let mut listener = Some(write_stall::listen(cfg.callers)?);
     let mut neighbor_listener = match cfg.neighbors {
         Some(address) => Some(TcpListener::bind(address).await?),
         None => None,
@@ -128,6 +131,10 @@
         return std::future::pending().await;
     };
     loop {
+        // Connections that are not accepted cost this process nothing.
+        while state.memory.is_exhausted() {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(connection::serve(Rc::clone(state), stream, origin));
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -84,7 +84,7 @@
         Some(Outcome::Unknown(UnknownOutcomeReason::Broken, cause))
     }
 
-    async fn pass_on(&self, to: &Neighbor, key: &FingerprintKey, left_ms: u64) -> Passed {
+    async fn pass_on(&mut self, to: &Neighbor, key: &FingerprintKey, left_ms: u64) -> Passed {
         let link = Link::open(Dialer::default(), to.address, ConnectMode::Immediate).await;
         let mut link = match link {
             Ok(link) => link,
@@ -96,7 +96,8 @@
             Err(e @ CallError::NotSent) => return Passed::NotThere(e.to_string()),
             Err(_broken) => return Passed::MayHaveRun("the connection to another instance broke"),
         };
-        match http_link::read_answer(head).await {
+        let room = |bytes| self.room.grow_to(bytes);
+        match http_link::read_answer_within(head, room).await {
             Ok(answer) => self.outcome_of(answer),
             Err(_incomplete) => Passed::MayHaveRun("the answer of another instance is not whole"),
         }
@@ -132,6 +133,7 @@
                 RefusalReason::Unreachable
                 | RefusalReason::Stopping
                 | RefusalReason::NoConfiguration
+                | RefusalReason::OutOfMemory
                 | RefusalReason::UnconfirmedConfiguration => {
                     Passed::NotThere(refusal.reason.as_str().to_owned())
                 }
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -5,12 +5,14 @@
     Refusal, RefusalReason, STOPPING_RETRY_MS, UnknownOutcomeReason,
 };
 use citronway_core::gateway::crashes::Fingerprint;
+use citronway_core::gateway::memory::{Pressure, Use};
 use citronway_core::time::Mono;
 use citronway_platform::exchange;
 use http::header::CONNECTION;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
+use super::answer_buf::AnswerBuf;
 use super::connection::{GuardedBody, RequestGuard};
 use super::neighbor::{self, Origin};
 use super::open_requests::Stage;
@@ -106,14 +108,15 @@
         Outcome::TimedOut => gateway_answer(id, StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
         Outcome::Rejected(status, cause) => gateway_answer(id, status, None, cause),
     };
+    let charge = state.memory.charge(Use::Answers, body.len() as u64);
     let mut response = Response::new(GuardedBody {
-        body: Full::new(body),
+        body: Full::new(AnswerBuf::new(body, charge)),
         _guard: guard,
     });
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response.headers_mut().extend(stated);
-    if state.is_stopping() {
+    if state.is_stopping() || state.memory_pressure() == Pressure::Full {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -63,6 +63,11 @@
         None
     }
 
+    /// Number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
     /// Keeps a connection after a complete answer, if the endpoint allows reuse.
     pub fn put(&mut self, now: Mono, choice: &Choice, link: Link, keep_alive: KeepAlive) {
         let Some(idle_ms) = reusable_ms(keep_alive) else {
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -2,25 +2,26 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
+use std::time::Duration;
 
-use bytes::Bytes;
 use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::gateway::freshness::Trust;
+use citronway_core::gateway::memory::{Pressure, Use};
 use citronway_core::gateway::routes::RouteTable;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, RequestMetadata};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use super::body;
 use super::connection::{GuardedBody, RequestGuard};
 use super::forwarding::Forwarding;
 use super::message::Message;
 use super::neighbor::{ForwardedRequest, Origin};
 use super::open_requests::OpenRequest;
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
-use super::state::{Phase, State};
+use super::state::State;
 use crate::clock;
 use crate::gateway::metrics::Class;
 
@@ -108,32 +109,6 @@
     )
 }
 
-/// Reads the body of a request, unless it is too long or the instance ends.
-async fn read_body(
-    state: &State,
-    body: Incoming,
-    max_bytes: usize,
-    open: &OpenRequest,
-) -> Result<Bytes, Outcome> {
-    let body = Limited::new(body, max_bytes).collect();
-    let body = tokio::select! {
-        biased;
-        body = body => body,
-        () = state.wait_for_phase(Phase::Ending) => {
-            open.log_stopped(clock::mono());
-            return Err(outcome::stopping());
-        }
-    };
-    match body {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Outcome::Rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body too large",
-        )),
-        Err(_broken) => Err(Outcome::Rejected(StatusCode::BAD_REQUEST, "body not whole")),
-    }
-}
-
 async fn serve(
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
@@ -150,6 +125,9 @@
     if state.is_closing() {
         return outcome::stopping();
     }
+    if state.memory_pressure() == Pressure::Full {
+        return body::out_of_memory(state, 0);
+    }
     // The trust is read before the routes: control publishes new routes first.
     let trust = *state.trust.borrow();
     let routes = state.view.borrow().routes.clone();
@@ -166,8 +144,15 @@
         return unconfirmed();
     }
     *class = Class::of(route);
-    let body = match read_body(state, body, routes.limits.body_bytes, open).await {
-        Ok(body) => body,
+    let stated_ms = match forwarded {
+        Some(forwarded) => forwarded.wait_ms,
+        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
+    };
+    let wait_ms = stated_ms.min(route.timeout_ms);
+    let max_bytes = routes.limits.body_bytes;
+    let limit = Duration::from_millis(wait_ms);
+    let held = match body::read(state, body, max_bytes, limit, open).await {
+        Ok(held) => held,
         Err(outcome) => return outcome,
     };
     let estimate = state.record_arrival(route);
@@ -189,11 +174,6 @@
     if forwarded.is_none() {
         state.count_request(arrived, service);
     }
-    let stated_ms = match forwarded {
-        Some(forwarded) => forwarded.wait_ms,
-        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
-    };
-    let wait_ms = stated_ms.min(route.timeout_ms);
     // A caller that retries states only the time it has left. The time it spent before counts
     // towards the objective too.
     let spent_ms = state.record_wait(&route.name, stated_ms) - stated_ms;
@@ -222,13 +202,15 @@
             method: head.method.clone(),
             uri: head.uri.clone(),
             headers: exchange::forwarded_headers(&head.headers),
-            body,
+            body: held.bytes,
         },
         job,
         may_have_run_at: Vec::new(),
         runs_elsewhere: forwarded.map_or(0, |forwarded| forwarded.runs),
         sends: 0,
         failed_answer: None,
+        _held: held.charge,
+        room: state.memory.charge(Use::Answers, 0),
         work: OnceCell::new(),
         trial: None,
         has_crashed: false,
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -141,7 +141,7 @@
         let id = self.metadata.id.as_ref();
         let decoded = AnswerHead::read(id, head.status(), head.headers(), SystemTime::now());
         self.state.record_statements(&choice.endpoint, &decoded);
-        let answer = http_link::read_answer(head).await?;
+        let answer = http_link::read_answer_within(head, |bytes| self.room.grow_to(bytes)).await?;
         if decoded.kind != AnswerKind::Foreign {
             let mut pool = self.state.pool.borrow_mut();
             pool.put(clock::mono(), choice, link, decoded.keep_alive);
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod guards;
 mod limits;
+mod memory;
 mod neighbors;
 mod phase;
 mod report;
@@ -17,6 +18,7 @@
 use citronway_core::gateway::crashes::{Fingerprint, Sign};
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::limit::EndpointLoad;
+use citronway_core::gateway::memory::MemoryBudget;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
 use citronway_core::gateway::report::MAX_KEYS;
 use citronway_core::gateway::routes::{CallerLimits, Route};
@@ -35,9 +37,11 @@
 use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
+use memory::Memory;
 use statements::Unreported;
 
 pub(super) use guards::{InFlight, OpenConnection};
+pub(super) use memory::Charge;
 pub(super) use phase::Phase;
 pub use phase::Stop;
 
@@ -53,6 +57,10 @@
     pub stop: watch::Receiver<Stop>,
     pub pool: RefCell<Pool>,
     pub metrics: Metrics,
+    /// Memory that callers' traffic uses.
+    pub memory: Rc<Memory>,
+    /// Time after which a caller that takes no byte is disconnected, in milliseconds.
+    pub write_stall_ms: u64,
     /// Opens connections to endpoints.
     pub dialer: Dialer,
     /// Probes of endpoints whose connections broke.
@@ -126,12 +134,15 @@
         let dialer = Dialer {
             source: cfg.endpoint_source,
         };
+        let budget = MemoryBudget::new(cfg.memory_mb, cfg.traffic.memory_percent);
         Self {
             view: views.view,
             trust: views.trust,
             stop,
             pool: RefCell::default(),
             open_requests: Rc::new(OpenRequests::new(metrics.clone())),
+            memory: Memory::new(budget, metrics.clone()),
+            write_stall_ms: cfg.traffic.write_stall_ms,
             metrics,
             dialer,
             listener_probes: ListenerProbes::new(dialer),
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -20,6 +20,7 @@
             .map(|(_, count, _)| count)
             .sum();
         self.metrics.set_load(self.waiting_count(), in_flight);
+        self.update_memory(clock::mono());
         self.metrics.set_connections(self.open_connections());
         self.open_requests.update_metrics();
         self.update_rests();
--- /dev/null
+++ b/crates/citronway/src/gateway/traffic/write_stall.rs
@@ -0,0 +1,161 @@
+//! Ends the connections of callers that take no byte of their answers.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use citronway_core::gateway::memory::Use;
+use http::HeaderValue;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::{Instant, Sleep};
+
+use super::outcome::display_id;
+use super::state::{Charge, State};
+
+/// Size of the buffer for unsent bytes of a caller's connection, in bytes; the system doubles it
+/// for its own structures.
+///
+/// Failure guarded against: the system lets the buffer grow to some megabytes, which no budget
+/// counts, and tells of room in it only when a third is free, so that a slow caller seems to
+/// take nothing for a long time.
+const SEND_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Listens for callers, whose connections have send buffers of bounded size.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub(super) fn listen(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the size.
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Id of the request whose answer was begun last on a connection.
+#[derive(Debug, Default)]
+pub(super) struct LastAnswer(RefCell<Option<HeaderValue>>);
+
+impl LastAnswer {
+    /// Sets the id of the request that is answered now.
+    pub(super) fn set(&self, id: Option<&HeaderValue>) {
+        self.0.replace(id.cloned());
+    }
+}
+
+/// A caller's connection that fails when the caller takes no byte for too long.
+#[derive(Debug)]
+pub(super) struct WriteStall {
+    stream: TcpStream,
+    state: Rc<State>,
+    last: Rc<LastAnswer>,
+    /// Runs while the system's buffer for the connection is full.
+    stalled: Option<Stalled>,
+}
+
+/// Time until a connection is given up whose buffer in the system is full.
+#[derive(Debug)]
+struct Stalled {
+    timer: Pin<Box<Sleep>>,
+    _buffer: Charge,
+}
+
+impl WriteStall {
+    pub(super) fn new(stream: TcpStream, state: Rc<State>, last: Rc<LastAnswer>) -> Self {
+        Self {
+            stream,
+            state,
+            last,
+            stalled: None,
+        }
+    }
+
+    /// Watches the result of a write.
+    fn watch(
+        &mut self,
+        cx: &mut Context<'_>,
+        wrote: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if wrote.is_ready() {
+            self.stalled = None;
+            return wrote;
+        }
+        let limit = Duration::from_millis(self.state.write_stall_ms);
+        let memory = &self.state.memory;
+        let stalled = self.stalled.get_or_insert_with(|| Stalled {
+            timer: Box::pin(tokio::time::sleep_until(Instant::now() + limit)),
+            _buffer: memory.charge(Use::Answers, u64::from(SEND_BUFFER_BYTES)),
+        });
+        if stalled.timer.as_mut().poll(cx).is_pending() {
+            return Poll::Pending;
+        }
+        let request = self.last.0.borrow();
+        let request = display_id(request.as_ref());
+        let stalled_ms = self.state.write_stall_ms;
+        log::info!(request, stalled_ms; "caller takes no byte of its answer; its connection is closed");
+        self.state.metrics.memory.count_write_stall();
+        // A reset discards what is unsent; the system would keep it for minutes otherwise.
+        if let Err(e) = self.stream.set_zero_linger() {
+            log::debug!(cause = e.to_string(); "a connection cannot be reset");
+        }
+        Poll::Ready(Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "the caller takes no byte",
+        )))
+    }
+}
+
+impl AsyncRead for WriteStall {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for WriteStall {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.watch(cx, wrote)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.watch(cx, wrote)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/citronway/tests/gateway_memory.rs
@@ -0,0 +1,225 @@
+//! Instances whose callers want more memory than there is.
+
+mod gateway_support;
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use citronway_standin::shared::configuration;
+use gateway_support::{Deployment, Instance, Logs, Reply, head, parse, route, until};
+use googletest::prelude::*;
+use serde_json::json;
+
+/// Memory of the smallest machine, in megabytes.
+const MACHINE_MB: u64 = 120;
+
+/// Longest answers of the deployments that this is for, in bytes.
+const LONG_ANSWER: usize = 540_000;
+
+/// Wait that callers state, in milliseconds; longer than any test takes.
+const LONG_WAIT_MS: u64 = 30_000;
+
+/// Longest body of a request, in bytes.
+const MAX_BODY: usize = 64 << 20;
+
+/// An endpoint with long answers below `/archive/`, and an instance of 120 MB before it.
+fn small_instance(write_stall_ms: u64) -> (Deployment, Instance, Logs) {
+    let deployment = Deployment::unconfigured();
+    deployment.c.answer_long("/archive/", LONG_ANSWER);
+    let archive = route("archive", "/archive/", "idempotent", "console");
+    let mut written = configuration(2, &json!([archive]));
+    written["limits"]["maxBodyBytes"] = json!(MAX_BODY);
+    deployment.store.put("op", "config", &written);
+    let mut instance = deployment.instance_with("one", |settings| {
+        settings["self"]["limits"]["memoryMb"] = json!(MACHINE_MB);
+        settings["traffic"] = json!({"writeStallMs": write_stall_ms});
+    });
+    let logs = instance.logs();
+    (deployment, instance, logs)
+}
+
+/// Sends a request for a long answer and reads nothing.
+fn ask(instance: &Instance, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(instance.callers).expect("a connection");
+    let headers = format!("X-Request-Id: {id}\r\n");
+    let text = head("GET /archive/1", &headers, LONG_WAIT_MS, 0);
+    stream.write_all(text.as_bytes()).expect("a request");
+    stream
+}
+
+fn call_short(instance: &Instance, id: usize) -> Option<Reply> {
+    instance.try_call(
+        "GET /status/1",
+        &format!("X-Request-Id: short-{id}\r\n"),
+        "",
+    )
+}
+
+/// Value of a metric.
+fn metric(instance: &Instance, name: &str) -> u64 {
+    let text = instance.metrics();
+    let value = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = value.and_then(|value| value.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("{name} in {text}"))
+}
+
+fn used(instance: &Instance, purpose: &str) -> u64 {
+    metric(
+        instance,
+        &format!("citronway_memory_used_bytes{{use=\"{purpose}\"}}"),
+    )
+}
+
+/// Failure: answers that are read slowly fill the memory of a small machine, and its process is
+/// ended or serves nobody else.
+#[gtest]
+fn hundreds_of_slow_readers_of_long_answers_leave_room_for_others() {
+    let (_deployment, mut instance, logs) = small_instance(60_000);
+    expect_that!(
+        call_short(&instance, 0).map(|reply| reply.status),
+        some(eq(200))
+    );
+    let mut readers = Vec::new();
+    for batch in 0..60 {
+        let asked = (0..5).map(|i| ask(&instance, &format!("slow-{batch}-{i}")));
+        let asked: Vec<_> = asked.collect();
+        for stream in &asked {
+            stream.peek(&mut [0]).expect("the first byte of an answer");
+        }
+        readers.extend(asked);
+    }
+    for i in 1..40 {
+        expect_that!(
+            call_short(&instance, i).map(|reply| reply.status),
+            some(eq(200))
+        );
+    }
+    let budget = metric(&instance, "citronway_memory_limit_bytes");
+    until("half of the budget is in use", || {
+        used(&instance, "answers") > budget / 2
+    });
+    let answers = used(&instance, "answers");
+    let counted = answers + used(&instance, "connections") + used(&instance, "requests");
+    let mut resident = 0;
+    until("the size of the process is read again", || {
+        resident = metric(&instance, "citronway_memory_resident_bytes");
+        resident > answers
+    });
+    println!("counted {counted}, of it answers {answers}, resident {resident}, budget {budget}");
+    expect_that!(budget, eq(MACHINE_MB * 1024 * 1024 / 100 * 60));
+    expect_that!(counted, le(budget));
+    expect_that!(resident, lt(MACHINE_MB * 1024 * 1024));
+    // What the budget does not count has to fit into the rest of the machine.
+    expect_that!(
+        resident.saturating_sub(counted),
+        lt(MACHINE_MB * 1024 * 1024 - budget)
+    );
+    let change = logs.line("pressure on memory changed");
+    expect_that!(change["resident_kb"].as_u64(), some(gt(0)));
+    let refused = readers.iter_mut().map(is_refused);
+    let refused = refused.filter(|refused| *refused).count();
+    println!("refused {refused} of 300");
+    expect_that!(refused, all![gt(0), lt(250)]);
+    drop(readers);
+    until("all memory is released", || used(&instance, "answers") == 0);
+    expect_that!(instance.ended(), none());
+}
+
+/// Whether the answer is a refusal that says `out_of_memory`; reads the whole answer.
+fn is_refused(stream: &mut TcpStream) -> bool {
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    let reply = parse(&text).expect("an answer");
+    let refused = reply.status == 503;
+    if refused {
+        assert_eq!(reply.body, "out_of_memory");
+        assert!(reply.header("retry-after").is_some());
+    } else {
+        assert_eq!(reply.body.len(), LONG_ANSWER);
+    }
+    refused
+}
+
+/// Failure: a body that the machine cannot hold is read until the process is ended.
+#[gtest]
+fn a_body_without_room_is_refused_before_it_is_read() {
+    let (deployment, instance, _logs) = small_instance(5_000);
+    let mut stream = TcpStream::connect(instance.callers).expect("a connection");
+    let text = head(
+        "POST /order/1",
+        "X-Request-Id: long\r\n",
+        LONG_WAIT_MS,
+        MAX_BODY,
+    );
+    let began = Instant::now();
+    stream.write_all(text.as_bytes()).expect("a head");
+    let mut read = vec![0; 1_024];
+    let length = stream.read(&mut read).expect("an answer");
+    expect_that!(began.elapsed(), lt(Duration::from_millis(500)));
+    let reply = parse(&read[..length]).expect("a head");
+    expect_that!(reply.status, eq(503));
+    expect_that!(reply.body, eq("out_of_memory"));
+    expect_that!(reply.header("retry-after"), some(anything()));
+    expect_that!(deployment.c.ran(), is_empty());
+    drop(stream);
+    until("its memory is released", || {
+        used(&instance, "requests") == 0
+    });
+}
+
+/// Failure: a body that does not state its length is not counted, and the process is ended.
+#[gtest]
+fn a_growing_body_without_room_is_refused_and_its_caller_sees_it() {
+    let (deployment, mut instance, _logs) = small_instance(5_000);
+    let mut stream = TcpStream::connect(instance.callers).expect("a connection");
+    let text = head("POST /order/1", "X-Request-Id: chunks\r\n", LONG_WAIT_MS, 0);
+    let text = text.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    stream.write_all(text.as_bytes()).expect("a head");
+    let chunk = format!("100000\r\n{}\r\n", "-".repeat(1 << 20));
+    for _ in 0..63 {
+        stream.write_all(chunk.as_bytes()).expect("a chunk");
+    }
+    stream.write_all(b"0\r\n\r\n").expect("the end");
+    let mut read = Vec::new();
+    stream.read_to_end(&mut read).expect("an answer");
+    let reply = parse(&read).expect("an answer");
+    expect_that!(
+        (reply.status, reply.body.as_str()),
+        eq((503, "out_of_memory"))
+    );
+    expect_that!(deployment.c.ran(), is_empty());
+    expect_that!(instance.ended(), none());
+}
+
+/// Failure: a caller that takes nothing of its answer keeps its memory for as long as it likes.
+#[gtest]
+fn a_caller_that_takes_nothing_is_disconnected_and_named() {
+    let (_deployment, instance, logs) = small_instance(500);
+    let stream = ask(&instance, "takes-nothing");
+    let line = logs.line("caller takes no byte of its answer; its connection is closed");
+    expect_that!(line["request"], eq(&json!("takes-nothing")));
+    until("its memory is released", || used(&instance, "answers") == 0);
+    expect_that!(metric(&instance, "citronway_write_stalls_total"), eq(1));
+    drop(stream);
+}
+
+/// Failure: a caller that reads slowly is taken for one that reads nothing.
+#[gtest]
+fn a_caller_that_reads_slowly_gets_its_whole_answer() {
+    let (_deployment, instance, _logs) = small_instance(1_000);
+    let mut stream = ask(&instance, "slow");
+    let mut text = Vec::new();
+    let mut part = vec![0; 32 * 1024];
+    loop {
+        std::thread::sleep(Duration::from_millis(150));
+        let length = stream.read(&mut part).expect("bytes");
+        if length == 0 {
+            break;
+        }
+        text.extend_from_slice(&part[..length]);
+    }
+    let reply = parse(&text).expect("an answer");
+    expect_that!((reply.status, reply.body.len()), eq((200, LONG_ANSWER)));
+    expect_that!(metric(&instance, "citronway_write_stalls_total"), eq(0));
+}
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -109,6 +109,24 @@
         self.start(name, self.store.address(), Stdio::piped())
     }
 
+    /// Starts an instance with changed settings, with its logs in a pipe, and waits until it is
+    /// ready.
+    pub fn instance_with(&self, name: &str, change: impl FnOnce(&mut Value)) -> Instance {
+        let addresses = Addresses::at(own_address());
+        let mut settings = addresses.settings(name, self.store.address());
+        change(&mut settings);
+        std::fs::write(self.settings_of(name), settings.to_string())
+            .expect("settings can be written");
+        let instance = Instance {
+            name: name.to_owned(),
+            callers: addresses.callers,
+            ready: addresses.ready,
+            process: self.spawn(name, Stdio::piped()),
+        };
+        until("the instance is ready", || instance.is_ready());
+        instance
+    }
+
     /// Starts an instance from its existing settings file, with its logs in a pipe.
     pub fn start_again(&self, name: &str, before: &Instance) -> Instance {
         Instance {
