--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -74,6 +74,9 @@
                 rest_of(self.text("endpoint")?)
             }
             "endpoint states that it leaves" => departure_of(self.text("endpoint")?),
+            "endpoints of a service get a bound on the bytes of requests" => {
+                bytes_of(self.text("service")?)
+            }
             "pressure on memory changed" => "pressure on memory".to_owned(),
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
@@ -170,10 +173,9 @@
                 named.insert(endpoint.to_owned());
                 named.extend(statements_of(endpoint));
             }
-            named.extend(
-                line.text("service")
-                    .map(|service| format!("owners of {service}")),
-            );
+            if let Some(service) = line.text("service") {
+                named.extend([format!("owners of {service}"), bytes_of(service)]);
+            }
         }
     }
     for (place, line) in lines.iter().enumerate().take(last + 1).skip(first) {
@@ -205,6 +207,11 @@
     format!("limit of {endpoint}")
 }
 
+/// Name of what an instance believes of the bytes that endpoints of a service may have.
+fn bytes_of(service: &str) -> String {
+    format!("bytes at endpoints of {service}")
+}
+
 /// Name of what an instance believes of an endpoint's departure.
 fn departure_of(endpoint: &str) -> String {
     format!("departure of {endpoint}")
--- a/crates/citronway-core/benches/gateway_fleet.rs
+++ b/crates/citronway-core/benches/gateway_fleet.rs
@@ -7,7 +7,7 @@
 use citronway_core::gateway::assignment::{Assignment, Holder, Range};
 use citronway_core::gateway::election::Strength;
 use citronway_core::gateway::pace::{Answers, EndpointTag};
-use citronway_core::gateway::report::{EndpointUse, Observations};
+use citronway_core::gateway::report::{EndpointTotal, EndpointUse, Observations};
 use citronway_core::gateway::tree::{Candidate, GatheredReports, Tree};
 use citronway_core::ids::{EndpointStart, InstanceName, ZoneName};
 use citronway_core::time::Mono;
@@ -56,6 +56,7 @@
                 relative: 1.0,
                 failed: 0.0,
             },
+            kb: 0,
         };
         let reports: Vec<Vec<_>> = (0..members)
             .map(|member| (0..10).map(|i| used(member * 7 + i * 13)).collect())
@@ -66,7 +67,11 @@
                 for report in &reports {
                     gathered.add(report, &[]);
                 }
-                let in_flight = reports.iter().flatten().map(|used| (used.tag, 1, 0));
+                let in_flight = reports.iter().flatten().map(|used| EndpointTotal {
+                    tag: used.tag,
+                    in_flight: 1,
+                    ..EndpointTotal::default()
+                });
                 black_box(gathered.take_with(&Observations::default(), in_flight))
             });
         });
--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -161,7 +161,9 @@
             return Selection::Wait(RefusalReason::Unreachable);
         }
         let waiting = self.wanted(tag).max(1);
-        if !self.has_room(now, view, listed, tag, waiting, job.work_ms) {
+        if !self.has_room(now, view, listed, tag, waiting, job.work_ms)
+            || !self.has_byte_room(view, job, tag)
+        {
             return Selection::Wait(RefusalReason::Overloaded);
         }
         // Only one request at a time is sent to a holder that said it does not hold the keys.
@@ -218,7 +220,10 @@
                 continue;
             }
             let cold_busy = self.is_cold_busy(now, tag);
-            if cold_busy || !self.has_room(now, view, listed, tag, 1, job.work_ms) {
+            if cold_busy
+                || !self.has_room(now, view, listed, tag, 1, job.work_ms)
+                || !self.has_byte_room(view, job, tag)
+            {
                 cause = RefusalReason::Overloaded;
                 continue;
             }
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -39,6 +39,8 @@
     pub work_ms: u64,
     /// Usual size of the route's answers, in bytes.
     pub answer_bytes: u64,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
     /// Endpoints that the request was sent to before.
     pub tried: Vec<EndpointStart>,
     /// Endpoints that rejected the request, and until when it is not sent to them again.
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -5,6 +5,7 @@
 //! first, then those with the earlier deadline. A request that cannot be served before its
 //! deadline is refused as soon as that is known (load shedding), with a time to retry.
 
+mod bytes;
 mod choose;
 mod job;
 mod kept;
@@ -18,6 +19,7 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::endpoint_bytes::OwnBytes;
 use crate::gateway::limit::{EndpointLoad, ServiceLimit};
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::stated_limits::{SendGrant, SendGrants};
@@ -75,6 +77,8 @@
 pub struct Admission {
     waiting: Vec<Job>,
     in_flight: IndexMap<EndpointTag, u32>,
+    /// Bytes of requests in flight.
+    bytes: OwnBytes,
     /// Number of waiting requests by queue and priority, as of the last decision.
     wanted: IndexMap<EndpointTag, [u32; COUNTED_PRIORITIES]>,
     avoided: IndexMap<EndpointTag, Avoided>,
@@ -226,6 +230,7 @@
         }
         self.record_sent(now, &choice.endpoint);
         let tag = EndpointTag::of(&choice.endpoint);
+        self.bytes.begin(tag, job.ticket, job.body_bytes);
         if view.limits.contains_key(&tag) {
             self.send_grants.begin_send(now, tag, job.ticket);
         }
--- a/crates/citronway-core/src/gateway/admission/stated.rs
+++ b/crates/citronway-core/src/gateway/admission/stated.rs
@@ -65,11 +65,12 @@
         std::mem::take(&mut self.held_for_rest)
     }
 
-    /// Whether the request waits since the owner of its key rejected it a moment ago. Others in its
-    /// queue do not wait for it.
+    /// Whether the request waits since the owner of its key rejected it a moment ago, or may wait
+    /// for room for its bytes. Others in its queue do not wait for it.
     pub(super) fn is_paused(now: Mono, view: &View, job: &Job) -> bool {
-        !job.pauses.is_empty()
-            && range_of(view, job).is_some_and(|range| job.is_paused(now, &range.holder.endpoint))
+        let is_rejected = !job.pauses.is_empty()
+            && range_of(view, job).is_some_and(|range| job.is_paused(now, &range.holder.endpoint));
+        is_rejected || Self::is_long(view, job)
     }
 
     pub(super) fn prune_rests(&mut self, now: Mono, view: &View) {
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -39,6 +39,8 @@
     pub has_leader: bool,
     /// Requests a second that limited endpoints take from all instances together.
     pub limits: IndexMap<EndpointTag, f64>,
+    /// Services whose endpoints have a bound on the bytes of requests, in kilobytes.
+    pub byte_bounds: IndexMap<ServiceName, u32>,
 }
 
 impl View {
@@ -57,6 +59,7 @@
             neighbors: Vec::new(),
             has_leader: false,
             limits: IndexMap::new(),
+            byte_bounds: IndexMap::new(),
         }
     }
 }
@@ -90,6 +93,8 @@
     pub in_flight: u32,
     /// Number of other instances' requests that wait to be sent there.
     pub waiting: u32,
+    /// Kilobytes of the bodies of other instances' requests in flight there.
+    pub kb: u32,
     /// Whether `in_flight` and `waiting` are sums over all instances, not only over `others`.
     pub is_sum: bool,
     /// Work time of the endpoint, relative to an average endpoint.
--- a/crates/citronway-core/src/gateway/mod.rs
+++ b/crates/citronway-core/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod crashes;
 pub mod departures;
 pub mod election;
+pub mod endpoint_bytes;
 pub mod evacuation;
 pub mod freshness;
 pub mod keyload;
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -158,6 +158,8 @@
     pub waiting: u32,
     /// Answers since the last report.
     pub answers: Answers,
+    /// Most kilobytes of request bodies in flight since the last report.
+    pub kb: u32,
 }
 
 /// Totals that the leader sends to all instances of a large fleet, through the delegates of their
@@ -191,8 +193,11 @@
     pub instances: u32,
     /// Instances that claim leadership first when the leader falls silent, in this order.
     pub standbys: Vec<InstanceName>,
-    /// Endpoints that have, or are about to have, more requests than slots.
+    /// Endpoints that have, or are about to have, more requests than slots, or more than half of
+    /// the bytes of requests that they may have.
     pub endpoints: Vec<EndpointTotal>,
+    /// Services whose endpoints have a bound on the bytes of requests, in kilobytes.
+    pub byte_bounds: Vec<(ServiceName, u32)>,
     /// Estimates for endpoints that are not average; a part of them in each message.
     pub paces: Vec<EndpointPace>,
     /// Fingerprints of requests that are refused because they crash endpoints.
@@ -231,6 +236,8 @@
     pub in_flight: u32,
     /// Number of requests that wait to be sent.
     pub waiting: u32,
+    /// Kilobytes of the bodies of the requests in flight.
+    pub kb: u32,
 }
 
 /// Observations of one or more intervals, for one report.
@@ -249,7 +256,9 @@
         self.endpoints = later.endpoints;
         for used in &mut self.endpoints {
             if let Some(i) = before.iter().position(|b| b.tag == used.tag) {
-                used.answers.add(&before.swap_remove(i).answers);
+                let earlier = before.swap_remove(i);
+                used.answers.add(&earlier.answers);
+                used.kb = used.kb.max(earlier.kb);
             }
         }
         let rest = before.into_iter().map(|used| EndpointUse {
@@ -258,7 +267,7 @@
             ..used
         });
         self.endpoints
-            .extend(rest.filter(|used| used.answers != Answers::default()));
+            .extend(rest.filter(|used| used.kb > 0 || used.answers != Answers::default()));
         for samples in later.keys {
             match self.keys.iter_mut().find(|k| k.service == samples.service) {
                 Some(known) => known.keys.extend(samples.keys),
--- a/crates/citronway-core/src/gateway/tree/report.rs
+++ b/crates/citronway-core/src/gateway/tree/report.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::pace::EndpointTag;
-use crate::gateway::report::{EndpointUse, KeySamples, Observations};
+use crate::gateway::report::{EndpointTotal, EndpointUse, KeySamples, Observations};
 use crate::ids::ServiceName;
 
 /// Sum of the endpoints' answers and the sampled keys of several reports.
@@ -28,23 +28,24 @@
     }
 
     /// Takes everything gathered so far and adds the observations of this instance (`own`) and the
-    /// present numbers of the members (`in_flight`: endpoint, requests in flight, requests
-    /// waiting).
+    /// present numbers of the members (`present`).
     pub fn take_with(
         &mut self,
         own: &Observations,
-        in_flight: impl Iterator<Item = (EndpointTag, u32, u32)>,
+        present: impl Iterator<Item = EndpointTotal>,
     ) -> Observations {
         self.add(&own.endpoints, &own.keys);
         for used in &own.endpoints {
             let sum = self.entry(used.tag);
             sum.in_flight += used.in_flight;
             sum.waiting += used.waiting;
+            sum.kb = sum.kb.saturating_add(used.kb);
         }
-        for (tag, in_flight, waiting) in in_flight {
-            let sum = self.entry(tag);
-            sum.in_flight += in_flight;
-            sum.waiting += waiting;
+        for used in present {
+            let sum = self.entry(used.tag);
+            sum.in_flight += used.in_flight;
+            sum.waiting += used.waiting;
+            sum.kb = sum.kb.saturating_add(used.kb);
         }
         let Self { endpoints, keys } = std::mem::take(self);
         let samples = keys.into_iter();
--- a/crates/citronway-core/tests/admission_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -137,6 +137,7 @@
         caller_deadline: now.plus(4_000),
         work_ms: 200,
         answer_bytes: 0,
+        body_bytes: 0,
         tried: Vec::new(),
         pauses: Vec::new(),
         is_forwarded: false,
--- a/crates/citronway-core/tests/gateway_report.rs
+++ b/crates/citronway-core/tests/gateway_report.rs
@@ -1,7 +1,7 @@
 //! Aggregation of the members' reports by a delegate.
 
 use citronway_core::gateway::pace::{Answers, EndpointTag};
-use citronway_core::gateway::report::{EndpointUse, KeySamples, Observations};
+use citronway_core::gateway::report::{EndpointTotal, EndpointUse, KeySamples, Observations};
 use citronway_core::gateway::tree::GatheredReports;
 use citronway_core::ids::ServiceName;
 use googletest::prelude::*;
@@ -16,6 +16,7 @@
             relative: 2.0,
             failed: 1.0,
         },
+        kb: in_flight * 100,
     }
 }
 
@@ -39,13 +40,20 @@
         endpoints: vec![used(2, 3, 0)],
         keys: keys(&[8]),
     };
-    let now = [(EndpointTag(1), 0, 2), (EndpointTag(2), 1, 0)];
+    let present = |tag, in_flight, waiting| EndpointTotal {
+        tag: EndpointTag(tag),
+        in_flight,
+        waiting,
+        kb: in_flight * 100,
+    };
+    let now = [present(1, 0, 2), present(2, 1, 0)];
     let mut sum = gathered.take_with(&own, now.into_iter());
     sum.endpoints.sort_by_key(|used| used.tag);
     expect_that!(sum.endpoints.len(), eq(2));
     let [one, two] = [sum.endpoints[0], sum.endpoints[1]];
     expect_that!((one.in_flight, one.waiting), eq((0, 2)));
     expect_that!((two.in_flight, two.waiting), eq((4, 0)));
+    expect_that!((one.kb, two.kb), eq((0, 400)));
     expect_that!(one.answers.served, eq(6.0));
     expect_that!(two.answers.failed, eq(2.0));
     expect_that!(sum.keys, eq(&keys(&[5, 6, 7, 8])));
--- a/crates/citronway-core/tests/gateway_service_limit.rs
+++ b/crates/citronway-core/tests/gateway_service_limit.rs
@@ -128,6 +128,7 @@
             caller_deadline: now.plus(2_500),
             work_ms: WORK_MS,
             answer_bytes: 400,
+            body_bytes: 0,
             tried: Vec::new(),
             pauses: Vec::new(),
             is_forwarded: false,
--- a/crates/citronway-core/tests/tree_world/mod.rs
+++ b/crates/citronway-core/tests/tree_world/mod.rs
@@ -380,6 +380,7 @@
             instances: 0,
             standbys: Vec::new(),
             endpoints: Vec::new(),
+            byte_bounds: Vec::new(),
             paces: Vec::new(),
             refused: self.all[0].ledger.harmful(self.now),
             suspects: self.all[0].ledger.suspects(self.now),
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -180,6 +180,13 @@
   seenEndpointsEra @23 :UInt32;
   seenOwnEra @24 :UInt32;
   # Eras of the store to which the newest versions belong.
+  byteBounds @25 :List(ByteBound);
+}
+
+struct ByteBound {
+  # Bound on the bytes of requests at each endpoint of a service.
+  service @0 :Text;
+  kilobytes @1 :UInt32;
 }
 
 struct Confirmation {
@@ -225,6 +232,8 @@
   tag @0 :UInt32;
   inFlight @1 :UInt16;
   waiting @2 :UInt16;
+  bytes @3 :UInt32;
+  # Bodies of the requests in flight, in kilobytes.
 }
 
 struct Relay {
@@ -314,6 +323,8 @@
   served @3 :Float32;
   relative @4 :Float32;
   failed @5 :Float32;
+  bytes @6 :UInt32;
+  # Bodies of the requests in flight, in kilobytes: the most since the last report.
 }
 
 struct KeySamples {
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -19,7 +19,9 @@
 use crate::confirmation;
 use crate::departures;
 use crate::pack;
-use crate::report_capnp::{datagram, endpoint_use, member, relay, report, row, sign, totals};
+use crate::report_capnp::{
+    byte_bound, datagram, endpoint_use, member, relay, report, row, sign, totals,
+};
 use crate::rests;
 use crate::stated_limits::{self, LimitedSendReply, LimitedSendRequest};
 use crate::trial::{self, EndedTrial, TrialReply};
@@ -176,12 +178,19 @@
         &from.departures,
         to.reborrow().init_departures(length(from.departures.len())),
     );
+    let mut list = to
+        .reborrow()
+        .init_byte_bounds(length(from.byte_bounds.len()));
+    for (i, bound) in from.byte_bounds.iter().enumerate() {
+        write_byte_bound(bound, list.reborrow().get(length(i)));
+    }
     let mut list = to.init_endpoints(length(from.endpoints.len()));
     for (i, total) in from.endpoints.iter().enumerate() {
         let mut item = list.reborrow().get(length(i));
         item.set_tag(total.tag.0);
         item.set_in_flight(u16::try_from(total.in_flight).unwrap_or(u16::MAX));
         item.set_waiting(u16::try_from(total.waiting).unwrap_or(u16::MAX));
+        item.set_bytes(total.kb);
     }
 }
 
@@ -325,6 +334,11 @@
     u32::try_from(count).unwrap_or(u32::MAX)
 }
 
+fn write_byte_bound(from: &(ServiceName, u32), mut to: byte_bound::Builder<'_>) {
+    to.set_service(from.0.as_str());
+    to.set_kilobytes(from.1);
+}
+
 fn write_use(from: &EndpointUse, mut to: endpoint_use::Builder<'_>) {
     to.set_tag(from.tag.0);
     to.set_in_flight(u16::try_from(from.in_flight).unwrap_or(u16::MAX));
@@ -337,6 +351,7 @@
     to.set_served(narrow(from.answers.served));
     to.set_relative(narrow(from.answers.relative));
     to.set_failed(narrow(from.answers.failed));
+    to.set_bytes(from.kb);
 }
 
 /// Reads a datagram.
@@ -388,6 +403,7 @@
         tag: EndpointTag(total.get_tag()),
         in_flight: u32::from(total.get_in_flight()),
         waiting: u32::from(total.get_waiting()),
+        kb: total.get_bytes(),
     });
     let paces = from.get_paces()?.iter().map(|pace| EndpointPace {
         tag: EndpointTag(pace.get_tag()),
@@ -406,6 +422,11 @@
     for standby in from.get_standbys()? {
         standbys.push(InstanceName::new(standby?.to_str()?));
     }
+    let mut byte_bounds = Vec::new();
+    for bound in from.get_byte_bounds()? {
+        let service = ServiceName::new(bound.get_service()?.to_str()?);
+        byte_bounds.push((service, bound.get_kilobytes()));
+    }
     Ok(Totals {
         leader: Session {
             instance: InstanceName::new(from.get_instance()?.to_str()?),
@@ -430,6 +451,7 @@
         instances: from.get_instances(),
         standbys,
         endpoints: endpoints.collect(),
+        byte_bounds,
         paces: paces.collect(),
         refused: refused.collect(),
         suspects: from.get_suspects()?.iter().map(Fingerprint).collect(),
@@ -559,6 +581,7 @@
             relative: f64::from(from.get_relative()),
             failed: f64::from(from.get_failed()),
         },
+        kb: from.get_bytes(),
     }
 }
 
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -4250,11 +4250,19 @@
         pub fn get_seen_own_era(self) -> u32 {
             self.reader.get_data_field::<u32>(16)
         }
+        #[inline]
+        pub fn get_byte_bounds(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::report_capnp::byte_bound::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(11), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_byte_bounds(&self) -> bool {
+            !self.reader.get_pointer_field(11).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 11 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 9, pointers: 12 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4592,6 +4600,22 @@
         pub fn set_seen_own_era(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(16, value);
         }
+        #[inline]
+        pub fn get_byte_bounds(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::report_capnp::byte_bound::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(11), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_byte_bounds(&mut self, value: ::capnp::struct_list::Reader<'_,crate::report_capnp::byte_bound::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(11), value, false)
+        }
+        #[inline]
+        pub fn init_byte_bounds(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::report_capnp::byte_bound::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(11), size)
+        }
+        #[inline]
+        pub fn has_byte_bounds(&self) -> bool {
+            !self.builder.is_pointer_field_null(11)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4609,199 +4633,206 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 440] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 460] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(19, 245, 229, 151, 248, 11, 152, 161),
             ::capnp::word(13, 0, 0, 0, 1, 0, 9, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
-            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 127, 5, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 183, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
             ::capnp::word(97, 112, 110, 112, 58, 84, 111, 116),
             ::capnp::word(97, 108, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 193, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(1, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(17, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(25, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(33, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(101, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 3, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(109, 3, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 3, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(177, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(185, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(209, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(217, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(229, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(25, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5050,6 +5081,19 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 121, 116, 101, 66, 111, 117, 110),
+            ::capnp::word(100, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 66, 190, 94, 97, 14, 138, 160),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5078,6 +5122,7 @@
                 22 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 23 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 24 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                25 => <::capnp::struct_list::Owned<crate::report_capnp::byte_bound::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5091,13 +5136,249 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[20,21,2,3,8,19,14,1,13,17,16,9,22,10,23,11,24,4,12,5,15,7,18,0,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[25,20,21,2,3,8,19,14,1,13,17,16,9,22,10,23,11,24,4,12,5,15,7,18,0,6];
         pub(crate) const TYPE_ID: u64 = 0xa198_0bf8_97e5_f513;
     }
 }
 
+pub mod byte_bound {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_kilobytes(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_kilobytes(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_kilobytes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(124, 66, 190, 94, 97, 14, 138, 160),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
+            ::capnp::word(97, 112, 110, 112, 58, 66, 121, 116),
+            ::capnp::word(101, 66, 111, 117, 110, 100, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 105, 108, 111, 98, 121, 116, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xa08a_0e61_5ebe_427c;
+    }
+}
+
 pub mod confirmation {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -6502,11 +6783,15 @@
         pub fn get_waiting(self) -> u16 {
             self.reader.get_data_field::<u16>(3)
         }
+        #[inline]
+        pub fn get_bytes(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6580,6 +6865,14 @@
         pub fn set_waiting(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(3, value);
         }
+        #[inline]
+        pub fn get_bytes(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_bytes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6591,17 +6884,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(196, 34, 90, 8, 177, 114, 97, 164),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
@@ -6609,28 +6902,35 @@
             ::capnp::word(112, 111, 105, 110, 116, 84, 111, 116),
             ::capnp::word(97, 108, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 103, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6656,12 +6956,21 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6675,9 +6984,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,1,0,2];
         pub(crate) const TYPE_ID: u64 = 0xa461_72b1_085a_22c4;
     }
 }
@@ -9145,6 +9454,10 @@
         pub fn get_failed(self) -> f32 {
             self.reader.get_data_field::<f32>(4)
         }
+        #[inline]
+        pub fn get_bytes(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -9247,6 +9560,14 @@
         pub fn set_failed(&mut self, value: f32)  {
             self.builder.set_data_field::<f32>(4, value);
         }
+        #[inline]
+        pub fn get_bytes(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_bytes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9258,7 +9579,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(195, 129, 18, 117, 144, 238, 157, 230),
             ::capnp::word(13, 0, 0, 0, 1, 0, 3, 0),
@@ -9268,7 +9589,7 @@
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
@@ -9276,49 +9597,56 @@
             ::capnp::word(112, 111, 105, 110, 116, 85, 115, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 103, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9369,6 +9697,14 @@
             ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 121, 116, 101, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -9378,6 +9714,7 @@
                 3 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <f32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <f32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9391,9 +9728,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,1,4,3,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,1,4,3,0,2];
         pub(crate) const TYPE_ID: u64 = 0xe69d_ee90_7512_81c3;
     }
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -228,7 +228,9 @@
             tag: EndpointTag(77),
             in_flight: 9,
             waiting: 40_000,
+            kb: 70_000,
         }],
+        byte_bounds: vec![(ServiceName::new("batch"), 2_048)],
         paces: vec![EndpointPace {
             tag: EndpointTag(78),
             slowness: 1.4,
--- a/crates/citronway/src/gateway/control/cluster/load.rs
+++ b/crates/citronway/src/gateway/control/cluster/load.rs
@@ -22,6 +22,9 @@
         self.last_heard_at = now;
         for used in &report.endpoints {
             self.paces.add(now, used.tag, &used.answers);
+            if used.answers.served > 0.0 {
+                self.bytes.record_answers(now, used.tag);
+            }
         }
     }
 
@@ -31,16 +34,23 @@
         self.own_use = used.collect();
     }
 
-    /// Totals of endpoints whose requests, in flight and waiting, exceed half of their
-    /// slots; those with the most waiting requests first.
-    pub(in super::super) fn contended(&self, now: Mono) -> Vec<EndpointTotal> {
+    /// Requests of all instances at each endpoint.
+    pub(in super::super) fn all_totals(&self, now: Mono) -> IndexMap<EndpointTag, EndpointTotal> {
         let mut totals = self.peers.endpoint_totals(now);
         for used in self.own_use.values() {
             let total = totals.entry(used.tag).or_default();
             total.tag = used.tag;
             total.in_flight += used.in_flight;
             total.waiting += used.waiting;
+            total.kb = total.kb.saturating_add(used.kb);
         }
+        totals
+    }
+
+    /// Totals of endpoints whose requests, in flight and waiting, exceed half of their
+    /// slots, or whose bytes half of their bound; those with the most waiting requests first.
+    pub(in super::super) fn contended(&self, now: Mono) -> Vec<EndpointTotal> {
+        let totals = self.all_totals(now);
         let listed = self.registry.iter();
         let slots: IndexMap<_, _> = listed
             .map(|known| (EndpointTag::of(&known.listing.start), known.listing.slots))
@@ -50,7 +60,7 @@
             // Requests that wait for no particular endpoint count too; their tag has no
             // slots.
             let slots = slots.get(&total.tag).copied().unwrap_or_default();
-            wanted > 0 && wanted * 2 > slots
+            (wanted > 0 && wanted * 2 > slots) || self.has_many_bytes(total)
         };
         let mut contended: Vec<_> = totals.into_values().filter(is_contended).collect();
         contended.sort_unstable_by_key(|total| Reverse((total.waiting, total.in_flight)));
@@ -73,6 +83,9 @@
         }
         self.peers.record_leader(now, &totals);
         self.crashes.apply_totals(now, &totals);
+        let bounds = totals.byte_bounds.iter();
+        self.bytes
+            .adopt(now, bounds.map(|(service, kb)| (service, *kb)));
         for pace in &totals.paces {
             self.paces.set_leader_estimate(now, *pace);
         }
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -13,6 +13,7 @@
 use citronway_core::gateway::admission::{Owners, View};
 use citronway_core::gateway::departures::{Departures, owned_work_until};
 use citronway_core::gateway::election::LeaderRow;
+use citronway_core::gateway::endpoint_bytes::ByteBounds;
 use citronway_core::gateway::evacuation::Evacuations;
 use citronway_core::gateway::freshness::ConfigFreshness;
 use citronway_core::gateway::outage::Outage;
@@ -95,6 +96,8 @@
     pub stated_limits: StatedLimits,
     pub departures: Departures,
     pub rests: ReportedRests,
+    /// Bounds on the bytes of requests at an endpoint.
+    pub(super) bytes: ByteBounds,
     pub freshness: ConfigFreshness,
     /// Time allowed for an evacuation, in milliseconds.
     evacuation_ms: u64,
@@ -145,6 +148,7 @@
             stated_limits: StatedLimits::default(),
             departures: Departures::default(),
             rests: ReportedRests::default(),
+            bytes: ByteBounds::default(),
             freshness: ConfigFreshness::new(cfg.config_apply_ms),
             evacuation_ms: cfg.evacuation_ms,
             drain_ms: cfg.drain_ms,
@@ -522,6 +526,7 @@
             },
             has_leader: self.has_relaying_leader(now),
             limits: self.stated_limits.in_force(),
+            byte_bounds: self.byte_bounds().into_iter().collect(),
         }
     }
 }
--- a/crates/citronway/src/gateway/control/crashes.rs
+++ b/crates/citronway/src/gateway/control/crashes.rs
@@ -285,6 +285,7 @@
     pub(super) fn record_signs(&mut self, now: Mono, report: &Report, forwards: bool) {
         self.trials.record_crashes(&report.signs);
         self.cluster.crashes.record_report(now, report, forwards);
+        self.record_crash_bytes(now, &report.signs);
     }
 
     /// Expires signs, publishes verdicts, and writes the row if it is due.
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control task: polls the store, shares load and rows with the other instances, and as
 //! the leader grants keys to endpoints.
 
+mod byte_bounds;
 mod cluster;
 mod cold;
 mod confirming;
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -190,6 +190,7 @@
             total.tag = used.tag;
             total.in_flight += used.in_flight;
             total.waiting += used.waiting;
+            total.kb = total.kb.saturating_add(used.kb);
         }
         totals
     }
@@ -249,11 +250,15 @@
         members.map(member_state).collect()
     }
 
-    /// Endpoint, requests in flight, and requests waiting, for each use that a member of
-    /// this delegate reported.
-    pub(super) fn members_use(&self, now: Mono) -> impl Iterator<Item = (EndpointTag, u32, u32)> {
+    /// Each use of an endpoint that a member of this delegate reported.
+    pub(super) fn members_use(&self, now: Mono) -> impl Iterator<Item = EndpointTotal> {
         let uses = self.direct_reporters(now).flat_map(|peer| &peer.endpoints);
-        uses.map(|used| (used.tag, used.in_flight, used.waiting))
+        uses.map(|used| EndpointTotal {
+            tag: used.tag,
+            in_flight: used.in_flight,
+            waiting: used.waiting,
+            kb: used.kb,
+        })
     }
 
     /// Instances that report directly to this one.
@@ -437,6 +442,7 @@
                     continue;
                 }
                 let load = all.entry(used.tag).or_default();
+                load.kb = load.kb.saturating_add(used.kb);
                 load.in_flight += used.in_flight;
                 load.waiting += used.waiting;
                 load.others.push(Demand { rank, wanted });
@@ -450,6 +456,7 @@
             let waiting = total.waiting.saturating_sub(own.waiting);
             load.in_flight = load.in_flight.max(in_flight);
             load.waiting = load.waiting.max(waiting);
+            load.kb = load.kb.max(total.kb.saturating_sub(own.kb));
             load.is_sum = true;
         }
         for (tag, load) in &mut all {
--- a/crates/citronway/src/gateway/control/reporting.rs
+++ b/crates/citronway/src/gateway/control/reporting.rs
@@ -47,6 +47,8 @@
         self.unreported.add(seen.usage.clone());
         self.trials.record_crashes(&seen.signs);
         self.cluster.crashes.record_own_signs(now, &seen.signs);
+        self.record_crash_bytes(now, &seen.signs);
+        self.step_bytes(now);
         self.observe_limits(now, &seen.stated_limits, OWN_ANSWER);
         self.observe_departures(now, &seen.departures, OWN_ANSWER);
         let me = self.me.instance.clone();
@@ -222,6 +224,7 @@
             instances: u32::try_from(cluster.peers.heard_count(now) + 1).unwrap_or(u32::MAX),
             standbys: self.standbys.0.clone(),
             endpoints: cluster.contended(now),
+            byte_bounds: cluster.byte_bounds(),
             paces: cluster
                 .paces
                 .estimates_to_send(now, self.report_number / 2, PACE_ROUNDS),
--- a/crates/citronway/src/gateway/memory_metrics.rs
+++ b/crates/citronway/src/gateway/memory_metrics.rs
@@ -20,6 +20,7 @@
     resident: Gauge,
     pressure: Gauge,
     write_stalls: Counter,
+    byte_bounds: Gauge,
 }
 
 impl MemoryMetrics {
@@ -40,12 +41,16 @@
         let write_stalls = Counter::default();
         let help = "Connections closed because their callers took no byte of an answer";
         registry.register("write_stalls", help, write_stalls.clone());
+        let byte_bounds = Gauge::default();
+        let help = "Services whose endpoints have a bound on the bytes of requests";
+        registry.register("byte_bounds", help, byte_bounds.clone());
         Self {
             used,
             limit,
             resident,
             pressure,
             write_stalls,
+            byte_bounds,
         }
     }
 
@@ -76,6 +81,11 @@
     pub(super) fn count_write_stall(&self) {
         self.write_stalls.inc();
     }
+
+    /// Sets the number of services whose endpoints have a bound on the bytes of requests.
+    pub(super) fn set_byte_bounds(&self, count: usize) {
+        self.byte_bounds.set(gauge(count as u64));
+    }
 }
 
 fn gauge(bytes: u64) -> i64 {
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -295,8 +295,12 @@
         let row = owners.map_or(0, |owners| owners.version.number);
         let instances = view.instances;
         let key = key.map_or(-1, i32::from);
+        let byte_bound_kb = view.byte_bounds.get(&self.job.service);
+        let byte_bound_kb = byte_bound_kb.copied().unwrap_or_default();
+        let body_kb = self.job.body_bytes.div_ceil(1_024);
         log::info!(
             request, service, key, owner = owner.as_str(), fence, moving, limit = limit.as_str(), leaving, row, routes, waiting, instances,
+            byte_bound_kb, body_kb,
             reason = reason.as_str();
             "no place found"
         );
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -89,6 +89,16 @@
     forwarded: Option<&'a ForwardedRequest>,
 }
 
+impl ParsedRequest<'_> {
+    /// Time that the caller waits, or the instance that passed the request on, in milliseconds.
+    fn stated_wait_ms(&self) -> u64 {
+        match self.forwarded {
+            Some(forwarded) => forwarded.wait_ms,
+            None => self.metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
+        }
+    }
+}
+
 /// Outcome of a request without a route. It is rejected for good only while no newer
 /// configuration can have one.
 fn without_route(parsed: &ParsedRequest<'_>, routes: &RouteTable, trust: &Trust) -> Outcome {
@@ -144,10 +154,7 @@
         return unconfirmed();
     }
     *class = Class::of(route);
-    let stated_ms = match forwarded {
-        Some(forwarded) => forwarded.wait_ms,
-        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
-    };
+    let stated_ms = parsed.stated_wait_ms();
     let wait_ms = stated_ms.min(route.timeout_ms);
     let max_bytes = routes.limits.body_bytes;
     let limit = Duration::from_millis(wait_ms);
@@ -189,6 +196,7 @@
         caller_deadline: arrived.plus(stated_ms),
         work_ms: estimate.work_ms,
         answer_bytes: estimate.answer_bytes,
+        body_bytes: held.bytes.len() as u64,
         tried: Vec::new(),
         pauses: Vec::new(),
         is_forwarded: forwarded.is_some(),
--- a/crates/citronway/src/gateway/traffic/state/guards.rs
+++ b/crates/citronway/src/gateway/traffic/state/guards.rs
@@ -45,6 +45,7 @@
             let mut admission = state.admission.borrow_mut();
             admission.record_finished(&choice.endpoint);
             admission.withdraw_ask(self.ticket);
+            admission.release_bytes(self.ticket);
             drop(admission);
             state.decide_waiting();
         }
@@ -64,6 +65,7 @@
         let mut admission = self.state.admission.borrow_mut();
         admission.record_finished(&self.endpoint);
         admission.withdraw_ask(self.ticket);
+        admission.release_bytes(self.ticket);
         drop(admission);
         self.state.decide_waiting();
     }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -428,6 +428,7 @@
                 let mut admission = self.admission.borrow_mut();
                 admission.record_finished(&choice.endpoint);
                 admission.withdraw_ask(ticket);
+                admission.release_bytes(ticket);
             }
         }
     }
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -25,6 +25,7 @@
         self.open_requests.update_metrics();
         self.update_rests();
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
+        let mut peaks = self.admission.borrow_mut().take_byte_peaks();
         let mut endpoints: Vec<_> = self
             .admission
             .borrow()
@@ -34,9 +35,22 @@
                 in_flight,
                 waiting,
                 answers: answers.swap_remove(&tag).unwrap_or_default(),
+                kb: peaks.swap_remove(&tag).unwrap_or_default(),
+            })
+            .filter(|used| {
+                let has_requests = used.in_flight + used.waiting + used.kb > 0;
+                has_requests || used.answers != Answers::default()
             })
-            .filter(|used| used.in_flight + used.waiting > 0 || used.answers != Answers::default())
             .collect();
+        for (tag, kb) in peaks {
+            let answers = answers.swap_remove(&tag).unwrap_or_default();
+            endpoints.push(EndpointUse {
+                tag,
+                answers,
+                kb,
+                ..EndpointUse::default()
+            });
+        }
         endpoints.extend(answers.into_iter().map(|(tag, answers)| EndpointUse {
             tag,
             answers,
--- a/crates/citronway/tests/gateway_memory.rs
+++ b/crates/citronway/tests/gateway_memory.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use citronway_standin::shared::configuration;
+use citronway_standin::shared::{FencedEndpoint, configuration};
 use gateway_support::{Deployment, Instance, Logs, Reply, head, parse, route, until};
 use googletest::prelude::*;
 use serde_json::json;
@@ -223,3 +223,57 @@
     expect_that!((reply.status, reply.body.len()), eq((200, LONG_ANSWER)));
     expect_that!(metric(&instance, "citronway_write_stalls_total"), eq(0));
 }
+
+/// Size of a body of which several are too much for an endpoint, in bytes.
+const LONG_BODY: usize = 60_000;
+
+/// Sends three requests with long bodies at once; returns a status for each.
+fn send_three(instance: &Instance, path: &str, while_at_work: impl FnOnce()) -> Vec<u16> {
+    std::thread::scope(|scope| {
+        let call = |i: usize| {
+            let headers = format!("X-Request-Id: {path}-{i}\r\n");
+            let body = "-".repeat(LONG_BODY);
+            instance.call_with(&format!("POST /order/{path}-{i}"), &headers, &body)
+        };
+        let callers: Vec<_> = (0..3)
+            .map(|i| scope.spawn(move || call(i).status))
+            .collect();
+        while_at_work();
+        let statuses = callers.into_iter();
+        statuses
+            .map(|caller| caller.join().expect("no panic"))
+            .collect()
+    })
+}
+
+/// Failure: an endpoint crashes under the bytes of several requests, and the next one is sent as
+/// many.
+#[gtest]
+fn an_endpoint_gets_fewer_bytes_than_another_has_crashed_with() {
+    let (deployment, instance, logs) = small_instance(5_000);
+    deployment.c.work(Duration::from_secs(3));
+    let statuses = send_three(&instance, "first", || {
+        until("all are at work", || deployment.c.ran().len() == 3);
+        deployment.c.crash();
+    });
+    expect_that!(statuses, each(eq(&502)));
+    let learned = logs.line("endpoints of a service get a bound on the bytes of requests");
+    expect_that!(learned["service"], eq(&json!("console")));
+    expect_that!(learned["requests"], eq(&json!(3)));
+    expect_that!(learned["bound_kb"].as_u64(), some(all![ge(120), lt(150)]));
+    deployment.unlist(&deployment.c);
+    let next = FencedEndpoint::start("i-next", "console", false).expect("an endpoint");
+    deployment.list(&next, "ready");
+    until("the endpoint serves", || {
+        call_short(&instance, 0).is_some_and(|reply| reply.status == 200)
+    });
+    let before = next.ran().len();
+    let work = Duration::from_millis(500);
+    next.work(work);
+    let statuses = send_three(&instance, "second", || {});
+    expect_that!(statuses, each(eq(&200)));
+    let ran = next.ran().split_off(before);
+    expect_that!(ran.len(), eq(3));
+    // Two have room at once, and the third begins when one of them is done.
+    expect_that!(ran[2].at - ran[0].at, ge(work));
+}
