--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -160,7 +160,7 @@
         if self.is_avoided(now, tag) {
             return Selection::Wait(RefusalReason::Unreachable);
         }
-        if !self.owner_has_room(now, view, listed, job) {
+        if !self.owner_has_room(now, view, listed, job) || !self.has_byte_room(view, job, tag) {
             return Selection::Wait(RefusalReason::Overloaded);
         }
         // Only one request at a time is sent to a holder that said it does not hold the keys.
@@ -217,7 +217,10 @@
                 continue;
             }
             let cold_busy = self.is_cold_busy(now, tag);
-            if cold_busy || !self.has_room(now, view, listed, tag, 1, job.work_ms) {
+            if cold_busy
+                || !self.has_room(now, view, listed, tag, 1, job.work_ms)
+                || !self.has_byte_room(view, job, tag)
+            {
                 cause = RefusalReason::Overloaded;
                 continue;
             }
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -39,6 +39,8 @@
     pub work_ms: u64,
     /// Usual size of the route's answers, in bytes.
     pub answer_bytes: u64,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
     /// Endpoints that the request was sent to before.
     pub tried: Vec<EndpointStart>,
     /// Endpoints that rejected the request, and until when it is not sent to them again.
@@ -165,11 +167,13 @@
     BehindUnanswered,
     /// One key has more requests than its owner can serve; those beyond that are refused.
     KeyOverloaded,
+    /// The instance has no memory for the request or its answer.
+    OutOfMemory,
 }
 
 impl RefusalReason {
     /// All reasons, for tables in documentation and tests.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::NoConfiguration,
         Self::UnusableRoute,
         Self::NoEndpoint,
@@ -187,6 +191,7 @@
         Self::UnconfirmedConfiguration,
         Self::BehindUnanswered,
         Self::KeyOverloaded,
+        Self::OutOfMemory,
     ];
 
     /// Name of the reason in logs, metrics and answers.
@@ -210,6 +215,7 @@
             Self::UnconfirmedConfiguration => "unconfirmed_configuration",
             Self::BehindUnanswered => "behind_unanswered",
             Self::KeyOverloaded => "key_overloaded",
+            Self::OutOfMemory => "out_of_memory",
         }
     }
 }
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -5,6 +5,7 @@
 //! first, then those with the earlier deadline. A request that cannot be served before its
 //! deadline is refused as soon as that is known (load shedding), with a time to retry.
 
+mod bytes;
 mod choose;
 mod fleet;
 mod hot_keys;
@@ -20,6 +21,7 @@
 
 use indexmap::IndexMap;
 
+use crate::gateway::endpoint_bytes::OwnBytes;
 use crate::gateway::fleet_admission::CLASSES;
 use crate::gateway::limit::{EndpointLoad, ServiceLimit};
 use crate::gateway::pace::EndpointTag;
@@ -80,6 +82,8 @@
     in_flight: IndexMap<EndpointTag, u32>,
     /// Number of waiting requests by queue and class, as of the last decision.
     wanted: IndexMap<EndpointTag, [u32; CLASSES]>,
+    /// Bytes of requests in flight.
+    bytes: OwnBytes,
     avoided: IndexMap<EndpointTag, Avoided>,
     /// Limits on this instance's requests in flight at services without keys.
     limits: IndexMap<ServiceName, ServiceLimit>,
@@ -252,6 +256,7 @@
         }
         self.record_sent(now, &choice.endpoint);
         let tag = EndpointTag::of(&choice.endpoint);
+        self.bytes.begin(tag, job.ticket, job.body_bytes);
         if view.limits.contains_key(&tag) {
             self.send_grants.begin_send(now, tag, job.ticket);
         }
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -44,6 +44,8 @@
     pub fleet: Option<FleetDemand>,
     /// Services whose hot ranges are divided at once.
     pub divided_fast: Vec<ServiceName>,
+    /// Services whose endpoints have a bound on the bytes of requests, in kilobytes.
+    pub byte_bounds: IndexMap<ServiceName, u32>,
 }
 
 impl View {
@@ -64,6 +66,7 @@
             limits: IndexMap::new(),
             fleet: None,
             divided_fast: Vec::new(),
+            byte_bounds: IndexMap::new(),
         }
     }
 }
@@ -97,6 +100,8 @@
     pub in_flight: u32,
     /// Number of other instances' requests that wait to be sent there.
     pub waiting: u32,
+    /// Kilobytes of the bodies of other instances' requests in flight there.
+    pub kb: u32,
     /// Whether `in_flight` and `waiting` are sums over all instances, not only over `others`.
     pub is_sum: bool,
     /// Work time of the endpoint, relative to an average endpoint.
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -182,6 +182,13 @@
   # Eras of the store to which the newest versions belong.
   demand @25 :List(QueueDemand);
   # Absent from a leader without admission control across instances.
+  byteBounds @26 :List(ByteBound);
+}
+
+struct ByteBound {
+  # Bound on the bytes of requests at each endpoint of a service.
+  service @0 :Text;
+  kilobytes @1 :UInt32;
 }
 
 struct Confirmation {
@@ -227,6 +234,8 @@
   tag @0 :UInt32;
   inFlight @1 :UInt16;
   waiting @2 :UInt16;
+  bytes @3 :UInt32;
+  # Bodies of the requests in flight, in kilobytes.
 }
 
 struct Relay {
@@ -333,6 +342,8 @@
   served @3 :Float32;
   relative @4 :Float32;
   failed @5 :Float32;
+  bytes @6 :UInt32;
+  # Bodies of the requests in flight, in kilobytes: the most since the last report.
 }
 
 struct KeySamples {
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -142,6 +142,7 @@
         tag: EndpointTag(spread(n)),
         in_flight: spread(n) >> 28,
         waiting: spread(n) >> 29,
+        kb: spread(n) >> 24,
     });
     let totals = Datagram::Totals(Totals {
         endpoints: endpoints.collect(),
@@ -280,7 +281,9 @@
             tag: EndpointTag(77),
             in_flight: 9,
             waiting: 40_000,
+            kb: 70_000,
         }],
+        byte_bounds: vec![(ServiceName::new("batch"), 2_048)],
         paces: vec![EndpointPace {
             tag: EndpointTag(78),
             slowness: 1.4,
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
 use super::control::Source;
 use super::division_metrics::DivisionMetrics;
 use super::fleet_metrics::FleetMetrics;
+use super::memory_metrics::MemoryMetrics;
 use super::pipeline_metrics::PipelineMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
@@ -162,14 +163,24 @@
     pub(super) pipeline: PipelineMetrics,
     /// Admission control across all instances.
     pub(super) fleet: FleetMetrics,
+    /// Memory that callers' traffic uses.
+    pub(super) memory: MemoryMetrics,
 }
 
 /// Registers the metrics that have files of their own.
-fn register_groups(registry: &mut Registry) -> (StatementMetrics, PipelineMetrics, FleetMetrics) {
+fn register_groups(
+    registry: &mut Registry,
+) -> (
+    StatementMetrics,
+    PipelineMetrics,
+    FleetMetrics,
+    MemoryMetrics,
+) {
     (
         StatementMetrics::register(registry),
         PipelineMetrics::register(registry),
         FleetMetrics::register(registry),
+        MemoryMetrics::register(registry),
     )
 }
 
@@ -250,7 +261,7 @@
         registry.register("config_confirmed_age_seconds", help, config_age.clone());
         let (evacuated_zones, evacuated_ranges) = evacuation_gauges(&mut registry);
         let divisions = DivisionMetrics::register(&mut registry);
-        let (statements, pipeline, fleet) = register_groups(&mut registry);
+        let (statements, pipeline, fleet, memory) = register_groups(&mut registry);
         Self {
             registry: Arc::new(registry),
             requests,
@@ -282,6 +293,7 @@
             statements,
             pipeline,
             fleet,
+            memory,
         }
     }
 }
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod division_metrics;
 mod fleet_metrics;
 mod http_link;
+mod memory_metrics;
 mod metrics;
 mod pipeline_metrics;
 mod ready;
--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -15,7 +15,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use citronway_core::gateway::memory::{CONNECTION_BYTES, Pressure, Use};
 use citronway_core::time::Mono;
+use citronway_platform::exchange;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -27,6 +29,7 @@
 use super::neighbor::Origin;
 use super::request;
 use super::state::{Phase, State};
+use super::write_stall::{LastAnswer, WriteStall};
 use crate::clock;
 use pipeline::{Begun, Row, TurnError};
 use progress::Progress;
@@ -76,13 +79,23 @@
         return;
     }
     let progress = Rc::new(Progress::new(clock::mono()));
+    let _memory = state.memory.charge(Use::Connections, CONNECTION_BYTES);
+    let mut unread = state.memory.charge(Use::Requests, 0);
+    let last = Rc::new(LastAnswer::default());
+    let stream = WriteStall::new(stream, Rc::clone(&state), Rc::clone(&last));
     let reader = Rc::new(RefCell::new(ReadAhead::new(stream, Rc::clone(&progress))));
     let max_head_bytes = state.limits().header_bytes.max(MIN_HEAD_BYTES);
     let row = Row::new(&state, origin, &progress, max_head_bytes);
     let row = Rc::new(RefCell::new(row));
     let service = service_fn(|req| {
         let turn = reader.borrow_mut().take_turn();
-        answer_in_turn(&state, &progress, &row, turn, req, origin)
+        let answer = answer_in_turn(&state, &progress, &row, turn, req, origin);
+        let last = Rc::clone(&last);
+        async move {
+            let answer = answer.await?;
+            last.set(exchange::request_id(answer.headers()));
+            Ok::<_, TurnError>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -102,7 +115,11 @@
                 }
                 return;
             }
-            event = poll_fn(|cx| poll_row(cx, &state, &reader, &row, closing)) => match event {
+            event = poll_fn(|cx| {
+                let event = poll_row(cx, &state, &reader, &row, closing);
+                unread.set(reader.borrow().buffered_bytes());
+                event
+            }) => match event {
                 RowEvent::CallerLeft => {
                     log::debug!("caller left behind requests without an answer");
                     return;
@@ -188,7 +205,8 @@
             }
         };
         // Requests that are begun behind this one are answered before the connection closes.
-        if state.is_stopping() && row.borrow().is_at_last() {
+        let closes = state.is_stopping() || state.memory_pressure() == Pressure::Full;
+        if closes && row.borrow().is_at_last() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/citronway/src/gateway/traffic/connection/progress.rs
+++ b/crates/citronway/src/gateway/traffic/connection/progress.rs
@@ -10,6 +10,7 @@
 use citronway_core::time::Mono;
 
 use crate::clock;
+use crate::gateway::traffic::answer_buf::AnswerBuf;
 use crate::gateway::traffic::open_requests::OpenGuard;
 
 /// State of a connection between two requests.
@@ -105,12 +106,12 @@
 /// Response body that keeps its [`RequestGuard`] until it has been sent.
 #[derive(Debug)]
 pub(in crate::gateway::traffic) struct GuardedBody {
-    pub body: http_body_util::Full<bytes::Bytes>,
+    pub body: http_body_util::Full<AnswerBuf>,
     pub _guard: RequestGuard,
 }
 
 impl hyper::body::Body for GuardedBody {
-    type Data = bytes::Bytes;
+    type Data = AnswerBuf;
     type Error = Infallible;
 
     fn poll_frame(
--- a/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -13,7 +13,6 @@
 use citronway_core::time::Mono;
 use futures::FutureExt as _;
 use tokio::io::{AsyncRead as _, Interest, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 use super::chunks::{Chunked, Chunks};
@@ -21,6 +20,7 @@
 use super::progress::Progress;
 use super::queue::{Queued, RequestQueue};
 use crate::clock;
+use crate::gateway::traffic::write_stall::WriteStall;
 
 /// Most bytes that are read behind the request that is being answered.
 ///
@@ -71,7 +71,7 @@
 /// Reads a caller's connection ahead of the HTTP library.
 #[derive(Debug)]
 pub(super) struct ReadAhead {
-    stream: TcpStream,
+    stream: WriteStall,
     progress: Rc<Progress>,
     position: Position,
     /// Bytes of a head that were passed on before the rest of it arrived.
@@ -97,7 +97,7 @@
 }
 
 impl ReadAhead {
-    pub(super) fn new(stream: TcpStream, progress: Rc<Progress>) -> Self {
+    pub(super) fn new(stream: WriteStall, progress: Rc<Progress>) -> Self {
         Self {
             stream,
             progress,
@@ -146,8 +146,13 @@
         Some((&self.ahead[start..body_start], body))
     }
 
+    /// Memory of the bytes that the library has not got yet.
+    pub(super) fn buffered_bytes(&self) -> u64 {
+        self.ahead.capacity() as u64
+    }
+
     /// The socket, to write to.
-    pub(super) const fn stream(&mut self) -> &mut TcpStream {
+    pub(super) const fn stream(&mut self) -> &mut WriteStall {
         &mut self.stream
     }
 
@@ -177,7 +182,8 @@
         }
         // An answer has ended after the library last tried to read. Only once: a library that
         // closes the connection does not read any more.
-        let has_bytes = !self.ahead.is_empty() || self.stream.poll_read_ready(cx).is_ready();
+        let has_bytes =
+            !self.ahead.is_empty() || self.stream.socket().poll_read_ready(cx).is_ready();
         if has_bytes && !self.is_woken {
             self.is_woken = true;
             cx.waker().wake_by_ref();
@@ -190,14 +196,18 @@
         while self.ahead.len() < most {
             self.full_check = None;
             // Room is made only once there is something to read.
-            match self.stream.poll_read_ready(cx) {
+            match self.stream.socket().poll_read_ready(cx) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Err(_broken)) => return Poll::Ready(()),
                 Poll::Ready(Ok(())) => {}
             }
             let room = most - self.ahead.len();
             self.ahead.reserve(MIN_READ_BYTES.min(room));
-            match self.stream.try_read_buf(&mut (&mut self.ahead).limit(room)) {
+            match self
+                .stream
+                .socket()
+                .try_read_buf(&mut (&mut self.ahead).limit(room))
+            {
                 Ok(0) => return Poll::Ready(()),
                 Ok(_) => self.find_requests(clock::mono()),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -210,7 +220,11 @@
     /// Resolves once the caller has left while the buffer is full.
     fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
-            let ready = self.stream.ready(Interest::READABLE).now_or_never();
+            let ready = self
+                .stream
+                .socket()
+                .ready(Interest::READABLE)
+                .now_or_never();
             let has_left = match ready {
                 Some(Ok(ready)) => ready.is_read_closed(),
                 Some(Err(_broken)) => true,
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -5,11 +5,13 @@
     Refusal, RefusalReason, STOPPING_RETRY_MS, UnknownOutcomeReason,
 };
 use citronway_core::gateway::crashes::Fingerprint;
+use citronway_core::gateway::memory::Use;
 use citronway_core::time::Mono;
 use citronway_platform::exchange;
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 
+use super::answer_buf::AnswerBuf;
 use super::connection::{GuardedBody, RequestGuard};
 use super::neighbor::{self, Origin};
 use super::open_requests::Stage;
@@ -68,6 +70,7 @@
 
 /// Builds the response for an outcome.
 pub(super) fn respond(
+    state: &State,
     id: Option<&HeaderValue>,
     outcome: Outcome,
     guard: RequestGuard,
@@ -104,8 +107,9 @@
         Outcome::TimedOut => gateway_answer(id, StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
         Outcome::Rejected(status, cause) => gateway_answer(id, status, None, cause),
     };
+    let charge = state.memory.charge(Use::Answers, body.len() as u64);
     let mut response = Response::new(GuardedBody {
-        body: Full::new(body),
+        body: Full::new(AnswerBuf::new(body, charge)),
         _guard: guard,
     });
     *response.status_mut() = status;
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -1,28 +1,29 @@
 //! Reads a caller's request, forwards it and builds the response.
 
 use std::cell::OnceCell;
-use std::error::Error;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::gateway::freshness::Trust;
+use citronway_core::gateway::memory::{Pressure, Use};
 use citronway_core::gateway::pipeline;
 use citronway_core::gateway::routes::RouteTable;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, RequestMetadata};
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Body;
 
+use super::body;
 use super::connection::{GuardedBody, RequestGuard};
 use super::forwarding::Forwarding;
 use super::message::Message;
 use super::neighbor::{ForwardedRequest, Origin};
 use super::open_requests::OpenRequest;
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
-use super::state::{Phase, State};
+use super::state::State;
 use crate::clock;
 use crate::gateway::metrics::Class;
 
@@ -45,7 +46,7 @@
     origin: Origin,
 ) -> Response<GuardedBody>
 where
-    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+    B: Body<Data = Bytes> + Unpin + 'static,
 {
     let began = clock::mono();
     let (mut head, body) = req.into_parts();
@@ -56,7 +57,7 @@
             Err(e) => {
                 log::warn!(cause = e.to_string(); "forwarded request is not accepted");
                 let outcome = Outcome::Rejected(StatusCode::FORBIDDEN, "not an instance");
-                return outcome::respond(None, outcome, guard, origin);
+                return outcome::respond(&state, None, outcome, guard, origin);
             }
         },
     };
@@ -70,7 +71,7 @@
             log::info!(request, cause = e.to_string(); "a request is malformed");
             let outcome = Outcome::Rejected(StatusCode::BAD_REQUEST, "malformed header");
             outcome::record(&state, arrived, id, Class::UNKNOWN, &outcome);
-            return outcome::respond(id, outcome, guard, origin);
+            return outcome::respond(&state, id, outcome, guard, origin);
         }
     };
     let mut class = Class::UNKNOWN;
@@ -83,7 +84,7 @@
     };
     let outcome = serve(&state, &parsed, body, open, &mut class).await;
     outcome::record(&state, arrived, id, class, &outcome);
-    outcome::respond(id, outcome, guard, origin)
+    outcome::respond(&state, id, outcome, guard, origin)
 }
 
 /// A request whose head has been parsed.
@@ -98,6 +99,16 @@
     forwarded: Option<&'a ForwardedRequest>,
 }
 
+impl ParsedRequest<'_> {
+    /// Time that the caller waits, or the instance that passed the request on, in milliseconds.
+    fn stated_wait_ms(&self) -> u64 {
+        match self.forwarded {
+            Some(forwarded) => forwarded.wait_ms,
+            None => self.metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
+        }
+    }
+}
+
 /// Outcome of a request without a route. It is rejected for good only while no newer
 /// configuration can have one.
 fn without_route(parsed: &ParsedRequest<'_>, routes: &RouteTable, trust: &Trust) -> Outcome {
@@ -118,35 +129,6 @@
     )
 }
 
-/// Reads the body of a request, unless it is too long or the instance ends.
-async fn read_body<B>(
-    state: &State,
-    body: B,
-    max_bytes: usize,
-    open: &OpenRequest,
-) -> Result<Bytes, Outcome>
-where
-    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
-{
-    let body = Limited::new(body, max_bytes).collect();
-    let body = tokio::select! {
-        biased;
-        body = body => body,
-        () = state.wait_for_phase(Phase::Ending) => {
-            open.log_stopped(clock::mono());
-            return Err(outcome::stopping());
-        }
-    };
-    match body {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Outcome::Rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body too large",
-        )),
-        Err(_broken) => Err(Outcome::Rejected(StatusCode::BAD_REQUEST, "body not whole")),
-    }
-}
-
 async fn serve<B>(
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
@@ -155,7 +137,7 @@
     class: &mut Class,
 ) -> Outcome
 where
-    B: Body<Data = Bytes, Error: Error + Send + Sync + 'static>,
+    B: Body<Data = Bytes> + Unpin + 'static,
 {
     let &ParsedRequest {
         arrived,
@@ -167,6 +149,9 @@
     if state.is_closing() {
         return outcome::stopping();
     }
+    if state.memory_pressure() == Pressure::Full {
+        return body::out_of_memory(state, 0);
+    }
     // The trust is read before the routes: control publishes new routes first.
     let trust = *state.trust.borrow();
     let routes = state.view.borrow().routes.clone();
@@ -184,16 +169,15 @@
     }
     *class = Class::of(route);
     open.set_repeat(route.repeat);
-    let stated_ms = match forwarded {
-        Some(forwarded) => forwarded.wait_ms,
-        None => metadata.wait_ms.unwrap_or(DEFAULT_WAIT_MS),
-    };
+    let stated_ms = parsed.stated_wait_ms();
     let wait_ms = stated_ms.min(route.timeout_ms);
     if pipeline::is_expired(began, arrived, wait_ms) {
         return not_run(RefusalReason::BehindUnanswered, DEFAULT_RETRY_MS);
     }
-    let body = match read_body(state, body, routes.limits.body_bytes, open).await {
-        Ok(body) => body,
+    let max_bytes = routes.limits.body_bytes;
+    let limit = Duration::from_millis(wait_ms);
+    let held = match body::read(state, body, max_bytes, limit, open).await {
+        Ok(held) => held,
         Err(outcome) => return outcome,
     };
     let estimate = state.record_arrival(route);
@@ -202,17 +186,14 @@
     let Some((service, service_config)) = chosen.or_else(|| routes.service(route, number)) else {
         return not_run(RefusalReason::UnusableRoute, UNUSABLE_RETRY_MS);
     };
-    let key = match (service_config.sharded, metadata.key) {
-        (true, None) => return Outcome::Rejected(StatusCode::BAD_REQUEST, "no key"),
-        (true, Some(key)) => {
-            if forwarded.is_none() {
-                state.count_key(service, key);
-            }
-            Some(key)
-        }
-        (false, _) => None,
-    };
+    let key = metadata.key.filter(|_| service_config.sharded);
+    if service_config.sharded && key.is_none() {
+        return Outcome::Rejected(StatusCode::BAD_REQUEST, "no key");
+    }
     if forwarded.is_none() {
+        if let Some(key) = key {
+            state.count_key(service, key);
+        }
         state.count_request(began, service);
     }
     // A caller that retries states only the time it has left. The time it spent before counts
@@ -230,6 +211,7 @@
         caller_deadline: arrived.plus(stated_ms),
         work_ms: estimate.work_ms,
         answer_bytes: estimate.answer_bytes,
+        body_bytes: held.bytes.len() as u64,
         tried: Vec::new(),
         pauses: Vec::new(),
         is_forwarded: forwarded.is_some(),
@@ -244,13 +226,15 @@
             method: head.method.clone(),
             uri: head.uri.clone(),
             headers: exchange::forwarded_headers(&head.headers),
-            body,
+            body: held.bytes,
         },
         job,
         may_have_run_at: Vec::new(),
         runs_elsewhere: forwarded.map_or(0, |forwarded| forwarded.runs),
         sends: 0,
         failed_answer: None,
+        _held: held.charge,
+        room: state.memory.charge(Use::Answers, 0),
         work: OnceCell::new(),
         trial: None,
         has_crashed: false,
--- a/crates/citronway/src/gateway/traffic/state/pipelined.rs
+++ b/crates/citronway/src/gateway/traffic/state/pipelined.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use citronway_core::gateway::memory::Pressure;
 use citronway_core::gateway::pipeline::{InstanceRoom, PipelineLimits};
 use citronway_core::gateway::routes::Route;
 
@@ -21,6 +22,7 @@
     /// Whether one more request may be begun before an earlier one is answered.
     pub(in crate::gateway::traffic) fn may_read_ahead(&self) -> bool {
         self.pipelined.get() < self.traffic.pipelined_total
+            && self.memory_pressure() < Pressure::NoReadAhead
     }
 
     /// What the instance as a whole allows the next request of a connection.
