--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -174,9 +174,8 @@
     if pipeline::is_expired(began, arrived, wait_ms) {
         return not_run(RefusalReason::BehindUnanswered, DEFAULT_RETRY_MS);
     }
-    let max_bytes = routes.limits.body_bytes;
     let limit = Duration::from_millis(wait_ms);
-    let held = match body::read(state, body, max_bytes, limit, open).await {
+    let held = match body::read(state, body, routes.limits.body_bytes, limit, open).await {
         Ok(held) => held,
         Err(outcome) => return outcome,
     };
