--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -118,8 +118,8 @@
             }
             () = tokio::time::sleep(IDLE_CHECK_PERIOD), if closing == Closing::No => {
                 if progress.is_overdue(clock::mono(), state.limits()) {
-                    // The library keeps waiting for the rest of a head.
-                    if progress.is_in_head() {
+                    // The library keeps waiting for the rest of a connection's first head.
+                    if !progress.has_request() {
                         return;
                     }
                     row.borrow().close();
--- a/crates/citronway/src/gateway/traffic/connection/progress.rs
+++ b/crates/citronway/src/gateway/traffic/connection/progress.rs
@@ -35,9 +35,9 @@
         progress
     }
 
-    /// Whether no request is active, and the next one or the first one has not arrived in full.
-    pub(super) fn is_in_head(&self) -> bool {
-        !self.is_active() && (self.reading.get() || !self.has_request.get())
+    /// Whether a request has arrived on the connection.
+    pub(super) fn has_request(&self) -> bool {
+        self.has_request.get()
     }
 
     /// Whether a request is not answered in full.
