Admission by classes: services without keys by a draw in small fleets too

Cause: in a fleet in which all report to all, each instance sent to a service without keys while any room was left, all at the same time.

Change: the draw that larger fleets use.

--- a/crates/citronway-core/src/gateway/admission/fleet.rs
+++ b/crates/citronway-core/src/gateway/admission/fleet.rs
@@ -227,12 +227,6 @@
             return true;
         }
         let free = self.free_at(now, view, job).saturating_sub(urgent);
-        let sums = self.fleet_demand(now, view).and_then(|f| f.queue(queue));
-        if sums.is_some_and(|sums| !sums.instances.is_empty()) {
-            // Reports of all others are younger than the work takes; each endpoint's room is
-            // divided by them.
-            return free > 0;
-        }
         let equal = equal + shares.equal_within(class, SUMS_INTERVAL_MS);
         let random = random(now, view.rank, queue);
         share::share_of_free(free, 0, mine, equal, random) > 0
--- a/crates/citronway-core/tests/fleet_world/mod.rs
+++ b/crates/citronway-core/tests/fleet_world/mod.rs
@@ -1,5 +1,5 @@
-//! Many instances in front of two endpoints that own the keys of one service, with six slots each
-//! and work of 100 to 300 ms: 60 requests a second.
+//! Many instances in front of endpoints with six slots each and work of 100 to 300 ms: two that own
+//! the keys of one service, 60 requests a second, or three of a service without keys, 90.
 
 #![allow(
     clippy::cast_possible_truncation,
@@ -16,7 +16,7 @@
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
 
-use crate::admission_support::{Scene, keyed};
+use crate::admission_support::{Scene, job, keyed};
 
 const SLOTS: usize = 6;
 const STEP_MS: u64 = 10;
@@ -58,6 +58,7 @@
     pub lost: f64,
     /// Part of the callers that the first half of the instances has.
     pub first_half: f64,
+    pub has_keys: bool,
 }
 
 struct Caller {
@@ -179,13 +180,18 @@
         let kind = self.kinds[caller.kind];
         caller.attempts += 1;
         self.got[caller.kind][caller.half].came_back += u32::from(caller.has_waited);
+        let job = if self.plan.has_keys {
+            keyed(number as u64, caller.key, self.now)
+        } else {
+            job(number as u64, self.now)
+        };
         let job = Job {
             priority: kind.rank,
             objective_at: caller.began.plus(kind.objective_ms),
             deadline: caller.began.plus(kind.patience_ms),
             caller_deadline: caller.began.plus(kind.patience_ms),
             spent_ms: self.now.since(caller.began),
-            ..keyed(number as u64, caller.key, self.now)
+            ..job
         };
         let Instance {
             admission, view, ..
--- a/crates/citronway-core/tests/gateway_fleet_admission.rs
+++ b/crates/citronway-core/tests/gateway_fleet_admission.rs
@@ -40,6 +40,7 @@
     is_on: true,
     lost: 0.0,
     first_half: 0.5,
+    has_keys: true,
 };
 
 fn sum(halves: &[Got; 2]) -> Got {
@@ -72,6 +73,27 @@
     }
 }
 
+/// Guards against a service without keys at which ranks count only in each instance's own queue. Two
+/// thirds of the value is what such deployments are to earn.
+#[gtest]
+fn the_urgent_go_first_without_keys_too() {
+    let more = |kind: Kind| Kind {
+        per_s: kind.per_s.map(|per_s| per_s * 1.5),
+        ..kind
+    };
+    for instances in [12, 80] {
+        let plan = Plan {
+            instances,
+            has_keys: false,
+            ..PLAN
+        };
+        let got = play(plan, &[URGENT, USUAL, PATIENT].map(more));
+        let urgent = sum(&got[0]).in_time_part();
+        expect_that!(urgent, ge(0.66), "{instances}");
+        expect_that!(urgent, ge(sum(&got[1]).in_time_part()), "{instances}");
+    }
+}
+
 /// Guards against callers that are served the worse the more of them their instance has.
 #[gtest]
 fn instances_get_room_by_their_demand() {
