Hot ranges: nothing is balanced before a load is known; test with an instance

Cause: a leader whose first requests were those of a hot range balanced it by halves before 0.2 s of requests were known, and the division then found too little to divide. Seen in the test with an instance, which timed out waiting for the division; its log had two moves of the balance instead.

Change: the calm balance moves only what has to leave until a load is known.

--- a/crates/citronway-core/src/gateway/hot_range/mod.rs
+++ b/crates/citronway-core/src/gateway/hot_range/mod.rs
@@ -177,6 +177,13 @@
         self.recent.add(now, key);
     }
 
+    /// Whether the first requests came so short a time ago that no load is known. Nothing is
+    /// balanced until then: it would halve a range that is about to be divided.
+    #[must_use]
+    pub fn is_learning(&self, now: Mono) -> bool {
+        self.recent.is_learning(now)
+    }
+
     /// Pieces that rest.
     #[must_use]
     pub const fn rests(&self) -> &MoveRests {
--- a/crates/citronway-core/src/gateway/hot_range/recent.rs
+++ b/crates/citronway-core/src/gateway/hot_range/recent.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Whether the first requests came so short a time ago that no rate is known.
+    pub(super) fn is_learning(&self, now: Mono) -> bool {
+        self.complete_since.is_some() && self.seconds(now, WINDOWS_MS[0]).is_none()
+    }
+
     /// Length of a window in seconds, without the time before the first sample; `None` if that
     /// leaves less than the shortest window.
     pub(super) fn seconds(&self, now: Mono, window_ms: u64) -> Option<f64> {
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -169,7 +169,7 @@
     };
     let rests = hot.rests();
     let mut moves = placement::propose_by(&input, Balance::Calm { now, rests });
-    if !divisions.is_empty() {
+    if !divisions.is_empty() || hot.is_learning(now) {
         // The balance does not know of the division. Keys of lost endpoints do not wait for it.
         moves.retain(|request| must_leave(leader, endpoints, request));
         moves.extend(divisions.iter().flat_map(|division| division.moves.clone()));
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -138,6 +138,15 @@
         std::fs::write(&path, settings.to_string()).expect("settings can be written");
     }
 
+    /// Changes a setting of the table `traffic` of an instance, which reads it at its next start.
+    pub fn set_traffic(&self, name: &str, key: &str, value: &Value) {
+        let path = self.settings_of(name);
+        let text = std::fs::read_to_string(&path).expect("settings can be read");
+        let mut settings: Value = serde_json::from_str(&text).expect("settings are JSON");
+        settings["traffic"][key] = value.clone();
+        std::fs::write(&path, settings.to_string()).expect("settings can be written");
+    }
+
     fn start(&self, name: &str, store: SocketAddr, logs: Stdio) -> Instance {
         let addresses = Addresses::at(own_address());
         let settings = addresses.settings(name, store);
