Admission by classes: one function for whole numbers

Cause: three copies of the same conversion.

Change: one in the module of the demand; the stated size of the largest demand is that of the schema.

--- a/crates/citronway-core/src/gateway/admission/fleet.rs
+++ b/crates/citronway-core/src/gateway/admission/fleet.rs
@@ -8,7 +8,7 @@
 use crate::gateway::assignment::Range;
 use crate::gateway::fleet_admission::{
     AdmissionShares, DemandLedger, FleetDemand, KEPT_PART, QueueDemand, QueueSums, RETURN_STEP_MS,
-    RETURN_STEPS, class_index, rank_index,
+    RETURN_STEPS, class_index, rank_index, whole,
 };
 use crate::gateway::pace::EndpointTag;
 use crate::gateway::registry::ListedEndpoint;
@@ -385,13 +385,3 @@
     let rank = xxhash_rust::xxh3::xxh3_64_with_seed(&demand.rank.to_le_bytes(), seed);
     Demand { rank, ..demand }
 }
-
-fn whole(count: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "counts are positive and far below the range"
-    )]
-    let whole = count.round() as u32;
-    whole
-}
--- a/crates/citronway-core/src/gateway/fleet_admission/demand.rs
+++ b/crates/citronway-core/src/gateway/fleet_admission/demand.rs
@@ -11,7 +11,7 @@
 /// requests a second for an endpoint that gets five.
 pub const ARRIVAL_PARTS: u32 = 16;
 
-/// Most queues whose demand is sent at once: 16 KB of a datagram of 48 KB.
+/// Most queues whose demand is sent at once: 19 KB of a datagram of 48 KB.
 pub const MAX_QUEUES: usize = 400;
 
 /// Demand of one or more instances for a queue.
--- a/crates/citronway-core/src/gateway/fleet_admission/ledger.rs
+++ b/crates/citronway-core/src/gateway/fleet_admission/ledger.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::{ARRIVAL_PARTS, CLASSES, QueueDemand, RANKS, RETURN_STEP_MS, RETURN_STEPS};
+use super::{ARRIVAL_PARTS, CLASSES, QueueDemand, RANKS, RETURN_STEP_MS, RETURN_STEPS, whole};
 use crate::gateway::pace::EndpointTag;
 use crate::time::Mono;
 
@@ -118,13 +118,3 @@
 fn in_parts(per_s: f64) -> u32 {
     whole(per_s * f64::from(ARRIVAL_PARTS))
 }
-
-fn whole(count: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "counts are positive and far below the range"
-    )]
-    let whole = count.round() as u32;
-    whole
-}
--- a/crates/citronway-core/src/gateway/fleet_admission/mod.rs
+++ b/crates/citronway-core/src/gateway/fleet_admission/mod.rs
@@ -48,3 +48,14 @@
 pub fn class_index(priority: u8, is_late: bool) -> usize {
     rank_index(priority) + if is_late { RANKS } else { 0 }
 }
+
+/// A count or time as a whole number.
+pub(in crate::gateway) fn whole(number: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "positive; the cast ends at the bounds"
+    )]
+    let whole = number.round() as u32;
+    whole
+}
--- a/crates/citronway-core/src/gateway/fleet_admission/shares.rs
+++ b/crates/citronway-core/src/gateway/fleet_admission/shares.rs
@@ -1,6 +1,6 @@
 //! What one instance may use of a queue's room, and when it has room, by the demand of all.
 
-use super::{ARRIVAL_PARTS, CLASSES, QueueDemand, RANKS, RETURN_STEP_MS, RETURN_STEPS};
+use super::{ARRIVAL_PARTS, CLASSES, QueueDemand, RANKS, RETURN_STEP_MS, RETURN_STEPS, whole};
 
 /// Part of the room that each rank keeps for its requests that can still be in time, while more
 /// urgent ones wait, so that none starves.
@@ -145,13 +145,3 @@
         f64::from(self.equal(class)) / f64::from(self.mine(class))
     }
 }
-
-fn whole(number: f64) -> u32 {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "positive; the cast ends at the bounds"
-    )]
-    let whole = number.round() as u32;
-    whole
-}
