Hot ranges: a load is known 0.2 s after the leader begins to count

Cause: requests that were reported before the placement first looked at a service were not counted, and with none counted the balance was not held back.

--- a/crates/citronway-core/src/gateway/hot_range/mod.rs
+++ b/crates/citronway-core/src/gateway/hot_range/mod.rs
@@ -172,16 +172,25 @@
 }
 
 impl HotRanges {
+    /// Creates them without any requests.
+    #[must_use]
+    pub fn new(now: Mono) -> Self {
+        Self {
+            recent: RecentKeys::new(now),
+            ..Self::default()
+        }
+    }
+
     /// Adds a request for a key.
     pub fn add(&mut self, now: Mono, key: u16) {
         self.recent.add(now, key);
     }
 
-    /// Whether the first requests came so short a time ago that no load is known. Nothing is
-    /// balanced until then: it would halve a range that is about to be divided.
+    /// Whether no load is known yet. Nothing is balanced until then: it would halve a range that is
+    /// about to be divided.
     #[must_use]
     pub fn is_learning(&self, now: Mono) -> bool {
-        self.recent.is_learning(now)
+        self.recent.seconds(now, WINDOWS_MS[0]).is_none()
     }
 
     /// Pieces that rest.
--- a/crates/citronway-core/src/gateway/hot_range/recent.rs
+++ b/crates/citronway-core/src/gateway/hot_range/recent.rs
@@ -18,17 +18,23 @@
 #[derive(Debug, Default)]
 pub(super) struct RecentKeys {
     samples: VecDeque<(Mono, u16)>,
-    /// Time since which no sample is missing; `None` before the first one.
-    complete_since: Option<Mono>,
+    /// Time since which no sample is missing.
+    complete_since: Mono,
 }
 
 impl RecentKeys {
+    pub(super) fn new(now: Mono) -> Self {
+        Self {
+            samples: VecDeque::new(),
+            complete_since: now,
+        }
+    }
+
     pub(super) fn add(&mut self, now: Mono, key: u16) {
-        self.complete_since.get_or_insert(now);
         if self.samples.len() == MAX_SAMPLES
             && let Some((at, _)) = self.samples.pop_front()
         {
-            self.complete_since = Some(at);
+            self.complete_since = at;
         }
         self.samples.push_back((now, key));
     }
@@ -42,15 +48,10 @@
         }
     }
 
-    /// Whether the first requests came so short a time ago that no rate is known.
-    pub(super) fn is_learning(&self, now: Mono) -> bool {
-        self.complete_since.is_some() && self.seconds(now, WINDOWS_MS[0]).is_none()
-    }
-
-    /// Length of a window in seconds, without the time before the first sample; `None` if that
+    /// Length of a window in seconds, without the time before the samples began; `None` if that
     /// leaves less than the shortest window.
     pub(super) fn seconds(&self, now: Mono, window_ms: u64) -> Option<f64> {
-        let known_ms = now.since(self.complete_since?);
+        let known_ms = now.since(self.complete_since);
         let ms = window_ms.min(known_ms);
         (ms >= WINDOWS_MS[0]).then_some(ms as f64 / 1_000.0)
     }
--- a/crates/citronway/src/gateway/control/placing.rs
+++ b/crates/citronway/src/gateway/control/placing.rs
@@ -130,7 +130,8 @@
         loads.decay(now);
         if cluster.divides_fast(now, service) {
             if leader.can_start_moves() {
-                let hot = self.hot.entry(service.clone()).or_default();
+                let hot = self.hot.entry(service.clone());
+                let hot = hot.or_insert_with(|| HotRanges::new(now));
                 let moves = plan_fast(now, service, leader, loads, hot, &endpoints);
                 start_moves(service, leader, &moves, cluster);
             }
