Hot keys: find the hot key of an owner once for each request

Each arrival looked up the range and the hot key of every waiting request. Now the owner's hot key is found once and compared. Tests gateway_hot_key and gateway_admission pass.

--- a/crates/citronway-core/src/gateway/admission/hot_keys.rs
+++ b/crates/citronway-core/src/gateway/admission/hot_keys.rs
@@ -50,13 +50,13 @@
         *arrivals.keys.entry(key).or_default() += 1.0;
     }
 
-    fn is_hot(&self, owner: EndpointTag, key: u16) -> bool {
-        let Some(arrivals) = self.by_owner.get(&owner) else {
-            return false;
-        };
-        let weight = arrivals.keys.get(&key).copied().unwrap_or_default();
-        let all = arrivals.keys.values().sum::<f64>();
-        weight >= MIN_ARRIVALS && weight > all * HOT_SHARE
+    /// The key with most of the recent arrivals for an owner; `None` if there is none.
+    fn hot_key(&self, owner: EndpointTag) -> Option<u16> {
+        let keys = &self.by_owner.get(&owner)?.keys;
+        let all = keys.values().sum::<f64>();
+        let is_hot = |weight: f64| weight >= MIN_ARRIVALS && weight > all * HOT_SHARE;
+        let found = keys.iter().find(|(_, weight)| is_hot(**weight));
+        found.map(|(key, _)| *key)
     }
 
     /// Removes owners without arrivals for some time.
@@ -96,19 +96,18 @@
             return false;
         };
         let owner = EndpointTag::of(&range.holder.endpoint);
-        self.key_arrivals.is_hot(owner, key)
+        self.key_arrivals.hot_key(owner) == Some(key)
     }
 
     /// Number of waiting requests for the hot key of a queue, which other requests of the queue do
     /// not wait for.
     pub(super) fn hot_ahead(&self, view: &View, queue_key: EndpointTag, job: &Job) -> u32 {
-        if !view.divides_fast(&job.service) || self.is_for_hot_key(view, job) {
+        let hot = self.key_arrivals.hot_key(queue_key);
+        if !view.divides_fast(&job.service) || hot.is_none() || hot == job.key {
             return 0;
         }
         let before = self.waiting.iter().filter(|other| {
-            other.priority <= job.priority
-                && Self::queue_key(view, other) == queue_key
-                && self.is_for_hot_key(view, other)
+            other.key == hot && other.service == job.service && other.priority <= job.priority
         });
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
