--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -110,6 +110,19 @@
     expect_that!(failure.to_string(), contains_substring("missing.jsonl"));
 }
 
+/// A request is refused for lack of memory. The story has to show what the instance knew of its
+/// memory then.
+#[gtest]
+fn a_refusal_for_lack_of_memory_is_explained() {
+    let story = explain::run("slow-59-4", &[log("memory.jsonl")]).expect("a story");
+    let believed = "pressure on memory: pressure on memory changed answers_kb=49416";
+    expect_that!(story, contains_substring(believed));
+    expect_that!(
+        story,
+        contains_substring("reason=out_of_memory retry_after_ms=2000")
+    );
+}
+
 /// Guards against a story that takes more memory with each line of the request, without end.
 #[gtest]
 fn a_request_with_many_lines_is_explained() {
--- a/crates/citronway-core/src/gateway/memory.rs
+++ b/crates/citronway-core/src/gateway/memory.rs
@@ -202,10 +202,18 @@
         true
     }
 
-    /// Releases memory that was charged.
-    pub fn release(&mut self, now: Mono, purpose: Use, bytes: u64) {
+    /// Releases memory that was charged and never used, or that each request uses for a moment.
+    ///
+    /// Failure guarded against: thousands of refused requests make memory look as if it were
+    /// released fast, and their callers come back at once.
+    pub const fn cancel(&mut self, purpose: Use, bytes: u64) {
         let used = &mut self.used[purpose as usize];
         *used = used.saturating_sub(bytes);
+    }
+
+    /// Releases memory that was used.
+    pub fn release(&mut self, now: Mono, purpose: Use, bytes: u64) {
+        self.cancel(purpose, bytes);
         self.begin_period(now);
         self.released.0 = self.released.0.saturating_add(bytes);
     }
--- a/crates/citronway-core/tests/gateway_memory.rs
+++ b/crates/citronway-core/tests/gateway_memory.rs
@@ -77,3 +77,16 @@
     expect_that!(retry_after(MB), eq(2_000));
     expect_that!(retry_after(30 * MB), eq(100));
 }
+
+/// Failure: the heads of refused requests count as room that became free.
+#[gtest]
+fn cancelled_charges_do_not_shorten_the_time_to_retry() {
+    let mut budget = budget();
+    budget.charge(Use::Answers, 95 * MB);
+    for _ in 0..1_000 {
+        budget.charge(Use::Requests, MB);
+        budget.cancel(Use::Requests, MB);
+    }
+    expect_that!(budget.used(), eq(95 * MB));
+    expect_that!(budget.retry_after_ms(NOW, 0), eq(2_000));
+}
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -6,7 +6,7 @@
 
 use citronway_core::gateway::admission::{Job, RefusalReason};
 use citronway_core::gateway::freshness::Trust;
-use citronway_core::gateway::memory::{Pressure, Use};
+use citronway_core::gateway::memory::Pressure;
 use citronway_core::gateway::routes::RouteTable;
 use citronway_core::time::Mono;
 use citronway_platform::exchange::{self, RequestMetadata};
@@ -218,7 +218,7 @@
         sends: 0,
         failed_answer: None,
         _held: held.charge,
-        room: state.memory.charge(Use::Answers, 0),
+        room: state.memory.reserve(0),
         work: OnceCell::new(),
         trial: None,
         has_crashed: false,
--- a/crates/citronway/src/gateway/traffic/state/memory.rs
+++ b/crates/citronway/src/gateway/traffic/state/memory.rs
@@ -16,7 +16,7 @@
 /// second without progress, so that a longer wait would be for nothing.
 const BODY_WAIT: Duration = Duration::from_millis(300);
 
-/// Least time between two log lines on the pressure, and between two looks at the size of the
+/// Least time from a log line on the pressure to one on its fall, and between two looks at the size of the
 /// process, in milliseconds.
 const LOG_PERIOD_MS: u64 = 1_000;
 
@@ -50,6 +50,8 @@
     memory: Rc<Memory>,
     purpose: Use,
     bytes: u64,
+    /// Bytes of it whose release is not counted as room that became free.
+    uncounted: u64,
 }
 
 impl Memory {
@@ -85,9 +87,21 @@
             memory: Rc::clone(self),
             purpose,
             bytes,
+            uncounted: match purpose {
+                Use::Answers => 0,
+                Use::Connections | Use::Requests => bytes,
+            },
         }
     }
 
+    /// Charges room for an answer, which is charged apart from it once it is known, or for a part
+    /// of an answer that is on its way. Its release is not counted as room that became free.
+    pub(in crate::gateway::traffic) fn reserve(self: &Rc<Self>, bytes: u64) -> Charge {
+        let mut charge = self.charge(Use::Answers, bytes);
+        charge.uncounted = u64::MAX;
+        charge
+    }
+
     /// Time after which room for `bytes` is expected, in milliseconds.
     pub(in crate::gateway::traffic) fn retry_after_ms(&self, bytes: u64) -> u64 {
         let mut budget = self.budget.borrow_mut();
@@ -108,9 +122,13 @@
         tokio::time::timeout(BODY_WAIT, relieved).await.is_ok()
     }
 
-    fn release(&self, purpose: Use, bytes: u64) {
+    fn release(&self, charge: &Charge) {
         let mut budget = self.budget.borrow_mut();
-        budget.release(clock::mono(), purpose, bytes);
+        let uncounted = charge.uncounted.min(charge.bytes);
+        budget.cancel(charge.purpose, uncounted);
+        if charge.bytes > uncounted {
+            budget.release(clock::mono(), charge.purpose, charge.bytes - uncounted);
+        }
         if self.waiting_bodies.get() > 0 && budget.pressure() < Pressure::NoBodies {
             self.relieved.notify_waiters();
         }
@@ -119,7 +137,7 @@
     /// Sets what does not belong to a request or connection.
     fn set_base(&self, bytes: u64) {
         let mut budget = self.budget.borrow_mut();
-        budget.release(clock::mono(), Use::Connections, self.base.replace(bytes));
+        budget.cancel(Use::Connections, self.base.replace(bytes));
         budget.charge(Use::Connections, bytes);
     }
 
@@ -133,7 +151,8 @@
         }
         self.metrics.memory.set_pressure(pressure);
         let (logged, at) = self.logged.get();
-        let is_due = pressure != logged && now.since(at) >= LOG_PERIOD_MS;
+        // A rise explains refusals, and is logged before them.
+        let is_due = pressure > logged || (pressure < logged && now.since(at) >= LOG_PERIOD_MS);
         if is_due || now.since(self.looked_at.get()) >= LOG_PERIOD_MS {
             self.looked_at.set(now);
             self.resident.set(resident_bytes().unwrap_or_default());
@@ -196,7 +215,7 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        self.memory.release(self.purpose, self.bytes);
+        self.memory.release(self);
     }
 }
 
--- a/crates/citronway/src/gateway/traffic/write_stall.rs
+++ b/crates/citronway/src/gateway/traffic/write_stall.rs
@@ -7,7 +7,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use citronway_core::gateway::memory::Use;
 use http::HeaderValue;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -97,7 +96,7 @@
         let memory = &self.state.memory;
         let stalled = self.stalled.get_or_insert_with(|| Stalled {
             timer: Box::pin(tokio::time::sleep_until(Instant::now() + limit)),
-            _buffer: memory.charge(Use::Answers, u64::from(SEND_BUFFER_BYTES)),
+            _buffer: memory.reserve(u64::from(SEND_BUFFER_BYTES)),
         });
         if stalled.timer.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
--- a/crates/citronway/tests/gateway_memory.rs
+++ b/crates/citronway/tests/gateway_memory.rs
@@ -106,7 +106,6 @@
         resident = metric(&instance, "citronway_memory_resident_bytes");
         resident > answers
     });
-    println!("counted {counted}, of it answers {answers}, resident {resident}, budget {budget}");
     expect_that!(budget, eq(MACHINE_MB * 1024 * 1024 / 100 * 60));
     expect_that!(counted, le(budget));
     expect_that!(resident, lt(MACHINE_MB * 1024 * 1024));
@@ -119,7 +118,6 @@
     expect_that!(change["resident_kb"].as_u64(), some(gt(0)));
     let refused = readers.iter_mut().map(is_refused);
     let refused = refused.filter(|refused| *refused).count();
-    println!("refused {refused} of 300");
     expect_that!(refused, all![gt(0), lt(250)]);
     drop(readers);
     until("all memory is released", || used(&instance, "answers") == 0);
@@ -134,7 +132,12 @@
     let refused = reply.status == 503;
     if refused {
         assert_eq!(reply.body, "out_of_memory");
-        assert!(reply.header("retry-after").is_some());
+        // Nothing is released as long as the readers read nothing.
+        let retry_after = reply.header("retry-after").expect("a time to retry");
+        assert!(
+            retry_after.parse::<f64>().expect("seconds") >= 1.0,
+            "{retry_after}"
+        );
     } else {
         assert_eq!(reply.body.len(), LONG_ANSWER);
     }
