--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -86,7 +86,8 @@
             write_stall_ms: 5_000,
             fleet_admission: false,
             timed_choice: Switch::Auto,
-            fast_division: Switch::Auto,
+            // On days with much trouble divisions cost callers more than they gain.
+            fast_division: Switch::Off,
         }
     }
 }
