Choose endpoints of services without keys by expected end

By load alone, patient work took the fast endpoints, urgent work waited behind it, and idle slow endpoints counted as average, since the view had paces of contended endpoints only.

Change: traffic.timedChoice (auto: the shortest objective of a service's routes is at most half of the longest). Urgent requests take the earlier expected end of two endpoints, patient ones the shorter queue of two where they end in time; silence is judged by an endpoint's own pace and spread. The spread passes in totals; 0 means not known. Metric citronway_timed_answers_total, log lines and explain lines. With the switch off, or objectives that are closer, choices are those by load.

--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -74,6 +74,9 @@
                 rest_of(self.text("endpoint")?)
             }
             "endpoint states that it leaves" => departure_of(self.text("endpoint")?),
+            "endpoints are chosen by expected end" | "endpoints are chosen by load again" => {
+                choice_of(self.text("service")?)
+            }
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
             "this instance leads"
@@ -169,10 +172,10 @@
                 named.insert(endpoint.to_owned());
                 named.extend(statements_of(endpoint));
             }
-            named.extend(
-                line.text("service")
-                    .map(|service| format!("owners of {service}")),
-            );
+            if let Some(service) = line.text("service") {
+                named.insert(format!("owners of {service}"));
+                named.insert(choice_of(service));
+            }
         }
     }
     for (place, line) in lines.iter().enumerate().take(last + 1).skip(first) {
@@ -199,6 +202,11 @@
     Ok(story)
 }
 
+/// Name of what decides the choice of a service's endpoints.
+fn choice_of(service: &str) -> String {
+    format!("choice of endpoints of {service}")
+}
+
 /// Name of what an instance believes of an endpoint's limit.
 fn limit_of(endpoint: &str) -> String {
     format!("limit of {endpoint}")
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -126,3 +126,22 @@
     std::fs::remove_file(&path).expect("the log can be removed");
     expect_that!(story.lines().count(), eq(203));
 }
+
+/// Guards against a late answer of which the story does not say how its endpoint was chosen.
+#[gtest]
+fn a_choice_by_expected_end_is_explained() {
+    let lines = [
+        r#"{"time":"2026-12-04T02:05:01.000Z","instance":"one","message":"endpoints are chosen by expected end","service":"open"}"#,
+        r#"{"time":"2026-12-04T02:05:01.000Z","instance":"one","message":"endpoints are chosen by expected end","service":"other"}"#,
+        r#"{"time":"2026-12-04T02:05:03.000Z","instance":"one","message":"answered after its objective","request":"r","service":"open","endpoint":"i-1","urgency":"urgent","expected_ms":210,"left_ms":480,"late_ms":35}"#,
+    ];
+    let name = format!("citronctl-timed-{}.jsonl", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, lines.join("\n")).expect("a log can be written");
+    let story = explain::run("r", std::slice::from_ref(&path)).expect("a story");
+    std::fs::remove_file(&path).expect("the log can be removed");
+    let believed = "choice of endpoints of open: endpoints are chosen by expected end service=open";
+    expect_that!(story, contains_substring(believed));
+    expect_that!(story, contains_substring("expected_ms=210"));
+    expect_that!(story, not(contains_substring("service=other")));
+}
--- a/crates/citronway-core/src/gateway/admission/choose.rs
+++ b/crates/citronway-core/src/gateway/admission/choose.rs
@@ -24,7 +24,7 @@
 const RELEASE_WAIT_MS: u64 = 1_000;
 
 /// Assumed slowness of a cold endpoint, relative to a warm one.
-const COLD_SLOWNESS: f64 = 2.0;
+pub(super) const COLD_SLOWNESS: f64 = 2.0;
 
 /// Load added for an endpoint in another zone: a share of its slots for an empty answer, and
 /// more for each kilobyte.
@@ -36,7 +36,7 @@
 const OTHER_ZONE_LOAD_PER_KB: f64 = 0.05;
 
 /// Sampling weight of an endpoint in another zone, relative to one in the own zone.
-const OTHER_ZONE_WEIGHT: f64 = 0.25;
+pub(super) const OTHER_ZONE_WEIGHT: f64 = 0.25;
 
 /// Number of endpoints that are sampled for a request.
 const SAMPLE_SIZE: u64 = 2;
@@ -63,11 +63,6 @@
 /// in milliseconds: until the next sums arrive.
 const DRAW_PERIOD_MS: u64 = 200;
 
-/// Time without an answer after which an endpoint with requests in flight counts as
-/// unresponsive: this many times the usual work time, and at least this many milliseconds.
-const UNRESPONSIVE_WORK_FACTOR: u64 = 4;
-const UNRESPONSIVE_MS: u64 = 500;
-
 /// Load added for an unresponsive endpoint, so that it is chosen only if all others are full.
 const UNRESPONSIVE_LOAD: f64 = 100.0;
 
@@ -172,6 +167,7 @@
             endpoint: holder.endpoint.clone(),
             address: holder.address,
             fence: Some(holder.fence),
+            timed: None,
         })
     }
 
@@ -196,7 +192,9 @@
         let has_untried = endpoints
             .iter()
             .any(|listed| !job.tried.contains(&listed.listing.start));
+        let urgency = self.timing.urgency(now, job);
         let mut candidates = Vec::with_capacity(endpoints.len());
+        let mut estimates = Vec::new();
         let mut cause = RefusalReason::Unreachable;
         for (i, listed) in endpoints.iter().enumerate() {
             if has_untried && job.tried.contains(&listed.listing.start) {
@@ -224,9 +222,12 @@
             }
             let mut load =
                 self.load(now, view, listed, tag) + answer_transfer_load(view, listed, job);
-            if self.is_unresponsive(now, job, tag) {
+            let estimate = urgency.map(|_| self.estimate(now, view, listed, tag, job));
+            let by_work = || self.is_unresponsive(now, job, tag);
+            if estimate.map_or_else(by_work, |estimate| estimate.is_silent) {
                 load += UNRESPONSIVE_LOAD;
             }
+            estimates.extend(estimate);
             let slots = listed.listing.slots;
             if slots >= MIN_REUSE_SLOTS && self.idle_connections.has_reusable(now, tag, job.repeat)
             {
@@ -243,6 +244,17 @@
                 listed,
             });
         }
+        if let Some(urgency) = urgency
+            && let Some(place) = self.choose_timed(now, view, job, urgency, &estimates)
+        {
+            let listing = &candidates[place].listed.listing;
+            return Selection::Send(Choice {
+                endpoint: listing.start.clone(),
+                address: listing.address,
+                fence: None,
+                timed: Some(estimates[place].reason(now, job, urgency)),
+            });
+        }
         let best = if is_reported_late(view, job) {
             least_loaded_of_sample(&candidates, view.rank, self.sequence)
         } else {
@@ -255,6 +267,7 @@
             endpoint: listed.listing.start.clone(),
             address: listed.listing.address,
             fence: None,
+            timed: None,
         })
     }
 
@@ -267,17 +280,6 @@
         limit.has_room(in_flight, random_fraction(view.rank, self.sequence))
     }
 
-    /// Whether the endpoint has answered nothing for longer than work takes.
-    ///
-    /// Failure: a machine stops responding while its connections stay open, and non-idempotent
-    /// requests are sent to it until its entry expires.
-    fn is_unresponsive(&self, now: Mono, job: &Job, tag: EndpointTag) -> bool {
-        let limit = (job.work_ms * UNRESPONSIVE_WORK_FACTOR).max(UNRESPONSIVE_MS);
-        self.unanswered
-            .get(&tag)
-            .is_some_and(|since| now.since(*since) > limit)
-    }
-
     fn is_avoided(&self, now: Mono, tag: EndpointTag) -> bool {
         self.avoided
             .get(&tag)
@@ -490,7 +492,7 @@
 }
 
 /// Pseudorandom number from 0 to 1 for a rank and a sequence number.
-fn random_fraction(rank: u64, sequence: u64) -> f64 {
+pub(super) fn random_fraction(rank: u64, sequence: u64) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&sequence.to_le_bytes(), rank);
     hash as f64 / u64::MAX as f64
 }
--- a/crates/citronway-core/src/gateway/admission/job.rs
+++ b/crates/citronway-core/src/gateway/admission/job.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::timing::TimedChoice;
 use crate::gateway::routes::Repeat;
 use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
@@ -95,6 +96,8 @@
     pub address: SocketAddr,
     /// Fence of the endpoint's grant; `None` if the service is not sharded.
     pub fence: Option<u64>,
+    /// Why the endpoint was chosen, if by when the request is expected to end there.
+    pub timed: Option<TimedChoice>,
 }
 
 /// Decision about a request.
--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -12,6 +12,7 @@
 mod refuse;
 mod rests;
 mod stated;
+mod timing;
 mod unreachable;
 mod view;
 mod wait;
@@ -20,6 +21,7 @@
 
 use crate::gateway::limit::{EndpointLoad, ServiceLimit};
 use crate::gateway::pace::EndpointTag;
+use crate::gateway::settings::Switch;
 use crate::gateway::stated_limits::{SendGrant, SendGrants};
 use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
@@ -29,9 +31,11 @@
 use links::{EndpointLinks, LinkFailure};
 use rests::Rests;
 use stated::OwnDepartures;
+use timing::Timing;
 
 pub use job::{Choice, Decision, Job, Refusal, RefusalReason, SendPause, UnknownOutcomeReason};
 pub use kept::AT_MOST_ONCE_IDLE_MS;
+pub use timing::{TimedChoice, Urgency};
 pub use view::{Neighbor, Owners, ReportedLoad, View};
 
 /// Initial and longest time for which no request is sent for a range whose holder said that it
@@ -97,6 +101,7 @@
     links: EndpointLinks,
     departures: OwnDepartures,
     rests: Rests,
+    timing: Timing,
     /// Requests that were queued for an endpoint that rests, since the last look.
     held_for_rest: u64,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
@@ -115,6 +120,20 @@
 }
 
 impl Admission {
+    /// Admission that chooses endpoints of services without keys by expected end as `choice` says.
+    #[must_use]
+    pub fn new(choice: Switch) -> Self {
+        Self {
+            timing: Timing::new(choice),
+            ..Self::default()
+        }
+    }
+
+    /// Services without keys whose endpoints are chosen by when a request is expected to end there.
+    pub fn timed_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.timing.services()
+    }
+
     /// Decides about a request that has just arrived or returns after a failed send.
     ///
     /// Returns `None` if the request is queued; [`Admission::decide_waiting`] decides about it
@@ -379,6 +398,7 @@
 
     /// Updates what depends on the view: when owners and moves were first seen.
     pub fn update_view(&mut self, now: Mono, view: &View) {
+        self.timing.update(view);
         let mut seen = IndexMap::with_capacity(self.fences.len());
         let mut moving = IndexMap::new();
         for owners in view.owners.values() {
--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::assignment::Assignment;
 use crate::gateway::crashes::CrashSnapshot;
-use crate::gateway::pace::EndpointTag;
+use crate::gateway::pace::{EndpointTag, Pace};
 use crate::gateway::registry::Registry;
 use crate::gateway::routes::RouteTable;
 use crate::gateway::share::Demand;
@@ -25,6 +25,8 @@
     pub owners: IndexMap<ServiceName, Owners>,
     /// Load of each endpoint, as other instances report it.
     pub reported_loads: IndexMap<EndpointTag, ReportedLoad>,
+    /// Pace of each endpoint that has answered lately.
+    pub paces: IndexMap<EndpointTag, Pace>,
     /// Availability zone of this instance.
     pub zone: ZoneName,
     /// Rank of this instance among all, on which all instances agree.
@@ -50,6 +52,7 @@
             registry: Arc::default(),
             owners: IndexMap::new(),
             reported_loads: IndexMap::new(),
+            paces: IndexMap::new(),
             zone,
             rank,
             instances: 1,
--- a/crates/citronway-core/src/gateway/pace.rs
+++ b/crates/citronway-core/src/gateway/pace.rs
@@ -15,6 +15,13 @@
 /// Weight of the prior estimate, as a number of answers.
 const PRIOR_ANSWERS: f64 = 3.0;
 
+/// Assumed spread of the times of an endpoint before its answers show it, relative to its mean. Work
+/// varies by half of its mean.
+const PRIOR_SPREAD: f64 = 0.5;
+
+/// Bounds of the spread estimate, relative to the mean.
+const SPREAD_BOUNDS: (f64, f64) = (0.2, 2.0);
+
 /// Bounds of the slowness estimate, so that a single fast or stuck answer has little effect.
 const BOUNDS: (f64, f64) = (0.3, 20.0);
 
@@ -70,10 +77,41 @@
     }
 }
 
+/// How fast an endpoint is and how much its times vary.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pace {
+    /// Time that it takes for a request, relative to an average endpoint.
+    pub slowness: f64,
+    /// Standard deviation of this time, relative to it.
+    pub spread: f64,
+    /// Share of its requests that it fails or refuses.
+    pub failing: f64,
+}
+
+impl Pace {
+    /// Pace of an endpoint of which nothing is known.
+    pub const UNKNOWN: Self = Self {
+        slowness: 1.0,
+        spread: PRIOR_SPREAD,
+        failing: 0.0,
+    };
+}
+
+/// Deviations of answers from what was expected of their endpoint, which show its spread.
+///
+/// Reports carry the sum of several times, not each of them. The square of the difference of their
+/// mean from the expected one, times their number, is on average the variance of one of them.
+#[derive(Debug, Clone, Copy, Default)]
+struct Deviations {
+    squares: f64,
+    count: f64,
+}
+
 /// Pace estimates of all endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointPaces {
     endpoints: IndexMap<EndpointTag, (Answers, Mono)>,
+    deviations: IndexMap<EndpointTag, (Deviations, Mono)>,
     /// Estimates of the leader and the time of their receipt.
     leader_estimates: IndexMap<EndpointTag, (EndpointPace, Mono)>,
 }
@@ -88,6 +126,7 @@
 impl EndpointPaces {
     /// Adds answers of an endpoint.
     pub fn add(&mut self, now: Mono, tag: EndpointTag, answers: &Answers) {
+        self.add_deviation(now, tag, answers);
         let (sum, at) = self
             .endpoints
             .entry(tag)
@@ -97,6 +136,20 @@
         *at = now;
     }
 
+    fn add_deviation(&mut self, now: Mono, tag: EndpointTag, answers: &Answers) {
+        if answers.served <= 0.0 {
+            return;
+        }
+        let expected = self.slowness(now, tag);
+        let difference = answers.relative / answers.served - expected;
+        let entry = self.deviations.entry(tag);
+        let (sum, at) = entry.or_insert((Deviations::default(), now));
+        let by = decay_factor(now, *at);
+        sum.squares = sum.squares.mul_add(by, difference.powi(2) * answers.served);
+        sum.count = sum.count.mul_add(by, 1.0);
+        *at = now;
+    }
+
     /// Sets the leader's estimate, which is based on the answers to all instances.
     pub fn set_leader_estimate(&mut self, now: Mono, pace: EndpointPace) {
         self.leader_estimates.insert(pace.tag, (pace, now));
@@ -117,6 +170,33 @@
         estimate.clamp(BOUNDS.0, BOUNDS.1)
     }
 
+    /// Standard deviation of the time that the endpoint takes, relative to its mean.
+    #[must_use]
+    pub fn spread(&self, now: Mono, tag: EndpointTag) -> f64 {
+        let prior = self.leader_estimate(now, tag);
+        let prior = prior.map_or(PRIOR_SPREAD, |pace| pace.spread);
+        let Some((sum, at)) = self.deviations.get(&tag) else {
+            return prior;
+        };
+        let by = decay_factor(now, *at);
+        let mean = self.slowness(now, tag);
+        let squares = (PRIOR_ANSWERS * (prior * mean).powi(2)) + sum.squares * by;
+        let variance = squares / sum.count.mul_add(by, PRIOR_ANSWERS);
+        (variance.sqrt() / mean).clamp(SPREAD_BOUNDS.0, SPREAD_BOUNDS.1)
+    }
+
+    /// Paces of all endpoints of which anything is known.
+    #[must_use]
+    pub fn estimates(&self, now: Mono) -> IndexMap<EndpointTag, Pace> {
+        let known = self.endpoints.keys().chain(self.leader_estimates.keys());
+        let pace = |tag: &EndpointTag| Pace {
+            slowness: self.slowness(now, *tag),
+            spread: self.spread(now, *tag),
+            failing: self.failing(now, *tag),
+        };
+        known.map(|tag| (*tag, pace(tag))).collect()
+    }
+
     /// Share of its requests that the endpoint fails or refuses.
     #[must_use]
     pub fn failing(&self, now: Mono, tag: EndpointTag) -> f64 {
@@ -144,6 +224,7 @@
                 tag: *tag,
                 slowness: self.slowness(now, *tag),
                 failing: self.failing(now, *tag),
+                spread: self.spread(now, *tag),
             });
         paces
             .filter(|pace| {
@@ -162,6 +243,8 @@
     pub fn prune(&mut self, now: Mono) {
         const KEPT_MS: u64 = 60_000;
         self.endpoints.retain(|_, (_, at)| now.since(*at) < KEPT_MS);
+        self.deviations
+            .retain(|_, (_, at)| now.since(*at) < KEPT_MS);
         self.leader_estimates
             .retain(|_, (_, at)| now.since(*at) < KEPT_MS);
     }
--- a/crates/citronway-core/src/gateway/report.rs
+++ b/crates/citronway-core/src/gateway/report.rs
@@ -220,6 +220,8 @@
     pub slowness: f64,
     /// Share of its requests that it fails or refuses.
     pub failing: f64,
+    /// Standard deviation of this time, relative to it.
+    pub spread: f64,
 }
 
 /// Requests of all instances at one endpoint.
--- a/crates/citronway-wire/schema/report.capnp
+++ b/crates/citronway-wire/schema/report.capnp
@@ -204,6 +204,8 @@
   # In hundredths.
   failing @2 :UInt16;
   # In thousandths.
+  spread @3 :UInt16;
+  # Standard deviation of the time relative to it, in thousandths; 0 if not known.
 }
 
 struct Address {
--- a/crates/citronway-wire/src/report.rs
+++ b/crates/citronway-wire/src/report.rs
@@ -7,7 +7,7 @@
 use capnp::serialize;
 use citronway_core::gateway::crashes::{Fingerprint, RefusedWork, Sign, TrialRequest};
 use citronway_core::gateway::election::Strength;
-use citronway_core::gateway::pace::{Answers, EndpointTag};
+use citronway_core::gateway::pace::{Answers, EndpointTag, Pace};
 use citronway_core::gateway::report::{
     EndpointPace, EndpointTotal, EndpointUse, KeySamples, MemberState, Report, Totals, Versions,
 };
@@ -99,6 +99,7 @@
 /// Parts of one in which slowness and failures are told.
 const SLOWNESS_PARTS: f64 = 100.0;
 const FAILING_PARTS: f64 = 1_000.0;
+const SPREAD_PARTS: f64 = 1_000.0;
 
 fn in_parts(value: f64, parts: f64) -> u16 {
     #[expect(
@@ -142,6 +143,7 @@
         item.set_tag(pace.tag.0);
         item.set_slowness(in_parts(pace.slowness, SLOWNESS_PARTS));
         item.set_failing(in_parts(pace.failing, FAILING_PARTS));
+        item.set_spread(in_parts(pace.spread, SPREAD_PARTS));
     }
     // Instances are reached by version 4 of the protocol alone.
     let addresses = from
@@ -393,6 +395,11 @@
         tag: EndpointTag(pace.get_tag()),
         slowness: f64::from(pace.get_slowness()) / SLOWNESS_PARTS,
         failing: f64::from(pace.get_failing()) / FAILING_PARTS,
+        spread: match pace.get_spread() {
+            // A leader of an earlier release does not estimate it.
+            0 => Pace::UNKNOWN.spread,
+            parts => f64::from(parts) / SPREAD_PARTS,
+        },
     });
     let members = from.get_members()?.iter().map(|address| {
         let ip = Ipv4Addr::from_bits(address.get_ip());
--- a/crates/citronway-wire/src/report_capnp.rs
+++ b/crates/citronway-wire/src/report_capnp.rs
@@ -5647,11 +5647,15 @@
         pub fn get_failing(self) -> u16 {
             self.reader.get_data_field::<u16>(3)
         }
+        #[inline]
+        pub fn get_spread(self) -> u16 {
+            self.reader.get_data_field::<u16>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5725,6 +5729,14 @@
         pub fn set_failing(&mut self, value: u16)  {
             self.builder.set_data_field::<u16>(3, value);
         }
+        #[inline]
+        pub fn get_spread(self) -> u16 {
+            self.builder.get_data_field::<u16>(4)
+        }
+        #[inline]
+        pub fn set_spread(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5736,17 +5748,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(162, 212, 149, 143, 41, 104, 16, 164),
-            ::capnp::word(13, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(35, 93, 28, 110, 169, 244, 208, 183),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 111, 114, 116, 46, 99),
@@ -5754,28 +5766,35 @@
             ::capnp::word(112, 111, 105, 110, 116, 80, 97, 99),
             ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(116, 97, 103, 0, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5801,12 +5820,21 @@
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 112, 114, 101, 97, 100, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5820,9 +5848,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
         pub(crate) const TYPE_ID: u64 = 0xa410_6829_8f95_d4a2;
     }
 }
--- a/crates/citronway-wire/tests/datagrams.rs
+++ b/crates/citronway-wire/tests/datagrams.rs
@@ -233,6 +233,7 @@
             tag: EndpointTag(78),
             slowness: 1.4,
             failing: 0.25,
+            spread: 0.7,
         }],
         refused: vec![RefusedWork {
             work: Fingerprint(u64::MAX),
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -512,6 +512,7 @@
             registry: Arc::clone(&self.registry),
             owners: self.owners.clone(),
             reported_loads: self.peers.reported_loads(now, &self.paces, &self.own_use),
+            paces: self.paces.estimates(now),
             zone: self.zone.clone(),
             rank: self.rank,
             instances: u32::try_from(self.peers.instance_count(now)).unwrap_or(u32::MAX),
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -112,6 +112,12 @@
     verdict: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TimedLabels {
+    urgency: &'static str,
+    result: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct UnusableLabels {
     source: &'static str,
@@ -143,6 +149,7 @@
     crashes: Counter,
     verdicts: Family<VerdictLabels, Counter>,
     crash_suspects: Gauge,
+    timed: Family<TimedLabels, Counter>,
     trials: Family<AnswerLabels, Counter>,
     cold: Family<AnswerLabels, Counter>,
     forwarded: Family<AnswerLabels, Counter>,
@@ -228,6 +235,7 @@
         registry.register("evacuated_ranges", help, evacuated_ranges.clone());
         let statements = StatementMetrics::register(&mut registry);
         Self {
+            timed: timed_answers(&mut registry),
             registry: Arc::new(registry),
             requests,
             latency,
@@ -259,6 +267,13 @@
     }
 }
 
+fn timed_answers(registry: &mut Registry) -> Family<TimedLabels, Counter> {
+    let timed = Family::default();
+    let help = "Answers from endpoints that were chosen by expected end";
+    registry.register("timed_answers", help, timed.clone());
+    timed
+}
+
 impl Metrics {
     /// Counts a request that ended after `ms` milliseconds.
     pub(super) fn record_outcome(&self, class: Class, kind: OutcomeKind, ms: u64) {
@@ -434,6 +449,13 @@
         self.evacuated_ranges.set(gauge(ranges));
     }
 
+    /// Counts an answer from an endpoint that was chosen by expected end.
+    pub(super) fn count_timed_answer(&self, urgency: &'static str, is_late: bool) {
+        let result = if is_late { "late" } else { "in_time" };
+        let labels = TimedLabels { urgency, result };
+        self.timed.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of crash suspects.
     pub(super) fn set_crash_suspects(&self, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -147,6 +147,9 @@
                     }
                 }
                 SendResult::Answer(answer) => {
+                    let request = display_id(self.metadata.id.as_ref());
+                    self.state
+                        .record_timed_answer(now, request, &self.job, &choice);
                     if let Some(outcome) = self.handle_answer(now, &choice, answer) {
                         return outcome;
                     }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -7,6 +7,7 @@
 mod report;
 mod retries;
 mod statements;
+mod timing;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -23,7 +24,7 @@
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{EndpointStart, InstanceName, ServiceName};
 use citronway_core::time::Mono;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::asks::ControlClient;
@@ -60,6 +61,8 @@
     /// Requests without a complete answer.
     pub open_requests: Rc<OpenRequests>,
     admission: RefCell<Admission>,
+    /// Services whose endpoints are chosen by expected end, as last logged.
+    timed_services: RefCell<IndexSet<ServiceName>>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Decision>>>,
     waiting_added: Notify,
     last_ticket: Cell<u64>,
@@ -135,7 +138,8 @@
             metrics,
             dialer,
             listener_probes: ListenerProbes::new(dialer),
-            admission: RefCell::default(),
+            admission: RefCell::new(Admission::new(cfg.traffic.timed_choice)),
+            timed_services: RefCell::default(),
             waiting: RefCell::default(),
             waiting_added: Notify::new(),
             last_ticket: Cell::new(0),
@@ -385,6 +389,7 @@
         self.admission
             .borrow_mut()
             .update_view(now, &self.view.borrow());
+        self.log_timed_services();
         self.decide_waiting();
     }
 
