--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -91,6 +91,9 @@
                 bytes_of(self.text("service")?)
             }
             "pressure on memory changed" => "pressure on memory".to_owned(),
+            "endpoints are chosen by expected end" | "endpoints are chosen by load again" => {
+                choice_of(self.text("service")?)
+            }
             "store lost" | "store regained" => format!("table {}", self.text("table")?),
             "readiness changed" => "readiness".to_owned(),
             "this instance leads"
@@ -187,7 +190,11 @@
                 named.extend(statements_of(endpoint));
             }
             if let Some(service) = line.text("service") {
-                named.extend([format!("owners of {service}"), bytes_of(service)]);
+                named.extend([
+                    format!("owners of {service}"),
+                    bytes_of(service),
+                    choice_of(service),
+                ]);
             }
         }
     }
@@ -239,6 +246,11 @@
     format!("divisions of hot ranges:\n{text}")
 }
 
+/// Name of what decides the choice of a service's endpoints.
+fn choice_of(service: &str) -> String {
+    format!("choice of endpoints of {service}")
+}
+
 /// Name of what an instance believes of an endpoint's limit.
 fn limit_of(endpoint: &str) -> String {
     format!("limit of {endpoint}")
--- a/crates/citronway-core/src/gateway/admission/fleet.rs
+++ b/crates/citronway-core/src/gateway/admission/fleet.rs
@@ -47,14 +47,9 @@
 impl Admission {
     /// Admission that uses the demand of all instances, and reports its own, if `is_on`.
     #[must_use]
-    pub fn with_fleet_admission(is_on: bool) -> Self {
-        Self {
-            fleet: FleetAdmission {
-                is_on,
-                ..FleetAdmission::default()
-            },
-            ..Self::default()
-        }
+    pub fn with_fleet_admission(mut self, is_on: bool) -> Self {
+        self.fleet.is_on = is_on;
+        self
     }
 
     /// Demand of the other instances, if it is used and young enough.
--- a/crates/citronway-core/tests/fleet_world/mod.rs
+++ b/crates/citronway-core/tests/fleet_world/mod.rs
@@ -99,7 +99,7 @@
         let mut view = Scene::new().view();
         view.rank = rank as u64 * 7_919 + 3;
         view.instances = plan.instances as u32;
-        let mut admission = Admission::with_fleet_admission(plan.is_on);
+        let mut admission = Admission::default().with_fleet_admission(plan.is_on);
         admission.update_view(Mono(1_000), &view);
         let heard = Default::default();
         Instance {
--- a/crates/citronway-core/tests/gateway_fleet_admission.rs
+++ b/crates/citronway-core/tests/gateway_fleet_admission.rs
@@ -166,7 +166,7 @@
         };
         view.reported_loads.insert(queue, reported);
         view.fleet = at.map(|at| FleetDemand::from_sums(Mono(at), &[busy], &[]));
-        let mut admission = Admission::with_fleet_admission(is_on);
+        let mut admission = Admission::default().with_fleet_admission(is_on);
         admission.update_view(start.minus(1_000), &view);
         let mut decisions = Vec::new();
         for n in 0..400 {
@@ -198,7 +198,7 @@
     let now = Mono(60_000);
     let mut view = Scene::new().view();
     view.fleet = Some(FleetDemand::from_reports(now, &[]));
-    let mut admission = Admission::with_fleet_admission(true);
+    let mut admission = Admission::default().with_fleet_admission(true);
     admission.update_view(now.minus(1_000), &view);
     let mut sent = Vec::new();
     let mut order = Vec::new();
@@ -235,7 +235,7 @@
         ..QueueDemand::default()
     };
     view.fleet = Some(FleetDemand::from_reports(now, &[(5, &[others])]));
-    let mut admission = Admission::with_fleet_admission(true);
+    let mut admission = Admission::default().with_fleet_admission(true);
     admission.update_view(now.minus(1_000), &view);
     let mut told = [0; 8];
     for ticket in 0..60 {
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -10,6 +10,7 @@
 mod report;
 mod retries;
 mod statements;
+mod timing;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
 use citronway_core::gateway::settings::{InstanceSettings, TrafficSettings};
 use citronway_core::ids::{EndpointStart, InstanceName, ServiceName};
 use citronway_core::time::Mono;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::asks::ControlClient;
@@ -73,6 +74,8 @@
     admission: RefCell<Admission>,
     /// Whether the demand of all instances was in use at the last report.
     decides_by_fleet: Cell<bool>,
+    /// Services whose endpoints are chosen by expected end, as last logged.
+    timed_services: RefCell<IndexSet<ServiceName>>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Decision>>>,
     waiting_added: Notify,
     last_ticket: Cell<u64>,
@@ -154,8 +157,12 @@
             metrics,
             dialer,
             listener_probes: ListenerProbes::new(dialer),
-            admission: RefCell::new(Admission::with_fleet_admission(cfg.traffic.fleet_admission)),
+            admission: RefCell::new(
+                Admission::new(cfg.traffic.timed_choice)
+                    .with_fleet_admission(cfg.traffic.fleet_admission),
+            ),
             decides_by_fleet: Cell::new(false),
+            timed_services: RefCell::default(),
             waiting: RefCell::default(),
             waiting_added: Notify::new(),
             last_ticket: Cell::new(0),
@@ -407,6 +414,7 @@
         self.admission
             .borrow_mut()
             .update_view(now, &self.view.borrow());
+        self.log_timed_services();
         self.decide_waiting();
     }
 
