--- a/crates/citronway-core/src/gateway/admission/timing.rs
+++ b/crates/citronway-core/src/gateway/admission/timing.rs
@@ -16,10 +16,14 @@
 use crate::ids::ServiceName;
 use crate::time::Mono;
 
-/// Multiple of the shortest objective of a service from which on a request has time to spare. The
-/// feature is on by itself where a route has such an objective.
+/// Multiple of the shortest objective of a service from which on a request has time to spare.
 const PATIENT_OBJECTIVES: u64 = 2;
 
+/// Multiple of the shortest objective that the longest one of a service must be for the feature to
+/// be on by itself. With less, patient requests have little room to choose from in their own zone,
+/// and their answers cross zones.
+const AUTO_OBJECTIVES: u64 = 3;
+
 /// Multiple of its usual work time that a request with time to spare has left: enough for an endpoint
 /// of half of the usual speed with a queue of one request for each slot.
 const PATIENT_WORK: u64 = 4;
@@ -165,7 +169,7 @@
     let users = users.filter(|route| route.targets.iter().any(has_service));
     let objectives = users.map(|route| route.objective_ms);
     let shortest = objectives.clone().min()?;
-    let is_uneven = shortest * PATIENT_OBJECTIVES <= objectives.max()?;
+    let is_uneven = shortest * AUTO_OBJECTIVES <= objectives.max()?;
     (switch == Switch::On || is_uneven).then_some(shortest)
 }
 
--- a/crates/citronway-core/tests/gateway_timed_choice.rs
+++ b/crates/citronway-core/tests/gateway_timed_choice.rs
@@ -81,7 +81,7 @@
 
 /// Outcomes by load and by expected end.
 fn both(play: &Play) -> [Vec<Outcome>; 2] {
-    [Switch::Off, Switch::Auto].map(|choice| World::new(play.clone(), choice).run())
+    [Switch::Off, Switch::On].map(|choice| World::new(play.clone(), choice).run())
 }
 
 /// Guards against urgent work that waits behind patient work or runs on slow endpoints: fewer of it
@@ -137,8 +137,8 @@
 fn without_the_switch_or_uneven_objectives_choices_are_by_load() {
     for (choice, objectives, is_timed) in [
         (Switch::Off, [500, 2_000], false),
-        (Switch::Auto, [500, 999], false),
-        (Switch::Auto, [500, 1_000], true),
+        (Switch::Auto, [500, 1_499], false),
+        (Switch::Auto, [500, 1_500], true),
         (Switch::On, [500, 500], true),
     ] {
         let mut view = Scene::new().view();
