--- a/crates/citronway/tests/gateway_rows.rs
+++ b/crates/citronway/tests/gateway_rows.rs
@@ -344,7 +344,12 @@
     let large = LargeEndpoint::start(LENGTH);
     deployment.store.put("servers", "i-large", &large.entry());
     deployment.configure(2, &json!([]));
-    let instance = deployment.ready_instance("one");
+    // Answers of 80 MB are held at a time, for which a small instance has no room.
+    let mut instance = deployment.instance_with("one", |settings| {
+        settings["self"]["limits"]["memoryMb"] = json!(1_000);
+    });
+    let _logs = instance.logs();
+    until("the instance is ready", || instance.is_ready());
     let mut caller = RowCaller::connect(instance.callers);
     let ids = ["r0", "r1", "r2", "r3", "r4"];
     for row in [&ids[..2], &ids[2..]] {
