--- a/crates/citronway-core/src/gateway/admission/fleet.rs
+++ b/crates/citronway-core/src/gateway/admission/fleet.rs
@@ -61,8 +61,8 @@
 
     /// Demand at this instance for the next report; `None` if it reports none.
     ///
-    /// Failure: an instance that no endpoint answers passes its requests on, and others leave room
-    /// to requests that it cannot send. So it reports none that wait.
+    /// An instance that no endpoint answers passes its requests on. It reports none that wait, so that
+    /// others leave no room to requests that it cannot send.
     pub fn take_demand(&mut self, now: Mono, view: &View) -> Option<Vec<QueueDemand>> {
         if !self.fleet.is_on {
             return None;
--- a/crates/citronway-core/src/gateway/admission/timing.rs
+++ b/crates/citronway-core/src/gateway/admission/timing.rs
@@ -209,8 +209,8 @@
 
     /// Time without an answer after which the endpoint counts as silent, in milliseconds.
     ///
-    /// Failure guarded against: an endpoint hangs while its connections stay open. A limit for all
-    /// endpoints alike takes a slow one for silent, or sends to a fast one for too long.
+    /// It depends on the pace, since one limit for all endpoints takes a slow one for silent, or sends
+    /// to a fast one that hangs for too long.
     pub(super) fn silence_ms(&self) -> f64 {
         let end_ms = self.deviation_ms.mul_add(SILENT_DEVIATIONS, self.end_ms);
         end_ms.max(MIN_SILENT_MS)
--- a/crates/citronway-core/src/gateway/keyload.rs
+++ b/crates/citronway-core/src/gateway/keyload.rs
@@ -168,7 +168,7 @@
         self.recent.decay(now);
     }
 
-    /// Sets the long window to loads that were measured otherwise: those of some keys, in requests
+    /// Sets the long window to loads from another source: those of some keys, in requests
     /// a second, and for all other keys the factor by which theirs has changed.
     pub fn set_steady(&mut self, others_factor: f64, known: &[(Span, Vec<f64>)]) {
         // The rates of the long window include the change of the total, which is applied now.
