Second sends: log lines and metrics by service, cause and number of instances

What was missing: logs told neither how many instances a process assumes when it sends a request again, nor what a second send is counted for, and a request that is refused for want of one read like one that the endpoint refused. Change: a line for each second send and for each request that is not sent again, one a window and service when none is left; metrics citronway_second_sends_total, _left and citronway_sharing_instances. No decision is changed.

--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::assignment::Assignment;
+use crate::gateway::budget::{CountSource, Sharing};
 use crate::gateway::crashes::CrashSnapshot;
 use crate::gateway::fleet_admission::FleetDemand;
 use crate::gateway::pace::{EndpointTag, Pace};
@@ -34,6 +35,8 @@
     pub rank: u64,
     /// Number of instances that share the load, this one included.
     pub instances: u32,
+    /// Number of instances that share the limit on retries.
+    pub sharing: Sharing,
     /// Requests that crash endpoints or are suspected of it.
     pub crashes: Arc<CrashSnapshot>,
     /// Other instances that may reach endpoints which this one does not.
@@ -63,6 +66,10 @@
             zone,
             rank,
             instances: 1,
+            sharing: Sharing {
+                instances: 1,
+                source: CountSource::Unknown,
+            },
             crashes: Arc::default(),
             neighbors: Vec::new(),
             has_leader: false,
--- a/crates/citronway-core/src/gateway/budget.rs
+++ b/crates/citronway-core/src/gateway/budget/mod.rs
@@ -1,9 +1,13 @@
 //! Retry budget of an instance within a limit that all instances share.
 
+mod sharing;
+
 use std::collections::VecDeque;
 
 use crate::time::Mono;
 
+pub use sharing::{CountSource, FleetSize, Sharing};
+
 /// Length of one slice of the window, in milliseconds.
 const SLICE_MS: u64 = 1_000;
 
@@ -11,37 +15,6 @@
 /// aligned with each other, and for requests that end outside the window.
 const USED_PART: f64 = 0.7;
 
-/// Time in milliseconds before a larger number of instances is replaced by a smaller one. It is
-/// longer than a window, and longer than a new leader needs to receive reports of all instances.
-const SHRINK_DELAY_MS: u64 = 15_000;
-
-/// Number of instances that share the limit.
-///
-/// Failure guarded against: the leader changes, its successor has reports of only a few instances
-/// at first and announces their number, and each instance uses the slack of the whole fleet.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct FleetSize {
-    count: u32,
-    updated_at: Mono,
-}
-
-impl FleetSize {
-    /// Applies a number announced by a leader.
-    pub const fn update(&mut self, now: Mono, count: u32) {
-        let is_old = now.since(self.updated_at) >= SHRINK_DELAY_MS;
-        if count >= self.count || is_old {
-            self.count = count;
-            self.updated_at = now;
-        }
-    }
-
-    /// Number of instances; zero before any announcement.
-    #[must_use]
-    pub const fn count(self) -> u32 {
-        self.count
-    }
-}
-
 /// Limit on the retries of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimit {
@@ -53,6 +26,46 @@
     pub window_ms: u64,
 }
 
+/// Why a request is sent a second time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RetryCause {
+    /// An endpoint rejected it: full, or not willing to run it.
+    Rejected,
+    /// An endpoint does not hold its key, or is another one than was meant.
+    Misdirected,
+    /// An endpoint ran it and failed with a server error.
+    Failed,
+    /// An endpoint may have run it, and gave no complete answer.
+    Unanswered,
+    /// It went through another instance and may have reached an endpoint there.
+    PassedOn,
+}
+
+impl RetryCause {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Rejected => "rejected",
+            Self::Misdirected => "misdirected",
+            Self::Failed => "failed",
+            Self::Unanswered => "unanswered",
+            Self::PassedOn => "passed_on",
+        }
+    }
+}
+
+/// Use of a retry budget in the present window.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RetryUse {
+    /// Requests of callers.
+    pub requests: f64,
+    /// Retries that were used.
+    pub retries: f64,
+    /// Retries that are left.
+    pub left: f64,
+}
+
 /// Retry budget of one instance for one service.
 ///
 /// Each instance uses the ratio for its own requests and an equal part of the slack, so the sum
@@ -95,6 +108,17 @@
         true
     }
 
+    /// Use of the budget in the present window.
+    pub fn used(&mut self, now: Mono, instances: u32) -> RetryUse {
+        let left = self.remaining(now, instances);
+        let sum = |count: fn(&Slice) -> u32| self.slices.iter().map(|s| f64::from(count(s))).sum();
+        RetryUse {
+            requests: sum(|s| s.requests),
+            retries: sum(|s| s.retries),
+            left,
+        }
+    }
+
     /// Number of retries that remain in the window.
     pub fn remaining(&mut self, now: Mono, instances: u32) -> f64 {
         let _ = self.slice(now);
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod evacuations;
 mod load;
 mod restore;
+mod sharing;
 mod table;
 
 use std::net::SocketAddr;
@@ -541,6 +542,7 @@
             zone: self.zone.clone(),
             rank: self.rank,
             instances: u32::try_from(self.peers.instance_count(now)).unwrap_or(u32::MAX),
+            sharing: self.sharing(now),
             crashes: self.crashes.known(),
             neighbors: match self.neighbor_port {
                 Some(port) => self.peers.neighbors(now, &self.zone, port, self.rank),
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
 use super::fleet_metrics::FleetMetrics;
 use super::memory_metrics::MemoryMetrics;
 use super::pipeline_metrics::PipelineMetrics;
+use super::retry_metrics::RetryMetrics;
 use super::statement_metrics::StatementMetrics;
 use crate::logs;
 
@@ -172,6 +173,8 @@
     pub(super) fleet: FleetMetrics,
     /// Memory that callers' traffic uses.
     pub(super) memory: MemoryMetrics,
+    /// Second sends.
+    pub(super) retries: RetryMetrics,
 }
 
 /// Registers the metrics that have files of their own.
@@ -182,12 +185,14 @@
     PipelineMetrics,
     FleetMetrics,
     MemoryMetrics,
+    RetryMetrics,
 ) {
     (
         StatementMetrics::register(registry),
         PipelineMetrics::register(registry),
         FleetMetrics::register(registry),
         MemoryMetrics::register(registry),
+        RetryMetrics::register(registry),
     )
 }
 
@@ -201,6 +206,18 @@
     (zones, ranges)
 }
 
+/// Registers the metrics of work that crashes endpoints.
+fn crash_metrics(registry: &mut Registry) -> (Counter, Family<VerdictLabels, Counter>, Gauge) {
+    let (crashes, verdicts, suspects) = (Counter::default(), Family::default(), Gauge::default());
+    let help = "Requests whose endpoint crashed";
+    registry.register("endpoint_crashes", help, crashes.clone());
+    let help = "Work that was taken as harmful, and let go";
+    registry.register("work_judged", help, verdicts.clone());
+    let help = "Work that was at an endpoint that crashed, harmful or not";
+    registry.register("crash_suspects", help, suspects.clone());
+    (crashes, verdicts, suspects)
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("citronway");
@@ -239,15 +256,7 @@
         let unusable = Family::default();
         let help = "Parts of the configuration and rows that could not be used";
         registry.register("unusable", help, unusable.clone());
-        let crashes = Counter::default();
-        let help = "Requests whose endpoint crashed";
-        registry.register("endpoint_crashes", help, crashes.clone());
-        let verdicts = Family::default();
-        let help = "Work that was taken as harmful, and let go";
-        registry.register("work_judged", help, verdicts.clone());
-        let crash_suspects = Gauge::default();
-        let help = "Work that was at an endpoint that crashed, harmful or not";
-        registry.register("crash_suspects", help, crash_suspects.clone());
+        let (crashes, verdicts, crash_suspects) = crash_metrics(&mut registry);
         let trials = Family::default();
         let help = "Requests for trials of work under suspicion, by answer";
         registry.register("trials", help, trials.clone());
@@ -268,7 +277,7 @@
         registry.register("config_confirmed_age_seconds", help, config_age.clone());
         let (evacuated_zones, evacuated_ranges) = evacuation_gauges(&mut registry);
         let divisions = DivisionMetrics::register(&mut registry);
-        let (statements, pipeline, fleet, memory) = register_groups(&mut registry);
+        let (statements, pipeline, fleet, memory, retries) = register_groups(&mut registry);
         Self {
             timed: timed_answers(&mut registry),
             registry: Arc::new(registry),
@@ -302,6 +311,7 @@
             pipeline,
             fleet,
             memory,
+            retries,
         }
     }
 }
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod metrics;
 mod pipeline_metrics;
 mod ready;
+mod retry_metrics;
 mod run;
 mod statement_metrics;
 mod traffic;
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -7,6 +7,7 @@
     Choice, Decision, Job, Refusal, RefusalReason, UnknownOutcomeReason,
 };
 use citronway_core::gateway::assignment::Range;
+use citronway_core::gateway::budget::RetryCause;
 use citronway_core::gateway::crashes::Fingerprint;
 use citronway_core::gateway::pace::EndpointTag;
 use citronway_core::gateway::routes::{Repeat, Route};
@@ -20,7 +21,7 @@
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, display_id, stopping};
 use super::sent::{NotSentCause, SendResult, UnknownOutcome, log_send};
-use super::state::{Charge, Phase, State};
+use super::state::{Charge, Phase, Retry, State};
 use super::suspicion::CrashCheck;
 use super::trial::Trial;
 use crate::clock;
@@ -67,9 +68,9 @@
     pub trial: Option<Trial>,
     /// Whether an endpoint has crashed while it ran the request.
     pub has_crashed: bool,
-    /// Whether the next send is to be taken from the budget of second sends. A rejected request may
-    /// be refused before it is sent again.
-    pub owes_retry: bool,
+    /// Why the next send is to be taken from the budget of second sends; `None` if it is not. A
+    /// rejected request may be refused before it is sent again.
+    pub owes_retry: Option<RetryCause>,
 }
 
 impl Forwarding<'_> {
@@ -126,8 +127,9 @@
             }
             self.open.set_endpoint(placed, &choice);
             let in_flight = self.state.in_flight(&choice, self.job.ticket);
-            let owes_retry = std::mem::take(&mut self.owes_retry);
-            if owes_retry && !self.state.take_retry(placed, &self.job.service) {
+            if let Some(cause) = self.owes_retry.take()
+                && !self.state.take_retry(placed, self.retry(cause))
+            {
                 return self.refuse_with(RefusalReason::EndpointRefused);
             }
             if !self.reserve_answer() {
@@ -172,12 +174,9 @@
                     }
                 }
                 SendResult::Refused(kind) => {
-                    self.record_refusal(&choice, kind);
-                    if !self.has_time(now) || !self.state.has_retry(now, &self.job.service) {
-                        return self.refuse_with(RefusalReason::EndpointRefused);
+                    if let Some(outcome) = self.handle_rejection(now, &choice, kind) {
+                        return outcome;
                     }
-                    self.job.record_rejection(now, &choice.endpoint);
-                    self.owes_retry = true;
                 }
                 SendResult::MayHaveRun(unknown) => {
                     if let Some(outcome) = self.handle_unknown_outcome(now, choice, unknown).await {
@@ -254,7 +253,7 @@
             let cause = "the endpoint crashed";
             return Some(Outcome::Unknown(UnknownOutcomeReason::Crashed, cause));
         }
-        if !self.may_run_again() || !self.may_send_again(now) {
+        if !self.may_run_again() || !self.may_send_again(now, RetryCause::Unanswered) {
             return Some(Outcome::Unknown(
                 UnknownOutcomeReason::Broken,
                 unknown.cause(),
@@ -323,7 +322,8 @@
             self.state.record_failure(&choice.endpoint);
             self.may_have_run_at.push(choice.endpoint.clone());
             let other = choice.fence.is_none() && self.may_run_again();
-            if other && now < self.job.objective_at && self.may_send_again(now) {
+            if other && now < self.job.objective_at && self.may_send_again(now, RetryCause::Failed)
+            {
                 self.failed_answer = Some(answer);
                 return None;
             }
@@ -331,6 +331,26 @@
         Some(Outcome::Answered(answer))
     }
 
+    /// Handles a rejection by an endpoint. Returns `None` if the request is to be sent again.
+    fn handle_rejection(
+        &mut self,
+        now: Mono,
+        choice: &Choice,
+        kind: AnswerKind,
+    ) -> Option<Outcome> {
+        self.record_refusal(choice, kind);
+        let cause = match kind {
+            AnswerKind::Misdirected => RetryCause::Misdirected,
+            _ => RetryCause::Rejected,
+        };
+        if !self.has_time(now) || !self.state.has_retry(now, self.retry(cause)) {
+            return Some(self.refuse_with(RefusalReason::EndpointRefused));
+        }
+        self.job.record_rejection(now, &choice.endpoint);
+        self.owes_retry = Some(cause);
+        None
+    }
+
     fn record_refusal(&self, choice: &Choice, kind: AnswerKind) {
         match (kind, choice.fence) {
             (AnswerKind::Misdirected, Some(fence)) => self.state.record_not_held(&self.job, fence),
@@ -366,8 +386,16 @@
         here.saturating_add(self.runs_elsewhere)
     }
 
-    pub(super) fn may_send_again(&self, now: Mono) -> bool {
-        self.has_time(now) && self.state.take_retry(now, &self.job.service)
+    pub(super) fn may_send_again(&self, now: Mono, cause: RetryCause) -> bool {
+        self.has_time(now) && self.state.take_retry(now, self.retry(cause))
+    }
+
+    fn retry(&self, cause: RetryCause) -> Retry<'_> {
+        Retry {
+            request: display_id(self.metadata.id.as_ref()),
+            service: &self.job.service,
+            cause,
+        }
     }
 
     /// Outcome of a request that was refused at admission.
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Neighbor, RefusalReason, UnknownOutcomeReason};
+use citronway_core::gateway::budget::RetryCause;
 use citronway_core::gateway::crashes::FingerprintKey;
 use citronway_platform::answers::{AnswerHead, AnswerKind};
 use http::Request;
@@ -78,7 +79,7 @@
 
     fn after_unknown_forward(&mut self, cause: &'static str) -> Option<Outcome> {
         self.runs_elsewhere += 1;
-        if self.may_run_again() && self.may_send_again(clock::mono()) {
+        if self.may_run_again() && self.may_send_again(clock::mono(), RetryCause::PassedOn) {
             return None;
         }
         Some(Outcome::Unknown(UnknownOutcomeReason::Broken, cause))
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -237,7 +237,7 @@
         work: OnceCell::new(),
         trial: None,
         has_crashed: false,
-        owes_retry: false,
+        owes_retry: None,
     };
     forwarding.run().await
 }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 
 use citronway_core::gateway::admission::{Admission, Choice, Decision, Job, View};
-use citronway_core::gateway::budget::{RetryLimit, SharedRetryBudget};
+use citronway_core::gateway::budget::RetryLimit;
 use citronway_core::gateway::crashes::{Fingerprint, Sign};
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::limit::EndpointLoad;
@@ -41,6 +41,7 @@
 use crate::gateway::metrics::Metrics;
 use guards::Waiting;
 use memory::Memory;
+use retries::RetryBudgets;
 use statements::Unreported;
 
 pub(super) use guards::{InFlight, OpenConnection};
@@ -48,6 +49,7 @@
 pub(super) use phase::Phase;
 pub use phase::Stop;
 pub(super) use pipelined::Pipelined;
+pub(super) use retries::Retry;
 
 /// Weight of the newest answer in a route's mean work time and mean answer size.
 const MEAN_WEIGHT: f64 = 0.02;
@@ -84,7 +86,7 @@
     drain_ms: u64,
     /// Factor by which the rate limit that a service states for cold endpoints may be exceeded.
     cold_overage: f64,
-    retry_budgets: RefCell<IndexMap<ServiceName, SharedRetryBudget>>,
+    retry_budgets: RefCell<RetryBudgets>,
     /// Statistics by route name.
     route_stats: RefCell<IndexMap<String, RouteStats>>,
     answers: RefCell<IndexMap<EndpointTag, Answers>>,
@@ -169,7 +171,7 @@
             retry_limit: cfg.retries,
             drain_ms: cfg.drain_ms,
             cold_overage: cfg.cold_overage,
-            retry_budgets: RefCell::default(),
+            retry_budgets: RefCell::new(RetryBudgets::new(clock::mono(), cfg.retries)),
             route_stats: RefCell::default(),
             answers: RefCell::default(),
             key_samples: RefCell::default(),
--- a/crates/citronway/src/gateway/traffic/state/report.rs
+++ b/crates/citronway/src/gateway/traffic/state/report.rs
@@ -24,6 +24,7 @@
         self.metrics.set_connections(self.open_connections());
         self.open_requests.update_metrics();
         self.update_rests();
+        self.update_retry_metrics(clock::mono());
         let demand = self.take_demand();
         let mut answers = std::mem::take(&mut *self.answers.borrow_mut());
         let mut peaks = self.admission.borrow_mut().take_byte_peaks();
