Second sends are paid from what a process has earned itself, whoever ran before it

Endpoints that refuse for want of room get more than the platform allows. Cause: each process kept its part of a limit of the fleet by itself and forgot at its end what it had used. The next process began with the whole part of the slack, and earned the ratio anew in the same window; and it divided the slack by the instances that it heard, 1 to 9 of 11 at first. The margin of 0.3 bears less than one restart of each instance in a window. Change: what a process may send again rests on sums over processes. Requests earn the ratio, time earns a part of the slack, and in each window a process sends again at most 0.72 of what it earned in the window before and 0.2 of what it has earned in the window itself. The sum over all processes is within 0.92 of the limit, however many end and start (module doc). Time earns nothing until the rows of all instances have been read; then the largest number counts that rows, totals or reports have told. An instance that had no row has no predecessor, and counts as if it had earned its part before.

--- a/crates/citronway-core/src/gateway/admission/view.rs
+++ b/crates/citronway-core/src/gateway/admission/view.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::gateway::assignment::Assignment;
-use crate::gateway::budget::{CountSource, Sharing};
+use crate::gateway::budget::Sharing;
 use crate::gateway::crashes::CrashSnapshot;
 use crate::gateway::fleet_admission::FleetDemand;
 use crate::gateway::pace::{EndpointTag, Pace};
@@ -66,10 +66,7 @@
             zone,
             rank,
             instances: 1,
-            sharing: Sharing {
-                instances: 1,
-                source: CountSource::Unknown,
-            },
+            sharing: Sharing::ALONE,
             crashes: Arc::default(),
             neighbors: Vec::new(),
             has_leader: false,
--- a/crates/citronway-core/src/gateway/budget/mod.rs
+++ b/crates/citronway-core/src/gateway/budget/mod.rs
@@ -1,4 +1,18 @@
-//! Retry budget of an instance within a limit that all instances share.
+//! Retry budget of a process within a limit that all instances share.
+//!
+//! What a process may send again rests on nothing but what it has counted itself since its start, and
+//! sums over processes. So the sum stays within the limit without communication, and however many
+//! processes end and start:
+//!
+//! - Each request of a caller earns the ratio of the limit, and time earns an equal part of the slack.
+//! - In each window, a process sends again at most [`EARLIER_PART`] of what it earned in the window
+//!   before it and [`PRESENT_PART`] of what it has earned in the window itself.
+//! - A process that is the first one of its instance counts as one that had earned its part of the
+//!   slack in the window before its start, as nobody has used that.
+//!
+//! The requests of all processes in two successive windows are at most twice those of the window
+//! that has more, and the parts weigh the two, so all second sends are at most the sum of both
+//! parts of the limit.
 
 mod sharing;
 
@@ -6,14 +20,20 @@
 
 use crate::time::Mono;
 
-pub use sharing::{CountSource, FleetSize, Sharing};
+pub use sharing::{CountSource, FleetSize, Listed, Sharing};
 
-/// Length of one slice of the window, in milliseconds.
-const SLICE_MS: u64 = 1_000;
+/// Slices into which a window is divided.
+const SLICES: usize = 40;
 
-/// Part of the limit that is used. The rest is a margin for windows of instances that are not
-/// aligned with each other, and for requests that end outside the window.
-const USED_PART: f64 = 0.7;
+/// Part of what a process earned in the window before a window that it may use in that window.
+const EARLIER_PART: f64 = 0.72;
+
+/// Part of what a process earns in a window that it may use in the same window. The rest of the
+/// limit is a margin for sends that arrive late.
+///
+/// Failure guarded against: a process that uses all it earns is killed, and the next one earns the
+/// same again in the same window.
+const PRESENT_PART: f64 = 0.2;
 
 /// Limit on the retries of all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -66,96 +86,154 @@
     pub left: f64,
 }
 
-/// Retry budget of one instance for one service.
-///
-/// Each instance uses the ratio for its own requests and an equal part of the slack, so the sum
-/// stays within the limit without communication.
-#[derive(Debug)]
+/// Retry budget of one process for one service.
+#[derive(Debug, Clone)]
 pub struct SharedRetryBudget {
     limit: RetryLimit,
-    slices: VecDeque<Slice>,
+    /// Instances that share the limit, as known since the last call.
+    sharing: Sharing,
+    /// Time of the last call.
+    at: Mono,
+    /// Sums since the start.
+    total: Sums,
+    /// Sums at the start of each slice of the last two windows, the newest last.
+    marks: VecDeque<Sums>,
+    /// Number of the present slice.
+    slice: u64,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Slice {
-    start: Mono,
-    requests: u32,
-    retries: u32,
+/// Sums of what a process has counted.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
+    requests: f64,
+    retries: f64,
+    /// Parts of the slack that time has earned, as a number of retries.
+    slack: f64,
 }
 
 impl SharedRetryBudget {
-    /// Creates a budget without counted requests.
+    /// Creates the budget of a process that starts now. `sharing` is the number of instances that
+    /// share the limit.
     #[must_use]
-    pub const fn new(limit: RetryLimit) -> Self {
-        Self {
+    pub fn new(now: Mono, limit: RetryLimit, sharing: Sharing) -> Self {
+        let mut new = Self {
             limit,
-            slices: VecDeque::new(),
-        }
+            sharing,
+            at: now,
+            total: Sums::default(),
+            marks: VecDeque::from([Sums::default()]),
+            slice: 0,
+        };
+        new.slice = new.slice_at(now);
+        new
+    }
+
+    /// Lets time pass until now, and takes over the number of instances from now on.
+    pub fn advance(&mut self, now: Mono, sharing: Sharing) {
+        self.begin_slices(now);
+        self.total.slack = self.slack_at(now);
+        self.at = self.at.max(now);
+        self.sharing = sharing;
     }
 
     /// Counts a request of a caller.
-    pub fn record_request(&mut self, now: Mono) {
-        self.slice(now).requests += 1;
+    pub fn record_request(&mut self, now: Mono, sharing: Sharing) {
+        self.advance(now, sharing);
+        self.total.requests += 1.0;
     }
 
-    /// Uses one retry. Returns false if none remains. `instances` is the number of instances that
-    /// share the limit.
-    pub fn try_take(&mut self, now: Mono, instances: u32) -> bool {
-        if self.remaining(now, instances) < 1.0 {
+    /// Uses one retry. Returns false if none remains.
+    pub fn try_take(&mut self, now: Mono, sharing: Sharing) -> bool {
+        self.advance(now, sharing);
+        if self.left() < 1.0 {
             return false;
         }
-        self.slice(now).retries += 1;
+        self.total.retries += 1.0;
         true
     }
 
     /// Use of the budget in the present window.
-    pub fn used(&mut self, now: Mono, instances: u32) -> RetryUse {
-        let left = self.remaining(now, instances);
-        let sum = |count: fn(&Slice) -> u32| self.slices.iter().map(|s| f64::from(count(s))).sum();
+    pub fn used(&mut self, now: Mono, sharing: Sharing) -> RetryUse {
+        self.advance(now, sharing);
+        let start = self.mark(SLICES);
         RetryUse {
-            requests: sum(|s| s.requests),
-            retries: sum(|s| s.retries),
-            left,
+            requests: self.total.requests - start.requests,
+            retries: self.total.retries - start.retries,
+            left: self.left(),
         }
     }
 
-    /// Number of retries that remain in the window.
-    pub fn remaining(&mut self, now: Mono, instances: u32) -> f64 {
-        let _ = self.slice(now);
-        let requests = self
-            .slices
-            .iter()
-            .map(|s| f64::from(s.requests))
-            .sum::<f64>();
-        let retries = self
-            .slices
-            .iter()
-            .map(|s| f64::from(s.retries))
-            .sum::<f64>();
-        let slack = self.limit.slack / f64::from(instances.max(1));
-        USED_PART * self.limit.ratio.mul_add(requests, slack) - retries
-    }
-
-    /// Removes slices that have left the window and returns the current slice.
-    fn slice(&mut self, now: Mono) -> &mut Slice {
-        while let Some(first) = self.slices.front() {
-            if now.since(first.start) <= self.limit.window_ms {
-                break;
+    /// Retries that are left in each window that contains the present time. A window begins anywhere
+    /// in its first slice, so what is earned is counted from the end of that slice, and what is
+    /// used from its start.
+    fn left(&self) -> f64 {
+        let mut left = f64::INFINITY;
+        let since_start = self.marks.len() - 1;
+        let last = if self.sharing.is_new {
+            since_start
+        } else {
+            SLICES
+        };
+        for back in 0..=last.min(SLICES) {
+            let start = self.mark(back);
+            let before_start = (back + SLICES - 1).saturating_sub(since_start);
+            let mut earlier = self.earned(start) - self.earned(self.mark(back + SLICES - 1));
+            if self.sharing.is_new {
+                let windows = before_start as f64 / SLICES as f64;
+                earlier += self.limit.slack * self.sharing.part() * windows;
             }
-            self.slices.pop_front();
+            let after = match back.checked_sub(1) {
+                Some(next) => self.mark(next),
+                None => self.total,
+            };
+            let present = self.earned(self.total) - self.earned(after);
+            let allowed = EARLIER_PART.mul_add(earlier, PRESENT_PART * present);
+            left = left.min(allowed - (self.total.retries - start.retries));
         }
-        let fresh = self
-            .slices
-            .back()
-            .is_none_or(|s| now.since(s.start) >= SLICE_MS);
-        if fresh {
-            self.slices.push_back(Slice {
-                start: now,
-                requests: 0,
-                retries: 0,
+        left
+    }
+
+    fn earned(&self, sums: Sums) -> f64 {
+        self.limit.ratio.mul_add(sums.requests, sums.slack)
+    }
+
+    /// Sums at the start of the slice that began `back` slices before the present one.
+    fn mark(&self, back: usize) -> Sums {
+        let newest = self.marks.len() - 1;
+        self.marks[newest.saturating_sub(back)]
+    }
+
+    /// Begins the slices up to now, and forgets those that are older than two windows.
+    fn begin_slices(&mut self, now: Mono) {
+        let present = self.slice_at(now);
+        let oldest = present.saturating_sub(2 * SLICES as u64);
+        for slice in (self.slice + 1).max(oldest)..=present {
+            let start = Mono(slice.saturating_mul(self.slice_ms()));
+            let slack = self.slack_at(start);
+            self.marks.push_back(Sums {
+                slack,
+                ..self.total
             });
+            if self.marks.len() > 2 * SLICES {
+                self.marks.pop_front();
+            }
         }
-        let last = self.slices.len() - 1;
-        &mut self.slices[last]
+        self.slice = self.slice.max(present);
+    }
+
+    /// Slack that time has earned until `now`.
+    fn slack_at(&self, now: Mono) -> f64 {
+        let windows = now.since(self.at) as f64 / self.limit.window_ms.max(1) as f64;
+        (self.limit.slack * self.sharing.part()).mul_add(windows, self.total.slack)
+    }
+
+    fn slice_at(&self, now: Mono) -> u64 {
+        now.0 / self.slice_ms()
+    }
+
+    /// Length of a slice, in milliseconds.
+    const fn slice_ms(&self) -> u64 {
+        let ms = self.limit.window_ms.div_ceil(SLICES as u64);
+        if ms == 0 { 1 } else { ms }
     }
 }
--- a/crates/citronway/src/gateway/control/cluster/copies.rs
+++ b/crates/citronway/src/gateway/control/cluster/copies.rs
@@ -78,6 +78,9 @@
             Table::Config | Table::Endpoints | Table::Own => None,
         };
         self.apply_rows(now, copy.table, RowSource::Copy, &copy.rows, list_version);
+        if copy.table == Table::Own && copy.after == RowVersion::NONE {
+            self.record_listing();
+        }
         self.table_state(copy.table).enter_era_of(copy.position);
         self.advance_position(copy.table, copy.position);
     }
--- a/crates/citronway/src/gateway/control/cluster/mod.rs
+++ b/crates/citronway/src/gateway/control/cluster/mod.rs
@@ -29,7 +29,7 @@
 use citronway_core::gateway::settings::{InstanceSettings, Switch};
 use citronway_core::gateway::stated_limits::StatedLimits;
 use citronway_core::gateway::version::{Era, RowVersion};
-use citronway_core::ids::{ServiceName, ZoneName};
+use citronway_core::ids::{InstanceName, ServiceName, ZoneName};
 use citronway_core::time::Mono;
 use citronway_platform::store::CONFIG_KEY;
 use indexmap::IndexMap;
@@ -67,6 +67,9 @@
 
 #[derive(Debug)]
 pub(super) struct Cluster {
+    instance: InstanceName,
+    /// Whether this instance had no row when the rows of all were first read; `None` before that.
+    is_new: Option<bool>,
     zone: ZoneName,
     rank: u64,
     /// Highest known era of the store.
@@ -132,6 +135,8 @@
 impl Cluster {
     pub(super) fn new(cfg: &InstanceSettings) -> Self {
         Self {
+            instance: cfg.instance.clone(),
+            is_new: None,
             zone: cfg.zone.clone(),
             rank: rank_of(&cfg.instance),
             era: Era::FIRST,
@@ -297,6 +302,7 @@
                 self.apply_own_rows(now, rows);
                 if let Some(version) = list_version {
                     self.apply_absent_own_rows(rows, version);
+                    self.record_listing();
                 }
             }
         }
--- a/crates/citronway/src/gateway/control/peers.rs
+++ b/crates/citronway/src/gateway/control/peers.rs
@@ -216,6 +216,16 @@
         self.all.len() + 1
     }
 
+    /// Number of instances that are known by rows or reports, including `me`.
+    pub(super) fn known_count(&self, me: &InstanceName) -> usize {
+        self.all.len() + usize::from(!self.is_known(me))
+    }
+
+    /// Whether an instance is known by its row or a report.
+    pub(super) fn is_known(&self, instance: &InstanceName) -> bool {
+        self.all.contains_key(instance)
+    }
+
     /// Whether there are too many instances for all to report to all, as far as is known
     /// here.
     pub(super) fn is_large_fleet(&self, now: Mono) -> bool {
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -416,6 +416,7 @@
         self.admission
             .borrow_mut()
             .update_view(now, &self.view.borrow());
+        self.advance_retries(now);
         self.log_timed_services();
         self.decide_waiting();
     }
--- a/crates/citronway/src/gateway/traffic/state/retries.rs
+++ b/crates/citronway/src/gateway/traffic/state/retries.rs
@@ -1,6 +1,6 @@
 //! The budget of second sends of each service.
 
-use citronway_core::gateway::budget::{RetryCause, RetryLimit, SharedRetryBudget};
+use citronway_core::gateway::budget::{RetryCause, RetryLimit, SharedRetryBudget, Sharing};
 use citronway_core::ids::ServiceName;
 use citronway_core::time::Mono;
 use indexmap::IndexMap;
@@ -11,9 +11,10 @@
 /// Budgets of second sends by service.
 #[derive(Debug)]
 pub(super) struct RetryBudgets {
-    limit: RetryLimit,
     /// When the process began to count.
     started: Mono,
+    /// Budget of a service that has had no request since the start of the process.
+    idle: SharedRetryBudget,
     services: IndexMap<ServiceName, ServiceBudget>,
 }
 
@@ -27,16 +28,23 @@
 impl RetryBudgets {
     pub(super) fn new(now: Mono, limit: RetryLimit) -> Self {
         Self {
-            limit,
             started: now,
+            idle: SharedRetryBudget::new(now, limit, Sharing::ALONE),
             services: IndexMap::new(),
         }
     }
 
+    /// Takes over the number of instances that share the limit from now on.
+    fn advance(&mut self, now: Mono, sharing: Sharing) {
+        self.idle.advance(now, sharing);
+        for service in self.services.values_mut() {
+            service.budget.advance(now, sharing);
+        }
+    }
+
     fn service(&mut self, service: &ServiceName) -> &mut ServiceBudget {
-        let limit = self.limit;
         let new_budget = || ServiceBudget {
-            budget: SharedRetryBudget::new(limit),
+            budget: self.idle.clone(),
             logged_at: None,
         };
         self.services
@@ -56,8 +64,10 @@
 
 impl State {
     pub(in crate::gateway::traffic) fn count_request(&self, now: Mono, service: &ServiceName) {
+        let sharing = self.view.borrow().sharing;
         let mut budgets = self.retry_budgets.borrow_mut();
-        budgets.service(service).budget.record_request(now);
+        let budget = &mut budgets.service(service).budget;
+        budget.record_request(now, sharing);
     }
 
     /// Whether the budget of second sends has one left. Logs and counts the request if not.
@@ -65,7 +75,7 @@
         let sharing = self.view.borrow().sharing;
         let mut budgets = self.retry_budgets.borrow_mut();
         let service_budget = budgets.service(retry.service);
-        let used = service_budget.budget.used(now, sharing.instances);
+        let used = service_budget.budget.used(now, sharing);
         if used.left >= 1.0 {
             return true;
         }
@@ -93,10 +103,10 @@
         let sharing = self.view.borrow().sharing;
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = &mut budgets.service(retry.service).budget;
-        if !budget.try_take(now, sharing.instances) {
+        if !budget.try_take(now, sharing) {
             return false;
         }
-        let left = budget.remaining(now, sharing.instances);
+        let left = budget.used(now, sharing).left;
         let age_ms = now.since(budgets.started);
         let Retry { request, cause, .. } = retry;
         let (service, cause) = (retry.service.as_str(), cause.as_str());
@@ -107,13 +117,19 @@
         true
     }
 
+    /// Takes over the number of instances of a new view.
+    pub(super) fn advance_retries(&self, now: Mono) {
+        let sharing = self.view.borrow().sharing;
+        self.retry_budgets.borrow_mut().advance(now, sharing);
+    }
+
     /// Sets the metrics of what is left and of the instances that share it.
     pub(super) fn update_retry_metrics(&self, now: Mono) {
         let sharing = self.view.borrow().sharing;
         let metrics = &self.metrics.retries;
         metrics.set_sharing(sharing);
         for (service, service_budget) in &mut self.retry_budgets.borrow_mut().services {
-            let left = service_budget.budget.remaining(now, sharing.instances);
+            let left = service_budget.budget.used(now, sharing).left;
             metrics.set_left(service, left);
         }
     }
