Soak: arrivals beyond the first of their request, beside kills and lost links

The stand-in endpoint records all that reaches it, run or rejected, by id; a soak fails if a service gets more arrivals beyond the first of their requests in a window than the settings allow, whatever it draws. A kind of its own has all endpoints refuse for 4 to 7 s while instances are killed every half second and lose their links.

--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::repeats::Arrival;
 use super::serve::{Answer, Background};
 use super::statements::{Statements, with_statements};
 
@@ -59,6 +60,8 @@
 pub(super) struct State {
     keys: Vec<KeyState>,
     ran: Vec<Ran>,
+    /// Ids of requests that arrived, and when.
+    arrived: Vec<(String, Instant)>,
     work: Duration,
     drop_answers: bool,
     full: bool,
@@ -151,6 +154,7 @@
             state: Mutex::new(State {
                 keys: vec![KeyState::default(); 1 << 16],
                 ran: Vec::new(),
+                arrived: Vec::new(),
                 work: Duration::from_millis(1),
                 drop_answers: false,
                 full: false,
@@ -205,6 +209,18 @@
         self.shared.lock().ran.clone()
     }
 
+    /// What reached it so far, whether it ran or not.
+    #[must_use]
+    pub fn arrived(&self) -> Vec<Arrival> {
+        let state = self.shared.lock();
+        let arrivals = state.arrived.iter().map(|(id, at)| Arrival {
+            id: id.clone(),
+            service: self.service.clone(),
+            at: *at,
+        });
+        arrivals.collect()
+    }
+
     /// Whether it holds a key now.
     #[must_use]
     pub fn holds(&self, key: u16) -> bool {
@@ -357,8 +373,10 @@
     let path = req.uri().path().to_owned();
     if path != "/api/grant" && path != "/api/release" {
         let sender = header(req.headers(), SENDER_HEADER).unwrap_or_default();
+        let id = header(req.headers(), "x-request-id").unwrap_or_default();
         let begins = {
             let mut state = shared.lock();
+            state.arrived.push((id, Instant::now()));
             state.statements.arrive(Instant::now(), &sender);
             state.begins
         };
--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -13,8 +13,8 @@
 use super::plan::{Fault, SHARDED, Soak};
 use super::proxy::{Mode, Proxy};
 use crate::shared::{
-    BrokenRest, Excess, FencedEndpoint, LateArrival, LostChanges, Ran, STABLE, SharedStore,
-    StoreCopy, StoreFault, configuration,
+    Arrival, BrokenRest, Excess, FencedEndpoint, LateArrival, LostChanges, Ran, STABLE,
+    SharedStore, StoreCopy, StoreFault, configuration,
 };
 
 /// Time that endpoints work on a request.
@@ -427,6 +427,15 @@
             .collect()
     }
 
+    /// All that reached endpoints, ended ones too.
+    #[must_use]
+    pub fn arrived(&self) -> Vec<Arrival> {
+        let all = self.servers.iter();
+        all.flat_map(|server| server.ended.iter().chain([&server.now]))
+            .flat_map(FencedEndpoint::arrived)
+            .collect()
+    }
+
     /// Times at which endpoints got more than they stated.
     #[must_use]
     pub fn excesses(&self) -> Vec<Excess> {
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -65,6 +65,15 @@
 /// Longest time for which the store is away before it comes back, in milliseconds.
 const AWAY_MS: u64 = 1_500;
 
+/// Shortest and longest time for which endpoints refuse everything, in milliseconds.
+const REFUSALS_MS: (u64, u64) = (4_000, 7_000);
+
+/// Time between two kills while endpoints refuse, in milliseconds.
+const KILLS_GAP_MS: u64 = 500;
+
+/// Sets the draws of the refusals apart from those of the other faults.
+const REFUSALS_STREAM: u64 = 0x7265_6675_7365;
+
 /// Sets the draws of the restores apart from those of the other faults.
 const RESTORES_STREAM: u64 = 0x7265_7374_6f72;
 
@@ -112,6 +121,8 @@
     pub restores: bool,
     /// Besides, callers send several requests on a connection before they read the answers.
     pub rows: bool,
+    /// Besides, all endpoints refuse for seconds, and instances are killed every half second.
+    pub refusals: bool,
 }
 
 impl Soak {
@@ -129,6 +140,7 @@
             rests: false,
             restores: false,
             rows: false,
+            refusals: false,
         }
     }
 
@@ -198,6 +210,16 @@
         }
     }
 
+    /// Endpoints that refuse everything, and instances that are killed one after the other or lose
+    /// their links to endpoints.
+    #[must_use]
+    pub const fn with_refusals(seed: u64) -> Self {
+        Self {
+            refusals: true,
+            ..Self::with_cuts(seed)
+        }
+    }
+
     /// Everything at once.
     #[must_use]
     pub const fn with_all(seed: u64) -> Self {
@@ -312,6 +334,10 @@
             restore(&mut rng, n, &mut plan);
         }
     }
+    if soak.refusals {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ REFUSALS_STREAM);
+        refusals(&mut rng, soak.instances, &mut plan);
+    }
     if soak.cuts {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
         for _ in 0..rng.random_range(CUTS.0..=CUTS.1) {
@@ -344,6 +370,25 @@
     }
 }
 
+/// All endpoints refuse for want of room while instances are killed and start again.
+fn refusals(rng: &mut StdRng, instances: usize, plan: &mut Vec<Planned>) {
+    let begin = rng.random_range(0..LENGTH_MS - REFUSALS_MS.1);
+    let lasts = rng.random_range(REFUSALS_MS.0..REFUSALS_MS.1);
+    let planned = |at, lasts, fault| Planned {
+        at: Duration::from_millis(at),
+        lasts: Duration::from_millis(lasts),
+        fault,
+    };
+    for endpoint in 0..=SHARDED {
+        plan.push(planned(begin, lasts, Fault::Full(endpoint)));
+    }
+    for n in 0..lasts / KILLS_GAP_MS {
+        let at = begin + n * KILLS_GAP_MS;
+        let instance = rng.random_range(0..instances);
+        plan.push(planned(at, KILLS_GAP_MS / 2, Fault::Kill(instance)));
+    }
+}
+
 /// The store is away and comes back from a copy; every other time it answers all the while.
 fn restore(rng: &mut StdRng, number: usize, plan: &mut Vec<Planned>) {
     let at = Duration::from_millis(rng.random_range(0..LENGTH_MS / 2));
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -10,7 +10,7 @@
 use super::fleet::Fleet;
 use super::plan::{self, LENGTH_MS, Planned, Soak};
 use super::verdict::{self, Violation};
-use crate::shared::Excess;
+use crate::shared::{Excess, excessive_repeats};
 
 /// Callers at the same time.
 const CALLERS: u64 = 4;
@@ -132,6 +132,9 @@
         instance: broken.sender,
         got: broken.got,
     }));
+    let sent = told.iter().map(|told| (told.id.clone(), told.sent));
+    let repeats = excessive_repeats(&fleet.arrived(), &sent.collect());
+    violations.extend(repeats.into_iter().map(Violation::Repeated));
     violations.extend(verdict::check(&told, &fleet.ran(), &fleet.excuses()));
     let served = told.iter().filter(|told| is_served(told)).count();
     let logs = if violations.is_empty() {
--- a/crates/citronway-standin/src/soak/verdict.rs
+++ b/crates/citronway-standin/src/soak/verdict.rs
@@ -7,10 +7,10 @@
 
 use super::callers::{Cut, Told, Was};
 use super::instance::Excuse;
-use crate::shared::Ran;
+use crate::shared::{Ran, Repeats};
 
 /// A promise that was broken.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Violation {
     /// Work that may not be repeated ran more than once.
     Twice {
@@ -85,6 +85,8 @@
         /// How many.
         got: usize,
     },
+    /// All instances together sent requests again more often than their limit allows.
+    Repeated(Repeats),
     /// A key or a service was not served after all faults had ended.
     Unserved {
         /// What was asked for.
@@ -123,6 +125,14 @@
                 f,
                 "instance {instance} sent {got} requests to an endpoint in its rest"
             ),
+            Self::Repeated(Repeats {
+                service,
+                got,
+                allowed,
+            }) => write!(
+                f,
+                "{service} got {got} requests once more in a window where {allowed:.0} are allowed"
+            ),
             Self::Unserved { what } => write!(f, "{what} is not served"),
         }
     }
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -55,6 +55,9 @@
 /// Seeds that are always run, with callers that send several requests before they read an answer.
 const FIXED_ROWS: [u64; 2] = [1_400, 1_401];
 
+/// Seeds that are always run, with endpoints that refuse everything while instances are killed.
+const FIXED_REFUSALS: [u64; 2] = [1_502, 1_511];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -82,7 +85,8 @@
 /// Soak of a new seed: limits with few signals, cut links, endpoints that leave, a store that comes
 /// back from copies, rows of requests, or everything at once.
 const fn drawn(seed: u64) -> Soak {
-    match seed % 8 {
+    match seed % 9 {
+        8 => Soak::with_refusals(seed),
         7 => Soak::with_rows(seed),
         0 | 2 => Soak::with_limits(seed),
         1 => Soak::with_all(seed),
@@ -139,6 +143,9 @@
     for seed in FIXED_ROWS {
         expect_no_violations(&soak(Soak::with_rows(seed)));
     }
+    for seed in FIXED_REFUSALS {
+        expect_no_violations(&soak(Soak::with_refusals(seed)));
+    }
     for seed in FIXED_CUTS {
         expect_no_violations(&soak(Soak::with_cuts(seed)));
     }
