Second sends: one place decides whether a send is the first of its request

Cause: what a second send was taken for was decided where the next endpoint was chosen, or where an answer was lost, and not where bytes go out. So a request that went to another instance after an endpoint had rejected it was not counted there; one that an endpoint of the other instance had rejected counted as new when it came back; and a second send was counted up to seconds before it arrived, while it waited for room, a trial, a grant or a connection. Change: a request knows whether it may have reached an endpoint, here or through another instance; instances tell each other in a header (absent from earlier releases: not reached). Each send passes one place, right before its first byte, that takes a second send from the budget if so. Decisions before that only look whether one is left.

--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -68,9 +68,8 @@
     pub trial: Option<Trial>,
     /// Whether an endpoint has crashed while it ran the request.
     pub has_crashed: bool,
-    /// Why the next send is to be taken from the budget of second sends; `None` if it is not. A
-    /// rejected request may be refused before it is sent again.
-    pub owes_retry: Option<RetryCause>,
+    /// Why the request is sent again, if it has reached an endpoint.
+    pub retry_cause: RetryCause,
 }
 
 impl Forwarding<'_> {
@@ -127,9 +126,8 @@
             }
             self.open.set_endpoint(placed, &choice);
             let in_flight = self.state.in_flight(&choice, self.job.ticket);
-            if let Some(cause) = self.owes_retry.take()
-                && !self.state.take_retry(placed, self.retry(cause))
-            {
+            // Others may have used the last second send while the request waited.
+            if self.open.has_reached_endpoint() && !self.state.has_retry(placed, self.retry()) {
                 return self.refuse_with(RefusalReason::EndpointRefused);
             }
             if !self.reserve_answer() {
@@ -166,6 +164,9 @@
                         return outcome;
                     }
                 }
+                SendResult::NoRetryLeft => {
+                    return self.refuse_with(RefusalReason::EndpointRefused);
+                }
                 SendResult::TooLate => return self.refuse_with(RefusalReason::Overloaded),
                 SendResult::NotSent(cause) => {
                     self.record_unsent(&choice, &cause);
@@ -269,6 +270,7 @@
             | SendResult::Refused(_)
             | SendResult::NotSent(_)
             | SendResult::TooLate
+            | SendResult::NoRetryLeft
             | SendResult::Withheld
             | SendResult::TimedOut => None,
         };
@@ -343,11 +345,10 @@
             AnswerKind::Misdirected => RetryCause::Misdirected,
             _ => RetryCause::Rejected,
         };
-        if !self.has_time(now) || !self.state.has_retry(now, self.retry(cause)) {
+        if !self.may_send_again(now, cause) {
             return Some(self.refuse_with(RefusalReason::EndpointRefused));
         }
         self.job.record_rejection(now, &choice.endpoint);
-        self.owes_retry = Some(cause);
         None
     }
 
@@ -386,15 +387,18 @@
         here.saturating_add(self.runs_elsewhere)
     }
 
-    pub(super) fn may_send_again(&self, now: Mono, cause: RetryCause) -> bool {
-        self.has_time(now) && self.state.take_retry(now, self.retry(cause))
+    /// Whether there is time and a second send left. The second send is taken right before the
+    /// request is sent.
+    pub(super) fn may_send_again(&mut self, now: Mono, cause: RetryCause) -> bool {
+        self.retry_cause = cause;
+        self.has_time(now) && self.state.has_retry(now, self.retry())
     }
 
-    fn retry(&self, cause: RetryCause) -> Retry<'_> {
+    pub(super) fn retry(&self) -> Retry<'_> {
         Retry {
             request: display_id(self.metadata.id.as_ref()),
             service: &self.job.service,
-            cause,
+            cause: self.retry_cause,
         }
     }
 
--- a/crates/citronway/src/gateway/traffic/neighbor/message.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/message.rs
@@ -22,6 +22,9 @@
 /// Number of endpoints that may have run the request.
 const RUNS: HeaderName = HeaderName::from_static("citronway-runs");
 
+/// Whether the request may have reached an endpoint, here or at the sender; absent if not.
+const REACHED: HeaderName = HeaderName::from_static("citronway-reached");
+
 /// Outcome of a forwarded request, and its particulars.
 const OUTCOME: HeaderName = HeaderName::from_static("citronway-outcome");
 const REASON: HeaderName = HeaderName::from_static("citronway-reason");
@@ -31,8 +34,8 @@
 /// Endpoint that answered a forwarded request.
 const ENDPOINT: HeaderName = HeaderName::from_static("citronway-endpoint");
 
-const ALL: [HeaderName; 10] = [
-    SENDER, TOKEN, WAIT_MS, SERVICE, RUNS, OUTCOME, REASON, RETRY_MS, WORK, ENDPOINT,
+const ALL: [HeaderName; 11] = [
+    SENDER, TOKEN, WAIT_MS, SERVICE, RUNS, REACHED, OUTCOME, REASON, RETRY_MS, WORK, ENDPOINT,
 ];
 
 /// Cause that a caller is told where the neighbor does not know whether the request ran.
@@ -49,6 +52,8 @@
     pub service: ServiceName,
     /// Number of endpoints that may have run the request.
     pub runs: u32,
+    /// Whether it may have reached an endpoint.
+    pub has_reached: bool,
 }
 
 /// Why a forwarded request is not accepted.
@@ -96,9 +101,22 @@
                 headers.insert(name, value);
             }
         }
+        write_reached(self.has_reached, headers);
+    }
+}
+
+/// States whether a request may have reached an endpoint.
+pub(in crate::gateway::traffic) fn write_reached(has_reached: bool, headers: &mut HeaderMap) {
+    if has_reached {
+        headers.insert(REACHED, HeaderValue::from_static("1"));
     }
 }
 
+/// Whether a request may have reached an endpoint, as the other instance states.
+pub(super) fn has_reached(headers: &HeaderMap) -> bool {
+    headers.contains_key(REACHED)
+}
+
 /// Reads the headers of a forwarded request to the instance `receiver` and removes them.
 ///
 /// # Errors
@@ -121,6 +139,7 @@
         wait_ms: number(headers, &WAIT_MS)?,
         service: ServiceName::new(text(headers, &SERVICE)?),
         runs: number(headers, &RUNS)?,
+        has_reached: has_reached(headers),
     };
     for name in ALL {
         headers.remove(name);
--- a/crates/citronway/src/gateway/traffic/neighbor/mod.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/mod.rs
@@ -9,7 +9,7 @@
 mod send;
 
 pub(super) use message::{
-    ForwardError, ForwardedRequest, read_forwarded, write_endpoint, write_outcome,
+    ForwardError, ForwardedRequest, read_forwarded, write_endpoint, write_outcome, write_reached,
 };
 
 /// Instance that has the request from its caller.
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -9,7 +9,7 @@
 use citronway_platform::answers::{AnswerHead, AnswerKind};
 use http::Request;
 
-use super::message::{ForwardedOutcome, ForwardedRequest, read_outcome};
+use super::message::{self, ForwardedOutcome, ForwardedRequest, read_outcome};
 use crate::clock;
 use crate::gateway::http_link::{self, Answer, CallError, ConnectMode, Dialer, Link};
 use crate::gateway::traffic::forwarding::Forwarding;
@@ -33,8 +33,8 @@
     /// Passes the request on to a neighbor. Returns `None` if no neighbor can help, or another
     /// attempt may be made.
     ///
-    /// The neighbor's send is the first one of the request, so nothing is taken from the budget for
-    /// second sends. The neighbor asks for trials and for sends to cold and limited endpoints.
+    /// The neighbor takes the send from its budget of second sends if the request has reached an
+    /// endpoint before. It asks for trials and for sends to cold and limited endpoints.
     pub(in crate::gateway::traffic) async fn forward(&mut self) -> Option<Outcome> {
         for _ in 0..MAX_NEIGHBORS {
             let now = clock::mono();
@@ -79,6 +79,7 @@
 
     fn after_unknown_forward(&mut self, cause: &'static str) -> Option<Outcome> {
         self.runs_elsewhere += 1;
+        self.open.set_reached_endpoint(true);
         if self.may_run_again() && self.may_send_again(clock::mono(), RetryCause::PassedOn) {
             return None;
         }
@@ -111,12 +112,16 @@
             wait_ms: left_ms,
             service: self.job.service.clone(),
             runs: self.runs(),
+            has_reached: self.open.has_reached_endpoint(),
         };
         forwarded.write(req.headers_mut(), key, &to.instance);
         req
     }
 
     fn outcome_of(&self, mut answer: Answer) -> Passed {
+        if message::has_reached(&answer.headers) {
+            self.open.set_reached_endpoint(true);
+        }
         let outcome = read_outcome(answer.status, &mut answer.headers);
         match outcome {
             Some(ForwardedOutcome::Answered(endpoint)) => {
--- a/crates/citronway/src/gateway/traffic/open_requests.rs
+++ b/crates/citronway/src/gateway/traffic/open_requests.rs
@@ -76,6 +76,7 @@
     endpoint: RefCell<Option<EndpointStart>>,
     /// Fence under which that endpoint holds its key; 0 without one.
     fence: Cell<u64>,
+    has_reached: Cell<bool>,
 }
 
 impl OpenRequest {
@@ -105,6 +106,17 @@
         self.stage.get() == Stage::AtEndpoint
     }
 
+    /// Whether the request may have reached an endpoint, from here or from another instance. All sends
+    /// after that are second sends.
+    pub(super) fn has_reached_endpoint(&self) -> bool {
+        self.has_reached.get()
+    }
+
+    /// Sets whether the request may have reached an endpoint.
+    pub(super) fn set_reached_endpoint(&self, has_reached: bool) {
+        self.has_reached.set(has_reached);
+    }
+
     /// Sets the chosen endpoint and enters [`Stage::Connecting`].
     pub(super) fn set_endpoint(&self, now: Mono, choice: &Choice) {
         self.endpoint.replace(Some(choice.endpoint.clone()));
@@ -156,6 +168,7 @@
             repeat: Cell::new(None),
             endpoint: RefCell::default(),
             fence: Cell::new(0),
+            has_reached: Cell::new(false),
         });
         self.requests
             .borrow_mut()
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -79,6 +79,7 @@
     let mut stated = http::HeaderMap::new();
     if origin == Origin::Neighbor {
         neighbor::write_outcome(&outcome, &mut stated);
+        neighbor::write_reached(guard.open.request.has_reached_endpoint(), &mut stated);
     }
     guard
         .open
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use citronway_core::gateway::admission::{Job, RefusalReason};
+use citronway_core::gateway::budget::RetryCause;
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::memory::Pressure;
 use citronway_core::gateway::pipeline;
@@ -64,6 +65,7 @@
     let open = &guard.open.request;
     let id = exchange::request_id(&head.headers);
     open.set_id(id);
+    open.set_reached_endpoint(forwarded.as_ref().is_some_and(|f| f.has_reached));
     let metadata = match exchange::read_request_metadata(&head) {
         Ok(metadata) => metadata,
         Err(e) => {
@@ -237,7 +239,7 @@
         work: OnceCell::new(),
         trial: None,
         has_crashed: false,
-        owes_retry: None,
+        retry_cause: RetryCause::PassedOn,
     };
     forwarding.run().await
 }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -51,8 +51,9 @@
         };
         let is_given_up = timeout_ms < left_ms || (may_repeat && self.state.is_cut_off());
         match exchanged {
-            Ok(Ok(None)) => SendResult::Withheld,
-            Ok(Ok(Some(Exchanged { head, answer }))) => match head.kind {
+            Ok(Ok(Exchanged::Withheld)) => SendResult::Withheld,
+            Ok(Ok(Exchanged::NoRetryLeft)) => SendResult::NoRetryLeft,
+            Ok(Ok(Exchanged::Answer { head, answer })) => match head.kind {
                 AnswerKind::Ran => {
                     self.state.record_answer(choice, self.job.key);
                     if choice.fence.is_none() {
@@ -111,29 +112,38 @@
         timeout.max(self.route.objective_ms / 2).min(left_ms)
     }
 
-    /// Sends the request on one connection and reads the answer. Returns `None` if nothing was sent,
-    /// since the endpoint may not be sent the request any more.
-    async fn exchange(&mut self, choice: &Choice) -> Result<Option<Exchanged>, CallError> {
+    /// Sends the request on one connection and reads the answer.
+    ///
+    /// Each send passes here, and a second send is taken from the budget right before its first byte:
+    /// one that is taken earlier may arrive in a later window than it was counted in.
+    async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
         let mut link = self.acquire_link(choice).await?;
         if !self.state.may_send(&self.job, choice) {
-            return Ok(None);
+            return Ok(Exchanged::Withheld);
         }
         let now = clock::mono();
+        let is_retry = self.open.has_reached_endpoint();
+        if is_retry && !self.state.take_retry(now, self.retry()) {
+            return Ok(Exchanged::NoRetryLeft);
+        }
         let left_ms = self.job.deadline.since(now);
         let req = self.message.for_endpoint(&choice.endpoint, left_ms);
         self.sends += 1;
+        self.open.set_reached_endpoint(true);
         self.open.enter_stage(now, Stage::AtEndpoint);
         let sent = link.send(req).await;
         let head = match sent {
             // The endpoint had closed the pooled connection, and nothing was sent on it. A new
             // connection is as good as the first.
             Err(CallError::NotSent) => {
+                self.open.set_reached_endpoint(is_retry);
                 link = self.open_link(choice).await?;
                 if !self.state.may_send(&self.job, choice) {
                     self.sends -= 1;
-                    return Ok(None);
+                    return Ok(Exchanged::Withheld);
                 }
                 let req = self.message.for_endpoint(&choice.endpoint, left_ms);
+                self.open.set_reached_endpoint(true);
                 link.send(req).await?
             }
             sent => sent?,
@@ -146,10 +156,10 @@
             let mut pool = self.state.pool.borrow_mut();
             pool.put(clock::mono(), choice, link, decoded.keep_alive);
         }
-        Ok(Some(Exchanged {
-            head: decoded,
+        Ok(Exchanged::Answer {
+            head: Box::new(decoded),
             answer,
-        }))
+        })
     }
 
     async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
@@ -174,8 +184,15 @@
     }
 }
 
-/// An answer and its decoded head.
-struct Exchanged {
-    head: AnswerHead,
-    answer: Answer,
+/// What became of a request on one connection.
+enum Exchanged {
+    /// Nothing was sent, since the endpoint may not be sent the request any more.
+    Withheld,
+    /// Nothing was sent, since it would be a second send and none is left.
+    NoRetryLeft,
+    /// An answer and its decoded head.
+    Answer {
+        head: Box<AnswerHead>,
+        answer: Answer,
+    },
 }
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -54,6 +54,8 @@
     TooLate,
     /// No attempt was made because the endpoint may not be sent the request any more.
     Withheld,
+    /// No attempt was made because no second send is left.
+    NoRetryLeft,
     /// The endpoint may have run the request.
     MayHaveRun(UnknownOutcome),
     /// The request's time ended.
@@ -88,6 +90,8 @@
         SendResult::Withheld => {
             log::info!(request, endpoint:%, fence, sends; "endpoint may not be sent the request any more");
         }
+        // The budget logs it.
+        SendResult::NoRetryLeft => {}
         SendResult::NotSent(cause) => {
             let (cause, error) = match cause {
                 NotSentCause::NoConnection(e) => ("no connection", e.to_string()),
