--- a/crates/citronctl/src/explain.rs
+++ b/crates/citronctl/src/explain.rs
@@ -90,6 +90,7 @@
             "endpoints of a service get a bound on the bytes of requests" => {
                 bytes_of(self.text("service")?)
             }
+            "second sends of a service are used up" => retries_of(self.text("service")?),
             "pressure on memory changed" => "pressure on memory".to_owned(),
             "endpoints are chosen by expected end" | "endpoints are chosen by load again" => {
                 choice_of(self.text("service")?)
@@ -194,6 +195,7 @@
                     format!("owners of {service}"),
                     bytes_of(service),
                     choice_of(service),
+                    retries_of(service),
                 ]);
             }
         }
@@ -251,6 +253,11 @@
     format!("choice of endpoints of {service}")
 }
 
+/// Name of what an instance knows of the second sends that are left for a service.
+fn retries_of(service: &str) -> String {
+    format!("second sends of {service}")
+}
+
 /// Name of what an instance believes of an endpoint's limit.
 fn limit_of(endpoint: &str) -> String {
     format!("limit of {endpoint}")
--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -155,6 +155,20 @@
     expect_that!(story.lines().count(), eq(203));
 }
 
+/// Guards against a refusal for want of a second send that reads like one by the endpoint alone.
+#[gtest]
+fn a_request_that_is_not_sent_again_is_explained() {
+    let story = explain::run("6fb1b9ce", &[log("second-sends.jsonl")]).expect("a story");
+    for part in [
+        "second sends of schedules: second sends of a service are used up",
+        "no second send left cause=rejected instances=11",
+        "source=listed",
+        "reason=endpoint_refused",
+    ] {
+        expect_that!(story, contains_substring(part));
+    }
+}
+
 /// Guards against a refusal of which nothing shows whether the demand of all instances decided it.
 #[gtest]
 fn a_refusal_shows_the_demand_that_decided_it() {
