--- a/crates/citronway-core/tests/gateway_retry_budget.rs
+++ b/crates/citronway-core/tests/gateway_retry_budget.rs
@@ -1,4 +1,5 @@
-//! Second sends of a whole fleet while its instances are killed, started, frozen and cut off.
+//! Second sends of a whole fleet while its instances are killed, started, frozen and cut off. Other
+//! seeds are played with `CITRONWAY_RETRY_SEEDS=FIRST..LAST`.
 
 mod retry_world;
 
@@ -49,7 +50,10 @@
 /// outages of the store, and requests in waves.
 #[gtest]
 fn second_sends_of_a_fleet_stay_within_their_limit() {
-    for seed in 0..60 {
+    let asked = std::env::var("CITRONWAY_RETRY_SEEDS").unwrap_or_else(|_| "0..60".to_owned());
+    let (first, last) = asked.split_once("..").expect("FIRST..LAST");
+    let number = |text: &str| text.parse::<u64>().expect("a number");
+    for seed in number(first)..number(last) {
         let plan = Plan::random(seed);
         let excess = play(&plan).worst_excess(plan.limit);
         expect_that!(excess, none(), "seed {seed}, {} instances", plan.seats);
