--- a/crates/citronway-core/src/gateway/budget/mod.rs
+++ b/crates/citronway-core/src/gateway/budget/mod.rs
@@ -10,9 +10,9 @@
 //! - A process that is the first one of its instance counts as one that had earned its part of the
 //!   slack in the window before its start, as nobody has used that.
 //!
-//! The requests of all processes in two successive windows are at most twice those of the window
-//! that has more, and the parts weigh the two, so all second sends are at most the sum of both
-//! parts of the limit.
+//! Summed over all processes, the second sends in a window are at most these parts of what all have
+//! earned in the window before it and in the window itself. The limit counts the requests of
+//! whichever of the two windows has more, so the sum of both parts of the limit is kept.
 
 mod sharing;
 
@@ -163,44 +163,60 @@
         }
     }
 
-    /// Retries that are left in each window that contains the present time. A window begins anywhere
-    /// in its first slice, so what is earned is counted from the end of that slice, and what is
-    /// used from its start.
+    /// Retries that are left in each window that contains the present time.
     fn left(&self) -> f64 {
-        let mut left = f64::INFINITY;
-        let since_start = self.marks.len() - 1;
-        let last = if self.sharing.is_new {
-            since_start
+        // Nothing was used before the start of a new instance, so later windows bound it more.
+        let oldest = if self.sharing.is_new {
+            self.slices_since_start().min(SLICES)
         } else {
             SLICES
         };
-        for back in 0..=last.min(SLICES) {
-            let start = self.mark(back);
-            let before_start = (back + SLICES - 1).saturating_sub(since_start);
-            let mut earlier = self.earned(start) - self.earned(self.mark(back + SLICES - 1));
-            if self.sharing.is_new {
-                let windows = before_start as f64 / SLICES as f64;
-                earlier += self.limit.slack * self.sharing.part() * windows;
-            }
-            let after = match back.checked_sub(1) {
-                Some(next) => self.mark(next),
-                None => self.total,
-            };
-            let present = self.earned(self.total) - self.earned(after);
-            let allowed = EARLIER_PART.mul_add(earlier, PRESENT_PART * present);
-            left = left.min(allowed - (self.total.retries - start.retries));
+        let mut left = f64::INFINITY;
+        for back in 0..=oldest {
+            left = left.min(self.left_since(back));
         }
         left
     }
 
+    /// Retries that are left in the windows that begin in the slice `back` slices before the present
+    /// one. As they begin anywhere in it, what is used counts from its start, and what is earned
+    /// from its end.
+    fn left_since(&self, back: usize) -> f64 {
+        let start = self.mark(back);
+        let end = match back.checked_sub(1) {
+            Some(next) => self.mark(next),
+            None => self.total,
+        };
+        let earned_in_it = self.earned(self.total) - self.earned(end);
+        let before = back + SLICES - 1;
+        let earned_before = self.earned(start) - self.earned(self.mark(before));
+        let earned_before = earned_before + self.credit(before);
+        let allowed = EARLIER_PART.mul_add(earned_before, PRESENT_PART * earned_in_it);
+        allowed - (self.total.retries - start.retries)
+    }
+
+    /// Slack that the process of a new instance counts as earned between the start of the slice
+    /// `back` slices before the present one and its own start.
+    fn credit(&self, back: usize) -> f64 {
+        if !self.sharing.is_new {
+            return 0.0;
+        }
+        let slices = back.saturating_sub(self.slices_since_start());
+        self.limit.slack * self.sharing.part() * slices as f64 / SLICES as f64
+    }
+
+    /// Slices since the start of the process, or since the oldest that is kept.
+    fn slices_since_start(&self) -> usize {
+        self.marks.len() - 1
+    }
+
     fn earned(&self, sums: Sums) -> f64 {
         self.limit.ratio.mul_add(sums.requests, sums.slack)
     }
 
     /// Sums at the start of the slice that began `back` slices before the present one.
     fn mark(&self, back: usize) -> Sums {
-        let newest = self.marks.len() - 1;
-        self.marks[newest.saturating_sub(back)]
+        self.marks[self.slices_since_start().saturating_sub(back)]
     }
 
     /// Begins the slices up to now, and forgets those that are older than two windows.
