--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -120,6 +120,12 @@
     }
 }
 
+/// Guards against a leader that leaves keys unserved after a restore of the store.
+#[gtest]
+fn keys_are_served_after_restores_beside_all_faults() {
+    expect_no_violations(&soak(Soak::with_all(2_008)));
+}
+
 #[gtest]
 fn known_seeds_keep_all_promises() {
     for seed in FIXED {
