--- a/crates/citronway-core/src/gateway/budget/mod.rs
+++ b/crates/citronway-core/src/gateway/budget/mod.rs
@@ -28,11 +28,9 @@
 /// Part of what a process earned in the window before a window that it may use in that window.
 const EARLIER_PART: f64 = 0.72;
 
-/// Part of what a process earns in a window that it may use in the same window. The rest of the
-/// limit is a margin for sends that arrive late.
-///
-/// Failure guarded against: a process that uses all it earns is killed, and the next one earns the
-/// same again in the same window.
+/// Part of what a process earns in a window that it may use in the same window: a successor earns
+/// the ratio for the rest of the window once more. What both parts leave of the limit is a margin for
+/// sends that arrive late.
 const PRESENT_PART: f64 = 0.2;
 
 /// Limit on the retries of all instances together.
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -12,7 +12,6 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use super::repeats::Arrival;
 use super::serve::{Answer, Background};
 use super::statements::{Statements, with_statements};
 
@@ -38,7 +37,7 @@
 #[derive(Debug)]
 pub struct FencedEndpoint {
     name: String,
-    service: String,
+    pub(super) service: String,
     pub(super) shared: Arc<Shared>,
     server: Background,
 }
@@ -61,7 +60,7 @@
     keys: Vec<KeyState>,
     ran: Vec<Ran>,
     /// Ids of requests that arrived, and when.
-    arrived: Vec<(String, Instant)>,
+    pub(super) arrived: Vec<(String, Instant)>,
     work: Duration,
     drop_answers: bool,
     full: bool,
@@ -209,18 +208,6 @@
         self.shared.lock().ran.clone()
     }
 
-    /// What reached it so far, whether it ran or not.
-    #[must_use]
-    pub fn arrived(&self) -> Vec<Arrival> {
-        let state = self.shared.lock();
-        let arrivals = state.arrived.iter().map(|(id, at)| Arrival {
-            id: id.clone(),
-            service: self.service.clone(),
-            at: *at,
-        });
-        arrivals.collect()
-    }
-
     /// Whether it holds a key now.
     #[must_use]
     pub fn holds(&self, key: u16) -> bool {
--- a/crates/citronway-standin/src/shared/repeats.rs
+++ b/crates/citronway-standin/src/shared/repeats.rs
@@ -4,6 +4,8 @@
 
 use indexmap::IndexMap;
 
+use super::FencedEndpoint;
+
 /// Limit of the settings: second sends for each request, further ones in a window, and the window.
 const RATIO: f64 = 0.2;
 const SLACK: f64 = 64.0;
@@ -20,6 +22,20 @@
     pub at: Instant,
 }
 
+impl FencedEndpoint {
+    /// What reached it so far, whether it ran or not.
+    #[must_use]
+    pub fn arrived(&self) -> Vec<Arrival> {
+        let state = self.shared.lock();
+        let arrivals = state.arrived.iter().map(|(id, at)| Arrival {
+            id: id.clone(),
+            service: self.service.clone(),
+            at: *at,
+        });
+        arrivals.collect()
+    }
+}
+
 /// A window in which a service got more arrivals beyond the first of their requests than are
 /// allowed.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/citronway-standin/src/soak/mod.rs
+++ b/crates/citronway-standin/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod instance;
 mod plan;
 mod proxy;
+mod refusals;
 mod run;
 mod verdict;
 
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 
 use super::proxy::Mode;
+use super::refusals;
 use crate::shared::StoreFault;
 
 /// Instances of a soak, if no other number is asked for.
@@ -65,12 +66,6 @@
 /// Longest time for which the store is away before it comes back, in milliseconds.
 const AWAY_MS: u64 = 1_500;
 
-/// Shortest and longest time for which endpoints refuse everything, in milliseconds.
-const REFUSALS_MS: (u64, u64) = (4_000, 7_000);
-
-/// Time between two kills while endpoints refuse, in milliseconds.
-const KILLS_GAP_MS: u64 = 500;
-
 /// Sets the draws of the refusals apart from those of the other faults.
 const REFUSALS_STREAM: u64 = 0x7265_6675_7365;
 
@@ -336,7 +331,7 @@
     }
     if soak.refusals {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ REFUSALS_STREAM);
-        refusals(&mut rng, soak.instances, &mut plan);
+        refusals::draw(&mut rng, soak.instances, &mut plan);
     }
     if soak.cuts {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
@@ -370,25 +365,6 @@
     }
 }
 
-/// All endpoints refuse for want of room while instances are killed and start again.
-fn refusals(rng: &mut StdRng, instances: usize, plan: &mut Vec<Planned>) {
-    let begin = rng.random_range(0..LENGTH_MS - REFUSALS_MS.1);
-    let lasts = rng.random_range(REFUSALS_MS.0..REFUSALS_MS.1);
-    let planned = |at, lasts, fault| Planned {
-        at: Duration::from_millis(at),
-        lasts: Duration::from_millis(lasts),
-        fault,
-    };
-    for endpoint in 0..=SHARDED {
-        plan.push(planned(begin, lasts, Fault::Full(endpoint)));
-    }
-    for n in 0..lasts / KILLS_GAP_MS {
-        let at = begin + n * KILLS_GAP_MS;
-        let instance = rng.random_range(0..instances);
-        plan.push(planned(at, KILLS_GAP_MS / 2, Fault::Kill(instance)));
-    }
-}
-
 /// The store is away and comes back from a copy; every other time it answers all the while.
 fn restore(rng: &mut StdRng, number: usize, plan: &mut Vec<Planned>) {
     let at = Duration::from_millis(rng.random_range(0..LENGTH_MS / 2));
