Soak: cut links and full endpoints end with the faults

Cause: a cut of an instance's links, or an endpoint without room, whose time went beyond the end of the faults was never ended, so a soak waited for service that nothing could give. No check has changed.

--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -340,6 +340,8 @@
         for n in 0..self.servers.len() {
             let server = &mut self.servers[n];
             server.mend_link();
+            server.link.clear_all();
+            server.now.full(false);
             server.now.drop_answers(false);
             server.now.stop_resting();
             server.now.work(WORK);
--- a/crates/citronway-standin/src/soak/proxy.rs
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -114,6 +114,11 @@
         });
     }
 
+    /// Treats connections from all addresses alike again.
+    pub fn clear_all(&self) {
+        self.modes.send_modify(|modes| modes.by_source.clear());
+    }
+
     /// Resets all connections and sends new ones to another address.
     pub fn retarget(&self, target: SocketAddr) {
         *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
