Assignments state the term of the leader that wrote them

Cause: a row that is heard does not say which leader wrote it, so neither a leader nor the log can tell its own from another one's. No decision uses it yet. Tests of rows and of the leader pass (gateway_assignment, _leader_rows, _leader_moves, _division_steps, _restored_store).

--- a/crates/citronway-core/benches/gateway_fleet.rs
+++ b/crates/citronway-core/benches/gateway_fleet.rs
@@ -93,6 +93,7 @@
             next: None,
         };
         let assignment = Assignment {
+            term: 1,
             next_fence: 1_000_000,
             ranges: (0..ranges).map(range).collect(),
         };
--- a/crates/citronway-core/src/gateway/assignment/mod.rs
+++ b/crates/citronway-core/src/gateway/assignment/mod.rs
@@ -88,6 +88,10 @@
 /// Assignment of all keys of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Assignment {
+    /// Term of the leader that wrote the row; zero if unknown, as in rows of earlier releases.
+    ///
+    /// Fences of moves belong to the leader that allocated them, see [`crate::gateway::leader`].
+    pub term: u64,
     /// Lowest fence that has never been allocated.
     pub next_fence: u64,
     /// Ranges in ascending order that cover all keys without gaps; empty before the first
@@ -136,8 +140,8 @@
             .is_ok_and(|bytes| bytes.len() <= MAX_ROW_BYTES)
     }
 
-    /// Delta from `before` to this assignment: the next fence and the ranges that `before` does
-    /// not have, in the stored form of an assignment.
+    /// Delta from `before` to this assignment: the term, the next fence and the ranges that
+    /// `before` does not have, in the stored form of an assignment.
     ///
     /// # Errors
     ///
@@ -145,6 +149,7 @@
     pub fn changes_since(&self, before: &Self) -> Result<Vec<u8>, RowError> {
         let is_new = |range: &&Range| before.range_at(range.first) != Some(*range);
         let changed = Self {
+            term: self.term,
             next_fence: self.next_fence,
             ranges: self.ranges.iter().filter(is_new).cloned().collect(),
         };
@@ -163,6 +168,7 @@
         ranges.extend(changed.ranges);
         ranges.sort_by_key(|range| range.first);
         let whole = Self {
+            term: changed.term,
             next_fence: changed.next_fence,
             ranges,
         };
--- a/crates/citronway-core/src/gateway/assignment/packed.rs
+++ b/crates/citronway-core/src/gateway/assignment/packed.rs
@@ -8,7 +8,7 @@
 use flate2::write::DeflateEncoder;
 use serde::{Deserialize, Serialize};
 
-use super::stored::Starts;
+use super::stored::{self, Starts};
 use super::{Assignment, Holder, Range, RowError};
 use crate::ids::{EndpointName, EndpointStart};
 
@@ -75,22 +75,23 @@
         }
     }
 
-    /// Appends the compressed columns to `buf`.
-    pub(super) fn write(&self, buf: Vec<u8>) -> Result<Vec<u8>, RowError> {
-        let columns = postcard::to_stdvec(self)?;
+    /// Appends the compressed columns and the term to `buf`.
+    pub(super) fn write(&self, term: u64, buf: Vec<u8>) -> Result<Vec<u8>, RowError> {
+        let columns = stored::with_term(self, term, Vec::new())?;
         let mut deflated = DeflateEncoder::new(buf, Compression::fast());
         deflated.write_all(&columns)?;
         Ok(deflated.finish()?)
     }
 
-    pub(super) fn read(bytes: &[u8]) -> Result<Self, RowError> {
+    /// Reads the columns and the term.
+    pub(super) fn read(bytes: &[u8]) -> Result<(Self, u64), RowError> {
         let mut columns = Vec::new();
         let mut inflated = DeflateDecoder::new(bytes).take(MAX_COLUMN_BYTES);
         inflated.read_to_end(&mut columns)?;
-        Ok(postcard::from_bytes(&columns)?)
+        Ok(stored::read_with_term(&columns)?)
     }
 
-    pub(super) fn assignment(self) -> Result<Assignment, RowError> {
+    pub(super) fn assignment(self, term: u64) -> Result<Assignment, RowError> {
         let starts = self.starts()?;
         let holders = self.holders.holders(&starts, "holders")?;
         let mut next = self.next.holders(&starts, "next")?.into_iter();
@@ -122,6 +123,7 @@
             at += 1;
         }
         Ok(Assignment {
+            term,
             next_fence: self.next_fence,
             ranges,
         })
--- a/crates/citronway-core/src/gateway/assignment/stored.rs
+++ b/crates/citronway-core/src/gateway/assignment/stored.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexSet;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use super::packed::Packed;
@@ -31,23 +32,52 @@
         return Ok(long);
     }
     let short = Short::new(assignment, &starts);
-    let short = postcard::to_extend(&short, vec![SHORT])?;
+    let short = with_term(&short, assignment.term, vec![SHORT])?;
     // Earlier versions read the short form, so it is used while it fits into a row.
     if short.len() <= MAX_ROW_BYTES {
         return Ok(short);
     }
-    Packed::new(assignment).write(vec![PACKED])
+    Packed::new(assignment).write(assignment.term, vec![PACKED])
 }
 
 /// Decodes any stored form, without validating the ranges and fences.
 pub(super) fn read(bytes: &[u8]) -> Result<Assignment, RowError> {
     match bytes.split_first() {
-        Some((&SHORT, short)) => postcard::from_bytes::<Short>(short)?.assignment(),
-        Some((&PACKED, packed)) => Packed::read(packed)?.assignment(),
+        Some((&SHORT, short)) => {
+            let (short, term) = read_with_term::<Short>(short)?;
+            short.assignment(term)
+        }
+        Some((&PACKED, packed)) => {
+            let (packed, term) = Packed::read(packed)?;
+            packed.assignment(term)
+        }
         _ => serde_json::from_slice::<Stored>(bytes)?.assignment(),
     }
 }
 
+/// Appends a value and the term to `buf`. Releases that know no term ignore what follows the value.
+pub(super) fn with_term<T: Serialize>(
+    value: &T,
+    term: u64,
+    buf: Vec<u8>,
+) -> Result<Vec<u8>, postcard::Error> {
+    let buf = postcard::to_extend(value, buf)?;
+    postcard::to_extend(&term, buf)
+}
+
+/// Reads a value and the term that follows it; zero if there is none.
+pub(super) fn read_with_term<T: DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, u64), postcard::Error> {
+    let (value, rest) = postcard::take_from_bytes(bytes)?;
+    let term = if rest.is_empty() {
+        0
+    } else {
+        postcard::from_bytes(rest)?
+    };
+    Ok((value, term))
+}
+
 /// Distinct starts of endpoints with their addresses.
 pub(super) struct Starts<'a>(IndexSet<(&'a EndpointStart, SocketAddr)>);
 
@@ -81,6 +111,9 @@
 /// as for any holder.
 #[derive(Debug, Serialize, Deserialize)]
 struct Stored {
+    /// Missing in rows of releases that know no term.
+    #[serde(default)]
+    term: u64,
     next_fence: u64,
     endpoints: Vec<(EndpointName, SocketAddr)>,
     /// Time at which each of `endpoints` began, in Unix milliseconds; `None` or missing if
@@ -106,6 +139,7 @@
             StoredRange(range.first, range.last, place, range.holder.fence, next)
         };
         Self {
+            term: assignment.term,
             next_fence: assignment.next_fence,
             endpoints: endpoints
                 .clone()
@@ -144,6 +178,7 @@
             });
         }
         Ok(Assignment {
+            term: self.term,
             next_fence: self.next_fence,
             ranges,
         })
@@ -189,7 +224,7 @@
         }
     }
 
-    fn assignment(self) -> Result<Assignment, RowError> {
+    fn assignment(self, term: u64) -> Result<Assignment, RowError> {
         let fence = |below: u64| self.next_fence.wrapping_sub(below);
         let ranges = self.ranges.iter().map(|range| {
             let ShortRange(first, last, place, below, next) = range;
@@ -200,6 +235,7 @@
         let born = self.starts.iter().map(|(_, _, born)| *born).collect();
         let starts = self.starts.into_iter();
         let stored = Stored {
+            term,
             next_fence: self.next_fence,
             endpoints: starts.map(|(name, address, _)| (name, address)).collect(),
             born,
--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -98,6 +98,8 @@
 /// A term of leadership.
 #[derive(Debug, Clone, Copy)]
 struct Term {
+    /// Number of the term; no other leader has it.
+    number: u64,
     /// When the latest call by which the store confirmed the leader was sent.
     contact: Mono,
     /// Limits on the effects of former leaders.
@@ -128,11 +130,12 @@
         }
     }
 
-    /// Begins a term. The row must have been read since the election.
+    /// Begins the term with this number. The row must have been read since the election.
     ///
     /// `contact` is when the call that confirmed the leader was sent.
-    pub fn begin_term(&mut self, contact: Mono, former_leaders: FormerLeaderLimits) {
+    pub fn begin_term(&mut self, number: u64, contact: Mono, former_leaders: FormerLeaderLimits) {
         self.term = Some(Term {
+            number,
             contact,
             former_leaders,
             restore: Restore::Settled,
@@ -289,6 +292,7 @@
         let keys = u64::from(LAST_KEY) + 1;
         let mut row = Assignment {
             next_fence: self.row.next_fence.max(1),
+            term: self.row.term,
             ranges: Vec::new(),
         };
         let mut before = 0;
@@ -398,7 +402,9 @@
         self.push_write(row, actions);
     }
 
-    fn push_write(&mut self, row: Assignment, actions: &mut Vec<Action>) {
+    /// Requests a write of the row under the number of this term.
+    fn push_write(&mut self, mut row: Assignment, actions: &mut Vec<Action>) {
+        row.term = self.term.map_or(0, |term| term.number);
         self.writing = true;
         actions.push(Action::Write {
             service: self.service.clone(),
--- a/crates/citronway-core/src/gateway/leader/restore.rs
+++ b/crates/citronway-core/src/gateway/leader/restore.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Begins a term in a new era of the store, in which all fences are `first_fence` or higher. The
+    /// Begins the term with this number in a new era of the store, in which all fences are `first_fence` or higher. The
     /// row must have been read in this era.
     ///
     /// A leader that led until the store came back, and was confirmed within
@@ -64,6 +64,7 @@
     /// it, goes on with its own row and holds.
     pub fn begin_restored_term(
         &mut self,
+        number: u64,
         contact: Mono,
         former_leaders: FormerLeaderLimits,
         first_fence: u64,
@@ -78,12 +79,13 @@
             Restore::Settled | Restore::Unconfirmed { .. } | Restore::Waiting { .. } => None,
         });
         if connect_by.is_none() {
-            self.begin_term(contact, former_leaders);
+            self.begin_term(number, contact, former_leaders);
         }
         self.writing = false;
         self.wanted = None;
         self.takeover = Takeover::Done;
         self.term = Some(Term {
+            number,
             contact,
             former_leaders,
             restore: Restore::Waiting {
--- a/crates/citronway-core/tests/admission_support/mod.rs
+++ b/crates/citronway-core/tests/admission_support/mod.rs
@@ -61,6 +61,7 @@
             registry.put(Mono(0), listing(id, service, zone, port));
         }
         let assignment = Assignment {
+            term: 1,
             next_fence: 20,
             ranges: vec![
                 range(0, 32_767, "a", 1, 8),
--- a/crates/citronway-core/tests/division_world/mod.rs
+++ b/crates/citronway-core/tests/division_world/mod.rs
@@ -88,6 +88,7 @@
             next: None,
         });
         let row = Assignment {
+            term: 1,
             next_fence: 1_000_000,
             ranges: ranges.collect(),
         };
--- a/crates/citronway-core/tests/gateway_assignment.rs
+++ b/crates/citronway-core/tests/gateway_assignment.rs
@@ -19,6 +19,7 @@
 
 fn some() -> Assignment {
     Assignment {
+        term: 1,
         next_fence: 30,
         ranges: vec![
             Range {
@@ -96,6 +97,7 @@
 #[gtest]
 fn the_fullest_row_fits_into_a_row_of_the_store() -> Result<()> {
     let mut full = Assignment {
+        term: 1,
         next_fence: 9_000_000,
         ranges: Vec::new(),
     };
@@ -232,6 +234,7 @@
     };
     for (endpoints, ranges, replaced) in [(602, 850, true), (750, MAX_RANGES, false)] {
         let mut assignment = Assignment {
+            term: 1,
             next_fence: 100_000,
             ranges: Vec::new(),
         };
@@ -274,6 +277,7 @@
         next: None,
     };
     let assignment = Assignment {
+        term: 1,
         next_fence: endpoints as u64 * FENCES_PER_MOVE,
         ranges: (0..endpoints).map(range).collect(),
     };
@@ -309,6 +313,7 @@
         });
     }
     Assignment {
+        term: 1,
         next_fence: 2_000_000,
         ranges,
     }
@@ -355,3 +360,16 @@
         }
     }
 }
+
+/// Guards against a row of an earlier release that cannot be read, or whose moves count as those of
+/// a known leader.
+#[gtest]
+fn a_row_of_an_earlier_release_has_no_term() -> Result<()> {
+    let row = some();
+    let text = String::from_utf8(row.to_bytes().or_fail()?)?;
+    let earlier = text.replacen("\"term\":1,", "", 1);
+    expect_that!(earlier, not(eq(&text)));
+    let read = Assignment::from_bytes(earlier.as_bytes()).or_fail()?;
+    expect_that!(read, eq(&Assignment { term: 0, ..row }));
+    Ok(())
+}
--- a/crates/citronway-core/tests/gateway_division_steps.rs
+++ b/crates/citronway-core/tests/gateway_division_steps.rs
@@ -43,6 +43,7 @@
             registry.put(NOW, listing.clone());
         }
         let mut row = Assignment {
+            term: 1,
             next_fence: 1,
             ranges: Vec::new(),
         };
@@ -59,7 +60,7 @@
         });
         let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
         leader.update_row(row, RowVersion::first(5));
-        leader.begin_term(NOW, FormerLeaderLimits::default());
+        leader.begin_term(1, NOW, FormerLeaderLimits::default());
         let mut scene = Self {
             leader,
             registry,
--- a/crates/citronway-core/tests/gateway_hot_ranges.rs
+++ b/crates/citronway-core/tests/gateway_hot_ranges.rs
@@ -67,6 +67,7 @@
         Self {
             now: Mono(0),
             row: Assignment {
+                term: 1,
                 next_fence: 1_000_000,
                 ranges: ranges.collect(),
             },
--- a/crates/citronway-core/tests/gateway_leader_moves.rs
+++ b/crates/citronway-core/tests/gateway_leader_moves.rs
@@ -50,6 +50,7 @@
             registry.put(NOW, listing.clone());
         }
         let mut row = Assignment {
+            term: 1,
             next_fence: 1,
             ranges: Vec::new(),
         };
@@ -66,7 +67,7 @@
         });
         let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
         leader.update_row(row, RowVersion::first(5));
-        leader.begin_term(NOW, former_leaders);
+        leader.begin_term(1, NOW, former_leaders);
         Self {
             leader,
             registry,
--- a/crates/citronway-core/tests/gateway_leader_rows.rs
+++ b/crates/citronway-core/tests/gateway_leader_rows.rs
@@ -28,6 +28,7 @@
 /// A row of `count` ranges that are assigned to the holders in rotation.
 fn row(count: usize, holders: &[Listing]) -> Assignment {
     let mut row = Assignment {
+        term: 1,
         next_fence: 1,
         ranges: Vec::new(),
     };
@@ -57,7 +58,7 @@
 fn leader(row: &Assignment) -> Leader {
     let mut leader = Leader::new(LeaderSettings::default(), ServiceName::new("batch"));
     leader.update_row(row.clone(), RowVersion::first(5));
-    leader.begin_term(NOW, FormerLeaderLimits::default());
+    leader.begin_term(1, NOW, FormerLeaderLimits::default());
     leader
 }
 
--- a/crates/citronway-core/tests/gateway_placement.rs
+++ b/crates/citronway-core/tests/gateway_placement.rs
@@ -29,6 +29,7 @@
 /// Assignment in which each endpoint owns a range of the same size.
 fn even(ids: &[&str]) -> Assignment {
     let mut row = Assignment {
+        term: 1,
         next_fence: 1,
         ranges: Vec::new(),
     };
--- a/crates/citronway-core/tests/gateway_placement_prompt.rs
+++ b/crates/citronway-core/tests/gateway_placement_prompt.rs
@@ -60,6 +60,7 @@
 fn moves_of_a_day(seed: u64) -> (usize, u64) {
     let mut random = Random::new(seed);
     let mut row = Assignment {
+        term: 1,
         next_fence: 1_000,
         ranges: Vec::new(),
     };
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -182,7 +182,7 @@
         world.instances[0].term = 1;
         world.instances[0]
             .leader
-            .begin_term(start, FormerLeaderLimits::default());
+            .begin_term(1, start, FormerLeaderLimits::default());
         world
     }
 
@@ -427,8 +427,10 @@
         instance.contact = now;
         instance.read(&self.store);
         match first_fence {
-            None => instance.leader.begin_term(now, rivals),
-            Some(first) => instance.leader.begin_restored_term(now, rivals, first),
+            None => instance.leader.begin_term(entry.term, now, rivals),
+            Some(first) => instance
+                .leader
+                .begin_restored_term(entry.term, now, rivals, first),
         }
     }
 
--- a/crates/citronway/src/gateway/control/duty/mod.rs
+++ b/crates/citronway/src/gateway/control/duty/mod.rs
@@ -339,7 +339,7 @@
         self.former_limits = self.former_leader_limits(now, cluster);
         let limits = self.former_limits;
         for leader in self.leaders.values_mut() {
-            begin_term(leader, sent_at, limits, row.first_fence);
+            begin_term(leader, sent_at, limits, row);
         }
     }
 
@@ -425,7 +425,7 @@
                     Some(_) => self.former_limits,
                     None => FormerLeaderLimits::default(),
                 };
-                begin_term(&mut leader, self.confirmed_at, limits, own_row.first_fence);
+                begin_term(&mut leader, self.confirmed_at, limits, &own_row);
                 leader
             });
         }
@@ -487,16 +487,18 @@
     }
 }
 
-/// Begins a term; with a first fence, that of a leader after a restore.
+/// Begins the term of a leader's row; with a first fence, that of a leader after a restore.
 fn begin_term(
     leader: &mut Leader,
     contact: Mono,
     former_leaders: FormerLeaderLimits,
-    first_fence: Option<u64>,
+    row: &LeaderRow,
 ) {
-    match first_fence {
-        Some(first_fence) => leader.begin_restored_term(contact, former_leaders, first_fence),
-        None => leader.begin_term(contact, former_leaders),
+    match row.first_fence {
+        Some(first_fence) => {
+            leader.begin_restored_term(row.term, contact, former_leaders, first_fence);
+        }
+        None => leader.begin_term(row.term, contact, former_leaders),
     }
 }
 
--- a/crates/citronway/src/gateway/control/own_rows.rs
+++ b/crates/citronway/src/gateway/control/own_rows.rs
@@ -204,8 +204,8 @@
             .iter()
             .filter(|range| range.is_moving())
             .count();
-        let ranges = assignment.ranges.len();
-        log::info!(service = service.as_str(), version = version.number, era = version.era.0, ranges, moving; "assignment");
+        let (ranges, term) = (assignment.ranges.len(), assignment.term);
+        log::info!(service = service.as_str(), version = version.number, era = version.era.0, term, ranges, moving; "assignment");
         let owners = Owners {
             assignment: Arc::new(assignment),
             version,
