Leader: moves belong to the term that wrote them

Change: a leader stops at a row of a later term before it applies it, and sends seals and releases only for moves of a row of its own term. Moves of any other row get new fences by a write, which fails for a leader that was replaced. The state of a takeover is gone, as the row tells it.

--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -1,6 +1,6 @@
 //! The leader of a service: grants, renews and moves the ranges of its keys.
 //!
-//! Safety rests on four rules:
+//! Safety rests on five rules:
 //!
 //! - A grant is sent only for keys that the stored row assigns to the endpoint.
 //! - That row is changed only on condition that the row that names the leader is unchanged, so
@@ -8,6 +8,9 @@
 //! - A range is taken from its holder only after the holder has confirmed a higher fence and a
 //!   release, after its process is known to have ended, or after the end of every hold that any
 //!   leader may have granted it.
+//! - Seals and releases are sent only for moves of a row that this leader wrote in its term, so that
+//!   no two leaders use the same fence for one. Moves of any other row are taken over by a write with
+//!   new fences, which fails if this leader was replaced. A row of a later term ends the term.
 //! - A leader that the store has not confirmed for [`LeaderSettings::contact_limit_ms`] sends
 //!   no more grants, which bounds the holds that a former leader may have granted.
 //!
@@ -71,8 +74,6 @@
     writing: bool,
     /// Earliest time of the next write.
     write_after: Mono,
-    /// Progress of taking over the moves of a former leader.
-    takeover: Takeover,
     /// New assignment that has not been written yet.
     wanted: Option<Assignment>,
     holds: Holds,
@@ -84,17 +85,6 @@
     divisions: Vec<DivisionProgress>,
 }
 
-/// Progress in giving new fences to the moves of a former leader.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Takeover {
-    /// The term has begun and no step has run yet.
-    Begins,
-    /// Moves with a fence below this one belong to a former leader.
-    Above(u64),
-    /// No move of a former leader is left.
-    Done,
-}
-
 /// A term of leadership.
 #[derive(Debug, Clone, Copy)]
 struct Term {
@@ -120,7 +110,6 @@
             term: None,
             writing: false,
             write_after: Mono(0),
-            takeover: Takeover::Done,
             wanted: None,
             holds: Holds::default(),
             moves: IndexMap::new(),
@@ -141,7 +130,6 @@
             restore: Restore::Settled,
         });
         self.writing = false;
-        self.takeover = Takeover::Begins;
         self.wanted = None;
         self.moves.clear();
         self.holds = Holds::default();
@@ -187,6 +175,11 @@
     /// of the store that is older than what this instance knows. Only its version is taken, for the
     /// next write.
     pub fn update_row(&mut self, row: Assignment, version: RowVersion) {
+        // Failure: a replaced leader that cannot reach the store takes the moves of its successor's
+        // row for its own, and seals a holder with a fence that the successor uses.
+        if self.term.is_some_and(|term| row.term > term.number) {
+            self.end_term();
+        }
         let is_empty = self.row.ranges.is_empty();
         if version < self.version || (version == self.version && !is_empty) {
             return;
@@ -335,7 +328,7 @@
         if now.since(term.contact) < self.cfg.contact_limit_ms {
             self.renew(now, term, registry, &mut actions);
         }
-        if self.takeover != Takeover::Done {
+        if !self.has_own_moves(term) {
             self.take_over_moves(now, &mut actions);
             return actions;
         }
@@ -366,28 +359,23 @@
         }
     }
 
-    /// Gives new fences to the moves of a former leader.
+    /// Whether all moves of the row have fences that this leader allocated in its term.
+    fn has_own_moves(&self, term: Term) -> bool {
+        self.row.term == term.number || !self.row.ranges.iter().any(Range::is_moving)
+    }
+
+    /// Gives new fences to the moves of a row that this leader has not written in its term.
     ///
     /// Failure: the former leader is slow or cut off and seals a holder after this leader has
     /// released it and the next owner holds the keys. With new fences the holder refuses those
     /// seals, whose fences are lower.
     fn take_over_moves(&mut self, now: Mono, actions: &mut Vec<Action>) {
-        let floor = match self.takeover {
-            Takeover::Done => return,
-            Takeover::Begins => self.row.next_fence,
-            Takeover::Above(floor) => floor,
-        };
-        self.takeover = Takeover::Above(floor);
         if self.writing || now < self.write_after {
             return;
         }
         let mut row = self.row.clone();
         for i in 0..row.ranges.len() {
-            let old = row.ranges[i]
-                .next
-                .as_ref()
-                .is_some_and(|next| next.fence < floor);
-            if !old {
+            if !row.ranges[i].is_moving() {
                 continue;
             }
             let fence = row.allocate_fences(FENCES_PER_MOVE);
@@ -395,10 +383,6 @@
                 next.fence = fence;
             }
         }
-        if row == self.row {
-            self.takeover = Takeover::Done;
-            return;
-        }
         self.push_write(row, actions);
     }
 
--- a/crates/citronway-core/src/gateway/leader/restore.rs
+++ b/crates/citronway-core/src/gateway/leader/restore.rs
@@ -14,7 +14,7 @@
 
 use crate::gateway::assignment::{Assignment, FENCES_PER_MOVE};
 use crate::gateway::leader::orders::Action;
-use crate::gateway::leader::{FormerLeaderLimits, Leader, Takeover, Term};
+use crate::gateway::leader::{FormerLeaderLimits, Leader, Term};
 use crate::gateway::registry::Registry;
 use crate::time::Mono;
 
@@ -83,7 +83,6 @@
         }
         self.writing = false;
         self.wanted = None;
-        self.takeover = Takeover::Done;
         self.term = Some(Term {
             number,
             contact,
--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -17,6 +17,7 @@
     closed_links: 0,
     restores: 0,
     fleet_restarts: 0,
+    relays: 0,
 };
 
 /// Number of steps of 25 ms: 90 s of simulated time.
@@ -84,6 +85,26 @@
     );
 }
 
+/// Guards against a replaced leader that hears the rows of its successor, takes their moves for its
+/// own, and seals a holder late and with the fence of its successor.
+#[test]
+fn leaders_that_hear_the_rows_of_their_successors() {
+    let faults = Faults {
+        store_cuts: 60,
+        lost_orders: 1_500,
+        relays: 5_000,
+        ..NO_FAULTS
+    };
+    run(1_400..1_440, faults);
+    let amid = Faults {
+        lost_writes: 800,
+        endpoint_cuts: 20,
+        restarts: 20,
+        ..faults
+    };
+    run(1_440..1_460, amid);
+}
+
 /// A leader is paused for seconds and continues unaware, after its successor has given the keys
 /// to other endpoints.
 #[test]
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -66,6 +66,8 @@
     pub restores: u64,
     /// All instances restart and know nothing.
     pub fleet_restarts: u64,
+    /// An instance without the store hears the stored row from another one.
+    pub relays: u64,
 }
 
 /// An instance that may lead.
@@ -443,6 +445,8 @@
         let connected = self.instances[i].reaches_store(now) && !self.store.is_away(now);
         if connected {
             self.read_store(i);
+        } else if self.faults.relays > 0 && self.random.chance(self.faults.relays) {
+            self.hear_row(i);
         }
         if !self.instances[i].leader.is_leading() {
             return;
@@ -489,6 +493,14 @@
         }
     }
 
+    /// Takes the stored row as another instance relays it.
+    fn hear_row(&mut self, i: usize) {
+        let instance = &mut self.instances[i];
+        if instance.era == self.store.era {
+            instance.read(&self.store);
+        }
+    }
+
     fn propose(&mut self, i: usize, registry: &Registry) {
         let listings: Vec<_> = self.endpoints.iter().map(Endpoint::listing).collect();
         let listings: Vec<&Listing> = listings.iter().collect();
--- a/crates/citronway/src/gateway/control/duty/mod.rs
+++ b/crates/citronway/src/gateway/control/duty/mod.rs
@@ -251,11 +251,13 @@
     /// leader.
     pub(super) fn apply_relayed_rows(&mut self, cluster: &Cluster) {
         self.update_assignments(cluster);
-        let Some(row) = &cluster.leader else { return };
-        self.observe_term(row.term);
     }
 
+    /// Takes the assignments. A leader that they show to be replaced stops first.
     fn update_assignments(&mut self, cluster: &Cluster) {
+        let leader = cluster.leader.iter().map(|row| row.term);
+        let writers = cluster.owners.values().map(|owners| owners.assignment.term);
+        self.observe_term(leader.chain(writers).max().unwrap_or_default());
         for (service, owners) in &cluster.owners {
             let leader = self
                 .leaders
