No request is sent twice on a connection

Cause: a request that was rejected is sent again on the connection that was used last, its own. A late copy of the rejection arrives there where the answer to the second send is due, with the same id.

Change: a connection keeps the ids of the requests that were sent on it until their deadlines, and the pool gives it to other requests only. Stand-ins: a proxy that sends copies of answers; rejections have the id, as the protocol says.

--- a/crates/citronway-core/tests/gateway_restored_store.rs
+++ b/crates/citronway-core/tests/gateway_restored_store.rs
@@ -17,6 +17,7 @@
     closed_links: 0,
     restores: 8,
     fleet_restarts: 0,
+    relays: 0,
 };
 
 /// Faults without restores.
--- a/crates/citronway-core/tests/leader_world/mod.rs
+++ b/crates/citronway-core/tests/leader_world/mod.rs
@@ -6,6 +6,8 @@
 //! leadership. Leaders do not learn of one another. The store may come back from an older copy; the
 //! numbers of its versions then repeat.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 mod endpoint;
 mod links;
 mod random;
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -1,5 +1,6 @@
 //! An endpoint that runs a request only while it holds the request's key.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -67,6 +68,8 @@
     crash: Crash,
     /// Answers name the request.
     echo: bool,
+    /// Statuses of the next answers, in place of those that are due.
+    next_statuses: VecDeque<StatusCode>,
     /// Start of a path, and the size of answers to requests below it.
     long_answers: Option<(String, usize)>,
     begins: Begins,
@@ -159,6 +162,7 @@
                 full: false,
                 crash: Crash::default(),
                 echo: false,
+                next_statuses: VecDeque::new(),
                 long_answers: None,
                 begins: Begins::AtOnce,
                 put_off: 0,
@@ -234,6 +238,14 @@
         self.shared.lock().drop_answers = drops;
     }
 
+    /// Answers the next requests with these statuses: server errors other than 503 after it has run
+    /// them, and all others in place of running them.
+    pub fn answer_next(&self, statuses: &[u16]) {
+        let statuses = statuses.iter().map(|status| StatusCode::from_u16(*status));
+        let mut state = self.shared.lock();
+        state.next_statuses = statuses.filter_map(Result::ok).collect();
+    }
+
     /// Refuses all requests for want of room.
     pub fn full(&self, full: bool) {
         self.shared.lock().full = full;
@@ -417,14 +429,21 @@
     let text = |name: &str| header(req.headers(), name);
     let meant = text("x-target-instance");
     let key = text("x-shard-key").and_then(|key| key.parse().ok());
-    let (work, drops, crashes) = {
+    let (work, drops, crashes, failure) = {
         let mut state = shared.lock();
         let held = !shared.sharded || key.is_some_and(|key| state.holds(key));
         if meant.is_some_and(|meant| meant != shared.name) || !held {
-            return Some(refusal(StatusCode::MISDIRECTED_REQUEST));
+            return Some(refusal(StatusCode::MISDIRECTED_REQUEST, req.headers()));
         }
         if state.full {
-            return Some(refusal(StatusCode::SERVICE_UNAVAILABLE));
+            return Some(refusal(StatusCode::SERVICE_UNAVAILABLE, req.headers()));
+        }
+        let next = state.next_statuses.pop_front();
+        let failure = next.filter(|status| status.is_server_error() && *status != 503);
+        if let Some(status) = next
+            && failure.is_none()
+        {
+            return Some(refusal(status, req.headers()));
         }
         state.ran.push(Ran {
             id: text("x-request-id").unwrap_or_default(),
@@ -440,7 +459,7 @@
         let crash = &mut state.crash;
         let crashes = crash.on.as_ref().is_some_and(|end| path.ends_with(end));
         let crashes = crashes.then_some(crash.after);
-        (state.work, state.drop_answers, crashes)
+        (state.work, state.drop_answers, crashes, failure)
     };
     if let Some(after) = crashes {
         tokio::time::sleep(after).await;
@@ -466,6 +485,7 @@
         body = "-".repeat(*bytes);
     }
     let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = failure.unwrap_or(StatusCode::OK);
     for (name, value) in [
         ("x-request-id", text("x-request-id").unwrap_or_default()),
         ("x-response-signature", format!("signed.{}", shared.name)),
@@ -487,8 +507,11 @@
     answer
 }
 
-fn refusal(status: StatusCode) -> Response<Full<Bytes>> {
+fn refusal(status: StatusCode, request: &HeaderMap) -> Response<Full<Bytes>> {
     let mut answer = plain(status);
+    if let Some(id) = request.get("x-request-id") {
+        answer.headers_mut().insert("x-request-id", id.clone());
+    }
     let said = http::HeaderValue::from_static("1");
     answer.headers_mut().insert("x-not-executed", said);
     answer
--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod documents;
 mod endpoint;
+mod faulty_proxy;
 mod limits;
 mod repeats;
 mod rests;
@@ -15,6 +16,7 @@
 pub use departures::{DRAIN, DepartureLog, LateArrival};
 pub use documents::{Addresses, SETTINGS_VARIABLE, configuration, own_address, route};
 pub use endpoint::{FencedEndpoint, Ran, SENDER_HEADER};
+pub use faulty_proxy::{Answers, Endless, Fault, FaultyProxy};
 pub use limits::{Excess, LimitLog, STABLE};
 pub use repeats::{Arrival, Repeats, excessive_repeats};
 pub use rests::{BrokenRest, RestLog};
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -7,6 +7,7 @@
 use citronway_core::ids::EndpointStart;
 use citronway_core::time::Mono;
 use citronway_platform::answers::KeepAlive;
+use http::HeaderValue;
 use indexmap::IndexMap;
 
 use crate::gateway::http_link::Link;
@@ -21,6 +22,46 @@
 /// a request that crosses the endpoint's close may or may not have run.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
+/// A connection to an endpoint, with the requests that were sent on it.
+///
+/// All sends of a request have its id, so a late copy of the answer to one of them cannot be told
+/// from the answer to the next. Therefore no request is sent twice on a connection.
+#[derive(Debug)]
+pub struct EndpointLink {
+    pub link: Link,
+    sent: Vec<SentRequest>,
+}
+
+#[derive(Debug)]
+struct SentRequest {
+    id: Option<HeaderValue>,
+    /// Time after which the request is not sent again.
+    until: Mono,
+}
+
+impl EndpointLink {
+    /// A connection on which nothing was sent.
+    pub const fn new(link: Link) -> Self {
+        Self {
+            link,
+            sent: Vec::new(),
+        }
+    }
+
+    /// Records that a request is sent, which ends by its deadline.
+    pub fn record_sent(&mut self, id: Option<&HeaderValue>, deadline: Mono) {
+        self.sent.push(SentRequest {
+            id: id.cloned(),
+            until: deadline,
+        });
+    }
+
+    /// Whether a request with this id was sent.
+    fn has_sent(&self, id: Option<&HeaderValue>) -> bool {
+        self.sent.iter().any(|sent| sent.id.as_ref() == id)
+    }
+}
+
 /// Idle connections by address.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -32,17 +73,29 @@
 struct Idle {
     /// Start of the endpoint to which it leads; a later start may listen at the same address.
     start: EndpointStart,
-    link: Link,
+    link: EndpointLink,
     since: Mono,
     usable_until: Mono,
 }
 
 impl Pool {
-    /// Takes the most recently used connection that is fit for another request, if there is
-    /// one.
-    pub fn take(&mut self, now: Mono, choice: &Choice, repeat: Repeat) -> Option<Link> {
+    /// Takes the most recently used connection that is fit for a request, if there is one.
+    /// Connections on which the request was sent are kept for others.
+    pub fn take(
+        &mut self,
+        now: Mono,
+        choice: &Choice,
+        repeat: Repeat,
+        id: Option<&HeaderValue>,
+    ) -> Option<EndpointLink> {
         let idle = self.idle.get_mut(&choice.address)?;
-        while let Some(kept) = idle.pop() {
+        let mut end = idle.len();
+        while let Some(i) = end.checked_sub(1) {
+            end = i;
+            if idle[i].link.has_sent(id) {
+                continue;
+            }
+            let kept = idle.remove(i);
             // Failure: an endpoint restarts under the same name and address. A request sent on
             // a connection of the earlier start is reset, and work that must not be repeated is
             // lost.
@@ -56,7 +109,7 @@
                 Repeat::Idempotent => true,
                 Repeat::AtMostOnce => now.since(kept.since) < AT_MOST_ONCE_IDLE_MS,
             };
-            if fresh && now < kept.usable_until && kept.link.is_usable() {
+            if fresh && now < kept.usable_until && kept.link.link.is_usable() {
                 return Some(kept.link);
             }
         }
@@ -69,10 +122,17 @@
     }
 
     /// Keeps a connection after a complete answer, if the endpoint allows reuse.
-    pub fn put(&mut self, now: Mono, choice: &Choice, link: Link, keep_alive: KeepAlive) {
+    pub fn put(
+        &mut self,
+        now: Mono,
+        choice: &Choice,
+        mut link: EndpointLink,
+        keep_alive: KeepAlive,
+    ) {
         let Some(idle_ms) = reusable_ms(keep_alive) else {
             return;
         };
+        link.sent.retain(|sent| now < sent.until);
         let idle = self.idle.entry(choice.address).or_default();
         if idle.len() >= MAX_IDLE {
             idle.remove(0);
@@ -88,7 +148,7 @@
     /// Drops connections that are no longer fit for use.
     pub fn prune(&mut self, now: Mono) {
         self.idle.retain(|_, idle| {
-            idle.retain(|kept| now < kept.usable_until && !kept.link.is_closed());
+            idle.retain(|kept| now < kept.usable_until && !kept.link.link.is_closed());
             !idle.is_empty()
         });
     }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -9,6 +9,7 @@
 
 use super::forwarding::{Forwarding, MIN_SEND_TIME_MS};
 use super::open_requests::Stage;
+use super::pool::EndpointLink;
 use super::sent::{NotSentCause, SendResult, UnknownOutcome};
 use crate::clock;
 use crate::gateway::http_link::{self, Answer, CallError, ConnectMode, Link};
@@ -131,7 +132,9 @@
         self.sends += 1;
         self.open.set_reached_endpoint(true);
         self.open.enter_stage(now, Stage::AtEndpoint);
-        let sent = link.send(req).await;
+        let id = self.metadata.id.as_ref();
+        link.record_sent(id, self.job.deadline);
+        let sent = link.link.send(req).await;
         let head = match sent {
             // The endpoint had closed the pooled connection, and nothing was sent on it. A new
             // connection is as good as the first.
@@ -144,11 +147,11 @@
                 }
                 let req = self.message.for_endpoint(&choice.endpoint, left_ms);
                 self.open.set_reached_endpoint(true);
-                link.send(req).await?
+                link.record_sent(id, self.job.deadline);
+                link.link.send(req).await?
             }
             sent => sent?,
         };
-        let id = self.metadata.id.as_ref();
         let decoded = AnswerHead::read(id, head.status(), head.headers(), SystemTime::now());
         self.state.record_statements(&choice.endpoint, &decoded);
         let answer = http_link::read_answer_within(head, |bytes| self.room.grow_to(bytes)).await?;
@@ -162,11 +165,11 @@
         })
     }
 
-    async fn acquire_link(&self, choice: &Choice) -> Result<Link, CallError> {
+    async fn acquire_link(&self, choice: &Choice) -> Result<EndpointLink, CallError> {
         let now = clock::mono();
         let kept = {
             let mut pool = self.state.pool.borrow_mut();
-            pool.take(now, choice, self.job.repeat)
+            pool.take(now, choice, self.job.repeat, self.metadata.id.as_ref())
         };
         match kept {
             Some(link) => Ok(link),
@@ -174,13 +177,14 @@
         }
     }
 
-    async fn open_link(&self, choice: &Choice) -> Result<Link, CallError> {
+    async fn open_link(&self, choice: &Choice) -> Result<EndpointLink, CallError> {
         self.state.pool.borrow_mut().count_opened();
         let mode = match self.job.repeat {
             Repeat::Idempotent => ConnectMode::Immediate,
             Repeat::AtMostOnce => ConnectMode::AfterResetCheck,
         };
-        Link::open(self.state.dialer, choice.address, mode).await
+        let link = Link::open(self.state.dialer, choice.address, mode).await?;
+        Ok(EndpointLink::new(link))
     }
 }
 
--- /dev/null
+++ b/crates/citronway/tests/gateway_wrong_answers.rs
@@ -0,0 +1,112 @@
+//! Endpoints that send answers which are not those to a request.
+
+mod gateway_support;
+
+use citronway_standin::shared::{Answers, Fault, FaultyProxy, FencedEndpoint};
+use gateway_support::load::KEY;
+use gateway_support::rows::{RowCaller, order};
+use gateway_support::{Deployment, until};
+use googletest::prelude::*;
+use serde_json::json;
+
+/// Lists an endpoint at the address of a new proxy in front of it.
+fn behind_proxy(deployment: &Deployment, endpoint: &FencedEndpoint) -> FaultyProxy {
+    let proxy = FaultyProxy::start(endpoint.address()).expect("a proxy");
+    list(deployment, endpoint, &proxy, "ready");
+    proxy
+}
+
+fn list(deployment: &Deployment, endpoint: &FencedEndpoint, proxy: &FaultyProxy, state: &str) {
+    let mut entry = endpoint.entry(state);
+    entry["addr"] = json!(proxy.address());
+    deployment.store.put("servers", endpoint.name(), &entry);
+}
+
+/// A deployment with proxies in front of the endpoints `a` and `c`, and without `b`.
+fn with_proxies() -> (Deployment, FaultyProxy, FaultyProxy) {
+    let deployment = Deployment::unconfigured();
+    deployment.unlist(&deployment.b);
+    let keyed = behind_proxy(&deployment, &deployment.a);
+    let other = behind_proxy(&deployment, &deployment.c);
+    deployment.configure(2, &json!([]));
+    (deployment, keyed, other)
+}
+
+fn runs(endpoint: &FencedEndpoint, id: &str) -> usize {
+    let ran = endpoint.ran();
+    ran.iter().filter(|ran| ran.id == id).count()
+}
+
+/// Guards against a copy of an earlier answer that is taken for the answer to the next send of the
+/// same request, which runs twice or is reported as not run.
+#[gtest]
+fn a_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_send() {
+    let (deployment, keyed, other) = with_proxies();
+    let instance = deployment.ready_instance("one");
+    until("the key has an owner", || deployment.a.holds(KEY));
+    let places = [
+        ("POST /order/1", &deployment.c, &other),
+        ("GET /status/1", &deployment.c, &other),
+        ("POST /apply/1", &deployment.a, &keyed),
+        ("GET /look/1", &deployment.a, &keyed),
+    ];
+    let mut served = 0;
+    for (start, endpoint, proxy) in places {
+        for status in [503, 429, 421, 400, 500] {
+            for is_first in [false, true] {
+                let id = format!("{}-{status}-{is_first}", start.replace(' ', "-"));
+                let mut tries = 0;
+                until("a connection is kept", || {
+                    tries += 1;
+                    let warm = format!("warm-{id}-{tries}");
+                    instance.call(start, &warm, KEY, "").status == 200
+                });
+                // A copy before the first answer belongs to another request.
+                let skipped = usize::from(!is_first);
+                proxy.set_after(skipped, Fault::Copies, Answers::Requests);
+                endpoint.answer_next(&[status]);
+                let reply = instance.call(start, &id, KEY, "");
+                proxy.set(Fault::None, Answers::Requests);
+                endpoint.answer_next(&[]);
+                let count = runs(endpoint, &id);
+                let is_idempotent = start.starts_with("GET");
+                expect_that!(count, le(if is_idempotent { 2 } else { 1 }), "{id}");
+                let is_promise = [408, 421, 429, 503].contains(&reply.status);
+                expect_that!(is_promise && count > 0, eq(false), "{id}: {}", reply.status);
+                if !is_first && status != 500 {
+                    expect_that!(reply.status, any![eq(200), eq(503)], "{id}");
+                    served += usize::from(reply.status == 200);
+                }
+            }
+        }
+    }
+    expect_that!(served, ge(12), "of 16 whose second send ran");
+}
+
+/// The same with requests that a caller sends in a row.
+#[gtest]
+fn copies_between_the_answers_of_a_row_belong_to_no_request() {
+    let (deployment, _keyed, other) = with_proxies();
+    let instance = deployment.ready_instance("one");
+    other.set(Fault::Copies, Answers::Requests);
+    let mut caller = RowCaller::connect(instance.callers);
+    for row in 0..8 {
+        let ids: Vec<_> = (0..6).map(|n| format!("row-{row}-{n}")).collect();
+        deployment
+            .c
+            .answer_next(&[200, 503, 429, 503][..row % 4 + 1]);
+        let requests = ids.iter().map(|id| order("POST /order/1", id, "-"));
+        caller.send(&requests.collect::<String>());
+        for id in &ids {
+            let Some(reply) = caller.next() else {
+                caller = RowCaller::connect(instance.callers);
+                break;
+            };
+            expect_that!(reply.header("x-request-id"), some(eq(id.as_str())));
+            let count = runs(&deployment.c, id);
+            expect_that!(count, le(1), "{id}");
+            expect_that!(reply.status == 503 && count > 0, eq(false), "{id}");
+        }
+    }
+    expect_that!(other.copies(), ge(1));
+}
