--- a/crates/citronway/tests/gateway_wrong_answers.rs
+++ b/crates/citronway/tests/gateway_wrong_answers.rs
@@ -94,7 +94,7 @@
         let ids: Vec<_> = (0..6).map(|n| format!("row-{row}-{n}")).collect();
         deployment
             .c
-            .answer_next(&[200, 503, 429, 503][..row % 4 + 1]);
+            .answer_next(&[200, 503, 429, 503][..=(row % 4)]);
         let requests = ids.iter().map(|id| order("POST /order/1", id, "-"));
         caller.send(&requests.collect::<String>());
         for id in &ids {
