Orders have ids, and a release is done with a handover only

Cause: any 2xx on the connection of an order counted as its answer, so a late copy of the answer to a seal ended a release whose work ran on.

Change: an order has an id, which endpoints echo. An answer with another id, or a success to a release without its handover proof, is no answer: the order is lost and its connection is closed.

Evidence: keys_are_not_given_on_by_a_copy_of_an_answer_to_an_order failed before in all four moves (0.08 to 0.16 s after their start the next endpoint had the keys, whose holder worked for 1.5 s); it passes now.

--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -390,6 +390,9 @@
         return answer.map(|answer| with_statements(&shared, &sender, answer));
     }
     let mut answer = carry_out(&shared, &path, &req).await;
+    if let Some(id) = req.headers().get("x-request-id") {
+        answer.headers_mut().insert("x-request-id", id.clone());
+    }
     shared.lock().statements.add_to_order(&mut answer);
     Some(answer)
 }
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -1,12 +1,13 @@
 //! Sends the leader's orders to endpoints.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use citronway_core::gateway::leader::{Order, OrderKind, OrderResult};
 use citronway_platform::orders::{self, OrderAnswer};
+use http::HeaderValue;
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
@@ -19,6 +20,8 @@
 pub(super) struct OrderClient {
     dialer: Dialer,
     links: Rc<RefCell<IndexMap<SocketAddr, Vec<Link>>>>,
+    /// Number of the last order, which is its id.
+    last_number: Rc<Cell<u64>>,
 }
 
 impl OrderClient {
@@ -27,6 +30,7 @@
         Self {
             dialer,
             links: Rc::default(),
+            last_number: Rc::default(),
         }
     }
 
@@ -63,7 +67,8 @@
     }
 
     async fn call(&self, order: &Order, timeout: Duration) -> Result<OrderAnswer, CallError> {
-        let Ok(req) = orders::request(order) else {
+        let id = self.next_id();
+        let Ok(req) = orders::request(order, &id) else {
             return Err(CallError::NotSent);
         };
         let mut link = match self.take_link(order) {
@@ -78,8 +83,20 @@
             return Ok(unanswered(OrderResult::NotConnected));
         }
         let answer = link.call(req, timeout).await?;
+        let decoded = orders::read_answer(&order.kind, &id, answer.status, &answer.headers);
+        let Some(decoded) = decoded else {
+            // The answer to this order may still come, so the connection is not used again.
+            log::warn!(endpoint:% = order.endpoint; "an answer belongs to another order");
+            return Ok(unanswered(OrderResult::Lost));
+        };
         self.return_link(order.address, link);
-        Ok(orders::read_answer(answer.status, &answer.headers))
+        Ok(decoded)
+    }
+
+    /// Id of an order, which differs from those of all other orders of this process.
+    fn next_id(&self) -> HeaderValue {
+        self.last_number.set(self.last_number.get() + 1);
+        HeaderValue::from(self.last_number.get())
     }
 
     fn return_link(&self, address: SocketAddr, link: Link) {
--- a/crates/citronway/tests/gateway_wrong_answers.rs
+++ b/crates/citronway/tests/gateway_wrong_answers.rs
@@ -2,6 +2,8 @@
 
 mod gateway_support;
 
+use std::time::{Duration, Instant};
+
 use citronway_standin::shared::{Answers, Fault, FaultyProxy, FencedEndpoint};
 use gateway_support::load::KEY;
 use gateway_support::rows::{RowCaller, order};
@@ -110,3 +112,47 @@
     }
     expect_that!(other.copies(), ge(1));
 }
+
+/// Guards against a copy of the answer to a seal that is taken for the answer to the release, so that
+/// the keys are given on while their holder is at work on them.
+#[gtest]
+fn keys_are_not_given_on_by_a_copy_of_an_answer_to_an_order() {
+    let deployment = Deployment::unconfigured();
+    let proxies = [&deployment.a, &deployment.b].map(|e| behind_proxy(&deployment, e));
+    deployment.configure(2, &json!([]));
+    let instance = deployment.ready_instance("one");
+    until("the key has an owner", || {
+        deployment.a.holds(KEY) || deployment.b.holds(KEY)
+    });
+    let work = Duration::from_millis(1_500);
+    for round in 0..4 {
+        let is_first = deployment.a.holds(KEY);
+        let (from, to) = if is_first {
+            (&deployment.a, &deployment.b)
+        } else {
+            (&deployment.b, &deployment.a)
+        };
+        let (from_proxy, to_proxy) = if is_first {
+            (&proxies[0], &proxies[1])
+        } else {
+            (&proxies[1], &proxies[0])
+        };
+        from.work(work);
+        let id = format!("work-{round}");
+        std::thread::scope(|scope| {
+            let caller = scope.spawn(|| instance.call("POST /apply/1", &id, KEY, ""));
+            until("the request runs", || runs(from, &id) == 1);
+            let began = Instant::now();
+            from_proxy.set(Fault::Copies, Answers::Orders);
+            list(&deployment, from, from_proxy, "draining");
+            until("the next owner has the key", || to.holds(KEY));
+            expect_that!(began.elapsed(), ge(work - Duration::from_millis(100)));
+            let reply = caller.join().expect("the caller ends");
+            expect_that!(reply.status, eq(200));
+        });
+        from_proxy.set(Fault::None, Answers::Orders);
+        from.work(Duration::from_millis(1));
+        list(&deployment, from, from_proxy, "ready");
+        list(&deployment, to, to_proxy, "ready");
+    }
+}
