Bounds on heads, interim answers and bodies without end

Callers saw: requests held to their deadline (504), and all requests of an instance whose processor was taken (2.2 s in 2.8 s by one answer).

Cause: the number of interim answers and the time of a head had no bound, and bodies one of 16 MB, those of answers to orders without a charge.

Change: a guarded stream bounds all bytes before the end of a head, interim answers and the time of an incomplete head. Bodies without a length are bounded by the route's usual answer, those of orders by 4 KB. A metric counts wrong answers by kind, one log line a second at most tells of them. Bytes that are no answer now count as a wrong answer of the endpoint, not as a broken link.

--- a/crates/citronway-standin/src/load/mod.rs
+++ b/crates/citronway-standin/src/load/mod.rs
@@ -4,7 +4,7 @@
 mod bench;
 mod churn;
 mod control;
-mod cpu;
+pub mod cpu;
 mod deployment;
 mod options;
 mod plan;
--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -70,6 +70,7 @@
 use crate::gateway::ready::{self, Ready};
 use crate::gateway::run;
 use crate::gateway::traffic::{ColdQuery, LimitedSendQuery, Stop, TrafficReport, TrialEvent};
+use crate::gateway::wrong_answer::{AnswerTo, WrongAnswer};
 
 /// Longest time between two runs of [`Control::run_due`], on the leader and on all other
 /// instances.
@@ -103,6 +104,8 @@
         result: OrderResult,
         /// Whether the answer stated that the endpoint leaves.
         leaving: Result<bool, DecodeError>,
+        /// What the endpoint sent in place of an answer.
+        wrong: Option<WrongAnswer>,
     },
     /// A write of an assignment has ended.
     WriteDone {
@@ -401,7 +404,11 @@
                 order,
                 result,
                 leaving,
+                wrong,
             } => {
+                if let Some(wrong) = wrong {
+                    self.metrics.wrong_answers.count(wrong, AnswerTo::Order);
+                }
                 match leaving {
                     Ok(true) => self.observe_departure_of(now, &order),
                     Ok(false) => {}
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -13,7 +13,18 @@
 
 use super::Event;
 use crate::clock;
-use crate::gateway::http_link::{CallError, ConnectMode, Dialer, Link};
+use crate::gateway::http_link::{BodyBounds, CallError, ConnectMode, Dialer, Link};
+use crate::gateway::wrong_answer::WrongAnswer;
+
+/// Bounds of the bodies of answers to orders, which have none.
+const ANSWER_BOUNDS: BodyBounds = BodyBounds::of_bytes(4 * 1024);
+
+/// How an order ended.
+struct Ended {
+    answer: OrderAnswer,
+    /// What the endpoint sent in place of an answer.
+    wrong: Option<WrongAnswer>,
+}
 
 /// Idle connections for orders, by address.
 #[derive(Debug, Clone)]
@@ -38,32 +49,44 @@
     pub(super) fn start(&self, order: Order, events: mpsc::Sender<Event>) {
         let client = self.clone();
         tokio::task::spawn_local(async move {
-            let OrderAnswer { result, leaving } = client.execute(&order).await;
-            log_result(&order, &result);
+            let Ended { answer, wrong } = client.execute(&order).await;
+            let OrderAnswer { result, leaving } = answer;
+            log_result(&order, &result, wrong);
             let event = Event::OrderDone {
                 order,
                 result,
                 leaving,
+                wrong,
             };
             // The receiver is gone when the process ends.
             let _ = events.send(event).await;
         });
     }
 
-    async fn execute(&self, order: &Order) -> OrderAnswer {
+    async fn execute(&self, order: &Order) -> Ended {
         // Failure: this thread is busy and starts the call long after it was decided. The
         // leader counts from the decision, and gives the keys to another endpoint before
         // this hold ends.
         let left_ms = order.deadline.since(clock::mono());
         if left_ms == 0 {
-            return unanswered(OrderResult::TooLate);
+            return Ended {
+                answer: unanswered(OrderResult::TooLate),
+                wrong: None,
+            };
         }
         let timeout = Duration::from_millis(left_ms);
-        match tokio::time::timeout(timeout, self.call(order, timeout)).await {
+        let called = tokio::time::timeout(timeout, self.call(order, timeout)).await;
+        let wrong = match &called {
+            Ok(Err(CallError::Wrong(wrong))) => Some(*wrong),
+            Ok(Err(CallError::Truncated(_))) => Some(WrongAnswer::Truncated),
+            Ok(Ok(_) | Err(_)) | Err(_) => None,
+        };
+        let answer = match called {
             Ok(Ok(answer)) => answer,
             Ok(Err(e)) if e.is_unsent() => unanswered(OrderResult::NotSent),
             Ok(Err(_)) | Err(_) => unanswered(OrderResult::Lost),
-        }
+        };
+        Ended { answer, wrong }
     }
 
     async fn call(&self, order: &Order, timeout: Duration) -> Result<OrderAnswer, CallError> {
@@ -82,12 +105,11 @@
             self.return_link(order.address, link);
             return Ok(unanswered(OrderResult::NotConnected));
         }
-        let answer = link.call(req, timeout).await?;
+        let answer = link.call(req, timeout, ANSWER_BOUNDS).await?;
         let decoded = orders::read_answer(&order.kind, &id, answer.status, &answer.headers);
         let Some(decoded) = decoded else {
             // The answer to this order may still come, so the connection is not used again.
-            log::warn!(endpoint:% = order.endpoint; "an answer belongs to another order");
-            return Ok(unanswered(OrderResult::Lost));
+            return Err(CallError::Wrong(WrongAnswer::Foreign));
         };
         self.return_link(order.address, link);
         Ok(decoded)
@@ -125,7 +147,7 @@
     }
 }
 
-fn log_result(order: &Order, result: &OrderResult) {
+fn log_result(order: &Order, result: &OrderResult, wrong: Option<WrongAnswer>) {
     let endpoint = &order.endpoint;
     let (first, last) = (order.span.first, order.span.last);
     let fence = order.fence;
@@ -144,5 +166,6 @@
         log::Level::Info
     };
     let result = format!("{result:?}");
-    log::log!(level, endpoint:%, first, last, fence, what, result; "order ended");
+    let wrong = wrong.map_or("-", WrongAnswer::as_str);
+    log::log!(level, endpoint:%, first, last, fence, what, result, wrong; "order ended");
 }
--- a/crates/citronway/src/gateway/control/store.rs
+++ b/crates/citronway/src/gateway/control/store.rs
@@ -16,7 +16,7 @@
 use super::Event;
 use super::store_era::{AnswerEraError, StoreAccess};
 use crate::clock;
-use crate::gateway::http_link::{Answer, CallError, ConnectMode, Dialer, Link};
+use crate::gateway::http_link::{Answer, BodyBounds, CallError, ConnectMode, Dialer, Link};
 
 /// Timeout of a call, in addition to the time that the store is asked to wait.
 ///
@@ -97,7 +97,7 @@
                 .await?
             }
         };
-        let answer = link.call(req, timeout).await?;
+        let answer = link.call(req, timeout, BodyBounds::STORE).await?;
         self.link = Some(link);
         let era = self.access.era.observe(answer.status, &answer.headers)?;
         Ok((answer, era))
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -7,13 +7,15 @@
 use bytes::{Bytes, BytesMut};
 use citronway_core::time::Mono;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+use super::head_guard::{GuardedStream, HeadGuard, MAX_HEAD_BYTES};
+use super::wrong_answer::WrongAnswer;
 use crate::clock;
 
 /// Connect timeout.
@@ -80,6 +82,7 @@
 #[derive(Debug)]
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
+    guard: HeadGuard,
     /// Latest time at which the connection was established.
     opened: Mono,
 }
@@ -140,9 +143,12 @@
     /// The connection broke after bytes may have been sent.
     #[error("connection broke: {0}")]
     Broken(#[source] hyper::Error),
-    /// The answer is truncated or too long.
-    #[error("answer truncated or too long: {0}")]
+    /// The answer is truncated.
+    #[error("answer truncated: {0}")]
     Truncated(#[source] Box<dyn std::error::Error + Send + Sync>),
+    /// The peer sent bytes that are not an answer to the call.
+    #[error("wrong answer: {0}")]
+    Wrong(#[source] WrongAnswer),
     /// The answer did not arrive in time.
     #[error("timed out waiting for the answer")]
     Timeout,
@@ -201,9 +207,10 @@
         if mode == ConnectMode::AfterResetCheck && is_reset(&stream, check).await {
             return Err(CallError::Reset);
         }
+        let guard = HeadGuard::default();
         let handshake = Builder::new()
-            .max_buf_size(64 * 1024)
-            .handshake(TokioIo::new(stream));
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(GuardedStream::new(stream, guard.clone())));
         let (sender, connection) = handshake
             .await
             .map_err(|e| CallError::Connect(io::Error::other(e)))?;
@@ -213,7 +220,11 @@
                 log::debug!(cause = e.to_string(); "a connection ended");
             }
         });
-        Ok(Self { sender, opened })
+        Ok(Self {
+            sender,
+            guard,
+            opened,
+        })
     }
 
     /// Latest time at which the connection was established.
@@ -238,14 +249,25 @@
     ///
     /// # Errors
     ///
-    /// When nothing was sent or the connection broke.
+    /// When nothing was sent, the connection broke, or the head exceeded a bound.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
-        let sent = self.sender.try_send_request(req.map(Full::new)).await;
+        let mut req = req.map(Full::new);
+        self.guard.begin(&mut req);
+        let sent = self.sender.try_send_request(req).await;
+        let exceeded = self.guard.end();
         sent.map_err(|mut e| {
             if e.take_message().is_some() {
-                CallError::NotSent
+                return CallError::NotSent;
+            }
+            let e = e.into_error();
+            if let Some(exceeded) = exceeded {
+                CallError::Wrong(exceeded)
+            } else if e.is_parse_too_large() {
+                CallError::Wrong(WrongAnswer::LongHead)
+            } else if e.is_parse() {
+                CallError::Wrong(WrongAnswer::Malformed)
             } else {
-                CallError::Broken(e.into_error())
+                CallError::Broken(e)
             }
         })
     }
@@ -255,15 +277,16 @@
     /// # Errors
     ///
     /// When the head does not arrive within `limit`, or the body within [`BODY_TIMEOUT`] after
-    /// it.
+    /// it, or the body exceeds its bounds.
     pub async fn call(
         &mut self,
         req: Request<Bytes>,
         limit: Duration,
+        bounds: BodyBounds,
     ) -> Result<Answer, CallError> {
         let head = timeout(limit, self.send(req)).await;
         let head = head.unwrap_or(Err(CallError::Timeout))?;
-        let answer = timeout(BODY_TIMEOUT, read_answer(head)).await;
+        let answer = timeout(BODY_TIMEOUT, read_answer(head, bounds, |_bytes| true)).await;
         answer.unwrap_or(Err(CallError::Timeout))
     }
 }
@@ -280,13 +303,45 @@
 /// Answers are read completely, so that a truncated one never looks complete to a caller.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Reads the body of an answer.
-///
-/// # Errors
-///
-/// When it is truncated or too long.
-pub async fn read_answer(answer: Response<Incoming>) -> Result<Answer, CallError> {
-    read_answer_within(answer, |_bytes| true).await
+/// Least bound of a body without a stated length, in bytes.
+const MIN_UNSTATED_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bound of a body without a stated length, as a multiple of the usual one.
+const UNSTATED_FACTOR: usize = 64;
+
+/// Longest bodies of an answer, in bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyBounds {
+    /// With a stated length.
+    stated: usize,
+    /// Without one: such a body may have no end.
+    unstated: usize,
+}
+
+impl BodyBounds {
+    /// Bounds of answers that always have a known form.
+    pub const fn of_bytes(bytes: usize) -> Self {
+        Self {
+            stated: bytes,
+            unstated: bytes,
+        }
+    }
+
+    /// Bounds of the answers of the store, which lists and long configurations need.
+    pub const STORE: Self = Self::of_bytes(MAX_ANSWER_BYTES);
+
+    /// Bounds of the answer to a request whose usual answer has `usual` bytes; zero if unknown.
+    pub fn of_usual(usual: u64) -> Self {
+        let usual = usize::try_from(usual).unwrap_or(usize::MAX);
+        let unstated = match usual {
+            0 => MAX_ANSWER_BYTES,
+            usual => usual.saturating_mul(UNSTATED_FACTOR),
+        };
+        Self {
+            stated: MAX_ANSWER_BYTES,
+            unstated: unstated.clamp(MIN_UNSTATED_BYTES, MAX_ANSWER_BYTES),
+        }
+    }
 }
 
 /// There is no memory for the rest of an answer.
@@ -301,24 +356,35 @@
 ///
 /// # Errors
 ///
-/// When it is truncated or too long, or has no room.
-pub async fn read_answer_within(
+/// When it is truncated or exceeds its bounds, or has no room.
+pub async fn read_answer(
     answer: Response<Incoming>,
+    bounds: BodyBounds,
     mut has_room: impl FnMut(u64) -> bool,
 ) -> Result<Answer, CallError> {
-    let (head, body) = answer.into_parts();
+    let (head, mut body) = answer.into_parts();
     let stated = body.size_hint().exact();
     let stated = stated.map(|stated| usize::try_from(stated).unwrap_or(usize::MAX));
-    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let max_bytes = match stated {
+        Some(_) => bounds.stated,
+        None => bounds.unstated,
+    };
+    if stated.is_some_and(|stated| stated > max_bytes) {
+        return Err(CallError::Wrong(WrongAnswer::LongBody));
+    }
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(CallError::Truncated)?.into_data() else {
+        let frame = frame.map_err(|e| CallError::Truncated(e.into()))?;
+        let Ok(data) = frame.into_data() else {
             continue;
         };
         let length = read.len() + data.len();
+        if length > max_bytes {
+            return Err(CallError::Wrong(WrongAnswer::LongBody));
+        }
         if length > read.capacity() {
             let wanted = stated.unwrap_or((read.capacity() * 2).max(MIN_GROWTH_BYTES));
-            let capacity = wanted.min(MAX_ANSWER_BYTES).max(length);
+            let capacity = wanted.min(max_bytes).max(length);
             if !has_room(capacity as u64) {
                 return Err(CallError::Truncated(Box::new(NoRoom)));
             }
--- a/crates/citronway/src/gateway/metrics.rs
+++ b/crates/citronway/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
 use super::pipeline_metrics::PipelineMetrics;
 use super::retry_metrics::RetryMetrics;
 use super::statement_metrics::StatementMetrics;
+use super::wrong_answer::WrongAnswerMetrics;
 use crate::logs;
 
 /// Buckets of the latency histograms, in seconds; objectives are 0.2 to 1.5 s.
@@ -175,6 +176,8 @@
     pub(super) memory: MemoryMetrics,
     /// Second sends.
     pub(super) retries: RetryMetrics,
+    /// Answers of endpoints that were not those due.
+    pub(super) wrong_answers: WrongAnswerMetrics,
 }
 
 /// Registers the metrics that have files of their own.
@@ -186,6 +189,7 @@
     FleetMetrics,
     MemoryMetrics,
     RetryMetrics,
+    WrongAnswerMetrics,
 ) {
     (
         StatementMetrics::register(registry),
@@ -193,6 +197,7 @@
         FleetMetrics::register(registry),
         MemoryMetrics::register(registry),
         RetryMetrics::register(registry),
+        WrongAnswerMetrics::register(registry),
     )
 }
 
@@ -277,7 +282,8 @@
         registry.register("config_confirmed_age_seconds", help, config_age.clone());
         let (evacuated_zones, evacuated_ranges) = evacuation_gauges(&mut registry);
         let divisions = DivisionMetrics::register(&mut registry);
-        let (statements, pipeline, fleet, memory, retries) = register_groups(&mut registry);
+        let (statements, pipeline, fleet, memory, retries, wrong_answers) =
+            register_groups(&mut registry);
         Self {
             timed: timed_answers(&mut registry),
             registry: Arc::new(registry),
@@ -312,6 +318,7 @@
             fleet,
             memory,
             retries,
+            wrong_answers,
         }
     }
 }
--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod control;
 mod division_metrics;
 mod fleet_metrics;
+mod head_guard;
 mod http_link;
 mod memory_metrics;
 mod metrics;
@@ -17,5 +18,6 @@
 mod run;
 mod statement_metrics;
 mod traffic;
+mod wrong_answer;
 
 pub use run::{Error, check, finish_duty, run, settings_path};
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -236,15 +236,18 @@
             UnknownOutcome::Broken | UnknownOutcome::Truncated => {
                 self.check_for_crash(&choice).await
             }
-            UnknownOutcome::Foreign | UnknownOutcome::NoAnswer => CrashCheck::NotCrashed,
+            UnknownOutcome::Wrong(_) | UnknownOutcome::NoAnswer => CrashCheck::NotCrashed,
         };
+        if let Some(wrong) = unknown.wrong_answer() {
+            self.state.record_wrong_answer(now, &choice.endpoint, wrong);
+        }
         match unknown {
             UnknownOutcome::Broken => {
                 self.state.record_link_reset(&choice.endpoint);
                 self.state.record_reset(&choice.endpoint);
                 self.record_no_room(&choice);
             }
-            UnknownOutcome::Foreign | UnknownOutcome::NoAnswer | UnknownOutcome::Truncated => {
+            UnknownOutcome::Wrong(_) | UnknownOutcome::NoAnswer | UnknownOutcome::Truncated => {
                 self.state.record_failure(&choice.endpoint);
             }
         }
--- a/crates/citronway/src/gateway/traffic/neighbor/send.rs
+++ b/crates/citronway/src/gateway/traffic/neighbor/send.rs
@@ -11,7 +11,7 @@
 
 use super::message::{self, ForwardedOutcome, ForwardedRequest, read_outcome};
 use crate::clock;
-use crate::gateway::http_link::{self, Answer, CallError, ConnectMode, Dialer, Link};
+use crate::gateway::http_link::{self, Answer, BodyBounds, CallError, ConnectMode, Dialer, Link};
 use crate::gateway::traffic::forwarding::Forwarding;
 use crate::gateway::traffic::open_requests::Stage;
 use crate::gateway::traffic::outcome::{Outcome, display_id};
@@ -99,7 +99,8 @@
             Err(_broken) => return Passed::MayHaveRun("the connection to another instance broke"),
         };
         let room = |bytes| self.room.grow_to(bytes);
-        match http_link::read_answer_within(head, room).await {
+        let bounds = BodyBounds::of_usual(self.job.answer_bytes);
+        match http_link::read_answer(head, bounds, room).await {
             Ok(answer) => self.outcome_of(answer),
             Err(_incomplete) => Passed::MayHaveRun("the answer of another instance is not whole"),
         }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -12,8 +12,9 @@
 use super::pool::EndpointLink;
 use super::sent::{NotSentCause, SendResult, UnknownOutcome};
 use crate::clock;
-use crate::gateway::http_link::{self, Answer, CallError, ConnectMode, Link};
+use crate::gateway::http_link::{self, Answer, BodyBounds, CallError, ConnectMode, Link};
 use crate::gateway::metrics::Class;
+use crate::gateway::wrong_answer::WrongAnswer;
 
 /// Multiple of the usual work time after which an endpoint that has not answered is given up,
 /// where another endpoint could run the request. One request in a hundred takes longer when all
@@ -76,7 +77,9 @@
                 AnswerKind::Full | AnswerKind::Misdirected | AnswerKind::NotRun => {
                     SendResult::Refused(head.kind)
                 }
-                AnswerKind::Foreign => SendResult::MayHaveRun(UnknownOutcome::Foreign),
+                AnswerKind::Foreign => {
+                    SendResult::MayHaveRun(UnknownOutcome::Wrong(WrongAnswer::Foreign))
+                }
             },
             Ok(Err(CallError::Reset)) => SendResult::NotSent(NotSentCause::Reset),
             Ok(Err(e)) if e.is_unsent() => SendResult::NotSent(NotSentCause::NoConnection(e)),
@@ -88,6 +91,9 @@
                 SendResult::MayHaveRun(UnknownOutcome::NoAnswer)
             }
             Ok(Err(CallError::Timeout)) | Err(_) => SendResult::TimedOut,
+            Ok(Err(CallError::Wrong(wrong))) => {
+                SendResult::MayHaveRun(UnknownOutcome::Wrong(wrong))
+            }
             Ok(Err(CallError::Truncated(_))) => SendResult::MayHaveRun(UnknownOutcome::Truncated),
             Ok(Err(_)) => SendResult::MayHaveRun(UnknownOutcome::Broken),
         }
@@ -154,7 +160,9 @@
         };
         let decoded = AnswerHead::read(id, head.status(), head.headers(), SystemTime::now());
         self.state.record_statements(&choice.endpoint, &decoded);
-        let answer = http_link::read_answer_within(head, |bytes| self.room.grow_to(bytes)).await?;
+        let bounds = BodyBounds::of_usual(self.job.answer_bytes);
+        let room = |bytes| self.room.grow_to(bytes);
+        let answer = http_link::read_answer(head, bounds, room).await?;
         if decoded.kind != AnswerKind::Foreign {
             let mut pool = self.state.pool.borrow_mut();
             pool.put(clock::mono(), choice, link, decoded.keep_alive);
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -7,12 +7,13 @@
 
 use super::outcome::display_id;
 use crate::gateway::http_link::{Answer, CallError};
+use crate::gateway::wrong_answer::WrongAnswer;
 
 /// Why it is unknown whether a request ran.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum UnknownOutcome {
-    /// The answer belongs to another request.
-    Foreign,
+    /// The endpoint's bytes are not the answer to the request.
+    Wrong(WrongAnswer),
     /// The endpoint did not answer within its timeout, and another endpoint could run the
     /// request.
     NoAnswer,
@@ -23,12 +24,21 @@
 }
 
 impl UnknownOutcome {
+    /// The wrong answer that the endpoint gave; `None` if it gave none.
+    pub(super) const fn wrong_answer(self) -> Option<WrongAnswer> {
+        match self {
+            Self::Wrong(wrong) => Some(wrong),
+            Self::Truncated => Some(WrongAnswer::Truncated),
+            Self::NoAnswer | Self::Broken => None,
+        }
+    }
+
     /// Cause as shown to callers and in logs.
     pub(super) const fn cause(self) -> &'static str {
         match self {
-            Self::Foreign => "the answer belongs to another request",
+            Self::Wrong(wrong) => wrong.cause(),
             Self::NoAnswer => "the endpoint was silent",
-            Self::Truncated => "the answer is not whole",
+            Self::Truncated => WrongAnswer::Truncated.cause(),
             Self::Broken => "the connection to the endpoint broke",
         }
     }
--- a/crates/citronway/src/gateway/traffic/state/statements.rs
+++ b/crates/citronway/src/gateway/traffic/state/statements.rs
@@ -13,8 +13,10 @@
 use super::State;
 use crate::clock;
 use crate::gateway::control::Source;
+use crate::gateway::wrong_answer::{AnswerTo, WrongAnswer};
 
-/// Shortest interval between two log lines about unusable statements, in milliseconds.
+/// Shortest interval between two log lines about unusable statements, or about wrong answers, in
+/// milliseconds.
 const UNUSABLE_LOG_MS: u64 = 1_000;
 
 /// Statements since the last report to `control`.
@@ -26,6 +28,8 @@
     departures: IndexMap<EndpointTag, Mono>,
     /// When an unusable statement was last logged.
     unusable_logged_at: Option<Mono>,
+    /// When a wrong answer was last logged.
+    wrong_logged_at: Option<Mono>,
 }
 
 impl State {
@@ -124,6 +128,23 @@
         log::warn!(endpoint:%, cause = e.to_string(); "statement of an endpoint cannot be used");
     }
 
+    /// Counts a wrong answer of an endpoint.
+    pub(in crate::gateway::traffic) fn record_wrong_answer(
+        &self,
+        now: Mono,
+        endpoint: &EndpointStart,
+        wrong: WrongAnswer,
+    ) {
+        self.metrics.wrong_answers.count(wrong, AnswerTo::Request);
+        let mut unreported = self.unreported.borrow_mut();
+        let logged_at = unreported.wrong_logged_at;
+        if logged_at.is_some_and(|at| now.since(at) < UNUSABLE_LOG_MS) {
+            return;
+        }
+        unreported.wrong_logged_at = Some(now);
+        log::warn!(endpoint:%, kind = wrong.as_str(); "an endpoint sends wrong answers");
+    }
+
     /// Takes the limits that endpoints stated since the last report.
     pub(super) fn take_stated_limits(&self) -> Vec<StatedLimit> {
         let now = clock::mono();
--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use citronway_standin::load::cpu;
 use citronway_standin::shared::{
     Addresses, FencedEndpoint, SETTINGS_VARIABLE, SharedStore, configuration, own_address,
 };
@@ -231,6 +232,17 @@
     process: Child,
 }
 
+/// What a process has used so far.
+#[derive(Debug, Clone, Copy)]
+pub struct Usage {
+    /// When this was read.
+    pub at: Instant,
+    /// Processor time.
+    pub cpu: Duration,
+    /// Largest size in memory, in KB.
+    pub peak_kb: u64,
+}
+
 /// An answer as a caller gets it.
 #[derive(Debug)]
 pub struct Reply {
@@ -294,6 +306,23 @@
         )
     }
 
+    /// What the process has used so far, as the system tells.
+    pub fn usage(&self) -> Usage {
+        let read = |file: &str| {
+            let path = format!("/proc/{}/{file}", self.process.id());
+            std::fs::read_to_string(path).expect("the process runs")
+        };
+        let status = read("status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().strip_suffix("kB"));
+        let peak_kb = peak.and_then(|peak| peak.trim().parse().ok());
+        Usage {
+            at: Instant::now(),
+            cpu: cpu::used(self.process.id()).expect("the process runs"),
+            peak_kb: peak_kb.expect("the system tells the size"),
+        }
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         self.process.kill().expect("the process can be killed");
