A repeated handover proof is a copy; soak with wrong answers

A copy of the answer to an earlier release has a proof and stood for the next one's. Change: a connection remembers the last proof, and the same one again is no answer. The soak has copies of answers and bytes without end, at endpoints of which about half echo no ids; seeds with rest 6 by 9 draw it.

--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -68,6 +68,7 @@
     crash: Crash,
     /// Answers name the request.
     echo: bool,
+    order_ids: OrderIds,
     /// Statuses of the next answers, in place of those that are due.
     next_statuses: VecDeque<StatusCode>,
     /// Start of a path, and the size of answers to requests below it.
@@ -91,6 +92,13 @@
     happened: bool,
 }
 
+/// Whether answers to orders have the ids of their orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderIds {
+    Echoed,
+    Hidden,
+}
+
 /// When a request that was taken is begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Begins {
@@ -162,6 +170,7 @@
                 full: false,
                 crash: Crash::default(),
                 echo: false,
+                order_ids: OrderIds::Echoed,
                 next_statuses: VecDeque::new(),
                 long_answers: None,
                 begins: Begins::AtOnce,
@@ -238,6 +247,11 @@
         self.shared.lock().drop_answers = drops;
     }
 
+    /// Echoes no ids in answers to orders from now on.
+    pub fn hide_order_ids(&self) {
+        self.shared.lock().order_ids = OrderIds::Hidden;
+    }
+
     /// Answers the next requests with these statuses: server errors other than 503 after it has run
     /// them, and all others in place of running them.
     pub fn answer_next(&self, statuses: &[u16]) {
@@ -390,7 +404,9 @@
         return answer.map(|answer| with_statements(&shared, &sender, answer));
     }
     let mut answer = carry_out(&shared, &path, &req).await;
-    if let Some(id) = req.headers().get("x-request-id") {
+    if let Some(id) = req.headers().get("x-request-id")
+        && shared.lock().order_ids == OrderIds::Echoed
+    {
         answer.headers_mut().insert("x-request-id", id.clone());
     }
     shared.lock().statements.add_to_order(&mut answer);
--- a/crates/citronway-standin/src/shared/faulty_proxy.rs
+++ b/crates/citronway-standin/src/shared/faulty_proxy.rs
@@ -56,7 +56,7 @@
     ];
 
     /// Bytes with which it begins, given the whole answer.
-    fn start(self, answer: &[u8]) -> Vec<u8> {
+    pub(crate) fn start(self, answer: &[u8]) -> Vec<u8> {
         match self {
             Self::Interim | Self::SlowInterim | Self::NotHttp => Vec::new(),
             Self::HeadLines | Self::SlowHead | Self::StalledHead => b"HTTP/1.1 200 OK\r\n".to_vec(),
@@ -68,7 +68,7 @@
     }
 
     /// What is repeated after that, and the pause between.
-    fn part(self) -> (Vec<u8>, Duration) {
+    pub(crate) fn part(self) -> (Vec<u8>, Duration) {
         let interim = b"HTTP/1.1 102 Processing\r\n\r\n";
         match self {
             Self::Interim => (interim.repeat(64), Duration::ZERO),
--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -86,6 +86,10 @@
     endpoint.echo();
     endpoint.work(WORK);
     endpoint.crash_on(HARMFUL_PATH);
+    // About every other endpoint echoes no ids in answers to orders.
+    if name.bytes().last().is_some_and(|last| last % 2 == 1) {
+        endpoint.hide_order_ids();
+    }
     Ok(endpoint)
 }
 
--- a/crates/citronway-standin/src/soak/mod.rs
+++ b/crates/citronway-standin/src/soak/mod.rs
@@ -14,6 +14,7 @@
 mod refusals;
 mod run;
 mod verdict;
+mod wrong_answers;
 
 pub use exchange::{Answer, Cut, exchange, was_reset};
 pub use plan::Soak;
--- a/crates/citronway-standin/src/soak/plan.rs
+++ b/crates/citronway-standin/src/soak/plan.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 
 use super::proxy::Mode;
-use super::refusals;
+use super::{refusals, wrong_answers};
 use crate::shared::StoreFault;
 
 /// Instances of a soak, if no other number is asked for.
@@ -69,6 +69,9 @@
 /// Sets the draws of the refusals apart from those of the other faults.
 const REFUSALS_STREAM: u64 = 0x7265_6675_7365;
 
+/// Sets the draws of the wrong answers apart from those of the other faults.
+const WRONG_ANSWERS_STREAM: u64 = 0x7772_6f6e_6700;
+
 /// Sets the draws of the restores apart from those of the other faults.
 const RESTORES_STREAM: u64 = 0x7265_7374_6f72;
 
@@ -118,6 +121,8 @@
     pub rows: bool,
     /// Besides, all endpoints refuse for seconds, and instances are killed every half second.
     pub refusals: bool,
+    /// Besides, endpoints send copies of answers, or bytes without end in place of answers.
+    pub wrong_answers: bool,
 }
 
 impl Soak {
@@ -136,6 +141,7 @@
             restores: false,
             rows: false,
             refusals: false,
+            wrong_answers: false,
         }
     }
 
@@ -215,6 +221,15 @@
         }
     }
 
+    /// Signals in series, and endpoints that send copies of answers or bytes without end.
+    #[must_use]
+    pub const fn with_wrong_answers(seed: u64) -> Self {
+        Self {
+            wrong_answers: true,
+            ..Self::with_signals(seed)
+        }
+    }
+
     /// Everything at once.
     #[must_use]
     pub const fn with_all(seed: u64) -> Self {
@@ -333,6 +348,10 @@
         let mut rng = StdRng::seed_from_u64(soak.seed ^ REFUSALS_STREAM);
         refusals::draw(&mut rng, soak.instances, &mut plan);
     }
+    if soak.wrong_answers {
+        let mut rng = StdRng::seed_from_u64(soak.seed ^ WRONG_ANSWERS_STREAM);
+        wrong_answers::draw(&mut rng, &mut plan);
+    }
     if soak.cuts {
         let mut rng = StdRng::seed_from_u64(soak.seed ^ CUTS_STREAM);
         for _ in 0..rng.random_range(CUTS.0..=CUTS.1) {
--- a/crates/citronway-standin/src/soak/proxy.rs
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -12,6 +12,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::shared::Endless;
+
 /// What the proxy does with what passes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mode {
@@ -27,6 +29,10 @@
     CutBack,
     /// Holds back both.
     Silent,
+    /// Passes on what goes to the target, and a copy of each answer again before the next one.
+    Copies,
+    /// Passes on what goes to the target, and sends bytes without end in place of answers.
+    Endless(Endless),
 }
 
 /// What the proxy does, for all and for some sources.
@@ -247,6 +253,8 @@
 
 async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: Way, mut modes: SourceModes) {
     let mut buf = vec![0; 16 * 1024];
+    // Answers of the stand-ins are short, and each comes by one read.
+    let mut last_answer = Vec::new();
     loop {
         let len = match from.read(&mut buf).await {
             Ok(0) | Err(_) => break,
@@ -265,6 +273,17 @@
         if held && matches!(from.try_read(&mut [0]), Ok(0)) {
             return;
         }
+        if matches!(way, Way::Back) {
+            let mode = modes.get();
+            if let Mode::Endless(endless) = mode {
+                return send_endless(&mut to, endless, &buf[..len]).await;
+            }
+            if mode == Mode::Copies && to.write_all(&last_answer).await.is_err() {
+                return;
+            }
+            last_answer.clear();
+            last_answer.extend_from_slice(&buf[..len]);
+        }
         if to.write_all(&buf[..len]).await.is_err() {
             return;
         }
@@ -273,9 +292,28 @@
     let _ = to.shutdown().await;
 }
 
+/// Sends bytes without end until the peer closes the connection or the relay ends.
+async fn send_endless(to: &mut OwnedWriteHalf, endless: Endless, answer: &[u8]) {
+    let (part, pause) = endless.part();
+    let mut sent = to.write_all(&endless.start(answer)).await;
+    while sent.is_ok() {
+        tokio::time::sleep(pause).await;
+        sent = to.write_all(&part).await;
+    }
+}
+
 const fn is_held(mode: Mode, way: Way) -> bool {
     match (mode, way) {
         (Mode::Silent, _) | (Mode::CutThere, Way::There) | (Mode::CutBack, Way::Back) => true,
-        (Mode::Pass | Mode::Delay(_) | Mode::Reset | Mode::CutThere | Mode::CutBack, _) => false,
+        (
+            Mode::Pass
+            | Mode::Delay(_)
+            | Mode::Reset
+            | Mode::CutThere
+            | Mode::CutBack
+            | Mode::Copies
+            | Mode::Endless(_),
+            _,
+        ) => false,
     }
 }
--- /dev/null
+++ b/crates/citronway-standin/src/soak/wrong_answers.rs
@@ -0,0 +1,32 @@
+//! Endpoints that send copies of answers, or bytes without end in place of answers.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand::rngs::StdRng;
+
+use super::plan::{Fault, LENGTH_MS, Planned, SHARDED};
+use super::proxy::Mode;
+use crate::shared::Endless;
+
+/// Fewest and most times that an endpoint does so in one soak.
+const TIMES: (usize, usize) = (3, 6);
+
+/// Shortest and longest time for which it does, in milliseconds.
+const LASTS_MS: (u64, u64) = (300, 2_500);
+
+/// Some endpoints send wrong answers, one kind at a time.
+pub(super) fn draw(rng: &mut StdRng, plan: &mut Vec<Planned>) {
+    for _ in 0..rng.random_range(TIMES.0..=TIMES.1) {
+        let endpoint = rng.random_range(0..=SHARDED);
+        let mode = match rng.random_range(0..3) {
+            0 => Mode::Copies,
+            _ => Mode::Endless(Endless::ALL[rng.random_range(0..Endless::ALL.len())]),
+        };
+        plan.push(Planned {
+            at: Duration::from_millis(rng.random_range(0..LENGTH_MS * 3 / 4)),
+            lasts: Duration::from_millis(rng.random_range(LASTS_MS.0..LASTS_MS.1)),
+            fault: Fault::EndpointLink(endpoint, mode),
+        });
+    }
+}
--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -26,11 +26,43 @@
     wrong: Option<WrongAnswer>,
 }
 
+/// A connection for orders.
+#[derive(Debug)]
+struct OrderLink {
+    link: Link,
+    /// Handover proof of the last release that was answered. Each release has a proof of its own, so
+    /// the same one again is a copy, also from an endpoint that echoes no ids.
+    last_proof: Option<String>,
+}
+
+impl OrderLink {
+    async fn open(dialer: Dialer, address: SocketAddr) -> Result<Self, CallError> {
+        let link = Link::open(dialer, address, ConnectMode::ImmediateWithReset).await?;
+        Ok(Self {
+            link,
+            last_proof: None,
+        })
+    }
+
+    /// Whether an answer repeats the last handover proof.
+    fn is_copy(&mut self, result: &OrderResult) -> bool {
+        let OrderResult::Done {
+            handover: Some(proof),
+        } = result
+        else {
+            return false;
+        };
+        let is_copy = self.last_proof.as_ref() == Some(proof);
+        self.last_proof = Some(proof.clone());
+        is_copy
+    }
+}
+
 /// Idle connections for orders, by address.
 #[derive(Debug, Clone)]
 pub(super) struct OrderClient {
     dialer: Dialer,
-    links: Rc<RefCell<IndexMap<SocketAddr, Vec<Link>>>>,
+    links: Rc<RefCell<IndexMap<SocketAddr, Vec<OrderLink>>>>,
     /// Number of the last order, which is its id.
     last_number: Rc<Cell<u64>>,
 }
@@ -99,14 +131,15 @@
             None if clock::mono() >= order.connect_by => {
                 return Ok(unanswered(OrderResult::NotConnected));
             }
-            None => Link::open(self.dialer, order.address, ConnectMode::ImmediateWithReset).await?,
+            None => OrderLink::open(self.dialer, order.address).await?,
         };
-        if link.opened() >= order.connect_by {
+        if link.link.opened() >= order.connect_by {
             self.return_link(order.address, link);
             return Ok(unanswered(OrderResult::NotConnected));
         }
-        let answer = link.call(req, timeout, ANSWER_BOUNDS).await?;
+        let answer = link.link.call(req, timeout, ANSWER_BOUNDS).await?;
         let decoded = orders::read_answer(&order.kind, &id, answer.status, &answer.headers);
+        let decoded = decoded.filter(|decoded| !link.is_copy(&decoded.result));
         let Some(decoded) = decoded else {
             // The answer to this order may still come, so the connection is not used again.
             return Err(CallError::Wrong(WrongAnswer::Foreign));
@@ -121,19 +154,20 @@
         HeaderValue::from(self.last_number.get())
     }
 
-    fn return_link(&self, address: SocketAddr, link: Link) {
+    fn return_link(&self, address: SocketAddr, link: OrderLink) {
         let mut links = self.links.borrow_mut();
         links.entry(address).or_default().push(link);
     }
 
     /// Takes an idle connection that may carry the order; `None` if there is none.
-    fn take_link(&self, order: &Order) -> Option<Link> {
+    fn take_link(&self, order: &Order) -> Option<OrderLink> {
         let mut links = self.links.borrow_mut();
         let kept = links.get_mut(&order.address)?;
-        kept.retain(|link| !link.is_closed());
+        kept.retain(|kept| !kept.link.is_closed());
         // Takes the connection that was idle longest. A new connection to a full endpoint
         // waits for a slot, so existing ones must not close because they are unused.
-        let may_carry = |link: &Link| link.is_usable() && link.opened() < order.connect_by;
+        let may_carry =
+            |kept: &OrderLink| kept.link.is_usable() && kept.link.opened() < order.connect_by;
         let first = kept.iter().position(may_carry)?;
         Some(kept.remove(first))
     }
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -58,6 +58,9 @@
 /// Seeds that are always run, with endpoints that refuse everything while instances are killed.
 const FIXED_REFUSALS: [u64; 2] = [1_502, 1_511];
 
+/// Seeds that are always run, with endpoints that send copies of answers or bytes without end.
+const FIXED_WRONG_ANSWERS: [u64; 2] = [1_600, 1_601];
+
 /// A seed with which harmful work was sent too often after its faults.
 const COPIES_SEED: u64 = 17_491_828_606_783_865_653;
 
@@ -83,7 +86,7 @@
 }
 
 /// Soak of a new seed: limits with few signals, cut links, endpoints that leave, a store that comes
-/// back from copies, rows of requests, or everything at once.
+/// back from copies, wrong answers, rows of requests, or everything at once.
 const fn drawn(seed: u64) -> Soak {
     match seed % 9 {
         8 => Soak::with_refusals(seed),
@@ -92,6 +95,7 @@
         1 => Soak::with_all(seed),
         3 => Soak::with_cuts(seed),
         4 => Soak::with_departures(seed),
+        6 => Soak::with_wrong_answers(seed),
         _ => Soak::with_restores(seed),
     }
 }
@@ -157,6 +161,15 @@
     }
 }
 
+/// Guards against answers without end that hold up other requests, and against copies of answers that
+/// are taken for the answer to another send or order.
+#[gtest]
+fn wrong_answers_break_no_promise() {
+    for seed in FIXED_WRONG_ANSWERS {
+        expect_no_violations(&soak(Soak::with_wrong_answers(seed)));
+    }
+}
+
 /// Thirty instances, including delegates and leaders, are stopped, paused and killed in series
 /// while the store and endpoints fail.
 #[gtest]
--- a/crates/citronway/tests/gateway_wrong_answers.rs
+++ b/crates/citronway/tests/gateway_wrong_answers.rs
@@ -117,7 +117,22 @@
 /// the keys are given on while their holder is at work on them.
 #[gtest]
 fn keys_are_not_given_on_by_a_copy_of_an_answer_to_an_order() {
+    expect_moves_after_work(true);
+}
+
+/// The same with endpoints that echo no ids in answers to orders.
+#[gtest]
+fn a_release_is_not_done_without_its_own_handover_proof() {
+    expect_moves_after_work(false);
+}
+
+/// Moves a key four times while its holder is at work on it.
+fn expect_moves_after_work(has_ids: bool) {
     let deployment = Deployment::unconfigured();
+    if !has_ids {
+        deployment.a.hide_order_ids();
+        deployment.b.hide_order_ids();
+    }
     let proxies = [&deployment.a, &deployment.b].map(|e| behind_proxy(&deployment, e));
     deployment.configure(2, &json!([]));
     let instance = deployment.ready_instance("one");
