Tests of copies by way of a neighbor; a field named for what it is

Cause: a neighbor sends for others and may get the same request again; no test held that. Change: a test with an instance whose links are cut; the connection inside a pooled one is called http.

--- a/crates/citronway/src/gateway/control/orders.rs
+++ b/crates/citronway/src/gateway/control/orders.rs
@@ -29,7 +29,7 @@
 /// A connection for orders.
 #[derive(Debug)]
 struct OrderLink {
-    link: Link,
+    http: Link,
     /// Handover proof of the last release that was answered. Each release has a proof of its own, so
     /// the same one again is a copy, also from an endpoint that echoes no ids.
     last_proof: Option<String>,
@@ -37,9 +37,9 @@
 
 impl OrderLink {
     async fn open(dialer: Dialer, address: SocketAddr) -> Result<Self, CallError> {
-        let link = Link::open(dialer, address, ConnectMode::ImmediateWithReset).await?;
+        let http = Link::open(dialer, address, ConnectMode::ImmediateWithReset).await?;
         Ok(Self {
-            link,
+            http,
             last_proof: None,
         })
     }
@@ -133,11 +133,11 @@
             }
             None => OrderLink::open(self.dialer, order.address).await?,
         };
-        if link.link.opened() >= order.connect_by {
+        if link.http.opened() >= order.connect_by {
             self.return_link(order.address, link);
             return Ok(unanswered(OrderResult::NotConnected));
         }
-        let answer = link.link.call(req, timeout, ANSWER_BOUNDS).await?;
+        let answer = link.http.call(req, timeout, ANSWER_BOUNDS).await?;
         let decoded = orders::read_answer(&order.kind, &id, answer.status, &answer.headers);
         let decoded = decoded.filter(|decoded| !link.is_copy(&decoded.result));
         let Some(decoded) = decoded else {
@@ -163,11 +163,11 @@
     fn take_link(&self, order: &Order) -> Option<OrderLink> {
         let mut links = self.links.borrow_mut();
         let kept = links.get_mut(&order.address)?;
-        kept.retain(|kept| !kept.link.is_closed());
+        kept.retain(|kept| !kept.http.is_closed());
         // Takes the connection that was idle longest. A new connection to a full endpoint
         // waits for a slot, so existing ones must not close because they are unused.
         let may_carry =
-            |kept: &OrderLink| kept.link.is_usable() && kept.link.opened() < order.connect_by;
+            |kept: &OrderLink| kept.http.is_usable() && kept.http.opened() < order.connect_by;
         let first = kept.iter().position(may_carry)?;
         Some(kept.remove(first))
     }
--- a/crates/citronway/src/gateway/traffic/pool.rs
+++ b/crates/citronway/src/gateway/traffic/pool.rs
@@ -28,7 +28,7 @@
 /// from the answer to the next. Therefore no request is sent twice on a connection.
 #[derive(Debug)]
 pub struct EndpointLink {
-    pub link: Link,
+    pub http: Link,
     sent: Vec<SentRequest>,
 }
 
@@ -41,9 +41,9 @@
 
 impl EndpointLink {
     /// A connection on which nothing was sent.
-    pub const fn new(link: Link) -> Self {
+    pub const fn new(http: Link) -> Self {
         Self {
-            link,
+            http,
             sent: Vec::new(),
         }
     }
@@ -109,7 +109,7 @@
                 Repeat::Idempotent => true,
                 Repeat::AtMostOnce => now.since(kept.since) < AT_MOST_ONCE_IDLE_MS,
             };
-            if fresh && now < kept.usable_until && kept.link.link.is_usable() {
+            if fresh && now < kept.usable_until && kept.link.http.is_usable() {
                 return Some(kept.link);
             }
         }
@@ -148,7 +148,7 @@
     /// Drops connections that are no longer fit for use.
     pub fn prune(&mut self, now: Mono) {
         self.idle.retain(|_, idle| {
-            idle.retain(|kept| now < kept.usable_until && !kept.link.link.is_closed());
+            idle.retain(|kept| now < kept.usable_until && !kept.link.http.is_closed());
             !idle.is_empty()
         });
     }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -140,7 +140,7 @@
         self.open.enter_stage(now, Stage::AtEndpoint);
         let id = self.metadata.id.as_ref();
         link.record_sent(id, self.job.deadline);
-        let sent = link.link.send(req).await;
+        let sent = link.http.send(req).await;
         let head = match sent {
             // The endpoint had closed the pooled connection, and nothing was sent on it. A new
             // connection is as good as the first.
@@ -154,7 +154,7 @@
                 let req = self.message.for_endpoint(&choice.endpoint, left_ms);
                 self.open.set_reached_endpoint(true);
                 link.record_sent(id, self.job.deadline);
-                link.link.send(req).await?
+                link.http.send(req).await?
             }
             sent => sent?,
         };
@@ -191,8 +191,8 @@
             Repeat::Idempotent => ConnectMode::Immediate,
             Repeat::AtMostOnce => ConnectMode::AfterResetCheck,
         };
-        let link = Link::open(self.state.dialer, choice.address, mode).await?;
-        Ok(EndpointLink::new(link))
+        let http = Link::open(self.state.dialer, choice.address, mode).await?;
+        Ok(EndpointLink::new(http))
     }
 }
 
--- a/crates/citronway/tests/gateway_wrong_answers.rs
+++ b/crates/citronway/tests/gateway_wrong_answers.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use citronway_standin::shared::{Answers, Fault, FaultyProxy, FencedEndpoint};
+use citronway_standin::soak::{Mode, Proxy};
 use gateway_support::load::KEY;
 use gateway_support::rows::{RowCaller, order};
 use gateway_support::{Deployment, until};
@@ -113,6 +114,57 @@
     expect_that!(other.copies(), ge(1));
 }
 
+/// Guards against a copy of an earlier answer at an instance that sends on for a neighbor without
+/// links, which may pass the same request on again.
+#[gtest]
+fn a_copy_is_not_the_answer_to_a_request_that_a_neighbor_passed_on() {
+    let deployment = Deployment::unconfigured();
+    let copying = FaultyProxy::start(deployment.c.address()).expect("a proxy");
+    let mut links = Vec::new();
+    for endpoint in [&deployment.a, &deployment.b, &deployment.c] {
+        let is_copied = endpoint.address() == deployment.c.address();
+        let target = if is_copied {
+            copying.address()
+        } else {
+            endpoint.address()
+        };
+        let link = Proxy::start(target).expect("a proxy");
+        let mut entry = endpoint.entry("ready");
+        entry["addr"] = json!(link.address);
+        deployment.store.put("servers", endpoint.name(), &entry);
+        links.push(link);
+    }
+    deployment.configure(2, &json!([]));
+    let cut = deployment.ready_instance("cut");
+    let _neighbor = deployment.ready_instance("neighbor");
+    for link in &links {
+        link.set_for(cut.callers.ip(), Mode::Reset);
+    }
+    until("the instance has noticed the cut", || {
+        cut.call("GET /look/1", "n", KEY, "");
+        cut.call("GET /status/1", "n", KEY, "");
+        cut.metrics().contains("citronway_cut_off 1")
+    });
+    let mut served = 0;
+    for n in 0..12 {
+        let warm = format!("warm-{n}");
+        until("requests are passed on", || {
+            cut.call("GET /status/1", &warm, KEY, "").status == 200
+        });
+        let id = format!("passed-{n}");
+        copying.set_after(1, Fault::Copies, Answers::Requests);
+        deployment.c.answer_next(&[[503, 429, 421, 400][n % 4]]);
+        let reply = cut.call("POST /order/1", &id, KEY, "");
+        copying.set(Fault::None, Answers::Requests);
+        deployment.c.answer_next(&[]);
+        let count = runs(&deployment.c, &id);
+        expect_that!(count, le(1), "{id}");
+        expect_that!(reply.status == 503 && count > 0, eq(false), "{id}");
+        served += usize::from(reply.status == 200);
+    }
+    expect_that!(served, ge(6), "of 12 whose second send ran");
+}
+
 /// Guards against a copy of the answer to a seal that is taken for the answer to the release, so that
 /// the keys are given on while their holder is at work on them.
 #[gtest]
