An answer without room in memory is no wrong answer

Cause: it was counted as truncated, as if the endpoint had cut it off, and its endpoint was checked for a crash. Change: an outcome of its own; the endpoint is avoided for the moment as before.

--- a/crates/citronway-core/src/gateway/leader/restore.rs
+++ b/crates/citronway-core/src/gateway/leader/restore.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Begins the term with this number in a new era of the store, in which all fences are `first_fence` or higher. The
-    /// row must have been read in this era.
+    /// Begins the term with this number in a new era of the store, in which all fences are
+    /// `first_fence` or higher. The row must have been read in this era.
     ///
     /// A leader that led until the store came back, and was confirmed within
     /// [`contact_limit_ms`](crate::gateway::leader::LeaderSettings::contact_limit_ms) of learning of
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -143,6 +143,9 @@
     /// The connection broke after bytes may have been sent.
     #[error("connection broke: {0}")]
     Broken(#[source] hyper::Error),
+    /// There is no memory for the rest of the answer.
+    #[error("no memory for the answer")]
+    NoMemory,
     /// The answer is truncated.
     #[error("answer truncated: {0}")]
     Truncated(#[source] Box<dyn std::error::Error + Send + Sync>),
@@ -344,11 +347,6 @@
     }
 }
 
-/// There is no memory for the rest of an answer.
-#[derive(Debug, thiserror::Error)]
-#[error("no memory for the answer")]
-struct NoRoom;
-
 /// Least room that a body of unknown length is given at a time, in bytes.
 const MIN_GROWTH_BYTES: usize = 8 * 1024;
 
@@ -386,7 +384,7 @@
             let wanted = stated.unwrap_or((read.capacity() * 2).max(MIN_GROWTH_BYTES));
             let capacity = wanted.min(max_bytes).max(length);
             if !has_room(capacity as u64) {
-                return Err(CallError::Truncated(Box::new(NoRoom)));
+                return Err(CallError::NoMemory);
             }
             read.reserve(capacity - read.len());
         }
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -236,7 +236,9 @@
             UnknownOutcome::Broken | UnknownOutcome::Truncated => {
                 self.check_for_crash(&choice).await
             }
-            UnknownOutcome::Wrong(_) | UnknownOutcome::NoAnswer => CrashCheck::NotCrashed,
+            UnknownOutcome::Wrong(_) | UnknownOutcome::NoMemory | UnknownOutcome::NoAnswer => {
+                CrashCheck::NotCrashed
+            }
         };
         if let Some(wrong) = unknown.wrong_answer() {
             self.state.record_wrong_answer(now, &choice.endpoint, wrong);
@@ -247,7 +249,10 @@
                 self.state.record_reset(&choice.endpoint);
                 self.record_no_room(&choice);
             }
-            UnknownOutcome::Wrong(_) | UnknownOutcome::NoAnswer | UnknownOutcome::Truncated => {
+            UnknownOutcome::Wrong(_)
+            | UnknownOutcome::NoMemory
+            | UnknownOutcome::NoAnswer
+            | UnknownOutcome::Truncated => {
                 self.state.record_failure(&choice.endpoint);
             }
         }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -94,6 +94,7 @@
             Ok(Err(CallError::Wrong(wrong))) => {
                 SendResult::MayHaveRun(UnknownOutcome::Wrong(wrong))
             }
+            Ok(Err(CallError::NoMemory)) => SendResult::MayHaveRun(UnknownOutcome::NoMemory),
             Ok(Err(CallError::Truncated(_))) => SendResult::MayHaveRun(UnknownOutcome::Truncated),
             Ok(Err(_)) => SendResult::MayHaveRun(UnknownOutcome::Broken),
         }
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -19,6 +19,8 @@
     NoAnswer,
     /// The answer was truncated.
     Truncated,
+    /// There was no memory for the answer.
+    NoMemory,
     /// The connection broke.
     Broken,
 }
@@ -29,7 +31,7 @@
         match self {
             Self::Wrong(wrong) => Some(wrong),
             Self::Truncated => Some(WrongAnswer::Truncated),
-            Self::NoAnswer | Self::Broken => None,
+            Self::NoAnswer | Self::NoMemory | Self::Broken => None,
         }
     }
 
@@ -38,6 +40,7 @@
         match self {
             Self::Wrong(wrong) => wrong.cause(),
             Self::NoAnswer => "the endpoint was silent",
+            Self::NoMemory => "no memory for the answer",
             Self::Truncated => WrongAnswer::Truncated.cause(),
             Self::Broken => "the connection to the endpoint broke",
         }
