--- a/crates/citronway-core/src/gateway/leader/mod.rs
+++ b/crates/citronway-core/src/gateway/leader/mod.rs
@@ -175,8 +175,7 @@
     /// of the store that is older than what this instance knows. Only its version is taken, for the
     /// next write.
     pub fn update_row(&mut self, row: Assignment, version: RowVersion) {
-        // Failure: a replaced leader that cannot reach the store takes the moves of its successor's
-        // row for its own, and seals a holder with a fence that the successor uses.
+        // The row proves that this leader was replaced, before the store can tell it.
         if self.term.is_some_and(|term| row.term > term.number) {
             self.end_term();
         }
--- a/crates/citronway-core/tests/gateway_assignment.rs
+++ b/crates/citronway-core/tests/gateway_assignment.rs
@@ -361,8 +361,7 @@
     }
 }
 
-/// Guards against a row of an earlier release that cannot be read, or whose moves count as those of
-/// a known leader.
+/// Guards against a row of an earlier release whose moves count as those of a known leader.
 #[gtest]
 fn a_row_of_an_earlier_release_has_no_term() -> Result<()> {
     let row = some();
--- a/crates/citronway-core/tests/gateway_leader_random.rs
+++ b/crates/citronway-core/tests/gateway_leader_random.rs
@@ -85,8 +85,7 @@
     );
 }
 
-/// Guards against a replaced leader that hears the rows of its successor, takes their moves for its
-/// own, and seals a holder late and with the fence of its successor.
+/// Guards against a replaced leader that takes the moves of its successor's rows for its own.
 #[test]
 fn leaders_that_hear_the_rows_of_their_successors() {
     let faults = Faults {
--- a/crates/citronway-core/tests/gateway_replaced_leader.rs
+++ b/crates/citronway-core/tests/gateway_replaced_leader.rs
@@ -152,8 +152,7 @@
     order.kind == OrderKind::Release
 }
 
-/// Guards against a replaced leader whose seal has the fence of its successor's, so that the holder
-/// accepts it late and has the keys beside their next owner.
+/// Guards against a late seal of a replaced leader with the fence of its successor's seal.
 #[gtest]
 fn a_late_order_of_a_replaced_leader_makes_no_second_holder() {
     for span in [ALL, PART] {
@@ -180,8 +179,7 @@
     }
 }
 
-/// Guards against a replaced leader that sends orders after it has heard a row of its successor, at
-/// any step of a move or division.
+/// Guards against orders of a replaced leader after a row of its successor, at any step of a move.
 #[gtest]
 fn a_leader_stops_at_a_row_of_a_later_term() {
     let is_grant = |order: &Order| matches!(order.kind, OrderKind::Grant { .. });
@@ -208,8 +206,7 @@
     }
 }
 
-/// Guards against orders on moves of a row whose writer is unknown before a write has shown that
-/// this leader still leads.
+/// Guards against orders on moves of an unknown leader before a write shows that this one leads.
 #[gtest]
 fn moves_of_an_unknown_leader_are_taken_over_by_a_write() {
     let mut scene = Scene::new();
@@ -241,8 +238,7 @@
     expect_that!(next, some(ge(other.next_fence)));
 }
 
-/// Guards against a leader that takes over its own moves again because the answer to its write was
-/// lost: the move goes on with the fences that it wrote.
+/// Guards against a leader that takes over its own moves because the answer to its write was lost.
 #[gtest]
 fn a_leader_knows_its_own_row_without_the_answer_to_its_write() {
     let mut scene = Scene::new();
--- a/crates/citronway-standin/src/shared/endpoint.rs
+++ b/crates/citronway-standin/src/shared/endpoint.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
-use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::held_keys::{HeldKeys, Keys};
 use super::serve::{Answer, Background};
 use super::statements::{Statements, with_statements};
 
@@ -58,7 +58,7 @@
 
 #[derive(Debug)]
 pub(super) struct State {
-    keys: Vec<KeyState>,
+    keys: HeldKeys,
     ran: Vec<Ran>,
     /// Ids of requests that arrived, and when.
     pub(super) arrived: Vec<(String, Instant)>,
@@ -108,21 +108,6 @@
     Never,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct KeyState {
-    seen: u64,
-    until: Option<Instant>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Keys {
-    from: u16,
-    target: u16,
-    fence: u64,
-    hold_s: Option<f64>,
-}
-
 impl FencedEndpoint {
     /// An endpoint of a service; `sharded` if its keys are granted.
     ///
@@ -162,7 +147,7 @@
             name: name.to_owned(),
             sharded,
             state: Mutex::new(State {
-                keys: vec![KeyState::default(); 1 << 16],
+                keys: HeldKeys::default(),
                 ran: Vec::new(),
                 arrived: Vec::new(),
                 work: Duration::from_millis(1),
@@ -224,7 +209,7 @@
     /// Whether it holds a key now.
     #[must_use]
     pub fn holds(&self, key: u16) -> bool {
-        self.shared.lock().holds(key)
+        self.shared.lock().keys.holds(key)
     }
 
     /// Time that each request takes from now on.
@@ -353,33 +338,6 @@
         let span = keys.from..=keys.target;
         self.running.iter().any(|key| span.contains(key))
     }
-
-    fn holds(&self, key: u16) -> bool {
-        let until = self.keys[usize::from(key)].until;
-        until.is_some_and(|until| Instant::now() < until)
-    }
-
-    fn grant(&mut self, keys: &Keys) -> StatusCode {
-        let span = usize::from(keys.from)..=usize::from(keys.target);
-        let span = &mut self.keys[span];
-        if span.iter().any(|key| key.seen > keys.fence) {
-            return StatusCode::CONFLICT;
-        }
-        let hold = Duration::from_secs_f64(keys.hold_s.unwrap_or_default());
-        for key in span {
-            key.seen = keys.fence;
-            key.until = Some(Instant::now() + hold);
-        }
-        StatusCode::OK
-    }
-
-    fn release(&mut self, keys: &Keys) {
-        for key in &mut self.keys[usize::from(keys.from)..=usize::from(keys.target)] {
-            if key.seen <= keys.fence {
-                key.until = None;
-            }
-        }
-    }
 }
 
 async fn handle(shared: Arc<Shared>, req: Request<Bytes>) -> Answer {
@@ -419,12 +377,12 @@
         return plain(StatusCode::BAD_REQUEST);
     };
     if path == "/api/grant" {
-        return plain(shared.lock().grant(&keys));
+        return plain(shared.lock().keys.grant(&keys));
     }
-    shared.lock().release(&keys);
+    shared.lock().keys.release(&keys);
     shared.until_idle(&keys).await;
     let mut answer = plain(StatusCode::OK);
-    if let Ok(token) = format!("{:x}", keys.fence).parse() {
+    if let Ok(token) = format!("{:x}", keys.fence()).parse() {
         answer.headers_mut().insert("x-handover", token);
     }
     answer
@@ -450,7 +408,7 @@
     let key = text("x-shard-key").and_then(|key| key.parse().ok());
     let (work, drops, crashes, failure) = {
         let mut state = shared.lock();
-        let held = !shared.sharded || key.is_some_and(|key| state.holds(key));
+        let held = !shared.sharded || key.is_some_and(|key| state.keys.holds(key));
         if meant.is_some_and(|meant| meant != shared.name) || !held {
             return Some(refusal(StatusCode::MISDIRECTED_REQUEST, req.headers()));
         }
--- a/crates/citronway-standin/src/shared/mod.rs
+++ b/crates/citronway-standin/src/shared/mod.rs
@@ -6,6 +6,7 @@
 mod documents;
 mod endpoint;
 mod faulty_proxy;
+mod held_keys;
 mod limits;
 mod repeats;
 mod rests;
--- a/crates/citronway-standin/src/soak/fleet.rs
+++ b/crates/citronway-standin/src/soak/fleet.rs
@@ -10,7 +10,8 @@
 
 use super::callers::{HARMFUL_PATH, patient_routes};
 use super::instance::{Excuse, Instance};
-use super::plan::{Fault, SHARDED, Soak};
+use super::kinds::Soak;
+use super::plan::{Fault, SHARDED};
 use super::proxy::{Mode, Proxy};
 use crate::shared::{
     Arrival, BrokenRest, Excess, FencedEndpoint, LateArrival, LostChanges, Ran, STABLE,
--- a/crates/citronway-standin/src/soak/mod.rs
+++ b/crates/citronway-standin/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod fleet;
 mod instance;
+mod kinds;
 mod plan;
 mod proxy;
 mod refusals;
@@ -17,7 +18,7 @@
 mod wrong_answers;
 
 pub use exchange::{Answer, Cut, exchange, was_reset};
-pub use plan::Soak;
+pub use kinds::Soak;
 pub use proxy::{Mode, Proxy};
 pub use run::{Soaked, run};
 pub use verdict::Violation;
--- a/crates/citronway-standin/src/soak/run.rs
+++ b/crates/citronway-standin/src/soak/run.rs
@@ -8,7 +8,8 @@
 
 use super::callers::{Caller, Cut, KEYS, Kind, Told, Was};
 use super::fleet::Fleet;
-use super::plan::{self, LENGTH_MS, Planned, Soak};
+use super::kinds::Soak;
+use super::plan::{self, LENGTH_MS, Planned};
 use super::verdict::{self, Violation};
 use crate::shared::{Excess, excessive_repeats};
 
--- a/crates/citronway/tests/gateway_endless_answers.rs
+++ b/crates/citronway/tests/gateway_endless_answers.rs
@@ -50,8 +50,7 @@
     expect_that!(more_kb, le(MAX_MEMORY_KB), "{what}");
 }
 
-/// Guards against an answer without end that holds its caller, or takes the processor or the memory
-/// of an instance.
+/// Guards against an answer without end that takes the time, processor or memory of an instance.
 #[gtest]
 fn an_answer_without_end_is_closed_at_once() {
     let deployment = Deployment::unconfigured();
@@ -113,8 +112,7 @@
     }
 }
 
-/// Guards against answers without end to grants that take the processor or the memory of the leader,
-/// or leave keys unserved for longer than a hold.
+/// Guards against answers without end to grants that take the processor or memory of the leader.
 #[gtest]
 fn an_answer_without_end_to_an_order_is_closed_at_once() {
     let deployment = Deployment::unconfigured();
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -161,8 +161,7 @@
     }
 }
 
-/// Guards against answers without end that hold up other requests, and against copies of answers that
-/// are taken for the answer to another send or order.
+/// Guards against answers without end, and copies of answers, that break a promise to a caller.
 #[gtest]
 fn wrong_answers_break_no_promise() {
     for seed in FIXED_WRONG_ANSWERS {
--- a/crates/citronway/tests/gateway_wrong_answers.rs
+++ b/crates/citronway/tests/gateway_wrong_answers.rs
@@ -40,8 +40,7 @@
     ran.iter().filter(|ran| ran.id == id).count()
 }
 
-/// Guards against a copy of an earlier answer that is taken for the answer to the next send of the
-/// same request, which runs twice or is reported as not run.
+/// Guards against a copy of an answer that is taken for the answer to the request's next send.
 #[gtest]
 fn a_copy_of_an_earlier_answer_is_not_the_answer_to_the_next_send() {
     let (deployment, keyed, other) = with_proxies();
@@ -86,7 +85,7 @@
     expect_that!(served, ge(12), "of 16 whose second send ran");
 }
 
-/// The same with requests that a caller sends in a row.
+/// Guards against the same where a caller sends requests in a row.
 #[gtest]
 fn copies_between_the_answers_of_a_row_belong_to_no_request() {
     let (deployment, _keyed, other) = with_proxies();
@@ -114,8 +113,7 @@
     expect_that!(other.copies(), ge(1));
 }
 
-/// Guards against a copy of an earlier answer at an instance that sends on for a neighbor without
-/// links, which may pass the same request on again.
+/// Guards against the same at an instance that sends requests for a neighbor without links.
 #[gtest]
 fn a_copy_is_not_the_answer_to_a_request_that_a_neighbor_passed_on() {
     let deployment = Deployment::unconfigured();
@@ -165,14 +163,13 @@
     expect_that!(served, ge(6), "of 12 whose second send ran");
 }
 
-/// Guards against a copy of the answer to a seal that is taken for the answer to the release, so that
-/// the keys are given on while their holder is at work on them.
+/// Guards against keys that are given on while their holder works, by a copy of a seal's answer.
 #[gtest]
 fn keys_are_not_given_on_by_a_copy_of_an_answer_to_an_order() {
     expect_moves_after_work(true);
 }
 
-/// The same with endpoints that echo no ids in answers to orders.
+/// Guards against the same at endpoints that echo no ids in answers to orders.
 #[gtest]
 fn a_release_is_not_done_without_its_own_handover_proof() {
     expect_moves_after_work(false);
