A send is not given up before an answer comes from elsewhere

Cause: a silent endpoint's connection was dropped, and only then a place and a second send were looked for. With no other endpoint the request was even sent to the same one again.

Change: a send has all that it needs (EndpointSend), so several can be open. A silent endpoint keeps the request; another one gets it as well once place, budget, time and memory are there. The first good answer counts. Nothing asks whether the instance stops.

--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -5,6 +5,7 @@
 //! first, then those with the earlier deadline. A request that cannot be served before its
 //! deadline is refused as soon as that is known (load shedding), with a time to retry.
 
+mod another;
 mod bytes;
 mod choose;
 mod fleet;
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -16,10 +16,12 @@
 use citronway_platform::answers::AnswerKind;
 use citronway_platform::exchange::RequestMetadata;
 
+use super::endpoint_send::EndedSend;
 use super::message::Message;
 use super::neighbor;
 use super::open_requests::{OpenRequest, Stage};
 use super::outcome::{DEFAULT_RETRY_MS, Outcome, display_id, stopping};
+use super::send::{OpenSends, SendEvent};
 use super::sent::{NotSentCause, SendResult, UnknownOutcome, log_send};
 use super::state::{Charge, Phase, Retry, State};
 use super::suspicion::CrashCheck;
@@ -46,21 +48,22 @@
     pub route: &'a Route,
     pub metadata: &'a RequestMetadata,
     /// Current stage of the request; decides the answer that it gets when the instance stops.
-    pub open: &'a OpenRequest,
-    pub message: Message,
+    pub open: &'a Rc<OpenRequest>,
+    pub message: Rc<Message>,
     pub job: Job,
     /// Endpoints that may have run the request.
     pub may_have_run_at: Vec<EndpointStart>,
     /// Number of endpoints that may have run the request through other instances.
     pub runs_elsewhere: u32,
-    /// Number of sends that reached an endpoint.
+    /// Number of ended sends that reached an endpoint.
     pub sends: u32,
+    pub open_sends: OpenSends,
     /// Answer of an endpoint that failed with a server error, kept while another endpoint is
     /// tried.
     pub failed_answer: Option<Answer>,
     /// Charge of the request, head and body.
     pub _held: Charge,
-    /// Room for the answer: the usual one until it is known.
+    /// Room for the answer of a neighbor, or for the answer that is returned.
     pub room: Charge,
     /// Fingerprint of the request's work, computed on first use.
     pub work: OnceCell<Fingerprint>,
@@ -70,6 +73,8 @@
     pub has_crashed: bool,
     /// Why the request is sent again, if it has reached an endpoint.
     pub retry_cause: RetryCause,
+    /// Whether the budget of second sends had none left for it, which is logged once.
+    pub lacked_retry: bool,
 }
 
 impl Forwarding<'_> {
@@ -90,33 +95,59 @@
     }
 
     async fn send_until_answered(&mut self) -> Outcome {
+        loop {
+            if let Some(outcome) = self.send_next().await {
+                return outcome;
+            }
+            while !self.open_sends.is_empty() {
+                let outcome = match self.wait_for_event().await {
+                    SendEvent::Ended(ended) => self.handle_ended(*ended).await,
+                    SendEvent::Silent => self.send_beside().await,
+                };
+                let Some(outcome) = outcome else {
+                    continue;
+                };
+                // While a send is open, its endpoint may still answer.
+                if self.open_sends.is_empty() || outcome.is_served() {
+                    return outcome;
+                }
+                if let Outcome::Answered(failed) = outcome {
+                    self.failed_answer = Some(failed);
+                }
+            }
+        }
+    }
+
+    /// Finds a place and begins a send there. Returns the outcome if the request ends before.
+    async fn send_next(&mut self) -> Option<Outcome> {
         loop {
             let began = clock::mono();
             // A request that waits for a place must not keep other copies from their trial.
             self.trial = None;
             if let Some(work) = self.harmful_work(began) {
-                return self.refuse_harmful(work);
+                return Some(self.refuse_harmful(work));
             }
             self.open.enter_stage(began, Stage::Waiting);
             let choice = match self.state.find_place(self.job.clone()).await {
                 Some(Decision::Send(choice)) => choice,
                 Some(Decision::Refuse(refusal)) => {
                     self.log_refusal_inputs(refusal.reason);
-                    return self.refuse(refusal);
+                    return Some(self.refuse(refusal));
                 }
                 Some(Decision::Forward) => {
-                    if !self.reserve_answer() {
-                        return self.refuse_for_memory();
-                    }
+                    let Some(room) = self.reserve_answer() else {
+                        return Some(self.refuse_for_memory());
+                    };
+                    self.room = room;
                     if let Some(outcome) = self.forward().await {
-                        return outcome;
+                        return Some(outcome);
                     }
                     if !self.has_time(clock::mono()) {
-                        return self.refuse_with(RefusalReason::Unreachable);
+                        return Some(self.refuse_with(RefusalReason::Unreachable));
                     }
                     continue;
                 }
-                None => return self.refuse_with(RefusalReason::Overloaded),
+                None => return Some(self.refuse_with(RefusalReason::Overloaded)),
             };
             let class = Class::of(self.route);
             let placed = clock::mono();
@@ -128,66 +159,65 @@
             let in_flight = self.state.in_flight(&choice, self.job.ticket);
             // Others may have used the last second send while the request waited.
             if self.open.has_reached_endpoint() && !self.state.has_retry(placed, self.retry()) {
-                return self.refuse_with(RefusalReason::EndpointRefused);
-            }
-            if !self.reserve_answer() {
-                return self.refuse_for_memory();
+                return Some(self.refuse_with(RefusalReason::EndpointRefused));
             }
+            let Some(room) = self.reserve_answer() else {
+                return Some(self.refuse_for_memory());
+            };
             // The work may have been classified as harmful while the request waited.
             if let Some(work) = self.harmful_work(placed) {
-                return self.refuse_harmful(work);
+                return Some(self.refuse_harmful(work));
             }
             match self.admit_send(&choice).await {
                 SendAdmission::Granted => {}
                 SendAdmission::ChooseAgain => continue,
-                SendAdmission::Refused(outcome) => return outcome,
+                SendAdmission::Refused(outcome) => return Some(outcome),
             }
-            let sent = self.send(&choice).await;
-            drop(in_flight);
-            let now = clock::mono();
-            self.log_send(now, &choice, &sent);
-            let is_withheld = matches!(sent, SendResult::Withheld);
-            if !is_withheld && !self.job.tried.contains(&choice.endpoint) {
-                self.job.tried.push(choice.endpoint.clone());
+            if !self.begin_send(choice, in_flight, room) {
+                return Some(self.refuse_with(RefusalReason::Overloaded));
             }
-            match sent {
-                SendResult::Withheld => {
-                    if !self.has_time(now) {
-                        return self.refuse_with(RefusalReason::Overloaded);
-                    }
-                }
-                SendResult::Answer(answer) => {
-                    let request = display_id(self.metadata.id.as_ref());
-                    self.state
-                        .record_timed_answer(now, request, &self.job, &choice);
-                    if let Some(outcome) = self.handle_answer(now, &choice, answer) {
-                        return outcome;
-                    }
-                }
-                SendResult::NoRetryLeft => {
-                    return self.refuse_with(RefusalReason::EndpointRefused);
-                }
-                SendResult::TooLate => return self.refuse_with(RefusalReason::Overloaded),
-                SendResult::NotSent(cause) => {
-                    self.record_unsent(&choice, &cause);
-                    if !self.has_time(now) {
-                        return self.refuse_with(RefusalReason::Unreachable);
-                    }
-                }
-                SendResult::Refused(kind) => {
-                    if let Some(outcome) = self.handle_rejection(now, &choice, kind) {
-                        return outcome;
-                    }
-                }
-                SendResult::MayHaveRun(unknown) => {
-                    if let Some(outcome) = self.handle_unknown_outcome(now, choice, unknown).await {
-                        return outcome;
-                    }
-                }
-                SendResult::TimedOut => {
-                    self.state.record_failure(&choice.endpoint);
-                    return Outcome::TimedOut;
-                }
+            return None;
+        }
+    }
+
+    /// Handles an ended send. Returns `None` if the request is to be sent again.
+    pub(super) async fn handle_ended(&mut self, ended: EndedSend) -> Option<Outcome> {
+        let choice = ended.choice.clone();
+        self.open_sends.remove(&choice.endpoint);
+        if ended.was_sent {
+            self.sends += 1;
+        }
+        let sent = self.read_result(ended);
+        let now = clock::mono();
+        self.log_send(now, &choice, &sent);
+        let is_withheld = matches!(sent, SendResult::Withheld);
+        if !is_withheld && !self.job.tried.contains(&choice.endpoint) {
+            self.job.tried.push(choice.endpoint.clone());
+        }
+        match sent {
+            SendResult::Withheld => {
+                let no_time = !self.has_time(now);
+                no_time.then(|| self.refuse_with(RefusalReason::Overloaded))
+            }
+            SendResult::Answer(answer) => {
+                let request = display_id(self.metadata.id.as_ref());
+                self.state
+                    .record_timed_answer(now, request, &self.job, &choice);
+                self.handle_answer(now, &choice, answer)
+            }
+            SendResult::NoRetryLeft => Some(self.refuse_with(RefusalReason::EndpointRefused)),
+            SendResult::NotSent(cause) => {
+                self.record_unsent(&choice, &cause);
+                let no_time = !self.has_time(now);
+                no_time.then(|| self.refuse_with(RefusalReason::Unreachable))
+            }
+            SendResult::Refused(kind) => self.handle_rejection(now, &choice, kind),
+            SendResult::MayHaveRun(unknown) => {
+                self.handle_unknown_outcome(now, choice, unknown).await
+            }
+            SendResult::TimedOut => {
+                self.state.record_failure(&choice.endpoint);
+                Some(Outcome::TimedOut)
             }
         }
     }
@@ -198,11 +228,7 @@
         if let Some(refusal) = self.admit_trial().await {
             return SendAdmission::Refused(self.refuse(refusal));
         }
-        let reason = if !self.admit_cold_send(choice).await {
-            RefusalReason::Overloaded
-        } else if !self.admit_limited_send(choice).await {
-            RefusalReason::EndpointLimited
-        } else {
+        let Err(reason) = self.admit_endpoint(choice).await else {
             return SendAdmission::Granted;
         };
         if self.has_time(clock::mono()) {
@@ -212,6 +238,17 @@
         }
     }
 
+    /// Asks for leave to send to a cold or limited endpoint.
+    pub(super) async fn admit_endpoint(&self, choice: &Choice) -> Result<(), RefusalReason> {
+        if !self.admit_cold_send(choice).await {
+            return Err(RefusalReason::Overloaded);
+        }
+        if !self.admit_limited_send(choice).await {
+            return Err(RefusalReason::EndpointLimited);
+        }
+        Ok(())
+    }
+
     /// Records that nothing reached the endpoint.
     fn record_unsent(&self, choice: &Choice, cause: &NotSentCause) {
         match cause {
@@ -236,9 +273,7 @@
             UnknownOutcome::Broken | UnknownOutcome::Truncated => {
                 self.check_for_crash(&choice).await
             }
-            UnknownOutcome::Wrong(_) | UnknownOutcome::NoMemory | UnknownOutcome::NoAnswer => {
-                CrashCheck::NotCrashed
-            }
+            UnknownOutcome::Wrong(_) | UnknownOutcome::NoMemory => CrashCheck::NotCrashed,
         };
         if let Some(wrong) = unknown.wrong_answer() {
             self.state.record_wrong_answer(now, &choice.endpoint, wrong);
@@ -249,10 +284,7 @@
                 self.state.record_reset(&choice.endpoint);
                 self.record_no_room(&choice);
             }
-            UnknownOutcome::Wrong(_)
-            | UnknownOutcome::NoMemory
-            | UnknownOutcome::NoAnswer
-            | UnknownOutcome::Truncated => {
+            UnknownOutcome::Wrong(_) | UnknownOutcome::NoMemory | UnknownOutcome::Truncated => {
                 self.state.record_failure(&choice.endpoint);
             }
         }
@@ -277,7 +309,6 @@
             SendResult::Answer(_)
             | SendResult::Refused(_)
             | SendResult::NotSent(_)
-            | SendResult::TooLate
             | SendResult::NoRetryLeft
             | SendResult::Withheld
             | SendResult::TimedOut => None,
@@ -380,7 +411,7 @@
         }
     }
 
-    fn has_time(&self, now: Mono) -> bool {
+    pub(super) fn has_time(&self, now: Mono) -> bool {
         now.plus(MIN_SEND_TIME_MS) < self.job.deadline
     }
 
@@ -391,7 +422,8 @@
 
     /// Number of endpoints that may have run the request.
     pub(super) fn runs(&self) -> u32 {
-        let here = u32::try_from(self.may_have_run_at.len()).unwrap_or(u32::MAX);
+        let here = self.may_have_run_at.len() + self.open_sends.silent_count();
+        let here = u32::try_from(here).unwrap_or(u32::MAX);
         here.saturating_add(self.runs_elsewhere)
     }
 
@@ -418,12 +450,13 @@
         Outcome::Unknown(UnknownOutcomeReason::Broken, "no other endpoint has room")
     }
 
-    /// Reserves room for the usual answer of the route; returns whether there is any.
+    /// Reserves room for the usual answer of the route, if there is any.
     ///
     /// Failure guarded against: requests are sent on while there is memory for them, and their
     /// answers come all at once.
-    fn reserve_answer(&mut self) -> bool {
-        self.room.reserve(self.job.answer_bytes)
+    pub(super) fn reserve_answer(&self) -> Option<Charge> {
+        let mut room = self.state.memory.reserve(0);
+        room.reserve(self.job.answer_bytes).then_some(room)
     }
 
     fn refuse_for_memory(&self) -> Outcome {
--- a/crates/citronway/src/gateway/traffic/message.rs
+++ b/crates/citronway/src/gateway/traffic/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use citronway_core::ids::EndpointStart;
 use citronway_platform::exchange;
+use http::request::Parts;
 use http::{Method, Request, Uri};
 
 /// The request as it is sent to an endpoint or a neighbor.
@@ -15,6 +16,16 @@
 }
 
 impl Message {
+    /// The request of a caller, without the headers that are not passed on.
+    pub(super) fn new(head: &Parts, body: Bytes) -> Self {
+        Self {
+            method: head.method.clone(),
+            uri: head.uri.clone(),
+            headers: exchange::forwarded_headers(&head.headers),
+            body,
+        }
+    }
+
     /// The request as it is passed on, with its path and query only.
     pub(super) fn in_origin_form(&self) -> Request<Bytes> {
         let mut req = Request::new(self.body.clone());
--- a/crates/citronway/src/gateway/traffic/mod.rs
+++ b/crates/citronway/src/gateway/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod connection;
 mod ended;
+mod endpoint_send;
 mod forwarding;
 mod limited;
 mod links;
--- a/crates/citronway/src/gateway/traffic/outcome.rs
+++ b/crates/citronway/src/gateway/traffic/outcome.rs
@@ -42,6 +42,11 @@
 }
 
 impl Outcome {
+    /// Whether an endpoint ran the request and did not fail.
+    pub(super) fn is_served(&self) -> bool {
+        matches!(self, Self::Answered(answer) if !answer.status.is_server_error())
+    }
+
     /// Label for metrics.
     const fn kind(&self) -> OutcomeKind {
         match self {
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -24,6 +24,7 @@
 use super::neighbor::{ForwardedRequest, Origin};
 use super::open_requests::OpenRequest;
 use super::outcome::{self, DEFAULT_RETRY_MS, Outcome, not_run};
+use super::send::OpenSends;
 use super::state::State;
 use crate::clock;
 use crate::gateway::metrics::Class;
@@ -135,7 +136,7 @@
     state: &Rc<State>,
     parsed: &ParsedRequest<'_>,
     body: B,
-    open: &OpenRequest,
+    open: &Rc<OpenRequest>,
     class: &mut Class,
 ) -> Outcome
 where
@@ -223,16 +224,12 @@
         route,
         metadata,
         open,
-        message: Message {
-            method: head.method.clone(),
-            uri: head.uri.clone(),
-            headers: exchange::forwarded_headers(&head.headers),
-            body: held.bytes,
-        },
+        message: Rc::new(Message::new(head, held.bytes)),
         job,
         may_have_run_at: Vec::new(),
         runs_elsewhere: forwarded.map_or(0, |forwarded| forwarded.runs),
         sends: 0,
+        open_sends: OpenSends::default(),
         failed_answer: None,
         _held: held.charge,
         room: state.memory.reserve(0),
@@ -240,6 +237,7 @@
         trial: None,
         has_crashed: false,
         retry_cause: RetryCause::PassedOn,
+        lacked_retry: false,
     };
     forwarding.run().await
 }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -1,63 +1,291 @@
-//! Sends a request to one endpoint and reads the answer.
+//! Open sends of a request: when another endpoint gets it too, and what an ended send means.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
-use citronway_core::gateway::admission::Choice;
+use citronway_core::gateway::admission::{Choice, Decision};
+use citronway_core::gateway::budget::RetryCause;
 use citronway_core::gateway::routes::Repeat;
-use citronway_platform::answers::{AnswerHead, AnswerKind};
+use citronway_core::ids::EndpointStart;
+use citronway_core::time::Mono;
+use citronway_platform::answers::AnswerKind;
+use futures::StreamExt as _;
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
 
+use super::endpoint_send::{EndedSend, EndpointSend, Exchanged};
 use super::forwarding::{Forwarding, MIN_SEND_TIME_MS};
-use super::open_requests::Stage;
-use super::pool::EndpointLink;
+use super::outcome::{Outcome, display_id};
 use super::sent::{NotSentCause, SendResult, UnknownOutcome};
+use super::state::{Charge, InFlight};
 use crate::clock;
-use crate::gateway::http_link::{self, Answer, BodyBounds, CallError, ConnectMode, Link};
+use crate::gateway::http_link::CallError;
 use crate::gateway::metrics::Class;
 use crate::gateway::wrong_answer::WrongAnswer;
 
-/// Multiple of the usual work time after which an endpoint that has not answered is given up,
-/// where another endpoint could run the request. One request in a hundred takes longer when all
-/// endpoints are healthy.
-const ENDPOINT_TIMEOUT_FACTOR: u64 = 5;
+/// Multiple of the usual work time after which an endpoint that has not answered counts as silent.
+/// One request in a hundred takes longer when all endpoints are healthy.
+const SILENT_FACTOR: u64 = 5;
 
-/// Multiple of the usual work time after which a request that tries whether endpoints answer this
-/// instance again is given up, and the shortest such time, in milliseconds.
+/// The same while no endpoint answers this instance, and the shortest such time, in milliseconds.
 const LINK_TRIAL_FACTOR: u64 = 2;
 const MIN_LINK_TRIAL_MS: u64 = 300;
 
+/// Interval between searches for another endpoint while the present one is silent, in milliseconds.
+const ASK_AGAIN_MS: u64 = 200;
+
+/// The sends of a request that have not ended.
+#[derive(Debug, Default)]
+pub(super) struct OpenSends {
+    sends: Sends,
+    /// Where they are, until they have ended and that is handled.
+    endpoints: Vec<OpenAt>,
+    /// When the endpoints count as silent; `None` if that does not matter.
+    silent_at: Option<Mono>,
+}
+
+type Sends = FuturesUnordered<LocalBoxFuture<'static, EndedSend>>;
+
+/// An endpoint that has a request.
+#[derive(Debug)]
+struct OpenAt {
+    endpoint: EndpointStart,
+    /// Whether it was silent, so that it counts as one that may have run the request.
+    is_silent: bool,
+}
+
+/// What happens while sends are open.
+pub(super) enum SendEvent {
+    Ended(Box<EndedSend>),
+    /// The endpoints have not answered in the usual time, or no endpoint answers this instance.
+    Silent,
+}
+
+impl OpenSends {
+    pub(super) fn is_empty(&self) -> bool {
+        self.sends.is_empty()
+    }
+
+    /// Number of endpoints that were silent and may run the request.
+    pub(super) fn silent_count(&self) -> usize {
+        self.endpoints.iter().filter(|open| open.is_silent).count()
+    }
+
+    /// Records that a send to the endpoint has ended.
+    pub(super) fn remove(&mut self, endpoint: &EndpointStart) {
+        let place = self.endpoints.iter().position(|o| o.endpoint == *endpoint);
+        if let Some(place) = place {
+            self.endpoints.swap_remove(place);
+        }
+    }
+
+    fn push(&mut self, send: EndpointSend) {
+        self.endpoints.push(OpenAt {
+            endpoint: send.choice.endpoint.clone(),
+            is_silent: false,
+        });
+        self.sends.push(Box::pin(send.run()));
+    }
+}
+
+/// Resolves to the next send that ends; never without open sends.
+async fn next_ended(sends: &mut Sends) -> EndedSend {
+    match sends.next().await {
+        Some(ended) => ended,
+        None => std::future::pending().await,
+    }
+}
+
 impl Forwarding<'_> {
-    /// Sends the request once to an endpoint and reads the answer.
-    pub(super) async fn send(&mut self, choice: &Choice) -> SendResult {
-        let started = clock::mono();
-        let left_ms = self.job.deadline.since(started);
+    /// Begins a send. Returns false if no time is left.
+    pub(super) fn begin_send(&mut self, choice: Choice, in_flight: InFlight, room: Charge) -> bool {
+        let now = clock::mono();
+        let left_ms = self.job.deadline.since(now);
         if left_ms < MIN_SEND_TIME_MS {
-            return SendResult::TooLate;
+            return false;
+        }
+        let silent_after_ms = self.silent_after_ms();
+        self.open_sends.silent_at = silent_after_ms.map(|ms| now.plus(ms));
+        self.open_sends.push(EndpointSend {
+            state: Rc::clone(self.state),
+            open: Rc::clone(self.open),
+            message: Rc::clone(&self.message),
+            id: self.metadata.id.clone(),
+            job: self.job.clone(),
+            choice,
+            cause: self.retry_cause,
+            in_flight,
+            room,
+        });
+        true
+    }
+
+    /// Time after which an endpoint counts as silent, in milliseconds; `None` if no other endpoint
+    /// may run the request.
+    fn silent_after_ms(&self) -> Option<u64> {
+        if self.job.repeat != Repeat::Idempotent {
+            return None;
+        }
+        if self.state.is_cut_off() {
+            // This request shows whether endpoints answer again.
+            return Some((self.job.work_ms * LINK_TRIAL_FACTOR).max(MIN_LINK_TRIAL_MS));
         }
-        let sends = self.sends;
-        let timeout_ms = self.endpoint_timeout_ms(choice, left_ms);
-        let limit = Duration::from_millis(timeout_ms);
-        // A request that may be repeated does not wait for an endpoint that no longer answers.
-        let may_repeat =
-            self.job.repeat == Repeat::Idempotent && self.runs() + 1 < self.route.attempts;
+        let usual = self.job.work_ms * SILENT_FACTOR;
+        self.job
+            .key
+            .is_none()
+            .then(|| usual.max(self.route.objective_ms / 2))
+    }
+
+    /// Waits until an open send ends or counts as silent.
+    pub(super) async fn wait_for_event(&mut self) -> SendEvent {
         let state = Rc::clone(self.state);
+        let may_repeat = self.job.repeat == Repeat::Idempotent;
         let cut_off = async {
             if !may_repeat || state.is_cut_off() {
                 std::future::pending::<()>().await;
             }
             state.wait_until_cut_off().await;
         };
-        let exchanged = tokio::select! {
-            exchanged = tokio::time::timeout(limit, self.exchange(choice)) => exchanged,
-            () = cut_off => Ok(Err(CallError::Timeout)),
+        let silent_ms = self.open_sends.silent_at.map(|at| at.since(clock::mono()));
+        let silent = async {
+            match silent_ms {
+                Some(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            ended = next_ended(&mut self.open_sends.sends) => SendEvent::Ended(Box::new(ended)),
+            () = silent => SendEvent::Silent,
+            () = cut_off => SendEvent::Silent,
+        }
+    }
+
+    /// Sends the request to another endpoint as well, if that is certain to be possible now. The
+    /// open sends stay open: an endpoint may be about to answer.
+    pub(super) async fn send_beside(&mut self) -> Option<Outcome> {
+        let now = clock::mono();
+        self.open_sends.silent_at = Some(now.plus(ASK_AGAIN_MS));
+        if !self.may_send_beside(now) {
+            return None;
+        }
+        self.job.ticket = self.state.next_ticket();
+        let open_at = self.open_sends.endpoints.iter();
+        let open_at: Vec<_> = open_at.map(|open| open.endpoint.clone()).collect();
+        for endpoint in &open_at {
+            if !self.job.tried.contains(endpoint) {
+                self.job.tried.push(endpoint.clone());
+            }
+        }
+        let choice = match self.state.find_another(&self.job, &open_at)? {
+            Decision::Send(choice) => choice,
+            Decision::Forward => return self.forward_beside(now).await,
+            Decision::Refuse(_) => return None,
+        };
+        let in_flight = self.state.in_flight(&choice, self.job.ticket);
+        let room = self.reserve_answer()?;
+        let mut sends = std::mem::take(&mut self.open_sends.sends);
+        let admitted = tokio::select! {
+            biased;
+            ended = next_ended(&mut sends) => Err(ended),
+            admitted = self.admit_endpoint(&choice) => Ok(admitted),
+        };
+        self.open_sends.sends = sends;
+        match admitted {
+            Err(ended) => return self.handle_ended(ended).await,
+            Ok(Err(_not_now)) => return None,
+            Ok(Ok(())) => {}
+        }
+        self.record_silent(now);
+        self.open.set_endpoint(clock::mono(), &choice);
+        self.begin_send(choice, in_flight, room);
+        None
+    }
+
+    /// Whether the request may be sent to another endpoint while it is open at one.
+    fn may_send_beside(&mut self, now: Mono) -> bool {
+        let is_routed = self.job.key.is_none() || self.state.is_cut_off();
+        let open = self.open_sends.endpoints.len() - self.open_sends.silent_count();
+        let open = u32::try_from(open).unwrap_or(u32::MAX);
+        let attempts = self.route.attempts.max(1);
+        if !is_routed || self.runs().saturating_add(open) >= attempts || !self.has_time(now) {
+            return false;
+        }
+        self.retry_cause = RetryCause::Unanswered;
+        let has_retry = if self.lacked_retry {
+            self.state.is_retry_left(now, &self.job.service)
+        } else {
+            self.state.has_retry(now, self.retry())
+        };
+        self.lacked_retry |= !has_retry;
+        // Copies of work that may crash endpoints are tried one by one.
+        has_retry && self.suspect_work().is_none() && self.harmful_work(now).is_none()
+    }
+
+    /// Passes the request on to another instance while sends are open.
+    async fn forward_beside(&mut self, now: Mono) -> Option<Outcome> {
+        self.room = self.reserve_answer()?;
+        self.record_silent(now);
+        let mut sends = std::mem::take(&mut self.open_sends.sends);
+        let mut ended = Vec::new();
+        let forwarded = {
+            let forward = self.forward();
+            tokio::pin!(forward);
+            loop {
+                tokio::select! {
+                    biased;
+                    send = next_ended(&mut sends) => {
+                        let is_served = send.is_served();
+                        ended.push(send);
+                        if is_served {
+                            break None;
+                        }
+                    }
+                    outcome = &mut forward => break outcome,
+                }
+            }
         };
-        let is_given_up = timeout_ms < left_ms || (may_repeat && self.state.is_cut_off());
-        match exchanged {
-            Ok(Ok(Exchanged::Withheld)) => SendResult::Withheld,
-            Ok(Ok(Exchanged::NoRetryLeft)) => SendResult::NoRetryLeft,
-            Ok(Ok(Exchanged::Answer { head, answer })) => match head.kind {
+        self.open_sends.sends = sends;
+        let mut outcome = forwarded;
+        for send in ended {
+            if outcome.as_ref().is_some_and(Outcome::is_served) {
+                break;
+            }
+            outcome = self.handle_ended(send).await.or(outcome);
+        }
+        outcome
+    }
+
+    /// Records that the endpoints of the open sends are silent.
+    fn record_silent(&mut self, now: Mono) {
+        let request = display_id(self.metadata.id.as_ref());
+        let ms = now.since(self.job.arrived);
+        for open in &mut self.open_sends.endpoints {
+            if std::mem::replace(&mut open.is_silent, true) {
+                continue;
+            }
+            let endpoint = &open.endpoint;
+            log::info!(request, endpoint:%, ms; "endpoint is silent; the request goes to another one as well");
+            self.state.record_failure(endpoint);
+        }
+    }
+
+    /// Records what the answer of an ended send says, and tells what became of it.
+    pub(super) fn read_result(&mut self, ended: EndedSend) -> SendResult {
+        let EndedSend {
+            choice,
+            started,
+            was_sent,
+            result,
+            room,
+        } = ended;
+        match result {
+            Ok(Exchanged::Withheld) => SendResult::Withheld,
+            Ok(Exchanged::NoRetryLeft) => SendResult::NoRetryLeft,
+            Ok(Exchanged::Answer { head, answer }) => match head.kind {
                 AnswerKind::Ran => {
-                    self.state.record_answer(choice, self.job.key);
+                    self.state.record_answer(&choice, self.job.key);
                     if choice.fence.is_none() {
                         self.state.record_load(&self.job, head.load);
                     }
@@ -72,6 +300,7 @@
                         self.state
                             .record_served(route, &choice.endpoint, took, bytes);
                     }
+                    self.room = room;
                     SendResult::Answer(answer)
                 }
                 AnswerKind::Full | AnswerKind::Misdirected | AnswerKind::NotRun => {
@@ -81,131 +310,17 @@
                     SendResult::MayHaveRun(UnknownOutcome::Wrong(WrongAnswer::Foreign))
                 }
             },
-            Ok(Err(CallError::Reset)) => SendResult::NotSent(NotSentCause::Reset),
-            Ok(Err(e)) if e.is_unsent() => SendResult::NotSent(NotSentCause::NoConnection(e)),
+            Err(CallError::Reset) => SendResult::NotSent(NotSentCause::Reset),
+            Err(e) if e.is_unsent() => SendResult::NotSent(NotSentCause::NoConnection(e)),
             // The time ended while the connection was being opened.
-            Ok(Err(CallError::Timeout)) | Err(_) if self.sends == sends => {
+            Err(CallError::Timeout) if !was_sent => {
                 SendResult::NotSent(NotSentCause::NoConnection(CallError::Timeout))
             }
-            Ok(Err(CallError::Timeout)) | Err(_) if is_given_up => {
-                SendResult::MayHaveRun(UnknownOutcome::NoAnswer)
-            }
-            Ok(Err(CallError::Timeout)) | Err(_) => SendResult::TimedOut,
-            Ok(Err(CallError::Wrong(wrong))) => {
-                SendResult::MayHaveRun(UnknownOutcome::Wrong(wrong))
-            }
-            Ok(Err(CallError::NoMemory)) => SendResult::MayHaveRun(UnknownOutcome::NoMemory),
-            Ok(Err(CallError::Truncated(_))) => SendResult::MayHaveRun(UnknownOutcome::Truncated),
-            Ok(Err(_)) => SendResult::MayHaveRun(UnknownOutcome::Broken),
+            Err(CallError::Timeout) => SendResult::TimedOut,
+            Err(CallError::Wrong(wrong)) => SendResult::MayHaveRun(UnknownOutcome::Wrong(wrong)),
+            Err(CallError::NoMemory) => SendResult::MayHaveRun(UnknownOutcome::NoMemory),
+            Err(CallError::Truncated(_)) => SendResult::MayHaveRun(UnknownOutcome::Truncated),
+            Err(_) => SendResult::MayHaveRun(UnknownOutcome::Broken),
         }
     }
-
-    /// How long to wait for one endpoint, in milliseconds.
-    ///
-    /// This is all the time left, unless another endpoint could run the request too: then the
-    /// first one gets a multiple of the usual work time.
-    fn endpoint_timeout_ms(&self, choice: &Choice, left_ms: u64) -> u64 {
-        let may_repeat =
-            self.job.repeat == Repeat::Idempotent && self.runs() + 1 < self.route.attempts;
-        if may_repeat && self.state.is_cut_off() {
-            // This request shows whether endpoints answer again.
-            let timeout_ms = self.job.work_ms * LINK_TRIAL_FACTOR;
-            return timeout_ms.max(MIN_LINK_TRIAL_MS).min(left_ms);
-        }
-        let other = choice.fence.is_none() && may_repeat;
-        if !other {
-            return left_ms;
-        }
-        let timeout = self.job.work_ms * ENDPOINT_TIMEOUT_FACTOR;
-        timeout.max(self.route.objective_ms / 2).min(left_ms)
-    }
-
-    /// Sends the request on one connection and reads the answer.
-    ///
-    /// Each send passes here, and a second send is taken from the budget right before its first byte:
-    /// one that is taken earlier may arrive in a later window than it was counted in.
-    async fn exchange(&mut self, choice: &Choice) -> Result<Exchanged, CallError> {
-        let mut link = self.acquire_link(choice).await?;
-        if !self.state.may_send(&self.job, choice) {
-            return Ok(Exchanged::Withheld);
-        }
-        let now = clock::mono();
-        let is_retry = self.open.has_reached_endpoint();
-        if is_retry && !self.state.take_retry(now, self.retry()) {
-            return Ok(Exchanged::NoRetryLeft);
-        }
-        let left_ms = self.job.deadline.since(now);
-        let req = self.message.for_endpoint(&choice.endpoint, left_ms);
-        self.sends += 1;
-        self.open.set_reached_endpoint(true);
-        self.open.enter_stage(now, Stage::AtEndpoint);
-        let id = self.metadata.id.as_ref();
-        link.record_sent(id, self.job.deadline);
-        let sent = link.http.send(req).await;
-        let head = match sent {
-            // The endpoint had closed the pooled connection, and nothing was sent on it. A new
-            // connection is as good as the first.
-            Err(CallError::NotSent) => {
-                self.open.set_reached_endpoint(is_retry);
-                link = self.open_link(choice).await?;
-                if !self.state.may_send(&self.job, choice) {
-                    self.sends -= 1;
-                    return Ok(Exchanged::Withheld);
-                }
-                let req = self.message.for_endpoint(&choice.endpoint, left_ms);
-                self.open.set_reached_endpoint(true);
-                link.record_sent(id, self.job.deadline);
-                link.http.send(req).await?
-            }
-            sent => sent?,
-        };
-        let decoded = AnswerHead::read(id, head.status(), head.headers(), SystemTime::now());
-        self.state.record_statements(&choice.endpoint, &decoded);
-        let bounds = BodyBounds::of_usual(self.job.answer_bytes);
-        let room = |bytes| self.room.grow_to(bytes);
-        let answer = http_link::read_answer(head, bounds, room).await?;
-        if decoded.kind != AnswerKind::Foreign {
-            let mut pool = self.state.pool.borrow_mut();
-            pool.put(clock::mono(), choice, link, decoded.keep_alive);
-        }
-        Ok(Exchanged::Answer {
-            head: Box::new(decoded),
-            answer,
-        })
-    }
-
-    async fn acquire_link(&self, choice: &Choice) -> Result<EndpointLink, CallError> {
-        let now = clock::mono();
-        let kept = {
-            let mut pool = self.state.pool.borrow_mut();
-            pool.take(now, choice, self.job.repeat, self.metadata.id.as_ref())
-        };
-        match kept {
-            Some(link) => Ok(link),
-            None => self.open_link(choice).await,
-        }
-    }
-
-    async fn open_link(&self, choice: &Choice) -> Result<EndpointLink, CallError> {
-        self.state.pool.borrow_mut().count_opened();
-        let mode = match self.job.repeat {
-            Repeat::Idempotent => ConnectMode::Immediate,
-            Repeat::AtMostOnce => ConnectMode::AfterResetCheck,
-        };
-        let http = Link::open(self.state.dialer, choice.address, mode).await?;
-        Ok(EndpointLink::new(http))
-    }
-}
-
-/// What became of a request on one connection.
-enum Exchanged {
-    /// Nothing was sent, since the endpoint may not be sent the request any more.
-    Withheld,
-    /// Nothing was sent, since it would be a second send and none is left.
-    NoRetryLeft,
-    /// An answer and its decoded head.
-    Answer {
-        head: Box<AnswerHead>,
-        answer: Answer,
-    },
 }
--- a/crates/citronway/src/gateway/traffic/sent.rs
+++ b/crates/citronway/src/gateway/traffic/sent.rs
@@ -14,9 +14,6 @@
 pub(super) enum UnknownOutcome {
     /// The endpoint's bytes are not the answer to the request.
     Wrong(WrongAnswer),
-    /// The endpoint did not answer within its timeout, and another endpoint could run the
-    /// request.
-    NoAnswer,
     /// The answer was truncated.
     Truncated,
     /// There was no memory for the answer.
@@ -31,7 +28,7 @@
         match self {
             Self::Wrong(wrong) => Some(wrong),
             Self::Truncated => Some(WrongAnswer::Truncated),
-            Self::NoAnswer | Self::NoMemory | Self::Broken => None,
+            Self::NoMemory | Self::Broken => None,
         }
     }
 
@@ -39,7 +36,6 @@
     pub(super) const fn cause(self) -> &'static str {
         match self {
             Self::Wrong(wrong) => wrong.cause(),
-            Self::NoAnswer => "the endpoint was silent",
             Self::NoMemory => "no memory for the answer",
             Self::Truncated => WrongAnswer::Truncated.cause(),
             Self::Broken => "the connection to the endpoint broke",
@@ -63,8 +59,6 @@
     Refused(AnswerKind),
     /// Nothing reached the endpoint.
     NotSent(NotSentCause),
-    /// No attempt was made because no time was left to work.
-    TooLate,
     /// No attempt was made because the endpoint may not be sent the request any more.
     Withheld,
     /// No attempt was made because no second send is left.
@@ -97,9 +91,6 @@
             let refusal = format!("{meaning:?}");
             log::info!(request, endpoint:%, fence, sends, refusal; "endpoint did not run it");
         }
-        SendResult::TooLate => {
-            log::info!(request, endpoint:%, fence, sends; "no time left to send");
-        }
         SendResult::Withheld => {
             log::info!(request, endpoint:%, fence, sends; "endpoint may not be sent the request any more");
         }
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -275,6 +275,12 @@
         (&mut waiting.decided).await.ok()
     }
 
+    /// Finds another place that is free now for a request that is still at the endpoints `open_at`.
+    pub(super) fn find_another(&self, job: &Job, open_at: &[EndpointStart]) -> Option<Decision> {
+        let mut admission = self.admission.borrow_mut();
+        admission.find_another(clock::mono(), &self.view.borrow(), job, open_at)
+    }
+
     /// Holds the place of a sent request until the guard is dropped.
     pub(super) fn in_flight(self: &Rc<Self>, choice: &Choice, ticket: u64) -> InFlight {
         InFlight {
--- a/crates/citronway/src/gateway/traffic/state/retries.rs
+++ b/crates/citronway/src/gateway/traffic/state/retries.rs
@@ -70,6 +70,17 @@
         budget.record_request(now, sharing);
     }
 
+    /// Whether the budget of second sends of a service has one left.
+    pub(in crate::gateway::traffic) fn is_retry_left(
+        &self,
+        now: Mono,
+        service: &ServiceName,
+    ) -> bool {
+        let sharing = self.view.borrow().sharing;
+        let mut budgets = self.retry_budgets.borrow_mut();
+        budgets.service(service).budget.used(now, sharing).left >= 1.0
+    }
+
     /// Whether the budget of second sends has one left. Logs and counts the request if not.
     pub(in crate::gateway::traffic) fn has_retry(&self, now: Mono, retry: Retry<'_>) -> bool {
         let sharing = self.view.borrow().sharing;
--- a/crates/citronway/src/gateway/traffic/suspicion.rs
+++ b/crates/citronway/src/gateway/traffic/suspicion.rs
@@ -156,7 +156,7 @@
     }
 
     /// The fingerprint of this work if it was at an endpoint that crashed.
-    fn suspect_work(&self) -> Option<Fingerprint> {
+    pub(super) fn suspect_work(&self) -> Option<Fingerprint> {
         let known = self.known_work();
         if known.suspects.is_empty() && !self.has_crashed {
             return None;
--- a/crates/citronway/tests/gateway_open_sends.rs
+++ b/crates/citronway/tests/gateway_open_sends.rs
@@ -78,26 +78,59 @@
     expect_that!(reply.status, eq(200));
 }
 
-/// Guards against the loss of the first endpoint's work when the second endpoint has no room after all.
-#[gtest]
-fn a_slow_endpoint_answers_where_the_next_one_rejects_the_request() {
+/// Calls while the first endpoint is slow, and lists a second one once the first has the request.
+fn call_with_late_second(second: &FencedEndpoint) -> Reply {
     let deployment = slow_deployment();
     let instance = deployment.ready_instance("one");
-    let second = second_endpoint();
-    second.full(true);
-    let asked = thread::scope(|scope| {
+    thread::scope(|scope| {
         let asked = scope.spawn(|| call(&instance));
         until("the first endpoint has it", || {
             deployment.c.ran().len() == 1
         });
-        deployment.list(&second, "ready");
+        deployment.list(second, "ready");
         asked.join().expect("the caller ends")
-    });
-    expect_that!(asked.status, eq(200));
-    expect_that!(
-        asked.header("x-response-signature"),
-        some(contains_substring("i-c"))
-    );
+    })
+}
+
+fn expect_answer_of_first(reply: &Reply) {
+    expect_that!(reply.status, eq(200));
+    let signature = reply.header("x-response-signature");
+    expect_that!(signature, some(eq("signed.i-c")));
+}
+
+/// Guards against the loss of the first endpoint's work when the second endpoint has no room after all.
+#[gtest]
+fn a_slow_endpoint_answers_where_the_next_one_rejects_the_request() {
+    let second = second_endpoint();
+    second.full(true);
+    expect_answer_of_first(&call_with_late_second(&second));
+}
+
+/// Guards against the loss of the first endpoint's work when the second endpoint fails.
+#[gtest]
+fn a_slow_endpoint_answers_where_the_next_one_fails() {
+    let second = second_endpoint();
+    second.answer_next(&[500]);
+    expect_answer_of_first(&call_with_late_second(&second));
+    expect_that!(second.ran().len(), eq(1));
+}
+
+/// Guards against the loss of the first endpoint's work when the second endpoint breaks off.
+#[gtest]
+fn a_slow_endpoint_answers_where_the_next_one_gives_no_answer() {
+    let second = second_endpoint();
+    second.drop_answers(true);
+    expect_answer_of_first(&call_with_late_second(&second));
+    expect_that!(second.ran().len(), eq(1));
+}
+
+/// Guards against waiting for the second endpoint when the first one answers after all.
+#[gtest]
+fn the_first_answer_counts_once_both_endpoints_have_the_request() {
+    let second = second_endpoint();
+    second.work(SLOW);
+    expect_answer_of_first(&call_with_late_second(&second));
+    expect_that!(second.ran().len(), eq(1));
 }
 
 /// Guards against a request that stays at an endpoint which has stopped answering although another
