An endpoint that stated a long queue is not silent

Second sends went to another endpoint after a multiple of the usual work time, also where the first one had just stated that its queue is longer than that. They use up the budget and do the work twice.

Cause: the time counted from the send, and the load that answers state was used for the limit of a service only. The last load of each endpoint is kept for two seconds, and the time of its queue is added. What counts as silent is decided in the core now.

--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -32,6 +32,7 @@
 use crate::ids::{EndpointStart, ServiceName};
 use crate::time::Mono;
 
+use another::StatedLoads;
 use choose::Selection;
 use fleet::FleetAdmission;
 use hot_keys::KeyArrivals;
@@ -110,6 +111,7 @@
     departures: OwnDepartures,
     rests: Rests,
     timing: Timing,
+    stated_loads: StatedLoads,
     /// Requests that were queued for an endpoint that rests, since the last look.
     held_for_rest: u64,
     /// Queues whose endpoints no other instance reaches either, and until when that is assumed.
@@ -450,6 +452,7 @@
             .retain(|(fence, _), _| self.fences.contains_key(fence));
         self.cold_busy.retain(|_, until| now < *until);
         self.departures.prune(now);
+        self.stated_loads.prune(now);
         self.key_arrivals.prune(now);
         self.prune_rests(now, view);
         self.send_grants
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -23,14 +23,6 @@
 use crate::gateway::metrics::Class;
 use crate::gateway::wrong_answer::WrongAnswer;
 
-/// Multiple of the usual work time after which an endpoint that has not answered counts as silent.
-/// One request in a hundred takes longer when all endpoints are healthy.
-const SILENT_FACTOR: u64 = 5;
-
-/// The same while no endpoint answers this instance, and the shortest such time, in milliseconds.
-const LINK_TRIAL_FACTOR: u64 = 2;
-const MIN_LINK_TRIAL_MS: u64 = 300;
-
 /// Interval between searches for another endpoint while the present one is silent, in milliseconds.
 const ASK_AGAIN_MS: u64 = 200;
 
@@ -104,7 +96,10 @@
         if left_ms < MIN_SEND_TIME_MS {
             return false;
         }
-        let silent_after_ms = self.silent_after_ms();
+        let objective_ms = self.route.objective_ms;
+        let silent_after_ms = self
+            .state
+            .silent_after_ms(&self.job, &choice.endpoint, objective_ms);
         self.open_sends.silent_at = silent_after_ms.map(|ms| now.plus(ms));
         self.open_sends.push(EndpointSend {
             state: Rc::clone(self.state),
@@ -120,23 +115,6 @@
         true
     }
 
-    /// Time after which an endpoint counts as silent, in milliseconds; `None` if no other endpoint
-    /// may run the request.
-    fn silent_after_ms(&self) -> Option<u64> {
-        if self.job.repeat != Repeat::Idempotent {
-            return None;
-        }
-        if self.state.is_cut_off() {
-            // This request shows whether endpoints answer again.
-            return Some((self.job.work_ms * LINK_TRIAL_FACTOR).max(MIN_LINK_TRIAL_MS));
-        }
-        let usual = self.job.work_ms * SILENT_FACTOR;
-        self.job
-            .key
-            .is_none()
-            .then(|| usual.max(self.route.objective_ms / 2))
-    }
-
     /// Waits until an open send ends or counts as silent.
     pub(super) async fn wait_for_event(&mut self) -> SendEvent {
         let state = Rc::clone(self.state);
@@ -287,7 +265,8 @@
                 AnswerKind::Ran => {
                     self.state.record_answer(&choice, self.job.key);
                     if choice.fence.is_none() {
-                        self.state.record_load(&self.job, head.load);
+                        let endpoint = &choice.endpoint;
+                        self.state.record_load(&self.job, endpoint, head.load);
                     }
                     if !answer.status.is_server_error() {
                         self.clear_suspicion();
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -275,6 +275,18 @@
         (&mut waiting.decided).await.ok()
     }
 
+    /// Time after which an endpoint that has a request counts as silent, in milliseconds; `None` if
+    /// the request may go to no other one.
+    pub(super) fn silent_after_ms(
+        &self,
+        job: &Job,
+        endpoint: &EndpointStart,
+        objective_ms: u64,
+    ) -> Option<u64> {
+        let admission = self.admission.borrow();
+        admission.silent_after_ms(clock::mono(), job, endpoint, objective_ms)
+    }
+
     /// Finds another place that is free now for a request that is still at the endpoints `open_at`.
     pub(super) fn find_another(&self, job: &Job, open_at: &[EndpointStart]) -> Option<Decision> {
         let mut admission = self.admission.borrow_mut();
@@ -320,9 +332,17 @@
             .record_answer(clock::mono(), choice, key);
     }
 
-    /// Records the load that an endpoint of a service without keys reports.
-    pub(super) fn record_load(&self, job: &Job, load: Option<EndpointLoad>) {
+    /// Records the load that an endpoint of a service without keys states in its answer.
+    pub(super) fn record_load(
+        &self,
+        job: &Job,
+        endpoint: &EndpointStart,
+        load: Option<EndpointLoad>,
+    ) {
         let mut admission = self.admission.borrow_mut();
+        if let Some(load) = load {
+            admission.record_stated_load(clock::mono(), endpoint, load);
+        }
         admission.record_load(&self.view.borrow(), &job.service, load);
     }
 
