A connection is closed in two steps

Callers saw a part of an answer and a reset: what they sent behind the last request of a connection stayed unread, and the system resets a connection that is dropped with unread bytes. It then discards what the caller has not received.

The writing side is closed first. Behind an answer that says close, and in a body that nobody reads, what arrives is read and discarded. On an idle connection it stays unread, so that the reset tells its caller that the request was not read. The connection is dropped once the system has passed everything on, or at a bound (`writeStallMs`, `closingMs`, `closingBytes`). Where the system does not tell what is unsent, it is dropped some time after the last write. The drain counts such connections. An answer before the end of a body that is not read says close.

--- a/crates/citronway-core/src/gateway/settings.rs
+++ b/crates/citronway-core/src/gateway/settings.rs
@@ -68,6 +68,10 @@
     pub memory_percent: u8,
     /// Time after which a caller that takes no byte of its answer is disconnected, in milliseconds.
     pub write_stall_ms: u64,
+    /// Longest time for which a connection closes, in milliseconds.
+    pub closing_ms: u64,
+    /// Most bytes that are read and discarded of a connection that closes.
+    pub closing_bytes: u64,
     /// Whether instances decide together which requests get scarce capacity.
     pub fleet_admission: bool,
     /// Whether an endpoint is chosen by when a request is expected to end there.
@@ -84,6 +88,8 @@
             pipelined_total: 2_000,
             memory_percent: 60,
             write_stall_ms: 5_000,
+            closing_ms: 30_000,
+            closing_bytes: 8_388_608,
             fleet_admission: false,
             timed_choice: Switch::Auto,
             // On days with much trouble divisions cost callers more than they gain.
--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Serves callers' connections, and drains them when the instance stops.
 
 mod chunks;
+mod closing;
 mod drain;
 mod framing;
 mod pipeline;
@@ -8,8 +9,10 @@
 mod queue;
 mod read_ahead;
 mod stream;
+mod unread;
+mod unsent;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -19,7 +22,7 @@
 use citronway_core::time::Mono;
 use citronway_platform::exchange;
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -31,10 +34,12 @@
 use super::state::{Phase, State};
 use super::write_stall::{LastAnswer, WriteStall};
 use crate::clock;
+use closing::{Arriving, End};
 use pipeline::{Begun, Row, TurnError};
 use progress::Progress;
 use read_ahead::{Given, ReadAhead, Turn};
 use stream::SharedStream;
+use unread::Watched;
 
 pub(super) use drain::drain;
 pub(super) use progress::{GuardedBody, RequestGuard};
@@ -64,6 +69,17 @@
     AtLast,
 }
 
+/// Why no further request of a connection is served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Served {
+    /// The caller has closed the connection, or the instance closes it.
+    Closes,
+    /// What arrived is no request, and was refused.
+    Refused,
+    /// The connection is broken.
+    Broken,
+}
+
 /// A request whose turn it is.
 enum InTurn {
     /// It was begun ahead.
@@ -72,28 +88,60 @@
     New(RequestGuard, Mono),
 }
 
-/// Serves one connection until it ends.
+/// Serves one connection until it is closed.
 pub(super) async fn serve(state: Rc<State>, stream: TcpStream, origin: Origin) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(cause = e.to_string(); "caller disconnected at once");
         return;
     }
-    let progress = Rc::new(Progress::new(clock::mono()));
+    let _open = state.track_connection();
     let _memory = state.memory.charge(Use::Connections, CONNECTION_BYTES);
-    let mut unread = state.memory.charge(Use::Requests, 0);
+    let progress = Rc::new(Progress::new(clock::mono()));
     let last = Rc::new(LastAnswer::default());
     let stream = WriteStall::new(stream, Rc::clone(&state), Rc::clone(&last));
     let reader = Rc::new(RefCell::new(ReadAhead::new(stream, Rc::clone(&progress))));
+    let served = serve_requests(&state, &reader, &progress, &last, origin).await;
+    let arriving = match served {
+        Served::Broken => return,
+        Served::Refused => Arriving::Discarded,
+        Served::Closes if last.says_close() || reader.borrow().is_in_body() => Arriving::Discarded,
+        Served::Closes => Arriving::Unread,
+    };
+    reader.borrow_mut().forget_ahead();
+    match closing::close(&state, &reader, arriving).await {
+        End::PassedOn | End::Caller => {}
+        End::Stall => {
+            state.metrics.memory.count_write_stall();
+            reader.borrow_mut().stream().reset();
+        }
+        End::Bound => reader.borrow_mut().stream().reset(),
+    }
+}
+
+/// Serves the requests of one connection, until none is to come.
+async fn serve_requests(
+    state: &Rc<State>,
+    reader: &Rc<RefCell<ReadAhead>>,
+    progress: &Rc<Progress>,
+    last: &Rc<LastAnswer>,
+    origin: Origin,
+) -> Served {
+    let mut unread = state.memory.charge(Use::Requests, 0);
     let max_head_bytes = state.limits().header_bytes.max(MIN_HEAD_BYTES);
-    let row = Row::new(&state, origin, &progress, max_head_bytes);
+    let row = Row::new(state, origin, progress, max_head_bytes);
     let row = Rc::new(RefCell::new(row));
+    let closing = Cell::new(Closing::No);
     let service = service_fn(|req| {
+        let asks_close = asks_close(&req);
         let turn = reader.borrow_mut().take_turn();
-        let answer = answer_in_turn(&state, &progress, &row, turn, req, origin);
-        let last = Rc::clone(&last);
+        let answer = answer_in_turn(state, progress, reader, &row, turn, req, origin);
+        let closing = &closing;
         async move {
             let answer = answer.await?;
-            last.set(exchange::request_id(answer.headers()));
+            let says_close = asks_close
+                || closing.get() == Closing::AfterAnswer
+                || answer.headers().contains_key(CONNECTION);
+            last.set(exchange::request_id(answer.headers()), says_close);
             Ok::<_, TurnError>(answer)
         }
     });
@@ -101,52 +149,75 @@
         .timer(TokioTimer::new())
         .header_read_timeout(None)
         .max_buf_size(max_head_bytes)
-        .serve_connection(TokioIo::new(SharedStream(Rc::clone(&reader))), service);
+        .serve_connection(TokioIo::new(SharedStream(Rc::clone(reader))), service);
     tokio::pin!(connection);
-    let _open = state.track_connection();
-    let mut closing = Closing::No;
     loop {
         tokio::select! {
             // Reading ahead follows what the library has read in the same round.
             biased;
             ended = connection.as_mut() => {
-                if let Err(e) = ended {
-                    log::debug!(cause = e.to_string(); "caller connection ended early");
-                }
-                return;
+                let Err(e) = ended else {
+                    return Served::Closes;
+                };
+                log::debug!(cause = e.to_string(); "caller connection ended early");
+                return Served::of(&e);
             }
             event = poll_fn(|cx| {
-                let event = poll_row(cx, &state, &reader, &row, closing);
+                let event = poll_row(cx, state, reader, &row, closing.get());
                 unread.set(reader.borrow().buffered_bytes());
                 event
             }) => match event {
                 RowEvent::CallerLeft => {
                     log::debug!("caller left behind requests without an answer");
-                    return;
+                    return Served::Broken;
                 }
                 RowEvent::AtLast => {
                     connection.as_mut().graceful_shutdown();
-                    closing = Closing::AfterAnswer;
+                    closing.set(Closing::AfterAnswer);
                 }
             },
-            () = state.wait_for_phase(Phase::Closing), if closing == Closing::No => {
+            () = state.wait_for_phase(Phase::Closing), if closing.get() == Closing::No => {
                 row.borrow().close();
-                closing = Closing::AfterRow;
+                closing.set(Closing::AfterRow);
             }
-            () = tokio::time::sleep(IDLE_CHECK_PERIOD), if closing == Closing::No => {
+            () = tokio::time::sleep(IDLE_CHECK_PERIOD), if closing.get() == Closing::No => {
                 if progress.is_overdue(clock::mono(), state.limits()) {
                     // The library keeps waiting for the rest of a connection's first head.
                     if !progress.has_request() {
-                        return;
+                        return Served::Closes;
                     }
                     row.borrow().close();
-                    closing = Closing::AfterRow;
+                    closing.set(Closing::AfterRow);
                 }
             }
         }
     }
 }
 
+impl Served {
+    /// What an error of the HTTP library means.
+    fn of(e: &hyper::Error) -> Self {
+        if e.is_parse() {
+            Self::Refused
+        } else if e.is_user() {
+            Self::Closes
+        } else {
+            Self::Broken
+        }
+    }
+}
+
+/// Whether the answer to a request says that the connection closes because its caller wants it.
+fn asks_close(req: &Request<Incoming>) -> bool {
+    let mut values = req.headers().get_all(CONNECTION).iter();
+    let closes = |value: &HeaderValue| {
+        let text = value.as_bytes();
+        text.split(|byte| *byte == b',')
+            .any(|part| part.trim_ascii().eq_ignore_ascii_case(b"close"))
+    };
+    req.version() == Version::HTTP_10 || values.any(closes)
+}
+
 /// Reads ahead and begins requests, after the HTTP library has been polled.
 fn poll_row(
     cx: &mut Context<'_>,
@@ -174,12 +245,13 @@
 fn answer_in_turn(
     state: &Rc<State>,
     progress: &Rc<Progress>,
+    reader: &Rc<RefCell<ReadAhead>>,
     row: &Rc<RefCell<Row>>,
     turn: Turn,
     req: Request<Incoming>,
     origin: Origin,
 ) -> impl Future<Output = Result<Response<GuardedBody>, TurnError>> + use<> {
-    let (state, row) = (Rc::clone(state), Rc::clone(row));
+    let (state, row, reader) = (Rc::clone(state), Rc::clone(row), Rc::clone(reader));
     let given = match turn {
         Turn::Given(given) => Ok(given),
         Turn::Unframed => Ok(Given {
@@ -197,16 +269,20 @@
         row.begin_in_turn(&open.request, given);
         Ok(InTurn::New(progress.begin(open), given.arrived))
     });
+    let is_left = Rc::new(Cell::new(false));
     async move {
         let mut answer = match in_turn? {
             InTurn::Begun(begun) => begun.finish(req).await?,
             InTurn::New(guard, arrived) => {
+                let req = req.map(|body| Watched::new(body, Rc::clone(&is_left)));
                 request::answer(Rc::clone(&state), arrived, req, guard, origin).await
             }
         };
         // Requests that are begun behind this one are answered before the connection closes.
         let closes = state.is_stopping() || state.memory_pressure() == Pressure::Full;
-        if closes && row.borrow().is_at_last() {
+        // The library does not read the rest of a body that nobody wants.
+        let is_cut = is_left.get() && !reader.borrow().is_whole();
+        if is_cut || (closes && row.borrow().is_at_last()) {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -13,6 +13,7 @@
 use citronway_core::time::Mono;
 use futures::FutureExt as _;
 use tokio::io::{AsyncRead as _, Interest, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 use super::chunks::{Chunked, Chunks};
@@ -156,6 +157,27 @@
         &mut self.stream
     }
 
+    /// The socket, to look at.
+    pub(super) const fn socket(&self) -> &TcpStream {
+        self.stream.socket()
+    }
+
+    /// Whether the library is in the middle of a body.
+    pub(super) const fn is_in_body(&self) -> bool {
+        matches!(self.position, Position::Body(_) | Position::Chunked(_))
+    }
+
+    /// Whether the library has got the last request as a whole.
+    pub(super) fn is_whole(&self) -> bool {
+        self.position == Position::Whole
+    }
+
+    /// Drops what was read ahead.
+    pub(super) fn forget_ahead(&mut self) {
+        self.ahead = BytesMut::new();
+        self.partial = Vec::new();
+    }
+
     /// Whether the library gets nothing because a request is not answered.
     fn is_held(&self) -> bool {
         self.position == Position::Whole && self.progress.answered() < self.given
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -107,7 +107,7 @@
     cut_off: watch::Sender<bool>,
     connections: Cell<u32>,
     phase: watch::Sender<Phase>,
-    traffic: TrafficSettings,
+    pub traffic: TrafficSettings,
     /// Requests that are begun before earlier ones of their connections are answered.
     pipelined: Cell<u32>,
 }
--- a/crates/citronway/src/gateway/traffic/write_stall.rs
+++ b/crates/citronway/src/gateway/traffic/write_stall.rs
@@ -1,12 +1,13 @@
 //! Ends the connections of callers that take no byte of their answers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use citronway_core::time::Mono;
 use http::HeaderValue;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -14,6 +15,7 @@
 
 use super::outcome::display_id;
 use super::state::{Charge, State};
+use crate::clock;
 
 /// Size of the buffer for unsent bytes of a caller's connection, in bytes; the system doubles it
 /// for its own structures.
@@ -44,14 +46,25 @@
     socket.listen(BACKLOG)
 }
 
-/// Id of the request whose answer was begun last on a connection.
+/// The answer that was begun last on a connection.
 #[derive(Debug, Default)]
-pub(super) struct LastAnswer(RefCell<Option<HeaderValue>>);
+pub(super) struct LastAnswer {
+    /// Id of its request.
+    id: RefCell<Option<HeaderValue>>,
+    says_close: Cell<bool>,
+}
 
 impl LastAnswer {
-    /// Sets the id of the request that is answered now.
-    pub(super) fn set(&self, id: Option<&HeaderValue>) {
-        self.0.replace(id.cloned());
+    /// Sets the id of the request that is answered now, and whether the answer says that the
+    /// connection closes.
+    pub(super) fn set(&self, id: Option<&HeaderValue>, says_close: bool) {
+        self.id.replace(id.cloned());
+        self.says_close.set(says_close);
+    }
+
+    /// Whether the answer says that the connection closes.
+    pub(super) const fn says_close(&self) -> bool {
+        self.says_close.get()
     }
 }
 
@@ -61,6 +74,8 @@
     stream: TcpStream,
     state: Rc<State>,
     last: Rc<LastAnswer>,
+    /// When the connection last took a byte.
+    last_write: Mono,
     /// Runs while the system's buffer for the connection is full.
     stalled: Option<Stalled>,
 }
@@ -78,6 +93,7 @@
             stream,
             state,
             last,
+            last_write: clock::mono(),
             stalled: None,
         }
     }
@@ -87,6 +103,19 @@
         &self.stream
     }
 
+    /// When the connection last took a byte.
+    pub(super) const fn last_write(&self) -> Mono {
+        self.last_write
+    }
+
+    /// Has the connection reset when it is dropped, which discards what is unsent; the system would
+    /// keep it for minutes otherwise.
+    pub(super) fn reset(&self) {
+        if let Err(e) = self.stream.set_zero_linger() {
+            log::debug!(cause = e.to_string(); "a connection cannot be reset");
+        }
+    }
+
     /// Watches the result of a write.
     fn watch(
         &mut self,
@@ -95,6 +124,7 @@
     ) -> Poll<io::Result<usize>> {
         if wrote.is_ready() {
             self.stalled = None;
+            self.last_write = clock::mono();
             return wrote;
         }
         let limit = Duration::from_millis(self.state.write_stall_ms);
@@ -106,15 +136,13 @@
         if stalled.timer.as_mut().poll(cx).is_pending() {
             return Poll::Pending;
         }
-        let request = self.last.0.borrow();
-        let request = display_id(request.as_ref());
+        let request_id = self.last.id.borrow();
+        let request = display_id(request_id.as_ref());
         let stalled_ms = self.state.write_stall_ms;
         log::info!(request, stalled_ms; "caller takes no byte of its answer; its connection is closed");
+        drop(request_id);
         self.state.metrics.memory.count_write_stall();
-        // A reset discards what is unsent; the system would keep it for minutes otherwise.
-        if let Err(e) = self.stream.set_zero_linger() {
-            log::debug!(cause = e.to_string(); "a connection cannot be reset");
-        }
+        self.reset();
         Poll::Ready(Err(io::Error::new(
             io::ErrorKind::TimedOut,
             "the caller takes no byte",
--- a/crates/citronway/tests/gateway_close.rs
+++ b/crates/citronway/tests/gateway_close.rs
@@ -2,10 +2,10 @@
 
 mod gateway_support;
 
-use std::io::{Read as _, Write as _};
+use std::io::{ErrorKind, Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gateway_support::rows::{RowCaller, look, order};
 use gateway_support::{Deployment, Instance, parse, route, silent_deployment, until};
@@ -15,9 +15,25 @@
 /// Length of a long answer, in bytes; more than the buffers of a connection hold.
 const LONG_ANSWER: usize = 100_000;
 
+/// Length of an answer that the buffers of a connection hold, but not its caller's, in bytes.
+const BUFFERED_ANSWER: usize = 40_000;
+
 /// Receive buffer of a slow caller, in bytes.
 const NARROW: u32 = 4_096;
 
+/// Length of a body that is refused, in bytes; more than the buffers of a connection hold.
+const LONG_BODY: usize = 3_000_000;
+
+/// Time after which a caller that sends without end is ended; the instance waits 2 s for a caller
+/// that has its answer.
+const ENDLESS: Duration = Duration::from_secs(6);
+
+/// Connections that close at the same time.
+const CALLERS: usize = 300;
+
+/// Memory of the smallest machine, in megabytes.
+const MACHINE_MB: u64 = 120;
+
 /// Connects with a small receive buffer.
 fn connect_narrow(address: SocketAddr) -> TcpStream {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -37,29 +53,40 @@
 /// Reads one answer in small steps, and sends `behind` after each of them. Returns the bytes of its
 /// body that arrived.
 fn read_slowly(stream: &mut TcpStream, behind: &str) -> usize {
+    read_in_steps(stream, behind, LONG_ANSWER, Duration::from_millis(10))
+}
+
+/// The same of an answer of some length, with a pause after each step.
+fn read_in_steps(stream: &mut TcpStream, behind: &str, length: usize, pause: Duration) -> usize {
     let mut text = Vec::new();
     let mut part = [0; 4_096];
     loop {
-        let body = parse(&text).map_or(0, |reply| reply.body.len());
-        if body >= LONG_ANSWER {
+        let body = whole_body(&text);
+        if body >= length {
             return body;
         }
         match stream.read(&mut part) {
             Ok(0) | Err(_) => return body,
             Ok(count) => text.extend_from_slice(&part[..count]),
         }
-        thread::sleep(Duration::from_millis(10));
+        thread::sleep(pause);
         // The other side may have ended the connection by now; what it sent before is still read.
         let _ = stream.write_all(behind.as_bytes());
     }
 }
 
-/// An instance before an endpoint with long answers below `/archive/`.
-fn long_answers() -> (Deployment, Instance) {
+/// An endpoint with long answers below `/archive/`.
+fn long_deployment() -> Deployment {
     let deployment = Deployment::unconfigured();
     deployment.c.answer_long("/archive/", LONG_ANSWER);
     let archive = route("archive", "/archive/", "idempotent", "console");
     deployment.configure(2, &json!([archive]));
+    deployment
+}
+
+/// An instance before such an endpoint.
+fn long_answers() -> (Deployment, Instance) {
+    let deployment = long_deployment();
     let instance = deployment.ready_instance("one");
     (deployment, instance)
 }
@@ -119,3 +146,132 @@
     }
     until("the process ends", || instance.ended() == Some(0));
 }
+
+/// Guards against a reset that breaks off a caller which still sends the body of a refused request.
+#[gtest]
+fn a_refusal_of_a_long_body_is_read_whole() {
+    let (_deployment, instance) = long_answers();
+    let mut caller = RowCaller::connect(instance.callers);
+    let start = "POST /nowhere/1";
+    let request = order(start, "refused", &"x".repeat(LONG_BODY));
+    for part in request.as_bytes().chunks(16_384) {
+        caller.stream.write_all(part).expect("it is sent");
+        thread::sleep(Duration::from_millis(1));
+    }
+    let answer = caller.next().expect("an answer");
+    expect_that!(answer.status, eq(404));
+    expect_that!(answer.header("connection"), some(eq("close")));
+    expect_that!(caller.next(), none());
+}
+
+/// Guards against a caller that sends without end and keeps a connection that closes.
+#[gtest]
+fn a_caller_that_sends_without_end_is_ended() {
+    let deployment = long_deployment();
+    let instance = deployment.instance_with_traffic("one", &json!({"closingBytes": 65_536}));
+    let mut caller = RowCaller::connect(instance.callers);
+    caller.send(&last_look("endless"));
+    let began = Instant::now();
+    let part = [b'x'; 4_096];
+    caller
+        .stream
+        .set_nonblocking(true)
+        .expect("an open connection");
+    let mut body = Vec::new();
+    let mut is_open = true;
+    while is_open && began.elapsed() < ENDLESS {
+        let mut read = [0; 4_096];
+        if let Ok(count) = caller.stream.read(&mut read) {
+            body.extend_from_slice(&read[..count]);
+        }
+        is_open = match caller.stream.write(&part) {
+            Ok(_) => true,
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        };
+    }
+    expect_false!(is_open);
+    caller
+        .stream
+        .set_nonblocking(false)
+        .expect("an open connection");
+    // The end of the connection may be a reset.
+    let _ = caller.stream.read_to_end(&mut body);
+    expect_that!(whole_body(&body), eq(LONG_ANSWER));
+}
+
+/// Guards against a reset that discards an answer which was not passed on when its idle connection
+/// is closed.
+#[gtest]
+fn an_answer_is_whole_although_its_idle_connection_is_closed() {
+    let deployment = long_deployment();
+    let mut instance = deployment.instance_with_piped_logs("one");
+    let logs = instance.logs();
+    until("the instance is ready", || instance.is_ready());
+    let mut caller = connect_narrow(instance.callers);
+    let request = look("GET /archive/1", "idle");
+    caller.write_all(request.as_bytes()).expect("it is sent");
+    instance.terminate();
+    logs.line("idle connections are closed");
+    thread::sleep(Duration::from_millis(200));
+    expect_that!(
+        read_slowly(&mut caller, &look("GET /archive/1", "unread")),
+        eq(LONG_ANSWER)
+    );
+    until("the process ends", || instance.ended() == Some(0));
+}
+
+/// Guards against a caller that reads nothing and keeps a connection that closes.
+#[gtest]
+fn a_caller_that_never_reads_is_ended() {
+    let deployment = long_deployment();
+    deployment.c.answer_long("/archive/", BUFFERED_ANSWER);
+    let instance = deployment.instance_with_traffic("one", &json!({"writeStallMs": 500}));
+    let mut caller = connect_narrow(instance.callers);
+    let request = last_look("never-reads");
+    caller.write_all(request.as_bytes()).expect("it is sent");
+    until("the caller is disconnected", || {
+        let stalls = "citronway_write_stalls_total 1";
+        instance.metrics().lines().any(|line| line == stalls)
+    });
+    expect_that!(read_slowly(&mut caller, ""), lt(BUFFERED_ANSWER));
+}
+
+/// Guards against connections that take unbounded memory while they close.
+#[gtest]
+fn hundreds_of_closing_connections_have_bounded_memory_and_whole_answers() {
+    let deployment = long_deployment();
+    deployment.c.answer_long("/archive/", BUFFERED_ANSWER);
+    let instance = deployment.instance_with("one", |settings| {
+        settings["self"]["limits"]["memoryMb"] = json!(MACHINE_MB);
+        settings["traffic"] = json!({"writeStallMs": 60_000});
+    });
+    until("the instance is ready", || instance.is_ready());
+    let mut callers: Vec<_> = (0..CALLERS)
+        .map(|n| {
+            let mut caller = connect_narrow(instance.callers);
+            let request = last_look(&format!("many-{n}"));
+            caller.write_all(request.as_bytes()).expect("it is sent");
+            // The endpoint takes a few at a time.
+            caller.peek(&mut [0]).expect("an answer begins");
+            caller
+        })
+        .collect();
+    for caller in &mut callers {
+        let behind = "x".repeat(4_096);
+        expect_that!(
+            read_in_steps(caller, &behind, BUFFERED_ANSWER, Duration::ZERO),
+            eq(BUFFERED_ANSWER)
+        );
+    }
+    expect_that!(instance.usage().peak_kb, lt(MACHINE_MB * 1_024));
+}
+
+/// A request whose answer is the last one of its connection.
+fn last_look(id: &str) -> String {
+    look("GET /archive/1", id).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
+}
+
+/// Bytes of the body of an answer; 0 if its head is not whole.
+fn whole_body(text: &[u8]) -> usize {
+    parse(text).map_or(0, |reply| reply.body.len())
+}
