Each request of a row that was read has an answer at a stop

Callers of a row of requests that must not be repeated got one answer when the instance stopped; the requests behind it, which had been read, got none. Only requests that are begun counted as ahead of the close.

From the signal on nothing is read behind a request without an answer. Requests that are whole by then, with a length or in chunks, are answered in their turn, and only the last answer says close. What arrives later is none, and is discarded. The same holds at full pressure on memory.

--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -123,7 +123,7 @@
     state: &Rc<State>,
     reader: &Rc<RefCell<ReadAhead>>,
     progress: &Rc<Progress>,
-    last: &Rc<LastAnswer>,
+    last: &LastAnswer,
     origin: Origin,
 ) -> Served {
     let mut unread = state.memory.charge(Use::Requests, 0);
@@ -178,6 +178,7 @@
             },
             () = state.wait_for_phase(Phase::Closing), if closing.get() == Closing::No => {
                 row.borrow().close();
+                reader.borrow_mut().end_requests();
                 closing.set(Closing::AfterRow);
             }
             () = tokio::time::sleep(IDLE_CHECK_PERIOD), if closing.get() == Closing::No => {
@@ -187,6 +188,7 @@
                         return Served::Closes;
                     }
                     row.borrow().close();
+                    reader.borrow_mut().end_requests();
                     closing.set(Closing::AfterRow);
                 }
             }
@@ -226,6 +228,9 @@
     row: &RefCell<Row>,
     closing: Closing,
 ) -> Poll<RowEvent> {
+    if state.is_stopping() {
+        reader.borrow_mut().end_requests();
+    }
     if reader
         .borrow_mut()
         .poll_ahead(cx, state.may_read_ahead())
@@ -235,7 +240,8 @@
     }
     let mut row = row.borrow_mut();
     row.begin_ready(&reader.borrow());
-    if closing == Closing::AfterRow && row.is_at_last() {
+    let is_at_last = row.is_at_last() && !reader.borrow().has_whole_request();
+    if closing == Closing::AfterRow && is_at_last {
         return Poll::Ready(RowEvent::AtLast);
     }
     Poll::Pending
@@ -278,11 +284,16 @@
                 request::answer(Rc::clone(&state), arrived, req, guard, origin).await
             }
         };
-        // Requests that are begun behind this one are answered before the connection closes.
-        let closes = state.is_stopping() || state.memory_pressure() == Pressure::Full;
+        let mut reader = reader.borrow_mut();
+        // Requests that are read behind this one are answered before the connection closes, and what
+        // arrives later is none.
+        if state.is_stopping() || state.memory_pressure() == Pressure::Full {
+            reader.end_requests();
+        }
+        let is_at_last = row.borrow().is_at_last() && !reader.has_whole_request();
         // The library does not read the rest of a body that nobody wants.
-        let is_cut = is_left.get() && !reader.borrow().is_whole();
-        if is_cut || (closes && row.borrow().is_at_last()) {
+        let is_cut = is_left.get() && !reader.is_whole();
+        if is_cut || (reader.is_ended() && is_at_last) {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -51,6 +51,13 @@
     Unframed,
 }
 
+/// Whether requests are read behind the one that is being answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Requests {
+    Open,
+    Ended,
+}
+
 /// A request that the HTTP library has got.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Given {
@@ -93,7 +100,8 @@
     is_waiting: bool,
     /// Whether the library was woken since it last read.
     is_woken: bool,
-    /// Next check whether the caller has left, while the buffer is full.
+    requests: Requests,
+    /// Next check whether the caller has left, while nothing is read.
     full_check: Option<Pin<Box<Sleep>>>,
 }
 
@@ -112,6 +120,7 @@
             turn: None,
             is_waiting: false,
             is_woken: false,
+            requests: Requests::Open,
             full_check: None,
         }
     }
@@ -147,6 +156,41 @@
         Some((&self.ahead[start..body_start], body))
     }
 
+    /// Reads no further request: what arrives from now on is none.
+    pub(super) const fn end_requests(&mut self) {
+        self.requests = Requests::Ended;
+    }
+
+    /// Whether no further request is read.
+    pub(super) fn is_ended(&self) -> bool {
+        self.requests == Requests::Ended
+    }
+
+    /// Whether a whole request is read and not parsed.
+    pub(super) fn has_whole_request(&self) -> bool {
+        if self.turn.is_some() {
+            return true;
+        }
+        let Some(queued) = self.queue.get(0) else {
+            return false;
+        };
+        // The library has got a part of it.
+        queued.start < self.ahead_start
+            || self.bytes_of(&queued).is_some()
+            || self.has_whole_chunks(&queued)
+    }
+
+    /// Whether a queued request has a body in chunks of which the end is read.
+    fn has_whole_chunks(&self, queued: &Queued) -> bool {
+        let Some(head) = queued.head else {
+            return false;
+        };
+        let start = usize::try_from(queued.start - self.ahead_start).ok();
+        let body = start.and_then(|start| self.ahead.get(start + head.head_bytes..));
+        let ends = |body| matches!(Chunks::START.follow(body), Chunked::End(_));
+        head.body == BodyFrame::Chunked && body.is_some_and(ends)
+    }
+
     /// Memory of the bytes that the library has not got yet.
     pub(super) fn buffered_bytes(&self) -> u64 {
         self.ahead.capacity() as u64
@@ -195,6 +239,9 @@
         }
         let is_passed_on = matches!(self.position, Position::Unframed);
         if self.is_held() || (is_passed_on && self.progress.is_active()) {
+            if self.is_ended() {
+                return self.poll_left(cx);
+            }
             let most = if has_room {
                 MAX_AHEAD_BYTES
             } else {
@@ -239,7 +286,7 @@
         self.poll_left(cx)
     }
 
-    /// Resolves once the caller has left while the buffer is full.
+    /// Resolves once the caller has left while nothing is read.
     fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             let ready = self
--- a/crates/citronway/tests/gateway_close.rs
+++ b/crates/citronway/tests/gateway_close.rs
@@ -147,6 +147,31 @@
     until("the process ends", || instance.ended() == Some(0));
 }
 
+/// Guards against a row whose last request is in chunks or not whole when the instance stops.
+#[gtest]
+fn only_whole_requests_of_a_row_are_answered_when_the_instance_stops() {
+    let (deployment, silent) = silent_deployment();
+    let mut instance = deployment.ready_instance("one");
+    let mut caller = RowCaller::connect(instance.callers);
+    let chunked = order("POST /patient/1", "chunked", "")
+        .replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let part = order("POST /patient/1", "part", "not whole");
+    caller.send(&order("POST /patient/1", "first", "x"));
+    until("the endpoint has a connection", || silent.connections() > 0);
+    caller.send(&(chunked + "1\r\nx\r\n0\r\n\r\n" + &part[..part.len() - 1]));
+    thread::sleep(Duration::from_millis(100));
+    instance.terminate();
+    let answers = caller.rest();
+    let ids: Vec<_> = answers
+        .iter()
+        .map(|reply| reply.header("x-request-id"))
+        .collect();
+    expect_that!(ids, elements_are![some(eq(&"first")), some(eq(&"chunked"))]);
+    let close = answers.last().and_then(|reply| reply.header("connection"));
+    expect_that!(close, some(eq("close")));
+    until("the process ends", || instance.ended() == Some(0));
+}
+
 /// Guards against a reset that breaks off a caller which still sends the body of a refused request.
 #[gtest]
 fn a_refusal_of_a_long_body_is_read_whole() {
