An answer that ended before it was whole is told

Nobody saw from logs or metrics that a caller had a part of an answer only, or who ended it: the line was at debug level and had no request.

One line at INFO names the request, who ended the connection (caller, stall, bound, stop), bytes sent and of how many, and what the system has not passed on, where it tells. That is also so for an answer that was written in full. `citronctl explain` shows the line.

Tests: three of gateway_close (left by the caller, stall, end of the process) and one of explain.

--- a/crates/citronctl/tests/explain.rs
+++ b/crates/citronctl/tests/explain.rs
@@ -211,3 +211,11 @@
     expect_that!(story, contains_substring("expected_ms=210"));
     expect_that!(story, not(contains_substring("service=other")));
 }
+
+/// Guards against an answer that its caller did not get whole and that reads like one that it got.
+#[gtest]
+fn an_answer_that_ended_early_is_explained() {
+    let story = explain::run("unread", &[log("cut-answer.jsonl")]).expect("a story");
+    let told = "answer ended before it was whole cause=stall length=40000 sent=40000 unsent=36058";
+    expect_that!(story, contains_substring(told));
+}
--- a/crates/citronway/src/gateway/memory_metrics.rs
+++ b/crates/citronway/src/gateway/memory_metrics.rs
@@ -12,6 +12,36 @@
     r#use: &'static str,
 }
 
+/// Who ends an answer before it is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CutCause {
+    /// The caller left by itself.
+    Caller,
+    /// The caller took no byte for too long.
+    Stall,
+    /// The process ends.
+    Stop,
+    /// The connection took too long to close.
+    Bound,
+}
+
+impl CutCause {
+    /// Name in logs and metrics.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Stall => "stall",
+            Self::Stop => "stop",
+            Self::Bound => "bound",
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 /// Metrics of memory; clones share their values.
 #[derive(Debug, Clone)]
 pub struct MemoryMetrics {
@@ -20,6 +50,7 @@
     resident: Gauge,
     pressure: Gauge,
     write_stalls: Counter,
+    cut_answers: Family<CauseLabels, Counter>,
     byte_bounds: Gauge,
 }
 
@@ -41,6 +72,9 @@
         let write_stalls = Counter::default();
         let help = "Connections closed because their callers took no byte of an answer";
         registry.register("write_stalls", help, write_stalls.clone());
+        let cut_answers = Family::default();
+        let help = "Answers that ended before their callers had them whole, by who ended them";
+        registry.register("cut_answers", help, cut_answers.clone());
         let byte_bounds = Gauge::default();
         let help = "Services whose endpoints have a bound on the bytes of requests";
         registry.register("byte_bounds", help, byte_bounds.clone());
@@ -50,6 +84,7 @@
             resident,
             pressure,
             write_stalls,
+            cut_answers,
             byte_bounds,
         }
     }
@@ -82,6 +117,14 @@
         self.write_stalls.inc();
     }
 
+    /// Counts an answer that ended before it was whole.
+    pub(super) fn count_cut_answer(&self, cause: CutCause) {
+        let labels = CauseLabels {
+            cause: cause.as_str(),
+        };
+        self.cut_answers.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of services whose endpoints have a bound on the bytes of requests.
     pub(super) fn set_byte_bounds(&self, count: usize) {
         self.byte_bounds.set(gauge(count as u64));
--- a/crates/citronway/src/gateway/traffic/connection/closing.rs
+++ b/crates/citronway/src/gateway/traffic/connection/closing.rs
@@ -123,6 +123,12 @@
     }
 }
 
+/// Bytes of a connection that the system has not passed on, of those that were written.
+pub(super) fn unsent(reader: &ReadAhead) -> Option<u64> {
+    let unsent = unsent_bytes(reader.socket())?;
+    Some(unsent.saturating_sub(u64::from(reader.is_shut())))
+}
+
 fn bounds(state: &State) -> Bounds {
     Bounds {
         total_ms: state.traffic.closing_ms,
@@ -160,7 +166,8 @@
         if let Some(e) = socket.take_error()? {
             return Err(e);
         }
-        let unsent = unsent_bytes(socket);
+        // The end of the stream counts as a byte.
+        let unsent = unsent_bytes(socket).map(|unsent| unsent.saturating_sub(1));
         if unsent != self.unsent {
             self.unsent = unsent;
             self.changed = now;
--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -2,6 +2,7 @@
 
 mod chunks;
 mod closing;
+mod cut;
 mod drain;
 mod framing;
 mod pipeline;
@@ -34,7 +35,9 @@
 use super::state::{Phase, State};
 use super::write_stall::{LastAnswer, WriteStall};
 use crate::clock;
+use crate::gateway::memory_metrics::CutCause;
 use closing::{Arriving, End};
+use cut::CutWatch;
 use pipeline::{Begun, Row, TurnError};
 use progress::Progress;
 use read_ahead::{Given, ReadAhead, Turn};
@@ -100,21 +103,35 @@
     let last = Rc::new(LastAnswer::default());
     let stream = WriteStall::new(stream, Rc::clone(&state), Rc::clone(&last));
     let reader = Rc::new(RefCell::new(ReadAhead::new(stream, Rc::clone(&progress))));
-    let served = serve_requests(&state, &reader, &progress, &last, origin).await;
+    let watch = CutWatch::new(&state, &reader);
+    let served = serve_requests(&state, &reader, &progress, &last, &watch, origin).await;
     let arriving = match served {
-        Served::Broken => return,
+        Served::Broken => {
+            let cause = if reader.borrow().is_stalled() {
+                CutCause::Stall
+            } else {
+                CutCause::Caller
+            };
+            watch.set_cause(cause);
+            return;
+        }
         Served::Refused => Arriving::Discarded,
         Served::Closes if last.says_close() || reader.borrow().is_in_body() => Arriving::Discarded,
         Served::Closes => Arriving::Unread,
     };
     reader.borrow_mut().forget_ahead();
     match closing::close(&state, &reader, arriving).await {
-        End::PassedOn | End::Caller => {}
+        End::PassedOn => watch.set_cause(CutCause::Bound),
+        End::Caller => watch.set_cause(CutCause::Caller),
         End::Stall => {
+            watch.set_cause(CutCause::Stall);
             state.metrics.memory.count_write_stall();
             reader.borrow_mut().stream().reset();
         }
-        End::Bound => reader.borrow_mut().stream().reset(),
+        End::Bound => {
+            watch.set_cause(CutCause::Bound);
+            reader.borrow_mut().stream().reset();
+        }
     }
 }
 
@@ -124,6 +141,7 @@
     reader: &Rc<RefCell<ReadAhead>>,
     progress: &Rc<Progress>,
     last: &LastAnswer,
+    watch: &CutWatch,
     origin: Origin,
 ) -> Served {
     let mut unread = state.memory.charge(Use::Requests, 0);
@@ -142,7 +160,7 @@
                 || closing.get() == Closing::AfterAnswer
                 || answer.headers().contains_key(CONNECTION);
             last.set(exchange::request_id(answer.headers()), says_close);
-            Ok::<_, TurnError>(answer)
+            Ok::<_, TurnError>(watch.count(answer))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
+++ b/crates/citronway/src/gateway/traffic/connection/read_ahead.rs
@@ -201,6 +201,16 @@
         &mut self.stream
     }
 
+    /// Whether the writing side is closed.
+    pub(super) const fn is_shut(&self) -> bool {
+        self.stream.is_shut()
+    }
+
+    /// Whether the caller took no byte for too long.
+    pub(super) const fn is_stalled(&self) -> bool {
+        self.stream.is_ended()
+    }
+
     /// The socket, to look at.
     pub(super) const fn socket(&self) -> &TcpStream {
         self.stream.socket()
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -1,5 +1,6 @@
 //! State that all requests of the traffic thread share.
 
+mod cut_lines;
 mod fleet;
 mod guards;
 mod limits;
@@ -39,6 +40,7 @@
 use crate::clock;
 use crate::gateway::http_link::Dialer;
 use crate::gateway::metrics::Metrics;
+use cut_lines::CutLines;
 use guards::Waiting;
 use memory::Memory;
 use retries::RetryBudgets;
@@ -108,6 +110,7 @@
     connections: Cell<u32>,
     phase: watch::Sender<Phase>,
     pub traffic: TrafficSettings,
+    cut_lines: CutLines,
     /// Requests that are begun before earlier ones of their connections are answered.
     pipelined: Cell<u32>,
 }
@@ -185,6 +188,7 @@
             connections: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
             traffic: cfg.traffic,
+            cut_lines: CutLines::default(),
             pipelined: Cell::new(0),
         }
     }
--- a/crates/citronway/src/gateway/traffic/write_stall.rs
+++ b/crates/citronway/src/gateway/traffic/write_stall.rs
@@ -76,6 +76,8 @@
     last: Rc<LastAnswer>,
     /// When the connection last took a byte.
     last_write: Mono,
+    is_shut: bool,
+    is_ended: bool,
     /// Runs while the system's buffer for the connection is full.
     stalled: Option<Stalled>,
 }
@@ -94,6 +96,8 @@
             state,
             last,
             last_write: clock::mono(),
+            is_shut: false,
+            is_ended: false,
             stalled: None,
         }
     }
@@ -108,6 +112,16 @@
         self.last_write
     }
 
+    /// Whether the writing side is closed.
+    pub(super) const fn is_shut(&self) -> bool {
+        self.is_shut
+    }
+
+    /// Whether the connection was given up because the caller took no byte.
+    pub(super) const fn is_ended(&self) -> bool {
+        self.is_ended
+    }
+
     /// Has the connection reset when it is dropped, which discards what is unsent; the system would
     /// keep it for minutes otherwise.
     pub(super) fn reset(&self) {
@@ -142,6 +156,7 @@
         log::info!(request, stalled_ms; "caller takes no byte of its answer; its connection is closed");
         drop(request_id);
         self.state.metrics.memory.count_write_stall();
+        self.is_ended = true;
         self.reset();
         Poll::Ready(Err(io::Error::new(
             io::ErrorKind::TimedOut,
@@ -175,6 +190,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.is_shut = true;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
--- a/crates/citronway/tests/gateway_close.rs
+++ b/crates/citronway/tests/gateway_close.rs
@@ -8,9 +8,9 @@
 use std::time::{Duration, Instant};
 
 use gateway_support::rows::{RowCaller, look, order};
-use gateway_support::{Deployment, Instance, parse, route, silent_deployment, until};
+use gateway_support::{Deployment, Instance, Logs, parse, route, silent_deployment, until};
 use googletest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Length of a long answer, in bytes; more than the buffers of a connection hold.
 const LONG_ANSWER: usize = 100_000;
@@ -21,6 +21,9 @@
 /// Receive buffer of a slow caller, in bytes.
 const NARROW: u32 = 4_096;
 
+/// What an instance logs of an answer that is not whole.
+const CUT: &str = "answer ended before it was whole";
+
 /// Length of a body that is refused, in bytes; more than the buffers of a connection hold.
 const LONG_BODY: usize = 3_000_000;
 
@@ -291,6 +294,67 @@
     expect_that!(instance.usage().peak_kb, lt(MACHINE_MB * 1_024));
 }
 
+/// Guards against an answer that ends early and of which no log tells.
+#[gtest]
+fn an_answer_that_a_caller_leaves_is_told() {
+    let (instance, _deployment, logs) = logged(&json!({}), LONG_ANSWER);
+    let mut caller = connect_narrow(instance.callers);
+    let request = look("GET /archive/1", "left");
+    caller.write_all(request.as_bytes()).expect("it is sent");
+    caller.peek(&mut [0]).expect("an answer begins");
+    drop(caller);
+    expect_cut(&instance, &logs, "left", "caller", 0);
+}
+
+/// Guards against an answer that a stall cuts and of which no log tells how much was missing.
+#[gtest]
+fn an_answer_that_nobody_reads_is_told() {
+    let settings = json!({"writeStallMs": 500});
+    let (instance, _deployment, logs) = logged(&settings, BUFFERED_ANSWER);
+    let mut caller = connect_narrow(instance.callers);
+    let request = last_look("unread");
+    caller.write_all(request.as_bytes()).expect("it is sent");
+    expect_cut(&instance, &logs, "unread", "stall", BUFFERED_ANSWER);
+}
+
+/// Guards against a process that ends over an answer that its caller has not received, unnoticed.
+#[gtest]
+fn an_answer_that_the_end_of_the_process_cuts_is_told() {
+    let settings = json!({"writeStallMs": 60_000});
+    let (mut instance, _deployment, logs) = logged(&settings, BUFFERED_ANSWER);
+    let mut caller = connect_narrow(instance.callers);
+    let request = look("GET /archive/1", "cut");
+    caller.write_all(request.as_bytes()).expect("it is sent");
+    caller.peek(&mut [0]).expect("an answer begins");
+    instance.terminate();
+    until("the process ends", || instance.ended() == Some(0));
+    let line = logs.line(CUT);
+    expect_that!(line["request"], eq(&json!("cut")));
+    expect_that!(line["cause"], eq(&json!("stop")));
+    expect_that!(line["unsent"].as_u64(), some(gt(0)));
+}
+
+/// An instance with settings of its table `traffic`, before an endpoint with answers of a length.
+fn logged(traffic: &Value, length: usize) -> (Instance, Deployment, Logs) {
+    let deployment = long_deployment();
+    deployment.c.answer_long("/archive/", length);
+    let mut instance = deployment.instance_with("one", |settings| {
+        settings["traffic"] = traffic.clone();
+    });
+    let logs = instance.logs();
+    (instance, deployment, logs)
+}
+
+/// Expects that an answer is told to have ended early, with at least so many bytes written.
+fn expect_cut(instance: &Instance, logs: &Logs, id: &str, cause: &str, sent: usize) {
+    let line = logs.line(CUT);
+    expect_that!(line["request"], eq(&json!(id)));
+    expect_that!(line["cause"], eq(&json!(cause)));
+    expect_that!(line["sent"].as_u64(), some(ge(sent as u64)));
+    let counted = format!("citronway_cut_answers_total{{cause=\"{cause}\"}} 1");
+    expect_that!(instance.metrics(), contains_substring(counted));
+}
+
 /// A request whose answer is the last one of its connection.
 fn last_look(id: &str) -> String {
     look("GET /archive/1", id).replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
