An interrupt stops an instance without cutting its requests

Callers of an instance that got SIGINT, SIGUSR1 or SIGUSR2 saw their connections close without an answer, also when the instance was draining after SIGTERM.

Cause: an instance on the platform handled SIGTERM and SIGHUP only; the default of the others ends the process. Evidence: each signal sent while a request is at an endpoint; no answer, and no exit code.

Change: SIGINT stops the instance as SIGTERM does; SIGUSR1 and SIGUSR2 are logged and have no effect.

gateway_stop_signals failed before in an_interrupt_stops_the_instance_as_a_termination_does (three of three rows) and a_user_signal_does_not_end_the_process (two of two). Its other four tests passed before: signals in a row, settings that change during the drain, and starts that fail on the readiness port or the port for reports.

--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod placing;
 mod reporting;
+mod signals;
 mod statements;
 mod store;
 mod store_era;
@@ -47,7 +48,6 @@
 use citronway_platform::store::StoreRefusal;
 use citronway_wire::report as datagram;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -58,10 +58,12 @@
 use first::Registration;
 use limits::LimitedSendState;
 use orders::OrderClient;
+use signals::Signalled;
 use store::{PollControl, Store, StoreError, TableUpdate};
 use store_era::StoreAccess;
 use trials::TrialState;
 
+pub(super) use signals::Signals;
 pub(super) use unusable::Source;
 
 use crate::clock;
@@ -132,27 +134,6 @@
     },
 }
 
-/// Process signals that an instance handles.
-#[derive(Debug)]
-pub(super) struct Signals {
-    terminate: Signal,
-    hang_up: Signal,
-}
-
-impl Signals {
-    /// Registers the handlers; must be called within a Tokio runtime.
-    ///
-    /// Failure guarded against: a signal that comes after callers were accepted, but before
-    /// it is handled, ends the process and breaks their connections. So handlers are
-    /// registered before the traffic starts.
-    pub(super) fn listen() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            hang_up: signal(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// Channels between the control task, the traffic thread and the process.
 #[derive(Debug)]
 pub(super) struct Channels {
@@ -329,8 +310,7 @@
                     self.on_limited_query(&socket, query);
                 }
                 Ok(()) = socket.readable() => {}
-                _ = self.signals.terminate.recv() => self.stop(),
-                _ = self.signals.hang_up.recv() => self.reload(),
+                signal = self.signals.next() => self.on_signal(signal),
                 () = sleep_until(next_run) => {}
             }
             self.receive_datagrams(&socket, &events_tx, &mut buf);
@@ -530,6 +510,14 @@
         self.view.send_replace(view);
     }
 
+    fn on_signal(&mut self, signal: Signalled) {
+        match signal {
+            Signalled::Stop => self.stop(),
+            Signalled::Reload => self.reload(),
+            Signalled::Nothing(signal) => log::warn!(signal; "a signal without effect"),
+        }
+    }
+
     fn stop(&mut self) {
         if self.stopping {
             return;
