A stop waits for the last lines of the logs as long as its grace lasts

Operators whose log reader falls behind miss the lines on how the last requests of an instance ended.

Cause: the process waited 200 ms for its log thread, whatever was left of the grace. A start that failed before its duties ran did not wait at all. Evidence: a pipe of 4,096 bytes that is read 4 s after SIGTERM, within the grace of 6 s, has the lines of 3 of 41 reloads, and not the line on the end.

Change: the control duty tells when the grace ends, and the process waits until then. A process that fails waits 200 ms as before. Runs without a slow reader end as early as before.

--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -196,6 +196,8 @@
     /// When no datagram was left to be received; later ones may have come at any time since.
     received_all_at: Mono,
     stopping: bool,
+    /// When the grace of the stop ends.
+    ends_by: Option<Mono>,
     /// This instance was the leader at the last run of [`Control::update_polling`].
     was_leader: bool,
     /// When a leader was last known to relay rows.
@@ -260,6 +262,7 @@
             started,
             received_all_at: started,
             stopping: false,
+            ends_by: None,
             was_leader: false,
             relays_heard_at: Mono::default(),
             pending_copies: Vec::new(),
@@ -269,13 +272,14 @@
         }
     }
 
-    /// Runs until the traffic thread has ended.
-    pub(super) async fn run(self) -> io::Result<()> {
+    /// Runs until the traffic thread has ended; returns when the grace of the stop ends, if one
+    /// was asked for.
+    pub(super) async fn run(self) -> io::Result<Option<Mono>> {
         let local = tokio::task::LocalSet::new();
         Box::pin(local.run_until(self.run_local())).await
     }
 
-    async fn run_local(mut self) -> io::Result<()> {
+    async fn run_local(mut self) -> io::Result<Option<Mono>> {
         let listener = ready::bind(self.cfg.ready).await?;
         tokio::spawn(ready::serve(listener, self.ready.clone()));
         match ready::bind(self.cfg.metrics).await {
@@ -301,7 +305,7 @@
             tokio::select! {
                 seen = self.seen.recv() => match seen {
                     Some(seen) => self.report_traffic(&socket, &seen),
-                    None => return Ok(()),
+                    None => return Ok(self.ends_by),
                 },
                 Some(event) = events.recv() => self.on_event(&socket, &events_tx, event),
                 Some(event) = self.trial_events.recv() => self.on_trial_event(&socket, event),
@@ -527,6 +531,7 @@
         self.reload();
         let grace_ms = self.cfg.grace_ms;
         log::info!(grace_ms; "asked to stop");
+        self.ends_by = Some(clock::mono().plus(grace_ms));
         self.stopping = true;
         self.stop.send_replace(Stop::Within { grace_ms });
     }
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -5,14 +5,17 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::thread;
+use std::time::Duration;
 
 use citronway_core::gateway::admission::View;
 use citronway_core::gateway::freshness::Trust;
 use citronway_core::gateway::settings::InstanceSettings;
 use citronway_core::ids::{Session, SessionId};
+use citronway_core::time::Mono;
 use tokio::runtime::Builder;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::clock;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::ready::Ready;
 use crate::gateway::traffic::{ControlSenders, Stop, Views};
@@ -35,6 +38,12 @@
 /// Capacity of the channel of queries about endpoints that state a limit.
 const LIMITED_CAPACITY: usize = 256;
 
+/// How long the end of a process that was not asked to stop waits for the last lines of the logs.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
+/// Time of the grace that is left for the exit itself, in milliseconds.
+const EXIT_MS: u64 = 50;
+
 /// Why an instance could not start, or failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -123,6 +132,27 @@
         eprintln!("a logger is already set; logs go to it");
     }
     logs::log_panics();
+    let ended = run_duties(cfg, path);
+    // Failure guarded against: the logs are read slowly, and the lines on how the last requests
+    // ended are lost although the process has time left.
+    let ends_by = ended.as_ref().ok().copied().flatten();
+    logs::flush(flush_limit(clock::mono(), ends_by));
+    ended.map(|_ends_by| ExitCode::SUCCESS)
+}
+
+/// How long the last lines of the logs are waited for.
+fn flush_limit(now: Mono, ends_by: Option<Mono>) -> Duration {
+    ends_by.map_or(FLUSH_LIMIT, |end| {
+        Duration::from_millis(end.since(now).saturating_sub(EXIT_MS))
+    })
+}
+
+/// Runs all duties until they end; returns when the grace of the stop ends, if one was asked for.
+///
+/// # Errors
+///
+/// When a duty could not be started or failed.
+fn run_duties(cfg: InstanceSettings, path: &Path) -> Result<Option<Mono>, Error> {
     let (high, low) = uuid::Uuid::new_v4().as_u64_pair();
     let own_session = Session {
         instance: cfg.instance.clone(),
@@ -195,10 +225,8 @@
     let control_result = finish_duty("control", control_result);
     log::info!("instance stops");
     let traffic_result = finish_duty("traffic", traffic_handle.join());
-    logs::flush();
-    control_result
-        .and(traffic_result)
-        .map(|()| ExitCode::SUCCESS)
+    let ends_by = control_result?;
+    traffic_result.map(|()| ends_by)
 }
 
 /// Result of a duty; a failure is logged.
@@ -206,10 +234,10 @@
 /// # Errors
 ///
 /// When the duty ended with an error or a panic.
-pub fn finish_duty(
+pub fn finish_duty<T>(
     duty: &'static str,
-    result: thread::Result<Result<(), Error>>,
-) -> Result<(), Error> {
+    result: thread::Result<Result<T, Error>>,
+) -> Result<T, Error> {
     let result = result.unwrap_or_else(|panic| {
         let cause = logs::words_of_panic(&*panic).to_owned();
         Err(Error::Panicked { duty, cause })
--- a/crates/citronway/src/logs/ring.rs
+++ b/crates/citronway/src/logs/ring.rs
@@ -13,9 +13,6 @@
 /// Places in the ring; at about 200 bytes a line below 1 MB.
 const LINES: usize = 4_096;
 
-/// How long the end of the process waits for the last lines.
-const FLUSH_LIMIT: Duration = Duration::from_millis(200);
-
 static WRITTEN: AtomicU64 = AtomicU64::new(0);
 static TAKEN: AtomicU64 = AtomicU64::new(0);
 static DROPPED: AtomicU64 = AtomicU64::new(0);
@@ -89,9 +86,12 @@
     }
 }
 
-/// Waits a short time until all lines are written.
-pub fn flush() {
-    let end = Instant::now() + FLUSH_LIMIT;
+/// Waits until all lines are written, for `limit` at most.
+///
+/// Lines that are left then are lost. Nothing tells of them: standard error often ends in the same
+/// pipe, and a write to it would wait too.
+pub fn flush(limit: Duration) {
+    let end = Instant::now() + limit;
     while WRITTEN.load(Ordering::Relaxed) < TAKEN.load(Ordering::Relaxed) && Instant::now() < end {
         thread::sleep(Duration::from_millis(5));
     }
