A full standard output that does not wait cuts no line of the logs

Operators whose log pipe refuses bytes while it is full find half lines, and lines that are missing although the metric of dropped lines is zero.

Cause: the log thread took the refusal for the end of the write and counted all lines as written.

Change: a refusal is tried again after 20 ms. Lines that cannot be written at all count as dropped.

gateway_stop_logs failed before in no_line_is_cut_by_a_full_pipe_that_does_not_wait.

--- a/crates/citronway/src/logs/ring.rs
+++ b/crates/citronway/src/logs/ring.rs
@@ -10,15 +10,19 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Pause before a full output is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+
 /// Places in the ring; at about 200 bytes a line below 1 MB.
 const LINES: usize = 4_096;
 
+/// Lines that were taken from the ring and written, or dropped.
 static WRITTEN: AtomicU64 = AtomicU64::new(0);
 static TAKEN: AtomicU64 = AtomicU64::new(0);
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 static RING: OnceLock<SyncSender<Vec<u8>>> = OnceLock::new();
 
-/// Lines that were dropped because the ring was full.
+/// Lines that were dropped because the ring was full, or that could not be written.
 #[must_use]
 pub fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
@@ -81,11 +85,38 @@
             lines.extend_from_slice(note.as_bytes());
         }
         // Nobody is left to tell that nobody reads the logs.
-        let _ = out.write_all(&lines).and_then(|()| out.flush());
+        if write_whole(&mut out, &lines).is_err() {
+            DROPPED.fetch_add(count, Ordering::Relaxed);
+        }
         WRITTEN.fetch_add(count, Ordering::Relaxed);
     }
 }
 
+/// Writes all bytes, also to an output that refuses them while it is full.
+///
+/// Failure guarded against: the standard output does not wait, since a process that shares it
+/// has set it so, and a line is cut where the output was full.
+fn write_whole(out: &mut impl Write, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match when_not_full(|| out.write(bytes))? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            count => bytes = &bytes[count..],
+        }
+    }
+    when_not_full(|| out.flush())
+}
+
+/// Repeats a write until the output is not full.
+fn when_not_full<T>(mut write: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match write() {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => thread::sleep(FULL_PAUSE),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 /// Waits until all lines are written, for `limit` at most.
 ///
 /// Lines that are left then are lost. Nothing tells of them: standard error often ends in the same
--- a/crates/citronway/tests/gateway_stop_logs.rs
+++ b/crates/citronway/tests/gateway_stop_logs.rs
@@ -119,3 +119,15 @@
     let mut process = Process::start(&deployment, |_| {});
     expect_all_lines(&process.messages_after_stop());
 }
+
+/// Guards against lines that are cut or lost where a full pipe refuses bytes instead of waiting.
+#[gtest]
+fn no_line_is_cut_by_a_full_pipe_that_does_not_wait() {
+    let deployment = Deployment::new();
+    let mut process = Process::start(&deployment, |out| {
+        // SAFETY: the descriptor is open.
+        let set = unsafe { libc::fcntl(out.as_raw_fd(), libc::F_SETFL, libc::O_NONBLOCK) };
+        assert_eq!(set, 0);
+    });
+    expect_all_lines(&process.messages_after_stop());
+}
