Metrics are whole although their reader sends on

Readers of the metrics that are slow and send bytes behind a request with `Connection: close` got a part of the text and a reset.

Cause: the socket was dropped after the last answer with bytes unread or still to come, and the system discards what the reader has not received.

Change: the ports for readiness and metrics half-close, then read and discard until the other side ends the connection, for 5 s at most.

--- a/crates/citronway/src/gateway/mod.rs
+++ b/crates/citronway/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod fleet_metrics;
 mod head_guard;
 mod http_link;
+mod lingering;
 mod memory_metrics;
 mod metrics;
 mod pipeline_metrics;
--- a/crates/citronway/src/gateway/ready.rs
+++ b/crates/citronway/src/gateway/ready.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use super::lingering::Lingering;
 use super::metrics::Metrics;
 use crate::metrics::MEDIA_TYPE;
 
@@ -82,7 +83,8 @@
                 let answer = handler(&req);
                 async { Ok::<_, Infallible>(answer) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let stream = TokioIo::new(Lingering::new(stream));
+            let connection = http1::Builder::new().serve_connection(stream, service);
             if let Err(e) = connection.await {
                 log::debug!(cause = e.to_string(); "internal connection ended");
             }
--- /dev/null
+++ b/crates/citronway/tests/gateway_stop_ports.rs
@@ -0,0 +1,69 @@
+//! Connections to the ports for readiness and metrics.
+
+mod gateway_support;
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use gateway_support::{Deployment, Instance, Reply, parse};
+use googletest::prelude::*;
+
+/// Port of the metrics, as in the deploy file.
+const METRICS_PORT: u16 = 9_464;
+
+/// Receive buffer of a slow reader, in bytes.
+const NARROW: u32 = 4_096;
+
+/// Connects with a small receive buffer.
+fn connect_narrow(address: SocketAddr) -> TcpStream {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let stream = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(NARROW)?;
+        socket.connect(address).await?.into_std()
+    });
+    let stream = stream.expect("a connection");
+    stream.set_nonblocking(false).expect("an open stream");
+    stream
+}
+
+fn metrics_of(instance: &Instance) -> SocketAddr {
+    SocketAddr::new(instance.callers.ip(), METRICS_PORT)
+}
+
+/// Whether all of the body has come that the head states.
+fn is_whole(reply: &Reply) -> bool {
+    let length = reply.header("content-length").map(str::parse::<usize>);
+    length == Some(Ok(reply.body.len()))
+}
+
+/// Guards against a reset that discards what a slow reader of the metrics has not received.
+#[gtest]
+fn metrics_are_whole_although_the_reader_sends_on() {
+    let deployment = Deployment::new();
+    let instance = deployment.ready_instance("one");
+    let mut reader = connect_narrow(metrics_of(&instance));
+    let head = "GET /metrics HTTP/1.1\r\nHost: m\r\nConnection: close\r\n\r\n";
+    reader.write_all(head.as_bytes()).expect("it is sent");
+    let mut text = Vec::new();
+    let mut part = [0; 1_024];
+    loop {
+        thread::sleep(Duration::from_millis(20));
+        // The other side may have ended the connection by now.
+        let _ = reader.write_all(b"more");
+        match reader.read(&mut part) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => text.extend_from_slice(&part[..count]),
+        }
+        if parse(&text).is_some_and(|reply| is_whole(&reply)) {
+            break;
+        }
+    }
+    let reply = parse(&text).expect("a head");
+    expect_that!(is_whole(&reply), eq(true), "{} bytes", reply.body.len());
+}
