Connections to the internal ports are bounded

A monitoring system that opens connections to the ports for readiness or metrics and leaves them takes the descriptors that callers' connections need.

Cause: neither their number nor their idle time was bounded. Evidence: 300 idle connections to the readiness port are all open after 40 s.

Change: each port holds 64 connections; one more ends the one that was not used for longest. A balancer that asks on a kept connection keeps it.

--- a/crates/citronway/src/gateway/ready.rs
+++ b/crates/citronway/src/gateway/ready.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
@@ -13,12 +13,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 
 use super::lingering::Lingering;
 use super::metrics::Metrics;
+use crate::clock;
 use crate::metrics::MEDIA_TYPE;
 
+/// Most connections to one internal port. Callers need the descriptors.
+const MAX_CONNECTIONS: usize = 64;
+
 /// Whether the balancer may send callers to this instance.
 #[derive(Debug, Clone, Default)]
 pub struct Ready(Arc<AtomicBool>);
@@ -64,10 +69,32 @@
     }
 }
 
+/// A connection in use.
+#[derive(Debug)]
+struct Open {
+    /// Time of its last request, or of its start.
+    used_at: Arc<AtomicU64>,
+    task: AbortHandle,
+}
+
+/// Makes room for one more connection: the one that was not used for longest ends.
+fn make_room(open: &mut Vec<Open>) {
+    open.retain(|open| !open.task.is_finished());
+    if open.len() < MAX_CONNECTIONS {
+        return;
+    }
+    let used_at = |(_, open): &(usize, &Open)| open.used_at.load(Ordering::Relaxed);
+    let Some((oldest, _)) = open.iter().enumerate().min_by_key(used_at) else {
+        return;
+    };
+    open.remove(oldest).task.abort();
+}
+
 async fn serve_with<H>(listener: TcpListener, handler: H)
 where
     H: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Clone + Send + 'static,
 {
+    let mut open = Vec::new();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -77,21 +104,34 @@
                 continue;
             }
         };
-        let handler = handler.clone();
-        tokio::spawn(async move {
-            let service = service_fn(move |req| {
-                let answer = handler(&req);
-                async { Ok::<_, Infallible>(answer) }
-            });
-            let stream = TokioIo::new(Lingering::new(stream));
-            let connection = http1::Builder::new().serve_connection(stream, service);
-            if let Err(e) = connection.await {
-                log::debug!(cause = e.to_string(); "internal connection ended");
-            }
+        make_room(&mut open);
+        let used_at = Arc::new(AtomicU64::new(clock::mono().0));
+        let task = tokio::spawn(serve_one(stream, Arc::clone(&used_at), handler.clone()));
+        open.push(Open {
+            used_at,
+            task: task.abort_handle(),
         });
     }
 }
 
+async fn serve_one<H>(stream: TcpStream, used_at: Arc<AtomicU64>, handler: H)
+where
+    H: Fn(&Request<Incoming>) -> Response<Full<Bytes>>,
+{
+    let service = service_fn(move |req| {
+        used_at.store(clock::mono().0, Ordering::Relaxed);
+        let answer = handler(&req);
+        async { Ok::<_, Infallible>(answer) }
+    });
+    let stream = TokioIo::new(Lingering::new(stream));
+    if let Err(e) = http1::Builder::new()
+        .serve_connection(stream, service)
+        .await
+    {
+        log::debug!(cause = e.to_string(); "internal connection ended");
+    }
+}
+
 fn readiness_answer(req: &Request<Incoming>, ready: &Ready) -> Response<Full<Bytes>> {
     let status =
         if !citronway_platform::exchange::is_readiness_check(req.method(), req.uri().path()) {
