The readiness port closes as soon as control has ended

A balancer that asks an instance whose start has failed waits for its own time limit; so do readers of the metrics and instances that ask for a copy of a table.

Cause: the runtime that holds these ports was dropped only after the traffic had drained, with nothing to serve them. Evidence: with the port for reports taken, a readiness check is accepted and has no answer after 1 s.

Change: the runtime is dropped as soon as control has ended, before the wait for the traffic.

gateway_stop_signals failed before in the_readiness_port_is_closed_once_the_start_has_failed.

--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -221,6 +221,9 @@
         control::Control::new(cfg, own_session, path.to_owned(), ready, metrics, channels);
     // Each duty ends when the other one does, because the channels between them close.
     let control_result = catch_unwind(AssertUnwindSafe(|| runtime.block_on(control.run())));
+    // Failure guarded against: control has failed, nothing answers on its ports any more, and while
+    // the traffic drains each readiness check waits until it times out.
+    drop(runtime);
     let control_result = control_result.map(|result| result.map_err(start("control")));
     let control_result = finish_duty("control", control_result);
     log::info!("instance stops");
--- a/crates/citronway/tests/gateway_stop_signals.rs
+++ b/crates/citronway/tests/gateway_stop_signals.rs
@@ -2,8 +2,8 @@
 
 mod gateway_support;
 
-use std::io::Read as _;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::io::{ErrorKind, Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -23,6 +23,9 @@
 /// Wait that callers state, in milliseconds.
 const CALLER_WAIT_MS: u64 = 2_900;
 
+/// Longest wait for the end of a readiness check; shorter than the drain.
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+
 /// What happens to an instance that has a request at an endpoint.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -203,6 +206,14 @@
     expect_answers(&[&[first, second, TERMINATE], &[TERMINATE, first]]);
 }
 
+/// Where an instance takes reports.
+fn reports_of(addresses: &Addresses) -> SocketAddr {
+    let settings = addresses.settings("any", addresses.ready);
+    let port = settings["network"]["portRange"][0].as_u64();
+    let port = port.and_then(|port| u16::try_from(port).ok());
+    SocketAddr::new(addresses.callers.ip(), port.expect("a port"))
+}
+
 /// Starts an instance whose start fails after its callers' port is open, while a caller sends a
 /// request; returns the status, the exit code and the logs.
 fn failing_start(occupy: impl FnOnce(&Addresses)) -> (Option<u16>, Option<i32>, String) {
@@ -236,13 +247,27 @@
 fn callers_are_answered_although_the_port_for_reports_is_taken() {
     let mut taken = None;
     let (status, code, logs) = failing_start(|addresses| {
-        let settings = addresses.settings("any", addresses.ready);
-        let port = settings["network"]["portRange"][0].as_u64();
-        let port = port.and_then(|port| u16::try_from(port).ok());
-        let reports = SocketAddr::new(addresses.callers.ip(), port.expect("a port"));
-        taken = Some(UdpSocket::bind(reports).expect("the port is free"));
+        taken = Some(UdpSocket::bind(reports_of(addresses)).expect("the port is free"));
     });
     expect_that!(status, some(eq(503)));
     expect_that!(code, some(eq(1)));
     expect_that!(logs, contains_substring("a duty failed"));
 }
+
+/// Guards against a readiness check without an answer while an instance whose start failed drains.
+#[gtest]
+fn the_readiness_port_is_closed_once_the_start_has_failed() {
+    let deployment = Deployment::new();
+    let mut taken = None;
+    let process = Process::start_after(&deployment, |addresses| {
+        taken = Some(UdpSocket::bind(reports_of(addresses)).expect("the port is free"));
+    });
+    until("callers are answered", || process.call().is_some());
+    let ended = TcpStream::connect(process.ready).and_then(|mut stream| {
+        stream.set_read_timeout(Some(PROBE_LIMIT))?;
+        stream.write_all(b"GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n")?;
+        stream.read(&mut [0; 1_024])
+    });
+    let waits = ended.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+    expect_that!(waits, eq(false));
+}
