--- a/crates/citronway/src/gateway/control/mod.rs
+++ b/crates/citronway/src/gateway/control/mod.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod placing;
 mod reporting;
+mod signals;
 mod statements;
 mod store;
 mod store_era;
@@ -47,7 +48,6 @@
 use citronway_platform::store::StoreRefusal;
 use citronway_wire::report as datagram;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -58,10 +58,12 @@
 use first::Registration;
 use limits::LimitedSendState;
 use orders::OrderClient;
+use signals::Signalled;
 use store::{PollControl, Store, StoreError, TableUpdate};
 use store_era::StoreAccess;
 use trials::TrialState;
 
+pub(super) use signals::Signals;
 pub(super) use unusable::Source;
 
 use crate::clock;
@@ -132,27 +134,6 @@
     },
 }
 
-/// Process signals that an instance handles.
-#[derive(Debug)]
-pub(super) struct Signals {
-    terminate: Signal,
-    hang_up: Signal,
-}
-
-impl Signals {
-    /// Registers the handlers; must be called within a Tokio runtime.
-    ///
-    /// Failure guarded against: a signal that comes after callers were accepted, but before
-    /// it is handled, ends the process and breaks their connections. So handlers are
-    /// registered before the traffic starts.
-    pub(super) fn listen() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            hang_up: signal(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// Channels between the control task, the traffic thread and the process.
 #[derive(Debug)]
 pub(super) struct Channels {
@@ -215,6 +196,8 @@
     /// When no datagram was left to be received; later ones may have come at any time since.
     received_all_at: Mono,
     stopping: bool,
+    /// When the grace of the stop ends.
+    ends_by: Option<Mono>,
     /// This instance was the leader at the last run of [`Control::update_polling`].
     was_leader: bool,
     /// When a leader was last known to relay rows.
@@ -279,6 +262,7 @@
             started,
             received_all_at: started,
             stopping: false,
+            ends_by: None,
             was_leader: false,
             relays_heard_at: Mono::default(),
             pending_copies: Vec::new(),
@@ -288,13 +272,14 @@
         }
     }
 
-    /// Runs until the traffic thread has ended.
-    pub(super) async fn run(self) -> io::Result<()> {
+    /// Runs until the traffic thread has ended; returns when the grace of the stop ends, if one
+    /// was asked for.
+    pub(super) async fn run(self) -> io::Result<Option<Mono>> {
         let local = tokio::task::LocalSet::new();
         Box::pin(local.run_until(self.run_local())).await
     }
 
-    async fn run_local(mut self) -> io::Result<()> {
+    async fn run_local(mut self) -> io::Result<Option<Mono>> {
         let listener = ready::bind(self.cfg.ready).await?;
         tokio::spawn(ready::serve(listener, self.ready.clone()));
         match ready::bind(self.cfg.metrics).await {
@@ -320,7 +305,7 @@
             tokio::select! {
                 seen = self.seen.recv() => match seen {
                     Some(seen) => self.report_traffic(&socket, &seen),
-                    None => return Ok(()),
+                    None => return Ok(self.ends_by),
                 },
                 Some(event) = events.recv() => self.on_event(&socket, &events_tx, event),
                 Some(event) = self.trial_events.recv() => self.on_trial_event(&socket, event),
@@ -329,8 +314,7 @@
                     self.on_limited_query(&socket, query);
                 }
                 Ok(()) = socket.readable() => {}
-                _ = self.signals.terminate.recv() => self.stop(),
-                _ = self.signals.hang_up.recv() => self.reload(),
+                signal = self.signals.next() => self.on_signal(signal),
                 () = sleep_until(next_run) => {}
             }
             self.receive_datagrams(&socket, &events_tx, &mut buf);
@@ -530,6 +514,14 @@
         self.view.send_replace(view);
     }
 
+    fn on_signal(&mut self, signal: Signalled) {
+        match signal {
+            Signalled::Stop => self.stop(),
+            Signalled::Reload => self.reload(),
+            Signalled::Nothing(signal) => log::warn!(signal; "a signal without effect"),
+        }
+    }
+
     fn stop(&mut self) {
         if self.stopping {
             return;
@@ -539,6 +531,7 @@
         self.reload();
         let grace_ms = self.cfg.grace_ms;
         log::info!(grace_ms; "asked to stop");
+        self.ends_by = Some(clock::mono().plus(grace_ms));
         self.stopping = true;
         self.stop.send_replace(Stop::Within { grace_ms });
     }
