--- a/crates/citronway/tests/process_logs.rs
+++ b/crates/citronway/tests/process_logs.rs
@@ -8,6 +8,7 @@
 use citronway_core::ids::RequestId;
 use citronway_standin::caller::{Call, Caller};
 use citronway_standin::env::{Env, Launcher, wait};
+use citronway_standin::http::answer;
 use citronway_standin::trial::{Deployment, SERVICE, entry_name};
 use googletest::prelude::*;
 use serde_json::Value;
@@ -124,9 +125,11 @@
     let mut stream = TcpStream::connect(address).unwrap();
     let request = format!("GET {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    answer
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).unwrap();
+    let whole = answer::first(&text).unwrap().expect("a whole answer");
+    assert_eq!(whole.length, text.len());
+    String::from_utf8(text).unwrap()
 }
 
 /// Value of a metric, 0 if it is not shown.
--- a/crates/citronway/tests/process_record.rs
+++ b/crates/citronway/tests/process_record.rs
@@ -9,6 +9,7 @@
 use citronway_core::outcome::NotRunReason;
 use citronway_standin::caller::{Call, Caller, Verdict};
 use citronway_standin::env::{Launcher, wait};
+use citronway_standin::http::answer;
 use citronway_standin::trial::{Deployment, SERVICE};
 use googletest::prelude::*;
 
@@ -73,9 +74,10 @@
          connection: close\r\ncitronway-key: bottle-1\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    expect_that!(answer, starts_with("HTTP/1.1 200"));
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).unwrap();
+    let whole = answer::first(&text).unwrap().expect("a whole answer");
+    expect_that!((whole.status, whole.length), eq((200, text.len())));
 }
 
 /// What callers were told, in order.
