--- a/crates/citronway/tests/gateway_support/mod.rs
+++ b/crates/citronway/tests/gateway_support/mod.rs
@@ -2,13 +2,14 @@
 
 #![allow(dead_code, unused_imports, reason = "each test file uses its own part")]
 
+pub mod answers;
 pub mod crashing;
 pub mod large;
 pub mod load;
 pub mod rows;
 
-use std::io::{BufRead as _, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead as _, BufReader, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -19,8 +20,8 @@
     Addresses, FencedEndpoint, SETTINGS_VARIABLE, SharedStore, configuration, own_address,
 };
 use serde_json::{Value, json};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
+pub use answers::{Reply, exchange, exchange_from, first_answer, parse, read_only_answer};
 pub use citronway_standin::shared::route;
 
 /// Timeout of every wait, far above what a passing test needs.
@@ -243,25 +244,6 @@
     pub peak_kb: u64,
 }
 
-/// An answer as a caller gets it.
-#[derive(Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub head: String,
-    pub body: String,
-}
-
-impl Reply {
-    /// Value of a header, if present.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
-        lines
-            .into_iter()
-            .find(|(key, _)| key.eq_ignore_ascii_case(name))
-            .map(|(_, v)| v)
-    }
-}
-
 impl Instance {
     pub fn name(&self) -> &str {
         &self.name
@@ -423,50 +405,6 @@
     )
 }
 
-/// Sends a request on its own connection; `None` if the connection ends without an answer.
-pub fn exchange(address: SocketAddr, head: &str, body: &str) -> Option<Reply> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(WAIT_TIMEOUT)).ok()?;
-    stream.write_all(head.as_bytes()).ok()?;
-    stream.write_all(body.as_bytes()).ok()?;
-    let mut text = Vec::new();
-    // A reset after the answer ends it too.
-    let _ = stream.read_to_end(&mut text);
-    parse(&text)
-}
-
-/// Sends a request from the source address `source`; `None` if the connection ends without an
-/// answer.
-pub fn exchange_from(source: Ipv4Addr, address: SocketAddr, head: &str) -> Option<Reply> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .ok()?;
-    let text = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4()?;
-        socket.bind(SocketAddr::from((source, 0)))?;
-        let mut stream = socket.connect(address).await?;
-        stream.write_all(head.as_bytes()).await?;
-        let mut text = Vec::new();
-        // A reset after the answer ends it too.
-        let _ = stream.read_to_end(&mut text).await;
-        Ok::<_, std::io::Error>(text)
-    });
-    parse(&text.ok()?)
-}
-
-/// Parses an answer; `None` if its head is incomplete.
-pub fn parse(text: &[u8]) -> Option<Reply> {
-    let text = String::from_utf8_lossy(text).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some(Reply {
-        status,
-        head: head.to_owned(),
-        body: body.to_owned(),
-    })
-}
-
 /// An endpoint that accepts connections and reads nothing from them.
 pub struct SilentEndpoint {
     address: SocketAddr,
