Answers without a body are not told as cut

An answer of the instance to HEAD has a body that is not sent. It was told and counted as ended early when its connection closed. The test of gateway_close that asks HEAD for an unknown path fails before.

--- a/crates/citronway/src/gateway/traffic/connection/cut.rs
+++ b/crates/citronway/src/gateway/traffic/connection/cut.rs
@@ -9,7 +9,7 @@
 
 use bytes::Buf;
 use citronway_platform::exchange;
-use http::{HeaderValue, Response};
+use http::{HeaderValue, Method, Response, StatusCode};
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::closing::unsent;
@@ -61,8 +61,23 @@
         self.cause.set(cause);
     }
 
-    /// Counts what is sent of an answer.
-    pub(super) fn count(&self, answer: Response<GuardedBody>) -> Response<CountedBody> {
+    /// Counts what is sent of an answer to a request with a method.
+    pub(super) fn count(
+        &self,
+        method: &Method,
+        answer: Response<GuardedBody>,
+    ) -> Response<CountedBody> {
+        // The HTTP library sends no body with these.
+        let is_bodiless = method == Method::HEAD
+            || matches!(
+                answer.status(),
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        let length = if is_bodiless {
+            0
+        } else {
+            answer.body().size_hint().exact().unwrap_or_default()
+        };
         let sent = Rc::new(Cell::new(0));
         let mut given = self.given.borrow_mut();
         while given.front().is_some_and(Given::is_sent) {
@@ -70,7 +85,7 @@
         }
         given.push_back(Given {
             id: exchange::request_id(answer.headers()).cloned(),
-            length: answer.body().size_hint().exact().unwrap_or_default(),
+            length,
             sent: Rc::clone(&sent),
         });
         drop(given);
--- a/crates/citronway/src/gateway/traffic/connection/mod.rs
+++ b/crates/citronway/src/gateway/traffic/connection/mod.rs
@@ -151,6 +151,7 @@
     let closing = Cell::new(Closing::No);
     let service = service_fn(|req| {
         let asks_close = asks_close(&req);
+        let method = req.method().clone();
         let turn = reader.borrow_mut().take_turn();
         let answer = answer_in_turn(state, progress, reader, &row, turn, req, origin);
         let closing = &closing;
@@ -160,7 +161,7 @@
                 || closing.get() == Closing::AfterAnswer
                 || answer.headers().contains_key(CONNECTION);
             last.set(exchange::request_id(answer.headers()), says_close);
-            Ok::<_, TurnError>(watch.count(answer))
+            Ok::<_, TurnError>(watch.count(&method, answer))
         }
     });
     let connection = http1::Builder::new()
--- a/crates/citronway/tests/gateway_close.rs
+++ b/crates/citronway/tests/gateway_close.rs
@@ -334,6 +334,24 @@
     expect_that!(line["unsent"].as_u64(), some(gt(0)));
 }
 
+/// Guards against answers without a body that are told as cut.
+#[gtest]
+fn an_answer_without_a_body_is_not_told() {
+    let (instance, _deployment, logs) = logged(&json!({}), BUFFERED_ANSWER);
+    let request = last_look("head").replace("GET /archive", "HEAD /nowhere");
+    let mut caller = RowCaller::connect(instance.callers);
+    caller.send(&request);
+    let mut text = Vec::new();
+    caller.stream.read_to_end(&mut text).expect("an answer");
+    drop(caller);
+    until("the connection is closed", || {
+        let open = "citronway_connections 0";
+        instance.metrics().lines().any(|line| line == open)
+    });
+    expect_that!(parse(&text).map(|reply| reply.status), some(eq(404)));
+    expect_false!(logs.all().iter().any(|line| line["message"] == CUT));
+}
+
 /// An instance with settings of its table `traffic`, before an endpoint with answers of a length.
 fn logged(traffic: &Value, length: usize) -> (Instance, Deployment, Logs) {
     let deployment = long_deployment();
