Another endpoint is searched for as soon as a second send has failed

Found by review.

Cause: the second send set the time of silence anew for all. Once all that have the request are silent, the search begins at once. Besides, by reading: a send that connects again counts as a second send if another one has begun; a server error is kept when another instance gives no better answer; a stated queue is believed up to a bound.

gateway_open_sends: a_rejected_second_send_is_followed_by_the_next_one.

--- a/crates/citronway-core/src/gateway/admission/another.rs
+++ b/crates/citronway-core/src/gateway/admission/another.rs
@@ -69,7 +69,9 @@
         let queue_ms = self
             .stated_loads
             .queue_ms(now, EndpointTag::of(endpoint), job.work_ms);
-        job.key.is_none().then_some(usual_ms + queue_ms)
+        // A statement may be wrong; it is believed up to a bound.
+        let silent_ms = usual_ms + queue_ms.min(usual_ms);
+        job.key.is_none().then_some(silent_ms)
     }
 
     /// Finds another place for a request that is still at the endpoints `open_at`.
--- a/crates/citronway/src/gateway/traffic/endpoint_send.rs
+++ b/crates/citronway/src/gateway/traffic/endpoint_send.rs
@@ -121,6 +121,14 @@
                     *was_sent = false;
                     return Ok(Exchanged::Withheld);
                 }
+                let now = clock::mono();
+                // Another send of the request may have begun meanwhile.
+                let is_later = !is_retry && self.open.has_reached_endpoint();
+                if is_later && !self.state.take_retry(now, self.retry()) {
+                    *was_sent = false;
+                    return Ok(Exchanged::NoRetryLeft);
+                }
+                let left_ms = self.job.deadline.since(now);
                 let req = self.message.for_endpoint(&self.choice.endpoint, left_ms);
                 self.open.set_reached_endpoint(true);
                 link.record_sent(id, self.job.deadline);
--- a/crates/citronway/src/gateway/traffic/forwarding.rs
+++ b/crates/citronway/src/gateway/traffic/forwarding.rs
@@ -183,7 +183,7 @@
     /// Handles an ended send. Returns `None` if the request is to be sent again.
     pub(super) async fn handle_ended(&mut self, ended: EndedSend) -> Option<Outcome> {
         let choice = ended.choice.clone();
-        self.open_sends.remove(&choice.endpoint);
+        self.open_sends.remove(clock::mono(), &choice.endpoint);
         if ended.was_sent {
             self.sends += 1;
         }
@@ -471,6 +471,7 @@
     /// A request that an endpoint has, or may have, is not reported as not run.
     fn end_for_stop(&self) -> Outcome {
         self.open.log_stopped(clock::mono());
+        // Silent endpoints count as runs, whatever the stage of the next send.
         if self.runs() == 0 && !self.open.may_be_at_endpoint() {
             return stopping();
         }
--- a/crates/citronway/src/gateway/traffic/send.rs
+++ b/crates/citronway/src/gateway/traffic/send.rs
@@ -63,12 +63,16 @@
         self.endpoints.iter().filter(|open| open.is_silent).count()
     }
 
-    /// Records that a send to the endpoint has ended.
-    pub(super) fn remove(&mut self, endpoint: &EndpointStart) {
+    /// Removes the endpoint of an ended send. Another endpoint is searched for at once if all that
+    /// still have the request are silent.
+    pub(super) fn remove(&mut self, now: Mono, endpoint: &EndpointStart) {
         let place = self.endpoints.iter().position(|o| o.endpoint == *endpoint);
         if let Some(place) = place {
             self.endpoints.swap_remove(place);
         }
+        if self.silent_at.is_some() && self.endpoints.iter().all(|open| open.is_silent) {
+            self.silent_at = Some(now);
+        }
     }
 
     fn push(&mut self, send: EndpointSend) {
@@ -171,23 +175,31 @@
         };
         self.open_sends.sends = sends;
         match admitted {
-            Err(ended) => return self.handle_ended(ended).await,
+            Err(ended) => {
+                drop((in_flight, room));
+                return self.handle_ended(ended).await;
+            }
             Ok(Err(_not_now)) => return None,
             Ok(Ok(())) => {}
         }
+        let now = clock::mono();
+        if !self.has_time(now) || self.is_dangerous(now) {
+            return None;
+        }
         self.record_silent(now);
-        self.open.set_endpoint(clock::mono(), &choice);
+        self.open.set_endpoint(now, &choice);
         self.begin_send(choice, in_flight, room);
         None
     }
 
     /// Whether the request may be sent to another endpoint while it is open at one.
     fn may_send_beside(&mut self, now: Mono) -> bool {
-        let is_routed = self.job.key.is_none() || self.state.is_cut_off();
+        let may_go_elsewhere = self.job.key.is_none() || self.state.is_cut_off();
         let open = self.open_sends.endpoints.len() - self.open_sends.silent_count();
         let open = u32::try_from(open).unwrap_or(u32::MAX);
         let attempts = self.route.attempts.max(1);
-        if !is_routed || self.runs().saturating_add(open) >= attempts || !self.has_time(now) {
+        if !may_go_elsewhere || self.runs().saturating_add(open) >= attempts || !self.has_time(now)
+        {
             return false;
         }
         self.retry_cause = RetryCause::Unanswered;
@@ -197,14 +209,20 @@
             self.state.has_retry(now, self.retry())
         };
         self.lacked_retry |= !has_retry;
-        // Copies of work that may crash endpoints are tried one by one.
-        has_retry && self.suspect_work().is_none() && self.harmful_work(now).is_none()
+        has_retry && !self.is_dangerous(now)
+    }
+
+    /// Whether the work may crash endpoints, so that its copies are tried one by one.
+    fn is_dangerous(&self, now: Mono) -> bool {
+        self.suspect_work().is_some() || self.harmful_work(now).is_some()
     }
 
     /// Passes the request on to another instance while sends are open.
     async fn forward_beside(&mut self, now: Mono) -> Option<Outcome> {
         self.room = self.reserve_answer()?;
         self.record_silent(now);
+        // A send may still be connecting; the neighbor's one is a second send all the same.
+        self.open.set_reached_endpoint(true);
         let mut sends = std::mem::take(&mut self.open_sends.sends);
         let mut ended = Vec::new();
         let forwarded = {
@@ -230,6 +248,10 @@
             if outcome.as_ref().is_some_and(Outcome::is_served) {
                 break;
             }
+            if let Some(Outcome::Answered(failed)) = outcome {
+                self.failed_answer = Some(failed);
+                outcome = None;
+            }
             outcome = self.handle_ended(send).await.or(outcome);
         }
         outcome
--- a/crates/citronway/tests/gateway_open_sends.rs
+++ b/crates/citronway/tests/gateway_open_sends.rs
@@ -158,3 +158,29 @@
         silent.open_connections() == 0
     });
 }
+
+/// Guards against a long pause after a rejected second send although a third endpoint is free.
+#[gtest]
+fn a_rejected_second_send_is_followed_by_the_next_one() {
+    let deployment = Deployment::new();
+    deployment.unlist(&deployment.c);
+    let silent = SilentEndpoint::start();
+    deployment
+        .store
+        .put("servers", "i-mute", &silent.entry("console"));
+    let instance = deployment.ready_instance("one");
+    let full = second_endpoint();
+    full.full(true);
+    let free = FencedEndpoint::start("i-e", "console", false).expect("an endpoint");
+    let began = Instant::now();
+    let reply = thread::scope(|scope| {
+        let asked = scope.spawn(|| call(&instance));
+        until("the silent endpoint has it", || silent.connections() > 0);
+        deployment.list(&full, "ready");
+        deployment.list(&free, "ready");
+        asked.join().expect("the caller ends")
+    });
+    expect_that!(reply.status, eq(200));
+    // Two silences of 1.5 s would miss the timeout of the route.
+    expect_that!(began.elapsed(), lt(Duration::from_millis(2_800)));
+}
