--- a/crates/citronway/src/gateway/control/signals.rs
+++ b/crates/citronway/src/gateway/control/signals.rs
@@ -28,10 +28,8 @@
 impl Signals {
     /// Registers the handlers; must be called within a Tokio runtime.
     ///
-    /// Failure guarded against: a signal that comes after callers were accepted, but before
-    /// it is handled, ends the process and breaks their connections. So handlers are
-    /// registered before the traffic starts, also for signals without a meaning here, whose
-    /// default is to end the process.
+    /// Must be called before callers are accepted. Signals without a meaning here have handlers too,
+    /// since their default is to end the process.
     pub(in crate::gateway) fn listen() -> io::Result<Self> {
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
--- a/crates/citronway/src/gateway/lingering.rs
+++ b/crates/citronway/src/gateway/lingering.rs
@@ -18,8 +18,8 @@
 /// A connection whose shutdown reads and discards what the other side still sends, until that ends
 /// too or [`LIMIT`] is over.
 ///
-/// Failure guarded against: a connection is dropped with unread bytes, the system resets it, and
-/// what the other side has not received of the last answer is discarded.
+/// The system resets a connection that is dropped with unread bytes, and discards what the other
+/// side has not received.
 #[derive(Debug)]
 pub(super) struct Lingering {
     stream: TcpStream,
--- a/crates/citronway/src/gateway/run.rs
+++ b/crates/citronway/src/gateway/run.rs
@@ -133,8 +133,7 @@
     }
     logs::log_panics();
     let ended = run_duties(cfg, path);
-    // Failure guarded against: the logs are read slowly, and the lines on how the last requests
-    // ended are lost although the process has time left.
+    // The lines on how the last requests ended come last.
     let ends_by = ended.as_ref().ok().copied().flatten();
     logs::flush(flush_limit(clock::mono(), ends_by));
     ended.map(|_ends_by| ExitCode::SUCCESS)
