An answer whose head does not say how its body ends is no answer

Callers got answers of endpoints as whole ones, signed and with status 200, whose body was not the endpoint's: the sizes of chunks stood within it where the transfer coding was misspelt or empty, and a body in another coding came without the coding's name. Where such an endpoint kept the connection open, its caller waited for its deadline and got 504. A length that was stated as a list was passed on as a list.

Cause: the framing of answers was left to the HTTP library. It reads a body to the end of the connection if the last transfer coding is not `chunked`, removes only that coding, prefers it to a length beside it, and takes a list of equal lengths.

Each head is now checked before anything of the answer is used: one valid length, or `chunked` alone in the one Transfer-Encoding, or neither (RFC 9112, section 6.3). The check is in the one place that reads heads for requests, orders, neighbors and the store. Beyond it the answer is a wrong one like the others: 502 at once or a second send, counted as `framing`, the connection closed. HEAD, 204 and 304 have no body whatever their fields say; only a length that they state has to be valid, since it is passed on.

Good answers of other shapes pass as before.

Ruled out: reading the body and judging it, since a body cannot be told from another one; and a length that is well-formed but wrong, which the head does not show.

--- a/crates/citronway-standin/src/shared/faulty_proxy.rs
+++ b/crates/citronway-standin/src/shared/faulty_proxy.rs
@@ -1,11 +1,13 @@
-//! A proxy in front of an endpoint that adds bytes to its answers, or sends bytes without end in
-//! their place.
+//! A proxy in front of an endpoint that adds bytes to its answers, changes their heads, or sends
+//! bytes without end in their place.
 
 use std::io::{self, Read as _, Write as _};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::head_change::HeadChange;
+
 /// Time between two lines of a slow head.
 const LINE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -112,6 +114,17 @@
     Copies,
     /// Bytes without end take the place of answers.
     Endless(Endless),
+    /// The heads of answers are changed.
+    Head(HeadChange, After),
+}
+
+/// What follows an answer with a changed head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum After {
+    /// The proxy closes the connection.
+    Close,
+    /// It serves on until the peer closes the connection.
+    Open,
 }
 
 /// Which answers have a fault.
@@ -131,7 +144,7 @@
     skipped: usize,
     /// Number of answers that have the fault; `None` for all.
     left: Option<usize>,
-    /// Time from the first byte without end to the close of its connection.
+    /// Times from the first wrong byte to the close of its connection by the peer.
     closed_after: Vec<Duration>,
     copies: usize,
     stopped: bool,
@@ -222,7 +235,7 @@
         lock(&self.state).left = Some(count);
     }
 
-    /// Times from the first byte without end to the close of the connection, so far.
+    /// Times from the first wrong byte to the close of its connection by the peer, so far.
     #[must_use]
     pub fn closed_after(&self) -> Vec<Duration> {
         lock(&self.state).closed_after.clone()
@@ -254,7 +267,9 @@
     server.set_nodelay(true)?;
     let (mut requests, mut answers) = (Vec::new(), Vec::new());
     let mut last_answer: Option<Vec<u8>> = None;
-    while let Some(request) = read_message(&mut client, &mut requests)? {
+    let mut changed_at = None;
+    // A reset by the peer ends the connection like any other close.
+    while let Ok(Some(request)) = read_message(&mut client, &mut requests) {
         let fault = lock(state).take_fault(&request);
         server.write_all(&request)?;
         if fault == Fault::Copies
@@ -273,9 +288,20 @@
             lock(state).closed_after.push(began.elapsed());
             break;
         }
+        if let Fault::Head(change, after) = fault {
+            client.write_all(&change.apply(&answer))?;
+            match after {
+                After::Close => break,
+                After::Open => changed_at.get_or_insert_with(Instant::now),
+            };
+            continue;
+        }
         client.write_all(&answer)?;
         last_answer = Some(answer);
     }
+    if let Some(changed_at) = changed_at {
+        lock(state).closed_after.push(changed_at.elapsed());
+    }
     client.shutdown(Shutdown::Both)
 }
 
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -16,7 +16,7 @@
 
 use super::head_guard::{GuardedStream, HeadGuard, MAX_HEAD_BYTES};
 use super::wrong_answer::WrongAnswer;
-use crate::clock;
+use crate::{answer_head, clock};
 
 /// Connect timeout.
 ///
@@ -248,17 +248,19 @@
         self.sender.is_closed()
     }
 
-    /// Sends a request and reads the head of the answer.
+    /// Sends a request, and reads and checks the head of the answer.
     ///
     /// # Errors
     ///
-    /// When nothing was sent, the connection broke, or the head exceeded a bound.
+    /// When nothing was sent, the connection broke, or the head exceeded a bound or is that of no
+    /// answer. The connection is not fit for use then.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
         let mut req = req.map(Full::new);
+        let method = req.method().clone();
         self.guard.begin(&mut req);
         let sent = self.sender.try_send_request(req).await;
         let exceeded = self.guard.end();
-        sent.map_err(|mut e| {
+        let answer = sent.map_err(|mut e| {
             if e.take_message().is_some() {
                 return CallError::NotSent;
             }
@@ -272,7 +274,11 @@
             } else {
                 CallError::Broken(e)
             }
-        })
+        })?;
+        match answer_head::check(&method, answer.status(), answer.headers()) {
+            Ok(()) => Ok(answer),
+            Err(e) => Err(CallError::Wrong(e.into())),
+        }
     }
 
     /// Sends a request and reads the complete answer.
--- a/crates/citronway/src/gateway/wrong_answer.rs
+++ b/crates/citronway/src/gateway/wrong_answer.rs
@@ -5,6 +5,8 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
 
+use crate::answer_head::HeadError;
+
 /// Why bytes of an endpoint are not the answer that was due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("{}", self.cause())]
@@ -13,6 +15,8 @@
     Foreign,
     /// The bytes are no HTTP.
     Malformed,
+    /// The head does not say how the body ends.
+    Framing,
     /// The head has too many bytes or lines.
     LongHead,
     /// The head was not complete in time.
@@ -32,6 +36,7 @@
         match self {
             Self::Foreign => "foreign",
             Self::Malformed => "malformed",
+            Self::Framing => "framing",
             Self::LongHead => "long_head",
             Self::SlowHead => "slow_head",
             Self::InterimAnswers => "interim_answers",
@@ -46,6 +51,7 @@
         match self {
             Self::Foreign => "the answer belongs to another request",
             Self::Malformed => "the bytes of the endpoint are no answer",
+            Self::Framing => "the head of the answer does not say how its body ends",
             Self::LongHead => "the head of the answer is too long",
             Self::SlowHead => "the head of the answer was not complete in time",
             Self::InterimAnswers => "too many interim answers",
@@ -55,6 +61,14 @@
     }
 }
 
+impl From<HeadError> for WrongAnswer {
+    fn from(e: HeadError) -> Self {
+        match e {
+            HeadError::Framing => Self::Framing,
+        }
+    }
+}
+
 /// What a wrong answer was due to, as a label.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AnswerTo {
--- a/crates/citronway/src/lib.rs
+++ b/crates/citronway/src/lib.rs
@@ -1,5 +1,6 @@
 //! One entry instance of citronway: a thread for each duty, joined by bounded rings.
 
+pub mod answer_head;
 pub mod callers;
 pub mod cli;
 pub mod clock;
