A status that no final answer has is no answer

Callers got 600 and 999 as the endpoint's status, and 101 as the final answer without a body, although nobody had asked to switch protocols.

Cause: the HTTP library takes each status from 100 on, and gives back 101 as an answer of a connection that is handed over.

The check of heads refuses what is outside 200 to 599; interim answers do not come so far. Counted as `status`.

Status 000, 099, 20 and 2000 gave 502 before and still do.

--- a/crates/citronway-standin/src/shared/head_change.rs
+++ b/crates/citronway-standin/src/shared/head_change.rs
@@ -21,7 +21,7 @@
 
 impl HeadChange {
     /// Changes after which the bytes are no answer that may reach a caller.
-    pub const BROKEN: [Self; 42] = [
+    pub const BROKEN: [Self; 45] = [
         Self::Chunked("transfer-encoding: chunkd"),
         Self::Chunked("transfer-encoding:"),
         Self::Chunked("transfer-encoding: chunked, gzip"),
@@ -50,6 +50,9 @@
         Self::StatusLine("HTTP/1.1 099 OK"),
         Self::StatusLine("HTTP/1.1 20 OK"),
         Self::StatusLine("HTTP/1.1 2000 OK"),
+        Self::StatusLine("HTTP/1.1 101 Switching Protocols"),
+        Self::StatusLine("HTTP/1.1 600 OK"),
+        Self::StatusLine("HTTP/1.1 999 OK"),
         Self::StatusLine("HTTP/2.0 200 OK"),
         Self::StatusLine("200 OK"),
         Self::Line(b"a line that is no field"),
--- a/crates/citronway/src/answer_head.rs
+++ b/crates/citronway/src/answer_head.rs
@@ -1,8 +1,8 @@
 //! Checks of the heads of answers, before anything of an answer is used.
 //!
 //! The HTTP library reads a body up to the end of the connection if it does not know the last
-//! transfer coding, drops codings before the last one, and prefers a coding to a length that is
-//! stated beside it. An answer with such a head looks whole,
+//! transfer coding, drops codings before the last one, prefers a coding to a length that is stated
+//! beside it, and accepts each status of three digits. An answer with such a head looks whole,
 //! although its body may not be the sender's.
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -11,6 +11,9 @@
 /// Why a head is that of no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
+    /// The status is not that of a final answer.
+    #[error("the status is not that of a final answer")]
+    Status,
     /// The head does not say how the body ends.
     #[error("the head does not say how the body ends")]
     Framing,
@@ -23,8 +26,12 @@
 ///
 /// # Errors
 ///
-/// When it is not clear how the body ends.
+/// When the status is not between 200 and 599, or it is not clear how the body ends.
 pub fn check(method: &Method, status: StatusCode, headers: &HeaderMap) -> Result<(), HeadError> {
+    // Interim answers are not passed on, and no request asks to switch protocols.
+    if !(200..=599).contains(&status.as_u16()) {
+        return Err(HeadError::Status);
+    }
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     let length = lengths.next();
     if lengths.next().is_some() || length.is_some_and(|length| !is_length(length)) {
--- a/crates/citronway/src/gateway/wrong_answer.rs
+++ b/crates/citronway/src/gateway/wrong_answer.rs
@@ -15,6 +15,8 @@
     Foreign,
     /// The bytes are no HTTP.
     Malformed,
+    /// The status is not that of a final answer.
+    Status,
     /// The head does not say how the body ends.
     Framing,
     /// The head has too many bytes or lines.
@@ -36,6 +38,7 @@
         match self {
             Self::Foreign => "foreign",
             Self::Malformed => "malformed",
+            Self::Status => "status",
             Self::Framing => "framing",
             Self::LongHead => "long_head",
             Self::SlowHead => "slow_head",
@@ -51,6 +54,7 @@
         match self {
             Self::Foreign => "the answer belongs to another request",
             Self::Malformed => "the bytes of the endpoint are no answer",
+            Self::Status => "the status is not that of a final answer",
             Self::Framing => "the head of the answer does not say how its body ends",
             Self::LongHead => "the head of the answer is too long",
             Self::SlowHead => "the head of the answer was not complete in time",
@@ -64,6 +68,7 @@
 impl From<HeadError> for WrongAnswer {
     fn from(e: HeadError) -> Self {
         match e {
+            HeadError::Status => Self::Status,
             HeadError::Framing => Self::Framing,
         }
     }
--- a/crates/citronway/tests/answer_head.rs
+++ b/crates/citronway/tests/answer_head.rs
@@ -59,3 +59,16 @@
         }
     }
 }
+
+/// Guards against statuses of other than final answers that are passed on.
+#[gtest]
+fn only_final_statuses_are_those_of_answers() {
+    for status in [100, 101, 103, 199, 600, 999] {
+        let checked = check_fields(&Method::GET, status, &[]);
+        expect_that!(checked, err(eq(HeadError::Status)), "{status}");
+    }
+    for status in [200, 299, 304, 499, 500, 599] {
+        let checked = check_fields(&Method::GET, status, &[(CONTENT_LENGTH, "0")]);
+        expect_that!(checked, ok(eq(())), "{status}");
+    }
+}
--- a/crates/citronway/tests/gateway_answer_heads.rs
+++ b/crates/citronway/tests/gateway_answer_heads.rs
@@ -17,9 +17,11 @@
 const WITHIN: Duration = Duration::from_secs(1);
 
 /// A broken head of each kind that is counted, for peers that answer seldom.
-const OF_EACH_KIND: [HeadChange; 3] = [
+const OF_EACH_KIND: [HeadChange; 5] = [
     HeadChange::Chunked("transfer-encoding: chunkd"),
     HeadChange::Framing("content-length: LENGTH, LENGTH"),
+    HeadChange::StatusLine("HTTP/1.1 101 Switching Protocols"),
+    HeadChange::StatusLine("HTTP/1.1 999 OK"),
     HeadChange::Line(b"a line that is no field"),
 ];
 
