Endpoints of an instance with settings of its own: the same check of heads

Callers of such an instance got a body as the endpoint's whose head names another coding, `chunked` twice, or a length beside it, and answers with status 600 and 999.

Cause: the link had a check of its own, which looks at the last transfer coding only.

Evidence: `answer_with_a_broken_head_is_lost` failed before at its first row (Answered in place of Lost), and passes now.

--- a/crates/citronway/src/endpoints/link.rs
+++ b/crates/citronway/src/endpoints/link.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{HeaderMap, TRANSFER_ENCODING};
-use http::{Request, Response, StatusCode};
+use http::header::TRANSFER_ENCODING;
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,10 +17,10 @@
 
 use super::clock::time_until;
 use super::gate::{Gate, GatedStream, Until};
+use crate::answer_head::{self, HeadError};
 
 /// How long a connection may take to become ready after a whole answer.
 const READY_WAIT: Duration = Duration::from_millis(50);
-const CHUNKED: &str = "chunked";
 
 /// Why an exchange brought no whole answer.
 #[derive(Debug, thiserror::Error)]
@@ -43,9 +43,9 @@
         /// Limit in bytes.
         limit: usize,
     },
-    /// The answer switches protocols.
-    #[error("answer has status {0}")]
-    Status(StatusCode),
+    /// The head is that of no answer.
+    #[error("wrong answer: {0}")]
+    Head(#[from] HeadError),
 }
 
 /// A whole answer, and the connection if it can be used again.
@@ -160,29 +160,21 @@
     req: Request<Full<Bytes>>,
     limit: usize,
 ) -> Result<Response<Bytes>, ExchangeError> {
+    let method = req.method().clone();
     let (parts, body) = sender.send_request(req).await?.into_parts();
-    if parts.status.is_informational() {
-        return Err(ExchangeError::Status(parts.status));
-    }
+    answer_head::check(&method, parts.status, &parts.headers)?;
     // Failure guarded against: an answer that ends with the connection and is
     // cut on the way looks whole. It shows as a short body under a good status.
     // The guard holds because an answer must state its length or be chunked,
     // and then hyper reports a missing rest as an error.
-    if body.size_hint().exact().is_none() && !is_chunked(&parts.headers) {
+    let is_chunked = parts.headers.contains_key(TRANSFER_ENCODING);
+    if body.size_hint().exact().is_none() && !is_chunked {
         return Err(ExchangeError::NoLength);
     }
     let body = read_body(body, limit).await?;
     Ok(Response::from_parts(parts, body))
 }
 
-// Any other last coding means that the body ends with the connection.
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let codings = last.and_then(|codings| codings.to_str().ok());
-    let coding = codings.and_then(|codings| codings.rsplit(',').next());
-    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case(CHUNKED))
-}
-
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ExchangeError> {
     let err = match Limited::new(body, limit).collect().await {
         Ok(body) => return Ok(body.to_bytes()),
--- a/crates/citronway/src/endpoints/order.rs
+++ b/crates/citronway/src/endpoints/order.rs
@@ -78,7 +78,7 @@
         ExchangeError::Broken(_)
         | ExchangeError::NoLength
         | ExchangeError::TooLarge { .. }
-        | ExchangeError::Status(_) => OrderReply::Lost,
+        | ExchangeError::Head(_) => OrderReply::Lost,
     }
 }
 
--- a/crates/citronway/tests/endpoints.rs
+++ b/crates/citronway/tests/endpoints.rs
@@ -62,6 +62,32 @@
     }
 }
 
+/// Guards against an answer whose head does not say how its body ends, or whose status is none, and
+/// that reaches its caller.
+#[gtest]
+fn answer_with_a_broken_head_is_lost() {
+    for head in [
+        "200 X\r\ntransfer-encoding: gzip, chunked",
+        "200 X\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked",
+        "200 X\r\ntransfer-encoding: chunked\r\ncontent-length: 4",
+        "200 X\r\ntransfer-encoding: chunked, chunked",
+        "101 X\r\ntransfer-encoding: chunked",
+        "600 X\r\ntransfer-encoding: chunked",
+        "999 X\r\ntransfer-encoding: chunked",
+    ] {
+        let mut bench = Bench::new();
+        let id = bench.order(1, FAR_MS);
+        let mut peer = Peer::accept(&bench.listener);
+        peer.read();
+        let named = named(id);
+        peer.write(&format!(
+            "HTTP/1.1 {head}\r\n{named}\r\n4\r\nfull\r\n0\r\n\r\n"
+        ));
+        expect_that!(bench.reply(), eq(&OrderReply::Lost), "{head}");
+        expect_that!(peer.until_closed(), eq(0), "{head}");
+    }
+}
+
 /// An endpoint answers with the id of another request, or with none. The caller
 /// would read another customer's plan, because the connection alone was taken
 /// as proof of whose answer it is.
