Stand-ins: the reader of callers' answers takes no broken heads

A test or soak would have taken an answer with one of eleven broken heads as whole: other codings before or behind `chunked`, a length with a sign, and statuses 000, 099, 101, 600 and 999.

Evidence: `a_broken_head_is_no_answer` failed before at these eleven rows, and passes now.

--- a/crates/citronway-standin/src/http/answer.rs
+++ b/crates/citronway-standin/src/http/answer.rs
@@ -44,7 +44,8 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(Malformed),
     };
-    let status = parsed.code.ok_or(Malformed)?;
+    let status = parsed.code.filter(|status| (200..=599).contains(status));
+    let status = status.ok_or(Malformed)?;
     let behind = &bytes[end..];
     let body = match framing(status, parsed.headers)? {
         Framing::Length(length) => behind.get(..length).map(|body| (body.to_vec(), length)),
@@ -61,16 +62,17 @@
 }
 
 fn framing(status: u16, headers: &[httparse::Header<'_>]) -> Result<Framing, Malformed> {
-    if matches!(status, 100..=199 | 204 | 304) {
+    if matches!(status, 204 | 304) {
         return Ok(Framing::Length(0));
     }
-    let mut lengths = values(headers, "content-length");
-    match (lengths.next(), lengths.next()) {
-        (Some(length), None) if values(headers, "transfer-encoding").next().is_none() => {
+    let lengths: Vec<_> = values(headers, "content-length").collect();
+    let codings: Vec<_> = values(headers, "transfer-encoding").collect();
+    match (lengths.as_slice(), codings.as_slice()) {
+        ([length], []) if length.bytes().all(|byte| byte.is_ascii_digit()) => {
             let length = length.parse().ok().ok_or(Malformed)?;
             Ok(Framing::Length(length))
         }
-        (None, None) if says(headers, "transfer-encoding", "chunked") => Ok(Framing::Chunks),
+        ([], [coding]) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunks),
         _ => Err(Malformed),
     }
 }
