--- a/crates/citronway-standin/src/soak/kinds.rs
+++ b/crates/citronway-standin/src/soak/kinds.rs
@@ -34,7 +34,7 @@
     pub rows: bool,
     /// Besides, all endpoints refuse for seconds, and instances are killed every half second.
     pub refusals: bool,
-    /// Besides, endpoints send copies of answers, or bytes without end in place of answers.
+    /// Besides, endpoints send copies of answers, bytes without end, or answers with broken heads.
     pub wrong_answers: bool,
     /// Besides, instances stop one after the other, beside hang-ups and configurations, while
     /// callers read long answers slowly and send on.
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Signals in series, and endpoints that send copies of answers or bytes without end.
+    /// Signals in series, and endpoints that send copies of answers, bytes without end or broken heads.
     #[must_use]
     pub const fn with_wrong_answers(seed: u64) -> Self {
         Self {
--- a/crates/citronway-standin/src/soak/proxy.rs
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::shared::Endless;
+use crate::shared::{Endless, HeadChange};
 
 /// What the proxy does with what passes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +33,8 @@
     Copies,
     /// Passes on what goes to the target, and sends bytes without end in place of answers.
     Endless(Endless),
+    /// Passes on what goes to the target, and changes the heads of answers.
+    Head(HeadChange),
 }
 
 /// What the proxy does, for all and for some sources.
@@ -278,6 +280,12 @@
             if let Mode::Endless(endless) = mode {
                 return send_endless(&mut to, endless, &buf[..len]).await;
             }
+            if let Mode::Head(change) = mode {
+                if to.write_all(&change.apply(&buf[..len])).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             if mode == Mode::Copies && to.write_all(&last_answer).await.is_err() {
                 return;
             }
@@ -312,7 +320,8 @@
             | Mode::CutThere
             | Mode::CutBack
             | Mode::Copies
-            | Mode::Endless(_),
+            | Mode::Endless(_)
+            | Mode::Head(_),
             _,
         ) => false,
     }
--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -58,7 +58,8 @@
 /// Seeds that are always run, with endpoints that refuse everything while instances are killed.
 const FIXED_REFUSALS: [u64; 2] = [1_502, 1_511];
 
-/// Seeds that are always run, with endpoints that send copies of answers or bytes without end.
+/// Seeds that are always run, with endpoints that send copies of answers, bytes without end or broken
+/// heads.
 const FIXED_WRONG_ANSWERS: [u64; 2] = [1_600, 1_601];
 
 /// A seed with which harmful work was sent too often after its faults.
@@ -163,7 +164,7 @@
     }
 }
 
-/// Guards against answers without end, and copies of answers, that break a promise to a caller.
+/// Guards against answers without end, copies of answers and broken heads that break a promise to a caller.
 #[gtest]
 fn wrong_answers_break_no_promise() {
     for seed in FIXED_WRONG_ANSWERS {
