Soak: connections end behind some of the broken heads

Without that, an answer that is read up to the end of its connection never ends, and the soak sees a caller that waits and not one that gets a wrong body.

--- a/crates/citronway-standin/src/soak/proxy.rs
+++ b/crates/citronway-standin/src/soak/proxy.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::shared::{Endless, HeadChange};
+use crate::shared::{After, Endless, HeadChange};
 
 /// What the proxy does with what passes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,7 +34,7 @@
     /// Passes on what goes to the target, and sends bytes without end in place of answers.
     Endless(Endless),
     /// Passes on what goes to the target, and changes the heads of answers.
-    Head(HeadChange),
+    Head(HeadChange, After),
 }
 
 /// What the proxy does, for all and for some sources.
@@ -280,8 +280,9 @@
             if let Mode::Endless(endless) = mode {
                 return send_endless(&mut to, endless, &buf[..len]).await;
             }
-            if let Mode::Head(change) = mode {
-                if to.write_all(&change.apply(&buf[..len])).await.is_err() {
+            if let Mode::Head(change, after) = mode {
+                let sent = to.write_all(&change.apply(&buf[..len])).await;
+                if sent.is_err() || after == After::Close {
                     return;
                 }
                 continue;
@@ -321,7 +322,7 @@
             | Mode::CutBack
             | Mode::Copies
             | Mode::Endless(_)
-            | Mode::Head(_),
+            | Mode::Head(..),
             _,
         ) => false,
     }
--- a/crates/citronway-standin/src/soak/wrong_answers.rs
+++ b/crates/citronway-standin/src/soak/wrong_answers.rs
@@ -8,7 +8,7 @@
 
 use super::plan::{Fault, LENGTH_MS, Planned, SHARDED};
 use super::proxy::Mode;
-use crate::shared::{Endless, HeadChange};
+use crate::shared::{After, Endless, HeadChange};
 
 /// Fewest and most times that an endpoint does so in one soak.
 const TIMES: (usize, usize) = (3, 6);
@@ -32,7 +32,12 @@
     for _ in 0..rng.random_range(HEAD_TIMES.0..=HEAD_TIMES.1) {
         let endpoint = rng.random_range(0..=SHARDED);
         let change = HeadChange::BROKEN[rng.random_range(0..HeadChange::BROKEN.len())];
-        plan.push(planned(rng, endpoint, Mode::Head(change)));
+        let after = if rng.random_bool(0.5) {
+            After::Close
+        } else {
+            After::Open
+        };
+        plan.push(planned(rng, endpoint, Mode::Head(change, after)));
     }
 }
 
