An upload that ends late in the grace is refused if it may be broken off

A caller whose upload had begun before an instance was told to stop, and ended later than 3 s after that, got 502 at the end of the grace while the endpoint was still at work, also for work that may not be repeated.

Cause: whether the instance still takes requests was asked when the head had been read, and not again when the body was whole.

It is asked again behind the body. A request whose own time ends before the instance must answer is served as before, since the stop cannot break it off; one that may outlast it has not run and is told so with 503.

Evidence: gateway_stop_late. Before, an upload that ended 3.1 s after the signal was run and got 502, and so was one that the instance passed on to a neighbor; now both get 503 and do not run. The other rows passed before too: a request that comes late in a row, a neighbor that stops, a grace of 1 s and of 30 s, and an instance with 24 busy callers.

--- a/crates/citronway-core/src/gateway/admission/mod.rs
+++ b/crates/citronway-core/src/gateway/admission/mod.rs
@@ -263,6 +263,12 @@
         }
     }
 
+    /// Whether the process is to end before a deadline.
+    #[must_use]
+    pub fn ends_before(&self, deadline: Mono) -> bool {
+        self.ends_at.is_some_and(|end| end < deadline)
+    }
+
     /// Admits a request to its endpoint, or refuses it if its work would outlast this instance.
     ///
     /// Failure: a slot becomes free for a queued request just before its instance ends. The
--- a/crates/citronway/src/gateway/traffic/request.rs
+++ b/crates/citronway/src/gateway/traffic/request.rs
@@ -178,7 +178,10 @@
         return not_run(RefusalReason::BehindUnanswered, DEFAULT_RETRY_MS);
     }
     let limit = Duration::from_millis(wait_ms);
+    let deadline = arrived.plus(wait_ms);
     let held = match body::read(state, body, routes.limits.body_bytes, limit, open).await {
+        // The body may have taken longer to arrive than requests are accepted.
+        Ok(_) if state.is_too_late(deadline) => return outcome::stopping(),
         Ok(held) => held,
         Err(outcome) => return outcome,
     };
@@ -209,7 +212,7 @@
         repeat: route.repeat,
         arrived,
         objective_at: arrived.plus(route.objective_ms).minus(spent_ms),
-        deadline: arrived.plus(wait_ms),
+        deadline,
         caller_deadline: arrived.plus(stated_ms),
         work_ms: estimate.work_ms,
         answer_bytes: estimate.answer_bytes,
--- a/crates/citronway/src/gateway/traffic/state/mod.rs
+++ b/crates/citronway/src/gateway/traffic/state/mod.rs
@@ -457,6 +457,12 @@
         self.decide_waiting();
     }
 
+    /// Whether a request with this deadline is refused, because the instance is stopping and may have
+    /// to break it off.
+    pub(super) fn is_too_late(&self, deadline: Mono) -> bool {
+        self.is_closing() && self.admission.borrow().ends_before(deadline)
+    }
+
     /// Number of requests that wait at this instance.
     pub(super) fn waiting_count(&self) -> usize {
         self.waiting.borrow().len()
