Tests: odd rows of the store end no instance

Odd entries of endpoints, configurations and rows of the product: nested 20,000 deep, numbers out of range in each field, addresses that are none, bytes that are no text. No change of the product.

--- a/crates/citronway-standin/src/shared/store.rs
+++ b/crates/citronway-standin/src/shared/store.rs
@@ -135,10 +135,15 @@
 
     /// Writes a row as the operator or an endpoint does.
     pub fn put(&self, table: &str, key: &str, value: &serde_json::Value) {
+        self.put_bytes(table, key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row whose value may be no JSON.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
         let mut state = self.shared.lock();
         let at = (table.to_owned(), String::new(), key.to_owned());
         state.version += 1;
-        state.write(at, Some(encoded(value.to_string().as_bytes())));
+        state.write(at, Some(encoded(value)));
         drop(state);
         self.shared.changed.notify_waiters();
     }
