--- a/crates/citronway/src/answer_head.rs
+++ b/crates/citronway/src/answer_head.rs
@@ -8,13 +8,13 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 
-/// Why a head is that of no answer.
+/// Why a head is not that of a valid answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum HeadError {
-    /// The status is not that of a final answer.
+    /// The status is outside 200 to 599.
     #[error("the status is not that of a final answer")]
     Status,
-    /// The head does not say how the body ends.
+    /// It is not clear how the body ends.
     #[error("the head does not say how the body ends")]
     Framing,
 }
--- a/crates/citronway/src/endpoints/link.rs
+++ b/crates/citronway/src/endpoints/link.rs
@@ -43,7 +43,7 @@
         /// Limit in bytes.
         limit: usize,
     },
-    /// The head is that of no answer.
+    /// The head is not that of a valid answer.
     #[error("wrong answer: {0}")]
     Head(#[from] HeadError),
 }
--- a/crates/citronway/src/gateway/http_link.rs
+++ b/crates/citronway/src/gateway/http_link.rs
@@ -252,8 +252,8 @@
     ///
     /// # Errors
     ///
-    /// When nothing was sent, the connection broke, or the head exceeded a bound or is that of no
-    /// answer. The connection is not fit for use then.
+    /// When nothing was sent, the connection broke, or the head exceeded a bound or is invalid. The
+    /// connection must not be used again then.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
         let mut req = req.map(Full::new);
         let method = req.method().clone();
