--- a/crates/citronway/tests/gateway_soak.rs
+++ b/crates/citronway/tests/gateway_soak.rs
@@ -59,7 +59,7 @@
 const FIXED_REFUSALS: [u64; 2] = [1_502, 1_511];
 
 /// Seeds that are always run, with endpoints that send copies of answers, bytes without end or broken
-/// heads. The last two fail if bodies of unknown transfer codings are taken for whole ones.
+/// heads. The last two fail if answers with broken heads are passed on.
 const FIXED_WRONG_ANSWERS: [u64; 4] = [1_600, 1_601, 1_644, 1_680];
 
 /// A seed with which harmful work was sent too often after its faults.
