--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -25,6 +25,7 @@
 use record::Record;
 use server::Server;
 use store::Store;
+use uploads::Kind;
 
 const INSTANCES: u32 = 3;
 
@@ -40,7 +41,8 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let result = match case.as_str() {
         "second-shed" => second_shed(&root, &folder, &temporary, trouble),
-        "uploads" => uploads::run(&root, &folder, &temporary, trouble),
+        "slow-upstreams" => uploads::run(Kind::SlowUpstreams, &root, &folder, &temporary, trouble),
+        "chunks" => uploads::run(Kind::Chunks, &root, &folder, &temporary, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     };
     if std::env::var("KEEP_LOGS").is_err() {
--- a/review/standin-2/src/uploads.rs
+++ b/review/standin-2/src/uploads.rs
@@ -1,4 +1,5 @@
-//! Uploads to upstreams that read slowly, beside small requests to sound ones.
+//! Uploads to upstreams that read slowly, or many at the same time to sound ones, beside small
+//! requests.
 //!
 //! The stand-in of the platform ends an instance that uses more than its `memoryMb`, as DEPLOY.md
 //! says. Judged are requests of kept connections that a sound upstream had and whose connection
@@ -17,9 +18,28 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// Bytes of an upload; `maxBodyBytes` is 64 MB.
+/// What the uploads meet.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Upstreams read slowly, with trouble.
+    SlowUpstreams,
+    /// Uploads in chunks come at the same time, with trouble; otherwise one after the other.
+    Chunks,
+}
+
+/// Bytes of an upload to a slow upstream; `maxBodyBytes` is 64 MB.
 const UPLOAD_BYTES: usize = 24_000_000;
 
+/// Uploads that come at the same time and their megabytes, one group after the other.
+const GROUPS: [(usize, usize); 5] = [(8, 15), (4, 31), (4, 60), (4, 31), (8, 15)];
+
+/// Pause between two groups; none lasts longer than three seconds.
+const GROUP_PAUSE: Duration = Duration::from_secs(1);
+
+/// Part of an upload that is sent at a time. The pause behind it is a millisecond for each upload that
+/// comes at the same time, so that 100 MB a second come, which is within the machine's 1,000 Mbit/s.
+const SENT: usize = 100_000;
+
 /// Pause between two uploads to an instance.
 const UPLOAD_PERIOD: Duration = Duration::from_millis(1_200);
 
@@ -168,10 +188,24 @@
     }
 }
 
-fn upload(n: usize, number: u32, to: SocketAddr, record: &Record) -> u16 {
+/// An upload: its length, and whether it is sent in chunks and slowly.
+#[derive(Clone, Copy)]
+struct Body {
+    bytes: usize,
+    chunked: bool,
+    period: Duration,
+}
+
+fn upload(n: usize, number: u32, to: SocketAddr, body: Body, record: &Record) -> u16 {
     let id = format!("{:04x}{number:012x}", 0xb000 + n);
+    let how = if body.chunked {
+        "in chunks"
+    } else {
+        "with a length"
+    };
     record.note(format!(
-        "client sends upload {id} ({UPLOAD_BYTES} bytes) to instance {}",
+        "client sends upload {id} ({} bytes, {how}) to instance {}",
+        body.bytes,
         n + 1
     ));
     let status = (|| {
@@ -179,11 +213,25 @@
         let _ = stream.set_read_timeout(Some(Duration::from_secs(6)));
         let _ = stream.set_write_timeout(Some(Duration::from_secs(6)));
         let mut conn = Conn::new(stream);
-        let head = format!("POST /puka111/2f HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n");
+        let framing = if body.chunked {
+            "Transfer-Encoding: chunked".to_owned()
+        } else {
+            format!("Content-Length: {}", body.bytes)
+        };
+        let head = format!("POST /puka111/2f HTTP/1.1\r\nHost: jepu9.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n{framing}\r\n\r\n");
         conn.write(head.as_bytes()).ok()?;
-        let part = vec![b'x'; 1_000_000];
-        for _ in 0..UPLOAD_BYTES / part.len() {
+        let mut part = vec![b'x'; SENT];
+        if body.chunked {
+            part = [format!("{SENT:x}\r\n").as_bytes(), &part, b"\r\n"].concat();
+        }
+        for _ in 0..body.bytes / SENT {
             conn.write(&part).ok()?;
+            if !body.period.is_zero() {
+                thread::sleep(body.period);
+            }
+        }
+        if body.chunked {
+            conn.write(b"0\r\n\r\n").ok()?;
         }
         Some(conn.read().ok()??.status())
     })();
@@ -192,7 +240,45 @@
     status
 }
 
+/// Uploads of [`Kind::Chunks`], group by group, until the instance has ended.
+fn send_groups(
+    n: usize,
+    to: SocketAddr,
+    at_once: bool,
+    stop: &(dyn Fn() -> bool + Sync),
+    done: &(dyn Fn(u16) + Sync),
+    record: &Record,
+) {
+    let mut number = 0;
+    while !stop() {
+        for (count, mb) in GROUPS {
+            if stop() {
+                return;
+            }
+            let (together, in_turn) = if at_once { (count, 1) } else { (1, count) };
+            let body = Body {
+                bytes: mb * 1_000_000,
+                chunked: true,
+                period: Duration::from_millis(together as u64),
+            };
+            if at_once {
+                thread::sleep(GROUP_PAUSE);
+            }
+            for _ in 0..in_turn {
+                thread::scope(|scope| {
+                    for _ in 0..together {
+                        number += 1;
+                        let number = number;
+                        scope.spawn(move || done(upload(n, number, to, body, record)));
+                    }
+                });
+            }
+        }
+    }
+}
+
 pub fn run(
+    kind: Kind,
     root: &Path,
     folder: &Path,
     temporary: &Path,
@@ -200,8 +286,19 @@
 ) -> std::io::Result<Vec<String>> {
     let record = Record::new();
     let store = Store::start("127.0.0.1")?;
-    store.put("op", "config", r#"{"version":7,"routes":[{"name":"r-look","host":"hulo84.example","pathPrefix":"/leny950/","kind":"idempotent","timeoutS":3.0,"sloS":1.0,"priority":1,"service":"kafi81c","attempts":2},{"name":"r-upload","host":"jepu9.example","pathPrefix":"/puka111/","kind":"non_idempotent","timeoutS":2.0,"sloS":1.5,"priority":2,"service":"wuno96b","attempts":2}],"services":[{"name":"kafi81c","healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false},{"name":"wuno96b","healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}"#);
-    let pause = if trouble { PAUSE } else { Duration::ZERO };
+    let config = r#"{"version":7,"routes":[{"name":"r-look","host":"hulo84.example","pathPrefix":"/leny950/","kind":"idempotent","timeoutS":3.0,"sloS":1.0,"priority":1,"service":"kafi81c","attempts":2},{"name":"r-upload","host":"jepu9.example","pathPrefix":"/puka111/","kind":"non_idempotent","timeoutS":2.0,"sloS":1.5,"priority":2,"service":"wuno96b","attempts":2}],"services":[{"name":"kafi81c","healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false},{"name":"wuno96b","healthPath":"/healthz","maxConns":130,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}"#;
+    // Uploads of 60 MB take over a second to arrive.
+    let timeout = if kind == Kind::Chunks {
+        "\"timeoutS\":4.0"
+    } else {
+        "\"timeoutS\":2.0"
+    };
+    store.put("op", "config", &config.replace("\"timeoutS\":2.0", timeout));
+    let pause = if trouble && kind == Kind::SlowUpstreams {
+        PAUSE
+    } else {
+        Duration::ZERO
+    };
     for n in 0..3 {
         let slow = Upstream::start(
             &format!("i-5101{n:04x}"),
@@ -255,6 +352,17 @@
         );
         let to = instance.callers;
         threads.push(thread::spawn(move || {
+            if kind == Kind::Chunks {
+                let stop = || over.load(Ordering::Relaxed) || ended.load(Ordering::Relaxed);
+                let done = |status| *statuses.lock().unwrap().entry(status).or_default() += 1;
+                send_groups(n, to, trouble, &stop, &done, &record);
+                return;
+            }
+            let body = Body {
+                bytes: UPLOAD_BYTES,
+                chunked: false,
+                period: Duration::ZERO,
+            };
             let mut uploads = Vec::new();
             for number in 1_u32.. {
                 if over.load(Ordering::Relaxed) || ended.load(Ordering::Relaxed) {
@@ -262,7 +370,7 @@
                 }
                 let (record, statuses) = (record.clone(), Arc::clone(&statuses));
                 uploads.push(thread::spawn(move || {
-                    let status = upload(n, number, to, &record);
+                    let status = upload(n, number, to, body, &record);
                     *statuses.lock().unwrap().entry(status).or_default() += 1;
                 }));
                 thread::sleep(UPLOAD_PERIOD);
