--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod server;
 mod store;
+mod uploads;
 
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -39,6 +40,7 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let result = match case.as_str() {
         "second-shed" => second_shed(&root, &folder, &temporary, trouble),
+        "uploads" => uploads::run(&root, &folder, &temporary, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     };
     if std::env::var("KEEP_LOGS").is_err() {
@@ -131,7 +133,10 @@
         for (n, server) in servers.iter().enumerate() {
             server.set_trouble(trouble && n < FAULTY);
         }
-        record.note(format!("round {round}: second answers {}", if trouble { "begin" } else { "are left out" }));
+        record.note(format!(
+            "round {round}: second answers {}",
+            if trouble { "begin" } else { "are left out" }
+        ));
         let began = Instant::now();
         let mut is_over = false;
         while began.elapsed() < LASTS + Duration::from_secs(3) {
@@ -171,12 +176,20 @@
         *counts.entry(*status).or_default() += 1;
         let runs = record.runs_of(id);
         if runs.len() > 1 {
-            let at: Vec<_> = runs.iter().map(|(s, server)| format!("{server} at {s:.3} s")).collect();
-            broken.push(format!("TWICE: {id} is not idempotent and ran at {}", at.join(" and ")));
+            let at: Vec<_> = runs
+                .iter()
+                .map(|(s, server)| format!("{server} at {s:.3} s"))
+                .collect();
+            broken.push(format!(
+                "TWICE: {id} is not idempotent and ran at {}",
+                at.join(" and ")
+            ));
         }
         if [408, 421, 429, 503].contains(status) && !runs.is_empty() {
             let (s, server) = &runs[0];
-            broken.push(format!("REFUSED: {id} was answered {status} and ran at {server} at {s:.3} s"));
+            broken.push(format!(
+                "REFUSED: {id} was answered {status} and ran at {server} at {s:.3} s"
+            ));
         }
     }
     println!("{} requests, answers by status: {counts:?}", answers.len());
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -135,7 +135,8 @@
         }
         if !self.enter() {
             self.count_answer();
-            self.record.note(format!("server {} is full and sheds {id}", self.id));
+            self.record
+                .note(format!("server {} is full and sheds {id}", self.id));
             // As in `fleetbench wire`, "a server sheds".
             let mut headers = vec![("X-Not-Executed", "1")];
             if std::env::var("ECHO").as_deref() == Ok("1") {
@@ -159,7 +160,8 @@
         std::thread::sleep(self.work);
         self.leave();
         self.count_answer();
-        self.record.note(format!("server {} answers {id} with 200", self.id));
+        self.record
+            .note(format!("server {} answers {id} with 200", self.id));
         let headers = [
             ("X-Request-Id", id.as_str()),
             ("X-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
